--- /dev/null
+++ b/decide/placement.go
@@ -0,0 +1,63 @@
+package decide
+
+import (
+	"time"
+
+	"greengageferry/config"
+	"greengageferry/platform"
+)
+
+// PlanServer is a backend server of the planner's failure domain.
+type PlanServer struct {
+	ID        string
+	Pool      string
+	MemoryMiB int64
+	Slots     int
+	Leaving   bool
+	Reachable bool
+	Assigned  []platform.Item // what the log says it may hold
+	Lingering []platform.Item // memory not yet free
+	Ready     []platform.Item
+	Since     map[platform.Key]time.Time // when each assigned item was assigned, as far as the planner saw
+}
+
+// Demand is what callers lately asked of a model or adapter in this failure domain.
+type Demand struct {
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+	RefusedPerSecond  float64 // refused for want of capacity
+}
+
+// PlanInput is everything that placement decides on.
+type PlanInput struct {
+	Now       time.Time
+	Domain    string
+	Config    *config.Config
+	Servers   []PlanServer                    // of this failure domain
+	Demand    map[string]Demand               // by model or adapter name
+	Elsewhere map[string]int                  // replicas of each model or adapter in other failure domains
+	Domains   []string                        // all failure domains that have servers, sorted
+	Stores    map[string]platform.StoreLimits // by partner
+	StoreDown bool
+}
+
+// Move is one change of a server's assignment: drop some items, add some.
+type Move struct {
+	Server string
+	Add    []platform.Item
+	Drop   []platform.Item
+	Reason string  // for the log line
+	Gain   float64 // expected gain in the objective
+}
+
+// Planner decides what each backend server of a failure domain is assigned. It
+// keeps what hysteresis needs between plans; it has one owner.
+type Planner struct{}
+
+// NewPlanner returns a planner without history.
+func NewPlanner() *Planner { return &Planner{} }
+
+// Plan returns the moves to make now, best first, within the store's limits. A
+// move fits its server's memory at once, lingering items included: what has to
+// wait for memory comes in a later plan.
+func (p *Planner) Plan(in PlanInput) []Move { return nil }
--- /dev/null
+++ b/decide/types.go
@@ -0,0 +1,135 @@
+// Package decide holds the decisions under load: admit, queue, refuse, route,
+// retry, place and shift. It does no I/O, starts no goroutine and reads no
+// clock: time and the random source are arguments, so that each decision can
+// be tested without sockets.
+package decide
+
+import (
+	"time"
+
+	"greengageferry/platform"
+)
+
+// Server is a backend server as the routing sees it.
+type Server struct {
+	ID            string
+	Addr          string // IP:port
+	Pool          string // a pool's or a plain service's name
+	FailureDomain string
+	Slots         int  // requests that it batches at most; for a plain service its concurrency
+	Leaving       bool // gets no new work
+}
+
+// Replica is a place where a target can be served.
+type Replica struct {
+	Server  int // index into Table.Servers
+	Version string
+}
+
+// Target is something that callers ask for by name: a model, an adapter or a
+// plain service.
+type Target struct {
+	Name       string
+	Partner    string // its owner
+	Model      string // the model to name to the engine; empty for a plain service
+	Adapter    string
+	Service    bool
+	MaxTokens  int           // the most that one answer may have
+	FirstToken time.Duration // target for the first token
+	PerToken   time.Duration // target between tokens
+	Timeout    time.Duration // the deadline where the caller sets none
+	Replicas   []Replica     // ready ones, newest version first
+}
+
+// Table is what routing knows of the fleet. It is immutable; a new one takes
+// its place when configuration, assignments or the instance list change.
+type Table struct {
+	OwnDomain string
+	Servers   []Server
+	Targets   map[string]*Target
+	Weights   map[string]float64 // by partner: parts of contended capacity
+	Entries   map[string]int     // by failure domain: entry instances there, from the platform's list
+}
+
+// Request is what the decisions need to know of a caller's request.
+type Request struct {
+	ID          string
+	Partner     string
+	Target      string
+	Priority    int // 0 is ordinary; higher goes first
+	Arrived     time.Time
+	Deadline    time.Time
+	PromptBytes int
+	MaxTokens   int
+	Prefix      uint64 // platform.PrefixHash of the prompt; 0: none
+	Idempotent  bool   // may be dispatched again after an unknown outcome
+	Suspect     bool   // a backend server died while it ran it: kept apart from other suspects
+}
+
+// Action is what a decision asks for.
+type Action int
+
+// The actions.
+const (
+	ActionDispatch Action = iota + 1 // send it to Decision.Server
+	ActionQueue                      // wait: a later decision follows
+	ActionRefuse                     // answer now: not run, or unknown if an attempt may have run
+)
+
+// Decision is the verdict on one request.
+type Decision struct {
+	Request    string
+	Action     Action
+	Server     Server        // with ActionDispatch
+	Version    string        // the model's version there
+	Reason     Reason        // why, for the log and for the caller
+	RetryAfter time.Duration // with ActionRefuse: when to come back
+	Inputs     Inputs        // what it rested on, for the log
+}
+
+// Reason names why a decision went as it did. It is part of the callers' and
+// the operators' interface.
+type Reason string
+
+// The reasons of decisions.
+const (
+	ReasonBest          Reason = "best_score"     // dispatched to the best replica
+	ReasonOnly          Reason = "only_replica"   // dispatched to the one that is left
+	ReasonQueued        Reason = "no_free_slot"   // waits for a slot
+	ReasonDeadline      Reason = "deadline"       // can't be done before its deadline
+	ReasonQueueFull     Reason = "queue_full"     // the queue's memory bound
+	ReasonShare         Reason = "partner_share"  // the partner is over its part while others wait
+	ReasonNoReplica     Reason = "no_replica"     // no ready replica that can be reached now
+	ReasonUnknownTarget Reason = "unknown_target" // nothing of that name is in force
+	ReasonRetryBudget   Reason = "retry_budget"   // retries would make an overload worse
+	ReasonMayHaveRun    Reason = "may_have_run"   // non-idempotent, and a byte may have left
+	ReasonShuttingDown  Reason = "shutting_down"  // the instance is ending
+	ReasonQuarantined   Reason = "quarantined"    // it crashes backend servers
+	ReasonCanceled      Reason = "caller_left"    // its caller has gone
+)
+
+// Inputs are the figures behind a decision, for its log line.
+type Inputs struct {
+	Candidates int           // replicas considered
+	InFlight   int           // this instance's requests at the chosen server
+	Queued     int           // requests waiting here for the same target
+	Wait       time.Duration // expected wait for a slot
+	Service    time.Duration // expected time of service
+	Score      float64
+}
+
+// Failure says how an attempt failed.
+type Failure struct {
+	Reason platform.Reason
+	Effect platform.Effect
+	Tokens int  // tokens that the caller already has
+	Crash  bool // the server died while it ran the attempt
+}
+
+// Outcome says how an attempt that was dispatched went.
+type Outcome struct {
+	Complete   bool
+	FirstToken time.Duration // from dispatch; 0: none came
+	Total      time.Duration // from dispatch
+	Tokens     int
+}
