supervise: a tree of duties over errgroup

Cause: every duty of an entry instance needs the same answer to failure. Conclusion: four synctest cases cover panic, giving up, forgetting and ending.

--- /dev/null
+++ b/supervise/supervise_test.go
@@ -0,0 +1,91 @@
+package supervise
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type failure struct{}
+
+func (failure) Error() string { return "failed" }
+
+func quiet() Options {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return Options{Log: log}
+}
+
+func TestDutyThatPanicsIsStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		err := Run(t.Context(), quiet(), Duty{Name: "d", Run: func(context.Context) error {
+			runs++
+			if runs < 3 {
+				panic("boom")
+			}
+			return nil
+		}})
+		require.NoError(t, err)
+		require.Equal(t, 3, runs)
+	})
+}
+
+func TestDutyThatKeepsFailingTakesItsLevelDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		siblingEnded := false
+		sibling := Duty{Name: "sibling", Run: func(ctx context.Context) error {
+			<-ctx.Done()
+			siblingEnded = true
+			return nil
+		}}
+		runs := 0
+		failing := Duty{Name: "failing", Run: func(context.Context) error { runs++; return failure{} }}
+		err := Run(t.Context(), quiet(), Tree("level", quiet(), sibling, failing))
+		var gaveUp *GaveUpError
+		require.True(t, errors.As(err, &gaveUp))
+		require.Equal(t, "level", gaveUp.Duty)
+		require.True(t, errors.As(err, &failure{}))
+		require.True(t, siblingEnded)
+		require.Equal(t, (DefaultMaxRestarts+1)*(DefaultMaxRestarts+1), runs)
+	})
+}
+
+func TestFailuresFarApartAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		err := Run(t.Context(), quiet(), Duty{Name: "d", Run: func(ctx context.Context) error {
+			runs++
+			if runs > 3*DefaultMaxRestarts {
+				return nil
+			}
+			time.Sleep(DefaultWindow)
+			return failure{}
+		}})
+		require.NoError(t, err)
+	})
+}
+
+func TestEndOfContextIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(time.Second)
+			cancel()
+		}()
+		err := Run(ctx, quiet(), Duty{Name: "d", Run: func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}})
+		require.NoError(t, err)
+	})
+}
