fleet: the platform's list followed, and the routing table built from it

Cause: routing needs one immutable picture of configuration, control streams and list, and a list out of reach must not empty it. Change: a watcher duty keeps the last list; BuildTable is pure and counts a replica only once its readiness is on the log.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"greengageferry/config"
+	"greengageferry/decide"
+	"greengageferry/platform"
+	"greengageferry/replay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func engine(id string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{ID: id, Role: platform.RoleEngine, State: state, FailureDomain: "porto-a", Pool: "redator", Addr: "127.0.0.1:1"}
+}
+
+func testConfig() *config.Config {
+	return &config.Config{
+		Partners: map[string]config.Partner{"instituto": {Weight: 2}},
+		Pools:    map[string]config.Pool{"redator": {Owner: "instituto", Slots: 8}},
+		Models:   map[string]config.Model{"m": {Owner: "instituto", Version: "v2", TimeoutMS: 1000}},
+		Adapters: map[string]config.Adapter{"a": {Owner: "instituto", Model: "m", Version: "v1"}},
+		Services: map[string]config.Service{"campo": {Owner: "instituto"}},
+	}
+}
+
+func view(servers map[string][]platform.Item) *replay.ControlView {
+	v := &replay.ControlView{Servers: map[string]*replay.Server{}}
+	for id, items := range servers {
+		v.Servers[id] = &replay.Server{ID: id, Ready: items}
+	}
+	return v
+}
+
+func TestTableHoldsOnlyWhatIsReadyAndListed(t *testing.T) {
+	list := NewList(time.Time{}, []platform.Instance{
+		engine("s1", platform.StateLive), engine("s2", platform.StateLeaving),
+		{ID: "c1", Role: platform.RoleService, Pool: "campo", State: platform.StateLive},
+		{ID: "e1", Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: "porto-a"},
+		{ID: "e2", Role: platform.RoleEntry, State: platform.StateLeaving, FailureDomain: "porto-a"},
+	})
+	old, declared := platform.Item{Model: "m", Version: "v1"}, platform.Item{Model: "m", Version: "v2"}
+	adapter := platform.Item{Model: "m", Adapter: "a", Version: "v1"}
+	table := BuildTable("porto-a", testConfig(), list, map[string]*replay.ControlView{
+		"porto-a": view(map[string][]platform.Item{
+			"s1":       {old, adapter},
+			"s2":       {declared},
+			"unlisted": {declared},
+		}),
+		"porto-b": nil,
+	})
+	require.Equal(t, []decide.Replica{{Server: 2, Version: "v2"}, {Server: 1, Version: "v1"}}, table.Targets["m"].Replicas)
+	require.Equal(t, "s1", table.Servers[1].ID)
+	require.True(t, table.Servers[2].Leaving)
+	require.Equal(t, []decide.Replica{{Server: 1, Version: "v1"}}, table.Targets["a"].Replicas)
+	require.Len(t, table.Targets["campo"].Replicas, 1)
+	require.Equal(t, 8, table.Servers[1].Slots)
+	require.Equal(t, map[string]int{"porto-a": 1}, table.Entries)
+	require.Equal(t, map[string]float64{"instituto": 2}, table.Weights)
+}
+
+func TestAdapterWithoutItsModelIsNoReplica(t *testing.T) {
+	list := NewList(time.Time{}, []platform.Instance{engine("s1", platform.StateLive)})
+	adapter := platform.Item{Model: "m", Adapter: "a", Version: "v1"}
+	table := BuildTable("porto-a", testConfig(), list, map[string]*replay.ControlView{
+		"porto-a": view(map[string][]platform.Item{"s1": {adapter}}),
+	})
+	require.Empty(t, table.Targets["a"].Replicas)
+}
+
+// lister answers with what the test sets.
+type lister struct {
+	instances []platform.Instance
+	err       error
+}
+
+func (l *lister) List(context.Context) ([]platform.Instance, error) { return l.instances, l.err }
+
+func TestWatcherKeepsTheLastListWhileThePlatformIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		source := &lister{instances: []platform.Instance{engine("s1", platform.StateLive)}}
+		w := NewWatcher(source, 0, log, new(expvar.Map))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- w.Run(ctx) }()
+		<-w.Changed()
+		source.instances, source.err = nil, &platform.Error{Op: "list", Reason: platform.ReasonUnavailable}
+		time.Sleep(time.Minute)
+		require.Len(t, w.List().Instances, 1)
+		source.instances, source.err = []platform.Instance{engine("s1", platform.StateLeaving)}, nil
+		<-w.Changed()
+		got, listed := w.List().Get("s1")
+		require.True(t, listed)
+		require.Equal(t, platform.StateLeaving, got.State)
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
--- /dev/null
+++ b/fleet/list.go
@@ -0,0 +1,180 @@
+// Package fleet is what an entry instance knows of the instances around it: the
+// platform's lagging list, followed by one duty, and the routing table that
+// follows from the list, the configuration and the control streams.
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"reflect"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/platform"
+)
+
+const (
+	// DefaultEvery is the time between two looks at the list: together with a
+	// table's rebuilding it keeps a leaving server's last new work within the
+	// 3 s that are promised.
+	DefaultEvery = time.Second
+	// callTimeout bounds one look, so that a stuck list is seen as down.
+	callTimeout = 2 * time.Second
+)
+
+// List is the platform's list as last read. It is immutable.
+type List struct {
+	Read      time.Time // when it was read, on this instance's clock
+	Instances []platform.Instance
+	byID      map[string]int
+}
+
+// NewList sorts the instances by id and indexes them.
+func NewList(read time.Time, instances []platform.Instance) *List {
+	sorted := append([]platform.Instance(nil), instances...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
+	l := &List{Read: read, Instances: sorted, byID: make(map[string]int, len(sorted))}
+	for i, inst := range sorted {
+		l.byID[inst.ID] = i
+	}
+	return l
+}
+
+// Get returns the instance of that id.
+func (l *List) Get(id string) (platform.Instance, bool) {
+	if l == nil {
+		return platform.Instance{}, false
+	}
+	i, ok := l.byID[id]
+	if !ok {
+		return platform.Instance{}, false
+	}
+	return l.Instances[i], true
+}
+
+// Select returns the instances that match, ordered by id. A nil list has none.
+func (l *List) Select(match func(platform.Instance) bool) []platform.Instance {
+	if l == nil {
+		return nil
+	}
+	var found []platform.Instance
+	for _, inst := range l.Instances {
+		if match(inst) {
+			found = append(found, inst)
+		}
+	}
+	return found
+}
+
+// Entries returns the live entry instances of a failure domain, or of all where
+// domain is empty.
+func (l *List) Entries(domain string) []platform.Instance {
+	return l.Select(func(i platform.Instance) bool {
+		return i.Role == platform.RoleEntry && i.State == platform.StateLive && (domain == "" || i.FailureDomain == domain)
+	})
+}
+
+// Servers returns the backend servers that run model engines in a failure
+// domain, leaving ones too.
+func (l *List) Servers(domain string) []platform.Instance {
+	return l.Select(func(i platform.Instance) bool {
+		return i.Role == platform.RoleEngine && i.FailureDomain == domain
+	})
+}
+
+// Watcher follows the platform's list. While the list can't be read it keeps
+// the last one: an outage of the list must not empty the routing.
+type Watcher struct {
+	source  platform.Instances
+	every   time.Duration
+	log     logrus.FieldLogger
+	metrics *expvar.Map
+	current atomic.Pointer[List]
+	changed chan struct{} // full: a change is already pending, so another says nothing new
+}
+
+// NewWatcher returns a watcher that looks at the source each time `every` has
+// passed; zero takes DefaultEvery.
+func NewWatcher(source platform.Instances, every time.Duration, log logrus.FieldLogger, metrics *expvar.Map) *Watcher {
+	if every == 0 {
+		every = DefaultEvery
+	}
+	return &Watcher{source: source, every: every, log: log, metrics: metrics, changed: make(chan struct{}, 1)}
+}
+
+// List returns the list as last read, or nil before the first.
+func (w *Watcher) List() *List { return w.current.Load() }
+
+// Changed gets a value after the list has changed. It has one reader.
+func (w *Watcher) Changed() <-chan struct{} { return w.changed }
+
+// Run looks at the list until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	failing := false
+	for {
+		err := w.look(ctx)
+		if err != nil && !failing && ctx.Err() == nil {
+			w.log.WithField("error", err).Warn("instance list out of reach, keeping the last one")
+		}
+		if err == nil && failing {
+			w.log.Info("instance list read again")
+		}
+		failing = err != nil
+		if !sleep(ctx, jittered(w.every)) {
+			return nil
+		}
+	}
+}
+
+// look reads the list once.
+func (w *Watcher) look(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	instances, err := w.source.List(ctx)
+	if err != nil {
+		w.metrics.Add("list_errors", 1)
+		return err
+	}
+	next := NewList(time.Now(), instances)
+	last := w.current.Swap(next)
+	if last == nil || !reflect.DeepEqual(last.Instances, next.Instances) {
+		w.note(last, next)
+	}
+	return nil
+}
+
+// note logs what has changed and wakes the reader.
+func (w *Watcher) note(last, next *List) {
+	w.metrics.Add("list_changes", 1)
+	before := 0
+	if last != nil {
+		before = len(last.Instances)
+	}
+	w.log.WithFields(logrus.Fields{"instances": len(next.Instances), "before": before}).Info("instance list changed")
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+// jittered spreads looks by up to a tenth, so that instances started together
+// don't ask together.
+func jittered(d time.Duration) time.Duration {
+	return d - rand.N(d/10+1)
+}
+
+// sleep waits, and says whether ctx still lasts.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/fleet/table.go
@@ -0,0 +1,182 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"greengageferry/config"
+	"greengageferry/decide"
+	"greengageferry/platform"
+	"greengageferry/replay"
+)
+
+// ServiceSlots is how many calls one instance has at a plain service's backend
+// server at once: services don't batch, and say themselves when they are full,
+// so this only keeps a stuck one from taking all of an instance's memory.
+const ServiceSlots = 64
+
+// BuildTable works out the routing table. It is pure. A server that is not on
+// the list can't be reached and isn't in the table; a replica counts only once
+// the lease holder has put on the log that it is ready.
+func BuildTable(ownDomain string, cfg *config.Config, list *List, controls map[string]*replay.ControlView) *decide.Table {
+	b := builder{
+		cfg:   cfg,
+		index: map[string]int{},
+		table: &decide.Table{
+			OwnDomain: ownDomain,
+			Targets:   map[string]*decide.Target{},
+			Weights:   map[string]float64{},
+			Entries:   map[string]int{},
+		},
+	}
+	if cfg == nil || list == nil {
+		return b.table
+	}
+	b.addServers(list)
+	b.addTargets()
+	for _, domain := range slices.Sorted(maps.Keys(controls)) {
+		b.addReplicas(controls[domain])
+	}
+	b.sortReplicas()
+	for _, entry := range list.Entries("") {
+		b.table.Entries[entry.FailureDomain]++
+	}
+	for name, p := range cfg.Partners {
+		b.table.Weights[name] = p.Weight
+	}
+	return b.table
+}
+
+// builder holds a table while it is built.
+type builder struct {
+	cfg   *config.Config
+	table *decide.Table
+	index map[string]int // by server id
+}
+
+func (b *builder) addServers(list *List) {
+	for _, inst := range list.Instances {
+		if inst.Role != platform.RoleEngine && inst.Role != platform.RoleService {
+			continue
+		}
+		b.index[inst.ID] = len(b.table.Servers)
+		b.table.Servers = append(b.table.Servers, decide.Server{
+			ID:            inst.ID,
+			Addr:          inst.Addr,
+			Pool:          inst.Pool,
+			FailureDomain: inst.FailureDomain,
+			Slots:         b.slots(inst),
+			Leaving:       inst.State == platform.StateLeaving,
+		})
+	}
+}
+
+func (b *builder) slots(inst platform.Instance) int {
+	if inst.Role == platform.RoleService {
+		return ServiceSlots
+	}
+	return b.cfg.Pools[inst.Pool].Slots
+}
+
+func (b *builder) addTargets() {
+	for name, m := range b.cfg.Models {
+		b.table.Targets[name] = modelTarget(name, m.Owner, name, "", m)
+	}
+	for name, a := range b.cfg.Adapters {
+		b.table.Targets[name] = modelTarget(name, a.Owner, a.Model, name, b.cfg.Models[a.Model])
+	}
+	for name, s := range b.cfg.Services {
+		b.table.Targets[name] = &decide.Target{
+			Name:     name,
+			Partner:  s.Owner,
+			Service:  true,
+			Timeout:  milliseconds(s.TimeoutMS),
+			Replicas: b.serviceReplicas(name),
+		}
+	}
+}
+
+func modelTarget(name, partner, model, adapter string, m config.Model) *decide.Target {
+	return &decide.Target{
+		Name:       name,
+		Partner:    partner,
+		Model:      model,
+		Adapter:    adapter,
+		MaxTokens:  m.MaxTokens,
+		FirstToken: milliseconds(m.FirstTokenMS),
+		PerToken:   milliseconds(m.PerTokenMS),
+		Timeout:    milliseconds(m.TimeoutMS),
+	}
+}
+
+func (b *builder) serviceReplicas(service string) []decide.Replica {
+	var replicas []decide.Replica
+	for i, s := range b.table.Servers {
+		if s.Pool == service {
+			replicas = append(replicas, decide.Replica{Server: i})
+		}
+	}
+	return replicas
+}
+
+// addReplicas adds what the servers of one failure domain are known to serve.
+func (b *builder) addReplicas(view *replay.ControlView) {
+	if view == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Servers)) {
+		index, listed := b.index[id]
+		if !listed {
+			continue
+		}
+		for _, item := range view.Servers[id].Ready {
+			b.addReplica(index, item, view.Servers[id].Ready)
+		}
+	}
+}
+
+// addReplica adds one item; an adapter only where a version of its model is
+// ready beside it.
+func (b *builder) addReplica(server int, item platform.Item, beside []platform.Item) {
+	name, version := item.Model, item.Version
+	if item.Adapter != "" {
+		name = item.Adapter
+		if !hasModel(beside, item.Model) {
+			return
+		}
+	}
+	target := b.table.Targets[name]
+	if target == nil || target.Service {
+		return
+	}
+	target.Replicas = append(target.Replicas, decide.Replica{Server: server, Version: version})
+}
+
+func hasModel(items []platform.Item, model string) bool {
+	for _, item := range items {
+		if item.Adapter == "" && item.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// sortReplicas puts the declared version first.
+func (b *builder) sortReplicas() {
+	for _, target := range b.table.Targets {
+		if target.Service {
+			continue
+		}
+		declared := b.cfg.Models[target.Model].Version
+		if target.Adapter != "" {
+			declared = b.cfg.Adapters[target.Adapter].Version
+		}
+		sort.SliceStable(target.Replicas, func(i, j int) bool {
+			return target.Replicas[i].Version == declared && target.Replicas[j].Version != declared
+		})
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
