replay: machines for configuration, control, claims and quarantine

Each instance has to rebuild the shared state from the log, and any two must agree. One pure machine for each stream, with repeats dropped by a high-water mark for each origin (remembered for 4,096 offsets, as a function of offsets alone), deterministic checkpoints that bear those marks, and immutable views.

--- /dev/null
+++ b/replay/control_checkpoint.go
@@ -0,0 +1,100 @@
+package replay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"greengageferry/platform"
+	"greengageferry/record"
+)
+
+// Checkpoint implements Machine.
+func (c *Control) Checkpoint() *record.Checkpoint {
+	state := &record.ControlState{
+		Lease:      uint64(c.lease.ID),
+		Holder:     c.lease.Holder,
+		DurationMs: c.lease.DurationMS,
+		Renewed:    uint64(c.lease.Renewed),
+		Released:   c.lease.Released,
+	}
+	for _, instance := range slices.Sorted(maps.Keys(c.orderers)) {
+		state.Orderers = append(state.Orderers, &record.Orderer{Instance: instance, Joined: uint64(c.orderers[instance])})
+	}
+	byID := func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) }
+	for _, s := range slices.SortedFunc(maps.Values(c.servers), byID) {
+		state.Servers = append(state.Servers, serverState(s))
+	}
+	out := c.checkpoint()
+	out.State = &record.Checkpoint_Control{Control: state}
+	return out
+}
+
+// Restore implements Machine.
+func (c *Control) Restore(cp *record.Checkpoint) error {
+	state := cp.GetControl()
+	if err := c.admissible(cp, state != nil); err != nil {
+		return err
+	}
+	c.restore(cp)
+	c.lease = Lease{
+		ID:         platform.Offset(state.GetLease()),
+		Holder:     state.GetHolder(),
+		DurationMS: state.GetDurationMs(),
+		Renewed:    platform.Offset(state.GetRenewed()),
+		Released:   state.GetReleased(),
+	}
+	c.orderers = make(map[string]platform.Offset, len(state.GetOrderers()))
+	for _, o := range state.GetOrderers() {
+		c.orderers[o.GetInstance()] = platform.Offset(o.GetJoined())
+	}
+	c.servers = make(map[string]*Server, len(state.GetServers()))
+	for _, s := range state.GetServers() {
+		c.servers[s.GetServer()] = serverOf(s)
+	}
+	c.stale = stale{orderers: true, servers: true}
+	return nil
+}
+
+func serverState(s *Server) *record.ServerState {
+	return &record.ServerState{
+		Server:     s.ID,
+		Pool:       s.Pool,
+		MemoryMib:  s.MemoryMiB,
+		Assignment: uint64(s.Assignment),
+		Assigned:   ItemRecords(s.Assigned),
+		Lingering:  ItemRecords(s.Lingering),
+		Ready:      ItemRecords(s.Ready),
+		Boot:       s.Boot,
+	}
+}
+
+func serverOf(s *record.ServerState) *Server {
+	return &Server{
+		ID:         s.GetServer(),
+		Pool:       s.GetPool(),
+		MemoryMiB:  s.GetMemoryMib(),
+		Assignment: platform.Offset(s.GetAssignment()),
+		Assigned:   items(s.GetAssigned()),
+		Lingering:  items(s.GetLingering()),
+		Ready:      items(s.GetReady()),
+		Boot:       s.GetBoot(),
+	}
+}
+
+// ItemRecords converts items to what a record bears.
+func ItemRecords(items []platform.Item) []*record.Item {
+	var out []*record.Item
+	for _, i := range items {
+		out = append(out, &record.Item{Model: i.Model, Adapter: i.Adapter, Version: i.Version, Mib: i.MiB})
+	}
+	return out
+}
+
+func items(records []*record.Item) []platform.Item {
+	var out []platform.Item
+	for _, i := range records {
+		out = append(out, Item(i))
+	}
+	return out
+}
