fleet: the test's fake list is guarded

Cause: the race detector saw the test change its fake while the watcher read it. Change: a mutex in the fake. Conclusion: clean under -race.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,11 +81,22 @@
 
 // lister answers with what the test sets.
 type lister struct {
+	mu        sync.Mutex
 	instances []platform.Instance
 	err       error
 }
 
-func (l *lister) List(context.Context) ([]platform.Instance, error) { return l.instances, l.err }
+func (l *lister) List(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instances, l.err
+}
+
+func (l *lister) set(instances []platform.Instance, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances, l.err = instances, err
+}
 
 func TestWatcherKeepsTheLastListWhileThePlatformIsOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -96,10 +108,10 @@
 		done := make(chan error)
 		go func() { done <- w.Run(ctx) }()
 		<-w.Changed()
-		source.instances, source.err = nil, &platform.Error{Op: "list", Reason: platform.ReasonUnavailable}
+		source.set(nil, &platform.Error{Op: "list", Reason: platform.ReasonUnavailable})
 		time.Sleep(time.Minute)
 		require.Len(t, w.List().Instances, 1)
-		source.instances, source.err = []platform.Instance{engine("s1", platform.StateLeaving)}, nil
+		source.set([]platform.Instance{engine("s1", platform.StateLeaving)}, nil)
 		<-w.Changed()
 		got, listed := w.List().Get("s1")
 		require.True(t, listed)
