--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -1,4 +1,8 @@
-// Command greengageferry serves many language models on fewer accelerators.
+// Command greengageferry serves many language models on fewer accelerators: it
+// stands between callers and the backend servers that run the models.
+//
+// Exit codes: 0 done, 1 failed, 2 wrong usage, 3 settings or configuration
+// refused.
 package main
 
 import (
@@ -10,7 +14,15 @@
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
+	commander := subcommands.NewCommander(flag.CommandLine, "greengageferry")
+	register(commander)
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(commander.Execute(context.Background())))
+}
+
+// register adds the subcommands, in the order in which help lists them.
+func register(c *subcommands.Commander) {
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(&versionCommand{}, "")
 }
