--- a/cmd/greengageferry/version.go
+++ b/cmd/greengageferry/version.go
@@ -13,9 +13,6 @@
 // instances of mixed versions can be told apart on the log.
 const version = "0.1.0"
 
-// The exit codes besides subcommands' 0 (done), 1 (failed) and 2 (wrong usage).
-const exitRefused subcommands.ExitStatus = 3
-
 type versionCommand struct{}
 
 func (*versionCommand) Name() string     { return "version" }
