--- a/config/config.go
+++ b/config/config.go
@@ -22,9 +22,9 @@
 
 // Partner is one of the organizations that share the accelerators.
 type Partner struct {
-	Weight           float64 `toml:"weight"`            // its part of contended capacity, against the others' weights; default 1
-	AttainmentWeight float64 `toml:"attainment_weight"` // worth of one more request a second within its deadline; default 1
-	MovesWeight      float64 `toml:"moves_weight"`      // cost of one load, in the same unit; default 1
+	Weight           float64 `toml:"weight"`            // its part of contended capacity, against the others' weights: above 0 and at most 1, so that no partner raises itself; default 1
+	AttainmentWeight float64 `toml:"attainment_weight"` // worth of one more request a second within its deadline: above 0, at most 100; default 1
+	MovesWeight      float64 `toml:"moves_weight"`      // cost of one load, in the same unit: 0 to 100; default 1
 }
 
 // Pool is a set of like backend servers that run model engines.
--- /dev/null
+++ b/config/dir.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ReadPartner reads one partner's folder: each file in it whose name ends in
+// FileSuffix. Other files are left alone.
+func ReadPartner(dir, partner string) ([]File, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the folder of partner "+partner)
+	}
+	var files []File
+	for _, e := range entries {
+		if !e.Type().IsRegular() || strings.HasPrefix(e.Name(), ".") || !strings.HasSuffix(e.Name(), FileSuffix) {
+			continue
+		}
+		content, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return nil, errors.Wrap(err, "reading a file of partner "+partner)
+		}
+		files = append(files, File{Name: e.Name(), Partner: partner, Content: content})
+	}
+	return files, nil
+}
+
+// ReadShared reads the shared folder, in which each partner's folder bears the
+// partner's name. Two files of one name are a *Refusal.
+func ReadShared(dir string) ([]File, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the shared folder")
+	}
+	var files []File
+	seen := map[string]string{}
+	for _, e := range entries {
+		if !e.IsDir() || strings.HasPrefix(e.Name(), ".") {
+			continue
+		}
+		own, err := ReadPartner(filepath.Join(dir, e.Name()), e.Name())
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range own {
+			if other, taken := seen[f.Name]; taken {
+				return nil, &Refusal{File: f.Name, Reason: "partners " + other + " and " + f.Partner + " both have a file of this name"}
+			}
+			seen[f.Name] = f.Partner
+		}
+		files = append(files, own...)
+	}
+	return files, nil
+}
