--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,272 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"greengageferry/platform"
+)
+
+// Defaults of the log.
+const (
+	// DefaultAppendsPerSecond is the brief's "several hundred appends a second".
+	DefaultAppendsPerSecond = 400
+	// DefaultRetention is how long records are kept.
+	DefaultRetention = 6 * time.Hour
+	// DefaultRetainedRecords bounds a stream's memory.
+	DefaultRetainedRecords = 100_000
+	// maxReadBytes bounds a batch; one record is always given.
+	maxReadBytes = 8 << 20
+	// maxReadWait bounds a long poll.
+	maxReadWait = time.Minute
+)
+
+// LogOptions are a log's settings. Zero values mean the defaults.
+type LogOptions struct {
+	AppendsPerSecond float64       // above it, appends wait
+	Retention        time.Duration // how long a record is kept
+	RetainedRecords  int           // how many a stream keeps at most
+	History          bool          // keep all records ever appended, for Truth
+}
+
+func (o LogOptions) withDefaults() LogOptions {
+	if o.AppendsPerSecond == 0 {
+		o.AppendsPerSecond = DefaultAppendsPerSecond
+	}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.RetainedRecords == 0 {
+		o.RetainedRecords = DefaultRetainedRecords
+	}
+	return o
+}
+
+// Log is a stand-in for the platform's log. Its operations are "log.append"
+// and "log.read".
+type Log struct {
+	Faults Faults
+
+	options LogOptions
+	limiter *rate.Limiter
+	mux     *http.ServeMux
+
+	mu      sync.Mutex
+	streams map[string]*logStream
+	appends int
+}
+
+var (
+	_ platform.Log = (*Log)(nil)
+	_ Standin      = (*Log)(nil)
+)
+
+// logStream is one stream: the records that it keeps, and their times.
+type logStream struct {
+	oldest  platform.Offset
+	data    [][]byte
+	at      []time.Time
+	changed chan struct{} // closed when records arrive
+	history []platform.Record
+}
+
+func (s *logStream) next() platform.Offset { return s.oldest + platform.Offset(len(s.data)) }
+
+// NewLog returns an empty log.
+func NewLog(options LogOptions) *Log {
+	options = options.withDefaults()
+	l := &Log{
+		options: options,
+		limiter: rate.NewLimiter(rate.Limit(options.AppendsPerSecond), max(1, int(options.AppendsPerSecond/4))),
+		mux:     http.NewServeMux(),
+		streams: map[string]*logStream{},
+	}
+	l.mux.HandleFunc("POST "+platform.PathLogAppend, l.serveAppend)
+	l.mux.HandleFunc("GET "+platform.PathLogRead, l.serveRead)
+	return l
+}
+
+// Run implements Standin.
+func (l *Log) Run(ctx context.Context) error { return idle(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+	const op = "log.append"
+	if len(records) == 0 || stream == "" {
+		return 0, refusal(op, "", platform.ReasonBadRequest)
+	}
+	if err := l.limiter.Wait(ctx); err != nil {
+		return 0, refusal(op, "", platform.ReasonOverloaded)
+	}
+	var offset platform.Offset
+	err := l.Faults.do(ctx, op, "", func() error {
+		offset = l.append(stream, records)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return offset, nil
+}
+
+func (l *Log) append(stream string, records [][]byte) platform.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	first := s.next()
+	now := time.Now()
+	for _, data := range records {
+		if l.options.History {
+			s.history = append(s.history, platform.Record{Offset: s.next(), Data: data})
+		}
+		s.data = append(s.data, data)
+		s.at = append(s.at, now)
+	}
+	l.appends++
+	l.trim(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return first
+}
+
+func (l *Log) stream(name string) *logStream {
+	s := l.streams[name]
+	if s == nil {
+		s = &logStream{oldest: 1, changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// trim drops what is over the count or the age that a stream keeps.
+func (l *Log) trim(s *logStream) {
+	drop := max(0, len(s.data)-l.options.RetainedRecords)
+	limit := time.Now().Add(-l.options.Retention)
+	for drop < len(s.at) && s.at[drop].Before(limit) {
+		drop++
+	}
+	if drop == 0 {
+		return
+	}
+	s.data = append([][]byte(nil), s.data[drop:]...)
+	s.at = append([]time.Time(nil), s.at[drop:]...)
+	s.oldest += platform.Offset(drop)
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from platform.Offset, max int, wait time.Duration) (platform.Batch, error) {
+	const op = "log.read"
+	var batch platform.Batch
+	err := l.Faults.do(ctx, op, "", func() error {
+		var err error
+		batch, err = l.read(ctx, stream, from, max, min(wait, maxReadWait))
+		return err
+	})
+	return batch, err
+}
+
+func (l *Log) read(ctx context.Context, stream string, from platform.Offset, max int, wait time.Duration) (platform.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := l.readNow(stream, from, max)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, contextError(ctx, "log.read", "", platform.EffectNone)
+		}
+	}
+}
+
+// readNow returns what the stream has now, and a channel that closes when more
+// arrives.
+func (l *Log) readNow(stream string, from platform.Offset, max int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	l.trim(s)
+	batch := platform.Batch{Oldest: s.oldest, Next: s.next()}
+	if from == 0 {
+		from = 1
+	}
+	if from < s.oldest {
+		return batch, nil, refusal("log.read", "", platform.ReasonOutOfRange)
+	}
+	size := 0
+	for o := from; o < s.next() && len(batch.Records) < max; o++ {
+		data := s.data[o-s.oldest]
+		size += len(data)
+		if size > maxReadBytes && len(batch.Records) > 0 {
+			break
+		}
+		batch.Records = append(batch.Records, platform.Record{Offset: o, Data: data})
+	}
+	return batch, s.changed, nil
+}
+
+// LogTruth is what a log did.
+type LogTruth struct {
+	Appends int
+	Records map[string][]platform.Record // by stream; with LogOptions.History only
+}
+
+// Truth returns what the log did.
+func (l *Log) Truth() LogTruth {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	truth := LogTruth{Appends: l.appends, Records: map[string][]platform.Record{}}
+	for name, s := range l.streams {
+		truth.Records[name] = append([]platform.Record(nil), s.history...)
+	}
+	return truth
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var body platform.AppendBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	offset, err := l.Append(r.Context(), r.URL.Query().Get("stream"), body.Records)
+	if err != nil {
+		writeError(w, err, platform.Batch{})
+		return
+	}
+	writeJSON(w, platform.AppendAnswer{Offset: offset})
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err1 := strconv.ParseUint(query.Get("from"), 10, 64)
+	count, err2 := strconv.Atoi(query.Get("max"))
+	wait, err3 := strconv.Atoi(query.Get("wait_ms"))
+	if err1 != nil || err2 != nil || err3 != nil {
+		writeError(w, refusal("log.read", "", platform.ReasonBadRequest), platform.Batch{})
+		return
+	}
+	batch, err := l.Read(r.Context(), query.Get("stream"), platform.Offset(from), count, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		writeError(w, err, batch)
+		return
+	}
+	out := platform.ReadAnswer{Oldest: batch.Oldest, Next: batch.Next, Records: make([][]byte, len(batch.Records))}
+	for i, record := range batch.Records {
+		out.Records[i] = record.Data
+	}
+	if len(batch.Records) > 0 {
+		out.First = batch.Records[0].Offset
+	}
+	writeJSON(w, out)
+}
