--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -24,5 +24,7 @@
 func register(c *subcommands.Commander) {
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
+	c.Register(&standinCommand{}, "")
+	c.Register(&loadCommand{}, "")
 	c.Register(&versionCommand{}, "")
 }
