Answer callers' model requests and service calls over the scheduler

Cause: the callers' side was only a list of what it depends on. Change: caller.Server with the OpenAI-style paths and the plain services, the dispatcher duty that owns the scheduler, attempts with ids of their own, claims and replays, cancels, crash reports, typed problems, expvar counters and HDR latencies; caller/api for the wire shapes. Conclusion: the path is whole and thin; entry can wire it.

--- /dev/null
+++ b/caller/crash.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengageferry/decide"
+	"greengageferry/platform"
+	"greengageferry/record"
+)
+
+const (
+	// statusTime is how long the question waits whether a server died. A dead
+	// process refuses the connection at once; this bounds what a lost network
+	// adds to a retry.
+	statusTime = 300 * time.Millisecond
+	// bootEvery is how often a server in use is asked which boot it is: a
+	// restart that nobody's request caused is mistaken for a crash only if it
+	// falls between the last question and the attempt.
+	bootEvery = 30 * time.Second
+)
+
+// flights knows what this instance has in flight at each backend server, and
+// which boot each was last seen in.
+type flights struct {
+	mu      sync.Mutex
+	servers map[string]*flight
+}
+
+type flight struct {
+	count int
+	boot  string
+	asked time.Time // when its boot was last asked for
+}
+
+func newFlights() *flights { return &flights{servers: map[string]*flight{}} }
+
+func (f *flights) begin(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at(server).count++
+}
+
+func (f *flights) end(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at(server).count--
+}
+
+// at returns the server's entry. The lock is held.
+func (f *flights) at(server string) *flight {
+	e := f.servers[server]
+	if e == nil {
+		e = &flight{}
+		f.servers[server] = e
+	}
+	return e
+}
+
+// shouldAsk says whether it is time to ask the server for its boot.
+func (f *flights) shouldAsk(server string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.at(server)
+	if !e.asked.IsZero() && now.Sub(e.asked) < bootEvery {
+		return false
+	}
+	e.asked = now
+	return true
+}
+
+// booted takes in the server's boot, and returns the one known before and the
+// requests in flight there.
+func (f *flights) booted(server, boot string) (before string, together int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.at(server)
+	before, together = e.boot, e.count
+	if boot != "" {
+		e.boot = boot
+	}
+	return before, together
+}
+
+// keepOnly forgets servers that are neither in the table nor in use.
+func (f *flights) keepOnly(t *decide.Table) {
+	known := make(map[string]bool, len(t.Servers))
+	for _, s := range t.Servers {
+		known[s.ID] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, e := range f.servers {
+		if !known[id] && e.count == 0 {
+			delete(f.servers, id)
+		}
+	}
+}
+
+// Booted tells of the boot that a backend server was seen in, where the entry
+// instance asks for its status anyway.
+func (s *Server) Booted(server, boot string) { s.flights.booted(server, boot) }
+
+// learnBoot asks for the server's boot while an attempt runs there, so that its
+// death can be told from a broken connection.
+func (s *Server) learnBoot(server decide.Server) {
+	if !s.flights.shouldAsk(server.ID, time.Now()) {
+		return
+	}
+	select {
+	case s.cancels <- cancelOrder{server: server}: // no attempt: only the boot
+	default: // full: asked again after bootEvery
+	}
+}
+
+// diedUnder says whether the server died while it ran the attempt, and reports
+// it. It did if the connection broke without an answer and the server then
+// isn't reachable or is in another boot. A plain service tells no boot: its
+// deaths can't be told from a broken connection and aren't reported.
+func (s *Server) diedUnder(ctx context.Context, c *call, e *attemptError) bool {
+	broke := e.failure.Reason == platform.ReasonUnreachable && e.failure.Effect == platform.EffectUnknown
+	if !broke || e.gone || ctx.Err() != nil || c.target.Service {
+		return false
+	}
+	statusCtx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	status, err := s.opts.Engine.Status(statusCtx, c.server.Addr)
+	before, together := s.flights.booted(c.server.ID, status.Boot)
+	if err == nil && (before == "" || before == status.Boot) {
+		return false
+	}
+	if err != nil && failureOf(err).Reason != platform.ReasonUnreachable {
+		return false // it answers, or is only slow
+	}
+	s.metrics.count("crashes")
+	s.opts.Quarantine.Crashed(ctx, &record.Crash{
+		Fingerprint: c.fingerprint[:],
+		Server:      c.server.ID,
+		Boot:        before,
+		Together:    uint32(together),
+		AtUnixMs:    time.Now().UnixMilli(),
+	})
+	return true
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,207 @@
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"greengageferry/decide"
+	"greengageferry/platform"
+)
+
+// Server is the callers' side of one entry instance. Its handler serves while
+// Run runs its duties.
+type Server struct {
+	opts     Options
+	metrics  *metrics
+	rng      *lockedRand
+	keyrings keyrings
+
+	table    atomic.Pointer[decide.Table]
+	newTable chan struct{} // one place: only the newest table counts
+
+	ring    chan event // to the dispatcher; what happens when it is full: offer, tell, hint
+	stopped chan struct{}
+	stop    sync.Once
+
+	answers  *kept
+	results  chan claimResult // to the results duty; full: see report
+	cancels  chan cancelOrder // to the cancel duty; full: see cancelAttempt
+	flights  *flights
+	inHand   *inHand
+	draining atomic.Bool
+}
+
+// New returns a server. It serves once Run runs and SetTable was called.
+func New(o Options) (*Server, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	o.Limits = o.Limits.withDefaults()
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Server{
+		opts:     o,
+		metrics:  newMetrics(o.Metrics),
+		rng:      &lockedRand{rng: o.Rand},
+		newTable: make(chan struct{}, 1),
+		ring:     make(chan event, o.Limits.Ring),
+		stopped:  make(chan struct{}),
+		answers:  newKept(o.Limits.KeptBytes, o.Limits.AnswerBytes),
+		results:  make(chan claimResult, o.Limits.Results),
+		cancels:  make(chan cancelOrder, o.Limits.CancelsWaiting),
+		flights:  newFlights(),
+		inHand:   newInHand(),
+	}, nil
+}
+
+// PanicError says that a duty panicked.
+type PanicError struct {
+	Duty  string
+	Value any
+	Stack []byte
+}
+
+// Error implements error.
+func (e *PanicError) Error() string { return "duty " + e.Duty + " panicked" }
+
+// Run runs the duties until ctx ends, and returns nil then. If a duty panics
+// it returns a *PanicError and may be called again: the scheduler starts
+// anew, and requests that waited for it are refused. It is called after Drain
+// and Idle in a graceful shutdown.
+func (s *Server) Run(ctx context.Context) error {
+	g, gctx := errgroup.WithContext(ctx)
+	duty := func(name string, run func(context.Context) error) {
+		g.Go(func() (err error) {
+			defer func() {
+				if v := recover(); v != nil {
+					err = errors.WithStack(&PanicError{Duty: name, Value: v, Stack: debug.Stack()})
+				}
+			}()
+			return run(gctx)
+		})
+	}
+	duty("dispatcher", s.dispatch)
+	duty("results", s.sendResults)
+	duty("cancels", s.sendCancels)
+	err := g.Wait()
+	if ctx.Err() != nil {
+		s.stop.Do(func() { close(s.stopped) })
+		return nil
+	}
+	return err
+}
+
+// SetTable replaces what is known of the fleet. The table must not change afterwards.
+func (s *Server) SetTable(t *decide.Table) {
+	s.table.Store(t)
+	select {
+	case s.newTable <- struct{}{}:
+	default: // the dispatcher has yet to take the last one, and will find this
+	}
+}
+
+// Reported tells of a backend server's load report, as old as age.
+func (s *Server) Reported(server string, load platform.Load, age time.Duration) {
+	s.hint(reported{server, load, age})
+}
+
+// Cached tells of a backend server's cache events.
+func (s *Server) Cached(server string, events []platform.CacheEvent) {
+	s.hint(cached{server, events})
+}
+
+// Drain refuses what waits for a slot and whatever arrives from now on. What
+// runs ends by itself or by its own deadline.
+func (s *Server) Drain() {
+	if s.draining.Swap(true) {
+		return
+	}
+	s.tell(drained{})
+	s.inHand.drain()
+}
+
+// Idle is closed once the server is drained, no request is in hand and no
+// claim's result waits to be told.
+func (s *Server) Idle() <-chan struct{} { return s.inHand.idle }
+
+// Handler serves the callers' interface.
+func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+
+// lockedRand is a random source that many goroutines draw from.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// Uint64 returns a random number.
+func (r *lockedRand) Uint64() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Uint64()
+}
+
+// newID returns an id that no other request or attempt has.
+func newID() string { return uuid.NewString() }
+
+// inHand counts the requests in hand.
+type inHand struct {
+	mu       sync.Mutex
+	n        int
+	draining bool
+	idle     chan struct{}
+}
+
+func newInHand() *inHand { return &inHand{idle: make(chan struct{})} }
+
+// enter takes a request in hand, unless there are most already.
+func (h *inHand) enter(most int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.n >= most {
+		return false
+	}
+	h.n++
+	return true
+}
+
+// hold counts something that must end before the server is idle.
+func (h *inHand) hold() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.n++
+}
+
+func (h *inHand) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.n--
+	h.check()
+}
+
+func (h *inHand) drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+	h.check()
+}
+
+func (h *inHand) check() {
+	if !h.draining || h.n > 0 {
+		return
+	}
+	select {
+	case <-h.idle:
+	default:
+		close(h.idle)
+	}
+}
--- /dev/null
+++ b/caller/services.go
@@ -0,0 +1,223 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"path"
+	"strings"
+	"time"
+
+	"greengageferry/caller/api"
+	"greengageferry/config"
+	"greengageferry/decide"
+	"greengageferry/platform"
+)
+
+// serviceHeld is how much of a service's answer is read before any of it goes
+// to the caller: a shorter one whose connection breaks can be asked for again.
+const serviceHeld = 64 << 10
+
+// hopHeaders concern one connection only, or are for this system alone: a
+// caller's key must not reach a service.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Proxy-Connection":    true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Authorization":       true,
+	"Content-Length":      true,
+	"Host":                true,
+}
+
+const ownHeaderPrefix = "Greengageferry-"
+
+// serveService passes a call on to a plain service.
+func (s *Server) serveService(k *sink, c *call, r *http.Request) *api.Problem {
+	w, p := s.parseWishes(r.Header)
+	if p != nil {
+		return p
+	}
+	name, below, p := servicePath(r)
+	if p != nil {
+		return p
+	}
+	t, p := s.target(c, name, true)
+	if p != nil {
+		return p
+	}
+	body, p := s.readBody(k, r)
+	if p != nil {
+		return p
+	}
+	c.target = t
+	if !mayRepeat(r.Method, below, s.opts.Directory.Config().Services[name]) {
+		w.nonIdempotent = true
+	}
+	c.setWishes(w, t, s.opts.Limits.MaxTimeout)
+	c.promptBytes = len(body)
+	c.fingerprint = digest([]byte(c.who.partner), []byte(name), []byte(r.Method), []byte(below), []byte(r.URL.RawQuery), body)
+	if p := s.quarantined(c); p != nil {
+		return p
+	}
+	j := &serviceJob{server: s, call: c, sink: k, request: serviceRequest(r, name, body)}
+	if w.key == "" {
+		ctx, _, cancel := within(r, c, false)
+		defer cancel()
+		return s.serveOnce(ctx, c, j)
+	}
+	ctx, callerCtx, cancel := within(r, c, true)
+	defer cancel()
+	return s.serveClaimed(ctx, callerCtx, c, k, j, claimed{key: w.key, fingerprint: c.fingerprint})
+}
+
+// servicePath returns the service's name and the path below it, decoded and
+// clean. A path with dot segments is refused: what the service takes it for
+// can't be known, and so neither whether it may be repeated.
+func servicePath(r *http.Request) (name, below string, p *api.Problem) {
+	name, below, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, pathServices), "/")
+	for _, segment := range strings.Split(below, "/") {
+		if segment == "." || segment == ".." {
+			return "", "", api.Invalid(CodeBadPath, "the path must have no dot segments")
+		}
+	}
+	return name, path.Clean("/" + below), nil
+}
+
+// mayRepeat says whether the call is idempotent: by its method, as HTTP says,
+// and by the service's configuration.
+func mayRepeat(method, below string, cfg config.Service) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+	default:
+		return false
+	}
+	for _, rule := range cfg.NonIdempotent {
+		m, prefix, _ := strings.Cut(rule, " ")
+		if m == method && strings.HasPrefix(below, strings.TrimSpace(prefix)) {
+			return false
+		}
+	}
+	return true
+}
+
+func serviceRequest(r *http.Request, name string, body []byte) platform.ServiceRequest {
+	p := strings.TrimPrefix(r.URL.EscapedPath(), pathServices)
+	_, below, _ := strings.Cut(p, "/")
+	target := "/" + below
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	return platform.ServiceRequest{Method: r.Method, Path: target, Header: passedOn(r.Header), Body: body}
+}
+
+// passedOn returns the headers that go on to the other side.
+func passedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	dropped := map[string]bool{}
+	for _, v := range h.Values("Connection") {
+		for _, name := range strings.Split(v, ",") {
+			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range h {
+		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownHeaderPrefix) {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+// serviceJob passes a call on to a plain service.
+type serviceJob struct {
+	server  *Server
+	call    *call
+	sink    *sink
+	request platform.ServiceRequest
+}
+
+func (j *serviceJob) attempt(ctx context.Context, d decide.Decision) (decide.Outcome, *attemptError) {
+	began := time.Now()
+	req := j.request
+	req.Attempt = newID()
+	a, err := j.server.opts.Services.Call(ctx, d.Server.Addr, req)
+	if err != nil {
+		return decide.Outcome{Total: time.Since(began)}, &attemptError{failure: failureOf(err), err: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	first := time.Since(began)
+	aerr := j.passBack(a)
+	return decide.Outcome{Complete: aerr == nil, FirstToken: first, Total: time.Since(began)}, aerr
+}
+
+// passBack gives the service's answer to the caller. Up to serviceHeld bytes
+// are read before any goes out.
+func (j *serviceJob) passBack(a *platform.ServiceAnswer) *attemptError {
+	var held bytes.Buffer
+	_, err := io.CopyN(&held, a.Body, serviceHeld)
+	if err != nil && err != io.EOF {
+		return brokenBody(err)
+	}
+	whole := err == io.EOF
+	h := j.sink.w.Header()
+	for name, values := range passedOn(a.Header) {
+		h[name] = values
+	}
+	j.sink.start(a.Status, a.Header.Get("Content-Type"))
+	if err := j.sink.write(held.Bytes()); err != nil {
+		return asAttemptError(err)
+	}
+	if whole {
+		return nil
+	}
+	return j.passRest(a.Body)
+}
+
+// passRest streams what is left. A body that breaks now can't be repeated.
+func (j *serviceJob) passRest(body io.Reader) *attemptError {
+	buf := make([]byte, serviceHeld)
+	for {
+		n, err := body.Read(buf)
+		if werr := j.sink.write(buf[:n]); werr != nil {
+			return asAttemptError(werr)
+		}
+		if werr := j.sink.flush(); werr != nil {
+			return asAttemptError(werr)
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			e := brokenBody(err)
+			e.final = j.call.serverProblem(CodeServerFailed, "the service's answer broke off")
+			return e
+		}
+	}
+}
+
+func brokenBody(err error) *attemptError {
+	f := failureOf(err)
+	f.Effect = platform.EffectUnknown // it had begun to answer
+	if f.Reason == platform.ReasonProtocol {
+		f.Reason = platform.ReasonUnreachable
+	}
+	return &attemptError{failure: f, err: err}
+}
+
+// fail tells the problem, or, where a part of the answer has gone out, breaks
+// the connection, so that it can't be taken for a whole one.
+func (j *serviceJob) fail(p *api.Problem) {
+	if !j.sink.started {
+		j.sink.problem(p)
+		return
+	}
+	j.sink.broken = true
+}
