Test a request's way through cuts, gaps, deaths, leavers, claims and services

Cause: the path was tried only where nothing fails. Change: tests over scripted fakes, in synctest bubbles where time counts. Two faults that they found are mended: the boot to compare a server's death with is now the one known when the attempt began (one learned meanwhile could be that of the next boot, and hid the crash), and the dispatcher takes in what is still on its ring when it ends. Conclusion: each outcome told is the one that the fakes saw.

--- a/caller/cancels.go
+++ b/caller/cancels.go
@@ -59,7 +59,7 @@
 	defer cancel()
 	if o.attempt == "" {
 		if status, err := s.opts.Engine.Status(ctx, o.server.Addr); err == nil {
-			s.flights.booted(o.server.ID, status.Boot)
+			s.flights.booted(o.server.ID, status.Boot, time.Now())
 		}
 		return
 	}
--- a/caller/crash.go
+++ b/caller/crash.go
@@ -36,10 +36,13 @@
 
 func newFlights() *flights { return &flights{servers: map[string]*flight{}} }
 
-func (f *flights) begin(server string) {
+// begin counts an attempt in, and returns the boot that the server is known in.
+func (f *flights) begin(server string) (boot string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.at(server).count++
+	e := f.at(server)
+	e.count++
+	return e.boot
 }
 
 func (f *flights) end(server string) {
@@ -70,15 +73,16 @@
 	return true
 }
 
-// booted takes in the server's boot, and returns the one known before and the
-// requests in flight there.
-func (f *flights) booted(server, boot string) (before string, together int) {
+// booted takes in the boot that a server was seen in now, and returns the one
+// known before and the requests in flight there.
+func (f *flights) booted(server, boot string, now time.Time) (before string, together int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.at(server)
 	before, together = e.boot, e.count
 	if boot != "" {
 		e.boot = boot
+		e.asked = now
 	}
 	return before, together
 }
@@ -100,7 +104,7 @@
 
 // Booted tells of the boot that a backend server was seen in, where the entry
 // instance asks for its status anyway.
-func (s *Server) Booted(server, boot string) { s.flights.booted(server, boot) }
+func (s *Server) Booted(server, boot string) { s.flights.booted(server, boot, time.Now()) }
 
 // learnBoot asks for the server's boot while an attempt runs there, so that its
 // death can be told from a broken connection.
@@ -116,9 +120,11 @@
 
 // diedUnder says whether the server died while it ran the attempt, and reports
 // it. It did if the connection broke without an answer and the server then
-// isn't reachable or is in another boot. A plain service tells no boot: its
-// deaths can't be told from a broken connection and aren't reported.
-func (s *Server) diedUnder(ctx context.Context, c *call, e *attemptError) bool {
+// isn't reachable or is in another boot. The boot to compare with is the one
+// known when the attempt began: what was learned since may be of the next boot.
+// A plain service tells no boot: its deaths can't be told from a broken
+// connection and aren't reported.
+func (s *Server) diedUnder(ctx context.Context, c *call, boot string, e *attemptError) bool {
 	broke := e.failure.Reason == platform.ReasonUnreachable && e.failure.Effect == platform.EffectUnknown
 	if !broke || e.gone || ctx.Err() != nil || c.target.Service {
 		return false
@@ -126,7 +132,11 @@
 	statusCtx, cancel := context.WithTimeout(ctx, statusTime)
 	defer cancel()
 	status, err := s.opts.Engine.Status(statusCtx, c.server.Addr)
-	before, together := s.flights.booted(c.server.ID, status.Boot)
+	learned, together := s.flights.booted(c.server.ID, status.Boot, time.Now())
+	before := boot
+	if before == "" {
+		before = learned
+	}
 	if err == nil && (before == "" || before == status.Boot) {
 		return false
 	}
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -25,6 +25,17 @@
 	calls     map[string]*call // those that the scheduler was told of, by request id
 }
 
+// know and forget keep the calls that the scheduler was told of.
+func (d *dispatcher) know(c *call) {
+	d.calls[c.id] = c
+	d.server.known.Store(int64(len(d.calls)))
+}
+
+func (d *dispatcher) forget(request string) {
+	delete(d.calls, request)
+	d.server.known.Store(int64(len(d.calls)))
+}
+
 // event is one thing that happened, told to the dispatcher.
 type event interface {
 	apply(d *dispatcher, now time.Time) []decide.Decision
@@ -63,7 +74,7 @@
 type drained struct{}
 
 func (e arrived) apply(d *dispatcher, now time.Time) []decide.Decision {
-	d.calls[e.call.id] = e.call
+	d.know(e.call)
 	return d.scheduler.Arrive(now, e.call.request(e.suspect))
 }
 
@@ -79,7 +90,7 @@
 	if d.calls[e.call.id] == nil {
 		return nil
 	}
-	delete(d.calls, e.call.id)
+	d.forget(e.call.id)
 	return d.scheduler.Ended(now, e.call.id, e.server, e.outcome)
 }
 
@@ -87,7 +98,7 @@
 	if d.calls[e.call.id] == nil {
 		return nil
 	}
-	delete(d.calls, e.call.id)
+	d.forget(e.call.id)
 	return d.scheduler.Left(now, e.call.id)
 }
 
@@ -119,6 +130,7 @@
 		scheduler: decide.NewScheduler(rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))),
 		calls:     map[string]*call{},
 	}
+	s.known.Store(0)
 	defer d.abandon()
 	if t := s.table.Load(); t != nil {
 		d.carryOut(d.scheduler.SetTable(time.Now(), t))
@@ -139,6 +151,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			d.empty()
 			return nil
 		case e := <-d.server.ring:
 			d.carryOut(e.apply(d, time.Now()))
@@ -152,6 +165,18 @@
 	}
 }
 
+// empty takes in what is still on the ring.
+func (d *dispatcher) empty() {
+	for {
+		select {
+		case e := <-d.server.ring:
+			d.carryOut(e.apply(d, time.Now()))
+		default:
+			return
+		}
+	}
+}
+
 // abandon refuses what waits for a decision that won't come.
 func (d *dispatcher) abandon() {
 	for id, c := range d.calls {
@@ -168,7 +193,7 @@
 			continue
 		}
 		if dec.Action == decide.ActionRefuse {
-			delete(d.calls, dec.Request)
+			d.forget(dec.Request)
 		}
 		if !c.tell(dec) {
 			d.server.metrics.count("decisions_dropped")
--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -316,6 +316,14 @@
 	}
 }
 
+func withoutReplicas() *decide.Table {
+	t := testTable()
+	for _, target := range t.Targets {
+		target.Replicas = nil
+	}
+	return t
+}
+
 func quietLog() logrus.FieldLogger {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
--- /dev/null
+++ b/caller/keyed_test.go
@@ -0,0 +1,166 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/claims"
+	"greengageferry/platform"
+	"greengageferry/record"
+)
+
+// blockUntil has the engine answer whole once gate is closed.
+func (r *rig) blockUntil(gate <-chan struct{}) {
+	r.engine.generate = func(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+		select {
+		case <-gate:
+			return r.engine.stream(ctx, wholeAnswer(req)), nil
+		case <-ctx.Done():
+			return nil, &platform.Error{Op: "generate", Reason: platform.ReasonCanceled}
+		}
+	}
+}
+
+func TestResendThroughAnotherInstanceWaitsForTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newRig(t)
+		second := newRig(t, func(o *Options) {
+			o.Instance = "entry-2"
+			o.Claimer = first.claimer
+			o.Answers = &fakeAnswers{fetch: func(_ context.Context, instance, attempt string) (Answer, bool, bool, error) {
+				require.Equal(t, "entry-1", instance)
+				a, finished, found := first.AnswerFor(attempt)
+				return a, finished, found, nil
+			}}
+		})
+		gate := make(chan struct{})
+		first.blockUntil(gate)
+		ctx, leave := context.WithCancel(t.Context())
+		key := header{HeaderIdemKey: "k"}
+		body := `{"model":"tray","prompt":"p","max_tokens":4}`
+		lost := make(chan *httptest.ResponseRecorder, 1)
+		go func() { lost <- first.send(ctx, http.MethodPost, "/v1/completions", body, key) }()
+		synctest.Wait()
+		leave() // the first's caller leaves; its claimed run goes on
+		resent := make(chan *httptest.ResponseRecorder, 1)
+		go func() { resent <- second.post("/v1/completions", body, key) }()
+		time.Sleep(3 * time.Second) // the bubble's clock: several questions are asked meanwhile
+		require.Empty(t, resent)
+		close(gate)
+		w := <-resent
+		<-lost
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Contains(t, w.Body.String(), text(4))
+		require.Equal(t, "true", w.Header().Get(HeaderReplayed))
+		require.Len(t, first.engine.attempts(), 1)
+		require.Empty(t, second.engine.attempts())
+		first.empty(t)
+		second.empty(t)
+	})
+}
+
+func TestResendWhoseFirstIsLostIsUnknown(t *testing.T) {
+	r := newRig(t)
+	key := digest([]byte("kitchen"), []byte("desk"), []byte("k"))
+	body := `{"model":"tray","prompt":"p"}`
+	canonical, _ := canonicalJSON([]byte(body))
+	fingerprint := digest([]byte("kitchen"), []byte("/v1/completions"), canonical)
+	_, err := r.claimer.Claim(t.Context(), &record.Claim{Key: key[:], Fingerprint: fingerprint[:], Instance: "gone", Attempt: "a"})
+	require.NoError(t, err)
+	r.answers.fetch = func(context.Context, string, string) (Answer, bool, bool, error) { return Answer{}, false, false, nil }
+	w := r.post("/v1/completions", body, header{HeaderIdemKey: "k"})
+	require.Equal(t, http.StatusBadGateway, w.Code)
+	require.Contains(t, w.Body.String(), `"code":"first_answer_lost"`)
+	require.Contains(t, w.Body.String(), `"outcome":"unknown"`)
+	require.Empty(t, r.engine.attempts())
+}
+
+func TestClaimThatIsNotKeptIsNotRun(t *testing.T) {
+	for verdict, code := range map[claims.Verdict]string{
+		claims.NotKept:   CodeClaimNotKept,
+		claims.Uncertain: CodeClaimUncertain,
+	} {
+		t.Run(code, func(t *testing.T) {
+			r := newRig(t)
+			r.claimer.verdict = verdict
+			w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, header{HeaderIdemKey: "k"})
+			require.Equal(t, http.StatusServiceUnavailable, w.Code)
+			require.Contains(t, w.Body.String(), `"code":"`+code+`"`)
+			require.Contains(t, w.Body.String(), `"outcome":"not_run"`)
+			require.Equal(t, "5", w.Header().Get("Retry-After"))
+			require.Empty(t, r.engine.attempts())
+			r.empty(t)
+			if verdict == claims.Uncertain {
+				require.Equal(t, record.ClaimResult_NOT_RUN, r.claimer.told()[0].Outcome)
+			}
+		})
+	}
+}
+
+func TestClaimedRequestThatDidNotRunFreesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.SetTable(withoutReplicas())
+		synctest.Wait()
+		key := header{HeaderIdemKey: "k"}
+		w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, key, header{HeaderTimeout: "100"})
+		require.Contains(t, w.Body.String(), `"outcome":"not_run"`)
+		synctest.Wait()
+		require.Equal(t, record.ClaimResult_NOT_RUN, r.claimer.told()[0].Outcome)
+		r.SetTable(testTable())
+		synctest.Wait()
+		w = r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, key)
+		require.Equal(t, http.StatusOK, w.Code, w.Body)
+	})
+}
+
+func TestClaimedRunThatWasCutIsUnknownAndStaysClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.onFirst(func(context.Context, platform.GenerateRequest) (platform.Stream, error) { return nil, broke() })
+		key := header{HeaderIdemKey: "k"}
+		w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, key)
+		require.Contains(t, w.Body.String(), `"outcome":"unknown"`)
+		again := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, key)
+		require.Equal(t, w.Body.String(), again.Body.String())
+		require.Len(t, r.engine.attempts(), 1)
+		synctest.Wait()
+		require.Equal(t, record.ClaimResult_UNKNOWN, r.claimer.told()[0].Outcome)
+	})
+}
+
+func TestKeptAnswersAreBoundedByBytesAndTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKept(3*(keptOverhead+100), 1000)
+		body := []byte(strings.Repeat("x", 100))
+		for i := range 5 {
+			k.begin(strconv.Itoa(i))
+			k.finish(strconv.Itoa(i), Answer{Body: body}, true)
+		}
+		_, _, found, _ := k.get("1")
+		require.False(t, found, "the oldest go first")
+		_, finished, found, _ := k.get("2")
+		require.True(t, finished && found)
+		k.begin("large")
+		k.finish("large", Answer{Body: make([]byte, 1001)}, true)
+		_, finished, found, _ = k.get("large")
+		require.True(t, finished)
+		require.False(t, found)
+		k.begin("running")
+		time.Sleep(claims.Window)
+		_, _, found, _ = k.get("4")
+		require.False(t, found, "none outlives the window")
+		_, finished, found, _ = k.get("running")
+		require.True(t, found && !finished)
+		require.Len(t, k.runs, 1)
+		require.Zero(t, k.bytes)
+	})
+}
--- a/caller/run.go
+++ b/caller/run.go
@@ -97,7 +97,7 @@
 	c.server = d.Server
 	before := c.mayHaveRun
 	c.mayHaveRun = true // until the server says otherwise
-	s.flights.begin(d.Server.ID)
+	boot := s.flights.begin(d.Server.ID)
 	if !c.target.Service {
 		s.learnBoot(d.Server)
 	}
@@ -110,7 +110,7 @@
 		c.mayHaveRun = before
 	}
 	s.metrics.count("attempts_failed." + string(err.failure.Reason))
-	if s.diedUnder(ctx, c, err) {
+	if s.diedUnder(ctx, c, boot, err) {
 		c.crashes++
 		err.failure.Crash = true
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -38,6 +38,7 @@
 	flights  *flights
 	inHand   *inHand
 	draining atomic.Bool
+	known    atomic.Int64 // requests that the dispatcher knows
 }
 
 // New returns a server. It serves once Run runs and SetTable was called.
