standin: a network whose ways between failure domains can be cut

Tests of partitions need clients that are cut off one way or both, without sockets' errors: what is sent is held and goes on once the cut heals, and a request not yet on a connection waits for its dial.

--- /dev/null
+++ b/standin/network.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Network joins failure domains that can be cut off from each other, one way
+// or both. It stands in the dials of HTTP clients: a client in one failure
+// domain that dials through its Dialer reaches an address in another only while
+// the way there isn't cut. As on a real network a cut gives no error: what is
+// sent is held, and goes on its way once the cut has healed.
+type Network struct {
+	mu      sync.Mutex
+	domains map[string]string     // by address
+	cuts    map[way]chan struct{} // closed when the cut heals
+}
+
+// way is the direction from one failure domain to another.
+type way struct{ from, to string }
+
+// NewNetwork returns a network without cuts.
+func NewNetwork() *Network {
+	return &Network{domains: map[string]string{}, cuts: map[way]chan struct{}{}}
+}
+
+// Place says in which failure domain an address is. An address without a place
+// is reached from everywhere.
+func (n *Network) Place(addr, domain string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.domains[addr] = domain
+}
+
+// CutWay cuts what goes from one failure domain to another.
+func (n *Network) CutWay(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := way{from, to}
+	if n.cuts[w] == nil {
+		n.cuts[w] = make(chan struct{})
+	}
+}
+
+// Cut cuts both ways between two failure domains.
+func (n *Network) Cut(a, b string) {
+	n.CutWay(a, b)
+	n.CutWay(b, a)
+}
+
+// Heal ends the cuts between two failure domains.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range []way{{a, b}, {b, a}} {
+		if healed := n.cuts[w]; healed != nil {
+			close(healed)
+			delete(n.cuts, w)
+		}
+	}
+}
+
+// cut returns a channel that closes when the way's cut heals, or nil if there
+// is none.
+func (n *Network) cut(w way) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if healed := n.cuts[w]; healed != nil {
+		return healed
+	}
+	return nil
+}
+
+// wait returns true once the way is open, or false if ended closes first.
+func (n *Network) wait(w way, ended <-chan struct{}) bool {
+	for healed := n.cut(w); healed != nil; healed = n.cut(w) {
+		select {
+		case <-healed:
+		case <-ended:
+			return false
+		}
+	}
+	return true
+}
+
+// Dialer returns what a client in the failure domain dials with: an
+// http.Transport's DialContext.
+func (n *Network) Dialer(from string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		n.mu.Lock()
+		to, placed := n.domains[addr]
+		n.mu.Unlock()
+		if !placed {
+			to = from
+		}
+		there, back := way{from, to}, way{to, from}
+		if !n.wait(there, ctx.Done()) || !n.wait(back, ctx.Done()) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &networkConn{Conn: conn, network: n, there: there, back: back, closed: make(chan struct{})}, nil
+	}
+}
+
+// networkConn holds what passes a cut way.
+type networkConn struct {
+	net.Conn
+	network     *Network
+	there, back way
+	close       sync.Once
+	closed      chan struct{}
+}
+
+// Read implements net.Conn. What has come while the way back is cut is held.
+func (c *networkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.network.wait(c.back, c.closed) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *networkConn) Write(p []byte) (int, error) {
+	if !c.network.wait(c.there, c.closed) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. A close passes any cut, so that a test's servers
+// can end.
+func (c *networkConn) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
