--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,329 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/platform"
+)
+
+// requireError checks an error's type, reason and effect.
+func requireError(t *testing.T, err error, reason platform.Reason, effect platform.Effect) {
+	t.Helper()
+	var e *platform.Error
+	require.True(t, errors.As(err, &e), "%v", err)
+	require.Equal(t, reason, e.Reason, "%v", err)
+	require.Equal(t, effect, e.Effect, "%v", err)
+}
+
+func generate(t *testing.T, engines *Engines, req platform.GenerateRequest) platform.Stream {
+	t.Helper()
+	s, err := engines.Generate(t.Context(), "s", req)
+	require.NoError(t, err)
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestEngineGoesOnAfterAPrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s"})
+		load(t, engines, planner, 1)
+		req := request("a1", "one diabetic meal")
+		whole := AnswerTo(req)
+		req.Prefix = []string{whole.Token(0), whole.Token(1), whole.Token(2)}
+		s := generate(t, engines, req)
+		first, err := s.Recv()
+		require.NoError(t, err)
+		require.Equal(t, 3, first.Index)
+		rest, err := readAll(s)
+		require.NoError(t, err)
+		require.Equal(t, whole.Text(req.MaxTokens), strings.Join(req.Prefix, "")+first.Token+rest)
+
+		req.Attempt, req.Prefix = "a2", []string{"x"}
+		generate(t, engines, req)
+		require.Equal(t, ViolationPrefix, e.Truth().Violations[0].Kind)
+	})
+}
+
+func TestEngineBoundsAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, engines := runEngine(t, EngineOptions{ID: "s"})
+		load(t, engines, planner, 1)
+		req := request("a1", "x")
+		req.MaxTokens = 2
+		s := generate(t, engines, req)
+		for i := range 2 {
+			event, err := s.Recv()
+			require.NoError(t, err)
+			require.Equal(t, i, event.Index)
+		}
+		last, err := s.Recv()
+		require.NoError(t, err)
+		require.Equal(t, platform.FinishLength, last.Finish)
+		require.Equal(t, 2, last.Index)
+		require.NotNil(t, last.Load)
+		_, err = s.Recv()
+		require.Equal(t, io.EOF, err)
+	})
+}
+
+func TestEngineRefusesBeforeItStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s", Slots: 1, MaxWaiting: 1})
+		refused := func(reason platform.Reason, req platform.GenerateRequest) {
+			t.Helper()
+			_, err := engines.Generate(t.Context(), "s", req)
+			requireError(t, err, reason, platform.EffectNone)
+		}
+		refused(platform.ReasonNotResident, request("a1", "x"))
+		load(t, engines, planner, 1)
+		other := request("a2", "x")
+		other.Version = "v2"
+		refused(platform.ReasonNotResident, other)
+		refused(platform.ReasonBadRequest, platform.GenerateRequest{Attempt: "a3"})
+		generate(t, engines, request("a4", "x"))
+		synctest.Wait() // it joins the batch
+		generate(t, engines, request("a5", "x"))
+		refused(platform.ReasonOverloaded, request("a6", "x"))
+		e.SetLeaving(true)
+		refused(platform.ReasonLeaving, request("a7", "x"))
+		require.Len(t, e.Truth().Refusals, 5)
+		require.Len(t, e.Truth().Runs, 2)
+	})
+}
+
+func TestEngineServesAnAdapterBesideItsModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, engines := runEngine(t, EngineOptions{ID: "s"})
+		load(t, engines, platform.Item{Model: planner.Model, Adapter: "kosher", Version: "k1", MiB: 5}, 1)
+		req := request("a1", "x")
+		req.Adapter, req.Version = "kosher", "k1"
+		_, err := engines.Generate(t.Context(), "s", req)
+		requireError(t, err, platform.ReasonNotResident, platform.EffectNone)
+		load(t, engines, planner, 1)
+		_, err = readAll(generate(t, engines, req))
+		require.NoError(t, err)
+	})
+}
+
+func TestEngineFreesTheSlotOfACanceledRequest(t *testing.T) {
+	for name, cancel := range map[string]func(s platform.Stream, engines *Engines, stop context.CancelFunc){
+		"close": func(s platform.Stream, _ *Engines, _ context.CancelFunc) { s.Close() },
+		"cancel": func(_ platform.Stream, engines *Engines, _ context.CancelFunc) {
+			_ = engines.Cancel(context.Background(), "s", "a1")
+		},
+		"context": func(_ platform.Stream, _ *Engines, stop context.CancelFunc) { stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, engines := runEngine(t, EngineOptions{ID: "s", Slots: 1})
+				load(t, engines, planner, 1)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				s, err := engines.Generate(ctx, "s", request("a1", "x"))
+				require.NoError(t, err)
+				defer s.Close()
+				_, err = s.Recv()
+				require.NoError(t, err)
+				cancel(s, engines, stop)
+				_, err = readAll(generate(t, engines, request("a2", "y")))
+				require.NoError(t, err)
+				require.Equal(t, EndCanceled, e.Truth().Runs[0].End)
+				_, err = readAll(s)
+				require.Error(t, err)
+			})
+		})
+	}
+}
+
+// TestEngineHoldsUpForASlowReader reads nothing of a stream: it must neither
+// grow nor hold up another.
+func TestEngineHoldsUpForASlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s"})
+		load(t, engines, planner, 1)
+		slow := generate(t, engines, request("a1", "slow"))
+		_, err := readAll(generate(t, engines, request("a2", "fast")))
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		require.Less(t, e.Truth().Runs[0].Tokens, streamBuffer)
+		text, err := readAll(slow)
+		require.NoError(t, err)
+		require.Equal(t, AnswerTo(request("", "slow")).Text(1000), text)
+	})
+}
+
+func TestEngineTakesTheHighestPriorityFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s", Slots: 1})
+		load(t, engines, planner, 1)
+		var streams []platform.Stream
+		for i, priority := range []int{0, 0, 5, 0, 5} {
+			req := request(fmt.Sprint("a", i), "x")
+			req.Priority = priority
+			streams = append(streams, generate(t, engines, req))
+			synctest.Wait() // the first joins the batch alone
+		}
+		for _, i := range []int{0, 2, 4, 1, 3} {
+			_, err := readAll(streams[i])
+			require.NoError(t, err)
+		}
+		var started []time.Time
+		runs := e.Truth().Runs
+		for _, i := range []int{0, 2, 4, 1, 3} {
+			started = append(started, runs[i].Started)
+		}
+		for i := range started[1:] {
+			require.True(t, started[i].Before(started[i+1]))
+		}
+	})
+}
+
+func TestEngineStepGrowsWithItsBatch(t *testing.T) {
+	took := func(requests int, slow float64) time.Duration {
+		var took time.Duration
+		synctest.Test(t, func(t *testing.T) {
+			e, engines := runEngine(t, EngineOptions{ID: "s"})
+			load(t, engines, planner, 1)
+			e.SetSlow(slow)
+			start := time.Now()
+			var streams []platform.Stream
+			for i := range requests {
+				req := request(fmt.Sprint("a", i), "x")
+				req.MaxTokens = streamBuffer / 2 // none waits for its reader
+				streams = append(streams, generate(t, engines, req))
+			}
+			for _, s := range streams {
+				_, err := readAll(s)
+				require.NoError(t, err)
+			}
+			took = time.Since(start)
+		})
+		return took
+	}
+	one, eight, slow := took(1, 1), took(8, 1), took(1, 4)
+	require.Greater(t, eight, one)
+	require.Less(t, eight, 2*one)
+	require.Equal(t, 4*one, slow)
+}
+
+func TestEnginePrefillIsShorterForACachedPrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, engines := runEngine(t, EngineOptions{ID: "s", CachePrefixes: 1, CacheLag: time.Second})
+		load(t, engines, planner, 1)
+		first := func(attempt, prompt string) time.Duration {
+			start := time.Now()
+			s := generate(t, engines, request(attempt, prompt))
+			_, err := s.Recv()
+			require.NoError(t, err)
+			took := time.Since(start)
+			_, err = readAll(s)
+			require.NoError(t, err)
+			return took
+		}
+		prompt := strings.Repeat("p", platform.PrefixBytes)
+		cold := first("a1", prompt+"1")
+		require.Less(t, first("a2", prompt+"2"), cold)
+		first("a3", "another")
+		require.Equal(t, cold, first("a4", prompt+"4"))
+		events, err := engines.CacheEvents(t.Context(), "s", 0)
+		require.NoError(t, err)
+		require.NotEmpty(t, events)
+		time.Sleep(time.Second)
+		events, err = engines.CacheEvents(t.Context(), "s", 1)
+		require.NoError(t, err)
+		require.Len(t, events, 4)
+		require.Equal(t, platform.CacheEvent{Sequence: 3, Model: planner.Model, Prefix: platform.PrefixHash(prompt), Dropped: true}, events[1])
+	})
+}
+
+func TestEngineDiesOfPoison(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s", RestartTime: time.Minute})
+		load(t, engines, planner, 9)
+		before, err := engines.Status(t.Context(), "s")
+		require.NoError(t, err)
+		neighbor := generate(t, engines, request("a1", "x"))
+		_, err = neighbor.Recv()
+		require.NoError(t, err)
+		poison := generate(t, engines, request("a2", "now "+DefaultPoison))
+		_, err = poison.Recv()
+		requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+		_, err = readAll(neighbor)
+		requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+		_, err = engines.Status(t.Context(), "s")
+		requireError(t, err, platform.ReasonUnreachable, platform.EffectNone)
+		time.Sleep(time.Minute + 1)
+		after, err := engines.Status(t.Context(), "s")
+		require.NoError(t, err)
+		require.NotEqual(t, before.Boot, after.Boot)
+		require.Empty(t, after.Items)
+		require.Zero(t, after.Fence)
+		require.Equal(t, EndCrashed, e.Truth().Runs[1].End)
+		require.Equal(t, []string{"crashed"}, e.Truth().Stops)
+		load(t, engines, planner, 9)
+		_, err = readAll(generate(t, engines, request("a3", "x")))
+		require.NoError(t, err)
+	})
+}
+
+// TestPieceFaults drops, delays, reorders, repeats, cuts and mixes up events.
+func TestPieceFaults(t *testing.T) {
+	stray := platform.Event{Attempt: "another", Index: 1, Token: "stray "}
+	var held platform.Event
+	for name, c := range map[string]struct {
+		hook  PieceHook
+		index []int // of the first events received; -1 is the stray one
+	}{
+		"drop":   {func(e platform.Event) Pieces { return at(e, 1, Pieces{}) }, []int{0, 2, 3}},
+		"repeat": {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{e, e}}) }, []int{0, 1, 1, 2}},
+		"stray":  {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{stray, e}}) }, []int{0, -1, 1, 2}},
+		"delay":  {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{e}, Delay: time.Minute}) }, []int{0, 1, 2}},
+		"reorder": {func(e platform.Event) Pieces {
+			if e.Index == 1 {
+				held = e
+				return Pieces{}
+			}
+			return at(e, 2, Pieces{Send: []platform.Event{e, held}})
+		}, []int{0, 2, 1, 3}},
+		"cut": {func(e platform.Event) Pieces { return at(e, 1, Pieces{Cut: true}) }, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, engines := runEngine(t, EngineOptions{ID: "s"})
+				load(t, engines, planner, 1)
+				e.SetPieces(c.hook)
+				s := generate(t, engines, request("a1", "x"))
+				for _, index := range c.index {
+					event, err := s.Recv()
+					require.NoError(t, err)
+					if index < 0 {
+						require.Equal(t, stray, event)
+						continue
+					}
+					require.Equal(t, index, event.Index)
+				}
+				if name == "cut" {
+					_, err := s.Recv()
+					requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+				}
+			})
+		})
+	}
+}
+
+// at returns the pieces for the event with the index, and keeps all others.
+func at(e platform.Event, index int, p Pieces) Pieces {
+	if e.Index == index {
+		return p
+	}
+	return Keep(e)
+}
--- /dev/null
+++ b/standin/memory_test.go
@@ -0,0 +1,152 @@
+package standin
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/platform"
+)
+
+func order(t *testing.T, engines *Engines, kind platform.OrderKind, item platform.Item, fence uint64) error {
+	return engines.Order(t.Context(), "s", platform.Order{Kind: kind, Item: item, Fence: fence})
+}
+
+func item(name string, mib int64) platform.Item {
+	return platform.Item{Model: name, Version: "v1", MiB: mib}
+}
+
+func states(t *testing.T, engines *Engines) map[string]platform.ItemState {
+	status, err := engines.Status(t.Context(), "s")
+	require.NoError(t, err)
+	states := map[string]platform.ItemState{}
+	for _, i := range status.Items {
+		states[i.Model] = i.State
+	}
+	return states
+}
+
+func TestEngineCountsMemoryFromTheOrderToTheEndOfTheUnload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := NewWeightStore(StoreOptions{MiBPerSecond: 10})
+		e, engines := runEngine(t, EngineOptions{ID: "s", MemoryMiB: 100, Store: store, UnloadTime: time.Second})
+		require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 60), 1))
+		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemLoading}, states(t, engines))
+		requireError(t, order(t, engines, platform.OrderLoad, item("b", 60), 1), platform.ReasonNoMemory, platform.EffectNone)
+		time.Sleep(7 * time.Second)
+		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemReady}, states(t, engines))
+		req := platform.GenerateRequest{Attempt: "a1", Model: "a", Version: "v1", Prompt: "x", MaxTokens: 500}
+		running := generate(t, engines, req)
+		require.NoError(t, order(t, engines, platform.OrderUnload, item("a", 60), 2))
+		req.Attempt = "a2"
+		_, err := engines.Generate(t.Context(), "s", req)
+		requireError(t, err, platform.ReasonNotResident, platform.EffectNone)
+		_, err = readAll(running)
+		require.NoError(t, err, "a request in flight ends before the memory goes")
+		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemUnloading}, states(t, engines))
+		requireError(t, order(t, engines, platform.OrderLoad, item("b", 60), 2), platform.ReasonNoMemory, platform.EffectNone)
+		time.Sleep(time.Second + 1)
+		require.Empty(t, states(t, engines))
+		require.NoError(t, order(t, engines, platform.OrderLoad, item("b", 60), 2))
+		truth := e.Truth()
+		require.EqualValues(t, 60, truth.PeakMiB)
+		require.Len(t, truth.Violations, 2)
+		require.Equal(t, ViolationOvercommit, truth.Violations[0].Kind)
+		require.Len(t, truth.Orders, 5)
+	})
+}
+
+func TestEngineFence(t *testing.T) {
+	for _, ignores := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e, engines := runEngine(t, EngineOptions{ID: "s", IgnoresFence: ignores})
+			require.NoError(t, order(t, engines, platform.OrderFence, platform.Item{}, 5))
+			err := order(t, engines, platform.OrderLoad, item("a", 1), 4)
+			status, statusErr := engines.Status(t.Context(), "s")
+			require.NoError(t, statusErr)
+			if ignores {
+				require.NoError(t, err)
+				require.Zero(t, status.Fence)
+				return
+			}
+			requireError(t, err, platform.ReasonStaleFence, platform.EffectNone)
+			require.EqualValues(t, 5, status.Fence)
+			require.Equal(t, platform.ReasonStaleFence, e.Truth().Orders[1].Refused)
+			require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 1), 5))
+		})
+	}
+}
+
+func TestEngineRestartsEmpty(t *testing.T) {
+	for _, keeps := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e, engines := runEngine(t, EngineOptions{ID: "s", KeepsFence: keeps, Store: NewWeightStore(StoreOptions{MiBPerSecond: 1})})
+			require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 100), 5))
+			e.Restart(time.Second)
+			time.Sleep(time.Second + 1)
+			require.Empty(t, states(t, engines))
+			status, err := engines.Status(t.Context(), "s")
+			require.NoError(t, err)
+			require.Equal(t, keeps, status.Fence == 5)
+			time.Sleep(time.Hour)
+			require.Empty(t, states(t, engines), "a load of the process before does not come back")
+		})
+	}
+}
+
+func TestOrderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, engines := runEngine(t, EngineOptions{ID: "s"})
+		one := func(f Fault) error {
+			e.Faults.Set(First(1, f, "engine.order"))
+			return order(t, engines, platform.OrderFence, platform.Item{}, uint64(len(e.Truth().Orders)+1))
+		}
+		requireError(t, one(Fault{Lost: true}), platform.ReasonUnreachable, platform.EffectUnknown)
+		require.Empty(t, e.Truth().Orders)
+		requireError(t, one(Fault{Refused: true}), platform.ReasonUnavailable, platform.EffectNone)
+		require.Empty(t, e.Truth().Orders)
+		requireError(t, one(Fault{AnswerLost: true}), platform.ReasonUnreachable, platform.EffectUnknown)
+		require.Len(t, e.Truth().Orders, 1)
+		requireError(t, one(Fault{Late: time.Minute}), platform.ReasonUnreachable, platform.EffectUnknown)
+		require.Len(t, e.Truth().Orders, 1)
+		time.Sleep(time.Minute + 1)
+		require.Len(t, e.Truth().Orders, 2)
+		require.NoError(t, one(Fault{Copies: 2, CopyAfter: time.Second}))
+		require.Len(t, e.Truth().Orders, 3)
+		time.Sleep(3 * time.Second)
+		require.Len(t, e.Truth().Orders, 5)
+		start := time.Now()
+		require.NoError(t, one(Fault{Delay: time.Second}))
+		require.Equal(t, time.Second, time.Since(start))
+		e.Faults.Set(nil)
+		require.NoError(t, order(t, engines, platform.OrderFence, platform.Item{}, 99))
+	})
+}
+
+func TestStoreKeepsItsRateAndSharesItsSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := map[string]platform.StoreLimits{"instituto": {LoadsPerSecond: 1, ConcurrentLoads: 1}}
+		store := NewWeightStore(StoreOptions{Limits: limits, MiBPerSecond: 10})
+		start := time.Now()
+		ends := make(chan time.Duration, 2)
+		for range 2 {
+			go func() {
+				if store.Fetch(t.Context(), "instituto", 40) == nil {
+					ends <- time.Since(start)
+				}
+			}()
+		}
+		// Alone for 1 s (10 MiB), then both at half speed: the first has 30 MiB
+		// left, 6 s; then the second has 10 MiB left, 1 s.
+		require.InDelta(t, 7, (<-ends).Seconds(), 0.3)
+		require.InDelta(t, 8, (<-ends).Seconds(), 0.3)
+		require.Equal(t, StoreTruth{Fetches: map[string]int{"instituto": 2}, Peak: map[string]int{"instituto": 2}}, store.Truth())
+
+		store.SetSlow(10)
+		start = time.Now()
+		require.NoError(t, store.Fetch(t.Context(), "instituto", 10))
+		require.InDelta(t, 10, time.Since(start).Seconds(), 1.1)
+	})
+}
