--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -78,6 +78,14 @@
 	})
 }
 
+// waitReady waits until the engine's only item is ready.
+func waitReady(t testing.TB, engine platform.Engine, addr string) {
+	require.Eventually(t, func() bool {
+		status, err := engine.Status(t.Context(), addr)
+		return err == nil && len(status.Items) == 1 && status.Items[0].State == platform.ItemReady
+	}, 10*time.Second, time.Millisecond)
+}
+
 func TestHTTPEngine(t *testing.T) {
 	e := NewEngine(EngineOptions{ID: "s", StepBase: time.Millisecond})
 	server, err := Start("127.0.0.1:0", e)
@@ -87,10 +95,7 @@
 	defer transport.CloseIdleConnections()
 	engine := platform.NewHTTPEngine(&http.Client{Transport: transport})
 	require.NoError(t, engine.Order(t.Context(), server.Addr(), platform.Order{Kind: platform.OrderLoad, Item: planner, Fence: 1}))
-	require.Eventually(t, func() bool {
-		status, err := engine.Status(t.Context(), server.Addr())
-		return err == nil && len(status.Items) == 1 && status.Items[0].State == platform.ItemReady
-	}, 10*time.Second, time.Millisecond)
+	waitReady(t, engine, server.Addr())
 	req := request("a1", "two kosher meals on 417")
 	s, err := engine.Generate(t.Context(), server.Addr(), req)
 	require.NoError(t, err)
