--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -83,6 +83,7 @@
 		e.call.tell(restartRefusal(e.call.id))
 		return nil
 	}
+	d.server.observeFailure(e.server, e.failure)
 	return d.scheduler.Failed(now, e.call.id, e.server, e.failure)
 }
 
@@ -91,6 +92,7 @@
 		return nil
 	}
 	d.forget(e.call.id)
+	d.server.opts.Observer.Ended(e.call.target.Name, e.server, e.outcome)
 	return d.scheduler.Ended(now, e.call.id, e.server, e.outcome)
 }
 
@@ -192,6 +194,7 @@
 		if c == nil || dec.Action == decide.ActionQueue {
 			continue
 		}
+		d.server.opts.Observer.Decided(c.target.Name, dec)
 		if dec.Action == decide.ActionRefuse {
 			d.forget(dec.Request)
 		}
--- /dev/null
+++ b/caller/observer.go
@@ -0,0 +1,32 @@
+package caller
+
+import (
+	"greengageferry/decide"
+	"greengageferry/platform"
+)
+
+// Observer is told what the rest of the instance needs to know of requests: what
+// is asked for, and which backend servers lack what they should hold. Its
+// methods are called by the dispatcher and must not block.
+type Observer interface {
+	// Decided is told of a dispatch or a refusal.
+	Decided(target string, d decide.Decision)
+	// Ended is told of an answer's end at a server.
+	Ended(target, server string, o decide.Outcome)
+	// NotResident is told that a server lacks what it was asked for.
+	NotResident(server string)
+}
+
+// noObserver is the default.
+type noObserver struct{}
+
+func (noObserver) Decided(string, decide.Decision)      {}
+func (noObserver) Ended(string, string, decide.Outcome) {}
+func (noObserver) NotResident(string)                   {}
+
+// observeFailure tells the observer what a failed attempt showed.
+func (s *Server) observeFailure(server string, f decide.Failure) {
+	if f.Reason == platform.ReasonNotResident {
+		s.opts.Observer.NotResident(server)
+	}
+}
--- a/caller/options.go
+++ b/caller/options.go
@@ -23,6 +23,7 @@
 	Claimer    claims.Claimer
 	Quarantine Quarantine
 	Answers    Answers
+	Observer   Observer // nil: nobody is told
 
 	Limits  Limits
 	Log     logrus.FieldLogger
--- a/caller/server.go
+++ b/caller/server.go
@@ -50,6 +50,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if o.Observer == nil {
+		o.Observer = noObserver{}
+	}
 	return &Server{
 		opts:     o,
 		metrics:  newMetrics(o.Metrics),
--- /dev/null
+++ b/demand/collector.go
@@ -0,0 +1,130 @@
+package demand
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"greengageferry/platform"
+)
+
+const (
+	// SampleOwn is how many entry instances of the own failure domain are asked
+	// each time. A balancer spreads callers evenly, so a few speak for all; the
+	// cost stays the same however many instances there are.
+	SampleOwn = 4
+	// SampleOthers is how many of all other failure domains are asked each time.
+	SampleOthers = 2
+	// SampleLife is how long an answer counts: some five rounds.
+	SampleLife = 30 * time.Second
+	// askTime bounds one round.
+	askTime = 2 * time.Second
+)
+
+// Asker asks an entry instance what a failure domain was asked for through it.
+type Asker interface {
+	Demand(ctx context.Context, instance platform.Instance, domain string) (map[string]Rates, error)
+}
+
+// Collector estimates what callers ask of one failure domain from a sample of
+// entry instances.
+type Collector struct {
+	domain  string
+	asker   Asker
+	entries func() []platform.Instance // the live ones, of all failure domains
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	samples map[string]sample // by instance id
+}
+
+// sample is one instance's answer.
+type sample struct {
+	at     time.Time
+	domain string // where the instance is
+	rates  map[string]Rates
+}
+
+// NewCollector returns a collector for a failure domain.
+func NewCollector(domain string, asker Asker, entries func() []platform.Instance, random *rand.Rand) *Collector {
+	return &Collector{domain: domain, asker: asker, entries: entries, random: random, samples: map[string]sample{}}
+}
+
+// Collect asks a new sample and returns the estimate of the failure domain's
+// whole demand, by target.
+func (c *Collector) Collect(ctx context.Context) map[string]Rates {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	entries := c.entries()
+	var group errgroup.Group
+	for _, instance := range c.choose(entries) {
+		group.Go(func() error {
+			c.ask(ctx, instance)
+			return nil
+		})
+	}
+	_ = group.Wait() // ask returns no error: an instance that is silent is not counted
+	return c.estimate(time.Now(), entries)
+}
+
+func (c *Collector) ask(ctx context.Context, instance platform.Instance) {
+	rates, err := c.asker.Demand(ctx, instance, c.domain)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		delete(c.samples, instance.ID)
+		return
+	}
+	c.samples[instance.ID] = sample{at: time.Now(), domain: instance.FailureDomain, rates: rates}
+}
+
+// choose draws the instances to ask.
+func (c *Collector) choose(entries []platform.Instance) []platform.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var chosen []platform.Instance
+	left := map[bool]int{true: SampleOwn, false: SampleOthers}
+	for _, i := range c.random.Perm(len(entries)) {
+		own := entries[i].FailureDomain == c.domain
+		if left[own] == 0 {
+			continue
+		}
+		left[own]--
+		chosen = append(chosen, entries[i])
+	}
+	return chosen
+}
+
+// estimate scales what the newest samples of each failure domain say to all
+// instances there.
+func (c *Collector) estimate(now time.Time, entries []platform.Instance) map[string]Rates {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	instances := map[string]int{}
+	for _, e := range entries {
+		instances[e.FailureDomain]++
+	}
+	sampled := map[string]int{}
+	for id, s := range c.samples {
+		if now.Sub(s.at) > SampleLife {
+			delete(c.samples, id)
+			continue
+		}
+		sampled[s.domain]++
+	}
+	total := map[string]Rates{}
+	for _, s := range c.samples {
+		scale := float64(instances[s.domain]) / float64(sampled[s.domain])
+		for target, r := range s.rates {
+			t := total[target]
+			t.Requests += r.Requests * scale
+			t.Tokens += r.Tokens * scale
+			t.Refused += r.Refused * scale
+			total[target] = t
+		}
+	}
+	return total
+}
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -7,7 +7,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
-	"reflect"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -94,7 +94,6 @@
 	log     logrus.FieldLogger
 	metrics *expvar.Map
 	current atomic.Pointer[List]
-	changed chan struct{} // full: a change is already pending, so another says nothing new
 }
 
 // NewWatcher returns a watcher that looks at the source each time `every` has
@@ -103,15 +102,13 @@
 	if every == 0 {
 		every = DefaultEvery
 	}
-	return &Watcher{source: source, every: every, log: log, metrics: metrics, changed: make(chan struct{}, 1)}
+	return &Watcher{source: source, every: every, log: log, metrics: metrics}
 }
 
-// List returns the list as last read, or nil before the first.
+// List returns the list as last read, or nil before the first. While nothing
+// changes, the lists share their instances.
 func (w *Watcher) List() *List { return w.current.Load() }
 
-// Changed gets a value after the list has changed. It has one reader.
-func (w *Watcher) Changed() <-chan struct{} { return w.changed }
-
 // Run looks at the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	failing := false
@@ -140,14 +137,17 @@
 		return err
 	}
 	next := NewList(time.Now(), instances)
-	last := w.current.Swap(next)
-	if last == nil || !reflect.DeepEqual(last.Instances, next.Instances) {
-		w.note(last, next)
+	last := w.current.Load()
+	if last != nil && slices.Equal(last.Instances, next.Instances) {
+		w.current.Store(&List{Read: next.Read, Instances: last.Instances, byID: last.byID})
+		return nil
 	}
+	w.current.Store(next)
+	w.note(last, next)
 	return nil
 }
 
-// note logs what has changed and wakes the reader.
+// note logs what has changed.
 func (w *Watcher) note(last, next *List) {
 	w.metrics.Add("list_changes", 1)
 	before := 0
@@ -155,10 +155,6 @@
 		before = len(last.Instances)
 	}
 	w.log.WithFields(logrus.Fields{"instances": len(next.Instances), "before": before}).Info("instance list changed")
-	select {
-	case w.changed <- struct{}{}:
-	default:
-	}
 }
 
 // jittered spreads looks by up to a tenth, so that instances started together
--- a/load/load.go
+++ b/load/load.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // progressEvery is how often progress is told.
@@ -18,68 +19,65 @@
 	if err := options.check(); err != nil {
 		return nil, err
 	}
-	client := &Client{HTTP: newClient(options.Concurrency), URL: options.URL, Key: options.Key}
-	defer client.HTTP.CloseIdleConnections()
+	client := newClient(options.Concurrency)
+	defer client.CloseIdleConnections()
 
 	// requests is unbuffered: when all callers are busy, the next request
 	// waits, and its times count from when it was due.
-	requests := make(chan dueRequest)
+	requests := make(chan request)
 	// samples waits when full: the collector is faster than the callers.
-	samples := make(chan Answer, options.Concurrency)
+	samples := make(chan sample, options.Concurrency)
 
-	go options.arrive(ctx, requests)
-	var callers sync.WaitGroup
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return options.arrive(ctx, requests) })
+	callers := errgroup.Group{}
 	for range options.Concurrency {
-		callers.Go(func() { call(ctx, client, requests, samples) })
+		callers.Go(func() error {
+			for r := range requests {
+				if r.due.IsZero() {
+					r.due = time.Now()
+				}
+				samples <- options.send(ctx, client, r)
+			}
+			return nil
+		})
 	}
-	go func() {
-		callers.Wait()
-		close(samples)
-	}()
+	group.Go(func() error {
+		defer close(samples)
+		return callers.Wait()
+	})
 	report := newReport(options)
 	report.collect(samples, options.Progress)
-	return report, nil
-}
-
-// call is one caller: it sends one request after the other.
-func call(ctx context.Context, client *Client, requests <-chan dueRequest, samples chan<- Answer) {
-	for r := range requests {
-		if r.due.IsZero() {
-			r.due = time.Now()
-		}
-		samples <- client.Send(ctx, r.Request, r.due)
-	}
-}
-
-// dueRequest is a request and when it was due; zero: when a caller takes it.
-type dueRequest struct {
-	Request
-	due time.Time
+	return report, group.Wait()
 }
 
 // arrive makes the requests: at random times where a rate is given, else as
 // fast as callers take them.
-func (o Options) arrive(ctx context.Context, requests chan<- dueRequest) {
+func (o Options) arrive(ctx context.Context, requests chan<- request) error {
 	defer close(requests)
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	due := time.Now()
 	for n := range o.Requests {
-		r := dueRequest{Request: o.newRequest(n + 1)}
+		r, err := o.newRequest(n + 1)
+		if err != nil {
+			return err
+		}
 		if o.Rate > 0 {
 			due = due.Add(time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second)))
 			r.due = due
 			if !waitUntil(ctx, due) {
-				return
+				return nil
 			}
 		}
 		select {
 		case requests <- r:
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
+	return nil
 }
 
 // waitUntil waits for a time, and says whether it came before ctx ended.
--- a/load/report.go
+++ b/load/report.go
@@ -69,7 +69,7 @@
 }
 
 // collect takes in samples until there are no more.
-func (r *Report) collect(samples <-chan Answer, progress func(Progress)) {
+func (r *Report) collect(samples <-chan sample, progress func(Progress)) {
 	ticker := time.NewTicker(progressEvery)
 	defer ticker.Stop()
 	for {
@@ -88,26 +88,26 @@
 	}
 }
 
-func (r *Report) add(a Answer) {
+func (r *Report) add(s sample) {
 	r.Requests++
-	r.Outcomes[a.Outcome]++
-	if a.Code != "" {
-		r.Errors[a.Code]++
+	r.Outcomes[s.outcome]++
+	if s.code != "" {
+		r.Errors[s.code]++
 	}
-	if a.Outcome == OutcomeComplete && a.Total.Seconds() <= r.DeadlineSeconds {
+	if s.met {
 		r.met++
 	}
-	if a.FirstToken > 0 {
-		record(r.first, a.FirstToken)
+	if s.firstToken > 0 {
+		record(r.first, s.firstToken)
 	}
-	for _, gap := range a.Gaps {
+	for _, gap := range s.gaps {
 		record(r.between, gap)
 	}
-	switch a.Outcome {
+	switch s.outcome {
 	case OutcomeComplete:
-		record(r.total, a.Total)
+		record(r.total, s.total)
 	case OutcomeNotRun:
-		record(r.refusal, a.Total)
+		record(r.refusal, s.total)
 	}
 }
 
