--- a/load/load.go
+++ b/load/load.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // progressEvery is how often progress is told.
@@ -19,65 +18,68 @@
 	if err := options.check(); err != nil {
 		return nil, err
 	}
-	client := newClient(options.Concurrency)
-	defer client.CloseIdleConnections()
+	client := &Client{HTTP: newClient(options.Concurrency), URL: options.URL, Key: options.Key}
+	defer client.HTTP.CloseIdleConnections()
 
 	// requests is unbuffered: when all callers are busy, the next request
 	// waits, and its times count from when it was due.
-	requests := make(chan request)
+	requests := make(chan dueRequest)
 	// samples waits when full: the collector is faster than the callers.
-	samples := make(chan sample, options.Concurrency)
+	samples := make(chan Answer, options.Concurrency)
 
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return options.arrive(ctx, requests) })
-	callers := errgroup.Group{}
+	go options.arrive(ctx, requests)
+	var callers sync.WaitGroup
 	for range options.Concurrency {
-		callers.Go(func() error {
-			for r := range requests {
-				if r.due.IsZero() {
-					r.due = time.Now()
-				}
-				samples <- options.send(ctx, client, r)
-			}
-			return nil
-		})
+		callers.Go(func() { call(ctx, client, requests, samples) })
 	}
-	group.Go(func() error {
-		defer close(samples)
-		return callers.Wait()
-	})
+	go func() {
+		callers.Wait()
+		close(samples)
+	}()
 	report := newReport(options)
 	report.collect(samples, options.Progress)
-	return report, group.Wait()
+	return report, nil
+}
+
+// call is one caller: it sends one request after the other.
+func call(ctx context.Context, client *Client, requests <-chan dueRequest, samples chan<- Answer) {
+	for r := range requests {
+		if r.due.IsZero() {
+			r.due = time.Now()
+		}
+		samples <- client.Send(ctx, r.Request, r.due)
+	}
+}
+
+// dueRequest is a request and when it was due; zero: when a caller takes it.
+type dueRequest struct {
+	Request
+	due time.Time
 }
 
 // arrive makes the requests: at random times where a rate is given, else as
 // fast as callers take them.
-func (o Options) arrive(ctx context.Context, requests chan<- request) error {
+func (o Options) arrive(ctx context.Context, requests chan<- dueRequest) {
 	defer close(requests)
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	due := time.Now()
 	for n := range o.Requests {
-		r, err := o.newRequest(n + 1)
-		if err != nil {
-			return err
-		}
+		r := dueRequest{Request: o.newRequest(n + 1)}
 		if o.Rate > 0 {
 			due = due.Add(time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second)))
 			r.due = due
 			if !waitUntil(ctx, due) {
-				return nil
+				return
 			}
 		}
 		select {
 		case requests <- r:
 		case <-ctx.Done():
-			return nil
+			return
 		}
 	}
-	return nil
 }
 
 // waitUntil waits for a time, and says whether it came before ctx ended.
--- a/load/report.go
+++ b/load/report.go
@@ -69,7 +69,7 @@
 }
 
 // collect takes in samples until there are no more.
-func (r *Report) collect(samples <-chan sample, progress func(Progress)) {
+func (r *Report) collect(samples <-chan Answer, progress func(Progress)) {
 	ticker := time.NewTicker(progressEvery)
 	defer ticker.Stop()
 	for {
@@ -88,26 +88,26 @@
 	}
 }
 
-func (r *Report) add(s sample) {
+func (r *Report) add(a Answer) {
 	r.Requests++
-	r.Outcomes[s.outcome]++
-	if s.code != "" {
-		r.Errors[s.code]++
+	r.Outcomes[a.Outcome]++
+	if a.Code != "" {
+		r.Errors[a.Code]++
 	}
-	if s.met {
+	if a.Outcome == OutcomeComplete && a.Total.Seconds() <= r.DeadlineSeconds {
 		r.met++
 	}
-	if s.firstToken > 0 {
-		record(r.first, s.firstToken)
+	if a.FirstToken > 0 {
+		record(r.first, a.FirstToken)
 	}
-	for _, gap := range s.gaps {
+	for _, gap := range a.Gaps {
 		record(r.between, gap)
 	}
-	switch s.outcome {
+	switch a.Outcome {
 	case OutcomeComplete:
-		record(r.total, s.total)
+		record(r.total, a.Total)
 	case OutcomeNotRun:
-		record(r.refusal, s.total)
+		record(r.refusal, a.Total)
 	}
 }
 
