whole: plain services' calls, too

Some calls to plain services run at most once; the check compares what their callers were told with the runs that the service stand-ins kept. The load's client can send them.

--- a/load/client.go
+++ b/load/client.go
@@ -55,6 +55,16 @@
 	Timeout        time.Duration // the request's deadline counts from when it was due
 }
 
+// ServiceRequest is one POST to a plain service.
+type ServiceRequest struct {
+	Service        string
+	Path           string // below the service, with a leading slash
+	Body           string
+	IdempotencyKey string // empty: none
+	NonIdempotent  bool   // says so itself; the service's configuration may too
+	Timeout        time.Duration
+}
+
 // Answer is what a caller got.
 type Answer struct {
 	Outcome    Outcome
@@ -102,26 +112,23 @@
 	ctx, cancel := context.WithDeadline(ctx, due.Add(r.Timeout+answerGrace))
 	defer cancel()
 	var a Answer
-	a.Outcome, a.Code = c.exchange(ctx, r, due, &a)
+	a.Outcome, a.Code = c.complete(ctx, r, due, &a)
 	a.Total = time.Since(due)
 	return a
 }
 
-// exchange sends a request and reads its answer into a.
-func (c *Client) exchange(ctx context.Context, r Request, due time.Time, a *Answer) (Outcome, string) {
-	req, err := c.newHTTPRequest(ctx, r, due)
+// complete sends a request and reads its answer into a.
+func (c *Client) complete(ctx context.Context, r Request, due time.Time, a *Answer) (Outcome, string) {
+	body, err := json.Marshal(completionBody{Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Seed: r.Seed, Stream: r.Streamed})
 	if err != nil {
 		return OutcomeOther, "bad_request"
 	}
-	res, err := c.HTTP.Do(req)
+	headers := wishes{key: r.IdempotencyKey, nonIdempotent: r.NonIdempotent, deadline: due.Add(r.Timeout)}
+	res, err := c.post(ctx, "/v1/completions", body, headers)
 	if err != nil {
 		return OutcomeOther, "no_answer"
 	}
 	defer res.Body.Close()
-	res.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.LimitReader(res.Body, maxAnswerBytes), res.Body}
 	a.Server = res.Header.Get(headerServer)
 	if r.Streamed && res.StatusCode == http.StatusOK {
 		return a.readStream(res, due)
@@ -129,30 +136,76 @@
 	return a.readWhole(res)
 }
 
-// newHTTPRequest makes the HTTP request. Its body can't be rewound, so that
-// net/http doesn't send it twice by itself.
-func (c *Client) newHTTPRequest(ctx context.Context, r Request, due time.Time) (*http.Request, error) {
-	body, err := json.Marshal(completionBody{Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Seed: r.Seed, Stream: r.Streamed})
+// SendService sends a call to a plain service, due at the given time, and
+// returns its answer: complete with the body as its text if the status is a
+// success.
+func (c *Client) SendService(ctx context.Context, r ServiceRequest, due time.Time) Answer {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(r.Timeout+answerGrace))
+	defer cancel()
+	var a Answer
+	a.Outcome, a.Code = c.callService(ctx, r, due, &a)
+	a.Total = time.Since(due)
+	return a
+}
+
+func (c *Client) callService(ctx context.Context, r ServiceRequest, due time.Time, a *Answer) (Outcome, string) {
+	headers := wishes{key: r.IdempotencyKey, nonIdempotent: r.NonIdempotent, deadline: due.Add(r.Timeout)}
+	res, err := c.post(ctx, "/services/"+r.Service+r.Path, []byte(r.Body), headers)
 	if err != nil {
-		return nil, err
+		return OutcomeOther, "no_answer"
 	}
-	target := strings.TrimRight(c.URL, "/") + "/v1/completions"
+	defer res.Body.Close()
+	a.Server = res.Header.Get(headerServer)
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return OutcomeOther, "cut"
+	}
+	if res.StatusCode/100 == 2 {
+		a.Text = string(data)
+		return OutcomeComplete, ""
+	}
+	var chunk completionChunk
+	if json.Unmarshal(data, &chunk) == nil && chunk.Error != nil {
+		return chunk.Error.told()
+	}
+	return OutcomeOther, fmt.Sprintf("status_%d", res.StatusCode)
+}
+
+// wishes are what a request's headers ask for.
+type wishes struct {
+	key           string
+	nonIdempotent bool
+	deadline      time.Time
+}
+
+// post sends a request. Its body can't be rewound, so that net/http doesn't
+// send it twice by itself. The answer's body is bounded.
+func (c *Client) post(ctx context.Context, path string, body []byte, w wishes) (*http.Response, error) {
+	target := strings.TrimRight(c.URL, "/") + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = int64(len(body))
-	left := max(time.Until(due.Add(r.Timeout)), time.Millisecond)
+	left := max(time.Until(w.deadline), time.Millisecond)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set(headerTimeout, strconv.FormatInt(left.Milliseconds(), 10))
-	if r.NonIdempotent {
+	if w.nonIdempotent {
 		req.Header.Set(headerNonIdempotent, "true")
 	}
-	if r.IdempotencyKey != "" {
-		req.Header.Set(headerKey, r.IdempotencyKey)
+	if w.key != "" {
+		req.Header.Set(headerKey, w.key)
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, err
 	}
-	return req, nil
+	res.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.LimitReader(res.Body, maxAnswerBytes), res.Body}
+	return res, nil
 }
 
 func (a *Answer) readWhole(res *http.Response) (Outcome, string) {
--- a/whole/history.go
+++ b/whole/history.go
@@ -15,12 +15,36 @@
 // Told is what a caller was told of one sending of a request.
 type Told struct {
 	Request  load.Request
+	Service  load.ServiceRequest // in place of Request where its Service is set
 	Answer   load.Answer
 	Instance string // the entry instance that it was sent to
 	Sent     time.Time
 	Ended    time.Time
 }
 
+// content returns what the request is known by: its prompt or body, which no
+// other request has.
+func (t Told) content() string {
+	if t.Service.Service != "" {
+		return t.Service.Body
+	}
+	return t.Request.Prompt
+}
+
+// key returns the request's idempotency key; empty: none.
+func (t Told) key() string {
+	if t.Service.Service != "" {
+		return t.Service.IdempotencyKey
+	}
+	return t.Request.IdempotencyKey
+}
+
+// nonIdempotent says whether it may run at most once: a POST to a service
+// always.
+func (t Told) nonIdempotent() bool {
+	return t.Service.Service != "" || t.Request.NonIdempotent
+}
+
 // History is what callers were told, in the order of the ends of their
 // requests. It is safe for concurrent use.
 type History struct {
@@ -51,3 +75,12 @@
 	h.Add(Told{Request: r, Answer: answer, Instance: instance, Sent: sent, Ended: time.Now()})
 	return answer
 }
+
+// SendService sends a call to a plain service, as Send does a request. Each
+// needs a body of its own.
+func (h *History) SendService(ctx context.Context, instance string, client *load.Client, r load.ServiceRequest) load.Answer {
+	sent := time.Now()
+	answer := client.SendService(ctx, r, sent)
+	h.Add(Told{Service: r, Answer: answer, Instance: instance, Sent: sent, Ended: time.Now()})
+	return answer
+}
--- a/whole/rules.go
+++ b/whole/rules.go
@@ -1,7 +1,9 @@
 package whole
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"time"
 
 	"greengageferry/load"
@@ -109,14 +111,14 @@
 // isn't of the answer to go on with is a breach too.
 func checkWholeAnswers(history []Told, truth Truth) Result {
 	r := Result{Rule: RuleWholeAnswer}
-	runs := truth.runsByPrompt()
+	runs := truth.runs()
 	for _, t := range history {
 		if t.Answer.Outcome != load.OutcomeComplete {
 			continue
 		}
 		r.Events++
-		if !isAnswer(t, truth, runs[standin.PromptHash(t.Request.Prompt)]) {
-			r.violated("%s was told something else as the answer of %s", describe(t), t.Request.Model)
+		if !isAnswer(t, truth, runs[standin.PromptHash(t.content())]) {
+			r.violated("%s was told something else as its answer", describe(t))
 		}
 	}
 	for _, e := range truth.Engines {
@@ -132,15 +134,18 @@
 // isAnswer says whether a text is the answer of one of the request's runs. The
 // request's seed is its own, or the one that the system chose for its runs.
 func isAnswer(t Told, truth Truth, runs []run) bool {
+	if t.Service.Service != "" {
+		return len(runs) > 0 && isEcho(t)
+	}
 	m, ok := truth.model(t.Request.Model)
 	if !ok {
 		return false
 	}
 	for _, run := range runs {
-		if t.Request.Seed != 0 && run.Seed != t.Request.Seed {
+		if t.Request.Seed != 0 && run.seed != t.Request.Seed {
 			continue
 		}
-		answer := standin.AnswerTo(platform.GenerateRequest{Model: m.Model, Adapter: m.Adapter, Prompt: t.Request.Prompt, Seed: run.Seed})
+		answer := standin.AnswerTo(platform.GenerateRequest{Model: m.Model, Adapter: m.Adapter, Prompt: t.Request.Prompt, Seed: run.seed})
 		if answer.Text(t.Request.MaxTokens) == t.Answer.Text {
 			return true
 		}
@@ -148,12 +153,22 @@
 	return false
 }
 
-// request names a request: its key, or else its prompt.
+// isEcho says whether a text is what a plain service answers to its call.
+func isEcho(t Told) bool {
+	var echo standin.ServiceEcho
+	if json.Unmarshal([]byte(t.Answer.Text), &echo) != nil {
+		return false
+	}
+	want := standin.ServiceEcho{Service: t.Service.Service, Method: http.MethodPost, Path: t.Service.Path, Body: t.Service.Body}
+	return echo == want
+}
+
+// request names a request: its key, or else its content.
 func request(t Told) string {
-	if t.Request.IdempotencyKey != "" {
-		return "key " + t.Request.IdempotencyKey
+	if t.key() != "" {
+		return "key " + t.key()
 	}
-	return "prompt " + t.Request.Prompt
+	return "content " + t.content()
 }
 
 // byRequest groups a history by request: one with a key may have been sent
@@ -171,14 +186,14 @@
 // one's.
 func checkNotRun(history []Told, truth Truth) Result {
 	r := Result{Rule: RuleNotRun}
-	runs := truth.runsByPrompt()
+	runs := truth.runs()
 	for _, group := range byRequest(history) {
 		if !allNotRun(group) {
 			continue
 		}
 		r.Events += len(group)
-		for _, run := range runs[standin.PromptHash(group[0].Request.Prompt)] {
-			r.violated("%s was told not run, and ran at %s as attempt %s", describe(group[0]), run.server, run.Attempt)
+		for _, run := range runs[standin.PromptHash(group[0].content())] {
+			r.violated("%s was told not run, and ran at %s as attempt %s", describe(group[0]), run.server, run.attempt)
 		}
 	}
 	return r
@@ -197,13 +212,13 @@
 // servers. One that was accepted by a server counts, whether or not it began.
 func checkAtMostOnce(history []Told, truth Truth) Result {
 	r := Result{Rule: RuleAtMostOnce}
-	runs := truth.runsByPrompt()
+	runs := truth.runs()
 	for _, group := range byRequest(history) {
-		if !group[0].Request.NonIdempotent {
+		if !group[0].nonIdempotent() {
 			continue
 		}
 		r.Events++
-		if n := len(runs[standin.PromptHash(group[0].Request.Prompt)]); n > 1 {
+		if n := len(runs[standin.PromptHash(group[0].content())]); n > 1 {
 			r.violated("%s ran %d times", describe(group[0]), n)
 		}
 	}
@@ -294,9 +309,9 @@
 
 // describe names a sending of a request, without its prompt.
 func describe(t Told) string {
-	name := fmt.Sprintf("request %x", standin.PromptHash(t.Request.Prompt))
-	if t.Request.IdempotencyKey != "" {
-		name += " with key " + t.Request.IdempotencyKey
+	name := fmt.Sprintf("request %x", standin.PromptHash(t.content()))
+	if t.key() != "" {
+		name += " with key " + t.key()
 	}
 	return fmt.Sprintf("%s sent to %s", name, t.Instance)
 }
--- a/whole/rules_test.go
+++ b/whole/rules_test.go
@@ -41,8 +41,16 @@
 	resent := once
 	resent.Instance = "entry-2"
 	refused.Answer = load.Answer{Outcome: load.OutcomeNotRun, Code: "queue_full"}
+	call := Told{
+		Service:  load.ServiceRequest{Service: "order-desk", Path: "/orders", Body: "two trays"},
+		Answer:   load.Answer{Outcome: load.OutcomeComplete, Text: `{"service":"order-desk","method":"POST","path":"/orders","body":"two trays"}`},
+		Instance: "entry-1",
+		Sent:     start,
+		Ended:    start,
+	}
 	truth := Truth{
-		Models: models,
+		Models:   models,
+		Services: map[string][]standin.ServiceRun{"d1": {{Attempt: "c", Body: standin.PromptHash("two trays")}}},
 		Engines: []standin.EngineTruth{
 			{ID: "s1", MemoryMiB: 100, PeakMiB: 100, Runs: []standin.Run{runOf(plain), runOf(once)}, Orders: []standin.OrderTaken{{}}},
 			{ID: "s2", MemoryMiB: 100, PeakMiB: 50},
@@ -52,7 +60,7 @@
 		Accepted:  []Accepted{{Offset: 5, At: start}},
 		Seen:      []Seen{{"entry-1", 4, start}, {"entry-1", 5, start.Add(ConfigLimit + 1)}},
 	}
-	return []Told{plain, once, resent, refused}, truth
+	return []Told{plain, once, resent, refused, call}, truth
 }
 
 // TestEachRuleBites breaks each rule on purpose, and wants exactly its check to
@@ -93,6 +101,13 @@
 			run.Started = time.Time{}
 			truth.Engines[0].Runs = append(truth.Engines[0].Runs, run)
 		}},
+		"service called twice": {RuleAtMostOnce, func(_ []Told, truth *Truth) { truth.Services["d2"] = truth.Services["d1"] }},
+		"service's call not run, and ran": {RuleNotRun, func(h []Told, _ *Truth) {
+			h[4].Answer, h[4].Instance = h[3].Answer, "entry-2"
+		}},
+		"another's service answer": {RuleWholeAnswer, func(h []Told, _ *Truth) {
+			h[4].Answer.Text = `{"service":"order-desk","method":"POST","path":"/orders","body":"one tray"}`
+		}},
 		"work for a leaving server": {RuleLeaving, func(_ []Told, truth *Truth) {
 			truth.Leaving["s1"] = start.Add(-LeavingGrace - 1)
 		}},
--- a/whole/truth.go
+++ b/whole/truth.go
@@ -9,9 +9,10 @@
 // Truth is what really happened, as the stand-ins and the test know it.
 type Truth struct {
 	Engines   []standin.EngineTruth
-	Models    []Model              // the declared models and adapters
-	Leaving   map[string]time.Time // by backend server: since when the platform's list says so
-	Shutdowns map[string]time.Time // by entry instance: when its graceful shutdown began
+	Services  map[string][]standin.ServiceRun // by backend server
+	Models    []Model                         // the declared models and adapters
+	Leaving   map[string]time.Time            // by backend server: since when the platform's list says so
+	Shutdowns map[string]time.Time            // by entry instance: when its graceful shutdown began
 	Accepted  []Accepted
 	Seen      []Seen
 }
@@ -38,18 +39,24 @@
 	At       time.Time
 }
 
-// run is a run at one of the engines.
+// run is a run at one of the backend servers.
 type run struct {
-	standin.Run
-	server string
+	server  string
+	attempt string
+	seed    uint64 // of engines
 }
 
-// runsByPrompt returns all runs, by the hash of their prompts.
-func (t *Truth) runsByPrompt() map[uint64][]run {
+// runs returns all runs, by the hash of their prompts or bodies.
+func (t *Truth) runs() map[uint64][]run {
 	runs := map[uint64][]run{}
 	for _, e := range t.Engines {
 		for _, r := range e.Runs {
-			runs[r.Prompt] = append(runs[r.Prompt], run{Run: r, server: e.ID})
+			runs[r.Prompt] = append(runs[r.Prompt], run{server: e.ID, attempt: r.Attempt, seed: r.Seed})
+		}
+	}
+	for server, calls := range t.Services {
+		for _, r := range calls {
+			runs[r.Body] = append(runs[r.Body], run{server: server, attempt: r.Attempt})
 		}
 	}
 	return runs
