standin: the network can kill a node

A process killed in a test lives on in the test's process; seen from outside it's dead once all its connections are broken and new ones refused.

--- a/standin/network.go
+++ b/standin/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Network joins failure domains that can be cut off from each other, one way
@@ -15,6 +16,8 @@
 	mu      sync.Mutex
 	domains map[string]string     // by address
 	cuts    map[way]chan struct{} // closed when the cut heals
+	conns   map[*networkConn]struct{}
+	dead    map[string]bool // nodes, and addresses of nodes
 }
 
 // way is the direction from one failure domain to another.
@@ -22,7 +25,12 @@
 
 // NewNetwork returns a network without cuts.
 func NewNetwork() *Network {
-	return &Network{domains: map[string]string{}, cuts: map[way]chan struct{}{}}
+	return &Network{
+		domains: map[string]string{},
+		cuts:    map[way]chan struct{}{},
+		conns:   map[*networkConn]struct{}{},
+		dead:    map[string]bool{},
+	}
 }
 
 // Place says in which failure domain an address is. An address without a place
@@ -84,9 +92,30 @@
 	return true
 }
 
-// Dialer returns what a client in the failure domain dials with: an
+// Kill has a node die as a killed process does, seen from outside: the
+// connections that it dialed and those to its addresses break, and new ones are
+// refused.
+func (n *Network) Kill(node string, addrs ...string) {
+	n.mu.Lock()
+	n.dead[node] = true
+	for _, addr := range addrs {
+		n.dead[addr] = true
+	}
+	var broken []*networkConn
+	for c := range n.conns {
+		if n.dead[c.node] || n.dead[c.addr] {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.Close()
+	}
+}
+
+// Dialer returns what a client of a node in the failure domain dials with: an
 // http.Transport's DialContext.
-func (n *Network) Dialer(from string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func (n *Network) Dialer(from, node string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		n.mu.Lock()
 		to, placed := n.domains[addr]
@@ -102,14 +131,37 @@
 		if err != nil {
 			return nil, err
 		}
-		return &networkConn{Conn: conn, network: n, there: there, back: back, closed: make(chan struct{})}, nil
+		c := &networkConn{Conn: conn, network: n, node: node, addr: addr, there: there, back: back, closed: make(chan struct{})}
+		if !n.add(c) {
+			conn.Close()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		return c, nil
 	}
 }
 
+// add takes in a new connection unless an end of it is dead.
+func (n *Network) add(c *networkConn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead[c.node] || n.dead[c.addr] {
+		return false
+	}
+	n.conns[c] = struct{}{}
+	return true
+}
+
+func (n *Network) remove(c *networkConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
 // networkConn holds what passes a cut way.
 type networkConn struct {
 	net.Conn
 	network     *Network
+	node, addr  string // who dialed, and whom
 	there, back way
 	close       sync.Once
 	closed      chan struct{}
@@ -135,6 +187,9 @@
 // Close implements net.Conn. A close passes any cut, so that a test's servers
 // can end.
 func (c *networkConn) Close() error {
-	c.close.Do(func() { close(c.closed) })
+	c.close.Do(func() {
+		close(c.closed)
+		c.network.remove(c)
+	})
 	return c.Conn.Close()
 }
