control: the failure domain's lease, assignments and orders

Each entry instance runs a Controller: a pure core (lease keeper, reconciler, removal rule, pacer, guard over the planner's moves) stepped by one goroutine, with bounded rings to the workers that do the I/O.

An order is noted as under way before its assignment and the lease are checked, directly before it leaves, so that Applied never says more than is true. Own joins are known by their offset: an earlier process's join in the same name says nothing of what this one has read.

--- /dev/null
+++ b/control/holder.go
@@ -0,0 +1,350 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/replay"
+)
+
+// hold is the lease holder's part of a step: look at the servers, order them
+// toward their assignments, say on the log what was seen, and plan.
+func (c *core) hold(now time.Time, a *actions) {
+	for _, id := range sortedKeys(c.servers) {
+		c.pollIfDue(now, id, a)
+	}
+	c.orderAll(now, a, true, func(string) bool { return true })
+	c.askOrderers(now, a)
+	c.gatherIfDue(now, a)
+	if c.appending || now.Before(c.retryAt) || c.view.Offset < c.settled {
+		return
+	}
+	a.records = c.seen(now)
+	if len(a.records) == 0 {
+		a.records = c.plan(now)
+	}
+	c.appending = len(a.records) > 0
+}
+
+// takeOver forgets statuses from before the lease: they may be of long ago.
+func (c *core) takeOver() {
+	if c.held == c.lease.ID() {
+		return
+	}
+	c.held = c.lease.ID()
+	for _, s := range c.servers {
+		s.forgetStatus()
+	}
+	c.log.WithField("lease", c.held).Info("lease held")
+}
+
+func (c *core) pollIfDue(now time.Time, id string, a *actions) {
+	s := c.server(id)
+	if s.polling || s.addr == "" || now.Before(s.pollAt) {
+		return
+	}
+	s.polling = true
+	s.pollAt = now.Add(c.pollDelay(s.failures))
+	a.polls = append(a.polls, poll{server: id, addr: s.addr})
+}
+
+// maxPollBackoff bounds how much less often a silent server is looked at: one
+// that comes back is seen within a few seconds.
+const maxPollBackoff = 4
+
+// pollDelay is jittered by a fifth, so that the looks spread over the interval.
+func (c *core) pollDelay(failures int) time.Duration {
+	every := c.l.PollEvery * time.Duration(1+min(failures, maxPollBackoff))
+	return scale(every, 0.8+0.4*c.rng.Float64())
+}
+
+// due is an order that is due on a server.
+type due struct {
+	s       *server
+	w       wanted
+	ignores bool
+	rank    int
+}
+
+// The ranks of orders. What frees memory or can wait for nothing costs no load,
+// so it goes first; then each model's first replica, then the others.
+const (
+	rankNoLoad = iota
+	rankFirst
+	rankMore
+)
+
+// orderAll collects the orders that are due on the servers chosen, loads within
+// the stores' limits.
+//
+// The load it is for: a domain whose servers all came back empty, with more
+// loads than its part of a store allows for minutes. The harm prevented: second
+// replicas of some models loaded before the only ones of others.
+func (c *core) orderAll(now time.Time, a *actions, underLog bool, chosen func(id string) bool) {
+	if !c.member.may(c.view) {
+		return
+	}
+	loading := c.loading(now)
+	for _, d := range c.allDue(now, chosen) {
+		kind := d.w.order.Kind
+		if !underLog && kind == platform.OrderUnload {
+			continue // a restoring brings back, and takes nothing away
+		}
+		if kind == platform.OrderLoad && !c.mayLoad(now, d.w.order.Item, loading) {
+			continue
+		}
+		c.note(now, d.s, d.w)
+		a.orders = append(a.orders, orderOut{server: d.s.id, addr: d.s.addr, order: d.w.order, underLog: underLog, ignores: d.ignores})
+		c.logOrder(d.s, d.w, underLog)
+	}
+}
+
+func (c *core) allDue(now time.Time, chosen func(id string) bool) []due {
+	ready := c.readyNames()
+	var out []due
+	for _, id := range sortedKeys(c.view.Servers) {
+		s, want := c.servers[id], c.view.Servers[id]
+		if s == nil || s.addr == "" || s.failures > 0 || !chosen(id) {
+			continue
+		}
+		ignores := c.ignoresFence(want.Pool)
+		for _, w := range reconcile(now, c.l, s, want, ignores) {
+			out = append(out, due{s: s, w: w, ignores: ignores, rank: rankOfOrder(w.order, ready)})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b due) int { return cmp.Compare(a.rank, b.rank) })
+	return out
+}
+
+func rankOfOrder(o platform.Order, ready map[string]bool) int {
+	switch {
+	case o.Kind != platform.OrderLoad:
+		return rankNoLoad
+	case !ready[nameOf(o.Item)]:
+		return rankFirst
+	}
+	return rankMore
+}
+
+// readyNames returns what the domain serves, by name.
+func (c *core) readyNames() map[string]bool {
+	out := map[string]bool{}
+	for _, s := range c.view.Servers {
+		for _, i := range s.Ready {
+			out[nameOf(i)] = true
+		}
+	}
+	return out
+}
+
+func (c *core) mayLoad(now time.Time, i platform.Item, loading map[string]int) bool {
+	partner := c.owner(i)
+	if !c.pace.take(now, partner, loading[partner]) {
+		c.add("loads_paced")
+		return false
+	}
+	loading[partner]++
+	return true
+}
+
+// loading counts the loads under way by partner: those that a status shows,
+// and those ordered that none shows yet. One that had its time to show counts
+// as lost: it is due again.
+func (c *core) loading(now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, s := range c.servers {
+		if s.status == nil {
+			continue
+		}
+		for _, r := range s.status.Items {
+			if r.State == platform.ItemLoading {
+				out[c.owner(r.Item)]++
+			}
+		}
+		for key, o := range s.sent {
+			if key.kind == platform.OrderLoad && !s.due(now, c.l, key) {
+				out[c.owner(o.item)]++
+			}
+		}
+	}
+	return out
+}
+
+// owner returns the partner whose store an item is loaded from.
+func (c *core) owner(i platform.Item) string {
+	if c.cfg == nil {
+		return ""
+	}
+	if i.Adapter != "" {
+		return c.cfg.Adapters[i.Adapter].Owner
+	}
+	return c.cfg.Models[i.Model].Owner
+}
+
+func (c *core) note(now time.Time, s *server, w wanted) {
+	key := orderKey{kind: w.order.Kind, item: w.order.Item.Key()}
+	tries := s.sent[key].tries + 1
+	s.sent[key] = sentOrder{item: w.order.Item, fence: platform.Offset(w.order.Fence), at: now, tries: tries}
+}
+
+// seen returns records for what was seen of the servers and the orderers.
+func (c *core) seen(now time.Time) []*record.Record {
+	var out []*record.Record
+	for _, id := range sortedKeys(c.view.Servers) {
+		s, want := c.server(id), c.view.Servers[id]
+		if r := c.retire(now, s, want); r != nil {
+			out = append(out, r)
+			continue
+		}
+		if r := c.removal(s, want); r != nil {
+			out = append(out, r)
+		}
+		if r := c.readiness(now, s, want); r != nil {
+			out = append(out, r)
+		}
+	}
+	return append(out, c.departures(now)...)
+}
+
+func (c *core) removal(s *server, want *replay.Server) *record.Record {
+	gone := removable(s, want, c.ignoresFence(want.Pool))
+	if len(gone) == 0 || s.assignment != want.Assignment {
+		return nil
+	}
+	c.logRemoval(s, gone)
+	return &record.Record{Body: &record.Record_Removal{Removal: &record.Removal{
+		Lease:      uint64(c.lease.ID()),
+		Server:     s.id,
+		Assignment: uint64(want.Assignment),
+		Items:      replay.ItemRecords(gone),
+	}}}
+}
+
+// readiness says what a server serves, where that isn't what the log says. A
+// server that refuses old numbers is believed only once it has seen its newest
+// assignment's: an unload from before could still come.
+func (c *core) readiness(now time.Time, s *server, want *replay.Server) *record.Record {
+	var ready []platform.Item
+	boot := want.Boot
+	switch {
+	case s.silent(now) >= c.l.Unreachable:
+	case s.status == nil || s.failures > 0:
+		return nil
+	case !c.ignoresFence(want.Pool) && platform.Offset(s.status.Fence) < want.Assignment && s.status.Boot == want.Boot:
+		return nil
+	default:
+		ready, boot = s.ready(want.Assigned), s.status.Boot
+	}
+	if boot == want.Boot && sameItems(ready, want.Ready) {
+		return nil
+	}
+	c.logReadiness(s, want, ready)
+	return &record.Record{Body: &record.Record_Readiness{Readiness: &record.Readiness{
+		Lease:  uint64(c.lease.ID()),
+		Server: s.id,
+		Boot:   boot,
+		Items:  replay.ItemRecords(ready),
+	}}}
+}
+
+// retire drops the assignment of a server that is gone: off the list, and
+// silent. On an engine that ignores fencing numbers its items are dropped
+// first, and it is forgotten only once no earlier order is under way, should it
+// come back.
+func (c *core) retire(now time.Time, s *server, want *replay.Server) *record.Record {
+	unlisted := !s.missingSince.IsZero() && c.list.Read.Sub(s.missingSince) >= c.l.ServerGone
+	if !unlisted || s.addr != "" && s.silent(now) < c.l.Unreachable {
+		return nil
+	}
+	memory := int64(0)
+	if c.ignoresFence(want.Pool) {
+		switch {
+		case len(want.Assigned) > 0:
+			memory = want.MemoryMiB // drops the items, and keeps them lingering
+		case len(want.Lingering) > 0 && s.confirmedFor != want.Assignment:
+			return nil
+		}
+	}
+	c.logRetire(s, want, memory)
+	return &record.Record{Body: &record.Record_Assignment{Assignment: &record.Assignment{
+		Lease: uint64(c.lease.ID()), Server: s.id, Pool: want.Pool, MemoryMib: memory, Reason: "server_gone",
+	}}}
+}
+
+// departures says of orderers that are gone from the list that they have left.
+func (c *core) departures(now time.Time) []*record.Record {
+	var out []*record.Record
+	for _, instance := range sortedKeys(c.unlisted) {
+		if instance == c.self || c.list.Read.Sub(c.unlisted[instance]) < c.l.OrdererGone {
+			continue
+		}
+		c.logDeparture(instance, now)
+		out = append(out, leaveOf(instance))
+	}
+	return out
+}
+
+// askOrderers asks the orderers on whose word a removal waits, each at most
+// once a second. What they said so far settles the servers it is enough for.
+func (c *core) askOrderers(now time.Time, a *actions) {
+	c.said[c.self] = confirmation{joined: c.view.Orderers[c.self], offset: c.applied}
+	waiting := map[string]bool{}
+	for id, want := range c.view.Servers {
+		s := c.server(id)
+		if len(want.Lingering) == 0 || !c.ignoresFence(want.Pool) || s.confirmedFor == want.Assignment {
+			continue
+		}
+		left := unconfirmed(c.view, want.Assignment, c.said)
+		if len(left) == 0 {
+			s.confirmedFor, s.confirmedAt = want.Assignment, now
+		}
+		for _, instance := range left {
+			waiting[instance] = true
+		}
+	}
+	for _, instance := range sortedKeys(waiting) {
+		line, listed := c.list.Get(instance)
+		if !listed || now.Sub(c.asked[instance]) < askEvery || instance == c.self {
+			continue
+		}
+		c.asked[instance] = now
+		a.asks = append(a.asks, ask{instance: line, joined: c.view.Orderers[instance]})
+	}
+}
+
+// askEvery bounds what a paused orderer costs: one small call a second.
+const askEvery = time.Second
+
+// gatherIfDue asks for demand and the stores' limits as often as it plans.
+func (c *core) gatherIfDue(now time.Time, a *actions) {
+	if c.gathering || now.Before(c.gatherAt) || c.cfg == nil {
+		return
+	}
+	c.gathering = true
+	c.gatherAt = now.Add(c.l.PlanEvery)
+	a.gather = sortedKeys(c.cfg.Partners)
+}
+
+// plan asks the planner, once what it rests on is known.
+func (c *core) plan(now time.Time) []*record.Record {
+	if c.cfg == nil || !c.ready || now.Before(c.planAt) || !c.allPolled() {
+		return nil
+	}
+	c.planAt = now.Add(c.l.PlanEvery)
+	c.add("plans")
+	in := c.planInput(now, c.cfg)
+	return c.assignments(in, c.planner.Plan(in))
+}
+
+// allPolled says whether each server was looked at once, answering or not.
+func (c *core) allPolled() bool {
+	for _, line := range c.engines {
+		if s := c.server(line.ID); s.status == nil && s.failures == 0 {
+			return false
+		}
+	}
+	return true
+}
