logsync: followers, writer, checkpoints and verdicts; rendezvous; traffic counters

Cause: an instance has to keep in step with the log through outages, lost answers and records that age out. Change: a Follower replays a stream, starts from a checkpoint or a peer and never goes back; a Writer appends within its part of the budget and looks before it sends again; Checkpointer and Judge are chosen by rendezvous hashing. Fault found: TestGapIsNotJumped could wait for ever, when the node that was to give its state had itself not read what was trimmed; it now waits for that first.

--- /dev/null
+++ b/logsync/logsync_test.go
@@ -0,0 +1,425 @@
+package logsync
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"greengageferry/logsync/logtest"
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/replay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// wide is a budget that never waits.
+type wide struct{}
+
+func (wide) Rate(string) (float64, int) { return 1e9, 1 << 20 }
+
+// node is one instance's log duties on a client of its own.
+type node struct {
+	id       string
+	client   *logtest.Client
+	writer   *Writer
+	follower *Follower[replay.ConfigView]
+	ctx      context.Context
+	stop     func()
+}
+
+func newNode(t *testing.T, log *logtest.Log, id string, peers StateSource) *node {
+	client := log.Client()
+	ctx, cancel := context.WithCancel(t.Context())
+	n := &node{
+		id:     id,
+		client: client,
+		ctx:    ctx,
+		writer: NewWriter(WriterOptions{Log: client, Origin: id, Budget: wide{}, Logger: quiet()}),
+		follower: NewFollower(FollowerOptions[replay.ConfigView]{
+			Log:    client,
+			Stream: platform.StreamConfig,
+			New:    func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+			Peers:  peers,
+			Logger: quiet(),
+		}),
+	}
+	n.start(n.writer.Run)
+	n.start(n.follower.Run)
+	n.stop = cancel
+	t.Cleanup(cancel)
+	return n
+}
+
+func (n *node) start(run func(context.Context) error) {
+	go func() { _ = run(n.ctx) }()
+}
+
+func (n *node) judge(members ...string) {
+	n.start(NewJudge(JudgeOptions{
+		Source: n.follower, Writer: n.writer, Self: n.id,
+		Members: func() []string { return members }, Program: "test", Logger: quiet(),
+	}).Run)
+}
+
+func (n *node) checkpoint(members ...string) {
+	n.start(NewCheckpointer(CheckpointerOptions{
+		Source: n.follower, Writer: n.writer, Self: n.id,
+		Members: func() []string { return members }, Logger: quiet(),
+	}).Run)
+}
+
+func change(file, content string, base platform.Offset) *record.Record {
+	return &record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
+		File: file, Partner: "kitchen", Author: "ana", Content: []byte(content), Base: uint64(base),
+	}}}
+}
+
+func accept(offset platform.Offset) *record.Record {
+	return &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{Change: uint64(offset), Accepted: true}}}
+}
+
+func (n *node) put(t *testing.T, records ...*record.Record) platform.Offset {
+	offset, err := n.writer.Append(t.Context(), platform.StreamConfig, records...)
+	require.NoError(t, err)
+	return offset
+}
+
+func effectOf(t *testing.T, err error) platform.Effect {
+	var failed *platform.Error
+	require.ErrorAs(t, err, &failed)
+	return failed.Effect
+}
+
+func decoded(t *testing.T, log *logtest.Log) []*record.Record {
+	var out []*record.Record
+	for _, r := range log.Records(platform.StreamConfig) {
+		d := &record.Record{}
+		require.NoError(t, proto.Unmarshal(r.Data, d))
+		out = append(out, d)
+	}
+	return out
+}
+
+func TestFollowerSeesWhatAWriterAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
+		offset := a.put(t, change("x.toml", "", 0))
+		a.put(t, accept(offset))
+		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		require.Equal(t, "x.toml", b.follower.View().Files[0].Name)
+		require.True(t, b.follower.Status().CaughtUp)
+	})
+}
+
+func TestConcurrentAppendsShareOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.client.Set(logtest.Faults{Delay: 100 * time.Millisecond})
+		offsets := make(chan platform.Offset, 50)
+		for i := range 50 {
+			go func() {
+				offset, _ := a.writer.Append(t.Context(), platform.StreamConfig, change(fmt.Sprint(i), "", 0))
+				offsets <- offset
+			}()
+		}
+		seen := map[platform.Offset]bool{}
+		for range 50 {
+			seen[<-offsets] = true
+		}
+		require.Len(t, seen, 50)
+		require.False(t, seen[0])
+		require.LessOrEqual(t, log.Appends(), 2)
+		for i, r := range decoded(t, log) {
+			require.EqualValues(t, i+1, r.GetSequence())
+		}
+	})
+}
+
+// TestLostAppends: an append whose request or answer is lost is on the log
+// once as far as any reader can tell, and the writer knows where.
+func TestLostAppends(t *testing.T) {
+	cases := map[string]logtest.Faults{
+		"answers lost":  {LoseAnswers: 3},
+		"requests lost": {LoseRequests: 3},
+		"requests late": {LateRequests: 2, Late: 90 * time.Millisecond},
+		"far too late":  {LateRequests: 2, Late: time.Minute},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logtest.New()
+				a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
+				a.put(t, change("first.toml", "", 0))
+				a.client.Set(faults)
+				offset := a.put(t, change("second.toml", "", 0))
+				time.Sleep(2 * time.Minute)
+				pending := b.follower.View().Pending
+				require.Len(t, pending, 2)
+				require.Equal(t, offset, pending[1].Offset)
+			})
+		})
+	}
+}
+
+// TestWriterWithoutLookBeforeResend shows that the check above bites: sending
+// again under a new sequence, as a writer without ids would, counts twice.
+func TestWriterWithoutLookBeforeResend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
+		a.client.Set(logtest.Faults{LoseAnswers: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := a.writer.Append(ctx, platform.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, platform.EffectUnknown, effectOf(t, err))
+		a.put(t, change("x.toml", "", 0))
+		time.Sleep(time.Second)
+		require.Len(t, b.follower.View().Pending, 2)
+	})
+}
+
+func TestOutageIsRefusedAsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.client.Set(logtest.Faults{Down: true})
+		began := time.Now()
+		_, err := a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		require.Less(t, time.Since(began), time.Second)
+		began = time.Now()
+		_, err = a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		require.Zero(t, time.Since(began), "known to be out: refused at once")
+		a.client.Set(logtest.Faults{})
+		time.Sleep(maxBackoff)
+		require.EqualValues(t, 1, a.put(t, change("x.toml", "", 0)))
+	})
+}
+
+func TestCallerThatLeavesBeforeItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.client.Set(logtest.Faults{Delay: time.Second})
+		go func() { _, _ = a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0)) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := a.writer.Append(ctx, platform.StreamConfig, change("y.toml", "", 0))
+		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		time.Sleep(10 * time.Second)
+		require.Len(t, log.Records(platform.StreamConfig), 1)
+	})
+}
+
+// TestSlowLog: a log that takes two seconds for each call costs time, not records.
+func TestSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
+		for _, n := range []*node{a, b} {
+			n.client.Set(logtest.Faults{Delay: time.Second})
+		}
+		for i := range 5 {
+			a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
+		}
+		require.NoError(t, b.follower.WaitFor(t.Context(), 5))
+		require.Len(t, b.follower.View().Pending, 5)
+	})
+}
+
+// peerState answers with another follower's checkpoint, as the peer package does.
+type peerState struct{ of *node }
+
+func (p peerState) State(_ context.Context, _ string, atLeast platform.Offset) (*record.Checkpoint, error) {
+	c := p.of.follower.Checkpoint()
+	if c == nil || platform.Offset(c.GetCovers()) < atLeast {
+		return nil, &NoStateError{Stream: platform.StreamConfig, AtLeast: atLeast}
+	}
+	return c, nil
+}
+
+func TestLogDownAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.put(t, accept(a.put(t, change("x.toml", "", 0))))
+		require.NoError(t, a.follower.WaitFor(t.Context(), 2))
+		a.client.Set(logtest.Faults{Down: true})
+		b := newNode(t, log, "b", peerState{a})
+		b.client.Set(logtest.Faults{Down: true})
+		began := time.Now()
+		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		require.Less(t, time.Since(began), 5*time.Second)
+		require.Equal(t, "x.toml", b.follower.View().Files[0].Name)
+		require.True(t, b.follower.Status().FromPeer)
+		require.False(t, b.follower.Status().CaughtUp)
+		a.client.Set(logtest.Faults{})
+		b.client.Set(logtest.Faults{})
+		a.put(t, change("y.toml", "", 0))
+		require.NoError(t, b.follower.WaitFor(t.Context(), 3))
+		require.False(t, b.follower.Status().FromPeer)
+	})
+}
+
+// TestCutOffFromTheLogOnly: an instance that reaches its peers but not the log
+// learns of a change from them.
+func TestCutOffFromTheLogOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.put(t, change("x.toml", "", 0))
+		b := newNode(t, log, "b", peerState{a})
+		require.NoError(t, b.follower.WaitFor(t.Context(), 1))
+		b.client.Set(logtest.Faults{Down: true})
+		a.put(t, accept(1))
+		began := time.Now()
+		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		require.Len(t, b.follower.View().Files, 1)
+		t.Logf("seen through a peer after %v", time.Since(began))
+	})
+}
+
+// TestRecordsAgedOut: a newcomer starts at a checkpoint when the first records
+// are gone, and one that would leave a gap isn't taken.
+func TestRecordsAgedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.checkpoint("a")
+		for i := range 4 {
+			a.put(t, accept(a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))))
+		}
+		time.Sleep(2 * DefaultCheckpointAge)
+		last := log.Records(platform.StreamConfig)
+		require.Greater(t, len(last), 8)
+		a.put(t, change("late.toml", "", 0))
+		log.Trim(platform.StreamConfig, 9)
+		b := newNode(t, log, "b", nil)
+		require.NoError(t, b.follower.WaitFor(t.Context(), a.follower.Status().Offset))
+		require.Equal(t, a.follower.View().Files, b.follower.View().Files)
+		require.Len(t, b.follower.View().Pending, 1)
+	})
+}
+
+func TestGapIsNotJumped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		for i := range 4 {
+			a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
+		}
+		require.NoError(t, a.follower.WaitFor(t.Context(), 4))
+		checkpoint := a.follower.Checkpoint()
+		a.put(t, change("more.toml", "", 0), change("more.toml", "", 0))
+		a.put(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: checkpoint}})
+		require.NoError(t, a.follower.WaitFor(t.Context(), 7), "a has read what is about to age out")
+		log.Trim(platform.StreamConfig, 6)
+		b := newNode(t, log, "b", nil)
+		time.Sleep(time.Minute)
+		require.Nil(t, b.follower.View(), "the checkpoint covers 4 and record 5 is gone")
+		c := newNode(t, log, "c", peerState{a})
+		require.NoError(t, c.follower.WaitFor(t.Context(), 7))
+		require.Len(t, c.follower.View().Pending, 6)
+	})
+}
+
+// TestReaderThatFellBehind keeps its view until it can go forward.
+func TestReaderThatFellBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
+		a.put(t, change("x.toml", "", 0))
+		require.NoError(t, b.follower.WaitFor(t.Context(), 1))
+		b.client.Set(logtest.Faults{Down: true})
+		time.Sleep(30 * time.Second)
+		a.put(t, accept(1), change("y.toml", "", 0))
+		require.NoError(t, a.follower.WaitFor(t.Context(), 3))
+		checkpoint := a.follower.Checkpoint()
+		log.Trim(platform.StreamConfig, 4)
+		b.client.Set(logtest.Faults{})
+		time.Sleep(30 * time.Second)
+		require.EqualValues(t, 1, b.follower.View().Offset)
+		a.put(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: checkpoint}})
+		require.NoError(t, b.follower.WaitFor(t.Context(), 4))
+		require.Len(t, b.follower.View().Files, 1)
+	})
+}
+
+// TestIdleStreamKeepsItsCheckpoint: the checkpoint itself ages out, so it is
+// written again even if nothing changes, by another instance if need be.
+func TestIdleStreamKeepsItsCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		var nodes []*node
+		for _, id := range []string{"a", "b", "c"} {
+			n := newNode(t, log, id, nil)
+			n.checkpoint("a", "b", "c", "dead-1", "dead-2", "dead-3", "dead-4")
+			nodes = append(nodes, n)
+		}
+		nodes[0].put(t, accept(nodes[0].put(t, change("x.toml", "", 0))))
+		for range 24 {
+			before := log.Appends()
+			time.Sleep(MinRetention / 4)
+			require.Greater(t, log.Appends(), before, "a record aged out with no newer checkpoint")
+			require.LessOrEqual(t, log.Appends(), before+3)
+		}
+	})
+}
+
+func TestUnknownRecordsAreCountedAndKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		_, err := a.client.Append(t.Context(), platform.StreamConfig, [][]byte{{0xff, 0xff}, {0xc2, 0x3e, 0x01, 'x'}})
+		require.NoError(t, err)
+		a.put(t, change("x.toml", "", 0))
+		require.NoError(t, a.follower.WaitFor(t.Context(), 3))
+		require.EqualValues(t, 1, a.follower.Status().Unknown)
+		require.Len(t, a.follower.View().Pending, 1)
+	})
+}
+
+func TestWaitForSaysHowFarItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newNode(t, logtest.New(), "a", nil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var behind *BehindError
+		require.ErrorAs(t, a.follower.WaitFor(ctx, 1), &behind)
+		require.True(t, errors.Is(behind, context.DeadlineExceeded))
+	})
+}
+
+func TestShareAddsUpToTheTotal(t *testing.T) {
+	const instances, streams = 370, 25
+	share := Share{
+		Live:    func() int { return instances },
+		Streams: func() int { return streams },
+		Leads:   func(stream string) bool { return stream == "claims/1" },
+	}
+	led, _ := share.Rate("claims/1")
+	own, _ := share.Rate(platform.StreamConfig)
+	other, _ := share.Rate("claims/2")
+	require.InDelta(t, DefaultTotal, led*streams+own*instances, 1e-6)
+	require.Equal(t, own, other)
+}
