entry, quickstart and status: the whole path runs

Cause: a caller's request has to go all the way, from one command. Change: entry wires followers, judge, checkpoints, configuration, routing, caller and controller into a supervisor tree and shuts down in order; quickstart runs four instances over the stand-ins; status prints what one sees.

--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -24,6 +24,9 @@
 func register(c *subcommands.Commander) {
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
+	c.Register(&entryCommand{}, "")
+	c.Register(&quickstartCommand{}, "")
+	c.Register(&statusCommand{}, "")
 	c.Register(&standinCommand{}, "")
 	c.Register(&loadCommand{}, "")
 	c.Register(&versionCommand{}, "")
--- /dev/null
+++ b/cmd/greengageferry/status.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"greengageferry/entry"
+)
+
+const (
+	statusTime     = 5 * time.Second
+	maxStatusBytes = 64 << 20 // some 1,900 servers with their items, many times over
+)
+
+// statusCommand is the subcommand status.
+type statusCommand struct {
+	url    string
+	asJSON bool
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "print what one entry instance sees" }
+func (*statusCommand) Usage() string {
+	return `status -url http://IP:PORT [-json]:
+  Print what the instance at an operators' address sees: its readiness, the
+  log's streams, leases, backend servers and replicas.
+  Exit codes: 0 done, 1 failed, 2 wrong usage.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.url, "url", "", "the instance's operators' address, http://IP:PORT")
+	f.BoolVar(&c.asJSON, "json", false, "print JSON in place of tables")
+}
+
+// Execute implements subcommands.Command.
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.url == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, "wrong usage: ", c.Usage())
+		return subcommands.ExitUsageError
+	}
+	status, err := fetchStatus(ctx, c.url)
+	if err == nil {
+		err = c.print(status)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "status:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// fetchStatus asks the instance.
+func fetchStatus(ctx context.Context, url string) (*entry.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(url, "/")+entry.PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var status entry.Status
+	return &status, json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status)
+}
+
+func (c *statusCommand) print(s *entry.Status) error {
+	if c.asJSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(s)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	printStatus(w, s)
+	return w.Flush()
+}
+
+// printStatus writes the tables. Errors show at the writer's Flush.
+func printStatus(w io.Writer, s *entry.Status) {
+	fmt.Fprintf(w, "INSTANCE\tDOMAIN\tREGION\tVERSION\tREADY\tCONFIG\n")
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t %s\t%d\n", s.Instance, s.FailureDomain, s.Region, s.Version, s.Ready, strings.Join(s.NotReady, ", "), s.ConfigOffset)
+	fmt.Fprintf(w, "\nSTREAM\tOFFSET\tBEHIND\tAGE MS\tFROM PEER\n")
+	for _, st := range s.Streams {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%t\n", st.Stream, st.Offset, st.Behind, st.AgeMS, st.FromPeer)
+	}
+	fmt.Fprintf(w, "\nDOMAIN\tLEASE\tHOLDER\tORDERERS\n")
+	for _, l := range s.Leases {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\n", l.FailureDomain, l.Lease, l.Holder, l.Orderers)
+	}
+	fmt.Fprintf(w, "\nSERVER\tDOMAIN\tLISTED\tFENCE\tMIB\tASSIGNED\tLINGERING\tREADY\n")
+	for _, v := range s.Servers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", v.Server, v.FailureDomain, v.Listed, v.Assignment,
+			v.MemoryMiB, v.AssignedMiB, v.LingeringMiB, strings.Join(v.Ready, " "))
+	}
+	fmt.Fprintf(w, "\nTARGET\tPARTNER\tREPLICAS\tDOMAINS\n")
+	for _, t := range s.Targets {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Target, t.Partner, t.Replicas, t.Domains)
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,312 @@
+// Package entry is an entry instance: it wires the duties together, supervises
+// them, and ends them in order. Every instance runs the same; which one holds a
+// lease or leads a shard follows from the log and the platform's list.
+package entry
+
+import (
+	"expvar"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/caller"
+	"greengageferry/control"
+	"greengageferry/decide"
+	"greengageferry/demand"
+	"greengageferry/fleet"
+	"greengageferry/logsync"
+	"greengageferry/platform"
+	"greengageferry/replay"
+	"greengageferry/settings"
+	"greengageferry/supervise"
+)
+
+// Platform is what the platform gives, as clients.
+type Platform struct {
+	Log       platform.Log
+	Instances platform.Instances
+	Store     platform.WeightStore
+	Engine    platform.Engine
+	Services  platform.Services
+}
+
+// Options are what an Instance needs.
+type Options struct {
+	Settings *settings.Settings
+	Platform Platform // zero: HTTP clients for the settings' addresses
+	Version  string   // the program's, for verdicts and status
+	Log      logrus.FieldLogger
+	Rand     *rand.Rand // nil: seeded at random
+}
+
+// Instance is an entry instance.
+type Instance struct {
+	opts    Options
+	log     logrus.FieldLogger
+	metrics *expvar.Map
+	leaving atomic.Bool
+
+	watcher       *fleet.Watcher
+	writer        *logsync.Writer
+	config        *logsync.Follower[replay.ConfigView]
+	quarantined   *logsync.Follower[replay.QuarantineView]
+	configuration *configuration
+	domains       *domains
+	routing       *routing
+	table         atomic.Pointer[decide.Table]
+	caller        *caller.Server
+	meter         *demand.Meter
+	collector     *demand.Collector
+	peers         noPeers
+	controller    atomic.Pointer[control.Controller]
+
+	listeners map[string]*listener
+}
+
+// New takes the instance's addresses and wires its duties. Run starts them.
+func New(opts Options) (*Instance, error) {
+	i := &Instance{
+		opts:    opts,
+		log:     opts.Log.WithField("instance", opts.Settings.Instance.ID),
+		metrics: new(expvar.Map),
+	}
+	if opts.Platform == (Platform{}) {
+		i.opts.Platform = httpPlatform(opts.Settings)
+	}
+	i.wireStreams()
+	i.wireDemand()
+	if err := i.wireCaller(); err != nil {
+		return nil, err
+	}
+	i.wireRouting()
+	if err := i.listen(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	return i, nil
+}
+
+// httpPlatform returns clients for the settings' addresses. Engines and
+// services get no timeout of the client's own: each call's context has one.
+func httpPlatform(s *settings.Settings) Platform {
+	client := &http.Client{Transport: transport()}
+	return Platform{
+		Log:       platform.NewHTTPLog(string(s.Platform.Log), client),
+		Instances: platform.NewHTTPInstances(string(s.Platform.Instances), client),
+		Store:     platform.NewHTTPStore(string(s.Platform.WeightStore), client),
+		Engine:    platform.NewHTTPEngine(client),
+		Services:  platform.NewHTTPServices(client),
+	}
+}
+
+const (
+	// idleConns and idleConnsPerServer keep connections to the backend servers
+	// that this instance is using, for as long as a burst may come back.
+	idleConns          = 1024
+	idleConnsPerServer = 32
+	idleConnTime       = 90 * time.Second
+)
+
+// transport returns the instance's HTTP transport.
+func transport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.MaxIdleConns = idleConns
+	t.MaxIdleConnsPerHost = idleConnsPerServer
+	t.IdleConnTimeout = idleConnTime
+	return t
+}
+
+// vars names a component's vars within the instance's metrics.
+func (i *Instance) vars(name string) *expvar.Map {
+	m := new(expvar.Map)
+	i.metrics.Set(name, m)
+	return m
+}
+
+// wireStreams makes what follows and writes the log.
+func (i *Instance) wireStreams() {
+	s := i.opts.Settings
+	i.watcher = fleet.NewWatcher(i.opts.Platform.Instances, s.Timing.ListEvery.Value(), i.log, i.vars("list"))
+	vars := i.vars("log")
+	i.config = logsync.NewFollower(logsync.FollowerOptions[replay.ConfigView]{
+		Log:     i.opts.Platform.Log,
+		Stream:  platform.StreamConfig,
+		New:     func(platform.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
+		Logger:  i.log,
+		Metrics: vars,
+	})
+	i.quarantined = logsync.NewFollower(logsync.FollowerOptions[replay.QuarantineView]{
+		Log:     i.opts.Platform.Log,
+		Stream:  platform.StreamQuarantine,
+		New:     func(platform.Offset) logsync.State[replay.QuarantineView] { return replay.NewQuarantine() },
+		Logger:  i.log,
+		Metrics: vars,
+	})
+	i.writer = logsync.NewWriter(logsync.WriterOptions{
+		Log:     i.opts.Platform.Log,
+		Origin:  s.Instance.ID + "/" + uuid.NewString(),
+		Budget:  i.budget(),
+		Logger:  i.log,
+		Metrics: vars,
+	})
+	i.configuration = newConfiguration(i.config, i.log)
+	i.domains = newDomains(i.domain(), i.configuration.Config, i.followControl(vars), supervise.Options{Log: i.log})
+}
+
+// followControl returns how to follow a failure domain's control stream.
+func (i *Instance) followControl(vars *expvar.Map) func(string) *controlFollower {
+	return func(domain string) *controlFollower {
+		return logsync.NewFollower(logsync.FollowerOptions[replay.ControlView]{
+			Log:     i.opts.Platform.Log,
+			Stream:  platform.ControlStream(domain),
+			New:     func(platform.Offset) logsync.State[replay.ControlView] { return replay.NewControl() },
+			Logger:  i.log,
+			Metrics: vars,
+		})
+	}
+}
+
+// domain returns the instance's failure domain.
+func (i *Instance) domain() string { return i.opts.Settings.Instance.FailureDomain }
+
+// members returns the ids of the live entry instances of a failure domain, or
+// of all where domain is empty. The instance counts itself while the list lags.
+func (i *Instance) members(domain string) func() []string {
+	return func() []string {
+		own := i.opts.Settings.Instance.ID
+		ids := []string{own}
+		for _, entry := range i.watcher.List().Entries(domain) {
+			if entry.ID != own {
+				ids = append(ids, entry.ID)
+			}
+		}
+		return ids
+	}
+}
+
+// judge returns the duty that gives configuration changes their verdicts.
+func (i *Instance) judge() *logsync.Judge {
+	return logsync.NewJudge(logsync.JudgeOptions{
+		Source:  i.config,
+		Writer:  i.writer,
+		Self:    i.opts.Settings.Instance.ID,
+		Members: i.members(""),
+		Program: i.opts.Version,
+		Logger:  i.log,
+	})
+}
+
+// checkpointer returns the duty that writes a stream's state again before its
+// records age out; the entry instances of the failure domain share it, or all
+// where domain is empty.
+func (i *Instance) checkpointer(source logsync.Source, domain string) *logsync.Checkpointer {
+	return logsync.NewCheckpointer(logsync.CheckpointerOptions{
+		Source:  source,
+		Writer:  i.writer,
+		Self:    i.opts.Settings.Instance.ID,
+		Members: i.members(domain),
+		Logger:  i.log,
+	})
+}
+
+// wireDemand makes what meters this instance's callers and asks the others'.
+func (i *Instance) wireDemand() {
+	entries := func() []platform.Instance { return i.watcher.List().Entries("") }
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	i.meter = demand.NewMeter()
+	i.collector = demand.NewCollector(i.domain(), i.peers, entries, random)
+}
+
+// missing tells the controller, if one runs, of a server that lacks what it
+// should hold.
+func (i *Instance) missing(server string) {
+	if c := i.controller.Load(); c != nil {
+		c.Missing(server)
+	}
+}
+
+// wireCaller makes the callers' side.
+func (i *Instance) wireCaller() error {
+	s := i.opts.Settings
+	server, err := caller.New(caller.Options{
+		Instance:      s.Instance.ID,
+		FailureDomain: i.domain(),
+		Directory:     i.configuration,
+		Engine:        i.opts.Platform.Engine,
+		Services:      i.opts.Platform.Services,
+		Claimer:       i.claimer(),
+		Quarantine:    &quarantine{follower: i.quarantined, appender: i.writer, log: i.log},
+		Answers:       i.answers(),
+		Observer:      &observer{meter: i.meter, table: i.table.Load, missing: i.missing},
+		Limits: caller.Limits{
+			BodyBytes: int(s.Limits.MaxBodyBytes),
+			Requests:  s.Limits.MaxInFlight,
+			KeptBytes: int(s.Limits.AnswerBytes),
+		},
+		Log:     i.log,
+		Metrics: i.vars("caller"),
+		Rand:    i.opts.Rand,
+	})
+	i.caller = server
+	return err
+}
+
+func (i *Instance) wireRouting() {
+	i.routing = &routing{
+		domain:   i.domain(),
+		config:   i.configuration.Config,
+		list:     i.watcher.List,
+		controls: i.domains.views,
+		publish: func(t *decide.Table) {
+			i.table.Store(t)
+			i.caller.SetTable(t)
+		},
+		log: i.log,
+	}
+}
+
+// listen takes the instance's three addresses.
+func (i *Instance) listen() error {
+	s := i.opts.Settings.Listen
+	addresses := []struct {
+		name, addr string
+		handler    http.Handler
+	}{
+		{"callers", s.Callers.String(), i.caller.Handler()},
+		{"peers", s.Peers.String(), i.peersHandler()},
+		{"operators", s.Operators.String(), i.operatorsHandler()},
+	}
+	i.listeners = map[string]*listener{}
+	for _, a := range addresses {
+		l, err := listen(a.name, a.addr, a.handler)
+		if err != nil {
+			return err
+		}
+		i.listeners[a.name] = l
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range i.listeners {
+		_ = l.net.Close() // nothing was served on it
+	}
+}
+
+// CallersAddr, PeersAddr and OperatorsAddr return the addresses that were
+// taken, as IP:port.
+func (i *Instance) CallersAddr() string { return i.listeners["callers"].addr() }
+
+// PeersAddr returns the peers' address.
+func (i *Instance) PeersAddr() string { return i.listeners["peers"].addr() }
+
+// OperatorsAddr returns the operators' address.
+func (i *Instance) OperatorsAddr() string { return i.listeners["operators"].addr() }
+
+// Ready says whether callers may be sent here.
+func (i *Instance) Ready() bool { return len(i.notReady()) == 0 }
--- /dev/null
+++ b/entry/listener.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// headerTime is how long a caller may take to send a request's header, so
+	// that slow headers hold no connection.
+	headerTime = 5 * time.Second
+	// idleTime is how long a connection between two requests is kept: longer
+	// than the balancer's own, so that this side isn't the first to close.
+	idleTime = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+	// closeTime is what connections have to end by themselves once everything
+	// in flight is over.
+	closeTime = 2 * time.Second
+)
+
+// listener is a duty that serves one of the instance's addresses.
+type listener struct {
+	name    string
+	net     net.Listener
+	handler http.Handler
+}
+
+// ListenError says that an address could not be taken.
+type ListenError struct {
+	Name string // callers, peers or operators
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return "listen for " + e.Name + " on " + e.Addr + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// listen takes an address.
+func listen(name, addr string, handler http.Handler) (*listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, &ListenError{Name: name, Addr: addr, Err: err}
+	}
+	return &listener{name: name, net: l, handler: handler}, nil
+}
+
+// addr returns the address that was taken, as IP:port.
+func (l *listener) addr() string { return l.net.Addr().String() }
+
+// run serves until ctx ends, and then closes the address.
+func (l *listener) run(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l.net) }()
+	select {
+	case err := <-served:
+		return &ListenError{Name: l.name, Addr: l.addr(), Err: err}
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+	defer cancel()
+	if err := server.Shutdown(closing); err != nil {
+		_ = server.Close() // what still hangs is cut: its time is over
+	}
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return &ListenError{Name: l.name, Addr: l.addr(), Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"greengageferry/config"
+	"greengageferry/platform"
+	"greengageferry/replay"
+)
+
+// sized makes a fleet of n backend servers in nine failure domains, with the
+// two-year size's proportions: 870 models and 370 entry instances for 1,900
+// servers, two replicas of each model.
+func sized(servers int) (*config.Config, *List, map[string]*replay.ControlView) {
+	cfg := &config.Config{
+		Partners: map[string]config.Partner{"p": {Weight: 1}},
+		Pools:    map[string]config.Pool{"pool": {Owner: "p", Slots: 16}},
+		Models:   map[string]config.Model{},
+	}
+	models := servers * 870 / 1900
+	for m := range models {
+		cfg.Models[fmt.Sprintf("model-%d", m)] = config.Model{Owner: "p", Version: "v1"}
+	}
+	var instances []platform.Instance
+	views := map[string]*replay.ControlView{}
+	for s := range servers {
+		domain := fmt.Sprintf("domain-%d", s%9)
+		id := fmt.Sprintf("server-%d", s)
+		instances = append(instances, platform.Instance{ID: id, Role: platform.RoleEngine, State: platform.StateLive, FailureDomain: domain, Pool: "pool", Addr: "10.0.0.1:1"})
+		if views[domain] == nil {
+			views[domain] = &replay.ControlView{Servers: map[string]*replay.Server{}}
+		}
+		ready := []platform.Item{{Model: fmt.Sprintf("model-%d", s%models), Version: "v1"}}
+		views[domain].Servers[id] = &replay.Server{ID: id, Ready: ready}
+	}
+	for e := range servers * 370 / 1900 {
+		instances = append(instances, platform.Instance{ID: fmt.Sprintf("entry-%d", e), Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: fmt.Sprintf("domain-%d", e%9)})
+	}
+	return cfg, NewList(time.Time{}, instances), views
+}
+
+// BenchmarkBuildTable measures the whole table, which is built at most four
+// times a second and only when something in it has changed.
+func BenchmarkBuildTable(b *testing.B) {
+	for _, servers := range []int{475, 950, 1900} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			cfg, list, views := sized(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				BuildTable("domain-0", cfg, list, views)
+			}
+		})
+	}
+}
+
+// BenchmarkReadList measures one look at an unchanged list.
+func BenchmarkReadList(b *testing.B) {
+	for _, servers := range []int{475, 950, 1900} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			_, list, _ := sized(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewList(time.Time{}, list.Instances)
+			}
+		})
+	}
+}
