--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -70,13 +70,6 @@
 	go func() { _ = run(n.ctx) }()
 }
 
-func (n *node) judge(members ...string) {
-	n.start(NewJudge(JudgeOptions{
-		Source: n.follower, Writer: n.writer, Self: n.id,
-		Members: func() []string { return members }, Program: "test", Logger: quiet(),
-	}).Run)
-}
-
 func (n *node) checkpoint(members ...string) {
 	n.start(NewCheckpointer(CheckpointerOptions{
 		Source: n.follower, Writer: n.writer, Self: n.id,
