platform: an unchanged instance list isn't sent again

Cause: at the two-year size the list is 2,270 lines, 391 KB; read once a second it would be 130 times the 3 KB/s that a node may spend on control. Change: the list is asked for on condition (ETag) and taken compressed; the stand-in answers so.

--- a/standin/instances.go
+++ b/standin/instances.go
@@ -1,13 +1,19 @@
 package standin
 
 import (
+	"compress/gzip"
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"greengageferry/platform"
 )
 
@@ -122,7 +128,31 @@
 	if list == nil {
 		list = []platform.Instance{}
 	}
-	writeJSON(w, list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		writeError(w, err, platform.Batch{})
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	sendCompressed(w, r, data)
+}
+
+// sendCompressed writes the body, compressed for a client that takes it so.
+func sendCompressed(w http.ResponseWriter, r *http.Request, data []byte) {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(data) // a reader that has gone needs no answer
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressed := gzip.NewWriter(w)
+	defer compressed.Close()
+	_, _ = compressed.Write(data) // a reader that has gone needs no answer
 }
 
 func (l *InstanceList) servePut(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/standin/instances_test.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/platform"
+)
+
+// counted counts the bodies' bytes as they come over the wire.
+type counted struct {
+	next  http.RoundTripper
+	bytes int64
+}
+
+func (c *counted) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Accept-Encoding", "identity")
+	res, err := c.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	c.bytes += int64(len(data))
+	res.Body = io.NopCloser(bytes.NewReader(data))
+	return res, err
+}
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	list := NewInstanceList(0)
+	for n := range 100 {
+		list.Put(platform.Instance{ID: fmt.Sprintf("server-%03d", n), Role: platform.RoleEngine, State: platform.StateLive})
+	}
+	server, err := Start("127.0.0.1:0", list)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Close()) }()
+	wire := &counted{next: &http.Transport{DisableKeepAlives: true}}
+	client := platform.NewHTTPInstances(server.URL(), &http.Client{Transport: wire})
+
+	first, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Len(t, first, 100)
+	sent := wire.bytes
+	require.Positive(t, sent)
+	again, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+	require.Equal(t, sent, wire.bytes)
+
+	list.Remove("server-000")
+	changed, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Len(t, changed, 99)
+	require.Greater(t, wire.bytes, sent)
+}
