--- a/replay/assignment.go
+++ b/replay/assignment.go
@@ -71,8 +71,8 @@
 			next.Lingering = append(next.Lingering, i)
 		}
 	}
-	next.Ready = keep(old.Ready, taken)
 	sortItems(next.Assigned)
+	next.Ready = keep(next.Assigned, keys(old.Ready))
 	sortItems(next.Lingering)
 	return next, Fits(next.MemoryMiB, next.Assigned, next.Lingering)
 }
@@ -95,12 +95,8 @@
 	if !c.inEffect(r.GetLease()) || old == nil || old.Assignment != platform.Offset(r.GetAssignment()) {
 		return void
 	}
-	gone := map[platform.Key]bool{}
-	for _, i := range r.GetItems() {
-		gone[Item(i).Key()] = true
-	}
 	next := *old
-	next.Lingering = drop(old.Lingering, gone)
+	next.Lingering = drop(old.Lingering, keys(items(r.GetItems())))
 	if len(next.Lingering) == len(old.Lingering) {
 		return void
 	}
@@ -114,13 +110,9 @@
 	if !c.inEffect(r.GetLease()) || old == nil {
 		return void
 	}
-	named := map[platform.Key]bool{}
-	for _, i := range r.GetItems() {
-		named[Item(i).Key()] = true
-	}
 	next := *old
 	next.Boot = r.GetBoot()
-	next.Ready = keep(old.Assigned, named)
+	next.Ready = keep(old.Assigned, keys(items(r.GetItems())))
 	c.put(&next)
 	return applied
 }
@@ -133,6 +125,14 @@
 	return out
 }
 
+func keys(items []platform.Item) map[platform.Key]bool {
+	out := map[platform.Key]bool{}
+	for _, i := range items {
+		out[i.Key()] = true
+	}
+	return out
+}
+
 func keep(items []platform.Item, keys map[platform.Key]bool) []platform.Item {
 	var out []platform.Item
 	for _, i := range items {
--- a/replay/base.go
+++ b/replay/base.go
@@ -45,10 +45,9 @@
 
 // begin steps past the record at offset and says whether it is to be looked at.
 func (b *base) begin(offset platform.Offset, r *record.Record) bool {
-	if offset <= b.offset {
+	if !b.advance(offset) {
 		return false
 	}
-	b.offset = offset
 	if b.origins.see(offset, r.GetOrigin(), r.GetSequence()) {
 		return true
 	}
@@ -58,6 +57,15 @@
 	return false
 }
 
+// advance steps to the offset and says whether it is a new one.
+func (b *base) advance(offset platform.Offset) bool {
+	if offset <= b.offset {
+		return false
+	}
+	b.offset = offset
+	return true
+}
+
 // verdict is what a machine made of one record.
 type verdict int
 
--- a/replay/claims.go
+++ b/replay/claims.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"slices"
+
 	"greengageferry/platform"
 	"greengageferry/record"
 )
@@ -18,21 +20,30 @@
 	Outcome     record.ClaimResult_Outcome
 }
 
-// Claims is the machine of one shard of claims. The first claim on a key
-// stands until its own attempt says that it did not run, or until a
-// ClaimExpiry on the log forgets it. Expiry is a record and not the reader's
-// own clock: a reader that forgot a claim earlier than another would let a
-// second one stand that the other had found void, and each could then let
-// another third one run.
+// Claims is the machine of one shard of claims. Of the claims on a key that are
+// neither expired nor freed, the first stands; a claim may run only if it
+// stands. A claim is freed when its own attempt says that it did not run, and
+// expires by a ClaimExpiry on the log, not by the reader's own clock: a reader
+// that forgot a claim earlier than another would let a second one stand that
+// the other had found void, and each could then let another third one run.
+//
+// What stands is a function of the records since the expiry alone, so that a
+// reader which began in the middle of the stream agrees with the others as soon
+// as it is Complete. The price: a claim that lost against another one stands
+// once that one is freed or expires, though it never ran. So its claimant says
+// that it did not run, and a key that is seen to be taken isn't claimed at all.
+//
+// Repeats aren't dropped, since a reader that began later would not know them: a
+// claim that is read twice is kept twice, and its attempt's word frees both.
 //
 // The machine remembers at most what the shard's stream holds within a window;
 // Len lets the writer of claims refuse new ones before that is too much.
 type Claims struct {
 	base
-	claims  map[ClaimKey]*Claimed
-	order   []keyAt // oldest first; bears claims that were freed since
-	known   platform.Offset
-	expired platform.Offset // everything before it is forgotten
+	claims  map[ClaimKey][]*Claimed // neither expired nor freed, oldest first
+	order   []keyAt                 // oldest first; bears claims that were freed since
+	from    platform.Offset         // where the reading began
+	expired platform.Offset         // everything before it is forgotten
 }
 
 type keyAt struct {
@@ -40,14 +51,15 @@
 	offset platform.Offset
 }
 
-// NewClaims returns the machine of a shard that is read from the offset on.
+// NewClaims returns the machine of a shard that is read from the offset on: 0
+// or 1 is the stream's beginning.
 func NewClaims(from platform.Offset) *Claims {
-	return &Claims{base: newBase(), claims: map[ClaimKey]*Claimed{}, known: max(from, 1), expired: 1}
+	return &Claims{base: newBase(), claims: map[ClaimKey][]*Claimed{}, from: max(from, 1), expired: 1}
 }
 
 // Apply implements Machine.
 func (c *Claims) Apply(offset platform.Offset, r *record.Record) {
-	if !c.begin(offset, r) {
+	if !c.advance(offset) {
 		return
 	}
 	switch body := r.GetBody().(type) {
@@ -64,38 +76,49 @@
 
 func (c *Claims) claim(offset platform.Offset, r *record.Claim) verdict {
 	key, ok := claimKeyOf(r.GetKey())
-	if !ok || r.GetAttempt() == "" || c.claims[key] != nil {
+	if !ok || r.GetAttempt() == "" {
 		return void
 	}
 	fingerprint, _ := fingerprintOf(r.GetFingerprint())
-	c.claims[key] = &Claimed{
+	claimed := &Claimed{
 		Offset:      offset,
 		Fingerprint: fingerprint,
 		Instance:    r.GetInstance(),
 		Attempt:     r.GetAttempt(),
 		Request:     r.GetRequest(),
 	}
+	c.claims[key] = append(c.claims[key], claimed)
 	c.order = append(c.order, keyAt{key: key, offset: offset})
 	return applied
 }
 
-// result notes how the standing claim ended. Only its own attempt is believed.
+// result notes how an attempt ended.
 func (c *Claims) result(r *record.ClaimResult) verdict {
 	key, ok := claimKeyOf(r.GetKey())
-	standing := c.claims[key]
-	if !ok || standing == nil || standing.Attempt != r.GetAttempt() {
+	own := func(o *Claimed) bool { return o.Attempt == r.GetAttempt() }
+	if !ok || !slices.ContainsFunc(c.claims[key], own) {
 		return void
 	}
 	if r.GetOutcome() == record.ClaimResult_NOT_RUN {
-		delete(c.claims, key)
+		c.keep(key, slices.DeleteFunc(c.claims[key], own))
 		return applied
 	}
-	ended := *standing
-	ended.Outcome = r.GetOutcome()
-	c.claims[key] = &ended
+	for _, claimed := range c.claims[key] {
+		if own(claimed) {
+			claimed.Outcome = r.GetOutcome()
+		}
+	}
 	return applied
 }
 
+// keep replaces the claims on a key.
+func (c *Claims) keep(key ClaimKey, left []*Claimed) {
+	c.claims[key] = left
+	if len(left) == 0 {
+		delete(c.claims, key)
+	}
+}
+
 func (c *Claims) expire(offset, before platform.Offset) verdict {
 	if before <= c.expired || before > offset {
 		return void
@@ -104,26 +127,26 @@
 	done := 0
 	for done < len(c.order) && c.order[done].offset < before {
 		at := c.order[done]
-		if s := c.claims[at.key]; s != nil && s.Offset == at.offset {
-			delete(c.claims, at.key)
+		if own := c.claims[at.key]; len(own) > 0 && own[0].Offset == at.offset {
+			c.keep(at.key, own[1:])
 		}
 		done++
 	}
-	c.order = append([]keyAt(nil), c.order[done:]...)
+	c.order = slices.Clone(c.order[done:])
 	return applied
 }
 
 // Standing returns the claim that stands on the key.
 func (c *Claims) Standing(key ClaimKey) (Claimed, bool) {
-	if s := c.claims[key]; s != nil {
-		return *s, true
+	if own := c.claims[key]; len(own) > 0 {
+		return *own[0], true
 	}
 	return Claimed{}, false
 }
 
-// Complete says whether the machine has read every claim that isn't expired.
-// One that began in the middle of the stream grants nothing before that.
-func (c *Claims) Complete() bool { return c.known <= c.expired }
+// Complete says whether the machine has read every claim that isn't expired. A
+// reader that isn't complete grants nothing.
+func (c *Claims) Complete() bool { return c.from <= c.expired }
 
 // Expired returns the offset before which every claim is forgotten.
 func (c *Claims) Expired() platform.Offset { return c.expired }
