decide: times of service from the pool, a safe time left to start, free slots elsewhere before a server's queue

Cause: at saturation a quarter of the requests were cut off in the batch. An instance sees a rare target once in minutes, so its own times were never warm and admission let everything through; what waited was started with the mean time left, so every second one missed. Change: the pool's times stand in for a cold target's; a waiting request needs its mean and two mean deviations; a wait is worked out from the instance's own slots; a server's queue is used only when no domain has a free slot; a cut-off answer teaches a server's slowness and not the target's times.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -12,10 +12,11 @@
 	maxQueued = 4096
 	// defaultTimeout is the deadline of a request whose caller and target set none.
 	defaultTimeout = 60 * time.Second
-	// needSpread is how many mean deviations beyond the mean a request is
-	// expected to take: started with less time than that it would probably be
-	// cut off in the middle, its slot wasted.
-	needSpread = 0.5
+	// safeSpread is how many mean deviations beyond the mean a request that
+	// waits must have left when it starts. Under saturation each one starts as
+	// late as it may: with the mean alone every second one would be cut off in
+	// the middle, its slot wasted.
+	safeSpread = 2
 	// estimateStale is how old an estimate may be before one request is let
 	// through without it: an estimate that refuses everything would never learn
 	// that it is wrong.
@@ -34,14 +35,24 @@
 // prepare works out what the request needs and its place in a queue.
 func (s *Scheduler) prepare(now time.Time, f *flight) {
 	t := f.target
-	f.need = t.expected(f, needSpread)
-	if t.inFlight == 0 && now.Sub(t.service.last) > estimateStale {
-		f.need = 0
+	f.need, f.safe = t.expected(now, f, 0), t.expected(now, f, safeSpread)
+	if t.stale(now) {
+		f.need, f.safe = 0, 0
 	}
-	latest := float64(f.Deadline.UnixMicro())/1e6 - f.need
+	latest := float64(f.Deadline.UnixMicro())/1e6 - f.safe
 	f.order = latest - priorityHeadStart*float64(max(f.Priority, 0))
 }
 
+// stale says whether too long has passed since anything was learned of the
+// target's time of service.
+func (t *targetState) stale(now time.Time) bool {
+	if len(t.replicas) == 0 {
+		return true
+	}
+	p := t.replicas[0].server.pool
+	return p.total == 0 && now.Sub(p.service.last) > estimateStale
+}
+
 // enqueue lets the request wait, unless it would miss its deadline. It is for
 // bursts and saturation: a request that waits in vain delays those behind it,
 // and its caller learns too late to do anything else.
@@ -49,14 +60,14 @@
 	t := f.target
 	wait := s.expectedWait(f)
 	if f.late(now, wait) {
-		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.need-f.left(now), s.gap(t)))
+		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.safe-f.left(now), t.gap(f)))
 		return
 	}
 	if s.queued >= maxQueued && !s.makeRoom(now, f) {
-		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, s.gap(t)))
+		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, t.gap(f)))
 		return
 	}
-	t.queue.push(now, f)
+	t.queue.push(f)
 	t.partner.queued++
 	s.queued++
 	s.out = append(s.out, Decision{Request: f.ID, Action: ActionQueue, Reason: ReasonQueued, Inputs: Inputs{
@@ -81,8 +92,9 @@
 		return false
 	}
 	victim := worst.queue.last()
+	after := worst.returns.next(now, 0, worst.gap(victim))
 	s.unqueue(victim)
-	s.refuse(victim, ReasonShare, worst.returns.next(now, 0, s.gap(worst)))
+	s.refuse(victim, ReasonShare, after)
 	return true
 }
 
@@ -94,23 +106,52 @@
 	return a.queue.len() > b.queue.len()
 }
 
-// expectedWait returns the seconds that the request would wait in its queue.
+// expectedWait returns the seconds that the request would wait in its queue: at
+// the best of its servers, one of this instance's slots frees on average each
+// time of service divided by their number; those that wait for the server and
+// start earlier go first, and other partners' take their part of the slots.
 func (s *Scheduler) expectedWait(f *flight) float64 {
-	return float64(f.target.queue.ahead(f)) * s.gap(f.target)
+	t := f.target
+	least := math.Inf(1)
+	for i := range t.replicas[:min(len(t.replicas), sampled)] {
+		srv := t.replicas[i].server
+		least = min(least, srv.ahead(f)*srv.gap(f))
+	}
+	return least
 }
 
-// gap returns the seconds between two requests of the target that get a slot:
-// measured where possible, since that holds the other targets' demand, the
-// partners' shares and slow servers; else from the slots that it may use.
-func (s *Scheduler) gap(t *targetState) float64 {
-	if t.queue.gap.warm() {
-		return t.queue.gap.mean
+// ahead returns how many waiting requests the server takes before f.
+func (s *serverState) ahead(f *flight) float64 {
+	own, weights := 0.0, f.target.partner.weight
+	counted := f.target.partner
+	for _, r := range s.residents {
+		t := r.target
+		if t.queue.len() == 0 {
+			continue
+		}
+		if t.partner == f.target.partner {
+			own += float64(t.queue.ahead(f)) / float64(len(t.replicas))
+		} else if t.partner != counted {
+			weights += t.partner.weight
+			counted = t.partner
+		}
 	}
-	slots := 0.0
+	return own * weights / f.target.partner.weight
+}
+
+// gap returns the least gap of the target's servers.
+func (t *targetState) gap(f *flight) float64 {
+	least := unknownService
 	for i := range t.replicas[:min(len(t.replicas), sampled)] {
-		slots += math.Floor(t.replicas[i].server.window)
+		least = min(least, t.replicas[i].server.gap(f))
 	}
-	return t.service.first.mean / max(slots, 1)
+	return least
+}
+
+// gap returns the seconds between two of this instance's slots at the server
+// that free.
+func (s *serverState) gap(f *flight) float64 {
+	return serviceOf(f) * s.slowness() / float64(max(s.own, 1))
 }
 
 // returns spreads the times at which refused callers are told to come back, one
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -12,7 +12,7 @@
 
 // filter says whether a candidate may get a request at all.
 type filter interface {
-	keep(now time.Time, f *flight, c *candidate) bool
+	keep(s *Scheduler, now time.Time, f *flight, c *candidate) bool
 }
 
 // usable are the filters that hold whatever the load is; fitting are those that
@@ -23,9 +23,9 @@
 )
 
 // passes says whether the candidate gets through all filters.
-func passes(filters []filter, now time.Time, f *flight, c *candidate) bool {
+func passes(filters []filter, s *Scheduler, now time.Time, f *flight, c *candidate) bool {
 	for _, x := range filters {
-		if !x.keep(now, f, c) {
+		if !x.keep(s, now, f, c) {
 			return false
 		}
 	}
@@ -36,40 +36,44 @@
 // this instance's own attempts, which are ahead of it.
 type liveFilter struct{}
 
-func (liveFilter) keep(now time.Time, _ *flight, c *candidate) bool {
+func (liveFilter) keep(_ *Scheduler, now time.Time, _ *flight, c *candidate) bool {
 	return c.server.listed && !c.server.Leaving && !now.Before(c.server.retryAt)
 }
 
 // residentFilter drops replicas that lately said they don't have the target.
 type residentFilter struct{}
 
-func (residentFilter) keep(now time.Time, _ *flight, c *candidate) bool {
+func (residentFilter) keep(_ *Scheduler, now time.Time, _ *flight, c *candidate) bool {
 	return !now.Before(c.replica.unreadyTo)
 }
 
 // avoidFilter drops the server where the request's last attempt failed.
 type avoidFilter struct{}
 
-func (avoidFilter) keep(_ time.Time, f *flight, c *candidate) bool { return c.server != f.avoid }
+func (avoidFilter) keep(_ *Scheduler, _ time.Time, f *flight, c *candidate) bool {
+	return c.server != f.avoid
+}
 
 // roomFilter drops servers that are full, for this instance or in all. It is
 // for saturation: what doesn't fit waits here, where it can still be refused as
 // not run, and not at the server.
 type roomFilter struct{}
 
-func (roomFilter) keep(now time.Time, _ *flight, c *candidate) bool { return c.server.room(now) }
+func (roomFilter) keep(s *Scheduler, now time.Time, _ *flight, c *candidate) bool {
+	return c.server.room(now, s.full)
+}
 
 // apartFilter keeps requests that may crash a server from each other, so that
 // the next crash tells which of them does.
 type apartFilter struct{}
 
-func (apartFilter) keep(_ time.Time, f *flight, c *candidate) bool {
+func (apartFilter) keep(_ *Scheduler, _ time.Time, f *flight, c *candidate) bool {
 	return !f.Suspect || c.server.suspects == 0
 }
 
 // deadlineFilter drops servers too slow for the request's deadline.
 type deadlineFilter struct{}
 
-func (deadlineFilter) keep(now time.Time, f *flight, c *candidate) bool {
+func (deadlineFilter) keep(_ *Scheduler, now time.Time, f *flight, c *candidate) bool {
 	return f.need*max(c.server.slowness(), 1) <= f.left(now)
 }
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -31,7 +31,9 @@
 // poolState is what an instance knows of a pool.
 type poolState struct {
 	speed    float64 // mean of its servers' speed
-	inFlight []int   // this instance's requests there, by partnerState.index
+	service  serviceTimes
+	total    int   // this instance's requests there
+	inFlight []int // this instance's requests there, by partnerState.index
 }
 
 // resident is a target that a server can serve.
@@ -195,6 +197,7 @@
 		p.inFlight = append(p.inFlight, 0)
 	}
 	p.inFlight[partner.index] += n
+	p.total += n
 }
 
 func weightOf(t *Table, partner string) float64 {
--- a/decide/flight.go
+++ b/decide/flight.go
@@ -13,15 +13,16 @@
 	delivered int          // tokens that its caller has
 	avoid     *serverState // where its last attempt failed
 	need      float64      // seconds that it is expected to run; 0: unknown
+	safe      float64      // seconds that it will hardly run longer than
 	order     float64      // its place in the queue: the latest start less its priority's head start, in Unix seconds
 	place     int          // its index in the queue's heap; -1 outside
 	class     int          // which heap of the queue
 }
 
-// late says whether the request can no longer make its deadline if it has to
+// late says whether the request would probably miss its deadline if it had to
 // wait some more seconds first.
 func (f *flight) late(now time.Time, wait float64) bool {
-	return f.left(now) < wait+f.need
+	return f.left(now) < wait+f.safe
 }
 
 // left returns the time, in seconds, to the request's deadline.
--- a/decide/load.go
+++ b/decide/load.go
@@ -78,8 +78,9 @@
 	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
 }
 
-// room says whether the instance may send the server one more request.
-func (s *serverState) room(now time.Time) bool {
+// room says whether the instance may send the server one more request: to a free
+// slot, or with full to its queue too.
+func (s *serverState) room(now time.Time, full bool) bool {
 	window := s.window
 	if now.Sub(s.reportedAt) > reportTooOld {
 		window = s.part
@@ -87,5 +88,9 @@
 	if float64(s.own)+1 > math.Floor(window) {
 		return false
 	}
-	return s.load(now)+1 <= float64(s.limit())
+	most := s.Slots
+	if full {
+		most = s.limit()
+	}
+	return s.load(now)+1 <= float64(most)
 }
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -12,8 +12,10 @@
 	probeEvery = 32
 )
 
-// choose returns where the request goes now. Where it returns nil, waitable says
-// whether waiting may help: some replica could be used but for its load.
+// choose returns where the request goes now: to a free slot of the own failure
+// domain, of another, or to the short queue of a server. Where it returns nil,
+// waitable says whether waiting may help: some replica could be used but for its
+// load.
 func (s *Scheduler) choose(now time.Time, f *flight) (c *candidate, waitable bool) {
 	t := f.target
 	s.hinted = nil
@@ -21,11 +23,17 @@
 		s.hinted = s.prefixes.get(now, prefixKey{t.Model, f.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	if c, waitable = s.among(now, f, near); c != nil {
-		return c, true
+	for _, full := range []bool{false, true} {
+		s.full = full
+		for _, replicas := range [][]replicaState{near, far} {
+			c, w := s.among(now, f, replicas)
+			if c != nil {
+				return c, true
+			}
+			waitable = waitable || w
+		}
 	}
-	c, farWaitable := s.among(now, f, far)
-	return c, waitable || farWaitable
+	return nil, waitable
 }
 
 // among samples the replicas, filters and scores them, and picks one.
@@ -34,11 +42,11 @@
 	kept := s.candidates[:0]
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if !passes(usable, now, f, c) {
+		if !passes(usable, s, now, f, c) {
 			continue
 		}
 		waitable = true
-		if passes(fitting, now, f, c) {
+		if passes(fitting, s, now, f, c) {
 			kept = append(kept, *c)
 		}
 	}
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -7,7 +7,8 @@
 // weight: an idle share is lent, and taken back slot by slot as soon as its
 // owner asks. Within a partner the request goes first that has to start first.
 func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
-	for s.queued > 0 && srv.room(now) {
+	s.full = true
+	for s.queued > 0 && srv.room(now, true) {
 		f, r := s.nextFor(now, srv)
 		if f == nil {
 			return
@@ -30,7 +31,7 @@
 		c := candidate{replica: &t.replicas[r.replica], server: srv}
 		for i := 0; i < classes; i++ {
 			f := t.queue.head(i)
-			if f != nil && (best == nil || s.before(srv.pool, f, best)) && passes(usable, now, f, &c) && passes(fitting, now, f, &c) {
+			if f != nil && (best == nil || s.before(srv.pool, f, best)) && passes(usable, s, now, f, &c) && passes(fitting, s, now, f, &c) {
 				best, at = f, c.replica
 				break
 			}
@@ -91,7 +92,7 @@
 
 // start takes a waiting request out of its queue and dispatches it.
 func (s *Scheduler) start(now time.Time, f *flight, c *candidate) {
-	f.target.queue.take(now, f)
+	f.target.queue.take(f)
 	f.target.partner.queued--
 	s.queued--
 	s.dispatch(now, f, c)
@@ -106,7 +107,7 @@
 			f := t.queue.heaps[class][i]
 			if f.late(now, 0) {
 				s.unqueue(f)
-				s.refuse(f, ReasonDeadline, t.returns.next(now, s.gap(t), s.gap(t)))
+				s.refuse(f, ReasonDeadline, t.returns.next(now, t.gap(f), t.gap(f)))
 			}
 		}
 	}
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"time"
 )
 
 const (
@@ -38,8 +37,6 @@
 type queue struct {
 	heaps [classes]flightHeap
 	turn  int
-	gap   average // seconds between two dequeues while requests wait
-	since time.Time
 }
 
 func (q *queue) len() int {
@@ -50,10 +47,7 @@
 	return n
 }
 
-func (q *queue) push(now time.Time, f *flight) {
-	if q.len() == 0 {
-		q.since = now
-	}
+func (q *queue) push(f *flight) {
 	f.class = classOf(f)
 	heap.Push(&q.heaps[f.class], f)
 }
@@ -68,9 +62,7 @@
 }
 
 // take removes a request that got a slot.
-func (q *queue) take(now time.Time, f *flight) {
-	q.gap.add(now.Sub(q.since).Seconds())
-	q.since = now
+func (q *queue) take(f *flight) {
 	q.turn++
 	q.remove(f)
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -28,6 +28,7 @@
 	out        []Decision
 	candidates []candidate
 	hinted     *serverState // of the decision under way: the server that probably has the prefix
+	full       bool         // of the decision under way: servers' queues may be used
 	meanLoad   float64      // of the decision under way: the candidates' mean load
 }
 
@@ -88,7 +89,7 @@
 	}
 	switch reason, ok := s.again(now, r, f); {
 	case !ok:
-		s.refuse(r, reason, r.target.returns.next(now, 0, s.gap(r.target)))
+		s.refuse(r, reason, r.target.returns.next(now, 0, r.target.gap(r)))
 	default:
 		s.place(now, r)
 	}
@@ -190,8 +191,8 @@
 		s.refuse(f, ReasonNoReplica, noReplicaRetry)
 		return
 	}
-	if f.late(now, 0) {
-		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, s.gap(f.target)))
+	if f.left(now) < f.need {
+		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, f.target.gap(f)))
 		return
 	}
 	c, waitable := s.choose(now, f)
--- a/decide/score.go
+++ b/decide/score.go
@@ -52,7 +52,7 @@
 	if f.Prefix == 0 || c.server != s.hinted || c.load > prefixOverload*s.meanLoad+1 {
 		return 0
 	}
-	return -prefixSaves * f.target.service.first.mean
+	return -prefixSaves * f.target.times(now).first.mean
 }
 
 func serviceOf(f *flight) float64 {
--- a/decide/sim_test.go
+++ b/decide/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"greengageferry/config"
@@ -200,16 +201,19 @@
 		return
 	}
 	j.over = true
+	why := "late in the entry's queue"
 	if e := j.engine; e != nil {
 		e.advance(w.now)
+		why = "late at the server"
 		if j.runs {
 			e.running--
+			why = "late in the batch"
 		} else if i := slices.Index(e.waiting, j); i >= 0 {
 			e.waiting = slices.Delete(e.waiting, i, i+1)
 		}
 		w.admit(e)
 	}
-	w.count(j, "late", 0)
+	w.count(j, why, 0)
 	w.carryOut(j.entry, j.entry.router.Left(w.now, j.ID))
 }
 
@@ -325,7 +329,7 @@
 	}
 	w.result.missed[why]++
 	w.result.lost[j.Target]++
-	if why != "late" {
+	if !strings.HasPrefix(why, "late") {
 		w.result.refused++
 		j.entry.domain.demandOf(j.Target).RefusedPerSecond++
 	}
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -11,9 +11,13 @@
 	// slowest bounds how slow a server is taken to be, so that a few bad answers
 	// can't keep it from ever being tried again.
 	slowest = 8
-	// lateFactor bounds what an answer that was cut off says about the time that
-	// the whole would have taken.
-	lateFactor = 3
+	// lateFactor is how much longer than the time that an attempt was given the
+	// whole is taken to need.
+	lateFactor = 2
+	// ownTimesKept is how long a target's own times are believed with none of it
+	// in flight: longer, and an estimate that refuses everything could never
+	// learn that it is wrong.
+	ownTimesKept = 30 * time.Second
 )
 
 // serviceTimes is how long a target's answers take, from what they lately took.
@@ -24,11 +28,21 @@
 	last   time.Time
 }
 
+// times returns the target's own times of service, or the pool's where too
+// little is known of the target: an instance among many sees a rare model once
+// in minutes.
+func (t *targetState) times(now time.Time) *serviceTimes {
+	if t.service.first.warm() && (t.inFlight > 0 || now.Sub(t.service.last) < ownTimesKept) || len(t.replicas) == 0 {
+		return &t.service
+	}
+	return &t.replicas[0].server.pool.service
+}
+
 // expected returns the time, in seconds, that a request takes at a server of
 // ordinary speed, and 0 where too little is known. spread adds that many mean
-// deviations.
-func (t *targetState) expected(f *flight, spread float64) float64 {
-	st := &t.service
+// deviations of each part.
+func (t *targetState) expected(now time.Time, f *flight, spread float64) float64 {
+	st := t.times(now)
 	if !st.first.warm() {
 		return 0
 	}
@@ -36,55 +50,60 @@
 	if t.Service {
 		return sum
 	}
-	return sum + t.expectedTokens(f)*(st.token.mean+spread*st.token.dev)
+	length := min(st.length.mean+spread*st.length.dev, 1)
+	return sum + max(float64(t.allowed(f))*length-float64(f.delivered), 0)*st.token.mean
 }
 
-// expectedTokens returns how many tokens the request still has to get.
-func (t *targetState) expectedTokens(f *flight) float64 {
-	most := t.MaxTokens
-	if f.MaxTokens > 0 && (most <= 0 || f.MaxTokens < most) {
-		most = f.MaxTokens
+// allowed returns how many tokens the answer may have.
+func (t *targetState) allowed(f *flight) int {
+	if f.MaxTokens > 0 && (t.MaxTokens <= 0 || f.MaxTokens < t.MaxTokens) {
+		return f.MaxTokens
 	}
-	return max(float64(most)*t.service.length.mean-float64(f.delivered), 0)
+	return t.MaxTokens
 }
 
 // learn takes in how a complete answer went.
 func (t *targetState) learn(now time.Time, f *flight, o Outcome) {
-	st := &t.service
+	s, usual := f.at, *t.times(now)
+	took := o.Total.Seconds()
+	switch {
+	case t.Service:
+		s.learn(took, usual.first.mean)
+	case o.FirstToken <= 0 || o.Tokens <= 0:
+		return
+	case o.Tokens > 1:
+		s.learn((o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1), usual.token.mean)
+	}
+	t.service.learn(now, t, f, o)
+	s.pool.service.learn(now, t, f, o)
+}
+
+func (st *serviceTimes) learn(now time.Time, t *targetState, f *flight, o Outcome) {
 	st.last = now
-	s := f.at
 	if t.Service {
-		s.learn(o.Total.Seconds(), st.first.mean)
 		st.first.add(o.Total.Seconds())
 		return
 	}
-	if o.FirstToken <= 0 || o.Tokens <= 0 {
-		return
-	}
 	st.first.add(o.FirstToken.Seconds())
-	if allowed := min(nonZero(f.MaxTokens, t.MaxTokens), nonZero(t.MaxTokens, f.MaxTokens)); allowed > 0 {
+	if allowed := t.allowed(f); allowed > 0 {
 		st.length.add(min(float64(o.Tokens+f.delivered)/float64(allowed), 1))
 	}
 	if o.Tokens > 1 {
-		each := (o.Total - o.FirstToken).Seconds() / float64(o.Tokens-1)
-		s.learn(each, st.token.mean)
-		st.token.add(each)
+		st.token.add((o.Total - o.FirstToken).Seconds() / float64(o.Tokens-1))
 	}
 }
 
 // learnLate takes in an attempt that was given up on after longer than it should
 // have taken. Without it only the quick answers of an overloaded server would
-// count, and it would seem fast.
+// count, and it would seem fast. How long the whole would have taken isn't
+// known: twice as long is a guess that soon gets beyond the truth.
 func (t *targetState) learnLate(now time.Time, f *flight) {
-	usual := t.expected(f, 0) * f.at.slowness()
+	usual := t.expected(now, f, 0)
 	took := now.Sub(f.sentAt).Seconds()
-	if usual <= 0 || took <= usual {
+	if usual <= 0 || took <= usual*f.at.slowness() {
 		return
 	}
-	late := min(took/usual, lateFactor)
-	t.service.last = now
-	t.service.first.add(t.service.first.mean * late)
-	f.at.learn(late*f.at.slowness(), 1)
+	f.at.learn(lateFactor*took, usual)
 }
 
 // learn takes in the time for a piece of work against what it usually takes.
@@ -106,10 +125,3 @@
 	}
 	return min(max(s.speed.mean/s.pool.speed, 1/float64(slowest)), slowest)
 }
-
-func nonZero(a, b int) int {
-	if a > 0 {
-		return a
-	}
-	return b
-}
