decide: half-full servers anywhere before full ones near, two distinct candidates

Cause: with long and short mixed, requests went to a nearly full server of the own domain while others had half-empty batches, which are quicker; and the better of two random replicas was the same one twice in half of the cases with two replicas. Change: a pass for servers up to 0.6 full in any domain comes first; the two candidates are distinct; an over-share partner uses half of a server's queue.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -151,7 +151,7 @@
 // gap returns the seconds between two of this instance's slots at the server
 // that free.
 func (s *serverState) gap(f *flight) float64 {
-	return serviceOf(f) * s.slowness() / float64(max(s.own, 1))
+	return serviceOf(f) * s.slowness() / max(float64(s.own), s.part)
 }
 
 // returns spreads the times at which refused callers are told to come back, one
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -1,6 +1,9 @@
 package decide
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // candidate is a replica that a request may go to.
 type candidate struct {
@@ -56,11 +59,21 @@
 
 // roomFilter drops servers that are full, for this instance or in all. It is
 // for saturation: what doesn't fit waits here, where it can still be refused as
-// not run, and not at the server.
+// not run, and not at the server. A server's own short queue is for partners
+// that have no more than their share: with slots that free once in seconds at
+// any one instance, it is how a partner gets its share back from a flood that
+// comes through all instances.
 type roomFilter struct{}
 
-func (roomFilter) keep(s *Scheduler, now time.Time, _ *flight, c *candidate) bool {
-	return c.server.room(now, s.full)
+func (roomFilter) keep(s *Scheduler, now time.Time, f *flight, c *candidate) bool {
+	most := c.server.Slots
+	switch s.fill {
+	case roomy:
+		most = int(math.Ceil(float64(c.server.Slots) * roomyPart))
+	case queueing:
+		most += c.server.queueFor(c.server.pool.within(s.fleet.partners, f.target.partner))
+	}
+	return c.server.room(now, most)
 }
 
 // apartFilter keeps requests that may crash a server from each other, so that
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -192,6 +192,19 @@
 	return float64(p.inFlight[partner.index]) / partner.weight
 }
 
+// within says whether no other partner that asks for something has less of the
+// pool, by its weight.
+func (p *poolState) within(all map[string]*partnerState, partner *partnerState) bool {
+	mine := p.share(partner)
+	for _, other := range all {
+		theirs := p.share(other)
+		if theirs < mine && (theirs > 0 || other.queued > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *poolState) count(partner *partnerState, n int) {
 	for partner.index >= len(p.inFlight) {
 		p.inFlight = append(p.inFlight, 0)
--- a/decide/load.go
+++ b/decide/load.go
@@ -19,7 +19,7 @@
 	// all instances: enough that a slot never idles for a report's lag, few
 	// enough that requests wait here, where they can still be refused as not
 	// run and ordered by deadline and partner.
-	engineQueue = 0.15
+	engineQueue = 0.5
 	// windowShrink is what an instance keeps of its window when a report shows
 	// requests waiting at the server, so that all instances' windows together
 	// come down to its slots within a few reports.
@@ -78,9 +78,19 @@
 	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
 }
 
-// room says whether the instance may send the server one more request: to a free
-// slot, or with full to its queue too.
-func (s *serverState) room(now time.Time, full bool) bool {
+// queueFor returns how many requests may wait at the server for a partner to
+// add one: half as many if it has more than its share.
+func (s *serverState) queueFor(within bool) int {
+	queue := s.limit() - s.Slots
+	if !within {
+		queue /= 2
+	}
+	return queue
+}
+
+// room says whether the instance may send the server one more request, so that
+// it has at most so many.
+func (s *serverState) room(now time.Time, most int) bool {
 	window := s.window
 	if now.Sub(s.reportedAt) > reportTooOld {
 		window = s.part
@@ -88,9 +98,5 @@
 	if float64(s.own)+1 > math.Floor(window) {
 		return false
 	}
-	most := s.Slots
-	if full {
-		most = s.limit()
-	}
 	return s.load(now)+1 <= float64(most)
 }
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -12,6 +12,21 @@
 	probeEvery = 32
 )
 
+// fill is how full a server may be to get a request.
+type fill int
+
+// The fills, in the order in which they are tried, each in the own failure
+// domain first: a batch that is nearly full is slower than one in another
+// domain that is half a millisecond away.
+const (
+	roomy    fill = iota // up to roomyPart of its slots taken
+	fitted               // a free slot
+	queueing             // its own short queue
+)
+
+// roomyPart is the part of its slots up to which a server's batch is quick.
+const roomyPart = 0.6
+
 // choose returns where the request goes now: to a free slot of the own failure
 // domain, of another, or to the short queue of a server. Where it returns nil,
 // waitable says whether waiting may help: some replica could be used but for its
@@ -23,8 +38,7 @@
 		s.hinted = s.prefixes.get(now, prefixKey{t.Model, f.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	for _, full := range []bool{false, true} {
-		s.full = full
+	for s.fill = roomy; s.fill <= queueing; s.fill++ {
 		for _, replicas := range [][]replicaState{near, far} {
 			c, w := s.among(now, f, replicas)
 			if c != nil {
@@ -100,11 +114,12 @@
 // then any candidate.
 func (s *Scheduler) pick() *candidate {
 	n := len(s.candidates)
-	a := &s.candidates[s.rng.IntN(n)]
+	first := s.rng.IntN(n)
+	a := &s.candidates[first]
 	if n == 1 || s.rng.IntN(probeEvery) == 0 {
 		return a
 	}
-	b := &s.candidates[s.rng.IntN(n)]
+	b := &s.candidates[(first+1+s.rng.IntN(n-1))%n]
 	if b.score < a.score {
 		return b
 	}
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -7,8 +7,8 @@
 // weight: an idle share is lent, and taken back slot by slot as soon as its
 // owner asks. Within a partner the request goes first that has to start first.
 func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
-	s.full = true
-	for s.queued > 0 && srv.room(now, true) {
+	s.fill = queueing
+	for s.queued > 0 && srv.room(now, srv.limit()) {
 		f, r := s.nextFor(now, srv)
 		if f == nil {
 			return
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -28,7 +28,7 @@
 	out        []Decision
 	candidates []candidate
 	hinted     *serverState // of the decision under way: the server that probably has the prefix
-	full       bool         // of the decision under way: servers' queues may be used
+	fill       fill         // of the decision under way: how full a server may be
 	meanLoad   float64      // of the decision under way: the candidates' mean load
 }
 
