decide: a server's queue is for those who can afford its wait; under-share partners have more of it

Cause: an answer that took longer than the mean was taken for a sign of a slow server, and what was sent to a server's queue near its deadline was cut off in the batch. The experiment's deadlines followed each answer's true length, which no caller knows: they now follow its kind's mean length, for all policies. Change: slowness is learned only from answers longer than is safe; in a server's queue a request needs the wait and its safe time.

--- a/decide/experiment_test.go
+++ b/decide/experiment_test.go
@@ -350,7 +350,7 @@
 		mean *= 8
 	}
 	tokens := int(mean * (0.5 + w.rng.Float64()))
-	deadline := 6*time.Second + time.Duration(float64(tokens)*simStep*(1+simCrowding)*1.3*float64(time.Second))
+	deadline := 6*time.Second + time.Duration(mean*simStep*(1+simCrowding)*1.3*float64(time.Second))
 	d := w.domains[w.rng.IntN(len(w.domains))]
 	w.arrive(d, Request{ID: fmt.Sprint("r", n), Partner: w.conf.Models[names[pick]].Owner, Target: target, Deadline: w.now.Add(deadline),
 		PromptBytes: 800, MaxTokens: int(mean * 1.5), Prefix: uint64(pick*10 + w.rng.IntN(4) + 1), Idempotent: true}, tokens)
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -71,7 +71,7 @@
 	case roomy:
 		most = int(math.Ceil(float64(c.server.Slots) * roomyPart))
 	case queueing:
-		most += c.server.queueFor(c.server.pool.within(s.fleet.partners, f.target.partner))
+		most += c.server.queueFor(c.server.pool.standing(s.fleet.everyone, f.target.partner))
 	}
 	return c.server.room(now, most)
 }
@@ -84,9 +84,15 @@
 	return !f.Suspect || c.server.suspects == 0
 }
 
-// deadlineFilter drops servers too slow for the request's deadline.
+// deadlineFilter drops servers too slow for the request's deadline. In a
+// server's queue it needs, beside the wait, the time that it will hardly run
+// longer than: its slot is one that another could use.
 type deadlineFilter struct{}
 
-func (deadlineFilter) keep(_ *Scheduler, now time.Time, f *flight, c *candidate) bool {
-	return f.need*max(c.server.slowness(), 1) <= f.left(now)
+func (deadlineFilter) keep(s *Scheduler, now time.Time, f *flight, c *candidate) bool {
+	need := f.need
+	if s.fill == queueing {
+		need = f.safe + c.wait(f)
+	}
+	return need*max(c.server.slowness(), 1) <= f.left(now)
 }
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -76,6 +76,7 @@
 	ordered  []*targetState // by name, so that equal inputs give equal decisions
 	pools    map[string]*poolState
 	partners map[string]*partnerState
+	everyone []*partnerState // the partners, by index
 }
 
 func newFleet() fleet {
@@ -179,6 +180,7 @@
 	if p == nil {
 		p = &partnerState{index: len(f.partners), weight: 1}
 		f.partners[name] = p
+		f.everyone = append(f.everyone, p)
 	}
 	return p
 }
@@ -192,17 +194,32 @@
 	return float64(p.inFlight[partner.index]) / partner.weight
 }
 
-// within says whether no other partner that asks for something has less of the
-// pool, by its weight.
-func (p *poolState) within(all map[string]*partnerState, partner *partnerState) bool {
+// standing is how a partner's part of a pool compares with the others'.
+type standing int
+
+// The standings. A partner that nobody contends with is even.
+const (
+	under standing = iota - 1
+	even
+	over
+)
+
+// standing compares the partner's part of the pool, by its weight, with those of
+// the other partners that ask for something there.
+func (p *poolState) standing(all []*partnerState, partner *partnerState) standing {
 	mine := p.share(partner)
+	st := even
 	for _, other := range all {
 		theirs := p.share(other)
-		if theirs < mine && (theirs > 0 || other.queued > 0) {
-			return false
+		switch {
+		case other == partner || theirs == 0 && other.queued == 0:
+		case theirs < mine:
+			return over
+		case theirs > mine:
+			st = under
 		}
 	}
-	return true
+	return st
 }
 
 func (p *poolState) count(partner *partnerState, n int) {
--- a/decide/load.go
+++ b/decide/load.go
@@ -19,7 +19,11 @@
 	// all instances: enough that a slot never idles for a report's lag, few
 	// enough that requests wait here, where they can still be refused as not
 	// run and ordered by deadline and partner.
-	engineQueue = 0.5
+	engineQueue = 0.25
+	// underQueue is the same for a partner that has less than its share while
+	// another has more: any one instance's slots free once in seconds, but the
+	// server's next slot, whoever had it, goes to the first that waits there.
+	underQueue = 0.75
 	// windowShrink is what an instance keeps of its window when a report shows
 	// requests waiting at the server, so that all instances' windows together
 	// come down to its slots within a few reports.
@@ -79,13 +83,15 @@
 }
 
 // queueFor returns how many requests may wait at the server for a partner to
-// add one: half as many if it has more than its share.
-func (s *serverState) queueFor(within bool) int {
-	queue := s.limit() - s.Slots
-	if !within {
-		queue /= 2
+// add one.
+func (s *serverState) queueFor(st standing) int {
+	switch st {
+	case under:
+		return int(math.Ceil(float64(s.Slots) * underQueue))
+	case over:
+		return (s.limit() - s.Slots) / 2
 	}
-	return queue
+	return s.limit() - s.Slots
 }
 
 // room says whether the instance may send the server one more request, so that
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -8,7 +8,7 @@
 // owner asks. Within a partner the request goes first that has to start first.
 func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
 	s.fill = queueing
-	for s.queued > 0 && srv.room(now, srv.limit()) {
+	for s.queued > 0 && srv.room(now, srv.Slots+srv.queueFor(under)) {
 		f, r := s.nextFor(now, srv)
 		if f == nil {
 			return
@@ -23,12 +23,13 @@
 func (s *Scheduler) nextFor(now time.Time, srv *serverState) (*flight, *replicaState) {
 	var best *flight
 	var at *replicaState
+	load := srv.load(now)
 	for _, r := range srv.residents {
 		t := r.target
 		if t.queue.len() == 0 || best != nil && !s.goesFirst(srv.pool, t, best) {
 			continue
 		}
-		c := candidate{replica: &t.replicas[r.replica], server: srv}
+		c := candidate{replica: &t.replicas[r.replica], server: srv, load: load}
 		for i := 0; i < classes; i++ {
 			f := t.queue.head(i)
 			if f != nil && (best == nil || s.before(srv.pool, f, best)) && passes(usable, s, now, f, &c) && passes(fitting, s, now, f, &c) {
--- a/decide/score.go
+++ b/decide/score.go
@@ -37,11 +37,16 @@
 type waitScorer struct{}
 
 func (waitScorer) score(_ *Scheduler, _ time.Time, f *flight, c *candidate) float64 {
+	return c.wait(f) * c.server.slowness()
+}
+
+// wait returns the seconds until the server, at ordinary speed, has a free slot.
+func (c *candidate) wait(f *flight) float64 {
 	over := c.load + 1 - float64(c.server.Slots)
 	if over <= 0 {
 		return 0
 	}
-	return over / float64(c.server.Slots) * serviceOf(f) * c.server.slowness()
+	return over / float64(c.server.Slots) * serviceOf(f)
 }
 
 // prefixScorer credits the server that probably has the prompt's beginning in
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -98,7 +98,7 @@
 // count, and it would seem fast. How long the whole would have taken isn't
 // known: twice as long is a guess that soon gets beyond the truth.
 func (t *targetState) learnLate(now time.Time, f *flight) {
-	usual := t.expected(now, f, 0)
+	usual := t.expected(now, f, safeSpread)
 	took := now.Sub(f.sentAt).Seconds()
 	if usual <= 0 || took <= usual*f.at.slowness() {
 		return
