decide: a server's load gives way to its recent mean, not to zero

Cause: an aging report was taken for an emptying server. At saturation the instances sent 8 to 19 requests to the queues of servers with 8 slots (trace of refused requests), where they were cut off, and a partner within its share found the servers full of the other's. Change: as a report ages, its load gives way to the recent mean; the safe time is the mean and 0.7 deviations, since what is sent no longer waits unseen; a server's queue may be half its slots, 1.25 of them for a partner under its share.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -15,8 +15,9 @@
 	// safeSpread is how many mean deviations beyond the mean a request that
 	// waits must have left when it starts. Under saturation each one starts as
 	// late as it may: with the mean alone every second one would be cut off in
-	// the middle, its slot wasted.
-	safeSpread = 2
+	// the middle, its slot wasted; with 2 a burst's last requests are refused
+	// that would have made it.
+	safeSpread = 0.7
 	// estimateStale is how old an estimate may be before one request is let
 	// through without it: an estimate that refuses everything would never learn
 	// that it is wrong.
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -21,7 +21,8 @@
 	window     float64 // how many requests this instance may have there now
 	report     platform.Load
 	reportedAt time.Time
-	ownThen    int // own when the report was made
+	ownThen    int     // own when the report was made
+	others     float64 // mean of the other instances' requests there
 
 	speed    average // its time for a piece of work against what the target usually takes
 	failures int     // in a row
--- a/decide/flight.go
+++ b/decide/flight.go
@@ -8,6 +8,7 @@
 	target    *targetState
 	at        *serverState // where its attempt runs; nil while it waits
 	sentAt    time.Time
+	lined     bool // it was sent to a server's queue
 	attempts  int
 	crashes   int
 	delivered int          // tokens that its caller has
--- a/decide/load.go
+++ b/decide/load.go
@@ -15,15 +15,17 @@
 	// reportTooOld is when an instance falls back to its own part of a server,
 	// since what it was lent may be in use.
 	reportTooOld = 10 * time.Second
+	// othersMemory is the weight of a report in the others' mean load.
+	othersMemory = 0.2
 	// engineQueue is the part of its slots that a server may have waiting, over
 	// all instances: enough that a slot never idles for a report's lag, few
-	// enough that requests wait here, where they can still be refused as not
-	// run and ordered by deadline and partner.
-	engineQueue = 0.25
+	// enough that most requests wait here, where they can still be refused as
+	// not run and ordered by deadline and partner.
+	engineQueue = 0.5
 	// underQueue is the same for a partner that has less than its share while
 	// another has more: any one instance's slots free once in seconds, but the
 	// server's next slot, whoever had it, goes to the first that waits there.
-	underQueue = 0.75
+	underQueue = 1.25
 	// windowShrink is what an instance keeps of its window when a report shows
 	// requests waiting at the server, so that all instances' windows together
 	// come down to its slots within a few reports.
@@ -47,6 +49,7 @@
 		return
 	}
 	s.report, s.reportedAt, s.ownThen = load, at, s.own
+	s.others += othersMemory * (float64(max(load.Running+load.Waiting-s.own, 0)) - s.others)
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
@@ -65,16 +68,15 @@
 }
 
 // load estimates how many requests the server has: this instance's own,
-// exactly, and the others' from the report, which counts less as it ages.
+// exactly, and the others' from the report. As that ages it gives way to their
+// recent mean, and never to zero: a server doesn't empty because it is silent.
 func (s *serverState) load(now time.Time) float64 {
 	if s.reportedAt.IsZero() {
 		return float64(s.own)
 	}
-	others := float64(s.report.Running + s.report.Waiting - s.ownThen)
-	if others <= 0 {
-		return float64(s.own)
-	}
-	return float64(s.own) + others*trust(now.Sub(s.reportedAt))
+	others := float64(max(s.report.Running+s.report.Waiting-s.ownThen, 0))
+	w := trust(now.Sub(s.reportedAt))
+	return float64(s.own) + w*others + (1-w)*s.others
 }
 
 // trust is the weight of a report of an age, from 1 down to 0.
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -211,6 +211,7 @@
 func (s *Scheduler) dispatch(now time.Time, f *flight, c *candidate) {
 	srv := c.server
 	f.at, f.sentAt = srv, now
+	f.lined = c.load+1 > float64(srv.Slots)
 	f.attempts++
 	f.target.inFlight++
 	srv.own++
--- a/decide/sim_test.go
+++ b/decide/sim_test.go
@@ -327,7 +327,7 @@
 	if why == "" {
 		return
 	}
-	w.result.missed[j.Partner[:1]+":"+why]++
+	w.result.missed[why]++
 	w.result.lost[j.Target]++
 	if !strings.HasPrefix(why, "late") {
 		w.result.refused++
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -84,7 +84,9 @@
 		st.first.add(o.Total.Seconds())
 		return
 	}
-	st.first.add(o.FirstToken.Seconds())
+	if !f.lined || !st.first.warm() { // else it holds the wait in the server's queue
+		st.first.add(o.FirstToken.Seconds())
+	}
 	if allowed := t.allowed(f); allowed > 0 {
 		st.length.add(min(float64(o.Tokens+f.delivered)/float64(allowed), 1))
 	}
