peer: twirp between entry instances, wired into entry

Cause: a newcomer needs a state while the log is down, a lease holder needs the orderers' word and a sample of demand, a resend needs the first answer. Change: server behind the token, clients with honest effects, the newest of three peers' states; entry passes its followers, controller, meter and answers. Conclusion: each call, each kind of failure and the choice of state are tested.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,10 +19,12 @@
 	"greengageferry/demand"
 	"greengageferry/fleet"
 	"greengageferry/logsync"
+	"greengageferry/peer"
 	"greengageferry/platform"
 	"greengageferry/replay"
 	"greengageferry/settings"
 	"greengageferry/supervise"
+	"greengageferry/traffic"
 )
 
 // Platform is what the platform gives, as clients.
@@ -61,7 +63,9 @@
 	caller        *caller.Server
 	meter         *demand.Meter
 	collector     *demand.Collector
-	peers         noPeers
+	peers         *peer.Client
+	peerTraffic   *traffic.Counters
+	states        *peer.States
 	controller    atomic.Pointer[control.Controller]
 
 	listeners map[string]*listener
@@ -77,6 +81,8 @@
 	if opts.Platform == (Platform{}) {
 		i.opts.Platform = httpPlatform(opts.Settings)
 	}
+	i.wireList()
+	i.wirePeers()
 	i.wireStreams()
 	i.wireDemand()
 	if err := i.wireCaller(); err != nil {
@@ -128,15 +134,21 @@
 	return m
 }
 
+// wireList makes what follows the platform's list.
+func (i *Instance) wireList() {
+	every := i.opts.Settings.Timing.ListEvery.Value()
+	i.watcher = fleet.NewWatcher(i.opts.Platform.Instances, every, i.log, i.vars("list"))
+}
+
 // wireStreams makes what follows and writes the log.
 func (i *Instance) wireStreams() {
 	s := i.opts.Settings
-	i.watcher = fleet.NewWatcher(i.opts.Platform.Instances, s.Timing.ListEvery.Value(), i.log, i.vars("list"))
 	vars := i.vars("log")
 	i.config = logsync.NewFollower(logsync.FollowerOptions[replay.ConfigView]{
 		Log:     i.opts.Platform.Log,
 		Stream:  platform.StreamConfig,
 		New:     func(platform.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
+		Peers:   i.states,
 		Logger:  i.log,
 		Metrics: vars,
 	})
@@ -144,6 +156,7 @@
 		Log:     i.opts.Platform.Log,
 		Stream:  platform.StreamQuarantine,
 		New:     func(platform.Offset) logsync.State[replay.QuarantineView] { return replay.NewQuarantine() },
+		Peers:   i.states,
 		Logger:  i.log,
 		Metrics: vars,
 	})
@@ -165,6 +178,7 @@
 			Log:     i.opts.Platform.Log,
 			Stream:  platform.ControlStream(domain),
 			New:     func(platform.Offset) logsync.State[replay.ControlView] { return replay.NewControl() },
+			Peers:   i.states,
 			Logger:  i.log,
 			Metrics: vars,
 		})
@@ -241,8 +255,13 @@
 		Services:      i.opts.Platform.Services,
 		Claimer:       i.claimer(),
 		Quarantine:    &quarantine{follower: i.quarantined, appender: i.writer, log: i.log},
-		Answers:       i.answers(),
-		Observer:      &observer{meter: i.meter, table: i.table.Load, missing: i.missing},
+		Answers: &answers{
+			client: i.peers,
+			own:    s.Instance.ID,
+			local:  func(attempt string) (caller.Answer, bool, bool) { return i.caller.AnswerFor(attempt) },
+			addrOf: i.addrOf,
+		},
+		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing},
 		Limits: caller.Limits{
 			BodyBytes: int(s.Limits.MaxBodyBytes),
 			Requests:  s.Limits.MaxInFlight,
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -9,7 +9,6 @@
 	"greengageferry/control"
 	"greengageferry/decide"
 	"greengageferry/demand"
-	"greengageferry/platform"
 	"greengageferry/replay"
 	"greengageferry/supervise"
 )
@@ -193,13 +192,7 @@
 	return ""
 }
 
-// noPeers stands for peers until they are wired.
-type noPeers struct{}
-
-func (noPeers) Applied(context.Context, platform.Instance) (platform.Offset, error) {
-	return 0, &platform.Error{Op: "peer.applied", Reason: platform.ReasonUnreachable, Effect: platform.EffectNone}
-}
-
-func (noPeers) Demand(context.Context, platform.Instance, string) (map[string]demand.Rates, error) {
-	return nil, &platform.Error{Op: "peer.demand", Reason: platform.ReasonUnreachable, Effect: platform.EffectNone}
+// rates returns what a failure domain was asked for through this instance.
+func (i *Instance) rates(domain string) map[string]demand.Rates {
+	return i.meter.Rates(time.Now(), domain)
 }
--- a/entry/stubs.go
+++ b/entry/stubs.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 
-	"greengageferry/caller"
 	"greengageferry/claims"
 	"greengageferry/logsync"
+	"greengageferry/peer"
 	"greengageferry/record"
 )
 
@@ -25,13 +25,11 @@
 }
 func (noClaims) Result(context.Context, *record.ClaimResult) error { return http.ErrNotSupported }
 
-func (i *Instance) claimer() claims.Claimer { return noClaims{} }
+type noBatchers struct{}
 
-type noAnswers struct{}
-
-func (noAnswers) Fetch(context.Context, string, string) (caller.Answer, bool, bool, error) {
-	return caller.Answer{}, false, false, http.ErrNotSupported
+func (noBatchers) Claim(context.Context, uint32, [][]byte) ([]*peer.ClaimStanding, error) {
+	return nil, http.ErrNotSupported
 }
 
-func (i *Instance) answers() caller.Answers    { return noAnswers{} }
-func (i *Instance) peersHandler() http.Handler { return http.NotFoundHandler() }
+func (i *Instance) claimer() claims.Claimer       { return noClaims{} }
+func (i *Instance) claimServer() peer.ClaimServer { return noBatchers{} }
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"greengageferry/demand"
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/traffic"
+)
+
+// CallTime bounds a call whose context has a later deadline or none: a peer
+// answers from memory, but for claims, which wait for the log.
+const CallTime = 3 * time.Second
+
+// Client calls other entry instances by their peers' addresses.
+type Client struct {
+	http  *http.Client
+	token string
+}
+
+// NewClient returns a client that shows the token and counts its traffic.
+func NewClient(base http.RoundTripper, token string, counters *traffic.Counters) *Client {
+	counted := &traffic.Transport{Base: base, Counters: counters}
+	return &Client{http: &http.Client{Transport: counted}, token: token}
+}
+
+// at returns the peer at an address.
+func (c *Client) at(addr string) Peer {
+	return NewPeerProtobufClient("http://"+addr, c.http)
+}
+
+// begin bounds a call and has it show the token.
+func (c *Client) begin(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{TokenHeader: {c.token}})
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, CallTime)
+	return ctx, cancel, nil
+}
+
+// call makes one call to the peer at an address.
+func call[T any](ctx context.Context, c *Client, op, addr string, do func(context.Context, Peer) (T, error)) (T, error) {
+	var none T
+	ctx, cancel, err := c.begin(ctx)
+	if err != nil {
+		return none, &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonBadRequest, Effect: platform.EffectNone, Err: err}
+	}
+	defer cancel()
+	got, err := do(ctx, c.at(addr))
+	if err != nil {
+		return none, callFailed(ctx, op, addr, err)
+	}
+	return got, nil
+}
+
+// callFailed turns a twirp error into a platform.Error. A call that was refused
+// before it started, or found nothing, had no effect.
+func callFailed(ctx context.Context, op, addr string, err error) error {
+	failed := &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonUnreachable, Effect: platform.EffectUnknown, Err: err}
+	var refused twirp.Error
+	switch {
+	case ctx.Err() != nil:
+		failed.Reason = platform.ReasonTimeout
+	case errors.As(err, &refused) && isRefusal(refused.Code()):
+		failed.Reason, failed.Effect = platform.ReasonUnavailable, platform.EffectNone
+	}
+	return failed
+}
+
+// isRefusal says whether a peer answers so before it does anything.
+func isRefusal(code twirp.ErrorCode) bool {
+	switch code {
+	case twirp.NotFound, twirp.FailedPrecondition, twirp.Unauthenticated, twirp.InvalidArgument, twirp.BadRoute, twirp.Malformed:
+		return true
+	}
+	return false
+}
+
+// Applied implements control.Applied.
+func (c *Client) Applied(ctx context.Context, instance platform.Instance) (platform.Offset, error) {
+	return call(ctx, c, "peer.applied", instance.Addr, func(ctx context.Context, p Peer) (platform.Offset, error) {
+		r, err := p.Applied(ctx, &AppliedRequest{FailureDomain: instance.FailureDomain})
+		return platform.Offset(r.GetOffset()), err
+	})
+}
+
+// Demand implements demand.Asker.
+func (c *Client) Demand(ctx context.Context, instance platform.Instance, domain string) (map[string]demand.Rates, error) {
+	return call(ctx, c, "peer.demand", instance.Addr, func(ctx context.Context, p Peer) (map[string]demand.Rates, error) {
+		r, err := p.Demand(ctx, &DemandRequest{FailureDomain: domain})
+		rates := make(map[string]demand.Rates, len(r.GetModels()))
+		for _, m := range r.GetModels() {
+			rates[m.GetModel()] = demand.Rates{
+				Requests: float64(m.GetRequestsPerSecond()),
+				Tokens:   float64(m.GetTokensPerSecond()),
+				Refused:  float64(m.GetRefusedPerSecond()),
+			}
+		}
+		return rates, err
+	})
+}
+
+// Claim asks the batcher at an address to put claims, each an encoded
+// record.Record, on the shard's stream. An error with platform.EffectNone means
+// that none of them is there.
+func (c *Client) Claim(ctx context.Context, addr string, shard uint32, claims [][]byte) ([]*ClaimStanding, error) {
+	return call(ctx, c, "peer.claim", addr, func(ctx context.Context, p Peer) ([]*ClaimStanding, error) {
+		r, err := p.Claim(ctx, &ClaimRequest{Shard: shard, Claims: claims})
+		return r.GetStandings(), err
+	})
+}
+
+// Answer asks the instance at an address for what it answered to an attempt.
+func (c *Client) Answer(ctx context.Context, addr, attempt string) (answer Answer, finished, found bool, err error) {
+	r, err := call(ctx, c, "peer.answer", addr, func(ctx context.Context, p Peer) (*AnswerResponse, error) {
+		return p.Answer(ctx, &AnswerRequest{Attempt: attempt})
+	})
+	if err != nil {
+		return Answer{}, false, false, err
+	}
+	answer = Answer{
+		Request:       r.GetRequest(),
+		Status:        int(r.GetStatus()),
+		ContentType:   r.GetContentType(),
+		Body:          r.GetBody(),
+		FailureDomain: r.GetFailureDomain(),
+		Server:        r.GetServer(),
+	}
+	return answer, r.GetFinished(), r.GetFound(), nil
+}
+
+// State asks the instance at an address for its state of a stream, covering at
+// least an offset.
+func (c *Client) State(ctx context.Context, addr, stream string, atLeast platform.Offset) (*record.Checkpoint, error) {
+	return call(ctx, c, "peer.state", addr, func(ctx context.Context, p Peer) (*record.Checkpoint, error) {
+		r, err := p.State(ctx, &StateRequest{Stream: stream, AtLeast: uint64(atLeast)})
+		if err != nil {
+			return nil, err
+		}
+		checkpoint := &record.Checkpoint{}
+		return checkpoint, proto.Unmarshal(r.GetCheckpoint(), checkpoint)
+	})
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"greengageferry/demand"
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/traffic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const token = "a token of the peers"
+
+// claimer answers with what the test sets.
+type claimer struct{ err error }
+
+func (c claimer) Claim(_ context.Context, shard uint32, claims [][]byte) ([]*ClaimStanding, error) {
+	return []*ClaimStanding{{Verdict: ClaimStanding_GRANTED, Attempt: string(claims[shard])}}, c.err
+}
+
+func backend(covers uint64, claimErr error) Backend {
+	return Backend{
+		Instance:      "entry-1",
+		FailureDomain: "porto-a",
+		State: func(stream string) *record.Checkpoint {
+			if stream != platform.StreamConfig {
+				return nil
+			}
+			return &record.Checkpoint{Covers: covers}
+		},
+		Applied: func() platform.Offset { return 7 },
+		Claims:  claimer{err: claimErr},
+		Answer: func(attempt string) (Answer, bool, bool) {
+			return Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, true, attempt == "known"
+		},
+		Rates: func(domain string) map[string]demand.Rates {
+			return map[string]demand.Rates{"m@" + domain: {Requests: 1.5, Tokens: 20, Refused: 0.25}}
+		},
+	}
+}
+
+// serve returns the address of a peer.
+func serve(t *testing.T, b Backend) string {
+	server := httptest.NewServer(Handler(b, token, traffic.NewCounters(new(expvar.Map))))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func client(shown string) *Client {
+	return NewClient(&http.Transport{DisableKeepAlives: true}, shown, traffic.NewCounters(new(expvar.Map)))
+}
+
+func TestEachCallBringsItsAnswer(t *testing.T) {
+	addr := serve(t, backend(12, nil))
+	c := client(token)
+	at := platform.Instance{Addr: addr, FailureDomain: "porto-a"}
+
+	offset, err := c.Applied(t.Context(), at)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, offset)
+
+	rates, err := c.Demand(t.Context(), at, "pelotas")
+	require.NoError(t, err)
+	require.Equal(t, map[string]demand.Rates{"m@pelotas": {Requests: 1.5, Tokens: 20, Refused: 0.25}}, rates)
+
+	standings, err := c.Claim(t.Context(), addr, 1, [][]byte{[]byte("a"), []byte("b")})
+	require.NoError(t, err)
+	require.Equal(t, "b", standings[0].GetAttempt())
+
+	answer, finished, found, err := c.Answer(t.Context(), addr, "known")
+	require.NoError(t, err)
+	require.True(t, finished)
+	require.True(t, found)
+	require.Equal(t, Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, answer)
+
+	state, err := c.State(t.Context(), addr, platform.StreamConfig, 12)
+	require.NoError(t, err)
+	require.EqualValues(t, 12, state.GetCovers())
+}
+
+func TestEffectOfAFailedCallIsHonest(t *testing.T) {
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	none := &platform.Error{Op: "log.append", Reason: platform.ReasonUnavailable, Effect: platform.EffectNone}
+	unknown := &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout, Effect: platform.EffectUnknown}
+	cases := map[string]struct {
+		addr, token string
+		want        platform.Effect
+	}{
+		"wrong token":     {serve(t, backend(1, nil)), "another token of somebody", platform.EffectNone},
+		"log refused":     {serve(t, backend(1, none)), token, platform.EffectNone},
+		"log's answer":    {serve(t, backend(1, unknown)), token, platform.EffectUnknown},
+		"nobody is there": {strings.TrimPrefix(closed.URL, "http://"), token, platform.EffectUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := client(c.token).Claim(t.Context(), c.addr, 0, [][]byte{[]byte("a")})
+			var failed *platform.Error
+			require.True(t, errors.As(err, &failed), "got %v", err)
+			require.Equal(t, c.want, failed.Effect)
+		})
+	}
+}
+
+func TestNewestStateOfSeveralPeersWins(t *testing.T) {
+	addrs := []string{serve(t, backend(3, nil)), serve(t, backend(9, nil)), serve(t, backend(5, nil))}
+	states := NewStates(client(token), func() []string { return append([]string(nil), addrs...) })
+	got, err := states.State(t.Context(), platform.StreamConfig, 4)
+	require.NoError(t, err)
+	require.EqualValues(t, 9, got.GetCovers())
+
+	_, err = states.State(t.Context(), platform.StreamConfig, 10)
+	var none *NoPeerError
+	require.True(t, errors.As(err, &none))
+	require.Equal(t, 3, none.Asked)
+}
+
+func TestOversizedRequestIsRefused(t *testing.T) {
+	addr := serve(t, backend(1, nil))
+	_, err := client(token).Claim(t.Context(), addr, 0, [][]byte{make([]byte, maxRequestBytes+1)})
+	require.Error(t, err)
+}
