Control traffic that doesn't grow: sampled demand, spaced reads, servers missed by requests

Cause: at the two-year size the lease holder would ask for demand with each plan, each node would read eight other domains' renewals as they come (3 reads a second), and the holder would have to look at 211 servers all the time. Figures: questions counted in a test at 370 instances: 24 in 60 plans.

--- a/demand/collector.go
+++ b/demand/collector.go
@@ -18,8 +18,11 @@
 	SampleOwn = 4
 	// SampleOthers is how many of all other failure domains are asked each time.
 	SampleOthers = 2
-	// SampleLife is how long an answer counts: some five rounds.
-	SampleLife = 30 * time.Second
+	// AskEvery is the least time between two rounds. An answer names up to a
+	// hundred targets in some 3 KB, so six of them in 15 s are 1.2 KB/s.
+	AskEvery = 15 * time.Second
+	// SampleLife is how long an answer counts: four rounds.
+	SampleLife = 4 * AskEvery
 	// askTime bounds one round.
 	askTime = 2 * time.Second
 )
@@ -38,6 +41,7 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
+	asked   time.Time         // when the last round began
 	samples map[string]sample // by instance id
 }
 
@@ -53,12 +57,31 @@
 	return &Collector{domain: domain, asker: asker, entries: entries, random: random, samples: map[string]sample{}}
 }
 
-// Collect asks a new sample and returns the estimate of the failure domain's
-// whole demand, by target.
+// Collect returns the estimate of the failure domain's whole demand, by target,
+// after asking a new sample if AskEvery has passed.
 func (c *Collector) Collect(ctx context.Context) map[string]Rates {
+	entries := c.entries()
+	if c.due(time.Now()) {
+		c.round(ctx, entries)
+	}
+	return c.estimate(time.Now(), entries)
+}
+
+// due says whether a round is, and notes that it begins.
+func (c *Collector) due(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.asked) < AskEvery {
+		return false
+	}
+	c.asked = now
+	return true
+}
+
+// round asks a new sample.
+func (c *Collector) round(ctx context.Context, entries []platform.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	entries := c.entries()
 	var group errgroup.Group
 	for _, instance := range c.choose(entries) {
 		group.Go(func() error {
@@ -67,7 +90,6 @@
 		})
 	}
 	_ = group.Wait() // ask returns no error: an instance that is silent is not counted
-	return c.estimate(time.Now(), entries)
 }
 
 func (c *Collector) ask(ctx context.Context, instance platform.Instance) {
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -60,12 +62,39 @@
 }
 
 func TestSampleSpeaksForAllInstances(t *testing.T) {
-	all := append(entries("porto-a", 41), entries("pelotas", 41)...)
-	asker := evenly{silent: map[string]bool{"porto-a0": true, "porto-a7": true}}
-	c := NewCollector("porto-a", asker, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
-	for range 5 {
-		require.InEpsilon(t, 2*82, c.Collect(t.Context())["m"].Requests, 1e-9)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		all := append(entries("porto-a", 41), entries("pelotas", 41)...)
+		asker := evenly{silent: map[string]bool{"porto-a0": true, "porto-a7": true}}
+		c := NewCollector("porto-a", asker, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+		for range 5 {
+			require.InEpsilon(t, 2*82, c.Collect(t.Context())["m"].Requests, 1e-9)
+			time.Sleep(AskEvery)
+		}
+	})
+}
+
+// counting counts the questions.
+type counting struct {
+	evenly
+	asked *atomic.Int64
+}
+
+func (c counting) Demand(ctx context.Context, i platform.Instance, domain string) (map[string]Rates, error) {
+	c.asked.Add(1)
+	return c.evenly.Demand(ctx, i, domain)
+}
+
+func TestQuestionsDontGrowWithInstancesOrPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := append(entries("porto-a", 41), entries("pelotas", 329)...)
+		asker := counting{asked: new(atomic.Int64)}
+		c := NewCollector("porto-a", asker, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+		for range 60 {
+			require.NotEmpty(t, c.Collect(t.Context()))
+			time.Sleep(time.Second)
+		}
+		require.EqualValues(t, 4*(SampleOwn+SampleOthers), asker.asked.Load())
+	})
 }
 
 func TestOldSamplesDontCount(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,7 @@
 	peers         *peer.Client
 	peerTraffic   *traffic.Counters
 	states        *peer.States
+	missing       *missing
 	controller    atomic.Pointer[control.Controller]
 
 	listeners map[string]*listener
@@ -85,6 +86,7 @@
 	i.wirePeers()
 	i.wireStreams()
 	i.wireDemand()
+	i.wireMissing()
 	if err := i.wireCaller(); err != nil {
 		return nil, err
 	}
@@ -171,14 +173,25 @@
 	i.domains = newDomains(i.domain(), i.configuration.Config, i.followControl(vars), supervise.Options{Log: i.log})
 }
 
+// otherDomainSpacing is the least time between two reads of another failure
+// domain's control stream. Its lease's renewals, three in 8 s, are of no use
+// here; eight streams read at each of them would be 3 reads a second, most of a
+// node's bytes for control. It adds to how late a move there is seen here.
+const otherDomainSpacing = 6 * time.Second
+
 // followControl returns how to follow a failure domain's control stream.
 func (i *Instance) followControl(vars *expvar.Map) func(string) *controlFollower {
 	return func(domain string) *controlFollower {
+		spacing := otherDomainSpacing
+		if domain == i.domain() {
+			spacing = logsync.DefaultSpacing
+		}
 		return logsync.NewFollower(logsync.FollowerOptions[replay.ControlView]{
 			Log:     i.opts.Platform.Log,
 			Stream:  platform.ControlStream(domain),
 			New:     func(platform.Offset) logsync.State[replay.ControlView] { return replay.NewControl() },
 			Peers:   i.states,
+			Spacing: spacing,
 			Logger:  i.log,
 			Metrics: vars,
 		})
@@ -236,9 +249,23 @@
 	i.collector = demand.NewCollector(i.domain(), i.peers, entries, random)
 }
 
-// missing tells the controller, if one runs, of a server that lacks what it
-// should hold.
-func (i *Instance) missing(server string) {
+// wireMissing makes what passes on which servers lack what they should hold.
+func (i *Instance) wireMissing() {
+	i.missing = &missing{
+		own:     i.opts.Settings.Instance.ID,
+		ring:    make(chan string, missingRing),
+		list:    i.watcher.List,
+		views:   i.domains.views,
+		local:   i.tellController,
+		tell:    i.peers.Missing,
+		log:     i.log,
+		metrics: i.vars("missing"),
+	}
+}
+
+// tellController tells the controller, if one runs, of a server that lacks what
+// it should hold.
+func (i *Instance) tellController(server string) {
 	if c := i.controller.Load(); c != nil {
 		c.Missing(server)
 	}
@@ -261,7 +288,7 @@
 			local:  func(attempt string) (caller.Answer, bool, bool) { return i.caller.AnswerFor(attempt) },
 			addrOf: i.addrOf,
 		},
-		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing},
+		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing.found},
 		Limits: caller.Limits{
 			BodyBytes: int(s.Limits.MaxBodyBytes),
 			Requests:  s.Limits.MaxInFlight,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -47,6 +47,7 @@
 		Claims:        i.claimServer(),
 		Answer:        i.answerFor,
 		Rates:         i.rates,
+		Missing:       i.tellController,
 	}, i.opts.Settings.Peers.Token, i.peerTraffic)
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -84,6 +84,7 @@
 		supervise.Duty{Name: "instance list", Run: i.watcher.Run},
 		supervise.Duty{Name: "routing", Run: i.routing.run},
 		supervise.Duty{Name: "caller", Run: i.caller.Run},
+		supervise.Duty{Name: "missing", Run: i.missing.run},
 	)
 	duties := []supervise.Duty{log, serving}
 	for name, l := range i.listeners {
--- a/peer/client.go
+++ b/peer/client.go
@@ -108,6 +108,15 @@
 	})
 }
 
+// Missing tells the lease holder at an address of a server that lacks what it
+// should hold.
+func (c *Client) Missing(ctx context.Context, addr, server string) error {
+	_, err := call(ctx, c, "peer.missing", addr, func(ctx context.Context, p Peer) (*MissingResponse, error) {
+		return p.Missing(ctx, &MissingRequest{Server: server})
+	})
+	return err
+}
+
 // Claim asks the batcher at an address to put claims, each an encoded
 // record.Record, on the shard's stream. An error with platform.EffectNone means
 // that none of them is there.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -44,6 +44,7 @@
 		Answer: func(attempt string) (Answer, bool, bool) {
 			return Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, true, attempt == "known"
 		},
+		Missing: func(string) {},
 		Rates: func(domain string) map[string]demand.Rates {
 			return map[string]demand.Rates{"m@" + domain: {Requests: 1.5, Tokens: 20, Refused: 0.25}}
 		},
@@ -84,6 +85,8 @@
 	require.True(t, found)
 	require.Equal(t, Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, answer)
 
+	require.NoError(t, c.Missing(t.Context(), addr, "server-1"))
+
 	state, err := c.State(t.Context(), addr, platform.StreamConfig, 12)
 	require.NoError(t, err)
 	require.EqualValues(t, 12, state.GetCovers())
--- a/peer/server.go
+++ b/peer/server.go
@@ -51,7 +51,9 @@
 	// Answer returns what was answered to an attempt that runs here or ran.
 	Answer func(attempt string) (answer Answer, finished, found bool)
 	// Rates returns what a failure domain was asked for through this instance.
-	Rates         func(domain string) map[string]demand.Rates
+	Rates func(domain string) map[string]demand.Rates
+	// Missing is told of a server that lacks what it should hold.
+	Missing       func(server string)
 	FailureDomain string
 }
 
@@ -151,3 +153,9 @@
 	}
 	return response, nil
 }
+
+// Missing implements Peer.
+func (s *service) Missing(_ context.Context, r *MissingRequest) (*MissingResponse, error) {
+	s.Backend.Missing(r.GetServer())
+	return &MissingResponse{}, nil
+}
