--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -70,6 +70,13 @@
 	go func() { _ = run(n.ctx) }()
 }
 
+func (n *node) judge(members ...string) {
+	n.start(NewJudge(JudgeOptions{
+		Source: n.follower, Writer: n.writer, Self: n.id,
+		Members: func() []string { return members }, Program: "test", Logger: quiet(),
+	}).Run)
+}
+
 func (n *node) checkpoint(members ...string) {
 	n.start(NewCheckpointer(CheckpointerOptions{
 		Source: n.follower, Writer: n.writer, Self: n.id,
@@ -93,6 +100,13 @@
 	return offset
 }
 
+// await waits until the node has read the offset, with a bound in case it never does.
+func (n *node) await(t *testing.T, offset platform.Offset) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+	defer cancel()
+	require.NoError(t, n.follower.WaitFor(ctx, offset))
+}
+
 func effectOf(t *testing.T, err error) platform.Effect {
 	var failed *platform.Error
 	require.ErrorAs(t, err, &failed)
@@ -115,7 +129,7 @@
 		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
 		offset := a.put(t, change("x.toml", "", 0))
 		a.put(t, accept(offset))
-		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		b.await(t, 2)
 		require.Equal(t, "x.toml", b.follower.View().Files[0].Name)
 		require.True(t, b.follower.Status().CaughtUp)
 	})
@@ -235,7 +249,7 @@
 		for i := range 5 {
 			a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
 		}
-		require.NoError(t, b.follower.WaitFor(t.Context(), 5))
+		b.await(t, 5)
 		require.Len(t, b.follower.View().Pending, 5)
 	})
 }
@@ -256,12 +270,12 @@
 		log := logtest.New()
 		a := newNode(t, log, "a", nil)
 		a.put(t, accept(a.put(t, change("x.toml", "", 0))))
-		require.NoError(t, a.follower.WaitFor(t.Context(), 2))
+		a.await(t, 2)
 		a.client.Set(logtest.Faults{Down: true})
 		b := newNode(t, log, "b", peerState{a})
 		b.client.Set(logtest.Faults{Down: true})
 		began := time.Now()
-		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		b.await(t, 2)
 		require.Less(t, time.Since(began), 5*time.Second)
 		require.Equal(t, "x.toml", b.follower.View().Files[0].Name)
 		require.True(t, b.follower.Status().FromPeer)
@@ -269,7 +283,7 @@
 		a.client.Set(logtest.Faults{})
 		b.client.Set(logtest.Faults{})
 		a.put(t, change("y.toml", "", 0))
-		require.NoError(t, b.follower.WaitFor(t.Context(), 3))
+		b.await(t, 3)
 		require.False(t, b.follower.Status().FromPeer)
 	})
 }
@@ -282,11 +296,11 @@
 		a := newNode(t, log, "a", nil)
 		a.put(t, change("x.toml", "", 0))
 		b := newNode(t, log, "b", peerState{a})
-		require.NoError(t, b.follower.WaitFor(t.Context(), 1))
+		b.await(t, 1)
 		b.client.Set(logtest.Faults{Down: true})
 		a.put(t, accept(1))
 		began := time.Now()
-		require.NoError(t, b.follower.WaitFor(t.Context(), 2))
+		b.await(t, 2)
 		require.Len(t, b.follower.View().Files, 1)
 		t.Logf("seen through a peer after %v", time.Since(began))
 	})
@@ -308,7 +322,7 @@
 		a.put(t, change("late.toml", "", 0))
 		log.Trim(platform.StreamConfig, 9)
 		b := newNode(t, log, "b", nil)
-		require.NoError(t, b.follower.WaitFor(t.Context(), a.follower.Status().Offset))
+		b.await(t, a.follower.Status().Offset)
 		require.Equal(t, a.follower.View().Files, b.follower.View().Files)
 		require.Len(t, b.follower.View().Pending, 1)
 	})
@@ -321,17 +335,17 @@
 		for i := range 4 {
 			a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
 		}
-		require.NoError(t, a.follower.WaitFor(t.Context(), 4))
+		a.await(t, 4)
 		checkpoint := a.follower.Checkpoint()
 		a.put(t, change("more.toml", "", 0), change("more.toml", "", 0))
 		a.put(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: checkpoint}})
-		require.NoError(t, a.follower.WaitFor(t.Context(), 7), "a has read what is about to age out")
+		a.await(t, 7)
 		log.Trim(platform.StreamConfig, 6)
 		b := newNode(t, log, "b", nil)
 		time.Sleep(time.Minute)
 		require.Nil(t, b.follower.View(), "the checkpoint covers 4 and record 5 is gone")
 		c := newNode(t, log, "c", peerState{a})
-		require.NoError(t, c.follower.WaitFor(t.Context(), 7))
+		c.await(t, 7)
 		require.Len(t, c.follower.View().Pending, 6)
 	})
 }
@@ -342,18 +356,18 @@
 		log := logtest.New()
 		a, b := newNode(t, log, "a", nil), newNode(t, log, "b", nil)
 		a.put(t, change("x.toml", "", 0))
-		require.NoError(t, b.follower.WaitFor(t.Context(), 1))
+		b.await(t, 1)
 		b.client.Set(logtest.Faults{Down: true})
 		time.Sleep(30 * time.Second)
 		a.put(t, accept(1), change("y.toml", "", 0))
-		require.NoError(t, a.follower.WaitFor(t.Context(), 3))
+		a.await(t, 3)
 		checkpoint := a.follower.Checkpoint()
 		log.Trim(platform.StreamConfig, 4)
 		b.client.Set(logtest.Faults{})
 		time.Sleep(30 * time.Second)
 		require.EqualValues(t, 1, b.follower.View().Offset)
 		a.put(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: checkpoint}})
-		require.NoError(t, b.follower.WaitFor(t.Context(), 4))
+		b.await(t, 4)
 		require.Len(t, b.follower.View().Files, 1)
 	})
 }
@@ -386,7 +400,7 @@
 		_, err := a.client.Append(t.Context(), platform.StreamConfig, [][]byte{{0xff, 0xff}, {0xc2, 0x3e, 0x01, 'x'}})
 		require.NoError(t, err)
 		a.put(t, change("x.toml", "", 0))
-		require.NoError(t, a.follower.WaitFor(t.Context(), 3))
+		a.await(t, 3)
 		require.EqualValues(t, 1, a.follower.Status().Unknown)
 		require.Len(t, a.follower.View().Pending, 1)
 	})
