logsync: verdicts under race, cut and mixed versions, checked by history

Cause: the rule that the first verdict on the oldest change stands had no history check, and the time until a change is in force was not measured. Change: porcupine checks racing edits of one file through three instances with lost answers; a judge that ignores the base makes the check fail. Tests for a dead judge, a failure domain cut off during a publish, and judges of two program versions that disagree. A follower that begins anew no longer counts as caught up until its first read.

--- /dev/null
+++ b/logsync/judge_test.go
@@ -0,0 +1,271 @@
+package logsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/logsync/logtest"
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/replay"
+)
+
+// inForceWithin is what the users were promised from acceptance on.
+const inForceWithin = 8 * time.Second
+
+func judged(t *testing.T, log *logtest.Log, ids ...string) []*node {
+	var nodes []*node
+	for _, id := range ids {
+		n := newNode(t, log, id, nil)
+		n.judge(ids...)
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// verdictOn waits until the change at the offset has its verdict.
+func (n *node) verdictOn(t *testing.T, offset platform.Offset) *replay.ConfigView {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+	defer cancel()
+	for {
+		changed := n.follower.Changed()
+		if v := n.follower.View(); v != nil && v.Offset >= offset && (len(v.Pending) == 0 || v.Pending[0].Offset > offset) {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			require.FailNow(t, "no verdict")
+		}
+	}
+}
+
+func TestInForceEverywhereWithinSeconds(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 250 * time.Millisecond, time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logtest.New()
+				var ids []string
+				for i := range 18 {
+					ids = append(ids, fmt.Sprintf("n%d", i))
+				}
+				nodes := judged(t, log, ids...)
+				for _, n := range nodes {
+					n.client.Set(logtest.Faults{Delay: delay})
+				}
+				time.Sleep(5*time.Second + 7*time.Millisecond)
+				proposed := time.Now()
+				offset := nodes[0].put(t, change("x.toml", "", 0))
+				for len(log.Records(platform.StreamConfig)) < 2 {
+					time.Sleep(time.Millisecond)
+				}
+				accepted := time.Now()
+				for _, n := range nodes {
+					require.Len(t, n.verdictOn(t, offset).Files, 1)
+				}
+				t.Logf("delay %v each way: accepted %v after publishing, in force on all 18 after %v more",
+					delay, accepted.Sub(proposed), time.Since(accepted))
+				require.Less(t, time.Since(accepted), inForceWithin)
+			})
+		})
+	}
+}
+
+// TestJudgeDead: the others step in.
+func TestJudgeDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		n := newNode(t, log, "alive", nil)
+		n.judge("alive", "dead-1", "dead-2")
+		for i := range 5 {
+			began := time.Now()
+			offset := n.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
+			require.Len(t, n.verdictOn(t, offset).Files, i+1)
+			require.LessOrEqual(t, time.Since(began), 3*judgeStepIn)
+		}
+	})
+}
+
+// TestDomainCutOffDuringAPublish: the failure domain that is cut off keeps what
+// was in force, catches up within seconds of its return, and never goes back.
+func TestDomainCutOffDuringAPublish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		nodes := judged(t, log, "a", "b", "c")
+		first := nodes[0].put(t, change("x.toml", "", 0))
+		for _, n := range nodes {
+			n.verdictOn(t, first)
+		}
+		cut := nodes[2]
+		cut.client.Set(logtest.Faults{Down: true})
+		second := nodes[0].put(t, change("x.toml", "# new", first))
+		nodes[0].verdictOn(t, second)
+		time.Sleep(time.Hour / 2)
+		require.Equal(t, first, cut.follower.View().Base("x.toml"))
+		cut.client.Set(logtest.Faults{})
+		healed := time.Now()
+		require.Equal(t, second, cut.verdictOn(t, second).Base("x.toml"))
+		require.Less(t, time.Since(healed), inForceWithin)
+		t.Logf("in force %v after the cut healed", time.Since(healed))
+	})
+}
+
+// edit is one publish of a file from a base, as the history check sees it.
+type edit struct{ base, offset platform.Offset }
+
+// fileModel: an edit is accepted exactly if its base is the version in force.
+var fileModel = porcupine.Model{
+	Init: func() any { return platform.Offset(0) },
+	Step: func(state, input, output any) (bool, any) {
+		in, accepted := input.(edit), output.(bool)
+		if accepted {
+			return state == in.base, in.offset
+		}
+		return state != in.base, state
+	},
+}
+
+// raceEdits has operators at all nodes edit one file at the same time, each from
+// the version that its own instance shows, and returns the history.
+func raceEdits(t *testing.T, nodes []*node, seed uint64) []porcupine.Operation {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	began := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wait sync.WaitGroup
+	for editor := range 6 {
+		n := nodes[editor%len(nodes)]
+		pause := time.Duration(rng.IntN(500)) * time.Millisecond
+		wait.Go(func() {
+			for range 6 {
+				time.Sleep(pause)
+				call := time.Now()
+				base := platform.Offset(0)
+				if v := n.follower.View(); v != nil {
+					base = v.Base("x.toml")
+				}
+				offset := n.put(t, change("x.toml", fmt.Sprintf("# %d", editor), base))
+				accepted := acceptedIn(t, n, offset)
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: editor, Input: edit{base, offset}, Output: accepted,
+					Call: int64(call.Sub(began)), Return: int64(time.Since(began)),
+				})
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return history
+}
+
+// acceptedIn says whether the change came into force: the view right after its
+// verdict, or a later one, is based on it or on an edit of it.
+func acceptedIn(t *testing.T, n *node, offset platform.Offset) bool {
+	n.verdictOn(t, offset)
+	m := replay.NewConfig()
+	batch, err := n.client.Read(t.Context(), platform.StreamConfig, 1, 1<<20, 0)
+	require.NoError(t, err)
+	for _, r := range batch.Records {
+		m.Apply(r.Offset, mustDecode(t, r))
+		if m.Base("x.toml") == offset {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRacingEditsAreLinearizable(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			nodes := judged(t, logtest.New(), "a", "b", "c")
+			for i, n := range nodes {
+				n.client.Set(logtest.Faults{Delay: time.Duration(i*40) * time.Millisecond, LoseAnswers: i})
+			}
+			history := raceEdits(t, nodes, seed)
+			require.True(t, porcupine.CheckOperations(fileModel, history))
+			accepted := 0
+			for _, o := range history {
+				if o.Output.(bool) {
+					accepted++
+				}
+			}
+			require.Greater(t, accepted, 0)
+			require.Less(t, accepted, len(history), "no edits raced")
+		})
+	}
+}
+
+// TestCheckBitesWithoutTheBase: a judge that accepts whatever its base.
+func TestCheckBitesWithoutTheBase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		var nodes []*node
+		for _, id := range []string{"a", "b", "c"} {
+			nodes = append(nodes, newNode(t, log, id, nil))
+		}
+		nodes[0].start(func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				changed := nodes[0].follower.Changed()
+				if v := nodes[0].follower.View(); v != nil && len(v.Pending) > 0 {
+					_, _ = nodes[0].writer.Append(ctx, platform.StreamConfig, accept(v.Pending[0].Offset))
+				}
+				awaitChange(ctx, changed, time.Second)
+			}
+			return nil
+		})
+		require.False(t, porcupine.CheckOperations(fileModel, raceEdits(t, nodes, 1)))
+	})
+}
+
+// TestMixedProgramVersions: judges that disagree leave no two readers with
+// different files in force.
+func TestMixedProgramVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		nodes := judged(t, log, "a", "b")
+		stern := newNode(t, log, "stern", nil)
+		stern.start(func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				changed := stern.follower.Changed()
+				if v := stern.follower.View(); v != nil && len(v.Pending) > 0 {
+					r := &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{
+						Change: uint64(v.Pending[0].Offset), Reason: "another version's rule"}}}
+					_, _ = stern.writer.Append(ctx, platform.StreamConfig, r)
+				}
+				awaitChange(ctx, changed, time.Second)
+			}
+			return nil
+		})
+		nodes = append(nodes, stern)
+		for i, n := range nodes {
+			n.client.Set(logtest.Faults{Delay: time.Duration(10+i*3) * time.Millisecond})
+		}
+		var last platform.Offset
+		for i := range 30 {
+			last = nodes[i%3].put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
+			nodes[(i+1)%3].verdictOn(t, last)
+		}
+		for _, n := range nodes {
+			require.Equal(t, nodes[0].verdictOn(t, last).Files, n.verdictOn(t, last).Files)
+		}
+		verdicts, changes := 0, 0
+		for _, r := range decoded(t, log) {
+			if r.GetConfigVerdict() != nil {
+				verdicts++
+			}
+			if r.GetConfigChange() != nil {
+				changes++
+			}
+		}
+		require.Greater(t, verdicts, changes, "the judges never disagreed in time")
+	})
+}
--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -116,13 +116,17 @@
 func decoded(t *testing.T, log *logtest.Log) []*record.Record {
 	var out []*record.Record
 	for _, r := range log.Records(platform.StreamConfig) {
-		d := &record.Record{}
-		require.NoError(t, proto.Unmarshal(r.Data, d))
-		out = append(out, d)
+		out = append(out, mustDecode(t, r))
 	}
 	return out
 }
 
+func mustDecode(t *testing.T, r platform.Record) *record.Record {
+	d := &record.Record{}
+	require.NoError(t, proto.Unmarshal(r.Data, d))
+	return d
+}
+
 func TestFollowerSeesWhatAWriterAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logtest.New()
--- a/logsync/start.go
+++ b/logsync/start.go
@@ -55,6 +55,7 @@
 	defer f.mu.Unlock()
 	f.machine = f.opts.New(oldest)
 	f.status.Offset = oldest - 1
+	f.status.CaughtUp = false
 	f.opts.Logger.WithField("from", oldest).Info("stream followed from its oldest kept record")
 	return nil
 }
