--- a/claims/claims.go
+++ b/claims/claims.go
@@ -15,7 +15,8 @@
 const Shards = 16
 
 // Window is how long a claim is remembered: a resend within it finds the first
-// request. It must be well below the time that the log keeps records.
+// request. It must be well below the time that the log keeps records
+// (logsync.MinRetention): what aged out of the log is older than the window.
 const Window = 15 * time.Minute
 
 // Verdict is what a claimant learns.
