--- a/config/config_test.go
+++ b/config/config_test.go
@@ -243,3 +243,19 @@
 	require.NotNil(t, refusal)
 	require.Equal(t, "meshes", refusal.Key.String())
 }
+
+func TestExplainNamesEachValuesSource(t *testing.T) {
+	base, night := kitchen("10-base.toml", kitchenBase), kitchen("20-night.toml", "[models.tray-planner]\nmax_tokens = 64\n")
+	base.Offset, night.Offset = 3, 9
+	c, from, err := Build([]File{night, base})
+	require.NoError(t, err)
+	byKey := map[string]ExplainedSetting{}
+	for _, s := range Explain(c, from).Settings {
+		byKey[s.Key] = s
+	}
+	require.Equal(t, ExplainedSetting{Key: "models.tray-planner.max_tokens", Value: []byte("64"), File: "20-night.toml", Partner: "kitchen", Author: "ana", Offset: 9},
+		byKey["models.tray-planner.max_tokens"])
+	require.Equal(t, "10-base.toml", byKey["models.tray-planner.mib"].File)
+	require.Equal(t, ExplainedSetting{Key: "models.tray-planner.per_token_ms", Value: []byte("37"), Default: true}, byKey["models.tray-planner.per_token_ms"])
+	require.JSONEq(t, `["dock-hall-a","dock-hall-b"]`, string(byKey["pools.galley-models.failure_domains"].Value))
+}
