--- a/control/controller.go
+++ b/control/controller.go
@@ -112,6 +112,7 @@
 	start(1, c.appendRecords)
 	core := newCore(c.o, time.Now())
 	c.loop(ctx, core)
+	c.public.Store(&public{}) // holds nothing, orders nothing from here on
 	close(c.ended)
 	c.closeRings()
 	err := workers.Wait()
--- a/control/core.go
+++ b/control/core.go
@@ -13,6 +13,7 @@
 	"greengageferry/fleet"
 	"greengageferry/platform"
 	"greengageferry/record"
+	"greengageferry/rendezvous"
 	"greengageferry/replay"
 )
 
@@ -63,16 +64,16 @@
 	rng     *rand.Rand
 	planner Planner
 
-	lease  *LeaseKeeper
-	member membership
-	pace   *pacer
-	view   *replay.ControlView
-	others map[string]*replay.ControlView
-	list   *fleet.List
-	cfg    *config.Config
-	// From the list: the domain's live entry instances and its engines, by id.
-	entries, engines []platform.Instance
-	down             bool // the log can't be read
+	lease   *LeaseKeeper
+	member  membership
+	pace    *pacer
+	view    *replay.ControlView
+	others  map[string]*replay.ControlView
+	list    *fleet.List
+	cfg     *config.Config
+	entries []string            // from the list: the domain's live entry instances
+	engines []platform.Instance // from the list: the domain's model engines
+	down    bool                // the log can't be read
 
 	listedAt time.Time // when this instance last saw itself on the list
 	idle     bool      // no own order is under way
@@ -160,7 +161,7 @@
 	}
 	if in.list != nil && in.list != c.list {
 		c.list = in.list
-		c.entries = in.list.Entries(c.domain)
+		c.entries = idsOf(in.list.Entries(c.domain))
 		c.engines = enginesOf(in.list, c.domain)
 		if _, listed := in.list.Get(c.self); listed {
 			c.listedAt = in.list.Read
@@ -226,6 +227,14 @@
 	return s
 }
 
+func idsOf(instances []platform.Instance) []string {
+	var out []string
+	for _, i := range instances {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
 // enginesOf returns a domain's model engines on the list, by id.
 func enginesOf(list *fleet.List, domain string) []platform.Instance {
 	return list.Select(func(i platform.Instance) bool {
@@ -236,7 +245,7 @@
 // rank returns this instance's place for the topic among the domain's live
 // entry instances, and whether it is one of them.
 func (c *core) rank(topic string) (int, bool) {
-	return rankOf(c.self, topic+"/"+c.domain, c.entries)
+	return rendezvous.Rank(topic+"/"+c.domain, c.entries, c.self), slices.Contains(c.entries, c.self)
 }
 
 // shouldOrder says whether this instance is one of the domain's few orderers:
--- /dev/null
+++ b/control/fakelog_test.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/replay"
+)
+
+// fakeLog is one control stream, with every follower of it.
+type fakeLog struct {
+	mu        sync.Mutex
+	records   []*record.Record
+	down      bool
+	followers []*follower
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	l.spread()
+}
+
+// spread lets each follower that isn't cut off read to the end. The caller holds mu.
+func (l *fakeLog) spread() {
+	for _, f := range l.followers {
+		if l.down || f.cut {
+			continue
+		}
+		for int(f.machine.Offset()) < len(l.records) {
+			next := f.machine.Offset() + 1
+			f.machine.Apply(next, l.records[next-1])
+		}
+		f.view = f.machine.View()
+		select {
+		case f.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *fakeLog) follower() *follower {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := &follower{log: l, machine: replay.NewControl(), changed: make(chan struct{}, 1)}
+	l.followers = append(l.followers, f)
+	l.spread()
+	return f
+}
+
+// follower is one instance's connection to the log: its Views and Appender.
+type follower struct {
+	log        *fakeLog
+	machine    *replay.Control
+	view       *replay.ControlView
+	changed    chan struct{}
+	cut        bool
+	origin     string
+	sequence   uint64
+	loseAnswer bool // of the next append
+}
+
+func (f *follower) View() *replay.ControlView {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	return f.view
+}
+
+func (f *follower) Changed() <-chan struct{} { return f.changed }
+
+func (f *follower) Down() bool {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	return f.log.down || f.cut
+}
+
+func (f *follower) setCut(cut bool) {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	f.cut = cut
+	f.log.spread()
+}
+
+func (f *follower) Append(ctx context.Context, _ string, records ...*record.Record) (platform.Offset, error) {
+	if f.Down() {
+		<-ctx.Done()
+		return 0, &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout, Effect: platform.EffectNone}
+	}
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	for _, r := range records {
+		f.sequence++
+		r.Origin, r.Sequence = f.origin, f.sequence
+	}
+	first := platform.Offset(len(f.log.records) + 1)
+	f.log.records = append(f.log.records, records...)
+	f.log.spread()
+	if f.loseAnswer {
+		f.loseAnswer = false
+		return 0, &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout}
+	}
+	return first, nil
+}
+
+func (f *follower) loseNextAnswer() {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	f.loseAnswer = true
+}
+
+func (l *fakeLog) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
--- a/control/orderers.go
+++ b/control/orderers.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"greengageferry/platform"
 	"greengageferry/record"
 	"greengageferry/replay"
@@ -66,21 +64,6 @@
 	return &record.Record{Body: &record.Record_OrdererLeave{OrdererLeave: &record.OrdererLeave{Instance: instance}}}
 }
 
-// rankOf returns the instance's place among the domain's live entry instances
-// by rendezvous hashing for the topic, and false if it isn't among them.
-func rankOf(instance, topic string, entries []platform.Instance) (int, bool) {
-	own := xxhash.Sum64String(topic + "/" + instance)
-	rank, listed := 0, false
-	for _, e := range entries {
-		if e.ID == instance {
-			listed = true
-		} else if h := xxhash.Sum64String(topic + "/" + e.ID); h > own || h == own && e.ID < instance {
-			rank++
-		}
-	}
-	return rank, listed
-}
-
 // confirmation is an orderer's word on how far it has applied the stream.
 type confirmation struct {
 	joined platform.Offset // the join that it is of
