--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -324,6 +324,14 @@
 	return t
 }
 
+type ctxT = context.Context
+
+func logTo(w io.Writer) logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(w)
+	return l
+}
+
 func quietLog() logrus.FieldLogger {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
