logsync: what following the log costs an instance, measured

Cause: a node may spend 3 KB/s and 2.2% of a core on control, and nothing said what one record, read or verdict costs. Change: benchmarks over HTTP against the stand-in log, bytes counted at the codec and at the socket, processor time of the whole process.

--- /dev/null
+++ b/logsync/cost_test.go
@@ -0,0 +1,282 @@
+package logsync_test
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"greengageferry/config"
+	"greengageferry/logsync"
+	"greengageferry/platform"
+	"greengageferry/record"
+	"greengageferry/replay"
+	"greengageferry/standin"
+	"greengageferry/traffic"
+)
+
+// bench follows one stream of a stand-in log over HTTP and counts what it costs.
+type bench[V any] struct {
+	b        *testing.B
+	log      *standin.Log
+	stream   string
+	vars     *expvar.Map
+	wire     *atomic.Int64 // bytes at the sockets, both ways, headers and all
+	follower *logsync.Follower[V]
+}
+
+func quietLogger() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+func follow[V any](b *testing.B, stream string, machine logsync.State[V]) *bench[V] {
+	c := &bench[V]{b: b, log: standin.NewLog(standin.LogOptions{AppendsPerSecond: 1e6}), stream: stream, vars: new(expvar.Map), wire: new(atomic.Int64)}
+	server := httptest.NewServer(c.log)
+	base := countedTransport(c.wire)
+	client := &http.Client{Transport: &traffic.Transport{Base: base, Counters: traffic.NewCounters(c.vars)}}
+	c.follower = logsync.NewFollower(logsync.FollowerOptions[V]{
+		Log: platform.NewHTTPLog(server.URL, client), Stream: stream, Spacing: -1, Logger: quietLogger(),
+		New: func(platform.Offset) logsync.State[V] { return machine },
+	})
+	ctx, cancel := context.WithCancel(b.Context())
+	var group errgroup.Group
+	group.Go(func() error { return c.follower.Run(ctx) })
+	b.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+		base.CloseIdleConnections()
+		server.Close()
+	})
+	return c
+}
+
+// countedConn counts what a client's connection sends and receives.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func countedTransport(bytes *atomic.Int64) *http.Transport {
+	return &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: conn, bytes: bytes}, nil
+	}}
+}
+
+// put appends records and waits until the follower has read them.
+func (c *bench[V]) put(records ...*record.Record) {
+	var data [][]byte
+	for _, r := range records {
+		encoded, err := proto.Marshal(r)
+		require.NoError(c.b, err)
+		data = append(data, encoded)
+	}
+	first, err := c.log.Append(c.b.Context(), c.stream, data)
+	require.NoError(c.b, err)
+	require.NoError(c.b, c.follower.WaitFor(c.b.Context(), first+platform.Offset(len(records))-1))
+}
+
+func (c *bench[V]) received() int64 {
+	v, _ := c.vars.Get("read.received_bytes").(*expvar.Int)
+	if v == nil {
+		return 0
+	}
+	return v.Value()
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measure runs op again and again and reports what one costs. The processor
+// time has the stand-in's own part in it.
+func (c *bench[V]) measure(op func(i int)) {
+	bytes, wire, cpu := c.received(), c.wire.Load(), processorTime()
+	i := 0
+	for c.b.Loop() {
+		op(i)
+		i++
+	}
+	c.b.ReportMetric(float64(c.received()-bytes)/float64(i), "bytes/op")
+	c.b.ReportMetric(float64(c.wire.Load()-wire)/float64(i), "wire-bytes/op")
+	c.b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(i), "cpu-us/op")
+}
+
+func items(n int) []*record.Item {
+	var out []*record.Item
+	for i := range n {
+		out = append(out, &record.Item{Model: fmt.Sprintf("model-%04d", i), Adapter: "adapter-0001", Version: "2026-11-30", Mib: 512})
+	}
+	return out
+}
+
+func assignment(server, n int) *record.Record {
+	return &record.Record{Origin: "entry-0001/7c2f1f5e-0000-0000-0000-000000000000", Body: &record.Record_Assignment{Assignment: &record.Assignment{
+		Lease: 1, Server: fmt.Sprintf("server-%04d", server), Pool: "galley-models", MemoryMib: 81920, Items: items(n), Reason: "demand",
+	}}}
+}
+
+func lease() *record.Record {
+	return &record.Record{Body: &record.Record_LeaseClaim{LeaseClaim: &record.LeaseClaim{Holder: "entry-0001", DurationMs: 8000}}}
+}
+
+// BenchmarkCostControl: what one record of a failure domain's control stream
+// costs a reader, by the servers of the domain and the items of a server.
+func BenchmarkCostControl(b *testing.B) {
+	for _, servers := range []int{20, 100, 211} {
+		for _, n := range []int{2, 8, 32} {
+			b.Run(fmt.Sprintf("servers=%d/items=%d", servers, n), func(b *testing.B) {
+				c := follow[replay.ControlView](b, platform.ControlStream("dock-hall-a"), replay.NewControl())
+				c.put(lease())
+				for s := range servers {
+					c.put(assignment(s, n))
+				}
+				c.measure(func(i int) { c.put(assignment(i%servers, n)) })
+			})
+		}
+	}
+}
+
+// BenchmarkCostRenewal: what one lease renewal costs a reader of the stream.
+func BenchmarkCostRenewal(b *testing.B) {
+	for _, servers := range []int{20, 100, 211} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c := follow[replay.ControlView](b, platform.ControlStream("dock-hall-a"), replay.NewControl())
+			c.put(lease())
+			for s := range servers {
+				c.put(assignment(s, 8))
+			}
+			c.measure(func(int) {
+				c.put(&record.Record{Body: &record.Record_LeaseRenewal{LeaseRenewal: &record.LeaseRenewal{Lease: 1}}})
+			})
+		})
+	}
+}
+
+// modelFile declares n models.
+func modelFile(from, n, generation int) string {
+	var text strings.Builder
+	for i := range n {
+		fmt.Fprintf(&text, "[models.m%d]\nversion = \"%d\"\npools = [\"p\"]\nmib = 512\nmax_tokens = 512\n", from+i, generation)
+	}
+	return text.String()
+}
+
+// BenchmarkCostConfig: what one change of a file, with its verdict and the
+// building of what is then in force, costs an instance, by the models of all
+// files and of the file.
+func BenchmarkCostConfig(b *testing.B) {
+	for _, size := range []struct{ models, file int }{{100, 10}, {400, 10}, {870, 10}, {870, 50}, {870, 145}} {
+		b.Run(fmt.Sprintf("models=%d/file=%d", size.models, size.file), func(b *testing.B) {
+			c := follow[replay.ConfigView](b, platform.StreamConfig, replay.NewConfig())
+			builder := config.NewBuilder()
+			change := func(file, content string) {
+				next := c.follower.Status().Offset + 1
+				c.put(&record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
+					File: file, Partner: "kitchen", Author: "ana", Content: []byte(content)}}},
+					&record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{Change: uint64(next), Accepted: true, File: file}}})
+				_, _, refusal := builder.InForce(filesOf(c.follower.View()))
+				require.Nil(b, refusal)
+			}
+			change("00.toml", "[pools.p]\nfailure_domains = [\"a\"]\nservers = 1900\nmemory_mib = 80000\nslots = 16\n")
+			for from := 0; from < size.models; from += size.file {
+				change(fmt.Sprintf("m%d.toml", from), modelFile(from, min(size.file, size.models-from), 0))
+			}
+			c.measure(func(i int) { change("m0.toml", modelFile(0, size.file, i+1)) })
+		})
+	}
+}
+
+func filesOf(view *replay.ConfigView) []config.File {
+	var out []config.File
+	for _, f := range view.Files {
+		out = append(out, config.File{Name: f.Name, Partner: f.Partner, Author: f.Author, Content: f.Content, Removed: f.Removed, Offset: uint64(f.Offset)})
+	}
+	return out
+}
+
+// BenchmarkCostIdleRead: what a read that brings nothing costs; a follower makes
+// one in DefaultPoll.
+func BenchmarkCostIdleRead(b *testing.B) {
+	c := follow[replay.ConfigView](b, platform.StreamConfig, replay.NewConfig())
+	c.put(&record.Record{})
+	server := httptest.NewServer(c.log)
+	defer server.Close()
+	base := countedTransport(c.wire)
+	defer base.CloseIdleConnections()
+	log := platform.NewHTTPLog(server.URL, &http.Client{Transport: &traffic.Transport{Base: base, Counters: traffic.NewCounters(c.vars)}})
+	c.measure(func(int) {
+		_, err := log.Read(b.Context(), platform.StreamConfig, 2, 10, time.Millisecond)
+		require.NoError(b, err)
+	})
+}
+
+// BenchmarkCostState: the bytes of the state that a peer sends to a newcomer
+// while the log is down.
+func BenchmarkCostState(b *testing.B) {
+	for _, servers := range []int{20, 100, 211} {
+		b.Run(fmt.Sprintf("control/servers=%d", servers), func(b *testing.B) {
+			m := replay.NewControl()
+			m.Apply(1, lease())
+			for s := range servers {
+				m.Apply(platform.Offset(s+2), assignment(s, 8))
+			}
+			reportState(b, m)
+		})
+	}
+	for _, models := range []int{100, 400, 870} {
+		b.Run(fmt.Sprintf("config/models=%d", models), func(b *testing.B) {
+			m := replay.NewConfig()
+			at := platform.Offset(0)
+			for from := 0; from < models; from += 10 {
+				at += 2
+				m.Apply(at-1, &record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
+					File: fmt.Sprintf("m%d.toml", from), Partner: "kitchen", Author: "ana", Content: []byte(modelFile(from, 10, 0))}}})
+				m.Apply(at, &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{Change: uint64(at - 1), Accepted: true}}})
+			}
+			reportState(b, m)
+		})
+	}
+}
+
+func reportState(b *testing.B, m replay.Machine) {
+	size := 0
+	for b.Loop() {
+		data, err := proto.Marshal(m.Checkpoint())
+		require.NoError(b, err)
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -39,3 +39,18 @@
 		require.InDelta(t, 200, led[m], 60, m)
 	}
 }
+
+// BenchmarkLeader: what it costs to know who leads one shard, by the members.
+func BenchmarkLeader(b *testing.B) {
+	for _, n := range []int{41, 185, 370} {
+		members := make([]string, n)
+		for i := range members {
+			members[i] = fmt.Sprintf("entry-%04d/dock-hall-a", i)
+		}
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				Leader("claims/3", members)
+			}
+		})
+	}
+}
