--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/caller"
+	"greengageferry/claims"
 	"greengageferry/control"
 	"greengageferry/decide"
 	"greengageferry/demand"
@@ -67,6 +68,8 @@
 	peerTraffic   *traffic.Counters
 	states        *peer.States
 	missing       *missing
+	batchers      *claims.Batchers
+	claimer       *claims.Client
 	controller    atomic.Pointer[control.Controller]
 
 	listeners map[string]*listener
@@ -85,6 +88,7 @@
 	i.wireList()
 	i.wirePeers()
 	i.wireStreams()
+	i.wireClaims()
 	i.wireDemand()
 	i.wireMissing()
 	if err := i.wireCaller(); err != nil {
@@ -280,7 +284,7 @@
 		Directory:     i.configuration,
 		Engine:        i.opts.Platform.Engine,
 		Services:      i.opts.Platform.Services,
-		Claimer:       i.claimer(),
+		Claimer:       i.claimer,
 		Quarantine:    &quarantine{follower: i.quarantined, appender: i.writer, log: i.log},
 		Answers: &answers{
 			client: i.peers,
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -21,7 +21,10 @@
 // holdingDuties are what the instance does for its failure domain. They end
 // first in a shutdown, so that another instance takes over at once.
 func (i *Instance) holdingDuties() []supervise.Duty {
-	return []supervise.Duty{{Name: "control", Run: i.runControl}}
+	return []supervise.Duty{
+		{Name: "control", Run: i.runControl},
+		{Name: "claim batchers", Run: i.batchers.Run},
+	}
 }
 
 // runControl runs a controller. Each run has a new one: a controller that
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+
+	"greengageferry/config"
 )
 
 // The operators' paths.
@@ -24,6 +26,7 @@
 	mux.HandleFunc("GET "+PathReady, i.serveReady)
 	mux.HandleFunc("GET "+PathMetrics, i.serveMetrics)
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, i.Status()) })
+	mux.HandleFunc("GET "+PathExplain, i.serveExplain)
 	return mux
 }
 
@@ -42,6 +45,17 @@
 	writeJSON(w, status, readiness{Ready: len(reasons) == 0, Reasons: reasons})
 }
 
+func (i *Instance) serveExplain(w http.ResponseWriter, _ *http.Request) {
+	current := i.configuration.current.Load()
+	if current == nil {
+		writeJSON(w, http.StatusServiceUnavailable, readiness{Reasons: i.notReady()})
+		return
+	}
+	explained := config.Explain(current.config, current.provenance)
+	explained.Offset = current.changed
+	writeJSON(w, http.StatusOK, explained)
+}
+
 func (i *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = io.WriteString(w, i.metrics.String()) // a reader that has gone needs no answer
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -44,7 +44,7 @@
 		FailureDomain: i.domain(),
 		State:         i.checkpoint,
 		Applied:       i.applied,
-		Claims:        i.claimServer(),
+		Claims:        i.batchers,
 		Answer:        i.answerFor,
 		Rates:         i.rates,
 		Missing:       i.tellController,
--- a/entry/run.go
+++ b/entry/run.go
@@ -85,6 +85,7 @@
 		supervise.Duty{Name: "routing", Run: i.routing.run},
 		supervise.Duty{Name: "caller", Run: i.caller.Run},
 		supervise.Duty{Name: "missing", Run: i.missing.run},
+		supervise.Duty{Name: "claims", Run: i.claimer.Run},
 	)
 	duties := []supervise.Duty{log, serving}
 	for name, l := range i.listeners {
