decide: the experiment's stores load as fast as their rate says; the least-recently-used baseline looks at all domains

Cause: loads took 10 to 28 s where the stores' rates and concurrency mean 1 and 7 s, so that the largest size never settled; and the baseline loaded what other domains had free slots for, which made it weaker than it is.

--- a/decide/baselines_test.go
+++ b/decide/baselines_test.go
@@ -102,22 +102,23 @@
 }
 
 func (l *lru) wanted(t *Target) {
-	full := true
-	for _, e := range l.d.engines {
-		if e.serves(t.Name) {
-			e.used[platform.Key{Model: t.Model}] = l.w.now
-			full = full && e.running+len(e.waiting) >= e.Slots
-		} else if slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return nameOfItem(i) == t.Name }) {
-			return // it is being loaded
-		}
-	}
-	if !full || l.w.loading[t.Partner] >= 2*l.w.stores[t.Partner].ConcurrentLoads {
+	if l.w.loading[t.Partner] >= l.w.stores[t.Partner].ConcurrentLoads {
 		return
 	}
 	var best *simEngine
-	for _, e := range l.d.engines {
-		if !e.serves(t.Name) && e.running+len(e.waiting) < e.Slots && (best == nil || e.running+len(e.waiting) < best.running+len(best.waiting)) {
-			best = e
+	for _, d := range l.w.domains {
+		for _, e := range d.engines {
+			has := slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return nameOfItem(i) == t.Name })
+			if has {
+				e.used[platform.Key{Model: t.Model}] = l.w.now
+			}
+			switch load := e.running + len(e.waiting); {
+			case has && (load < e.Slots || !e.serves(t.Name)):
+				return // a free slot, or it is being loaded
+			case has:
+			case d == l.d && load < e.Slots && (best == nil || load < best.running+len(best.waiting)):
+				best = e
+			}
 		}
 	}
 	if best != nil {
--- a/decide/experiment_test.go
+++ b/decide/experiment_test.go
@@ -29,7 +29,7 @@
 	simMemory = 80000 // MiB
 	simStep   = 0.025 // seconds for a token, alone
 	simTokens = 200.0 // of a mean answer
-	simPlan   = 5 * time.Second
+	simPlan   = 2 * time.Second
 	simTable  = 2 * time.Second // how late a change of what is ready is known
 	simReport = time.Second     // between two exchanges of load reports
 	simSettle = 10 * time.Minute
@@ -150,6 +150,14 @@
 	return c
 }
 
+func (z size) meanMiB() float64 {
+	sum := 0.0
+	for _, mib := range z.mib {
+		sum += float64(mib)
+	}
+	return sum / float64(len(z.mib))
+}
+
 func newWorld(z size, p policy, seed uint64) *world {
 	w := &world{
 		now: simStart, rng: rand.New(rand.NewPCG(seed, 1)), conf: z.config(),
@@ -180,6 +188,7 @@
 			d.entries = append(d.entries, &simEntry{domain: d, router: p.router(w, d), jobs: map[string]*job{}})
 		}
 	}
+	w.loadMiB = z.meanMiB() * z.store.LoadsPerSecond / float64(z.store.ConcurrentLoads)
 	w.duties(z)
 	return w
 }
--- a/decide/sim_test.go
+++ b/decide/sim_test.go
@@ -101,10 +101,9 @@
 }
 
 const (
-	simCrowding   = 0.5  // how much longer a step takes in a full batch
-	simPrefixes   = 12   // prompt prefixes that an engine keeps
-	simPromptStep = 60   // prompt bytes that take as long as one step
-	simLoadMiB    = 1000 // MiB a second of one load at the store's full speed
+	simCrowding   = 0.5 // how much longer a step takes in a full batch
+	simPrefixes   = 12  // prompt prefixes that an engine keeps
+	simPromptStep = 60  // prompt bytes that take as long as one step
 )
 
 func (e *simEngine) stepTime() float64 {
@@ -250,6 +249,7 @@
 	engines  map[string]*simEngine
 	stores   map[string]platform.StoreLimits
 	loading  map[string]int
+	loadMiB  float64 // MiB a second of one load at the store's full speed
 	result   result
 	dirty    bool                // what is ready has changed
 	adapters map[string][]string // by model
@@ -347,7 +347,7 @@
 	if most := w.stores[owner].ConcurrentLoads; most > 0 {
 		slower = max(1, float64(w.loading[owner])/float64(most))
 	}
-	w.after(seconds(slower*float64(item.MiB)/simLoadMiB), func() {
+	w.after(seconds(slower*float64(item.MiB)/w.loadMiB), func() {
 		w.loading[owner]--
 		if slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return i.Key() == item.Key() }) {
 			e.Ready = append(e.Ready, item)
