--- a/decide/plan.go
+++ b/decide/plan.go
@@ -118,15 +118,19 @@
 	return now.Sub(since) < unreachablePatience
 }
 
+// smoothPressure returns a server's load, and no less than it is now: a burst
+// that fills every server is no reason to move anything, and the moment before
+// the mean has followed it would be the worst one.
 func (p *Planner) smoothPressure(s *PlanServer, elapsed float64) float64 {
 	now := float64(s.Load.Running+s.Load.Waiting) / float64(max(s.Slots, s.Load.Slots, 1))
+	mean := now
 	old, ok := p.pressure[s.ID]
 	if ok {
 		keep := math.Exp2(-elapsed / pressureHalfLife.Seconds())
-		now = old*keep + now*(1-keep)
+		mean = old*keep + now*(1-keep)
 	}
-	p.pressure[s.ID] = now
-	return now
+	p.pressure[s.ID] = mean
+	return max(mean, now)
 }
 
 // add assigns the items to the server, if the store and the memory allow it.
--- a/decide/shift.go
+++ b/decide/shift.go
@@ -14,21 +14,23 @@
 	// two weights are equal. Waiting until a load would have paid for itself
 	// costs at most twice what a planner that knew the future would pay, and no
 	// move follows noise.
-	loadWorth = 20.0
+	loadWorth = 3.0
 	// regretHalfLife is how long a lost request counts: demand that comes and
 	// goes within minutes doesn't add up to a move for ever.
-	regretHalfLife = 2 * time.Minute
+	regretHalfLife = 5 * time.Minute
 	// crowded is the load at which callers of a model begin to wait.
 	crowded = 0.9
 	// spare is the most load that a server may have to be given more to do.
 	spare = 0.7
 	// minResidence is how long an item stays before demand may move it.
-	minResidence = 5 * time.Minute
+	minResidence = 2 * time.Minute
 	// evictRatio is how much more a new replica must be worth than what goes.
-	evictRatio = 2.0
+	evictRatio = 1.0
 )
 
 // observe adds up what callers lost since the last plan for want of a replica.
+// While no server has slots to spare nothing adds up: what is lost then is lost
+// for want of servers, and no move brings it back.
 func (p *Planner) observe(w *planView) {
 	keep := math.Exp2(-w.elapsed / regretHalfLife.Seconds())
 	for name := range p.regret {
@@ -36,6 +38,9 @@
 			delete(p.regret, name)
 		}
 	}
+	if !slices.ContainsFunc(w.servers, func(s *planServer) bool { return s.open && s.pressure <= spare }) {
+		return
+	}
 	for name := range w.in.Demand {
 		if lost := w.unmet(name); lost > 0 && w.declared(w.item(name)) {
 			p.regret[name] += lost * w.elapsed * w.partner(w.owner(w.item(name))).AttainmentWeight
