--- a/entry/listener.go
+++ b/entry/listener.go
@@ -7,22 +7,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-const (
-	// headerTime is how long a caller may take to send a request's header, so
-	// that slow headers hold no connection.
-	headerTime = 5 * time.Second
-	// idleTime is how long a connection between two requests is kept: longer
-	// than the balancer's own, so that this side isn't the first to close.
-	idleTime = 2 * time.Minute
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 32 << 10
-	// closeTime is what connections have to end by themselves once everything
-	// in flight is over.
-	closeTime = 2 * time.Second
+	"greengageferry/caller"
 )
 
+// closeTime is what connections have to end by themselves once everything in
+// flight is over.
+const closeTime = 2 * time.Second
+
 // listener is a duty that serves one of the instance's addresses.
 type listener struct {
 	name    string
@@ -59,12 +51,8 @@
 
 // run serves until ctx ends, and then closes the address.
 func (l *listener) run(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           l.handler,
-		ReadHeaderTimeout: headerTime,
-		IdleTimeout:       idleTime,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := &http.Server{Handler: l.handler}
+	caller.Configure(server)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l.net) }()
 	select {
