entry: the dial can be given

Tests of partitions have to cut an instance off from its peers as well as from the platform; only the platform's clients could be given. The bound on a dial's time now holds for any dial.

--- a/entry/control_bench_test.go
+++ b/entry/control_bench_test.go
@@ -54,7 +54,7 @@
 
 func (w *wire) client() *http.Client {
 	dialer := &net.Dialer{}
-	t := transport()
+	t := transport(nil)
 	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,7 @@
 	Version  string   // the program's, for verdicts and status
 	Log      logrus.FieldLogger
 	Rand     *rand.Rand // nil: seeded at random
+	Dial     Dial       // how it reaches peers, and the platform unless Platform is set; nil: TCP
 }
 
 // Instance is an entry instance.
@@ -80,7 +81,7 @@
 		metrics: new(expvar.Map),
 	}
 	if opts.Platform == (Platform{}) {
-		i.opts.Platform = httpPlatform(opts.Settings)
+		i.opts.Platform = httpPlatform(opts.Settings, opts.Dial)
 	}
 	i.wireList()
 	i.wirePeers()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,7 +14,7 @@
 // wirePeers makes the client to the other entry instances.
 func (i *Instance) wirePeers() {
 	i.peerTraffic = traffic.NewCounters(i.vars("peers"))
-	i.peers = peer.NewClient(transport(), i.opts.Settings.Peers.Token, i.peerTraffic)
+	i.peers = peer.NewClient(transport(i.opts.Dial), i.opts.Settings.Peers.Token, i.peerTraffic)
 	i.states = peer.NewStates(i.peers, i.peerAddrs)
 }
 
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -26,10 +27,29 @@
 	idleConnTime       = 90 * time.Second
 )
 
-// transport returns an HTTP transport with the instance's own limits.
-func transport() *http.Transport {
+// Dial opens a connection, as net.Dialer's DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// transport returns an HTTP transport with the instance's own limits. A nil
+// dial means TCP.
+func transport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTime)
+			defer cancel()
+			return dial(ctx, network, addr)
+		},
+		MaxIdleConns:        idleConns,
+		MaxIdleConnsPerHost: idleConnsPerServer,
+		IdleConnTimeout:     idleConnTime,
+	}
+}
+
+func dialTCP(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := &net.Dialer{
-		Timeout: dialTime,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -37,18 +57,13 @@
 			Count:    keepAliveCount,
 		},
 	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        idleConns,
-		MaxIdleConnsPerHost: idleConnsPerServer,
-		IdleConnTimeout:     idleConnTime,
-	}
+	return dialer.DialContext(ctx, network, addr)
 }
 
 // httpPlatform returns clients for the settings' addresses. Engines and
 // services get no timeout of the client's own: each call's context has one.
-func httpPlatform(s *settings.Settings) Platform {
-	client := &http.Client{Transport: transport()}
+func httpPlatform(s *settings.Settings, dial Dial) Platform {
+	client := &http.Client{Transport: transport(dial)}
 	return Platform{
 		Log:       platform.NewHTTPLog(string(s.Platform.Log), client),
 		Instances: platform.NewHTTPInstances(string(s.Platform.Instances), client),
