decide: what waits is judged again at each tick, by how long slots are held

Change: the wait follows from the measured time that attempts hold their slots, whatever their end, and from all who share the slots; each tick refuses what would miss its deadline behind those before it.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"math"
 	"time"
 )
 
@@ -18,6 +17,10 @@
 	// the middle, its slot wasted; with 2 a burst's last requests are refused
 	// that would have made it.
 	safeSpread = 0.7
+	// firstWait is how many turns the first in a queue is expected to wait: with
+	// 1 a burst's requests are refused that more often than not would start in
+	// time, with 0 each waits to its last moment before it is refused.
+	firstWait = 0.5
 	// estimateStale is how old an estimate may be before one request is let
 	// through without it: an estimate that refuses everything would never learn
 	// that it is wrong.
@@ -61,11 +64,11 @@
 	t := f.target
 	wait := s.expectedWait(f)
 	if f.late(now, wait) {
-		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.safe-f.left(now), t.gap(f)))
+		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.safe-f.left(now), t.gap()))
 		return
 	}
 	if s.queued >= maxQueued && !s.makeRoom(now, f) {
-		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, t.gap(f)))
+		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, t.gap()))
 		return
 	}
 	t.queue.push(f)
@@ -93,7 +96,7 @@
 		return false
 	}
 	victim := worst.queue.last()
-	after := worst.returns.next(now, 0, worst.gap(victim))
+	after := worst.returns.next(now, 0, worst.gap())
 	s.unqueue(victim)
 	s.refuse(victim, ReasonShare, after)
 	return true
@@ -107,54 +110,61 @@
 	return a.queue.len() > b.queue.len()
 }
 
-// expectedWait returns the seconds that the request would wait in its queue: at
-// the best of its servers, one of this instance's slots frees on average each
-// time of service divided by their number; those that wait for the server and
-// start earlier go first, and other partners' take their part of the slots.
+// expectedWait returns the seconds that the request would wait in its queue
+// behind those that go before it.
 func (s *Scheduler) expectedWait(f *flight) float64 {
-	t := f.target
-	least := math.Inf(1)
-	for i := range t.replicas[:min(len(t.replicas), sampled)] {
+	return (float64(f.target.queue.ahead(f)) + firstWait) / f.target.rate(1)
+}
+
+// rate returns how many of the target's waiting requests start in a second, if
+// so many more came: its part of the slots that this instance gets at its
+// servers. Those that wait there share them by number, partners by weight.
+func (t *targetState) rate(more int) float64 {
+	n := min(len(t.replicas), sampled)
+	if n == 0 {
+		return 1 / maxRetryAfter.Seconds() // they are gone: perhaps some come back
+	}
+	sum := 0.0
+	mine := float64(t.queue.len()+more) / float64(n)
+	for i := range t.replicas[:n] {
 		srv := t.replicas[i].server
-		least = min(least, srv.ahead(f)*srv.gap(f))
+		all, weights := float64(more)/float64(n), t.partner.weight
+		counted := t.partner
+		for _, r := range srv.residents {
+			o := r.target
+			switch {
+			case o.queue.len() == 0:
+			case o.partner == t.partner:
+				all += float64(o.queue.len()) / float64(min(len(o.replicas), sampled))
+			case o.partner != counted:
+				weights += o.partner.weight
+				counted = o.partner
+			}
+		}
+		sum += mine / max(all, mine) * t.partner.weight / weights / srv.gap()
 	}
-	return least
+	return sum
 }
 
-// ahead returns how many waiting requests the server takes before f.
-func (s *serverState) ahead(f *flight) float64 {
-	own, weights := 0.0, f.target.partner.weight
-	counted := f.target.partner
-	for _, r := range s.residents {
-		t := r.target
-		if t.queue.len() == 0 {
-			continue
-		}
-		if t.partner == f.target.partner {
-			own += float64(t.queue.ahead(f)) / float64(len(t.replicas))
-		} else if t.partner != counted {
-			weights += t.partner.weight
-			counted = t.partner
-		}
+// gap returns the seconds between two of this instance's slots at the server
+// that free: how long its requests there lately held one, by their number.
+func (s *serverState) gap() float64 {
+	held := unknownService
+	if s.pool.held.warm() {
+		held = s.pool.held.mean
 	}
-	return own * weights / f.target.partner.weight
+	return held * s.slowness() / float64(max(s.own, 1))
 }
 
 // gap returns the least gap of the target's servers.
-func (t *targetState) gap(f *flight) float64 {
+func (t *targetState) gap() float64 {
 	least := unknownService
 	for i := range t.replicas[:min(len(t.replicas), sampled)] {
-		least = min(least, t.replicas[i].server.gap(f))
+		least = min(least, t.replicas[i].server.gap())
 	}
 	return least
 }
 
-// gap returns the seconds between two of this instance's slots at the server
-// that free.
-func (s *serverState) gap(f *flight) float64 {
-	return serviceOf(f) * s.slowness() / max(float64(s.own), s.part)
-}
-
 // returns spreads the times at which refused callers are told to come back, one
 // for each slot that frees, so that they don't all come back together.
 type returns struct {
--- a/decide/experiment_test.go
+++ b/decide/experiment_test.go
@@ -105,7 +105,8 @@
 	missed                     map[string]int
 	lost                       map[string]int
 	partnerAsked, partnerMet   map[string]int
-	waits                      []float64
+	waits                      []float64 // seconds from arrival to dispatch
+	refusals                   []float64 // seconds from arrival to refusal
 	accelerators               int
 }
 
@@ -115,12 +116,13 @@
 	return float64(r.partnerMet[partner]) / float64(max(r.partnerAsked[partner], 1))
 }
 
-func (r *result) p99() float64 {
-	if len(r.waits) == 0 {
+// p99 returns the 99th percentile of times.
+func p99(times []float64) float64 {
+	if len(times) == 0 {
 		return 0
 	}
-	sort.Float64s(r.waits)
-	return r.waits[len(r.waits)*99/100]
+	sort.Float64s(times)
+	return times[len(times)*99/100]
 }
 
 func (z size) config() *config.Config {
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -33,8 +33,9 @@
 type poolState struct {
 	speed    float64 // mean of its servers' speed
 	service  serviceTimes
-	total    int   // this instance's requests there
-	inFlight []int // this instance's requests there, by partnerState.index
+	held     average // seconds that an attempt held its slot, however it ended
+	total    int     // this instance's requests there
+	inFlight []int   // this instance's requests there, by partnerState.index
 }
 
 // resident is a target that a server can serve.
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -39,7 +39,7 @@
 		length = 5 * time.Minute
 	}
 	var sum result
-	var p99 float64
+	var wait, refusal float64
 	owner, guest := 0.0, 0.0
 	for _, seed := range seeds {
 		r := simulate(z, sc, p, seed, length)
@@ -48,14 +48,16 @@
 		sum.refused += r.refused
 		sum.moves += r.moves
 		sum.accelerators = r.accelerators
-		p99 = max(p99, r.p99())
+		wait = max(wait, p99(r.waits))
+		refusal = max(refusal, p99(r.refusals))
 		owner += r.of("owner") / float64(len(seeds))
 		guest += r.of("guest") / float64(len(seeds))
 	}
 	b.ReportMetric(100*sum.attainment(), "%met")
 	b.ReportMetric(100*sum.attainment()/float64(sum.accelerators), "%met/accelerator")
 	b.ReportMetric(float64(sum.moves)/float64(len(seeds)), "moves")
-	b.ReportMetric(p99, "p99-wait-s")
+	b.ReportMetric(wait, "p99-wait-s")
+	b.ReportMetric(refusal, "p99-refusal-s")
 	b.ReportMetric(100*float64(sum.refused)/float64(sum.asked), "%refused")
 	b.ReportMetric(100*owner, "%owner")
 	b.ReportMetric(100*guest, "%guest")
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -99,18 +99,21 @@
 	s.dispatch(now, f, c)
 }
 
-// expire refuses each waiting request that could not make its deadline if it
-// started now. It is for saturation: such a request would take a slot that
-// another could have used in time.
+// expire refuses each waiting request that would miss its deadline behind those
+// that go before it, as soon as that shows. It is for saturation: such a request
+// would take a slot that another could have used in time, and its caller should
+// hear of it while there is time to do something else.
 func (s *Scheduler) expire(now time.Time, t *targetState) {
-	for class := range t.queue.heaps {
-		for i := len(t.queue.heaps[class]) - 1; i >= 0; i-- {
-			f := t.queue.heaps[class][i]
-			if f.late(now, 0) {
-				s.unqueue(f)
-				s.refuse(f, ReasonDeadline, t.returns.next(now, t.gap(f), t.gap(f)))
-			}
+	s.sorted = t.queue.sorted(s.sorted[:0])
+	rate := t.rate(0)
+	kept := 0
+	for _, f := range s.sorted {
+		if f.late(now, (float64(kept)+firstWait)/rate) {
+			s.unqueue(f)
+			s.refuse(f, ReasonDeadline, t.returns.next(now, float64(kept)/rate+f.safe-f.left(now), 1/rate))
+			continue
 		}
+		kept++
 	}
 }
 
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -1,7 +1,9 @@
 package decide
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 )
 
 const (
@@ -88,6 +90,16 @@
 	return n
 }
 
+// sorted appends the waiting requests in the order in which they go.
+func (q *queue) sorted(to []*flight) []*flight {
+	for class := range q.heaps {
+		begin := len(to)
+		to = append(to, q.heaps[class]...)
+		slices.SortFunc(to[begin:], func(a, b *flight) int { return cmp.Compare(a.order, b.order) })
+	}
+	return to
+}
+
 func classOf(f *flight) int {
 	switch {
 	case f.Suspect:
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -27,6 +27,7 @@
 
 	out        []Decision
 	candidates []candidate
+	sorted     []*flight
 	hinted     *serverState // of the decision under way: the server that probably has the prefix
 	fill       fill         // of the decision under way: how full a server may be
 	meanLoad   float64      // of the decision under way: the candidates' mean load
@@ -80,7 +81,7 @@
 	}
 	srv := r.at
 	s.blame(now, r.target, srv, f)
-	s.release(r)
+	s.release(now, r)
 	r.avoid = srv
 	r.delivered = max(r.delivered, f.Tokens)
 	if f.Crash {
@@ -89,7 +90,7 @@
 	}
 	switch reason, ok := s.again(now, r, f); {
 	case !ok:
-		s.refuse(r, reason, r.target.returns.next(now, 0, r.target.gap(r)))
+		s.refuse(r, reason, r.target.returns.next(now, 0, r.target.gap()))
 	default:
 		s.place(now, r)
 	}
@@ -192,7 +193,7 @@
 		return
 	}
 	if f.left(now) < f.need {
-		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, f.target.gap(f)))
+		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, f.target.gap()))
 		return
 	}
 	c, waitable := s.choose(now, f)
@@ -239,11 +240,12 @@
 }
 
 // release takes the request from the server that it is at.
-func (s *Scheduler) release(f *flight) {
+func (s *Scheduler) release(now time.Time, f *flight) {
 	srv := f.at
 	if srv == nil {
 		return
 	}
+	srv.pool.held.add(now.Sub(f.sentAt).Seconds())
 	f.at = nil
 	f.target.inFlight--
 	srv.own--
@@ -261,7 +263,7 @@
 	} else if !complete {
 		f.target.learnLate(now, f)
 	}
-	s.release(f)
+	s.release(now, f)
 	s.forget(f)
 	if srv != nil {
 		s.pumpServer(now, srv)
--- a/decide/sim_test.go
+++ b/decide/sim_test.go
@@ -287,6 +287,7 @@
 		switch d.Action {
 		case ActionRefuse:
 			j.over = true
+			w.result.refusals = append(w.result.refusals, w.now.Sub(j.Arrived).Seconds())
 			w.count(j, string(d.Reason), 0)
 		case ActionDispatch:
 			e := w.engines[d.Server.ID]
