--- a/control/world_test.go
+++ b/control/world_test.go
@@ -46,8 +46,14 @@
 	if n.w.onOrder != nil {
 		n.w.onOrder(n, o)
 	}
-	n.wait()
-	return n.w.servers.order(ctx, addr, o)
+	send := func() error {
+		n.wait()
+		return n.w.servers.order(ctx, addr, o)
+	}
+	if n.w.around != nil {
+		return n.w.around(n, send)
+	}
+	return send()
 }
 
 func (n *node) Generate(context.Context, string, platform.GenerateRequest) (platform.Stream, error) {
@@ -93,6 +99,7 @@
 	limits  Limits
 	asks    func(w *world, id string) (platform.Offset, error)
 	onOrder func(n *node, o platform.Order) // directly before an order leaves a node; may pause it
+	around  func(n *node, send func() error) error
 
 	mu       sync.Mutex
 	want     func(in decide.PlanInput) []decide.Move
