logsync: a quiet stream's reads aren't held up, the mean stays

Cause: a follower slept for its spacing after each read that brought records, so a newcomer that spaces other domains' streams by 6 s saw each step of their start 6 s late. Change: the spacing is a mean with a burst of 16 reads.

--- a/logsync/follower.go
+++ b/logsync/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"greengageferry/platform"
@@ -25,10 +26,14 @@
 	// DefaultBatch is the most records of one read: a reader that is far
 	// behind needs few reads, and one answer stays in memory.
 	DefaultBatch = 512
-	// DefaultSpacing is the least time between two reads that bring records:
-	// on a busy stream records come several at once. It adds to how late a
-	// record is seen.
+	// DefaultSpacing is the mean time between two reads that bring records, at
+	// the least: on a busy stream records come several at once. It adds to how
+	// late a record is seen there.
 	DefaultSpacing = 50 * time.Millisecond
+	// spacingBurst is how many such reads may follow one another without it
+	// after a quiet time: a newcomer, and a burst of changes on a quiet stream,
+	// are not held up, and the mean stays.
+	spacingBurst = 16
 	// readSlack is how much longer than its wait a read may take before it is
 	// given up.
 	readSlack = 5 * time.Second
@@ -159,8 +164,8 @@
 func (f *Follower[V]) Run(ctx context.Context) error {
 	f.begin()
 	pause := minBackoff
+	spacing := rate.NewLimiter(rate.Every(f.opts.Spacing), spacingBurst) // below 0: none
 	for ctx.Err() == nil {
-		began := time.Now()
 		records, err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -171,7 +176,7 @@
 		default:
 			pause = minBackoff
 			if records > 0 {
-				sleep(ctx, f.opts.Spacing-time.Since(began))
+				_ = spacing.Wait(ctx) // fails only when ctx ends
 			}
 		}
 	}
--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -397,6 +397,31 @@
 	})
 }
 
+// TestSpacingBoundsReads: on a busy stream reads keep their mean distance, and
+// after a quiet time the first ones have none.
+func TestSpacingBoundsReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a, client := newNode(t, log, "a", nil), log.Client()
+		slow := NewFollower(FollowerOptions[replay.ConfigView]{
+			Log: client, Stream: platform.StreamConfig, Spacing: 6 * time.Second, Logger: quiet(),
+			New: func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+		})
+		a.start(slow.Run)
+		for i := range spacingBurst {
+			offset := a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
+			synctest.Wait()
+			require.Equal(t, offset, slow.Status().Offset, "not held up")
+		}
+		before := client.Reads()
+		for range 600 {
+			a.put(t, change("x.toml", "", 0))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.InDelta(t, 10, client.Reads()-before, 2)
+	})
+}
+
 func TestUnknownRecordsAreCountedAndKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logtest.New()
