A quarantine is lifted by a file, as all else is

Cause: operators drive the system by files only, yet lifting a quarantine was a record that nothing wrote. Change: [lifts.FINGERPRINT] before = TIME in a partner's file: crashes before it no longer count; later ones do again. status lists fingerprints; the record is gone. Conclusion: a lift forgives what was before it, only for its own request, and an old one brings nothing back (tests).

--- a/cmd/greengageferry/status.go
+++ b/cmd/greengageferry/status.go
@@ -110,4 +110,10 @@
 	for _, t := range s.Targets {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Target, t.Partner, t.Replicas, t.Domains)
 	}
+	if len(s.Suspects) > 0 {
+		fmt.Fprintf(w, "\nFINGERPRINT\tQUARANTINED\tSERVERS THAT DIED\n")
+	}
+	for _, x := range s.Suspects {
+		fmt.Fprintf(w, "%s\t%t\t%s\n", x.Fingerprint, x.Quarantined, strings.Join(x.Servers, " "))
+	}
 }
--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,8 @@
 // partner's file can't change it.
 package config
 
+import "time"
+
 // Config is the merged configuration. It is immutable once built. The toml
 // tags name the settings in the partners' files; each table there is keyed by
 // the name of what it declares, as in [models.tray-planner].
@@ -18,6 +20,7 @@
 	Adapters map[string]Adapter `toml:"adapters"`
 	Services map[string]Service `toml:"services"`
 	Callers  map[string]Caller  `toml:"callers"`
+	Lifts    map[string]Lift    `toml:"lifts"`
 }
 
 // Partner is one of the organizations that share the accelerators.
@@ -72,3 +75,10 @@
 	Owner     string `toml:"-"`
 	KeySHA256 string `toml:"key_sha256"` // hex; the key itself is kept nowhere
 }
+
+// Lift ends the quarantine of one request, whose fingerprint is the table's
+// name: 64 hexadecimal digits, as in the log and in the instances' status.
+type Lift struct {
+	Owner  string    `toml:"-"`
+	Before time.Time `toml:"before"` // servers that died before it, as in 2026-12-02T10:00:00Z, no longer count against the request
+}
--- a/config/merge.go
+++ b/config/merge.go
@@ -242,6 +242,8 @@
 		return "a whole number"
 	case reflect.Bool:
 		return "true or false"
+	case reflect.Struct:
+		return "a time, as in 2026-12-02T10:00:00Z"
 	}
 	return "a string"
 }
--- a/config/rules.go
+++ b/config/rules.go
@@ -29,7 +29,7 @@
 func (g *merger) check(c *Config) *Refusal {
 	steps := []func(*Config) *Refusal{
 		g.checkPartners, g.checkPools, g.checkModels, g.checkAdapters,
-		g.checkServices, g.checkCallers, g.checkNames, g.checkCapacity,
+		g.checkServices, g.checkCallers, g.checkLifts, g.checkNames, g.checkCapacity,
 	}
 	for _, step := range steps {
 		if r := step(c); r != nil {
@@ -181,6 +181,20 @@
 	return nil
 }
 
+// checkLifts refuses a lift that would be for no request, or for ever.
+func (g *merger) checkLifts(c *Config) *Refusal {
+	for name, lift := range sorted(c.Lifts) {
+		digest, err := hex.DecodeString(name)
+		if err != nil || len(digest) != 32 {
+			return g.refuse("a lift's name must be a fingerprint of 64 hexadecimal digits", Key{kindLifts, name, ""})
+		}
+		if lift.Before.IsZero() {
+			return g.refuse("must be set", Key{kindLifts, name, "before"}, Key{kindLifts, name, ""})
+		}
+	}
+	return nil
+}
+
 // checkNames refuses a name that stands for two things: callers ask for
 // models, adapters and services by name alone, and a service's or a pool's
 // name is where its backend servers are listed.
--- a/config/schema.go
+++ b/config/schema.go
@@ -10,10 +10,11 @@
 	kindAdapters = "adapters"
 	kindServices = "services"
 	kindCallers  = "callers"
+	kindLifts    = "lifts"
 )
 
 // kindNames are the kinds in the order in which refusals list them.
-var kindNames = []string{kindPartners, kindPools, kindModels, kindAdapters, kindServices, kindCallers}
+var kindNames = []string{kindPartners, kindPools, kindModels, kindAdapters, kindServices, kindCallers, kindLifts}
 
 // Defaults of settings that no file sets.
 const (
@@ -47,6 +48,7 @@
 	kindAdapters: newKind(3, Adapter{}),
 	kindServices: newKind(4, Service{TimeoutMS: DefaultServiceTimeoutMS}),
 	kindCallers:  newKind(5, Caller{}),
+	kindLifts:    newKind(6, Lift{}),
 }
 
 func newKind(field int, defaults any) kind {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	domains       *domains
 	routing       *routing
 	table         atomic.Pointer[decide.Table]
+	quarantine    *quarantine
 	caller        *caller.Server
 	meter         *demand.Meter
 	collector     *demand.Collector
--- /dev/null
+++ b/entry/quarantine_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"encoding/hex"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/config"
+)
+
+func TestLiftForgivesWhatWasBeforeItOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fingerprint := [32]byte{1}
+		cfg := &config.Config{}
+		q := &quarantine{config: func() *config.Config { return cfg }}
+		now := time.Now()
+		require.Equal(t, now.Add(-QuarantineExpiry), q.since(fingerprint))
+
+		lift := func(before time.Time) {
+			cfg = &config.Config{Lifts: map[string]config.Lift{hex.EncodeToString(fingerprint[:]): {Before: before}}}
+		}
+		lift(now.Add(-time.Minute))
+		require.Equal(t, now.Add(-time.Minute), q.since(fingerprint))
+		require.Equal(t, now.Add(-QuarantineExpiry), q.since([32]byte{2}), "another request's")
+		lift(now.Add(-2 * QuarantineExpiry))
+		require.Equal(t, now.Add(-QuarantineExpiry), q.since(fingerprint), "an old lift brings nothing back")
+	})
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -12,18 +12,26 @@
 
 // Status is what one instance sees, as its operators' address gives it.
 type Status struct {
-	Version       string         `json:"version"`
-	Instance      string         `json:"instance"`
-	Region        string         `json:"region"`
-	FailureDomain string         `json:"failure_domain"`
-	Ready         bool           `json:"ready"`
-	NotReady      []string       `json:"not_ready,omitempty"` // why it isn't
-	ConfigOffset  uint64         `json:"config_offset"`       // verdict that is in force; 0: none
-	Streams       []StreamStatus `json:"streams"`
-	List          ListStatus     `json:"list"`
-	Leases        []LeaseStatus  `json:"leases"`
-	Servers       []ServerStatus `json:"servers"`
-	Targets       []TargetStatus `json:"targets"`
+	Version       string          `json:"version"`
+	Instance      string          `json:"instance"`
+	Region        string          `json:"region"`
+	FailureDomain string          `json:"failure_domain"`
+	Ready         bool            `json:"ready"`
+	NotReady      []string        `json:"not_ready,omitempty"` // why it isn't
+	ConfigOffset  uint64          `json:"config_offset"`       // verdict that is in force; 0: none
+	Streams       []StreamStatus  `json:"streams"`
+	List          ListStatus      `json:"list"`
+	Leases        []LeaseStatus   `json:"leases"`
+	Servers       []ServerStatus  `json:"servers"`
+	Targets       []TargetStatus  `json:"targets"`
+	Suspects      []SuspectStatus `json:"suspects,omitempty"`
+}
+
+// SuspectStatus is a request during which backend servers died lately.
+type SuspectStatus struct {
+	Fingerprint string   `json:"fingerprint"` // what a lift names
+	Servers     []string `json:"servers"`     // that died
+	Quarantined bool     `json:"quarantined"`
 }
 
 // StreamStatus is how far a stream of the log was read.
@@ -90,6 +98,7 @@
 	}
 	s.Streams = i.streamStatus()
 	s.addControl(i)
+	s.Suspects = i.quarantine.status()
 	return s
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -162,6 +162,7 @@
 // wireCaller makes the callers' side.
 func (i *Instance) wireCaller() error {
 	s := i.opts.Settings
+	i.quarantine = &quarantine{config: i.configuration.Config, follower: i.quarantined, appender: i.writer, log: i.log}
 	server, err := caller.New(caller.Options{
 		Instance:      s.Instance.ID,
 		FailureDomain: i.domain(),
@@ -169,7 +170,7 @@
 		Engine:        i.opts.Platform.Engine,
 		Services:      i.opts.Platform.Services,
 		Claimer:       i.claimer,
-		Quarantine:    &quarantine{follower: i.quarantined, appender: i.writer, log: i.log},
+		Quarantine:    i.quarantine,
 		Answers: &answers{
 			client: i.peers,
 			own:    s.Instance.ID,
--- a/replay/quarantine.go
+++ b/replay/quarantine.go
@@ -43,13 +43,13 @@
 	Suspects map[Fingerprint]*Suspect
 }
 
-// Quarantined says whether the request is refused at now: servers with two
-// different ids died while they ran it, both within expiry. The writers'
-// clocks are compared with the reader's, which only moves the end of a
-// quarantine by the clocks' difference.
-func (v *QuarantineView) Quarantined(f Fingerprint, now time.Time, expiry time.Duration) bool {
+// Quarantined says whether the request is refused: servers with two different
+// ids died while they ran it, both at since or later by the reporters' clocks.
+// A reader's since comes from its own clock, which only moves a quarantine's
+// end by the clocks' difference.
+func (v *QuarantineView) Quarantined(f Fingerprint, since time.Time) bool {
 	first := ""
-	for _, c := range v.fresh(f, now, expiry) {
+	for _, c := range v.crashes(f, since) {
 		if first != "" && c.Server != first {
 			return true
 		}
@@ -58,19 +58,20 @@
 	return false
 }
 
-// Suspect says whether at least one server died within expiry while it ran the request.
-func (v *QuarantineView) Suspect(f Fingerprint, now time.Time, expiry time.Duration) bool {
-	return len(v.fresh(f, now, expiry)) > 0
+// Suspect says whether at least one server died at since or later while it ran
+// the request.
+func (v *QuarantineView) Suspect(f Fingerprint, since time.Time) bool {
+	return len(v.crashes(f, since)) > 0
 }
 
-func (v *QuarantineView) fresh(f Fingerprint, now time.Time, expiry time.Duration) []Crash {
+func (v *QuarantineView) crashes(f Fingerprint, since time.Time) []Crash {
 	s := v.Suspects[f]
 	if s == nil {
 		return nil
 	}
 	var out []Crash
 	for _, c := range s.Crashes {
-		if now.Sub(c.At) < expiry {
+		if !c.At.Before(since) {
 			out = append(out, c)
 		}
 	}
@@ -97,8 +98,6 @@
 	switch body := r.GetBody().(type) {
 	case *record.Record_Crash:
 		q.count(r, q.crash(offset, body.Crash))
-	case *record.Record_QuarantineLift:
-		q.count(r, q.lift(body.QuarantineLift))
 	case *record.Record_Checkpoint:
 		q.count(r, applied)
 	default:
@@ -159,16 +158,6 @@
 	delete(q.suspects, oldest)
 }
 
-func (q *Quarantine) lift(r *record.QuarantineLift) verdict {
-	f, ok := fingerprintOf(r.GetFingerprint())
-	if !ok || q.suspects[f] == nil {
-		return void
-	}
-	delete(q.suspects, f)
-	q.view = nil
-	return applied
-}
-
 // View returns the state now. It is built anew only after a change.
 func (q *Quarantine) View() *QuarantineView {
 	if q.view == nil {
