Tell deaths and results in the background; measure what an entry instance adds

Cause: a server's death was put on the log before its request was retried, so an outage of the log held up the retry and the final answer. And nothing measured what the entry instance costs. Change: one outbox type (ring, sends at once, what a full ring drops) for claims' results, crash reports and cancels; Idle waits for the first two; a send that panics is logged and counted.

--- a/caller/attempts_test.go
+++ b/caller/attempts_test.go
@@ -230,6 +230,7 @@
 	require.Contains(t, w.Body.String(), `"code":"quarantined"`)
 	require.Contains(t, w.Body.String(), `"outcome":"unknown"`)
 	require.Len(t, r.engine.attempts(), 2)
+	r.empty(t)
 	require.Len(t, r.quarantine.reported(), 2)
 	require.Equal(t, "boot-0", r.quarantine.reported()[0].Boot)
 	require.EqualValues(t, 1, r.quarantine.reported()[0].Together)
@@ -242,6 +243,7 @@
 	r.Booted("e1", "boot-1")
 	w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`)
 	require.Equal(t, http.StatusOK, w.Code)
+	r.empty(t)
 	require.Empty(t, r.quarantine.reported())
 }
 
--- /dev/null
+++ b/caller/bench_test.go
@@ -0,0 +1,226 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/decide"
+	"greengageferry/platform"
+)
+
+const benchTokens = 32
+
+// httpEngine serves the platform's HTTP form of an engine: it sends each token
+// at once. With hold it sends one token and waits for its reader to go.
+func httpEngine(hold bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != platform.PathGenerate {
+			_, _ = io.WriteString(w, `{"boot":"b"}`)
+			return
+		}
+		var req platform.GenerateRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", platform.ContentTypeEvents)
+		for i := range req.MaxTokens {
+			_, _ = fmt.Fprintf(w, "data: {\"attempt\":%q,\"index\":%d,\"token\":\"token \"}\n\n", req.Attempt, i)
+			w.(http.Flusher).Flush()
+			if hold {
+				<-r.Context().Done()
+				return
+			}
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"attempt\":%q,\"index\":%d,\"finish\":\"length\"}\n\n", req.Attempt, req.MaxTokens)
+	}
+}
+
+// bench is an entry instance's callers' side in front of one HTTP engine, and a
+// client of each.
+type bench struct {
+	rig    *rig
+	client *http.Client
+	engine *httptest.Server
+	entry  *httptest.Server
+	body   []byte
+	direct []byte
+}
+
+func newBench(b *testing.B, hold bool, tokens int) *bench {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2000}
+	b.Cleanup(transport.CloseIdleConnections)
+	x := &bench{client: &http.Client{Transport: transport}}
+	x.engine = httptest.NewServer(httpEngine(hold))
+	b.Cleanup(x.engine.Close)
+	backend := &http.Transport{MaxIdleConnsPerHost: 2000}
+	b.Cleanup(backend.CloseIdleConnections)
+	x.rig = newRig(b, func(o *Options) { o.Engine = platform.NewHTTPEngine(&http.Client{Transport: backend}) })
+	t := testTable()
+	t.Servers = []decide.Server{{ID: "e0", Addr: x.engine.Listener.Addr().String(), Pool: "p", FailureDomain: "dock-hall-a", Slots: 1 << 20}}
+	for _, target := range t.Targets {
+		target.Replicas = []decide.Replica{{Server: 0, Version: "v1"}}
+		target.MaxTokens = 1 << 20
+		target.Timeout = 5 * time.Minute
+	}
+	x.rig.SetTable(t)
+	x.entry = x.rig.listen(b)
+	x.body = []byte(fmt.Sprintf(`{"model":"tray","prompt":"p","stream":true,"max_tokens":%d}`, tokens))
+	x.direct, _ = json.Marshal(platform.GenerateRequest{Attempt: newID(), Model: "tray", Prompt: "p", MaxTokens: tokens})
+	return x
+}
+
+func (x *bench) open(b *testing.B, viaEntry bool) *http.Response {
+	url, body := "http://"+x.engine.Listener.Addr().String()+platform.PathGenerate, x.direct
+	if viaEntry {
+		url, body = x.entry.URL+pathCompletions, x.body
+	}
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	require.NoError(b, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := x.client.Do(req)
+	require.NoError(b, err)
+	require.Equal(b, http.StatusOK, resp.StatusCode)
+	return resp
+}
+
+func (x *bench) whole(b *testing.B, viaEntry bool) {
+	resp := x.open(b, viaEntry)
+	_, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(b, err)
+	require.NoError(b, resp.Body.Close())
+}
+
+// BenchmarkEntryAdds measures what an entry instance adds to a streamed request
+// of 32 tokens over asking the engine directly, both in one run, in turn. All
+// of it, client and engine included, runs in this process.
+func BenchmarkEntryAdds(b *testing.B) {
+	x := newBench(b, false, benchTokens)
+	var times [2]*hdrhistogram.Histogram
+	var allocs [2]uint64
+	for way := range times {
+		times[way] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+		x.whole(b, way == 1)
+	}
+	b.ResetTimer()
+	for range b.N {
+		for way := range times {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began := time.Now()
+			x.whole(b, way == 1)
+			took := time.Since(began)
+			runtime.ReadMemStats(&after)
+			allocs[way] += after.Mallocs - before.Mallocs
+			_ = times[way].RecordValue(took.Microseconds())
+		}
+	}
+	b.StopTimer()
+	for _, q := range []float64{50, 99} {
+		direct, entry := times[0].ValueAtQuantile(q), times[1].ValueAtQuantile(q)
+		b.ReportMetric(float64(entry)/float64(direct), fmt.Sprintf("p%.0f-ratio", q))
+		b.ReportMetric(float64(entry-direct), fmt.Sprintf("p%.0f-added-us", q))
+	}
+	b.ReportMetric(float64(allocs[1]-allocs[0])/float64(b.N), "added-allocs/req")
+	b.ReportMetric(float64(allocs[0])/float64(b.N), "direct-allocs/req")
+}
+
+// BenchmarkOpenStreams measures the memory that 1,000 streams take which are
+// open and wait for their next token: through the entry instance, less what as
+// many opened directly take.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 1000
+	for range b.N {
+		var used [2]float64
+		for way := range used {
+			x := newBench(b, true, benchTokens)
+			before := memoryInUse()
+			open := make([]*http.Response, streams)
+			for i := range open {
+				open[i] = x.open(b, way == 1)
+				_, err := io.ReadFull(open[i].Body, make([]byte, 16)) // the first token has come
+				require.NoError(b, err)
+			}
+			used[way] = (memoryInUse() - before) / streams
+			for _, resp := range open {
+				require.NoError(b, resp.Body.Close())
+			}
+		}
+		b.ReportMetric(used[1]-used[0], "added-B/stream")
+		b.ReportMetric(used[0], "direct-B/stream")
+	}
+}
+
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkToken measures the time of one token of a long stream: directly, and
+// through the entry instance. With -cpu 1 the difference is what it costs one
+// core.
+func BenchmarkToken(b *testing.B) {
+	for way, name := range []string{"direct", "entry"} {
+		b.Run(name, func(b *testing.B) {
+			x := newBench(b, false, b.N)
+			b.ReportAllocs()
+			b.ResetTimer()
+			x.whole(b, way == 1)
+		})
+	}
+}
+
+// discard is a caller that takes everything.
+type discard struct{ h http.Header }
+
+func (d *discard) Header() http.Header         { return d.h }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Flush()                      {}
+
+// BenchmarkOwnToken measures a token's way through this package alone.
+func BenchmarkOwnToken(b *testing.B) {
+	r := newRig(b)
+	t := testTable()
+	t.Targets["tray"].MaxTokens = 1 << 30
+	r.SetTable(t)
+	r.engine.generate = func(ctx ctxT, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+		return &endless{attempt: req.Attempt, most: req.MaxTokens}, nil
+	}
+	body := fmt.Sprintf(`{"model":"tray","prompt":"p","stream":true,"max_tokens":%d}`, max(b.N, 1))
+	req := httptest.NewRequest(http.MethodPost, pathCompletions, bytes.NewReader([]byte(body)))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	b.ReportAllocs()
+	b.ResetTimer()
+	r.Handler().ServeHTTP(&discard{http.Header{}}, req)
+}
+
+type endless struct {
+	attempt string
+	next    int
+	most    int
+}
+
+func (e *endless) Recv() (platform.Event, error) {
+	ev := platform.Event{Attempt: e.attempt, Index: e.next, Token: "token "}
+	if e.next == e.most {
+		ev.Token, ev.Finish = "", platform.FinishLength
+	}
+	e.next++
+	return ev, nil
+}
+
+func (e *endless) Close() error { return nil }
--- a/caller/cancels.go
+++ b/caller/cancels.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"greengageferry/decide"
 )
@@ -18,8 +17,8 @@
 	cancelsAtOnce = 16
 )
 
-// cancelOrder asks the cancel duty to end an attempt, or, without one, only to
-// learn the server's boot.
+// cancelOrder asks for the end of an attempt, or, without one, only for the
+// server's boot.
 type cancelOrder struct {
 	server  decide.Server
 	attempt string
@@ -29,32 +28,12 @@
 // run. Ring full: dropped and counted, since the engine ends an attempt whose
 // reader is gone as well.
 func (s *Server) cancelAttempt(server decide.Server, attempt string) {
-	select {
-	case s.cancels <- cancelOrder{server, attempt}:
-	default:
+	if !s.cancels.put(cancelOrder{server, attempt}) {
 		s.metrics.count("cancels_dropped")
 	}
 }
 
-// sendCancels is the duty that sends cancel orders.
-func (s *Server) sendCancels(ctx context.Context) error {
-	var g errgroup.Group
-	g.SetLimit(cancelsAtOnce)
-	defer func() { _ = g.Wait() }()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case o := <-s.cancels:
-			g.Go(func() error {
-				s.carryOutCancel(ctx, o)
-				return nil
-			})
-		}
-	}
-}
-
-func (s *Server) carryOutCancel(ctx context.Context, o cancelOrder) {
+func (s *Server) sendCancel(ctx context.Context, o cancelOrder) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTime)
 	defer cancel()
 	if o.attempt == "" {
--- a/caller/crash.go
+++ b/caller/crash.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// crashesAtOnce is more than the requests that one instance has at a server
+	// that dies, so that an outage of the log holds up no other server's.
+	crashesAtOnce = 64
 	// statusTime is how long the question waits whether a server died. A dead
 	// process refuses the connection at once; this bounds what a lost network
 	// adds to a retry.
@@ -112,10 +115,7 @@
 	if !s.flights.shouldAsk(server.ID, time.Now()) {
 		return
 	}
-	select {
-	case s.cancels <- cancelOrder{server: server}: // no attempt: only the boot
-	default: // full: asked again after bootEvery
-	}
+	s.cancels.put(cancelOrder{server: server}) // no attempt: only the boot; full: asked again after bootEvery
 }
 
 // diedUnder says whether the server died while it ran the attempt, and reports
@@ -144,7 +144,7 @@
 		return false // it answers, or is only slow
 	}
 	s.metrics.count("crashes")
-	s.opts.Quarantine.Crashed(ctx, &record.Crash{
+	s.reportCrash(&record.Crash{
 		Fingerprint: c.fingerprint[:],
 		Server:      c.server.ID,
 		Boot:        before,
@@ -153,3 +153,12 @@
 	})
 	return true
 }
+
+// reportCrash has a server's death put on the log; no request waits for that.
+// Ring full: dropped and counted. The next death under the same request is
+// reported anew.
+func (s *Server) reportCrash(c *record.Crash) {
+	if !s.crashes.put(c) {
+		s.metrics.count("crash_reports_dropped")
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -11,10 +11,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/decide"
 	"greengageferry/platform"
+	"greengageferry/record"
 )
 
 // Server is the callers' side of one entry instance. Its handler serves while
@@ -33,8 +35,9 @@
 	stop    sync.Once
 
 	answers  *kept
-	results  chan claimResult // to the results duty; full: see report
-	cancels  chan cancelOrder // to the cancel duty; full: see cancelAttempt
+	results  *outbox[*record.ClaimResult] // full: see report
+	crashes  *outbox[*record.Crash]       // full: see reportCrash
+	cancels  *outbox[cancelOrder]         // full: see cancelAttempt
 	flights  *flights
 	inHand   *inHand
 	draining atomic.Bool
@@ -53,7 +56,7 @@
 	if o.Observer == nil {
 		o.Observer = noObserver{}
 	}
-	return &Server{
+	s := &Server{
 		opts:     o,
 		metrics:  newMetrics(o.Metrics),
 		rng:      &lockedRand{rng: o.Rand},
@@ -61,11 +64,24 @@
 		ring:     make(chan event, o.Limits.Ring),
 		stopped:  make(chan struct{}),
 		answers:  newKept(o.Limits.KeptBytes, o.Limits.AnswerBytes),
-		results:  make(chan claimResult, o.Limits.Results),
-		cancels:  make(chan cancelOrder, o.Limits.CancelsWaiting),
 		flights:  newFlights(),
 		inHand:   newInHand(),
-	}, nil
+	}
+	s.results = &outbox[*record.ClaimResult]{
+		ring: make(chan *record.ClaimResult, o.Limits.Results), atOnce: resultsAtOnce, send: s.sendResult, books: s.inHand, failed: s.outboxPanicked,
+	}
+	s.crashes = &outbox[*record.Crash]{
+		ring: make(chan *record.Crash, o.Limits.Requests), atOnce: crashesAtOnce, send: s.opts.Quarantine.Crashed, books: s.inHand, failed: s.outboxPanicked,
+	}
+	s.cancels = &outbox[cancelOrder]{
+		ring: make(chan cancelOrder, o.Limits.CancelsWaiting), atOnce: cancelsAtOnce, send: s.sendCancel, failed: s.outboxPanicked,
+	}
+	return s, nil
+}
+
+func (s *Server) outboxPanicked(v any) {
+	s.metrics.count("outbox_panics")
+	s.opts.Log.WithFields(logrus.Fields{"panic": v, "stack": string(debug.Stack())}).Error("message panicked")
 }
 
 // PanicError says that a duty panicked.
@@ -95,8 +111,9 @@
 		})
 	}
 	duty("dispatcher", s.dispatch)
-	duty("results", s.sendResults)
-	duty("cancels", s.sendCancels)
+	duty("results", s.results.run)
+	duty("crashes", s.crashes.run)
+	duty("cancels", s.cancels.run)
 	err := g.Wait()
 	if ctx.Err() != nil {
 		s.stop.Do(func() { close(s.stopped) })
@@ -135,7 +152,7 @@
 }
 
 // Idle is closed once the server is drained, no request is in hand and no
-// claim's result waits to be told.
+// claim's result or server's death waits to be told.
 func (s *Server) Idle() <-chan struct{} { return s.inHand.idle }
 
 // Handler serves the callers' interface.
