entry: cache events as hints, at a cost that doesn't grow

Cause: routing takes prefix-cache hints, but nothing asked engines for events. Change: a duty asks one recently used server every 2 s, 32 servers in turn; one that doesn't answer is left out until it is used again. Conclusion: own dispatches give the quick hints, the events what others did.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	peerTraffic   *traffic.Counters
 	states        *peer.States
 	missing       *missing
+	hints         *hints
 	batchers      *claims.Batchers
 	claimer       *claims.Client
 	controller    atomic.Pointer[control.Controller]
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -128,6 +128,7 @@
 	meter   *demand.Meter
 	table   func() *decide.Table
 	missing func(server string)
+	used    func(server, addr string)
 }
 
 // capacityReasons are the refusals that more replicas would have prevented.
@@ -144,6 +145,9 @@
 	switch {
 	case d.Action == decide.ActionDispatch:
 		o.meter.Dispatched(now, target, d.Server.FailureDomain)
+		if d.Version != "" { // a model engine, and no plain service
+			o.used(d.Server.ID, d.Server.Addr)
+		}
 	case d.Action == decide.ActionRefuse && capacityReasons[d.Reason]:
 		o.meter.Refused(now, target, servingDomains(o.table(), target))
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -85,6 +85,7 @@
 		supervise.Duty{Name: "routing", Run: i.routing.run},
 		supervise.Duty{Name: "caller", Run: i.caller.Run},
 		supervise.Duty{Name: "missing", Run: i.missing.run},
+		supervise.Duty{Name: "cache hints", Run: i.hints.run},
 		supervise.Duty{Name: "claims", Run: i.claimer.Run},
 	)
 	duties := []supervise.Duty{log, serving}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -162,8 +162,9 @@
 // wireCaller makes the callers' side.
 func (i *Instance) wireCaller() error {
 	s := i.opts.Settings
+	i.hints = &hints{engine: i.opts.Platform.Engine, ring: make(chan server, hintsRing), metrics: i.vars("hints")}
 	i.quarantine = &quarantine{config: i.configuration.Config, follower: i.quarantined, appender: i.writer, log: i.log}
-	server, err := caller.New(caller.Options{
+	callers, err := caller.New(caller.Options{
 		Instance:      s.Instance.ID,
 		FailureDomain: i.domain(),
 		Directory:     i.configuration,
@@ -177,7 +178,7 @@
 			local:  func(attempt string) (caller.Answer, bool, bool) { return i.caller.AnswerFor(attempt) },
 			addrOf: i.addrOf,
 		},
-		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing.found},
+		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing.found, used: i.hints.used},
 		Limits: caller.Limits{
 			BodyBytes: int(s.Limits.MaxBodyBytes),
 			Requests:  s.Limits.MaxInFlight,
@@ -187,8 +188,12 @@
 		Metrics: i.vars("caller"),
 		Rand:    i.opts.Rand,
 	})
-	i.caller = server
-	return err
+	if err != nil {
+		return err
+	}
+	i.caller = callers
+	i.hints.cached = callers.Cached
+	return nil
 }
 
 func (i *Instance) wireRouting() {
