logsync: a follower of an emptied stream is caught up at once

Cause: found by a claims test. Where all of a stream had aged out, a follower from its oldest record waited a whole long poll for its first view, and then took its machine's offset, 0, for its place and began anew, again and again: a batcher of an idle shard never became ready, and every claim on it was refused. Change: the place that was skipped to is kept beside the machine's offset, and reads don't wait until the stream's end is known. Before: TestStartOnAnEmptiedStream fails. After: it passes, and so does go test -race -count=2 ./logsync ./claims.

--- a/logsync/follower.go
+++ b/logsync/follower.go
@@ -72,8 +72,9 @@
 type Follower[V any] struct {
 	opts FollowerOptions[V]
 
-	mu      sync.Mutex // guards machine and what follows
-	machine State[V]   // nil before a start was found
+	mu      sync.Mutex      // guards machine and what follows
+	machine State[V]        // nil before a start was found
+	skipped platform.Offset // up to here records aged out that don't count, with FromOldest
 	status  Status
 	changed chan struct{} // closed at the next change
 
@@ -175,7 +176,7 @@
 			pause = min(2*pause, maxBackoff)
 		default:
 			pause = minBackoff
-			if records > 0 {
+			if records > 0 || !f.Status().CaughtUp {
 				_ = spacing.Wait(ctx) // fails only when ctx ends
 			}
 		}
@@ -196,7 +197,12 @@
 	if !f.placed() {
 		return 0, f.start(ctx)
 	}
-	batch, err := f.read(ctx, f.Status().Offset+1, f.opts.Poll)
+	at := f.Status()
+	wait := f.opts.Poll
+	if !at.CaughtUp {
+		wait = 0 // to know the stream's end at once, also where nothing is new
+	}
+	batch, err := f.read(ctx, at.Offset+1, wait)
 	if isOutOfRange(err) {
 		return 0, f.bridge(ctx, batch)
 	}
@@ -224,11 +230,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range batch.Records {
-		at := f.machine.Offset()
+		at := f.position()
 		if r.Offset <= at {
 			continue
 		}
-		if r.Offset != at+1 && !(at == 0 && f.opts.FromOldest) {
+		if r.Offset != at+1 {
 			return &GapError{Stream: f.opts.Stream, Offset: at, Oldest: r.Offset}
 		}
 		f.applyOne(r)
@@ -236,7 +242,7 @@
 	f.status.Next = batch.Next
 	f.status.Read = time.Now()
 	f.status.FromPeer = false
-	f.status.CaughtUp = f.machine.Offset()+1 >= batch.Next
+	f.status.CaughtUp = f.position()+1 >= batch.Next
 	f.show()
 	return nil
 }
@@ -258,11 +264,16 @@
 	}
 }
 
+// position returns the offset up to which everything was read or doesn't count.
+func (f *Follower[V]) position() platform.Offset {
+	return max(f.machine.Offset(), f.skipped)
+}
+
 // show publishes the machine's view and wakes those who wait. It is called
 // with mu held.
 func (f *Follower[V]) show() {
 	f.status.Started = true
-	f.status.Offset = f.machine.Offset()
+	f.status.Offset = f.position()
 	f.view.Store(f.machine.View())
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -354,6 +354,25 @@
 	})
 }
 
+// TestStartOnAnEmptiedStream: where everything aged out and nothing is written,
+// a follower from the oldest record knows at once that it has read it all.
+func TestStartOnAnEmptiedStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		a := newNode(t, log, "a", nil)
+		a.put(t, change("x.toml", "", 0))
+		log.Trim(platform.StreamConfig, 2)
+		f := NewFollower(FollowerOptions[replay.ConfigView]{
+			Log: log.Client(), Stream: platform.StreamConfig, FromOldest: true, Logger: quiet(),
+			New: func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+		})
+		a.start(f.Run)
+		synctest.Wait()
+		require.True(t, f.Status().CaughtUp)
+		require.NotNil(t, f.View())
+	})
+}
+
 // TestReaderThatFellBehind keeps its view until it can go forward.
 func TestReaderThatFellBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/logsync/start.go
+++ b/logsync/start.go
@@ -54,7 +54,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.machine = f.opts.New(oldest)
-	f.status.Offset = oldest - 1
+	f.skipped = oldest - 1
+	f.status.Offset = f.skipped
 	f.status.CaughtUp = false
 	f.opts.Logger.WithField("from", oldest).Info("stream followed from its oldest kept record")
 	return nil
