--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -421,3 +421,31 @@
 	_, err := b.Claim(t.Context(), Shards, nil)
 	require.True(t, surelyNone(err))
 }
+
+// TestCheckBitesWithoutRetention: a log that drops records within the window,
+// against what is assumed of it, lets a key be granted twice.
+func TestCheckBitesWithoutRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logtest.New()
+		nodes, net := cluster(t, log, everyoneLeads(), 1)
+		net.dead["c"] = true
+		var history []porcupine.Operation
+		claim := func(id, attempt string) {
+			call := int64(len(history))
+			standing, err := nodes[id].client.Claim(t.Context(), claimOf(1, attempt))
+			require.NoError(t, err)
+			history = append(history, porcupine.Operation{Input: op{key: 1, attempt: attempt}, Output: standing, Call: call, Return: call})
+		}
+		claim("a", "one")
+		nodes["b"].log.Set(logtest.Faults{Down: true})
+		time.Sleep(time.Minute)
+		stream := Stream(ShardOf(key(1)))
+		kept := log.Records(stream)
+		log.Trim(stream, kept[len(kept)-1].Offset+1)
+		nodes["b"].log.Set(logtest.Faults{})
+		late, _ := cluster(t, log, map[string][]string{"d": {"d"}}, 1)
+		nodes["d"] = late["d"]
+		claim("d", "two")
+		require.Equal(t, porcupine.Illegal, porcupine.CheckOperationsTimeout(claimModel, history, 0))
+	})
+}
