--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -124,6 +124,9 @@
 }
 
 func (s *scripted) Recv() (platform.Event, error) {
+	if err := s.ctx.Err(); err != nil {
+		return platform.Event{}, &platform.Error{Op: "generate", Reason: platform.ReasonCanceled, Err: err}
+	}
 	if len(s.events) > 0 {
 		e := s.events[0]
 		s.events = s.events[1:]
