Leave a server that falls silent, if the request may go elsewhere

Cause: a server that froze with its connection open held its requests until their deadlines; and a plain service's events were held back until 64 KiB had come. Change: a watchdog on each attempt of an idempotent request: a third of the time left (2 to 15 s) for the first token, 80 times the target between tokens (at least 3 s) after it; for a plain service half of the time left, on its first attempt. It watches only while the server is waited for. A non-idempotent request waits on, as its answer may still come. Events are passed on at once. Conclusion: silence costs seconds, not the deadline.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -78,8 +78,14 @@
 }
 
 func (a *generation) run(ctx context.Context, d decide.Decision) *attemptError {
+	dog := watch(ctx, a.job.call.firstLimit(a.began), a.job.call.idempotent)
+	defer dog.stop()
+	return dog.judge(a.generate(dog, d))
+}
+
+func (a *generation) generate(dog *watchdog, d decide.Decision) *attemptError {
 	j := a.job
-	stream, err := j.server.opts.Engine.Generate(ctx, a.server.Addr, platform.GenerateRequest{
+	stream, err := j.server.opts.Engine.Generate(dog.ctx, a.server.Addr, platform.GenerateRequest{
 		Attempt:   a.id,
 		Model:     j.call.target.Model,
 		Adapter:   j.call.target.Adapter,
@@ -99,10 +105,12 @@
 		if err != nil {
 			return a.broken(err)
 		}
+		dog.disarm(j.call.stallLimit())
 		done, aerr := a.take(e)
 		if done || aerr != nil {
 			return aerr
 		}
+		dog.arm()
 	}
 }
 
--- a/caller/services.go
+++ b/caller/services.go
@@ -142,16 +142,21 @@
 	call    *call
 	sink    *sink
 	request platform.ServiceRequest
+	asked   bool // it was dispatched before
 }
 
 func (j *serviceJob) attempt(ctx context.Context, d decide.Decision) (decide.Outcome, *attemptError) {
 	began := time.Now()
 	req := j.request
 	req.Attempt = newID()
-	a, err := j.server.opts.Services.Call(ctx, d.Server.Addr, req)
+	dog := watch(ctx, j.call.serviceLimit(began), j.call.idempotent && !j.asked)
+	defer dog.stop()
+	j.asked = true
+	a, err := j.server.opts.Services.Call(dog.ctx, d.Server.Addr, req)
 	if err != nil {
-		return decide.Outcome{Total: time.Since(began)}, &attemptError{failure: failureOf(err), err: err}
+		return decide.Outcome{Total: time.Since(began)}, dog.judge(&attemptError{failure: failureOf(err), err: err})
 	}
+	dog.disarm(0) // it has begun to answer: it may take its time
 	defer func() { _ = a.Body.Close() }()
 	first := time.Since(began)
 	aerr := j.passBack(a)
@@ -159,10 +164,14 @@
 }
 
 // passBack gives the service's answer to the caller. Up to serviceHeld bytes
-// are read before any goes out.
+// are read before any goes out, unless the service sends events as they come.
 func (j *serviceJob) passBack(a *platform.ServiceAnswer) *attemptError {
+	hold := int64(serviceHeld)
+	if strings.HasPrefix(a.Header.Get("Content-Type"), contentEvents) {
+		hold = 0
+	}
 	var held bytes.Buffer
-	_, err := io.CopyN(&held, a.Body, serviceHeld)
+	_, err := io.CopyN(&held, a.Body, hold)
 	if err != nil && err != io.EOF {
 		return brokenBody(err)
 	}
@@ -178,6 +187,9 @@
 	if whole {
 		return nil
 	}
+	if err := j.sink.flush(); err != nil {
+		return asAttemptError(err)
+	}
 	return j.passRest(a.Body)
 }
 
