Serve what waits for a slot when the instance drains

Cause: Drain had the scheduler refuse what waited, and a request could be taken in between the look at the drain flag and the count, after Idle was closed. Change: draining is decided where requests are counted, under one lock, and stops arrivals only. A claimed length of a body takes no memory beyond 64 KiB before the body comes. Figures: 8 requests at a server with one slot, all held up when the drain begins: all answered, the next arrival refused; before, the waiting ones were told shutting_down. Conclusion: a graceful shutdown cuts off no request in flight, waiting or not.

--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -71,8 +71,6 @@
 	events []platform.CacheEvent
 }
 
-type drained struct{}
-
 func (e arrived) apply(d *dispatcher, now time.Time) []decide.Decision {
 	d.know(e.call)
 	return d.scheduler.Arrive(now, e.call.request(e.suspect))
@@ -113,10 +111,6 @@
 	return nil
 }
 
-func (drained) apply(d *dispatcher, now time.Time) []decide.Decision {
-	return d.scheduler.Drain(now)
-}
-
 // reasonRestarted is the reason of the refusals that a lost scheduler causes.
 const reasonRestarted decide.Reason = CodeRestarted
 
@@ -137,9 +131,6 @@
 	if t := s.table.Load(); t != nil {
 		d.carryOut(d.scheduler.SetTable(time.Now(), t))
 	}
-	if s.draining.Load() {
-		d.carryOut(d.scheduler.Drain(time.Now()))
-	}
 	return d.loop(ctx)
 }
 
--- a/caller/duties_test.go
+++ b/caller/duties_test.go
@@ -139,3 +139,36 @@
 		require.Equal(t, 1, panics)
 	})
 }
+
+// A request that waits for a slot when the shutdown begins is served.
+func TestDrainServesWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		table := testTable()
+		table.Servers[0].Slots = 1
+		for _, target := range table.Targets {
+			target.Replicas = target.Replicas[:1]
+		}
+		r.SetTable(table)
+		synctest.Wait()
+		gate := make(chan struct{})
+		r.blockUntil(gate)
+		const sent = 8
+		done := make(chan *httptest.ResponseRecorder, sent)
+		for range sent {
+			go func() { done <- r.post(pathCompletions, `{"model":"tray","prompt":"p","max_tokens":2}`) }()
+		}
+		synctest.Wait()
+		waiting := sent - len(r.engine.attempts())
+		require.NotZero(t, waiting)
+		r.Drain()
+		synctest.Wait()
+		requireNotRun(t, r.post(pathCompletions, `{}`), http.StatusServiceUnavailable, "shutting_down")
+		close(gate)
+		for range sent {
+			w := <-done
+			require.Equal(t, http.StatusOK, w.Code, w.Body)
+		}
+		r.empty(t)
+	})
+}
--- a/caller/http.go
+++ b/caller/http.go
@@ -77,10 +77,10 @@
 
 // enter takes a request in hand.
 func (s *Server) enter() *api.Problem {
-	if s.draining.Load() {
+	switch s.inHand.enter(s.opts.Limits.Requests) {
+	case shuttingDown:
 		return notRunYet(string(decide.ReasonShuttingDown), "the instance is shutting down", soon)
-	}
-	if !s.inHand.enter(s.opts.Limits.Requests) {
+	case tooMany:
 		return notRunYet(CodeTooMany, "the instance has too many requests in hand", soon)
 	}
 	return nil
@@ -148,9 +148,13 @@
 	return body, nil
 }
 
+// trustedLength is how much room is made for a body before any of it has come:
+// a length that is only claimed must not take memory.
+const trustedLength = 64 << 10
+
 // readAll reads all of r, which is said to hold length bytes (-1: unknown).
 func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
+	if length < 0 || length > trustedLength {
 		return io.ReadAll(r)
 	}
 	body := make([]byte, length)
--- a/caller/refusals_test.go
+++ b/caller/refusals_test.go
@@ -153,7 +153,7 @@
 
 func TestLimitsOfRequestsAndRing(t *testing.T) {
 	r := newRig(t, func(o *Options) { o.Limits.Requests = 1; o.Limits.Ring = 1 })
-	require.True(t, r.inHand.enter(1))
+	require.Equal(t, entered, r.inHand.enter(1))
 	requireNotRun(t, r.post(pathCompletions, `{}`), 503, CodeTooMany)
 	r.inHand.leave()
 	r.stop()
--- a/caller/server.go
+++ b/caller/server.go
@@ -34,14 +34,13 @@
 	stopped chan struct{}
 	stop    sync.Once
 
-	answers  *kept
-	results  *outbox[*record.ClaimResult] // full: see report
-	crashes  *outbox[*record.Crash]       // full: see reportCrash
-	cancels  *outbox[cancelOrder]         // full: see cancelAttempt
-	flights  *flights
-	inHand   *inHand
-	draining atomic.Bool
-	known    atomic.Int64 // requests that the dispatcher knows
+	answers *kept
+	results *outbox[*record.ClaimResult] // full: see report
+	crashes *outbox[*record.Crash]       // full: see reportCrash
+	cancels *outbox[cancelOrder]         // full: see cancelAttempt
+	flights *flights
+	inHand  *inHand
+	known   atomic.Int64 // requests that the dispatcher knows
 }
 
 // New returns a server. It serves once Run runs and SetTable was called.
@@ -141,15 +140,10 @@
 	s.hint(cached{server, events})
 }
 
-// Drain refuses what waits for a slot and whatever arrives from now on. What
-// runs ends by itself or by its own deadline.
-func (s *Server) Drain() {
-	if s.draining.Swap(true) {
-		return
-	}
-	s.tell(drained{})
-	s.inHand.drain()
-}
+// Drain refuses whatever arrives from now on. What was taken in, waiting for a
+// slot included, ends by itself or by its own deadline: to its caller it is in
+// flight.
+func (s *Server) Drain() { s.inHand.drain() }
 
 // Idle is closed once the server is drained, no request is in hand and no
 // claim's result or server's death waits to be told.
@@ -184,15 +178,27 @@
 
 func newInHand() *inHand { return &inHand{idle: make(chan struct{})} }
 
+// admission is whether a request was taken in hand.
+type admission int
+
+const (
+	entered      admission = iota
+	tooMany                // there are most already
+	shuttingDown           // drained: nothing is taken in any more
+)
+
 // enter takes a request in hand, unless there are most already.
-func (h *inHand) enter(most int) bool {
+func (h *inHand) enter(most int) admission {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.draining {
+		return shuttingDown
+	}
 	if h.n >= most {
-		return false
+		return tooMany
 	}
 	h.n++
-	return true
+	return entered
 }
 
 // hold counts something that must end before the server is idle.
