A resend after a panic learns at once that the answer is lost

Cause: a claimer that panicked left the run kept as running, and resends waited for it until their deadlines. Change: whatever way serveClaimed is left, the run is finished. Conclusion: no kept run outlives its handler.

--- a/caller/keyed.go
+++ b/caller/keyed.go
@@ -56,7 +56,8 @@
 func (s *Server) serveClaimed(ctx, callerCtx context.Context, c *call, k *sink, j job, cl claimed) *api.Problem {
 	key := digest([]byte(c.who.partner), []byte(c.who.caller), []byte(cl.key))
 	cl.attempt = newID()
-	s.answers.begin(cl.attempt) // before the claim: a resend may find it first
+	s.answers.begin(cl.attempt)                         // before the claim: a resend may find it first
+	defer s.answers.finish(cl.attempt, Answer{}, false) // after a panic: resends learn that it is lost
 	st, err := s.opts.Claimer.Claim(ctx, &record.Claim{
 		Key:         key[:],
 		Fingerprint: cl.fingerprint[:],
--- a/caller/keyed_test.go
+++ b/caller/keyed_test.go
@@ -137,6 +137,29 @@
 	})
 }
 
+// brokenClaimer is a claimer that panics after the log took the claim.
+type brokenClaimer struct{ *fakeClaimer }
+
+func (b brokenClaimer) Claim(ctx context.Context, c *record.Claim) (claims.Standing, error) {
+	_, _ = b.fakeClaimer.Claim(ctx, c)
+	panic("claimer")
+}
+
+func TestResendAfterAPanicLearnsThatTheAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.opts.Claimer = brokenClaimer{r.claimer}
+		w := r.post(pathCompletions, `{"model":"tray","prompt":"p"}`, header{HeaderIdemKey: "k"})
+		requireNotRun(t, w, http.StatusInternalServerError, CodeInternal)
+		r.opts.Claimer = r.claimer
+		began := time.Now()
+		w = r.post(pathCompletions, `{"model":"tray","prompt":"p"}`, header{HeaderIdemKey: "k"})
+		require.Contains(t, w.Body.String(), `"code":"first_answer_lost"`)
+		require.Zero(t, time.Since(began), "it is told at once")
+		r.empty(t)
+	})
+}
+
 func TestKeptAnswersAreBoundedByBytesAndTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newKept(3*(keptOverhead+100), 1000)
