The watchdog's limit is read by its timer too

Cause: the timer's function may run while the handler sets the next limit: a data race in the moment that a server's silence reaches its limit. Found by reading; the race detector has not met it. Change: the limit is atomic. Conclusion: no change in what it does.

--- a/caller/stall.go
+++ b/caller/stall.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"greengageferry/decide"
@@ -44,7 +45,7 @@
 // armed, so that a caller that reads slowly isn't taken for a silent server.
 type watchdog struct {
 	cancel context.CancelCauseFunc
-	limit  time.Duration
+	limit  atomic.Int64 // ns; read by the timer as well
 	timer  *time.Timer
 	ctx    context.Context
 	off    bool // the request may not be dispatched again: never ends it
@@ -52,7 +53,8 @@
 
 // watch returns a watchdog, armed with the limit, and the context that it ends.
 func watch(ctx context.Context, limit time.Duration, on bool) *watchdog {
-	w := &watchdog{off: !on, limit: limit}
+	w := &watchdog{off: !on}
+	w.limit.Store(int64(limit))
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	if on {
 		w.timer = time.AfterFunc(limit, w.bite)
@@ -60,12 +62,12 @@
 	return w
 }
 
-func (w *watchdog) bite() { w.cancel(&StallError{After: w.limit}) }
+func (w *watchdog) bite() { w.cancel(&StallError{After: time.Duration(w.limit.Load())}) }
 
 // arm starts to watch. It is called while the watchdog is disarmed.
 func (w *watchdog) arm() {
 	if !w.off {
-		w.timer.Reset(w.limit)
+		w.timer.Reset(time.Duration(w.limit.Load()))
 	}
 }
 
@@ -75,7 +77,7 @@
 		return
 	}
 	w.timer.Stop()
-	w.limit = limit
+	w.limit.Store(int64(limit))
 }
 
 // stop frees the watchdog and ends its context.
