--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -77,3 +77,16 @@
 		})
 	}
 }
+
+// BenchmarkFollowerStep measures a step of an instance that holds no lease.
+func BenchmarkFollowerStep(b *testing.B) {
+	for _, servers := range []int{53, 211, 844} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c, in, now := quietDomain(servers)
+			c.lease = NewLeaseKeeper(LeaseOptions{Holder: "n2"})
+			for b.Loop() {
+				c.step(now, in)
+			}
+		})
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -183,7 +183,8 @@
 // the list. A list that isn't read anew says nothing more as time passes.
 func (c *core) observeList() {
 	for _, line := range c.engines {
-		c.server(line.ID).addr = line.Addr
+		s := c.server(line.ID)
+		s.addr, s.leavingListed = line.Addr, line.State != platform.StateLive
 	}
 	for id, s := range c.servers {
 		if _, listed := c.list.Get(id); listed {
--- a/control/holder.go
+++ b/control/holder.go
@@ -228,6 +228,9 @@
 func (c *core) seen(now time.Time, active []string) []*record.Record {
 	var out []*record.Record
 	for _, id := range active {
+		if len(out) >= maxBatch {
+			return out
+		}
 		s, want := c.server(id), c.view.Servers[id]
 		if r := c.retire(now, s, want); r != nil {
 			out = append(out, r)
--- a/control/plan.go
+++ b/control/plan.go
@@ -46,7 +46,7 @@
 		Pool:      line.Pool,
 		MemoryMiB: smallest(line.MemoryMiB, pool.MemoryMiB, s.memory()),
 		Slots:     pool.Slots,
-		Leaving:   line.State != platform.StateLive || s.leaving(),
+		Leaving:   s.leaving(),
 		Reachable: s.status != nil && s.failures == 0,
 		Since:     maps.Clone(s.since),
 	}
@@ -67,7 +67,7 @@
 	return s.status.MemoryMiB
 }
 
-func (s *server) leaving() bool { return s.status != nil && s.status.Leaving }
+func (s *server) leaving() bool { return s.leavingListed || s.status != nil && s.status.Leaving }
 
 // smallest returns the smallest of the values that are known, or 0.
 func smallest(values ...int64) int64 {
@@ -115,6 +115,11 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// maxBatch bounds the records of one append, so that it stays well below what a
+// log takes at once: an assignment of 20 items has 1 KB. The rest comes with
+// the next step or plan.
+const maxBatch = 64
+
 // assignments turns moves into records, best move first, on a working copy of
 // the assignments. A move that the rules forbid is left out with its reason.
 //
@@ -136,7 +141,7 @@
 		changed[m.Server] = m.Reason
 	}
 	var out []*record.Record
-	for _, id := range order {
+	for _, id := range order[:min(len(order), maxBatch)] {
 		s := work.servers[id]
 		out = append(out, assignmentOf(c.lease.ID(), s, changed[id]))
 		c.logAssignment(s, changed[id])
@@ -224,6 +229,11 @@
 	if sameItems(next.Assigned, s.Assigned) {
 		return moveNothing
 	}
+	if len(m.Add) == 0 {
+		// Nothing new comes: a server whose declared memory shrank must still
+		// be able to let go.
+		next.MemoryMiB = max(next.MemoryMiB, mib(next.Assigned, next.Lingering))
+	}
 	if !replay.Fits(next.MemoryMiB, next.Assigned, next.Lingering) {
 		return moveMemory
 	}
--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -19,10 +19,12 @@
 
 func TestGuardOverMoves(t *testing.T) {
 	adapter := platform.Item{Model: "a", Adapter: "x", Version: "1", MiB: 1}
+	small := planned("small", item("old"))
+	small.MemoryMiB = 2 // its declared memory shrank
 	gone := planned("gone", item("b"))
 	gone.Reachable = false
 	in := decide.PlanInput{Config: testConfig(), Servers: []decide.PlanServer{
-		planned("s", item("a"), item("b")), planned("t", item("c")), planned("u", item("c")), gone,
+		planned("s", item("a"), item("b")), planned("t", item("c")), planned("u", item("c")), gone, small,
 	}}
 	serving := func(name string) *replay.ControlView {
 		return &replay.ControlView{Servers: map[string]*replay.Server{"far": {Ready: []platform.Item{item(name)}}}}
@@ -40,6 +42,7 @@
 		"a silent one doesn't count": {decide.Move{Server: "s", Drop: []platform.Item{item("b")}}, nil, moveLastReplica},
 		"one of two":                 {decide.Move{Server: "t", Drop: []platform.Item{item("c")}}, nil, ""},
 		"adapter without its model":  {decide.Move{Server: "t", Add: []platform.Item{adapter}}, nil, moveOrphan},
+		"drop where memory shrank":   {decide.Move{Server: "small", Drop: []platform.Item{item("old")}}, nil, ""},
 		"nothing":                    {decide.Move{Server: "t", Add: []platform.Item{item("c")}}, nil, moveNothing},
 		"in an earlier domain":       {decide.Move{Server: "s", Drop: []platform.Item{item("a")}}, map[string]*replay.ControlView{"alpha": serving("a")}, ""},
 		"in a later domain":          {decide.Move{Server: "s", Drop: []platform.Item{item("a")}}, map[string]*replay.ControlView{"zulu": serving("a")}, moveLastReplica},
@@ -71,3 +74,13 @@
 	require.Equal(t, fallbackLimits.ConcurrentLoads, p.room("unknown"))
 	require.True(t, p.take(at(20).Add(time.Hour), "p", 1))
 }
+
+func TestLeavingServerIsLoadedWithNothing(t *testing.T) {
+	s := newServer("s")
+	s.status, s.assignment = &platform.ServerStatus{}, 1
+	want := &replay.Server{ID: "s", MemoryMiB: 10, Assignment: 1, Assigned: []platform.Item{item("a")}}
+	l := Limits{}.withDefaults()
+	require.Len(t, reconcile(at(0), l, s, want, true), 1)
+	s.leavingListed = true
+	require.Empty(t, reconcile(at(0), l, s, want, true))
+}
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -71,7 +71,7 @@
 
 // loads brings in what is assigned and not there. An adapter waits for its model.
 func loads(now time.Time, l Limits, s *server, want *replay.Server) []wanted {
-	if s.status.Leaving {
+	if s.leaving() {
 		return nil
 	}
 	if !s.fits(want) {
--- a/control/server.go
+++ b/control/server.go
@@ -41,7 +41,8 @@
 	since      map[platform.Key]time.Time
 	sent       map[orderKey]sentOrder
 
-	missingSince time.Time // unlisted since
+	missingSince  time.Time // unlisted since
+	leavingListed bool      // the list says that it is leaving
 
 	calmStatus *platform.ServerStatus // with calmWant: found quiet
 	calmWant   *replay.Server
