Logs show no service's path or query; a restarted scheduler is named as such

Cause: net/http's errors hold the address asked for, and the line of a failed attempt showed it, with whatever a caller put into its query. And a refusal for a scheduler that was started again had the message of another reason. Change: the line has the cause without the address; the reason has its message.

--- a/caller/duties_test.go
+++ b/caller/duties_test.go
@@ -41,6 +41,7 @@
 		second := &rig{Server: s}
 		w := second.post(pathCompletions, `{"model":"tray","prompt":"p"}`)
 		requireNotRun(t, w, http.StatusServiceUnavailable, CodeRestarted)
+		require.Contains(t, w.Body.String(), "started again")
 		var panicked *PanicError
 		require.True(t, errors.As(<-ended, &panicked))
 		require.Equal(t, "dispatcher", panicked.Duty)
--- a/caller/problems.go
+++ b/caller/problems.go
@@ -81,6 +81,7 @@
 	decide.ReasonRetryBudget:   {http.StatusServiceUnavailable, api.TypeOverloaded, "its attempt failed, and retries would make an overload worse"},
 	decide.ReasonMayHaveRun:    {http.StatusBadGateway, api.TypeServer, "its attempt failed, and it may not be repeated"},
 	decide.ReasonShuttingDown:  {http.StatusServiceUnavailable, api.TypeOverloaded, "the instance is shutting down"},
+	reasonRestarted:            {http.StatusServiceUnavailable, api.TypeOverloaded, "the instance's scheduler was started again"},
 	decide.ReasonQuarantined:   {http.StatusUnprocessableEntity, api.TypeInvalid, "the request crashes backend servers"},
 }
 
--- a/caller/refusals_test.go
+++ b/caller/refusals_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -112,9 +113,16 @@
 		answers.WriteString(r.post(pathCompletions, body).Body.String())
 	}
 	r.post(pathCompletions, "", header{"Authorization": "Bearer " + secret})
+	r.services.call = func(_ ctxT, addr string, req platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+		e := broke()
+		e.Err = &url.Error{Op: req.Method, URL: addr + "?" + secret, Err: io.ErrUnexpectedEOF}
+		return nil, e
+	}
+	answers.WriteString(r.post("/services/order-desk/x", secret).Body.String())
 	r.stop()
 	require.Contains(t, log.String(), "routing decision")
 	require.Contains(t, log.String(), "request ended")
+	require.Contains(t, log.String(), io.ErrUnexpectedEOF.Error())
 	require.NotContains(t, log.String()+answers.String(), secret)
 	require.NotContains(t, log.String(), testKey)
 }
--- a/caller/run.go
+++ b/caller/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"time"
 
@@ -121,7 +122,7 @@
 		"effect":  err.failure.Effect.String(),
 		"tokens":  err.failure.Tokens,
 		"crash":   err.failure.Crash,
-		"error":   err.err,
+		"error":   withoutURL(err.err),
 	}).Warn("attempt failed")
 	return o, err
 }
@@ -173,6 +174,16 @@
 	}
 }
 
+// withoutURL returns what went wrong without the address that was asked for: a
+// service's path or query may hold what a log must not.
+func withoutURL(err error) error {
+	var e *url.Error
+	if errors.As(err, &e) {
+		return e.Err
+	}
+	return err
+}
+
 // failureOf returns what a platform error says. One that says nothing may have
 // taken effect.
 func failureOf(err error) decide.Failure {
