--- a/config/config_test.go
+++ b/config/config_test.go
@@ -141,20 +141,12 @@
 	}
 }
 
-func versions(files ...File) []*record.FileVersion {
-	var out []*record.FileVersion
-	for _, f := range files {
-		out = append(out, &record.FileVersion{File: f.Name, Partner: f.Partner, Author: f.Author, Content: f.Content, Removed: f.Removed, Offset: f.Offset})
-	}
-	return out
-}
-
 func TestJudgeRefusesRacesAndForeignFiles(t *testing.T) {
 	base, other := kitchen("10-base.toml", kitchenBase), heritage("15-redator.toml", heritageBase)
 	base.Offset, other.Offset = 3, 5
 	gone := kitchen("20.toml", "")
 	gone.Removed, gone.Offset = true, 7
-	force := versions(base, other, gone)
+	force := []File{base, other, gone}
 	change := func(file, partner, content string, base uint64) *record.ConfigChange {
 		return &record.ConfigChange{File: file, Partner: partner, Author: "eva", Content: []byte(content), Base: base}
 	}
@@ -191,7 +183,7 @@
 func TestJudgeRemoval(t *testing.T) {
 	base, other := kitchen("10-base.toml", kitchenBase), heritage("15-redator.toml", heritageBase)
 	base.Offset, other.Offset = 3, 5
-	force := versions(base, other)
+	force := []File{base, other}
 	require.True(t, Judge(force, &record.ConfigChange{File: "15-redator.toml", Partner: "heritage", Removed: true, Base: 5}).GetAccepted())
 	needed := Judge(force, &record.ConfigChange{File: "10-base.toml", Partner: "kitchen", Removed: true, Base: 3})
 	require.False(t, needed.GetAccepted())
--- a/config/file.go
+++ b/config/file.go
@@ -1,10 +1,6 @@
 package config
 
-import (
-	"fmt"
-
-	"greengageferry/record"
-)
+import "fmt"
 
 // MaxFileBytes bounds one file's content: hundreds of models fit in it many
 // times over, and a record on the log stays well below a megabyte.
@@ -20,22 +16,6 @@
 	Offset  uint64 // of its change on the config stream; 0 offline
 }
 
-// Files converts the files of a config stream's state.
-func Files(versions []*record.FileVersion) []File {
-	files := make([]File, len(versions))
-	for i, v := range versions {
-		files[i] = File{
-			Name:    v.GetFile(),
-			Partner: v.GetPartner(),
-			Author:  v.GetAuthor(),
-			Content: v.GetContent(),
-			Removed: v.GetRemoved(),
-			Offset:  v.GetOffset(),
-		}
-	}
-	return files
-}
-
 // Key names a setting, such as models.tray-planner.mib. Setting is empty for
 // the whole table, Name and Setting for a kind of tables.
 type Key struct {
--- a/config/judge.go
+++ b/config/judge.go
@@ -15,12 +15,12 @@
 // in force at its place on the log. It is a pure function of its arguments.
 // Judge doesn't set the verdict's Change, which is the change's own offset, nor
 // its Program.
-func Judge(inForce []*record.FileVersion, change *record.ConfigChange) *record.ConfigVerdict {
+func Judge(inForce []File, change *record.ConfigChange) *record.ConfigVerdict {
 	return NewBuilder().Judge(inForce, change)
 }
 
 // Judge does what the function Judge does.
-func (b *Builder) Judge(inForce []*record.FileVersion, change *record.ConfigChange) *record.ConfigVerdict {
+func (b *Builder) Judge(inForce []File, change *record.ConfigChange) *record.ConfigVerdict {
 	refusal := b.judge(inForce, change)
 	if refusal == nil {
 		return &record.ConfigVerdict{Accepted: true, File: change.GetFile()}
@@ -32,30 +32,27 @@
 	return &record.ConfigVerdict{Reason: reason, File: refusal.File, Line: uint32(refusal.Line)}
 }
 
-func (b *Builder) judge(inForce []*record.FileVersion, change *record.ConfigChange) *Refusal {
+func (b *Builder) judge(inForce []File, change *record.ConfigChange) *Refusal {
 	refuse := func(reason string) *Refusal { return &Refusal{File: change.GetFile(), Reason: reason} }
 	if reason := badFileName(change.GetFile()); reason != "" {
 		return refuse(reason)
 	}
-	var current *record.FileVersion
+	current, known := File{}, false
 	files := make([]File, 0, len(inForce)+1)
-	for _, f := range Files(inForce) {
-		if f.Name != change.GetFile() {
-			files = append(files, f)
+	for _, f := range inForce {
+		if f.Name == change.GetFile() {
+			current, known = f, true
+			continue
 		}
+		files = append(files, f)
 	}
-	for _, v := range inForce {
-		if v.GetFile() == change.GetFile() {
-			current = v
-		}
-	}
-	if current.GetOffset() != change.GetBase() {
+	exists := known && !current.Removed
+	switch {
+	case current.Offset != change.GetBase():
 		return refuse(raceReason(current, change))
-	}
-	if current != nil && !current.GetRemoved() && current.GetPartner() != change.GetPartner() {
-		return refuse("the file belongs to partner " + current.GetPartner())
-	}
-	if change.GetRemoved() && (current == nil || current.GetRemoved()) {
+	case exists && current.Partner != change.GetPartner():
+		return refuse("the file belongs to partner " + current.Partner)
+	case change.GetRemoved() && !exists:
 		return refuse("there is no such file to remove")
 	}
 	files = append(files, File{
@@ -71,12 +68,15 @@
 	return refusal
 }
 
-func raceReason(current *record.FileVersion, change *record.ConfigChange) string {
-	if current == nil {
-		return "it was edited from version " + strconv.FormatUint(change.GetBase(), 10) + ", which is not in force"
+// raceReason words a change whose base isn't the current version, which has
+// offset 0 if there never was one.
+func raceReason(current File, change *record.ConfigChange) string {
+	edited := "it was edited from version " + strconv.FormatUint(change.GetBase(), 10)
+	if current.Offset == 0 {
+		return edited + ", which is not in force"
 	}
-	return "it was edited from version " + strconv.FormatUint(change.GetBase(), 10) + ", but version " +
-		strconv.FormatUint(current.GetOffset(), 10) + " by " + current.GetAuthor() + " is in force: take that in and publish again"
+	return edited + ", but version " + strconv.FormatUint(current.Offset, 10) + " by " + current.Author +
+		" is in force: take that in and publish again"
 }
 
 func badFileName(name string) string {
--- a/config/property_test.go
+++ b/config/property_test.go
@@ -80,24 +80,24 @@
 func TestNoChangeBreaksTheOthers(t *testing.T) {
 	accepted := 0
 	rapid.Check(t, func(t *rapid.T) {
-		force := map[string]*record.FileVersion{}
+		force := map[string]File{}
 		builder := NewBuilder()
 		for offset := uint64(1); offset < 25; offset++ {
 			partner := rapid.SampledFrom([]string{"kitchen", "heritage"}).Draw(t, "partner")
 			file := rapid.SampledFrom([]string{"1.toml", "2.toml", "3.toml", "4.toml"}).Draw(t, "file")
 			change := &record.ConfigChange{
 				File: file, Partner: partner, Removed: rapid.IntRange(0, 9).Draw(t, "removed") == 0,
-				Content: []byte(drawFile(t)), Base: force[file].GetOffset(),
+				Content: []byte(drawFile(t)), Base: force[file].Offset,
 			}
 			before := list(force)
-			old, _, err := builder.Build(Files(before))
+			old, _, err := builder.Build(before)
 			require.NoError(t, err)
 			if !builder.Judge(before, change).GetAccepted() {
 				continue
 			}
 			accepted++
-			force[file] = &record.FileVersion{File: file, Partner: partner, Content: change.Content, Removed: change.Removed, Offset: offset}
-			now, _, err := builder.Build(Files(list(force)))
+			force[file] = File{Name: file, Partner: partner, Content: change.Content, Removed: change.Removed, Offset: offset}
+			now, _, err := builder.Build(list(force))
 			require.NoError(t, err)
 			for _, p := range []string{"kitchen", "heritage"} {
 				held, needed := heldAndNeeded(now, p)
@@ -111,8 +111,8 @@
 	require.Greater(t, accepted, 50)
 }
 
-func list(force map[string]*record.FileVersion) []*record.FileVersion {
-	var out []*record.FileVersion
+func list(force map[string]File) []File {
+	var out []File
 	for _, f := range sorted(force) {
 		out = append(out, f)
 	}
--- a/logsync/cost_test.go
+++ b/logsync/cost_test.go
@@ -207,7 +207,7 @@
 				c.put(&record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
 					File: file, Partner: "kitchen", Author: "ana", Content: []byte(content)}}},
 					&record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{Change: uint64(next), Accepted: true, File: file}}})
-				_, _, refusal := builder.InForce(filesOf(c.follower.View()))
+				_, _, refusal := builder.InForce(logsync.Files(c.follower.View()))
 				require.Nil(b, refusal)
 			}
 			change("00.toml", "[pools.p]\nfailure_domains = [\"a\"]\nservers = 1900\nmemory_mib = 80000\nslots = 16\n")
@@ -219,14 +219,6 @@
 	}
 }
 
-func filesOf(view *replay.ConfigView) []config.File {
-	var out []config.File
-	for _, f := range view.Files {
-		out = append(out, config.File{Name: f.Name, Partner: f.Partner, Author: f.Author, Content: f.Content, Removed: f.Removed, Offset: uint64(f.Offset)})
-	}
-	return out
-}
-
 // BenchmarkCostIdleRead: what a read that brings nothing costs; a follower makes
 // one in DefaultPoll.
 func BenchmarkCostIdleRead(b *testing.B) {
--- a/logsync/judge.go
+++ b/logsync/judge.go
@@ -100,7 +100,7 @@
 func (j *Judge) delay(view *replay.ConfigView, change platform.Offset) time.Duration {
 	key := "judge/" + strconv.FormatUint(uint64(change), 10)
 	delay := time.Duration(rendezvous.Rank(key, j.opts.Members(), j.opts.Self)) * judgeStepIn
-	if _, _, refusal := j.builder.InForce(config.Files(versions(view))); refusal != nil {
+	if _, _, refusal := j.builder.InForce(Files(view)); refusal != nil {
 		j.opts.Logger.WithField("error", refusal).Warn("configuration in force not fully understood")
 		delay += judgeDoubt
 	}
@@ -109,7 +109,7 @@
 
 func (j *Judge) write(ctx context.Context, view *replay.ConfigView) {
 	pending := view.Pending[0]
-	verdict := j.builder.Judge(versions(view), pending.Change)
+	verdict := j.builder.Judge(Files(view), pending.Change)
 	verdict.Change = uint64(pending.Offset)
 	verdict.Program = j.opts.Program
 	entry := j.opts.Logger.WithFields(logrus.Fields{
@@ -136,12 +136,12 @@
 	}
 }
 
-// versions converts the files in force into the form that config judges by.
-func versions(view *replay.ConfigView) []*record.FileVersion {
-	out := make([]*record.FileVersion, len(view.Files))
+// Files returns the view's files in the form that package config builds from.
+func Files(view *replay.ConfigView) []config.File {
+	out := make([]config.File, len(view.Files))
 	for i, f := range view.Files {
-		out[i] = &record.FileVersion{
-			File:    f.Name,
+		out[i] = config.File{
+			Name:    f.Name,
 			Partner: f.Partner,
 			Author:  f.Author,
 			Content: f.Content,
