logsync: a test trims the log only after its reader has read

Cause: TestRecordsAgedOut failed in 1 of 8 runs with the race detector: the node that writes could itself still be before what was trimmed, and then never gets on. Change: it waits for its own last record first. What is checked stays the same. Before: 1 of 8 failed.

--- a/logsync/follower_test.go
+++ b/logsync/follower_test.go
@@ -109,7 +109,7 @@
 		time.Sleep(2 * DefaultCheckpointAge)
 		last := log.Records(platform.StreamConfig)
 		require.Greater(t, len(last), 8)
-		a.put(t, change("late.toml", "", 0))
+		a.await(t, a.put(t, change("late.toml", "", 0)))
 		log.Trim(platform.StreamConfig, 9)
 		b := newNode(t, log, "b", nil)
 		b.await(t, a.follower.Status().Offset)
