logtest: a read that doesn't wait has no timer

Cause: go test -race ./claims crashed inside the race detector (SIGSEGV, or 'CHECK failed: tsan_rtl.cpp:346') in 9 of 52 runs with 'synctest bubble' on the system stack: a timer that has passed when it is made is run by whichever goroutine looks at it, and in a bubble several seem to share one race context. Not seen without the detector (30 runs). Change: the log for tests makes no timer for a read with no wait, of which the histories have thousands. No check was changed. Conclusion: the trigger is gone here; the cause in the detector is a reading of the dumps, not proved.

--- a/logsync/logtest/logtest.go
+++ b/logsync/logtest/logtest.go
@@ -182,7 +182,7 @@
 	defer timer.Stop()
 	for {
 		batch, changed, err := c.look(stream, from, limit)
-		if err != nil || len(batch.Records) > 0 {
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
 			return c.back(ctx, batch, err, delay)
 		}
 		select {
