control: each name's first replica is loaded before any second one

Two servers that both came back without the same model took two of the store's loads for it before another model had any. Only the first load of a name that nobody serves now goes first. What was known of orderers that left by themselves was kept for ever; it is dropped.

--- a/control/core.go
+++ b/control/core.go
@@ -203,14 +203,16 @@
 	}
 }
 
+// observeOrderers takes in since when orderers are off the list, and forgets
+// what is known of those that have left.
 func (c *core) observeOrderers() {
-	for instance := range c.unlisted {
-		if _, joined := c.view.Orderers[instance]; !joined {
-			delete(c.unlisted, instance)
-			delete(c.said, instance)
-			delete(c.asked, instance)
-		}
+	left := func(instance string) bool {
+		_, joined := c.view.Orderers[instance]
+		return !joined
 	}
+	maps.DeleteFunc(c.unlisted, func(instance string, _ time.Time) bool { return left(instance) })
+	maps.DeleteFunc(c.asked, func(instance string, _ time.Time) bool { return left(instance) })
+	maps.DeleteFunc(c.said, func(instance string, _ confirmation) bool { return left(instance) })
 	for instance := range c.view.Orderers {
 		if _, listed := c.list.Get(instance); listed {
 			delete(c.unlisted, instance)
--- a/control/memory_model_test.go
+++ b/control/memory_model_test.go
@@ -378,37 +378,3 @@
 		m.replace(slices.Index(m.processes, p))
 	}
 }
-
-// newModel returns a model of one server and two orderers, the first of which
-// holds the lease.
-func newModel(off broken, e *modelEngine) *model {
-	m := &model{off: off, engines: []*modelEngine{e}}
-	for range 2 {
-		m.spawn()
-	}
-	for _, p := range m.processes {
-		m.join(p)
-	}
-	m.claim(m.processes[0])
-	m.read(m.processes[1])
-	return m
-}
-
-// overcommitted runs the model and says whether a server's memory ever was.
-func overcommitted(t *rapid.T, off broken) string {
-	e := &modelEngine{id: "s", memory: 2, ignores: rapid.Bool().Draw(t, "ignores"), items: map[platform.Key]platform.Item{}}
-	if rapid.Bool().Draw(t, "stray") {
-		stray := platform.Item{Model: "stray", Version: "1", MiB: 1}
-		e.items[stray.Key()] = stray
-	}
-	m := newModel(off, e)
-	m.t = t
-	for range modelSteps {
-		m.step++
-		m.act()
-		if e.taken() > e.memory {
-			return fmt.Sprintf("%d of %d MiB after step %d, ignores=%t", e.taken(), e.memory, m.step, e.ignores)
-		}
-	}
-	return ""
-}
--- a/control/memory_test.go
+++ b/control/memory_test.go
@@ -33,6 +33,40 @@
 // found missing.
 const modelSteps = 120
 
+// newModel returns a model of one server and two orderers, the first of which
+// holds the lease.
+func newModel(off broken, e *modelEngine) *model {
+	m := &model{off: off, engines: []*modelEngine{e}}
+	for range 2 {
+		m.spawn()
+	}
+	for _, p := range m.processes {
+		m.join(p)
+	}
+	m.claim(m.processes[0])
+	m.read(m.processes[1])
+	return m
+}
+
+// overcommitted runs the model and says whether a server's memory ever was.
+func overcommitted(t *rapid.T, off broken) string {
+	e := &modelEngine{id: "s", memory: 2, ignores: rapid.Bool().Draw(t, "ignores"), items: map[platform.Key]platform.Item{}}
+	if rapid.Bool().Draw(t, "stray") {
+		stray := platform.Item{Model: "stray", Version: "1", MiB: 1}
+		e.items[stray.Key()] = stray
+	}
+	m := newModel(off, e)
+	m.t = t
+	for range modelSteps {
+		m.step++
+		m.act()
+		if e.taken() > e.memory {
+			return fmt.Sprintf("%d of %d MiB after step %d, ignores=%t", e.taken(), e.memory, m.step, e.ignores)
+		}
+	}
+	return ""
+}
+
 // modelRuns is how many runs each check makes. With the rule off that is
 // hardest to find, it takes 1,075.
 const modelRuns = 1200
--- a/control/plan_test.go
+++ b/control/plan_test.go
@@ -84,3 +84,16 @@
 	s.leavingListed = true
 	require.Empty(t, reconcile(at(0), l, s, want, true))
 }
+
+func TestFirstReplicasAreLoadedFirst(t *testing.T) {
+	load := func(name string) due {
+		return due{w: wanted{order: platform.Order{Kind: platform.OrderLoad, Item: item(name)}}}
+	}
+	orders := []due{load("served"), load("a"), load("a"), load("b"), {w: wanted{order: platform.Order{Kind: platform.OrderUnload}}}}
+	rankOrders(orders, map[string]bool{"served": true})
+	var got []string
+	for _, d := range orders {
+		got = append(got, d.w.order.Item.Model)
+	}
+	require.Equal(t, []string{"", "a", "b", "served", "a"}, got)
+}
