control: a holder that starts before any configuration goes on to plan

Seen: whole's tests failed at the start, some failure domains placing nothing for 90 s, with the lease held and no plan counted. Cause: a holder that had read a configuration without partners noted demand as being asked for, but no question was sent, so that it waited for ever for the answer and never planned. Ruled out: the log (no append failed), polls (none failed). It now waits for a partner. With the test: fails before, passes after.

Also: a panic of the core left its workers behind; they are ended in any case.

--- a/control/controller.go
+++ b/control/controller.go
@@ -111,13 +111,20 @@
 	start(1, c.appendMember)
 	start(1, c.appendRecords)
 	core := newCore(c.o, time.Now())
-	c.loop(ctx, core)
+	func() {
+		defer c.stop(&workers) // also where core panics, so that no worker is left behind
+		c.loop(ctx, core)
+	}()
+	c.leave(ctx, core)
+	return nil
+}
+
+// stop ends the workers once each has ended what it has in hand.
+func (c *Controller) stop(workers *errgroup.Group) {
 	c.public.Store(&public{}) // holds nothing, orders nothing from here on
 	close(c.ended)
 	c.closeRings()
-	err := workers.Wait()
-	c.leave(ctx, core)
-	return err
+	_ = workers.Wait() // they return no errors
 }
 
 func (c *Controller) closeRings() {
--- a/control/failures_test.go
+++ b/control/failures_test.go
@@ -46,6 +46,19 @@
 	})
 }
 
+func TestHolderThatStartsWithoutAConfigurationPlansOnceThereIsOne(t *testing.T) {
+	eachKind(t, func(t *testing.T, w *world, e *fakeEngine) {
+		declared := w.cfg
+		w.setConfig(&config.Config{})
+		w.plan(place("s", "a"))
+		w.start("n1")
+		settle(20 * time.Second)
+		w.setConfig(declared)
+		settle(20 * time.Second)
+		require.Equal(t, []string{"a@1"}, w.servers.resident(e))
+	})
+}
+
 func TestOneModelGoesBeforeAnotherComes(t *testing.T) {
 	eachKind(t, func(t *testing.T, w *world, e *fakeEngine) {
 		w.plan(place("s", "u1"))
--- a/control/holder.go
+++ b/control/holder.go
@@ -217,7 +217,7 @@
 
 // gatherIfDue asks for demand and the stores' limits as often as it plans.
 func (c *core) gatherIfDue(now time.Time, a *actions) {
-	if c.gathering || now.Before(c.gatherAt) || c.cfg == nil {
+	if c.gathering || now.Before(c.gatherAt) || c.cfg == nil || len(c.cfg.Partners) == 0 {
 		return
 	}
 	c.gathering = true
