--- a/decide/pick.go
+++ b/decide/pick.go
@@ -7,6 +7,8 @@
 	// quick among 1,900 servers as among 100, and together with the random
 	// choice keeps instances that read the same report from all choosing alike.
 	sampled = 8
+	// leastRoom keeps the weights of full servers above zero.
+	leastRoom = 0.1
 	// probeEvery is how many decisions give one to any candidate that fits, so
 	// that a server that was slow is seen to be well again.
 	probeEvery = 32
@@ -38,7 +40,11 @@
 		s.hinted = s.prefixes.get(now, prefixKey{t.Model, f.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	for s.fill = roomy; s.fill <= queueing; s.fill++ {
+	s.fill = roomy
+	if s.crowd {
+		s.fill = fitted
+	}
+	for ; s.fill <= queueing; s.fill++ {
 		for _, replicas := range [][]replicaState{near, far} {
 			c, w := s.among(now, f, replicas)
 			if c != nil {
@@ -69,6 +75,9 @@
 		return nil, waitable
 	}
 	s.scoreAll(now, f)
+	if s.crowd {
+		return s.pickByRoom(), true
+	}
 	return s.pick(), true
 }
 
@@ -109,9 +118,8 @@
 	}
 }
 
-// pick is the picker: the better of two random candidates, so that instances
-// with the same stale reports don't all choose the same server, and now and
-// then any candidate.
+// pick is the picker: the better of two random candidates, and now and then any
+// of them.
 func (s *Scheduler) pick() *candidate {
 	n := len(s.candidates)
 	first := s.rng.IntN(n)
@@ -125,3 +133,25 @@
 	}
 	return a
 }
+
+// pickByRoom picks at random in proportion to the free slots and to the speed. It is for more instances than a server has slots, which read the
+// same report and would all choose the emptiest server; so they fill each as far
+// as it has room.
+func (s *Scheduler) pickByRoom() *candidate {
+	sum := 0.0
+	for i := range s.candidates {
+		sum += s.candidates[i].weight()
+	}
+	at := s.rng.Float64() * sum
+	for i := range s.candidates {
+		if at -= s.candidates[i].weight(); at < 0 {
+			return &s.candidates[i]
+		}
+	}
+	return &s.candidates[len(s.candidates)-1]
+}
+
+func (c *candidate) weight() float64 {
+	free := max(float64(c.server.Slots)-c.load, leastRoom)
+	return free / max(c.score, leastRoom)
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -24,6 +24,7 @@
 	prefixes prefixes
 	draining bool
 	turn     int
+	crowd    bool // the own domain has more instances than its servers have slots
 
 	out        []Decision
 	candidates []candidate
@@ -51,6 +52,11 @@
 	for _, gone := range s.fleet.set(t) {
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
+	s.crowd = false
+	for i := range t.Servers {
+		srv := &t.Servers[i]
+		s.crowd = s.crowd || srv.FailureDomain == t.OwnDomain && t.Entries[t.OwnDomain] > srv.Slots
+	}
 	s.pumpAll(now)
 	return s.out
 }
