decide: what a version change and an eviction may take away; tests and a benchmark of plans

Cause, each found by a new test: a model with two versions on a server was evicted twice over, and its new version added in the same move, so that the memory was overcommitted; version changes could exceed the lent part; a home's only replica never changed version where both didn't fit on its server; a replaced model left its adapters without a model, and they counted as replicas. Change: nothing that this plan adds is evicted, an item is dropped once; each add keeps to the lent part; a version that doesn't fit comes on another server, or memory is cleared for it; adapters go and come with their model. At most 8 shifts a plan, victims kept between looks.

--- a/decide/evict.go
+++ b/decide/evict.go
@@ -30,11 +30,11 @@
 	kept := w.p.reserved[:0]
 	for _, r := range w.p.reserved {
 		i := slices.IndexFunc(w.servers, func(s *planServer) bool { return s.ID == r.server })
-		if i < 0 || !w.servers[i].open || !w.in.Now.Before(r.until) || !w.declaredNow(r.items) {
+		if i < 0 || !w.servers[i].open || !w.in.Now.Before(r.until) || !w.redeclare(r.items) {
 			continue
 		}
 		s := w.servers[i]
-		if s.has(nameOfItem(r.items[0])) || w.add(s, r.items, r.reason, versionGain) {
+		if slices.Contains(s.items, r.items[len(r.items)-1]) || !w.complete(s, r.items) || w.add(s, r.items, r.reason, versionGain) {
 			continue
 		}
 		for _, item := range r.items {
@@ -45,12 +45,28 @@
 	w.p.reserved = kept
 }
 
-func (w *planView) declaredNow(items []platform.Item) bool {
-	return !slices.ContainsFunc(items, func(i platform.Item) bool { return !w.declared(i) || w.item(nameOfItem(i)) != i })
+// redeclare brings the items to their declared versions. It says false if one
+// isn't declared any more.
+func (w *planView) redeclare(items []platform.Item) bool {
+	for i, item := range items {
+		if !w.declared(item) {
+			return false
+		}
+		items[i] = w.item(nameOfItem(item))
+	}
+	return true
+}
+
+// complete says whether the items find what they need on the server: an adapter
+// whose model has gone since would have nothing to run beside.
+func (w *planView) complete(s *planServer, items []platform.Item) bool {
+	return items[0].Adapter == "" || s.has(items[0].Model)
 }
 
 func (w *planView) isReserved(name string) bool {
-	return slices.ContainsFunc(w.p.reserved, func(r reservation) bool { return nameOfItem(r.items[len(r.items)-1]) == name })
+	return slices.ContainsFunc(w.p.reserved, func(r reservation) bool {
+		return slices.ContainsFunc(r.items, func(i platform.Item) bool { return nameOfItem(i) == name })
+	})
 }
 
 // victim is a model on a server that can be spared, with its adapters there.
@@ -68,7 +84,7 @@
 func (w *planView) spareable(s *planServer, item platform.Item) bool {
 	name := nameOfItem(item)
 	others := w.ready[name]
-	if s.counts && s.serves(name) {
+	if s.counts && s.serves(item) {
 		others--
 	}
 	if others > 0 {
@@ -82,17 +98,26 @@
 // first. Items assigned after `before` stay, so that no demand that comes and
 // goes swaps two models back and forth.
 func (w *planView) victims(s *planServer, before time.Time) []victim {
-	var out []victim
-	for _, i := range s.items {
-		if i.Adapter == "" && s.Since[i.Key()].Before(before) {
-			if v, ok := w.victimOf(s, i); ok {
-				out = append(out, v)
-			}
+	if s.victimsAt == w.changes && s.victimsBefore.Equal(before) {
+		return s.victims
+	}
+	s.victimsAt, s.victimsBefore = w.changes, before
+	out := s.victims[:0]
+	for _, i := range s.Assigned {
+		if i.Adapter != "" || !slices.Contains(s.items, i) || !s.Since[i.Key()].Before(before) {
+			continue
+		}
+		if old, _ := oldVersions(s, i); len(old) > 0 {
+			continue // its version changes
+		}
+		if v, ok := w.victimOf(s, i); ok {
+			out = append(out, v)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b victim) int {
 		return cmp.Compare(a.value/float64(max(a.size, 1)), b.value/float64(max(b.size, 1)))
 	})
+	s.victims = out
 	return out
 }
 
@@ -102,8 +127,8 @@
 		if i.Model != model.Model {
 			continue
 		}
-		if !w.spareable(s, i) {
-			return v, false
+		if !slices.Contains(s.Assigned, i) || !w.spareable(s, i) {
+			return v, false // added by this plan, or the last one
 		}
 		v.items = append(v.items, i)
 		v.size += i.MiB
@@ -143,10 +168,11 @@
 	return nil, 0, false
 }
 
-// makeRoom clears memory for a name that is nowhere, where that costs least.
-func (w *planView) makeRoom(name string) {
+// makeRoom clears memory for a name, where that costs least, and says whether it
+// could or had already.
+func (w *planView) makeRoom(name, reason string) bool {
 	if w.isReserved(name) {
-		return
+		return true
 	}
 	item := w.item(name)
 	var best *planServer
@@ -162,9 +188,11 @@
 			best, gone, least = s, v, value
 		}
 	}
-	if best != nil {
-		w.evict(best, gone, w.itemsFor(best, item), moveFirst)
+	if best == nil {
+		return false
 	}
+	w.evict(best, gone, w.itemsFor(best, item), reason)
+	return true
 }
 
 func (w *planView) evict(s *planServer, gone []victim, items []platform.Item, reason string) {
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -68,6 +68,7 @@
 	pressure    map[string]float64   // by server: requests there for each slot, smoothed
 	regret      map[string]float64   // by name: worth of the requests lately lost for want of a replica
 	reserved    []reservation
+	copied      map[string]string // by name: the server whose replica's new version was placed on another
 	budget      loadBudget
 }
 
@@ -78,6 +79,7 @@
 		unreachable: map[string]time.Time{},
 		pressure:    map[string]float64{},
 		regret:      map[string]float64{},
+		copied:      map[string]string{},
 		budget:      loadBudget{tokens: map[string]float64{}},
 	}
 }
--- /dev/null
+++ b/decide/placement_test.go
@@ -0,0 +1,308 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"greengageferry/config"
+	"greengageferry/platform"
+)
+
+// plant is failure domains whose engines do at once what the moves say, and
+// which give memory back a plan later.
+type plant struct {
+	t        require.TestingT
+	now      time.Time
+	conf     *config.Config
+	domains  []string
+	servers  map[string][]PlanServer
+	planners map[string]*Planner
+	stores   map[string]platform.StoreLimits
+	demand   map[string]Demand
+	cut      string // a domain that doesn't plan
+	down     bool   // the store
+	loads    int
+}
+
+func newPlant(t require.TestingT, conf *config.Config, servers int) *plant {
+	p := &plant{t: t, now: simStart, conf: conf, domains: conf.Pools["pool"].FailureDomains, servers: map[string][]PlanServer{}, planners: map[string]*Planner{}}
+	for _, d := range p.domains {
+		p.planners[d] = NewPlanner()
+		for i := range servers {
+			p.servers[d] = append(p.servers[d], PlanServer{ID: fmt.Sprint(d, "-", i), Pool: "pool", MemoryMiB: simMemory, Slots: simSlots, Reachable: true,
+				Since: map[platform.Key]time.Time{}})
+		}
+	}
+	return p
+}
+
+// step plans once in each domain and carries the moves out.
+func (p *plant) step(by time.Duration) (moves int) {
+	p.now = p.now.Add(by)
+	for _, d := range p.domains {
+		servers := p.servers[d]
+		for i := range servers {
+			servers[i].Lingering = nil
+			servers[i].Ready = slices.Clone(servers[i].Assigned)
+		}
+		if d == p.cut {
+			continue
+		}
+		for _, m := range p.planners[d].Plan(PlanInput{Now: p.now, Domain: d, Config: p.conf, Servers: servers, Demand: p.demand,
+			Elsewhere: p.elsewhere(d), Domains: p.domains, Stores: p.stores, StoreDown: p.down}) {
+			moves++
+			p.carryOut(&servers[slices.IndexFunc(servers, func(s PlanServer) bool { return s.ID == m.Server })], m)
+		}
+	}
+	return moves
+}
+
+func (p *plant) carryOut(s *PlanServer, m Move) {
+	for _, drop := range m.Drop {
+		s.Assigned = slices.DeleteFunc(s.Assigned, func(i platform.Item) bool { return i == drop })
+		s.Ready = slices.DeleteFunc(s.Ready, func(i platform.Item) bool { return i == drop })
+		s.Lingering = append(s.Lingering, drop)
+	}
+	for _, add := range m.Add {
+		s.Assigned = append(s.Assigned, add)
+		s.Since[add.Key()] = p.now
+		p.loads++
+		require.True(p.t, !s.Leaving)
+		if add.Adapter != "" {
+			require.True(p.t, slices.ContainsFunc(s.Assigned, func(i platform.Item) bool { return i.Model == add.Model && i.Adapter == "" }), "an adapter beside its model")
+		}
+	}
+	require.LessOrEqual(p.t, held(*s), s.MemoryMiB, "memory, lingering items included: %v on %v", m, s)
+}
+
+func (p *plant) elsewhere(domain string) map[string]int {
+	n := map[string]int{}
+	for d, servers := range p.servers {
+		if d != domain {
+			for _, s := range servers {
+				for _, i := range s.Ready {
+					n[nameOfItem(i)]++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// ready returns how many servers serve the name.
+func (p *plant) ready(name string) int { return p.elsewhere("")[name] }
+
+func (p *plant) all(check func(name string)) {
+	for _, name := range append(sortedNames(p.conf.Models), sortedNames(p.conf.Adapters)...) {
+		check(name)
+	}
+}
+
+func TestEachGetsOneReplicaThenASecondElsewhere(t *testing.T) {
+	p := newPlant(t, small.config(), 4)
+	p.step(time.Second)
+	p.all(func(name string) { require.LessOrEqual(t, p.ready(name), 1, "two domains both placed %s first", name) })
+	for range 10 {
+		p.step(time.Second)
+	}
+	p.all(func(name string) {
+		require.Equal(t, 2, p.ready(name), name)
+		for _, d := range p.domains {
+			require.Equal(t, 1, p.elsewhere(d)[name], "%s: one in each domain", name)
+		}
+	})
+	require.Zero(t, p.step(time.Second), "nothing moves without a cause")
+}
+
+func TestOthersPlaceWhatACutOffHomeDoesNot(t *testing.T) {
+	p := newPlant(t, small.config(), 4)
+	p.cut = "d0"
+	p.step(time.Second)
+	missing := 0
+	p.all(func(name string) { missing += 1 - min(p.ready(name), 1) })
+	require.Positive(t, missing, "they wait first")
+	for range 4 {
+		p.step(homePatience / 2)
+	}
+	p.all(func(name string) { require.Positive(t, p.ready(name), name) })
+}
+
+func TestLeavingAndLostServersAreReplaced(t *testing.T) {
+	p := newPlant(t, small.config(), 4)
+	for range 10 {
+		p.step(time.Second)
+	}
+	p.servers["d0"][0].Leaving = true
+	p.servers["d1"][0].Reachable = false
+	lost := slices.Clone(p.servers["d1"][0].Assigned)
+	require.Zero(t, len(p.planners["d1"].Plan(PlanInput{Now: p.now, Domain: "d1", Config: p.conf, Servers: p.servers["d1"], Elsewhere: p.elsewhere("d1"), Domains: p.domains})),
+		"a short cut costs no load")
+	for range 10 {
+		p.step(unreachablePatience / 4)
+	}
+	p.servers["d1"][0].Assigned, p.servers["d0"][0].Assigned = nil, nil
+	p.step(time.Second)
+	for _, i := range lost {
+		require.Positive(t, p.ready(nameOfItem(i)))
+	}
+}
+
+func TestNewVersionIsReadyBeforeTheOldGoes(t *testing.T) {
+	for _, servers := range []int{4, 3} { // with room beside the old version, and with less
+		p := newPlant(t, small.config(), servers)
+		for range 40 {
+			p.step(time.Second)
+		}
+		before := p.loads
+		next := small.config()
+		for name, m := range next.Models {
+			m.Version = "2"
+			next.Models[name] = m
+		}
+		p.conf = next
+		for range 60 {
+			p.step(time.Second)
+			p.all(func(name string) { require.Positive(t, p.ready(name), "%s with %d servers", name, servers) })
+		}
+		for _, d := range p.domains {
+			for _, s := range p.servers[d] {
+				for _, i := range s.Assigned {
+					require.True(t, i.Adapter != "" || i.Version == "2", "%v with %d servers", i, servers)
+				}
+			}
+		}
+		require.Less(t, p.loads-before, 5*len(next.Models))
+	}
+}
+
+func TestStoreLimitsHold(t *testing.T) {
+	p := newPlant(t, small.config(), 4)
+	p.stores = map[string]platform.StoreLimits{"owner": {LoadsPerSecond: 1, ConcurrentLoads: 2}, "guest": {LoadsPerSecond: 1, ConcurrentLoads: 2}}
+	p.down = true
+	p.step(time.Second)
+	require.Zero(t, p.loads, "the store is down")
+	p.down = false
+	for i := range 10 {
+		p.step(time.Second)
+		require.LessOrEqual(t, p.loads, 2*2*(i+1), "two partners with a load in flight in each domain")
+		require.LessOrEqual(t, float64(p.loads), 2*(float64(i+1)+loadBurst+1))
+	}
+}
+
+func TestDemandMovesReplicasAndNoiseDoesNot(t *testing.T) {
+	p := newPlant(t, small.config(), 4)
+	for range 10 {
+		p.step(time.Second)
+	}
+	p.now = p.now.Add(2 * minResidence)
+	noise := rand.New(rand.NewPCG(1, 1))
+	for range 600 {
+		p.demand = map[string]Demand{"m001": {RequestsPerSecond: 5 * noise.Float64()}, "m002": {RequestsPerSecond: 1, RefusedPerSecond: 0.005 * noise.Float64()}}
+		require.Zero(t, p.step(time.Second))
+	}
+	p.demand = map[string]Demand{"m001": {RequestsPerSecond: 10, RefusedPerSecond: 4}}
+	for range 60 {
+		p.step(time.Second)
+	}
+	require.Greater(t, p.ready("m001"), 2)
+	p.demand = nil
+	grown := p.ready("m001")
+	for range 600 {
+		require.Zero(t, p.step(time.Second), "what isn't in the way stays")
+	}
+	require.Equal(t, grown, p.ready("m001"))
+}
+
+// TestAnyChangesKeepMemoryLentPartsAndReach plans through random demand, server
+// loss and version changes, and checks what must always hold.
+func TestAnyChangesKeepMemoryLentPartsAndReach(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlant(t, small.config(), 3)
+		for range 20 {
+			p.step(time.Second)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			p.demand = map[string]Demand{}
+			for range 3 {
+				name := rapid.SampledFrom(sortedNames(p.conf.Models)).Draw(t, "model")
+				p.demand[name] = Demand{RequestsPerSecond: 9, RefusedPerSecond: rapid.Float64Range(0, 9).Draw(t, "refused")}
+			}
+			if rapid.IntRange(0, 19).Draw(t, "change") == 0 {
+				next := *p.conf
+				next.Models = map[string]config.Model{}
+				for _, name := range sortedNames(p.conf.Models) {
+					m := p.conf.Models[name]
+					m.Version = fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "version"))
+					next.Models[name] = m
+				}
+				p.conf = &next
+			}
+			p.step(time.Duration(rapid.IntRange(1, 200).Draw(t, "seconds")) * time.Second)
+			p.all(func(name string) { require.Positive(t, p.ready(name), name) })
+			for _, d := range p.domains {
+				borrowed := int64(0)
+				for _, s := range p.servers[d] {
+					for _, i := range s.Assigned {
+						if p.conf.Models[i.Model].Owner == "guest" {
+							borrowed += i.MiB
+						}
+					}
+				}
+				require.LessOrEqual(t, float64(borrowed), p.conf.Pools["pool"].Lent*3*simMemory)
+			}
+		}
+	})
+}
+
+func TestHomesFollowCapacityAndStay(t *testing.T) {
+	c := twoYears.config()
+	pool := c.Pools["pool"]
+	pool.FailureDomains = []string{"a", "b", "c"}
+	c.Pools["pool"] = pool
+	moved, count := 0, map[string]int{}
+	for name := range c.Models {
+		h := homes(c, name, pool.FailureDomains)
+		count[h[0]]++
+		if without := homes(c, name, []string{"a", "b"}); h[0] != "c" && without[0] != h[0] {
+			moved++
+		}
+	}
+	require.Zero(t, moved, "a lost domain changes no other's homes")
+	for d, n := range count {
+		require.InDelta(t, len(c.Models)/3, n, 60, d)
+	}
+}
+
+// BenchmarkPlan plans for a domain at the two-year size: first everything, then
+// with demand.
+func BenchmarkPlan(b *testing.B) {
+	conf := twoYears.config()
+	for _, kind := range []string{"empty", "settled"} {
+		b.Run(kind, func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				p := newPlant(b, conf, 211)
+				steps := 0
+				if kind == "settled" {
+					steps = 4
+					p.demand = map[string]Demand{}
+					for i, name := range sortedNames(conf.Models) {
+						p.demand[name] = Demand{RequestsPerSecond: 1, RefusedPerSecond: float64(i%3) / 10}
+					}
+				}
+				for range steps {
+					p.step(time.Second)
+				}
+				in := PlanInput{Now: p.now.Add(time.Minute), Domain: "d0", Config: conf, Servers: p.servers["d0"], Demand: p.demand, Domains: p.domains}
+				b.StartTimer()
+				p.planners["d0"].Plan(in)
+			}
+		})
+	}
+}
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -31,6 +31,7 @@
 	lent     map[string]int64         // by pool: MiB that other partners may still fill
 	moves    map[string]*Move
 	loads    map[string]int // by partner: loads that the store may still begin
+	changes  int            // adds and drops so far
 }
 
 // planServer is a server as one plan changes it.
@@ -41,6 +42,10 @@
 	free     int64
 	pressure float64
 	items    []platform.Item
+
+	victims       []victim // of the last call with these:
+	victimsAt     int
+	victimsBefore time.Time
 }
 
 func (p *Planner) view(in PlanInput) *planView {
@@ -68,7 +73,7 @@
 }
 
 func (w *planView) addServer(ps *PlanServer) {
-	s := &planServer{PlanServer: ps, free: ps.MemoryMiB - held(*ps), items: slices.Clone(ps.Assigned)}
+	s := &planServer{PlanServer: ps, victimsAt: -1, free: ps.MemoryMiB - held(*ps), items: slices.Clone(ps.Assigned)}
 	s.counts = !ps.Leaving && w.p.reached(w.in.Now, ps)
 	s.open = s.counts && ps.Reachable
 	s.pressure = w.p.smoothPressure(ps, w.elapsed)
@@ -89,14 +94,19 @@
 	name := nameOfItem(item)
 	if !slices.Contains(w.replicas[name], s) {
 		w.replicas[name] = append(w.replicas[name], s)
-		if s.serves(name) {
+		if s.serves(item) {
 			w.ready[name]++
 		}
 	}
 }
 
-// serves says whether the server serves some version of the name.
-func (s *planServer) serves(name string) bool {
+// serves says whether the server serves some version of the item, an adapter
+// beside its model.
+func (s *planServer) serves(item platform.Item) bool {
+	return s.isReady(nameOfItem(item)) && (item.Adapter == "" || s.isReady(item.Model))
+}
+
+func (s *planServer) isReady(name string) bool {
 	return slices.ContainsFunc(s.Ready, func(i platform.Item) bool { return nameOfItem(i) == name })
 }
 
@@ -146,10 +156,11 @@
 			return false
 		}
 	}
-	if s.free < size {
+	if s.free < size || !w.allows(s, items[0].Model, size) {
 		return false
 	}
 	m := w.move(s, reason, gain)
+	w.changes++
 	for _, i := range items {
 		owner := w.owner(i)
 		w.loads[owner]--
@@ -168,12 +179,16 @@
 // drop takes the item off the server. Its memory is free in a later plan, once
 // it is confirmed gone.
 func (w *planView) drop(s *planServer, item platform.Item, reason string) {
+	if !slices.Contains(s.items, item) {
+		return
+	}
+	w.changes++
 	m := w.move(s, reason, 0)
 	m.Drop = append(m.Drop, item)
 	s.items = slices.DeleteFunc(s.items, func(i platform.Item) bool { return i.Key() == item.Key() })
 	if name := nameOfItem(item); !s.has(name) && s.counts {
 		w.replicas[name] = slices.DeleteFunc(slices.Clone(w.replicas[name]), func(x *planServer) bool { return x == s })
-		if s.serves(name) {
+		if s.serves(item) {
 			w.ready[name]--
 		}
 	}
--- a/decide/replicas.go
+++ b/decide/replicas.go
@@ -33,11 +33,12 @@
 	moveRoom       = "make_room"
 )
 
-// dropUndeclared drops what the configuration no longer has.
+// dropUndeclared drops what the configuration no longer has, and adapters whose
+// model has gone from beside them.
 func (w *planView) dropUndeclared() {
 	for _, s := range w.servers {
 		for _, i := range slices.Clone(s.items) {
-			if !w.declared(i) {
+			if !w.declared(i) || i.Adapter != "" && !s.has(i.Model) {
 				w.drop(s, i, moveUndeclared)
 			}
 		}
@@ -65,13 +66,13 @@
 		}
 		if !w.place(name, moveFirst, firstGain) {
 			complete = false
-			w.makeRoom(name)
+			w.makeRoom(name, moveFirst)
 		}
 	}
 	for _, name := range sortedNames(w.in.Config.Adapters) {
 		if w.wantsFirst(name) && !w.place(name, moveFirst, firstGain) {
 			complete = false
-			w.makeRoom(name)
+			w.makeRoom(name, moveFirst)
 		}
 	}
 	return complete
--- a/decide/shift.go
+++ b/decide/shift.go
@@ -24,6 +24,9 @@
 	spare = 0.7
 	// minResidence is how long an item stays before demand may move it.
 	minResidence = 2 * time.Minute
+	// maxShifts bounds the shifts of one plan: the next one, seconds later, sees
+	// what they brought.
+	maxShifts = 8
 	// evictRatio is how much more a new replica must be worth than what goes.
 	evictRatio = 1.0
 )
@@ -55,7 +58,7 @@
 	d := w.in.Demand[name]
 	least := math.Inf(1)
 	for _, s := range w.replicas[name] {
-		if !s.serves(name) {
+		if !s.serves(w.item(name)) {
 			return 0
 		}
 		least = min(least, s.pressure)
@@ -73,9 +76,12 @@
 func (w *planView) shift() {
 	names := sortedNames(w.p.regret)
 	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(w.p.regret[b], w.p.regret[a]) })
+	shifts := 0
 	for _, name := range names {
-		if w.declared(w.item(name)) && !w.isReserved(name) && w.p.regret[name] >= w.price(name) {
-			w.shiftOne(name)
+		if w.declared(w.item(name)) && !w.isReserved(name) && w.p.regret[name] >= w.price(name) && w.shiftOne(name) {
+			if shifts++; shifts == maxShifts {
+				return
+			}
 		}
 	}
 }
@@ -85,10 +91,10 @@
 	return loadWorth * w.partner(w.owner(w.item(name))).MovesWeight
 }
 
-func (w *planView) shiftOne(name string) {
+func (w *planView) shiftOne(name string) bool {
 	lost := w.unmet(name)
 	if lost <= 0 {
-		return
+		return false
 	}
 	item := w.item(name)
 	weight := w.partner(w.owner(item)).AttainmentWeight
@@ -109,20 +115,18 @@
 			best, gone, most = s, v, gain
 		}
 	}
-	if best == nil {
-		return
-	}
-	w.take(best, gone, w.itemsFor(best, item), most)
+	return best != nil && w.take(best, gone, w.itemsFor(best, item), most)
 }
 
 // take makes the shift, or clears the memory for it.
-func (w *planView) take(s *planServer, gone []victim, items []platform.Item, gain float64) {
+func (w *planView) take(s *planServer, gone []victim, items []platform.Item, gain float64) bool {
 	name := nameOfItem(items[len(items)-1])
 	if len(gone) > 0 {
 		w.evict(s, gone, items, moveDemand)
 	} else if !w.add(s, items, moveDemand, gain) {
-		return
+		return false
 	}
 	delete(w.p.regret, name)
 	s.pressure += crowded - spare
+	return true
 }
--- a/decide/version.go
+++ b/decide/version.go
@@ -39,24 +39,114 @@
 	}
 }
 
-// replace begins the change of one replica.
+// replace begins the change of one replica: beside the old version, in its place,
+// or on another server, where memory is cleared for it if need be.
 func (w *planView) replace(s *planServer, old []platform.Item, item platform.Item) bool {
-	if w.add(s, []platform.Item{item}, moveVersion, versionGain) {
+	name := nameOfItem(item)
+	lent := w.allows(s, item.Model, item.MiB)
+	if lent && w.add(s, []platform.Item{item}, moveVersion, versionGain) {
 		return true
 	}
-	if s.free >= item.MiB || !w.spareable(s, old[0]) {
-		return false
+	if lent && s.free >= item.MiB {
+		return false // the store's limits
 	}
-	if _, ok := w.victimOf(s, old[0]); item.Adapter == "" && !ok {
-		return false // an adapter there would be nowhere
+	if w.sparesAll(s, old[0]) {
+		items := w.takeOff(s, old, item)
+		if w.p.copied[name] == s.ID {
+			delete(w.p.copied, name) // its new version serves elsewhere
+		} else {
+			w.reserve(s, items, moveVersion)
+		}
+		return true
+	}
+	if !lent && slices.Contains(w.in.Config.Models[item.Model].Pools, s.Pool) {
+		return w.freeLent(s.Pool, item)
+	}
+	if w.p.copied[name] != "" && (w.isReserved(name) || w.hasItem(item)) {
+		w.copyAdapters(s, item)
+		return true
+	}
+	if items, to := w.otherServer(s, item); to != nil && w.add(to, items, moveVersion, versionGain) || w.makeRoom(name, moveVersion) {
+		w.p.copied[name] = s.ID
+		return true
+	}
+	return false
+}
+
+// takeOff drops the old versions, with the adapters beside a model, and returns
+// what has to come in their place.
+func (w *planView) takeOff(s *planServer, old []platform.Item, item platform.Item) []platform.Item {
+	items := []platform.Item{item}
+	for _, i := range slices.Clone(s.items) {
+		if item.Adapter == "" && i.Model == item.Model && i.Adapter != "" {
+			w.drop(s, i, moveVersion)
+			items = append(items, w.item(i.Adapter))
+		}
 	}
 	for _, o := range old {
 		w.drop(s, o, moveVersion)
 	}
-	w.reserve(s, []platform.Item{item}, moveVersion)
+	return items
+}
+
+// otherServer returns a server without the name where the item fits.
+func (w *planView) otherServer(s *planServer, item platform.Item) ([]platform.Item, *planServer) {
+	items, to := w.bestServer(nameOfItem(item))
+	if to == s {
+		return nil, nil
+	}
+	return items, to
+}
+
+// hasItem says whether some server is assigned the item.
+func (w *planView) hasItem(item platform.Item) bool {
+	return slices.ContainsFunc(w.servers, func(s *planServer) bool { return s.counts && slices.Contains(s.items, item) })
+}
+
+// copyAdapters places the server's adapters of a model beside its new version
+// too, where they would else be nowhere when the old one goes.
+func (w *planView) copyAdapters(s *planServer, model platform.Item) {
+	for _, i := range slices.Clone(s.items) {
+		if i.Model == model.Model && i.Adapter != "" && !w.spareable(s, i) && len(w.replicas[i.Adapter]) < 2 {
+			w.place(i.Adapter, moveVersion, versionGain)
+		}
+	}
+}
+
+// freeLent drops the least valuable model of the item's owner from what the pool
+// lends it, so that the item's new version has room there.
+func (w *planView) freeLent(pool string, item platform.Item) bool {
+	var at *planServer
+	var least victim
+	for _, s := range w.servers {
+		if s.Pool != pool || !s.open {
+			continue
+		}
+		for _, v := range w.victims(s, w.in.Now) {
+			if w.owner(v.items[0]) == w.owner(item) && v.items[0].Model != item.Model && (at == nil || v.value < least.value) {
+				at, least = s, v
+			}
+		}
+	}
+	if at == nil {
+		return false
+	}
+	for _, i := range least.items {
+		w.drop(at, i, moveRoom)
+	}
 	return true
 }
 
+// sparesAll says whether the item, with the adapters that go with a model, can
+// be spared on the server.
+func (w *planView) sparesAll(s *planServer, item platform.Item) bool {
+	if item.Adapter != "" {
+		return w.spareable(s, item)
+	}
+	_, ok := w.victimOf(s, item)
+	return ok
+}
+
 // oldVersions returns the item's other versions on the server, and whether the
 // declared one is assigned there.
 func oldVersions(s *planServer, item platform.Item) (old []platform.Item, has bool) {
