A stuck log holds nothing up; a quickstart that never served says so

Cause: logrus writes where it is called, so a standard error that nobody reads would stop the dispatcher; quickstart with a short -duration exited 0 without having served.

--- a/cmd/greengageferry/entry.go
+++ b/cmd/greengageferry/entry.go
@@ -74,7 +74,9 @@
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	instance, err := entry.New(entry.Options{Settings: s, Version: version, Log: newLogger(level)})
+	log, closeLog := newLogger(level)
+	defer closeLog()
+	instance, err := entry.New(entry.Options{Settings: s, Version: version, Log: log})
 	if err == nil {
 		err = instance.Run(ctx)
 	}
--- a/cmd/greengageferry/publish.go
+++ b/cmd/greengageferry/publish.go
@@ -59,6 +59,8 @@
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
+	log, closeLog := newLogger(logrus.WarnLevel)
+	defer closeLog()
 	p := publish.New(publish.Options{
 		Log:       platform.NewHTTPLog(c.log, &http.Client{}),
 		Dir:       c.dir,
@@ -66,7 +68,7 @@
 		Author:    c.author,
 		Overwrite: c.overwrite,
 		Timeout:   c.timeout,
-		Logger:    newLogger(logrus.WarnLevel),
+		Logger:    log,
 	})
 	if c.watch {
 		return publishExit(false, p.Watch(ctx, printOutcome))
--- a/cmd/greengageferry/quickstart.go
+++ b/cmd/greengageferry/quickstart.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/sirupsen/logrus"
 
@@ -59,8 +60,10 @@
 		ctx, cancel = context.WithTimeout(ctx, c.duration)
 		defer cancel()
 	}
-	err = quickstart.Run(ctx, quickstart.Options{Listen: c.listen, Out: os.Stdout, Log: newLogger(level), Version: version})
-	if err != nil && ctx.Err() == nil {
+	log, closeLog := newLogger(level)
+	err = quickstart.Run(ctx, quickstart.Options{Listen: c.listen, Out: os.Stdout, Log: log, Version: version})
+	closeLog()
+	if err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintln(os.Stderr, "quickstart:", err)
 		return subcommands.ExitFailure
 	}
--- a/quickstart/run.go
+++ b/quickstart/run.go
@@ -45,13 +45,17 @@
 type NotReadyError struct {
 	Waited  time.Duration
 	Missing []string // targets without a replica, or the reasons of an instance
+	Err     error    // the context's end if that came first, else nil
 }
 
 // Error implements error.
 func (e *NotReadyError) Error() string {
-	return fmt.Sprintf("not serving after %s: %v", e.Waited, e.Missing)
+	return fmt.Sprintf("not serving after %s: %v", e.Waited.Round(time.Millisecond), e.Missing)
 }
 
+// Unwrap returns the context's end.
+func (e *NotReadyError) Unwrap() error { return e.Err }
+
 // Run starts everything, prints one ready line for each partner once every
 // declared model, adapter and service has a replica, and serves until ctx ends.
 func Run(ctx context.Context, opts Options) error {
@@ -174,8 +178,9 @@
 }
 
 // WaitServing waits until every instance is ready and sees a replica of every
-// target. The error is a *NotReadyError, or ctx's.
+// target. The error is a *NotReadyError.
 func WaitServing(ctx context.Context, entries []*entry.Instance, limit time.Duration) error {
+	began := time.Now()
 	deadline := time.NewTimer(limit)
 	defer deadline.Stop()
 	ticker := time.NewTicker(readyEvery)
@@ -187,7 +192,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return &NotReadyError{Waited: time.Since(began), Missing: missing, Err: ctx.Err()}
 		case <-deadline.C:
 			return &NotReadyError{Waited: limit, Missing: missing}
 		case <-ticker.C:
