--- a/whole/failures_test.go
+++ b/whole/failures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +46,24 @@
 	d.check()
 }
 
+// TestWholeStartBeforeAnyConfiguration has leases held before anything is
+// declared.
+func TestWholeStartBeforeAnyConfiguration(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.startEntries()
+	client := &http.Client{Transport: d.transport("operators"), Timeout: 2 * time.Second}
+	for _, n := range d.nodes {
+		until(t, "leases", func() bool {
+			status, err := n.status(t.Context(), client)
+			return err == nil && len(status.Leases) > 0 && status.Leases[0].Holder != "" && status.Leases[0].Orderers > 0
+		})
+	}
+	d.publish()
+	d.reachable("after the configuration")
+	d.check()
+}
+
 func TestWholeInstanceKilled(t *testing.T) {
 	underTraffic(t, func(d *deployment, tr *traffic) {
 		for _, n := range []*node{d.nodes[0], d.nodes[5]} {
