control: a store's limits are divided by the failure domains once

Cause: control gave the planner its domain's part of a store's limits, and decide divided that by the domains again: with four domains a sixteenth of the rate.

--- a/control/pace.go
+++ b/control/pace.go
@@ -80,11 +80,12 @@
 	return limiter.AllowN(now, 1)
 }
 
-// share returns the domain's part of the stores' limits, for the planner.
-func (p *pacer) share() map[string]platform.StoreLimits {
+// stores returns the stores' limits as a whole, for the planner: it takes the
+// failure domain's part of them itself.
+func (p *pacer) stores() map[string]platform.StoreLimits {
 	out := map[string]platform.StoreLimits{}
 	for _, partner := range slices.Sorted(maps.Keys(p.limits)) {
-		out[partner] = platform.StoreLimits{LoadsPerSecond: float64(p.rate(partner)), ConcurrentLoads: p.room(partner)}
+		out[partner] = p.of(partner)
 	}
 	return out
 }
--- a/control/plan.go
+++ b/control/plan.go
@@ -29,7 +29,7 @@
 		Demand:    c.gathered.demand,
 		Elsewhere: elsewhere(c.others),
 		Domains:   serverDomains(c.list),
-		Stores:    c.pace.share(),
+		Stores:    c.pace.stores(),
 		StoreDown: c.gathered.storeDown,
 	}
 	for _, line := range c.engines {
