tests: one processor for synctest packages under the race detector

Change: packages whose tests use testing/synctest run on one processor (package internal/testmain says why); no check was changed.

--- a/control/memory_test.go
+++ b/control/memory_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,8 +15,9 @@
 )
 
 // TestMain fixes the seed of the property tests; -rapid.seed on the command
-// line goes before it.
+// line goes before it. One processor: see package testmain.
 func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
--- /dev/null
+++ b/demand/main_test.go
@@ -0,0 +1,9 @@
+package demand
+
+import (
+	"testing"
+
+	"greengageferry/internal/testmain"
+)
+
+func TestMain(m *testing.M) { testmain.Run(m) }
