Loads of the servers reach the planner

Cause: the planner's shifts rest on each server's load, but control gave none, so it took every server for idle; and a holder that looks at quiet servers each 10 minutes can't know. Change: load reports ride on answers already; each instance keeps those of the last 20 s, its answer to the sampled question for demand bears the domain's, and the plan's input has the newest. One conversion of files instead of two. Figures: 24 bytes a server in six answers each 15 s: with 100 servers 1 KB/s at the most for the holder. Conclusion: read off both sides; the round trip is tested in peer and demand.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -202,6 +202,7 @@
 	}
 	a.loadSent = now
 	a.job.server.Reported(a.server.ID, *e.Load, 0)
+	a.job.server.opts.Observer.Reported(a.server.ID, *e.Load)
 }
 
 // asAttemptError tells of an answer that could not be handed to its caller.
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -13,6 +13,9 @@
 	Decided(target string, d decide.Decision)
 	// Ended is told of an answer's end at a server.
 	Ended(target, server string, o decide.Outcome)
+	// Reported is told of a load report that rode on an answer. It is called by
+	// requests' own goroutines.
+	Reported(server string, load platform.Load)
 	// NotResident is told that a server lacks what it was asked for.
 	NotResident(server string)
 }
@@ -22,6 +25,7 @@
 
 func (noObserver) Decided(string, decide.Decision)      {}
 func (noObserver) Ended(string, string, decide.Outcome) {}
+func (noObserver) Reported(string, platform.Load)       {}
 func (noObserver) NotResident(string)                   {}
 
 // observeFailure tells the observer what a failed attempt showed.
--- a/control/options.go
+++ b/control/options.go
@@ -40,8 +40,8 @@
 // Demand asks the failure domain's entry instances what their callers ask for.
 type Demand interface {
 	// Demand returns the sum over the instances that answered, by model or
-	// adapter name.
-	Demand(ctx context.Context) map[string]decide.Demand
+	// adapter name, and the newest loads that they saw, by server.
+	Demand(ctx context.Context) (map[string]decide.Demand, map[string]platform.Load)
 }
 
 // Applied asks another entry instance how far it has read the control stream
--- a/control/plan.go
+++ b/control/plan.go
@@ -16,6 +16,7 @@
 // gathered is what a plan needs and that has to be asked for.
 type gathered struct {
 	demand    map[string]decide.Demand
+	loads     map[string]platform.Load // by server
 	stores    map[string]platform.StoreLimits
 	storeDown bool // no store told its limits
 }
@@ -49,6 +50,7 @@
 		Leaving:   s.leaving(),
 		Reachable: s.status != nil && s.failures == 0,
 		Since:     maps.Clone(s.since),
+		Load:      c.gathered.loads[line.ID],
 	}
 	want := c.view.Servers[line.ID]
 	if want != nil {
--- a/control/workers.go
+++ b/control/workers.go
@@ -106,7 +106,7 @@
 			}
 		}
 		g.storeDown = len(g.stores) == 0
-		g.demand = c.o.Demand.Demand(call)
+		g.demand, g.loads = c.o.Demand.Demand(call)
 		cancel()
 		c.post(collected{g})
 	}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -130,7 +130,9 @@
 	return platform.StoreLimits{LoadsPerSecond: 10, ConcurrentLoads: 10}, nil
 }
 
-func (w *world) Demand(context.Context) map[string]decide.Demand { return nil }
+func (w *world) Demand(context.Context) (map[string]decide.Demand, map[string]platform.Load) {
+	return nil, nil
+}
 
 // Applied asks the node as a peer would.
 func (w *world) Applied(_ context.Context, i platform.Instance) (platform.Offset, error) {
--- a/demand/collector.go
+++ b/demand/collector.go
@@ -27,9 +27,15 @@
 	askTime = 2 * time.Second
 )
 
+// Report is what an entry instance says of a failure domain.
+type Report struct {
+	Rates map[string]Rates         // what the domain was asked for through it, by target
+	Loads map[string]platform.Load // the loads that rode on its answers lately, by server
+}
+
 // Asker asks an entry instance what a failure domain was asked for through it.
 type Asker interface {
-	Demand(ctx context.Context, instance platform.Instance, domain string) (map[string]Rates, error)
+	Demand(ctx context.Context, instance platform.Instance, domain string) (Report, error)
 }
 
 // Collector estimates what callers ask of one failure domain from a sample of
@@ -49,7 +55,7 @@
 type sample struct {
 	at     time.Time
 	domain string // where the instance is
-	rates  map[string]Rates
+	report Report
 }
 
 // NewCollector returns a collector for a failure domain.
@@ -93,14 +99,14 @@
 }
 
 func (c *Collector) ask(ctx context.Context, instance platform.Instance) {
-	rates, err := c.asker.Demand(ctx, instance, c.domain)
+	report, err := c.asker.Demand(ctx, instance, c.domain)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		delete(c.samples, instance.ID)
 		return
 	}
-	c.samples[instance.ID] = sample{at: time.Now(), domain: instance.FailureDomain, rates: rates}
+	c.samples[instance.ID] = sample{at: time.Now(), domain: instance.FailureDomain, report: report}
 }
 
 // choose draws the instances to ask.
@@ -120,6 +126,22 @@
 	return chosen
 }
 
+// Loads returns the newest loads that the samples told of, by server.
+func (c *Collector) Loads() map[string]platform.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loads := map[string]platform.Load{}
+	told := map[string]time.Time{}
+	for _, s := range c.samples {
+		for server, load := range s.report.Loads {
+			if s.at.After(told[server]) {
+				loads[server], told[server] = load, s.at
+			}
+		}
+	}
+	return loads
+}
+
 // estimate scales what the newest samples of each failure domain say to all
 // instances there.
 func (c *Collector) estimate(now time.Time, entries []platform.Instance) map[string]Rates {
@@ -140,7 +162,7 @@
 	total := map[string]Rates{}
 	for _, s := range c.samples {
 		scale := float64(instances[s.domain]) / float64(sampled[s.domain])
-		for target, r := range s.rates {
+		for target, r := range s.report.Rates {
 			t := total[target]
 			t.Requests += r.Requests * scale
 			t.Tokens += r.Tokens * scale
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -46,11 +46,14 @@
 
 func (silence) Error() string { return "no answer" }
 
-func (e evenly) Demand(_ context.Context, i platform.Instance, _ string) (map[string]Rates, error) {
+func (e evenly) Demand(_ context.Context, i platform.Instance, _ string) (Report, error) {
 	if e.silent[i.ID] {
-		return nil, silence{}
+		return Report{}, silence{}
 	}
-	return map[string]Rates{"m": {Requests: 2}}, nil
+	return Report{
+		Rates: map[string]Rates{"m": {Requests: 2}},
+		Loads: map[string]platform.Load{"server-of-" + i.ID: {Running: 3}},
+	}, nil
 }
 
 func entries(domain string, n int) []platform.Instance {
@@ -79,7 +82,7 @@
 	asked *atomic.Int64
 }
 
-func (c counting) Demand(ctx context.Context, i platform.Instance, domain string) (map[string]Rates, error) {
+func (c counting) Demand(ctx context.Context, i platform.Instance, domain string) (Report, error) {
 	c.asked.Add(1)
 	return c.evenly.Demand(ctx, i, domain)
 }
@@ -97,6 +100,21 @@
 	})
 }
 
+func TestLoadsComeFromTheSamplesAndAge(t *testing.T) {
+	all := entries("porto-a", 3)
+	c := NewCollector("porto-a", evenly{}, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+	c.Collect(t.Context())
+	require.Len(t, c.Loads(), 3)
+	require.Equal(t, platform.Load{Running: 3}, c.Loads()["server-of-porto-a1"])
+
+	l := NewLoads()
+	l.Seen(start, "old", platform.Load{Running: 1})
+	l.Seen(start.Add(loadLife), "new", platform.Load{Running: 2})
+	l.Seen(start.Add(loadLife), "new", platform.Load{Running: 4})
+	require.Equal(t, map[string]platform.Load{"new": {Running: 4}}, l.Recent(start.Add(loadLife+time.Second)))
+	require.Len(t, l.seen, 1)
+}
+
 func TestOldSamplesDontCount(t *testing.T) {
 	all := entries("porto-a", 3)
 	c := NewCollector("porto-a", evenly{}, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -64,7 +64,7 @@
 	if last != nil && last.changed == uint64(view.Changed) {
 		return
 	}
-	built, provenance, refusal := c.builder.InForce(filesOf(view))
+	built, provenance, refusal := c.builder.InForce(logsync.Files(view))
 	if refusal != nil {
 		// The verdict on the log stands, whatever this program makes of it.
 		c.log.WithFields(logrus.Fields{"file": refusal.File, "line": refusal.Line, "reason": refusal.Reason}).
@@ -82,19 +82,3 @@
 		"services": len(built.Services),
 	}).Info("configuration in force")
 }
-
-// filesOf converts a view's files.
-func filesOf(view *replay.ConfigView) []config.File {
-	files := make([]config.File, 0, len(view.Files))
-	for _, f := range view.Files {
-		files = append(files, config.File{
-			Name:    f.Name,
-			Partner: f.Partner,
-			Author:  f.Author,
-			Content: f.Content,
-			Removed: f.Removed,
-			Offset:  uint64(f.Offset),
-		})
-	}
-	return files
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	quarantine    *quarantine
 	caller        *caller.Server
 	meter         *demand.Meter
+	loads         *demand.Loads
 	collector     *demand.Collector
 	peers         *peer.Client
 	peerTraffic   *traffic.Counters
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -9,6 +9,7 @@
 	"greengageferry/control"
 	"greengageferry/decide"
 	"greengageferry/demand"
+	"greengageferry/platform"
 	"greengageferry/replay"
 	"greengageferry/supervise"
 )
@@ -136,18 +137,19 @@
 type collected struct{ *demand.Collector }
 
 // Demand implements control.Demand.
-func (c collected) Demand(ctx context.Context) map[string]decide.Demand {
+func (c collected) Demand(ctx context.Context) (map[string]decide.Demand, map[string]platform.Load) {
 	out := map[string]decide.Demand{}
 	for target, r := range c.Collect(ctx) {
 		out[target] = decide.Demand{RequestsPerSecond: r.Requests, TokensPerSecond: r.Tokens, RefusedPerSecond: r.Refused}
 	}
-	return out
+	return out, c.Loads()
 }
 
 // observer implements caller.Observer: it meters demand and tells the
 // controller of servers that lack what they should hold.
 type observer struct {
 	meter   *demand.Meter
+	loads   *demand.Loads
 	table   func() *decide.Table
 	missing func(server string)
 	used    func(server, addr string)
@@ -183,6 +185,11 @@
 	o.meter.Generated(time.Now(), target, domainOf(o.table(), server), outcome.Tokens)
 }
 
+// Reported implements caller.Observer.
+func (o *observer) Reported(server string, load platform.Load) {
+	o.loads.Seen(time.Now(), server, load)
+}
+
 // NotResident implements caller.Observer.
 func (o *observer) NotResident(server string) { o.missing(server) }
 
@@ -221,7 +228,16 @@
 	return ""
 }
 
-// rates returns what a failure domain was asked for through this instance.
-func (i *Instance) rates(domain string) map[string]demand.Rates {
-	return i.meter.Rates(time.Now(), domain)
+// report returns what a failure domain was asked for through this instance, and
+// the loads of its servers that this instance used lately.
+func (i *Instance) report(domain string) demand.Report {
+	now := time.Now()
+	report := demand.Report{Rates: i.meter.Rates(now, domain), Loads: i.loads.Recent(now)}
+	table := i.table.Load()
+	for server := range report.Loads {
+		if domainOf(table, server) != domain {
+			delete(report.Loads, server)
+		}
+	}
+	return report
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -46,7 +46,7 @@
 		Applied:       i.applied,
 		Claims:        i.batchers,
 		Answer:        i.answerFor,
-		Rates:         i.rates,
+		Report:        i.report,
 		Missing:       i.tellController,
 	}, i.opts.Settings.Peers.Token, i.peerTraffic)
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -134,6 +134,7 @@
 	entries := func() []platform.Instance { return i.watcher.List().Entries("") }
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	i.meter = demand.NewMeter()
+	i.loads = demand.NewLoads()
 	i.collector = demand.NewCollector(i.domain(), i.peers, entries, random)
 }
 
@@ -178,7 +179,7 @@
 			local:  func(attempt string) (caller.Answer, bool, bool) { return i.caller.AnswerFor(attempt) },
 			addrOf: i.addrOf,
 		},
-		Observer: &observer{meter: i.meter, table: i.table.Load, missing: i.missing.found, used: i.hints.used},
+		Observer: &observer{meter: i.meter, loads: i.loads, table: i.table.Load, missing: i.missing.found, used: i.hints.used},
 		Limits: caller.Limits{
 			BodyBytes: int(s.Limits.MaxBodyBytes),
 			Requests:  s.Limits.MaxInFlight,
--- a/peer/client.go
+++ b/peer/client.go
@@ -93,19 +93,25 @@
 }
 
 // Demand implements demand.Asker.
-func (c *Client) Demand(ctx context.Context, instance platform.Instance, domain string) (map[string]demand.Rates, error) {
-	return call(ctx, c, "peer.demand", instance.Addr, func(ctx context.Context, p Peer) (map[string]demand.Rates, error) {
-		r, err := p.Demand(ctx, &DemandRequest{FailureDomain: domain})
-		rates := make(map[string]demand.Rates, len(r.GetModels()))
-		for _, m := range r.GetModels() {
-			rates[m.GetModel()] = demand.Rates{
-				Requests: float64(m.GetRequestsPerSecond()),
-				Tokens:   float64(m.GetTokensPerSecond()),
-				Refused:  float64(m.GetRefusedPerSecond()),
-			}
-		}
-		return rates, err
+func (c *Client) Demand(ctx context.Context, instance platform.Instance, domain string) (demand.Report, error) {
+	r, err := call(ctx, c, "peer.demand", instance.Addr, func(ctx context.Context, p Peer) (*DemandResponse, error) {
+		return p.Demand(ctx, &DemandRequest{FailureDomain: domain})
 	})
+	if err != nil {
+		return demand.Report{}, err
+	}
+	report := demand.Report{Rates: map[string]demand.Rates{}, Loads: map[string]platform.Load{}}
+	for _, m := range r.GetModels() {
+		report.Rates[m.GetModel()] = demand.Rates{
+			Requests: float64(m.GetRequestsPerSecond()),
+			Tokens:   float64(m.GetTokensPerSecond()),
+			Refused:  float64(m.GetRefusedPerSecond()),
+		}
+	}
+	for _, s := range r.GetServers() {
+		report.Loads[s.GetServer()] = platform.Load{Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Slots: int(s.GetSlots())}
+	}
+	return report, nil
 }
 
 // Missing tells the lease holder at an address of a server that lacks what it
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -45,8 +45,11 @@
 			return Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, true, attempt == "known"
 		},
 		Missing: func(string) {},
-		Rates: func(domain string) map[string]demand.Rates {
-			return map[string]demand.Rates{"m@" + domain: {Requests: 1.5, Tokens: 20, Refused: 0.25}}
+		Report: func(domain string) demand.Report {
+			return demand.Report{
+				Rates: map[string]demand.Rates{"m@" + domain: {Requests: 1.5, Tokens: 20, Refused: 0.25}},
+				Loads: map[string]platform.Load{"s": {Running: 3, Waiting: 2, Slots: 8}},
+			}
 		},
 	}
 }
@@ -71,9 +74,10 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 7, offset)
 
-	rates, err := c.Demand(t.Context(), at, "pelotas")
+	report, err := c.Demand(t.Context(), at, "pelotas")
 	require.NoError(t, err)
-	require.Equal(t, map[string]demand.Rates{"m@pelotas": {Requests: 1.5, Tokens: 20, Refused: 0.25}}, rates)
+	require.Equal(t, map[string]demand.Rates{"m@pelotas": {Requests: 1.5, Tokens: 20, Refused: 0.25}}, report.Rates)
+	require.Equal(t, map[string]platform.Load{"s": {Running: 3, Waiting: 2, Slots: 8}}, report.Loads)
 
 	standings, err := c.Claim(t.Context(), addr, 1, [][]byte{[]byte("a"), []byte("b")})
 	require.NoError(t, err)
--- a/peer/server.go
+++ b/peer/server.go
@@ -50,8 +50,9 @@
 	Claims  ClaimServer
 	// Answer returns what was answered to an attempt that runs here or ran.
 	Answer func(attempt string) (answer Answer, finished, found bool)
-	// Rates returns what a failure domain was asked for through this instance.
-	Rates func(domain string) map[string]demand.Rates
+	// Report returns what this instance knows of what a failure domain was asked
+	// for and of its servers' loads.
+	Report func(domain string) demand.Report
 	// Missing is told of a server that lacks what it should hold.
 	Missing       func(server string)
 	FailureDomain string
@@ -143,7 +144,8 @@
 // Demand implements Peer.
 func (s *service) Demand(_ context.Context, r *DemandRequest) (*DemandResponse, error) {
 	response := &DemandResponse{Instance: s.Instance}
-	for target, rates := range s.Rates(r.GetFailureDomain()) {
+	report := s.Report(r.GetFailureDomain())
+	for target, rates := range report.Rates {
 		response.Models = append(response.Models, &ModelDemand{
 			Model:             target,
 			RequestsPerSecond: float32(rates.Requests),
@@ -151,6 +153,14 @@
 			RefusedPerSecond:  float32(rates.Refused),
 		})
 	}
+	for server, load := range report.Loads {
+		response.Servers = append(response.Servers, &ServerLoad{
+			Server:  server,
+			Running: uint32(load.Running),
+			Waiting: uint32(load.Waiting),
+			Slots:   uint32(load.Slots),
+		})
+	}
 	return response, nil
 }
 
