entry: the looks at servers tell the callers' side which process runs

Cause: caller can tell a death from a cut by a server's boot, and the looks at servers see it anyway. Conclusion: one line more knowledge, no call more.

--- a/entry/holding.go
+++ b/entry/holding.go
@@ -45,6 +45,7 @@
 		view:    i.domains.ownFollower().View,
 		engine:  i.opts.Platform.Engine,
 		report:  i.missing.found,
+		booted:  i.caller.Booted,
 		metrics: i.vars("patrol"),
 	}
 }
--- a/entry/patrol.go
+++ b/entry/patrol.go
@@ -38,6 +38,7 @@
 	view    func() *replay.ControlView
 	engine  platform.Engine
 	report  func(server string)
+	booted  func(server, boot string) // told of each server's process that was seen
 	metrics *expvar.Map
 }
 
@@ -92,6 +93,9 @@
 	if ctx.Err() == context.Canceled {
 		return
 	}
+	if err == nil {
+		p.booted(s.ID, status.Boot)
+	}
 	if err != nil || !asLogged(status, view.Servers[s.ID]) {
 		p.metrics.Add("reported", 1)
 		p.report(s.ID)
--- a/entry/patrol_test.go
+++ b/entry/patrol_test.go
@@ -66,6 +66,7 @@
 				list:    func() *fleet.List { return list },
 				members: func() []string { return members },
 				view:    func() *replay.ControlView { return view },
+				booted:  func(string, string) {},
 				report: func(server string) {
 					mu.Lock()
 					defer mu.Unlock()
