One guard against panics, one lookup of a server's domain, one end at a signal

Change: supervise.Once serves both, the list's index replaces the search, untilSignal serves all commands. The test keeps its assertions, on the one type.

--- a/caller/duties_test.go
+++ b/caller/duties_test.go
@@ -14,6 +14,7 @@
 
 	"greengageferry/decide"
 	"greengageferry/platform"
+	"greengageferry/supervise"
 )
 
 // faulty is an observer that panics once.
@@ -42,7 +43,7 @@
 		w := second.post(pathCompletions, `{"model":"tray","prompt":"p"}`)
 		requireNotRun(t, w, http.StatusServiceUnavailable, CodeRestarted)
 		require.Contains(t, w.Body.String(), "started again")
-		var panicked *PanicError
+		var panicked *supervise.PanicError
 		require.True(t, errors.As(<-ended, &panicked))
 		require.Equal(t, "dispatcher", panicked.Duty)
 		go func() { ended <- s.Run(ctx) }() // as its supervisor does
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -17,6 +16,7 @@
 	"greengageferry/decide"
 	"greengageferry/platform"
 	"greengageferry/record"
+	"greengageferry/supervise"
 )
 
 // Server is the callers' side of one entry instance. Its handler serves while
@@ -83,31 +83,14 @@
 	s.opts.Log.WithFields(logrus.Fields{"panic": v, "stack": string(debug.Stack())}).Error("message panicked")
 }
 
-// PanicError says that a duty panicked.
-type PanicError struct {
-	Duty  string
-	Value any
-	Stack []byte
-}
-
-// Error implements error.
-func (e *PanicError) Error() string { return "duty " + e.Duty + " panicked" }
-
 // Run runs the duties until ctx ends, and returns nil then. If a duty panics
-// it returns a *PanicError and may be called again: the scheduler starts
+// it returns a *supervise.PanicError and may be called again: the scheduler starts
 // anew, and requests that waited for it are refused. It is called after Drain
 // and Idle in a graceful shutdown.
 func (s *Server) Run(ctx context.Context) error {
 	g, gctx := errgroup.WithContext(ctx)
 	duty := func(name string, run func(context.Context) error) {
-		g.Go(func() (err error) {
-			defer func() {
-				if v := recover(); v != nil {
-					err = errors.WithStack(&PanicError{Duty: name, Value: v, Stack: debug.Stack()})
-				}
-			}()
-			return run(gctx)
-		})
+		g.Go(func() error { return supervise.Once(gctx, supervise.Duty{Name: name, Run: run}) })
 	}
 	duty("dispatcher", s.dispatch)
 	duty("results", s.results.run)
--- a/cmd/greengageferry/load.go
+++ b/cmd/greengageferry/load.go
@@ -7,9 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -65,7 +63,7 @@
 		f.Usage()
 		return subcommands.ExitUsageError
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal(ctx)
 	defer stop()
 	if c.models != "" {
 		c.options.Models = strings.Split(c.models, ",")
--- a/cmd/greengageferry/standin.go
+++ b/cmd/greengageferry/standin.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -100,7 +98,7 @@
 
 // Execute implements subcommands.Command.
 func (c *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilSignal(ctx)
 	defer stop()
 	if f.NArg() > 0 {
 		f.Usage()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,5 +141,11 @@
 // OperatorsAddr returns the operators' address.
 func (i *Instance) OperatorsAddr() string { return i.listeners["operators"].addr() }
 
+// domainOf returns a listed instance's failure domain, or "" for one that has gone.
+func (i *Instance) domainOf(id string) string {
+	listed, _ := i.watcher.List().Get(id)
+	return listed.FailureDomain
+}
+
 // Ready says whether callers may be sent here.
 func (i *Instance) Ready() bool { return len(i.notReady()) == 0 }
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -149,11 +149,13 @@
 // observer implements caller.Observer: it meters demand and tells the
 // controller of servers that lack what they should hold.
 type observer struct {
-	meter   *demand.Meter
-	loads   *demand.Loads
-	table   func() *decide.Table
-	missing func(server string)
-	used    func(server, addr string)
+	meter *demand.Meter
+	loads *demand.Loads
+	// domainOf returns a server's failure domain, or "" for one that has gone.
+	domainOf func(server string) string
+	table    func() *decide.Table
+	missing  func(server string)
+	used     func(server, addr string)
 }
 
 // capacityReasons are the refusals that more replicas would have prevented.
@@ -183,7 +185,7 @@
 	if outcome.Tokens == 0 {
 		return
 	}
-	o.meter.Generated(time.Now(), target, domainOf(o.table(), server), outcome.Tokens)
+	o.meter.Generated(time.Now(), target, o.domainOf(server), outcome.Tokens)
 }
 
 // Reported implements caller.Observer.
@@ -216,27 +218,13 @@
 	return domains
 }
 
-// domainOf returns a server's failure domain, or "" for one that has gone.
-func domainOf(t *decide.Table, server string) string {
-	if t == nil {
-		return ""
-	}
-	for _, s := range t.Servers {
-		if s.ID == server {
-			return s.FailureDomain
-		}
-	}
-	return ""
-}
-
 // report returns what a failure domain was asked for through this instance, and
 // the loads of its servers that this instance used lately.
 func (i *Instance) report(domain string) demand.Report {
 	now := time.Now()
 	report := demand.Report{Rates: i.meter.Rates(now, domain), Loads: i.loads.Recent(now)}
-	table := i.table.Load()
 	for server := range report.Loads {
-		if domainOf(table, server) != domain {
+		if i.domainOf(server) != domain {
 			delete(report.Loads, server)
 		}
 	}
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -179,7 +179,7 @@
 			local:  func(attempt string) (caller.Answer, bool, bool) { return i.caller.AnswerFor(attempt) },
 			addrOf: i.addrOf,
 		},
-		Observer: &observer{meter: i.meter, loads: i.loads, table: i.table.Load, missing: i.missing.found, used: i.hints.used},
+		Observer: &observer{meter: i.meter, loads: i.loads, domainOf: i.domainOf, table: i.table.Load, missing: i.missing.found, used: i.hints.used},
 		Limits: caller.Limits{
 			BodyBytes: int(s.Limits.MaxBodyBytes),
 			Requests:  s.Limits.MaxInFlight,
--- a/supervise/supervise.go
+++ b/supervise/supervise.go
@@ -105,7 +105,7 @@
 func keepRunning(ctx context.Context, opts Options, duty Duty) error {
 	var failures []time.Time
 	for {
-		err := runOnce(ctx, duty)
+		err := Once(ctx, duty)
 		if err == nil || ctx.Err() != nil {
 			return nil
 		}
@@ -121,8 +121,8 @@
 	}
 }
 
-// runOnce runs a duty and turns a panic into an error.
-func runOnce(ctx context.Context, duty Duty) (err error) {
+// Once runs a duty until it ends, and turns a panic into a *PanicError.
+func Once(ctx context.Context, duty Duty) (err error) {
 	defer func() {
 		if v := recover(); v != nil {
 			err = &PanicError{Duty: duty.Name, Value: v, Stack: debug.Stack()}
