--- a/caller/attempts_test.go
+++ b/caller/attempts_test.go
@@ -11,18 +11,18 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
 const streamed = `{"model":"tray","prompt":"p","max_tokens":6,"stream":true}`
 
-func broke() *platform.Error {
-	return &platform.Error{Op: "generate", Reason: platform.ReasonUnreachable, Effect: platform.EffectUnknown}
+func broke() *infra.Error {
+	return &infra.Error{Op: "generate", Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown}
 }
 
-func refused(r platform.Reason) *platform.Error {
-	return &platform.Error{Op: "generate", Reason: r, Effect: platform.EffectNone}
+func refused(r infra.Reason) *infra.Error {
+	return &infra.Error{Op: "generate", Reason: r, Effect: infra.EffectNone}
 }
 
 // streamText returns the text of a streamed completion's events.
@@ -35,8 +35,8 @@
 }
 
 // onFirst has the engine answer the first attempt by f, and each later one whole.
-func (r *rig) onFirst(f func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error)) {
-	r.engine.generate = func(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+func (r *rig) onFirst(f func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error)) {
+	r.engine.generate = func(ctx context.Context, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 		if len(r.engine.attempts()) == 1 {
 			return f(ctx, req)
 		}
@@ -68,7 +68,7 @@
 func TestCutStreamResumesUnseen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+		r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 			s := r.engine.stream(ctx, answerFrom(req, 0, 3)[:3])
 			s.end = broke()
 			return s, nil
@@ -89,11 +89,11 @@
 
 func TestForeignAndRepeatedEventsAreDropped(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 		own := answerFrom(req, 0, 6)
-		foreign := platform.Event{Attempt: "another", Index: 1, Token: "SECRET"}
-		foreignEnd := platform.Event{Attempt: "another", Index: 1, Finish: platform.FinishStop}
-		events := []platform.Event{own[0], foreign, foreignEnd, own[0], own[1], own[2], own[1]}
+		foreign := infra.Event{Attempt: "another", Index: 1, Token: "SECRET"}
+		foreignEnd := infra.Event{Attempt: "another", Index: 1, Finish: infra.FinishStop}
+		events := []infra.Event{own[0], foreign, foreignEnd, own[0], own[1], own[2], own[1]}
 		return r.engine.stream(ctx, append(events, own[3:]...)), nil
 	})
 	w := r.post("/v1/completions", streamed)
@@ -106,9 +106,9 @@
 
 func TestGapBreaksTheStreamAndIsResumed(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 		own := answerFrom(req, 0, 6)
-		return r.engine.stream(ctx, []platform.Event{own[0], own[1], own[3], own[2], own[4], own[5], own[6]}), nil
+		return r.engine.stream(ctx, []infra.Event{own[0], own[1], own[3], own[2], own[4], own[5], own[6]}), nil
 	})
 	w := r.post("/v1/completions", streamed)
 	require.Equal(t, text(6), streamText(w.Body.String()))
@@ -118,7 +118,7 @@
 // A stream whose last token was lost has an end marker, and still isn't whole.
 func TestEndMarkerAfterALostTokenIsAGap(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 		own := answerFrom(req, 0, 6)
 		return r.engine.stream(ctx, append(own[:5:5], own[6])), nil
 	})
@@ -129,7 +129,7 @@
 
 func TestStreamThatCannotBeFinishedEndsWithAnError(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 		s := r.engine.stream(ctx, answerFrom(req, 0, 3)[:3])
 		s.end = broke()
 		return s, nil
@@ -147,16 +147,16 @@
 
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
 	for name, tc := range map[string]struct {
-		err      *platform.Error
+		err      *infra.Error
 		attempts int
 		status   int
 	}{
-		"a refusal may be dispatched again": {refused(platform.ReasonOverloaded), 2, http.StatusOK},
+		"a refusal may be dispatched again": {refused(infra.ReasonOverloaded), 2, http.StatusOK},
 		"a lost answer may not":             {broke(), 1, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
-			r.onFirst(func(context.Context, platform.GenerateRequest) (platform.Stream, error) { return nil, tc.err })
+			r.onFirst(func(context.Context, infra.GenerateRequest) (infra.Stream, error) { return nil, tc.err })
 			w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, header{HeaderNonIdempotent: "true"})
 			require.Equal(t, tc.status, w.Code, w.Body)
 			require.Len(t, r.engine.attempts(), tc.attempts)
@@ -174,7 +174,7 @@
 func TestDeadlineEndsARequestAndCancelsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.engine.generate = func(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+		r.engine.generate = func(ctx context.Context, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 			s := r.engine.stream(ctx, answerFrom(req, 0, 1)[:1])
 			s.block = true
 			return s, nil
@@ -194,7 +194,7 @@
 func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.engine.generate = func(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+		r.engine.generate = func(ctx context.Context, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 			s := r.engine.stream(ctx, answerFrom(req, 0, 1)[:1])
 			s.block = true
 			return s, nil
@@ -217,11 +217,11 @@
 func TestDeathOfAServerIsReportedAndTheRequestStopsAtTwo(t *testing.T) {
 	r := newRig(t)
 	boots := []string{"boot-1", "boot-2", "boot-3", "boot-4"}
-	r.engine.generate = func(context.Context, string, platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(context.Context, string, infra.GenerateRequest) (infra.Stream, error) {
 		return nil, broke()
 	}
-	r.engine.status = func(addr string) (platform.ServerStatus, error) {
-		return platform.ServerStatus{Boot: boots[len(r.engine.attempts())]}, nil
+	r.engine.status = func(addr string) (infra.ServerStatus, error) {
+		return infra.ServerStatus{Boot: boots[len(r.engine.attempts())]}, nil
 	}
 	r.Booted("e0", "boot-0")
 	r.Booted("e1", "boot-0")
@@ -238,7 +238,7 @@
 
 func TestBrokenConnectionToALivingServerIsNoCrash(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(context.Context, platform.GenerateRequest) (platform.Stream, error) { return nil, broke() })
+	r.onFirst(func(context.Context, infra.GenerateRequest) (infra.Stream, error) { return nil, broke() })
 	r.Booted("e0", "boot-1")
 	r.Booted("e1", "boot-1")
 	w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`)
@@ -259,7 +259,7 @@
 
 func TestPanicIsAnsweredInATypedForm(t *testing.T) {
 	r := newRig(t)
-	r.engine.generate = func(context.Context, string, platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(context.Context, string, infra.GenerateRequest) (infra.Stream, error) {
 		panic("engine adapter")
 	}
 	w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`)
--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const benchTokens = 32
@@ -24,16 +24,16 @@
 // at once. With hold it sends one token and waits for its reader to go.
 func httpEngine(hold bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != platform.PathGenerate {
+		if r.URL.Path != infra.PathGenerate {
 			_, _ = io.WriteString(w, `{"boot":"b"}`)
 			return
 		}
-		var req platform.GenerateRequest
+		var req infra.GenerateRequest
 		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.Header().Set("Content-Type", platform.ContentTypeEvents)
+		w.Header().Set("Content-Type", infra.ContentTypeEvents)
 		for i := range req.MaxTokens {
 			_, _ = fmt.Fprintf(w, "data: {\"attempt\":%q,\"index\":%d,\"token\":\"token \"}\n\n", req.Attempt, i)
 			w.(http.Flusher).Flush()
@@ -65,7 +65,7 @@
 	b.Cleanup(x.engine.Close)
 	backend := &http.Transport{MaxIdleConnsPerHost: 2000}
 	b.Cleanup(backend.CloseIdleConnections)
-	x.rig = newRig(b, func(o *Options) { o.Engine = platform.NewHTTPEngine(&http.Client{Transport: backend}) })
+	x.rig = newRig(b, func(o *Options) { o.Engine = infra.NewHTTPEngine(&http.Client{Transport: backend}) })
 	t := testTable()
 	t.Servers = []decide.Server{{ID: "e0", Addr: x.engine.Listener.Addr().String(), Pool: "p", FailureDomain: "dock-hall-a", Slots: 1 << 20}}
 	for _, target := range t.Targets {
@@ -76,12 +76,12 @@
 	x.rig.SetTable(t)
 	x.entry = x.rig.listen(b)
 	x.body = []byte(fmt.Sprintf(`{"model":"tray","prompt":"p","stream":true,"max_tokens":%d}`, tokens))
-	x.direct, _ = json.Marshal(platform.GenerateRequest{Attempt: newID(), Model: "tray", Prompt: "p", MaxTokens: tokens})
+	x.direct, _ = json.Marshal(infra.GenerateRequest{Attempt: newID(), Model: "tray", Prompt: "p", MaxTokens: tokens})
 	return x
 }
 
 func (x *bench) open(b *testing.B, viaEntry bool) *http.Response {
-	url, body := "http://"+x.engine.Listener.Addr().String()+platform.PathGenerate, x.direct
+	url, body := "http://"+x.engine.Listener.Addr().String()+infra.PathGenerate, x.direct
 	if viaEntry {
 		url, body = x.entry.URL+pathCompletions, x.body
 	}
@@ -197,7 +197,7 @@
 	t := testTable()
 	t.Targets["tray"].MaxTokens = 1 << 30
 	r.SetTable(t)
-	r.engine.generate = func(ctx ctxT, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(ctx ctxT, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 		return &endless{attempt: req.Attempt, most: req.MaxTokens}, nil
 	}
 	body := fmt.Sprintf(`{"model":"tray","prompt":"p","stream":true,"max_tokens":%d}`, max(b.N, 1))
@@ -214,10 +214,10 @@
 	most    int
 }
 
-func (e *endless) Recv() (platform.Event, error) {
-	ev := platform.Event{Attempt: e.attempt, Index: e.next, Token: "token "}
+func (e *endless) Recv() (infra.Event, error) {
+	ev := infra.Event{Attempt: e.attempt, Index: e.next, Token: "token "}
 	if e.next == e.most {
-		ev.Token, ev.Finish = "", platform.FinishLength
+		ev.Token, ev.Finish = "", infra.FinishLength
 	}
 	e.next++
 	return ev, nil
--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Requests one after another share the connection to their server: a new one
@@ -26,7 +26,7 @@
 	t.Cleanup(engine.Close)
 	transport := &http.Transport{MaxIdleConnsPerHost: 10}
 	t.Cleanup(transport.CloseIdleConnections)
-	r := newRig(t, func(o *Options) { o.Engine = platform.NewHTTPEngine(&http.Client{Transport: transport}) })
+	r := newRig(t, func(o *Options) { o.Engine = infra.NewHTTPEngine(&http.Client{Transport: transport}) })
 	table := testTable()
 	for i := range table.Servers {
 		table.Servers[i].Addr = engine.Listener.Addr().String()
--- a/caller/crash.go
+++ b/caller/crash.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -125,7 +125,7 @@
 // A plain service tells no boot: its deaths can't be told from a broken
 // connection and aren't reported.
 func (s *Server) diedUnder(ctx context.Context, c *call, boot string, e *attemptError) bool {
-	broke := e.failure.Reason == platform.ReasonUnreachable && e.failure.Effect == platform.EffectUnknown
+	broke := e.failure.Reason == infra.ReasonUnreachable && e.failure.Effect == infra.EffectUnknown
 	if !broke || e.gone || ctx.Err() != nil || c.target.Service {
 		return false
 	}
@@ -140,7 +140,7 @@
 	if err == nil && (before == "" || before == status.Boot) {
 		return false
 	}
-	if err != nil && failureOf(err).Reason != platform.ReasonUnreachable {
+	if err != nil && failureOf(err).Reason != infra.ReasonUnreachable {
 		return false // it answers, or is only slow
 	}
 	s.metrics.count("crashes")
--- a/caller/deps.go
+++ b/caller/deps.go
@@ -7,7 +7,7 @@
 	"context"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -46,4 +46,4 @@
 }
 
 // Services sends calls to plain services' backend servers.
-type Services = platform.Services
+type Services = infra.Services
--- a/caller/dispatcher.go
+++ b/caller/dispatcher.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // tickEvery is how often time passes for the scheduler while it has requests:
@@ -62,13 +62,13 @@
 
 type reported struct {
 	server string
-	load   platform.Load
+	load   infra.Load
 	age    time.Duration
 }
 
 type cached struct {
 	server string
-	events []platform.CacheEvent
+	events []infra.CacheEvent
 }
 
 func (e arrived) apply(d *dispatcher, now time.Time) []decide.Decision {
--- a/caller/duties_test.go
+++ b/caller/duties_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/supervise"
 )
 
@@ -87,11 +87,11 @@
 
 // counted counts what is taken from a stream.
 type counted struct {
-	platform.Stream
+	infra.Stream
 	taken *atomic.Int32
 }
 
-func (c *counted) Recv() (platform.Event, error) {
+func (c *counted) Recv() (infra.Event, error) {
 	c.taken.Add(1)
 	return c.Stream.Recv()
 }
@@ -100,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		var taken atomic.Int32
-		r.engine.generate = func(ctx ctxT, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+		r.engine.generate = func(ctx ctxT, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 			return &counted{r.engine.stream(ctx, wholeAnswer(req)), &taken}, nil
 		}
 		w, done := r.stuckPost(`{"model":"tray","prompt":"p","max_tokens":60,"stream":true}`, 5)
--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -21,7 +21,7 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/internal/testmain"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -44,16 +44,16 @@
 // fakeEngine answers each Generate by its script. Without one it streams the
 // tokens t0, t1, … up to the request's most.
 type fakeEngine struct {
-	generate func(ctx context.Context, addr string, req platform.GenerateRequest) (platform.Stream, error)
-	status   func(addr string) (platform.ServerStatus, error)
+	generate func(ctx context.Context, addr string, req infra.GenerateRequest) (infra.Stream, error)
+	status   func(addr string) (infra.ServerStatus, error)
 
 	mu       sync.Mutex
-	requests []platform.GenerateRequest
+	requests []infra.GenerateRequest
 	canceled []string
 	closed   int
 }
 
-func (e *fakeEngine) Generate(ctx context.Context, addr string, req platform.GenerateRequest) (platform.Stream, error) {
+func (e *fakeEngine) Generate(ctx context.Context, addr string, req infra.GenerateRequest) (infra.Stream, error) {
 	e.mu.Lock()
 	e.requests = append(e.requests, req)
 	e.mu.Unlock()
@@ -63,10 +63,10 @@
 	return e.stream(ctx, wholeAnswer(req)), nil
 }
 
-func (e *fakeEngine) attempts() []platform.GenerateRequest {
+func (e *fakeEngine) attempts() []infra.GenerateRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]platform.GenerateRequest(nil), e.requests...)
+	return append([]infra.GenerateRequest(nil), e.requests...)
 }
 
 func (e *fakeEngine) Cancel(_ context.Context, _, attempt string) error {
@@ -76,30 +76,30 @@
 	return nil
 }
 
-func (e *fakeEngine) Order(context.Context, string, platform.Order) error { return nil }
+func (e *fakeEngine) Order(context.Context, string, infra.Order) error { return nil }
 
-func (e *fakeEngine) Status(_ context.Context, addr string) (platform.ServerStatus, error) {
+func (e *fakeEngine) Status(_ context.Context, addr string) (infra.ServerStatus, error) {
 	if e.status != nil {
 		return e.status(addr)
 	}
-	return platform.ServerStatus{ID: addr, Boot: "boot-1"}, nil
+	return infra.ServerStatus{ID: addr, Boot: "boot-1"}, nil
 }
 
-func (e *fakeEngine) CacheEvents(context.Context, string, uint64) ([]platform.CacheEvent, error) {
+func (e *fakeEngine) CacheEvents(context.Context, string, uint64) ([]infra.CacheEvent, error) {
 	return nil, nil
 }
 
 // wholeAnswer returns the events of a whole answer, after the request's prefix.
-func wholeAnswer(req platform.GenerateRequest) []platform.Event {
+func wholeAnswer(req infra.GenerateRequest) []infra.Event {
 	return answerFrom(req, len(req.Prefix), req.MaxTokens)
 }
 
-func answerFrom(req platform.GenerateRequest, from, to int) []platform.Event {
-	var events []platform.Event
+func answerFrom(req infra.GenerateRequest, from, to int) []infra.Event {
+	var events []infra.Event
 	for i := from; i < to; i++ {
-		events = append(events, platform.Event{Attempt: req.Attempt, Index: i, Token: fmt.Sprintf("t%d ", i)})
+		events = append(events, infra.Event{Attempt: req.Attempt, Index: i, Token: fmt.Sprintf("t%d ", i)})
 	}
-	return append(events, platform.Event{Attempt: req.Attempt, Index: to, Finish: platform.FinishLength})
+	return append(events, infra.Event{Attempt: req.Attempt, Index: to, Finish: infra.FinishLength})
 }
 
 func text(n int) string {
@@ -114,18 +114,18 @@
 type scripted struct {
 	engine *fakeEngine
 	ctx    context.Context
-	events []platform.Event
+	events []infra.Event
 	end    error // nil: io.EOF
 	block  bool  // wait for ctx to end before the end
 }
 
-func (e *fakeEngine) stream(ctx context.Context, events []platform.Event) *scripted {
+func (e *fakeEngine) stream(ctx context.Context, events []infra.Event) *scripted {
 	return &scripted{engine: e, ctx: ctx, events: events}
 }
 
-func (s *scripted) Recv() (platform.Event, error) {
+func (s *scripted) Recv() (infra.Event, error) {
 	if err := s.ctx.Err(); err != nil {
-		return platform.Event{}, &platform.Error{Op: "generate", Reason: platform.ReasonCanceled, Err: err}
+		return infra.Event{}, &infra.Error{Op: "generate", Reason: infra.ReasonCanceled, Err: err}
 	}
 	if len(s.events) > 0 {
 		e := s.events[0]
@@ -134,12 +134,12 @@
 	}
 	if s.block {
 		<-s.ctx.Done()
-		return platform.Event{}, &platform.Error{Op: "generate", Reason: platform.ReasonCanceled, Err: s.ctx.Err()}
+		return infra.Event{}, &infra.Error{Op: "generate", Reason: infra.ReasonCanceled, Err: s.ctx.Err()}
 	}
 	if s.end != nil {
-		return platform.Event{}, s.end
+		return infra.Event{}, s.end
 	}
-	return platform.Event{}, io.EOF
+	return infra.Event{}, io.EOF
 }
 
 func (s *scripted) Close() error {
@@ -151,13 +151,13 @@
 
 // fakeServices answers by its script, or 200 with the method and path.
 type fakeServices struct {
-	call func(ctx context.Context, addr string, req platform.ServiceRequest) (*platform.ServiceAnswer, error)
+	call func(ctx context.Context, addr string, req infra.ServiceRequest) (*infra.ServiceAnswer, error)
 
 	mu       sync.Mutex
-	requests []platform.ServiceRequest
+	requests []infra.ServiceRequest
 }
 
-func (s *fakeServices) Call(ctx context.Context, addr string, req platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+func (s *fakeServices) Call(ctx context.Context, addr string, req infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 	s.mu.Lock()
 	s.requests = append(s.requests, req)
 	s.mu.Unlock()
@@ -167,15 +167,15 @@
 	return serviceAnswer(http.StatusOK, req.Method+" "+req.Path), nil
 }
 
-func (s *fakeServices) calls() []platform.ServiceRequest {
+func (s *fakeServices) calls() []infra.ServiceRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]platform.ServiceRequest(nil), s.requests...)
+	return append([]infra.ServiceRequest(nil), s.requests...)
 }
 
-func serviceAnswer(status int, body string) *platform.ServiceAnswer {
+func serviceAnswer(status int, body string) *infra.ServiceAnswer {
 	h := http.Header{"Content-Type": {"text/plain"}}
-	return &platform.ServiceAnswer{Status: status, Header: h, Body: io.NopCloser(strings.NewReader(body))}
+	return &infra.ServiceAnswer{Status: status, Header: h, Body: io.NopCloser(strings.NewReader(body))}
 }
 
 // fakeClaimer is the log's order in one process: instances share it.
@@ -190,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.verdict != 0 {
-		return claims.Standing{Verdict: c.verdict}, &platform.Error{Op: "log.append", Reason: platform.ReasonUnavailable}
+		return claims.Standing{Verdict: c.verdict}, &infra.Error{Op: "log.append", Reason: infra.ReasonUnavailable}
 	}
 	if c.claims == nil {
 		c.claims = map[string]*record.Claim{}
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -11,7 +11,7 @@
 
 	"greengageferry/caller/api"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // loadEvery is how often one stream hands on the load reports that ride on it:
@@ -46,7 +46,7 @@
 // reply puts tokens into the form that the caller asked for.
 type reply interface {
 	token(token string) error
-	finish(f platform.Finish, tokens int) error
+	finish(f infra.Finish, tokens int) error
 	fail(p *api.Problem)
 }
 
@@ -59,7 +59,7 @@
 	if err == nil {
 		return o, nil
 	}
-	if err.failure.Effect != platform.EffectNone {
+	if err.failure.Effect != infra.EffectNone {
 		j.server.cancelAttempt(d.Server, a.id)
 	}
 	err.failure.Tokens = j.count
@@ -85,7 +85,7 @@
 
 func (a *generation) generate(dog *watchdog, d decide.Decision) *attemptError {
 	j := a.job
-	stream, err := j.server.opts.Engine.Generate(dog.ctx, a.server.Addr, platform.GenerateRequest{
+	stream, err := j.server.opts.Engine.Generate(dog.ctx, a.server.Addr, infra.GenerateRequest{
 		Attempt:   a.id,
 		Model:     j.call.target.Model,
 		Adapter:   j.call.target.Adapter,
@@ -118,24 +118,24 @@
 // is believed only while no token has come.
 func (a *generation) broken(err error) *attemptError {
 	if errors.Is(err, io.EOF) {
-		return a.fault("cut", platform.ReasonUnreachable)
+		return a.fault("cut", infra.ReasonUnreachable)
 	}
 	f := failureOf(err)
 	if a.tokens > 0 {
-		f.Effect = platform.EffectUnknown
+		f.Effect = infra.EffectUnknown
 	}
 	return &attemptError{failure: f, err: err}
 }
 
-func (a *generation) fault(fault string, r platform.Reason) *attemptError {
+func (a *generation) fault(fault string, r infra.Reason) *attemptError {
 	return &attemptError{
-		failure: decide.Failure{Reason: r, Effect: platform.EffectUnknown},
+		failure: decide.Failure{Reason: r, Effect: infra.EffectUnknown},
 		err:     &StreamError{Fault: fault, Index: a.job.count},
 	}
 }
 
 // take takes one event in. done means that the answer is whole.
-func (a *generation) take(e platform.Event) (done bool, err *attemptError) {
+func (a *generation) take(e infra.Event) (done bool, err *attemptError) {
 	j := a.job
 	if e.Attempt != a.id {
 		j.server.metrics.count("events_dropped.wrong_attempt")
@@ -147,20 +147,20 @@
 		j.server.metrics.count("events_dropped.out_of_place")
 		return false, nil
 	case e.Index > j.count:
-		return false, a.fault("gap", platform.ReasonProtocol)
+		return false, a.fault("gap", infra.ReasonProtocol)
 	case e.Finish != "":
 		return a.finish(e.Finish)
 	case e.Token == "":
 		return false, nil // only a load report
 	case j.count >= j.call.maxTokens:
-		return false, a.fault("too_many_tokens", platform.ReasonProtocol)
+		return false, a.fault("too_many_tokens", infra.ReasonProtocol)
 	}
 	return false, a.deliver(e.Token)
 }
 
-func (a *generation) finish(f platform.Finish) (bool, *attemptError) {
-	if f != platform.FinishStop && f != platform.FinishLength {
-		return false, a.fault("unknown_finish", platform.ReasonProtocol)
+func (a *generation) finish(f infra.Finish) (bool, *attemptError) {
+	if f != infra.FinishStop && f != infra.FinishLength {
+		return false, a.fault("unknown_finish", infra.ReasonProtocol)
 	}
 	if err := a.job.reply.finish(f, a.job.count); err != nil {
 		return false, asAttemptError(err)
@@ -192,7 +192,7 @@
 }
 
 // reportLoad hands on the load report that rides on an event.
-func (a *generation) reportLoad(e platform.Event) {
+func (a *generation) reportLoad(e infra.Event) {
 	if e.Load == nil {
 		return
 	}
@@ -208,7 +208,7 @@
 // asAttemptError tells of an answer that could not be handed to its caller.
 func asAttemptError(err error) *attemptError {
 	e := &attemptError{
-		failure: decide.Failure{Reason: platform.ReasonCanceled, Effect: platform.EffectUnknown},
+		failure: decide.Failure{Reason: infra.ReasonCanceled, Effect: infra.EffectUnknown},
 		err:     err,
 	}
 	var p *api.Problem
@@ -236,7 +236,7 @@
 	return nil
 }
 
-func (r *wholeReply) finish(f platform.Finish, tokens int) error {
+func (r *wholeReply) finish(f infra.Finish, tokens int) error {
 	body := r.head.Whole(r.text.String(), string(f), tokens)
 	r.sink.start(http.StatusOK, contentJSON)
 	return r.sink.write(body)
@@ -253,7 +253,7 @@
 
 func (r *streamReply) token(token string) error { return r.send(r.events.Token(token)) }
 
-func (r *streamReply) finish(f platform.Finish, tokens int) error {
+func (r *streamReply) finish(f infra.Finish, tokens int) error {
 	if err := r.write(r.events.Finish(string(f))); err != nil {
 		return err
 	}
--- a/caller/keyed_test.go
+++ b/caller/keyed_test.go
@@ -13,18 +13,18 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/claims"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
 // blockUntil has the engine answer whole once gate is closed.
 func (r *rig) blockUntil(gate <-chan struct{}) {
-	r.engine.generate = func(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(ctx context.Context, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 		select {
 		case <-gate:
 			return r.engine.stream(ctx, wholeAnswer(req)), nil
 		case <-ctx.Done():
-			return nil, &platform.Error{Op: "generate", Reason: platform.ReasonCanceled}
+			return nil, &infra.Error{Op: "generate", Reason: infra.ReasonCanceled}
 		}
 	}
 }
@@ -125,7 +125,7 @@
 func TestClaimedRunThatWasCutIsUnknownAndStaysClaimed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.onFirst(func(context.Context, platform.GenerateRequest) (platform.Stream, error) { return nil, broke() })
+		r.onFirst(func(context.Context, infra.GenerateRequest) (infra.Stream, error) { return nil, broke() })
 		key := header{HeaderIdemKey: "k"}
 		w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`, key)
 		require.Contains(t, w.Body.String(), `"outcome":"unknown"`)
--- a/caller/models.go
+++ b/caller/models.go
@@ -9,7 +9,7 @@
 
 	"greengageferry/caller/api"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // defaultMaxTokens bounds an answer where the table says nothing: the
@@ -143,7 +143,7 @@
 	c.target = t
 	c.setWishes(w, t, s.opts.Limits.MaxTimeout)
 	c.promptBytes = len(req.Prompt)
-	c.prefix = platform.PrefixHash(req.Prompt)
+	c.prefix = infra.PrefixHash(req.Prompt)
 	most := t.MaxTokens
 	if most <= 0 {
 		most = defaultMaxTokens
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -2,7 +2,7 @@
 
 import (
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Observer is told what the rest of the instance needs to know of requests: what
@@ -15,7 +15,7 @@
 	Ended(target, server string, o decide.Outcome)
 	// Reported is told of a load report that rode on an answer. It is called by
 	// requests' own goroutines.
-	Reported(server string, load platform.Load)
+	Reported(server string, load infra.Load)
 	// NotResident is told that a server lacks what it was asked for.
 	NotResident(server string)
 }
@@ -25,12 +25,12 @@
 
 func (noObserver) Decided(string, decide.Decision)      {}
 func (noObserver) Ended(string, string, decide.Outcome) {}
-func (noObserver) Reported(string, platform.Load)       {}
+func (noObserver) Reported(string, infra.Load)       {}
 func (noObserver) NotResident(string)                   {}
 
 // observeFailure tells the observer what a failed attempt showed.
 func (s *Server) observeFailure(server string, f decide.Failure) {
-	if f.Reason == platform.ReasonNotResident {
+	if f.Reason == infra.ReasonNotResident {
 		s.opts.Observer.NotResident(server)
 	}
 }
--- a/caller/openai_test.go
+++ b/caller/openai_test.go
@@ -8,7 +8,7 @@
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func (r *rig) client(t *testing.T) openai.Client {
@@ -71,7 +71,7 @@
 // The library asks again by itself, so it must be told when that is safe.
 func TestOfficialClientDoesNotRepeatWhatMayHaveRun(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctxT, platform.GenerateRequest) (platform.Stream, error) { return nil, broke() })
+	r.onFirst(func(ctxT, infra.GenerateRequest) (infra.Stream, error) { return nil, broke() })
 	client := r.client(t)
 	_, err := client.Completions.New(t.Context(), openai.CompletionNewParams{
 		Model:  "tray",
@@ -85,7 +85,7 @@
 
 func TestOfficialClientSeesACutStreamAsAnError(t *testing.T) {
 	r := newRig(t)
-	r.onFirst(func(ctx ctxT, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx ctxT, req infra.GenerateRequest) (infra.Stream, error) {
 		s := r.engine.stream(ctx, answerFrom(req, 0, 3)[:3])
 		s.end = broke()
 		return s, nil
--- a/caller/options.go
+++ b/caller/options.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/claims"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Options is what a Server is built from. Directory, Engine, Services, Claimer,
@@ -18,8 +18,8 @@
 	FailureDomain string // this entry instance's failure domain
 
 	Directory  Directory
-	Engine     platform.Engine
-	Services   platform.Services
+	Engine     infra.Engine
+	Services   infra.Services
 	Claimer    claims.Claimer
 	Quarantine Quarantine
 	Answers    Answers
--- a/caller/property_test.go
+++ b/caller/property_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // The ways in which an attempt can go.
@@ -37,13 +37,13 @@
 	began  int // attempts that were not refused
 }
 
-func (u *unruly) generate(ctx context.Context, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+func (u *unruly) generate(ctx context.Context, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 	way := u.rest
 	if n := len(u.engine.attempts()); n <= len(u.ways) {
 		way = u.ways[n-1]
 	}
 	if way == isRefused {
-		return nil, refused(platform.ReasonOverloaded)
+		return nil, refused(infra.ReasonOverloaded)
 	}
 	u.began++
 	if way == isLost {
@@ -64,7 +64,7 @@
 	}
 	for _, e := range events {
 		if u.noise {
-			s.events = append(s.events, platform.Event{Attempt: "foreign", Index: e.Index, Token: "FOREIGN"})
+			s.events = append(s.events, infra.Event{Attempt: "foreign", Index: e.Index, Token: "FOREIGN"})
 		}
 		s.events = append(s.events, e)
 		if u.noise && e.Finish == "" {
--- a/caller/refusals_test.go
+++ b/caller/refusals_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/caller/api"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 type problemJSON struct {
@@ -113,7 +113,7 @@
 		answers.WriteString(r.post(pathCompletions, body).Body.String())
 	}
 	r.post(pathCompletions, "", header{"Authorization": "Bearer " + secret})
-	r.services.call = func(_ ctxT, addr string, req platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+	r.services.call = func(_ ctxT, addr string, req infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 		e := broke()
 		e.Err = &url.Error{Op: req.Method, URL: addr + "?" + secret, Err: io.ErrUnexpectedEOF}
 		return nil, e
@@ -137,7 +137,7 @@
 	running := make(chan *httptest.ResponseRecorder, 1)
 	started := make(chan struct{})
 	inner := r.engine.generate
-	r.engine.generate = func(ctx ctxT, addr string, req platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(ctx ctxT, addr string, req infra.GenerateRequest) (infra.Stream, error) {
 		close(started)
 		return inner(ctx, addr, req)
 	}
@@ -169,7 +169,7 @@
 	w := r.post(pathCompletions, `{"model":"tray","prompt":"p"}`)
 	requireNotRun(t, w, 503, CodeRingFull)
 	require.Equal(t, "1", w.Header().Get("Retry-After"))
-	r.Reported("e0", platform.Load{}, 0)
+	r.Reported("e0", infra.Load{}, 0)
 	require.Equal(t, "1", r.counter("hints_dropped"))
 }
 
@@ -228,7 +228,7 @@
 func TestClosedConnectionCancels(t *testing.T) {
 	r := newRig(t)
 	ended := make(chan struct{})
-	r.engine.generate = func(ctx ctxT, _ string, req platform.GenerateRequest) (platform.Stream, error) {
+	r.engine.generate = func(ctx ctxT, _ string, req infra.GenerateRequest) (infra.Stream, error) {
 		s := r.engine.stream(ctx, answerFrom(req, 0, 1)[:1])
 		s.block = true
 		go func() { <-ctx.Done(); close(ended) }()
--- a/caller/resend_test.go
+++ b/caller/resend_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // sending is one of the times that a caller sends its keyed request.
@@ -51,7 +51,7 @@
 func resend(t *testing.T, d deed, sendings []sending) (replayed int) {
 	rigs := newRigs(t)
 	u := &unruly{engine: rigs[0].engine, ways: d.ways, rest: d.rest, at: d.at, noise: d.noise}
-	rigs[0].engine.generate = func(ctx context.Context, addr string, req platform.GenerateRequest) (platform.Stream, error) {
+	rigs[0].engine.generate = func(ctx context.Context, addr string, req infra.GenerateRequest) (infra.Stream, error) {
 		time.Sleep(time.Second) // the bubble's: so that resends meet a running first
 		return u.generate(ctx, addr, req)
 	}
--- a/caller/run.go
+++ b/caller/run.go
@@ -12,7 +12,7 @@
 
 	"greengageferry/caller/api"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // maxCrashes is how many servers may die under one request in hand before it
@@ -107,7 +107,7 @@
 	if err == nil {
 		return o, nil
 	}
-	if err.failure.Effect == platform.EffectNone {
+	if err.failure.Effect == infra.EffectNone {
 		c.mayHaveRun = before
 	}
 	s.metrics.count("attempts_failed." + string(err.failure.Reason))
@@ -187,11 +187,11 @@
 // failureOf returns what a platform error says. One that says nothing may have
 // taken effect.
 func failureOf(err error) decide.Failure {
-	var e *platform.Error
+	var e *infra.Error
 	if errors.As(err, &e) {
 		return decide.Failure{Reason: e.Reason, Effect: e.Effect}
 	}
-	return decide.Failure{Reason: platform.ReasonProtocol, Effect: platform.EffectUnknown}
+	return decide.Failure{Reason: infra.ReasonProtocol, Effect: infra.EffectUnknown}
 }
 
 // conclude counts and logs how a request ended.
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/supervise"
 )
@@ -114,12 +114,12 @@
 }
 
 // Reported tells of a backend server's load report, as old as age.
-func (s *Server) Reported(server string, load platform.Load, age time.Duration) {
+func (s *Server) Reported(server string, load infra.Load, age time.Duration) {
 	s.hint(reported{server, load, age})
 }
 
 // Cached tells of a backend server's cache events.
-func (s *Server) Cached(server string, events []platform.CacheEvent) {
+func (s *Server) Cached(server string, events []infra.CacheEvent) {
 	s.hint(cached{server, events})
 }
 
--- a/caller/services.go
+++ b/caller/services.go
@@ -13,7 +13,7 @@
 	"greengageferry/caller/api"
 	"greengageferry/config"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // serviceHeld is how much of a service's answer is read before any of it goes
@@ -108,14 +108,14 @@
 	return true
 }
 
-func serviceRequest(r *http.Request, name string, body []byte) platform.ServiceRequest {
+func serviceRequest(r *http.Request, name string, body []byte) infra.ServiceRequest {
 	p := strings.TrimPrefix(r.URL.EscapedPath(), pathServices)
 	_, below, _ := strings.Cut(p, "/")
 	target := "/" + below
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
-	return platform.ServiceRequest{Method: r.Method, Path: target, Header: passedOn(r.Header), Body: body}
+	return infra.ServiceRequest{Method: r.Method, Path: target, Header: passedOn(r.Header), Body: body}
 }
 
 // passedOn returns the headers that go on to the other side.
@@ -141,7 +141,7 @@
 	server  *Server
 	call    *call
 	sink    *sink
-	request platform.ServiceRequest
+	request infra.ServiceRequest
 	asked   bool // it was dispatched before
 }
 
@@ -165,7 +165,7 @@
 
 // passBack gives the service's answer to the caller. Up to serviceHeld bytes
 // are read before any goes out, unless the service sends events as they come.
-func (j *serviceJob) passBack(a *platform.ServiceAnswer) *attemptError {
+func (j *serviceJob) passBack(a *infra.ServiceAnswer) *attemptError {
 	hold := int64(serviceHeld)
 	if strings.HasPrefix(a.Header.Get("Content-Type"), contentEvents) {
 		hold = 0
@@ -217,9 +217,9 @@
 
 func brokenBody(err error) *attemptError {
 	f := failureOf(err)
-	f.Effect = platform.EffectUnknown // it had begun to answer
-	if f.Reason == platform.ReasonProtocol {
-		f.Reason = platform.ReasonUnreachable
+	f.Effect = infra.EffectUnknown // it had begun to answer
+	if f.Reason == infra.ReasonProtocol {
+		f.Reason = infra.ReasonUnreachable
 	}
 	return &attemptError{failure: f, err: err}
 }
--- a/caller/services_test.go
+++ b/caller/services_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func TestServiceCallIsPassedOn(t *testing.T) {
@@ -47,7 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
-			r.services.call = func(context.Context, string, platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+			r.services.call = func(context.Context, string, infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 				if len(r.services.calls()) == 1 {
 					return nil, broke()
 				}
@@ -89,9 +89,9 @@
 
 func TestShortServiceAnswerThatBreaksIsAskedForAgain(t *testing.T) {
 	r := newRig(t)
-	r.services.call = func(context.Context, string, platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+	r.services.call = func(context.Context, string, infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 		if len(r.services.calls()) == 1 {
-			return &platform.ServiceAnswer{Status: http.StatusOK, Body: io.NopCloser(&breaking{100})}, nil
+			return &infra.ServiceAnswer{Status: http.StatusOK, Body: io.NopCloser(&breaking{100})}, nil
 		}
 		return serviceAnswer(http.StatusOK, "second"), nil
 	}
@@ -101,8 +101,8 @@
 
 func TestLongServiceAnswerThatBreaksNeverLooksWhole(t *testing.T) {
 	r := newRig(t)
-	r.services.call = func(context.Context, string, platform.ServiceRequest) (*platform.ServiceAnswer, error) {
-		return &platform.ServiceAnswer{Status: http.StatusOK, Body: io.NopCloser(&breaking{serviceHeld + 1})}, nil
+	r.services.call = func(context.Context, string, infra.ServiceRequest) (*infra.ServiceAnswer, error) {
+		return &infra.ServiceAnswer{Status: http.StatusOK, Body: io.NopCloser(&breaking{serviceHeld + 1})}, nil
 	}
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() {
 		r.send(t.Context(), http.MethodGet, "/services/order-desk/orders", "")
--- a/caller/stall.go
+++ b/caller/stall.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // The limits on a server's silence. They are for a server that freezes or whose
@@ -95,7 +95,7 @@
 	if e == nil || e.gone || e.final != nil || !errors.As(context.Cause(w.ctx), &stall) {
 		return e
 	}
-	failure := decide.Failure{Reason: platform.ReasonTimeout, Effect: e.failure.Effect}
+	failure := decide.Failure{Reason: infra.ReasonTimeout, Effect: e.failure.Effect}
 	return &attemptError{failure: failure, err: stall}
 }
 
--- a/caller/stall_test.go
+++ b/caller/stall_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // freeze has the first attempt's server fall silent after some tokens.
 func (r *rig) freeze(tokens int) {
-	r.onFirst(func(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+	r.onFirst(func(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 		s := r.engine.stream(ctx, answerFrom(req, 0, tokens)[:tokens])
 		s.block = true
 		return s, nil
@@ -83,9 +83,9 @@
 		t.Run(method, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t)
-				r.services.call = func(ctx context.Context, _ string, _ platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+				r.services.call = func(ctx context.Context, _ string, _ infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 					<-ctx.Done()
-					return nil, &platform.Error{Op: "service.call", Reason: platform.ReasonCanceled}
+					return nil, &infra.Error{Op: "service.call", Reason: infra.ReasonCanceled}
 				}
 				w := r.send(t.Context(), method, "/services/order-desk/x", "")
 				require.Equal(t, http.StatusGatewayTimeout, w.Code)
@@ -100,9 +100,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		body, events := io.Pipe()
-		r.services.call = func(context.Context, string, platform.ServiceRequest) (*platform.ServiceAnswer, error) {
+		r.services.call = func(context.Context, string, infra.ServiceRequest) (*infra.ServiceAnswer, error) {
 			h := http.Header{"Content-Type": {contentEvents}}
-			return &platform.ServiceAnswer{Status: http.StatusOK, Header: h, Body: body}, nil
+			return &infra.ServiceAnswer{Status: http.StatusOK, Header: h, Body: body}, nil
 		}
 		w, done := r.stuckRequest(http.MethodGet, "/services/order-desk/x", "", 1<<30)
 		for n := 1; n <= 3; n++ {
--- a/claims/batchers.go
+++ b/claims/batchers.go
@@ -13,7 +13,7 @@
 
 	"greengageferry/logsync"
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 )
@@ -34,7 +34,7 @@
 
 // Options configures Batchers. Log, Writer, Self and Members are required.
 type Options struct {
-	Log     platform.Log
+	Log     infra.Log
 	Writer  logsync.Appender
 	Self    string          // this instance's id
 	Members func() []string // all live entry instances' ids, as this one lists them
@@ -168,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.follower.WaitFor(ctx, first+platform.Offset(len(unsettled))-1); err != nil {
+	if err := s.follower.WaitFor(ctx, first+infra.Offset(len(unsettled))-1); err != nil {
 		return nil, err
 	}
 	return standings, settle(s, records, unsettled, standings)
@@ -243,7 +243,7 @@
 // refused, and nothing of the call goes on the log.
 func decode(id uint32, claims [][]byte) ([]*record.Record, error) {
 	refuse := func(cause error) error {
-		return &platform.Error{Op: "claims.batch", Reason: platform.ReasonBadRequest, Effect: platform.EffectNone, Err: cause}
+		return &infra.Error{Op: "claims.batch", Reason: infra.ReasonBadRequest, Effect: infra.EffectNone, Err: cause}
 	}
 	if id >= Shards || len(claims) > maxClaims {
 		return nil, refuse(nil)
@@ -270,9 +270,9 @@
 // is not, or nobody knows.
 func refusals(records []*record.Record, err error) []*peer.ClaimStanding {
 	verdict := NotKept
-	var failed *platform.Error
+	var failed *infra.Error
 	var behind *logsync.BehindError
-	if errors.As(err, &failed) && failed.Effect == platform.EffectUnknown || errors.As(err, &behind) {
+	if errors.As(err, &failed) && failed.Effect == infra.EffectUnknown || errors.As(err, &behind) {
 		verdict = Uncertain
 	}
 	out := make([]*peer.ClaimStanding, len(records))
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -16,7 +16,7 @@
 	"greengageferry/logsync"
 	"greengageferry/logsync/logtest"
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -43,7 +43,7 @@
 
 // Claim implements Remote.
 func (n *network) Claim(ctx context.Context, addr string, shard uint32, claims [][]byte) ([]*peer.ClaimStanding, error) {
-	lost := &platform.Error{Op: "peer.claim", Addr: addr, Reason: platform.ReasonTimeout, Effect: platform.EffectUnknown}
+	lost := &infra.Error{Op: "peer.claim", Addr: addr, Reason: infra.ReasonTimeout, Effect: infra.EffectUnknown}
 	if n.dead[addr] || n.draw() {
 		return nil, lost
 	}
@@ -76,8 +76,8 @@
 		writer := logsync.NewWriter(logsync.WriterOptions{Log: n.log, Origin: id, Budget: wide{}, Logger: quiet()})
 		n.batchers = NewBatchers(Options{Log: n.log, Writer: writer, Self: id, Members: func() []string { return list }, Logger: quiet()})
 		n.client = NewClient(ClientOptions{
-			Local: n.batchers, Remote: net, Self: platform.Instance{ID: id, Addr: id, FailureDomain: "d"}, Logger: quiet(),
-			Members: func() []platform.Instance { return instances(list) },
+			Local: n.batchers, Remote: net, Self: infra.Instance{ID: id, Addr: id, FailureDomain: "d"}, Logger: quiet(),
+			Members: func() []infra.Instance { return instances(list) },
 		})
 		net.servers[id] = n.batchers
 		nodes[id] = n
@@ -88,10 +88,10 @@
 	return nodes, net
 }
 
-func instances(ids []string) []platform.Instance {
-	var out []platform.Instance
+func instances(ids []string) []infra.Instance {
+	var out []infra.Instance
 	for _, id := range ids {
-		out = append(out, platform.Instance{ID: id, Addr: id, FailureDomain: "d"})
+		out = append(out, infra.Instance{ID: id, Addr: id, FailureDomain: "d"})
 	}
 	return out
 }
--- a/claims/client.go
+++ b/claims/client.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 )
@@ -34,9 +34,9 @@
 type ClientOptions struct {
 	Local  *Batchers
 	Remote Remote
-	Self   platform.Instance
+	Self   infra.Instance
 	// Members returns the live entry instances, as this one lists them.
-	Members func() []platform.Instance
+	Members func() []infra.Instance
 	Logger  logrus.FieldLogger
 }
 
@@ -165,7 +165,7 @@
 
 // try asks one batcher. Without an answer the standing is nil, which reads as
 // uncertain.
-func (c *Client) try(ctx context.Context, batcher platform.Instance, shard uint32, data []byte) (*peer.ClaimStanding, error) {
+func (c *Client) try(ctx context.Context, batcher infra.Instance, shard uint32, data []byte) (*peer.ClaimStanding, error) {
 	var standings []*peer.ClaimStanding
 	var err error
 	if batcher.ID == c.opts.Self.ID {
@@ -179,15 +179,15 @@
 	case err != nil:
 		return nil, err
 	case len(standings) != 1:
-		return nil, &platform.Error{Op: "peer.claim", Addr: batcher.Addr, Reason: platform.ReasonProtocol}
+		return nil, &infra.Error{Op: "peer.claim", Addr: batcher.Addr, Reason: infra.ReasonProtocol}
 	}
 	return standings[0], nil
 }
 
 // batchers returns whom to ask, in order, each once.
-func (c *Client) batchers(shard uint32) []platform.Instance {
+func (c *Client) batchers(shard uint32) []infra.Instance {
 	members := c.opts.Members()
-	byID := make(map[string]platform.Instance, len(members))
+	byID := make(map[string]infra.Instance, len(members))
 	var all, near []string
 	for _, m := range members {
 		byID[m.ID] = m
@@ -198,7 +198,7 @@
 	}
 	byID[c.opts.Self.ID] = c.opts.Self
 	stream := Stream(shard)
-	var out []platform.Instance
+	var out []infra.Instance
 	seen := map[string]bool{"": true}
 	for _, id := range []string{rendezvous.Leader(stream, all), rendezvous.Leader(stream, near), c.opts.Self.ID} {
 		if !seen[id] {
@@ -210,6 +210,6 @@
 }
 
 func surelyNone(err error) bool {
-	var failed *platform.Error
-	return errors.As(err, &failed) && failed.Effect == platform.EffectNone
+	var failed *infra.Error
+	return errors.As(err, &failed) && failed.Effect == infra.EffectNone
 }
--- a/claims/history_test.go
+++ b/claims/history_test.go
@@ -17,7 +17,7 @@
 
 	"greengageferry/logsync/logtest"
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -204,7 +204,7 @@
 		for id := range nodes {
 			net.servers[id] = &memoryBatcher{holders: map[string]string{}}
 			others := slices.DeleteFunc([]string{"a", "b", "c"}, func(o string) bool { return o == id })
-			nodes[id].client.opts.Members = func() []platform.Instance { return instances(others) }
+			nodes[id].client.opts.Members = func() []infra.Instance { return instances(others) }
 		}
 		history := race(t, nodes, net, 1)
 		require.Equal(t, porcupine.Illegal, porcupine.CheckOperationsTimeout(claimModel, history, 0))
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -46,22 +46,22 @@
 type state struct {
 	mu     sync.Mutex
 	claims *replay.Claims
-	from   platform.Offset // the first record that it was given
+	from   infra.Offset // the first record that it was given
 }
 
-func newState(from platform.Offset) *state {
+func newState(from infra.Offset) *state {
 	return &state{claims: replay.NewClaims(from), from: from}
 }
 
 // Apply implements replay.Machine.
-func (s *state) Apply(offset platform.Offset, r *record.Record) {
+func (s *state) Apply(offset infra.Offset, r *record.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.claims.Apply(offset, r)
 }
 
 // Offset implements replay.Machine.
-func (s *state) Offset() platform.Offset {
+func (s *state) Offset() infra.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.claims.Offset()
@@ -126,7 +126,7 @@
 		follower: logsync.NewFollower(logsync.FollowerOptions[state]{
 			Log:        opts.Log,
 			Stream:     Stream(id),
-			New:        func(from platform.Offset) logsync.State[state] { return newState(from) },
+			New:        func(from infra.Offset) logsync.State[state] { return newState(from) },
 			FromOldest: true,
 			Spacing:    -1, // a claim's answer waits for its record to be read
 			Logger:     logger,
@@ -163,7 +163,7 @@
 // mark is how far the stream was read at a time.
 type mark struct {
 	at     time.Time
-	offset platform.Offset
+	offset infra.Offset
 }
 
 // expire writes what may be forgotten: at once what aged out of the log before
@@ -212,7 +212,7 @@
 	return marks[passed:]
 }
 
-func (s *shard) forget(ctx context.Context, before platform.Offset) {
+func (s *shard) forget(ctx context.Context, before infra.Offset) {
 	ctx, cancel := context.WithTimeout(ctx, expiryEvery/2)
 	defer cancel()
 	r := &record.Record{Body: &record.Record_ClaimExpiry{ClaimExpiry: &record.ClaimExpiry{Before: uint64(before)}}}
--- a/cmd/greengageferry/operators.go
+++ b/cmd/greengageferry/operators.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -30,7 +30,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return &platform.Error{Op: path + " " + resp.Status, Addr: url, Reason: platform.ReasonUnavailable, Effect: platform.EffectNone}
+		return &infra.Error{Op: path + " " + resp.Status, Addr: url, Reason: infra.ReasonUnavailable, Effect: infra.EffectNone}
 	}
 	return json.NewDecoder(io.LimitReader(resp.Body, maxOperatorsBytes)).Decode(out)
 }
--- a/cmd/greengageferry/publish.go
+++ b/cmd/greengageferry/publish.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 	"github.com/sirupsen/logrus"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/publish"
 )
 
@@ -62,7 +62,7 @@
 	log, closeLog := newLogger(logrus.WarnLevel)
 	defer closeLog()
 	p := publish.New(publish.Options{
-		Log:       platform.NewHTTPLog(c.log, &http.Client{}),
+		Log:       infra.NewHTTPLog(c.log, &http.Client{}),
 		Dir:       c.dir,
 		Partner:   c.partner,
 		Author:    c.author,
--- a/cmd/greengageferry/standin.go
+++ b/cmd/greengageferry/standin.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/subcommands"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/standin"
 )
 
@@ -62,7 +62,7 @@
 	f.Float64Var(&c.store.MiBPerSecond, "mib-per-second", standin.DefaultMiBPerSecond, "store: speed of one load, in MiB a second")
 
 	f.DurationVar(&c.lag, "lag", 0, "instances: how old the list is that readers see")
-	f.StringVar(&c.file, "file", "", "instances: JSON array of instances to begin with; PUT and DELETE on "+platform.PathInstances+"/ID change it")
+	f.StringVar(&c.file, "file", "", "instances: JSON array of instances to begin with; PUT and DELETE on "+infra.PathInstances+"/ID change it")
 
 	f.StringVar(&c.engine.ID, "id", "engine", "engine: its id on the platform's list")
 	f.StringVar(&c.engine.Partner, "partner", "", "engine: partner whose part of the store its loads go to")
@@ -90,9 +90,9 @@
 		return &standinUsageError{Flag: "limits", Problem: "want partner=RATE/CONCURRENT, such as kitchen=3/3"}
 	}
 	if c.store.Limits == nil {
-		c.store.Limits = map[string]platform.StoreLimits{}
+		c.store.Limits = map[string]infra.StoreLimits{}
 	}
-	c.store.Limits[partner] = platform.StoreLimits{LoadsPerSecond: perSecond, ConcurrentLoads: count}
+	c.store.Limits[partner] = infra.StoreLimits{LoadsPerSecond: perSecond, ConcurrentLoads: count}
 	return nil
 }
 
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, &standinUsageError{Flag: "file", Problem: err.Error()}
 	}
-	var instances []platform.Instance
+	var instances []infra.Instance
 	if err := json.Unmarshal(data, &instances); err != nil {
 		return nil, &standinUsageError{Flag: "file", Problem: err.Error()}
 	}
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -12,7 +12,7 @@
 
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -31,21 +31,21 @@
 		Instance: "n1", FailureDomain: testDomain, Planner: noPlans{}, Log: log, Metrics: new(expvar.Map), Random: rand.New(rand.NewPCG(1, 1)),
 	}, now)
 	machine := replay.NewControl()
-	list := []platform.Instance{{ID: "n1", Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: testDomain}}
-	var statuses []platform.ServerStatus
+	list := []infra.Instance{{ID: "n1", Role: infra.RoleEntry, State: infra.StateLive, FailureDomain: testDomain}}
+	var statuses []infra.ServerStatus
 	apply := func(r *record.Record) { machine.Apply(machine.Offset()+1, r) }
 	apply(&record.Record{Body: &record.Record_LeaseClaim{LeaseClaim: &record.LeaseClaim{Holder: "n1", DurationMs: 8000}}})
 	for i := range servers {
 		id := fmt.Sprint("s", i)
-		st := platform.ServerStatus{ID: id, Boot: "b", Fence: 1 << 40}
-		var items []platform.Item
+		st := infra.ServerStatus{ID: id, Boot: "b", Fence: 1 << 40}
+		var items []infra.Item
 		for m := range 20 {
-			item := platform.Item{Model: fmt.Sprint("model-", (i*7+m*41)%870), Version: "1", MiB: 1}
+			item := infra.Item{Model: fmt.Sprint("model-", (i*7+m*41)%870), Version: "1", MiB: 1}
 			items = append(items, item)
-			st.Items = append(st.Items, platform.ResidentItem{Item: item, State: platform.ItemReady})
+			st.Items = append(st.Items, infra.ResidentItem{Item: item, State: infra.ItemReady})
 		}
 		statuses = append(statuses, st)
-		list = append(list, platform.Instance{ID: id, Role: platform.RoleEngine, State: platform.StateLive, FailureDomain: testDomain, Pool: "strict", Addr: "10.0.0.1:" + id})
+		list = append(list, infra.Instance{ID: id, Role: infra.RoleEngine, State: infra.StateLive, FailureDomain: testDomain, Pool: "strict", Addr: "10.0.0.1:" + id})
 		apply(&record.Record{Body: &record.Record_Assignment{Assignment: &record.Assignment{Lease: 1, Server: id, MemoryMib: 100, Items: replay.ItemRecords(items)}}})
 		apply(&record.Record{Body: &record.Record_Readiness{Readiness: &record.Readiness{Lease: 1, Server: id, Boot: "b", Items: replay.ItemRecords(items)}}})
 	}
--- a/control/controller.go
+++ b/control/controller.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // The rings between the Controller's own goroutine and its workers.
@@ -46,7 +46,7 @@
 // public is what the workers may know of core.
 type public struct {
 	until    time.Time       // the lease is held until then; zero: not held
-	joined   platform.Offset // the own join; 0: none known
+	joined   infra.Offset // the own join; 0: none known
 	listedAt time.Time
 }
 
@@ -78,7 +78,7 @@
 // Applied returns how far this instance has read its failure domain's control
 // stream with no order of an older assignment under way: 0 while that isn't
 // known. Peers ask for it.
-func (c *Controller) Applied() platform.Offset {
+func (c *Controller) Applied() infra.Offset {
 	// The view is read before the orders: an order begun after that finds a
 	// newer assignment, and is dropped.
 	view := c.o.Views.View()
--- a/control/core.go
+++ b/control/core.go
@@ -11,7 +11,7 @@
 
 	"greengageferry/config"
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 	"greengageferry/replay"
@@ -31,15 +31,15 @@
 type orderOut struct {
 	server   string
 	addr     string
-	order    platform.Order
+	order    infra.Order
 	underLog bool // sent by the lease's holder; otherwise a restoring while the log is down
 	ignores  bool // the engine ignores fencing numbers
 }
 
 // ask is a question to an orderer how far it has applied.
 type ask struct {
-	instance platform.Instance
-	joined   platform.Offset // the join that the answer is of
+	instance infra.Instance
+	joined   infra.Offset // the join that the answer is of
 }
 
 // actions are what core wants done now.
@@ -72,12 +72,12 @@
 	list    *fleet.List
 	cfg     *config.Config
 	entries []string            // from the list: the domain's live entry instances
-	engines []platform.Instance // from the list: the domain's model engines
+	engines []infra.Instance // from the list: the domain's model engines
 	down    bool                // the log can't be read
 
 	listedAt time.Time // when this instance last saw itself on the list
 	idle     bool      // no own order is under way
-	applied  platform.Offset
+	applied  infra.Offset
 
 	servers  map[string]*server
 	missing  map[string]time.Time // servers that own dispatches found without an assigned item
@@ -85,9 +85,9 @@
 	asked    map[string]time.Time // when an orderer was last asked
 	unlisted map[string]time.Time // orderers: off the list since
 
-	held      platform.Offset // the lease whose holder the servers were looked at as
+	held      infra.Offset // the lease whose holder the servers were looked at as
 	appending bool            // a batch of records is under way
-	settled   platform.Offset // no new batch before this was read
+	settled   infra.Offset // no new batch before this was read
 	retryAt   time.Time
 	gathered  gathered
 	gatherAt  time.Time
@@ -122,7 +122,7 @@
 	cfg     *config.Config
 	down    bool
 	idle    bool            // no own order is under way
-	applied platform.Offset // the own word on Applied
+	applied infra.Offset // the own word on Applied
 }
 
 // step takes in the inputs and returns what to do now.
@@ -184,7 +184,7 @@
 func (c *core) observeList() {
 	for _, line := range c.engines {
 		s := c.server(line.ID)
-		s.addr, s.leavingListed = line.Addr, line.State != platform.StateLive
+		s.addr, s.leavingListed = line.Addr, line.State != infra.StateLive
 	}
 	for id, s := range c.servers {
 		if _, listed := c.list.Get(id); listed {
@@ -231,7 +231,7 @@
 	return s
 }
 
-func idsOf(instances []platform.Instance) []string {
+func idsOf(instances []infra.Instance) []string {
 	var out []string
 	for _, i := range instances {
 		out = append(out, i.ID)
@@ -240,9 +240,9 @@
 }
 
 // enginesOf returns a domain's model engines on the list, by id.
-func enginesOf(list *fleet.List, domain string) []platform.Instance {
-	return list.Select(func(i platform.Instance) bool {
-		return i.Role == platform.RoleEngine && i.FailureDomain == domain
+func enginesOf(list *fleet.List, domain string) []infra.Instance {
+	return list.Select(func(i infra.Instance) bool {
+		return i.Role == infra.RoleEngine && i.FailureDomain == domain
 	})
 }
 
--- a/control/errors.go
+++ b/control/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // HeldReason says why an order was held back directly before it was to be sent.
@@ -22,7 +22,7 @@
 // HeldError says that an order was not sent: none of its bytes left.
 type HeldError struct {
 	Server string
-	Fence  platform.Offset
+	Fence  infra.Offset
 	Reason HeldReason
 }
 
--- a/control/events.go
+++ b/control/events.go
@@ -7,7 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // event is the end of something that core asked for, or something that
@@ -18,7 +18,7 @@
 type polled struct {
 	server string
 	asked  time.Time
-	status platform.ServerStatus
+	status infra.ServerStatus
 	err    error
 }
 
@@ -58,7 +58,7 @@
 // server's status.
 type ordered struct {
 	server string
-	order  platform.Order
+	order  infra.Order
 	err    error
 }
 
@@ -79,7 +79,7 @@
 
 // leaseAppended is the end of the lease keeper's append.
 type leaseAppended struct {
-	offset platform.Offset // 0: failed, or not known
+	offset infra.Offset // 0: failed, or not known
 	reason string
 	kind   string
 	err    error
@@ -97,13 +97,13 @@
 }
 
 // memberAppended is the end of the append of the own join.
-type memberAppended struct{ joined platform.Offset }
+type memberAppended struct{ joined infra.Offset }
 
 func (e memberAppended) apply(c *core, now time.Time) { c.member.done(now, e.joined) }
 
 // recordsAppended is the end of the append of a batch.
 type recordsAppended struct {
-	first platform.Offset // 0: failed, or not known
+	first infra.Offset // 0: failed, or not known
 	count int
 	err   error
 }
@@ -116,13 +116,13 @@
 		c.log.WithFields(logrus.Fields{"records": e.count, "cause": e.err}).Warn("records failed")
 		return
 	}
-	c.settled = e.first + platform.Offset(e.count) - 1
+	c.settled = e.first + infra.Offset(e.count) - 1
 }
 
 // answered is an orderer's word on how far it has applied.
 type answered struct {
 	ask    ask
-	offset platform.Offset
+	offset infra.Offset
 	err    error
 }
 
--- a/control/failures_test.go
+++ b/control/failures_test.go
@@ -10,7 +10,7 @@
 
 	"greengageferry/config"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // kinds are the engines that refuse old fencing numbers and those that ignore them.
@@ -75,7 +75,7 @@
 	eachKind(t, func(t *testing.T, w *world, e *fakeEngine) {
 		faults := []fault{faultLost, faultLate, faultDouble, faultAnswer, faultNone}
 		n := 0
-		w.servers.fault = func(platform.Order) fault {
+		w.servers.fault = func(infra.Order) fault {
 			n++
 			return faults[n%len(faults)]
 		}
@@ -93,8 +93,8 @@
 // leave, and plans u2 in its place.
 func pauseWithOrderInHand(w *world) *node {
 	var paused *node
-	w.onOrder = func(n *node, o platform.Order) {
-		if paused == nil && o.Kind == platform.OrderLoad && o.Item.Model == "u1" {
+	w.onOrder = func(n *node, o infra.Order) {
+		if paused == nil && o.Kind == infra.OrderLoad && o.Item.Model == "u1" {
 			paused = n
 			n.pause()
 		}
@@ -131,7 +131,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.servers.add("s", 10, true)
-		w.asks = func(*world, string) (platform.Offset, error) { return 1 << 40, nil }
+		w.asks = func(*world, string) (infra.Offset, error) { return 1 << 40, nil }
 		paused := pauseWithOrderInHand(w)
 		paused.resume()
 		settle(10 * time.Second)
@@ -153,7 +153,7 @@
 		require.NotContains(t, w.holder().f.View().Orderers, paused.id)
 		paused.w.onOrder = nil
 		// The instance was gone: what it had in hand never leaves.
-		w.servers.fault = func(platform.Order) fault { return faultLost }
+		w.servers.fault = func(infra.Order) fault { return faultLost }
 		paused.resume()
 		w.stop()
 		require.Empty(t, w.servers.violations())
@@ -372,12 +372,12 @@
 
 func TestItemsFromBeforeTheFirstAssignmentAreReckonedWith(t *testing.T) {
 	eachKind(t, func(t *testing.T, w *world, e *fakeEngine) {
-		stray := platform.Item{Model: "stray", Version: "1", MiB: 6}
-		e.items[stray.Key()] = platform.ResidentItem{Item: stray, State: platform.ItemReady}
+		stray := infra.Item{Model: "stray", Version: "1", MiB: 6}
+		e.items[stray.Key()] = infra.ResidentItem{Item: stray, State: infra.ItemReady}
 		w.plan(func(in decide.PlanInput) []decide.Move {
 			if len(in.Servers) == 1 && len(in.Servers[0].Lingering) > 0 && len(in.Servers[0].Assigned) == 0 {
 				// What a planner that knows nothing of it would do; memory forbids it.
-				return []decide.Move{{Server: "s", Add: []platform.Item{{Model: "a", Version: "1", MiB: 3}}, Reason: "test"}}
+				return []decide.Move{{Server: "s", Add: []infra.Item{{Model: "a", Version: "1", MiB: 3}}, Reason: "test"}}
 			}
 			return place("s", "a")(in)
 		})
--- a/control/fakelog_test.go
+++ b/control/fakelog_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -84,10 +84,10 @@
 	f.log.spread()
 }
 
-func (f *follower) Append(ctx context.Context, _ string, records ...*record.Record) (platform.Offset, error) {
+func (f *follower) Append(ctx context.Context, _ string, records ...*record.Record) (infra.Offset, error) {
 	if f.Down() {
 		<-ctx.Done()
-		return 0, &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout, Effect: platform.EffectNone}
+		return 0, &infra.Error{Op: "log.append", Reason: infra.ReasonTimeout, Effect: infra.EffectNone}
 	}
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
@@ -95,12 +95,12 @@
 		f.sequence++
 		r.Origin, r.Sequence = f.origin, f.sequence
 	}
-	first := platform.Offset(len(f.log.records) + 1)
+	first := infra.Offset(len(f.log.records) + 1)
 	f.log.records = append(f.log.records, records...)
 	f.log.spread()
 	if f.loseAnswer {
 		f.loseAnswer = false
-		return 0, &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout}
+		return 0, &infra.Error{Op: "log.append", Reason: infra.ReasonTimeout}
 	}
 	return first, nil
 }
--- a/control/fakeservers_test.go
+++ b/control/fakeservers_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // fakeEngine is a backend server that checks nothing but the fencing number,
@@ -21,7 +21,7 @@
 	boot  int
 	dead  bool
 	fence uint64
-	items map[platform.Key]platform.ResidentItem
+	items map[infra.Key]infra.ResidentItem
 }
 
 // fault says what becomes of an order on its way.
@@ -42,8 +42,8 @@
 	loadTime   time.Duration
 	unloadTime time.Duration
 	lateness   time.Duration
-	fault      func(o platform.Order) fault
-	orders     []platform.Order
+	fault      func(o infra.Order) fault
+	orders     []infra.Order
 	over       []string // every overcommitment
 	loads      int
 }
@@ -51,12 +51,12 @@
 func newServers() *fakeServers {
 	return &fakeServers{
 		byAddr: map[string]*fakeEngine{}, loadTime: 2 * time.Second, unloadTime: time.Second, lateness: 10 * time.Second,
-		fault: func(platform.Order) fault { return faultNone },
+		fault: func(infra.Order) fault { return faultNone },
 	}
 }
 
 func (s *fakeServers) add(id string, memory int64, ignores bool) *fakeEngine {
-	e := &fakeEngine{id: id, addr: "10.0.0.1:" + id, memory: memory, ignores: ignores, items: map[platform.Key]platform.ResidentItem{}}
+	e := &fakeEngine{id: id, addr: "10.0.0.1:" + id, memory: memory, ignores: ignores, items: map[infra.Key]infra.ResidentItem{}}
 	s.byAddr[e.addr] = e
 	return e
 }
@@ -79,7 +79,7 @@
 	defer s.mu.Unlock()
 	var out []string
 	for _, r := range e.items {
-		if r.State == platform.ItemReady {
+		if r.State == infra.ItemReady {
 			out = append(out, itemName(r.Item))
 		}
 	}
@@ -93,30 +93,30 @@
 	return slices.Clone(s.over)
 }
 
-func (s *fakeServers) status(addr string) (platform.ServerStatus, error) {
+func (s *fakeServers) status(addr string) (infra.ServerStatus, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.byAddr[addr]
 	if e == nil || e.dead {
-		return platform.ServerStatus{}, &platform.Error{Op: "engine.status", Addr: addr, Reason: platform.ReasonUnreachable, Effect: platform.EffectNone}
+		return infra.ServerStatus{}, &infra.Error{Op: "engine.status", Addr: addr, Reason: infra.ReasonUnreachable, Effect: infra.EffectNone}
 	}
-	st := platform.ServerStatus{ID: e.id, Boot: fmt.Sprint("boot", e.boot), MemoryMiB: e.memory, Items: slices.Collect(maps.Values(e.items))}
+	st := infra.ServerStatus{ID: e.id, Boot: fmt.Sprint("boot", e.boot), MemoryMiB: e.memory, Items: slices.Collect(maps.Values(e.items))}
 	if !e.ignores {
 		st.Fence = e.fence
 	}
-	slices.SortFunc(st.Items, func(a, b platform.ResidentItem) int {
+	slices.SortFunc(st.Items, func(a, b infra.ResidentItem) int {
 		return int(int64(len(itemName(a.Item))) - int64(len(itemName(b.Item))))
 	})
 	return st, nil
 }
 
 // order brings an order through the network's faults.
-func (s *fakeServers) order(ctx context.Context, addr string, o platform.Order) error {
+func (s *fakeServers) order(ctx context.Context, addr string, o infra.Order) error {
 	s.mu.Lock()
 	f := s.fault(o)
 	s.orders = append(s.orders, o)
 	s.mu.Unlock()
-	lost := &platform.Error{Op: "engine.order", Addr: addr, Reason: platform.ReasonTimeout}
+	lost := &infra.Error{Op: "engine.order", Addr: addr, Reason: infra.ReasonTimeout}
 	switch f {
 	case faultLost:
 		<-ctx.Done()
@@ -135,35 +135,35 @@
 	return s.arrive(addr, o)
 }
 
-func (s *fakeServers) arrive(addr string, o platform.Order) error {
+func (s *fakeServers) arrive(addr string, o infra.Order) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.byAddr[addr]
-	none := func(r platform.Reason) error {
-		return &platform.Error{Op: "engine.order", Addr: addr, Reason: r, Effect: platform.EffectNone}
+	none := func(r infra.Reason) error {
+		return &infra.Error{Op: "engine.order", Addr: addr, Reason: r, Effect: infra.EffectNone}
 	}
 	switch {
 	case e == nil || e.dead:
-		return none(platform.ReasonUnreachable)
+		return none(infra.ReasonUnreachable)
 	case !e.ignores && o.Fence < e.fence:
-		return none(platform.ReasonStaleFence)
+		return none(infra.ReasonStaleFence)
 	}
 	e.fence = max(e.fence, o.Fence)
 	resident, there := e.items[o.Item.Key()]
 	switch {
-	case o.Kind == platform.OrderLoad && !there:
+	case o.Kind == infra.OrderLoad && !there:
 		s.load(e, o.Item)
-	case o.Kind == platform.OrderUnload && there && resident.State != platform.ItemUnloading:
-		s.turn(e, o.Item, platform.ItemUnloading, s.unloadTime, func() { delete(e.items, o.Item.Key()) })
+	case o.Kind == infra.OrderUnload && there && resident.State != infra.ItemUnloading:
+		s.turn(e, o.Item, infra.ItemUnloading, s.unloadTime, func() { delete(e.items, o.Item.Key()) })
 	}
 	return nil
 }
 
 // load starts a load, whether it fits or not. The caller holds mu.
-func (s *fakeServers) load(e *fakeEngine, i platform.Item) {
+func (s *fakeServers) load(e *fakeEngine, i infra.Item) {
 	s.loads++
-	ready := platform.ResidentItem{Item: i, State: platform.ItemReady}
-	s.turn(e, i, platform.ItemLoading, s.loadTime, func() { e.items[i.Key()] = ready })
+	ready := infra.ResidentItem{Item: i, State: infra.ItemReady}
+	s.turn(e, i, infra.ItemLoading, s.loadTime, func() { e.items[i.Key()] = ready })
 	taken := int64(0)
 	for _, r := range e.items {
 		taken += r.MiB
@@ -175,8 +175,8 @@
 
 // turn gives an item a state, and ends it after the time unless the server
 // restarted or the item turned again. The caller holds mu.
-func (s *fakeServers) turn(e *fakeEngine, i platform.Item, state platform.ItemState, after time.Duration, end func()) {
-	e.items[i.Key()] = platform.ResidentItem{Item: i, State: state}
+func (s *fakeServers) turn(e *fakeEngine, i infra.Item, state infra.ItemState, after time.Duration, end func()) {
+	e.items[i.Key()] = infra.ResidentItem{Item: i, State: state}
 	boot := e.boot
 	time.AfterFunc(after, func() {
 		s.mu.Lock()
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // history notes every order that leaves under a lease, from before it leaves
@@ -33,9 +33,9 @@
 // leases is an exclusive lock with fencing: the newest lease that ordered. An
 // order under an older one must not come after it.
 var leases = porcupine.Model{
-	Init: func() any { return platform.Offset(0) },
+	Init: func() any { return infra.Offset(0) },
 	Step: func(state, input, _ any) (bool, any) {
-		return input.(platform.Offset) >= state.(platform.Offset), input
+		return input.(infra.Offset) >= state.(infra.Offset), input
 	},
 }
 
@@ -49,7 +49,7 @@
 		for i := range 6 {
 			w.servers.add(fmt.Sprint("s", i), 10, i%2 == 0)
 		}
-		w.servers.fault = func(platform.Order) fault { return faultLost }
+		w.servers.fault = func(infra.Order) fault { return faultLost }
 		w.around = func(n *node, call func() error) error {
 			defer h.order(n, int(n.id[1]))()
 			return call()
@@ -62,7 +62,7 @@
 			return out
 		})
 		w.start("n1", "n2", "n3", "n4")
-		seen := map[platform.Offset]bool{}
+		seen := map[infra.Offset]bool{}
 		defer func() { // with nobody left to write
 			w.stop()
 			ops, holders = h.ops, len(seen)
--- a/control/holder.go
+++ b/control/holder.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -124,13 +124,13 @@
 // server that refuses old numbers is believed only once it has seen its newest
 // assignment's: an unload from before could still come.
 func (c *core) readiness(now time.Time, s *server, want *replay.Server) *record.Record {
-	var ready []platform.Item
+	var ready []infra.Item
 	boot := want.Boot
 	switch {
 	case s.silent(now) >= c.l.Unreachable:
 	case s.status == nil || s.failures > 0:
 		return nil
-	case !c.ignoresFence(want.Pool) && platform.Offset(s.status.Fence) < want.Assignment && s.status.Boot == want.Boot:
+	case !c.ignoresFence(want.Pool) && infra.Offset(s.status.Fence) < want.Assignment && s.status.Boot == want.Boot:
 		return nil
 	default:
 		ready, boot = s.ready(want.Assigned), s.status.Boot
--- a/control/lease.go
+++ b/control/lease.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -27,7 +27,7 @@
 // sentRecord is an own claim or renewal.
 type sentRecord struct {
 	at     time.Time       // before it was sent
-	offset platform.Offset // 0: not known
+	offset infra.Offset // 0: not known
 }
 
 // LeaseKeeper claims, renews and releases a failure domain's lease. It is
@@ -38,13 +38,13 @@
 	o LeaseOptions
 
 	known  bool            // a view was read
-	offset platform.Offset // read up to here
+	offset infra.Offset // read up to here
 	seen   replay.Lease
 	seenAt time.Time // when the newest record of the lease was read
 
-	id       platform.Offset // the offset of the own claim; 0: none
+	id       infra.Offset // the offset of the own claim; 0: none
 	from     time.Time       // what the own lease counts from
-	readBack platform.Offset // the newest own record read back as effective
+	readBack infra.Offset // the newest own record read back as effective
 	sent     []sentRecord    // own renewals that weren't read back yet, oldest first
 	inFlight bool            // an append is under way
 	pending  *sentRecord     // the claim under way
@@ -55,7 +55,7 @@
 func NewLeaseKeeper(o LeaseOptions) *LeaseKeeper { return &LeaseKeeper{o: o} }
 
 // Observe takes in the lease as of a view read at now.
-func (k *LeaseKeeper) Observe(now time.Time, offset platform.Offset, lease replay.Lease) {
+func (k *LeaseKeeper) Observe(now time.Time, offset infra.Offset, lease replay.Lease) {
 	if !k.known || lease != k.seen {
 		k.seenAt = now
 	}
@@ -116,7 +116,7 @@
 }
 
 // ID returns the offset of the own lease, or 0.
-func (k *LeaseKeeper) ID() platform.Offset {
+func (k *LeaseKeeper) ID() infra.Offset {
 	if _, ok := k.Until(); !ok {
 		return 0
 	}
@@ -207,7 +207,7 @@
 
 // Done takes in the end of the append that Next returned: its offset, or 0
 // where it failed or what became of it isn't known.
-func (k *LeaseKeeper) Done(now time.Time, offset platform.Offset) {
+func (k *LeaseKeeper) Done(now time.Time, offset infra.Offset) {
 	k.inFlight = false
 	k.retryAt = now.Add(k.o.Retry)
 	if claim := k.pending; claim != nil {
@@ -221,7 +221,7 @@
 	k.settle()
 }
 
-func releaseOf(id platform.Offset) *record.Record {
+func releaseOf(id infra.Offset) *record.Record {
 	return &record.Record{Body: &record.Record_LeaseRelease{LeaseRelease: &record.LeaseRelease{Lease: uint64(id)}}}
 }
 
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -17,7 +17,7 @@
 	return time.Unix(0, 0).Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func leaseAt(holder string, id, renewed platform.Offset) replay.Lease {
+func leaseAt(holder string, id, renewed infra.Offset) replay.Lease {
 	return replay.Lease{ID: id, Holder: holder, DurationMS: 9000, Renewed: renewed}
 }
 
--- a/control/logs.go
+++ b/control/logs.go
@@ -9,12 +9,12 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 // names writes items for a log line: model@version or model/adapter@version.
-func names(items []platform.Item) string {
+func names(items []infra.Item) string {
 	var out []string
 	for _, i := range items {
 		out = append(out, itemName(i))
@@ -22,7 +22,7 @@
 	return strings.Join(out, ",")
 }
 
-func itemName(i platform.Item) string {
+func itemName(i infra.Item) string {
 	if i.Model == "" {
 		return "" // an order that only raises the number
 	}
@@ -32,7 +32,7 @@
 	return fmt.Sprintf("%s@%s", i.Model, i.Version)
 }
 
-func mib(items ...[]platform.Item) int64 {
+func mib(items ...[]infra.Item) int64 {
 	var out int64
 	for _, i := range slices.Concat(items...) {
 		out += i.MiB
@@ -67,14 +67,14 @@
 	}).Info("order")
 }
 
-func (c *core) logRemoval(s *server, gone []platform.Item) {
+func (c *core) logRemoval(s *server, gone []infra.Item) {
 	c.add("removals")
 	c.log.WithFields(logrus.Fields{
 		"server": s.id, "items": names(gone), "assignment": s.assignment, "fence_seen": s.status.Fence, "boot": s.status.Boot,
 	}).Info("removal confirmed")
 }
 
-func (c *core) logReadiness(s *server, want *replay.Server, ready []platform.Item) {
+func (c *core) logReadiness(s *server, want *replay.Server, ready []infra.Item) {
 	c.add("readiness")
 	boot := ""
 	if s.status != nil {
--- a/control/memory_model_test.go
+++ b/control/memory_model_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -41,7 +41,7 @@
 	memory  int64
 	fence   uint64
 	boot    int
-	items   map[platform.Key]platform.Item
+	items   map[infra.Key]infra.Item
 }
 
 func (e *modelEngine) taken() int64 {
@@ -52,26 +52,26 @@
 	return out
 }
 
-func (e *modelEngine) status() platform.ServerStatus {
-	st := platform.ServerStatus{ID: e.id, Boot: fmt.Sprint(e.boot), MemoryMiB: e.memory}
+func (e *modelEngine) status() infra.ServerStatus {
+	st := infra.ServerStatus{ID: e.id, Boot: fmt.Sprint(e.boot), MemoryMiB: e.memory}
 	if !e.ignores {
 		st.Fence = e.fence
 	}
 	for _, i := range e.items {
-		st.Items = append(st.Items, platform.ResidentItem{Item: i, State: platform.ItemReady})
+		st.Items = append(st.Items, infra.ResidentItem{Item: i, State: infra.ItemReady})
 	}
 	return st
 }
 
-func (e *modelEngine) arrive(o platform.Order) {
+func (e *modelEngine) arrive(o infra.Order) {
 	if !e.ignores && o.Fence < e.fence {
 		return
 	}
 	e.fence = max(e.fence, o.Fence)
 	switch o.Kind {
-	case platform.OrderLoad:
+	case infra.OrderLoad:
 		e.items[o.Item.Key()] = o.Item
-	case platform.OrderUnload:
+	case infra.OrderUnload:
 		delete(e.items, o.Item.Key())
 	}
 }
@@ -79,7 +79,7 @@
 type modelOrder struct {
 	by     *process
 	server string
-	order  platform.Order
+	order  infra.Order
 	id     int  // in the process's underWay; 0: not counted
 	sent   bool // on the network; otherwise in the process's hand
 }
@@ -88,15 +88,15 @@
 	id       string
 	machine  *replay.Control
 	view     *replay.ControlView
-	lease    platform.Offset
-	joined   platform.Offset
+	lease    infra.Offset
+	joined   infra.Offset
 	servers  map[string]*server
 	said     map[string]confirmation
 	underWay *underWay
 	known    []replay.Server // every assignment ever read, for the rule newest
 }
 
-func (p *process) applied(now time.Time) platform.Offset {
+func (p *process) applied(now time.Time) infra.Offset {
 	if joined, is := p.view.Orderers[p.id]; is && joined != p.joined {
 		return 0
 	}
@@ -118,9 +118,9 @@
 
 func (m *model) draw(n int, what string) int { return rapid.IntRange(0, n-1).Draw(m.t, what) }
 
-func (m *model) append(body *record.Record) platform.Offset {
+func (m *model) append(body *record.Record) infra.Offset {
 	m.records = append(m.records, body)
-	return platform.Offset(len(m.records))
+	return infra.Offset(len(m.records))
 }
 
 func (m *model) spawn() {
@@ -162,20 +162,20 @@
 	m.read(p)
 }
 
-var modelItems = []platform.Item{
+var modelItems = []infra.Item{
 	{Model: "a", Version: "1", MiB: 2}, {Model: "b", Version: "1", MiB: 2}, {Model: "c", Version: "1", MiB: 1},
 }
 
 // assignAny assigns one item, or none.
 func (m *model) assignAny(p *process, e *modelEngine) {
-	var items []platform.Item
+	var items []infra.Item
 	if i := m.draw(len(modelItems)+2, "item"); i < len(modelItems) {
 		items = append(items, modelItems[i])
 	}
 	m.assign(p, e, items...)
 }
 
-func (m *model) assign(p *process, e *modelEngine, items ...platform.Item) {
+func (m *model) assign(p *process, e *modelEngine, items ...infra.Item) {
 	if !m.off.fits && !replay.Fits(e.memory, items, p.servers[e.id].foreign(p.view.Servers[e.id])) {
 		return
 	}
@@ -225,7 +225,7 @@
 		altered.confirmedAt = time.Time{}
 	}
 	if m.off.fits {
-		status.Items = slices.DeleteFunc(slices.Clone(status.Items), func(r platform.ResidentItem) bool {
+		status.Items = slices.DeleteFunc(slices.Clone(status.Items), func(r infra.ResidentItem) bool {
 			return !holds(want.Assigned, r.Key()) && !holds(want.Lingering, r.Key())
 		})
 	}
--- a/control/memory_test.go
+++ b/control/memory_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // TestMain fixes the seed of the property tests; -rapid.seed on the command
@@ -52,9 +52,9 @@
 
 // overcommitted runs the model and says whether a server's memory ever was.
 func overcommitted(t *rapid.T, off broken) string {
-	e := &modelEngine{id: "s", memory: 2, ignores: rapid.Bool().Draw(t, "ignores"), items: map[platform.Key]platform.Item{}}
+	e := &modelEngine{id: "s", memory: 2, ignores: rapid.Bool().Draw(t, "ignores"), items: map[infra.Key]infra.Item{}}
 	if rapid.Bool().Draw(t, "stray") {
-		stray := platform.Item{Model: "stray", Version: "1", MiB: 1}
+		stray := infra.Item{Model: "stray", Version: "1", MiB: 1}
 		e.items[stray.Key()] = stray
 	}
 	m := newModel(off, e)
@@ -126,7 +126,7 @@
 // so their runs are written out. Each is safe with the rule on.
 
 func statusBeforeTheOrderersWord(off broken) *modelEngine {
-	e := &modelEngine{id: "s", memory: 2, ignores: true, items: map[platform.Key]platform.Item{}}
+	e := &modelEngine{id: "s", memory: 2, ignores: true, items: map[infra.Key]infra.Item{}}
 	m := newModel(off, e)
 	holder, other := m.processes[0], m.processes[1]
 	m.assign(holder, e, modelItems[0])
@@ -154,7 +154,7 @@
 }
 
 func numberForgottenAtARestart(off broken) *modelEngine {
-	e := &modelEngine{id: "s", memory: 2, items: map[platform.Key]platform.Item{}}
+	e := &modelEngine{id: "s", memory: 2, items: map[infra.Key]infra.Item{}}
 	m := newModel(off, e)
 	holder, other := m.processes[0], m.processes[1]
 	m.assign(holder, e, modelItems[0])
--- a/control/options.go
+++ b/control/options.go
@@ -12,7 +12,7 @@
 	"greengageferry/decide"
 	"greengageferry/fleet"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -41,13 +41,13 @@
 type Demand interface {
 	// Demand returns the sum over the instances that answered, by model or
 	// adapter name, and the newest loads that they saw, by server.
-	Demand(ctx context.Context) (map[string]decide.Demand, map[string]platform.Load)
+	Demand(ctx context.Context) (map[string]decide.Demand, map[string]infra.Load)
 }
 
 // Applied asks another entry instance how far it has read the control stream
 // with no order of an older assignment under way: its Controller.Applied.
 type Applied interface {
-	Applied(ctx context.Context, instance platform.Instance) (platform.Offset, error)
+	Applied(ctx context.Context, instance infra.Instance) (infra.Offset, error)
 }
 
 // The defaults of Limits.
@@ -164,7 +164,7 @@
 type Options struct {
 	Instance      string // this instance's id on the platform's list
 	FailureDomain string
-	Engine        platform.Engine
+	Engine        infra.Engine
 	Appender      logsync.Appender
 	Views         Views
 	// Others returns the newest views of the other failure domains' control
@@ -172,7 +172,7 @@
 	Others  func() map[string]*replay.ControlView
 	Config  func() *config.Config // the configuration in force, or nil
 	Lists   Lists
-	Store   platform.WeightStore
+	Store   infra.WeightStore
 	Planner Planner
 	Demand  Demand
 	Applied Applied
--- a/control/orderers.go
+++ b/control/orderers.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -17,7 +17,7 @@
 	instance string
 	started  time.Time
 	late     time.Duration   // after the start, an earlier process's orders may still arrive
-	joined   platform.Offset // of the own join; 0: none known
+	joined   infra.Offset // of the own join; 0: none known
 	inFlight bool
 	retryAt  time.Time
 }
@@ -52,7 +52,7 @@
 }
 
 // done takes in the end of the append: the join's offset, or 0.
-func (m *membership) done(now time.Time, joined platform.Offset) {
+func (m *membership) done(now time.Time, joined infra.Offset) {
 	m.inFlight = false
 	m.joined = joined
 	if joined == 0 {
@@ -66,14 +66,14 @@
 
 // confirmation is an orderer's word on how far it has applied the stream.
 type confirmation struct {
-	joined platform.Offset // the join that it is of
-	offset platform.Offset
+	joined infra.Offset // the join that it is of
+	offset infra.Offset
 }
 
 // unconfirmed returns the orderers that joined before the assignment and
 // aren't known to be past it, sorted. What an instance said of an offset holds
 // for as long as its join does.
-func unconfirmed(v *replay.ControlView, assignment platform.Offset, said map[string]confirmation) []string {
+func unconfirmed(v *replay.ControlView, assignment infra.Offset, said map[string]confirmation) []string {
 	var out []string
 	for instance, joined := range v.Orderers {
 		c := said[instance]
--- a/control/orders.go
+++ b/control/orders.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // due is an order that is due on a server.
@@ -41,10 +41,10 @@
 	loading := c.loading(now)
 	for _, d := range due {
 		kind := d.w.order.Kind
-		if !underLog && kind == platform.OrderUnload {
+		if !underLog && kind == infra.OrderUnload {
 			continue // a restoring brings back, and takes nothing away
 		}
-		if kind == platform.OrderLoad && !c.mayLoad(now, d.w.order.Item, loading) {
+		if kind == infra.OrderLoad && !c.mayLoad(now, d.w.order.Item, loading) {
 			continue
 		}
 		c.note(now, d.s, d.w)
@@ -77,7 +77,7 @@
 	for i, d := range orders {
 		name := nameOf(d.w.order.Item)
 		switch {
-		case d.w.order.Kind != platform.OrderLoad:
+		case d.w.order.Kind != infra.OrderLoad:
 			orders[i].rank = rankNoLoad
 		case ready[name]:
 			orders[i].rank = rankMore
@@ -100,7 +100,7 @@
 	return out
 }
 
-func (c *core) mayLoad(now time.Time, i platform.Item, loading map[string]int) bool {
+func (c *core) mayLoad(now time.Time, i infra.Item, loading map[string]int) bool {
 	partner := c.owner(i)
 	if !c.pace.take(now, partner, loading[partner]) {
 		c.add("loads_paced")
@@ -120,12 +120,12 @@
 			continue
 		}
 		for _, r := range s.status.Items {
-			if r.State == platform.ItemLoading {
+			if r.State == infra.ItemLoading {
 				out[c.owner(r.Item)]++
 			}
 		}
 		for key, o := range s.sent {
-			if key.kind == platform.OrderLoad && !s.due(now, c.l, key) {
+			if key.kind == infra.OrderLoad && !s.due(now, c.l, key) {
 				out[c.owner(o.item)]++
 			}
 		}
@@ -134,7 +134,7 @@
 }
 
 // owner returns the partner whose store an item is loaded from.
-func (c *core) owner(i platform.Item) string {
+func (c *core) owner(i infra.Item) string {
 	if c.cfg == nil {
 		return ""
 	}
@@ -147,5 +147,5 @@
 func (c *core) note(now time.Time, s *server, w wanted) {
 	key := orderKey{kind: w.order.Kind, item: w.order.Item.Key()}
 	tries := s.sent[key].tries + 1
-	s.sent[key] = sentOrder{item: w.order.Item, fence: platform.Offset(w.order.Fence), at: now, tries: tries}
+	s.sent[key] = sentOrder{item: w.order.Item, fence: infra.Offset(w.order.Fence), at: now, tries: tries}
 }
--- a/control/pace.go
+++ b/control/pace.go
@@ -7,12 +7,12 @@
 
 	"golang.org/x/time/rate"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // fallbackLimits are a store's limits while it has told none: slower than
 // either partner's store is today.
-var fallbackLimits = platform.StoreLimits{LoadsPerSecond: 0.5, ConcurrentLoads: 1}
+var fallbackLimits = infra.StoreLimits{LoadsPerSecond: 0.5, ConcurrentLoads: 1}
 
 // pacer keeps a failure domain's loads within its part of each partner's
 // weight store. The domains that have servers divide a store evenly, without
@@ -24,18 +24,18 @@
 // The load it is for: a domain that restarts with every server empty. The harm
 // prevented: one domain's loads taking the store from the others' first replicas.
 type pacer struct {
-	limits map[string]platform.StoreLimits // by partner, as the store told
+	limits map[string]infra.StoreLimits // by partner, as the store told
 	parts  map[string]int                  // by partner: domains that share its store
 	rates  map[string]*rate.Limiter
 }
 
 func newPacer() *pacer {
-	return &pacer{limits: map[string]platform.StoreLimits{}, parts: map[string]int{}, rates: map[string]*rate.Limiter{}}
+	return &pacer{limits: map[string]infra.StoreLimits{}, parts: map[string]int{}, rates: map[string]*rate.Limiter{}}
 }
 
 // set takes in the stores' limits and, by partner, the number of domains that
 // share its store.
-func (p *pacer) set(now time.Time, limits map[string]platform.StoreLimits, parts map[string]int) {
+func (p *pacer) set(now time.Time, limits map[string]infra.StoreLimits, parts map[string]int) {
 	p.limits, p.parts = maps.Clone(limits), maps.Clone(parts)
 	for partner, limiter := range p.rates {
 		if r := p.rate(partner); r != limiter.Limit() {
@@ -46,7 +46,7 @@
 
 func (p *pacer) sharers(partner string) int { return max(1, p.parts[partner]) }
 
-func (p *pacer) of(partner string) platform.StoreLimits {
+func (p *pacer) of(partner string) infra.StoreLimits {
 	l, known := p.limits[partner]
 	if !known || l.LoadsPerSecond <= 0 {
 		l.LoadsPerSecond = fallbackLimits.LoadsPerSecond
@@ -82,8 +82,8 @@
 
 // stores returns the stores' limits as a whole, for the planner: it takes the
 // failure domain's part of them itself.
-func (p *pacer) stores() map[string]platform.StoreLimits {
-	out := map[string]platform.StoreLimits{}
+func (p *pacer) stores() map[string]infra.StoreLimits {
+	out := map[string]infra.StoreLimits{}
 	for _, partner := range slices.Sorted(maps.Keys(p.limits)) {
 		out[partner] = p.of(partner)
 	}
--- a/control/plan.go
+++ b/control/plan.go
@@ -8,7 +8,7 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -16,8 +16,8 @@
 // gathered is what a plan needs and that has to be asked for.
 type gathered struct {
 	demand    map[string]decide.Demand
-	loads     map[string]platform.Load // by server
-	stores    map[string]platform.StoreLimits
+	loads     map[string]infra.Load // by server
+	stores    map[string]infra.StoreLimits
 	storeDown bool // no store told its limits
 }
 
@@ -39,7 +39,7 @@
 	return in
 }
 
-func (c *core) planServer(now time.Time, cfg *config.Config, line platform.Instance) decide.PlanServer {
+func (c *core) planServer(now time.Time, cfg *config.Config, line infra.Instance) decide.PlanServer {
 	s := c.servers[line.ID]
 	pool := cfg.Pools[line.Pool]
 	out := decide.PlanServer{
@@ -83,7 +83,7 @@
 }
 
 // nameOf returns what callers ask for an item by.
-func nameOf(i platform.Item) string {
+func nameOf(i infra.Item) string {
 	if i.Adapter != "" {
 		return i.Adapter
 	}
@@ -110,7 +110,7 @@
 func serverDomains(list *fleet.List) []string {
 	seen := map[string]bool{}
 	for _, i := range list.Instances {
-		if i.Role == platform.RoleEngine {
+		if i.Role == infra.RoleEngine {
 			seen[i.FailureDomain] = true
 		}
 	}
@@ -151,7 +151,7 @@
 	return out
 }
 
-func assignmentOf(lease platform.Offset, s *decide.PlanServer, reason string) *record.Record {
+func assignmentOf(lease infra.Offset, s *decide.PlanServer, reason string) *record.Record {
 	return &record.Record{Body: &record.Record_Assignment{Assignment: &record.Assignment{
 		Lease:     uint64(lease),
 		Server:    s.ID,
@@ -277,9 +277,9 @@
 }
 
 // orphaned says whether an adapter is assigned without its model.
-func orphaned(items []platform.Item) bool {
-	return slices.ContainsFunc(items, func(a platform.Item) bool {
-		model := func(i platform.Item) bool { return i.Adapter == "" && i.Model == a.Model }
+func orphaned(items []infra.Item) bool {
+	return slices.ContainsFunc(items, func(a infra.Item) bool {
+		model := func(i infra.Item) bool { return i.Adapter == "" && i.Model == a.Model }
 		return a.Adapter != "" && !slices.ContainsFunc(items, model)
 	})
 }
@@ -287,21 +287,21 @@
 // moved returns the server after the move. What it drops lingers, and what is
 // added while it lingers counts once.
 func moved(s decide.PlanServer, m decide.Move) decide.PlanServer {
-	drop := func(i platform.Item) bool { return holds(m.Drop, i.Key()) && !holds(m.Add, i.Key()) }
+	drop := func(i infra.Item) bool { return holds(m.Drop, i.Key()) && !holds(m.Add, i.Key()) }
 	kept := slices.DeleteFunc(slices.Clone(s.Assigned), drop)
 	for _, i := range m.Add {
 		if !holds(kept, i.Key()) {
 			kept = append(kept, i)
 		}
 	}
-	assigned := func(i platform.Item) bool { return holds(kept, i.Key()) }
+	assigned := func(i infra.Item) bool { return holds(kept, i.Key()) }
 	left := slices.DeleteFunc(slices.Concat(s.Assigned, s.Lingering), assigned)
 	s.Assigned, s.Lingering = kept, left
 	return s
 }
 
-func sameItems(a, b []platform.Item) bool {
-	return len(a) == len(b) && !slices.ContainsFunc(a, func(i platform.Item) bool { return !holds(b, i.Key()) })
+func sameItems(a, b []infra.Item) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(i infra.Item) bool { return !holds(b, i.Key()) })
 }
 
 // storeSharers counts, for each partner, the failure domains that have a
@@ -309,7 +309,7 @@
 func storeSharers(cfg *config.Config, list *fleet.List) map[string]int {
 	domains := map[string]map[string]bool{} // by pool
 	for _, i := range list.Instances {
-		if i.Role != platform.RoleEngine {
+		if i.Role != infra.RoleEngine {
 			continue
 		}
 		if domains[i.Pool] == nil {
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 // wanted is an order that would move a server toward its assignment.
 type wanted struct {
-	order  platform.Order
+	order  infra.Order
 	reason string
 }
 
@@ -35,14 +35,14 @@
 // ordered: from then on its status shows all that there can be. A server that
 // forgot its number over a restart is brought back to it in the same way.
 func fenceFirst(now time.Time, l Limits, s *server, want *replay.Server, ignoresFence bool) []wanted {
-	if ignoresFence || platform.Offset(s.status.Fence) >= want.Assignment {
+	if ignoresFence || infra.Offset(s.status.Fence) >= want.Assignment {
 		return nil
 	}
-	key := orderKey{kind: platform.OrderFence}
+	key := orderKey{kind: infra.OrderFence}
 	if !s.due(now, l, key) {
 		return []wanted{}
 	}
-	return []wanted{{order: order(platform.OrderFence, platform.Item{}, want), reason: "fence"}}
+	return []wanted{{order: order(infra.OrderFence, infra.Item{}, want), reason: "fence"}}
 }
 
 // unloads drops what isn't assigned, once routers had time to read of it. A
@@ -59,11 +59,11 @@
 				continue
 			}
 			adapters[r.Model] = adapters[r.Model] || adapterPass
-			key := orderKey{kind: platform.OrderUnload, item: r.Key()}
-			if r.State == platform.ItemUnloading || !adapterPass && adapters[r.Model] || !s.due(now, l, key) {
+			key := orderKey{kind: infra.OrderUnload, item: r.Key()}
+			if r.State == infra.ItemUnloading || !adapterPass && adapters[r.Model] || !s.due(now, l, key) {
 				continue
 			}
-			out = append(out, wanted{order: order(platform.OrderUnload, r.Item, want), reason: "not assigned"})
+			out = append(out, wanted{order: order(infra.OrderUnload, r.Item, want), reason: "not assigned"})
 		}
 	}
 	return out
@@ -80,14 +80,14 @@
 	var out []wanted
 	for _, adapterPass := range []bool{false, true} {
 		for _, i := range want.Assigned {
-			key := orderKey{kind: platform.OrderLoad, item: i.Key()}
+			key := orderKey{kind: infra.OrderLoad, item: i.Key()}
 			if _, there := s.resident(i.Key()); there || (i.Adapter != "") != adapterPass {
 				continue
 			}
 			if !s.due(now, l, key) || adapterPass && !s.modelReady(i.Model) {
 				continue
 			}
-			out = append(out, wanted{order: order(platform.OrderLoad, i, want), reason: "assigned, not there"})
+			out = append(out, wanted{order: order(infra.OrderLoad, i, want), reason: "assigned, not there"})
 		}
 	}
 	return out
@@ -102,7 +102,7 @@
 	if s.status.MemoryMiB > 0 {
 		memory = min(memory, s.status.MemoryMiB)
 	}
-	size := map[platform.Key]int64{}
+	size := map[infra.Key]int64{}
 	for _, i := range slices.Concat(want.Assigned, want.Lingering) {
 		size[i.Key()] = i.MiB
 	}
@@ -116,8 +116,8 @@
 }
 
 func (s *server) modelReady(model string) bool {
-	return slices.ContainsFunc(s.status.Items, func(r platform.ResidentItem) bool {
-		return r.Model == model && r.Adapter == "" && r.State == platform.ItemReady
+	return slices.ContainsFunc(s.status.Items, func(r infra.ResidentItem) bool {
+		return r.Model == model && r.Adapter == "" && r.State == infra.ItemReady
 	})
 }
 
@@ -132,12 +132,12 @@
 	return !now.Before(o.at.Add(wait))
 }
 
-func order(kind platform.OrderKind, item platform.Item, want *replay.Server) platform.Order {
-	return platform.Order{Kind: kind, Item: item, Fence: uint64(want.Assignment)}
+func order(kind infra.OrderKind, item infra.Item, want *replay.Server) infra.Order {
+	return infra.Order{Kind: kind, Item: item, Fence: uint64(want.Assignment)}
 }
 
-func holds(items []platform.Item, key platform.Key) bool {
-	return slices.ContainsFunc(items, func(i platform.Item) bool { return i.Key() == key })
+func holds(items []infra.Item, key infra.Key) bool {
+	return slices.ContainsFunc(items, func(i infra.Item) bool { return i.Key() == key })
 }
 
 // removable returns the lingering items that are gone from the server for good.
@@ -147,7 +147,7 @@
 // each orderer that joined before the assignment must first have said that it
 // is past it with no older order under way, and a status asked for after that
 // must lack them.
-func removable(s *server, want *replay.Server, ignoresFence bool) []platform.Item {
+func removable(s *server, want *replay.Server, ignoresFence bool) []infra.Item {
 	if s.status == nil || len(want.Lingering) == 0 {
 		return nil
 	}
@@ -155,10 +155,10 @@
 		if s.confirmedFor != want.Assignment || !s.asked.After(s.confirmedAt) {
 			return nil
 		}
-	} else if platform.Offset(s.status.Fence) < want.Assignment {
+	} else if infra.Offset(s.status.Fence) < want.Assignment {
 		return nil
 	}
-	var out []platform.Item
+	var out []infra.Item
 	for _, i := range want.Lingering {
 		if _, there := s.resident(i.Key()); !there {
 			out = append(out, i)
--- a/control/server.go
+++ b/control/server.go
@@ -4,21 +4,21 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 // orderKey names an order apart from its fencing number.
 type orderKey struct {
-	kind platform.OrderKind
-	item platform.Key
+	kind infra.OrderKind
+	item infra.Key
 }
 
 // sentOrder is an order that this instance sent and that a status hasn't shown
 // to be done.
 type sentOrder struct {
-	item  platform.Item
-	fence platform.Offset
+	item  infra.Item
+	fence infra.Offset
 	at    time.Time
 	tries int
 }
@@ -29,30 +29,30 @@
 	id   string
 	addr string
 
-	status      *platform.ServerStatus // the newest, or nil
+	status      *infra.ServerStatus // the newest, or nil
 	asked       time.Time              // when the newest status was asked for
 	silentSince time.Time              // the first failure since it last answered
 	failures    int                    // in a row
 	polling     bool
 	pollAt      time.Time
 
-	assignment platform.Offset // the newest that was read
+	assignment infra.Offset // the newest that was read
 	readAt     time.Time       // when it was read: what its DropDelay counts from
-	since      map[platform.Key]time.Time
+	since      map[infra.Key]time.Time
 	sent       map[orderKey]sentOrder
 
 	missingSince  time.Time // unlisted since
 	leavingListed bool      // the list says that it is leaving
 
-	calmStatus *platform.ServerStatus // with calmWant: found quiet
+	calmStatus *infra.ServerStatus // with calmWant: found quiet
 	calmWant   *replay.Server
 
-	confirmedFor platform.Offset
+	confirmedFor infra.Offset
 	confirmedAt  time.Time // when every earlier orderer was known to be past confirmedFor
 }
 
 func newServer(id string) *server {
-	return &server{id: id, since: map[platform.Key]time.Time{}, sent: map[orderKey]sentOrder{}}
+	return &server{id: id, since: map[infra.Key]time.Time{}, sent: map[orderKey]sentOrder{}}
 }
 
 // assigned takes in the server's newest assignment, read at now.
@@ -62,7 +62,7 @@
 	}
 	s.assignment, s.readAt, s.pollAt = want.Assignment, now, time.Time{}
 	clear(s.sent)
-	since := map[platform.Key]time.Time{}
+	since := map[infra.Key]time.Time{}
 	for _, i := range want.Assigned {
 		if at, known := s.since[i.Key()]; known {
 			since[i.Key()] = at
@@ -74,7 +74,7 @@
 }
 
 // polled takes in the answer to a status call that was asked at asked.
-func (s *server) polled(asked time.Time, status platform.ServerStatus) {
+func (s *server) polled(asked time.Time, status infra.ServerStatus) {
 	s.polling = false
 	if asked.Before(s.asked) {
 		return
@@ -111,30 +111,30 @@
 func (s *server) done(key orderKey) bool {
 	_, there := s.resident(key.item)
 	switch key.kind {
-	case platform.OrderLoad:
+	case infra.OrderLoad:
 		return there
-	case platform.OrderUnload:
+	case infra.OrderUnload:
 		return !there
 	}
-	return platform.Offset(s.status.Fence) >= s.assignment
+	return infra.Offset(s.status.Fence) >= s.assignment
 }
 
-func (s *server) resident(key platform.Key) (platform.ResidentItem, bool) {
+func (s *server) resident(key infra.Key) (infra.ResidentItem, bool) {
 	if s.status == nil {
-		return platform.ResidentItem{}, false
+		return infra.ResidentItem{}, false
 	}
-	i := slices.IndexFunc(s.status.Items, func(r platform.ResidentItem) bool { return r.Key() == key })
+	i := slices.IndexFunc(s.status.Items, func(r infra.ResidentItem) bool { return r.Key() == key })
 	if i < 0 {
-		return platform.ResidentItem{}, false
+		return infra.ResidentItem{}, false
 	}
 	return s.status.Items[i], true
 }
 
 // ready returns the items of want that the newest status shows as ready.
-func (s *server) ready(want []platform.Item) []platform.Item {
-	var out []platform.Item
+func (s *server) ready(want []infra.Item) []infra.Item {
+	var out []infra.Item
 	for _, i := range want {
-		if r, there := s.resident(i.Key()); there && r.State == platform.ItemReady {
+		if r, there := s.resident(i.Key()); there && r.State == infra.ItemReady {
 			out = append(out, i)
 		}
 	}
@@ -150,7 +150,7 @@
 	if want == nil {
 		return len(s.status.Items) == 0
 	}
-	fenced := ignoresFence || platform.Offset(s.status.Fence) >= want.Assignment
+	fenced := ignoresFence || infra.Offset(s.status.Fence) >= want.Assignment
 	n := len(want.Assigned)
 	return fenced && s.assignment == want.Assignment && s.status.Boot == want.Boot && len(want.Lingering) == 0 &&
 		len(want.Ready) == n && len(s.status.Items) == n && len(s.ready(want.Assigned)) == n
@@ -167,17 +167,17 @@
 // foreign returns what the newest status shows beyond what the log knows of:
 // loaded before the server's first assignment, or by an order from before a
 // restart. Its memory is taken all the same.
-func (s *server) foreign(want *replay.Server) []platform.Item {
+func (s *server) foreign(want *replay.Server) []infra.Item {
 	if s.status == nil {
 		return nil
 	}
-	known := map[platform.Key]bool{}
+	known := map[infra.Key]bool{}
 	if want != nil {
 		for _, i := range slices.Concat(want.Assigned, want.Lingering) {
 			known[i.Key()] = true
 		}
 	}
-	var out []platform.Item
+	var out []infra.Item
 	for _, r := range s.status.Items {
 		if !known[r.Key()] {
 			out = append(out, r.Item)
--- a/control/underway.go
+++ b/control/underway.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // underWay knows the orders that this instance has sent, or is about to send,
@@ -25,7 +25,7 @@
 }
 
 type orderUnderWay struct {
-	assignment platform.Offset
+	assignment infra.Offset
 	until      time.Time // zero: its call has not ended
 }
 
@@ -34,7 +34,7 @@
 }
 
 // begin notes an order of the assignment.
-func (u *underWay) begin(assignment platform.Offset) (id int) {
+func (u *underWay) begin(assignment infra.Offset) (id int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.next++
@@ -58,7 +58,7 @@
 
 // floor returns the smallest assignment that has an order under way, but at
 // most the offset given. Orders that can't be late any more are forgotten.
-func (u *underWay) floor(now time.Time, offset platform.Offset) platform.Offset {
+func (u *underWay) floor(now time.Time, offset infra.Offset) infra.Offset {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, o := range u.orders {
--- a/control/workers.go
+++ b/control/workers.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -42,7 +42,7 @@
 // and checked directly before it leaves. A shutdown doesn't cut it off: its
 // answer is worth waiting for.
 func (c *Controller) send(ctx context.Context, o orderOut) error {
-	id := c.underWay.begin(platform.Offset(o.order.Fence))
+	id := c.underWay.begin(infra.Offset(o.order.Fence))
 	if err := c.check(ctx, o); err != nil {
 		c.underWay.end(time.Now(), id, true)
 		return err
@@ -56,8 +56,8 @@
 
 // surelyNone says whether a failed call surely took no effect.
 func surelyNone(err error) bool {
-	var failed *platform.Error
-	return errors.As(err, &failed) && failed.Effect == platform.EffectNone
+	var failed *infra.Error
+	return errors.As(err, &failed) && failed.Effect == infra.EffectNone
 }
 
 // check says whether the order may leave now.
@@ -82,7 +82,7 @@
 }
 
 func held(o orderOut, why HeldReason) error {
-	return &HeldError{Server: o.server, Fence: platform.Offset(o.order.Fence), Reason: why}
+	return &HeldError{Server: o.server, Fence: infra.Offset(o.order.Fence), Reason: why}
 }
 
 func (c *Controller) askOrderers(ctx context.Context) {
@@ -99,7 +99,7 @@
 func (c *Controller) collect(ctx context.Context) {
 	for partners := range c.gather {
 		call, cancel := context.WithTimeout(ctx, c.limits.PlanEvery)
-		g := gathered{stores: map[string]platform.StoreLimits{}}
+		g := gathered{stores: map[string]infra.StoreLimits{}}
 		for _, partner := range partners {
 			if limits, err := c.o.Store.Limits(call, partner); err == nil {
 				g.stores[partner] = limits
@@ -114,10 +114,10 @@
 
 // append puts a batch on the control stream. It gives up after a third of a
 // lease, when the next renewal is due; the appender has looked for it by then.
-func (c *Controller) append(ctx context.Context, records ...*record.Record) (platform.Offset, error) {
+func (c *Controller) append(ctx context.Context, records ...*record.Record) (infra.Offset, error) {
 	call, cancel := context.WithTimeout(ctx, c.limits.Lease/3)
 	defer cancel()
-	return c.o.Appender.Append(call, platform.ControlStream(c.o.FailureDomain), records...)
+	return c.o.Appender.Append(call, infra.ControlStream(c.o.FailureDomain), records...)
 }
 
 func (c *Controller) appendLease(ctx context.Context) {
@@ -136,7 +136,7 @@
 		if err != nil {
 			joined = 0
 		} else {
-			joined += platform.Offset(len(b.records)) - 1 // the join is the last
+			joined += infra.Offset(len(b.records)) - 1 // the join is the last
 		}
 		c.post(memberAppended{joined: joined})
 	}
@@ -166,7 +166,7 @@
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	if _, err := c.o.Appender.Append(call, platform.ControlStream(c.o.FailureDomain), last...); err != nil {
+	if _, err := c.o.Appender.Append(call, infra.ControlStream(c.o.FailureDomain), last...); err != nil {
 		c.o.Log.WithField("cause", err).Warn("leaving without a word")
 	}
 }
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -16,7 +16,7 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -37,12 +37,12 @@
 
 // The node is its own client of the engines: what a paused process had in hand
 // goes out when it goes on, however long that was.
-func (n *node) Status(ctx context.Context, addr string) (platform.ServerStatus, error) {
+func (n *node) Status(ctx context.Context, addr string) (infra.ServerStatus, error) {
 	n.wait()
 	return n.w.servers.status(addr)
 }
 
-func (n *node) Order(ctx context.Context, addr string, o platform.Order) error {
+func (n *node) Order(ctx context.Context, addr string, o infra.Order) error {
 	if n.w.onOrder != nil {
 		n.w.onOrder(n, o)
 	}
@@ -56,11 +56,11 @@
 	return send()
 }
 
-func (n *node) Generate(context.Context, string, platform.GenerateRequest) (platform.Stream, error) {
+func (n *node) Generate(context.Context, string, infra.GenerateRequest) (infra.Stream, error) {
 	panic("not used")
 }
 func (n *node) Cancel(context.Context, string, string) error { panic("not used") }
-func (n *node) CacheEvents(context.Context, string, uint64) ([]platform.CacheEvent, error) {
+func (n *node) CacheEvents(context.Context, string, uint64) ([]infra.CacheEvent, error) {
 	panic("not used")
 }
 
@@ -97,8 +97,8 @@
 	cfg     *config.Config
 	nodes   []*node
 	limits  Limits
-	asks    func(w *world, id string) (platform.Offset, error)
-	onOrder func(n *node, o platform.Order) // directly before an order leaves a node; may pause it
+	asks    func(w *world, id string) (infra.Offset, error)
+	onOrder func(n *node, o infra.Order) // directly before an order leaves a node; may pause it
 	around  func(n *node, send func() error) error
 
 	mu       sync.Mutex
@@ -126,20 +126,20 @@
 	}
 }
 
-func (w *world) Limits(context.Context, string) (platform.StoreLimits, error) {
-	return platform.StoreLimits{LoadsPerSecond: 10, ConcurrentLoads: 10}, nil
+func (w *world) Limits(context.Context, string) (infra.StoreLimits, error) {
+	return infra.StoreLimits{LoadsPerSecond: 10, ConcurrentLoads: 10}, nil
 }
 
-func (w *world) Demand(context.Context) (map[string]decide.Demand, map[string]platform.Load) {
+func (w *world) Demand(context.Context) (map[string]decide.Demand, map[string]infra.Load) {
 	return nil, nil
 }
 
 // Applied asks the node as a peer would.
-func (w *world) Applied(_ context.Context, i platform.Instance) (platform.Offset, error) {
+func (w *world) Applied(_ context.Context, i infra.Instance) (infra.Offset, error) {
 	return w.asks(w, i.ID)
 }
 
-func (w *world) ask(id string) (platform.Offset, error) {
+func (w *world) ask(id string) (infra.Offset, error) {
 	for _, n := range w.nodes {
 		n.mu.Lock()
 		paused := n.paused != nil
@@ -148,7 +148,7 @@
 			return n.c.Applied(), nil
 		}
 	}
-	return 0, &platform.Error{Op: "peer.applied", Reason: platform.ReasonUnreachable, Effect: platform.EffectNone}
+	return 0, &infra.Error{Op: "peer.applied", Reason: infra.ReasonUnreachable, Effect: infra.EffectNone}
 }
 
 func (w *world) Plan(in decide.PlanInput) []decide.Move {
@@ -167,10 +167,10 @@
 func (w *world) List() *fleet.List {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out []platform.Instance
+	var out []infra.Instance
 	for _, n := range w.nodes {
 		if !w.unlisted[n.id] {
-			out = append(out, platform.Instance{ID: n.id, Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: testDomain})
+			out = append(out, infra.Instance{ID: n.id, Role: infra.RoleEntry, State: infra.StateLive, FailureDomain: testDomain})
 		}
 	}
 	for _, e := range w.servers.byAddr {
@@ -181,7 +181,7 @@
 		if e.ignores {
 			pool = "loose"
 		}
-		out = append(out, platform.Instance{ID: e.id, Role: platform.RoleEngine, State: platform.StateLive, FailureDomain: testDomain, Pool: pool, Addr: e.addr, MemoryMiB: e.memory})
+		out = append(out, infra.Instance{ID: e.id, Role: infra.RoleEngine, State: infra.StateLive, FailureDomain: testDomain, Pool: pool, Addr: e.addr, MemoryMiB: e.memory})
 	}
 	return fleet.NewList(time.Now(), out)
 }
@@ -269,9 +269,9 @@
 func moveTo(in decide.PlanInput, s decide.PlanServer, models []string) decide.Move {
 	m := decide.Move{Server: s.ID, Reason: "test"}
 	free := s.MemoryMiB - mib(s.Assigned, s.Lingering)
-	var wanted []platform.Item
+	var wanted []infra.Item
 	for _, name := range models {
-		wanted = append(wanted, platform.Item{Model: name, Version: cmp.Or(in.Config.Models[name].Version, "1"), MiB: 6})
+		wanted = append(wanted, infra.Item{Model: name, Version: cmp.Or(in.Config.Models[name].Version, "1"), MiB: 6})
 	}
 	for _, i := range s.Assigned {
 		if !holds(wanted, i.Key()) {
--- a/decide/baselines_test.go
+++ b/decide/baselines_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // The simple policies that the experiment compares with. Each dispatches at
@@ -81,7 +81,7 @@
 	}
 }
 
-func (s *simple) Reported(time.Time, string, platform.Load, time.Duration) []Decision { return nil }
+func (s *simple) Reported(time.Time, string, infra.Load, time.Duration) []Decision { return nil }
 func (s *simple) Tick(time.Time) []Decision                                           { return nil }
 
 // static places once: a replica of each, then a second where room allows.
@@ -108,9 +108,9 @@
 	var best *simEngine
 	for _, d := range l.w.domains {
 		for _, e := range d.engines {
-			has := slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return nameOfItem(i) == t.Name })
+			has := slices.ContainsFunc(e.Assigned, func(i infra.Item) bool { return nameOfItem(i) == t.Name })
 			if has {
-				e.used[platform.Key{Model: t.Model}] = l.w.now
+				e.used[infra.Key{Model: t.Model}] = l.w.now
 			}
 			switch load := e.running + len(e.waiting); {
 			case has && (load < e.Slots || !e.serves(t.Name)):
@@ -128,12 +128,12 @@
 
 func (l *lru) bring(e *simEngine, t *Target) {
 	conf := l.w.conf
-	var items []platform.Item
-	if !slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return i.Model == t.Model && i.Adapter == "" }) {
-		items = append(items, platform.Item{Model: t.Model, Version: "1", MiB: conf.Models[t.Model].MiB})
+	var items []infra.Item
+	if !slices.ContainsFunc(e.Assigned, func(i infra.Item) bool { return i.Model == t.Model && i.Adapter == "" }) {
+		items = append(items, infra.Item{Model: t.Model, Version: "1", MiB: conf.Models[t.Model].MiB})
 	}
 	if t.Adapter != "" {
-		items = append(items, platform.Item{Model: t.Model, Adapter: t.Adapter, Version: "1", MiB: conf.Adapters[t.Adapter].MiB})
+		items = append(items, infra.Item{Model: t.Model, Adapter: t.Adapter, Version: "1", MiB: conf.Adapters[t.Adapter].MiB})
 	}
 	for e.MemoryMiB-held(e.PlanServer) < sizeOf(items) {
 		if !l.evictOldest(e, t.Model) {
@@ -150,7 +150,7 @@
 	oldest := ""
 	for _, i := range e.Assigned {
 		if i.Adapter == "" && i.Model != but && l.copies(i.Model) > 1 &&
-			(oldest == "" || e.used[platform.Key{Model: i.Model}].Before(e.used[platform.Key{Model: oldest}])) {
+			(oldest == "" || e.used[infra.Key{Model: i.Model}].Before(e.used[infra.Key{Model: oldest}])) {
 			oldest = i.Model
 		}
 	}
--- a/decide/evict.go
+++ b/decide/evict.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // reservationKept is how long memory is kept for what it was cleared for: the
@@ -15,12 +15,12 @@
 // reservation is memory that was cleared for items that come in a later plan.
 type reservation struct {
 	server string
-	items  []platform.Item
+	items  []infra.Item
 	reason string
 	until  time.Time
 }
 
-func (w *planView) reserve(s *planServer, items []platform.Item, reason string) {
+func (w *planView) reserve(s *planServer, items []infra.Item, reason string) {
 	w.p.reserved = append(w.p.reserved, reservation{s.ID, items, reason, w.in.Now.Add(reservationKept)})
 }
 
@@ -47,7 +47,7 @@
 
 // redeclare brings the items to their declared versions. It says false if one
 // isn't declared any more.
-func (w *planView) redeclare(items []platform.Item) bool {
+func (w *planView) redeclare(items []infra.Item) bool {
 	for i, item := range items {
 		if !w.declared(item) {
 			return false
@@ -59,19 +59,19 @@
 
 // complete says whether the items find what they need on the server: an adapter
 // whose model has gone since would have nothing to run beside.
-func (w *planView) complete(s *planServer, items []platform.Item) bool {
+func (w *planView) complete(s *planServer, items []infra.Item) bool {
 	return items[0].Adapter == "" || s.has(items[0].Model)
 }
 
 func (w *planView) isReserved(name string) bool {
 	return slices.ContainsFunc(w.p.reserved, func(r reservation) bool {
-		return slices.ContainsFunc(r.items, func(i platform.Item) bool { return nameOfItem(i) == name })
+		return slices.ContainsFunc(r.items, func(i infra.Item) bool { return nameOfItem(i) == name })
 	})
 }
 
 // victim is a model on a server that can be spared, with its adapters there.
 type victim struct {
-	items []platform.Item
+	items []infra.Item
 	size  int64
 	value float64 // worth of what it serves, in requests a second
 }
@@ -81,7 +81,7 @@
 // home always keeps its last one, and any other domain counts on as many
 // replicas elsewhere as it has domains before it: so no two domains give up
 // their last replicas counting on each other, however late they hear of it.
-func (w *planView) spareable(s *planServer, item platform.Item) bool {
+func (w *planView) spareable(s *planServer, item infra.Item) bool {
 	name := nameOfItem(item)
 	others := w.ready[name]
 	if s.counts && s.serves(item) {
@@ -121,7 +121,7 @@
 	return out
 }
 
-func (w *planView) victimOf(s *planServer, model platform.Item) (victim, bool) {
+func (w *planView) victimOf(s *planServer, model infra.Item) (victim, bool) {
 	var v victim
 	for _, i := range s.items {
 		if i.Model != model.Model {
@@ -195,7 +195,7 @@
 	return true
 }
 
-func (w *planView) evict(s *planServer, gone []victim, items []platform.Item, reason string) {
+func (w *planView) evict(s *planServer, gone []victim, items []infra.Item, reason string) {
 	for _, v := range gone {
 		for _, i := range v.items {
 			w.drop(s, i, moveRoom)
@@ -206,14 +206,14 @@
 }
 
 // itemsFor returns what the item needs on the server: an adapter its model.
-func (w *planView) itemsFor(s *planServer, item platform.Item) []platform.Item {
+func (w *planView) itemsFor(s *planServer, item infra.Item) []infra.Item {
 	if item.Adapter != "" && !s.has(item.Model) {
-		return []platform.Item{w.item(item.Model), item}
+		return []infra.Item{w.item(item.Model), item}
 	}
-	return []platform.Item{item}
+	return []infra.Item{item}
 }
 
-func sizeOf(items []platform.Item) int64 {
+func sizeOf(items []infra.Item) int64 {
 	var size int64
 	for _, i := range items {
 		size += i.MiB
--- a/decide/experiment_test.go
+++ b/decide/experiment_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // size is a deployment for the experiment.
@@ -20,7 +20,7 @@
 	adapters int
 	guests   int // models of the other partner, in the lent part
 	mib      []int64
-	store    platform.StoreLimits
+	store    infra.StoreLimits
 	weights  config.Partner // of the owner
 }
 
@@ -37,16 +37,16 @@
 
 var (
 	flightKitchen = size{name: "flight-kitchen", domains: []int{5, 5, 4, 4}, entries: []int{3, 2, 2, 2}, models: 34, adapters: 94, guests: 4,
-		mib: []int64{10000, 16000, 28000}, store: platform.StoreLimits{LoadsPerSecond: 3, ConcurrentLoads: 3},
+		mib: []int64{10000, 16000, 28000}, store: infra.StoreLimits{LoadsPerSecond: 3, ConcurrentLoads: 3},
 		weights: config.Partner{Weight: 1, AttainmentWeight: 2, MovesWeight: 1}}
 	instituto = size{name: "instituto", domains: []int{3, 2, 2, 2}, entries: []int{3, 2, 2, 2}, models: 17, adapters: 56, guests: 2,
-		mib: []int64{10000, 16000, 28000}, store: platform.StoreLimits{LoadsPerSecond: 1, ConcurrentLoads: 7},
+		mib: []int64{10000, 16000, 28000}, store: infra.StoreLimits{LoadsPerSecond: 1, ConcurrentLoads: 7},
 		weights: config.Partner{Weight: 1, AttainmentWeight: 1, MovesWeight: 2}}
 	twoYears = size{name: "two-years", domains: []int{211}, entries: []int{41}, models: 830, guests: 40,
-		mib: []int64{5000, 8000, 12000}, store: platform.StoreLimits{LoadsPerSecond: 12, ConcurrentLoads: 12},
+		mib: []int64{5000, 8000, 12000}, store: infra.StoreLimits{LoadsPerSecond: 12, ConcurrentLoads: 12},
 		weights: config.Partner{Weight: 1, AttainmentWeight: 2, MovesWeight: 1}}
 	small = size{name: "small", domains: []int{3, 3}, entries: []int{2, 2}, models: 10, adapters: 6, guests: 2,
-		mib: []int64{10000, 16000, 28000}, store: platform.StoreLimits{LoadsPerSecond: 2, ConcurrentLoads: 2},
+		mib: []int64{10000, 16000, 28000}, store: infra.StoreLimits{LoadsPerSecond: 2, ConcurrentLoads: 2},
 		weights: config.Partner{Weight: 1, AttainmentWeight: 1, MovesWeight: 1}}
 )
 
@@ -164,7 +164,7 @@
 	w := &world{
 		now: simStart, rng: rand.New(rand.NewPCG(seed, 1)), conf: z.config(),
 		engines: map[string]*simEngine{}, loading: map[string]int{},
-		stores:   map[string]platform.StoreLimits{"owner": z.store, "guest": z.store},
+		stores:   map[string]infra.StoreLimits{"owner": z.store, "guest": z.store},
 		adapters: map[string][]string{},
 		result:   result{missed: map[string]int{}, lost: map[string]int{}, partnerAsked: map[string]int{}, partnerMet: map[string]int{}},
 	}
@@ -176,8 +176,8 @@
 		d := &simDomain{name: fmt.Sprintf("d%d", i), demand: map[string]*Demand{}}
 		for j := range n {
 			e := &simEngine{domain: d.name, step: simStep, at: w.now, PlanServer: PlanServer{ID: fmt.Sprintf("%s-s%03d", d.name, j), Pool: "pool",
-				MemoryMiB: simMemory, Slots: simSlots, Reachable: true, Since: map[platform.Key]time.Time{}}}
-			e.used = map[platform.Key]time.Time{}
+				MemoryMiB: simMemory, Slots: simSlots, Reachable: true, Since: map[infra.Key]time.Time{}}}
+			e.used = map[infra.Key]time.Time{}
 			w.engines[e.ID] = e
 			d.engines = append(d.engines, e)
 		}
@@ -255,7 +255,7 @@
 	}
 }
 
-func (w *world) ownerOf(i platform.Item) string {
+func (w *world) ownerOf(i infra.Item) string {
 	if i.Adapter != "" {
 		return w.conf.Adapters[i.Adapter].Owner
 	}
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // serverState is what an instance knows of a backend server beyond the table.
@@ -19,7 +19,7 @@
 
 	part       float64 // this instance's part of the slots if all instances ask for them
 	window     float64 // how many requests this instance may have there now
-	report     platform.Load
+	report     infra.Load
 	reportedAt time.Time
 	ownThen    int     // own when the report was made
 	others     float64 // mean of the other instances' requests there
--- a/decide/load.go
+++ b/decide/load.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -43,7 +43,7 @@
 // reported takes in a load report. A window grows with each report that shows
 // free slots, so that idle slots are lent to whoever asks, and falls back to
 // the instance's part while requests wait at the server.
-func (s *serverState) reported(now time.Time, load platform.Load, age time.Duration) {
+func (s *serverState) reported(now time.Time, load infra.Load, age time.Duration) {
 	at := now.Add(-age)
 	if at.Before(s.reportedAt) {
 		return
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // PlanServer is a backend server of the planner's failure domain.
@@ -15,11 +15,11 @@
 	Slots     int
 	Leaving   bool
 	Reachable bool
-	Assigned  []platform.Item // what the log says it may hold
-	Lingering []platform.Item // memory not yet free
-	Ready     []platform.Item
-	Since     map[platform.Key]time.Time // when each assigned item was assigned, as far as the planner saw
-	Load      platform.Load              // its last report; Slots of 0: none
+	Assigned  []infra.Item // what the log says it may hold
+	Lingering []infra.Item // memory not yet free
+	Ready     []infra.Item
+	Since     map[infra.Key]time.Time // when each assigned item was assigned, as far as the planner saw
+	Load      infra.Load              // its last report; Slots of 0: none
 }
 
 // Demand is what callers lately asked of a model or adapter in this failure domain.
@@ -38,15 +38,15 @@
 	Demand    map[string]Demand               // by model or adapter name
 	Elsewhere map[string]int                  // replicas of each model or adapter in other failure domains
 	Domains   []string                        // all failure domains that have servers, sorted
-	Stores    map[string]platform.StoreLimits // by partner
+	Stores    map[string]infra.StoreLimits // by partner
 	StoreDown bool
 }
 
 // Move is one change of a server's assignment: drop some items, add some.
 type Move struct {
 	Server string
-	Add    []platform.Item
-	Drop   []platform.Item
+	Add    []infra.Item
+	Drop   []infra.Item
 	Reason string  // for the log line
 	Gain   float64 // expected gain in the objective
 }
--- a/decide/placement_test.go
+++ b/decide/placement_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // plant is failure domains whose engines do at once what the moves say, and
@@ -23,7 +23,7 @@
 	domains  []string
 	servers  map[string][]PlanServer
 	planners map[string]*Planner
-	stores   map[string]platform.StoreLimits
+	stores   map[string]infra.StoreLimits
 	demand   map[string]Demand
 	cut      string // a domain that doesn't plan
 	down     bool   // the store
@@ -36,7 +36,7 @@
 		p.planners[d] = NewPlanner()
 		for i := range servers {
 			p.servers[d] = append(p.servers[d], PlanServer{ID: fmt.Sprint(d, "-", i), Pool: "pool", MemoryMiB: simMemory, Slots: simSlots, Reachable: true,
-				Since: map[platform.Key]time.Time{}})
+				Since: map[infra.Key]time.Time{}})
 		}
 	}
 	return p
@@ -65,8 +65,8 @@
 
 func (p *plant) carryOut(s *PlanServer, m Move) {
 	for _, drop := range m.Drop {
-		s.Assigned = slices.DeleteFunc(s.Assigned, func(i platform.Item) bool { return i == drop })
-		s.Ready = slices.DeleteFunc(s.Ready, func(i platform.Item) bool { return i == drop })
+		s.Assigned = slices.DeleteFunc(s.Assigned, func(i infra.Item) bool { return i == drop })
+		s.Ready = slices.DeleteFunc(s.Ready, func(i infra.Item) bool { return i == drop })
 		s.Lingering = append(s.Lingering, drop)
 	}
 	for _, add := range m.Add {
@@ -75,7 +75,7 @@
 		p.loads++
 		require.True(p.t, !s.Leaving)
 		if add.Adapter != "" {
-			require.True(p.t, slices.ContainsFunc(s.Assigned, func(i platform.Item) bool { return i.Model == add.Model && i.Adapter == "" }), "an adapter beside its model")
+			require.True(p.t, slices.ContainsFunc(s.Assigned, func(i infra.Item) bool { return i.Model == add.Model && i.Adapter == "" }), "an adapter beside its model")
 		}
 	}
 	require.LessOrEqual(p.t, held(*s), s.MemoryMiB, "memory, lingering items included: %v on %v", m, s)
@@ -183,7 +183,7 @@
 
 func TestStoreLimitsHold(t *testing.T) {
 	p := newPlant(t, small.config(), 4)
-	p.stores = map[string]platform.StoreLimits{"owner": {LoadsPerSecond: 1, ConcurrentLoads: 2}, "guest": {LoadsPerSecond: 1, ConcurrentLoads: 2}}
+	p.stores = map[string]infra.StoreLimits{"owner": {LoadsPerSecond: 1, ConcurrentLoads: 2}, "guest": {LoadsPerSecond: 1, ConcurrentLoads: 2}}
 	p.down = true
 	p.step(time.Second)
 	require.Zero(t, p.loads, "the store is down")
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -41,7 +41,7 @@
 	open     bool // may be given more
 	free     int64
 	pressure float64
-	items    []platform.Item
+	items    []infra.Item
 
 	victims       []victim // of the last call with these:
 	victimsAt     int
@@ -90,7 +90,7 @@
 	}
 }
 
-func (w *planView) counted(s *planServer, item platform.Item) {
+func (w *planView) counted(s *planServer, item infra.Item) {
 	name := nameOfItem(item)
 	if !slices.Contains(w.replicas[name], s) {
 		w.replicas[name] = append(w.replicas[name], s)
@@ -102,16 +102,16 @@
 
 // serves says whether the server serves some version of the item, an adapter
 // beside its model.
-func (s *planServer) serves(item platform.Item) bool {
+func (s *planServer) serves(item infra.Item) bool {
 	return s.isReady(nameOfItem(item)) && (item.Adapter == "" || s.isReady(item.Model))
 }
 
 func (s *planServer) isReady(name string) bool {
-	return slices.ContainsFunc(s.Ready, func(i platform.Item) bool { return nameOfItem(i) == name })
+	return slices.ContainsFunc(s.Ready, func(i infra.Item) bool { return nameOfItem(i) == name })
 }
 
 func (s *planServer) has(name string) bool {
-	return slices.ContainsFunc(s.items, func(i platform.Item) bool { return nameOfItem(i) == name })
+	return slices.ContainsFunc(s.items, func(i infra.Item) bool { return nameOfItem(i) == name })
 }
 
 // reached says whether the server was reached lately.
@@ -144,7 +144,7 @@
 }
 
 // add assigns the items to the server, if the store and the memory allow it.
-func (w *planView) add(s *planServer, items []platform.Item, reason string, gain float64) bool {
+func (w *planView) add(s *planServer, items []infra.Item, reason string, gain float64) bool {
 	var size int64
 	need := map[string]int{}
 	for _, i := range items {
@@ -178,14 +178,14 @@
 
 // drop takes the item off the server. Its memory is free in a later plan, once
 // it is confirmed gone.
-func (w *planView) drop(s *planServer, item platform.Item, reason string) {
+func (w *planView) drop(s *planServer, item infra.Item, reason string) {
 	if !slices.Contains(s.items, item) {
 		return
 	}
 	w.changes++
 	m := w.move(s, reason, 0)
 	m.Drop = append(m.Drop, item)
-	s.items = slices.DeleteFunc(s.items, func(i platform.Item) bool { return i.Key() == item.Key() })
+	s.items = slices.DeleteFunc(s.items, func(i infra.Item) bool { return i.Key() == item.Key() })
 	if name := nameOfItem(item); !s.has(name) && s.counts {
 		w.replicas[name] = slices.DeleteFunc(slices.Clone(w.replicas[name]), func(x *planServer) bool { return x == s })
 		if s.serves(item) {
@@ -226,15 +226,15 @@
 }
 
 // item returns the declared version of a model or adapter.
-func (w *planView) item(name string) platform.Item {
+func (w *planView) item(name string) infra.Item {
 	if m, ok := w.in.Config.Models[name]; ok {
-		return platform.Item{Model: name, Version: m.Version, MiB: m.MiB}
+		return infra.Item{Model: name, Version: m.Version, MiB: m.MiB}
 	}
 	a := w.in.Config.Adapters[name]
-	return platform.Item{Model: a.Model, Adapter: name, Version: a.Version, MiB: a.MiB}
+	return infra.Item{Model: a.Model, Adapter: name, Version: a.Version, MiB: a.MiB}
 }
 
-func (w *planView) owner(i platform.Item) string {
+func (w *planView) owner(i infra.Item) string {
 	if i.Adapter != "" {
 		return w.in.Config.Adapters[i.Adapter].Owner
 	}
@@ -252,7 +252,7 @@
 	return p
 }
 
-func nameOfItem(i platform.Item) string {
+func nameOfItem(i infra.Item) string {
 	if i.Adapter != "" {
 		return i.Adapter
 	}
@@ -266,7 +266,7 @@
 		mib += i.MiB
 	}
 	for _, l := range s.Lingering {
-		if !slices.ContainsFunc(s.Assigned, func(i platform.Item) bool { return i.Key() == l.Key() }) {
+		if !slices.ContainsFunc(s.Assigned, func(i infra.Item) bool { return i.Key() == l.Key() }) {
 			mib += l.MiB
 		}
 	}
--- a/decide/prefix.go
+++ b/decide/prefix.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -58,7 +58,7 @@
 	return h.server
 }
 
-func (p *prefixes) events(now time.Time, s *serverState, events []platform.CacheEvent) {
+func (p *prefixes) events(now time.Time, s *serverState, events []infra.CacheEvent) {
 	for _, e := range events {
 		k := prefixKey{e.Model, e.Prefix}
 		switch {
--- a/decide/replicas.go
+++ b/decide/replicas.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -45,7 +45,7 @@
 	}
 }
 
-func (w *planView) declared(i platform.Item) bool {
+func (w *planView) declared(i infra.Item) bool {
 	if _, ok := w.in.Config.Models[i.Model]; !ok {
 		return false
 	}
@@ -158,7 +158,7 @@
 
 // bestServer returns where one more replica of the name goes now, and the items
 // to add there.
-func (w *planView) bestServer(name string) ([]platform.Item, *planServer) {
+func (w *planView) bestServer(name string) ([]infra.Item, *planServer) {
 	item := w.item(name)
 	var best *planServer
 	for _, s := range w.servers {
@@ -170,14 +170,14 @@
 		return nil, nil
 	}
 	if item.Adapter != "" && !best.has(item.Model) {
-		return []platform.Item{w.item(item.Model), item}, best
+		return []infra.Item{w.item(item.Model), item}, best
 	}
-	return []platform.Item{item}, best
+	return []infra.Item{item}, best
 }
 
 // fits says whether the item fits the server, with its model where that has to
 // come along.
-func (w *planView) fits(s *planServer, item platform.Item) bool {
+func (w *planView) fits(s *planServer, item infra.Item) bool {
 	size := item.MiB
 	if item.Adapter != "" && !s.has(item.Model) {
 		size += w.in.Config.Models[item.Model].MiB
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -68,17 +68,17 @@
 // blame notes what a failure says about the server and the replica.
 func (s *Scheduler) blame(now time.Time, t *targetState, srv *serverState, f Failure) {
 	switch f.Reason {
-	case platform.ReasonNotResident:
+	case infra.ReasonNotResident:
 		if r := t.replica(srv); r != nil {
 			r.unreadyTo = now.Add(backoff(unready, unreadyMax, r.bounces))
 			r.bounces++
 		}
-	case platform.ReasonOverloaded:
+	case infra.ReasonOverloaded:
 		srv.window = max(srv.part, float64(srv.own)*windowShrink)
 		srv.retryAt = now.Add(overloadedPause)
-	case platform.ReasonLeaving:
+	case infra.ReasonLeaving:
 		srv.retryAt = now.Add(leavingPause)
-	case platform.ReasonBadRequest, platform.ReasonCanceled:
+	case infra.ReasonBadRequest, infra.ReasonCanceled:
 	default:
 		srv.retryAt = now.Add(backoff(failureBackoff, failureBackoffMax, srv.failures))
 		srv.failures++
@@ -89,7 +89,7 @@
 // and if not why.
 func (s *Scheduler) again(now time.Time, r *flight, f Failure) (Reason, bool) {
 	switch {
-	case f.Effect != platform.EffectNone && !r.Idempotent:
+	case f.Effect != infra.EffectNone && !r.Idempotent:
 		return ReasonMayHaveRun, false
 	case r.crashes >= crashLimit:
 		return ReasonQuarantined, false
@@ -97,7 +97,7 @@
 		return ReasonDeadline, false
 	case r.attempts >= maxAttempts:
 		return ReasonRetryBudget, false
-	case f.Effect != platform.EffectNone && !s.budget.take(now):
+	case f.Effect != infra.EffectNone && !s.budget.take(now):
 		return ReasonRetryBudget, false
 	}
 	return "", true
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Scheduler decides about each request of one entry instance, from its arrival
@@ -130,7 +130,7 @@
 }
 
 // Reported is told of a server's load report, as old as age.
-func (s *Scheduler) Reported(now time.Time, server string, load platform.Load, age time.Duration) []Decision {
+func (s *Scheduler) Reported(now time.Time, server string, load infra.Load, age time.Duration) []Decision {
 	s.out = s.out[:0]
 	if srv := s.fleet.servers[server]; srv != nil {
 		srv.reported(now, load, age)
@@ -140,7 +140,7 @@
 }
 
 // Cached is told of a server's cache events.
-func (s *Scheduler) Cached(now time.Time, server string, events []platform.CacheEvent) {
+func (s *Scheduler) Cached(now time.Time, server string, events []infra.CacheEvent) {
 	if srv := s.fleet.servers[server]; srv != nil {
 		s.prefixes.events(now, srv, events)
 	}
--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // testTable has n servers of one pool in domain d0, each with the targets, whose
@@ -163,11 +163,11 @@
 		r.Idempotent = idempotent
 		return s.Failed(simStart, id, s.Arrive(simStart, r)[0].Server.ID, f)[0]
 	}
-	require.Equal(t, ReasonMayHaveRun, fail("once", false, Failure{Effect: platform.EffectUnknown}).Reason)
-	require.Equal(t, ActionDispatch, fail("safe", false, Failure{Effect: platform.EffectNone, Reason: platform.ReasonOverloaded}).Action)
+	require.Equal(t, ReasonMayHaveRun, fail("once", false, Failure{Effect: infra.EffectUnknown}).Reason)
+	require.Equal(t, ActionDispatch, fail("safe", false, Failure{Effect: infra.EffectNone, Reason: infra.ReasonOverloaded}).Action)
 	again := 0
 	for i := range 200 {
-		if fail(fmt.Sprint(i), true, Failure{Effect: platform.EffectUnknown}).Action == ActionDispatch {
+		if fail(fmt.Sprint(i), true, Failure{Effect: infra.EffectUnknown}).Action == ActionDispatch {
 			again++
 		}
 	}
@@ -178,7 +178,7 @@
 func TestReplicaThatLacksTheTargetIsPassedOver(t *testing.T) {
 	s := testScheduler(testTable(2, 100, 1, "am", "an"))
 	first := s.Arrive(simStart, ask("x", "am", time.Hour))[0].Server.ID
-	next := s.Failed(simStart, "x", first, Failure{Reason: platform.ReasonNotResident, Effect: platform.EffectNone})[0]
+	next := s.Failed(simStart, "x", first, Failure{Reason: infra.ReasonNotResident, Effect: infra.EffectNone})[0]
 	require.Equal(t, ActionDispatch, next.Action)
 	for i := range 20 {
 		require.Equal(t, next.Server.ID, s.Arrive(simStart, ask(fmt.Sprint(i), "am", time.Hour))[0].Server.ID)
@@ -227,7 +227,7 @@
 		s := NewScheduler(rand.New(rand.NewPCG(uint64(i), 1)))
 		s.SetTable(simStart, testTable(8, 8, 41, "am"))
 		for j := range 8 {
-			load := platform.Load{Running: 7, Slots: 8}
+			load := infra.Load{Running: 7, Slots: 8}
 			if j == 0 {
 				load.Running = 0 // the one that all would run to
 			}
@@ -299,7 +299,7 @@
 				carryOut(answered(s, now, id, srv))
 			case 5:
 				id := pick()
-				carryOut(s.Failed(now, id, at[id], Failure{Crash: rapid.Bool().Draw(t, "crash"), Effect: platform.Effect(rapid.IntRange(0, 1).Draw(t, "effect"))}))
+				carryOut(s.Failed(now, id, at[id], Failure{Crash: rapid.Bool().Draw(t, "crash"), Effect: infra.Effect(rapid.IntRange(0, 1).Draw(t, "effect"))}))
 			case 6:
 				id := pick()
 				delete(open, id)
--- a/decide/shift.go
+++ b/decide/shift.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -119,7 +119,7 @@
 }
 
 // take makes the shift, or clears the memory for it.
-func (w *planView) take(s *planServer, gone []victim, items []platform.Item, gain float64) bool {
+func (w *planView) take(s *planServer, gone []victim, items []infra.Item, gain float64) bool {
 	name := nameOfItem(items[len(items)-1])
 	if len(gone) > 0 {
 		w.evict(s, gone, items, moveDemand)
--- a/decide/sim_test.go
+++ b/decide/sim_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // A small deterministic model of servers that batch continuously, for the
@@ -23,7 +23,7 @@
 	Failed(now time.Time, request, server string, f Failure) []Decision
 	Ended(now time.Time, request, server string, o Outcome) []Decision
 	Left(now time.Time, request string) []Decision
-	Reported(now time.Time, server string, load platform.Load, age time.Duration) []Decision
+	Reported(now time.Time, server string, load infra.Load, age time.Duration) []Decision
 	Tick(now time.Time) []Decision
 }
 
@@ -97,7 +97,7 @@
 	marks   marks
 	epoch   int
 	prefix  []uint64 // cached, oldest first
-	used    map[platform.Key]time.Time
+	used    map[infra.Key]time.Time
 }
 
 const (
@@ -117,8 +117,8 @@
 	e.at = now
 }
 
-func (e *simEngine) load() platform.Load {
-	return platform.Load{Running: e.running, Waiting: len(e.waiting), Slots: e.Slots}
+func (e *simEngine) load() infra.Load {
+	return infra.Load{Running: e.running, Waiting: len(e.waiting), Slots: e.Slots}
 }
 
 func (w *world) start(e *simEngine, j *job) {
@@ -247,7 +247,7 @@
 	conf     *config.Config
 	domains  []*simDomain
 	engines  map[string]*simEngine
-	stores   map[string]platform.StoreLimits
+	stores   map[string]infra.StoreLimits
 	loading  map[string]int
 	loadMiB  float64 // MiB a second of one load at the store's full speed
 	result   result
@@ -292,7 +292,7 @@
 		case ActionDispatch:
 			e := w.engines[d.Server.ID]
 			if !e.serves(j.Target) {
-				w.carryOut(at, at.router.Failed(w.now, j.ID, e.ID, Failure{Reason: platform.ReasonNotResident, Effect: platform.EffectNone}))
+				w.carryOut(at, at.router.Failed(w.now, j.ID, e.ID, Failure{Reason: infra.ReasonNotResident, Effect: infra.EffectNone}))
 				continue
 			}
 			w.result.waits = append(w.result.waits, w.now.Sub(j.Arrived).Seconds())
@@ -302,7 +302,7 @@
 }
 
 func (e *simEngine) serves(target string) bool {
-	return slices.ContainsFunc(e.Ready, func(i platform.Item) bool { return nameOfItem(i) == target })
+	return slices.ContainsFunc(e.Ready, func(i infra.Item) bool { return nameOfItem(i) == target })
 }
 
 // arrive takes in a request at one of the domain's entry instances.
@@ -337,7 +337,7 @@
 }
 
 // load makes an item resident after the store has given it.
-func (w *world) load(e *simEngine, item platform.Item, owner string) {
+func (w *world) load(e *simEngine, item infra.Item, owner string) {
 	e.Assigned = append(e.Assigned, item)
 	e.Since[item.Key()] = w.now
 	if w.moves {
@@ -350,15 +350,15 @@
 	}
 	w.after(seconds(slower*float64(item.MiB)/w.loadMiB), func() {
 		w.loading[owner]--
-		if slices.ContainsFunc(e.Assigned, func(i platform.Item) bool { return i.Key() == item.Key() }) {
+		if slices.ContainsFunc(e.Assigned, func(i infra.Item) bool { return i.Key() == item.Key() }) {
 			e.Ready = append(e.Ready, item)
 			w.dirty = true
 		}
 	})
 }
 
-func (w *world) unload(e *simEngine, item platform.Item) {
-	same := func(i platform.Item) bool { return i.Key() == item.Key() }
+func (w *world) unload(e *simEngine, item infra.Item) {
+	same := func(i infra.Item) bool { return i.Key() == item.Key() }
 	e.Assigned = slices.DeleteFunc(e.Assigned, same)
 	e.Ready = slices.DeleteFunc(e.Ready, same)
 	w.dirty = true
--- a/decide/types.go
+++ b/decide/types.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Server is a backend server as the routing sees it.
@@ -61,7 +61,7 @@
 	Deadline    time.Time
 	PromptBytes int
 	MaxTokens   int
-	Prefix      uint64 // platform.PrefixHash of the prompt; 0: none
+	Prefix      uint64 // infra.PrefixHash of the prompt; 0: none
 	Idempotent  bool   // may be dispatched again after an unknown outcome
 	Suspect     bool   // a backend server died while it ran it: kept apart from other suspects
 }
@@ -120,8 +120,8 @@
 
 // Failure says how an attempt failed.
 type Failure struct {
-	Reason platform.Reason
-	Effect platform.Effect
+	Reason infra.Reason
+	Effect infra.Effect
 	Tokens int  // tokens that the caller already has
 	Crash  bool // the server died while it ran the attempt
 }
--- a/decide/version.go
+++ b/decide/version.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // changeVersions moves replicas to the declared version. A replica's new version
@@ -19,11 +19,11 @@
 	}
 }
 
-func (w *planView) changeVersion(item platform.Item) {
+func (w *planView) changeVersion(item infra.Item) {
 	changing := false
 	for _, s := range slices.Clone(w.replicas[nameOfItem(item)]) {
 		old, has := oldVersions(s, item)
-		served := slices.ContainsFunc(s.Ready, func(i platform.Item) bool { return i.Key() == item.Key() })
+		served := slices.ContainsFunc(s.Ready, func(i infra.Item) bool { return i.Key() == item.Key() })
 		if len(old) == 0 || served {
 			for _, o := range old {
 				w.drop(s, o, moveVersion)
@@ -41,10 +41,10 @@
 
 // replace begins the change of one replica: beside the old version, in its place,
 // or on another server, where memory is cleared for it if need be.
-func (w *planView) replace(s *planServer, old []platform.Item, item platform.Item) bool {
+func (w *planView) replace(s *planServer, old []infra.Item, item infra.Item) bool {
 	name := nameOfItem(item)
 	lent := w.allows(s, item.Model, item.MiB)
-	if lent && w.add(s, []platform.Item{item}, moveVersion, versionGain) {
+	if lent && w.add(s, []infra.Item{item}, moveVersion, versionGain) {
 		return true
 	}
 	if lent && s.free >= item.MiB {
@@ -75,8 +75,8 @@
 
 // takeOff drops the old versions, with the adapters beside a model, and returns
 // what has to come in their place.
-func (w *planView) takeOff(s *planServer, old []platform.Item, item platform.Item) []platform.Item {
-	items := []platform.Item{item}
+func (w *planView) takeOff(s *planServer, old []infra.Item, item infra.Item) []infra.Item {
+	items := []infra.Item{item}
 	for _, i := range slices.Clone(s.items) {
 		if item.Adapter == "" && i.Model == item.Model && i.Adapter != "" {
 			w.drop(s, i, moveVersion)
@@ -90,7 +90,7 @@
 }
 
 // otherServer returns a server without the name where the item fits.
-func (w *planView) otherServer(s *planServer, item platform.Item) ([]platform.Item, *planServer) {
+func (w *planView) otherServer(s *planServer, item infra.Item) ([]infra.Item, *planServer) {
 	items, to := w.bestServer(nameOfItem(item))
 	if to == s {
 		return nil, nil
@@ -99,13 +99,13 @@
 }
 
 // hasItem says whether some server is assigned the item.
-func (w *planView) hasItem(item platform.Item) bool {
+func (w *planView) hasItem(item infra.Item) bool {
 	return slices.ContainsFunc(w.servers, func(s *planServer) bool { return s.counts && slices.Contains(s.items, item) })
 }
 
 // copyAdapters places the server's adapters of a model beside its new version
 // too, where they would else be nowhere when the old one goes.
-func (w *planView) copyAdapters(s *planServer, model platform.Item) {
+func (w *planView) copyAdapters(s *planServer, model infra.Item) {
 	for _, i := range slices.Clone(s.items) {
 		if i.Model == model.Model && i.Adapter != "" && !w.spareable(s, i) && len(w.replicas[i.Adapter]) < 2 {
 			w.place(i.Adapter, moveVersion, versionGain)
@@ -115,7 +115,7 @@
 
 // freeLent drops the least valuable model of the item's owner from what the pool
 // lends it, so that the item's new version has room there.
-func (w *planView) freeLent(pool string, item platform.Item) bool {
+func (w *planView) freeLent(pool string, item infra.Item) bool {
 	var at *planServer
 	var least victim
 	for _, s := range w.servers {
@@ -139,7 +139,7 @@
 
 // sparesAll says whether the item, with the adapters that go with a model, can
 // be spared on the server.
-func (w *planView) sparesAll(s *planServer, item platform.Item) bool {
+func (w *planView) sparesAll(s *planServer, item infra.Item) bool {
 	if item.Adapter != "" {
 		return w.spareable(s, item)
 	}
@@ -149,7 +149,7 @@
 
 // oldVersions returns the item's other versions on the server, and whether the
 // declared one is assigned there.
-func oldVersions(s *planServer, item platform.Item) (old []platform.Item, has bool) {
+func oldVersions(s *planServer, item infra.Item) (old []infra.Item, has bool) {
 	for _, i := range s.items {
 		switch {
 		case i.Key() == item.Key():
--- a/demand/collector.go
+++ b/demand/collector.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -30,12 +30,12 @@
 // Report is what an entry instance says of a failure domain.
 type Report struct {
 	Rates map[string]Rates         // what the domain was asked for through it, by target
-	Loads map[string]platform.Load // the loads that rode on its answers lately, by server
+	Loads map[string]infra.Load // the loads that rode on its answers lately, by server
 }
 
 // Asker asks an entry instance what a failure domain was asked for through it.
 type Asker interface {
-	Demand(ctx context.Context, instance platform.Instance, domain string) (Report, error)
+	Demand(ctx context.Context, instance infra.Instance, domain string) (Report, error)
 }
 
 // Collector estimates what callers ask of one failure domain from a sample of
@@ -43,7 +43,7 @@
 type Collector struct {
 	domain  string
 	asker   Asker
-	entries func() []platform.Instance // the live ones, of all failure domains
+	entries func() []infra.Instance // the live ones, of all failure domains
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -59,7 +59,7 @@
 }
 
 // NewCollector returns a collector for a failure domain.
-func NewCollector(domain string, asker Asker, entries func() []platform.Instance, random *rand.Rand) *Collector {
+func NewCollector(domain string, asker Asker, entries func() []infra.Instance, random *rand.Rand) *Collector {
 	return &Collector{domain: domain, asker: asker, entries: entries, random: random, samples: map[string]sample{}}
 }
 
@@ -85,7 +85,7 @@
 }
 
 // round asks a new sample.
-func (c *Collector) round(ctx context.Context, entries []platform.Instance) {
+func (c *Collector) round(ctx context.Context, entries []infra.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	var group errgroup.Group
@@ -98,7 +98,7 @@
 	_ = group.Wait() // ask returns no error: an instance that is silent is not counted
 }
 
-func (c *Collector) ask(ctx context.Context, instance platform.Instance) {
+func (c *Collector) ask(ctx context.Context, instance infra.Instance) {
 	report, err := c.asker.Demand(ctx, instance, c.domain)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,10 +110,10 @@
 }
 
 // choose draws the instances to ask.
-func (c *Collector) choose(entries []platform.Instance) []platform.Instance {
+func (c *Collector) choose(entries []infra.Instance) []infra.Instance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var chosen []platform.Instance
+	var chosen []infra.Instance
 	left := map[bool]int{true: SampleOwn, false: SampleOthers}
 	for _, i := range c.random.Perm(len(entries)) {
 		own := entries[i].FailureDomain == c.domain
@@ -127,10 +127,10 @@
 }
 
 // Loads returns the newest loads that the samples told of, by server.
-func (c *Collector) Loads() map[string]platform.Load {
+func (c *Collector) Loads() map[string]infra.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	loads := map[string]platform.Load{}
+	loads := map[string]infra.Load{}
 	told := map[string]time.Time{}
 	for _, s := range c.samples {
 		for server, load := range s.report.Loads {
@@ -144,7 +144,7 @@
 
 // estimate scales what the newest samples of each failure domain say to all
 // instances there.
-func (c *Collector) estimate(now time.Time, entries []platform.Instance) map[string]Rates {
+func (c *Collector) estimate(now time.Time, entries []infra.Instance) map[string]Rates {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	instances := map[string]int{}
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -46,20 +46,20 @@
 
 func (silence) Error() string { return "no answer" }
 
-func (e evenly) Demand(_ context.Context, i platform.Instance, _ string) (Report, error) {
+func (e evenly) Demand(_ context.Context, i infra.Instance, _ string) (Report, error) {
 	if e.silent[i.ID] {
 		return Report{}, silence{}
 	}
 	return Report{
 		Rates: map[string]Rates{"m": {Requests: 2}},
-		Loads: map[string]platform.Load{"server-of-" + i.ID: {Running: 3}},
+		Loads: map[string]infra.Load{"server-of-" + i.ID: {Running: 3}},
 	}, nil
 }
 
-func entries(domain string, n int) []platform.Instance {
-	var list []platform.Instance
+func entries(domain string, n int) []infra.Instance {
+	var list []infra.Instance
 	for i := range n {
-		list = append(list, platform.Instance{ID: domain + strconv.Itoa(i), FailureDomain: domain})
+		list = append(list, infra.Instance{ID: domain + strconv.Itoa(i), FailureDomain: domain})
 	}
 	return list
 }
@@ -68,7 +68,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		all := append(entries("porto-a", 41), entries("pelotas", 41)...)
 		asker := evenly{silent: map[string]bool{"porto-a0": true, "porto-a7": true}}
-		c := NewCollector("porto-a", asker, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+		c := NewCollector("porto-a", asker, func() []infra.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
 		for range 5 {
 			require.InEpsilon(t, 2*82, c.Collect(t.Context())["m"].Requests, 1e-9)
 			time.Sleep(AskEvery)
@@ -82,7 +82,7 @@
 	asked *atomic.Int64
 }
 
-func (c counting) Demand(ctx context.Context, i platform.Instance, domain string) (Report, error) {
+func (c counting) Demand(ctx context.Context, i infra.Instance, domain string) (Report, error) {
 	c.asked.Add(1)
 	return c.evenly.Demand(ctx, i, domain)
 }
@@ -91,7 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		all := append(entries("porto-a", 41), entries("pelotas", 329)...)
 		asker := counting{asked: new(atomic.Int64)}
-		c := NewCollector("porto-a", asker, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+		c := NewCollector("porto-a", asker, func() []infra.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
 		for range 60 {
 			require.NotEmpty(t, c.Collect(t.Context()))
 			time.Sleep(time.Second)
@@ -102,22 +102,22 @@
 
 func TestLoadsComeFromTheSamplesAndAge(t *testing.T) {
 	all := entries("porto-a", 3)
-	c := NewCollector("porto-a", evenly{}, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+	c := NewCollector("porto-a", evenly{}, func() []infra.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
 	c.Collect(t.Context())
 	require.Len(t, c.Loads(), 3)
-	require.Equal(t, platform.Load{Running: 3}, c.Loads()["server-of-porto-a1"])
+	require.Equal(t, infra.Load{Running: 3}, c.Loads()["server-of-porto-a1"])
 
 	l := NewLoads()
-	l.Seen(start, "old", platform.Load{Running: 1})
-	l.Seen(start.Add(loadLife), "new", platform.Load{Running: 2})
-	l.Seen(start.Add(loadLife), "new", platform.Load{Running: 4})
-	require.Equal(t, map[string]platform.Load{"new": {Running: 4}}, l.Recent(start.Add(loadLife+time.Second)))
+	l.Seen(start, "old", infra.Load{Running: 1})
+	l.Seen(start.Add(loadLife), "new", infra.Load{Running: 2})
+	l.Seen(start.Add(loadLife), "new", infra.Load{Running: 4})
+	require.Equal(t, map[string]infra.Load{"new": {Running: 4}}, l.Recent(start.Add(loadLife+time.Second)))
 	require.Len(t, l.seen, 1)
 }
 
 func TestOldSamplesDontCount(t *testing.T) {
 	all := entries("porto-a", 3)
-	c := NewCollector("porto-a", evenly{}, func() []platform.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
+	c := NewCollector("porto-a", evenly{}, func() []infra.Instance { return all }, rand.New(rand.NewPCG(1, 1)))
 	require.NotEmpty(t, c.Collect(t.Context()))
 	require.Empty(t, c.estimate(time.Now().Add(2*SampleLife), all))
 }
--- a/demand/loads.go
+++ b/demand/loads.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // loadLife is how long a load counts: it tells of the batch of that moment.
@@ -19,24 +19,24 @@
 
 type seenLoad struct {
 	at   time.Time
-	load platform.Load
+	load infra.Load
 }
 
 // NewLoads returns an empty board.
 func NewLoads() *Loads { return &Loads{seen: map[string]seenLoad{}} }
 
 // Seen takes in a server's report.
-func (l *Loads) Seen(now time.Time, server string, load platform.Load) {
+func (l *Loads) Seen(now time.Time, server string, load infra.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen[server] = seenLoad{now, load}
 }
 
 // Recent returns the reports that still count, by server.
-func (l *Loads) Recent(now time.Time) map[string]platform.Load {
+func (l *Loads) Recent(now time.Time) map[string]infra.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	recent := map[string]platform.Load{}
+	recent := map[string]infra.Load{}
 	for server, s := range l.seen {
 		if now.Sub(s.at) > loadLife {
 			delete(l.seen, server)
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -5,16 +5,16 @@
 
 	"greengageferry/claims"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // wireClaims makes this instance's part in the shards' batchers and the client
 // that finds a shard's.
 func (i *Instance) wireClaims() {
-	self := platform.Instance{
+	self := infra.Instance{
 		ID:            i.opts.Settings.Instance.ID,
-		Role:          platform.RoleEntry,
-		State:         platform.StateLive,
+		Role:          infra.RoleEntry,
+		State:         infra.StateLive,
 		Region:        i.opts.Settings.Instance.Region,
 		FailureDomain: i.domain(),
 	}
@@ -30,7 +30,7 @@
 		Local:   i.batchers,
 		Remote:  i.peers,
 		Self:    self,
-		Members: func() []platform.Instance { return i.watcher.List().Entries("") },
+		Members: func() []infra.Instance { return i.watcher.List().Entries("") },
 		Logger:  i.log,
 	})
 }
@@ -47,7 +47,7 @@
 // leads says whether this instance is the one that writes a stream now: its
 // failure domain's lease holder, or a shard's batcher.
 func (i *Instance) leads(stream string) bool {
-	if strings.HasPrefix(stream, platform.ControlStream("")) {
+	if strings.HasPrefix(stream, infra.ControlStream("")) {
 		controller := i.controller.Load()
 		return controller != nil && controller.Holds()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,7 +19,7 @@
 	"greengageferry/fleet"
 	"greengageferry/logsync"
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 	"greengageferry/settings"
 	"greengageferry/traffic"
@@ -27,11 +27,11 @@
 
 // Platform is what the platform gives, as clients.
 type Platform struct {
-	Log       platform.Log
-	Instances platform.Instances
-	Store     platform.WeightStore
-	Engine    platform.Engine
-	Services  platform.Services
+	Log       infra.Log
+	Instances infra.Instances
+	Store     infra.WeightStore
+	Engine    infra.Engine
+	Services  infra.Services
 }
 
 // Options are what an Instance needs.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -16,7 +16,7 @@
 	"greengageferry/demand"
 	"greengageferry/fleet"
 	"greengageferry/internal/testmain"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -30,7 +30,7 @@
 
 func TestRoutingIsBuiltAnewOnlyWhenSomethingItRestsOnChanged(t *testing.T) {
 	cfg := &config.Config{Services: map[string]config.Service{"campo": {}}}
-	list := fleet.NewList(time.Time{}, []platform.Instance{{ID: "c", Role: platform.RoleService, Pool: "campo"}})
+	list := fleet.NewList(time.Time{}, []infra.Instance{{ID: "c", Role: infra.RoleService, Pool: "campo"}})
 	view := &replay.ControlView{Offset: 1, Servers: map[string]*replay.Server{}}
 	published := 0
 	r := &routing{
--- a/entry/hints.go
+++ b/entry/hints.go
@@ -5,7 +5,7 @@
 	"expvar"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 const (
@@ -27,9 +27,9 @@
 // hints is a duty: it asks the backend servers that this instance uses, one
 // after the other, which prompt prefixes they took in or dropped.
 type hints struct {
-	engine  platform.Engine
+	engine  infra.Engine
 	ring    chan server
-	cached  func(server string, events []platform.CacheEvent)
+	cached  func(server string, events []infra.CacheEvent)
 	metrics *expvar.Map
 }
 
--- a/entry/hints_test.go
+++ b/entry/hints_test.go
@@ -11,21 +11,21 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // cacheEngine answers for cache events only.
 type cacheEngine struct {
-	platform.Engine
+	infra.Engine
 	asked atomic.Int64
 }
 
-func (e *cacheEngine) CacheEvents(_ context.Context, addr string, after uint64) ([]platform.CacheEvent, error) {
+func (e *cacheEngine) CacheEvents(_ context.Context, addr string, after uint64) ([]infra.CacheEvent, error) {
 	e.asked.Add(1)
 	if addr == "dead" {
-		return nil, &platform.Error{Op: "engine.cache_events", Reason: platform.ReasonUnreachable}
+		return nil, &infra.Error{Op: "engine.cache_events", Reason: infra.ReasonUnreachable}
 	}
-	return []platform.CacheEvent{{Sequence: after + 1}}, nil
+	return []infra.CacheEvent{{Sequence: after + 1}}, nil
 }
 
 func TestCacheEventsCostTheSameHoweverManyServers(t *testing.T) {
@@ -35,7 +35,7 @@
 		h := &hints{
 			engine:  engine,
 			ring:    make(chan server, hintsRing),
-			cached:  func(id string, events []platform.CacheEvent) { got[id] = events[0].Sequence },
+			cached:  func(id string, events []infra.CacheEvent) { got[id] = events[0].Sequence },
 			metrics: new(expvar.Map),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/entry/holding.go
+++ b/entry/holding.go
@@ -9,7 +9,7 @@
 	"greengageferry/control"
 	"greengageferry/decide"
 	"greengageferry/demand"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 	"greengageferry/supervise"
 )
@@ -138,7 +138,7 @@
 type collected struct{ *demand.Collector }
 
 // Demand implements control.Demand.
-func (c collected) Demand(ctx context.Context) (map[string]decide.Demand, map[string]platform.Load) {
+func (c collected) Demand(ctx context.Context) (map[string]decide.Demand, map[string]infra.Load) {
 	out := map[string]decide.Demand{}
 	for target, r := range c.Collect(ctx) {
 		out[target] = decide.Demand{RequestsPerSecond: r.Requests, TokensPerSecond: r.Tokens, RefusedPerSecond: r.Refused}
@@ -189,7 +189,7 @@
 }
 
 // Reported implements caller.Observer.
-func (o *observer) Reported(server string, load platform.Load) {
+func (o *observer) Reported(server string, load infra.Load) {
 	o.loads.Seen(time.Now(), server, load)
 }
 
--- a/entry/missing.go
+++ b/entry/missing.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -86,15 +86,15 @@
 }
 
 // holder returns the lease holder of the server's failure domain.
-func (m *missing) holder(server string) (platform.Instance, bool) {
+func (m *missing) holder(server string) (infra.Instance, bool) {
 	list := m.list()
 	listed, known := list.Get(server)
 	if !known {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	view := m.views()[listed.FailureDomain]
 	if view == nil {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	return list.Get(view.Lease.Holder)
 }
--- a/entry/missing_test.go
+++ b/entry/missing_test.go
@@ -10,17 +10,17 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 func TestHolderIsToldOfAServerThatLacksItsModelsOnceInAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		list := fleet.NewList(time.Time{}, []platform.Instance{
-			{ID: "s1", Role: platform.RoleEngine, FailureDomain: "porto-a"},
-			{ID: "s2", Role: platform.RoleEngine, FailureDomain: "pelotas"},
-			{ID: "other", Role: platform.RoleEntry, FailureDomain: "porto-a", Addr: "other's address"},
-			{ID: "own", Role: platform.RoleEntry, FailureDomain: "pelotas"},
+		list := fleet.NewList(time.Time{}, []infra.Instance{
+			{ID: "s1", Role: infra.RoleEngine, FailureDomain: "porto-a"},
+			{ID: "s2", Role: infra.RoleEngine, FailureDomain: "pelotas"},
+			{ID: "other", Role: infra.RoleEntry, FailureDomain: "porto-a", Addr: "other's address"},
+			{ID: "own", Role: infra.RoleEntry, FailureDomain: "pelotas"},
 		})
 		views := map[string]*replay.ControlView{
 			"porto-a": {Lease: replay.Lease{Holder: "other"}},
--- a/entry/patrol.go
+++ b/entry/patrol.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/rendezvous"
 	"greengageferry/replay"
 	"greengageferry/supervise"
@@ -36,7 +36,7 @@
 	list    func() *fleet.List
 	members func() []string
 	view    func() *replay.ControlView
-	engine  platform.Engine
+	engine  infra.Engine
 	report  func(server string)
 	booted  func(server, boot string) // told of each server's process that was seen
 	metrics *expvar.Map
@@ -63,15 +63,15 @@
 }
 
 // part returns the servers that fall to this instance, by id.
-func (p *patrol) part() []platform.Instance {
+func (p *patrol) part() []infra.Instance {
 	members := p.members()
-	return slices.DeleteFunc(p.list().Servers(p.domain), func(s platform.Instance) bool {
+	return slices.DeleteFunc(p.list().Servers(p.domain), func(s infra.Instance) bool {
 		return rendezvous.Leader(s.ID, members) != p.own
 	})
 }
 
 // after returns the first server of the part beyond the last one.
-func after(part []platform.Instance, last string) platform.Instance {
+func after(part []infra.Instance, last string) infra.Instance {
 	for _, s := range part {
 		if s.ID > last {
 			return s
@@ -81,7 +81,7 @@
 }
 
 // look asks one server, and reports it if it isn't as the log has it.
-func (p *patrol) look(ctx context.Context, s platform.Instance) {
+func (p *patrol) look(ctx context.Context, s infra.Instance) {
 	view := p.view()
 	if view == nil || view.Servers[s.ID] == nil {
 		return // the holder knows of it, or will
@@ -104,13 +104,13 @@
 
 // asLogged says whether a server still runs the process that the log has, with
 // everything that it is known to serve.
-func asLogged(status platform.ServerStatus, logged *replay.Server) bool {
+func asLogged(status infra.ServerStatus, logged *replay.Server) bool {
 	if status.Boot != logged.Boot {
 		return false
 	}
-	ready := map[platform.Key]bool{}
+	ready := map[infra.Key]bool{}
 	for _, item := range status.Items {
-		ready[item.Key()] = item.State == platform.ItemReady
+		ready[item.Key()] = item.State == infra.ItemReady
 	}
 	for _, item := range logged.Ready {
 		if !ready[item.Key()] {
--- a/entry/patrol_test.go
+++ b/entry/patrol_test.go
@@ -12,25 +12,25 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 // statusEngine answers with each server's status, and counts.
 type statusEngine struct {
-	platform.Engine
+	infra.Engine
 	mu     sync.Mutex
 	asked  map[string]int
-	status map[string]platform.ServerStatus
+	status map[string]infra.ServerStatus
 }
 
-func (e *statusEngine) Status(_ context.Context, addr string) (platform.ServerStatus, error) {
+func (e *statusEngine) Status(_ context.Context, addr string) (infra.ServerStatus, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked[addr]++
 	status, up := e.status[addr]
 	if !up {
-		return status, &platform.Error{Op: "engine.status", Reason: platform.ReasonUnreachable}
+		return status, &infra.Error{Op: "engine.status", Reason: infra.ReasonUnreachable}
 	}
 	return status, nil
 }
@@ -39,20 +39,20 @@
 // looked at once a round, by one of them, and what isn't as logged is reported.
 func TestInstancesShareTheLooks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		item := platform.Item{Model: "m", Version: "v"}
+		item := infra.Item{Model: "m", Version: "v"}
 		members := []string{"e0", "e1", "e2", "e3"}
-		engine := &statusEngine{asked: map[string]int{}, status: map[string]platform.ServerStatus{}}
+		engine := &statusEngine{asked: map[string]int{}, status: map[string]infra.ServerStatus{}}
 		view := &replay.ControlView{Servers: map[string]*replay.Server{}}
-		var instances []platform.Instance
+		var instances []infra.Instance
 		for n := range 40 {
 			id := fmt.Sprintf("s%02d", n)
-			instances = append(instances, platform.Instance{ID: id, Addr: id, Role: platform.RoleEngine, FailureDomain: "d"})
-			view.Servers[id] = &replay.Server{Boot: "1", Ready: []platform.Item{item}}
-			engine.status[id] = platform.ServerStatus{Boot: "1", Items: []platform.ResidentItem{{Item: item, State: platform.ItemReady}}}
+			instances = append(instances, infra.Instance{ID: id, Addr: id, Role: infra.RoleEngine, FailureDomain: "d"})
+			view.Servers[id] = &replay.Server{Boot: "1", Ready: []infra.Item{item}}
+			engine.status[id] = infra.ServerStatus{Boot: "1", Items: []infra.ResidentItem{{Item: item, State: infra.ItemReady}}}
 		}
-		engine.status["s03"] = platform.ServerStatus{Boot: "2"}                                    // restarted empty
-		engine.status["s04"] = platform.ServerStatus{Boot: "2", Items: engine.status["s05"].Items} // restarted, loaded again
-		engine.status["s07"] = platform.ServerStatus{Boot: "1"}                                    // lost its model
+		engine.status["s03"] = infra.ServerStatus{Boot: "2"}                                    // restarted empty
+		engine.status["s04"] = infra.ServerStatus{Boot: "2", Items: engine.status["s05"].Items} // restarted, loaded again
+		engine.status["s07"] = infra.ServerStatus{Boot: "1"}                                    // lost its model
 		delete(engine.status, "s09")                                                               // doesn't answer
 		list := fleet.NewList(time.Now(), instances)
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,7 +6,7 @@
 
 	"greengageferry/caller"
 	"greengageferry/peer"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/traffic"
 )
@@ -70,7 +70,7 @@
 
 // applied returns how far the own control stream was read with no order of an
 // older assignment under way.
-func (i *Instance) applied() platform.Offset {
+func (i *Instance) applied() infra.Offset {
 	if c := i.controller.Load(); c != nil {
 		return c.Applied()
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -10,7 +10,7 @@
 
 	"greengageferry/config"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -67,7 +67,7 @@
 func (q *quarantine) Crashed(ctx context.Context, c *record.Crash) {
 	ctx, cancel := context.WithTimeout(ctx, crashReportTime)
 	defer cancel()
-	_, err := q.appender.Append(ctx, platform.StreamQuarantine, &record.Record{Body: &record.Record_Crash{Crash: c}})
+	_, err := q.appender.Append(ctx, infra.StreamQuarantine, &record.Record{Body: &record.Record_Crash{Crash: c}})
 	entry := q.log.WithFields(logrus.Fields{"server": c.GetServer(), "boot": c.GetBoot(), "together": c.GetTogether()})
 	if err != nil {
 		entry.WithField("error", err).Warn("crash not reported")
--- a/entry/routing.go
+++ b/entry/routing.go
@@ -11,7 +11,7 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -35,7 +35,7 @@
 // inputs are what the last table was built from.
 type inputs struct {
 	config   *config.Config
-	list     []platform.Instance
+	list     []infra.Instance
 	controls map[string]*replay.ControlView
 }
 
@@ -89,7 +89,7 @@
 
 // sameList says whether it is the same list, which the watcher keeps while
 // nothing in it changes.
-func sameList(a, b []platform.Instance) bool {
+func sameList(a, b []infra.Instance) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,7 +7,7 @@
 	"greengageferry/decide"
 	"greengageferry/fleet"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Status is what one instance sees, as its operators' address gives it.
@@ -126,7 +126,7 @@
 	if list == nil {
 		return ListStatus{AgeMS: -1}
 	}
-	servers := list.Select(func(i platform.Instance) bool { return i.Role != platform.RoleEntry })
+	servers := list.Select(func(i infra.Instance) bool { return i.Role != infra.RoleEntry })
 	return ListStatus{AgeMS: age(list.Read), Entries: len(list.Entries("")), Servers: len(servers)}
 }
 
@@ -177,7 +177,7 @@
 }
 
 // names gives items as name@version, an adapter by its own name.
-func names(items []platform.Item) []string {
+func names(items []infra.Item) []string {
 	out := make([]string, 0, len(items))
 	for _, item := range items {
 		name := item.Model
@@ -189,7 +189,7 @@
 	return out
 }
 
-func sum(items []platform.Item) int64 {
+func sum(items []infra.Item) int64 {
 	var mib int64
 	for _, item := range items {
 		mib += item.MiB
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/settings"
 )
 
@@ -65,10 +65,10 @@
 func httpPlatform(s *settings.Settings, dial Dial) Platform {
 	client := &http.Client{Transport: transport(dial)}
 	return Platform{
-		Log:       platform.NewHTTPLog(string(s.Platform.Log), client),
-		Instances: platform.NewHTTPInstances(string(s.Platform.Instances), client),
-		Store:     platform.NewHTTPStore(string(s.Platform.WeightStore), client),
-		Engine:    platform.NewHTTPEngine(client),
-		Services:  platform.NewHTTPServices(client),
+		Log:       infra.NewHTTPLog(string(s.Platform.Log), client),
+		Instances: infra.NewHTTPInstances(string(s.Platform.Instances), client),
+		Store:     infra.NewHTTPStore(string(s.Platform.WeightStore), client),
+		Engine:    infra.NewHTTPEngine(client),
+		Services:  infra.NewHTTPServices(client),
 	}
 }
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -12,7 +12,7 @@
 	"greengageferry/demand"
 	"greengageferry/fleet"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 	"greengageferry/supervise"
 )
@@ -36,16 +36,16 @@
 	vars := i.vars("log")
 	i.config = logsync.NewFollower(logsync.FollowerOptions[replay.ConfigView]{
 		Log:     i.opts.Platform.Log,
-		Stream:  platform.StreamConfig,
-		New:     func(platform.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
+		Stream:  infra.StreamConfig,
+		New:     func(infra.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
 		Peers:   i.states,
 		Logger:  i.log,
 		Metrics: vars,
 	})
 	i.quarantined = logsync.NewFollower(logsync.FollowerOptions[replay.QuarantineView]{
 		Log:     i.opts.Platform.Log,
-		Stream:  platform.StreamQuarantine,
-		New:     func(platform.Offset) logsync.State[replay.QuarantineView] { return replay.NewQuarantine() },
+		Stream:  infra.StreamQuarantine,
+		New:     func(infra.Offset) logsync.State[replay.QuarantineView] { return replay.NewQuarantine() },
 		Peers:   i.states,
 		Logger:  i.log,
 		Metrics: vars,
@@ -76,8 +76,8 @@
 		}
 		return logsync.NewFollower(logsync.FollowerOptions[replay.ControlView]{
 			Log:     i.opts.Platform.Log,
-			Stream:  platform.ControlStream(domain),
-			New:     func(platform.Offset) logsync.State[replay.ControlView] { return replay.NewControl() },
+			Stream:  infra.ControlStream(domain),
+			New:     func(infra.Offset) logsync.State[replay.ControlView] { return replay.NewControl() },
 			Peers:   i.states,
 			Spacing: spacing,
 			Logger:  i.log,
@@ -131,7 +131,7 @@
 
 // wireDemand makes what meters this instance's callers and asks the others'.
 func (i *Instance) wireDemand() {
-	entries := func() []platform.Instance { return i.watcher.List().Entries("") }
+	entries := func() []infra.Instance { return i.watcher.List().Entries("") }
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	i.meter = demand.NewMeter()
 	i.loads = demand.NewLoads()
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -23,20 +23,20 @@
 	for m := range models {
 		cfg.Models[fmt.Sprintf("model-%d", m)] = config.Model{Owner: "p", Version: "v1"}
 	}
-	var instances []platform.Instance
+	var instances []infra.Instance
 	views := map[string]*replay.ControlView{}
 	for s := range servers {
 		domain := fmt.Sprintf("domain-%d", s%9)
 		id := fmt.Sprintf("server-%d", s)
-		instances = append(instances, platform.Instance{ID: id, Role: platform.RoleEngine, State: platform.StateLive, FailureDomain: domain, Pool: "pool", Addr: "10.0.0.1:1"})
+		instances = append(instances, infra.Instance{ID: id, Role: infra.RoleEngine, State: infra.StateLive, FailureDomain: domain, Pool: "pool", Addr: "10.0.0.1:1"})
 		if views[domain] == nil {
 			views[domain] = &replay.ControlView{Servers: map[string]*replay.Server{}}
 		}
-		ready := []platform.Item{{Model: fmt.Sprintf("model-%d", s%models), Version: "v1"}}
+		ready := []infra.Item{{Model: fmt.Sprintf("model-%d", s%models), Version: "v1"}}
 		views[domain].Servers[id] = &replay.Server{ID: id, Ready: ready}
 	}
 	for e := range servers * 370 / 1900 {
-		instances = append(instances, platform.Instance{ID: fmt.Sprintf("entry-%d", e), Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: fmt.Sprintf("domain-%d", e%9)})
+		instances = append(instances, infra.Instance{ID: fmt.Sprintf("entry-%d", e), Role: infra.RoleEntry, State: infra.StateLive, FailureDomain: fmt.Sprintf("domain-%d", e%9)})
 	}
 	return cfg, NewList(time.Time{}, instances), views
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,14 +15,14 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/internal/testmain"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
 func TestMain(m *testing.M) { testmain.Run(m) }
 
-func engine(id string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: platform.RoleEngine, State: state, FailureDomain: "porto-a", Pool: "redator", Addr: "127.0.0.1:1"}
+func engine(id string, state infra.InstanceState) infra.Instance {
+	return infra.Instance{ID: id, Role: infra.RoleEngine, State: state, FailureDomain: "porto-a", Pool: "redator", Addr: "127.0.0.1:1"}
 }
 
 func testConfig() *config.Config {
@@ -35,7 +35,7 @@
 	}
 }
 
-func view(servers map[string][]platform.Item) *replay.ControlView {
+func view(servers map[string][]infra.Item) *replay.ControlView {
 	v := &replay.ControlView{Servers: map[string]*replay.Server{}}
 	for id, items := range servers {
 		v.Servers[id] = &replay.Server{ID: id, Ready: items}
@@ -44,16 +44,16 @@
 }
 
 func TestTableHoldsOnlyWhatIsReadyAndListed(t *testing.T) {
-	list := NewList(time.Time{}, []platform.Instance{
-		engine("s1", platform.StateLive), engine("s2", platform.StateLeaving),
-		{ID: "c1", Role: platform.RoleService, Pool: "campo", State: platform.StateLive},
-		{ID: "e1", Role: platform.RoleEntry, State: platform.StateLive, FailureDomain: "porto-a"},
-		{ID: "e2", Role: platform.RoleEntry, State: platform.StateLeaving, FailureDomain: "porto-a"},
+	list := NewList(time.Time{}, []infra.Instance{
+		engine("s1", infra.StateLive), engine("s2", infra.StateLeaving),
+		{ID: "c1", Role: infra.RoleService, Pool: "campo", State: infra.StateLive},
+		{ID: "e1", Role: infra.RoleEntry, State: infra.StateLive, FailureDomain: "porto-a"},
+		{ID: "e2", Role: infra.RoleEntry, State: infra.StateLeaving, FailureDomain: "porto-a"},
 	})
-	old, declared := platform.Item{Model: "m", Version: "v1"}, platform.Item{Model: "m", Version: "v2"}
-	adapter := platform.Item{Model: "m", Adapter: "a", Version: "v1"}
+	old, declared := infra.Item{Model: "m", Version: "v1"}, infra.Item{Model: "m", Version: "v2"}
+	adapter := infra.Item{Model: "m", Adapter: "a", Version: "v1"}
 	table := BuildTable("porto-a", testConfig(), list, map[string]*replay.ControlView{
-		"porto-a": view(map[string][]platform.Item{
+		"porto-a": view(map[string][]infra.Item{
 			"s1":       {old, adapter},
 			"s2":       {declared},
 			"unlisted": {declared},
@@ -71,10 +71,10 @@
 }
 
 func TestAdapterWithoutItsModelIsNoReplica(t *testing.T) {
-	list := NewList(time.Time{}, []platform.Instance{engine("s1", platform.StateLive)})
-	adapter := platform.Item{Model: "m", Adapter: "a", Version: "v1"}
+	list := NewList(time.Time{}, []infra.Instance{engine("s1", infra.StateLive)})
+	adapter := infra.Item{Model: "m", Adapter: "a", Version: "v1"}
 	table := BuildTable("porto-a", testConfig(), list, map[string]*replay.ControlView{
-		"porto-a": view(map[string][]platform.Item{"s1": {adapter}}),
+		"porto-a": view(map[string][]infra.Item{"s1": {adapter}}),
 	})
 	require.Empty(t, table.Targets["a"].Replicas)
 }
@@ -82,17 +82,17 @@
 // lister answers with what the test sets.
 type lister struct {
 	mu        sync.Mutex
-	instances []platform.Instance
+	instances []infra.Instance
 	err       error
 }
 
-func (l *lister) List(context.Context) ([]platform.Instance, error) {
+func (l *lister) List(context.Context) ([]infra.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.instances, l.err
 }
 
-func (l *lister) set(instances []platform.Instance, err error) {
+func (l *lister) set(instances []infra.Instance, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.instances, l.err = instances, err
@@ -102,22 +102,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		source := &lister{instances: []platform.Instance{engine("s1", platform.StateLive)}}
+		source := &lister{instances: []infra.Instance{engine("s1", infra.StateLive)}}
 		w := NewWatcher(source, 0, log, new(expvar.Map))
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- w.Run(ctx) }()
 		synctest.Wait()
 		first := w.List()
-		source.set(nil, &platform.Error{Op: "list", Reason: platform.ReasonUnavailable})
+		source.set(nil, &infra.Error{Op: "list", Reason: infra.ReasonUnavailable})
 		time.Sleep(time.Minute)
 		require.Same(t, first, w.List())
-		source.set([]platform.Instance{engine("s1", platform.StateLeaving)}, nil)
+		source.set([]infra.Instance{engine("s1", infra.StateLeaving)}, nil)
 		time.Sleep(DefaultEvery)
 		synctest.Wait()
 		got, listed := w.List().Get("s1")
 		require.True(t, listed)
-		require.Equal(t, platform.StateLeaving, got.State)
+		require.Equal(t, infra.StateLeaving, got.State)
 		cancel()
 		require.NoError(t, <-done)
 	})
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -14,7 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/supervise"
 )
 
@@ -30,13 +30,13 @@
 // List is the platform's list as last read. It is immutable.
 type List struct {
 	Read      time.Time // when it was read, on this instance's clock
-	Instances []platform.Instance
+	Instances []infra.Instance
 	byID      map[string]int
 }
 
 // NewList sorts the instances by id and indexes them.
-func NewList(read time.Time, instances []platform.Instance) *List {
-	sorted := append([]platform.Instance(nil), instances...)
+func NewList(read time.Time, instances []infra.Instance) *List {
+	sorted := append([]infra.Instance(nil), instances...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
 	l := &List{Read: read, Instances: sorted, byID: make(map[string]int, len(sorted))}
 	for i, inst := range sorted {
@@ -46,23 +46,23 @@
 }
 
 // Get returns the instance of that id.
-func (l *List) Get(id string) (platform.Instance, bool) {
+func (l *List) Get(id string) (infra.Instance, bool) {
 	if l == nil {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	i, ok := l.byID[id]
 	if !ok {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	return l.Instances[i], true
 }
 
 // Select returns the instances that match, ordered by id. A nil list has none.
-func (l *List) Select(match func(platform.Instance) bool) []platform.Instance {
+func (l *List) Select(match func(infra.Instance) bool) []infra.Instance {
 	if l == nil {
 		return nil
 	}
-	var found []platform.Instance
+	var found []infra.Instance
 	for _, inst := range l.Instances {
 		if match(inst) {
 			found = append(found, inst)
@@ -73,24 +73,24 @@
 
 // Entries returns the live entry instances of a failure domain, or of all where
 // domain is empty.
-func (l *List) Entries(domain string) []platform.Instance {
-	return l.Select(func(i platform.Instance) bool {
-		return i.Role == platform.RoleEntry && i.State == platform.StateLive && (domain == "" || i.FailureDomain == domain)
+func (l *List) Entries(domain string) []infra.Instance {
+	return l.Select(func(i infra.Instance) bool {
+		return i.Role == infra.RoleEntry && i.State == infra.StateLive && (domain == "" || i.FailureDomain == domain)
 	})
 }
 
 // Servers returns the backend servers that run model engines in a failure
 // domain, leaving ones too.
-func (l *List) Servers(domain string) []platform.Instance {
-	return l.Select(func(i platform.Instance) bool {
-		return i.Role == platform.RoleEngine && i.FailureDomain == domain
+func (l *List) Servers(domain string) []infra.Instance {
+	return l.Select(func(i infra.Instance) bool {
+		return i.Role == infra.RoleEngine && i.FailureDomain == domain
 	})
 }
 
 // Watcher follows the platform's list. While the list can't be read it keeps
 // the last one: an outage of the list must not empty the routing.
 type Watcher struct {
-	source  platform.Instances
+	source  infra.Instances
 	every   time.Duration
 	log     logrus.FieldLogger
 	metrics *expvar.Map
@@ -99,7 +99,7 @@
 
 // NewWatcher returns a watcher that looks at the source each time `every` has
 // passed; zero takes DefaultEvery.
-func NewWatcher(source platform.Instances, every time.Duration, log logrus.FieldLogger, metrics *expvar.Map) *Watcher {
+func NewWatcher(source infra.Instances, every time.Duration, log logrus.FieldLogger, metrics *expvar.Map) *Watcher {
 	if every == 0 {
 		every = DefaultEvery
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -8,7 +8,7 @@
 
 	"greengageferry/config"
 	"greengageferry/decide"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -58,7 +58,7 @@
 
 func (b *builder) addServers(list *List) {
 	for _, inst := range list.Instances {
-		if inst.Role != platform.RoleEngine && inst.Role != platform.RoleService {
+		if inst.Role != infra.RoleEngine && inst.Role != infra.RoleService {
 			continue
 		}
 		b.index[inst.ID] = len(b.table.Servers)
@@ -68,13 +68,13 @@
 			Pool:          inst.Pool,
 			FailureDomain: inst.FailureDomain,
 			Slots:         b.slots(inst),
-			Leaving:       inst.State == platform.StateLeaving,
+			Leaving:       inst.State == infra.StateLeaving,
 		})
 	}
 }
 
-func (b *builder) slots(inst platform.Instance) int {
-	if inst.Role == platform.RoleService {
+func (b *builder) slots(inst infra.Instance) int {
+	if inst.Role == infra.RoleService {
 		return ServiceSlots
 	}
 	return b.cfg.Pools[inst.Pool].Slots
@@ -139,7 +139,7 @@
 
 // addReplica adds one item; an adapter only where a version of its model is
 // ready beside it.
-func (b *builder) addReplica(server int, item platform.Item, beside []platform.Item) {
+func (b *builder) addReplica(server int, item infra.Item, beside []infra.Item) {
 	name, version := item.Model, item.Version
 	if item.Adapter != "" {
 		name = item.Adapter
@@ -154,7 +154,7 @@
 	target.Replicas = append(target.Replicas, decide.Replica{Server: server, Version: version})
 }
 
-func hasModel(items []platform.Item, model string) bool {
+func hasModel(items []infra.Item, model string) bool {
 	for _, item := range items {
 		if item.Adapter == "" && item.Model == model {
 			return true
--- a/platform/http_bench_test.go
+++ b/infra/http_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // BenchmarkStreamEvent measures what one event of a stream costs its reader and
@@ -17,7 +17,7 @@
 	event := "data: {\"attempt\":\"0123456789abcdef\",\"index\":7,\"token\":\"cornice1ab \"}\n\n"
 	chunk := []byte(strings.Repeat(event, 16))
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", platform.ContentTypeEvents)
+		w.Header().Set("Content-Type", infra.ContentTypeEvents)
 		for {
 			if _, err := w.Write(chunk); err != nil {
 				return
@@ -27,7 +27,7 @@
 	defer s.Close()
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	stream, err := platform.NewHTTPEngine(&http.Client{Transport: transport}).Generate(b.Context(), addrOf(s), platform.GenerateRequest{})
+	stream, err := infra.NewHTTPEngine(&http.Client{Transport: transport}).Generate(b.Context(), addrOf(s), infra.GenerateRequest{})
 	require.NoError(b, err)
 	defer stream.Close()
 	b.ReportAllocs()
