--- a/platform/http_test.go
+++ b/infra/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/standin"
 )
 
@@ -38,9 +38,9 @@
 func addrOf(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
 // requireError checks an error's type, reason and effect.
-func requireError(t *testing.T, err error, reason platform.Reason, effect platform.Effect) {
+func requireError(t *testing.T, err error, reason infra.Reason, effect infra.Effect) {
 	t.Helper()
-	var e *platform.Error
+	var e *infra.Error
 	require.True(t, errors.As(err, &e), "%v", err)
 	require.Equal(t, reason, e.Reason, "%v", err)
 	require.Equal(t, effect, e.Effect, "%v", err)
@@ -55,9 +55,9 @@
 }
 
 func TestNoEffectWhereTheDialFailed(t *testing.T) {
-	engine := platform.NewHTTPEngine(client(t))
-	_, err := engine.Generate(t.Context(), closedAddr(t), platform.GenerateRequest{Attempt: "a"})
-	requireError(t, err, platform.ReasonUnreachable, platform.EffectNone)
+	engine := infra.NewHTTPEngine(client(t))
+	_, err := engine.Generate(t.Context(), closedAddr(t), infra.GenerateRequest{Attempt: "a"})
+	requireError(t, err, infra.ReasonUnreachable, infra.EffectNone)
 }
 
 func TestNoEffectWhereTheContextEndedDuringTheDial(t *testing.T) {
@@ -73,8 +73,8 @@
 		<-dialing
 		cancel()
 	}()
-	_, err := platform.NewHTTPLog("http://127.0.0.1:1", &http.Client{Transport: transport}).Append(ctx, "s", [][]byte{nil})
-	requireError(t, err, platform.ReasonCanceled, platform.EffectNone)
+	_, err := infra.NewHTTPLog("http://127.0.0.1:1", &http.Client{Transport: transport}).Append(ctx, "s", [][]byte{nil})
+	requireError(t, err, infra.ReasonCanceled, infra.EffectNone)
 }
 
 // bareTransport is a transport without traces.
@@ -88,33 +88,33 @@
 func TestEffectUnknownWhereTheTransportTracesNothing(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
-	_, err := platform.NewHTTPLog("http://127.0.0.1:1", &http.Client{Transport: bareTransport{}}).Append(ctx, "s", [][]byte{nil})
-	requireError(t, err, platform.ReasonTimeout, platform.EffectUnknown)
+	_, err := infra.NewHTTPLog("http://127.0.0.1:1", &http.Client{Transport: bareTransport{}}).Append(ctx, "s", [][]byte{nil})
+	requireError(t, err, infra.ReasonTimeout, infra.EffectUnknown)
 }
 
 func TestEffectUnknownWhereTheConnectionBroke(t *testing.T) {
 	s := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	err := platform.NewHTTPEngine(client(t)).Order(t.Context(), addrOf(s), platform.Order{Kind: platform.OrderFence})
-	requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+	err := infra.NewHTTPEngine(client(t)).Order(t.Context(), addrOf(s), infra.Order{Kind: infra.OrderFence})
+	requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 }
 
 func TestRefusalBearsTheServersWord(t *testing.T) {
 	for _, c := range []struct {
 		body   string
-		reason platform.Reason
-		effect platform.Effect
+		reason infra.Reason
+		effect infra.Effect
 	}{
-		{`{"reason":"leaving","effect":"none"}`, platform.ReasonLeaving, platform.EffectNone},
-		{`{"reason":"leaving","effect":"unknown"}`, platform.ReasonLeaving, platform.EffectUnknown},
-		{`{"reason":"leaving"}`, platform.ReasonLeaving, platform.EffectUnknown},
-		{`{"effect":"none"}`, platform.ReasonUnavailable, platform.EffectUnknown},
-		{`not found`, platform.ReasonUnavailable, platform.EffectUnknown},
+		{`{"reason":"leaving","effect":"none"}`, infra.ReasonLeaving, infra.EffectNone},
+		{`{"reason":"leaving","effect":"unknown"}`, infra.ReasonLeaving, infra.EffectUnknown},
+		{`{"reason":"leaving"}`, infra.ReasonLeaving, infra.EffectUnknown},
+		{`{"effect":"none"}`, infra.ReasonUnavailable, infra.EffectUnknown},
+		{`not found`, infra.ReasonUnavailable, infra.EffectUnknown},
 	} {
 		s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			_, _ = io.WriteString(w, c.body)
 		})
-		_, err := platform.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), platform.GenerateRequest{})
+		_, err := infra.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), infra.GenerateRequest{})
 		requireError(t, err, c.reason, c.effect)
 	}
 }
@@ -125,8 +125,8 @@
 	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		http.Redirect(w, r, other.URL, http.StatusTemporaryRedirect)
 	})
-	_, err := platform.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), platform.GenerateRequest{})
-	requireError(t, err, platform.ReasonUnavailable, platform.EffectUnknown)
+	_, err := infra.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), infra.GenerateRequest{})
+	requireError(t, err, infra.ReasonUnavailable, infra.EffectUnknown)
 	require.Zero(t, second.Load())
 }
 
@@ -140,15 +140,15 @@
 				panic(http.ErrAbortHandler)
 			}
 		})
-		services := platform.NewHTTPServices(client(t))
-		req := platform.ServiceRequest{Attempt: "a", Method: method, Path: "/x", Header: http.Header{"Idempotency-Key": {"k"}}}
+		services := infra.NewHTTPServices(client(t))
+		req := infra.ServiceRequest{Attempt: "a", Method: method, Path: "/x", Header: http.Header{"Idempotency-Key": {"k"}}}
 		first, err := services.Call(t.Context(), addrOf(s), req)
 		require.NoError(t, err)
 		_, err = io.Copy(io.Discard, first.Body)
 		require.NoError(t, err)
 		require.NoError(t, first.Body.Close())
 		_, err = services.Call(t.Context(), addrOf(s), req)
-		requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 		require.EqualValues(t, 2, calls.Load(), method)
 	}
 }
@@ -156,8 +156,8 @@
 func TestServiceCall(t *testing.T) {
 	service := standin.NewService(standin.ServiceOptions{Name: "invoices"})
 	s := serve(t, service.ServeHTTP)
-	services := platform.NewHTTPServices(client(t))
-	req := platform.ServiceRequest{Attempt: "a1", Method: http.MethodPut, Path: "/orders/7?dry=1", Body: []byte("two trays")}
+	services := infra.NewHTTPServices(client(t))
+	req := infra.ServiceRequest{Attempt: "a1", Method: http.MethodPut, Path: "/orders/7?dry=1", Body: []byte("two trays")}
 	answer, err := services.Call(t.Context(), addrOf(s), req)
 	require.NoError(t, err)
 	defer answer.Body.Close()
@@ -170,22 +170,22 @@
 
 	service.SetLeaving(true)
 	_, err = services.Call(t.Context(), addrOf(s), req)
-	requireError(t, err, platform.ReasonLeaving, platform.EffectNone)
+	requireError(t, err, infra.ReasonLeaving, infra.EffectNone)
 	require.Len(t, service.Truth(), 1)
 }
 
 // events starts a stream from a server that sends the text and then breaks off
 // or ends.
-func events(t *testing.T, text string, abort bool) platform.Stream {
+func events(t *testing.T, text string, abort bool) infra.Stream {
 	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", platform.ContentTypeEvents)
+		w.Header().Set("Content-Type", infra.ContentTypeEvents)
 		_, _ = io.WriteString(w, text)
 		_ = http.NewResponseController(w).Flush()
 		if abort {
 			panic(http.ErrAbortHandler)
 		}
 	})
-	stream, err := platform.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), platform.GenerateRequest{})
+	stream, err := infra.NewHTTPEngine(client(t)).Generate(t.Context(), addrOf(s), infra.GenerateRequest{})
 	require.NoError(t, err)
 	t.Cleanup(func() { stream.Close() })
 	return stream
@@ -197,27 +197,27 @@
 	for _, c := range []struct {
 		name, text string
 		abort      bool
-		reason     platform.Reason // empty: it ends well
+		reason     infra.Reason // empty: it ends well
 	}{
 		{"whole", token + finish, false, ""},
-		{"ends early", token, false, platform.ReasonUnreachable},
-		{"cut", token, true, platform.ReasonUnreachable},
-		{"finish cut short", token + finish[:len(finish)-1], true, platform.ReasonUnreachable},
-		{"broken JSON", token + "data: {\n\n", false, platform.ReasonProtocol},
-		{"endless line", token + "data: " + strings.Repeat("x", 1<<20), false, platform.ReasonProtocol},
+		{"ends early", token, false, infra.ReasonUnreachable},
+		{"cut", token, true, infra.ReasonUnreachable},
+		{"finish cut short", token + finish[:len(finish)-1], true, infra.ReasonUnreachable},
+		{"broken JSON", token + "data: {\n\n", false, infra.ReasonProtocol},
+		{"endless line", token + "data: " + strings.Repeat("x", 1<<20), false, infra.ReasonProtocol},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			stream := events(t, c.text, c.abort)
 			first, err := stream.Recv()
 			require.NoError(t, err)
-			require.Equal(t, platform.Event{Attempt: "a", Token: "x"}, first)
+			require.Equal(t, infra.Event{Attempt: "a", Token: "x"}, first)
 			last, err := stream.Recv()
 			if c.reason != "" {
-				requireError(t, err, c.reason, platform.EffectUnknown)
+				requireError(t, err, c.reason, infra.EffectUnknown)
 				return
 			}
 			require.NoError(t, err)
-			require.Equal(t, platform.FinishStop, last.Finish)
+			require.Equal(t, infra.FinishStop, last.Finish)
 			_, err = stream.Recv()
 			require.Equal(t, io.EOF, err)
 		})
@@ -228,30 +228,30 @@
 	s, err := standin.Start("127.0.0.1:0", standin.NewLog(standin.LogOptions{RetainedRecords: 2}))
 	require.NoError(t, err)
 	defer s.Close()
-	log := platform.NewHTTPLog(s.URL()+"/", client(t))
-	stream := platform.ControlStream("dock-hall-a")
+	log := infra.NewHTTPLog(s.URL()+"/", client(t))
+	stream := infra.ControlStream("dock-hall-a")
 	offset, err := log.Append(t.Context(), stream, [][]byte{{1}, {2}, {3}})
 	require.NoError(t, err)
 	require.EqualValues(t, 1, offset)
 	batch, err := log.Read(t.Context(), stream, 2, 10, 0)
 	require.NoError(t, err)
-	require.Equal(t, platform.Batch{Oldest: 2, Next: 4, Records: []platform.Record{{Offset: 2, Data: []byte{2}}, {Offset: 3, Data: []byte{3}}}}, batch)
+	require.Equal(t, infra.Batch{Oldest: 2, Next: 4, Records: []infra.Record{{Offset: 2, Data: []byte{2}}, {Offset: 3, Data: []byte{3}}}}, batch)
 	batch, err = log.Read(t.Context(), stream, 1, 10, 0)
-	requireError(t, err, platform.ReasonOutOfRange, platform.EffectNone)
-	require.Equal(t, platform.Batch{Oldest: 2, Next: 4}, batch)
+	requireError(t, err, infra.ReasonOutOfRange, infra.EffectNone)
+	require.Equal(t, infra.Batch{Oldest: 2, Next: 4}, batch)
 }
 
 func TestHTTPInstancesAndStore(t *testing.T) {
 	list := standin.NewInstanceList(0)
-	list.Put(platform.Instance{ID: "e1", Role: platform.RoleEntry, State: platform.StateLive, Addr: "127.0.0.1:1"})
+	list.Put(infra.Instance{ID: "e1", Role: infra.RoleEntry, State: infra.StateLive, Addr: "127.0.0.1:1"})
 	s := serve(t, list.ServeHTTP)
-	got, err := platform.NewHTTPInstances(s.URL, client(t)).List(t.Context())
+	got, err := infra.NewHTTPInstances(s.URL, client(t)).List(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, list.Truth(), got)
 
-	limits := platform.StoreLimits{LoadsPerSecond: 3, ConcurrentLoads: 3}
-	store := serve(t, standin.NewWeightStore(standin.StoreOptions{Limits: map[string]platform.StoreLimits{"kitchen": limits}}).ServeHTTP)
-	read, err := platform.NewHTTPStore(store.URL, client(t)).Limits(t.Context(), "kitchen")
+	limits := infra.StoreLimits{LoadsPerSecond: 3, ConcurrentLoads: 3}
+	store := serve(t, standin.NewWeightStore(standin.StoreOptions{Limits: map[string]infra.StoreLimits{"kitchen": limits}}).ServeHTTP)
+	read, err := infra.NewHTTPStore(store.URL, client(t)).Limits(t.Context(), "kitchen")
 	require.NoError(t, err)
 	require.Equal(t, limits, read)
 }
@@ -260,6 +260,6 @@
 	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, `{"id":"`+strings.Repeat("x", 8<<20)+`"}`)
 	})
-	_, err := platform.NewHTTPEngine(client(t)).Status(t.Context(), addrOf(s))
-	requireError(t, err, platform.ReasonProtocol, platform.EffectUnknown)
+	_, err := infra.NewHTTPEngine(client(t)).Status(t.Context(), addrOf(s))
+	requireError(t, err, infra.ReasonProtocol, infra.EffectUnknown)
 }
--- a/platform/log.go
+++ b/infra/log.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/prefix.go
+++ b/infra/prefix.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "github.com/cespare/xxhash/v2"
 
--- a/logsync/budget.go
+++ b/logsync/budget.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Budget says how many appends this instance may make.
@@ -51,5 +51,5 @@
 }
 
 func ledStream(stream string) bool {
-	return stream != platform.StreamConfig && stream != platform.StreamQuarantine && strings.Contains(stream, "/")
+	return stream != infra.StreamConfig && stream != infra.StreamQuarantine && strings.Contains(stream, "/")
 }
--- a/logsync/checkpointer.go
+++ b/logsync/checkpointer.go
@@ -6,7 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 )
@@ -92,7 +92,7 @@
 // countDue returns when the records since the newest checkpoint first were too
 // many, or zero if they aren't.
 func (c *Checkpointer) countDue(at Status, due time.Time) time.Time {
-	if at.Offset < at.Checkpoint+platform.Offset(c.opts.Records) {
+	if at.Offset < at.Checkpoint+infra.Offset(c.opts.Records) {
 		return time.Time{}
 	}
 	if due.IsZero() {
--- a/logsync/cost_test.go
+++ b/logsync/cost_test.go
@@ -21,7 +21,7 @@
 
 	"greengageferry/config"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 	"greengageferry/standin"
@@ -50,8 +50,8 @@
 	base := countedTransport(c.wire)
 	client := &http.Client{Transport: &traffic.Transport{Base: base, Counters: traffic.NewCounters(c.vars)}}
 	c.follower = logsync.NewFollower(logsync.FollowerOptions[V]{
-		Log: platform.NewHTTPLog(server.URL, client), Stream: stream, Spacing: -1, Logger: quietLogger(),
-		New: func(platform.Offset) logsync.State[V] { return machine },
+		Log: infra.NewHTTPLog(server.URL, client), Stream: stream, Spacing: -1, Logger: quietLogger(),
+		New: func(infra.Offset) logsync.State[V] { return machine },
 	})
 	ctx, cancel := context.WithCancel(b.Context())
 	var group errgroup.Group
@@ -103,7 +103,7 @@
 	}
 	first, err := c.log.Append(c.b.Context(), c.stream, data)
 	require.NoError(c.b, err)
-	require.NoError(c.b, c.follower.WaitFor(c.b.Context(), first+platform.Offset(len(records))-1))
+	require.NoError(c.b, c.follower.WaitFor(c.b.Context(), first+infra.Offset(len(records))-1))
 }
 
 func (c *bench[V]) received() int64 {
@@ -158,7 +158,7 @@
 	for _, servers := range []int{20, 100, 211} {
 		for _, n := range []int{2, 8, 32} {
 			b.Run(fmt.Sprintf("servers=%d/items=%d", servers, n), func(b *testing.B) {
-				c := follow[replay.ControlView](b, platform.ControlStream("dock-hall-a"), replay.NewControl())
+				c := follow[replay.ControlView](b, infra.ControlStream("dock-hall-a"), replay.NewControl())
 				c.put(lease())
 				for s := range servers {
 					c.put(assignment(s, n))
@@ -173,7 +173,7 @@
 func BenchmarkCostRenewal(b *testing.B) {
 	for _, servers := range []int{20, 100, 211} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			c := follow[replay.ControlView](b, platform.ControlStream("dock-hall-a"), replay.NewControl())
+			c := follow[replay.ControlView](b, infra.ControlStream("dock-hall-a"), replay.NewControl())
 			c.put(lease())
 			for s := range servers {
 				c.put(assignment(s, 8))
@@ -200,7 +200,7 @@
 func BenchmarkCostConfig(b *testing.B) {
 	for _, size := range []struct{ models, file int }{{100, 10}, {400, 10}, {870, 10}, {870, 50}, {870, 145}} {
 		b.Run(fmt.Sprintf("models=%d/file=%d", size.models, size.file), func(b *testing.B) {
-			c := follow[replay.ConfigView](b, platform.StreamConfig, replay.NewConfig())
+			c := follow[replay.ConfigView](b, infra.StreamConfig, replay.NewConfig())
 			builder := config.NewBuilder()
 			change := func(file, content string) {
 				next := c.follower.Status().Offset + 1
@@ -222,15 +222,15 @@
 // BenchmarkCostIdleRead: what a read that brings nothing costs; a follower makes
 // one in DefaultPoll.
 func BenchmarkCostIdleRead(b *testing.B) {
-	c := follow[replay.ConfigView](b, platform.StreamConfig, replay.NewConfig())
+	c := follow[replay.ConfigView](b, infra.StreamConfig, replay.NewConfig())
 	c.put(&record.Record{})
 	server := httptest.NewServer(c.log)
 	defer server.Close()
 	base := countedTransport(c.wire)
 	defer base.CloseIdleConnections()
-	log := platform.NewHTTPLog(server.URL, &http.Client{Transport: &traffic.Transport{Base: base, Counters: traffic.NewCounters(c.vars)}})
+	log := infra.NewHTTPLog(server.URL, &http.Client{Transport: &traffic.Transport{Base: base, Counters: traffic.NewCounters(c.vars)}})
 	c.measure(func(int) {
-		_, err := log.Read(b.Context(), platform.StreamConfig, 2, 10, time.Millisecond)
+		_, err := log.Read(b.Context(), infra.StreamConfig, 2, 10, time.Millisecond)
 		require.NoError(b, err)
 	})
 }
@@ -243,7 +243,7 @@
 			m := replay.NewControl()
 			m.Apply(1, lease())
 			for s := range servers {
-				m.Apply(platform.Offset(s+2), assignment(s, 8))
+				m.Apply(infra.Offset(s+2), assignment(s, 8))
 			}
 			reportState(b, m)
 		})
@@ -251,7 +251,7 @@
 	for _, models := range []int{100, 400, 870} {
 		b.Run(fmt.Sprintf("config/models=%d", models), func(b *testing.B) {
 			m := replay.NewConfig()
-			at := platform.Offset(0)
+			at := infra.Offset(0)
 			for from := 0; from < models; from += 10 {
 				at += 2
 				m.Apply(at-1, &record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
--- a/logsync/errors.go
+++ b/logsync/errors.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // BehindError says that a follower had not read far enough in time.
 type BehindError struct {
 	Stream string
-	Wanted platform.Offset
-	Offset platform.Offset // last applied
+	Wanted infra.Offset
+	Offset infra.Offset // last applied
 	Err    error           // why the wait ended
 }
 
@@ -25,8 +25,8 @@
 // GapError says that the log answered a read with records missing.
 type GapError struct {
 	Stream string
-	Offset platform.Offset // last applied
-	Oldest platform.Offset // the next record that came
+	Offset infra.Offset // last applied
+	Oldest infra.Offset // the next record that came
 }
 
 // Error implements error.
@@ -38,7 +38,7 @@
 // checkpoint nor a peer makes up for it.
 type NoStateError struct {
 	Stream  string
-	AtLeast platform.Offset // what a state would have to cover
+	AtLeast infra.Offset // what a state would have to cover
 	Err     error           // the peers' failure; nil: there are none to ask
 }
 
--- a/logsync/follower.go
+++ b/logsync/follower.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -52,10 +52,10 @@
 
 // FollowerOptions configures a Follower. Log, Stream and New are required.
 type FollowerOptions[V any] struct {
-	Log    platform.Log
+	Log    infra.Log
 	Stream string
 	// New returns an empty machine for a stream that is read from an offset on.
-	New func(from platform.Offset) State[V]
+	New func(from infra.Offset) State[V]
 	// Peers gives the state while the log can't. Nil: nobody does.
 	Peers StateSource
 	// FromOldest takes a stream that has no checkpoints from its oldest kept
@@ -74,7 +74,7 @@
 
 	mu      sync.Mutex      // guards machine and what follows
 	machine State[V]        // nil before a start was found
-	skipped platform.Offset // up to here records aged out that don't count, with FromOldest
+	skipped infra.Offset // up to here records aged out that don't count, with FromOldest
 	status  Status
 	changed chan struct{} // closed at the next change
 
@@ -86,10 +86,10 @@
 	Started    bool            // there is a view
 	FromPeer   bool            // the newest start came from a peer, and the log was not read since
 	CaughtUp   bool            // the newest read reached the stream's end
-	Offset     platform.Offset // last applied
-	Next       platform.Offset // the offset that the next append gets, as of the newest read
+	Offset     infra.Offset // last applied
+	Next       infra.Offset // the offset that the next append gets, as of the newest read
 	Read       time.Time       // when the newest read succeeded; zero: never
-	Checkpoint platform.Offset // what the newest checkpoint read from the log covers
+	Checkpoint infra.Offset // what the newest checkpoint read from the log covers
 	Since      time.Time       // when that was read, or the follower started
 	Unknown    uint64          // records that could not be decoded
 }
@@ -136,7 +136,7 @@
 
 // WaitFor waits until the record at the offset was applied. It returns a
 // *BehindError when ctx ends first.
-func (f *Follower[V]) WaitFor(ctx context.Context, offset platform.Offset) error {
+func (f *Follower[V]) WaitFor(ctx context.Context, offset infra.Offset) error {
 	for {
 		changed := f.Changed()
 		at := f.Status()
@@ -219,14 +219,14 @@
 	return f.machine != nil
 }
 
-func (f *Follower[V]) read(ctx context.Context, from platform.Offset, wait time.Duration) (platform.Batch, error) {
+func (f *Follower[V]) read(ctx context.Context, from infra.Offset, wait time.Duration) (infra.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	return f.opts.Log.Read(ctx, f.opts.Stream, from, DefaultBatch, wait)
 }
 
 // apply steps the machine through the batch and shows the new view.
-func (f *Follower[V]) apply(batch platform.Batch) error {
+func (f *Follower[V]) apply(batch infra.Batch) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range batch.Records {
@@ -249,7 +249,7 @@
 
 // applyOne steps the machine with one record. One that can't be decoded still
 // takes its place, so that the offset moves on.
-func (f *Follower[V]) applyOne(r platform.Record) {
+func (f *Follower[V]) applyOne(r infra.Record) {
 	decoded := &record.Record{}
 	if err := proto.Unmarshal(r.Data, decoded); err != nil {
 		f.status.Unknown++
@@ -259,13 +259,13 @@
 	}
 	f.machine.Apply(r.Offset, decoded)
 	if c := decoded.GetCheckpoint(); c != nil {
-		f.status.Checkpoint = max(f.status.Checkpoint, platform.Offset(c.GetCovers()))
+		f.status.Checkpoint = max(f.status.Checkpoint, infra.Offset(c.GetCovers()))
 		f.status.Since = time.Now()
 	}
 }
 
 // position returns the offset up to which everything was read or doesn't count.
-func (f *Follower[V]) position() platform.Offset {
+func (f *Follower[V]) position() infra.Offset {
 	return max(f.machine.Offset(), f.skipped)
 }
 
@@ -296,8 +296,8 @@
 }
 
 func isOutOfRange(err error) bool {
-	var failed *platform.Error
-	return errors.As(err, &failed) && failed.Reason == platform.ReasonOutOfRange
+	var failed *infra.Error
+	return errors.As(err, &failed) && failed.Reason == infra.ReasonOutOfRange
 }
 
 // jitter returns a random duration between half of d and d.
--- a/logsync/follower_test.go
+++ b/logsync/follower_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/logsync/logtest"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -47,10 +47,10 @@
 // peerState answers with another follower's checkpoint, as the peer package does.
 type peerState struct{ of *node }
 
-func (p peerState) State(_ context.Context, _ string, atLeast platform.Offset) (*record.Checkpoint, error) {
+func (p peerState) State(_ context.Context, _ string, atLeast infra.Offset) (*record.Checkpoint, error) {
 	c := p.of.follower.Checkpoint()
-	if c == nil || platform.Offset(c.GetCovers()) < atLeast {
-		return nil, &NoStateError{Stream: platform.StreamConfig, AtLeast: atLeast}
+	if c == nil || infra.Offset(c.GetCovers()) < atLeast {
+		return nil, &NoStateError{Stream: infra.StreamConfig, AtLeast: atLeast}
 	}
 	return c, nil
 }
@@ -107,10 +107,10 @@
 			a.put(t, accept(a.put(t, change(fmt.Sprintf("%d.toml", i), "", 0))))
 		}
 		time.Sleep(2 * DefaultCheckpointAge)
-		last := log.Records(platform.StreamConfig)
+		last := log.Records(infra.StreamConfig)
 		require.Greater(t, len(last), 8)
 		a.await(t, a.put(t, change("late.toml", "", 0)))
-		log.Trim(platform.StreamConfig, 9)
+		log.Trim(infra.StreamConfig, 9)
 		b := newNode(t, log, "b", nil)
 		b.await(t, a.follower.Status().Offset)
 		require.Equal(t, a.follower.View().Files, b.follower.View().Files)
@@ -130,7 +130,7 @@
 		a.put(t, change("more.toml", "", 0), change("more.toml", "", 0))
 		a.put(t, &record.Record{Body: &record.Record_Checkpoint{Checkpoint: checkpoint}})
 		a.await(t, 7)
-		log.Trim(platform.StreamConfig, 6)
+		log.Trim(infra.StreamConfig, 6)
 		b := newNode(t, log, "b", nil)
 		time.Sleep(time.Minute)
 		require.Nil(t, b.follower.View(), "the checkpoint covers 4 and record 5 is gone")
@@ -147,10 +147,10 @@
 		log := logtest.New()
 		a := newNode(t, log, "a", nil)
 		a.put(t, change("x.toml", "", 0))
-		log.Trim(platform.StreamConfig, 2)
+		log.Trim(infra.StreamConfig, 2)
 		f := NewFollower(FollowerOptions[replay.ConfigView]{
-			Log: log.Client(), Stream: platform.StreamConfig, FromOldest: true, Logger: quiet(),
-			New: func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+			Log: log.Client(), Stream: infra.StreamConfig, FromOldest: true, Logger: quiet(),
+			New: func(infra.Offset) State[replay.ConfigView] { return replay.NewConfig() },
 		})
 		a.start(f.Run)
 		synctest.Wait()
@@ -171,7 +171,7 @@
 		a.put(t, accept(1), change("y.toml", "", 0))
 		a.await(t, 3)
 		checkpoint := a.follower.Checkpoint()
-		log.Trim(platform.StreamConfig, 4)
+		log.Trim(infra.StreamConfig, 4)
 		b.client.Set(logtest.Faults{})
 		time.Sleep(30 * time.Second)
 		require.EqualValues(t, 1, b.follower.View().Offset)
@@ -209,8 +209,8 @@
 		log := logtest.New()
 		a, client := newNode(t, log, "a", nil), log.Client()
 		slow := NewFollower(FollowerOptions[replay.ConfigView]{
-			Log: client, Stream: platform.StreamConfig, Spacing: 6 * time.Second, Logger: quiet(),
-			New: func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+			Log: client, Stream: infra.StreamConfig, Spacing: 6 * time.Second, Logger: quiet(),
+			New: func(infra.Offset) State[replay.ConfigView] { return replay.NewConfig() },
 		})
 		a.start(slow.Run)
 		for i := range spacingBurst {
@@ -231,7 +231,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logtest.New()
 		a := newNode(t, log, "a", nil)
-		_, err := a.client.Append(t.Context(), platform.StreamConfig, [][]byte{{0xff, 0xff}, {0xc2, 0x3e, 0x01, 'x'}})
+		_, err := a.client.Append(t.Context(), infra.StreamConfig, [][]byte{{0xff, 0xff}, {0xc2, 0x3e, 0x01, 'x'}})
 		require.NoError(t, err)
 		a.put(t, change("x.toml", "", 0))
 		a.await(t, 3)
--- a/logsync/judge.go
+++ b/logsync/judge.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 	"greengageferry/replay"
@@ -32,7 +32,7 @@
 	View() *replay.ConfigView
 	Status() Status
 	Changed() <-chan struct{}
-	WaitFor(ctx context.Context, offset platform.Offset) error
+	WaitFor(ctx context.Context, offset infra.Offset) error
 }
 
 // JudgeOptions configures a Judge.
@@ -93,11 +93,11 @@
 }
 
 // waits says whether the change is still the next to be judged.
-func waits(view *replay.ConfigView, change platform.Offset) bool {
+func waits(view *replay.ConfigView, change infra.Offset) bool {
 	return len(view.Pending) > 0 && view.Pending[0].Offset == change
 }
 
-func (j *Judge) delay(view *replay.ConfigView, change platform.Offset) time.Duration {
+func (j *Judge) delay(view *replay.ConfigView, change infra.Offset) time.Duration {
 	key := "judge/" + strconv.FormatUint(uint64(change), 10)
 	delay := time.Duration(rendezvous.Rank(key, j.opts.Members(), j.opts.Self)) * judgeStepIn
 	if _, _, refusal := j.builder.InForce(Files(view)); refusal != nil {
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
 	r := &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: verdict}}
-	offset, err := j.opts.Writer.Append(ctx, platform.StreamConfig, r)
+	offset, err := j.opts.Writer.Append(ctx, infra.StreamConfig, r)
 	if err != nil {
 		entry.WithField("error", err).Warn("verdict not written")
 		sleep(ctx, jitter(minBackoff))
--- a/logsync/judge_test.go
+++ b/logsync/judge_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/logsync/logtest"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -32,7 +32,7 @@
 }
 
 // verdictOn waits until the change at the offset has its verdict.
-func (n *node) verdictOn(t *testing.T, offset platform.Offset) *replay.ConfigView {
+func (n *node) verdictOn(t *testing.T, offset infra.Offset) *replay.ConfigView {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
 	defer cancel()
 	for {
@@ -64,7 +64,7 @@
 				time.Sleep(5*time.Second + 7*time.Millisecond)
 				proposed := time.Now()
 				offset := nodes[0].put(t, change("x.toml", "", 0))
-				for len(log.Records(platform.StreamConfig)) < 2 {
+				for len(log.Records(infra.StreamConfig)) < 2 {
 					time.Sleep(time.Millisecond)
 				}
 				accepted := time.Now()
@@ -119,11 +119,11 @@
 }
 
 // edit is one publish of a file from a base, as the history check sees it.
-type edit struct{ base, offset platform.Offset }
+type edit struct{ base, offset infra.Offset }
 
 // fileModel: an edit is accepted exactly if its base is the version in force.
 var fileModel = porcupine.Model{
-	Init: func() any { return platform.Offset(0) },
+	Init: func() any { return infra.Offset(0) },
 	Step: func(state, input, output any) (bool, any) {
 		in, accepted := input.(edit), output.(bool)
 		if accepted {
@@ -148,7 +148,7 @@
 			for range 6 {
 				time.Sleep(pause)
 				call := time.Now()
-				base := platform.Offset(0)
+				base := infra.Offset(0)
 				if v := n.follower.View(); v != nil {
 					base = v.Base("x.toml")
 				}
@@ -169,10 +169,10 @@
 
 // acceptedIn says whether the change came into force: the view right after its
 // verdict, or a later one, is based on it or on an edit of it.
-func acceptedIn(t *testing.T, n *node, offset platform.Offset) bool {
+func acceptedIn(t *testing.T, n *node, offset infra.Offset) bool {
 	n.verdictOn(t, offset)
 	m := replay.NewConfig()
-	batch, err := n.client.Read(t.Context(), platform.StreamConfig, 1, 1<<20, 0)
+	batch, err := n.client.Read(t.Context(), infra.StreamConfig, 1, 1<<20, 0)
 	require.NoError(t, err)
 	for _, r := range batch.Records {
 		m.Apply(r.Offset, mustDecode(t, r))
@@ -216,7 +216,7 @@
 			for ctx.Err() == nil {
 				changed := nodes[0].follower.Changed()
 				if v := nodes[0].follower.View(); v != nil && len(v.Pending) > 0 {
-					_, _ = nodes[0].writer.Append(ctx, platform.StreamConfig, accept(v.Pending[0].Offset))
+					_, _ = nodes[0].writer.Append(ctx, infra.StreamConfig, accept(v.Pending[0].Offset))
 				}
 				awaitChange(ctx, changed, time.Second)
 			}
@@ -239,7 +239,7 @@
 				if v := stern.follower.View(); v != nil && len(v.Pending) > 0 {
 					r := &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{
 						Change: uint64(v.Pending[0].Offset), Reason: "another version's rule"}}}
-					_, _ = stern.writer.Append(ctx, platform.StreamConfig, r)
+					_, _ = stern.writer.Append(ctx, infra.StreamConfig, r)
 				}
 				awaitChange(ctx, changed, time.Second)
 			}
@@ -249,7 +249,7 @@
 		for i, n := range nodes {
 			n.client.Set(logtest.Faults{Delay: time.Duration(10+i*3) * time.Millisecond})
 		}
-		var last platform.Offset
+		var last infra.Offset
 		for i := range 30 {
 			last = nodes[i%3].put(t, change(fmt.Sprintf("%d.toml", i), "", 0))
 			nodes[(i+1)%3].verdictOn(t, last)
--- a/logsync/lane.go
+++ b/logsync/lane.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -35,7 +35,7 @@
 	running bool // guarded by the writer
 
 	sequence uint64          // last given to a record that may be on the log
-	after    platform.Offset // nothing of what is being sent is before it; 0: not known yet
+	after    infra.Offset // nothing of what is being sent is before it; 0: not known yet
 	failures int             // sure failures in a row
 	pause    time.Duration   // before the next try
 	retryAt  time.Time       // in an outage: when to try again
@@ -77,7 +77,7 @@
 		return
 	}
 	if l.failures >= outageAfter && time.Now().Before(l.retryAt) {
-		b.answer(0, appendError(l.stream, platform.EffectNone, l.lastErr))
+		b.answer(0, appendError(l.stream, infra.EffectNone, l.lastErr))
 		return
 	}
 	l.send(b)
@@ -141,11 +141,11 @@
 }
 
 // answer tells every caller where its records begin, or the error.
-func (b *batch) answer(offset platform.Offset, err error) {
+func (b *batch) answer(offset infra.Offset, err error) {
 	for _, r := range b.requests {
 		r.done <- result{offset: offset, err: err}
 		if err == nil {
-			offset += platform.Offset(len(r.records))
+			offset += infra.Offset(len(r.records))
 		}
 	}
 }
@@ -155,7 +155,7 @@
 func (l *lane) send(b *batch) {
 	data, err := l.encode(b)
 	if err != nil {
-		b.answer(0, appendError(l.stream, platform.EffectNone, err))
+		b.answer(0, appendError(l.stream, infra.EffectNone, err))
 		return
 	}
 	for {
@@ -194,7 +194,7 @@
 
 // try looks the batch up if an earlier try may have put it on the log, and
 // sends it otherwise.
-func (l *lane) try(b *batch, data [][]byte) (platform.Offset, error) {
+func (l *lane) try(b *batch, data [][]byte) (infra.Offset, error) {
 	if err := l.locate(b.ctx); err != nil {
 		return 0, err
 	}
@@ -227,7 +227,7 @@
 	defer cancel()
 	end, err := l.opts.Log.Read(ctx, l.stream, 1, 1, 0)
 	if err != nil && !isOutOfRange(err) {
-		return &platform.Error{Op: "log.read " + l.stream, Reason: platform.ReasonUnreachable, Effect: platform.EffectNone, Err: err}
+		return &infra.Error{Op: "log.read " + l.stream, Reason: infra.ReasonUnreachable, Effect: infra.EffectNone, Err: err}
 	}
 	l.after = end.Next
 	return nil
@@ -235,7 +235,7 @@
 
 // find reads on from where the batch can be at the earliest. Offset 0: it isn't
 // on the log as of now.
-func (l *lane) find(b *batch) (platform.Offset, error) {
+func (l *lane) find(b *batch) (infra.Offset, error) {
 	from := l.after
 	for {
 		ctx, cancel := context.WithTimeout(b.ctx, appendTimeout)
@@ -256,7 +256,7 @@
 	}
 }
 
-func (l *lane) isFirst(b *batch, r platform.Record) bool {
+func (l *lane) isFirst(b *batch, r infra.Record) bool {
 	decoded := &record.Record{}
 	if proto.Unmarshal(r.Data, decoded) != nil {
 		return false
@@ -264,9 +264,9 @@
 	return decoded.GetOrigin() == l.opts.Origin && decoded.GetSequence() == b.first
 }
 
-func (l *lane) sent(b *batch, offset platform.Offset) {
+func (l *lane) sent(b *batch, offset infra.Offset) {
 	l.sequence = b.first + uint64(len(b.records)) - 1
-	l.after = offset + platform.Offset(len(b.records))
+	l.after = offset + infra.Offset(len(b.records))
 	l.failures = 0
 	l.pause = minBackoff
 	l.opts.Metrics.Add("appends", 1)
@@ -276,9 +276,9 @@
 
 // giveUp answers the callers with an error, if it is time to.
 func (l *lane) giveUp(b *batch, err error) bool {
-	effect := platform.EffectNone
+	effect := infra.EffectNone
 	if b.unknown {
-		effect = platform.EffectUnknown
+		effect = infra.EffectUnknown
 	}
 	l.lastErr = err
 	if surelyNone(err) {
@@ -295,6 +295,6 @@
 }
 
 func surelyNone(err error) bool {
-	var failed *platform.Error
-	return errors.As(err, &failed) && failed.Effect == platform.EffectNone
+	var failed *infra.Error
+	return errors.As(err, &failed) && failed.Effect == infra.EffectNone
 }
--- a/logsync/logsync.go
+++ b/logsync/logsync.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -15,11 +15,11 @@
 	// Append gives each record this writer's origin and next sequence, puts
 	// them on the stream in order, and returns the offset of the first. An
 	// append whose answer was lost is looked for on the log before it is sent
-	// again, so that it is there once. On an error with platform.EffectNone
+	// again, so that it is there once. On an error with infra.EffectNone
 	// nothing is on the log and nothing will be; on one with
-	// platform.EffectUnknown that could not be found out before ctx ended, and
+	// infra.EffectUnknown that could not be found out before ctx ended, and
 	// the records may yet be found there.
-	Append(ctx context.Context, stream string, records ...*record.Record) (platform.Offset, error)
+	Append(ctx context.Context, stream string, records ...*record.Record) (infra.Offset, error)
 }
 
 // StateSource gives a stream's state from a peer, for a start while the log is
@@ -27,5 +27,5 @@
 type StateSource interface {
 	// State returns the newest checkpoint that any reachable peer has, covering
 	// at least atLeast, or an error.
-	State(ctx context.Context, stream string, atLeast platform.Offset) (*record.Checkpoint, error)
+	State(ctx context.Context, stream string, atLeast infra.Offset) (*record.Checkpoint, error)
 }
--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -12,7 +12,7 @@
 
 	"greengageferry/internal/testmain"
 	"greengageferry/logsync/logtest"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -50,8 +50,8 @@
 		writer: NewWriter(WriterOptions{Log: client, Origin: id, Budget: wide{}, Logger: quiet()}),
 		follower: NewFollower(FollowerOptions[replay.ConfigView]{
 			Log:    client,
-			Stream: platform.StreamConfig,
-			New:    func(platform.Offset) State[replay.ConfigView] { return replay.NewConfig() },
+			Stream: infra.StreamConfig,
+			New:    func(infra.Offset) State[replay.ConfigView] { return replay.NewConfig() },
 			Peers:  peers,
 			Logger: quiet(),
 		}),
@@ -81,44 +81,44 @@
 	}).Run)
 }
 
-func change(file, content string, base platform.Offset) *record.Record {
+func change(file, content string, base infra.Offset) *record.Record {
 	return &record.Record{Body: &record.Record_ConfigChange{ConfigChange: &record.ConfigChange{
 		File: file, Partner: "kitchen", Author: "ana", Content: []byte(content), Base: uint64(base),
 	}}}
 }
 
-func accept(offset platform.Offset) *record.Record {
+func accept(offset infra.Offset) *record.Record {
 	return &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: &record.ConfigVerdict{Change: uint64(offset), Accepted: true}}}
 }
 
-func (n *node) put(t *testing.T, records ...*record.Record) platform.Offset {
-	offset, err := n.writer.Append(t.Context(), platform.StreamConfig, records...)
+func (n *node) put(t *testing.T, records ...*record.Record) infra.Offset {
+	offset, err := n.writer.Append(t.Context(), infra.StreamConfig, records...)
 	require.NoError(t, err)
 	return offset
 }
 
 // await waits until the node has read the offset, with a bound in case it never does.
-func (n *node) await(t *testing.T, offset platform.Offset) {
+func (n *node) await(t *testing.T, offset infra.Offset) {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
 	defer cancel()
 	require.NoError(t, n.follower.WaitFor(ctx, offset))
 }
 
-func effectOf(t *testing.T, err error) platform.Effect {
-	var failed *platform.Error
+func effectOf(t *testing.T, err error) infra.Effect {
+	var failed *infra.Error
 	require.ErrorAs(t, err, &failed)
 	return failed.Effect
 }
 
 func decoded(t *testing.T, log *logtest.Log) []*record.Record {
 	var out []*record.Record
-	for _, r := range log.Records(platform.StreamConfig) {
+	for _, r := range log.Records(infra.StreamConfig) {
 		out = append(out, mustDecode(t, r))
 	}
 	return out
 }
 
-func mustDecode(t *testing.T, r platform.Record) *record.Record {
+func mustDecode(t *testing.T, r infra.Record) *record.Record {
 	d := &record.Record{}
 	require.NoError(t, proto.Unmarshal(r.Data, d))
 	return d
--- a/logsync/logtest/logtest.go
+++ b/logsync/logtest/logtest.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Log is the log itself. Clients reach it, each with faults of its own.
@@ -21,7 +21,7 @@
 }
 
 type stream struct {
-	oldest  platform.Offset
+	oldest  infra.Offset
 	records [][]byte // from oldest on
 }
 
@@ -41,7 +41,7 @@
 }
 
 // Trim ages out every record of the stream before the offset.
-func (l *Log) Trim(name string, oldest platform.Offset) {
+func (l *Log) Trim(name string, oldest infra.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -50,7 +50,7 @@
 }
 
 // Records returns what the stream keeps.
-func (l *Log) Records(name string) []platform.Record {
+func (l *Log) Records(name string) []infra.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -64,17 +64,17 @@
 	return l.streams[name]
 }
 
-func (s *stream) next() platform.Offset { return s.oldest + platform.Offset(len(s.records)) }
+func (s *stream) next() infra.Offset { return s.oldest + infra.Offset(len(s.records)) }
 
-func (s *stream) read(from platform.Offset, limit int) []platform.Record {
-	var out []platform.Record
+func (s *stream) read(from infra.Offset, limit int) []infra.Record {
+	var out []infra.Record
 	for at := from; at < s.next() && len(out) < limit; at++ {
-		out = append(out, platform.Record{Offset: at, Data: s.records[at-s.oldest]})
+		out = append(out, infra.Record{Offset: at, Data: s.records[at-s.oldest]})
 	}
 	return out
 }
 
-func (l *Log) append(name string, records [][]byte) platform.Offset {
+func (l *Log) append(name string, records [][]byte) infra.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -86,7 +86,7 @@
 	return first
 }
 
-// Client is a platform.Log with faults. The zero faults are none.
+// Client is a infra.Log with faults. The zero faults are none.
 type Client struct {
 	log    *Log
 	mu     sync.Mutex
@@ -146,37 +146,37 @@
 	return arrives, before
 }
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (c *Client) Append(ctx context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	if c.down() {
-		return 0, failure("log.append", platform.ReasonUnreachable, platform.EffectNone)
+		return 0, failure("log.append", infra.ReasonUnreachable, infra.EffectNone)
 	}
 	fate, f := c.fate()
 	if !pause(ctx, f.Delay) {
-		return 0, failure("log.append", platform.ReasonTimeout, platform.EffectUnknown)
+		return 0, failure("log.append", infra.ReasonTimeout, infra.EffectUnknown)
 	}
 	switch fate {
 	case requestLost:
-		return 0, failure("log.append", platform.ReasonTimeout, platform.EffectUnknown)
+		return 0, failure("log.append", infra.ReasonTimeout, infra.EffectUnknown)
 	case requestLate:
 		time.AfterFunc(f.Late, func() { c.log.append(stream, records) })
-		return 0, failure("log.append", platform.ReasonTimeout, platform.EffectUnknown)
+		return 0, failure("log.append", infra.ReasonTimeout, infra.EffectUnknown)
 	}
 	offset := c.log.append(stream, records)
 	if fate == answerLost || !pause(ctx, f.Delay) {
-		return 0, failure("log.append", platform.ReasonTimeout, platform.EffectUnknown)
+		return 0, failure("log.append", infra.ReasonTimeout, infra.EffectUnknown)
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (c *Client) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	c.mu.Lock()
 	c.reads++
 	delay := c.faults.Delay
 	c.mu.Unlock()
 	if c.down() || !pause(ctx, delay) {
-		return platform.Batch{}, failure("log.read", platform.ReasonUnreachable, platform.EffectNone)
+		return infra.Batch{}, failure("log.read", infra.ReasonUnreachable, infra.EffectNone)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -190,27 +190,27 @@
 		case <-timer.C:
 			return c.back(ctx, batch, nil, delay)
 		case <-ctx.Done():
-			return batch, failure("log.read", platform.ReasonTimeout, platform.EffectNone)
+			return batch, failure("log.read", infra.ReasonTimeout, infra.EffectNone)
 		}
 	}
 }
 
-func (c *Client) look(stream string, from platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+func (c *Client) look(stream string, from infra.Offset, limit int) (infra.Batch, <-chan struct{}, error) {
 	c.log.mu.Lock()
 	defer c.log.mu.Unlock()
 	s := c.log.stream(stream)
-	batch := platform.Batch{Oldest: s.oldest, Next: s.next()}
+	batch := infra.Batch{Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
-		return batch, nil, failure("log.read", platform.ReasonOutOfRange, platform.EffectNone)
+		return batch, nil, failure("log.read", infra.ReasonOutOfRange, infra.EffectNone)
 	}
 	batch.Records = s.read(from, limit)
 	return batch, c.log.changed, nil
 }
 
 // back is the answer's way; an outage meanwhile loses it.
-func (c *Client) back(ctx context.Context, batch platform.Batch, err error, delay time.Duration) (platform.Batch, error) {
+func (c *Client) back(ctx context.Context, batch infra.Batch, err error, delay time.Duration) (infra.Batch, error) {
 	if !pause(ctx, delay) || c.down() {
-		return platform.Batch{}, failure("log.read", platform.ReasonUnreachable, platform.EffectNone)
+		return infra.Batch{}, failure("log.read", infra.ReasonUnreachable, infra.EffectNone)
 	}
 	return batch, err
 }
@@ -221,8 +221,8 @@
 	return c.faults.Down
 }
 
-func failure(op string, reason platform.Reason, effect platform.Effect) error {
-	return &platform.Error{Op: op, Addr: "logtest", Reason: reason, Effect: effect}
+func failure(op string, reason infra.Reason, effect infra.Effect) error {
+	return &infra.Error{Op: op, Addr: "logtest", Reason: reason, Effect: effect}
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/logsync/start.go
+++ b/logsync/start.go
@@ -6,7 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -30,7 +30,7 @@
 
 // bridge gets over records that aged out before they were read: a checkpoint
 // on the log that covers them, or else a peer's state.
-func (f *Follower[V]) bridge(ctx context.Context, bounds platform.Batch) error {
+func (f *Follower[V]) bridge(ctx context.Context, bounds infra.Batch) error {
 	if f.opts.FromOldest {
 		return f.skip(bounds.Oldest)
 	}
@@ -50,7 +50,7 @@
 }
 
 // skip begins with a new machine at the oldest kept record.
-func (f *Follower[V]) skip(oldest platform.Offset) error {
+func (f *Follower[V]) skip(oldest infra.Offset) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.machine = f.opts.New(oldest)
@@ -63,7 +63,7 @@
 
 // findCheckpoint reads what the log keeps and returns its newest checkpoint, or
 // nil if none covers everything that aged out.
-func (f *Follower[V]) findCheckpoint(ctx context.Context, oldest platform.Offset) (*record.Checkpoint, error) {
+func (f *Follower[V]) findCheckpoint(ctx context.Context, oldest infra.Offset) (*record.Checkpoint, error) {
 	var newest *record.Checkpoint
 	from := oldest
 	for {
@@ -85,12 +85,12 @@
 }
 
 // bridges says whether a reader that begins with the checkpoint misses nothing.
-func bridges(c *record.Checkpoint, oldest platform.Offset) bool {
+func bridges(c *record.Checkpoint, oldest infra.Offset) bool {
 	readable := c != nil && c.GetVersion() <= replay.CheckpointVersion
-	return readable && platform.Offset(c.GetCovers())+1 >= oldest
+	return readable && infra.Offset(c.GetCovers())+1 >= oldest
 }
 
-func checkpointIn(r platform.Record) *record.Checkpoint {
+func checkpointIn(r infra.Record) *record.Checkpoint {
 	decoded := &record.Record{}
 	if proto.Unmarshal(r.Data, decoded) != nil {
 		return nil
@@ -100,7 +100,7 @@
 
 // fromPeers takes over the newest state that a peer has, if it covers at least
 // the offset and isn't older than what is known here.
-func (f *Follower[V]) fromPeers(ctx context.Context, atLeast platform.Offset) error {
+func (f *Follower[V]) fromPeers(ctx context.Context, atLeast infra.Offset) error {
 	if f.opts.Peers == nil {
 		return &NoStateError{Stream: f.opts.Stream, AtLeast: atLeast}
 	}
@@ -123,7 +123,7 @@
 	defer f.mu.Unlock()
 	machine := f.machine
 	if machine == nil {
-		machine = f.opts.New(platform.Offset(c.GetCovers()) + 1)
+		machine = f.opts.New(infra.Offset(c.GetCovers()) + 1)
 	}
 	if err := machine.Restore(c); err != nil {
 		return err
--- a/logsync/writer.go
+++ b/logsync/writer.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -29,7 +29,7 @@
 
 // WriterOptions configures a Writer. Log, Origin and Budget are required.
 type WriterOptions struct {
-	Log     platform.Log
+	Log     infra.Log
 	Origin  string // unique to this boot of this instance
 	Budget  Budget
 	Logger  logrus.FieldLogger
@@ -110,17 +110,17 @@
 )
 
 type result struct {
-	offset platform.Offset
+	offset infra.Offset
 	err    error
 }
 
-// Append implements Appender. Its error is a *platform.Error.
-func (w *Writer) Append(ctx context.Context, stream string, records ...*record.Record) (platform.Offset, error) {
+// Append implements Appender. Its error is a *infra.Error.
+func (w *Writer) Append(ctx context.Context, stream string, records ...*record.Record) (infra.Offset, error) {
 	r := &request{ctx: ctx, records: records, done: make(chan result, 1)}
 	select {
 	case w.lane(stream).queue <- r:
 	case <-ctx.Done():
-		return 0, appendError(stream, platform.EffectNone, ctx.Err())
+		return 0, appendError(stream, infra.EffectNone, ctx.Err())
 	}
 	select {
 	case res := <-r.done:
@@ -131,9 +131,9 @@
 }
 
 // leave ends a request whose caller's context has ended.
-func (r *request) leave(stream string) (platform.Offset, error) {
+func (r *request) leave(stream string) (infra.Offset, error) {
 	if r.state.CompareAndSwap(requestWaiting, requestLeft) {
-		return 0, appendError(stream, platform.EffectNone, r.ctx.Err())
+		return 0, appendError(stream, infra.EffectNone, r.ctx.Err())
 	}
 	timer := time.NewTimer(leaveGrace)
 	defer timer.Stop()
@@ -141,7 +141,7 @@
 	case res := <-r.done:
 		return res.offset, res.err
 	case <-timer.C:
-		return 0, appendError(stream, platform.EffectUnknown, r.ctx.Err())
+		return 0, appendError(stream, infra.EffectUnknown, r.ctx.Err())
 	}
 }
 
@@ -165,16 +165,16 @@
 
 // appendError words a failed append. A cause that says itself why it failed is
 // believed on that, but not on its effect: earlier tries count too.
-func appendError(stream string, effect platform.Effect, cause error) error {
-	reason := platform.ReasonUnreachable
-	var failed *platform.Error
+func appendError(stream string, effect infra.Effect, cause error) error {
+	reason := infra.ReasonUnreachable
+	var failed *infra.Error
 	switch {
 	case errors.As(cause, &failed):
 		reason = failed.Reason
 	case errors.Is(cause, context.DeadlineExceeded):
-		reason = platform.ReasonTimeout
+		reason = infra.ReasonTimeout
 	case errors.Is(cause, context.Canceled):
-		reason = platform.ReasonCanceled
+		reason = infra.ReasonCanceled
 	}
-	return &platform.Error{Op: "log.append " + stream, Reason: reason, Effect: effect, Err: cause}
+	return &infra.Error{Op: "log.append " + stream, Reason: reason, Effect: effect, Err: cause}
 }
--- a/logsync/writer_test.go
+++ b/logsync/writer_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/logsync/logtest"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func TestConcurrentAppendsShareOne(t *testing.T) {
@@ -18,14 +18,14 @@
 		log := logtest.New()
 		a := newNode(t, log, "a", nil)
 		a.client.Set(logtest.Faults{Delay: 100 * time.Millisecond})
-		offsets := make(chan platform.Offset, 50)
+		offsets := make(chan infra.Offset, 50)
 		for i := range 50 {
 			go func() {
-				offset, _ := a.writer.Append(t.Context(), platform.StreamConfig, change(fmt.Sprint(i), "", 0))
+				offset, _ := a.writer.Append(t.Context(), infra.StreamConfig, change(fmt.Sprint(i), "", 0))
 				offsets <- offset
 			}()
 		}
-		seen := map[platform.Offset]bool{}
+		seen := map[infra.Offset]bool{}
 		for range 50 {
 			seen[<-offsets] = true
 		}
@@ -73,8 +73,8 @@
 		a.client.Set(logtest.Faults{LoseAnswers: 1})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
-		_, err := a.writer.Append(ctx, platform.StreamConfig, change("x.toml", "", 0))
-		require.Equal(t, platform.EffectUnknown, effectOf(t, err))
+		_, err := a.writer.Append(ctx, infra.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, infra.EffectUnknown, effectOf(t, err))
 		a.put(t, change("x.toml", "", 0))
 		time.Sleep(time.Second)
 		require.Len(t, b.follower.View().Pending, 2)
@@ -87,12 +87,12 @@
 		a := newNode(t, log, "a", nil)
 		a.client.Set(logtest.Faults{Down: true})
 		began := time.Now()
-		_, err := a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0))
-		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		_, err := a.writer.Append(t.Context(), infra.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, infra.EffectNone, effectOf(t, err))
 		require.Less(t, time.Since(began), time.Second)
 		began = time.Now()
-		_, err = a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0))
-		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		_, err = a.writer.Append(t.Context(), infra.StreamConfig, change("x.toml", "", 0))
+		require.Equal(t, infra.EffectNone, effectOf(t, err))
 		require.Zero(t, time.Since(began), "known to be out: refused at once")
 		a.client.Set(logtest.Faults{})
 		time.Sleep(maxBackoff)
@@ -105,14 +105,14 @@
 		log := logtest.New()
 		a := newNode(t, log, "a", nil)
 		a.client.Set(logtest.Faults{Delay: time.Second})
-		go func() { _, _ = a.writer.Append(t.Context(), platform.StreamConfig, change("x.toml", "", 0)) }()
+		go func() { _, _ = a.writer.Append(t.Context(), infra.StreamConfig, change("x.toml", "", 0)) }()
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		_, err := a.writer.Append(ctx, platform.StreamConfig, change("y.toml", "", 0))
-		require.Equal(t, platform.EffectNone, effectOf(t, err))
+		_, err := a.writer.Append(ctx, infra.StreamConfig, change("y.toml", "", 0))
+		require.Equal(t, infra.EffectNone, effectOf(t, err))
 		time.Sleep(10 * time.Second)
-		require.Len(t, log.Records(platform.StreamConfig), 1)
+		require.Len(t, log.Records(infra.StreamConfig), 1)
 	})
 }
 
@@ -124,7 +124,7 @@
 		Leads:   func(stream string) bool { return stream == "claims/1" },
 	}
 	led, _ := share.Rate("claims/1")
-	own, _ := share.Rate(platform.StreamConfig)
+	own, _ := share.Rate(infra.StreamConfig)
 	other, _ := share.Rate("claims/2")
 	require.InDelta(t, DefaultTotal, led*streams+own*instances, 1e-6)
 	require.Equal(t, own, other)
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/standin"
 )
@@ -89,15 +89,15 @@
 func (f *fleet) scaled(n int) int { return max(n*f.servers/fullServers, 1) }
 
 func (f *fleet) fillList(list *standin.InstanceList) {
-	instance := platform.Instance{State: platform.StateLive, Region: "region", Addr: nowhere}
+	instance := infra.Instance{State: infra.StateLive, Region: "region", Addr: nowhere}
 	for n := range f.servers {
 		instance.ID, instance.FailureDomain = serverName(n), domainName(n)
-		instance.Role, instance.Pool, instance.MemoryMiB = platform.RoleEngine, pool, memoryMiB
+		instance.Role, instance.Pool, instance.MemoryMiB = infra.RoleEngine, pool, memoryMiB
 		list.Put(instance)
 	}
 	for n := range f.scaled(fullEntries) {
 		instance.ID, instance.FailureDomain = entryName(n), domainName(n)
-		instance.Role, instance.Pool, instance.MemoryMiB = platform.RoleEntry, "", 0
+		instance.Role, instance.Pool, instance.MemoryMiB = infra.RoleEntry, "", 0
 		list.Put(instance)
 	}
 }
@@ -105,17 +105,17 @@
 // fillLog puts the configuration, the leases and each server's model on the log.
 func (f *fleet) fillLog(ctx context.Context) error {
 	change := &record.ConfigChange{File: "10.toml", Partner: "partner", Author: "author", Content: []byte(f.configuration())}
-	offset, err := f.put(ctx, platform.StreamConfig, &record.Record{Body: &record.Record_ConfigChange{ConfigChange: change}})
+	offset, err := f.put(ctx, infra.StreamConfig, &record.Record{Body: &record.Record_ConfigChange{ConfigChange: change}})
 	if err != nil {
 		return err
 	}
 	verdict := &record.ConfigVerdict{Change: uint64(offset), Accepted: true}
-	if _, err := f.put(ctx, platform.StreamConfig, &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: verdict}}); err != nil {
+	if _, err := f.put(ctx, infra.StreamConfig, &record.Record{Body: &record.Record_ConfigVerdict{ConfigVerdict: verdict}}); err != nil {
 		return err
 	}
 	for n := range domains {
 		claim := &record.LeaseClaim{Holder: entryName(n), DurationMs: uint32(leaseTime.Milliseconds())}
-		if _, err := f.put(ctx, platform.ControlStream(domainName(n)), &record.Record{Body: &record.Record_LeaseClaim{LeaseClaim: claim}}); err != nil {
+		if _, err := f.put(ctx, infra.ControlStream(domainName(n)), &record.Record{Body: &record.Record_LeaseClaim{LeaseClaim: claim}}); err != nil {
 			return err
 		}
 	}
@@ -149,7 +149,7 @@
 	items := []*record.Item{{Model: modelName(model % f.scaled(fullModels)), Version: version, Mib: modelMiB}}
 	assignment := &record.Assignment{Lease: claimed, Server: serverName(server), Pool: pool, MemoryMib: memoryMiB, Items: items}
 	readiness := &record.Readiness{Lease: claimed, Server: serverName(server), Boot: "1", Items: items}
-	_, err := f.put(ctx, platform.ControlStream(domainName(server)),
+	_, err := f.put(ctx, infra.ControlStream(domainName(server)),
 		&record.Record{Body: &record.Record_Assignment{Assignment: assignment}},
 		&record.Record{Body: &record.Record_Readiness{Readiness: readiness}})
 	return err
@@ -157,12 +157,12 @@
 
 func (f *fleet) renew(ctx context.Context, domain int) error {
 	renewal := &record.LeaseRenewal{Lease: claimed}
-	_, err := f.put(ctx, platform.ControlStream(domainName(domain)), &record.Record{Body: &record.Record_LeaseRenewal{LeaseRenewal: renewal}})
+	_, err := f.put(ctx, infra.ControlStream(domainName(domain)), &record.Record{Body: &record.Record_LeaseRenewal{LeaseRenewal: renewal}})
 	return err
 }
 
 // put appends records to a stream.
-func (f *fleet) put(ctx context.Context, stream string, records ...*record.Record) (platform.Offset, error) {
+func (f *fleet) put(ctx context.Context, stream string, records ...*record.Record) (infra.Offset, error) {
 	var encoded [][]byte
 	for _, r := range records {
 		f.sequences[stream]++
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/entry"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/settings"
 	"greengageferry/supervise"
 )
@@ -138,11 +138,11 @@
 	client := m.wire.client()
 	url := func(name string) string { return m.fleet.running[name].URL() }
 	return entry.Platform{
-		Log:       platform.NewHTTPLog(url("log"), client),
-		Instances: platform.NewHTTPInstances(url("list"), client),
-		Store:     platform.NewHTTPStore(url("store"), client),
-		Engine:    platform.NewHTTPEngine(client),
-		Services:  platform.NewHTTPServices(client),
+		Log:       infra.NewHTTPLog(url("log"), client),
+		Instances: infra.NewHTTPInstances(url("list"), client),
+		Store:     infra.NewHTTPStore(url("store"), client),
+		Engine:    infra.NewHTTPEngine(client),
+		Services:  infra.NewHTTPServices(client),
 	}
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"greengageferry/demand"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/traffic"
 )
@@ -51,7 +51,7 @@
 	var none T
 	ctx, cancel, err := c.begin(ctx)
 	if err != nil {
-		return none, &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonBadRequest, Effect: platform.EffectNone, Err: err}
+		return none, &infra.Error{Op: op, Addr: addr, Reason: infra.ReasonBadRequest, Effect: infra.EffectNone, Err: err}
 	}
 	defer cancel()
 	got, err := do(ctx, c.at(addr))
@@ -61,16 +61,16 @@
 	return got, nil
 }
 
-// callFailed turns a twirp error into a platform.Error. A call that was refused
+// callFailed turns a twirp error into a infra.Error. A call that was refused
 // before it started, or found nothing, had no effect.
 func callFailed(ctx context.Context, op, addr string, err error) error {
-	failed := &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonUnreachable, Effect: platform.EffectUnknown, Err: err}
+	failed := &infra.Error{Op: op, Addr: addr, Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown, Err: err}
 	var refused twirp.Error
 	switch {
 	case ctx.Err() != nil:
-		failed.Reason = platform.ReasonTimeout
+		failed.Reason = infra.ReasonTimeout
 	case errors.As(err, &refused) && isRefusal(refused.Code()):
-		failed.Reason, failed.Effect = platform.ReasonUnavailable, platform.EffectNone
+		failed.Reason, failed.Effect = infra.ReasonUnavailable, infra.EffectNone
 	}
 	return failed
 }
@@ -85,22 +85,22 @@
 }
 
 // Applied implements control.Applied.
-func (c *Client) Applied(ctx context.Context, instance platform.Instance) (platform.Offset, error) {
-	return call(ctx, c, "peer.applied", instance.Addr, func(ctx context.Context, p Peer) (platform.Offset, error) {
+func (c *Client) Applied(ctx context.Context, instance infra.Instance) (infra.Offset, error) {
+	return call(ctx, c, "peer.applied", instance.Addr, func(ctx context.Context, p Peer) (infra.Offset, error) {
 		r, err := p.Applied(ctx, &AppliedRequest{FailureDomain: instance.FailureDomain})
-		return platform.Offset(r.GetOffset()), err
+		return infra.Offset(r.GetOffset()), err
 	})
 }
 
 // Demand implements demand.Asker.
-func (c *Client) Demand(ctx context.Context, instance platform.Instance, domain string) (demand.Report, error) {
+func (c *Client) Demand(ctx context.Context, instance infra.Instance, domain string) (demand.Report, error) {
 	r, err := call(ctx, c, "peer.demand", instance.Addr, func(ctx context.Context, p Peer) (*DemandResponse, error) {
 		return p.Demand(ctx, &DemandRequest{FailureDomain: domain})
 	})
 	if err != nil {
 		return demand.Report{}, err
 	}
-	report := demand.Report{Rates: map[string]demand.Rates{}, Loads: map[string]platform.Load{}}
+	report := demand.Report{Rates: map[string]demand.Rates{}, Loads: map[string]infra.Load{}}
 	for _, m := range r.GetModels() {
 		report.Rates[m.GetModel()] = demand.Rates{
 			Requests: float64(m.GetRequestsPerSecond()),
@@ -109,7 +109,7 @@
 		}
 	}
 	for _, s := range r.GetServers() {
-		report.Loads[s.GetServer()] = platform.Load{Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Slots: int(s.GetSlots())}
+		report.Loads[s.GetServer()] = infra.Load{Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()), Slots: int(s.GetSlots())}
 	}
 	return report, nil
 }
@@ -124,7 +124,7 @@
 }
 
 // Claim asks the batcher at an address to put claims, each an encoded
-// record.Record, on the shard's stream. An error with platform.EffectNone means
+// record.Record, on the shard's stream. An error with infra.EffectNone means
 // that none of them is there.
 func (c *Client) Claim(ctx context.Context, addr string, shard uint32, claims [][]byte) ([]*ClaimStanding, error) {
 	return call(ctx, c, "peer.claim", addr, func(ctx context.Context, p Peer) ([]*ClaimStanding, error) {
@@ -154,7 +154,7 @@
 
 // State asks the instance at an address for its state of a stream, covering at
 // least an offset.
-func (c *Client) State(ctx context.Context, addr, stream string, atLeast platform.Offset) (*record.Checkpoint, error) {
+func (c *Client) State(ctx context.Context, addr, stream string, atLeast infra.Offset) (*record.Checkpoint, error) {
 	return call(ctx, c, "peer.state", addr, func(ctx context.Context, p Peer) (*record.Checkpoint, error) {
 		r, err := p.State(ctx, &StateRequest{Stream: stream, AtLeast: uint64(atLeast)})
 		if err != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"greengageferry/demand"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/traffic"
 )
@@ -34,12 +34,12 @@
 		Instance:      "entry-1",
 		FailureDomain: "porto-a",
 		State: func(stream string) *record.Checkpoint {
-			if stream != platform.StreamConfig {
+			if stream != infra.StreamConfig {
 				return nil
 			}
 			return &record.Checkpoint{Covers: covers}
 		},
-		Applied: func() platform.Offset { return 7 },
+		Applied: func() infra.Offset { return 7 },
 		Claims:  claimer{err: claimErr},
 		Answer: func(attempt string) (Answer, bool, bool) {
 			return Answer{Request: "r", Status: 200, ContentType: "text/plain", Body: []byte("body"), FailureDomain: "porto-a", Server: "s"}, true, attempt == "known"
@@ -48,7 +48,7 @@
 		Report: func(domain string) demand.Report {
 			return demand.Report{
 				Rates: map[string]demand.Rates{"m@" + domain: {Requests: 1.5, Tokens: 20, Refused: 0.25}},
-				Loads: map[string]platform.Load{"s": {Running: 3, Waiting: 2, Slots: 8}},
+				Loads: map[string]infra.Load{"s": {Running: 3, Waiting: 2, Slots: 8}},
 			}
 		},
 	}
@@ -68,7 +68,7 @@
 func TestEachCallBringsItsAnswer(t *testing.T) {
 	addr := serve(t, backend(12, nil))
 	c := client(token)
-	at := platform.Instance{Addr: addr, FailureDomain: "porto-a"}
+	at := infra.Instance{Addr: addr, FailureDomain: "porto-a"}
 
 	offset, err := c.Applied(t.Context(), at)
 	require.NoError(t, err)
@@ -77,7 +77,7 @@
 	report, err := c.Demand(t.Context(), at, "pelotas")
 	require.NoError(t, err)
 	require.Equal(t, map[string]demand.Rates{"m@pelotas": {Requests: 1.5, Tokens: 20, Refused: 0.25}}, report.Rates)
-	require.Equal(t, map[string]platform.Load{"s": {Running: 3, Waiting: 2, Slots: 8}}, report.Loads)
+	require.Equal(t, map[string]infra.Load{"s": {Running: 3, Waiting: 2, Slots: 8}}, report.Loads)
 
 	standings, err := c.Claim(t.Context(), addr, 1, [][]byte{[]byte("a"), []byte("b")})
 	require.NoError(t, err)
@@ -91,7 +91,7 @@
 
 	require.NoError(t, c.Missing(t.Context(), addr, "server-1"))
 
-	state, err := c.State(t.Context(), addr, platform.StreamConfig, 12)
+	state, err := c.State(t.Context(), addr, infra.StreamConfig, 12)
 	require.NoError(t, err)
 	require.EqualValues(t, 12, state.GetCovers())
 }
@@ -99,21 +99,21 @@
 func TestEffectOfAFailedCallIsHonest(t *testing.T) {
 	closed := httptest.NewServer(nil)
 	closed.Close()
-	none := &platform.Error{Op: "log.append", Reason: platform.ReasonUnavailable, Effect: platform.EffectNone}
-	unknown := &platform.Error{Op: "log.append", Reason: platform.ReasonTimeout, Effect: platform.EffectUnknown}
+	none := &infra.Error{Op: "log.append", Reason: infra.ReasonUnavailable, Effect: infra.EffectNone}
+	unknown := &infra.Error{Op: "log.append", Reason: infra.ReasonTimeout, Effect: infra.EffectUnknown}
 	cases := map[string]struct {
 		addr, token string
-		want        platform.Effect
+		want        infra.Effect
 	}{
-		"wrong token":     {serve(t, backend(1, nil)), "another token of somebody", platform.EffectNone},
-		"log refused":     {serve(t, backend(1, none)), token, platform.EffectNone},
-		"log's answer":    {serve(t, backend(1, unknown)), token, platform.EffectUnknown},
-		"nobody is there": {strings.TrimPrefix(closed.URL, "http://"), token, platform.EffectUnknown},
+		"wrong token":     {serve(t, backend(1, nil)), "another token of somebody", infra.EffectNone},
+		"log refused":     {serve(t, backend(1, none)), token, infra.EffectNone},
+		"log's answer":    {serve(t, backend(1, unknown)), token, infra.EffectUnknown},
+		"nobody is there": {strings.TrimPrefix(closed.URL, "http://"), token, infra.EffectUnknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			_, err := client(c.token).Claim(t.Context(), c.addr, 0, [][]byte{[]byte("a")})
-			var failed *platform.Error
+			var failed *infra.Error
 			require.True(t, errors.As(err, &failed), "got %v", err)
 			require.Equal(t, c.want, failed.Effect)
 		})
@@ -123,11 +123,11 @@
 func TestNewestStateOfSeveralPeersWins(t *testing.T) {
 	addrs := []string{serve(t, backend(3, nil)), serve(t, backend(9, nil)), serve(t, backend(5, nil))}
 	states := NewStates(client(token), func() []string { return append([]string(nil), addrs...) })
-	got, err := states.State(t.Context(), platform.StreamConfig, 4)
+	got, err := states.State(t.Context(), infra.StreamConfig, 4)
 	require.NoError(t, err)
 	require.EqualValues(t, 9, got.GetCovers())
 
-	_, err = states.State(t.Context(), platform.StreamConfig, 10)
+	_, err = states.State(t.Context(), infra.StreamConfig, 10)
 	var none *NoPeerError
 	require.True(t, errors.As(err, &none))
 	require.Equal(t, 3, none.Asked)
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"greengageferry/demand"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/traffic"
 )
@@ -46,7 +46,7 @@
 	State func(stream string) *record.Checkpoint
 	// Applied returns how far the own failure domain's control stream was read
 	// with no order of an older assignment under way, 0 if that isn't known.
-	Applied func() platform.Offset
+	Applied func() infra.Offset
 	Claims  ClaimServer
 	// Answer returns what was answered to an attempt that runs here or ran.
 	Answer func(attempt string) (answer Answer, finished, found bool)
@@ -119,8 +119,8 @@
 
 // claimError tells the asking instance whether its claims can be on the log.
 func claimError(err error) error {
-	var failed *platform.Error
-	if errors.As(err, &failed) && failed.Effect == platform.EffectNone {
+	var failed *infra.Error
+	if errors.As(err, &failed) && failed.Effect == infra.EffectNone {
 		return twirp.FailedPrecondition.Error(err.Error())
 	}
 	return twirp.InternalErrorWith(err)
--- a/peer/states.go
+++ b/peer/states.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -46,7 +46,7 @@
 func (e *NoPeerError) Unwrap() error { return e.Err }
 
 // State implements logsync.StateSource. The error is a *NoPeerError.
-func (s *States) State(ctx context.Context, stream string, atLeast platform.Offset) (*record.Checkpoint, error) {
+func (s *States) State(ctx context.Context, stream string, atLeast infra.Offset) (*record.Checkpoint, error) {
 	addrs := s.addrs()
 	rand.Shuffle(len(addrs), func(a, b int) { addrs[a], addrs[b] = addrs[b], addrs[a] })
 	addrs = addrs[:min(len(addrs), AskedForState)]
--- a/publish/bases.go
+++ b/publish/bases.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -17,7 +17,7 @@
 const BasesFile = ".greengageferry-bases.json"
 
 // bases are the versions that a folder's files were edited from.
-type bases map[string]platform.Offset
+type bases map[string]infra.Offset
 
 func readBases(dir string) (bases, error) {
 	data, err := os.ReadFile(filepath.Join(dir, BasesFile))
@@ -32,7 +32,7 @@
 }
 
 // move notes that a change from this folder is in force.
-func (b bases) move(change *record.ConfigChange, offset platform.Offset) {
+func (b bases) move(change *record.ConfigChange, offset infra.Offset) {
 	if change.GetRemoved() {
 		delete(b, change.GetFile())
 		return
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -21,7 +21,7 @@
 
 	"greengageferry/config"
 	"greengageferry/logsync"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -38,7 +38,7 @@
 
 // Options configures a Publisher. Log, Dir, Partner and Author are required.
 type Options struct {
-	Log     platform.Log
+	Log     infra.Log
 	Dir     string // the partner's folder
 	Partner string
 	Author  string
@@ -54,7 +54,7 @@
 type Outcome struct {
 	File     string
 	Removed  bool
-	Offset   platform.Offset // of the change on the log
+	Offset   infra.Offset // of the change on the log
 	Accepted bool
 	Reason   string // why it was refused
 	At       string // the file that the reason is about
@@ -100,8 +100,8 @@
 		}),
 		follower: logsync.NewFollower(logsync.FollowerOptions[replay.ConfigView]{
 			Log:     opts.Log,
-			Stream:  platform.StreamConfig,
-			New:     func(platform.Offset) logsync.State[replay.ConfigView] { return seen },
+			Stream:  infra.StreamConfig,
+			New:     func(infra.Offset) logsync.State[replay.ConfigView] { return seen },
 			Spacing: -1,
 			Logger:  opts.Logger,
 		}),
@@ -267,7 +267,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
 	defer cancel()
 	r := &record.Record{Body: &record.Record_ConfigChange{ConfigChange: change}}
-	offset, err := p.writer.Append(ctx, platform.StreamConfig, r)
+	offset, err := p.writer.Append(ctx, infra.StreamConfig, r)
 	if err != nil {
 		return Outcome{}, &LogError{Doing: "publishing " + change.GetFile(), Err: err}
 	}
@@ -288,7 +288,7 @@
 	return outcome, p.bases.write(p.opts.Dir)
 }
 
-func (p *Publisher) verdict(ctx context.Context, offset platform.Offset) (*record.ConfigVerdict, error) {
+func (p *Publisher) verdict(ctx context.Context, offset infra.Offset) (*record.ConfigVerdict, error) {
 	for {
 		changed := p.follower.Changed()
 		if v := p.verdicts.on(offset); v != nil {
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -15,7 +15,7 @@
 	"greengageferry/internal/testmain"
 	"greengageferry/logsync"
 	"greengageferry/logsync/logtest"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
@@ -32,8 +32,8 @@
 	client := log.Client()
 	writer := logsync.NewWriter(logsync.WriterOptions{Log: client, Origin: "judge", Budget: budget{}, Logger: quiet()})
 	follower := logsync.NewFollower(logsync.FollowerOptions[replay.ConfigView]{
-		Log: client, Stream: platform.StreamConfig, Logger: quiet(),
-		New: func(platform.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
+		Log: client, Stream: infra.StreamConfig, Logger: quiet(),
+		New: func(infra.Offset) logsync.State[replay.ConfigView] { return replay.NewConfig() },
 	})
 	j := logsync.NewJudge(logsync.JudgeOptions{
 		Source: follower, Writer: writer, Self: "judge", Logger: quiet(),
@@ -44,7 +44,7 @@
 	}
 }
 
-func publisher(log platform.Log, dir, author string) *Publisher {
+func publisher(log infra.Log, dir, author string) *Publisher {
 	return New(Options{Log: log, Dir: dir, Partner: "kitchen", Author: author, Logger: quiet()})
 }
 
@@ -52,7 +52,7 @@
 	require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600))
 }
 
-func once(t *testing.T, log platform.Log, dir string) []Outcome {
+func once(t *testing.T, log infra.Log, dir string) []Outcome {
 	outcomes, err := publisher(log, dir, "ana").Once(t.Context())
 	require.NoError(t, err)
 	return outcomes
@@ -117,7 +117,7 @@
 		client.Set(logtest.Faults{LoseAnswers: 2})
 		write(t, dir, "10.toml", "")
 		require.True(t, once(t, client, dir)[0].Accepted)
-		require.Len(t, log.Records(platform.StreamConfig), 2)
+		require.Len(t, log.Records(infra.StreamConfig), 2)
 	})
 }
 
--- a/publish/verdicts.go
+++ b/publish/verdicts.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"sync"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -26,15 +26,15 @@
 type verdicts struct {
 	*replay.Config
 	mu   sync.Mutex // guards kept
-	kept map[platform.Offset]*record.ConfigVerdict
+	kept map[infra.Offset]*record.ConfigVerdict
 }
 
 func newVerdicts() *verdicts {
-	return &verdicts{Config: replay.NewConfig(), kept: map[platform.Offset]*record.ConfigVerdict{}}
+	return &verdicts{Config: replay.NewConfig(), kept: map[infra.Offset]*record.ConfigVerdict{}}
 }
 
 // Apply implements replay.Machine.
-func (v *verdicts) Apply(offset platform.Offset, r *record.Record) {
+func (v *verdicts) Apply(offset infra.Offset, r *record.Record) {
 	verdict := r.GetConfigVerdict()
 	pending := v.Config.Pending()
 	v.Config.Apply(offset, r)
@@ -47,7 +47,7 @@
 }
 
 // on returns the verdict that stands on the change, or nil before there is one.
-func (v *verdicts) on(change platform.Offset) *record.ConfigVerdict {
+func (v *verdicts) on(change infra.Offset) *record.ConfigVerdict {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.kept[change]
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"greengageferry/config"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/standin"
 )
 
@@ -82,8 +82,8 @@
 
 // storeLimits are the partners' own: about 3 loads a second with 3 at a time,
 // and 1 a second with 7 at a time.
-func storeLimits() map[string]platform.StoreLimits {
-	return map[string]platform.StoreLimits{
+func storeLimits() map[string]infra.StoreLimits {
+	return map[string]infra.StoreLimits{
 		FlightKitchen: {LoadsPerSecond: 3, ConcurrentLoads: 3},
 		Instituto:     {LoadsPerSecond: 1, ConcurrentLoads: 7},
 	}
@@ -150,14 +150,14 @@
 		if err := p.serve(id, p.Engines[id]); err != nil {
 			return err
 		}
-		p.list(id, platform.RoleEngine, d, d.Pool, engineMemoryMiB)
+		p.list(id, infra.RoleEngine, d, d.Pool, engineMemoryMiB)
 	}
 	id := fmt.Sprintf("%s-%s-1", d.Service, d.Name)
 	p.Services[id] = standin.NewService(standin.ServiceOptions{Name: d.Service, Work: serviceWork})
 	if err := p.serve(id, p.Services[id]); err != nil {
 		return err
 	}
-	p.list(id, platform.RoleService, d, d.Service, 0)
+	p.list(id, infra.RoleService, d, d.Service, 0)
 	return nil
 }
 
@@ -188,11 +188,11 @@
 }
 
 // list puts a backend server on the platform's list.
-func (p *Platform) list(id string, role platform.Role, d Domain, pool string, memoryMiB int64) {
-	p.List.Put(platform.Instance{
+func (p *Platform) list(id string, role infra.Role, d Domain, pool string, memoryMiB int64) {
+	p.List.Put(infra.Instance{
 		ID:            id,
 		Role:          role,
-		State:         platform.StateLive,
+		State:         infra.StateLive,
 		Region:        d.Region,
 		FailureDomain: d.Name,
 		Pool:          pool,
--- a/quickstart/run.go
+++ b/quickstart/run.go
@@ -12,7 +12,7 @@
 
 	"greengageferry/config"
 	"greengageferry/entry"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/settings"
 )
@@ -140,10 +140,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p.List.Put(platform.Instance{
+	p.List.Put(infra.Instance{
 		ID:            s.Instance.ID,
-		Role:          platform.RoleEntry,
-		State:         platform.StateLive,
+		Role:          infra.RoleEntry,
+		State:         infra.StateLive,
 		Region:        s.Instance.Region,
 		FailureDomain: s.Instance.FailureDomain,
 		Addr:          e.PeersAddr(),
@@ -152,7 +152,7 @@
 }
 
 // Publish puts the partners' files on the log as changes.
-func Publish(ctx context.Context, log platform.Log) error {
+func Publish(ctx context.Context, log infra.Log) error {
 	files, err := Files()
 	if err != nil {
 		return err
@@ -165,7 +165,7 @@
 		}
 		records = append(records, data)
 	}
-	_, err = log.Append(ctx, platform.StreamConfig, records)
+	_, err = log.Append(ctx, infra.StreamConfig, records)
 	return err
 }
 
--- a/replay/assignment.go
+++ b/replay/assignment.go
@@ -4,13 +4,13 @@
 	"cmp"
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
 // assign replaces what a server may hold, if everything fits: the new items,
 // and what was dropped, now or earlier, and isn't confirmed gone.
-func (c *Control) assign(offset platform.Offset, r *record.Assignment) verdict {
+func (c *Control) assign(offset infra.Offset, r *record.Assignment) verdict {
 	if !c.inEffect(r.GetLease()) || r.GetServer() == "" {
 		return void
 	}
@@ -47,7 +47,7 @@
 // reassigned returns the server under its new assignment, or false where that
 // is malformed or doesn't fit. An item that may be there already keeps the
 // larger of its sizes, and one that lingers and is assigned again counts once.
-func reassigned(old *Server, offset platform.Offset, r *record.Assignment) (*Server, bool) {
+func reassigned(old *Server, offset infra.Offset, r *record.Assignment) (*Server, bool) {
 	held := sizes(old.Assigned, old.Lingering)
 	next := &Server{
 		ID:         r.GetServer(),
@@ -56,7 +56,7 @@
 		Assignment: offset,
 		Boot:       old.Boot,
 	}
-	taken := map[platform.Key]bool{}
+	taken := map[infra.Key]bool{}
 	for _, item := range r.GetItems() {
 		i := Item(item)
 		if i.MiB < 0 || i.MiB > next.MemoryMiB || taken[i.Key()] {
@@ -78,7 +78,7 @@
 }
 
 // Fits says whether the items fit into the memory together.
-func Fits(memoryMiB int64, items ...[]platform.Item) bool {
+func Fits(memoryMiB int64, items ...[]infra.Item) bool {
 	free := memoryMiB
 	for _, i := range slices.Concat(items...) {
 		free -= i.MiB
@@ -92,7 +92,7 @@
 // remove confirms that dropped items are gone for good.
 func (c *Control) remove(r *record.Removal) verdict {
 	old := c.servers[r.GetServer()]
-	if !c.inEffect(r.GetLease()) || old == nil || old.Assignment != platform.Offset(r.GetAssignment()) {
+	if !c.inEffect(r.GetLease()) || old == nil || old.Assignment != infra.Offset(r.GetAssignment()) {
 		return void
 	}
 	next := *old
@@ -117,24 +117,24 @@
 	return applied
 }
 
-func sizes(items ...[]platform.Item) map[platform.Key]int64 {
-	out := map[platform.Key]int64{}
+func sizes(items ...[]infra.Item) map[infra.Key]int64 {
+	out := map[infra.Key]int64{}
 	for _, i := range slices.Concat(items...) {
 		out[i.Key()] = i.MiB
 	}
 	return out
 }
 
-func keys(items []platform.Item) map[platform.Key]bool {
-	out := map[platform.Key]bool{}
+func keys(items []infra.Item) map[infra.Key]bool {
+	out := map[infra.Key]bool{}
 	for _, i := range items {
 		out[i.Key()] = true
 	}
 	return out
 }
 
-func keep(items []platform.Item, keys map[platform.Key]bool) []platform.Item {
-	var out []platform.Item
+func keep(items []infra.Item, keys map[infra.Key]bool) []infra.Item {
+	var out []infra.Item
 	for _, i := range items {
 		if keys[i.Key()] {
 			out = append(out, i)
@@ -143,8 +143,8 @@
 	return out
 }
 
-func drop(items []platform.Item, keys map[platform.Key]bool) []platform.Item {
-	var out []platform.Item
+func drop(items []infra.Item, keys map[infra.Key]bool) []infra.Item {
+	var out []infra.Item
 	for _, i := range items {
 		if !keys[i.Key()] {
 			out = append(out, i)
@@ -153,8 +153,8 @@
 	return out
 }
 
-func sortItems(items []platform.Item) {
-	slices.SortFunc(items, func(a, b platform.Item) int {
+func sortItems(items []infra.Item) {
+	slices.SortFunc(items, func(a, b infra.Item) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
 	})
 }
--- a/replay/base.go
+++ b/replay/base.go
@@ -1,7 +1,7 @@
 package replay
 
 import (
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -21,7 +21,7 @@
 
 // base is what all machines share: the offset, the repeats and the counters.
 type base struct {
-	offset  platform.Offset
+	offset  infra.Offset
 	origins origins
 	counts  map[Kind]Count
 }
@@ -31,7 +31,7 @@
 }
 
 // Offset returns the offset last applied.
-func (b *base) Offset() platform.Offset { return b.offset }
+func (b *base) Offset() infra.Offset { return b.offset }
 
 // Counts returns a copy of the counters by kind. They are no part of the
 // state: two readers that began at different places count differently.
@@ -44,7 +44,7 @@
 }
 
 // begin steps past the record at offset and says whether it is to be looked at.
-func (b *base) begin(offset platform.Offset, r *record.Record) bool {
+func (b *base) begin(offset infra.Offset, r *record.Record) bool {
 	if !b.advance(offset) {
 		return false
 	}
@@ -58,7 +58,7 @@
 }
 
 // advance steps to the offset and says whether it is a new one.
-func (b *base) advance(offset platform.Offset) bool {
+func (b *base) advance(offset infra.Offset) bool {
 	if offset <= b.offset {
 		return false
 	}
@@ -91,7 +91,7 @@
 
 // restore takes over what a checkpoint says of the offset and the origins.
 func (b *base) restore(c *record.Checkpoint) {
-	b.offset = platform.Offset(c.GetCovers())
+	b.offset = infra.Offset(c.GetCovers())
 	b.origins.restore(c.GetOrigins())
 }
 
@@ -109,8 +109,8 @@
 	switch {
 	case !stateKnown || c.GetVersion() > CheckpointVersion:
 		return &CheckpointKindError{Version: c.GetVersion()}
-	case platform.Offset(c.GetCovers()) < b.offset:
-		return &StaleCheckpointError{Covers: platform.Offset(c.GetCovers()), Offset: b.offset}
+	case infra.Offset(c.GetCovers()) < b.offset:
+		return &StaleCheckpointError{Covers: infra.Offset(c.GetCovers()), Offset: b.offset}
 	}
 	return nil
 }
--- a/replay/bench_test.go
+++ b/replay/bench_test.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -43,7 +43,7 @@
 		if err := proto.Unmarshal(d, r); err != nil {
 			b.Fatal(err)
 		}
-		m.Apply(platform.Offset(i+1), r)
+		m.Apply(infra.Offset(i+1), r)
 	}
 }
 
@@ -77,11 +77,11 @@
 	return int64(s.HeapAlloc)
 }
 
-func serverItems(server, round int) []platform.Item {
-	var out []platform.Item
+func serverItems(server, round int) []infra.Item {
+	var out []infra.Item
 	for i := range itemsPerServer {
 		name := fmt.Sprintf("model-%d", (server*7+i*41+round)%870)
-		out = append(out, platform.Item{Model: name, Version: "2026-11", MiB: 4000})
+		out = append(out, infra.Item{Model: name, Version: "2026-11", MiB: 4000})
 	}
 	return out
 }
--- a/replay/claims.go
+++ b/replay/claims.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -12,7 +12,7 @@
 
 // Claimed is the claim that stands on a key.
 type Claimed struct {
-	Offset      platform.Offset
+	Offset      infra.Offset
 	Fingerprint Fingerprint
 	Instance    string
 	Attempt     string
@@ -42,23 +42,23 @@
 	base
 	claims  map[ClaimKey][]*Claimed // neither expired nor freed, oldest first
 	order   []keyAt                 // oldest first; bears claims that were freed since
-	from    platform.Offset         // where the reading began
-	expired platform.Offset         // everything before it is forgotten
+	from    infra.Offset         // where the reading began
+	expired infra.Offset         // everything before it is forgotten
 }
 
 type keyAt struct {
 	key    ClaimKey
-	offset platform.Offset
+	offset infra.Offset
 }
 
 // NewClaims returns the machine of a shard that is read from the offset on: 0
 // or 1 is the stream's beginning.
-func NewClaims(from platform.Offset) *Claims {
+func NewClaims(from infra.Offset) *Claims {
 	return &Claims{base: newBase(), claims: map[ClaimKey][]*Claimed{}, from: max(from, 1), expired: 1}
 }
 
 // Apply implements Machine.
-func (c *Claims) Apply(offset platform.Offset, r *record.Record) {
+func (c *Claims) Apply(offset infra.Offset, r *record.Record) {
 	if !c.advance(offset) {
 		return
 	}
@@ -68,13 +68,13 @@
 	case *record.Record_ClaimResult:
 		c.count(r, c.result(body.ClaimResult))
 	case *record.Record_ClaimExpiry:
-		c.count(r, c.expire(offset, platform.Offset(body.ClaimExpiry.GetBefore())))
+		c.count(r, c.expire(offset, infra.Offset(body.ClaimExpiry.GetBefore())))
 	default:
 		c.count(r, foreign)
 	}
 }
 
-func (c *Claims) claim(offset platform.Offset, r *record.Claim) verdict {
+func (c *Claims) claim(offset infra.Offset, r *record.Claim) verdict {
 	key, ok := claimKeyOf(r.GetKey())
 	if !ok || r.GetAttempt() == "" {
 		return void
@@ -119,7 +119,7 @@
 	}
 }
 
-func (c *Claims) expire(offset, before platform.Offset) verdict {
+func (c *Claims) expire(offset, before infra.Offset) verdict {
 	if before <= c.expired || before > offset {
 		return void
 	}
@@ -149,7 +149,7 @@
 func (c *Claims) Complete() bool { return c.from <= c.expired }
 
 // Expired returns the offset before which every claim is forgotten.
-func (c *Claims) Expired() platform.Offset { return c.expired }
+func (c *Claims) Expired() infra.Offset { return c.expired }
 
 // Len returns the number of claims remembered, with those that were freed and
 // aren't expired yet.
--- a/replay/config.go
+++ b/replay/config.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -23,26 +23,26 @@
 	Author  string
 	Content []byte // TOML
 	Removed bool
-	Offset  platform.Offset // of its change: the base of the next edit
+	Offset  infra.Offset // of its change: the base of the next edit
 }
 
 // Pending is a change without a verdict.
 type Pending struct {
-	Offset platform.Offset
+	Offset infra.Offset
 	Change *record.ConfigChange // not to be changed
 }
 
 // ConfigView is an immutable view of the config stream.
 type ConfigView struct {
-	Offset  platform.Offset
-	Changed platform.Offset // the verdict that last changed what is in force; 0: none did
+	Offset  infra.Offset
+	Changed infra.Offset // the verdict that last changed what is in force; 0: none did
 	Files   []*File         // by name; removed ones included
 	Pending []Pending       // oldest first: the first one is next to be judged
 }
 
 // Base returns the offset of the file's version in force, which an edit of it
 // has to name; 0 for a file that was never in force.
-func (v *ConfigView) Base(file string) platform.Offset {
+func (v *ConfigView) Base(file string) infra.Offset {
 	i, found := slices.BinarySearchFunc(v.Files, file, func(f *File, name string) int { return cmp.Compare(f.Name, name) })
 	if !found {
 		return 0
@@ -58,7 +58,7 @@
 	base
 	files   map[string]*File
 	pending []Pending
-	changed platform.Offset
+	changed infra.Offset
 	view    *ConfigView // of the state now, or nil
 }
 
@@ -68,7 +68,7 @@
 }
 
 // Apply implements Machine.
-func (c *Config) Apply(offset platform.Offset, r *record.Record) {
+func (c *Config) Apply(offset infra.Offset, r *record.Record) {
 	if !c.begin(offset, r) {
 		return
 	}
@@ -84,7 +84,7 @@
 	}
 }
 
-func (c *Config) propose(offset platform.Offset, change *record.ConfigChange) verdict {
+func (c *Config) propose(offset infra.Offset, change *record.ConfigChange) verdict {
 	if change.GetFile() == "" || len(c.pending) >= MaxPending {
 		return void
 	}
@@ -93,8 +93,8 @@
 	return applied
 }
 
-func (c *Config) judge(offset platform.Offset, v *record.ConfigVerdict) verdict {
-	if len(c.pending) == 0 || platform.Offset(v.GetChange()) != c.pending[0].Offset {
+func (c *Config) judge(offset infra.Offset, v *record.ConfigVerdict) verdict {
+	if len(c.pending) == 0 || infra.Offset(v.GetChange()) != c.pending[0].Offset {
 		return void
 	}
 	judged := c.pending[0]
@@ -143,10 +143,10 @@
 func (c *Config) Pending() []Pending { return c.View().Pending }
 
 // Changed returns the offset of the verdict that last changed what is in force.
-func (c *Config) Changed() platform.Offset { return c.changed }
+func (c *Config) Changed() infra.Offset { return c.changed }
 
 // Base returns the offset of the file's version in force, or 0.
-func (c *Config) Base(file string) platform.Offset {
+func (c *Config) Base(file string) infra.Offset {
 	if f := c.files[file]; f != nil {
 		return f.Offset
 	}
@@ -179,17 +179,17 @@
 	}
 	c.restore(cp)
 	c.view = nil
-	c.changed = platform.Offset(state.GetChanged())
+	c.changed = infra.Offset(state.GetChanged())
 	c.files = make(map[string]*File, len(state.GetFiles()))
 	for _, f := range state.GetFiles() {
 		c.files[f.GetFile()] = &File{
 			Name: f.GetFile(), Partner: f.GetPartner(), Author: f.GetAuthor(),
-			Content: f.GetContent(), Removed: f.GetRemoved(), Offset: platform.Offset(f.GetOffset()),
+			Content: f.GetContent(), Removed: f.GetRemoved(), Offset: infra.Offset(f.GetOffset()),
 		}
 	}
 	c.pending = nil
 	for _, p := range state.GetPending() {
-		c.pending = append(c.pending, Pending{Offset: platform.Offset(p.GetOffset()), Change: p.GetChange()})
+		c.pending = append(c.pending, Pending{Offset: infra.Offset(p.GetOffset()), Change: p.GetChange()})
 	}
 	return nil
 }
--- a/replay/control.go
+++ b/replay/control.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -12,7 +12,7 @@
 type Control struct {
 	base
 	lease    Lease
-	orderers map[string]platform.Offset
+	orderers map[string]infra.Offset
 	servers  map[string]*Server // each is replaced, never changed
 	view     *ControlView       // handed out last
 	stale    stale              // what changed since
@@ -25,14 +25,14 @@
 func NewControl() *Control {
 	return &Control{
 		base:     newBase(),
-		orderers: map[string]platform.Offset{},
+		orderers: map[string]infra.Offset{},
 		servers:  map[string]*Server{},
 		stale:    stale{orderers: true, servers: true},
 	}
 }
 
 // Apply implements Machine.
-func (c *Control) Apply(offset platform.Offset, r *record.Record) {
+func (c *Control) Apply(offset infra.Offset, r *record.Record) {
 	if !c.begin(offset, r) {
 		return
 	}
@@ -61,8 +61,8 @@
 }
 
 // claim is a compare-and-set on the lease that the claimant saw.
-func (c *Control) claim(offset platform.Offset, r *record.LeaseClaim) verdict {
-	seen := platform.Offset(r.GetPrevious()) == c.lease.ID && platform.Offset(r.GetLastSeen()) == c.lease.Renewed
+func (c *Control) claim(offset infra.Offset, r *record.LeaseClaim) verdict {
+	seen := infra.Offset(r.GetPrevious()) == c.lease.ID && infra.Offset(r.GetLastSeen()) == c.lease.Renewed
 	if !seen || r.GetHolder() == "" || r.GetDurationMs() == 0 {
 		return void
 	}
@@ -70,7 +70,7 @@
 	return applied
 }
 
-func (c *Control) renew(offset platform.Offset, lease uint64) verdict {
+func (c *Control) renew(offset infra.Offset, lease uint64) verdict {
 	if !c.inEffect(lease) {
 		return void
 	}
@@ -78,7 +78,7 @@
 	return applied
 }
 
-func (c *Control) release(offset platform.Offset, lease uint64) verdict {
+func (c *Control) release(offset infra.Offset, lease uint64) verdict {
 	if !c.inEffect(lease) {
 		return void
 	}
@@ -91,12 +91,12 @@
 // given up. That its time may have run out doesn't matter to a reader: only
 // another claim on the log ends it.
 func (c *Control) inEffect(lease uint64) bool {
-	return lease != 0 && platform.Offset(lease) == c.lease.ID && !c.lease.Released
+	return lease != 0 && infra.Offset(lease) == c.lease.ID && !c.lease.Released
 }
 
 // join keeps an orderer's first join, should it say so twice: the older the
 // join, the more it is asked.
-func (c *Control) join(offset platform.Offset, instance string) verdict {
+func (c *Control) join(offset infra.Offset, instance string) verdict {
 	if _, joined := c.orderers[instance]; joined || instance == "" {
 		return void
 	}
--- a/replay/control_checkpoint.go
+++ b/replay/control_checkpoint.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -38,15 +38,15 @@
 	}
 	c.restore(cp)
 	c.lease = Lease{
-		ID:         platform.Offset(state.GetLease()),
+		ID:         infra.Offset(state.GetLease()),
 		Holder:     state.GetHolder(),
 		DurationMS: state.GetDurationMs(),
-		Renewed:    platform.Offset(state.GetRenewed()),
+		Renewed:    infra.Offset(state.GetRenewed()),
 		Released:   state.GetReleased(),
 	}
-	c.orderers = make(map[string]platform.Offset, len(state.GetOrderers()))
+	c.orderers = make(map[string]infra.Offset, len(state.GetOrderers()))
 	for _, o := range state.GetOrderers() {
-		c.orderers[o.GetInstance()] = platform.Offset(o.GetJoined())
+		c.orderers[o.GetInstance()] = infra.Offset(o.GetJoined())
 	}
 	c.servers = make(map[string]*Server, len(state.GetServers()))
 	for _, s := range state.GetServers() {
@@ -74,7 +74,7 @@
 		ID:         s.GetServer(),
 		Pool:       s.GetPool(),
 		MemoryMiB:  s.GetMemoryMib(),
-		Assignment: platform.Offset(s.GetAssignment()),
+		Assignment: infra.Offset(s.GetAssignment()),
 		Assigned:   items(s.GetAssigned()),
 		Lingering:  items(s.GetLingering()),
 		Ready:      items(s.GetReady()),
@@ -83,7 +83,7 @@
 }
 
 // ItemRecords converts items to what a record bears.
-func ItemRecords(items []platform.Item) []*record.Item {
+func ItemRecords(items []infra.Item) []*record.Item {
 	var out []*record.Item
 	for _, i := range items {
 		out = append(out, &record.Item{Model: i.Model, Adapter: i.Adapter, Version: i.Version, Mib: i.MiB})
@@ -91,8 +91,8 @@
 	return out
 }
 
-func items(records []*record.Item) []platform.Item {
-	var out []platform.Item
+func items(records []*record.Item) []infra.Item {
+	var out []infra.Item
 	for _, i := range records {
 		out = append(out, Item(i))
 	}
--- a/replay/errors.go
+++ b/replay/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // CheckpointVersion is the newest form of checkpoints that this program
@@ -12,8 +12,8 @@
 
 // StaleCheckpointError refuses a checkpoint that would take a reader back.
 type StaleCheckpointError struct {
-	Covers platform.Offset // the checkpoint's
-	Offset platform.Offset // the reader's
+	Covers infra.Offset // the checkpoint's
+	Offset infra.Offset // the reader's
 }
 
 // Error implements error.
--- a/replay/machines_test.go
+++ b/replay/machines_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -38,20 +38,20 @@
 	return &record.Record{Body: &record.Record_LeaseRelease{LeaseRelease: &record.LeaseRelease{Lease: lease}}}
 }
 
-func assignment(lease uint64, server string, memory int64, items ...platform.Item) *record.Record {
+func assignment(lease uint64, server string, memory int64, items ...infra.Item) *record.Record {
 	return &record.Record{Body: &record.Record_Assignment{Assignment: &record.Assignment{Lease: lease, Server: server, MemoryMib: memory, Items: ItemRecords(items)}}}
 }
 
-func removal(lease uint64, server string, assignment uint64, items ...platform.Item) *record.Record {
+func removal(lease uint64, server string, assignment uint64, items ...infra.Item) *record.Record {
 	return &record.Record{Body: &record.Record_Removal{Removal: &record.Removal{Lease: lease, Server: server, Assignment: assignment, Items: ItemRecords(items)}}}
 }
 
-func readiness(lease uint64, server, boot string, items ...platform.Item) *record.Record {
+func readiness(lease uint64, server, boot string, items ...infra.Item) *record.Record {
 	return &record.Record{Body: &record.Record_Readiness{Readiness: &record.Readiness{Lease: lease, Server: server, Boot: boot, Items: ItemRecords(items)}}}
 }
 
-func model(name string, mib int64) platform.Item {
-	return platform.Item{Model: name, Version: "1", MiB: mib}
+func model(name string, mib int64) infra.Item {
+	return infra.Item{Model: name, Version: "1", MiB: mib}
 }
 
 func TestConfigTakesVerdictsInTheOrderOfTheChanges(t *testing.T) {
@@ -111,12 +111,12 @@
 	feed(c, assignment(1, "s", 10), assignment(1, "s", 10, b)) // 4 drops a, 5 void: a lingers
 	s := c.View().Servers["s"]
 	require.EqualValues(t, 4, s.Assignment)
-	require.Equal(t, []platform.Item{a}, s.Lingering)
+	require.Equal(t, []infra.Item{a}, s.Lingering)
 	feed(c, removal(1, "s", 2, a)) // 6: names an older assignment
 	require.Len(t, c.View().Servers["s"].Lingering, 1)
 	feed(c, removal(1, "s", 4, a), assignment(1, "s", 10, b)) // 7, 8
 	s = c.View().Servers["s"]
-	require.Equal(t, []platform.Item{b}, s.Assigned)
+	require.Equal(t, []infra.Item{b}, s.Assigned)
 	require.Empty(t, s.Lingering)
 }
 
@@ -124,14 +124,14 @@
 	c := NewControl()
 	a, b := model("a", 6), model("b", 4)
 	feed(c, claimLease("h", 0, 0), assignment(1, "s", 10, a), readiness(1, "s", "boot", a, b))
-	require.Equal(t, []platform.Item{a}, c.View().Servers["s"].Ready, "b isn't assigned")
+	require.Equal(t, []infra.Item{a}, c.View().Servers["s"].Ready, "b isn't assigned")
 	feed(c, assignment(1, "s", 10), assignment(1, "s", 10, a, b))
 	s := c.View().Servers["s"]
 	require.Len(t, s.Assigned, 2)
 	require.Empty(t, s.Lingering)
 	require.Empty(t, s.Ready)
 	feed(c, readiness(1, "s", "boot", a))
-	require.Equal(t, []platform.Item{a}, c.View().Servers["s"].Ready)
+	require.Equal(t, []infra.Item{a}, c.View().Servers["s"].Ready)
 }
 
 func TestItemThatMayBeThereKeepsItsLargerSize(t *testing.T) {
--- a/replay/origins.go
+++ b/replay/origins.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -17,7 +17,7 @@
 
 type originMark struct {
 	sequence uint64
-	last     platform.Offset
+	last     infra.Offset
 }
 
 // origins finds repeated records: a writer's sequences grow without gaps in a
@@ -26,7 +26,7 @@
 type origins map[string]originMark
 
 // see notes a record and says whether it is new. A record without an id always is.
-func (o origins) see(offset platform.Offset, origin string, sequence uint64) bool {
+func (o origins) see(offset infra.Offset, origin string, sequence uint64) bool {
 	if origin == "" || sequence == 0 {
 		return true
 	}
@@ -43,12 +43,12 @@
 	return true
 }
 
-func (m originMark) live(offset platform.Offset) bool {
+func (m originMark) live(offset infra.Offset) bool {
 	return offset-m.last < OriginDistance
 }
 
 // sweep frees the memory of origins that are no longer live.
-func (o origins) sweep(offset platform.Offset) {
+func (o origins) sweep(offset infra.Offset) {
 	for origin, mark := range o {
 		if !mark.live(offset) {
 			delete(o, origin)
@@ -57,7 +57,7 @@
 }
 
 // marks returns the live origins, sorted.
-func (o origins) marks(offset platform.Offset) []*record.OriginMark {
+func (o origins) marks(offset infra.Offset) []*record.OriginMark {
 	var out []*record.OriginMark
 	for origin, mark := range o {
 		if mark.live(offset) {
@@ -71,6 +71,6 @@
 func (o origins) restore(marks []*record.OriginMark) {
 	clear(o)
 	for _, m := range marks {
-		o[m.GetOrigin()] = originMark{sequence: m.GetSequence(), last: platform.Offset(m.GetLast())}
+		o[m.GetOrigin()] = originMark{sequence: m.GetSequence(), last: infra.Offset(m.GetLast())}
 	}
 }
--- a/replay/property_test.go
+++ b/replay/property_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -52,9 +52,9 @@
 	return judged(drawOffset(t, offset), rapid.Bool().Draw(t, "accepted"))
 }
 
-func drawItems(t *rapid.T) []platform.Item {
+func drawItems(t *rapid.T) []infra.Item {
 	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 3, rapid.ID[string]).Draw(t, "models")
-	var out []platform.Item
+	var out []infra.Item
 	for _, name := range names {
 		out = append(out, model(name, rapid.Int64Range(0, 6).Draw(t, "mib")))
 	}
@@ -121,9 +121,9 @@
 					if i == from {
 						restart(t, whole, restarted)
 					}
-					whole.Apply(platform.Offset(i+1), r)
+					whole.Apply(infra.Offset(i+1), r)
 					if i >= from {
-						restarted.Apply(platform.Offset(i+1), r)
+						restarted.Apply(infra.Offset(i+1), r)
 						require.Equal(t, encoded(t, whole), encoded(t, restarted), "after %d", i+1)
 					}
 				}
@@ -147,11 +147,11 @@
 				records := stream(t, m.draw)
 				reader := m.make()
 				for i, r := range records {
-					reader.Apply(platform.Offset(i+1), r)
+					reader.Apply(infra.Offset(i+1), r)
 				}
 				before := encoded(t, reader)
 				for i, r := range records {
-					reader.Apply(platform.Offset(i+1), r)
+					reader.Apply(infra.Offset(i+1), r)
 				}
 				require.Equal(t, before, encoded(t, reader))
 			})
@@ -166,7 +166,7 @@
 		c := NewConfig()
 		before := map[string]*File{}
 		for i, r := range stream(t, drawConfig) {
-			c.Apply(platform.Offset(i+1), r)
+			c.Apply(infra.Offset(i+1), r)
 			for _, f := range c.Files() {
 				old := before[f.Name]
 				if old == f {
@@ -190,14 +190,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := NewControl()
 		for i, r := range stream(t, drawControl) {
-			c.Apply(platform.Offset(i+1), r)
+			c.Apply(infra.Offset(i+1), r)
 			for _, s := range c.View().Servers {
 				require.True(t, Fits(s.MemoryMiB, s.Assigned, s.Lingering), "%+v", s)
 				for _, ready := range s.Ready {
 					require.Contains(t, s.Assigned, ready)
 				}
 				for _, l := range s.Lingering {
-					again := func(i platform.Item) bool { return i.Key() == l.Key() }
+					again := func(i infra.Item) bool { return i.Key() == l.Key() }
 					require.False(t, slices.ContainsFunc(s.Assigned, again))
 				}
 			}
@@ -211,7 +211,7 @@
 		c := NewControl()
 		for i, r := range stream(t, drawControl) {
 			before := c.Lease()
-			c.Apply(platform.Offset(i+1), r)
+			c.Apply(infra.Offset(i+1), r)
 			if after := c.Lease(); after.ID != before.ID {
 				require.Equal(t, uint64(before.ID), r.GetLeaseClaim().GetPrevious())
 				require.Equal(t, uint64(before.Renewed), r.GetLeaseClaim().GetLastSeen())
@@ -241,7 +241,7 @@
 		c := NewClaims(1)
 		running := map[ClaimKey]Claimed{}
 		for i, r := range records {
-			c.Apply(platform.Offset(i+1), r)
+			c.Apply(infra.Offset(i+1), r)
 			for key, granted := range running {
 				said := r.GetClaimResult()
 				if granted.Offset < c.Expired() || said.GetAttempt() == granted.Attempt && said.GetOutcome() == record.ClaimResult_NOT_RUN {
@@ -250,7 +250,7 @@
 			}
 			key, _ := claimKeyOf(r.GetClaim().GetKey())
 			s, stands := c.Standing(key)
-			if r.GetClaim() == nil || !stands || s.Offset != platform.Offset(i+1) {
+			if r.GetClaim() == nil || !stands || s.Offset != infra.Offset(i+1) {
 				continue
 			}
 			require.NotContains(t, running, key)
@@ -265,11 +265,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		records := stream(t, drawClaims)
 		from := rapid.IntRange(0, len(records)-1).Draw(t, "from")
-		whole, late := NewClaims(1), NewClaims(platform.Offset(from+1))
+		whole, late := NewClaims(1), NewClaims(infra.Offset(from+1))
 		for i, r := range records {
-			whole.Apply(platform.Offset(i+1), r)
+			whole.Apply(infra.Offset(i+1), r)
 			if i >= from {
-				late.Apply(platform.Offset(i+1), r)
+				late.Apply(infra.Offset(i+1), r)
 			}
 			if !late.Complete() {
 				continue
--- a/replay/quarantine.go
+++ b/replay/quarantine.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -34,12 +34,12 @@
 // Suspect is a request during which at least one backend server died. It is immutable.
 type Suspect struct {
 	Crashes []Crash // on distinct (server, boot), oldest first
-	Last    platform.Offset
+	Last    infra.Offset
 }
 
 // QuarantineView is an immutable view of the quarantine stream.
 type QuarantineView struct {
-	Offset   platform.Offset
+	Offset   infra.Offset
 	Suspects map[Fingerprint]*Suspect
 }
 
@@ -91,7 +91,7 @@
 }
 
 // Apply implements Machine.
-func (q *Quarantine) Apply(offset platform.Offset, r *record.Record) {
+func (q *Quarantine) Apply(offset infra.Offset, r *record.Record) {
 	if !q.begin(offset, r) {
 		return
 	}
@@ -105,7 +105,7 @@
 	}
 }
 
-func (q *Quarantine) crash(offset platform.Offset, r *record.Crash) verdict {
+func (q *Quarantine) crash(offset infra.Offset, r *record.Crash) verdict {
 	f, ok := fingerprintOf(r.GetFingerprint())
 	if !ok || r.GetServer() == "" {
 		return void
@@ -149,7 +149,7 @@
 		return
 	}
 	var oldest Fingerprint
-	last := platform.Offset(0)
+	last := infra.Offset(0)
 	for f, s := range q.suspects {
 		if last == 0 || s.Last < last {
 			oldest, last = f, s.Last
@@ -207,7 +207,7 @@
 		if !ok {
 			continue
 		}
-		suspect := &Suspect{Last: platform.Offset(s.GetLast())}
+		suspect := &Suspect{Last: infra.Offset(s.GetLast())}
 		for _, c := range s.GetCrashes() {
 			suspect.Crashes = append(suspect.Crashes, crashOf(c))
 		}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -6,7 +6,7 @@
 package replay
 
 import (
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/record"
 )
 
@@ -14,9 +14,9 @@
 type Machine interface {
 	// Apply steps the machine with the record at the next offset. Offsets
 	// ascend; one that was applied already is ignored.
-	Apply(offset platform.Offset, r *record.Record)
+	Apply(offset infra.Offset, r *record.Record)
 	// Offset returns the offset last applied.
-	Offset() platform.Offset
+	Offset() infra.Offset
 	// Checkpoint returns the whole state after Offset, or nil for a stream
 	// that has none.
 	Checkpoint() *record.Checkpoint
@@ -26,24 +26,24 @@
 }
 
 // Item converts a record's item.
-func Item(i *record.Item) platform.Item {
-	return platform.Item{Model: i.GetModel(), Adapter: i.GetAdapter(), Version: i.GetVersion(), MiB: i.GetMib()}
+func Item(i *record.Item) infra.Item {
+	return infra.Item{Model: i.GetModel(), Adapter: i.GetAdapter(), Version: i.GetVersion(), MiB: i.GetMib()}
 }
 
 // ControlView is an immutable view of a failure domain's control stream.
 type ControlView struct {
-	Offset   platform.Offset
+	Offset   infra.Offset
 	Lease    Lease
-	Orderers map[string]platform.Offset // instances that may send orders, and where they joined
+	Orderers map[string]infra.Offset // instances that may send orders, and where they joined
 	Servers  map[string]*Server         // by backend server id; each *Server is immutable too
 }
 
 // Lease is a failure domain's placement lease.
 type Lease struct {
-	ID         platform.Offset // the claim's offset; 0: none was ever claimed
+	ID         infra.Offset // the claim's offset; 0: none was ever claimed
 	Holder     string          // instance id
 	DurationMS uint32
-	Renewed    platform.Offset // the last record that extended it
+	Renewed    infra.Offset // the last record that extended it
 	Released   bool
 }
 
@@ -52,9 +52,9 @@
 	ID         string
 	Pool       string
 	MemoryMiB  int64
-	Assignment platform.Offset // the newest assignment's offset: the fencing number of its orders
-	Assigned   []platform.Item // what it may hold
-	Lingering  []platform.Item // dropped, but may still be there or come back
-	Ready      []platform.Item // what it is known to serve; a subset of Assigned
+	Assignment infra.Offset // the newest assignment's offset: the fencing number of its orders
+	Assigned   []infra.Item // what it may hold
+	Lingering  []infra.Item // dropped, but may still be there or come back
+	Ready      []infra.Item // what it is known to serve; a subset of Assigned
 	Boot       string
 }
--- a/standin/bench_test.go
+++ b/standin/bench_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // BenchmarkEngineHTTP measures how many tokens a second one engine gives over
@@ -24,8 +24,8 @@
 			defer server.Close()
 			transport := &http.Transport{MaxIdleConnsPerHost: streams}
 			defer transport.CloseIdleConnections()
-			engine := platform.NewHTTPEngine(&http.Client{Transport: transport})
-			require.NoError(b, engine.Order(b.Context(), server.Addr(), platform.Order{Kind: platform.OrderLoad, Item: planner}))
+			engine := infra.NewHTTPEngine(&http.Client{Transport: transport})
+			require.NoError(b, engine.Order(b.Context(), server.Addr(), infra.Order{Kind: infra.OrderLoad, Item: planner}))
 			waitReady(b, engine, server.Addr())
 			start := time.Now()
 			for b.Loop() {
--- a/standin/direct.go
+++ b/standin/direct.go
@@ -4,17 +4,17 @@
 	"context"
 	"sync"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
-// Engines is a platform.Engine over engines in the same process, each at the
+// Engines is a infra.Engine over engines in the same process, each at the
 // address that Add gave it.
 type Engines struct {
 	mu     sync.Mutex
 	byAddr map[string]*Engine
 }
 
-var _ platform.Engine = (*Engines)(nil)
+var _ infra.Engine = (*Engines)(nil)
 
 // NewEngines returns an Engines without any.
 func NewEngines() *Engines { return &Engines{byAddr: map[string]*Engine{}} }
@@ -32,11 +32,11 @@
 	if e := s.byAddr[addr]; e != nil {
 		return e, nil
 	}
-	return nil, refusal(op, addr, platform.ReasonUnreachable)
+	return nil, refusal(op, addr, infra.ReasonUnreachable)
 }
 
-// Generate implements platform.Engine.
-func (s *Engines) Generate(ctx context.Context, addr string, req platform.GenerateRequest) (platform.Stream, error) {
+// Generate implements infra.Engine.
+func (s *Engines) Generate(ctx context.Context, addr string, req infra.GenerateRequest) (infra.Stream, error) {
 	e, err := s.at("engine.generate", addr)
 	if err != nil {
 		return nil, err
@@ -44,7 +44,7 @@
 	return e.generate(ctx, req)
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements infra.Engine.
 func (s *Engines) Cancel(ctx context.Context, addr, attempt string) error {
 	e, err := s.at("engine.cancel", addr)
 	if err != nil {
@@ -53,8 +53,8 @@
 	return e.cancel(ctx, attempt)
 }
 
-// Order implements platform.Engine.
-func (s *Engines) Order(ctx context.Context, addr string, order platform.Order) error {
+// Order implements infra.Engine.
+func (s *Engines) Order(ctx context.Context, addr string, order infra.Order) error {
 	e, err := s.at("engine.order", addr)
 	if err != nil {
 		return err
@@ -62,17 +62,17 @@
 	return e.order(ctx, order)
 }
 
-// Status implements platform.Engine.
-func (s *Engines) Status(ctx context.Context, addr string) (platform.ServerStatus, error) {
+// Status implements infra.Engine.
+func (s *Engines) Status(ctx context.Context, addr string) (infra.ServerStatus, error) {
 	e, err := s.at("engine.status", addr)
 	if err != nil {
-		return platform.ServerStatus{}, err
+		return infra.ServerStatus{}, err
 	}
 	return e.status(ctx)
 }
 
-// CacheEvents implements platform.Engine.
-func (s *Engines) CacheEvents(ctx context.Context, addr string, after uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements infra.Engine.
+func (s *Engines) CacheEvents(ctx context.Context, addr string, after uint64) ([]infra.CacheEvent, error) {
 	e, err := s.at("engine.cache_events", addr)
 	if err != nil {
 		return nil, err
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Defaults of engines. The speeds are those of a mid-sized model on one
@@ -90,7 +90,7 @@
 	slow     float64
 	fence    uint64
 	pieces   PieceHook
-	items    map[platform.Key]*residentItem
+	items    map[infra.Key]*residentItem
 	attempts map[string]*attempt
 	running  []*attempt
 	waiting  []*attempt // highest priority first, then oldest first
@@ -111,7 +111,7 @@
 		options:  options,
 		wake:     make(chan struct{}, 1),
 		slow:     1,
-		items:    map[platform.Key]*residentItem{},
+		items:    map[infra.Key]*residentItem{},
 		attempts: map[string]*attempt{},
 		cache:    newPrefixCache(options),
 	}
@@ -191,7 +191,7 @@
 	for _, a := range slices.Concat(e.running, e.waiting) {
 		e.endAttempt(a, EndCrashed)
 	}
-	e.items = map[platform.Key]*residentItem{}
+	e.items = map[infra.Key]*residentItem{}
 	e.cache = newPrefixCache(e.options)
 	if !e.options.KeepsFence {
 		e.fence = 0
@@ -235,20 +235,20 @@
 	if e.up {
 		return nil
 	}
-	return refusal(op, e.options.ID, platform.ReasonUnreachable)
+	return refusal(op, e.options.ID, infra.ReasonUnreachable)
 }
 
-// status implements platform.Engine's Status for one server.
-func (e *Engine) status(ctx context.Context) (platform.ServerStatus, error) {
+// status implements infra.Engine's Status for one server.
+func (e *Engine) status(ctx context.Context) (infra.ServerStatus, error) {
 	const op = "engine.status"
-	var status platform.ServerStatus
+	var status infra.ServerStatus
 	err := e.Faults.do(ctx, op, e.options.ID, func() error {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if err := e.down(op); err != nil {
 			return err
 		}
-		status = platform.ServerStatus{
+		status = infra.ServerStatus{
 			ID:        e.options.ID,
 			Boot:      fmt.Sprintf("%s-%d", e.options.ID, e.boots),
 			Leaving:   e.leaving,
@@ -263,8 +263,8 @@
 }
 
 // load returns its own report, which lags. The caller holds mu.
-func (e *Engine) load() platform.Load {
-	return e.speed.report(e.options.LoadLag, platform.Load{
+func (e *Engine) load() infra.Load {
+	return e.speed.report(e.options.LoadLag, infra.Load{
 		Running: len(e.running),
 		Waiting: len(e.waiting),
 		Slots:   e.options.Slots,
@@ -273,12 +273,12 @@
 
 // speedometer measures tokens a second between its reports.
 type speedometer struct {
-	last   platform.Load
+	last   infra.Load
 	at     time.Time
 	tokens int
 }
 
-func (s *speedometer) report(lag time.Duration, now platform.Load) platform.Load {
+func (s *speedometer) report(lag time.Duration, now infra.Load) infra.Load {
 	age := time.Since(s.at)
 	if age < lag {
 		return s.last
--- a/standin/engine_batch.go
+++ b/standin/engine_batch.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // streamBuffer is how many events wait for a stream's reader. When it is full
@@ -19,20 +19,20 @@
 
 // attempt is one accepted request.
 type attempt struct {
-	req    platform.GenerateRequest
+	req    infra.GenerateRequest
 	answer Answer
 	length int
-	finish platform.Finish
+	finish infra.Finish
 	items  []*residentItem
 	run    *Run
 	next   int                 // index of the token to generate
-	out    chan platform.Event // full: the reader is behind, and the request waits
+	out    chan infra.Event // full: the reader is behind, and the request waits
 	gone   chan struct{}       // closed when the attempt ended without its Finish
 	ended  bool
 }
 
-// generate implements platform.Engine's Generate for one server.
-func (e *Engine) generate(ctx context.Context, req platform.GenerateRequest) (platform.Stream, error) {
+// generate implements infra.Engine's Generate for one server.
+func (e *Engine) generate(ctx context.Context, req infra.GenerateRequest) (infra.Stream, error) {
 	const op = "engine.generate"
 	var s *engineStream
 	err := e.Faults.do(ctx, op, e.options.ID, func() error {
@@ -58,29 +58,29 @@
 }
 
 // refuses returns why it won't start a request, or "". The caller holds mu.
-func (e *Engine) refuses(req platform.GenerateRequest) platform.Reason {
+func (e *Engine) refuses(req infra.GenerateRequest) infra.Reason {
 	if req.Attempt == "" || req.MaxTokens <= 0 || len(req.Prefix) > req.MaxTokens {
-		return platform.ReasonBadRequest
+		return infra.ReasonBadRequest
 	}
 	if e.leaving {
-		return platform.ReasonLeaving
+		return infra.ReasonLeaving
 	}
 	if _, ok := e.ready(req); !ok {
-		return platform.ReasonNotResident
+		return infra.ReasonNotResident
 	}
 	if len(e.running) >= e.options.Slots && len(e.waiting) >= e.options.MaxWaiting {
-		return platform.ReasonOverloaded
+		return infra.ReasonOverloaded
 	}
 	return ""
 }
 
 // accept queues a request. The caller holds mu.
-func (e *Engine) accept(req platform.GenerateRequest) *attempt {
+func (e *Engine) accept(req infra.GenerateRequest) *attempt {
 	a := &attempt{
 		req:    req,
 		answer: AnswerTo(req),
 		next:   len(req.Prefix),
-		out:    make(chan platform.Event, streamBuffer),
+		out:    make(chan infra.Event, streamBuffer),
 		gone:   make(chan struct{}),
 	}
 	a.length, a.finish = a.answer.Length(req.MaxTokens)
@@ -166,7 +166,7 @@
 func (e *Engine) prefill(a *attempt) time.Duration {
 	size := len(a.req.Prompt)
 	if e.cache.use(a.req.Model, a.req.Prompt) {
-		size -= min(size, platform.PrefixBytes)
+		size -= min(size, infra.PrefixBytes)
 	}
 	return time.Duration(size) * e.options.PrefillPerKiB / 1024
 }
@@ -194,13 +194,13 @@
 	}
 	if a.next >= a.length {
 		load := e.load()
-		a.out <- platform.Event{Attempt: a.req.Attempt, Index: a.length, Finish: a.finish, Load: &load}
+		a.out <- infra.Event{Attempt: a.req.Attempt, Index: a.length, Finish: a.finish, Load: &load}
 		e.endAttempt(a, EndComplete)
 	}
 }
 
-func (e *Engine) event(a *attempt) platform.Event {
-	event := platform.Event{Attempt: a.req.Attempt, Index: a.next, Token: a.answer.Token(a.next)}
+func (e *Engine) event(a *attempt) infra.Event {
+	event := infra.Event{Attempt: a.req.Attempt, Index: a.next, Token: a.answer.Token(a.next)}
 	if a.next%loadEvery == 0 {
 		load := e.load()
 		event.Load = &load
@@ -227,7 +227,7 @@
 	e.release(a.items)
 }
 
-// cancel implements platform.Engine's Cancel for one server.
+// cancel implements infra.Engine's Cancel for one server.
 func (e *Engine) cancel(ctx context.Context, id string) error {
 	const op = "engine.cancel"
 	return e.Faults.do(ctx, op, e.options.ID, func() error {
@@ -243,10 +243,10 @@
 	})
 }
 
-// cacheEvents implements platform.Engine's CacheEvents for one server.
-func (e *Engine) cacheEvents(ctx context.Context, after uint64) ([]platform.CacheEvent, error) {
+// cacheEvents implements infra.Engine's CacheEvents for one server.
+func (e *Engine) cacheEvents(ctx context.Context, after uint64) ([]infra.CacheEvent, error) {
 	const op = "engine.cache_events"
-	var events []platform.CacheEvent
+	var events []infra.CacheEvent
 	err := e.Faults.do(ctx, op, e.options.ID, func() error {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/standin/engine_cache.go
+++ b/standin/engine_cache.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // maxCacheEvents bounds the cache events that an engine keeps.
@@ -27,7 +27,7 @@
 }
 
 type cacheEntry struct {
-	event platform.CacheEvent
+	event infra.CacheEvent
 	at    time.Time
 }
 
@@ -37,7 +37,7 @@
 
 // use takes in a prompt's prefix, and says whether it was there.
 func (c *prefixCache) use(model, prompt string) bool {
-	key := prefixKey{model: model, prefix: platform.PrefixHash(prompt)}
+	key := prefixKey{model: model, prefix: infra.PrefixHash(prompt)}
 	i := slices.Index(c.keys, key)
 	if i >= 0 {
 		c.keys = append(slices.Delete(c.keys, i, i+1), key)
@@ -57,7 +57,7 @@
 	if c.gap > 0 && c.sequence%uint64(c.gap) == 0 {
 		return
 	}
-	event := platform.CacheEvent{Sequence: c.sequence, Model: key.model, Prefix: key.prefix, Dropped: dropped}
+	event := infra.CacheEvent{Sequence: c.sequence, Model: key.model, Prefix: key.prefix, Dropped: dropped}
 	c.events = append(c.events, cacheEntry{event: event, at: time.Now()})
 	if len(c.events) > maxCacheEvents {
 		c.events = slices.Delete(c.events, 0, len(c.events)-maxCacheEvents)
@@ -65,9 +65,9 @@
 }
 
 // after returns the events after a sequence number that show by now.
-func (c *prefixCache) after(sequence uint64) []platform.CacheEvent {
+func (c *prefixCache) after(sequence uint64) []infra.CacheEvent {
 	shown := time.Now().Add(-c.lag)
-	list := []platform.CacheEvent{}
+	list := []infra.CacheEvent{}
 	for _, entry := range c.events {
 		if entry.event.Sequence > sequence && !entry.at.After(shown) {
 			list = append(list, entry.event)
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -5,16 +5,16 @@
 	"net/http"
 	"strconv"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func (e *Engine) routes() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathGenerate, e.serveGenerate)
-	mux.HandleFunc("POST "+platform.PathCancel, e.serveCancel)
-	mux.HandleFunc("POST "+platform.PathOrder, e.serveOrder)
-	mux.HandleFunc("GET "+platform.PathStatus, e.serveStatus)
-	mux.HandleFunc("GET "+platform.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+infra.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("POST "+infra.PathCancel, e.serveCancel)
+	mux.HandleFunc("POST "+infra.PathOrder, e.serveOrder)
+	mux.HandleFunc("GET "+infra.PathStatus, e.serveStatus)
+	mux.HandleFunc("GET "+infra.PathCacheEvents, e.serveCacheEvents)
 	return mux
 }
 
@@ -31,17 +31,17 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var req platform.GenerateRequest
+	var req infra.GenerateRequest
 	if !readJSON(w, r, &req) {
 		return
 	}
 	stream, err := e.generate(r.Context(), req)
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	defer stream.Close()
-	w.Header().Set("Content-Type", platform.ContentTypeEvents)
+	w.Header().Set("Content-Type", infra.ContentTypeEvents)
 	if !sendEvents(w, stream) {
 		panic(http.ErrAbortHandler)
 	}
@@ -49,7 +49,7 @@
 
 // sendEvents writes a stream's events, and says whether it went out whole. What
 // the reader doesn't take holds it up, and with it the engine.
-func sendEvents(w http.ResponseWriter, stream platform.Stream) bool {
+func sendEvents(w http.ResponseWriter, stream infra.Stream) bool {
 	control := http.NewResponseController(w)
 	if control.Flush() != nil {
 		return false
@@ -73,14 +73,14 @@
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	var body platform.CancelBody
+	var body infra.CancelBody
 	if readJSON(w, r, &body) {
 		answer(w, e.cancel(r.Context(), body.Attempt))
 	}
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order infra.Order
 	if readJSON(w, r, &order) {
 		answer(w, e.order(r.Context(), order))
 	}
@@ -89,7 +89,7 @@
 func (e *Engine) serveStatus(w http.ResponseWriter, r *http.Request) {
 	status, err := e.status(r.Context())
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	writeJSON(w, status)
@@ -98,12 +98,12 @@
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		writeError(w, refusal("engine.cache_events", "", platform.ReasonBadRequest), platform.Batch{})
+		writeError(w, refusal("engine.cache_events", "", infra.ReasonBadRequest), infra.Batch{})
 		return
 	}
 	events, err := e.cacheEvents(r.Context(), after)
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	writeJSON(w, events)
--- a/standin/engine_memory.go
+++ b/standin/engine_memory.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // reloadPause is how long a load waits after the store failed it.
@@ -15,19 +15,19 @@
 
 // residentItem is an item that takes memory.
 type residentItem struct {
-	item  platform.Item
-	state platform.ItemState
+	item  infra.Item
+	state infra.ItemState
 	users int // requests that run on it
 	stop  context.CancelFunc
 }
 
 // residents lists the items, sorted. The caller holds mu.
-func (e *Engine) residents() []platform.ResidentItem {
-	var list []platform.ResidentItem
+func (e *Engine) residents() []infra.ResidentItem {
+	var list []infra.ResidentItem
 	for _, r := range e.items {
-		list = append(list, platform.ResidentItem{Item: r.item, State: r.state})
+		list = append(list, infra.ResidentItem{Item: r.item, State: r.state})
 	}
-	slices.SortFunc(list, func(a, b platform.ResidentItem) int {
+	slices.SortFunc(list, func(a, b infra.ResidentItem) int {
 		return strings.Compare(fmt.Sprint(a.Key()), fmt.Sprint(b.Key()))
 	})
 	return list
@@ -42,8 +42,8 @@
 	return used
 }
 
-// order implements platform.Engine's Order for one server.
-func (e *Engine) order(ctx context.Context, order platform.Order) error {
+// order implements infra.Engine's Order for one server.
+func (e *Engine) order(ctx context.Context, order infra.Order) error {
 	const op = "engine.order"
 	return e.Faults.do(ctx, op, e.options.ID, func() error {
 		e.mu.Lock()
@@ -58,41 +58,41 @@
 }
 
 // carryOut does an order. The caller holds mu.
-func (e *Engine) carryOut(order platform.Order) error {
+func (e *Engine) carryOut(order infra.Order) error {
 	const op = "engine.order"
 	if !e.options.IgnoresFence {
 		if order.Fence < e.fence {
-			return refusal(op, e.options.ID, platform.ReasonStaleFence)
+			return refusal(op, e.options.ID, infra.ReasonStaleFence)
 		}
 		e.fence = order.Fence
 	}
 	switch order.Kind {
-	case platform.OrderFence:
+	case infra.OrderFence:
 		return nil
-	case platform.OrderLoad:
+	case infra.OrderLoad:
 		return e.beginLoad(order.Item)
-	case platform.OrderUnload:
+	case infra.OrderUnload:
 		e.beginUnload(order.Item.Key())
 		return nil
 	}
-	return refusal(op, e.options.ID, platform.ReasonBadRequest)
+	return refusal(op, e.options.ID, infra.ReasonBadRequest)
 }
 
 // beginLoad gives the item its memory, or refuses it. The caller holds mu.
-func (e *Engine) beginLoad(item platform.Item) error {
+func (e *Engine) beginLoad(item infra.Item) error {
 	const op = "engine.order"
 	if r := e.items[item.Key()]; r != nil {
-		if r.state == platform.ItemUnloading {
-			return refusal(op, e.options.ID, platform.ReasonOverloaded)
+		if r.state == infra.ItemUnloading {
+			return refusal(op, e.options.ID, infra.ReasonOverloaded)
 		}
 		return nil
 	}
 	if used := e.used(); used+item.MiB > e.options.MemoryMiB {
 		e.truth.violated(ViolationOvercommit, fmt.Sprintf("load of %v (%d MiB) with %d of %d MiB taken", item.Key(), item.MiB, used, e.options.MemoryMiB))
-		return refusal(op, e.options.ID, platform.ReasonNoMemory)
+		return refusal(op, e.options.ID, infra.ReasonNoMemory)
 	}
 	ctx, stop := context.WithCancel(e.boot)
-	r := &residentItem{item: item, state: platform.ItemLoading, stop: stop}
+	r := &residentItem{item: item, state: infra.ItemLoading, stop: stop}
 	e.items[item.Key()] = r
 	e.truth.peak(e.used())
 	e.loads.Go(func() { e.runLoad(ctx, r) })
@@ -111,21 +111,21 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if ctx.Err() == nil && r.state == platform.ItemLoading {
-		r.state = platform.ItemReady
+	if ctx.Err() == nil && r.state == infra.ItemLoading {
+		r.state = infra.ItemReady
 		e.truth.loaded()
 	}
 }
 
 // beginUnload starts to drop an item. Its memory is taken until the requests
 // that run on it have ended and the unloading is done. The caller holds mu.
-func (e *Engine) beginUnload(key platform.Key) {
+func (e *Engine) beginUnload(key infra.Key) {
 	r := e.items[key]
-	if r == nil || r.state == platform.ItemUnloading {
+	if r == nil || r.state == infra.ItemUnloading {
 		return
 	}
 	r.stop()
-	r.state = platform.ItemUnloading
+	r.state = infra.ItemUnloading
 	e.truth.unloaded()
 	if r.users == 0 {
 		e.finishUnload(r)
@@ -147,17 +147,17 @@
 
 // ready returns the items that a request needs if all can serve. The caller
 // holds mu.
-func (e *Engine) ready(req platform.GenerateRequest) ([]*residentItem, bool) {
+func (e *Engine) ready(req infra.GenerateRequest) ([]*residentItem, bool) {
 	if req.Adapter == "" {
-		r := e.items[platform.Key{Model: req.Model, Version: req.Version}]
-		return []*residentItem{r}, r != nil && r.state == platform.ItemReady
+		r := e.items[infra.Key{Model: req.Model, Version: req.Version}]
+		return []*residentItem{r}, r != nil && r.state == infra.ItemReady
 	}
-	adapter := e.items[platform.Key{Model: req.Model, Adapter: req.Adapter, Version: req.Version}]
-	if adapter == nil || adapter.state != platform.ItemReady {
+	adapter := e.items[infra.Key{Model: req.Model, Adapter: req.Adapter, Version: req.Version}]
+	if adapter == nil || adapter.state != infra.ItemReady {
 		return nil, false
 	}
 	for key, r := range e.items {
-		if key.Model == req.Model && key.Adapter == "" && r.state == platform.ItemReady {
+		if key.Model == req.Model && key.Adapter == "" && r.state == infra.ItemReady {
 			return []*residentItem{adapter, r}, true
 		}
 	}
@@ -168,7 +168,7 @@
 func (e *Engine) release(items []*residentItem) {
 	for _, r := range items {
 		r.users--
-		if r.users == 0 && r.state == platform.ItemUnloading {
+		if r.users == 0 && r.state == infra.ItemUnloading {
 			e.finishUnload(r)
 		}
 	}
--- a/standin/engine_stream.go
+++ b/standin/engine_stream.go
@@ -5,12 +5,12 @@
 	"io"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Pieces is what becomes of one event of a stream.
 type Pieces struct {
-	Send  []platform.Event // sent in its place, in order; none: it is dropped
+	Send  []infra.Event // sent in its place, in order; none: it is dropped
 	Delay time.Duration    // before it is sent
 	Cut   bool             // the stream breaks after them
 }
@@ -18,22 +18,22 @@
 // PieceHook says what becomes of each event of each stream. Calls for one
 // stream come in its order; those for several are concurrent. With what it
 // keeps between calls it can reorder, repeat or mix events.
-type PieceHook func(e platform.Event) Pieces
+type PieceHook func(e infra.Event) Pieces
 
 // Keep sends the event as it is.
-func Keep(e platform.Event) Pieces { return Pieces{Send: []platform.Event{e}} }
+func Keep(e infra.Event) Pieces { return Pieces{Send: []infra.Event{e}} }
 
 // engineStream reads one attempt's events.
 type engineStream struct {
 	ctx     context.Context
 	engine  *Engine
 	attempt *attempt
-	pending []platform.Event
+	pending []infra.Event
 	end     error // what Recv returns once pending is empty; nil while it runs
 	unwatch func() bool
 }
 
-var _ platform.Stream = (*engineStream)(nil)
+var _ infra.Stream = (*engineStream)(nil)
 
 // newEngineStream returns a stream that cancels the attempt when ctx ends.
 func newEngineStream(ctx context.Context, e *Engine, a *attempt) *engineStream {
@@ -42,13 +42,13 @@
 	return s
 }
 
-// Recv implements platform.Stream.
-func (s *engineStream) Recv() (platform.Event, error) {
+// Recv implements infra.Stream.
+func (s *engineStream) Recv() (infra.Event, error) {
 	for len(s.pending) == 0 && s.end == nil {
 		s.fill()
 	}
 	if len(s.pending) == 0 {
-		return platform.Event{}, s.end
+		return infra.Event{}, s.end
 	}
 	event := s.pending[0]
 	s.pending = s.pending[1:]
@@ -61,19 +61,19 @@
 
 // fill takes the next event from the engine through the hook.
 func (s *engineStream) fill() {
-	var event platform.Event
+	var event infra.Event
 	select {
 	case event = <-s.attempt.out:
 	case <-s.attempt.gone:
 		s.fail(lost("engine.generate", s.engine.options.ID))
 		return
 	case <-s.ctx.Done():
-		s.fail(contextError(s.ctx, "engine.generate", s.engine.options.ID, platform.EffectUnknown))
+		s.fail(contextError(s.ctx, "engine.generate", s.engine.options.ID, infra.EffectUnknown))
 		return
 	}
 	pieces := s.engine.piecesOf(event)
 	if sleep(s.ctx, pieces.Delay) != nil {
-		s.fail(contextError(s.ctx, "engine.generate", s.engine.options.ID, platform.EffectUnknown))
+		s.fail(contextError(s.ctx, "engine.generate", s.engine.options.ID, infra.EffectUnknown))
 		return
 	}
 	s.pending = pieces.Send
@@ -87,7 +87,7 @@
 	s.cancel()
 }
 
-// Close implements platform.Stream.
+// Close implements infra.Stream.
 func (s *engineStream) Close() error {
 	s.unwatch()
 	s.cancel()
@@ -100,7 +100,7 @@
 	s.engine.endAttempt(s.attempt, EndCanceled)
 }
 
-func (e *Engine) piecesOf(event platform.Event) Pieces {
+func (e *Engine) piecesOf(event infra.Event) Pieces {
 	e.mu.Lock()
 	hook := e.pieces
 	e.mu.Unlock()
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -12,19 +12,19 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // requireError checks an error's type, reason and effect.
-func requireError(t *testing.T, err error, reason platform.Reason, effect platform.Effect) {
+func requireError(t *testing.T, err error, reason infra.Reason, effect infra.Effect) {
 	t.Helper()
-	var e *platform.Error
+	var e *infra.Error
 	require.True(t, errors.As(err, &e), "%v", err)
 	require.Equal(t, reason, e.Reason, "%v", err)
 	require.Equal(t, effect, e.Effect, "%v", err)
 }
 
-func generate(t *testing.T, engines *Engines, req platform.GenerateRequest) platform.Stream {
+func generate(t *testing.T, engines *Engines, req infra.GenerateRequest) infra.Stream {
 	t.Helper()
 	s, err := engines.Generate(t.Context(), "s", req)
 	require.NoError(t, err)
@@ -67,7 +67,7 @@
 		}
 		last, err := s.Recv()
 		require.NoError(t, err)
-		require.Equal(t, platform.FinishLength, last.Finish)
+		require.Equal(t, infra.FinishLength, last.Finish)
 		require.Equal(t, 2, last.Index)
 		require.NotNil(t, last.Load)
 		_, err = s.Recv()
@@ -78,23 +78,23 @@
 func TestEngineRefusesBeforeItStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, engines := runEngine(t, EngineOptions{ID: "s", Slots: 1, MaxWaiting: 1})
-		refused := func(reason platform.Reason, req platform.GenerateRequest) {
+		refused := func(reason infra.Reason, req infra.GenerateRequest) {
 			t.Helper()
 			_, err := engines.Generate(t.Context(), "s", req)
-			requireError(t, err, reason, platform.EffectNone)
+			requireError(t, err, reason, infra.EffectNone)
 		}
-		refused(platform.ReasonNotResident, request("a1", "x"))
+		refused(infra.ReasonNotResident, request("a1", "x"))
 		load(t, engines, planner, 1)
 		other := request("a2", "x")
 		other.Version = "v2"
-		refused(platform.ReasonNotResident, other)
-		refused(platform.ReasonBadRequest, platform.GenerateRequest{Attempt: "a3"})
+		refused(infra.ReasonNotResident, other)
+		refused(infra.ReasonBadRequest, infra.GenerateRequest{Attempt: "a3"})
 		generate(t, engines, request("a4", "x"))
 		synctest.Wait() // it joins the batch
 		generate(t, engines, request("a5", "x"))
-		refused(platform.ReasonOverloaded, request("a6", "x"))
+		refused(infra.ReasonOverloaded, request("a6", "x"))
 		e.SetLeaving(true)
-		refused(platform.ReasonLeaving, request("a7", "x"))
+		refused(infra.ReasonLeaving, request("a7", "x"))
 		require.Len(t, e.Truth().Refusals, 5)
 		require.Len(t, e.Truth().Runs, 2)
 	})
@@ -103,11 +103,11 @@
 func TestEngineServesAnAdapterBesideItsModel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, engines := runEngine(t, EngineOptions{ID: "s"})
-		load(t, engines, platform.Item{Model: planner.Model, Adapter: "kosher", Version: "k1", MiB: 5}, 1)
+		load(t, engines, infra.Item{Model: planner.Model, Adapter: "kosher", Version: "k1", MiB: 5}, 1)
 		req := request("a1", "x")
 		req.Adapter, req.Version = "kosher", "k1"
 		_, err := engines.Generate(t.Context(), "s", req)
-		requireError(t, err, platform.ReasonNotResident, platform.EffectNone)
+		requireError(t, err, infra.ReasonNotResident, infra.EffectNone)
 		load(t, engines, planner, 1)
 		_, err = readAll(generate(t, engines, req))
 		require.NoError(t, err)
@@ -115,12 +115,12 @@
 }
 
 func TestEngineFreesTheSlotOfACanceledRequest(t *testing.T) {
-	for name, cancel := range map[string]func(s platform.Stream, engines *Engines, stop context.CancelFunc){
-		"close": func(s platform.Stream, _ *Engines, _ context.CancelFunc) { s.Close() },
-		"cancel": func(_ platform.Stream, engines *Engines, _ context.CancelFunc) {
+	for name, cancel := range map[string]func(s infra.Stream, engines *Engines, stop context.CancelFunc){
+		"close": func(s infra.Stream, _ *Engines, _ context.CancelFunc) { s.Close() },
+		"cancel": func(_ infra.Stream, engines *Engines, _ context.CancelFunc) {
 			_ = engines.Cancel(context.Background(), "s", "a1")
 		},
-		"context": func(_ platform.Stream, _ *Engines, stop context.CancelFunc) { stop() },
+		"context": func(_ infra.Stream, _ *Engines, stop context.CancelFunc) { stop() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -165,7 +165,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e, engines := runEngine(t, EngineOptions{ID: "s", Slots: 1})
 		load(t, engines, planner, 1)
-		var streams []platform.Stream
+		var streams []infra.Stream
 		for i, priority := range []int{0, 0, 5, 0, 5} {
 			req := request(fmt.Sprint("a", i), "x")
 			req.Priority = priority
@@ -195,7 +195,7 @@
 			load(t, engines, planner, 1)
 			e.SetSlow(slow)
 			start := time.Now()
-			var streams []platform.Stream
+			var streams []infra.Stream
 			for i := range requests {
 				req := request(fmt.Sprint("a", i), "x")
 				req.MaxTokens = streamBuffer / 2 // none waits for its reader
@@ -229,7 +229,7 @@
 			require.NoError(t, err)
 			return took
 		}
-		prompt := strings.Repeat("p", platform.PrefixBytes)
+		prompt := strings.Repeat("p", infra.PrefixBytes)
 		cold := first("a1", prompt+"1")
 		require.Less(t, first("a2", prompt+"2"), cold)
 		first("a3", "another")
@@ -241,7 +241,7 @@
 		events, err = engines.CacheEvents(t.Context(), "s", 1)
 		require.NoError(t, err)
 		require.Len(t, events, 4)
-		require.Equal(t, platform.CacheEvent{Sequence: 3, Model: planner.Model, Prefix: platform.PrefixHash(prompt), Dropped: true}, events[1])
+		require.Equal(t, infra.CacheEvent{Sequence: 3, Model: planner.Model, Prefix: infra.PrefixHash(prompt), Dropped: true}, events[1])
 	})
 }
 
@@ -256,11 +256,11 @@
 		require.NoError(t, err)
 		poison := generate(t, engines, request("a2", "now "+DefaultPoison))
 		_, err = poison.Recv()
-		requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 		_, err = readAll(neighbor)
-		requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 		_, err = engines.Status(t.Context(), "s")
-		requireError(t, err, platform.ReasonUnreachable, platform.EffectNone)
+		requireError(t, err, infra.ReasonUnreachable, infra.EffectNone)
 		time.Sleep(time.Minute + 1)
 		after, err := engines.Status(t.Context(), "s")
 		require.NoError(t, err)
@@ -277,24 +277,24 @@
 
 // TestPieceFaults drops, delays, reorders, repeats, cuts and mixes up events.
 func TestPieceFaults(t *testing.T) {
-	stray := platform.Event{Attempt: "another", Index: 1, Token: "stray "}
-	var held platform.Event
+	stray := infra.Event{Attempt: "another", Index: 1, Token: "stray "}
+	var held infra.Event
 	for name, c := range map[string]struct {
 		hook  PieceHook
 		index []int // of the first events received; -1 is the stray one
 	}{
-		"drop":   {func(e platform.Event) Pieces { return at(e, 1, Pieces{}) }, []int{0, 2, 3}},
-		"repeat": {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{e, e}}) }, []int{0, 1, 1, 2}},
-		"stray":  {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{stray, e}}) }, []int{0, -1, 1, 2}},
-		"delay":  {func(e platform.Event) Pieces { return at(e, 1, Pieces{Send: []platform.Event{e}, Delay: time.Minute}) }, []int{0, 1, 2}},
-		"reorder": {func(e platform.Event) Pieces {
+		"drop":   {func(e infra.Event) Pieces { return at(e, 1, Pieces{}) }, []int{0, 2, 3}},
+		"repeat": {func(e infra.Event) Pieces { return at(e, 1, Pieces{Send: []infra.Event{e, e}}) }, []int{0, 1, 1, 2}},
+		"stray":  {func(e infra.Event) Pieces { return at(e, 1, Pieces{Send: []infra.Event{stray, e}}) }, []int{0, -1, 1, 2}},
+		"delay":  {func(e infra.Event) Pieces { return at(e, 1, Pieces{Send: []infra.Event{e}, Delay: time.Minute}) }, []int{0, 1, 2}},
+		"reorder": {func(e infra.Event) Pieces {
 			if e.Index == 1 {
 				held = e
 				return Pieces{}
 			}
-			return at(e, 2, Pieces{Send: []platform.Event{e, held}})
+			return at(e, 2, Pieces{Send: []infra.Event{e, held}})
 		}, []int{0, 2, 1, 3}},
-		"cut": {func(e platform.Event) Pieces { return at(e, 1, Pieces{Cut: true}) }, []int{0}},
+		"cut": {func(e infra.Event) Pieces { return at(e, 1, Pieces{Cut: true}) }, []int{0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -313,7 +313,7 @@
 				}
 				if name == "cut" {
 					_, err := s.Recv()
-					requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+					requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 				}
 			})
 		})
@@ -321,7 +321,7 @@
 }
 
 // at returns the pieces for the event with the index, and keeps all others.
-func at(e platform.Event, index int, p Pieces) Pieces {
+func at(e infra.Event, index int, p Pieces) Pieces {
 	if e.Index == index {
 		return p
 	}
--- a/standin/engine_truth.go
+++ b/standin/engine_truth.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // maxTruth bounds each list of an engine's truth; what is over it is counted.
@@ -44,15 +44,15 @@
 // Refusal is a request that an engine refused before starting it.
 type Refusal struct {
 	Attempt string
-	Reason  platform.Reason
+	Reason  infra.Reason
 	At      time.Time
 }
 
 // OrderTaken is an order that reached an engine.
 type OrderTaken struct {
-	Order   platform.Order
+	Order   infra.Order
 	At      time.Time
-	Refused platform.Reason // empty: it was carried out
+	Refused infra.Reason // empty: it was carried out
 }
 
 // ViolationKind classes what an engine must never be asked.
@@ -130,13 +130,13 @@
 	t.runs = bounded(t, t.runs, r)
 }
 
-func (t *engineTruth) refused(attempt string, reason platform.Reason) {
+func (t *engineTruth) refused(attempt string, reason infra.Reason) {
 	t.refusals = bounded(t, t.refusals, Refusal{Attempt: attempt, Reason: reason, At: time.Now()})
 }
 
-func (t *engineTruth) ordered(order platform.Order, err error) {
+func (t *engineTruth) ordered(order infra.Order, err error) {
 	taken := OrderTaken{Order: order, At: time.Now()}
-	if e, ok := err.(*platform.Error); ok {
+	if e, ok := err.(*infra.Error); ok {
 		taken.Refused = e.Reason
 	}
 	t.orders = bounded(t, t.orders, taken)
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Fault is what befalls one call to a stand-in. The zero Fault is none.
@@ -21,7 +21,7 @@
 }
 
 // FaultHook says what befalls the nth call (from 1) of an operation since the
-// hook was set. Operations are named as in platform.Error, such as "log.append".
+// hook was set. Operations are named as in infra.Error, such as "log.append".
 type FaultHook func(op string, n int) Fault
 
 // Always returns a hook that gives each call of the named operations the fault;
@@ -79,11 +79,11 @@
 func (f *Faults) do(ctx context.Context, op, addr string, action func() error) error {
 	fault := f.next(op)
 	if err := sleep(ctx, fault.Delay); err != nil {
-		return contextError(ctx, op, addr, platform.EffectNone)
+		return contextError(ctx, op, addr, infra.EffectNone)
 	}
 	switch {
 	case fault.Refused:
-		return &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonUnavailable, Effect: platform.EffectNone}
+		return &infra.Error{Op: op, Addr: addr, Reason: infra.ReasonUnavailable, Effect: infra.EffectNone}
 	case fault.Lost:
 		return lost(op, addr)
 	case fault.Late > 0:
@@ -106,20 +106,20 @@
 // Error implements error.
 func (*LostError) Error() string { return "the stand-in broke the connection" }
 
-func lost(op, addr string) *platform.Error {
-	return &platform.Error{Op: op, Addr: addr, Reason: platform.ReasonUnreachable, Effect: platform.EffectUnknown, Err: &LostError{}}
+func lost(op, addr string) *infra.Error {
+	return &infra.Error{Op: op, Addr: addr, Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown, Err: &LostError{}}
 }
 
-func refusal(op, addr string, reason platform.Reason) *platform.Error {
-	return &platform.Error{Op: op, Addr: addr, Reason: reason, Effect: platform.EffectNone}
+func refusal(op, addr string, reason infra.Reason) *infra.Error {
+	return &infra.Error{Op: op, Addr: addr, Reason: reason, Effect: infra.EffectNone}
 }
 
-func contextError(ctx context.Context, op, addr string, effect platform.Effect) *platform.Error {
-	reason := platform.ReasonTimeout
+func contextError(ctx context.Context, op, addr string, effect infra.Effect) *infra.Error {
+	reason := infra.ReasonTimeout
 	if ctx.Err() == context.Canceled {
-		reason = platform.ReasonCanceled
+		reason = infra.ReasonCanceled
 	}
-	return &platform.Error{Op: op, Addr: addr, Reason: reason, Effect: effect, Err: ctx.Err()}
+	return &infra.Error{Op: op, Addr: addr, Reason: reason, Effect: effect, Err: ctx.Err()}
 }
 
 // sleep waits, or returns the context's error if that ends first.
@@ -138,15 +138,15 @@
 }
 
 // statusOf returns the HTTP status for a refusal's reason.
-func statusOf(reason platform.Reason) int {
+func statusOf(reason infra.Reason) int {
 	switch reason {
-	case platform.ReasonBadRequest:
+	case infra.ReasonBadRequest:
 		return http.StatusBadRequest
-	case platform.ReasonOutOfRange:
+	case infra.ReasonOutOfRange:
 		return http.StatusGone
-	case platform.ReasonNoSuchAttempt:
+	case infra.ReasonNoSuchAttempt:
 		return http.StatusNotFound
-	case platform.ReasonNotResident, platform.ReasonStaleFence, platform.ReasonNoMemory:
+	case infra.ReasonNotResident, infra.ReasonStaleFence, infra.ReasonNoMemory:
 		return http.StatusConflict
 	}
 	return http.StatusServiceUnavailable
--- a/standin/instances.go
+++ b/standin/instances.go
@@ -14,14 +14,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // InstanceList is a stand-in for the platform's list of instances. It lags: a
 // reader sees the list as it was some time ago. Its operation is
 // "instances.list".
 //
-// Over HTTP, PUT and DELETE on platform.PathInstances+"/{id}" change it.
+// Over HTTP, PUT and DELETE on infra.PathInstances+"/{id}" change it.
 type InstanceList struct {
 	Faults Faults
 
@@ -33,22 +33,22 @@
 }
 
 var (
-	_ platform.Instances = (*InstanceList)(nil)
+	_ infra.Instances = (*InstanceList)(nil)
 	_ Standin            = (*InstanceList)(nil)
 )
 
 // instanceView is the list from a time on, sorted by id. It is immutable.
 type instanceView struct {
 	from time.Time
-	list []platform.Instance
+	list []infra.Instance
 }
 
 // NewInstanceList returns an empty list that lags by the given time.
 func NewInstanceList(lag time.Duration) *InstanceList {
 	l := &InstanceList{lag: lag, mux: http.NewServeMux(), views: []instanceView{{}}}
-	l.mux.HandleFunc("GET "+platform.PathInstances, l.serveList)
-	l.mux.HandleFunc("PUT "+platform.PathInstances+"/{id}", l.servePut)
-	l.mux.HandleFunc("DELETE "+platform.PathInstances+"/{id}", l.serveDelete)
+	l.mux.HandleFunc("GET "+infra.PathInstances, l.serveList)
+	l.mux.HandleFunc("PUT "+infra.PathInstances+"/{id}", l.servePut)
+	l.mux.HandleFunc("DELETE "+infra.PathInstances+"/{id}", l.serveDelete)
 	return l
 }
 
@@ -66,27 +66,27 @@
 }
 
 // Put adds an instance, or replaces the one with its id.
-func (l *InstanceList) Put(instance platform.Instance) {
-	l.change(instance.ID, func(list []platform.Instance) []platform.Instance { return append(list, instance) })
+func (l *InstanceList) Put(instance infra.Instance) {
+	l.change(instance.ID, func(list []infra.Instance) []infra.Instance { return append(list, instance) })
 }
 
 // Remove takes an instance off the list.
 func (l *InstanceList) Remove(id string) {
-	l.change(id, func(list []platform.Instance) []platform.Instance { return list })
+	l.change(id, func(list []infra.Instance) []infra.Instance { return list })
 }
 
 // change makes a new view of the list without the id and with what add adds.
-func (l *InstanceList) change(id string, add func([]platform.Instance) []platform.Instance) {
+func (l *InstanceList) change(id string, add func([]infra.Instance) []infra.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []platform.Instance
+	var list []infra.Instance
 	for _, i := range l.views[len(l.views)-1].list {
 		if i.ID != id {
 			list = append(list, i)
 		}
 	}
 	list = add(list)
-	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b infra.Instance) int { return strings.Compare(a.ID, b.ID) })
 	l.views = append(l.views, instanceView{from: time.Now(), list: list})
 	l.prune()
 }
@@ -99,9 +99,9 @@
 	}
 }
 
-// List implements platform.Instances.
-func (l *InstanceList) List(ctx context.Context) ([]platform.Instance, error) {
-	var list []platform.Instance
+// List implements infra.Instances.
+func (l *InstanceList) List(ctx context.Context) ([]infra.Instance, error) {
+	var list []infra.Instance
 	err := l.Faults.do(ctx, "instances.list", "", func() error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -113,7 +113,7 @@
 }
 
 // Truth returns the list as it is now, without its lag.
-func (l *InstanceList) Truth() []platform.Instance {
+func (l *InstanceList) Truth() []infra.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.views[len(l.views)-1].list)
@@ -122,15 +122,15 @@
 func (l *InstanceList) serveList(w http.ResponseWriter, r *http.Request) {
 	list, err := l.List(r.Context())
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	if list == nil {
-		list = []platform.Instance{}
+		list = []infra.Instance{}
 	}
 	data, err := json.Marshal(list)
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
@@ -156,7 +156,7 @@
 }
 
 func (l *InstanceList) servePut(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
+	var instance infra.Instance
 	if !readJSON(w, r, &instance) {
 		return
 	}
--- a/standin/instances_test.go
+++ b/standin/instances_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // counted counts the bodies' bytes as they come over the wire.
@@ -35,13 +35,13 @@
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
 	list := NewInstanceList(0)
 	for n := range 100 {
-		list.Put(platform.Instance{ID: fmt.Sprintf("server-%03d", n), Role: platform.RoleEngine, State: platform.StateLive})
+		list.Put(infra.Instance{ID: fmt.Sprintf("server-%03d", n), Role: infra.RoleEngine, State: infra.StateLive})
 	}
 	server, err := Start("127.0.0.1:0", list)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, server.Close()) }()
 	wire := &counted{next: &http.Transport{DisableKeepAlives: true}}
-	client := platform.NewHTTPInstances(server.URL(), &http.Client{Transport: wire})
+	client := infra.NewHTTPInstances(server.URL(), &http.Client{Transport: wire})
 
 	first, err := client.List(t.Context())
 	require.NoError(t, err)
--- a/standin/log.go
+++ b/standin/log.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Defaults of the log.
@@ -62,20 +62,20 @@
 }
 
 var (
-	_ platform.Log = (*Log)(nil)
+	_ infra.Log = (*Log)(nil)
 	_ Standin      = (*Log)(nil)
 )
 
 // logStream is one stream: the records that it keeps, and their times.
 type logStream struct {
-	oldest  platform.Offset
+	oldest  infra.Offset
 	data    [][]byte
 	at      []time.Time
 	changed chan struct{} // closed when records arrive
-	history []platform.Record
+	history []infra.Record
 }
 
-func (s *logStream) next() platform.Offset { return s.oldest + platform.Offset(len(s.data)) }
+func (s *logStream) next() infra.Offset { return s.oldest + infra.Offset(len(s.data)) }
 
 // NewLog returns an empty log.
 func NewLog(options LogOptions) *Log {
@@ -86,8 +86,8 @@
 		mux:     http.NewServeMux(),
 		streams: map[string]*logStream{},
 	}
-	l.mux.HandleFunc("POST "+platform.PathLogAppend, l.serveAppend)
-	l.mux.HandleFunc("GET "+platform.PathLogRead, l.serveRead)
+	l.mux.HandleFunc("POST "+infra.PathLogAppend, l.serveAppend)
+	l.mux.HandleFunc("GET "+infra.PathLogRead, l.serveRead)
 	return l
 }
 
@@ -97,16 +97,16 @@
 // ServeHTTP implements http.Handler.
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (infra.Offset, error) {
 	const op = "log.append"
 	if len(records) == 0 || stream == "" {
-		return 0, refusal(op, "", platform.ReasonBadRequest)
+		return 0, refusal(op, "", infra.ReasonBadRequest)
 	}
 	if err := l.limiter.Wait(ctx); err != nil {
-		return 0, refusal(op, "", platform.ReasonOverloaded)
+		return 0, refusal(op, "", infra.ReasonOverloaded)
 	}
-	var offset platform.Offset
+	var offset infra.Offset
 	err := l.Faults.do(ctx, op, "", func() error {
 		offset = l.append(stream, records)
 		return nil
@@ -117,7 +117,7 @@
 	return offset, nil
 }
 
-func (l *Log) append(stream string, records [][]byte) platform.Offset {
+func (l *Log) append(stream string, records [][]byte) infra.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
@@ -125,7 +125,7 @@
 	now := time.Now()
 	for _, data := range records {
 		if l.options.History {
-			s.history = append(s.history, platform.Record{Offset: s.next(), Data: data})
+			s.history = append(s.history, infra.Record{Offset: s.next(), Data: data})
 		}
 		s.data = append(s.data, data)
 		s.at = append(s.at, now)
@@ -158,13 +158,13 @@
 	}
 	s.data = append([][]byte(nil), s.data[drop:]...)
 	s.at = append([]time.Time(nil), s.at[drop:]...)
-	s.oldest += platform.Offset(drop)
+	s.oldest += infra.Offset(drop)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from platform.Offset, max int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (l *Log) Read(ctx context.Context, stream string, from infra.Offset, max int, wait time.Duration) (infra.Batch, error) {
 	const op = "log.read"
-	var batch platform.Batch
+	var batch infra.Batch
 	err := l.Faults.do(ctx, op, "", func() error {
 		var err error
 		batch, err = l.read(ctx, stream, from, max, min(wait, maxReadWait))
@@ -173,7 +173,7 @@
 	return batch, err
 }
 
-func (l *Log) read(ctx context.Context, stream string, from platform.Offset, max int, wait time.Duration) (platform.Batch, error) {
+func (l *Log) read(ctx context.Context, stream string, from infra.Offset, max int, wait time.Duration) (infra.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -186,24 +186,24 @@
 		case <-timer.C:
 			return batch, nil
 		case <-ctx.Done():
-			return batch, contextError(ctx, "log.read", "", platform.EffectNone)
+			return batch, contextError(ctx, "log.read", "", infra.EffectNone)
 		}
 	}
 }
 
 // readNow returns what the stream has now, and a channel that closes when more
 // arrives.
-func (l *Log) readNow(stream string, from platform.Offset, max int) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) readNow(stream string, from infra.Offset, max int) (infra.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
 	l.trim(s)
-	batch := platform.Batch{Oldest: s.oldest, Next: s.next()}
+	batch := infra.Batch{Oldest: s.oldest, Next: s.next()}
 	if from == 0 {
 		from = 1
 	}
 	if from < s.oldest {
-		return batch, nil, refusal("log.read", "", platform.ReasonOutOfRange)
+		return batch, nil, refusal("log.read", "", infra.ReasonOutOfRange)
 	}
 	size := 0
 	for o := from; o < s.next() && len(batch.Records) < max; o++ {
@@ -212,7 +212,7 @@
 		if size > maxReadBytes && len(batch.Records) > 0 {
 			break
 		}
-		batch.Records = append(batch.Records, platform.Record{Offset: o, Data: data})
+		batch.Records = append(batch.Records, infra.Record{Offset: o, Data: data})
 	}
 	return batch, s.changed, nil
 }
@@ -220,31 +220,31 @@
 // LogTruth is what a log did.
 type LogTruth struct {
 	Appends int
-	Records map[string][]platform.Record // by stream; with LogOptions.History only
+	Records map[string][]infra.Record // by stream; with LogOptions.History only
 }
 
 // Truth returns what the log did.
 func (l *Log) Truth() LogTruth {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	truth := LogTruth{Appends: l.appends, Records: map[string][]platform.Record{}}
+	truth := LogTruth{Appends: l.appends, Records: map[string][]infra.Record{}}
 	for name, s := range l.streams {
-		truth.Records[name] = append([]platform.Record(nil), s.history...)
+		truth.Records[name] = append([]infra.Record(nil), s.history...)
 	}
 	return truth
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var body platform.AppendBody
+	var body infra.AppendBody
 	if !readJSON(w, r, &body) {
 		return
 	}
 	offset, err := l.Append(r.Context(), r.URL.Query().Get("stream"), body.Records)
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
-	writeJSON(w, platform.AppendAnswer{Offset: offset})
+	writeJSON(w, infra.AppendAnswer{Offset: offset})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -253,15 +253,15 @@
 	count, err2 := strconv.Atoi(query.Get("max"))
 	wait, err3 := strconv.Atoi(query.Get("wait_ms"))
 	if err1 != nil || err2 != nil || err3 != nil {
-		writeError(w, refusal("log.read", "", platform.ReasonBadRequest), platform.Batch{})
+		writeError(w, refusal("log.read", "", infra.ReasonBadRequest), infra.Batch{})
 		return
 	}
-	batch, err := l.Read(r.Context(), query.Get("stream"), platform.Offset(from), count, time.Duration(wait)*time.Millisecond)
+	batch, err := l.Read(r.Context(), query.Get("stream"), infra.Offset(from), count, time.Duration(wait)*time.Millisecond)
 	if err != nil {
 		writeError(w, err, batch)
 		return
 	}
-	out := platform.ReadAnswer{Oldest: batch.Oldest, Next: batch.Next, Records: make([][]byte, len(batch.Records))}
+	out := infra.ReadAnswer{Oldest: batch.Oldest, Next: batch.Next, Records: make([][]byte, len(batch.Records))}
 	for i, record := range batch.Records {
 		out.Records[i] = record.Data
 	}
--- a/standin/log_test.go
+++ b/standin/log_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func TestLogReadWaitsForARecord(t *testing.T) {
@@ -27,7 +27,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err = log.Read(ctx, "s", 2, 10, time.Minute)
-		requireError(t, err, platform.ReasonTimeout, platform.EffectNone)
+		requireError(t, err, infra.ReasonTimeout, infra.EffectNone)
 	})
 }
 
@@ -39,12 +39,12 @@
 			require.NoError(t, err)
 		}
 		batch, err := log.Read(t.Context(), "s", 1, 10, 0)
-		requireError(t, err, platform.ReasonOutOfRange, platform.EffectNone)
+		requireError(t, err, infra.ReasonOutOfRange, infra.EffectNone)
 		require.EqualValues(t, 2, batch.Oldest)
 		time.Sleep(time.Hour + 1)
 		batch, err = log.Read(t.Context(), "s", 5, 10, 0)
 		require.NoError(t, err)
-		require.Equal(t, platform.Batch{Oldest: 5, Next: 5}, batch)
+		require.Equal(t, infra.Batch{Oldest: 5, Next: 5}, batch)
 		require.Len(t, log.Truth().Records["s"], 4)
 	})
 }
@@ -78,16 +78,16 @@
 	log := NewLog(LogOptions{})
 	log.Faults.Set(First(1, Fault{AnswerLost: true}, "log.append"))
 	_, err := log.Append(t.Context(), "s", [][]byte{{1}})
-	requireError(t, err, platform.ReasonUnreachable, platform.EffectUnknown)
+	requireError(t, err, infra.ReasonUnreachable, infra.EffectUnknown)
 	batch, err := log.Read(t.Context(), "s", 1, 10, 0)
 	require.NoError(t, err)
 	require.Len(t, batch.Records, 1, "the append took effect")
 
 	log.Faults.Set(Always(Fault{Refused: true}))
 	_, err = log.Append(t.Context(), "s", [][]byte{{2}})
-	requireError(t, err, platform.ReasonUnavailable, platform.EffectNone)
+	requireError(t, err, infra.ReasonUnavailable, infra.EffectNone)
 	_, err = log.Read(t.Context(), "s", 1, 10, 0)
-	requireError(t, err, platform.ReasonUnavailable, platform.EffectNone)
+	requireError(t, err, infra.ReasonUnavailable, infra.EffectNone)
 	require.Equal(t, 1, log.Truth().Appends)
 }
 
@@ -102,10 +102,10 @@
 			}
 			return ids
 		}
-		list.Put(platform.Instance{ID: "b", State: platform.StateLive})
+		list.Put(infra.Instance{ID: "b", State: infra.StateLive})
 		time.Sleep(time.Second)
-		list.Put(platform.Instance{ID: "a", State: platform.StateLive})
-		list.Put(platform.Instance{ID: "b", State: platform.StateLeaving})
+		list.Put(infra.Instance{ID: "a", State: infra.StateLive})
+		list.Put(infra.Instance{ID: "b", State: infra.StateLeaving})
 		require.Empty(t, ids())
 		time.Sleep(time.Minute - time.Second)
 		require.Equal(t, []string{"b live"}, ids())
--- a/standin/memory_test.go
+++ b/standin/memory_test.go
@@ -7,21 +7,21 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
-func order(t *testing.T, engines *Engines, kind platform.OrderKind, item platform.Item, fence uint64) error {
-	return engines.Order(t.Context(), "s", platform.Order{Kind: kind, Item: item, Fence: fence})
+func order(t *testing.T, engines *Engines, kind infra.OrderKind, item infra.Item, fence uint64) error {
+	return engines.Order(t.Context(), "s", infra.Order{Kind: kind, Item: item, Fence: fence})
 }
 
-func item(name string, mib int64) platform.Item {
-	return platform.Item{Model: name, Version: "v1", MiB: mib}
+func item(name string, mib int64) infra.Item {
+	return infra.Item{Model: name, Version: "v1", MiB: mib}
 }
 
-func states(t *testing.T, engines *Engines) map[string]platform.ItemState {
+func states(t *testing.T, engines *Engines) map[string]infra.ItemState {
 	status, err := engines.Status(t.Context(), "s")
 	require.NoError(t, err)
-	states := map[string]platform.ItemState{}
+	states := map[string]infra.ItemState{}
 	for _, i := range status.Items {
 		states[i.Model] = i.State
 	}
@@ -32,24 +32,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := NewWeightStore(StoreOptions{MiBPerSecond: 10})
 		e, engines := runEngine(t, EngineOptions{ID: "s", MemoryMiB: 100, Store: store, UnloadTime: time.Second})
-		require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 60), 1))
-		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemLoading}, states(t, engines))
-		requireError(t, order(t, engines, platform.OrderLoad, item("b", 60), 1), platform.ReasonNoMemory, platform.EffectNone)
+		require.NoError(t, order(t, engines, infra.OrderLoad, item("a", 60), 1))
+		require.Equal(t, map[string]infra.ItemState{"a": infra.ItemLoading}, states(t, engines))
+		requireError(t, order(t, engines, infra.OrderLoad, item("b", 60), 1), infra.ReasonNoMemory, infra.EffectNone)
 		time.Sleep(7 * time.Second)
-		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemReady}, states(t, engines))
-		req := platform.GenerateRequest{Attempt: "a1", Model: "a", Version: "v1", Prompt: "x", MaxTokens: 500}
+		require.Equal(t, map[string]infra.ItemState{"a": infra.ItemReady}, states(t, engines))
+		req := infra.GenerateRequest{Attempt: "a1", Model: "a", Version: "v1", Prompt: "x", MaxTokens: 500}
 		running := generate(t, engines, req)
-		require.NoError(t, order(t, engines, platform.OrderUnload, item("a", 60), 2))
+		require.NoError(t, order(t, engines, infra.OrderUnload, item("a", 60), 2))
 		req.Attempt = "a2"
 		_, err := engines.Generate(t.Context(), "s", req)
-		requireError(t, err, platform.ReasonNotResident, platform.EffectNone)
+		requireError(t, err, infra.ReasonNotResident, infra.EffectNone)
 		_, err = readAll(running)
 		require.NoError(t, err, "a request in flight ends before the memory goes")
-		require.Equal(t, map[string]platform.ItemState{"a": platform.ItemUnloading}, states(t, engines))
-		requireError(t, order(t, engines, platform.OrderLoad, item("b", 60), 2), platform.ReasonNoMemory, platform.EffectNone)
+		require.Equal(t, map[string]infra.ItemState{"a": infra.ItemUnloading}, states(t, engines))
+		requireError(t, order(t, engines, infra.OrderLoad, item("b", 60), 2), infra.ReasonNoMemory, infra.EffectNone)
 		time.Sleep(time.Second + 1)
 		require.Empty(t, states(t, engines))
-		require.NoError(t, order(t, engines, platform.OrderLoad, item("b", 60), 2))
+		require.NoError(t, order(t, engines, infra.OrderLoad, item("b", 60), 2))
 		truth := e.Truth()
 		require.EqualValues(t, 60, truth.PeakMiB)
 		require.Len(t, truth.Violations, 2)
@@ -62,8 +62,8 @@
 	for _, ignores := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			e, engines := runEngine(t, EngineOptions{ID: "s", IgnoresFence: ignores})
-			require.NoError(t, order(t, engines, platform.OrderFence, platform.Item{}, 5))
-			err := order(t, engines, platform.OrderLoad, item("a", 1), 4)
+			require.NoError(t, order(t, engines, infra.OrderFence, infra.Item{}, 5))
+			err := order(t, engines, infra.OrderLoad, item("a", 1), 4)
 			status, statusErr := engines.Status(t.Context(), "s")
 			require.NoError(t, statusErr)
 			if ignores {
@@ -71,10 +71,10 @@
 				require.Zero(t, status.Fence)
 				return
 			}
-			requireError(t, err, platform.ReasonStaleFence, platform.EffectNone)
+			requireError(t, err, infra.ReasonStaleFence, infra.EffectNone)
 			require.EqualValues(t, 5, status.Fence)
-			require.Equal(t, platform.ReasonStaleFence, e.Truth().Orders[1].Refused)
-			require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 1), 5))
+			require.Equal(t, infra.ReasonStaleFence, e.Truth().Orders[1].Refused)
+			require.NoError(t, order(t, engines, infra.OrderLoad, item("a", 1), 5))
 		})
 	}
 }
@@ -83,7 +83,7 @@
 	for _, keeps := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			e, engines := runEngine(t, EngineOptions{ID: "s", KeepsFence: keeps, Store: NewWeightStore(StoreOptions{MiBPerSecond: 1})})
-			require.NoError(t, order(t, engines, platform.OrderLoad, item("a", 100), 5))
+			require.NoError(t, order(t, engines, infra.OrderLoad, item("a", 100), 5))
 			e.Restart(time.Second)
 			time.Sleep(time.Second + 1)
 			require.Empty(t, states(t, engines))
@@ -101,15 +101,15 @@
 		e, engines := runEngine(t, EngineOptions{ID: "s"})
 		one := func(f Fault) error {
 			e.Faults.Set(First(1, f, "engine.order"))
-			return order(t, engines, platform.OrderFence, platform.Item{}, uint64(len(e.Truth().Orders)+1))
+			return order(t, engines, infra.OrderFence, infra.Item{}, uint64(len(e.Truth().Orders)+1))
 		}
-		requireError(t, one(Fault{Lost: true}), platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, one(Fault{Lost: true}), infra.ReasonUnreachable, infra.EffectUnknown)
 		require.Empty(t, e.Truth().Orders)
-		requireError(t, one(Fault{Refused: true}), platform.ReasonUnavailable, platform.EffectNone)
+		requireError(t, one(Fault{Refused: true}), infra.ReasonUnavailable, infra.EffectNone)
 		require.Empty(t, e.Truth().Orders)
-		requireError(t, one(Fault{AnswerLost: true}), platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, one(Fault{AnswerLost: true}), infra.ReasonUnreachable, infra.EffectUnknown)
 		require.Len(t, e.Truth().Orders, 1)
-		requireError(t, one(Fault{Late: time.Minute}), platform.ReasonUnreachable, platform.EffectUnknown)
+		requireError(t, one(Fault{Late: time.Minute}), infra.ReasonUnreachable, infra.EffectUnknown)
 		require.Len(t, e.Truth().Orders, 1)
 		time.Sleep(time.Minute + 1)
 		require.Len(t, e.Truth().Orders, 2)
@@ -121,13 +121,13 @@
 		require.NoError(t, one(Fault{Delay: time.Second}))
 		require.Equal(t, time.Second, time.Since(start))
 		e.Faults.Set(nil)
-		require.NoError(t, order(t, engines, platform.OrderFence, platform.Item{}, 99))
+		require.NoError(t, order(t, engines, infra.OrderFence, infra.Item{}, 99))
 	})
 }
 
 func TestStoreKeepsItsRateAndSharesItsSpeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limits := map[string]platform.StoreLimits{"instituto": {LoadsPerSecond: 1, ConcurrentLoads: 1}}
+		limits := map[string]infra.StoreLimits{"instituto": {LoadsPerSecond: 1, ConcurrentLoads: 1}}
 		store := NewWeightStore(StoreOptions{Limits: limits, MiBPerSecond: 10})
 		start := time.Now()
 		ends := make(chan time.Duration, 2)
--- a/standin/server.go
+++ b/standin/server.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // maxBodyBytes bounds a request's body: an append of the largest checkpoint in
@@ -160,19 +160,19 @@
 	if err == nil {
 		return true
 	}
-	writeError(w, &platform.Error{Reason: platform.ReasonBadRequest, Effect: platform.EffectNone, Err: err}, platform.Batch{})
+	writeError(w, &infra.Error{Reason: infra.ReasonBadRequest, Effect: infra.EffectNone, Err: err}, infra.Batch{})
 	return false
 }
 
 // writeError answers with a refusal, or breaks the connection if the error says
 // that the answer is lost.
-func writeError(w http.ResponseWriter, err error, bounds platform.Batch) {
+func writeError(w http.ResponseWriter, err error, bounds infra.Batch) {
 	var broken *LostError
 	if errors.As(err, &broken) {
 		panic(http.ErrAbortHandler)
 	}
-	body := platform.ErrorBody{Reason: platform.ReasonUnavailable, Effect: platform.EffectUnknown.String(), Message: err.Error()}
-	var e *platform.Error
+	body := infra.ErrorBody{Reason: infra.ReasonUnavailable, Effect: infra.EffectUnknown.String(), Message: err.Error()}
+	var e *infra.Error
 	if errors.As(err, &e) {
 		body.Reason = e.Reason
 		body.Effect = e.Effect.String()
@@ -186,7 +186,7 @@
 // answer writes nothing but success, or the error.
 func answer(w http.ResponseWriter, err error) {
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/standin/service.go
+++ b/standin/service.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // ServiceOptions are a plain service's settings.
@@ -36,7 +36,7 @@
 
 // ServiceRun is one call that a plain service ran.
 type ServiceRun struct {
-	Attempt string // from the header platform.HeaderAttempt
+	Attempt string // from the header infra.HeaderAttempt
 	Method  string
 	Path    string
 	Body    uint64 // hash of the body
@@ -68,22 +68,22 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		refuse(w, platform.ReasonBadRequest)
+		refuse(w, infra.ReasonBadRequest)
 		return
 	}
 	err = s.Faults.do(r.Context(), "service.call", "", func() error { return s.run(r, body) })
-	switch e, _ := err.(*platform.Error); {
+	switch e, _ := err.(*infra.Error); {
 	case err == nil:
 		writeJSON(w, ServiceEcho{Service: s.options.Name, Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)})
-	case e != nil && e.Effect == platform.EffectNone:
+	case e != nil && e.Effect == infra.EffectNone:
 		refuse(w, e.Reason)
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func refuse(w http.ResponseWriter, reason platform.Reason) {
-	w.Header().Set(platform.HeaderRefused, string(reason))
+func refuse(w http.ResponseWriter, reason infra.Reason) {
+	w.Header().Set(infra.HeaderRefused, string(reason))
 	w.WriteHeader(statusOf(reason))
 }
 
@@ -93,11 +93,11 @@
 	s.mu.Lock()
 	if s.leaving {
 		s.mu.Unlock()
-		return refusal("service.call", s.options.Name, platform.ReasonLeaving)
+		return refusal("service.call", s.options.Name, infra.ReasonLeaving)
 	}
 	if len(s.runs) < maxTruth {
 		s.runs = append(s.runs, ServiceRun{
-			Attempt: r.Header.Get(platform.HeaderAttempt),
+			Attempt: r.Header.Get(infra.HeaderAttempt),
 			Method:  r.Method,
 			Path:    r.URL.RequestURI(),
 			Body:    xxhash.Sum64(body),
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -12,12 +12,12 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/internal/testmain"
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 func TestMain(m *testing.M) { testmain.Run(m) }
 
-var planner = platform.Item{Model: "tray-planner", Version: "v1", MiB: 100}
+var planner = infra.Item{Model: "tray-planner", Version: "v1", MiB: 100}
 
 // runEngine runs an engine under synctest until the test ends.
 func runEngine(t *testing.T, options EngineOptions) (*Engine, *Engines) {
@@ -38,17 +38,17 @@
 	return e, engines
 }
 
-func load(t *testing.T, engines *Engines, item platform.Item, fence uint64) {
-	require.NoError(t, engines.Order(t.Context(), "s", platform.Order{Kind: platform.OrderLoad, Item: item, Fence: fence}))
+func load(t *testing.T, engines *Engines, item infra.Item, fence uint64) {
+	require.NoError(t, engines.Order(t.Context(), "s", infra.Order{Kind: infra.OrderLoad, Item: item, Fence: fence}))
 	synctest.Wait()
 }
 
-func request(attempt, prompt string) platform.GenerateRequest {
-	return platform.GenerateRequest{Attempt: attempt, Model: planner.Model, Version: planner.Version, Prompt: prompt, MaxTokens: 1000, Seed: 7}
+func request(attempt, prompt string) infra.GenerateRequest {
+	return infra.GenerateRequest{Attempt: attempt, Model: planner.Model, Version: planner.Version, Prompt: prompt, MaxTokens: 1000, Seed: 7}
 }
 
 // readAll reads a stream to its end.
-func readAll(s platform.Stream) (string, error) {
+func readAll(s infra.Stream) (string, error) {
 	var text strings.Builder
 	for {
 		event, err := s.Recv()
@@ -79,10 +79,10 @@
 }
 
 // waitReady waits until the engine's only item is ready.
-func waitReady(t testing.TB, engine platform.Engine, addr string) {
+func waitReady(t testing.TB, engine infra.Engine, addr string) {
 	require.Eventually(t, func() bool {
 		status, err := engine.Status(t.Context(), addr)
-		return err == nil && len(status.Items) == 1 && status.Items[0].State == platform.ItemReady
+		return err == nil && len(status.Items) == 1 && status.Items[0].State == infra.ItemReady
 	}, 10*time.Second, time.Millisecond)
 }
 
@@ -93,8 +93,8 @@
 	defer server.Close()
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	engine := platform.NewHTTPEngine(&http.Client{Transport: transport})
-	require.NoError(t, engine.Order(t.Context(), server.Addr(), platform.Order{Kind: platform.OrderLoad, Item: planner, Fence: 1}))
+	engine := infra.NewHTTPEngine(&http.Client{Transport: transport})
+	require.NoError(t, engine.Order(t.Context(), server.Addr(), infra.Order{Kind: infra.OrderLoad, Item: planner, Fence: 1}))
 	waitReady(t, engine, server.Addr())
 	req := request("a1", "two kosher meals on 417")
 	s, err := engine.Generate(t.Context(), server.Addr(), req)
--- a/standin/store.go
+++ b/standin/store.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // DefaultMiBPerSecond is how fast the store gives one load its weights while no
@@ -30,7 +30,7 @@
 
 // StoreOptions are a weight store's settings.
 type StoreOptions struct {
-	Limits       map[string]platform.StoreLimits // by partner
+	Limits       map[string]infra.StoreLimits // by partner
 	MiBPerSecond float64                         // of one load at full speed; default DefaultMiBPerSecond
 }
 
@@ -57,7 +57,7 @@
 }
 
 var (
-	_ platform.WeightStore = (*WeightStore)(nil)
+	_ infra.WeightStore = (*WeightStore)(nil)
 	_ Standin              = (*WeightStore)(nil)
 	_ Fetcher              = (*WeightStore)(nil)
 )
@@ -83,7 +83,7 @@
 			s.limiters[partner] = rate.NewLimiter(rate.Limit(limits.LoadsPerSecond), 1)
 		}
 	}
-	s.mux.HandleFunc("GET "+platform.PathStoreLimits, s.serveLimits)
+	s.mux.HandleFunc("GET "+infra.PathStoreLimits, s.serveLimits)
 	s.mux.HandleFunc("POST "+pathFetch, s.serveFetch)
 	return s
 }
@@ -101,9 +101,9 @@
 	s.slow = factor
 }
 
-// Limits implements platform.WeightStore.
-func (s *WeightStore) Limits(ctx context.Context, partner string) (platform.StoreLimits, error) {
-	var limits platform.StoreLimits
+// Limits implements infra.WeightStore.
+func (s *WeightStore) Limits(ctx context.Context, partner string) (infra.StoreLimits, error) {
+	var limits infra.StoreLimits
 	err := s.Faults.do(ctx, "store.limits", "", func() error {
 		limits = s.options.Limits[partner]
 		return nil
@@ -119,7 +119,7 @@
 func (s *WeightStore) fetch(ctx context.Context, partner string, mib int64) error {
 	if limiter := s.limiters[partner]; limiter != nil {
 		if err := limiter.Wait(ctx); err != nil {
-			return refusal("store.fetch", "", platform.ReasonOverloaded)
+			return refusal("store.fetch", "", infra.ReasonOverloaded)
 		}
 	}
 	s.begin(partner)
@@ -129,7 +129,7 @@
 		speed := s.speed(partner)
 		chunk := min(fetchChunk, time.Duration(left/speed*float64(time.Second))+1)
 		if err := sleep(ctx, chunk); err != nil {
-			return contextError(ctx, "store.fetch", "", platform.EffectUnknown)
+			return contextError(ctx, "store.fetch", "", infra.EffectUnknown)
 		}
 		left -= speed * chunk.Seconds()
 	}
@@ -177,7 +177,7 @@
 func (s *WeightStore) serveLimits(w http.ResponseWriter, r *http.Request) {
 	limits, err := s.Limits(r.Context(), r.URL.Query().Get("partner"))
 	if err != nil {
-		writeError(w, err, platform.Batch{})
+		writeError(w, err, infra.Batch{})
 		return
 	}
 	writeJSON(w, limits)
@@ -186,7 +186,7 @@
 func (s *WeightStore) serveFetch(w http.ResponseWriter, r *http.Request) {
 	mib, err := strconv.ParseInt(r.URL.Query().Get("mib"), 10, 64)
 	if err != nil {
-		writeError(w, refusal("store.fetch", "", platform.ReasonBadRequest), platform.Batch{})
+		writeError(w, refusal("store.fetch", "", infra.ReasonBadRequest), infra.Batch{})
 		return
 	}
 	answer(w, s.Fetch(r.Context(), r.URL.Query().Get("partner"), mib))
@@ -209,15 +209,15 @@
 	query := url.Values{"partner": {partner}, "mib": {strconv.FormatInt(mib, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.base+pathFetch+"?"+query.Encode(), nil)
 	if err != nil {
-		return refusal(op, f.base, platform.ReasonBadRequest)
+		return refusal(op, f.base, infra.ReasonBadRequest)
 	}
 	res, err := f.client.Do(req)
 	if err != nil {
-		return &platform.Error{Op: op, Addr: f.base, Reason: platform.ReasonUnreachable, Effect: platform.EffectUnknown, Err: err}
+		return &infra.Error{Op: op, Addr: f.base, Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown, Err: err}
 	}
 	defer res.Body.Close()
 	if res.StatusCode/100 != 2 {
-		return refusal(op, f.base, platform.ReasonUnavailable)
+		return refusal(op, f.base, infra.ReasonUnavailable)
 	}
 	return nil
 }
--- a/standin/tokens.go
+++ b/standin/tokens.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"greengageferry/platform"
+	"greengageferry/infra"
 )
 
 // Natural answers are between minAnswerTokens and minAnswerTokens+answerSpread
@@ -33,7 +33,7 @@
 
 // AnswerTo returns the answer to a request, whatever its attempt, prefix and
 // version.
-func AnswerTo(req platform.GenerateRequest) Answer {
+func AnswerTo(req infra.GenerateRequest) Answer {
 	d := xxhash.New()
 	for _, s := range []string{req.Model, req.Adapter, req.Prompt} {
 		_, _ = d.WriteString(strconv.Itoa(len(s)))
@@ -56,11 +56,11 @@
 
 // Length returns how many tokens the answer has within a bound, and why it ends
 // there.
-func (a Answer) Length(maxTokens int) (int, platform.Finish) {
+func (a Answer) Length(maxTokens int) (int, infra.Finish) {
 	if a.length <= maxTokens {
-		return a.length, platform.FinishStop
+		return a.length, infra.FinishStop
 	}
-	return maxTokens, platform.FinishLength
+	return maxTokens, infra.FinishLength
 }
 
 // Text returns the whole answer within a bound.
--- a/whole/deploy_test.go
+++ b/whole/deploy_test.go
@@ -21,7 +21,7 @@
 	"greengageferry/config"
 	"greengageferry/entry"
 	"greengageferry/load"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/quickstart"
 	"greengageferry/record"
 	"greengageferry/replay"
@@ -209,8 +209,8 @@
 	for _, addr := range n.addrs() {
 		d.network.Place(addr, n.id)
 	}
-	d.platform.List.Put(platform.Instance{
-		ID: n.id, Role: platform.RoleEntry, State: platform.StateLive,
+	d.platform.List.Put(infra.Instance{
+		ID: n.id, Role: infra.RoleEntry, State: infra.StateLive,
 		Region: domain.Region, FailureDomain: domain.Name, Addr: n.entry.PeersAddr(),
 	})
 	d.nodes = append(d.nodes, n)
@@ -245,14 +245,14 @@
 }
 
 // propose appends a configuration change to the log.
-func (d *deployment) propose(change *record.ConfigChange, sequence int) platform.Offset {
+func (d *deployment) propose(change *record.ConfigChange, sequence int) infra.Offset {
 	data, err := proto.Marshal(&record.Record{
 		Origin:   "whole/" + change.GetPartner() + "/" + change.GetAuthor(),
 		Sequence: uint64(sequence + 1),
 		Body:     &record.Record_ConfigChange{ConfigChange: change},
 	})
 	require.NoError(d.t, err)
-	offset, err := d.platform.Log.Append(d.t.Context(), platform.StreamConfig, [][]byte{data})
+	offset, err := d.platform.Log.Append(d.t.Context(), infra.StreamConfig, [][]byte{data})
 	require.NoError(d.t, err)
 	return offset
 }
@@ -260,7 +260,7 @@
 // inForce replays the config stream from the log's own records.
 func (d *deployment) inForce() *replay.ConfigView {
 	machine := replay.NewConfig()
-	for _, r := range d.platform.Log.Truth().Records[platform.StreamConfig] {
+	for _, r := range d.platform.Log.Truth().Records[infra.StreamConfig] {
 		var rec record.Record
 		require.NoError(d.t, proto.Unmarshal(r.Data, &rec))
 		machine.Apply(r.Offset, &rec)
@@ -377,7 +377,7 @@
 			d.t.Logf("%s%s: %s", n.id, path, body)
 		}
 	}
-	engine := platform.NewHTTPEngine(client)
+	engine := infra.NewHTTPEngine(client)
 	for _, id := range slices.Sorted(maps.Keys(d.platform.Engines)) {
 		status, err := engine.Status(d.t.Context(), d.platform.Servers[id].Addr())
 		d.t.Logf("%s: %+v %v", id, status, err)
--- a/whole/failures_test.go
+++ b/whole/failures_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"greengageferry/load"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/quickstart"
 	"greengageferry/record"
 	"greengageferry/standin"
@@ -302,7 +302,7 @@
 			if i.ID != engines[1].ID() {
 				continue
 			}
-			i.State = platform.StateLeaving
+			i.State = infra.StateLeaving
 			d.mu.Lock()
 			d.truth.Leaving[i.ID] = time.Now()
 			d.mu.Unlock()
@@ -331,10 +331,10 @@
 type breaker struct {
 	mu   sync.Mutex
 	rng  *rand.Rand
-	last platform.Event // of any stream
+	last infra.Event // of any stream
 }
 
-func (b *breaker) piece(e platform.Event) standin.Pieces {
+func (b *breaker) piece(e infra.Event) standin.Pieces {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last := b.last
@@ -345,15 +345,15 @@
 	case 1:
 		return standin.Pieces{}
 	case 2:
-		return standin.Pieces{Send: []platform.Event{e, e}}
+		return standin.Pieces{Send: []infra.Event{e, e}}
 	case 3:
-		return standin.Pieces{Send: []platform.Event{last, e}}
+		return standin.Pieces{Send: []infra.Event{last, e}}
 	case 4:
-		return standin.Pieces{Send: []platform.Event{e}, Delay: 300 * time.Millisecond}
+		return standin.Pieces{Send: []infra.Event{e}, Delay: 300 * time.Millisecond}
 	case 5:
 		later := e
 		later.Index++
-		return standin.Pieces{Send: []platform.Event{later, e}}
+		return standin.Pieces{Send: []infra.Event{later, e}}
 	}
 	return standin.Keep(e)
 }
--- a/whole/rules.go
+++ b/whole/rules.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"greengageferry/load"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/standin"
 )
 
@@ -145,7 +145,7 @@
 		if t.Request.Seed != 0 && run.seed != t.Request.Seed {
 			continue
 		}
-		answer := standin.AnswerTo(platform.GenerateRequest{Model: m.Model, Adapter: m.Adapter, Prompt: t.Request.Prompt, Seed: run.seed})
+		answer := standin.AnswerTo(infra.GenerateRequest{Model: m.Model, Adapter: m.Adapter, Prompt: t.Request.Prompt, Seed: run.seed})
 		if answer.Text(t.Request.MaxTokens) == t.Answer.Text {
 			return true
 		}
--- a/whole/rules_test.go
+++ b/whole/rules_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/load"
-	"greengageferry/platform"
+	"greengageferry/infra"
 	"greengageferry/standin"
 )
 
@@ -19,7 +19,7 @@
 // told is one entry that is right: request n was sent to entry-1 and completed.
 func told(n uint64, prompt string) Told {
 	r := load.Request{Model: "tray-planner", Prompt: prompt, MaxTokens: 50, Seed: n}
-	text := standin.AnswerTo(platform.GenerateRequest{Model: r.Model, Prompt: prompt, Seed: n}).Text(50)
+	text := standin.AnswerTo(infra.GenerateRequest{Model: r.Model, Prompt: prompt, Seed: n}).Text(50)
 	return Told{
 		Request:  r,
 		Answer:   load.Answer{Outcome: load.OutcomeComplete, Text: text},
