--- a/caller/fakes_test.go
+++ b/caller/fakes_test.go
@@ -20,8 +20,8 @@
 	"greengageferry/claims"
 	"greengageferry/config"
 	"greengageferry/decide"
-	"greengageferry/internal/testmain"
 	"greengageferry/infra"
+	"greengageferry/internal/testmain"
 	"greengageferry/record"
 )
 
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -25,7 +25,7 @@
 
 func (noObserver) Decided(string, decide.Decision)      {}
 func (noObserver) Ended(string, string, decide.Outcome) {}
-func (noObserver) Reported(string, infra.Load)       {}
+func (noObserver) Reported(string, infra.Load)          {}
 func (noObserver) NotResident(string)                   {}
 
 // observeFailure tells the observer what a failed attempt showed.
--- a/claims/batchers.go
+++ b/claims/batchers.go
@@ -11,9 +11,9 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"greengageferry/infra"
 	"greengageferry/logsync"
 	"greengageferry/peer"
-	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 )
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -12,11 +12,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/infra"
 	"greengageferry/internal/testmain"
 	"greengageferry/logsync"
 	"greengageferry/logsync/logtest"
 	"greengageferry/peer"
-	"greengageferry/infra"
 	"greengageferry/record"
 )
 
--- a/claims/client.go
+++ b/claims/client.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"greengageferry/peer"
 	"greengageferry/infra"
+	"greengageferry/peer"
 	"greengageferry/record"
 	"greengageferry/rendezvous"
 )
--- a/claims/history_test.go
+++ b/claims/history_test.go
@@ -15,9 +15,9 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/infra"
 	"greengageferry/logsync/logtest"
 	"greengageferry/peer"
-	"greengageferry/infra"
 	"greengageferry/record"
 )
 
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/cmd/greengageferry/entry.go
+++ b/cmd/greengageferry/entry.go
@@ -74,7 +74,7 @@
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	log, closeLog := newLogger(level)
+	log, closeLog := newLogger(level, os.Stderr)
 	defer closeLog()
 	instance, err := entry.New(entry.Options{Settings: s, Version: version, Log: log})
 	if err == nil {
--- /dev/null
+++ b/cmd/greengageferry/instance.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/instance"
+	"greengageferry/netconn"
+	"greengageferry/platform"
+)
+
+// instanceCommand is the subcommand instance.
+type instanceCommand struct {
+	checkOnly bool
+	level     string
+}
+
+func (*instanceCommand) Name() string { return "instance" }
+func (*instanceCommand) Synopsis() string {
+	return "run an instance on the users' platform: the daemon"
+}
+func (*instanceCommand) Usage() string {
+	return `instance [-check] [-log LEVEL]:
+  Run an instance on the users' platform until SIGTERM, and then drain it. The
+  platform's variable ` + platform.SettingsVariable + ` names the settings file.
+  With -check only read the settings and say whether they are in order.
+  Exit codes: 0 ended or in order, 1 failed, 2 wrong usage, 3 settings refused.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *instanceCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.checkOnly, "check", false, "only check the settings")
+	f.StringVar(&c.level, "log", "info", "the least `level` of log lines: debug, info, warning or error")
+}
+
+// memoryPart is the part of an instance's memory that the heap may fill before
+// collections come closer together: stacks and the sockets' buffers need the rest.
+const memoryPart = 0.6
+
+// storeIdle bounds the unused connections to the store: one for each duty that
+// reads there.
+const storeIdle = 6
+
+// Execute implements subcommands.Command.
+func (c *instanceCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	level, err := logrus.ParseLevel(c.level)
+	if err != nil || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, "wrong usage: ", c.Usage())
+		return subcommands.ExitUsageError
+	}
+	node, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "instance:", err)
+		return exitRefused
+	}
+	if c.checkOnly {
+		return subcommands.ExitSuccess
+	}
+	debug.SetMemoryLimit(int64(float64(node.MemoryMB) * memoryPart * (1 << 20)))
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	log, closeLog := newLogger(level, os.Stdout)
+	defer closeLog()
+	log.WithFields(logrus.Fields{"instance": node.Name, "domain": node.Domain, "version": version}).Info("starting")
+	seed := uint64(time.Now().UnixNano())
+	i := instance.New(instance.Options{
+		Node:    node,
+		Source:  platform.NewStore(node.StoreAddr, netconn.Transport(storeIdle, time.Minute)),
+		Headers: platform.Headers{},
+		Log:     log,
+		Rand:    rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
+	})
+	if err := i.Run(ctx); err != nil {
+		log.WithField("error", err).Error("ended")
+		return subcommands.ExitFailure
+	}
+	log.Info("ended")
+	return subcommands.ExitSuccess
+}
--- a/cmd/greengageferry/logging.go
+++ b/cmd/greengageferry/logging.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// logLines bounds the lines that wait for standard error. Full: a line is
+// logLines bounds the lines that wait to be written. Full: a line is
 // dropped and counted, since a reader of the log that stands still must not
 // hold up a routing decision.
 const logLines = 4096
@@ -79,9 +79,9 @@
 }
 
 // newLogger returns a logger that writes one line of key=value pairs for each
-// event to standard error, and what ends it.
-func newLogger(level logrus.Level) (*logrus.Logger, func()) {
-	writer := newLogWriter(os.Stderr)
+// event to out, and what ends it.
+func newLogger(level logrus.Level, out io.Writer) (*logrus.Logger, func()) {
+	writer := newLogWriter(out)
 	log := logrus.New()
 	log.SetOutput(writer)
 	log.SetLevel(level)
--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -25,6 +25,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&entryCommand{}, "")
+	c.Register(&instanceCommand{}, "")
 	c.Register(&quickstartCommand{}, "")
 	c.Register(&checkCommand{}, "")
 	c.Register(&explainCommand{}, "")
--- a/cmd/greengageferry/publish.go
+++ b/cmd/greengageferry/publish.go
@@ -59,7 +59,7 @@
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	log, closeLog := newLogger(logrus.WarnLevel)
+	log, closeLog := newLogger(logrus.WarnLevel, os.Stderr)
 	defer closeLog()
 	p := publish.New(publish.Options{
 		Log:       infra.NewHTTPLog(c.log, &http.Client{}),
--- a/cmd/greengageferry/quickstart.go
+++ b/cmd/greengageferry/quickstart.go
@@ -60,7 +60,7 @@
 		ctx, cancel = context.WithTimeout(ctx, c.duration)
 		defer cancel()
 	}
-	log, closeLog := newLogger(level)
+	log, closeLog := newLogger(level, os.Stderr)
 	err = quickstart.Run(ctx, quickstart.Options{Listen: c.listen, Out: os.Stdout, Log: log, Version: version})
 	closeLog()
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/control/controller.go
+++ b/control/controller.go
@@ -45,7 +45,7 @@
 
 // public is what the workers may know of core.
 type public struct {
-	until    time.Time       // the lease is held until then; zero: not held
+	until    time.Time    // the lease is held until then; zero: not held
 	joined   infra.Offset // the own join; 0: none known
 	listedAt time.Time
 }
--- a/control/core.go
+++ b/control/core.go
@@ -71,9 +71,9 @@
 	others  map[string]*replay.ControlView
 	list    *fleet.List
 	cfg     *config.Config
-	entries []string            // from the list: the domain's live entry instances
+	entries []string         // from the list: the domain's live entry instances
 	engines []infra.Instance // from the list: the domain's model engines
-	down    bool                // the log can't be read
+	down    bool             // the log can't be read
 
 	listedAt time.Time // when this instance last saw itself on the list
 	idle     bool      // no own order is under way
@@ -86,7 +86,7 @@
 	unlisted map[string]time.Time // orderers: off the list since
 
 	held      infra.Offset // the lease whose holder the servers were looked at as
-	appending bool            // a batch of records is under way
+	appending bool         // a batch of records is under way
 	settled   infra.Offset // no new batch before this was read
 	retryAt   time.Time
 	gathered  gathered
@@ -121,7 +121,7 @@
 	list    *fleet.List
 	cfg     *config.Config
 	down    bool
-	idle    bool            // no own order is under way
+	idle    bool         // no own order is under way
 	applied infra.Offset // the own word on Applied
 }
 
--- a/control/lease.go
+++ b/control/lease.go
@@ -26,7 +26,7 @@
 
 // sentRecord is an own claim or renewal.
 type sentRecord struct {
-	at     time.Time       // before it was sent
+	at     time.Time    // before it was sent
 	offset infra.Offset // 0: not known
 }
 
@@ -37,17 +37,17 @@
 type LeaseKeeper struct {
 	o LeaseOptions
 
-	known  bool            // a view was read
+	known  bool         // a view was read
 	offset infra.Offset // read up to here
 	seen   replay.Lease
 	seenAt time.Time // when the newest record of the lease was read
 
 	id       infra.Offset // the offset of the own claim; 0: none
-	from     time.Time       // what the own lease counts from
+	from     time.Time    // what the own lease counts from
 	readBack infra.Offset // the newest own record read back as effective
-	sent     []sentRecord    // own renewals that weren't read back yet, oldest first
-	inFlight bool            // an append is under way
-	pending  *sentRecord     // the claim under way
+	sent     []sentRecord // own renewals that weren't read back yet, oldest first
+	inFlight bool         // an append is under way
+	pending  *sentRecord  // the claim under way
 	retryAt  time.Time
 }
 
--- a/control/options.go
+++ b/control/options.go
@@ -11,8 +11,8 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/replay"
 )
 
--- a/control/orderers.go
+++ b/control/orderers.go
@@ -16,8 +16,8 @@
 type membership struct {
 	instance string
 	started  time.Time
-	late     time.Duration   // after the start, an earlier process's orders may still arrive
-	joined   infra.Offset // of the own join; 0: none known
+	late     time.Duration // after the start, an earlier process's orders may still arrive
+	joined   infra.Offset  // of the own join; 0: none known
 	inFlight bool
 	retryAt  time.Time
 }
--- a/control/pace.go
+++ b/control/pace.go
@@ -25,7 +25,7 @@
 // prevented: one domain's loads taking the store from the others' first replicas.
 type pacer struct {
 	limits map[string]infra.StoreLimits // by partner, as the store told
-	parts  map[string]int                  // by partner: domains that share its store
+	parts  map[string]int               // by partner: domains that share its store
 	rates  map[string]*rate.Limiter
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -30,14 +30,14 @@
 	addr string
 
 	status      *infra.ServerStatus // the newest, or nil
-	asked       time.Time              // when the newest status was asked for
-	silentSince time.Time              // the first failure since it last answered
-	failures    int                    // in a row
+	asked       time.Time           // when the newest status was asked for
+	silentSince time.Time           // the first failure since it last answered
+	failures    int                 // in a row
 	polling     bool
 	pollAt      time.Time
 
 	assignment infra.Offset // the newest that was read
-	readAt     time.Time       // when it was read: what its DropDelay counts from
+	readAt     time.Time    // when it was read: what its DropDelay counts from
 	since      map[infra.Key]time.Time
 	sent       map[orderKey]sentOrder
 
--- a/decide/admit.go
+++ b/decide/admit.go
@@ -32,6 +32,10 @@
 	maxRetryAfter = 30 * time.Second
 	// noReplicaRetry is when to come back for a target that is being loaded.
 	noReplicaRetry = 2 * time.Second
+	// expectedRate is how many requests a second start for a target whose first
+	// replica is being made: all that wait start at once as it is ready, so only
+	// their deadlines bound them.
+	expectedRate = 1000.0
 	// shutdownRetry is when to come back to another instance.
 	shutdownRetry = 100 * time.Millisecond
 )
@@ -121,6 +125,9 @@
 // servers. Those that wait there share them by number, partners by weight.
 func (t *targetState) rate(more int) float64 {
 	n := min(len(t.replicas), sampled)
+	if n == 0 && t.Expected {
+		return expectedRate
+	}
 	if n == 0 {
 		return 1 / maxRetryAfter.Seconds() // they are gone: perhaps some come back
 	}
--- a/decide/baselines_test.go
+++ b/decide/baselines_test.go
@@ -82,7 +82,7 @@
 }
 
 func (s *simple) Reported(time.Time, string, infra.Load, time.Duration) []Decision { return nil }
-func (s *simple) Tick(time.Time) []Decision                                           { return nil }
+func (s *simple) Tick(time.Time) []Decision                                        { return nil }
 
 // static places once: a replica of each, then a second where room allows.
 type static struct{ planner *Planner }
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -24,6 +24,7 @@
 	ownThen    int     // own when the report was made
 	others     float64 // mean of the other instances' requests there
 
+	errors   average // part of its answers that were its own failures
 	speed    average // its time for a piece of work against what the target usually takes
 	failures int     // in a row
 	retryAt  time.Time
@@ -33,6 +34,7 @@
 type poolState struct {
 	speed    float64 // mean of its servers' speed
 	service  serviceTimes
+	budget   retryBudget
 	held     average // seconds that an attempt held its slot, however it ended
 	total    int     // this instance's requests there
 	inFlight []int   // this instance's requests there, by partnerState.index
@@ -93,6 +95,9 @@
 // set takes in a table and returns the targets that it no longer has.
 func (f *fleet) set(t *Table) (gone []*targetState) {
 	listed := f.setServers(t)
+	for _, p := range f.pools {
+		p.budget.setPolicy(t.Retry)
+	}
 	f.ordered = f.ordered[:0]
 	for _, name := range sortedNames(t.Targets) {
 		f.ordered = append(f.ordered, f.setTarget(t, t.Targets[name], listed))
@@ -171,7 +176,7 @@
 func (f *fleet) pool(name string) *poolState {
 	p := f.pools[name]
 	if p == nil {
-		p = &poolState{speed: 1}
+		p = &poolState{speed: 1, budget: newRetryBudget()}
 		f.pools[name] = p
 	}
 	return p
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -34,10 +34,10 @@
 	Now       time.Time
 	Domain    string
 	Config    *config.Config
-	Servers   []PlanServer                    // of this failure domain
-	Demand    map[string]Demand               // by model or adapter name
-	Elsewhere map[string]int                  // replicas of each model or adapter in other failure domains
-	Domains   []string                        // all failure domains that have servers, sorted
+	Servers   []PlanServer                 // of this failure domain
+	Demand    map[string]Demand            // by model or adapter name
+	Elsewhere map[string]int               // replicas of each model or adapter in other failure domains
+	Domains   []string                     // all failure domains that have servers, sorted
 	Stores    map[string]infra.StoreLimits // by partner
 	StoreDown bool
 }
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -41,21 +41,51 @@
 	unreadyMax = 30 * time.Second
 )
 
-// retryBudget allows retries as a share of recent successes. It is for a fault
-// that hits many requests at once: unbounded, their retries would keep the
-// servers that are left overloaded after the fault is over.
+// RetryPolicy bounds the repeats that one instance sends to one pool.
+type RetryPolicy struct {
+	Share   float64 // repeats for each recent success
+	Reserve float64 // repeats with no success to show for them
+	Trickle float64 // repeats a second that refill the reserve
+	// CountRefused also counts repeats of what a server refused before starting.
+	// It is for platforms that bound all arrivals at a pool.
+	CountRefused bool
+}
+
+func (p RetryPolicy) withDefaults() RetryPolicy {
+	if p == (RetryPolicy{}) {
+		return RetryPolicy{Share: retryShare, Reserve: retryReserve, Trickle: retryTrickle}
+	}
+	return p
+}
+
+// retryBudget allows a pool's retries as a share of recent successes. It is for
+// a fault that hits many requests at once: unbounded, their retries would keep
+// the servers that are left overloaded after the fault is over.
 type retryBudget struct {
+	policy RetryPolicy
 	tokens float64
 	at     time.Time
 }
 
-func newRetryBudget() retryBudget { return retryBudget{tokens: retryReserve} }
+func newRetryBudget() retryBudget {
+	p := RetryPolicy{}.withDefaults()
+	return retryBudget{policy: p, tokens: p.Reserve}
+}
 
-func (b *retryBudget) succeeded() { b.tokens = min(b.tokens+retryShare, retryReserve) }
+// setPolicy changes the bounds. What was spent stays spent.
+func (b *retryBudget) setPolicy(p RetryPolicy) {
+	p = p.withDefaults()
+	b.tokens = min(max(b.tokens+p.Reserve-b.policy.Reserve, 0), p.Reserve)
+	b.policy = p
+}
+
+func (b *retryBudget) succeeded() {
+	b.tokens = min(b.tokens+b.policy.Share, b.policy.Reserve)
+}
 
 func (b *retryBudget) take(now time.Time) bool {
 	if !b.at.IsZero() {
-		b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*retryTrickle, retryReserve)
+		b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*b.policy.Trickle, b.policy.Reserve)
 	}
 	b.at = now
 	if b.tokens < 1 {
@@ -78,6 +108,8 @@
 		srv.retryAt = now.Add(overloadedPause)
 	case infra.ReasonLeaving:
 		srv.retryAt = now.Add(leavingPause)
+	case infra.ReasonFailed:
+		srv.errors.add(1)
 	case infra.ReasonBadRequest, infra.ReasonCanceled:
 	default:
 		srv.retryAt = now.Add(backoff(failureBackoff, failureBackoffMax, srv.failures))
@@ -95,14 +127,24 @@
 		return ReasonQuarantined, false
 	case !now.Before(r.Deadline):
 		return ReasonDeadline, false
-	case r.attempts >= maxAttempts:
+	case r.attempts >= r.mostAttempts():
 		return ReasonRetryBudget, false
-	case f.Effect != infra.EffectNone && !s.budget.take(now):
+	}
+	budget := &r.avoid.pool.budget
+	if (f.Effect != infra.EffectNone || budget.policy.CountRefused) && !budget.take(now) {
 		return ReasonRetryBudget, false
 	}
 	return "", true
 }
 
+// mostAttempts is how many servers the request may be sent to.
+func (f *flight) mostAttempts() int {
+	if f.MaxAttempts > 0 {
+		return min(f.MaxAttempts, maxAttempts)
+	}
+	return maxAttempts
+}
+
 // backoff doubles from first to most.
 func backoff(first, most time.Duration, times int) time.Duration {
 	if times > 16 {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -20,7 +20,6 @@
 	requests map[string]*flight
 	spare    []*flight // for reuse
 	queued   int
-	budget   retryBudget
 	prefixes prefixes
 	draining bool
 	turn     int
@@ -40,7 +39,6 @@
 		rng:        rng,
 		fleet:      newFleet(),
 		requests:   map[string]*flight{},
-		budget:     newRetryBudget(),
 		prefixes:   newPrefixes(),
 		candidates: make([]candidate, 0, sampled+1),
 	}
@@ -114,7 +112,8 @@
 	if o.Complete && f.at != nil && f.at.ID == server {
 		f.target.learn(now, f, o)
 		f.at.failures = 0
-		s.budget.succeeded()
+		f.at.errors.add(0)
+		f.at.pool.budget.succeeded()
 	}
 	s.end(now, f, o.Complete)
 	return s.out
@@ -195,6 +194,10 @@
 func (s *Scheduler) place(now time.Time, f *flight) {
 	s.prepare(now, f)
 	if len(f.target.replicas) == 0 {
+		if f.target.Expected {
+			s.enqueue(now, f)
+			return
+		}
 		s.refuse(f, ReasonNoReplica, noReplicaRetry)
 		return
 	}
--- a/decide/score.go
+++ b/decide/score.go
@@ -15,6 +15,9 @@
 	// the server with a cached prefix may have and still be preferred, so that a
 	// popular prefix doesn't pile up on one server.
 	prefixOverload = 1.25
+	// failureCost is what a server's certain failure weighs against its time of
+	// service, in seconds: about the time in which its caller comes back.
+	failureCost = 2.0
 )
 
 // scorer adds to a candidate's expected seconds.
@@ -22,7 +25,7 @@
 	score(s *Scheduler, now time.Time, f *flight, c *candidate) float64
 }
 
-var scorers = []scorer{workScorer{}, waitScorer{}, prefixScorer{}}
+var scorers = []scorer{workScorer{}, waitScorer{}, prefixScorer{}, failureScorer{}}
 
 // workScorer is the time of service at the server's own speed and fill. It is
 // for a slow server among good ones.
@@ -60,6 +63,15 @@
 	return -prefixSaves * f.target.times(now).first.mean
 }
 
+// failureScorer is the part of a server's answers that were failures of its own.
+// It is for a server that fails part of its requests while its health check is
+// good: it gets less, and a pool that fails everywhere alike is left as it is.
+type failureScorer struct{}
+
+func (failureScorer) score(_ *Scheduler, _ time.Time, _ *flight, c *candidate) float64 {
+	return failureCost * c.server.errors.mean
+}
+
 func serviceOf(f *flight) float64 {
 	if f.need > 0 {
 		return f.need
--- a/decide/types.go
+++ b/decide/types.go
@@ -39,6 +39,9 @@
 	PerToken   time.Duration // target between tokens
 	Timeout    time.Duration // the deadline where the caller sets none
 	Replicas   []Replica     // ready ones, newest version first
+	// Expected says that a replica is being made where there is none, so that
+	// requests wait for it until their deadline instead of being refused.
+	Expected bool
 }
 
 // Table is what routing knows of the fleet. It is immutable; a new one takes
@@ -49,6 +52,7 @@
 	Targets   map[string]*Target
 	Weights   map[string]float64 // by partner: parts of contended capacity
 	Entries   map[string]int     // by failure domain: entry instances there, from the platform's list
+	Retry     RetryPolicy        // the zero value takes the defaults
 }
 
 // Request is what the decisions need to know of a caller's request.
@@ -64,6 +68,7 @@
 	Prefix      uint64 // infra.PrefixHash of the prompt; 0: none
 	Idempotent  bool   // may be dispatched again after an unknown outcome
 	Suspect     bool   // a backend server died while it ran it: kept apart from other suspects
+	MaxAttempts int    // servers that it may be sent to; 0: maxAttempts
 }
 
 // Action is what a decision asks for.
--- a/demand/collector.go
+++ b/demand/collector.go
@@ -29,7 +29,7 @@
 
 // Report is what an entry instance says of a failure domain.
 type Report struct {
-	Rates map[string]Rates         // what the domain was asked for through it, by target
+	Rates map[string]Rates      // what the domain was asked for through it, by target
 	Loads map[string]infra.Load // the loads that rode on its answers lately, by server
 }
 
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -4,8 +4,8 @@
 	"strings"
 
 	"greengageferry/claims"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 )
 
 // wireClaims makes this instance's part in the shards' batchers and the client
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,8 +15,8 @@
 	"greengageferry/decide"
 	"greengageferry/demand"
 	"greengageferry/fleet"
-	"greengageferry/internal/testmain"
 	"greengageferry/infra"
+	"greengageferry/internal/testmain"
 	"greengageferry/replay"
 )
 
--- a/entry/patrol_test.go
+++ b/entry/patrol_test.go
@@ -53,7 +53,7 @@
 		engine.status["s03"] = infra.ServerStatus{Boot: "2"}                                    // restarted empty
 		engine.status["s04"] = infra.ServerStatus{Boot: "2", Items: engine.status["s05"].Items} // restarted, loaded again
 		engine.status["s07"] = infra.ServerStatus{Boot: "1"}                                    // lost its model
-		delete(engine.status, "s09")                                                               // doesn't answer
+		delete(engine.status, "s09")                                                            // doesn't answer
 		list := fleet.NewList(time.Now(), instances)
 
 		var mu sync.Mutex
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"greengageferry/caller"
-	"greengageferry/peer"
 	"greengageferry/infra"
+	"greengageferry/peer"
 	"greengageferry/record"
 	"greengageferry/traffic"
 )
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/config"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/entry/status.go
+++ b/entry/status.go
@@ -6,8 +6,8 @@
 
 	"greengageferry/decide"
 	"greengageferry/fleet"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 )
 
 // Status is what one instance sees, as its operators' address gives it.
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -11,8 +11,8 @@
 	"greengageferry/decide"
 	"greengageferry/demand"
 	"greengageferry/fleet"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/replay"
 	"greengageferry/supervise"
 )
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -14,8 +14,8 @@
 
 	"greengageferry/config"
 	"greengageferry/decide"
-	"greengageferry/internal/testmain"
 	"greengageferry/infra"
+	"greengageferry/internal/testmain"
 	"greengageferry/replay"
 )
 
--- a/infra/errors.go
+++ b/infra/errors.go
@@ -38,6 +38,7 @@
 	ReasonOutOfRange    Reason = "out_of_range"    // the offset has aged out of the log
 	ReasonBadRequest    Reason = "bad_request"     // the other side can't accept the request
 	ReasonProtocol      Reason = "protocol"        // the answer can't be understood
+	ReasonFailed        Reason = "failed"          // the backend server ran the request and failed
 	ReasonNoSuchAttempt Reason = "no_such_attempt" // nothing to resume or cancel
 )
 
--- a/infra/http.go
+++ b/infra/http.go
@@ -144,10 +144,17 @@
 
 // do sends the request, and says of a failure whether a byte can have left.
 func (c caller) do(req *http.Request, k call) (*http.Response, error) {
+	return Send(k.op, k.addr, c.client.Do, req)
+}
+
+// Send sends a request, and says of a failure whether a byte can have left. Its
+// error is an *Error; an answer is returned whatever its status.
+func Send(op, addr string, do func(*http.Request) (*http.Response, error), req *http.Request) (*http.Response, error) {
 	var t connTrace
 	ctx := httptrace.WithClientTrace(req.Context(), t.hooks())
-	res, err := c.client.Do(req.WithContext(ctx))
+	res, err := do(req.WithContext(ctx))
 	if err != nil {
+		k := call{op: op, addr: addr}
 		return nil, k.failed(ctx, t.effect(ctx, err), err)
 	}
 	return res, nil
--- /dev/null
+++ b/instance/follow.go
@@ -0,0 +1,135 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/infra"
+	"greengageferry/supervise"
+	"greengageferry/topology"
+)
+
+const (
+	// configWait is how long one read waits for a configuration. It bounds how
+	// long a connection that went silent unnoticed can hide one.
+	configWait = 10 * time.Second
+	// configSpacing is the least time between two reads of configurations:
+	// changes come sixteen a second at times, and each is decoded whole.
+	configSpacing = 150 * time.Millisecond
+	// serversSpacing is the least time between two reads of servers' entries.
+	// Each server writes about once a second, so a read that only waited would
+	// return dozens of times a second; a leaving server must be known within
+	// two seconds.
+	serversSpacing = 400 * time.Millisecond
+	// serversWait is how long one read waits for entries.
+	serversWait = time.Second
+	// retryFirst and retryMost bound the pause after a failed read.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// newestTimeout bounds a read of everything.
+	newestTimeout = 3 * time.Second
+)
+
+// backoff is the pause after failures in a row.
+type backoff struct{ failures int }
+
+func (b *backoff) next() time.Duration {
+	b.failures++
+	return min(retryFirst<<min(b.failures-1, 8), retryMost)
+}
+
+// followConfig is the duty that follows the operators' configuration.
+func (i *Instance) followConfig(ctx context.Context) error {
+	var at topology.Position
+	var b backoff
+	for fresh := true; ctx.Err() == nil; {
+		c, next, err := i.readConfig(ctx, at, fresh)
+		if err != nil {
+			fresh = fresh || outOfRange(err)
+			i.storeFailed("config", err)
+			supervise.Pause(ctx, b.next())
+			continue
+		}
+		b.failures = 0
+		i.storeAnswered()
+		if fresh || next > at {
+			at = next
+		}
+		fresh = false
+		if c != nil {
+			i.setConfig(c)
+		}
+		supervise.Pause(ctx, configSpacing)
+	}
+	return nil
+}
+
+func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (*topology.Config, topology.Position, error) {
+	if !fresh {
+		return i.opts.Source.NextConfig(ctx, at, configWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	return i.opts.Source.NewestConfig(ctx)
+}
+
+// followServers is the duty that follows the servers' entries.
+func (i *Instance) followServers(ctx context.Context) error {
+	var at topology.Position
+	var b backoff
+	fleet := topology.NewFleet()
+	for fresh := true; ctx.Err() == nil; {
+		changes, next, err := i.readServers(ctx, at, fresh)
+		now := time.Now()
+		if err != nil {
+			fresh = fresh || outOfRange(err)
+			i.storeFailed("servers", err)
+			supervise.Pause(ctx, b.next())
+			continue
+		}
+		if b.failures > 0 {
+			b.failures = 0
+			fleet.StoreBack(now)
+		}
+		i.storeAnswered()
+		i.noteProblems(changes)
+		var changed bool
+		if fresh {
+			changed = fleet.Reset(now, changes)
+		} else {
+			changed = fleet.Apply(now, changes)
+		}
+		changed = fleet.Expire(now) || changed
+		if changed || fresh {
+			i.setServers(fleet.Servers())
+		}
+		at, fresh = next, false
+		supervise.Pause(ctx, serversSpacing)
+	}
+	return nil
+}
+
+func (i *Instance) readServers(ctx context.Context, at topology.Position, fresh bool) ([]topology.ServerChange, topology.Position, error) {
+	if !fresh {
+		return i.opts.Source.NextServers(ctx, at, serversWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	return i.opts.Source.NewestServers(ctx)
+}
+
+func (i *Instance) noteProblems(changes []topology.ServerChange) {
+	for _, c := range changes {
+		if c.Problem != nil {
+			i.log.WithFields(logrus.Fields{"server": c.ID, "error": c.Problem}).Warn("server entry not usable")
+		}
+	}
+}
+
+func outOfRange(err error) bool {
+	var e *infra.Error
+	return errors.As(err, &e) && e.Reason == infra.ReasonOutOfRange
+}
--- /dev/null
+++ b/instance/front.go
@@ -0,0 +1,130 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"greengageferry/supervise"
+	"greengageferry/topology"
+)
+
+const (
+	// defaultHeaderBytes, defaultHeaderTime and defaultIdle hold until a
+	// configuration sets them.
+	defaultHeaderBytes = 16 << 10
+	defaultHeaderTime  = 3 * time.Second
+	defaultIdle        = 15 * time.Second
+	// headerSlack is what net/http adds to the bound on headers.
+	headerSlack = 4 << 10
+	// drainServing is how long a draining instance still takes new requests on
+	// open connections: the balancer's health checks fail twice within it.
+	drainServing = 2500 * time.Millisecond
+	// drainMargin is how long before the platform's kill what is still in hand
+	// is broken off.
+	drainMargin = 500 * time.Millisecond
+	// drainPoll is how often a draining instance looks whether all has ended.
+	drainPoll = 50 * time.Millisecond
+)
+
+// front serves callers and the health check.
+type front struct {
+	instance *Instance
+	callers  net.Listener
+	health   net.Listener
+	server   atomic.Pointer[http.Server]
+	draining atomic.Bool
+}
+
+func newFront(i *Instance) *front { return &front{instance: i} }
+
+// listen opens the addresses, so that a wrong one ends the program at once.
+func (f *front) listen() error {
+	n := f.instance.opts.Node
+	var err error
+	if f.callers, err = net.Listen("tcp4", n.CallersAddr); err != nil {
+		return errors.Wrap(err, "listening for callers")
+	}
+	if f.health, err = net.Listen("tcp4", n.HealthAddr); err != nil {
+		return errors.Wrap(err, "listening for health checks")
+	}
+	return nil
+}
+
+// serve is the duty that serves callers. The limits on what they may send hold
+// from the first configuration on; until then each request is refused as not run.
+func (f *front) serve(ctx context.Context) error {
+	limits := topology.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdle}
+	listener := newSharedListener(f.callers)
+	for {
+		server := f.newServer(limits)
+		f.server.Store(server)
+		ended := make(chan error, 1)
+		turn := listener.turn()
+		go func() { ended <- server.Serve(turn) }()
+		select {
+		case <-ctx.Done():
+			_ = server.Close() // what was in hand has ended or is broken off
+			_ = f.callers.Close()
+			return nil
+		case err := <-ended:
+			return err
+		case limits = <-f.instance.limits:
+			_ = turn.Close() // the next server accepts; open connections stay with this one
+		}
+	}
+}
+
+func (f *front) newServer(l topology.Limits) *http.Server {
+	return &http.Server{
+		Handler:           f.instance.relay,
+		MaxHeaderBytes:    max(l.HeaderBytes-headerSlack, headerSlack),
+		ReadHeaderTimeout: l.HeaderTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		ErrorLog:          newServerLog(f.instance.log),
+	}
+}
+
+// serveHealth is the duty that answers the balancer's health checks.
+func (f *front) serveHealth(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", f.instance.metrics.serve)
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		if f.draining.Load() || !f.instance.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTime, ErrorLog: newServerLog(f.instance.log)}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(f.health) }()
+	select {
+	case <-ctx.Done():
+		_ = server.Close()
+		return nil
+	case err := <-ended:
+		return err
+	}
+}
+
+// drain takes the instance out of rotation, serves on until callers have moved
+// on, and lets what is in hand end within the grace period.
+func (f *front) drain() {
+	f.instance.log.WithField("in_hand", f.instance.relay.InHand()).Info("draining")
+	end := time.Now().Add(f.instance.opts.Node.Grace - drainMargin)
+	f.draining.Store(true)
+	f.instance.relay.Drain()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	supervise.Pause(ctx, drainServing)
+	if s := f.server.Load(); s != nil {
+		s.SetKeepAlivesEnabled(false)
+	}
+	_ = f.callers.Close()
+	for f.instance.relay.InHand() > 0 && supervise.Pause(ctx, drainPoll) {
+	}
+	f.instance.log.WithField("in_hand", f.instance.relay.InHand()).Info("drained")
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,206 @@
+// Package instance runs one instance of the system on the users' platform: it
+// follows the operators' configuration and the servers' entries, relays
+// callers' requests, and takes its part in deciding what the servers hold.
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/decide"
+	"greengageferry/relay"
+	"greengageferry/supervise"
+	"greengageferry/topology"
+)
+
+// Options is what an Instance is built from. All must be set.
+type Options struct {
+	Node    *topology.Node
+	Source  topology.Source
+	Headers relay.Headers
+	Log     logrus.FieldLogger
+	Rand    *rand.Rand
+}
+
+// Instance is one instance of the system.
+type Instance struct {
+	opts    Options
+	log     logrus.FieldLogger
+	relay   *relay.Relay
+	metrics *metrics
+
+	mu        sync.Mutex
+	view      topology.View // its parts are replaced, never changed
+	storeDown bool
+	changed   chan struct{} // readable after the view changed; bears at most one signal
+	limits    chan topology.Limits
+}
+
+// New returns an instance that does nothing yet.
+func New(o Options) *Instance {
+	m := newMetrics()
+	i := &Instance{
+		opts: o, log: o.Log, metrics: m,
+		relay:   relay.New(relay.Options{Instance: o.Node.Name, Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand}),
+		changed: make(chan struct{}, 1),
+		limits:  make(chan topology.Limits, 1),
+	}
+	i.view.Nodes = map[string]int{o.Node.Domain: 1}
+	return i
+}
+
+// Run runs the instance until ctx ends, and then lets what is in hand end.
+func (i *Instance) Run(ctx context.Context) error {
+	// The duties outlive ctx: while requests end, they still need the view.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	front := newFront(i)
+	if err := front.listen(); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() {
+		done <- supervise.Run(inner, supervise.Options{Log: i.log},
+			supervise.Duty{Name: "config", Run: i.followConfig},
+			supervise.Duty{Name: "servers", Run: i.followServers},
+			supervise.Duty{Name: "routing", Run: i.route},
+			supervise.Duty{Name: "callers", Run: front.serve},
+			supervise.Duty{Name: "health", Run: front.serveHealth},
+		)
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	front.drain()
+	stop()
+	return <-done
+}
+
+// setConfig takes a configuration in force, unless a newer one already is.
+func (i *Instance) setConfig(c *topology.Config) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if old := i.view.Config; old != nil && c.Version <= old.Version {
+		return
+	}
+	first := i.view.Config == nil
+	i.view.Config = c
+	i.view.Index = topology.NewIndex(c.Routes)
+	i.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "services": len(c.Services)}).Info("configuration in force")
+	i.rebuild()
+	if first {
+		i.limits <- c.Limits
+	}
+}
+
+func (i *Instance) setServers(servers []topology.Server) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.logServers(servers)
+	i.view.Servers = servers
+	i.rebuild()
+}
+
+// logServers writes a line for each server that came, went or began to leave.
+// The lock is held.
+func (i *Instance) logServers(servers []topology.Server) {
+	old := make(map[string]*topology.Server, len(i.view.Servers))
+	for n := range i.view.Servers {
+		old[i.view.Servers[n].ID] = &i.view.Servers[n]
+	}
+	for n := range servers {
+		s := &servers[n]
+		was := old[s.ID]
+		delete(old, s.ID)
+		if was != nil && was.Leaving == s.Leaving && was.Born.Equal(s.Born) {
+			continue
+		}
+		i.log.WithFields(logrus.Fields{
+			"server": s.ID, "service": s.Service, "addr": s.Addr, "domain": s.Domain, "leaving": s.Leaving, "models": len(s.Models),
+		}).Info("server listed")
+	}
+	for id := range old {
+		i.log.WithField("server", id).Info("server gone")
+	}
+}
+
+// rebuild hands the view on. The lock is held: a view is never replaced by an older one.
+func (i *Instance) rebuild() {
+	select {
+	case i.changed <- struct{}{}:
+	default: // the routing is about to look anyway
+	}
+}
+
+// route is the duty that hands new views to the relay.
+func (i *Instance) route(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-i.changed:
+		}
+		i.mu.Lock()
+		v := i.view
+		i.mu.Unlock()
+		i.relay.SetView(&v, topology.BuildTable(i.opts.Node.Domain, &v, true, i.retryPolicy(&v)))
+	}
+}
+
+// The parts of the retries that the platform allows over all instances which
+// one instance takes for itself: less than its share, since it can't know what
+// the others spend.
+const (
+	retryRatioPart   = 0.7 // of the ratio
+	retryReservePart = 0.4 // of its share of the reserve, at once
+	retryTricklePart = 0.4 // of its share of the reserve, over a window
+)
+
+// retryPolicy returns this instance's part of the retries.
+func (i *Instance) retryPolicy(v *topology.View) decide.RetryPolicy {
+	n := i.opts.Node
+	nodes := 0
+	for _, count := range v.Nodes {
+		nodes += count
+	}
+	share := n.RetryReserve / float64(max(nodes, 1))
+	return decide.RetryPolicy{
+		Share:        n.RetryRatio * retryRatioPart,
+		Reserve:      max(share*retryReservePart, 1),
+		Trickle:      share * retryTricklePart / max(n.RetryWindow.Seconds(), 1),
+		CountRefused: true,
+	}
+}
+
+// storeFailed notes that the store did not answer a read.
+func (i *Instance) storeFailed(read string, err error) {
+	i.metrics.storeFailures.Add(1)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.storeDown {
+		i.storeDown = true
+		i.log.WithFields(logrus.Fields{"read": read, "error": err}).Warn("store lost")
+	}
+}
+
+func (i *Instance) storeAnswered() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.storeDown {
+		i.storeDown = false
+		i.log.Info("store regained")
+	}
+}
+
+// ready says whether the instance can serve: it knows a configuration and servers.
+func (i *Instance) ready() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.view.Config != nil && len(i.view.Servers) > 0
+}
+
--- a/logsync/cost_test.go
+++ b/logsync/cost_test.go
@@ -20,8 +20,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"greengageferry/config"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/record"
 	"greengageferry/replay"
 	"greengageferry/standin"
--- a/logsync/errors.go
+++ b/logsync/errors.go
@@ -11,7 +11,7 @@
 	Stream string
 	Wanted infra.Offset
 	Offset infra.Offset // last applied
-	Err    error           // why the wait ended
+	Err    error        // why the wait ended
 }
 
 // Error implements error.
@@ -39,7 +39,7 @@
 type NoStateError struct {
 	Stream  string
 	AtLeast infra.Offset // what a state would have to cover
-	Err     error           // the peers' failure; nil: there are none to ask
+	Err     error        // the peers' failure; nil: there are none to ask
 }
 
 // Error implements error.
--- a/logsync/follower.go
+++ b/logsync/follower.go
@@ -72,8 +72,8 @@
 type Follower[V any] struct {
 	opts FollowerOptions[V]
 
-	mu      sync.Mutex      // guards machine and what follows
-	machine State[V]        // nil before a start was found
+	mu      sync.Mutex   // guards machine and what follows
+	machine State[V]     // nil before a start was found
 	skipped infra.Offset // up to here records aged out that don't count, with FromOldest
 	status  Status
 	changed chan struct{} // closed at the next change
@@ -83,15 +83,15 @@
 
 // Status says how far a Follower is.
 type Status struct {
-	Started    bool            // there is a view
-	FromPeer   bool            // the newest start came from a peer, and the log was not read since
-	CaughtUp   bool            // the newest read reached the stream's end
+	Started    bool         // there is a view
+	FromPeer   bool         // the newest start came from a peer, and the log was not read since
+	CaughtUp   bool         // the newest read reached the stream's end
 	Offset     infra.Offset // last applied
 	Next       infra.Offset // the offset that the next append gets, as of the newest read
-	Read       time.Time       // when the newest read succeeded; zero: never
+	Read       time.Time    // when the newest read succeeded; zero: never
 	Checkpoint infra.Offset // what the newest checkpoint read from the log covers
-	Since      time.Time       // when that was read, or the follower started
-	Unknown    uint64          // records that could not be decoded
+	Since      time.Time    // when that was read, or the follower started
+	Unknown    uint64       // records that could not be decoded
 }
 
 // NewFollower returns a follower that has read nothing.
--- a/logsync/follower_test.go
+++ b/logsync/follower_test.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/logsync/logtest"
 	"greengageferry/infra"
+	"greengageferry/logsync/logtest"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/logsync/judge_test.go
+++ b/logsync/judge_test.go
@@ -12,8 +12,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/logsync/logtest"
 	"greengageferry/infra"
+	"greengageferry/logsync/logtest"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/logsync/lane.go
+++ b/logsync/lane.go
@@ -34,12 +34,12 @@
 	logger  logrus.FieldLogger
 	running bool // guarded by the writer
 
-	sequence uint64          // last given to a record that may be on the log
-	after    infra.Offset // nothing of what is being sent is before it; 0: not known yet
-	failures int             // sure failures in a row
-	pause    time.Duration   // before the next try
-	retryAt  time.Time       // in an outage: when to try again
-	lastErr  error           // in an outage: what failed
+	sequence uint64        // last given to a record that may be on the log
+	after    infra.Offset  // nothing of what is being sent is before it; 0: not known yet
+	failures int           // sure failures in a row
+	pause    time.Duration // before the next try
+	retryAt  time.Time     // in an outage: when to try again
+	lastErr  error         // in an outage: what failed
 }
 
 func newLane(opts WriterOptions, stream string) *lane {
--- a/logsync/logsync_test.go
+++ b/logsync/logsync_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"greengageferry/infra"
 	"greengageferry/internal/testmain"
 	"greengageferry/logsync/logtest"
-	"greengageferry/infra"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/logsync/writer_test.go
+++ b/logsync/writer_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/logsync/logtest"
 	"greengageferry/infra"
+	"greengageferry/logsync/logtest"
 )
 
 func TestConcurrentAppendsShareOne(t *testing.T) {
--- /dev/null
+++ b/netconn/netconn.go
@@ -0,0 +1,62 @@
+// Package netconn makes the HTTP connections to servers, the store and other
+// instances. A network that is cut answers nothing, and an open connection may
+// go silent for good while new ones work: every connection here finds that out
+// by itself.
+package netconn
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout is how long a new connection may take. One takes a few
+	// milliseconds; an opening packet that was dropped is sent again after a
+	// second.
+	dialTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as broken: many round trips, and less than a caller waits.
+	unackedTimeout = 2 * time.Second
+	// probeIdle, probeEvery and probes find a silent connection within three seconds.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probes     = 2
+	// buffer is the size of a connection's read and write buffers: an event of a
+	// stream or a small answer fits, and a thousand connections take 8 MB.
+	buffer = 4 << 10
+)
+
+// Dialer opens connections that notice a silent other side.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probes},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var set error
+			err := c.Control(func(fd uintptr) {
+				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return set
+		},
+	}
+}
+
+// Transport returns a transport that keeps at most idle unused connections to
+// each address, for at most idleTime.
+func Transport(idle int, idleTime time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         Dialer().DialContext,
+		DisableCompression:  true, // bodies pass as they are
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleTime,
+		ReadBufferSize:      buffer,
+		WriteBufferSize:     buffer,
+	}
+}
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -20,8 +20,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/config"
-	"greengageferry/logsync"
 	"greengageferry/infra"
+	"greengageferry/logsync"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -12,10 +12,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/infra"
 	"greengageferry/internal/testmain"
 	"greengageferry/logsync"
 	"greengageferry/logsync/logtest"
-	"greengageferry/infra"
 	"greengageferry/replay"
 )
 
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/decide"
+	"greengageferry/infra"
+	"greengageferry/topology"
+)
+
+const (
+	// keptBytes is the largest answer that is held whole before its first byte
+	// goes out, so that one that breaks off can be tried again or told as a
+	// failure. Larger ones are sent on as they arrive.
+	keptBytes = 64 << 10
+	// silentPart is the part of a repeatable request's time after which a server
+	// that has said nothing is given up on, while there is time for another.
+	silentPart = 0.35
+	// silentLeast bounds that from below: a server that is only busy answers.
+	silentLeast = 1200 * time.Millisecond
+	// streamSilence and gapsSilent bound how long a resumable stream may pause
+	// before it goes on at another server: longer than any batch's step, shorter
+	// than callers wait.
+	streamSilence = 1200 * time.Millisecond
+	gapsSilent    = 4
+)
+
+// attempt sends the request to the decided server and passes its answer on. It
+// returns the class of the call's end, or empty where the scheduler decides again.
+func (c *call) attempt(ctx context.Context, d decide.Decision) string {
+	c.attempts++
+	sent := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(cancel)
+	defer watch.stop()
+	if c.route.Repeat != topology.RunOnce {
+		watch.set(max(silentLeast, time.Duration(silentPart*float64(c.deadline.Sub(sent)))))
+	}
+	transport := c.relay.backends.get(d.Server.ID, d.Server.Addr)
+	res, err := infra.Send("relay", d.Server.Addr, transport.RoundTrip, c.forward(ctx, d.Server))
+	if err != nil {
+		return c.noAnswer(ctx, d, err)
+	}
+	defer res.Body.Close()
+	said := c.relay.opts.Headers.Answer(res.StatusCode, res.Header)
+	if said.NotRun {
+		c.logAttempt(d, "not_run", res.StatusCode)
+		return c.notRun(res.StatusCode)
+	}
+	if !c.genuine(res, said) {
+		c.logAttempt(d, "not_the_servers_answer", res.StatusCode)
+		c.failure(infra.ReasonProtocol, infra.EffectUnknown)
+		return ""
+	}
+	if c.route.Stream && res.StatusCode/100 == 2 {
+		return c.passStream(ctx, d, res, sent, watch)
+	}
+	return c.passWhole(ctx, d, res, sent)
+}
+
+// forward returns the request as the server gets it.
+func (c *call) forward(ctx context.Context, s decide.Server) *http.Request {
+	h := c.req.Header.Clone()
+	dropHopHeaders(h)
+	a := Attempt{
+		Server:  s.ID,
+		Left:    time.Until(c.deadline),
+		Urgency: min(urgencyOfRank+c.route.Rank, lowestUrgency),
+	}
+	if c.stream.begun {
+		a.LastEvent = c.stream.last
+	}
+	c.relay.opts.Headers.Forward(h, a)
+	if len(h["User-Agent"]) == 0 {
+		h["User-Agent"] = []string{""} // the caller sent none: neither does net/http
+	}
+	req := &http.Request{
+		Method: c.req.Method,
+		URL:    &url.URL{Scheme: "http", Host: s.Addr, Opaque: c.req.RequestURI},
+		Host:   c.req.Host,
+		Header: h,
+	}
+	if len(c.body) > 0 {
+		req.ContentLength = int64(len(c.body))
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.body)), nil }
+	}
+	return req.WithContext(ctx)
+}
+
+// genuine says whether an answer is the server's own, to this request. An
+// answer that came late to an earlier request bears another id.
+func (c *call) genuine(res *http.Response, said Answer) bool {
+	if said.Encoded || !said.Sealed {
+		return false
+	}
+	return said.RequestID == c.said.ID
+}
+
+// noAnswer deals with an attempt that got no answer.
+func (c *call) noAnswer(ctx context.Context, d decide.Decision, err error) string {
+	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
+		c.ran = true
+		c.relay.desk.left(c)
+		c.logAttempt(d, "ended_before_answer", 0)
+		return c.timeUp(ctx)
+	}
+	reason, effect := infra.ReasonUnreachable, infra.EffectUnknown
+	var e *infra.Error
+	if errors.As(err, &e) {
+		reason, effect = e.Reason, e.Effect
+	}
+	var silent *silentError
+	if errors.As(context.Cause(ctx), &silent) {
+		reason, effect, err = infra.ReasonTimeout, infra.EffectUnknown, silent
+	}
+	c.logAttempt(d, err.Error(), 0)
+	c.failure(reason, effect)
+	return ""
+}
+
+// notRun deals with a server that refused the request before starting.
+func (c *call) notRun(status int) string {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		c.failure(infra.ReasonNotResident, infra.EffectNone)
+	case status == http.StatusBadRequest:
+		c.failure(infra.ReasonBadRequest, infra.EffectNone)
+	default:
+		c.failure(infra.ReasonOverloaded, infra.EffectNone)
+	}
+	return ""
+}
+
+// passWhole passes an answer on that is held until it is whole, or is too large
+// for that.
+func (c *call) passWhole(ctx context.Context, d decide.Decision, res *http.Response, sent time.Time) string {
+	body, err := io.ReadAll(io.LimitReader(res.Body, keptBytes+1))
+	if err != nil {
+		return c.noAnswer(ctx, d, err)
+	}
+	if len(body) > keptBytes {
+		return c.passLarge(ctx, d, res, body, sent)
+	}
+	k := &kept{status: res.StatusCode, header: res.Header, body: body}
+	if res.StatusCode >= 500 {
+		return c.serverFailed(d, k)
+	}
+	c.relay.desk.ended(c, c.completed(sent, res.StatusCode))
+	c.writeKept(k)
+	c.log("answered", res.StatusCode)
+	return outcomeDone
+}
+
+// serverFailed deals with a server's own failure: it ran the request. What may
+// run again is tried elsewhere, and what may not is told as the server told it.
+func (c *call) serverFailed(d decide.Decision, k *kept) string {
+	c.logAttempt(d, "server_failure", k.status)
+	if k.status != http.StatusServiceUnavailable { // that would promise that it didn't run
+		c.failed = k
+	}
+	c.failure(infra.ReasonFailed, infra.EffectUnknown)
+	return ""
+}
+
+func (c *call) completed(sent time.Time, status int) decide.Outcome {
+	return decide.Outcome{Complete: status/100 == 2, FirstToken: time.Since(sent), Total: time.Since(sent), Tokens: 1}
+}
+
+// passLarge passes on an answer that is too large to be held.
+func (c *call) passLarge(ctx context.Context, d decide.Decision, res *http.Response, head []byte, sent time.Time) string {
+	c.writeHead(res.StatusCode, res.Header)
+	_, err := c.w.Write(head)
+	if err == nil {
+		_, err = io.Copy(c.w, res.Body)
+	}
+	if err != nil {
+		c.relay.desk.left(c)
+		c.ran = true
+		c.logAttempt(d, err.Error(), res.StatusCode)
+		c.abort("broken_off")
+	}
+	c.relay.desk.ended(c, c.completed(sent, res.StatusCode))
+	c.log("answered", res.StatusCode)
+	return outcomeDone
+}
+
+// writeKept writes a server's whole answer.
+func (c *call) writeKept(k *kept) {
+	c.firstByte = time.Now()
+	c.relay.opts.Metrics.FirstByte(time.Since(c.arrived))
+	c.writeHead(k.status, k.header)
+	_, _ = c.w.Write(k.body) // the caller has gone if it fails
+}
+
+// writeHead writes a server's status and headers, without those that concern
+// one connection.
+func (c *call) writeHead(status int, from http.Header) {
+	h := c.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range from {
+		h[name] = values
+	}
+	dropHopHeaders(h)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess one
+	}
+	c.w.WriteHeader(status)
+}
+
+// logAttempt writes the line for an attempt that went wrong.
+func (c *call) logAttempt(d decide.Decision, reason string, status int) {
+	c.relay.opts.Log.WithFields(logrus.Fields{
+		"request": c.said.ID,
+		"attempt": c.attempts,
+		"server":  d.Server.ID,
+		"addr":    d.Server.Addr,
+		"status":  status,
+		"error":   reason,
+		"ms":      time.Since(c.arrived).Milliseconds(),
+	}).Warn("attempt failed")
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,147 @@
+// Package relay passes callers' HTTP requests through to backend servers, by
+// host and longest path prefix, with opaque bodies in both directions. It shares
+// the scheduler of package decide with the other callers' interface: who waits,
+// is refused, goes where and is tried again is decided there.
+//
+// Each request gets one final answer. A status that promises "not run" is given
+// only where no attempt can have run.
+package relay
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/decide"
+	"greengageferry/topology"
+)
+
+// Headers translates the headers of a deployment's platform.
+type Headers interface {
+	// Request decodes what a caller's request says of itself.
+	Request(h http.Header) Request
+	// Forward writes an attempt's headers over a copy of the caller's.
+	Forward(h http.Header, a Attempt)
+	// Answer decodes what a server's answer says of itself.
+	Answer(status int, h http.Header) Answer
+	// Refuse writes when a refused caller may come back.
+	Refuse(h http.Header, after time.Duration)
+	// Echo names the request in an answer of the system's own.
+	Echo(h http.Header, id string)
+}
+
+// Request is what a caller's request says of itself. Zero values were not said.
+type Request struct {
+	ID           string // the caller's id of this attempt of its own
+	Model        string
+	Adapter      string
+	Timeout      time.Duration // how long the caller waits
+	LastEvent    string        // the caller resumes a stream after this event
+	PromptTokens int
+	MaxTokens    int // of the answer
+	LengthHint   int // the caller's guess at the tokens of the answer
+	SharedPrefix uint64
+}
+
+// Attempt is what an attempt's headers say beside the caller's own.
+type Attempt struct {
+	Server    string        // only this server, by id, may run it
+	Left      time.Duration // until the caller or the route gives up
+	Urgency   int           // 1 to 9, 1 goes first; 0: not said
+	LastEvent string        // go on after this event; empty: as the caller said
+}
+
+// Answer is what a server's answer says of itself.
+type Answer struct {
+	RequestID string
+	ServerID  string
+	Sealed    bool // it bears the server's proof that the answer is its own
+	NotRun    bool // the server did not run the request
+	Encoded   bool // the body isn't as the server made it
+}
+
+// Options is what a Relay is built from. All must be set.
+type Options struct {
+	Instance string
+	Headers  Headers
+	Log      logrus.FieldLogger
+	Metrics  Metrics
+	Rand     *rand.Rand // owned by the Relay from then on
+}
+
+// Metrics is told of what happens to requests.
+type Metrics interface {
+	// Ended counts a request's end by its route's name for the class of its end.
+	Ended(outcome string, took time.Duration)
+	// FirstByte observes the time from a request's arrival to its answer's first byte.
+	FirstByte(took time.Duration)
+	// Decided counts a decision.
+	Decided(action, reason string)
+}
+
+// Relay is the handler of the callers' requests.
+type Relay struct {
+	opts     Options
+	view     atomic.Pointer[topology.View]
+	desk     *desk
+	backends backends
+	draining atomic.Bool
+	inHand   atomic.Int64  // requests
+	serial   atomic.Uint64 // of the last request
+}
+
+// New returns a relay that knows of no deployment yet.
+func New(o Options) *Relay {
+	r := &Relay{opts: o}
+	r.desk = newDesk(o.Rand, o.Log, o.Metrics)
+	return r
+}
+
+// SetView replaces what is known of the deployment, with the routing table
+// that was built from it.
+func (r *Relay) SetView(v *topology.View, t *decide.Table) {
+	r.view.Store(v)
+	r.backends.keep(v.Servers)
+	r.desk.setTable(t)
+}
+
+// Reported takes in how many requests all instances have at a server, as old as age.
+func (r *Relay) Reported(server string, requests int, age time.Duration) {
+	r.desk.reported(server, requests, age)
+}
+
+// Loads returns this instance's requests in flight by server.
+func (r *Relay) Loads() map[string]int { return r.desk.loads() }
+
+// Demand returns what was asked for since the last call, by target.
+func (r *Relay) Demand() map[string]Asked { return r.desk.demand() }
+
+// Wanted is readable after a request had to wait for a target without a
+// replica. It bears at most one signal.
+func (r *Relay) Wanted() <-chan struct{} { return r.desk.wanted }
+
+// Drain has every connection closed after its next answer.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
+// InHand returns how many requests are in hand.
+func (r *Relay) InHand() int { return int(r.inHand.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	arrived := time.Now()
+	r.inHand.Add(1)
+	defer r.inHand.Add(-1)
+	c := &call{
+		relay: r, w: w, req: req, arrived: arrived,
+		said:      r.opts.Headers.Request(req.Header),
+		decisions: make(chan decide.Decision, decisionsKept),
+	}
+	if r.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	outcome := c.serve()
+	r.opts.Metrics.Ended(outcome, time.Since(arrived))
+}
--- a/replay/claims.go
+++ b/replay/claims.go
@@ -42,8 +42,8 @@
 	base
 	claims  map[ClaimKey][]*Claimed // neither expired nor freed, oldest first
 	order   []keyAt                 // oldest first; bears claims that were freed since
-	from    infra.Offset         // where the reading began
-	expired infra.Offset         // everything before it is forgotten
+	from    infra.Offset            // where the reading began
+	expired infra.Offset            // everything before it is forgotten
 }
 
 type keyAt struct {
--- a/replay/config.go
+++ b/replay/config.go
@@ -36,8 +36,8 @@
 type ConfigView struct {
 	Offset  infra.Offset
 	Changed infra.Offset // the verdict that last changed what is in force; 0: none did
-	Files   []*File         // by name; removed ones included
-	Pending []Pending       // oldest first: the first one is next to be judged
+	Files   []*File      // by name; removed ones included
+	Pending []Pending    // oldest first: the first one is next to be judged
 }
 
 // Base returns the offset of the file's version in force, which an edit of it
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -35,13 +35,13 @@
 	Offset   infra.Offset
 	Lease    Lease
 	Orderers map[string]infra.Offset // instances that may send orders, and where they joined
-	Servers  map[string]*Server         // by backend server id; each *Server is immutable too
+	Servers  map[string]*Server      // by backend server id; each *Server is immutable too
 }
 
 // Lease is a failure domain's placement lease.
 type Lease struct {
 	ID         infra.Offset // the claim's offset; 0: none was ever claimed
-	Holder     string          // instance id
+	Holder     string       // instance id
 	DurationMS uint32
 	Renewed    infra.Offset // the last record that extended it
 	Released   bool
--- a/standin/engine_batch.go
+++ b/standin/engine_batch.go
@@ -25,9 +25,9 @@
 	finish infra.Finish
 	items  []*residentItem
 	run    *Run
-	next   int                 // index of the token to generate
+	next   int              // index of the token to generate
 	out    chan infra.Event // full: the reader is behind, and the request waits
-	gone   chan struct{}       // closed when the attempt ended without its Finish
+	gone   chan struct{}    // closed when the attempt ended without its Finish
 	ended  bool
 }
 
--- a/standin/engine_stream.go
+++ b/standin/engine_stream.go
@@ -11,8 +11,8 @@
 // Pieces is what becomes of one event of a stream.
 type Pieces struct {
 	Send  []infra.Event // sent in its place, in order; none: it is dropped
-	Delay time.Duration    // before it is sent
-	Cut   bool             // the stream breaks after them
+	Delay time.Duration // before it is sent
+	Cut   bool          // the stream breaks after them
 }
 
 // PieceHook says what becomes of each event of each stream. Calls for one
--- a/standin/instances.go
+++ b/standin/instances.go
@@ -34,7 +34,7 @@
 
 var (
 	_ infra.Instances = (*InstanceList)(nil)
-	_ Standin            = (*InstanceList)(nil)
+	_ Standin         = (*InstanceList)(nil)
 )
 
 // instanceView is the list from a time on, sorted by id. It is immutable.
--- a/standin/log.go
+++ b/standin/log.go
@@ -63,7 +63,7 @@
 
 var (
 	_ infra.Log = (*Log)(nil)
-	_ Standin      = (*Log)(nil)
+	_ Standin   = (*Log)(nil)
 )
 
 // logStream is one stream: the records that it keeps, and their times.
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/internal/testmain"
 	"greengageferry/infra"
+	"greengageferry/internal/testmain"
 )
 
 func TestMain(m *testing.M) { testmain.Run(m) }
--- a/standin/store.go
+++ b/standin/store.go
@@ -31,7 +31,7 @@
 // StoreOptions are a weight store's settings.
 type StoreOptions struct {
 	Limits       map[string]infra.StoreLimits // by partner
-	MiBPerSecond float64                         // of one load at full speed; default DefaultMiBPerSecond
+	MiBPerSecond float64                      // of one load at full speed; default DefaultMiBPerSecond
 }
 
 // WeightStore is a stand-in for the weight store. Each partner's loads begin at
@@ -58,8 +58,8 @@
 
 var (
 	_ infra.WeightStore = (*WeightStore)(nil)
-	_ Standin              = (*WeightStore)(nil)
-	_ Fetcher              = (*WeightStore)(nil)
+	_ Standin           = (*WeightStore)(nil)
+	_ Fetcher           = (*WeightStore)(nil)
 )
 
 // pathFetch is where engines in other processes fetch.
--- /dev/null
+++ b/topology/source.go
@@ -0,0 +1,25 @@
+package topology
+
+import (
+	"context"
+	"time"
+)
+
+// Position is a place in one of the store's sequences of changes.
+type Position int64
+
+// ServerChange is one change of a server's entry.
+type ServerChange struct {
+	ID      string
+	Server  *Server // nil: the entry is gone, or can't be used
+	Problem error   // why it can't be used
+}
+
+// Source is where the deployment is read from. Errors are *infra.Error;
+// infra.ReasonOutOfRange asks to begin with the newest again.
+type Source interface {
+	NewestConfig(ctx context.Context) (*Config, Position, error)
+	NextConfig(ctx context.Context, from Position, wait time.Duration) (*Config, Position, error)
+	NewestServers(ctx context.Context) ([]ServerChange, Position, error)
+	NextServers(ctx context.Context, from Position, wait time.Duration) ([]ServerChange, Position, error)
+}
--- /dev/null
+++ b/topology/table.go
@@ -0,0 +1,116 @@
+package topology
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"greengageferry/decide"
+)
+
+// TargetName names what a request asks a service for: a model, one of its
+// adapters, or the plain service itself.
+func TargetName(service, model, adapter string) string {
+	if model == "" {
+		return service
+	}
+	if adapter == "" {
+		return service + "/" + model
+	}
+	return service + "/" + model + "/" + adapter
+}
+
+// AdapterName returns the name of a model's nth adapter, from 1.
+func AdapterName(n int) string { return "a" + strconv.Itoa(n) }
+
+// View is what an instance knows of the deployment at a moment. It is immutable.
+type View struct {
+	Config  *Config // nil: none was read yet
+	Index   *Index
+	Servers []Server       // by id
+	Nodes   map[string]int // live instances by failure domain, this one included
+}
+
+// plainSlots is the concurrency that a plain service's server gets credit for
+// where its entry names none.
+const plainSlots = 64
+
+// BuildTable works out the routing table of a view for an instance of the
+// failure domain. A server that drains stays in it as leaving, so that what
+// runs there is still known. expected says that somebody works on giving each
+// target that has no replica one, so that its requests wait.
+func BuildTable(domain string, v *View, expected bool, retry decide.RetryPolicy) *decide.Table {
+	t := &decide.Table{
+		OwnDomain: domain,
+		Targets:   map[string]*decide.Target{},
+		Entries:   v.Nodes,
+		Retry:     retry,
+	}
+	for _, s := range v.Servers {
+		slots := s.Slots
+		if slots <= 0 {
+			slots = plainSlots
+		}
+		t.Servers = append(t.Servers, decide.Server{
+			ID: s.ID, Addr: s.Addr, Pool: s.Service, FailureDomain: s.Domain, Slots: slots, Leaving: s.Leaving,
+		})
+	}
+	if v.Config == nil {
+		return t
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
+		addTargets(t, v.Config.Services[name], expected)
+	}
+	for i := range v.Servers {
+		addReplicas(t, i, &v.Servers[i])
+	}
+	return t
+}
+
+func addTargets(t *decide.Table, s Service, expected bool) {
+	if s.Engine == nil {
+		t.Targets[s.Name] = &decide.Target{Name: s.Name, Service: true}
+		return
+	}
+	for _, m := range s.Engine.Models {
+		for n := 0; n <= m.Adapters; n++ {
+			adapter := ""
+			if n > 0 {
+				adapter = AdapterName(n)
+			}
+			name := TargetName(s.Name, m.Name, adapter)
+			t.Targets[name] = &decide.Target{Name: name, Model: m.Name, Adapter: adapter, Expected: expected}
+		}
+	}
+}
+
+func addReplicas(t *decide.Table, index int, s *Server) {
+	if target := t.Targets[s.Service]; target != nil {
+		target.Replicas = append(target.Replicas, decide.Replica{Server: index})
+		return
+	}
+	for _, m := range s.Models {
+		addReplica(t, index, TargetName(s.Service, m.Name, ""), m.Version)
+		for _, a := range m.Adapters {
+			addReplica(t, index, TargetName(s.Service, m.Name, a), m.Version)
+		}
+	}
+}
+
+func addReplica(t *decide.Table, index int, name string, version int64) {
+	target := t.Targets[name]
+	if target == nil {
+		return
+	}
+	r := decide.Replica{Server: index, Version: strconv.FormatInt(version, 10)}
+	if !slices.Contains(target.Replicas, r) {
+		target.Replicas = append(target.Replicas, r)
+	}
+}
+
+// SplitModel splits what a request names into a model and its adapter.
+func SplitModel(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, "/")
+	return model, adapter
+}
--- a/whole/deploy_test.go
+++ b/whole/deploy_test.go
@@ -20,8 +20,8 @@
 
 	"greengageferry/config"
 	"greengageferry/entry"
-	"greengageferry/load"
 	"greengageferry/infra"
+	"greengageferry/load"
 	"greengageferry/quickstart"
 	"greengageferry/record"
 	"greengageferry/replay"
--- a/whole/failures_test.go
+++ b/whole/failures_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"greengageferry/load"
 	"greengageferry/infra"
+	"greengageferry/load"
 	"greengageferry/quickstart"
 	"greengageferry/record"
 	"greengageferry/standin"
--- a/whole/rules.go
+++ b/whole/rules.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"greengageferry/load"
 	"greengageferry/infra"
+	"greengageferry/load"
 	"greengageferry/standin"
 )
 
--- a/whole/rules_test.go
+++ b/whole/rules_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"greengageferry/load"
 	"greengageferry/infra"
+	"greengageferry/load"
 	"greengageferry/standin"
 )
 
