residency: one lease holder orders replicas after demand, and each adapter once

Change: lease on the store's group membership (a call counts a tenth, the generation is the fencing token), demand told to the holder over twirp, a planner without I/O, orders with the server's own count as precondition.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -46,6 +46,13 @@
 // collections come closer together: stacks and the sockets' buffers need the rest.
 const memoryPart = 0.6
 
+// orderIdle and orderIdleTime bound the unused connections for orders: they
+// come in bursts to one server, and servers close theirs after seconds.
+const (
+	orderIdle     = 1
+	orderIdleTime = 2 * time.Second
+)
+
 // storeIdle bounds the unused connections to the store: one for each duty that
 // reads there.
 const storeIdle = 6
@@ -72,10 +79,14 @@
 	defer closeLog()
 	log.WithFields(logrus.Fields{"instance": node.Name, "domain": node.Domain, "version": version}).Info("starting")
 	seed := uint64(time.Now().UnixNano())
+	store := platform.NewStore(node.StoreAddr, netconn.Transport(storeIdle, time.Minute))
 	i := instance.New(instance.Options{
 		Node:    node,
-		Source:  platform.NewStore(node.StoreAddr, netconn.Transport(storeIdle, time.Minute)),
+		Source:  store,
+		Group:   store,
 		Headers: platform.Headers{},
+		Orderer: platform.NewOrders(netconn.Transport(orderIdle, orderIdleTime)),
+		Clock:   netconn.BootTime,
 		Log:     log,
 		Rand:    rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
 	})
--- a/generate.sh
+++ b/generate.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")"
 protoc --go_out=. --go_opt=module=greengageferry record/record.proto
 protoc --go_out=. --go_opt=module=greengageferry --twirp_out=. --twirp_opt=module=greengageferry peer/peer.proto
+protoc --go_out=. --go_opt=module=greengageferry --twirp_out=. --twirp_opt=module=greengageferry exchange/exchange.proto
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,11 +7,13 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
 	"greengageferry/relay"
+	"greengageferry/residency"
 	"greengageferry/supervise"
 	"greengageferry/topology"
 )
@@ -21,6 +23,9 @@
 	Node    *topology.Node
 	Source  topology.Source
 	Headers relay.Headers
+	Group   residency.Group
+	Orderer residency.Orderer
+	Clock   residency.Clock
 	Log     logrus.FieldLogger
 	Rand    *rand.Rand
 }
@@ -32,6 +37,9 @@
 	relay   *relay.Relay
 	metrics *metrics
 
+	lease      *residency.Lease
+	controller *residency.Controller
+
 	mu        sync.Mutex
 	view      topology.View // its parts are replaced, never changed
 	storeDown bool
@@ -48,10 +56,42 @@
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
 	}
-	i.view.Nodes = map[string]int{o.Node.Domain: 1}
+	i.view.Nodes = map[string]int{o.Node.Domain: assumedInstances}
+	for _, domain := range o.Node.Domains {
+		i.view.Nodes[domain] = assumedInstances
+	}
+	i.lease = residency.NewLease(o.Group, memberName(o.Node, time.Now()), o.Node.LeaseTTL, o.Clock, o.Log)
+	i.controller = residency.NewController(residency.Options{
+		Holder: o.Node.Name, Lease: i.lease, Orderer: o.Orderer, View: i.currentView, Counter: m.count, Log: o.Log,
+	})
 	return i
 }
 
+// assumedInstances is how many instances each failure domain is taken to have
+// until the lease holder says so: more than most have, so that the budgets that
+// all share are spent too slowly rather than too fast.
+const assumedInstances = 3
+
+func (i *Instance) currentView() topology.View {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.view
+}
+
+// holdLease is the duty that takes part in who may order, once the instance
+// knows what it would order about.
+func (i *Instance) holdLease(ctx context.Context) error {
+	for !i.ready() {
+		if !supervise.Pause(ctx, readyPoll) {
+			return nil
+		}
+	}
+	return i.lease.Run(ctx)
+}
+
+// readyPoll is how often the instance looks whether it is ready.
+const readyPoll = 200 * time.Millisecond
+
 // Run runs the instance until ctx ends, and then lets what is in hand end.
 func (i *Instance) Run(ctx context.Context) error {
 	// The duties outlive ctx: while requests end, they still need the view.
@@ -67,6 +107,10 @@
 			supervise.Duty{Name: "config", Run: i.followConfig},
 			supervise.Duty{Name: "servers", Run: i.followServers},
 			supervise.Duty{Name: "routing", Run: i.route},
+			supervise.Duty{Name: "lease", Run: i.holdLease},
+			supervise.Duty{Name: "orders", Run: i.controller.Run},
+			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
+			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: front.serve},
 			supervise.Duty{Name: "health", Run: front.serveHealth},
 		)
@@ -145,9 +189,7 @@
 			return nil
 		case <-i.changed:
 		}
-		i.mu.Lock()
-		v := i.view
-		i.mu.Unlock()
+		v := i.currentView()
 		i.relay.SetView(&v, topology.BuildTable(i.opts.Node.Domain, &v, true, i.retryPolicy(&v)))
 	}
 }
@@ -203,4 +245,3 @@
 	defer i.mu.Unlock()
 	return i.view.Config != nil && len(i.view.Servers) > 0
 }
-
--- /dev/null
+++ b/instance/sync.go
@@ -0,0 +1,253 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"greengageferry/exchange"
+	"greengageferry/netconn"
+	"greengageferry/residency"
+	"greengageferry/supervise"
+	"greengageferry/topology"
+)
+
+const (
+	// syncEvery is the time between two words to the lease holder: demand and
+	// load are told that late at most.
+	syncEvery = 500 * time.Millisecond
+	// syncSpacing is the least time between two of them, where requests wait for
+	// a model that no server holds.
+	syncSpacing = 60 * time.Millisecond
+	// syncTimeout bounds one.
+	syncTimeout = 400 * time.Millisecond
+	// ownerEvery is the least time between two questions to the store who holds
+	// the lease.
+	ownerEvery = time.Second
+	// peerIdle bounds the unused connections to another instance.
+	peerIdle = 2
+	// syncAge is how old the loads in an answer are taken to be: half the time
+	// between two words.
+	syncAge = syncEvery / 2
+)
+
+// memberName names a start of an instance in the platform's group: its name,
+// its address for other instances, and when it started.
+func memberName(n *topology.Node, started time.Time) string {
+	return n.Name + "|" + n.PeerAddr + "|" + strconv.FormatInt(started.UnixNano(), 36)
+}
+
+// memberAddr returns the address in a member's name, empty if it bears none.
+func memberAddr(member string) string {
+	parts := strings.Split(member, "|")
+	if len(parts) != 3 {
+		return ""
+	}
+	return parts[1]
+}
+
+// syncer tells the lease holder what this instance is asked for, and takes in
+// what the holder knows of all.
+type syncer struct {
+	instance *Instance
+	client   *http.Client
+	holder   string    // the holder's address; empty: not known
+	askedAt  time.Time // when the store was last asked who it is
+}
+
+func newSyncer(i *Instance) *syncer {
+	return &syncer{instance: i, client: &http.Client{Transport: netconn.Transport(peerIdle, time.Minute)}}
+}
+
+// run is the duty.
+func (s *syncer) run(ctx context.Context) error {
+	ticker := time.NewTicker(syncEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-s.instance.relay.Wanted():
+		}
+		if s.instance.ready() {
+			s.once(ctx)
+		}
+		supervise.Pause(ctx, syncSpacing)
+	}
+}
+
+func (s *syncer) once(ctx context.Context) {
+	i := s.instance
+	asked, loads := i.relay.Demand(), i.relay.Loads()
+	if i.lease.Holds() {
+		summary, err := i.controller.Said(time.Now(), i.opts.Node.Name, i.opts.Node.Domain, asked, loads)
+		if err == nil {
+			i.learn(summary)
+		}
+		return // the lease has just gone: the next word finds the new holder
+	}
+	if s.holder == "" && !s.findHolder(ctx) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	client := exchange.NewExchangeProtobufClient("http://"+s.holder, s.client)
+	res, err := client.Sync(ctx, syncRequest(i.opts.Node, asked, loads))
+	if err != nil {
+		i.log.WithFields(logrus.Fields{"holder": s.holder, "error": err}).Warn("lease holder lost")
+		s.holder = ""
+		return
+	}
+	i.learn(summaryOf(res))
+}
+
+// findHolder asks the store who holds the lease.
+func (s *syncer) findHolder(ctx context.Context) bool {
+	now := time.Now()
+	if now.Sub(s.askedAt) < ownerEvery {
+		return false
+	}
+	s.askedAt = now
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	member, err := s.instance.lease.Owner(ctx)
+	if err != nil {
+		s.instance.log.WithField("error", err).Warn("lease holder not known")
+		return false
+	}
+	s.holder = memberAddr(member)
+	if s.holder != "" {
+		s.instance.log.WithField("holder", s.holder).Info("lease holder found")
+	}
+	return s.holder != ""
+}
+
+func syncRequest(n *topology.Node, asked map[string]residency.Asked, loads map[string]int) *exchange.SyncRequest {
+	req := &exchange.SyncRequest{Instance: n.Name, FailureDomain: n.Domain}
+	for target, a := range asked {
+		req.Demand = append(req.Demand, &exchange.Demand{
+			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
+		})
+	}
+	for server, n := range loads {
+		req.Loads = append(req.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
+	}
+	return req
+}
+
+func summaryOf(res *exchange.SyncResponse) residency.Summary {
+	s := residency.Summary{Instances: map[string]int{}, Loads: map[string]int{}}
+	for _, d := range res.GetInstances() {
+		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
+	}
+	for _, l := range res.GetLoads() {
+		s.Loads[l.GetServer()] = int(l.GetInFlight())
+	}
+	for _, h := range res.GetHeld() {
+		s.Held = append(s.Held, residency.Order{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter()})
+	}
+	return s
+}
+
+// exchangeServer answers other instances' words. It implements exchange.Exchange.
+type exchangeServer struct{ instance *Instance }
+
+// Sync implements exchange.Exchange.
+func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
+	asked := make(map[string]residency.Asked, len(req.GetDemand()))
+	for _, d := range req.GetDemand() {
+		asked[d.GetTarget()] = residency.Asked{Requests: int(d.GetRequests()), Waiting: int(d.GetWaiting()), InFlight: int(d.GetInFlight())}
+	}
+	loads := make(map[string]int, len(req.GetLoads()))
+	for _, l := range req.GetLoads() {
+		loads[l.GetServer()] = int(l.GetInFlight())
+	}
+	summary, err := e.instance.controller.Said(time.Now(), req.GetInstance(), req.GetFailureDomain(), asked, loads)
+	var notHolder *residency.NotHolderError
+	if errors.As(err, &notHolder) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, notHolder.Error())
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	res := &exchange.SyncResponse{}
+	for domain, n := range summary.Instances {
+		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
+	}
+	for server, n := range summary.Loads {
+		res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
+	}
+	for _, o := range summary.Held {
+		res.Held = append(res.Held, &exchange.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter})
+	}
+	return res, nil
+}
+
+// servePeers is the duty that answers other instances.
+func (i *Instance) servePeers(ctx context.Context) error {
+	l, err := net.Listen("tcp4", i.opts.Node.PeerAddr)
+	if err != nil {
+		return errors.Wrap(err, "listening for instances")
+	}
+	server := &http.Server{
+		Handler:           exchange.NewExchangeServer(exchangeServer{i}),
+		ReadHeaderTimeout: defaultHeaderTime,
+		ErrorLog:          newServerLog(i.log),
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(l) }()
+	select {
+	case <-ctx.Done():
+		_ = server.Close()
+		return nil
+	case err := <-ended:
+		return err
+	}
+}
+
+// learn takes in what the lease holder knows of all instances.
+func (i *Instance) learn(s residency.Summary) {
+	i.mu.Lock()
+	if len(s.Instances) > 0 && !sameCounts(i.view.Nodes, s.Instances) {
+		i.view.Nodes = s.Instances
+		i.log.WithField("instances", s.Instances).Info("instances counted")
+		i.rebuild()
+	}
+	if held := heldOf(s.Held); !held.Equal(i.view.Held) {
+		i.view.Held = held
+		i.rebuild()
+	}
+	servers := i.view.Servers
+	i.mu.Unlock()
+	for n := range servers {
+		i.relay.Reported(servers[n].ID, s.Loads[servers[n].ID], syncAge)
+	}
+}
+
+func heldOf(orders []residency.Order) topology.HeldList {
+	var out topology.HeldList
+	for _, o := range orders {
+		out = append(out, topology.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter})
+	}
+	return out
+}
+
+func sameCounts(a, b map[string]int) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, n := range a {
+		if b[k] != n {
+			return false
+		}
+	}
+	return true
+}
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -10,6 +10,7 @@
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/residency"
 )
 
 // decisionsKept is how many decisions one call may have unread: a queued one
@@ -21,13 +22,6 @@
 // milliseconds, and no timer runs while nothing waits.
 const tickEvery = 25 * time.Millisecond
 
-// Asked is what was asked for of a target.
-type Asked struct {
-	Requests int // since the last look
-	Waiting  int // now, for want of a replica or a slot
-	InFlight int // now, at servers
-}
-
 // desk owns the scheduler. Whoever has something to tell it steps it under the
 // lock and hands each decision to the call that it is about. A lock and not a
 // duty with a ring: a request's arrival costs no switch to another goroutine,
@@ -36,7 +30,7 @@
 	mu        sync.Mutex
 	scheduler *decide.Scheduler
 	calls     map[string]*call
-	asked     map[string]Asked
+	asked     map[string]residency.Asked
 	inFlight  map[string]int // by server
 	ticking   bool
 	log       logrus.FieldLogger
@@ -48,7 +42,7 @@
 	return &desk{
 		scheduler: decide.NewScheduler(rng),
 		calls:     map[string]*call{},
-		asked:     map[string]Asked{},
+		asked:     map[string]residency.Asked{},
 		inFlight:  map[string]int{},
 		log:       log,
 		metrics:   m,
@@ -82,11 +76,11 @@
 	return out
 }
 
-func (d *desk) demand() map[string]Asked {
+func (d *desk) demand() map[string]residency.Asked {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := d.asked
-	d.asked = map[string]Asked{}
+	d.asked = map[string]residency.Asked{}
 	for _, c := range d.calls {
 		a := out[c.target]
 		if c.at != "" {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/residency"
 	"greengageferry/topology"
 )
 
@@ -117,7 +118,7 @@
 func (r *Relay) Loads() map[string]int { return r.desk.loads() }
 
 // Demand returns what was asked for since the last call, by target.
-func (r *Relay) Demand() map[string]Asked { return r.desk.demand() }
+func (r *Relay) Demand() map[string]residency.Asked { return r.desk.demand() }
 
 // Wanted is readable after a request had to wait for a target without a
 // replica. It bears at most one signal.
--- /dev/null
+++ b/residency/controller.go
@@ -0,0 +1,238 @@
+package residency
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/infra"
+	"greengageferry/supervise"
+	"greengageferry/topology"
+)
+
+const (
+	// planEvery is the time between two plans where nothing calls for one sooner.
+	planEvery = 200 * time.Millisecond
+	// adapterSpacing is the least time between two adapters for one server: an
+	// adapter takes up to ten milliseconds, and a server takes four at a time.
+	adapterSpacing = 4 * time.Millisecond
+	// results is how many orders' results may wait: one for each of as many
+	// servers. Full: the order's sender waits, and the server with it.
+	results = 256
+)
+
+// Options is what a Controller is built from. All must be set.
+type Options struct {
+	Holder  string // the name under which this instance orders
+	Lease   *Lease
+	Orderer Orderer
+	View    func() topology.View
+	Counter func(name string) // counts an event
+	Log     logrus.FieldLogger
+}
+
+// Controller orders servers toward what they should hold while this instance
+// holds the lease.
+type Controller struct {
+	o       Options
+	results chan orderResult
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	demand  *Demand
+	planner *Planner // nil while the lease isn't held
+}
+
+// orderResult is how an order, or a question for a server's state, went.
+type orderResult struct {
+	order     Order
+	question  bool
+	state     *State // nil: the server didn't say
+	result    Result
+	mayHappen bool
+}
+
+// NewController returns a controller that does nothing until it runs.
+func NewController(o Options) *Controller {
+	return &Controller{
+		o: o, demand: NewDemand(),
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// Summary is what the lease holder knows of all instances.
+type Summary struct {
+	Instances map[string]int // by failure domain
+	Loads     map[string]int // requests in flight by server
+	Held      []Order        // adapters that servers hold beyond their entries
+}
+
+// NotHolderError says that the instance doesn't hold the lease.
+type NotHolderError struct{}
+
+// Error implements error.
+func (*NotHolderError) Error() string { return "this instance doesn't hold the lease" }
+
+// Said takes in what an instance was asked for and has in flight, and returns
+// what all have. The error is a *NotHolderError.
+func (c *Controller) Said(now time.Time, instance, domain string, asked map[string]Asked, loads map[string]int) (Summary, error) {
+	if !c.o.Lease.Holds() {
+		return Summary{}, errors.WithStack(&NotHolderError{})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.demand.Said(now, instance, domain, asked, loads)
+	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads()}
+	if c.planner != nil {
+		s.Held = c.planner.Held()
+	}
+	for _, a := range asked {
+		if a.Waiting > 0 {
+			c.poke()
+			break
+		}
+	}
+	return s, nil
+}
+
+func (c *Controller) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default: // a plan is about to be made anyway
+	}
+}
+
+// Run plans and orders until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.results = make(chan orderResult, results)
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	var sending sync.WaitGroup
+	defer c.await(&sending)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-c.results:
+			c.done(r)
+		case <-c.wake:
+		case <-ticker.C:
+		}
+		questions, orders := c.plan(time.Now())
+		for _, q := range questions {
+			sending.Go(func() { c.ask(ctx, q) })
+		}
+		for _, o := range orders {
+			sending.Go(func() { c.send(ctx, o) })
+		}
+	}
+}
+
+// await takes in the results of the orders that are still on their way.
+func (c *Controller) await(sending *sync.WaitGroup) {
+	go func() {
+		sending.Wait()
+		close(c.results)
+	}()
+	for r := range c.results {
+		c.done(r)
+	}
+}
+
+// plan returns the servers to ask and the orders to send now, none without the lease.
+func (c *Controller) plan(now time.Time) (questions, orders []Order) {
+	epoch := c.o.Lease.Epoch()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch == 0 {
+		if !c.o.Lease.Holds() {
+			c.planner = nil
+		}
+		return nil, nil
+	}
+	if c.planner == nil {
+		c.planner = NewPlanner(c.demand)
+	}
+	v := c.o.View()
+	c.planner.Update(now, &v)
+	return c.planner.Unsure(now), c.planner.Plan(now)
+}
+
+func (c *Controller) done(r orderResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.planner == nil:
+	case r.state != nil:
+		c.planner.Said(now, r.order.Server, *r.state)
+	case r.question:
+		c.planner.Silent(now, r.order.Server)
+	default:
+		c.planner.Done(now, r.order, r.result, r.mayHappen)
+	}
+}
+
+// ask asks a server for its state and hands the answer to the duty.
+func (c *Controller) ask(ctx context.Context, q Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r := orderResult{order: q, question: true}
+	st, err := c.o.Orderer.State(ctx, q.Server, q.Addr)
+	f := logrus.Fields{"server": q.Server}
+	if err != nil {
+		c.o.Log.WithFields(f).WithField("error", err).Warn("server state not known")
+	} else {
+		r.state = &st
+		f["sequence"], f["busy"], f["models"] = st.Sequence, st.Busy, len(st.Models)
+		c.o.Log.WithFields(f).Info("server state")
+	}
+	c.results <- r
+}
+
+// send sends an order, unless the lease has ended meanwhile, and hands its
+// result to the duty.
+func (c *Controller) send(ctx context.Context, o Order) {
+	o.Holder = c.o.Holder
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	o.Fence = c.o.Lease.Epoch()
+	if o.Fence == 0 {
+		c.results <- orderResult{order: o}
+		return
+	}
+	result, err := c.o.Orderer.Order(ctx, o)
+	c.note(o, result, err)
+	r := orderResult{order: o, result: result}
+	var e *infra.Error
+	if err != nil {
+		r.mayHappen = !errors.As(err, &e) || e.Effect != infra.EffectNone
+	} else if o.Adapter != "" {
+		supervise.Pause(ctx, adapterSpacing)
+	}
+	c.results <- r
+}
+
+// note writes the line for an order.
+func (c *Controller) note(o Order, r Result, err error) {
+	op := "load"
+	if o.Unload {
+		op = "unload"
+	}
+	f := logrus.Fields{
+		"op": op, "server": o.Server, "model": o.Model, "adapter": o.Adapter,
+		"sequence": o.Sequence, "epoch": o.Fence,
+	}
+	if err != nil {
+		f["error"] = err
+		c.o.Counter("orders_failed_total")
+		c.o.Log.WithFields(f).Warn("order failed")
+		return
+	}
+	f["already_so"] = r == AlreadySo
+	c.o.Counter("orders_accepted_total")
+	c.o.Log.WithFields(f).Info("order accepted")
+}
--- /dev/null
+++ b/residency/lease.go
@@ -0,0 +1,156 @@
+package residency
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"greengageferry/supervise"
+)
+
+// Group is the platform's group membership: it deals partitions out to members,
+// each to one at a time. The member with the first partition holds the lease.
+type Group interface {
+	// Join makes the member part of the group or keeps it there, and returns the
+	// group's generation with the partitions that the member holds.
+	Join(ctx context.Context, group, topic, member string, ttl time.Duration, generation int64) (int64, []int, error)
+	// Leave takes the member out.
+	Leave(ctx context.Context, group, member string) error
+	// Owner returns the member that holds a partition, empty if none does.
+	Owner(ctx context.Context, group string, partition int) (string, error)
+}
+
+const (
+	// group and topic name the membership at the platform.
+	group = "residency"
+	topic = "residency"
+	// leasePartition is the partition whose member holds the lease.
+	leasePartition = 0
+
+	// joinEvery is the time between two renewals: several fit into the lease's
+	// time, and one counts as a tenth of a call.
+	joinEvery = 700 * time.Millisecond
+	// joinTimeout bounds one renewal.
+	joinTimeout = 500 * time.Millisecond
+	// heldFor is how long after a renewal was sent its holder orders without
+	// another: one renewal with its timeout. A store that comes back may pass
+	// the lease on at once, whatever is left of its time.
+	heldFor = joinEvery + joinTimeout
+	// takeover is how long a new holder waits before its first order, so that an
+	// earlier one has surely stopped: heldFor and an order's flight.
+	takeover = heldFor + orderTimeout/2
+)
+
+// Clock returns the time since some fixed moment, time during which the machine
+// was suspended included: a holder that was suspended must not believe that its
+// lease still runs.
+type Clock func() time.Duration
+
+// Lease is this instance's part in who may order. The zero epoch means that it
+// doesn't hold the lease.
+type Lease struct {
+	group  Group
+	member string
+	ttl    time.Duration
+	clock  Clock
+	log    logrus.FieldLogger
+
+	mu         sync.Mutex
+	generation int64
+	epoch      int64         // the fencing token: the generation in which the lease was won
+	won        time.Duration // when
+	renewed    time.Duration // when the newest renewal that was answered had been sent
+}
+
+// NewLease returns a lease that isn't held. The member's name must be unique to
+// this start of the instance.
+func NewLease(g Group, member string, ttl time.Duration, clock Clock, log logrus.FieldLogger) *Lease {
+	return &Lease{group: g, member: member, ttl: ttl, clock: clock, log: log}
+}
+
+// Run renews until ctx ends, and then gives the lease up.
+func (l *Lease) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.renew(ctx)
+		supervise.Pause(ctx, joinEvery)
+	}
+	l.lose("ending")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), joinTimeout)
+	defer cancel()
+	if err := l.group.Leave(ctx, group, l.member); err != nil {
+		l.log.WithField("error", err).Warn("leaving the group failed")
+	}
+	return nil
+}
+
+func (l *Lease) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	l.mu.Lock()
+	generation := l.generation
+	l.mu.Unlock()
+	sent := l.clock()
+	now, parts, err := l.group.Join(ctx, group, topic, l.member, l.ttl, generation)
+	if err != nil {
+		l.log.WithField("error", err).Warn("lease renewal failed")
+		return
+	}
+	l.answered(sent, now, slices.Contains(parts, leasePartition))
+}
+
+// answered takes in a renewal's answer.
+func (l *Lease) answered(sent time.Duration, generation int64, holds bool) {
+	if !holds {
+		l.lose("passed on")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// After a gap the partition may have been another member's meanwhile.
+	anew := l.epoch == 0 || sent-l.renewed >= heldFor
+	l.generation = generation
+	l.renewed = sent
+	if !holds {
+		return
+	}
+	l.epoch = generation
+	if anew {
+		l.won = l.clock()
+		l.log.WithFields(logrus.Fields{"epoch": l.epoch}).Info("lease won")
+	}
+}
+
+func (l *Lease) lose(why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.epoch != 0 {
+		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "reason": why}).Info("lease lost")
+		l.epoch = 0
+	}
+}
+
+// Holds says whether this instance holds the lease, as far as it knows. It may
+// not order yet, or not at the moment.
+func (l *Lease) Holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch != 0 && l.clock()-l.renewed < l.ttl
+}
+
+// Epoch returns the fencing token for an order sent now, and 0 if none may be.
+func (l *Lease) Epoch() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	if l.epoch == 0 || now-l.renewed >= heldFor || now-l.won < takeover {
+		return 0
+	}
+	return l.epoch
+}
+
+// Owner returns the name of the member that holds the lease, empty if none does.
+func (l *Lease) Owner(ctx context.Context) (string, error) {
+	return l.group.Owner(ctx, group, leasePartition)
+}
--- a/residency/order.go
+++ b/residency/order.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+
+	"greengageferry/topology"
 )
 
 // Order asks a server for one change of what it holds.
@@ -32,4 +34,14 @@
 // order may yet be carried out.
 type Orderer interface {
 	Order(ctx context.Context, o Order) (Result, error)
+	// State asks a server what it holds. The answer is some hundred
+	// milliseconds old.
+	State(ctx context.Context, id, addr string) (State, error)
+}
+
+// State is what a server says of itself.
+type State struct {
+	Sequence int64 // orders that it accepted since its start
+	Busy     bool  // an order for a model is under way
+	Models   []topology.HeldModel
 }
--- /dev/null
+++ b/residency/server.go
@@ -0,0 +1,190 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"greengageferry/topology"
+)
+
+const (
+	// orderTimeout bounds one order's call, and one question for a server's state.
+	orderTimeout = 600 * time.Millisecond
+	// lateOrder is how long after it was sent an order without an answer may yet
+	// be carried out.
+	lateOrder = 15 * time.Second
+	// loadPatience is how many times as long as it usually takes a load is
+	// waited for before the server is asked: loads slow each other down.
+	loadPatience = 4
+	// unloadPatience is how long an unload is waited for: it waits for the runs
+	// of its model.
+	unloadPatience = 8 * time.Second
+	// stateLag is how old what a server says of itself may be: it is asked so
+	// long after its last order.
+	stateLag = 400 * time.Millisecond
+	// entryLag is how long a server's entry may lag behind the orders that it
+	// accepted: two heartbeats and a read.
+	entryLag = 4 * time.Second
+)
+
+// server is what the lease holder knows of a server.
+type server struct {
+	topology.Server                 // as its entry says, or the server itself where that is newer
+	entry           topology.Server // the newest entry
+	known           bool            // sequence is the server's own word, or counted from it
+	sequence        int64           // orders that it accepted
+	done            []change        // accepted adapter orders that aren't in its models yet
+	waitsFor        *Order          // an order for a model that is under way
+	patience        time.Time       // until when it is waited for
+	ghosts          []ghost         // orders that may yet be carried out
+	sending         bool            // an order or a question is on its way
+	quiet           time.Time       // neither before it
+}
+
+// change is an adapter order that the server accepted.
+type change struct {
+	order Order
+	at    time.Time
+}
+
+// ghost is an order without an answer.
+type ghost struct {
+	order Order
+	until time.Time
+}
+
+// update takes in the server's entry, which may be the same as before.
+func (s *server) update(now time.Time, e topology.Server) {
+	if !e.Born.Equal(s.entry.Born) {
+		s.known, s.done, s.waitsFor = false, nil, nil // it started again, and knows nothing of before
+	}
+	if !e.Equal(&s.entry) {
+		s.Server, s.entry = e, e
+	}
+	s.settle(now)
+}
+
+// settle drops what the server's models show by now, and what was waited for
+// long enough.
+func (s *server) settle(now time.Time) {
+	s.done = slices.DeleteFunc(s.done, func(c change) bool {
+		return s.Server.Holds(c.order.Model, c.order.Adapter) != c.order.Unload || now.Sub(c.at) > entryLag
+	})
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return !now.Before(g.until) })
+	w := s.waitsFor
+	switch {
+	case w == nil:
+	case s.Server.Holds(w.Model, "") != w.Unload:
+		s.waitsFor = nil
+	case !now.Before(s.patience):
+		s.waitsFor, s.known = nil, false
+	}
+}
+
+// said takes in what the server says of itself.
+func (s *server) said(now time.Time, st State) {
+	s.sending = false
+	s.Models, s.sequence = st.Models, st.Sequence
+	s.known, s.done = true, nil
+	if st.Busy {
+		s.known, s.quiet = false, now.Add(stateLag)
+	}
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.order.Sequence < st.Sequence })
+	s.settle(now)
+}
+
+// free says whether the server can be given an order now.
+func (s *server) free(now time.Time) bool {
+	return !s.Leaving && s.known && !s.sending && s.waitsFor == nil && !now.Before(s.quiet)
+}
+
+// unsure says whether the server should be asked for its state now.
+func (s *server) unsure(now time.Time) bool {
+	return !s.Leaving && !s.known && !s.sending && !now.Before(s.quiet)
+}
+
+// holds says whether the server holds the model or adapter, accepted orders included.
+func (s *server) holds(model, adapter string) bool {
+	held := s.Server.Holds(model, adapter)
+	for _, c := range s.done {
+		if c.order.Model == model && c.order.Adapter == adapter {
+			held = !c.order.Unload
+		}
+	}
+	return held
+}
+
+// models returns the models that take memory at the server, with one that is
+// being loaded or that a late order may yet load.
+func (s *server) models() []string {
+	var out []string
+	for _, m := range s.Models {
+		out = append(out, m.Name)
+	}
+	if w := s.waitsFor; w != nil && !w.Unload && !slices.Contains(out, w.Model) {
+		out = append(out, w.Model)
+	}
+	for _, g := range s.ghosts {
+		// The next order that the server accepts has the same number and makes
+		// this one void, unless the server started again and counts anew.
+		if !g.order.Unload && g.order.Adapter == "" && g.order.Sequence != s.sequence && !slices.Contains(out, g.order.Model) {
+			out = append(out, g.order.Model)
+		}
+	}
+	return out
+}
+
+// adapters returns the adapters of a model that the server holds.
+func (s *server) adapters(model string) []string {
+	var out []string
+	for _, m := range s.Models {
+		if m.Name == model {
+			out = append(out, m.Adapters...)
+		}
+	}
+	for _, c := range s.done {
+		if c.order.Model != model {
+			continue
+		}
+		out = slices.DeleteFunc(out, func(a string) bool { return a == c.order.Adapter })
+		if !c.order.Unload {
+			out = append(out, c.order.Adapter)
+		}
+	}
+	return out
+}
+
+// adapterCount returns how many adapters take a place at the server.
+func (s *server) adapterCount() int {
+	n := 0
+	for _, m := range s.Models {
+		n += len(s.adapters(m.Name))
+	}
+	for _, g := range s.ghosts {
+		if !g.order.Unload && g.order.Adapter != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// accepted takes in that the server accepted an order, and how long one for a
+// model is waited for.
+func (s *server) accepted(now time.Time, o Order, patience time.Duration) {
+	s.sequence = o.Sequence + 1
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.order.Sequence < s.sequence })
+	if o.Adapter != "" {
+		s.done = append(s.done, change{order: o, at: now})
+		return
+	}
+	s.waitsFor = &o
+	s.patience = now.Add(patience)
+}
+
+// refused takes in that the server refused an order, or did not answer.
+func (s *server) refused(now time.Time, o Order, mayHappen bool) {
+	s.known, s.quiet = false, now.Add(stateLag)
+	if mayHappen {
+		s.ghosts = append(s.ghosts, ghost{order: o, until: now.Add(lateOrder)})
+	}
+}
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -50,7 +50,7 @@
 			continue // an entry of an earlier start that came late
 		}
 		f.servers[c.ID] = *c.Server
-		changed = changed || !known || !same(old, *c.Server)
+		changed = changed || !known || !old.Equal(c.Server)
 	}
 	return changed
 }
@@ -108,18 +108,3 @@
 	}
 	return out
 }
-
-// same says whether two entries differ in nothing that a decision rests on.
-func same(a, b Server) bool {
-	if a.Service != b.Service || a.Addr != b.Addr || a.Domain != b.Domain || a.Slots != b.Slots ||
-		a.Leaving != b.Leaving || !a.Born.Equal(b.Born) || a.Sequence != b.Sequence || len(a.Models) != len(b.Models) {
-		return false
-	}
-	for i := range a.Models {
-		x, y := &a.Models[i], &b.Models[i]
-		if x.Name != y.Name || x.Version != y.Version || !slices.Equal(x.Adapters, y.Adapters) {
-			return false
-		}
-	}
-	return slices.Equal(a.OnDisk, b.OnDisk)
-}
--- a/topology/table.go
+++ b/topology/table.go
@@ -30,8 +30,20 @@
 	Index   *Index
 	Servers []Server       // by id
 	Nodes   map[string]int // live instances by failure domain, this one included
+	Held    HeldList       // adapters that servers hold beyond their entries
 }
 
+// Held is an adapter that a server holds by an order that it accepted.
+type Held struct {
+	Server, Model, Adapter string
+}
+
+// HeldList is a list of adapters that servers hold.
+type HeldList []Held
+
+// Equal says whether two lists are the same.
+func (l HeldList) Equal(o HeldList) bool { return slices.Equal(l, o) }
+
 // plainSlots is the concurrency that a plain service's server gets credit for
 // where its entry names none.
 const plainSlots = 64
@@ -62,9 +74,16 @@
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
 		addTargets(t, v.Config.Services[name], expected)
 	}
+	byID := make(map[string]int, len(v.Servers))
 	for i := range v.Servers {
+		byID[v.Servers[i].ID] = i
 		addReplicas(t, i, &v.Servers[i])
 	}
+	for _, h := range v.Held {
+		if i, ok := byID[h.Server]; ok && v.Servers[i].Holds(h.Model, "") {
+			addReplica(t, i, TargetName(v.Servers[i].Service, h.Model, h.Adapter), 0)
+		}
+	}
 	return t
 }
 
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -4,6 +4,7 @@
 package topology
 
 import (
+	"slices"
 	"time"
 )
 
@@ -121,6 +122,19 @@
 	return false
 }
 
+// Equal says whether two descriptions differ in nothing that a decision rests on.
+func (s *Server) Equal(o *Server) bool {
+	if s.ID != o.ID || s.Service != o.Service || s.Addr != o.Addr || s.Domain != o.Domain || s.Slots != o.Slots ||
+		s.Leaving != o.Leaving || !s.Born.Equal(o.Born) {
+		return false
+	}
+	return slices.EqualFunc(s.Models, o.Models, HeldModel.equal) && slices.Equal(s.OnDisk, o.OnDisk)
+}
+
+func (m HeldModel) equal(o HeldModel) bool {
+	return m.Name == o.Name && m.Version == o.Version && slices.Equal(m.Adapters, o.Adapters)
+}
+
 // Node is an instance's own settings, from the platform.
 type Node struct {
 	Name            string
