--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -90,6 +92,7 @@
 		Log:     log,
 		Rand:    rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
 	})
+	go c.reload(ctx, i, log)
 	if err := i.Run(ctx); err != nil {
 		log.WithField("error", err).Error("ended")
 		return subcommands.ExitFailure
@@ -97,3 +100,44 @@
 	log.Info("ended")
 	return subcommands.ExitSuccess
 }
+
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal.
+const settingsEvery = 5 * time.Second
+
+// reload reads the settings again at SIGHUP, and when the file has changed.
+func (c *instanceCommand) reload(ctx context.Context, i *instance.Instance, log logrus.FieldLogger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	read := changedAt()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if changedAt().Equal(read) {
+				continue
+			}
+		}
+		read = changedAt()
+		node, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			log.WithField("error", err).Warn("settings refused, the earlier ones hold")
+			continue
+		}
+		i.SetNode(node)
+	}
+}
+
+// changedAt returns when the settings file last changed, zero if it isn't there.
+func changedAt() time.Time {
+	info, err := os.Stat(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/instance/front.go
+++ b/instance/front.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"greengageferry/supervise"
 	"greengageferry/topology"
@@ -27,8 +29,6 @@
 	// drainMargin is how long before the platform's kill what is still in hand
 	// is broken off.
 	drainMargin = 500 * time.Millisecond
-	// drainPoll is how often a draining instance looks whether all has ended.
-	drainPoll = 50 * time.Millisecond
 )
 
 // front serves callers and the health check.
@@ -36,8 +36,10 @@
 	instance *Instance
 	callers  net.Listener
 	health   net.Listener
-	server   atomic.Pointer[http.Server]
 	draining atomic.Bool
+
+	mu      sync.Mutex
+	servers []*http.Server // the one that accepts last; connections stay with the one that accepted them
 }
 
 func newFront(i *Instance) *front { return &front{instance: i} }
@@ -62,16 +64,22 @@
 	listener := newSharedListener(f.callers)
 	for {
 		server := f.newServer(limits)
-		f.server.Store(server)
+		f.mu.Lock()
+		f.servers = append(f.servers, server)
+		f.mu.Unlock()
 		ended := make(chan error, 1)
 		turn := listener.turn()
 		go func() { ended <- server.Serve(turn) }()
 		select {
 		case <-ctx.Done():
-			_ = server.Close() // what was in hand has ended or is broken off
-			_ = f.callers.Close()
+			f.closeServers()
 			return nil
 		case err := <-ended:
+			if f.draining.Load() {
+				<-ctx.Done()
+				f.closeServers()
+				return nil
+			}
 			return err
 		case limits = <-f.instance.limits:
 			_ = turn.Close() // the next server accepts; open connections stay with this one
@@ -89,6 +97,16 @@
 	}
 }
 
+// closeServers breaks off what is still in hand.
+func (f *front) closeServers() {
+	_ = f.callers.Close() // may be closed already
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
 // serveHealth is the duty that answers the balancer's health checks.
 func (f *front) serveHealth(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -114,17 +132,22 @@
 // on, and lets what is in hand end within the grace period.
 func (f *front) drain() {
 	f.instance.log.WithField("in_hand", f.instance.relay.InHand()).Info("draining")
-	end := time.Now().Add(f.instance.opts.Node.Grace - drainMargin)
+	end := time.Now().Add(f.instance.node.Load().Grace - drainMargin)
 	f.draining.Store(true)
 	f.instance.relay.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	supervise.Pause(ctx, drainServing)
-	if s := f.server.Load(); s != nil {
-		s.SetKeepAlivesEnabled(false)
-	}
 	_ = f.callers.Close()
-	for f.instance.relay.InHand() > 0 && supervise.Pause(ctx, drainPoll) {
+	f.mu.Lock()
+	servers := f.servers
+	f.mu.Unlock()
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error { return s.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		f.instance.log.WithField("error", err).Warn("requests are broken off")
 	}
 	f.instance.log.WithField("in_hand", f.instance.relay.InHand()).Info("drained")
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,6 +34,7 @@
 // Instance is one instance of the system.
 type Instance struct {
 	opts    Options
+	node    atomic.Pointer[topology.Node] // the newest settings
 	log     logrus.FieldLogger
 	relay   *relay.Relay
 	metrics *metrics
@@ -56,6 +58,7 @@
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
 	}
+	i.node.Store(o.Node)
 	i.view.Nodes = map[string]int{o.Node.Domain: assumedInstances}
 	for _, domain := range o.Node.Domains {
 		i.view.Nodes[domain] = assumedInstances
@@ -67,6 +70,16 @@
 	return i
 }
 
+// SetNode takes newer settings. The instance's name and its addresses stay what
+// they were at its start.
+func (i *Instance) SetNode(n *topology.Node) {
+	i.node.Store(n)
+	i.log.Info("settings read again")
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.rebuild()
+}
+
 // assumedInstances is how many instances each failure domain is taken to have
 // until the lease holder says so: more than most have, so that the budgets that
 // all share are spent too slowly rather than too fast.
@@ -205,7 +218,7 @@
 
 // retryPolicy returns this instance's part of the retries.
 func (i *Instance) retryPolicy(v *topology.View) decide.RetryPolicy {
-	n := i.opts.Node
+	n := i.node.Load()
 	nodes := 0
 	for _, count := range v.Nodes {
 		nodes += count
--- a/residency/server.go
+++ b/residency/server.go
@@ -64,12 +64,13 @@
 	s.settle(now)
 }
 
-// settle drops what the server's models show by now, and what was waited for
-// long enough.
+// settle drops what the server's entry shows by now, and what was waited for
+// long enough. An accepted order goes before the entry for as long as that may
+// lag, also where the two agree: the entry that agrees may be from before the
+// order that this one took back, and a place that seemed free then would be
+// filled twice.
 func (s *server) settle(now time.Time) {
-	s.done = slices.DeleteFunc(s.done, func(c change) bool {
-		return s.Server.Holds(c.order.Model, c.order.Adapter) != c.order.Unload || now.Sub(c.at) > entryLag
-	})
+	s.done = slices.DeleteFunc(s.done, func(c change) bool { return now.Sub(c.at) > entryLag })
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return !now.Before(g.until) })
 	w := s.waitsFor
 	switch {
@@ -174,6 +175,7 @@
 	s.sequence = o.Sequence + 1
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.order.Sequence < s.sequence })
 	if o.Adapter != "" {
+		s.done = slices.DeleteFunc(s.done, func(c change) bool { return c.order.Model == o.Model && c.order.Adapter == o.Adapter })
 		s.done = append(s.done, change{order: o, at: now})
 		return
 	}
