--- a/instance/follow.go
+++ b/instance/follow.go
@@ -24,8 +24,11 @@
 	// return dozens of times a second; a leaving server must be known within
 	// two seconds.
 	serversSpacing = 400 * time.Millisecond
-	// serversWait is how long one read waits for entries.
-	serversWait = time.Second
+	// serversWait is how long one read waits for entries, and readSlack how much
+	// longer it may take: together they bound how long it goes unnoticed that the
+	// store is away, or back.
+	serversWait = 800 * time.Millisecond
+	readSlack   = 800 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -49,6 +52,9 @@
 		c, next, err := i.readConfig(ctx, at, fresh)
 		if err != nil {
 			fresh = fresh || outOfRange(err)
+			if errors.Is(err, context.Canceled) {
+				continue // the store is back: this read may have been lost with it
+			}
 			i.storeFailed("config", err)
 			supervise.Pause(ctx, b.next())
 			continue
@@ -69,6 +75,9 @@
 
 func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (*topology.Config, topology.Position, error) {
 	if !fresh {
+		ctx, cancel := context.WithTimeout(ctx, configWait+readSlack)
+		defer cancel()
+		defer i.interrupt(cancel)()
 		return i.opts.Source.NextConfig(ctx, at, configWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -93,6 +102,7 @@
 		if b.failures > 0 {
 			b.failures = 0
 			fleet.StoreBack(now)
+			i.restartConfigRead()
 		}
 		i.storeAnswered()
 		i.noteProblems(changes)
@@ -114,6 +124,8 @@
 
 func (i *Instance) readServers(ctx context.Context, at topology.Position, fresh bool) ([]topology.ServerChange, topology.Position, error) {
 	if !fresh {
+		ctx, cancel := context.WithTimeout(ctx, serversWait+readSlack)
+		defer cancel()
 		return i.opts.Source.NextServers(ctx, at, serversWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -121,6 +133,30 @@
 	return i.opts.Source.NewestServers(ctx)
 }
 
+// interrupt lets restartConfigRead end a read by cancel until the returned
+// function is called.
+func (i *Instance) interrupt(cancel context.CancelFunc) func() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.configRead = cancel
+	return func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.configRead = nil
+	}
+}
+
+// restartConfigRead ends the read of configurations that is under way. A store
+// that was away may never answer it, and a configuration that is written right
+// after its return would be learned of only when the read's time is up.
+func (i *Instance) restartConfigRead() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.configRead != nil {
+		i.configRead()
+	}
+}
+
 func (i *Instance) noteProblems(changes []topology.ServerChange) {
 	for _, c := range changes {
 		if c.Problem != nil {
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -21,7 +21,8 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken: many round trips, and less than a caller waits.
 	unackedTimeout = 2 * time.Second
-	// probeIdle, probeEvery and probes find a silent connection within three seconds.
+	// probeIdle, probeEvery and probes find a silent connection within three
+	// seconds; one lost probe alone breaks nothing.
 	probeIdle  = time.Second
 	probeEvery = time.Second
 	probes     = 2
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,7 +29,7 @@
 	// streamSilence and gapsSilent bound how long a resumable stream may pause
 	// before it goes on at another server: longer than any batch's step, shorter
 	// than callers wait.
-	streamSilence = 1200 * time.Millisecond
+	streamSilence = 2 * time.Second
 	gapsSilent    = 4
 )
 
@@ -42,7 +42,7 @@
 	defer cancel(nil)
 	watch := newWatchdog(cancel)
 	defer watch.stop()
-	if c.route.Repeat != topology.RunOnce {
+	if c.mayMove(d) {
 		watch.set(max(silentLeast, time.Duration(silentPart*float64(c.deadline.Sub(sent)))))
 	}
 	transport := c.relay.backends.get(d.Server.ID, d.Server.Addr)
@@ -67,6 +67,13 @@
 	return c.passWhole(ctx, d, res, sent)
 }
 
+// mayMove says whether the request may go on at another server if this one falls
+// silent. Where it may not, silence is no reason to end the attempt: the server
+// may only be busy, and its answer is the only one that there can be.
+func (c *call) mayMove(d decide.Decision) bool {
+	return c.route.Repeat != topology.RunOnce && c.attempts < c.route.Attempts && d.Reason != decide.ReasonOnly
+}
+
 // forward returns the request as the server gets it.
 func (c *call) forward(ctx context.Context, s decide.Server) *http.Request {
 	h := c.req.Header.Clone()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,6 +29,7 @@
 // the last one.
 func (c *call) passStream(ctx context.Context, d decide.Decision, res *http.Response, sent time.Time, watch *watchdog) string {
 	whole := c.route.Repeat == topology.Resumable
+	moves := c.mayMove(d)
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
 	var pending []byte // the beginning of an event that isn't whole yet
@@ -41,7 +42,7 @@
 			if first.IsZero() {
 				first = time.Now()
 			}
-			if whole {
+			if moves {
 				watch.set(max(streamSilence, gapsSilent*c.route.MaxGap))
 			}
 			data := (*buf)[:n]
--- a/residency/server.go
+++ b/residency/server.go
@@ -29,8 +29,10 @@
 
 // server is what the lease holder knows of a server.
 type server struct {
-	topology.Server                 // as its entry says, or the server itself where that is newer
+	topology.Server                 // as its entry says; its models as the server itself said where that is newer
 	entry           topology.Server // the newest entry
+	entryNew        bool            // its models haven't been taken over yet
+	saidAt          time.Time       // when the server last said its state itself
 	known           bool            // sequence is the server's own word, or counted from it
 	sequence        int64           // orders that it accepted
 	done            []change        // accepted adapter orders that aren't in its models yet
@@ -59,18 +61,40 @@
 		s.known, s.done, s.waitsFor = false, nil, nil // it started again, and knows nothing of before
 	}
 	if !e.Equal(&s.entry) {
-		s.Server, s.entry = e, e
+		s.entry, s.entryNew = e, true
+		models := s.Models
+		s.Server = e
+		s.Models = models
+	}
+	if s.entryNew && s.believes(now, &e) {
+		s.Models, s.entryNew = e.Models, false
 	}
 	s.settle(now)
 }
 
+// believes says whether an entry's models are newer than what the server said
+// itself: that was long enough ago, or the entry shows an order that came after.
+func (s *server) believes(now time.Time, e *topology.Server) bool {
+	w := s.waitsFor
+	return now.Sub(s.saidAt) > entryLag || w != nil && e.Holds(w.Model, "") != w.Unload
+}
+
 // settle drops what the server's entry shows by now, and what was waited for
 // long enough. An accepted order goes before the entry for as long as that may
 // lag, also where the two agree: the entry that agrees may be from before the
 // order that this one took back, and a place that seemed free then would be
 // filled twice.
 func (s *server) settle(now time.Time) {
-	s.done = slices.DeleteFunc(s.done, func(c change) bool { return now.Sub(c.at) > entryLag })
+	s.done = slices.DeleteFunc(s.done, func(c change) bool {
+		if now.Sub(c.at) <= entryLag {
+			return false
+		}
+		if s.Server.Holds(c.order.Model, c.order.Adapter) == c.order.Unload {
+			s.known = false // the entry doesn't follow: the server has to say itself
+			return false
+		}
+		return true
+	})
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return !now.Before(g.until) })
 	w := s.waitsFor
 	switch {
@@ -85,7 +109,7 @@
 // said takes in what the server says of itself.
 func (s *server) said(now time.Time, st State) {
 	s.sending = false
-	s.Models, s.sequence = st.Models, st.Sequence
+	s.Models, s.sequence, s.saidAt, s.entryNew = st.Models, st.Sequence, now, false
 	s.known, s.done = true, nil
 	if st.Busy {
 		s.known, s.quiet = false, now.Add(stateLag)
