A model is no longer used before it is unloaded; what is asked for goes before what is only declared

Change: a model's place may go to one that is asked for; instances are told first; a model that was just loaded stays; demand counts refused requests; a new holder unloads nothing until it has heard from all.

--- a/instance/sync.go
+++ b/instance/sync.go
@@ -152,7 +152,7 @@
 		s.Loads[l.GetServer()] = int(l.GetInFlight())
 	}
 	for _, h := range res.GetHeld() {
-		s.Held = append(s.Held, residency.Order{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter()})
+		s.Held = append(s.Held, residency.Order{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Unload: h.GetDropped()})
 	}
 	return s
 }
@@ -186,7 +186,7 @@
 		res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
 	}
 	for _, o := range summary.Held {
-		res.Held = append(res.Held, &exchange.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter})
+		res.Held = append(res.Held, &exchange.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter, Dropped: o.Unload})
 	}
 	return res, nil
 }
@@ -235,7 +235,7 @@
 func heldOf(orders []residency.Order) topology.HeldList {
 	var out topology.HeldList
 	for _, o := range orders {
-		out = append(out, topology.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter})
+		out = append(out, topology.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter, Dropped: o.Unload})
 	}
 	return out
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -10,6 +10,18 @@
 	// other models within some five seconds; a replica that goes idle is given
 	// this long before its place is another's.
 	demandMemory = 8 * time.Second
+	// rateMemory is how long a request counts toward its target's rate.
+	rateMemory = 4 * time.Second
+	// usualHold stands in for the time that a request holds its place until it
+	// is known, in seconds.
+	usualHold = 1.0
+	// holdMemory is how long that time is remembered.
+	holdMemory = 10 * time.Second
+	// ratePart is the part of a target's rate, by the mean time that requests
+	// hold a place, that counts as demand whatever is in flight: a target whose
+	// requests are refused has little in flight, and must not lose its replicas
+	// for that.
+	ratePart = 0.7
 	// forgottenDemand is the demand, in requests at once, below which a target
 	// counts as not asked for.
 	forgottenDemand = 0.02
@@ -27,6 +39,8 @@
 type Demand struct {
 	targets   map[string]*targetDemand
 	instances map[string]*instanceDemand
+	hold      float64 // seconds that a request holds its place, over all targets
+	updated   time.Time
 }
 
 // instanceDemand is what one instance last said.
@@ -41,13 +55,13 @@
 type targetDemand struct {
 	level   float64 // requests at once, at servers or waiting: rises at once, and falls slowly
 	waiting int
-	at      time.Time // when level was last brought up to date
+	arrived float64   // requests, those of rateMemory ago weighing 1/e
 	last    time.Time // when it was last asked for
 }
 
 // NewDemand returns a demand without any target.
 func NewDemand() *Demand {
-	return &Demand{targets: map[string]*targetDemand{}, instances: map[string]*instanceDemand{}}
+	return &Demand{targets: map[string]*targetDemand{}, instances: map[string]*instanceDemand{}, hold: usualHold}
 }
 
 // instanceGone is how long after its last word an instance counts as gone: five
@@ -59,7 +73,9 @@
 	d.instances[instance] = &instanceDemand{at: now, domain: domain, asked: asked, loads: loads}
 	for name, a := range asked {
 		if a.Requests > 0 || a.Waiting > 0 {
-			d.target(name).last = now
+			t := d.target(name)
+			t.last = now
+			t.arrived += float64(a.Requests)
 		}
 	}
 }
@@ -91,19 +107,40 @@
 	for name := range sums {
 		d.target(name)
 	}
+	passed := now.Sub(d.updated).Seconds()
+	d.updated = now
+	d.learnHold(sums, passed)
+	keep := math.Exp(-passed / demandMemory.Seconds())
+	keepRate := math.Exp(-passed / rateMemory.Seconds())
 	for name, t := range d.targets {
 		sum := sums[name]
 		t.waiting = sum.Waiting
-		current := float64(sum.Waiting + sum.InFlight)
-		keep := math.Exp(-now.Sub(t.at).Seconds() / demandMemory.Seconds())
+		t.arrived *= keepRate
+		current := max(float64(sum.Waiting+sum.InFlight), t.arrived/rateMemory.Seconds()*d.hold*ratePart)
 		t.level = max(current, t.level*keep+current*(1-keep))
-		t.at = now
 		if t.level < forgottenDemand && now.Sub(t.last) > demandMemory {
 			delete(d.targets, name)
 		}
 	}
 }
 
+// learnHold takes in how long requests hold a place: those that do, by the rate
+// at which they come.
+func (d *Demand) learnHold(sums map[string]Asked, passed float64) {
+	held, arrived := 0.0, 0.0
+	for _, s := range sums {
+		held += float64(s.InFlight)
+	}
+	for _, t := range d.targets {
+		arrived += t.arrived
+	}
+	if arrived < 1 || held < 1 {
+		return
+	}
+	keep := math.Exp(-passed / holdMemory.Seconds())
+	d.hold = d.hold*keep + held/(arrived/rateMemory.Seconds())*(1-keep)
+}
+
 // Level returns how many requests at once a target has lately had, waiting ones
 // included.
 func (d *Demand) Level(target string) float64 {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -16,10 +16,25 @@
 	// whole batch for tens of milliseconds, so the first token's goal is missed
 	// long before the slots are full.
 	replicaFill = 0.30
-	// surplus is how many replicas' worth of demand less a model must have
-	// before one of its replicas is taken for another: a noisy count mustn't
-	// move models back and forth.
-	surplus = 0.6
+	// spareMargin is how much less demand each of a model's replicas must have,
+	// after one of them is gone, than each replica of the model that gets its
+	// place: a noisy count mustn't move models back and forth.
+	spareMargin = 0.6
+	// idleMargin is the part of a replica's fair demand below which a model with
+	// more than one replica gives one up for a model that nobody asks for.
+	idleMargin = 0.5
+	// retireFor is how long instances are told that a model goes before it is
+	// unloaded: two of their words to the lease holder. Requests that reach the
+	// server later are refused, and most may be sent to no other.
+	retireFor = 1100 * time.Millisecond
+	// leastResidence is how long a model stays that was just loaded.
+	leastResidence = 5 * time.Second
+	// maxRetiring is the part of a pool's servers that may be exchanging a model
+	// at once: meanwhile they serve less.
+	maxRetiring = 0.25
+	// learning is how long a new lease holder unloads nothing: until then it has
+	// not heard from all instances what is asked for, and everything seems idle.
+	learning = 2 * time.Second
 	// copyLevel is the demand, in requests at once, for which an adapter gets
 	// one more copy where places are free.
 	copyLevel = 1.0
@@ -46,6 +61,7 @@
 	demand  *Demand
 	tokens  float64 // loads from the weight store that may begin now
 	filled  time.Time
+	begun   time.Time // when the first plan was made
 }
 
 // NewPlanner returns a planner for a new lease: it begins without loads to
@@ -81,6 +97,9 @@
 		return nil
 	}
 	p.demand.Update(now)
+	if p.begun.IsZero() {
+		p.begun = now
+	}
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.config.Services)) {
 		service := p.config.Services[name]
@@ -158,14 +177,20 @@
 	return 0
 }
 
-// Held returns the adapters that servers hold beyond their entries.
+// Held returns what servers hold beyond their entries, as orders: adapters that
+// they accepted, and models that must not be used there any more as unloads.
 func (p *Planner) Held() []Order {
 	var out []Order
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
-		for _, c := range p.servers[id].done {
-			if !c.order.Unload {
-				out = append(out, c.order)
-			}
+		s := p.servers[id]
+		for _, c := range s.done {
+			out = append(out, c.order)
+		}
+		for _, d := range s.dropped {
+			out = append(out, Order{Server: id, Model: d.model, Unload: true})
+		}
+		if s.retiring != nil {
+			out = append(out, Order{Server: id, Model: s.retiring.model, Unload: true})
 		}
 	}
 	return out
@@ -173,14 +198,15 @@
 
 // pool is one service's servers while one plan is made.
 type pool struct {
-	p       *Planner
-	now     time.Time
-	service *topology.Service
-	engine  *topology.Engine
-	models  map[string]*model
-	ordered []*model // as the configuration lists them
-	servers []*server
-	loading int
+	p        *Planner
+	now      time.Time
+	service  *topology.Service
+	engine   *topology.Engine
+	models   map[string]*model
+	ordered  []*model // as the configuration lists them
+	servers  []*server
+	loading  int
+	retiring int
 }
 
 // model is one model of a pool while a plan is made.
@@ -229,13 +255,20 @@
 	if s.waitsFor != nil && !s.waitsFor.Unload {
 		w.loading++
 	}
+	if s.retiring != nil || s.waitsFor != nil && s.waitsFor.Unload {
+		w.retiring++
+	}
 	if s.Leaving {
 		return
 	}
 	w.servers = append(w.servers, s)
+	if r := s.retiring; r != nil && w.models[r.heir] != nil {
+		w.models[r.heir].replicas = append(w.models[r.heir].replicas, s)
+		w.models[r.heir].coming++
+	}
 	for _, name := range s.models() {
 		m := w.models[name]
-		if m == nil || s.waitsFor != nil && s.waitsFor.Unload && s.waitsFor.Model == name {
+		if m == nil || s.goes(name) {
 			continue
 		}
 		m.replicas = append(m.replicas, s)
@@ -260,16 +293,15 @@
 }
 
 // planModels orders loads for the models that lack replicas most, and unloads
-// what has to make room for them.
+// what has to make room for them. It is for demand that moves to other models
+// within seconds, and for a fleet that has lost so many servers that not every
+// model fits any more: what is asked for goes before what is only declared, and
+// a declared model that lost its place is loaded again once it is asked for.
 func (w *pool) planModels() []Order {
 	lacking := slices.Clone(w.ordered)
 	lacking = slices.DeleteFunc(lacking, func(m *model) bool { return len(m.replicas) >= m.wanted })
 	slices.SortStableFunc(lacking, func(a, b *model) int {
-		return cmp.Or(
-			cmp.Compare(min(len(a.replicas), 1), min(len(b.replicas), 1)), // none at all first
-			cmp.Compare(b.waiting, a.waiting),
-			cmp.Compare(b.need(), a.need()),
-		)
+		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.need(), a.need()))
 	})
 	var out []Order
 	for _, m := range lacking {
@@ -277,9 +309,42 @@
 			out = append(out, o)
 		}
 	}
+	return append(out, w.unloads()...)
+}
+
+// unloads orders the unloads that instances have been told of for long enough.
+func (w *pool) unloads() []Order {
+	var out []Order
+	for _, s := range w.servers {
+		r := s.retiring
+		if r == nil || s.sending || w.now.Sub(r.at) < retireFor {
+			continue
+		}
+		s.retiring = nil
+		if !s.free(w.now) || !s.Server.Holds(r.model, "") {
+			continue
+		}
+		s.sending = true
+		out = append(out, Order{Server: s.ID, Addr: s.Addr, Unload: true, Model: r.model, Sequence: s.sequence})
+	}
 	return out
 }
 
+// urgency ranks what a model lacks, 0 first: its first replica while requests
+// wait for it, more replicas, and a first replica that nobody asks for.
+func (m *model) urgency() int {
+	switch {
+	case len(m.replicas) == 0 && m.waiting > 0:
+		return 0
+	case m.asked():
+		return 1
+	}
+	return 2
+}
+
+// asked says whether the model was asked for lately.
+func (m *model) asked() bool { return m.waiting > 0 || m.level >= forgottenDemand }
+
 // need is a model's demand for each replica that it has.
 func (m *model) need() float64 { return m.level / float64(max(len(m.replicas), 1)) }
 
@@ -320,7 +385,7 @@
 	if best == nil {
 		return Order{}, false
 	}
-	return w.order(best, m, bestVictim), true
+	return w.order(best, m, bestVictim)
 }
 
 const (
@@ -341,21 +406,22 @@
 	return sum / float64(max(w.engine.Slots, 1))
 }
 
-// order returns the order for a replica at a server, and books it.
-func (w *pool) order(s *server, m, victim *model) Order {
-	o := Order{Server: s.ID, Addr: s.Addr, Model: m.Name, Sequence: s.sequence}
+// order returns the order for a replica at a server, and books it. Where a
+// victim has to go first, it is only marked.
+func (w *pool) order(s *server, m, victim *model) (Order, bool) {
+	m.replicas = append(m.replicas, s)
 	if victim != nil {
-		o.Unload, o.Model = true, victim.Name
 		victim.replicas = slices.DeleteFunc(victim.replicas, func(x *server) bool { return x == s })
-	} else {
-		w.loading++
-		if !slices.Contains(s.OnDisk, m.Name) {
-			w.p.tokens--
-		}
+		s.retiring = &retirement{model: victim.Name, heir: m.Name, at: w.now}
+		w.retiring++
+		return Order{}, false
+	}
+	w.loading++
+	if !slices.Contains(s.OnDisk, m.Name) {
+		w.p.tokens--
 	}
-	m.replicas = append(m.replicas, s)
 	s.sending = true
-	return o
+	return Order{Server: s.ID, Addr: s.Addr, Model: m.Name, Sequence: s.sequence}, true
 }
 
 // victim says whether the model fits at the server as it is; if not, it returns
@@ -370,18 +436,30 @@
 	if used+m.MemoryMB <= w.engine.MemoryMB {
 		return nil, true
 	}
+	if float64(w.retiring) >= max(1, maxRetiring*float64(len(w.servers))) {
+		return nil, false
+	}
 	for _, name := range s.models() {
 		x := w.models[name]
-		if x == nil || x == m || !w.spare(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
+		if x == nil || x == m || s.goes(name) || w.now.Sub(s.loaded[name]) < leastResidence || !w.spare(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
 			continue
 		}
-		if victim == nil || x.need() < victim.need() {
+		if victim == nil || w.dearness(x) < w.dearness(victim) {
 			victim = x
 		}
 	}
 	return victim, false
 }
 
+// dearness ranks the models that a replica may be taken from: what each replica
+// that is left would have to serve, and for the last one a fair demand.
+func (w *pool) dearness(x *model) float64 {
+	if len(x.replicas) < 2 {
+		return float64(max(w.engine.Slots, 1)) * replicaFill
+	}
+	return x.level / float64(len(x.replicas)-1)
+}
+
 // adapterRoom is the memory that a full set of adapters takes.
 func (w *pool) adapterRoom() float64 {
 	most := 0.0
@@ -393,16 +471,20 @@
 	return most * float64(w.engine.AdapterSlots)
 }
 
-// spare says whether a replica of x may go for one of m. The last one never
-// goes while the model is asked for, and only for a model that has none.
+// spare says whether a replica of x may go for one of m.
 func (w *pool) spare(x, m *model) bool {
-	left := len(x.replicas) - 1
-	if left < 1 {
-		return len(m.replicas) == 0 && m.waiting > 0 && x.level < forgottenDemand
-	}
-	if left-x.coming < 1 {
+	if w.now.Sub(w.p.begun) < learning {
 		return false
 	}
+	left := len(x.replicas) - 1
 	each := float64(max(w.engine.Slots, 1)) * replicaFill
-	return x.level <= (float64(left)-surplus)*each || left >= 1 && x.level < forgottenDemand
+	switch {
+	case left-x.coming < 1: // its last one that serves
+		return !x.asked() && m.asked() && (len(m.replicas) == 0 || m.need() > each)
+	case !m.asked():
+		return x.level/float64(left) < idleMargin*each
+	case len(m.replicas) == 0:
+		return true
+	}
+	return x.level/float64(left) < spareMargin*m.need()
 }
--- a/residency/server.go
+++ b/residency/server.go
@@ -29,18 +29,35 @@
 
 // server is what the lease holder knows of a server.
 type server struct {
-	topology.Server                 // as its entry says; its models as the server itself said where that is newer
-	entry           topology.Server // the newest entry
-	entryNew        bool            // its models haven't been taken over yet
-	saidAt          time.Time       // when the server last said its state itself
-	known           bool            // sequence is the server's own word, or counted from it
-	sequence        int64           // orders that it accepted
-	done            []change        // accepted adapter orders that aren't in its models yet
-	waitsFor        *Order          // an order for a model that is under way
-	patience        time.Time       // until when it is waited for
-	ghosts          []ghost         // orders that may yet be carried out
-	sending         bool            // an order or a question is on its way
-	quiet           time.Time       // neither before it
+	topology.Server                      // as its entry says; its models as the server itself said where that is newer
+	entry           topology.Server      // the newest entry
+	entryNew        bool                 // its models haven't been taken over yet
+	saidAt          time.Time            // when the server last said its state itself
+	known           bool                 // sequence is the server's own word, or counted from it
+	sequence        int64                // orders that it accepted
+	done            []change             // accepted adapter orders that aren't in its models yet
+	waitsFor        *Order               // an order for a model that is under way
+	patience        time.Time            // until when it is waited for
+	ghosts          []ghost              // orders that may yet be carried out
+	retiring        *retirement          // a model that is about to be unloaded
+	dropped         []drop               // models that instances must not use here any more
+	loaded          map[string]time.Time // when models were seen first, by name
+	sending         bool                 // an order or a question is on its way
+	quiet           time.Time            // neither before it
+}
+
+// retirement is a model that instances have been told not to use any more at a
+// server, and that is unloaded once they have heard of it.
+type retirement struct {
+	model string
+	heir  string // the model that the place is for
+	at    time.Time
+}
+
+// drop is a model that instances must not use at a server until a time.
+type drop struct {
+	model string
+	until time.Time
 }
 
 // change is an adapter order that the server accepted.
@@ -96,6 +113,8 @@
 		return true
 	})
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return !now.Before(g.until) })
+	s.dropped = slices.DeleteFunc(s.dropped, func(d drop) bool { return !now.Before(d.until) })
+	s.noteLoaded(now)
 	w := s.waitsFor
 	switch {
 	case w == nil:
@@ -106,6 +125,19 @@
 	}
 }
 
+// noteLoaded notes since when each model has been there.
+func (s *server) noteLoaded(now time.Time) {
+	old := s.loaded
+	s.loaded = make(map[string]time.Time, len(s.Models))
+	for _, m := range s.Models {
+		since, ok := old[m.Name]
+		if !ok && old != nil {
+			since = now
+		}
+		s.loaded[m.Name] = since // zero: since before this lease
+	}
+}
+
 // said takes in what the server says of itself.
 func (s *server) said(now time.Time, st State) {
 	s.sending = false
@@ -120,7 +152,7 @@
 
 // free says whether the server can be given an order now.
 func (s *server) free(now time.Time) bool {
-	return !s.Leaving && s.known && !s.sending && s.waitsFor == nil && !now.Before(s.quiet)
+	return !s.Leaving && s.known && !s.sending && s.waitsFor == nil && s.retiring == nil && !now.Before(s.quiet)
 }
 
 // unsure says whether the server should be asked for its state now.
@@ -159,6 +191,11 @@
 	return out
 }
 
+// goes says whether the model is about to be unloaded.
+func (s *server) goes(model string) bool {
+	return s.retiring != nil && s.retiring.model == model || s.waitsFor != nil && s.waitsFor.Unload && s.waitsFor.Model == model
+}
+
 // adapters returns the adapters of a model that the server holds.
 func (s *server) adapters(model string) []string {
 	var out []string
@@ -203,6 +240,9 @@
 		s.done = append(s.done, change{order: o, at: now})
 		return
 	}
+	if o.Unload {
+		s.dropped = append(s.dropped, drop{model: o.Model, until: now.Add(patience)})
+	}
 	s.waitsFor = &o
 	s.patience = now.Add(patience)
 }
--- a/topology/table.go
+++ b/topology/table.go
@@ -30,12 +30,14 @@
 	Index   *Index
 	Servers []Server       // by id
 	Nodes   map[string]int // live instances by failure domain, this one included
-	Held    HeldList       // adapters that servers hold beyond their entries
+	Held    HeldList       // what servers hold, or are about to lose, beyond their entries
 }
 
-// Held is an adapter that a server holds by an order that it accepted.
+// Held is an adapter that a server holds by an order that it accepted, or what
+// it is about to lose.
 type Held struct {
-	Server, Model, Adapter string
+	Server, Model, Adapter string // no adapter: the model with all its adapters
+	Dropped                bool   // it must not be used there any more
 }
 
 // HeldList is a list of adapters that servers hold.
@@ -74,19 +76,23 @@
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
 		addTargets(t, v.Config.Services[name], expected)
 	}
-	byID := make(map[string]int, len(v.Servers))
-	for i := range v.Servers {
-		byID[v.Servers[i].ID] = i
-		addReplicas(t, i, &v.Servers[i])
-	}
+	byServer := map[string]HeldList{}
 	for _, h := range v.Held {
-		if i, ok := byID[h.Server]; ok && v.Servers[i].Holds(h.Model, "") {
-			addReplica(t, i, TargetName(v.Servers[i].Service, h.Model, h.Adapter), 0)
-		}
+		byServer[h.Server] = append(byServer[h.Server], h)
+	}
+	for i := range v.Servers {
+		addReplicas(t, i, &v.Servers[i], byServer[v.Servers[i].ID])
 	}
 	return t
 }
 
+// drops says whether the model or adapter must not be used any more.
+func (l HeldList) drops(model, adapter string) bool {
+	return slices.ContainsFunc(l, func(h Held) bool {
+		return h.Dropped && h.Model == model && (h.Adapter == "" || h.Adapter == adapter)
+	})
+}
+
 func addTargets(t *decide.Table, s Service, expected bool) {
 	if s.Engine == nil {
 		t.Targets[s.Name] = &decide.Target{Name: s.Name, Service: true}
@@ -104,15 +110,25 @@
 	}
 }
 
-func addReplicas(t *decide.Table, index int, s *Server) {
+func addReplicas(t *decide.Table, index int, s *Server, beyond HeldList) {
 	if target := t.Targets[s.Service]; target != nil {
 		target.Replicas = append(target.Replicas, decide.Replica{Server: index})
 		return
 	}
+	add := func(m HeldModel, adapter string) {
+		if !beyond.drops(m.Name, adapter) {
+			addReplica(t, index, TargetName(s.Service, m.Name, adapter), m.Version)
+		}
+	}
 	for _, m := range s.Models {
-		addReplica(t, index, TargetName(s.Service, m.Name, ""), m.Version)
+		add(m, "")
 		for _, a := range m.Adapters {
-			addReplica(t, index, TargetName(s.Service, m.Name, a), m.Version)
+			add(m, a)
+		}
+		for _, h := range beyond {
+			if h.Model == m.Name && h.Adapter != "" && !h.Dropped {
+				add(m, h.Adapter)
+			}
 		}
 	}
 }
