--- a/residency/demand.go
+++ b/residency/demand.go
@@ -175,6 +175,17 @@
 	return out
 }
 
+// AllSaid says whether every live instance has spoken since a time, and so has
+// been told what the lease holder knew then.
+func (d *Demand) AllSaid(since time.Time) bool {
+	for _, i := range d.instances {
+		if !i.at.After(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // Loads returns the requests in flight by server, over all instances.
 func (d *Demand) Loads() map[string]int {
 	out := map[string]int{}
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -19,22 +19,29 @@
 	// spareMargin is how much less demand each of a model's replicas must have,
 	// after one of them is gone, than each replica of the model that gets its
 	// place: a noisy count mustn't move models back and forth.
-	spareMargin = 0.6
+	// That is for models whose requests fill more than a whole server each; among
+	// the others, one gives up a replica only if what is left serves it well, by
+	// surplus replicas' worth of demand.
+	spareMargin = 0.4
+	surplus     = 0.5
 	// idleMargin is the part of a replica's fair demand below which a model with
 	// more than one replica gives one up for a model that nobody asks for.
 	idleMargin = 0.5
-	// retireFor is how long instances are told that a model goes before it is
-	// unloaded: two of their words to the lease holder. Requests that reach the
-	// server later are refused, and most may be sent to no other.
-	retireFor = 1100 * time.Millisecond
+	// retireLeast is how long after all instances have been told that a model goes
+	// it is unloaded: they have to take the word in, and what they sent before
+	// has to arrive. Requests that reach the server later are refused, and most
+	// may be sent to no other. retireMost bounds the wait for an instance that is
+	// silent.
+	retireLeast = 100 * time.Millisecond
+	retireMost  = 1100 * time.Millisecond
 	// leastResidence is how long a model stays that was just loaded.
-	leastResidence = 5 * time.Second
+	leastResidence = 3 * time.Second
 	// maxRetiring is the part of a pool's servers that may be exchanging a model
 	// at once: meanwhile they serve less.
-	maxRetiring = 0.25
+	maxRetiring = 0.4
 	// learning is how long a new lease holder unloads nothing: until then it has
 	// not heard from all instances what is asked for, and everything seems idle.
-	learning = 2 * time.Second
+	learning = 1200 * time.Millisecond
 	// copyLevel is the demand, in requests at once, for which an adapter gets
 	// one more copy where places are free.
 	copyLevel = 1.0
@@ -48,9 +55,9 @@
 	maxQuestions = 32
 	// askAgain is when a server that didn't say its state is asked again.
 	askAgain = time.Second
-	// maxLoading bounds the loads under way over all servers, since each more
-	// beyond the weight store's concurrency slows them all.
-	maxLoading = 4
+	// maxLoading bounds the loads from the weight store under way over all
+	// servers, since each more beyond its concurrency slows them all.
+	maxLoading = 5
 )
 
 // Planner decides about orders. It does no I/O, and its answer is a function of
@@ -243,6 +250,20 @@
 	return w
 }
 
+// told says whether the instances know that a model goes.
+func (w *pool) told(r *retirement) bool {
+	if w.now.Sub(r.at) >= retireMost {
+		return true
+	}
+	if !w.p.demand.AllSaid(r.at) {
+		return false
+	}
+	if r.known.IsZero() {
+		r.known = w.now
+	}
+	return w.now.Sub(r.known) >= retireLeast
+}
+
 // target names the nth adapter of a model, or the model itself for 0.
 func (w *pool) target(model string, n int) string {
 	if n == 0 {
@@ -252,7 +273,7 @@
 }
 
 func (w *pool) addServer(s *server) {
-	if s.waitsFor != nil && !s.waitsFor.Unload {
+	if s.waitsFor != nil && !s.waitsFor.Unload && !slices.Contains(s.OnDisk, s.waitsFor.Model) {
 		w.loading++
 	}
 	if s.retiring != nil || s.waitsFor != nil && s.waitsFor.Unload {
@@ -317,7 +338,7 @@
 	var out []Order
 	for _, s := range w.servers {
 		r := s.retiring
-		if r == nil || s.sending || w.now.Sub(r.at) < retireFor {
+		if r == nil || s.sending || !w.told(r) {
 			continue
 		}
 		s.retiring = nil
@@ -350,9 +371,6 @@
 
 // addReplica returns the order that brings a model nearer to one more replica.
 func (w *pool) addReplica(m *model) (Order, bool) {
-	if w.loading >= maxLoading {
-		return Order{}, false
-	}
 	var best *server
 	bestCost := math.Inf(1)
 	var bestVictim *model
@@ -361,7 +379,7 @@
 			continue
 		}
 		onDisk := slices.Contains(s.OnDisk, m.Name)
-		if !onDisk && w.p.tokens < 1 {
+		if !onDisk && (w.p.tokens < 1 || w.loading >= maxLoading) {
 			continue
 		}
 		victim, fits := w.victim(s, m)
@@ -416,8 +434,8 @@
 		w.retiring++
 		return Order{}, false
 	}
-	w.loading++
 	if !slices.Contains(s.OnDisk, m.Name) {
+		w.loading++
 		w.p.tokens--
 	}
 	s.sending = true
@@ -486,5 +504,8 @@
 	case len(m.replicas) == 0:
 		return true
 	}
-	return x.level/float64(left) < spareMargin*m.need()
+	if x.level <= (float64(left)-surplus)*each {
+		return true
+	}
+	return m.need() > float64(w.engine.Slots) && x.level/float64(left) < spareMargin*m.need()
 }
--- a/residency/server.go
+++ b/residency/server.go
@@ -52,6 +52,7 @@
 	model string
 	heir  string // the model that the place is for
 	at    time.Time
+	known time.Time // when all instances had been told
 }
 
 // drop is a model that instances must not use at a server until a time.
