--- a/instance/instance.go
+++ b/instance/instance.go
@@ -45,6 +45,7 @@
 	mu         sync.Mutex
 	view       topology.View // its parts are replaced, never changed
 	storeDown  bool
+	orderedAt  time.Time          // when a lease holder last said that it may order
 	configRead context.CancelFunc // ends the read of configurations under way; nil: none is
 	changed    chan struct{}      // readable after the view changed; bears at most one signal
 	limits     chan topology.Limits
@@ -60,6 +61,7 @@
 		limits:  make(chan topology.Limits, 1),
 	}
 	i.node.Store(o.Node)
+	i.view.Expected = true
 	i.view.Nodes = map[string]int{o.Node.Domain: assumedInstances}
 	for _, domain := range o.Node.Domains {
 		i.view.Nodes[domain] = assumedInstances
@@ -204,7 +206,7 @@
 		case <-i.changed:
 		}
 		v := i.currentView()
-		i.relay.SetView(&v, topology.BuildTable(i.opts.Node.Domain, &v, true, i.retryPolicy(&v)))
+		i.relay.SetView(&v, topology.BuildTable(i.opts.Node.Domain, &v, i.retryPolicy(&v)))
 	}
 }
 
@@ -253,6 +255,12 @@
 	}
 }
 
+func (i *Instance) storeIsDown() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.storeDown
+}
+
 // ready says whether the instance can serve: it knows a configuration and servers.
 func (i *Instance) ready() bool {
 	i.mu.Lock()
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -31,6 +31,13 @@
 	// ownerEvery is the least time between two questions to the store who holds
 	// the lease.
 	ownerEvery = time.Second
+	// idleHolder is how long a holder that may not order is believed to be the
+	// holder: longer than a new one waits before its first order.
+	idleHolder = 2500 * time.Millisecond
+	// expectedFor is how long after a holder last said that it may order requests
+	// wait for a model that no server holds. A new holder takes some five
+	// seconds; after that an answer is not in sight, and they are refused.
+	expectedFor = 6 * time.Second
 	// peerIdle bounds the unused connections to another instance.
 	peerIdle = 2
 	// syncAge is how old the loads in an answer are taken to be: half the time
@@ -60,6 +67,7 @@
 	client   *http.Client
 	holder   string    // the holder's address; empty: not known
 	askedAt  time.Time // when the store was last asked who it is
+	ordered  time.Time // when a holder last said that it may order
 }
 
 func newSyncer(i *Instance) *syncer {
@@ -79,6 +87,9 @@
 		}
 		if s.instance.ready() {
 			s.once(ctx)
+			s.instance.mu.Lock()
+			s.instance.noteExpected()
+			s.instance.mu.Unlock()
 		}
 		supervise.Pause(ctx, syncSpacing)
 	}
@@ -86,9 +97,12 @@
 
 func (s *syncer) once(ctx context.Context) {
 	i := s.instance
-	asked, loads := i.relay.Demand(), i.relay.Loads()
+	word := residency.Word{
+		Instance: i.opts.Node.Name, Domain: i.opts.Node.Domain,
+		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(),
+	}
 	if i.lease.Holds() {
-		summary, err := i.controller.Said(time.Now(), i.opts.Node.Name, i.opts.Node.Domain, asked, loads)
+		summary, err := i.controller.Said(time.Now(), word)
 		if err == nil {
 			i.learn(summary)
 		}
@@ -100,13 +114,19 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+s.holder, s.client)
-	res, err := client.Sync(ctx, syncRequest(i.opts.Node, asked, loads))
+	res, err := client.Sync(ctx, syncRequest(word))
 	if err != nil {
 		i.log.WithFields(logrus.Fields{"holder": s.holder, "error": err}).Warn("lease holder lost")
 		s.holder = ""
 		return
 	}
-	i.learn(summaryOf(res))
+	summary := summaryOf(res)
+	i.learn(summary)
+	if summary.Ordering {
+		s.ordered = time.Now()
+	} else if !word.StoreDown && time.Since(s.ordered) > idleHolder {
+		s.holder = "" // it may have been cut off, and another have won the lease
+	}
 }
 
 // findHolder asks the store who holds the lease.
@@ -130,21 +150,21 @@
 	return s.holder != ""
 }
 
-func syncRequest(n *topology.Node, asked map[string]residency.Asked, loads map[string]int) *exchange.SyncRequest {
-	req := &exchange.SyncRequest{Instance: n.Name, FailureDomain: n.Domain}
-	for target, a := range asked {
+func syncRequest(w residency.Word) *exchange.SyncRequest {
+	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown}
+	for target, a := range w.Asked {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
 		})
 	}
-	for server, n := range loads {
+	for server, n := range w.Loads {
 		req.Loads = append(req.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
 	}
 	return req
 }
 
 func summaryOf(res *exchange.SyncResponse) residency.Summary {
-	s := residency.Summary{Instances: map[string]int{}, Loads: map[string]int{}}
+	s := residency.Summary{Instances: map[string]int{}, Loads: map[string]int{}, Ordering: res.GetOrdering()}
 	for _, d := range res.GetInstances() {
 		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
 	}
@@ -162,15 +182,18 @@
 
 // Sync implements exchange.Exchange.
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
-	asked := make(map[string]residency.Asked, len(req.GetDemand()))
+	w := residency.Word{
+		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), StoreDown: req.GetStoreDown(),
+		Asked: make(map[string]residency.Asked, len(req.GetDemand())),
+		Loads: make(map[string]int, len(req.GetLoads())),
+	}
 	for _, d := range req.GetDemand() {
-		asked[d.GetTarget()] = residency.Asked{Requests: int(d.GetRequests()), Waiting: int(d.GetWaiting()), InFlight: int(d.GetInFlight())}
+		w.Asked[d.GetTarget()] = residency.Asked{Requests: int(d.GetRequests()), Waiting: int(d.GetWaiting()), InFlight: int(d.GetInFlight())}
 	}
-	loads := make(map[string]int, len(req.GetLoads()))
 	for _, l := range req.GetLoads() {
-		loads[l.GetServer()] = int(l.GetInFlight())
+		w.Loads[l.GetServer()] = int(l.GetInFlight())
 	}
-	summary, err := e.instance.controller.Said(time.Now(), req.GetInstance(), req.GetFailureDomain(), asked, loads)
+	summary, err := e.instance.controller.Said(time.Now(), w)
 	var notHolder *residency.NotHolderError
 	if errors.As(err, &notHolder) {
 		return nil, twirp.NewError(twirp.FailedPrecondition, notHolder.Error())
@@ -178,7 +201,7 @@
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	res := &exchange.SyncResponse{}
+	res := &exchange.SyncResponse{Ordering: summary.Ordering}
 	for domain, n := range summary.Instances {
 		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
 	}
@@ -216,6 +239,10 @@
 // learn takes in what the lease holder knows of all instances.
 func (i *Instance) learn(s residency.Summary) {
 	i.mu.Lock()
+	if s.Ordering {
+		i.orderedAt = time.Now()
+	}
+	i.noteExpected()
 	if len(s.Instances) > 0 && !sameCounts(i.view.Nodes, s.Instances) {
 		i.view.Nodes = s.Instances
 		i.log.WithField("instances", s.Instances).Info("instances counted")
@@ -232,6 +259,17 @@
 	}
 }
 
+// noteExpected works out whether requests should wait for a model that no server
+// holds. The lock is held.
+func (i *Instance) noteExpected() {
+	expected := i.orderedAt.IsZero() || time.Since(i.orderedAt) < expectedFor
+	if expected != i.view.Expected {
+		i.view.Expected = expected
+		i.log.WithField("expected", expected).Info("models that no server holds are loaded on demand")
+		i.rebuild()
+	}
+}
+
 func heldOf(orders []residency.Order) topology.HeldList {
 	var out topology.HeldList
 	for _, o := range orders {
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -44,6 +44,7 @@
 	mu      sync.Mutex
 	demand  *Demand
 	planner *Planner // nil while the lease isn't held
+	known   []string // the instances that were known at the newest renewal
 }
 
 // orderResult is how an order, or a question for a server's state, went.
@@ -67,7 +68,8 @@
 type Summary struct {
 	Instances map[string]int // by failure domain
 	Loads     map[string]int // requests in flight by server
-	Held      []Order        // adapters that servers hold beyond their entries
+	Held      []Order        // what servers hold beyond their entries, and as unloads what they lose
+	Ordering  bool           // servers can be ordered now
 }
 
 // NotHolderError says that the instance doesn't hold the lease.
@@ -78,18 +80,19 @@
 
 // Said takes in what an instance was asked for and has in flight, and returns
 // what all have. The error is a *NotHolderError.
-func (c *Controller) Said(now time.Time, instance, domain string, asked map[string]Asked, loads map[string]int) (Summary, error) {
+func (c *Controller) Said(now time.Time, w Word) (Summary, error) {
 	if !c.o.Lease.Holds() {
 		return Summary{}, errors.WithStack(&NotHolderError{})
 	}
+	ordering := c.o.Lease.Epoch(c.storeAway) != 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.demand.Said(now, instance, domain, asked, loads)
-	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads()}
+	c.demand.Said(now, w)
+	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads(), Ordering: ordering}
 	if c.planner != nil {
 		s.Held = c.planner.Held()
 	}
-	for _, a := range asked {
+	for _, a := range w.Asked {
 		if a.Waiting > 0 {
 			c.poke()
 			break
@@ -98,6 +101,18 @@
 	return s, nil
 }
 
+// storeAway says whether no instance reaches the store: each one that was known
+// at the newest renewal has just said so. Then nobody can have won the lease
+// since. It is for an outage of the store of many seconds in which demand moves:
+// without orders, requests for models that no server holds fail until it is over.
+// One that comes back is noticed by this instance's own next renewal, before a
+// new holder would order.
+func (c *Controller) storeAway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.demand.CutOff(time.Now(), c.known)
+}
+
 func (c *Controller) poke() {
 	select {
 	case c.wake <- struct{}{}:
@@ -144,9 +159,13 @@
 
 // plan returns the servers to ask and the orders to send now, none without the lease.
 func (c *Controller) plan(now time.Time) (questions, orders []Order) {
-	epoch := c.o.Lease.Epoch()
+	epoch := c.o.Lease.Epoch(c.storeAway)
+	fresh := c.o.Lease.Fresh()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if fresh {
+		c.known = c.demand.Names()
+	}
 	if epoch == 0 {
 		if !c.o.Lease.Holds() {
 			c.planner = nil
@@ -199,7 +218,7 @@
 	o.Holder = c.o.Holder
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	o.Fence = c.o.Lease.Epoch()
+	o.Fence = c.o.Lease.Epoch(c.storeAway)
 	if o.Fence == 0 {
 		c.results <- orderResult{order: o}
 		return
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -43,12 +45,22 @@
 	updated   time.Time
 }
 
+// Word is what an instance says to the lease holder.
+type Word struct {
+	Instance  string
+	Domain    string           // its failure domain
+	Asked     map[string]Asked // by target
+	Loads     map[string]int   // requests in flight by server
+	StoreDown bool             // it doesn't reach the platform's store
+}
+
 // instanceDemand is what one instance last said.
 type instanceDemand struct {
 	at     time.Time
 	domain string
 	asked  map[string]Asked
 	loads  map[string]int
+	cutOff bool // it didn't reach the platform's store
 }
 
 // targetDemand is a target's demand, over all instances.
@@ -69,9 +81,9 @@
 const instanceGone = 2500 * time.Millisecond
 
 // Said takes in what an instance says.
-func (d *Demand) Said(now time.Time, instance, domain string, asked map[string]Asked, loads map[string]int) {
-	d.instances[instance] = &instanceDemand{at: now, domain: domain, asked: asked, loads: loads}
-	for name, a := range asked {
+func (d *Demand) Said(now time.Time, w Word) {
+	d.instances[w.Instance] = &instanceDemand{at: now, domain: w.Domain, asked: w.Asked, loads: w.Loads, cutOff: w.StoreDown}
+	for name, a := range w.Asked {
 		if a.Requests > 0 || a.Waiting > 0 {
 			t := d.target(name)
 			t.last = now
@@ -186,6 +198,26 @@
 	return true
 }
 
+// Names returns the live instances.
+func (d *Demand) Names() []string { return slices.Collect(maps.Keys(d.instances)) }
+
+// wordAge is how old an instance's word may be to be trusted that it doesn't
+// reach the store: less than a new lease holder waits before its first order,
+// and more than the time between two words.
+const wordAge = 800 * time.Millisecond
+
+// CutOff says whether each of the instances has just said that it doesn't reach
+// the store. One that is silent may reach it.
+func (d *Demand) CutOff(now time.Time, names []string) bool {
+	for _, name := range names {
+		i := d.instances[name]
+		if i == nil || !i.cutOff || now.Sub(i.at) > wordAge {
+			return false
+		}
+	}
+	return len(names) > 0
+}
+
 // Loads returns the requests in flight by server, over all instances.
 func (d *Demand) Loads() map[string]int {
 	out := map[string]int{}
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -136,18 +136,31 @@
 func (l *Lease) Holds() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.epoch != 0 && l.clock()-l.renewed < l.ttl
+	return l.epoch != 0
 }
 
-// Epoch returns the fencing token for an order sent now, and 0 if none may be.
-func (l *Lease) Epoch() int64 {
+// Fresh says whether the newest renewal still stands by itself.
+func (l *Lease) Fresh() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.epoch != 0 && l.clock()-l.renewed < heldFor
+}
+
+// Epoch returns the fencing token for an order sent now, and 0 if none may be.
+// storeAway says whether no other instance can have won the lease since the
+// newest renewal, because none reaches the store: then the holder goes on.
+func (l *Lease) Epoch(storeAway func() bool) int64 {
+	l.mu.Lock()
+	epoch, won, renewed := l.epoch, l.won, l.renewed
+	l.mu.Unlock()
 	now := l.clock()
-	if l.epoch == 0 || now-l.renewed >= heldFor || now-l.won < takeover {
+	if epoch == 0 || now-won < takeover {
+		return 0
+	}
+	if now-renewed >= heldFor && !storeAway() {
 		return 0
 	}
-	return l.epoch
+	return epoch
 }
 
 // Owner returns the name of the member that holds the lease, empty if none does.
--- a/topology/table.go
+++ b/topology/table.go
@@ -30,7 +30,10 @@
 	Index   *Index
 	Servers []Server       // by id
 	Nodes   map[string]int // live instances by failure domain, this one included
-	Held    HeldList       // what servers hold, or are about to lose, beyond their entries
+	// Expected says that a model that no server holds is loaded once it is asked
+	// for, so that requests wait for it.
+	Expected bool
+	Held     HeldList // what servers hold, or are about to lose, beyond their entries
 }
 
 // Held is an adapter that a server holds by an order that it accepted, or what
@@ -52,9 +55,8 @@
 
 // BuildTable works out the routing table of a view for an instance of the
 // failure domain. A server that drains stays in it as leaving, so that what
-// runs there is still known. expected says that somebody works on giving each
-// target that has no replica one, so that its requests wait.
-func BuildTable(domain string, v *View, expected bool, retry decide.RetryPolicy) *decide.Table {
+// runs there is still known.
+func BuildTable(domain string, v *View, retry decide.RetryPolicy) *decide.Table {
 	t := &decide.Table{
 		OwnDomain: domain,
 		Targets:   map[string]*decide.Target{},
@@ -74,7 +76,7 @@
 		return t
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
-		addTargets(t, v.Config.Services[name], expected)
+		addTargets(t, v.Config.Services[name], v.Expected)
 	}
 	byServer := map[string]HeldList{}
 	for _, h := range v.Held {
