Replicas by a model's share of the pool's whole demand

Cause: a fixed part of a batch for each replica wanted more places than there are once demand was high (45 wanted of 45 places and up), so every model lacked, none could spare, and replicas were moved back and forth while the weight store's budget was spent.

--- a/residency/controller.go
+++ b/residency/controller.go
@@ -19,6 +19,8 @@
 	// adapterSpacing is the least time between two adapters for one server: an
 	// adapter takes up to ten milliseconds, and a server takes four at a time.
 	adapterSpacing = 4 * time.Millisecond
+	// noteEvery is the least time between two lists of what lacks replicas.
+	noteEvery = time.Second
 	// results is how many orders' results may wait: one for each of as many
 	// servers. Full: the order's sender waits, and the server with it.
 	results = 256
@@ -43,8 +45,9 @@
 
 	mu      sync.Mutex
 	demand  *Demand
-	planner *Planner // nil while the lease isn't held
-	known   []string // the instances that were known at the newest renewal
+	planner *Planner  // nil while the lease isn't held
+	noted   time.Time // when it was last logged what lacks replicas
+	known   []string  // the instances that were known at the newest renewal
 }
 
 // orderResult is how an order, or a question for a server's state, went.
@@ -177,7 +180,25 @@
 	}
 	v := c.o.View()
 	c.planner.Update(now, &v)
-	return c.planner.Unsure(now), c.planner.Plan(now)
+	questions, orders = c.planner.Unsure(now), c.planner.Plan(now)
+	c.noteLacking(now)
+	return questions, orders
+}
+
+// noteLacking writes a line for each model that lacks replicas, once a second.
+// The lock is held.
+func (c *Controller) noteLacking(now time.Time) {
+	if now.Sub(c.noted) < noteEvery {
+		return
+	}
+	c.noted = now
+	lacking, loads := c.planner.Lacking()
+	for _, l := range lacking {
+		c.o.Log.WithFields(logrus.Fields{
+			"service": l.Service, "model": l.Model, "demand": int(l.Level + 0.5), "waiting": l.Waiting,
+			"wanted": l.Wanted, "replicas": l.Replicas, "coming": l.Coming, "loads_left": int(loads),
+		}).Info("model lacks replicas")
+	}
 }
 
 func (c *Controller) done(r orderResult) {
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -11,9 +11,9 @@
 	// demandMemory is how long a target's past demand counts. Demand moves to
 	// other models within some five seconds; a replica that goes idle is given
 	// this long before its place is another's.
-	demandMemory = 8 * time.Second
+	demandMemory = 4 * time.Second
 	// rateMemory is how long a request counts toward its target's rate.
-	rateMemory = 4 * time.Second
+	rateMemory = 3 * time.Second
 	// usualHold stands in for the time that a request holds its place until it
 	// is known, in seconds.
 	usualHold = 1.0
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -12,21 +12,18 @@
 
 const (
 	// replicaFill is the part of a server's batch that one model's requests may
-	// take before it gets another replica. A prompt that is read holds up the
-	// whole batch for tens of milliseconds, so the first token's goal is missed
-	// long before the slots are full.
-	replicaFill = 0.30
+	// take before another replica helps at all: below it a server isn't busy.
+	replicaFill = 0.20
+	// shareSlack is how many servers a model gets for each server's worth of the
+	// pool's whole demand that it has. All models of a server share its batch, so
+	// what counts is that each server's sum can be made equal: with 1 that needs
+	// a perfect fit, and with more than 2 the places run out.
+	shareSlack = 1.5
 	// spareMargin is how much less demand each of a model's replicas must have,
 	// after one of them is gone, than each replica of the model that gets its
-	// place: a noisy count mustn't move models back and forth.
-	// That is for models whose requests fill more than a whole server each; among
-	// the others, one gives up a replica only if what is left serves it well, by
-	// surplus replicas' worth of demand.
+	// place, where no model has more than it wants: a noisy count mustn't move
+	// models back and forth.
 	spareMargin = 0.4
-	surplus     = 0.5
-	// idleMargin is the part of a replica's fair demand below which a model with
-	// more than one replica gives one up for a model that nobody asks for.
-	idleMargin = 0.5
 	// retireLeast is how long after all instances have been told that a model goes
 	// it is unloaded: they have to take the word in, and what they sent before
 	// has to arrive. Requests that reach the server later are refused, and most
@@ -69,6 +66,7 @@
 	tokens  float64 // loads from the weight store that may begin now
 	filled  time.Time
 	begun   time.Time // when the first plan was made
+	lacking []Lack    // of the last plan
 }
 
 // NewPlanner returns a planner for a new lease: it begins without loads to
@@ -107,6 +105,7 @@
 	if p.begun.IsZero() {
 		p.begun = now
 	}
+	p.lacking = p.lacking[:0]
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(p.config.Services)) {
 		service := p.config.Services[name]
@@ -212,6 +211,7 @@
 	models   map[string]*model
 	ordered  []*model // as the configuration lists them
 	servers  []*server
+	demand   float64 // of all models together, in requests at once
 	loading  int
 	retiring int
 }
@@ -244,6 +244,9 @@
 		}
 	}
 	w.fill()
+	for _, m := range w.ordered {
+		w.demand += m.level
+	}
 	for _, m := range w.ordered {
 		m.wanted = w.wanted(m.level)
 	}
@@ -307,12 +310,19 @@
 	w.p.filled = w.now
 }
 
-// wanted returns how many replicas a level of demand wants.
+// wanted returns how many replicas a level of demand wants: the model's share of
+// the servers with some slack, but no more than would have something to do.
 func (w *pool) wanted(level float64) int {
-	each := float64(max(w.engine.Slots, 1)) * replicaFill
-	return min(max(int(math.Ceil(level/each)), 1), max(len(w.servers), 1))
+	servers := max(len(w.servers), 1)
+	busy := math.Ceil(level / w.fair())
+	share := math.Ceil(level / max(w.demand, 1) * float64(servers) * shareSlack)
+	return min(max(int(min(busy, share)), 1), servers)
 }
 
+// fair is the demand of one model, in requests at once, from which another
+// replica helps.
+func (w *pool) fair() float64 { return float64(max(w.engine.Slots, 1)) * replicaFill }
+
 // planModels orders loads for the models that lack replicas most, and unloads
 // what has to make room for them. It is for demand that moves to other models
 // within seconds, and for a fleet that has lost so many servers that not every
@@ -324,6 +334,7 @@
 	slices.SortStableFunc(lacking, func(a, b *model) int {
 		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.need(), a.need()))
 	})
+	w.noteLacking(lacking)
 	var out []Order
 	for _, m := range lacking {
 		if o, ok := w.addReplica(m); ok {
@@ -333,6 +344,32 @@
 	return append(out, w.unloads()...)
 }
 
+// Lack is a model that has fewer replicas than its demand wants.
+type Lack struct {
+	Service  string
+	Model    string
+	Level    float64 // requests at once, lately
+	Waiting  int     // requests
+	Wanted   int     // replicas
+	Replicas int     // with those that are coming
+	Coming   int
+}
+
+// Lacking returns the models that are asked for and lacked replicas in the last
+// plan, with the loads that the weight store would still let begin.
+func (p *Planner) Lacking() (lacking []Lack, loads float64) { return p.lacking, p.tokens }
+
+func (w *pool) noteLacking(lacking []*model) {
+	for _, m := range lacking {
+		if m.asked() {
+			w.p.lacking = append(w.p.lacking, Lack{
+				Service: w.service.Name, Model: m.Name, Level: m.level, Waiting: m.waiting,
+				Wanted: m.wanted, Replicas: len(m.replicas), Coming: m.coming,
+			})
+		}
+	}
+}
+
 // unloads orders the unloads that instances have been told of for long enough.
 func (w *pool) unloads() []Order {
 	var out []Order
@@ -409,7 +446,7 @@
 const (
 	// storeCost and unloadCost weigh a load from the weight store, and an unload
 	// before it, against a server's fill of 1.
-	storeCost  = 0.5
+	storeCost  = 1.0
 	unloadCost = 1.0
 )
 
@@ -473,7 +510,7 @@
 // that is left would have to serve, and for the last one a fair demand.
 func (w *pool) dearness(x *model) float64 {
 	if len(x.replicas) < 2 {
-		return float64(max(w.engine.Slots, 1)) * replicaFill
+		return w.fair()
 	}
 	return x.level / float64(len(x.replicas)-1)
 }
@@ -495,17 +532,15 @@
 		return false
 	}
 	left := len(x.replicas) - 1
-	each := float64(max(w.engine.Slots, 1)) * replicaFill
 	switch {
 	case left-x.coming < 1: // its last one that serves
-		return !x.asked() && m.asked() && (len(m.replicas) == 0 || m.need() > each)
+		return !x.asked() && m.asked() && (len(m.replicas) == 0 || m.need() > w.fair())
+	case left >= x.wanted:
+		return true
 	case !m.asked():
-		return x.level/float64(left) < idleMargin*each
+		return false
 	case len(m.replicas) == 0:
 		return true
 	}
-	if x.level <= (float64(left)-surplus)*each {
-		return true
-	}
-	return m.need() > float64(w.engine.Slots) && x.level/float64(left) < spareMargin*m.need()
+	return x.level/float64(left) < spareMargin*m.need()
 }
