--- a/instance/follow.go
+++ b/instance/follow.go
@@ -15,7 +15,7 @@
 const (
 	// configWait is how long one read waits for a configuration. It bounds how
 	// long a connection that went silent unnoticed can hide one.
-	configWait = 10 * time.Second
+	configWait = 4 * time.Second
 	// configSpacing is the least time between two reads of configurations:
 	// changes come sixteen a second at times, and each is decoded whole.
 	configSpacing = 150 * time.Millisecond
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -255,6 +255,16 @@
 	}
 }
 
+// configVersion returns the version of the configuration in force, 0 before the first.
+func (i *Instance) configVersion() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.view.Config == nil {
+		return 0
+	}
+	return i.view.Config.Version
+}
+
 func (i *Instance) storeIsDown() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -99,7 +99,7 @@
 	i := s.instance
 	word := residency.Word{
 		Instance: i.opts.Node.Name, Domain: i.opts.Node.Domain,
-		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(),
+		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
 	}
 	if i.lease.Holds() {
 		summary, err := i.controller.Said(time.Now(), word)
@@ -151,7 +151,7 @@
 }
 
 func syncRequest(w residency.Word) *exchange.SyncRequest {
-	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown}
+	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown, ConfigVersion: w.Version}
 	for target, a := range w.Asked {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
@@ -164,7 +164,7 @@
 }
 
 func summaryOf(res *exchange.SyncResponse) residency.Summary {
-	s := residency.Summary{Instances: map[string]int{}, Loads: map[string]int{}, Ordering: res.GetOrdering()}
+	s := residency.Summary{Instances: map[string]int{}, Loads: map[string]int{}, Ordering: res.GetOrdering(), Version: res.GetConfigVersion()}
 	for _, d := range res.GetInstances() {
 		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
 	}
@@ -183,7 +183,7 @@
 // Sync implements exchange.Exchange.
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	w := residency.Word{
-		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), StoreDown: req.GetStoreDown(),
+		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), StoreDown: req.GetStoreDown(), Version: req.GetConfigVersion(),
 		Asked: make(map[string]residency.Asked, len(req.GetDemand())),
 		Loads: make(map[string]int, len(req.GetLoads())),
 	}
@@ -201,7 +201,7 @@
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	res := &exchange.SyncResponse{Ordering: summary.Ordering}
+	res := &exchange.SyncResponse{Ordering: summary.Ordering, ConfigVersion: summary.Version}
 	for domain, n := range summary.Instances {
 		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
 	}
@@ -238,6 +238,10 @@
 
 // learn takes in what the lease holder knows of all instances.
 func (i *Instance) learn(s residency.Summary) {
+	if version := i.configVersion(); version != 0 && s.Version > version {
+		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version}).Warn("configuration behind other instances")
+		i.restartConfigRead()
+	}
 	i.mu.Lock()
 	if s.Ordering {
 		i.orderedAt = time.Now()
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -73,6 +73,7 @@
 	Loads     map[string]int // requests in flight by server
 	Held      []Order        // what servers hold beyond their entries, and as unloads what they lose
 	Ordering  bool           // servers can be ordered now
+	Version   int64          // the newest version of the configuration that any instance has in force
 }
 
 // NotHolderError says that the instance doesn't hold the lease.
@@ -91,7 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.Said(now, w)
-	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads(), Ordering: ordering}
+	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads(), Ordering: ordering, Version: c.demand.Version()}
 	if c.planner != nil {
 		s.Held = c.planner.Held()
 	}
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -52,15 +52,17 @@
 	Asked     map[string]Asked // by target
 	Loads     map[string]int   // requests in flight by server
 	StoreDown bool             // it doesn't reach the platform's store
+	Version   int64            // of the configuration in force there
 }
 
 // instanceDemand is what one instance last said.
 type instanceDemand struct {
-	at     time.Time
-	domain string
-	asked  map[string]Asked
-	loads  map[string]int
-	cutOff bool // it didn't reach the platform's store
+	at      time.Time
+	domain  string
+	asked   map[string]Asked
+	loads   map[string]int
+	cutOff  bool  // it didn't reach the platform's store
+	version int64 // of the configuration in force there
 }
 
 // targetDemand is a target's demand, over all instances.
@@ -82,7 +84,7 @@
 
 // Said takes in what an instance says.
 func (d *Demand) Said(now time.Time, w Word) {
-	d.instances[w.Instance] = &instanceDemand{at: now, domain: w.Domain, asked: w.Asked, loads: w.Loads, cutOff: w.StoreDown}
+	d.instances[w.Instance] = &instanceDemand{at: now, domain: w.Domain, asked: w.Asked, loads: w.Loads, cutOff: w.StoreDown, version: w.Version}
 	for name, a := range w.Asked {
 		if a.Requests > 0 || a.Waiting > 0 {
 			t := d.target(name)
@@ -198,6 +200,16 @@
 	return true
 }
 
+// Version returns the newest version of the configuration that a live instance
+// has in force.
+func (d *Demand) Version() int64 {
+	newest := int64(0)
+	for _, i := range d.instances {
+		newest = max(newest, i.version)
+	}
+	return newest
+}
+
 // Names returns the live instances.
 func (d *Demand) Names() []string { return slices.Collect(maps.Keys(d.instances)) }
 
