--- a/decide/filter.go
+++ b/decide/filter.go
@@ -69,7 +69,7 @@
 	most := c.server.Slots
 	switch s.fill {
 	case roomy:
-		most = int(math.Ceil(float64(c.server.Slots) * roomyPart))
+		most = int(math.Ceil(float64(c.server.Slots) * s.nearFill))
 	case queueing:
 		most += c.server.queueFor(c.server.pool.standing(s.fleet.everyone, f.target.partner))
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -23,7 +23,8 @@
 	prefixes prefixes
 	draining bool
 	turn     int
-	crowd    bool // the own domain has more instances than its servers have slots
+	nearFill float64 // see Table.NearFill
+	crowd    bool    // the own domain has more instances than its servers have slots
 
 	out        []Decision
 	candidates []candidate
@@ -50,6 +51,10 @@
 	for _, gone := range s.fleet.set(t) {
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
+	s.nearFill = t.NearFill
+	if s.nearFill <= 0 {
+		s.nearFill = roomyPart
+	}
 	s.crowd = false
 	for i := range t.Servers {
 		srv := &t.Servers[i]
--- a/decide/types.go
+++ b/decide/types.go
@@ -53,6 +53,7 @@
 	Weights   map[string]float64 // by partner: parts of contended capacity
 	Entries   map[string]int     // by failure domain: entry instances there, from the platform's list
 	Retry     RetryPolicy        // the zero value takes the defaults
+	NearFill  float64            // the part of its slots up to which a server of the own domain goes before others; 0: roomyPart
 }
 
 // Request is what the decisions need to know of a caller's request.
--- a/instance/front.go
+++ b/instance/front.go
@@ -26,6 +26,9 @@
 	// drainServing is how long a draining instance still takes new requests on
 	// open connections: the balancer's health checks fail twice within it.
 	drainServing = 2500 * time.Millisecond
+	// drainRefuse is how long before the platform's kill what still waits for a
+	// server is refused: its caller must hear that it didn't run.
+	drainRefuse = 1500 * time.Millisecond
 	// drainMargin is how long before the platform's kill what is still in hand
 	// is broken off.
 	drainMargin = 500 * time.Millisecond
@@ -137,6 +140,8 @@
 	f.instance.relay.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	refuse := time.AfterFunc(time.Until(end)+drainMargin-drainRefuse, f.instance.relay.RefuseWaiting)
+	defer refuse.Stop()
 	supervise.Pause(ctx, drainServing)
 	_ = f.callers.Close()
 	f.mu.Lock()
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -132,6 +132,13 @@
 	d.carryOut(d.scheduler.Left(time.Now(), c.id))
 }
 
+// drain refuses what waits and whatever arrives from now on.
+func (d *desk) drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carryOut(d.scheduler.Drain(time.Now()))
+}
+
 // leaveServer notes that the call has no attempt any more. The lock is held.
 func (d *desk) leaveServer(c *call) {
 	if c.at != "" {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,6 +127,9 @@
 // Drain has every connection closed after its next answer.
 func (r *Relay) Drain() { r.draining.Store(true) }
 
+// RefuseWaiting refuses what waits for a server, and whatever arrives from now on.
+func (r *Relay) RefuseWaiting() { r.desk.drain() }
+
 // InHand returns how many requests are in hand.
 func (r *Relay) InHand() int { return int(r.inHand.Load()) }
 
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -36,6 +36,11 @@
 	// maxRetiring is the part of a pool's servers that may be exchanging a model
 	// at once: meanwhile they serve less.
 	maxRetiring = 0.4
+	// rareLevel is the demand, in requests at once, below which a model's last
+	// replica may be moved for a model that overflows its servers: with more than
+	// overflow of a batch for each of its replicas.
+	rareLevel = 1.5
+	overflow  = 0.7
 	// learning is how long a new lease holder unloads nothing: until then it has
 	// not heard from all instances what is asked for, and everything seems idle.
 	learning = 1200 * time.Millisecond
@@ -250,6 +255,7 @@
 	for _, m := range w.ordered {
 		m.wanted = w.wanted(m.level)
 	}
+	w.fitWanted()
 	return w
 }
 
@@ -319,6 +325,40 @@
 	return min(max(int(min(busy, share)), 1), servers)
 }
 
+// fitWanted takes replicas from what the busiest models want until all that is
+// asked for has a place: a model with little demand then always finds one again
+// after it gave its place up for a busy one.
+func (w *pool) fitWanted() {
+	sum := 0
+	var busiest []*model
+	for _, m := range w.ordered {
+		if m.asked() {
+			sum += m.wanted
+			busiest = append(busiest, m)
+		}
+	}
+	for places := w.places(); sum > places; sum-- {
+		most := slices.MaxFunc(busiest, func(a, b *model) int { return cmp.Compare(a.wanted, b.wanted) })
+		if most.wanted <= 1 {
+			return
+		}
+		most.wanted--
+	}
+}
+
+// places returns how many models the servers hold together, if each has the
+// mean size.
+func (w *pool) places() int {
+	size := 0.0
+	for _, m := range w.ordered {
+		size += m.MemoryMB / float64(len(w.ordered))
+	}
+	if size <= 0 {
+		return len(w.servers)
+	}
+	return len(w.servers) * int((w.engine.MemoryMB-w.adapterRoom())/size)
+}
+
 // fair is the demand of one model, in requests at once, from which another
 // replica helps.
 func (w *pool) fair() float64 { return float64(max(w.engine.Slots, 1)) * replicaFill }
@@ -534,13 +574,26 @@
 	left := len(x.replicas) - 1
 	switch {
 	case left-x.coming < 1: // its last one that serves
-		return !x.asked() && m.asked() && (len(m.replicas) == 0 || m.need() > w.fair())
+		return w.spareLast(x, m)
 	case left >= x.wanted:
 		return true
 	case !m.asked():
 		return false
 	case len(m.replicas) == 0:
-		return true
+		return x.level/float64(left) <= w.fair()
 	}
 	return x.level/float64(left) < spareMargin*m.need()
 }
+
+// spareLast says whether the last replica of x that serves may go for one of m:
+// if nobody asks for x, or if m overflows its servers and x has so little to do
+// that it is cheaper to load it again elsewhere.
+func (w *pool) spareLast(x, m *model) bool {
+	switch {
+	case !m.asked():
+		return false
+	case !x.asked():
+		return len(m.replicas) == 0 || m.need() > w.fair()
+	}
+	return x.level < rareLevel && x.waiting == 0 && m.need() > overflow*float64(w.engine.Slots)
+}
--- a/topology/table.go
+++ b/topology/table.go
@@ -49,6 +49,12 @@
 // Equal says whether two lists are the same.
 func (l HeldList) Equal(o HeldList) bool { return slices.Equal(l, o) }
 
+// nearFill is the part of its slots up to which a server of the own failure
+// domain goes before others. Prompts are read between other requests' tokens, so
+// a first token comes later long before the batch is full, and the way to
+// another domain costs a millisecond.
+const nearFill = 0.2
+
 // plainSlots is the concurrency that a plain service's server gets credit for
 // where its entry names none.
 const plainSlots = 64
@@ -62,6 +68,7 @@
 		Targets:   map[string]*decide.Target{},
 		Entries:   v.Nodes,
 		Retry:     retry,
+		NearFill:  nearFill,
 	}
 	for _, s := range v.Servers {
 		slots := s.Slots
