--- a/residency/plan.go
+++ b/residency/plan.go
@@ -122,7 +122,8 @@
 		out = append(out, w.planModels()...)
 	}
 	for _, o := range out {
-		p.servers[o.Server].sending = true
+		s := p.servers[o.Server]
+		s.sending, s.pending = true, &o
 	}
 	return out
 }
@@ -134,7 +135,7 @@
 	if s == nil {
 		return
 	}
-	s.sending = false
+	s.sending, s.pending = false, nil
 	switch {
 	case r == Accepted || r == AlreadySo && o.Adapter != "" && o.Unload: // an unused adapter goes at once
 		s.accepted(now, o, p.patience(s, o))
@@ -369,21 +370,36 @@
 // model fits any more: what is asked for goes before what is only declared, and
 // a declared model that lost its place is loaded again once it is asked for.
 func (w *pool) planModels() []Order {
-	lacking := slices.Clone(w.ordered)
-	lacking = slices.DeleteFunc(lacking, func(m *model) bool { return len(m.replicas) >= m.wanted })
-	slices.SortStableFunc(lacking, func(a, b *model) int {
-		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.need(), a.need()))
-	})
-	w.noteLacking(lacking)
 	var out []Order
-	for _, m := range lacking {
-		if o, ok := w.addReplica(m); ok {
-			out = append(out, o)
+	lacking := w.lacking()
+	w.noteLacking(lacking)
+	for len(lacking) > 0 {
+		slices.SortStableFunc(lacking, func(a, b *model) int {
+			return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.need(), a.need()))
+		})
+		m := lacking[0]
+		o, found := w.addReplica(m)
+		if o != nil {
+			out = append(out, *o)
+		}
+		if !found || len(m.replicas) >= m.wanted {
+			lacking = lacking[1:]
 		}
 	}
 	return append(out, w.unloads()...)
 }
 
+// lacking returns the models with fewer replicas than they want.
+func (w *pool) lacking() []*model {
+	var out []*model
+	for _, m := range w.ordered {
+		if len(m.replicas) < m.wanted {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Lack is a model that has fewer replicas than its demand wants.
 type Lack struct {
 	Service  string
@@ -446,8 +462,9 @@
 // need is a model's demand for each replica that it has.
 func (m *model) need() float64 { return m.level / float64(max(len(m.replicas), 1)) }
 
-// addReplica returns the order that brings a model nearer to one more replica.
-func (w *pool) addReplica(m *model) (Order, bool) {
+// addReplica finds a place for one more replica of a model, and returns the
+// order to load it, nil where something has to make room first.
+func (w *pool) addReplica(m *model) (o *Order, found bool) {
 	var best *server
 	bestCost := math.Inf(1)
 	var bestVictim *model
@@ -478,9 +495,9 @@
 		}
 	}
 	if best == nil {
-		return Order{}, false
+		return nil, false
 	}
-	return w.order(best, m, bestVictim)
+	return w.order(best, m, bestVictim), true
 }
 
 const (
@@ -503,20 +520,21 @@
 
 // order returns the order for a replica at a server, and books it. Where a
 // victim has to go first, it is only marked.
-func (w *pool) order(s *server, m, victim *model) (Order, bool) {
+func (w *pool) order(s *server, m, victim *model) *Order {
 	m.replicas = append(m.replicas, s)
 	if victim != nil {
 		victim.replicas = slices.DeleteFunc(victim.replicas, func(x *server) bool { return x == s })
 		s.retiring = &retirement{model: victim.Name, heir: m.Name, at: w.now}
 		w.retiring++
-		return Order{}, false
+		return nil
 	}
 	if !slices.Contains(s.OnDisk, m.Name) {
 		w.loading++
 		w.p.tokens--
 	}
+	o := Order{Server: s.ID, Addr: s.Addr, Model: m.Name, Sequence: s.sequence}
 	s.sending = true
-	return Order{Server: s.ID, Addr: s.Addr, Model: m.Name, Sequence: s.sequence}, true
+	return &o
 }
 
 // victim says whether the model fits at the server as it is; if not, it returns
--- a/residency/server.go
+++ b/residency/server.go
@@ -43,6 +43,7 @@
 	dropped         []drop               // models that instances must not use here any more
 	loaded          map[string]time.Time // when models were seen first, by name
 	sending         bool                 // an order or a question is on its way
+	pending         *Order               // the order on its way
 	quiet           time.Time            // neither before it
 }
 
@@ -179,8 +180,10 @@
 	for _, m := range s.Models {
 		out = append(out, m.Name)
 	}
-	if w := s.waitsFor; w != nil && !w.Unload && !slices.Contains(out, w.Model) {
-		out = append(out, w.Model)
+	for _, w := range []*Order{s.waitsFor, s.pending} {
+		if w != nil && !w.Unload && !slices.Contains(out, w.Model) {
+			out = append(out, w.Model)
+		}
 	}
 	for _, g := range s.ghosts {
 		// The next order that the server accepts has the same number and makes
@@ -194,7 +197,15 @@
 
 // goes says whether the model is about to be unloaded.
 func (s *server) goes(model string) bool {
-	return s.retiring != nil && s.retiring.model == model || s.waitsFor != nil && s.waitsFor.Unload && s.waitsFor.Model == model
+	if s.retiring != nil && s.retiring.model == model {
+		return true
+	}
+	for _, w := range []*Order{s.waitsFor, s.pending} {
+		if w != nil && w.Unload && w.Adapter == "" && w.Model == model {
+			return true
+		}
+	}
+	return false
 }
 
 // adapters returns the adapters of a model that the server holds.
