Requests that miss their goal wait behind those that can still make it; none waits in a server's queue

Cause: first bytes come late from servers with more requests than slots, and in overload a queue by deadline makes every request late in turn. A stream's caller leaves before its deadline if no event came: it isn't held beyond that.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -48,6 +48,10 @@
 		f.need, f.safe = 0, 0
 	}
 	latest := float64(f.Deadline.UnixMicro())/1e6 - f.safe
+	if f.Goal > 0 {
+		latest = float64(f.Arrived.Add(f.Goal).UnixMicro()) / 1e6
+		f.missed = f.missesGoal(now)
+	}
 	f.order = latest - priorityHeadStart*float64(max(f.Priority, 0))
 }
 
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -12,6 +12,7 @@
 type serverState struct {
 	Server
 	listed    bool
+	noQueue   bool       // see Table.NoServerQueue
 	own       int        // this instance's requests there: exact
 	suspects  int        // of these, requests that may crash a server
 	residents []resident // what can be served there
@@ -124,7 +125,7 @@
 			s = &serverState{}
 			f.servers[srv.ID] = s
 		}
-		s.Server, s.listed = srv, true
+		s.Server, s.listed, s.noQueue = srv, true, t.NoServerQueue
 		s.Slots = max(s.Slots, 1)
 		s.pool = f.pool(srv.Pool)
 		s.setPart(t.Entries[srv.FailureDomain])
--- a/decide/flight.go
+++ b/decide/flight.go
@@ -18,13 +18,23 @@
 	order     float64      // its place in the queue: the latest start less its priority's head start, in Unix seconds
 	place     int          // its index in the queue's heap; -1 outside
 	class     int          // which heap of the queue
+	missed    bool         // it can't make its goal any more
 }
 
 // late says whether the request would probably miss its deadline if it had to
 // wait some more seconds first.
 func (f *flight) late(now time.Time, wait float64) bool {
+	if !f.StartBy.IsZero() && f.delivered == 0 && f.StartBy.Sub(now).Seconds() < wait+f.target.firstToken(now) {
+		return true
+	}
 	return f.left(now) < wait+f.safe
 }
 
+// missesGoal says whether the request's first token would come after its goal
+// even if it started now.
+func (f *flight) missesGoal(now time.Time) bool {
+	return f.Goal > 0 && now.Sub(f.Arrived).Seconds()+f.target.firstToken(now) > f.Goal.Seconds()
+}
+
 // left returns the time, in seconds, to the request's deadline.
 func (f *flight) left(now time.Time) float64 { return f.Deadline.Sub(now).Seconds() }
--- a/decide/load.go
+++ b/decide/load.go
@@ -64,6 +64,9 @@
 
 // limit is how many requests, of all instances, the server should have.
 func (s *serverState) limit() int {
+	if s.noQueue {
+		return s.Slots
+	}
 	return s.Slots + int(math.Ceil(float64(s.Slots)*engineQueue))
 }
 
@@ -87,6 +90,9 @@
 // queueFor returns how many requests may wait at the server for a partner to
 // add one.
 func (s *serverState) queueFor(st standing) int {
+	if s.noQueue {
+		return 0
+	}
 	switch st {
 	case under:
 		return int(math.Ceil(float64(s.Slots) * underQueue))
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -108,6 +108,12 @@
 	rate := t.rate(0)
 	kept := 0
 	for _, f := range s.sorted {
+		if !f.missed && f.missesGoal(now) {
+			t.queue.remove(f)
+			f.missed = true
+			t.queue.push(f)
+		}
+
 		if f.late(now, (float64(kept)+firstWait)/rate) {
 			s.unqueue(f)
 			s.refuse(f, ReasonDeadline, t.returns.next(now, float64(kept)/rate+f.safe-f.left(now), 1/rate))
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -22,15 +22,19 @@
 	prioritized = iota
 	ordinary
 	suspected // only beside requests that aren't suspects: it mustn't hold up the others
+	// tooLate is for requests that can't make their goal any more. In overload
+	// each one that went before a later one would make that one late as well, and
+	// in the end all would be; so they get what the others leave.
+	tooLate
 	classes
 )
 
 // turnOrder is the order of the classes on each turn.
 var turnOrder = [turns][classes]int{
-	{prioritized, ordinary, suspected},
-	{suspected, prioritized, ordinary},
-	{prioritized, ordinary, suspected},
-	{ordinary, prioritized, suspected},
+	{prioritized, ordinary, suspected, tooLate},
+	{suspected, prioritized, ordinary, tooLate},
+	{prioritized, ordinary, suspected, tooLate},
+	{ordinary, prioritized, suspected, tooLate},
 }
 
 // queue holds the requests that wait for one target, those that have to start
@@ -73,7 +77,7 @@
 
 // last returns a request that would go among the last, or nil.
 func (q *queue) last() *flight {
-	for _, class := range [classes]int{ordinary, prioritized, suspected} {
+	for _, class := range [classes]int{tooLate, ordinary, prioritized, suspected} {
 		if h := q.heaps[class]; len(h) > 0 {
 			return h[len(h)-1]
 		}
@@ -84,6 +88,9 @@
 // ahead counts the waiting requests that go before f.
 func (q *queue) ahead(f *flight) int {
 	n := q.heaps[prioritized].before(f)
+	if classOf(f) == tooLate {
+		return len(q.heaps[prioritized]) + len(q.heaps[ordinary]) + q.heaps[tooLate].before(f)
+	}
 	if classOf(f) == ordinary {
 		n = len(q.heaps[prioritized]) + q.heaps[ordinary].before(f)
 	}
@@ -102,6 +109,8 @@
 
 func classOf(f *flight) int {
 	switch {
+	case f.missed:
+		return tooLate
 	case f.Suspect:
 		return suspected
 	case f.Priority > 0:
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -54,6 +54,16 @@
 	return sum + max(float64(t.allowed(f))*length-float64(f.delivered), 0)*st.token.mean
 }
 
+// firstToken returns the time, in seconds, to the first token at a server of
+// ordinary speed, 0 where too little is known.
+func (t *targetState) firstToken(now time.Time) float64 {
+	st := t.times(now)
+	if !st.first.warm() {
+		return 0
+	}
+	return st.first.mean
+}
+
 // allowed returns how many tokens the answer may have.
 func (t *targetState) allowed(f *flight) int {
 	if f.MaxTokens > 0 && (t.MaxTokens <= 0 || f.MaxTokens < t.MaxTokens) {
--- a/decide/types.go
+++ b/decide/types.go
@@ -53,7 +53,10 @@
 	Weights   map[string]float64 // by partner: parts of contended capacity
 	Entries   map[string]int     // by failure domain: entry instances there, from the platform's list
 	Retry     RetryPolicy        // the zero value takes the defaults
-	NearFill  float64            // the part of its slots up to which a server of the own domain goes before others; 0: roomyPart
+	// NoServerQueue keeps requests from servers whose slots are all taken: for
+	// servers that give a request its slot by an order of their own.
+	NoServerQueue bool
+	NearFill      float64 // the part of its slots up to which a server of the own domain goes before others; 0: roomyPart
 }
 
 // Request is what the decisions need to know of a caller's request.
@@ -70,6 +73,10 @@
 	Idempotent  bool   // may be dispatched again after an unknown outcome
 	Suspect     bool   // a backend server died while it ran it: kept apart from other suspects
 	MaxAttempts int    // servers that it may be sent to; 0: maxAttempts
+	// Goal is the time from Arrived within which the first token is worth most,
+	// and StartBy when its caller leaves if none has come; zero: not known.
+	Goal    time.Duration
+	StartBy time.Time
 }
 
 // Action is what a decision asks for.
--- a/relay/call.go
+++ b/relay/call.go
@@ -23,6 +23,12 @@
 	// timeoutMargin is how long before the end of a request's time its final
 	// answer is sent, so that it still arrives within it.
 	timeoutMargin = 30 * time.Millisecond
+	// leastPatience, goalsPatient and gapsPatient give how long callers wait for a
+	// stream's first event; patienceMargin is for the way to them.
+	leastPatience  = 2 * time.Second
+	goalsPatient   = 4
+	gapsPatient    = 8
+	patienceMargin = 100 * time.Millisecond
 	// unconfiguredRetry is when to come back to an instance that knows no
 	// configuration yet: it reads one within a second of its start.
 	unconfiguredRetry = 500 * time.Millisecond
@@ -117,7 +123,7 @@
 
 // request returns what the scheduler needs to know.
 func (c *call) request() decide.Request {
-	return decide.Request{
+	r := decide.Request{
 		ID:          c.id,
 		Target:      c.target,
 		Priority:    max(0, urgencyOfRank-1-c.route.Rank),
@@ -128,6 +134,11 @@
 		Idempotent:  c.route.Repeat != topology.RunOnce,
 		MaxAttempts: c.route.Attempts,
 	}
+	if c.route.Stream {
+		r.Goal = c.route.Goal
+		r.StartBy = c.arrived.Add(max(leastPatience, goalsPatient*c.route.Goal, gapsPatient*c.route.MaxGap) - patienceMargin)
+	}
+	return r
 }
 
 // run follows the scheduler's decisions to the final answer.
--- a/topology/table.go
+++ b/topology/table.go
@@ -64,11 +64,12 @@
 // runs there is still known.
 func BuildTable(domain string, v *View, retry decide.RetryPolicy) *decide.Table {
 	t := &decide.Table{
-		OwnDomain: domain,
-		Targets:   map[string]*decide.Target{},
-		Entries:   v.Nodes,
-		Retry:     retry,
-		NearFill:  nearFill,
+		OwnDomain:     domain,
+		Targets:       map[string]*decide.Target{},
+		Entries:       v.Nodes,
+		Retry:         retry,
+		NearFill:      nearFill,
+		NoServerQueue: true,
 	}
 	for _, s := range v.Servers {
 		slots := s.Slots
