--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,241 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"greengageferry/instance"
+	"greengageferry/netconn"
+	"greengageferry/platform"
+	"greengageferry/platform/standin"
+	"greengageferry/topology"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience is how long a test waits for what has to come: it bounds a failure
+// and decides nothing.
+const patience = 30 * time.Second
+
+type running struct {
+	node   *topology.Node
+	stop   context.CancelFunc
+	ended  chan error
+	client *http.Client
+}
+
+type deployment struct {
+	t         *testing.T
+	site      *standin.Site
+	instances []*running
+	serial    atomic.Int64
+}
+
+// deploy runs a site with an instance in each of its failure domains.
+func deploy(t *testing.T) *deployment {
+	site, err := standin.NewSite()
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return site.Run(ctx) })
+	d := &deployment{t: t, site: site}
+	t.Cleanup(func() {
+		var ending sync.WaitGroup
+		for _, r := range d.instances {
+			ending.Go(func() { d.end(r) })
+		}
+		ending.Wait()
+		cancel()
+		require.NoError(t, group.Wait())
+		http.DefaultClient.CloseIdleConnections()
+	})
+	for _, domain := range site.Domains {
+		d.start("front-"+domain, domain)
+	}
+	for _, r := range d.instances {
+		d.until(func() bool { return d.ready(r) })
+	}
+	return d
+}
+
+func (d *deployment) start(name, domain string) *running {
+	node, err := d.site.Node(name, domain)
+	require.NoError(d.t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	transport := netconn.Transport(4, time.Second)
+	orders := netconn.Transport(1, time.Second)
+	store := platform.NewStore(node.StoreAddr, transport)
+	i := instance.New(instance.Options{
+		Node: node, Source: store, Group: store, Headers: platform.Headers{}, Orderer: platform.NewOrders(orders),
+		Clock: netconn.BootTime, Log: log, Rand: rand.New(rand.NewPCG(1, uint64(len(d.instances)))),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{node: node, stop: stop, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	go func() {
+		err := i.Run(ctx)
+		transport.CloseIdleConnections()
+		orders.CloseIdleConnections()
+		r.ended <- err
+	}()
+	d.instances = append(d.instances, r)
+	return r
+}
+
+// end stops an instance as the platform does, and waits until it has ended.
+func (d *deployment) end(r *running) {
+	r.stop()
+	select {
+	case err := <-r.ended:
+		require.NoError(d.t, err)
+		r.ended <- nil
+	case <-time.After(patience):
+		d.t.Error("the instance didn't end")
+	}
+	r.client.CloseIdleConnections()
+}
+
+func (d *deployment) until(f func() bool) {
+	d.t.Helper()
+	require.Eventually(d.t, f, patience, 20*time.Millisecond)
+}
+
+func (d *deployment) ready(r *running) bool {
+	res, err := http.Get("http://" + r.node.HealthAddr + "/-/ready")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// ask sends a request through an instance and returns its status, its id and its body.
+func (d *deployment) ask(r *running, path, model string) (int, string, string) {
+	d.t.Helper()
+	id := fmt.Sprintf("%016x", d.serial.Add(1))
+	req, err := http.NewRequest("POST", "http://"+r.node.CallersAddr+path, strings.NewReader("body"))
+	require.NoError(d.t, err)
+	req.Host = standin.Host
+	req.Header.Set("Greengageferry-Request-Id", id)
+	req.Header.Set("Greengageferry-Deadline-Ms", "9000")
+	if model != "" {
+		req.Header.Set("Greengageferry-Model", model)
+		req.Header.Set("Greengageferry-Token-Usage", "100,10")
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return 0, id, ""
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, id, ""
+	}
+	return res.StatusCode, id, string(body)
+}
+
+func TestTheWholePath(t *testing.T) {
+	d := deploy(t)
+	for _, r := range d.instances {
+		status, id, body := d.ask(r, standin.PlainPath+"1", "")
+		require.Equal(t, 200, status)
+		require.Contains(t, body, standin.PlainPath+"1")
+		require.Equal(t, 1, d.site.Servers[3].Ran()[id])
+		status, _, body = d.ask(r, standin.StreamPath, standin.BusyModel)
+		require.Equal(t, 200, status)
+		require.Equal(t, 10, strings.Count(body, "\n\n"))
+	}
+	// A model and an adapter that no server holds at first are loaded.
+	d.until(func() bool {
+		status, _, _ := d.ask(d.instances[0], standin.StreamPath, standin.RareModel)
+		return status == 200
+	})
+	d.until(func() bool {
+		status, _, _ := d.ask(d.instances[1], standin.StreamPath, standin.BusyModel+"/a3")
+		return status == 200
+	})
+	// A configuration comes into force everywhere, also after an outage.
+	require.NoError(t, d.site.Store.PutConfig(standin.Config(2)))
+	for _, r := range d.instances {
+		d.until(func() bool { status, _, _ := d.ask(r, "/more/", ""); return status == 200 })
+	}
+}
+
+func TestWithoutTheStoreWhatIsKnownIsServed(t *testing.T) {
+	d := deploy(t)
+	d.site.Store.SetDown(true)
+	for range 5 {
+		for _, r := range d.instances {
+			status, _, _ := d.ask(r, standin.StreamPath, standin.BusyModel)
+			require.Equal(t, 200, status)
+		}
+	}
+	late := d.start("late", d.site.Domains[0])
+	d.until(func() bool { status, _, _ := d.ask(late, standin.PlainPath, ""); return status == 503 })
+	require.False(t, d.ready(late), "it knows no configuration")
+	d.site.Store.SetDown(false)
+	require.NoError(t, d.site.Store.PutConfig(standin.Config(2)))
+	for _, r := range d.instances {
+		d.until(func() bool { status, _, _ := d.ask(r, "/more/", ""); return status == 200 })
+	}
+}
+
+func TestALeavingServerGetsNoNewWork(t *testing.T) {
+	d := deploy(t)
+	leaving := d.site.Servers[0]
+	leaving.Drain()
+	d.until(func() bool {
+		before := len(leaving.Ran())
+		for range 10 {
+			d.ask(d.instances[0], standin.StreamPath, standin.BusyModel)
+		}
+		return len(leaving.Ran()) == before
+	})
+}
+
+func TestAnInstanceThatEndsCutsNothingOff(t *testing.T) {
+	d := deploy(t)
+	r := d.instances[0]
+	var group errgroup.Group
+	begun := make(chan struct{}, 8)
+	for range 8 {
+		group.Go(func() error {
+			begun <- struct{}{}
+			status, _, body := d.ask(r, standin.StreamPath, standin.BusyModel)
+			if status != 200 || strings.Count(body, "\n\n") != 10 {
+				return fmt.Errorf("status %d, %d events", status, strings.Count(body, "\n\n"))
+			}
+			return nil
+		})
+	}
+	for range 8 {
+		<-begun
+	}
+	d.until(func() bool {
+		ran := 0
+		for _, s := range d.site.Servers {
+			ran += len(s.Ran())
+		}
+		return ran >= 8
+	})
+	d.end(r)
+	require.NoError(t, group.Wait())
+	// The other one takes over what the first may have held.
+	d.until(func() bool {
+		status, _, _ := d.ask(d.instances[1], standin.StreamPath, standin.RareModel)
+		return status == 200
+	})
+}
