--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -51,6 +51,7 @@
 		return c.noAnswer(ctx, d, err)
 	}
 	defer res.Body.Close()
+	c.relay.backends.answered(d.Server.ID, res.Header)
 	said := c.relay.opts.Headers.Answer(res.StatusCode, res.Header)
 	if said.NotRun {
 		c.logAttempt(d, "not_run", res.StatusCode)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -540,6 +540,21 @@
 	})
 }
 
+func TestConnectionsAreKeptForLessThanTheServerKeepsThem(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request, body string) {
+		w.Header().Set("Keep-Alive", "timeout=10, max=5")
+		whole("x")(w, r, body)
+	})
+	for range 3 {
+		b.do(b.request("GET", "/safe/", ""))
+	}
+	require.Equal(t, 8*time.Second, b.relay.backends.pools["s0"].idle)
+	require.Equal(t, 8*time.Second, b.relay.backends.pools["s0"].transport.IdleConnTimeout)
+	require.Zero(t, keepAlive(""))
+	require.Zero(t, keepAlive("timeout=x"))
+	require.Zero(t, keepAlive("timeout=-1"))
+}
+
 func TestLastEventID(t *testing.T) {
 	require.Equal(t, "12", lastEventID([]byte("id: 11\ndata: x\n\nid: 12\ndata: y\n\n")))
 	require.Equal(t, "1", lastEventID([]byte("id:1\n\n")))
