--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -5,9 +5,11 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -23,6 +25,7 @@
 type instanceCommand struct {
 	checkOnly bool
 	level     string
+	metrics   int
 }
 
 func (*instanceCommand) Name() string { return "instance" }
@@ -30,7 +33,7 @@
 	return "run an instance on the users' platform: the daemon"
 }
 func (*instanceCommand) Usage() string {
-	return `instance [-check] [-log LEVEL]:
+	return `instance [-check] [-log LEVEL] [-metrics PORT]:
   Run an instance on the users' platform until SIGTERM, and then drain it. The
   platform's variable ` + platform.SettingsVariable + ` names the settings file.
   With -check only read the settings and say whether they are in order.
@@ -41,6 +44,7 @@
 // SetFlags implements subcommands.Command.
 func (c *instanceCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.checkOnly, "check", false, "only check the settings")
+	f.IntVar(&c.metrics, "metrics", 0, "the `port` on which /metrics is served; 0: only beside the health check")
 	f.StringVar(&c.level, "log", "info", "the least `level` of log lines: debug, info, warning or error")
 }
 
@@ -74,6 +78,9 @@
 	if c.checkOnly {
 		return subcommands.ExitSuccess
 	}
+	if c.metrics > 0 {
+		node.MetricsAddr = net.JoinHostPort(node.IP, strconv.Itoa(c.metrics))
+	}
 	debug.SetMemoryLimit(int64(float64(node.MemoryMB) * memoryPart * (1 << 20)))
 	ctx, stop := untilSignal(ctx)
 	defer stop()
--- a/instance/front.go
+++ b/instance/front.go
@@ -39,6 +39,7 @@
 	instance *Instance
 	callers  net.Listener
 	health   net.Listener
+	metrics  net.Listener // nil: served beside the health check only
 	draining atomic.Bool
 
 	mu      sync.Mutex
@@ -57,6 +58,12 @@
 	if f.health, err = net.Listen("tcp4", n.HealthAddr); err != nil {
 		return errors.Wrap(err, "listening for health checks")
 	}
+	if n.MetricsAddr == "" {
+		return nil
+	}
+	if f.metrics, err = net.Listen("tcp4", n.MetricsAddr); err != nil {
+		return errors.Wrap(err, "listening for metrics")
+	}
 	return nil
 }
 
@@ -112,19 +119,38 @@
 
 // serveHealth is the duty that answers the balancer's health checks.
 func (f *front) serveHealth(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", f.instance.metrics.serve)
+	mux := f.metricsMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		if f.draining.Load() || !f.instance.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTime, ErrorLog: newServerLog(f.instance.log)}
+	return f.serveOn(ctx, f.health, mux)
+}
+
+// serveMetrics is the duty that serves the metrics on an address of their own.
+func (f *front) serveMetrics(ctx context.Context) error {
+	if f.metrics == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return f.serveOn(ctx, f.metrics, f.metricsMux())
+}
+
+func (f *front) metricsMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", f.instance.metrics.serve)
+	return mux
+}
+
+// serveOn serves a handler until ctx ends.
+func (f *front) serveOn(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTime, ErrorLog: newServerLog(f.instance.log)}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(f.health) }()
+	go func() { ended <- server.Serve(l) }()
 	select {
 	case <-ctx.Done():
-		_ = server.Close()
+		_ = server.Close() // nobody waits for what it answers
 		return nil
 	case err := <-ended:
 		return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -38,6 +38,7 @@
 	log     logrus.FieldLogger
 	relay   *relay.Relay
 	metrics *metrics
+	front   *front
 
 	lease      *residency.Lease
 	controller *residency.Controller
@@ -60,6 +61,7 @@
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
 	}
+	i.front = newFront(i)
 	i.node.Store(o.Node)
 	i.view.Expected = true
 	i.view.Nodes = map[string]int{o.Node.Domain: assumedInstances}
@@ -113,7 +115,7 @@
 	// The duties outlive ctx: while requests end, they still need the view.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	front := newFront(i)
+	front := i.front
 	if err := front.listen(); err != nil {
 		return err
 	}
@@ -129,6 +131,7 @@
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: front.serve},
 			supervise.Duty{Name: "health", Run: front.serveHealth},
+			supervise.Duty{Name: "metrics", Run: front.serveMetrics},
 		)
 	}()
 	select {
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -220,20 +220,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for instances")
 	}
-	server := &http.Server{
-		Handler:           exchange.NewExchangeServer(exchangeServer{i}),
-		ReadHeaderTimeout: defaultHeaderTime,
-		ErrorLog:          newServerLog(i.log),
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(l) }()
-	select {
-	case <-ctx.Done():
-		_ = server.Close()
-		return nil
-	case err := <-ended:
-		return err
-	}
+	return i.front.serveOn(ctx, l, exchange.NewExchangeServer(exchangeServer{i}))
 }
 
 // learn takes in what the lease holder knows of all instances.
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -143,6 +143,7 @@
 	CallersAddr     string // IP:port where callers connect
 	HealthAddr      string // IP:port of the readiness check
 	PeerAddr        string // IP:port for other instances
+	MetricsAddr     string // IP:port of the metrics; empty: only beside the readiness check
 	StoreAddr       string // IP:port of the platform's store
 	MemoryMB        int
 	Domains         []string // all failure domains
