Attempts that reach no server don't count; connections are given up on after half a second

Cause: in a cut a request that may be sent to one server waited 1.5 s for a connection and was then refused though others could be reached.

--- a/decide/flight.go
+++ b/decide/flight.go
@@ -10,6 +10,7 @@
 	sentAt    time.Time
 	lined     bool // it was sent to a server's queue
 	attempts  int
+	unsent    int // attempts that reached no server
 	crashes   int
 	delivered int          // tokens that its caller has
 	avoid     *serverState // where its last attempt failed
--- a/decide/goal_test.go
+++ b/decide/goal_test.go
@@ -145,6 +145,26 @@
 	require.Equal(t, ActionRefuse, after[0].Action)
 }
 
+// A failure domain is cut off: its servers' connections are never made. A request
+// that may be sent to one server only still finds the one that can be reached.
+func TestAttemptsThatReachNoServerDontCount(t *testing.T) {
+	table := testTable(4, 10, 1, "am")
+	table.Retry = RetryPolicy{Share: 0.1, Reserve: 1, CountRefused: true}
+	s := testScheduler(table)
+	for i := range 5 {
+		r := ask(fmt.Sprint(i), "am", time.Hour)
+		r.MaxAttempts, r.Idempotent = 1, false
+		now := simStart.Add(time.Duration(i) * time.Minute)
+		d := s.Arrive(now, r)
+		for d[0].Action == ActionDispatch && d[0].Server.ID != "s3" {
+			d = s.Failed(now, r.ID, d[0].Server.ID, Failure{Reason: infra.ReasonTimeout, Effect: infra.EffectNone, Unsent: true})
+		}
+		require.Equal(t, ActionDispatch, d[0].Action)
+		require.Equal(t, "s3", d[0].Server.ID)
+		s.Left(now, r.ID)
+	}
+}
+
 // One of three servers fails half of its answers while its health check is good.
 func TestAServerThatFailsAnswersGetsLess(t *testing.T) {
 	s := testScheduler(testTable(3, 100, 1, "am"))
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -19,6 +19,9 @@
 	// run included, so that a table that is wrong about a target can't make a
 	// request go round for ever.
 	maxAttempts = 6
+	// maxUnsent bounds the attempts of one request that reached no server: in a
+	// cut network each costs the time in which a connection is given up on.
+	maxUnsent = 6
 	// crashLimit is how many servers may die under a request before it is
 	// refused: one is never enough, since a server's own death must not condemn
 	// what ran beside it.
@@ -127,8 +130,10 @@
 		return ReasonQuarantined, false
 	case !now.Before(r.Deadline):
 		return ReasonDeadline, false
-	case r.attempts >= r.mostAttempts():
+	case r.attempts >= r.mostAttempts() || r.unsent >= maxUnsent:
 		return ReasonRetryBudget, false
+	case f.Unsent:
+		return "", true
 	}
 	budget := &r.avoid.pool.budget
 	if (f.Effect != infra.EffectNone || budget.policy.CountRefused) && !budget.take(now) {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -93,6 +93,10 @@
 	s.release(now, r)
 	r.avoid = srv
 	r.delivered = max(r.delivered, f.Tokens)
+	if f.Unsent {
+		r.attempts--
+		r.unsent++
+	}
 	if f.Crash {
 		r.crashes++
 		r.Suspect = true
--- a/decide/types.go
+++ b/decide/types.go
@@ -137,6 +137,9 @@
 	Effect infra.Effect
 	Tokens int  // tokens that the caller already has
 	Crash  bool // the server died while it ran the attempt
+	// Unsent says that no connection was made: the attempt reached no server and
+	// counts neither against the request's servers nor as a repeat.
+	Unsent bool
 }
 
 // Outcome says how an attempt that was dispatched went.
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -16,9 +16,9 @@
 
 const (
 	// dialTimeout is how long a new connection may take. One takes a few
-	// milliseconds; an opening packet that was dropped is sent again after a
-	// second.
-	dialTimeout = 1500 * time.Millisecond
+	// milliseconds; to a network that is cut off none ever comes, and a request
+	// that waits for one could be served elsewhere.
+	dialTimeout = 500 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken: many round trips, and less than a caller waits.
 	unackedTimeout = 2 * time.Second
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,7 +59,7 @@
 	}
 	if !c.genuine(res, said) {
 		c.logAttempt(d, "not_the_servers_answer", res.StatusCode)
-		c.failure(infra.ReasonProtocol, infra.EffectUnknown)
+		c.attemptFailed(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
 	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
@@ -127,25 +127,29 @@
 	if errors.As(err, &e) {
 		reason, effect = e.Reason, e.Effect
 	}
+	unsent := effect == infra.EffectNone
 	var silent *silentError
 	if errors.As(context.Cause(ctx), &silent) {
 		reason, effect, err = infra.ReasonTimeout, infra.EffectUnknown, silent
 	}
 	c.logAttempt(d, err.Error(), 0)
-	c.failure(reason, effect)
+	if unsent {
+		c.attempts--
+	}
+	c.attemptFailed(decide.Failure{Reason: reason, Effect: effect, Unsent: unsent})
 	return ""
 }
 
 // notRun deals with a server that refused the request before starting.
 func (c *call) notRun(status int) string {
-	switch {
-	case status == http.StatusMisdirectedRequest:
-		c.failure(infra.ReasonNotResident, infra.EffectNone)
-	case status == http.StatusBadRequest:
-		c.failure(infra.ReasonBadRequest, infra.EffectNone)
-	default:
-		c.failure(infra.ReasonOverloaded, infra.EffectNone)
-	}
+	f := decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone}
+	switch status {
+	case http.StatusMisdirectedRequest:
+		f.Reason = infra.ReasonNotResident
+	case http.StatusBadRequest:
+		f.Reason = infra.ReasonBadRequest
+	}
+	c.attemptFailed(f)
 	return ""
 }
 
@@ -176,7 +180,7 @@
 	if k.status != http.StatusServiceUnavailable { // that would promise that it didn't run
 		c.failed = k
 	}
-	c.failure(infra.ReasonFailed, infra.EffectUnknown)
+	c.attemptFailed(decide.Failure{Reason: infra.ReasonFailed})
 	return ""
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -298,10 +298,11 @@
 // defaultBodyBytes bounds a body where the configuration doesn't.
 const defaultBodyBytes = 4 << 20
 
-// failure tells the scheduler how an attempt failed.
-func (c *call) failure(reason infra.Reason, effect infra.Effect) {
-	c.ran = c.ran || effect != infra.EffectNone
-	c.relay.desk.failed(c, decide.Failure{Reason: reason, Effect: effect, Tokens: c.tokens()})
+// attemptFailed tells the scheduler how an attempt failed; a decision follows.
+func (c *call) attemptFailed(f decide.Failure) {
+	c.ran = c.ran || f.Effect != infra.EffectNone
+	f.Tokens = c.tokens()
+	c.relay.desk.failed(c, f)
 }
 
 // tokens returns how many tokens of the answer the caller has.
