--- a/instance/instance.go
+++ b/instance/instance.go
@@ -57,7 +57,7 @@
 	m := newMetrics()
 	i := &Instance{
 		opts: o, log: o.Log, metrics: m,
-		relay:   relay.New(relay.Options{Instance: o.Node.Name, Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand}),
+		relay:   relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand}),
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -82,7 +82,7 @@
 	a := Attempt{
 		Server:  s.ID,
 		Left:    time.Until(c.deadline),
-		Urgency: min(urgencyOfRank+c.route.Rank, lowestUrgency),
+		Urgency: min(firstUrgency+c.route.Rank, lowestUrgency),
 	}
 	if c.stream.begun {
 		a.LastEvent = c.stream.last
--- a/relay/call.go
+++ b/relay/call.go
@@ -32,10 +32,12 @@
 	// unconfiguredRetry is when to come back to an instance that knows no
 	// configuration yet: it reads one within a second of its start.
 	unconfiguredRetry = 500 * time.Millisecond
-	// lowestUrgency and urgencyOfRank translate a route's rank, 0 first, to the
-	// urgency that servers know, 1 to 9: what isn't ranked stays between.
+	// firstUrgency and lowestUrgency translate a route's rank, 0 first, to the
+	// urgency that servers know, 1 to 9, of which 5 is the usual one.
+	firstUrgency  = 3
 	lowestUrgency = 9
-	urgencyOfRank = 3
+	// rankedFirst is how many ranks go before the others in the queues here.
+	rankedFirst = 2
 )
 
 // The classes of ends that are counted.
@@ -126,7 +128,7 @@
 	r := decide.Request{
 		ID:          c.id,
 		Target:      c.target,
-		Priority:    max(0, urgencyOfRank-1-c.route.Rank),
+		Priority:    max(0, rankedFirst-c.route.Rank),
 		Arrived:     c.arrived,
 		Deadline:    c.deadline,
 		MaxTokens:   c.said.MaxTokens,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,9 +41,7 @@
 	Adapter      string
 	Timeout      time.Duration // how long the caller waits
 	LastEvent    string        // the caller resumes a stream after this event
-	PromptTokens int
-	MaxTokens    int // of the answer
-	LengthHint   int // the caller's guess at the tokens of the answer
+	MaxTokens    int           // of the answer
 	SharedPrefix uint64
 }
 
@@ -66,11 +64,10 @@
 
 // Options is what a Relay is built from. All must be set.
 type Options struct {
-	Instance string
-	Headers  Headers
-	Log      logrus.FieldLogger
-	Metrics  Metrics
-	Rand     *rand.Rand // owned by the Relay from then on
+	Headers Headers
+	Log     logrus.FieldLogger
+	Metrics Metrics
+	Rand    *rand.Rand // owned by the Relay from then on
 }
 
 // Metrics is told of what happens to requests.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -99,7 +99,7 @@
 func newBench(t *testing.T, scripts ...func(http.ResponseWriter, *http.Request, string)) *bench {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b := &bench{t: t, relay: New(Options{Instance: "i", Headers: testHeaders{}, Log: log, Metrics: testMetrics{}, Rand: rand.New(rand.NewPCG(1, 1))})}
+	b := &bench{t: t, relay: New(Options{Headers: testHeaders{}, Log: log, Metrics: testMetrics{}, Rand: rand.New(rand.NewPCG(1, 1))})}
 	for _, script := range scripts {
 		s := &backendServer{script: script, left: make(chan struct{}, 100)}
 		s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -193,11 +193,10 @@
 		return
 	}
 	c.noted = now
-	lacking, loads := c.planner.Lacking()
-	for _, l := range lacking {
+	for _, l := range c.planner.Lacking() {
 		c.o.Log.WithFields(logrus.Fields{
 			"service": l.Service, "model": l.Model, "demand": int(l.Level + 0.5), "waiting": l.Waiting,
-			"wanted": l.Wanted, "replicas": l.Replicas, "coming": l.Coming, "loads_left": int(loads),
+			"wanted": l.Wanted, "replicas": l.Replicas, "coming": l.Coming, "loads_left": int(l.Loads),
 		}).Info("model lacks replicas")
 	}
 }
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -27,7 +27,6 @@
 type fakeGroup struct {
 	now        func() time.Duration
 	down       bool
-	lapse      bool // the times run out while the store is down
 	generation int64
 	owner      string
 	joined     map[string]time.Duration // when each member's last join arrived
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -49,15 +49,13 @@
 
 // Service is a pool of backend servers.
 type Service struct {
-	Name           string
-	MaxConnections int     // connections that one of its servers accepts, of all instances
-	Engine         *Engine // nil: a plain service
+	Name   string
+	Engine *Engine // nil: a plain service
 }
 
 // Engine describes the servers of a service that run models.
 type Engine struct {
 	Slots          int // requests in one batch
-	CacheTokens    int // memory for prompts and answers, in tokens
 	TokensPerEvent int // tokens that one event of a stream holds
 	MemoryMB       float64
 	AdapterSlots   int
@@ -70,7 +68,6 @@
 	Name      string
 	MemoryMB  float64
 	LoadTime  time.Duration // from the weight store
-	DiskTime  time.Duration // from the server's own disk
 	Adapters  int           // named a1, a2 and so on
 	AdapterMB float64
 }
@@ -137,24 +134,20 @@
 
 // Node is an instance's own settings, from the platform.
 type Node struct {
-	Name            string
-	Domain          string // its failure domain
-	IP              string
-	CallersAddr     string // IP:port where callers connect
-	HealthAddr      string // IP:port of the readiness check
-	PeerAddr        string // IP:port for other instances
-	MetricsAddr     string // IP:port of the metrics; empty: only beside the readiness check
-	StoreAddr       string // IP:port of the platform's store
-	MemoryMB        int
-	Domains         []string // all failure domains
-	StorePartitions int
-
-	DrainBound   time.Duration // a leaving server gets no new work after it
+	Name        string
+	Domain      string // its failure domain
+	IP          string
+	CallersAddr string // IP:port where callers connect
+	HealthAddr  string // IP:port of the readiness check
+	PeerAddr    string // IP:port for other instances
+	MetricsAddr string // IP:port of the metrics; empty: only beside the readiness check
+	StoreAddr   string // IP:port of the platform's store
+	MemoryMB    int
+	Domains     []string // all failure domains
+
 	Grace        time.Duration // from SIGTERM to SIGKILL
 	LeaseTTL     time.Duration // orders of two holders are at least this far apart
 	RetryRatio   float64       // repeats allowed for each request, over all instances
 	RetryWindow  time.Duration
 	RetryReserve float64 // repeats allowed beyond the ratio in each window, over all instances
-	LoadWindow   time.Duration
-	LoadOverage  float64 // factor on LoadsPerSecond over LoadWindow
 }
