--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -34,5 +34,6 @@
 	c.Register(&standinCommand{}, "")
 	c.Register(&loadCommand{}, "")
 	c.Register(&measureCommand{}, "")
+	c.Register(&traceCommand{}, "")
 	c.Register(&versionCommand{}, "")
 }
--- /dev/null
+++ b/cmd/greengageferry/trace.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/google/subcommands"
+)
+
+// traceCommand is the subcommand trace.
+type traceCommand struct{}
+
+func (*traceCommand) Name() string     { return "trace" }
+func (*traceCommand) Synopsis() string { return "tell a request's story from instances' logs" }
+func (*traceCommand) Usage() string {
+	return `trace ID FILE...:
+  Print the log lines about a request, in the order of their time, over the logs
+  of any instances; - reads standard input. What goes before a line's time= stays,
+  such as the name of the instance that a collector put there.
+  Exit codes: 0 some found, 1 none found or a file can't be read, 2 wrong usage.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*traceCommand) SetFlags(*flag.FlagSet) {}
+
+// maxLogLine bounds one line of a log: an error with its causes fits many times.
+const maxLogLine = 1 << 20
+
+// Execute implements subcommands.Command.
+func (*traceCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		fmt.Fprint(os.Stderr, "wrong usage: ", (&traceCommand{}).Usage())
+		return subcommands.ExitUsageError
+	}
+	var lines []string
+	for _, name := range f.Args()[1:] {
+		found, err := traceFile(name, f.Arg(0))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "trace:", err)
+			return subcommands.ExitFailure
+		}
+		lines = append(lines, found...)
+	}
+	slices.SortStableFunc(lines, func(a, b string) int { return strings.Compare(logTime(a), logTime(b)) })
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	if len(lines) == 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func traceFile(name, request string) ([]string, error) {
+	if name == "-" {
+		return traceLines(os.Stdin, request)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return traceLines(file, request)
+}
+
+// traceLines returns the lines that bear request=ID as a field.
+func traceLines(r io.Reader, request string) ([]string, error) {
+	var out []string
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if slices.Contains(strings.Fields(scanner.Text()), "request="+request) {
+			out = append(out, scanner.Text())
+		}
+	}
+	return out, scanner.Err()
+}
+
+// logTime returns a line's time, as it sorts.
+func logTime(line string) string {
+	_, rest, _ := strings.Cut(line, `time="`)
+	at, _, _ := strings.Cut(rest, `"`)
+	return at
+}
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -63,6 +63,7 @@
 	epoch      int64         // the fencing token: the generation in which the lease was won
 	won        time.Duration // when
 	renewed    time.Duration // when the newest renewal that was answered had been sent
+	failing    bool          // the last renewal was not answered
 }
 
 // NewLease returns a lease that isn't held. The member's name must be unique to
@@ -95,12 +96,22 @@
 	sent := l.clock()
 	now, parts, err := l.group.Join(ctx, group, topic, l.member, l.ttl, generation)
 	if err != nil {
-		l.log.WithField("error", err).Warn("lease renewal failed")
+		l.failed(err)
 		return
 	}
 	l.answered(sent, now, slices.Contains(parts, leasePartition))
 }
 
+// failed notes a renewal without an answer; the first in a row is logged.
+func (l *Lease) failed(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.failing {
+		l.failing = true
+		l.log.WithField("error", err).Warn("lease renewals fail")
+	}
+}
+
 // answered takes in a renewal's answer.
 func (l *Lease) answered(sent time.Duration, generation int64, holds bool) {
 	if !holds {
@@ -108,6 +119,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.failing {
+		l.failing = false
+		l.log.WithField("gap_ms", (sent - l.renewed).Milliseconds()).Info("lease renewals succeed again")
+	}
 	// After a gap the partition may have been another member's meanwhile.
 	anew := l.epoch == 0 || sent-l.renewed >= heldFor
 	l.generation = generation
