--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -119,7 +119,11 @@
 	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
 		c.ran = true
 		c.relay.desk.left(c)
-		c.logAttempt(d, "ended_before_answer", 0)
+		why := "deadline before its answer"
+		if c.req.Context().Err() != nil {
+			why = "caller left before its answer"
+		}
+		c.logAttempt(d, why, 0)
 		return c.timeUp(ctx)
 	}
 	reason, effect := infra.ReasonUnreachable, infra.EffectUnknown
@@ -239,6 +243,7 @@
 		"attempt": c.attempts,
 		"server":  d.Server.ID,
 		"addr":    d.Server.Addr,
+		"domain":  d.Server.FailureDomain,
 		"status":  status,
 		"error":   reason,
 		"ms":      time.Since(c.arrived).Milliseconds(),
