--- a/residency/plan.go
+++ b/residency/plan.go
@@ -201,21 +201,11 @@
 	return 0
 }
 
-// Held returns what servers hold beyond their entries, as orders: adapters that
-// they accepted, and models that must not be used there any more as unloads.
+// Held returns how what servers hold differs from their entries, as orders.
 func (p *Planner) Held() []Order {
 	var out []Order
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
-		s := p.servers[id]
-		for _, c := range s.done {
-			out = append(out, c.order)
-		}
-		for _, d := range s.dropped {
-			out = append(out, Order{Server: id, Model: d.model, Unload: true})
-		}
-		if s.retiring != nil {
-			out = append(out, Order{Server: id, Model: s.retiring.model, Unload: true})
-		}
+		out = append(out, p.servers[id].beyond()...)
 	}
 	return out
 }
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -28,6 +28,7 @@
 	lost    func() bool // an order gets no answer and is carried out late
 	late    []lateOrderOf
 	asked   map[string]Asked
+	silent  bool               // no entry reaches the store
 	due     map[string]float64 // parts of requests, by target
 }
 
@@ -182,7 +183,7 @@
 			delete(x.models, x.unloads)
 			x.loading, x.unloads, x.toldAt = "", "", time.Time{}
 		}
-		if w.now.Sub(x.toldAt) >= 1200*time.Millisecond {
+		if !w.silent && w.now.Sub(x.toldAt) >= 1200*time.Millisecond {
 			x.told, x.toldAt = x.entry(), w.now
 		}
 		v.Servers = append(v.Servers, x.told)
@@ -383,6 +384,24 @@
 	require.Equal(t, 3, s.adapterCount(), "the lagging entry doesn't free a place")
 }
 
+// The store is away: no entry changes. What is loaded must be known and told all
+// the same, and a place that is freed be used.
+func TestWithoutEntriesServersAreAskedWhatBecameOfTheirOrders(t *testing.T) {
+	w := newWorld(t, 2, 5, 0)
+	for i := range 3 {
+		w.place(fmt.Sprint("m", i), 0, 1)
+	}
+	w.run(2 * time.Second)
+	w.silent = true
+	w.ask("m4", 0, 9)
+	w.run(6 * time.Second)
+	require.Positive(t, w.replicas("m4"))
+	held := slices.ContainsFunc(w.p.Held(), func(o Order) bool { return o.Model == "m4" && !o.Unload })
+	require.True(t, held, "the instances are told")
+	unloaded := slices.ContainsFunc(w.p.Held(), func(o Order) bool { return o.Unload })
+	require.True(t, unloaded)
+}
+
 func TestARestartedServerIsAskedAnew(t *testing.T) {
 	s := &server{}
 	s.update(start, topology.Server{ID: "s", Born: start})
--- a/residency/server.go
+++ b/residency/server.go
@@ -22,6 +22,9 @@
 	// stateLag is how old what a server says of itself may be: it is asked so
 	// long after its last order.
 	stateLag = 400 * time.Millisecond
+	// askBusy is the time between two questions to a server whether an order for
+	// a model is carried out.
+	askBusy = 500 * time.Millisecond
 	// entryLag is how long a server's entry may lag behind the orders that it
 	// accepted: two heartbeats and a read.
 	entryLag = 4 * time.Second
@@ -38,6 +41,7 @@
 	done            []change             // accepted adapter orders that aren't in its models yet
 	waitsFor        *Order               // an order for a model that is under way
 	patience        time.Time            // until when it is waited for
+	askAt           time.Time            // when to ask whether it is carried out
 	ghosts          []ghost              // orders that may yet be carried out
 	retiring        *retirement          // a model that is about to be unloaded
 	dropped         []drop               // models that instances must not use here any more
@@ -143,9 +147,10 @@
 // said takes in what the server says of itself.
 func (s *server) said(now time.Time, st State) {
 	s.sending = false
+	s.askAt = now.Add(askBusy)
 	s.Models, s.sequence, s.saidAt, s.entryNew = st.Models, st.Sequence, now, false
 	s.known, s.done = true, nil
-	if st.Busy {
+	if st.Busy && s.waitsFor == nil { // with an order of another holder
 		s.known, s.quiet = false, now.Add(stateLag)
 	}
 	s.settle(now)
@@ -156,9 +161,57 @@
 	return !s.Leaving && s.known && !s.sending && s.waitsFor == nil && s.retiring == nil && !now.Before(s.quiet)
 }
 
-// unsure says whether the server should be asked for its state now.
+// unsure says whether the server should be asked for its state now: where it
+// isn't known, and where an order for a model should be carried out by now. Its
+// entry would show that up to two seconds later, and never while the store is
+// away.
 func (s *server) unsure(now time.Time) bool {
-	return !s.Leaving && !s.known && !s.sending && !now.Before(s.quiet)
+	if s.Leaving || s.sending || now.Before(s.quiet) {
+		return false
+	}
+	return !s.known || s.waitsFor != nil && !now.Before(s.askAt)
+}
+
+// beyond returns, as orders, how what the server is believed to hold differs
+// from its entry: as loads what it holds beyond it, and as unloads what must not
+// be used there any more.
+func (s *server) beyond() []Order {
+	var out []Order
+	note := func(unload bool, model, adapter string) {
+		out = append(out, Order{Server: s.ID, Unload: unload, Model: model, Adapter: adapter})
+	}
+	for _, m := range s.Models {
+		if s.gone(m.Name) {
+			note(true, m.Name, "")
+			continue
+		}
+		if !s.entry.Holds(m.Name, "") {
+			note(false, m.Name, "")
+		}
+		for _, a := range s.adapters(m.Name) {
+			if !s.entry.Holds(m.Name, a) {
+				note(false, m.Name, a)
+			}
+		}
+	}
+	for _, m := range s.entry.Models {
+		if !s.Server.Holds(m.Name, "") {
+			note(true, m.Name, "")
+			continue
+		}
+		held := s.adapters(m.Name)
+		for _, a := range m.Adapters {
+			if !slices.Contains(held, a) {
+				note(true, m.Name, a)
+			}
+		}
+	}
+	return out
+}
+
+// gone says whether a model must not be used at the server any more.
+func (s *server) gone(model string) bool {
+	return s.goes(model) || slices.ContainsFunc(s.dropped, func(d drop) bool { return d.model == model })
 }
 
 // holds says whether the server holds the model or adapter, accepted orders included.
@@ -249,6 +302,10 @@
 // accepted takes in that the server accepted an order, and how long one for a
 // model is waited for.
 func (s *server) accepted(now time.Time, o Order, patience time.Duration) {
+	s.askAt = now.Add(askBusy)
+	if !o.Unload && !slices.Contains(s.OnDisk, o.Model) {
+		s.askAt = now.Add(patience / loadPatience)
+	}
 	s.sequence = o.Sequence + 1
 	if o.Adapter != "" {
 		s.done = slices.DeleteFunc(s.done, func(c change) bool { return c.order.Model == o.Model && c.order.Adapter == o.Adapter })
--- a/topology/table.go
+++ b/topology/table.go
@@ -36,8 +36,8 @@
 	Held     HeldList // what servers hold, or are about to lose, beyond their entries
 }
 
-// Held is an adapter that a server holds by an order that it accepted, or what
-// it is about to lose.
+// Held is what a server holds beyond its entry, or must not be used there for any
+// more though its entry shows it.
 type Held struct {
 	Server, Model, Adapter string // no adapter: the model with all its adapters
 	Dropped                bool   // it must not be used there any more
@@ -125,20 +125,30 @@
 		target.Replicas = append(target.Replicas, decide.Replica{Server: index})
 		return
 	}
-	add := func(m HeldModel, adapter string) {
-		if !beyond.drops(m.Name, adapter) {
-			addReplica(t, index, TargetName(s.Service, m.Name, adapter), m.Version)
+	for _, m := range s.Models {
+		addModel(t, index, s.Service, m, beyond)
+	}
+	for _, h := range beyond {
+		if h.Adapter == "" && !h.Dropped && !s.Holds(h.Model, "") {
+			addModel(t, index, s.Service, HeldModel{Name: h.Model}, beyond)
 		}
 	}
-	for _, m := range s.Models {
-		add(m, "")
-		for _, a := range m.Adapters {
-			add(m, a)
+}
+
+// addModel adds a model that a server holds, with its adapters.
+func addModel(t *decide.Table, index int, service string, m HeldModel, beyond HeldList) {
+	add := func(adapter string) {
+		if !beyond.drops(m.Name, adapter) {
+			addReplica(t, index, TargetName(service, m.Name, adapter), m.Version)
 		}
-		for _, h := range beyond {
-			if h.Model == m.Name && h.Adapter != "" && !h.Dropped {
-				add(m, h.Adapter)
-			}
+	}
+	add("")
+	for _, a := range m.Adapters {
+		add(a)
+	}
+	for _, h := range beyond {
+		if h.Model == m.Name && h.Adapter != "" && !h.Dropped {
+			add(h.Adapter)
 		}
 	}
 }
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -140,6 +140,10 @@
 	tb := BuildTable("d", v, decide.RetryPolicy{})
 	require.Equal(t, 1, replicas(t, tb, "llm/m/a2"))
 	require.Equal(t, 0, replicas(t, tb, "llm/n"))
+	v.Held = HeldList{{Server: "e", Model: "new"}, {Server: "e", Model: "n", Dropped: true}}
+	v.Config.Services["llm"].Engine.Models[1].Name = "new"
+	tb = BuildTable("d", v, decide.RetryPolicy{})
+	require.Equal(t, 1, replicas(t, tb, "llm/new"), "its entry doesn't show it while the store is away")
 	v.Held = HeldList{{Server: "e", Model: "m", Dropped: true}, {Server: "e", Model: "m", Adapter: "a2"}}
 	tb = BuildTable("d", v, decide.RetryPolicy{})
 	for _, target := range []string{"llm/m", "llm/m/a1", "llm/m/a2"} {
