--- a/relay/call.go
+++ b/relay/call.go
@@ -257,6 +257,7 @@
 	if c.stream.begun {
 		f["events"] = c.stream.events
 		f["last_event"] = c.stream.last
+		f["max_gap_ms"] = c.stream.maxGap.Milliseconds()
 	}
 	if !c.firstByte.IsZero() {
 		f["first_byte_ms"] = c.firstByte.Sub(c.arrived).Milliseconds()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,7 +16,9 @@
 type streamSent struct {
 	begun  bool
 	events int
-	last   string // id of the last whole event
+	last   string        // id of the last whole event
+	at     time.Time     // when data last went out
+	maxGap time.Duration // the longest pause between two sends
 }
 
 // streamBuffer holds some events: one read takes what has arrived.
@@ -111,6 +113,11 @@
 		c.beginStream(res)
 	}
 	c.stream.events += bytes.Count(data, eventEnd)
+	now := time.Now()
+	if !c.stream.at.IsZero() {
+		c.stream.maxGap = max(c.stream.maxGap, now.Sub(c.stream.at))
+	}
+	c.stream.at = now
 	if c.route.Repeat == topology.Resumable {
 		if id := lastEventID(data); id != "" {
 			c.stream.last = id
