--- a/residency/place.go
+++ b/residency/place.go
@@ -124,7 +124,7 @@
 		}
 		cost := w.pressure(s)
 		if !onDisk {
-			cost += storeCost
+			cost += storeCost * m.LoadTime.Seconds()
 		}
 		if !fits {
 			cost += unloadCost
@@ -143,10 +143,12 @@
 }
 
 const (
-	// storeCost and unloadCost weigh a load from the weight store, and an unload
-	// before it, against a server's fill of 1.
-	storeCost  = 1.0
-	unloadCost = 1.0
+	// storeCost, for each second that a load from the weight store takes, and
+	// unloadCost, for an unload before a load, are weighed against a server's fill
+	// of 1. A load from a server's own disk takes a fraction of the time and none
+	// of the weight store's budget.
+	storeCost  = 0.25
+	unloadCost = 0.5
 )
 
 // pressure is how full a server is with the demand of the models that it holds.
