--- a/residency/controller.go
+++ b/residency/controller.go
@@ -19,6 +19,10 @@
 	// adapterSpacing is the least time between two adapters for one server: an
 	// adapter takes up to ten milliseconds, and a server takes four at a time.
 	adapterSpacing = 4 * time.Millisecond
+	// planRest is how many times as long as a plan took the holder rests before
+	// the next one: plans take a tenth of its time at most, however many servers
+	// there are.
+	planRest = 9
 	// noteEvery is the least time between two lists of what lacks replicas.
 	noteEvery = time.Second
 	// results is how many orders' results may wait: one for each of as many
@@ -129,6 +133,7 @@
 	c.results = make(chan orderResult, results)
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
+	var rested time.Time // no plan before it
 	var sending sync.WaitGroup
 	defer c.await(&sending)
 	for {
@@ -140,7 +145,13 @@
 		case <-c.wake:
 		case <-ticker.C:
 		}
-		questions, orders := c.plan(time.Now())
+		begun := time.Now()
+		if begun.Before(rested) {
+			continue
+		}
+		questions, orders := c.plan(begun)
+		ended := time.Now()
+		rested = ended.Add(planRest * ended.Sub(begun))
 		for _, q := range questions {
 			sending.Go(func() { c.ask(ctx, q) })
 		}
