--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -116,34 +116,40 @@
 
 // noAnswer deals with an attempt that got no answer.
 func (c *call) noAnswer(ctx context.Context, d decide.Decision, err error) string {
-	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
-		c.ran = true
-		c.relay.desk.left(c)
-		why := "deadline before its answer"
-		if c.req.Context().Err() != nil {
-			why = "caller left before its answer"
-		}
-		c.logAttempt(d, why, 0)
-		return c.timeUp(ctx)
-	}
-	reason, effect := infra.ReasonUnreachable, infra.EffectUnknown
+	f := decide.Failure{Reason: infra.ReasonUnreachable}
 	var e *infra.Error
 	if errors.As(err, &e) {
-		reason, effect = e.Reason, e.Effect
+		f.Reason, f.Effect = e.Reason, e.Effect
+	}
+	f.Unsent = f.Effect == infra.EffectNone
+	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
+		return c.endedBeforeAnswer(ctx, d, f)
 	}
-	unsent := effect == infra.EffectNone
 	var silent *silentError
 	if errors.As(context.Cause(ctx), &silent) {
-		reason, effect, err = infra.ReasonTimeout, infra.EffectUnknown, silent
+		f.Reason, err = infra.ReasonTimeout, silent
 	}
 	c.logAttempt(d, err.Error(), 0)
-	if unsent {
+	if f.Unsent {
 		c.attempts--
 	}
-	c.attemptFailed(decide.Failure{Reason: reason, Effect: effect, Unsent: unsent})
+	c.attemptFailed(f)
 	return ""
 }
 
+// endedBeforeAnswer ends a call whose caller left, or whose time was up, while
+// its attempt had no answer.
+func (c *call) endedBeforeAnswer(ctx context.Context, d decide.Decision, f decide.Failure) string {
+	c.ran = c.ran || !f.Unsent
+	c.relay.desk.left(c)
+	why := "deadline before its answer"
+	if c.req.Context().Err() != nil {
+		why = "caller left before its answer"
+	}
+	c.logAttempt(d, why, 0)
+	return c.timeUp(ctx)
+}
+
 // notRun deals with a server that refused the request before starting.
 func (c *call) notRun(status int) string {
 	f := decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -338,12 +338,11 @@
 		_, _ = io.WriteString(w, "why")
 	}
 	b := newBench(t, fails, fails)
-	for path, calls := range map[string]int64{"/once/": 1, "/safe/": 3} {
+	for _, path := range []string{"/once/", "/safe/"} {
 		a := b.do(b.request("GET", path, ""))
 		require.Equal(t, 500, a.status)
 		require.Equal(t, "why", a.body)
 		require.Equal(t, "s", a.header.Get("Seal"))
-		_ = calls
 	}
 	require.EqualValues(t, 3, b.calls(), "once, and twice")
 }
@@ -462,6 +461,15 @@
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
 
+// A server whose address takes no connection: the time runs out while dialing.
+func TestWhatReachedNoServerIsToldNotRunAlsoAtItsTimesEnd(t *testing.T) {
+	b := newBench(t, whole("x"))
+	b.backends[0].Close()
+	a := b.do(b.request("POST", "/once/", "body", "Timeout", "400"))
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
+
 func TestTheServerIsToldWhatIsLeftOfTheTime(t *testing.T) {
 	var left int
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request, body string) {
