--- a/instance/follow.go
+++ b/instance/follow.go
@@ -16,6 +16,10 @@
 	// configWait is how long one read waits for a configuration. It bounds how
 	// long a connection that went silent unnoticed can hide one.
 	configWait = 4 * time.Second
+	// configWaitMany is the same where there are more than manyInstances: their
+	// reads are a good part of the store's, and one that missed a configuration
+	// hears of it from the others.
+	configWaitMany = 10 * time.Second
 	// configSpacing is the least time between two reads of configurations:
 	// changes come sixteen a second at times, and each is decoded whole.
 	configSpacing = 150 * time.Millisecond
@@ -24,6 +28,12 @@
 	// return dozens of times a second; a leaving server must be known within
 	// two seconds.
 	serversSpacing = 400 * time.Millisecond
+	// manyInstances is up to how many instances each reads the entries that often.
+	// With more of them the reads are spaced further apart, up to spacingMost
+	// times: 72 instances made 220 calls a second to the store, nearly all of them
+	// these. A leaving server is still known well within two seconds.
+	manyInstances = 12
+	spacingMost   = 3.0
 	// serversWait is how long one read waits for entries, and readSlack how much
 	// longer it may take: together they bound how long it goes unnoticed that the
 	// store is away, or back.
@@ -75,10 +85,14 @@
 
 func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (*topology.Config, topology.Position, error) {
 	if !fresh {
-		ctx, cancel := context.WithTimeout(ctx, configWait+readSlack)
+		wait := configWait
+		if i.instances() > manyInstances {
+			wait = configWaitMany
+		}
+		ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 		defer cancel()
 		defer i.interrupt(cancel)()
-		return i.opts.Source.NextConfig(ctx, at, configWait)
+		return i.opts.Source.NextConfig(ctx, at, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
@@ -117,11 +131,24 @@
 			i.setServers(fleet.Servers())
 		}
 		at, fresh = next, false
-		supervise.Pause(ctx, serversSpacing)
+		supervise.Pause(ctx, spacing(i.instances()))
 	}
 	return nil
 }
 
+// spacing returns the least time between two reads of servers' entries.
+func spacing(instances int) time.Duration {
+	times := min(max(float64(instances)/manyInstances, 1), spacingMost)
+	return time.Duration(times * float64(serversSpacing))
+}
+
+// instances returns how many instances there are, as far as known.
+func (i *Instance) instances() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.view.Instances()
+}
+
 func (i *Instance) readServers(ctx context.Context, at topology.Position, fresh bool) ([]topology.ServerChange, topology.Position, error) {
 	if !fresh {
 		ctx, cancel := context.WithTimeout(ctx, serversWait+readSlack)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -225,11 +225,7 @@
 // retryPolicy returns this instance's part of the retries.
 func (i *Instance) retryPolicy(v *topology.View) decide.RetryPolicy {
 	n := i.node.Load()
-	nodes := 0
-	for _, count := range v.Nodes {
-		nodes += count
-	}
-	share := n.RetryReserve / float64(max(nodes, 1))
+	share := n.RetryReserve / float64(max(v.Instances(), 1))
 	return decide.RetryPolicy{
 		Share:        n.RetryRatio * retryRatioPart,
 		Reserve:      max(share*retryReservePart, 1),
--- a/topology/table.go
+++ b/topology/table.go
@@ -36,6 +36,15 @@
 	Held     HeldList // what servers hold, or are about to lose, beyond their entries
 }
 
+// Instances returns how many instances live, in all failure domains.
+func (v *View) Instances() int {
+	n := 0
+	for _, count := range v.Nodes {
+		n += count
+	}
+	return n
+}
+
 // Held is what a server holds beyond its entry, or must not be used there for any
 // more though its entry shows it.
 type Held struct {
