A read of configurations that is only slow is not ended again and again

An instance behind the others ended its read every half second; on a link of 10 Mbit/s a storm's records take longer, so it never caught up. Now the read must be 1.5 s old, and only the newest is read then.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -28,6 +28,10 @@
 	// return dozens of times a second; a leaving server must be known within
 	// two seconds.
 	serversSpacing = 400 * time.Millisecond
+	// behindAge is how old a read has to be to be ended because other instances
+	// have a newer configuration: a read that is only slow, on a link that takes a
+	// second for a dozen large configurations, must not be ended again and again.
+	behindAge = 1500 * time.Millisecond
 	// manyInstances is up to how many instances each reads the entries that often.
 	// With more of them the reads are spaced further apart, up to spacingMost
 	// times: 72 instances made 220 calls a second to the store, nearly all of them
@@ -63,7 +67,8 @@
 		if err != nil {
 			fresh = fresh || outOfRange(err)
 			if errors.Is(err, context.Canceled) {
-				continue // the store is back: this read may have been lost with it
+				fresh = true // only the newest counts: in between there may be many, each as large
+				continue
 			}
 			i.storeFailed("config", err)
 			supervise.Pause(ctx, b.next())
@@ -116,7 +121,7 @@
 		if b.failures > 0 {
 			b.failures = 0
 			fleet.StoreBack(now)
-			i.restartConfigRead()
+			i.restartConfigRead(0)
 		}
 		i.storeAnswered()
 		i.noteProblems(changes)
@@ -165,7 +170,7 @@
 func (i *Instance) interrupt(cancel context.CancelFunc) func() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.configRead = cancel
+	i.configRead, i.configReadAt = cancel, time.Now()
 	return func() {
 		i.mu.Lock()
 		defer i.mu.Unlock()
@@ -173,13 +178,14 @@
 	}
 }
 
-// restartConfigRead ends the read of configurations that is under way. A store
-// that was away may never answer it, and a configuration that is written right
-// after its return would be learned of only when the read's time is up.
-func (i *Instance) restartConfigRead() {
+// restartConfigRead ends the read of configurations that is under way, if it is
+// as old as that, and has the newest read. A store that was away may never answer
+// it, and a configuration that is written right after its return would be learned
+// of only when the read's time is up.
+func (i *Instance) restartConfigRead(age time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.configRead != nil {
+	if i.configRead != nil && time.Since(i.configReadAt) >= age {
 		i.configRead()
 	}
 }
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -15,3 +15,19 @@
 	calls := func(n int) float64 { return float64(n) / spacing(n).Seconds() }
 	require.Less(t, calls(72), 0.35*72/serversSpacing.Seconds())
 }
+
+// A slow read of configurations must not be ended each time that another
+// instance is seen to have a newer one.
+func TestAReadThatIsOnlySlowIsNotEnded(t *testing.T) {
+	i := &Instance{}
+	ended := 0
+	done := i.interrupt(func() { ended++ })
+	i.restartConfigRead(behindAge)
+	require.Zero(t, ended)
+	i.configReadAt = time.Now().Add(-behindAge)
+	i.restartConfigRead(behindAge)
+	require.Equal(t, 1, ended)
+	done()
+	i.restartConfigRead(0)
+	require.Equal(t, 1, ended, "no read is under way")
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -43,13 +43,14 @@
 	lease      *residency.Lease
 	controller *residency.Controller
 
-	mu         sync.Mutex
-	view       topology.View // its parts are replaced, never changed
-	storeDown  bool
-	orderedAt  time.Time          // when a lease holder last said that it may order
-	configRead context.CancelFunc // ends the read of configurations under way; nil: none is
-	changed    chan struct{}      // readable after the view changed; bears at most one signal
-	limits     chan topology.Limits
+	mu           sync.Mutex
+	view         topology.View // its parts are replaced, never changed
+	storeDown    bool
+	orderedAt    time.Time          // when a lease holder last said that it may order
+	configRead   context.CancelFunc // ends the read of configurations under way; nil: none is
+	configReadAt time.Time          // when it began
+	changed      chan struct{}      // readable after the view changed; bears at most one signal
+	limits       chan topology.Limits
 }
 
 // New returns an instance that does nothing yet.
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -227,7 +227,7 @@
 func (i *Instance) learn(s residency.Summary) {
 	if version := i.configVersion(); version != 0 && s.Version > version {
 		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version}).Warn("configuration behind other instances")
-		i.restartConfigRead()
+		i.restartConfigRead(behindAge)
 	}
 	i.mu.Lock()
 	if s.Ordering {
