One watchdog, one list of hop headers, one backoff for both ways in; what servers hold is told in one type

Read again as a whole, the change had written three things that stood already: the watchdog of caller (now internal/stall, used by relay too), the headers that concern one connection (now internal/hop) and the doubling pause of supervise (now supervise.Backoff). How servers differ from their entries was passed on as orders and copied twice; it is topology.HeldList throughout. sameCounts was maps.Equal, and whether models are expected was worked out twice a word. No behaviour changes; tests keep their assertions, fields renamed.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -12,6 +12,7 @@
 	"greengageferry/caller/api"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/stall"
 )
 
 // loadEvery is how often one stream hands on the load reports that ride on it:
@@ -78,14 +79,14 @@
 }
 
 func (a *generation) run(ctx context.Context, d decide.Decision) *attemptError {
-	dog := watch(ctx, a.job.call.firstLimit(a.began), a.job.call.idempotent)
-	defer dog.stop()
-	return dog.judge(a.generate(dog, d))
+	dog := stall.Watch(ctx, a.job.call.firstLimit(a.began), a.job.call.idempotent)
+	defer dog.Stop()
+	return judge(dog.Context(), a.generate(dog, d))
 }
 
-func (a *generation) generate(dog *watchdog, d decide.Decision) *attemptError {
+func (a *generation) generate(dog *stall.Watchdog, d decide.Decision) *attemptError {
 	j := a.job
-	stream, err := j.server.opts.Engine.Generate(dog.ctx, a.server.Addr, infra.GenerateRequest{
+	stream, err := j.server.opts.Engine.Generate(dog.Context(), a.server.Addr, infra.GenerateRequest{
 		Attempt:   a.id,
 		Model:     j.call.target.Model,
 		Adapter:   j.call.target.Adapter,
@@ -105,12 +106,12 @@
 		if err != nil {
 			return a.broken(err)
 		}
-		dog.disarm(j.call.stallLimit())
+		dog.Disarm(j.call.stallLimit())
 		done, aerr := a.take(e)
 		if done || aerr != nil {
 			return aerr
 		}
-		dog.arm()
+		dog.Arm()
 	}
 }
 
--- a/caller/services.go
+++ b/caller/services.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
 	"path"
 	"strings"
 	"time"
@@ -14,28 +13,17 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/hop"
+	"greengageferry/internal/stall"
 )
 
 // serviceHeld is how much of a service's answer is read before any of it goes
 // to the caller: a shorter one whose connection breaks can be asked for again.
 const serviceHeld = 64 << 10
 
-// hopHeaders concern one connection only, or are for this system alone: a
-// caller's key must not reach a service.
-var hopHeaders = map[string]bool{
-	"Connection":          true,
-	"Proxy-Connection":    true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Authorization":       true,
-	"Content-Length":      true,
-	"Host":                true,
-}
+// ownHeaders are for this system alone, or set anew for the service: a caller's
+// key must not reach it.
+var ownHeaders = []string{"Authorization", "Content-Length", "Host"}
 
 const ownHeaderPrefix = "Greengageferry-"
 
@@ -120,18 +108,15 @@
 
 // passedOn returns the headers that go on to the other side.
 func passedOn(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	dropped := map[string]bool{}
-	for _, v := range h.Values("Connection") {
-		for _, name := range strings.Split(v, ",") {
-			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range h {
-		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownHeaderPrefix) {
-			continue
+	out := h.Clone()
+	hop.Drop(out)
+	for _, name := range ownHeaders {
+		delete(out, name)
+	}
+	for name := range out {
+		if strings.HasPrefix(name, ownHeaderPrefix) {
+			delete(out, name)
 		}
-		out[name] = values
 	}
 	return out
 }
@@ -149,14 +134,14 @@
 	began := time.Now()
 	req := j.request
 	req.Attempt = newID()
-	dog := watch(ctx, j.call.serviceLimit(began), j.call.idempotent && !j.asked)
-	defer dog.stop()
+	dog := stall.Watch(ctx, j.call.serviceLimit(began), j.call.idempotent && !j.asked)
+	defer dog.Stop()
 	j.asked = true
-	a, err := j.server.opts.Services.Call(dog.ctx, d.Server.Addr, req)
+	a, err := j.server.opts.Services.Call(dog.Context(), d.Server.Addr, req)
 	if err != nil {
-		return decide.Outcome{Total: time.Since(began)}, dog.judge(&attemptError{failure: failureOf(err), err: err})
+		return decide.Outcome{Total: time.Since(began)}, judge(dog.Context(), &attemptError{failure: failureOf(err), err: err})
 	}
-	dog.disarm(0) // it has begun to answer: it may take its time
+	dog.Disarm(0) // it has begun to answer: it may take its time
 	defer func() { _ = a.Body.Close() }()
 	first := time.Since(began)
 	aerr := j.passBack(a)
--- a/caller/stall.go
+++ b/caller/stall.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"sync/atomic"
 	"time"
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/stall"
 )
 
 // The limits on a server's silence. They are for a server that freezes or whose
@@ -35,68 +34,15 @@
 	servicePart = 2
 )
 
-// StallError says that a server was silent for longer than it may be.
-type StallError struct{ After time.Duration }
-
-// Error implements error.
-func (e *StallError) Error() string { return fmt.Sprintf("no answer for %s", e.After) }
-
-// watchdog ends an attempt whose server is silent. It watches only while it is
-// armed, so that a caller that reads slowly isn't taken for a silent server.
-type watchdog struct {
-	cancel context.CancelCauseFunc
-	limit  atomic.Int64 // ns; read by the timer as well
-	timer  *time.Timer
-	ctx    context.Context
-	off    bool // the request may not be dispatched again: never ends it
-}
-
-// watch returns a watchdog, armed with the limit, and the context that it ends.
-func watch(ctx context.Context, limit time.Duration, on bool) *watchdog {
-	w := &watchdog{off: !on}
-	w.limit.Store(int64(limit))
-	w.ctx, w.cancel = context.WithCancelCause(ctx)
-	if on {
-		w.timer = time.AfterFunc(limit, w.bite)
-	}
-	return w
-}
-
-func (w *watchdog) bite() { w.cancel(&StallError{After: time.Duration(w.limit.Load())}) }
-
-// arm starts to watch. It is called while the watchdog is disarmed.
-func (w *watchdog) arm() {
-	if !w.off {
-		w.timer.Reset(time.Duration(w.limit.Load()))
-	}
-}
-
-// disarm stops watching; the next time it is armed with the limit.
-func (w *watchdog) disarm(limit time.Duration) {
-	if w.off {
-		return
-	}
-	w.timer.Stop()
-	w.limit.Store(int64(limit))
-}
-
-// stop frees the watchdog and ends its context.
-func (w *watchdog) stop() {
-	if !w.off {
-		w.timer.Stop()
-	}
-	w.cancel(nil)
-}
-
-// judge returns the attempt's error, which is the stall if there was one. That
-// nothing ran is still believed.
-func (w *watchdog) judge(e *attemptError) *attemptError {
-	var stall *StallError
-	if e == nil || e.gone || e.final != nil || !errors.As(context.Cause(w.ctx), &stall) {
+// judge returns the error of an attempt under the context, which is the stall if
+// there was one. That nothing ran is still believed.
+func judge(ctx context.Context, e *attemptError) *attemptError {
+	var silent *stall.Error
+	if e == nil || e.gone || e.final != nil || !errors.As(context.Cause(ctx), &silent) {
 		return e
 	}
 	failure := decide.Failure{Reason: infra.ReasonTimeout, Effect: e.failure.Effect}
-	return &attemptError{failure: failure, err: stall}
+	return &attemptError{failure: failure, err: silent}
 }
 
 // firstLimit is how long a server may take for its first token.
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -50,18 +50,10 @@
 	newestTimeout = 3 * time.Second
 )
 
-// backoff is the pause after failures in a row.
-type backoff struct{ failures int }
-
-func (b *backoff) next() time.Duration {
-	b.failures++
-	return min(retryFirst<<min(b.failures-1, 8), retryMost)
-}
-
 // followConfig is the duty that follows the operators' configuration.
 func (i *Instance) followConfig(ctx context.Context) error {
 	var at topology.Position
-	var b backoff
+	failures := 0 // in a row
 	for fresh := true; ctx.Err() == nil; {
 		c, next, err := i.readConfig(ctx, at, fresh)
 		if err != nil {
@@ -71,10 +63,11 @@
 				continue
 			}
 			i.storeFailed("config", err)
-			supervise.Pause(ctx, b.next())
+			failures++
+			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
 			continue
 		}
-		b.failures = 0
+		failures = 0
 		i.storeAnswered()
 		if fresh || next > at {
 			at = next
@@ -107,7 +100,7 @@
 // followServers is the duty that follows the servers' entries.
 func (i *Instance) followServers(ctx context.Context) error {
 	var at topology.Position
-	var b backoff
+	failures := 0 // in a row
 	fleet := topology.NewFleet()
 	for fresh := true; ctx.Err() == nil; {
 		changes, next, err := i.readServers(ctx, at, fresh)
@@ -115,11 +108,12 @@
 		if err != nil {
 			fresh = fresh || outOfRange(err)
 			i.storeFailed("servers", err)
-			supervise.Pause(ctx, b.next())
+			failures++
+			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
 			continue
 		}
-		if b.failures > 0 {
-			b.failures = 0
+		if failures > 0 {
+			failures = 0
 			fleet.StoreBack(now)
 			i.restartConfigRead(0)
 		}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -172,7 +173,7 @@
 		s.Loads[l.GetServer()] = int(l.GetInFlight())
 	}
 	for _, h := range res.GetHeld() {
-		s.Held = append(s.Held, residency.Order{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Unload: h.GetDropped()})
+		s.Held = append(s.Held, topology.Held{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Dropped: h.GetDropped()})
 	}
 	return s
 }
@@ -208,8 +209,8 @@
 	for server, n := range summary.Loads {
 		res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
 	}
-	for _, o := range summary.Held {
-		res.Held = append(res.Held, &exchange.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter, Dropped: o.Unload})
+	for _, h := range summary.Held {
+		res.Held = append(res.Held, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
 	}
 	return res, nil
 }
@@ -233,14 +234,13 @@
 	if s.Ordering {
 		i.orderedAt = time.Now()
 	}
-	i.noteExpected()
-	if len(s.Instances) > 0 && !sameCounts(i.view.Nodes, s.Instances) {
+	if len(s.Instances) > 0 && !maps.Equal(i.view.Nodes, s.Instances) {
 		i.view.Nodes = s.Instances
 		i.log.WithField("instances", s.Instances).Info("instances counted")
 		i.rebuild()
 	}
-	if held := heldOf(s.Held); !held.Equal(i.view.Held) {
-		i.view.Held = held
+	if !s.Held.Equal(i.view.Held) {
+		i.view.Held = s.Held
 		i.rebuild()
 	}
 	servers := i.view.Servers
@@ -260,23 +260,3 @@
 		i.rebuild()
 	}
 }
-
-func heldOf(orders []residency.Order) topology.HeldList {
-	var out topology.HeldList
-	for _, o := range orders {
-		out = append(out, topology.Held{Server: o.Server, Model: o.Model, Adapter: o.Adapter, Dropped: o.Unload})
-	}
-	return out
-}
-
-func sameCounts(a, b map[string]int) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, n := range a {
-		if b[k] != n {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,28 @@
+// Package hop knows the HTTP headers that concern one connection and aren't
+// passed on (RFC 9110, 7.6.1).
+package hop
+
+import (
+	"net/http"
+	"strings"
+)
+
+var headers = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Drop removes the headers that concern one connection, with those that its
+// Connection header names.
+func Drop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range headers {
+		delete(h, name)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,8 @@
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/hop"
+	"greengageferry/internal/stall"
 	"greengageferry/topology"
 )
 
@@ -38,13 +40,9 @@
 func (c *call) attempt(ctx context.Context, d decide.Decision) string {
 	c.attempts++
 	sent := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := newWatchdog(cancel)
-	defer watch.stop()
-	if c.mayMove(d) {
-		watch.set(max(silentLeast, time.Duration(silentPart*float64(c.deadline.Sub(sent)))))
-	}
+	watch := stall.Watch(ctx, max(silentLeast, time.Duration(silentPart*float64(c.deadline.Sub(sent)))), c.mayMove(d))
+	defer watch.Stop()
+	ctx = watch.Context()
 	transport := c.relay.backends.get(d.Server.ID, d.Server.Addr)
 	res, err := infra.Send("relay", d.Server.Addr, transport.RoundTrip, c.forward(ctx, d.Server))
 	if err != nil {
@@ -78,7 +76,8 @@
 // forward returns the request as the server gets it.
 func (c *call) forward(ctx context.Context, s decide.Server) *http.Request {
 	h := c.req.Header.Clone()
-	dropHopHeaders(h)
+	hop.Drop(h)
+	delete(h, "Expect") // this connection's: the body has been read
 	a := Attempt{
 		Server:  s.ID,
 		Left:    time.Until(c.deadline),
@@ -125,7 +124,7 @@
 	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
 		return c.endedBeforeAnswer(ctx, d, f)
 	}
-	var silent *silentError
+	var silent *stall.Error
 	if errors.As(context.Cause(ctx), &silent) {
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
@@ -232,7 +231,8 @@
 	for name, values := range from {
 		h[name] = values
 	}
-	dropHopHeaders(h)
+	hop.Drop(h)
+	delete(h, "Expect")
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/internal/stall"
 	"greengageferry/topology"
 )
 
@@ -29,9 +30,8 @@
 // passStream passes an event stream on as it arrives. A stream that may be
 // resumed is passed on in whole events, so that another server can go on after
 // the last one.
-func (c *call) passStream(ctx context.Context, d decide.Decision, res *http.Response, sent time.Time, watch *watchdog) string {
+func (c *call) passStream(ctx context.Context, d decide.Decision, res *http.Response, sent time.Time, watch *stall.Watchdog) string {
 	whole := c.route.Repeat == topology.Resumable
-	moves := c.mayMove(d)
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
 	var pending []byte // the beginning of an event that isn't whole yet
@@ -44,9 +44,8 @@
 			if first.IsZero() {
 				first = time.Now()
 			}
-			if moves {
-				watch.set(max(streamSilence, gapsSilent*c.route.MaxGap))
-			}
+			watch.Disarm(max(streamSilence, gapsSilent*c.route.MaxGap))
+			watch.Arm()
 			data := (*buf)[:n]
 			if whole {
 				data, pending = wholeEvents(append(pending, data...))
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -73,11 +73,11 @@
 
 // Summary is what the lease holder knows of all instances.
 type Summary struct {
-	Instances map[string]int // by failure domain
-	Loads     map[string]int // requests in flight by server
-	Held      []Order        // what servers hold beyond their entries, and as unloads what they lose
-	Ordering  bool           // servers can be ordered now
-	Version   int64          // the newest version of the configuration that any instance has in force
+	Instances map[string]int    // by failure domain
+	Loads     map[string]int    // requests in flight by server
+	Held      topology.HeldList // how what servers hold differs from their entries
+	Ordering  bool              // servers can be ordered now
+	Version   int64             // the newest version of the configuration that any instance has in force
 }
 
 // NotHolderError says that the instance doesn't hold the lease.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -201,9 +201,9 @@
 	return 0
 }
 
-// Held returns how what servers hold differs from their entries, as orders.
-func (p *Planner) Held() []Order {
-	var out []Order
+// Held returns how what servers hold differs from their entries.
+func (p *Planner) Held() topology.HeldList {
+	var out topology.HeldList
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
 		out = append(out, p.servers[id].beyond()...)
 	}
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -290,7 +290,7 @@
 	unloads := 0
 	for range 60 {
 		for _, h := range w.p.Held() {
-			if h.Unload && marked[h.Server+h.Model].IsZero() {
+			if h.Dropped && marked[h.Server+h.Model].IsZero() {
 				marked[h.Server+h.Model] = w.now
 			}
 		}
@@ -396,9 +396,9 @@
 	w.ask("m4", 0, 9)
 	w.run(6 * time.Second)
 	require.Positive(t, w.replicas("m4"))
-	held := slices.ContainsFunc(w.p.Held(), func(o Order) bool { return o.Model == "m4" && !o.Unload })
+	held := slices.ContainsFunc(w.p.Held(), func(h topology.Held) bool { return h.Model == "m4" && !h.Dropped })
 	require.True(t, held, "the instances are told")
-	unloaded := slices.ContainsFunc(w.p.Held(), func(o Order) bool { return o.Unload })
+	unloaded := slices.ContainsFunc(w.p.Held(), func(h topology.Held) bool { return h.Dropped })
 	require.True(t, unloaded)
 }
 
--- a/residency/server.go
+++ b/residency/server.go
@@ -172,13 +172,11 @@
 	return !s.known || s.waitsFor != nil && !now.Before(s.askAt)
 }
 
-// beyond returns, as orders, how what the server is believed to hold differs
-// from its entry: as loads what it holds beyond it, and as unloads what must not
-// be used there any more.
-func (s *server) beyond() []Order {
-	var out []Order
-	note := func(unload bool, model, adapter string) {
-		out = append(out, Order{Server: s.ID, Unload: unload, Model: model, Adapter: adapter})
+// beyond returns how what the server is believed to hold differs from its entry.
+func (s *server) beyond() topology.HeldList {
+	var out topology.HeldList
+	note := func(dropped bool, model, adapter string) {
+		out = append(out, topology.Held{Server: s.ID, Dropped: dropped, Model: model, Adapter: adapter})
 	}
 	for _, m := range s.Models {
 		if s.gone(m.Name) {
--- a/supervise/supervise.go
+++ b/supervise/supervise.go
@@ -115,7 +115,7 @@
 		if len(failures) > opts.MaxRestarts {
 			return &GaveUpError{Duty: duty.Name, Failures: len(failures), Err: err}
 		}
-		if !Pause(ctx, delay(opts.Backoff, len(failures))) {
+		if !Pause(ctx, Backoff(opts.Backoff, MaxBackoff, len(failures))) {
 			return nil
 		}
 	}
@@ -148,13 +148,14 @@
 	return times
 }
 
-// delay doubles from first with each further failure, up to MaxBackoff.
-func delay(first time.Duration, failures int) time.Duration {
+// Backoff returns the pause after failures in a row, from 1: first, doubled with
+// each further one, and most at the longest.
+func Backoff(first, most time.Duration, failures int) time.Duration {
 	d := first
 	for range failures - 1 {
 		d *= 2
-		if d >= MaxBackoff {
-			return MaxBackoff
+		if d >= most {
+			return most
 		}
 	}
 	return d
