The lease holder reads the servers' entries for all, and tells their steps and loads compactly

On small machines the lease holder answered its 172 words a second later than their 0.4 s, so loads and demand went stale, and each instance asked the store for the holder once a second. Change: a list of servers has a digest; the holder tells the steps from an instance's list to its own, loads as one number a server, and what servers hold only where it changed. An instance reads the store itself once the holder's list is 1.4 s old, the holder is silent, or the store seems away. Ruled out: telling whole lists (30 Mbit/s at a holder on 10), positions of the store in place of digests (they don't tell lists apart after an outage).

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -43,6 +43,12 @@
 	// store is away, or back.
 	serversWait = 800 * time.Millisecond
 	readSlack   = 800 * time.Millisecond
+	// holderWait is how long a read of the lease holder waits: what others hear
+	// from it must not be older than fedFor where servers write all at once.
+	holderWait = 300 * time.Millisecond
+	// fedPoll is how often an instance looks whether the lease holder's word still
+	// stands in for a read.
+	fedPoll = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -97,16 +103,23 @@
 	return i.opts.Source.NewestConfig(ctx)
 }
 
-// followServers is the duty that follows the servers' entries.
+// followServers is the duty that follows the servers' entries. It reads the store
+// only while the lease holder's word doesn't stand in for that, since the holder
+// reads for all, and while it seems away, to see when it is back.
 func (i *Instance) followServers(ctx context.Context) error {
-	var at topology.Position
 	failures := 0 // in a row
-	fleet := topology.NewFleet()
-	for fresh := true; ctx.Err() == nil; {
-		changes, next, err := i.readServers(ctx, at, fresh)
+	for ctx.Err() == nil {
+		if !i.lease.Holds() && i.servers.fed(time.Now()) && !i.storeIsDown() {
+			failures = 0
+			supervise.Pause(ctx, fedPoll)
+			continue
+		}
+		r, err := i.readServers(ctx)
 		now := time.Now()
 		if err != nil {
-			fresh = fresh || outOfRange(err)
+			if outOfRange(err) {
+				i.servers.reread()
+			}
 			i.storeFailed("servers", err)
 			failures++
 			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
@@ -114,27 +127,26 @@
 		}
 		if failures > 0 {
 			failures = 0
-			fleet.StoreBack(now)
+			i.servers.storeBack(now)
 			i.restartConfigRead(0)
 		}
 		i.storeAnswered()
-		i.noteProblems(changes)
-		var changed bool
-		if fresh {
-			changed = fleet.Reset(now, changes)
-		} else {
-			changed = fleet.Apply(now, changes)
-		}
-		changed = fleet.Expire(now) || changed
-		if changed || fresh {
-			i.setServers(fleet.Servers())
-		}
-		at, fresh = next, false
-		supervise.Pause(ctx, spacing(i.instances()))
+		i.noteProblems(r.changes)
+		i.servers.take(now, r, i.setServers)
+		supervise.Pause(ctx, i.serversSpacing())
 	}
 	return nil
 }
 
+// serversSpacing returns the least time between this instance's reads of the
+// servers' entries.
+func (i *Instance) serversSpacing() time.Duration {
+	if i.lease.Holds() {
+		return serversSpacing // all others wait for it
+	}
+	return spacing(i.instances())
+}
+
 // spacing returns the least time between two reads of servers' entries.
 func spacing(instances int) time.Duration {
 	times := min(max(float64(instances)/manyInstances, 1), spacingMost)
@@ -148,15 +160,22 @@
 	return i.view.Instances()
 }
 
-func (i *Instance) readServers(ctx context.Context, at topology.Position, fresh bool) ([]topology.ServerChange, topology.Position, error) {
-	if !fresh {
+func (i *Instance) readServers(ctx context.Context) (read, error) {
+	at := i.servers.position()
+	if at != unread {
 		ctx, cancel := context.WithTimeout(ctx, serversWait+readSlack)
 		defer cancel()
-		return i.opts.Source.NextServers(ctx, at, serversWait)
+		wait := serversWait
+		if i.lease.Holds() {
+			wait = holderWait
+		}
+		changes, next, err := i.opts.Source.NextServers(ctx, at, wait)
+		return read{from: at, next: next, changes: changes}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	return i.opts.Source.NewestServers(ctx)
+	changes, next, err := i.opts.Source.NewestServers(ctx)
+	return read{all: true, next: next, changes: changes}, err
 }
 
 // interrupt lets restartConfigRead end a read by cancel until the returned
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -39,6 +39,7 @@
 	relay   *relay.Relay
 	metrics *metrics
 	front   *front
+	servers *serverList
 
 	lease      *residency.Lease
 	controller *residency.Controller
@@ -61,6 +62,7 @@
 		relay:   relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand}),
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
+		servers: newServerList(),
 	}
 	i.front = newFront(i)
 	i.node.Store(o.Node)
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -69,6 +69,7 @@
 	holder   string    // the holder's address; empty: not known
 	askedAt  time.Time // when the store was last asked who it is
 	ordered  time.Time // when a holder last said that it may order
+	silent   int       // words in a row that the holder didn't answer
 }
 
 func newSyncer(i *Instance) *syncer {
@@ -115,13 +116,23 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+s.holder, s.client)
-	res, err := client.Sync(ctx, syncRequest(word))
+	sent := time.Now()
+	req := syncRequest(word)
+	held := i.currentView().Held
+	req.ServersDigest, req.HeldDigest = i.servers.digest(), held.Digest()
+	res, err := client.Sync(ctx, req)
 	if err != nil {
-		i.log.WithFields(logrus.Fields{"holder": s.holder, "error": err}).Warn("lease holder lost")
-		s.holder = ""
+		s.failed(err)
 		return
 	}
+	s.silent = 0
 	summary := summaryOf(res)
+	if res.GetServers() != nil {
+		summary.Loads = i.servers.follow(sent, res.GetServers(), i.setServers)
+	}
+	if res.GetHeldSame() {
+		summary.Held = held
+	}
 	i.learn(summary)
 	if summary.Ordering {
 		s.ordered = time.Now()
@@ -130,10 +141,28 @@
 	}
 }
 
-// findHolder asks the store who holds the lease.
+// failed notes that the holder didn't answer a word. It is asked once more before
+// the store is asked for another: where many instances press upon a holder that
+// is busy for a moment, all their questions to the store gain nothing.
+func (s *syncer) failed(err error) {
+	s.instance.servers.unfed()
+	s.silent++
+	var refused twirp.Error
+	if s.silent < mostSilent && !(errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition) {
+		return
+	}
+	s.instance.log.WithFields(logrus.Fields{"holder": s.holder, "error": err}).Warn("lease holder lost")
+	s.holder, s.silent = "", 0
+}
+
+// mostSilent is how many words in a row a holder may leave unanswered until
+// another is looked for.
+const mostSilent = 2
+
+// findHolder asks the store who holds the lease, while it answers.
 func (s *syncer) findHolder(ctx context.Context) bool {
 	now := time.Now()
-	if now.Sub(s.askedAt) < ownerEvery {
+	if now.Sub(s.askedAt) < ownerEvery || s.instance.storeIsDown() {
 		return false
 	}
 	s.askedAt = now
@@ -206,11 +235,16 @@
 	for domain, n := range summary.Instances {
 		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
 	}
-	for server, n := range summary.Loads {
-		res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
+	res.Servers = e.instance.servers.steps(time.Now(), req.GetServersDigest(), summary.Loads)
+	if res.Servers == nil {
+		for server, n := range summary.Loads {
+			res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
+		}
 	}
-	for _, h := range summary.Held {
-		res.Held = append(res.Held, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
+	if res.HeldSame = summary.Held.Digest() == req.GetHeldDigest(); !res.HeldSame {
+		for _, h := range summary.Held {
+			res.Held = append(res.Held, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
+		}
 	}
 	return res, nil
 }
@@ -245,6 +279,9 @@
 	}
 	servers := i.view.Servers
 	i.mu.Unlock()
+	if s.Loads == nil {
+		return // told for another list of servers: the next word brings them
+	}
 	for n := range servers {
 		i.relay.Reported(servers[n].ID, s.Loads[servers[n].ID], syncAge)
 	}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -16,6 +16,10 @@
 const (
 	// planEvery is the time between two plans where nothing calls for one sooner.
 	planEvery = 200 * time.Millisecond
+	// loadsEvery is how often the instances' loads are added up: they tell them
+	// twice a second, and with 86 instances that say so adding them up for each
+	// kept a small holder busy until its answers came too late.
+	loadsEvery = 100 * time.Millisecond
 	// adapterSpacing is the least time between two adapters for one server: an
 	// adapter takes up to ten milliseconds, and a server takes four at a time.
 	adapterSpacing = 4 * time.Millisecond
@@ -52,6 +56,10 @@
 	planner *Planner  // nil while the lease isn't held
 	noted   time.Time // when it was last logged what lacks replicas
 	known   []string  // the instances that were known at the newest renewal
+
+	loads   map[string]int // in flight by server, as of loadsAt
+	loadsAt time.Time
+	held    topology.HeldList // nil: to be listed anew, since orders were planned or answered
 }
 
 // orderResult is how an order, or a question for a server's state, went.
@@ -71,7 +79,8 @@
 	}
 }
 
-// Summary is what the lease holder knows of all instances.
+// Summary is what the lease holder knows of all instances. Its parts must not
+// be changed.
 type Summary struct {
 	Instances map[string]int    // by failure domain
 	Loads     map[string]int    // requests in flight by server
@@ -96,10 +105,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.Said(now, w)
-	s := Summary{Instances: c.demand.Instances(), Loads: c.demand.Loads(), Ordering: ordering, Version: c.demand.Version()}
-	if c.planner != nil {
-		s.Held = c.planner.Held()
+	if now.Sub(c.loadsAt) >= loadsEvery {
+		c.loads, c.loadsAt = c.demand.Loads(), now
+	}
+	if c.planner != nil && c.held == nil {
+		c.held = c.planner.Held()
 	}
+	s := Summary{Instances: c.demand.Instances(), Loads: c.loads, Ordering: ordering, Version: c.demand.Version(), Held: c.held}
 	for _, a := range w.Asked {
 		if a.Waiting > 0 {
 			c.poke()
@@ -178,6 +190,7 @@
 	fresh := c.o.Lease.Fresh()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.held = nil
 	if fresh {
 		c.known = c.demand.Names()
 	}
@@ -215,6 +228,7 @@
 func (c *Controller) done(r orderResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.held = nil
 	now := time.Now()
 	switch {
 	case c.planner == nil:
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -6,12 +6,21 @@
 	"time"
 )
 
-// Fleet holds the backend servers as the store's changes tell of them. It is
-// not safe for concurrent use.
+// Fleet holds the backend servers as the store's changes tell of them, or
+// another instance's steps. It is not safe for concurrent use.
 type Fleet struct {
 	servers map[string]Server
 	leaving map[string]time.Time // servers whose entry went, and until when they are kept
 	outage  time.Time            // when the store last came back
+	digest  uint64               // of the list as it is
+	steps   []step               // the newest
+	ids     []string             // of the servers, in order; nil: to be listed anew
+}
+
+// step is one step of the list, with the digest of the list after it.
+type step struct {
+	delta Delta
+	after uint64
 }
 
 const (
@@ -22,6 +31,9 @@
 	// afterOutage is how long after the store's return entries may still run
 	// out for its absence.
 	afterOutage = 2 * time.Second
+	// fleetSteps is how many steps are kept for instances that are behind: some
+	// seconds' worth while every adapter of a large fleet is loaded.
+	fleetSteps = 2048
 )
 
 // NewFleet returns a fleet without servers.
@@ -49,12 +61,74 @@
 		if known && c.Server.Born.Before(old.Born) {
 			continue // an entry of an earlier start that came late
 		}
+		if !known {
+			f.take(Delta{ID: c.ID, Server: c.Server})
+		} else if !old.Equal(c.Server) {
+			f.take(deltaOf(&old, c.Server))
+		}
 		f.servers[c.ID] = *c.Server
 		changed = changed || !known || !old.Equal(c.Server)
 	}
 	return changed
 }
 
+// take carries out a step and remembers it.
+func (f *Fleet) take(d Delta) {
+	old, known := f.servers[d.ID]
+	if known {
+		f.digest -= old.digest()
+	}
+	if !known || d.Gone {
+		f.ids = nil
+	}
+	delete(f.leaving, d.ID)
+	if d.Gone {
+		delete(f.servers, d.ID)
+	} else {
+		next := d.apply(&old)
+		f.servers[d.ID] = next
+		f.digest += next.digest()
+	}
+	f.steps = append(f.steps, step{d, f.digest})
+	if len(f.steps) >= 2*fleetSteps {
+		f.steps = slices.Clone(f.steps[fleetSteps:])
+	}
+}
+
+// Digest identifies the list: two instances with the same digest have the same
+// servers, heartbeats apart.
+func (f *Fleet) Digest() uint64 { return f.digest }
+
+// Since returns the steps from the list with a digest to the list as it is. It
+// returns false where that list isn't among the newest.
+func (f *Fleet) Since(digest uint64) ([]Delta, bool) {
+	if digest == f.digest {
+		return nil, true
+	}
+	for n := len(f.steps) - 1; n >= 0; n-- {
+		if f.steps[n].after != digest {
+			continue
+		}
+		var out []Delta
+		for _, s := range f.steps[n+1:] {
+			out = append(out, s.delta)
+		}
+		return out, true
+	}
+	return nil, false
+}
+
+// Follow carries out another instance's steps, and says whether they led to the
+// list with that digest. Where they don't, the list has to be read anew.
+func (f *Fleet) Follow(steps []Delta, digest uint64) bool {
+	for _, d := range steps {
+		if _, known := f.servers[d.ID]; known || d.Server != nil {
+			f.take(d)
+		}
+	}
+	return f.digest == digest
+}
+
 // Reset replaces all entries by the newest of each server.
 func (f *Fleet) Reset(now time.Time, entries []ServerChange) bool {
 	listed := map[string]bool{}
@@ -82,8 +156,7 @@
 		}
 		return false
 	}
-	delete(f.servers, id)
-	delete(f.leaving, id)
+	f.take(Delta{ID: id, Gone: true})
 	return true
 }
 
@@ -92,18 +165,25 @@
 	changed := false
 	for id, until := range f.leaving {
 		if !now.Before(until) {
-			delete(f.servers, id)
-			delete(f.leaving, id)
+			f.take(Delta{ID: id, Gone: true})
 			changed = true
 		}
 	}
 	return changed
 }
 
+// IDs returns the servers' ids in order. The slice must not be changed.
+func (f *Fleet) IDs() []string {
+	if f.ids == nil {
+		f.ids = slices.Sorted(maps.Keys(f.servers))
+	}
+	return f.ids
+}
+
 // Servers returns the servers by id.
 func (f *Fleet) Servers() []Server {
 	out := make([]Server, 0, len(f.servers))
-	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
+	for _, id := range f.IDs() {
 		out = append(out, f.servers[id])
 	}
 	return out
--- a/topology/table.go
+++ b/topology/table.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"hash/fnv"
 	"maps"
 	"slices"
 	"strconv"
@@ -58,6 +59,18 @@
 // Equal says whether two lists are the same.
 func (l HeldList) Equal(o HeldList) bool { return slices.Equal(l, o) }
 
+// Digest identifies the list, in its order, in every process.
+func (l HeldList) Digest() uint64 {
+	h := fnv.New64a()
+	for _, x := range l {
+		for _, text := range []string{x.Server, x.Model, x.Adapter, strconv.FormatBool(x.Dropped)} {
+			_, _ = h.Write([]byte(text)) // a hash never fails
+			_, _ = h.Write([]byte{0})
+		}
+	}
+	return h.Sum64()
+}
+
 // nearFill is the part of its slots up to which a server of the own failure
 // domain goes before others. Prompts are read between other requests' tokens, so
 // a first token comes later long before the batch is full, and the way to
