What servers hold beyond their entries is told as a difference; words to the holder are spaced by the number of instances

Cause: where requests waited for a model, 86 instances sent the lease holder 1,400 words a second over a 10 Mbit/s link, each answered with the whole list; its renewals of the lease timed out at the start of traffic. Ruled out: the holder's processor (4% of its share).

--- a/instance/sync.go
+++ b/instance/sync.go
@@ -25,8 +25,11 @@
 	// load are told that late at most.
 	syncEvery = 500 * time.Millisecond
 	// syncSpacing is the least time between two of them, where requests wait for
-	// a model that no server holds.
+	// a model that no server holds; syncShare is the same for each instance that
+	// there is. With 86 instances on links of 10 Mbit/s, 60 ms brought 1,400 words
+	// a second, and the holder's own renewals timed out.
 	syncSpacing = 60 * time.Millisecond
+	syncShare   = 5 * time.Millisecond
 	// syncTimeout bounds one.
 	syncTimeout = 400 * time.Millisecond
 	// ownerEvery is the least time between two questions to the store who holds
@@ -93,7 +96,7 @@
 			s.instance.noteExpected()
 			s.instance.mu.Unlock()
 		}
-		supervise.Pause(ctx, syncSpacing)
+		supervise.Pause(ctx, max(syncSpacing, time.Duration(s.instance.instances())*syncShare))
 	}
 }
 
@@ -102,6 +105,7 @@
 	word := residency.Word{
 		Instance: i.opts.Node.Name, Domain: i.opts.Node.Domain,
 		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
+		HeldDigest: i.currentView().Held.Digest(),
 	}
 	if i.lease.Holds() {
 		summary, err := i.controller.Said(time.Now(), word)
@@ -118,8 +122,7 @@
 	client := exchange.NewExchangeProtobufClient("http://"+s.holder, s.client)
 	sent := time.Now()
 	req := syncRequest(word)
-	held := i.currentView().Held
-	req.ServersDigest, req.HeldDigest = i.servers.digest(), held.Digest()
+	req.ServersDigest = i.servers.digest()
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.failed(err)
@@ -130,9 +133,6 @@
 	if res.GetServers() != nil {
 		summary.Loads = i.servers.follow(sent, res.GetServers(), i.setServers)
 	}
-	if res.GetHeldSame() {
-		summary.Held = held
-	}
 	i.learn(summary)
 	if summary.Ordering {
 		s.ordered = time.Now()
@@ -181,7 +181,7 @@
 }
 
 func syncRequest(w residency.Word) *exchange.SyncRequest {
-	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown, ConfigVersion: w.Version}
+	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown, ConfigVersion: w.Version, HeldDigest: w.HeldDigest}
 	for target, a := range w.Asked {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
@@ -201,12 +201,26 @@
 	for _, l := range res.GetLoads() {
 		s.Loads[l.GetServer()] = int(l.GetInFlight())
 	}
-	for _, h := range res.GetHeld() {
-		s.Held = append(s.Held, topology.Held{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Dropped: h.GetDropped()})
-	}
+	s.Held, s.Lost, s.Since = heldFrom(res.GetHeld()), heldFrom(res.GetHeldLost()), res.GetHeldSince()
 	return s
 }
 
+func heldFrom(held []*exchange.Held) topology.HeldList {
+	var out []topology.Held
+	for _, h := range held {
+		out = append(out, topology.Held{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Dropped: h.GetDropped()})
+	}
+	return topology.NewHeldList(out)
+}
+
+func heldList(held topology.HeldList) []*exchange.Held {
+	var out []*exchange.Held
+	for _, h := range held {
+		out = append(out, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
+	}
+	return out
+}
+
 // exchangeServer answers other instances' words. It implements exchange.Exchange.
 type exchangeServer struct{ instance *Instance }
 
@@ -214,8 +228,9 @@
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	w := residency.Word{
 		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), StoreDown: req.GetStoreDown(), Version: req.GetConfigVersion(),
-		Asked: make(map[string]residency.Asked, len(req.GetDemand())),
-		Loads: make(map[string]int, len(req.GetLoads())),
+		HeldDigest: req.GetHeldDigest(),
+		Asked:      make(map[string]residency.Asked, len(req.GetDemand())),
+		Loads:      make(map[string]int, len(req.GetLoads())),
 	}
 	for _, d := range req.GetDemand() {
 		w.Asked[d.GetTarget()] = residency.Asked{Requests: int(d.GetRequests()), Waiting: int(d.GetWaiting()), InFlight: int(d.GetInFlight())}
@@ -241,11 +256,7 @@
 			res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
 		}
 	}
-	if res.HeldSame = summary.Held.Digest() == req.GetHeldDigest(); !res.HeldSame {
-		for _, h := range summary.Held {
-			res.Held = append(res.Held, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
-		}
-	}
+	res.Held, res.HeldLost, res.HeldSince = heldList(summary.Held), heldList(summary.Lost), summary.Since
 	return res, nil
 }
 
@@ -273,8 +284,12 @@
 		i.log.WithField("instances", s.Instances).Info("instances counted")
 		i.rebuild()
 	}
-	if !s.Held.Equal(i.view.Held) {
-		i.view.Held = s.Held
+	held := s.Held
+	if s.Since {
+		held = i.view.Held.Change(s.Lost, s.Held)
+	}
+	if !held.Equal(i.view.Held) {
+		i.view.Held = held
 		i.rebuild()
 	}
 	servers := i.view.Servers
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -16,10 +16,10 @@
 const (
 	// planEvery is the time between two plans where nothing calls for one sooner.
 	planEvery = 200 * time.Millisecond
-	// loadsEvery is how often the instances' loads are added up: they tell them
-	// twice a second, and with 86 instances that say so adding them up for each
-	// kept a small holder busy until its answers came too late.
-	loadsEvery = 100 * time.Millisecond
+	// summaryEvery is how often the instances' loads, and what servers hold, are
+	// worked out: instances tell and ask twice a second, and with 86 of them doing
+	// it for each kept a small holder busy until its answers came too late.
+	summaryEvery = 100 * time.Millisecond
 	// adapterSpacing is the least time between two adapters for one server: an
 	// adapter takes up to ten milliseconds, and a server takes four at a time.
 	adapterSpacing = 4 * time.Millisecond
@@ -59,7 +59,8 @@
 
 	loads   map[string]int // in flight by server, as of loadsAt
 	loadsAt time.Time
-	held    topology.HeldList // nil: to be listed anew, since orders were planned or answered
+	held    topology.HeldHistory
+	heldAt  time.Time // when it was last listed; zero: a plan was made since
 }
 
 // orderResult is how an order, or a question for a server's state, went.
@@ -85,6 +86,8 @@
 	Instances map[string]int    // by failure domain
 	Loads     map[string]int    // requests in flight by server
 	Held      topology.HeldList // how what servers hold differs from their entries
+	Lost      topology.HeldList // where Since: what the instance knows and isn't so any more
+	Since     bool              // Held is only what the instance doesn't know yet
 	Ordering  bool              // servers can be ordered now
 	Version   int64             // the newest version of the configuration that any instance has in force
 }
@@ -105,13 +108,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.Said(now, w)
-	if now.Sub(c.loadsAt) >= loadsEvery {
+	if now.Sub(c.loadsAt) >= summaryEvery {
 		c.loads, c.loadsAt = c.demand.Loads(), now
 	}
-	if c.planner != nil && c.held == nil {
-		c.held = c.planner.Held()
-	}
-	s := Summary{Instances: c.demand.Instances(), Loads: c.loads, Ordering: ordering, Version: c.demand.Version(), Held: c.held}
+	s := Summary{Instances: c.demand.Instances(), Loads: c.loads, Ordering: ordering, Version: c.demand.Version()}
+	s.Lost, s.Held, s.Since = c.heldSince(now, w.HeldDigest)
 	for _, a := range w.Asked {
 		if a.Waiting > 0 {
 			c.poke()
@@ -121,6 +122,25 @@
 	return s, nil
 }
 
+// heldSince returns how what servers hold differs from what an instance knows
+// of it, or all of it where the instance knows something else. A plan may have
+// begun to take a model away, and an instance that has spoken since counts as
+// told of it: after a plan it is always worked out anew. The lock is held.
+func (c *Controller) heldSince(now time.Time, digest uint64) (lost, held topology.HeldList, since bool) {
+	if now.Sub(c.heldAt) >= summaryEvery {
+		c.heldAt = now
+		var list topology.HeldList
+		if c.planner != nil {
+			list = c.planner.Held()
+		}
+		c.held.Add(list)
+	}
+	if lost, held, since = c.held.Since(digest); since {
+		return lost, held, true
+	}
+	return nil, c.held.Newest(), false
+}
+
 // storeAway says whether no instance reaches the store: each one that was known
 // at the newest renewal has just said so. Then nobody can have won the lease
 // since. It is for an outage of the store of many seconds in which demand moves:
@@ -190,7 +210,7 @@
 	fresh := c.o.Lease.Fresh()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held = nil
+	c.heldAt = time.Time{}
 	if fresh {
 		c.known = c.demand.Names()
 	}
@@ -228,7 +248,6 @@
 func (c *Controller) done(r orderResult) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held = nil
 	now := time.Now()
 	switch {
 	case c.planner == nil:
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -54,6 +54,8 @@
 	Loads     map[string]int   // requests in flight by server
 	StoreDown bool             // it doesn't reach the platform's store
 	Version   int64            // of the configuration in force there
+
+	HeldDigest uint64 // of what it knows that servers hold beyond their entries
 }
 
 // instanceDemand is what one instance last said.
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -203,9 +203,9 @@
 
 // Held returns how what servers hold differs from their entries.
 func (p *Planner) Held() topology.HeldList {
-	var out topology.HeldList
-	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
-		out = append(out, p.servers[id].beyond()...)
+	var out []topology.Held
+	for _, s := range p.servers {
+		out = append(out, s.beyond()...)
 	}
-	return out
+	return topology.NewHeldList(out)
 }
--- a/residency/server.go
+++ b/residency/server.go
@@ -173,8 +173,8 @@
 }
 
 // beyond returns how what the server is believed to hold differs from its entry.
-func (s *server) beyond() topology.HeldList {
-	var out topology.HeldList
+func (s *server) beyond() []topology.Held {
+	var out []topology.Held
 	note := func(dropped bool, model, adapter string) {
 		out = append(out, topology.Held{Server: s.ID, Dropped: dropped, Model: model, Adapter: adapter})
 	}
--- a/topology/table.go
+++ b/topology/table.go
@@ -1,7 +1,6 @@
 package topology
 
 import (
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strconv"
@@ -46,31 +45,6 @@
 	return n
 }
 
-// Held is what a server holds beyond its entry, or must not be used there for any
-// more though its entry shows it.
-type Held struct {
-	Server, Model, Adapter string // no adapter: the model with all its adapters
-	Dropped                bool   // it must not be used there any more
-}
-
-// HeldList is a list of adapters that servers hold.
-type HeldList []Held
-
-// Equal says whether two lists are the same.
-func (l HeldList) Equal(o HeldList) bool { return slices.Equal(l, o) }
-
-// Digest identifies the list, in its order, in every process.
-func (l HeldList) Digest() uint64 {
-	h := fnv.New64a()
-	for _, x := range l {
-		for _, text := range []string{x.Server, x.Model, x.Adapter, strconv.FormatBool(x.Dropped)} {
-			_, _ = h.Write([]byte(text)) // a hash never fails
-			_, _ = h.Write([]byte{0})
-		}
-	}
-	return h.Sum64()
-}
-
 // nearFill is the part of its slots up to which a server of the own failure
 // domain goes before others. Prompts are read between other requests' tokens, so
 // a first token comes later long before the batch is full, and the way to
