Replicas follow moving demand at the pace of loads: residence and memory by the load's time

Change: a model stays for as long as its load takes; past demand counts for one and a half loads, 2 to 4 s.

--- a/residency/demand.go
+++ b/residency/demand.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// demandMemory is how long a target's past demand counts. Demand moves to
-	// other models within some five seconds; a replica that goes idle is given
-	// this long before its place is another's.
-	demandMemory = 4 * time.Second
+	// leastMemory and mostMemory bound how long a target's past demand counts.
+	// Demand moves to other models within some five seconds; a replica that goes
+	// idle is given this long before its place is another's.
+	leastMemory = 2 * time.Second
+	mostMemory  = 4 * time.Second
 	// rateMemory is how long a request counts toward its target's rate.
 	rateMemory = 3 * time.Second
 	// usualHold stands in for the time that a request holds its place until it
@@ -41,6 +42,7 @@
 type Demand struct {
 	targets   map[string]*targetDemand
 	instances map[string]*instanceDemand
+	memory    time.Duration
 	hold      float64 // seconds that a request holds its place, over all targets
 	begun     time.Time
 	updated   time.Time
@@ -78,9 +80,12 @@
 
 // NewDemand returns a demand without any target.
 func NewDemand() *Demand {
-	return &Demand{targets: map[string]*targetDemand{}, instances: map[string]*instanceDemand{}, hold: usualHold}
+	return &Demand{targets: map[string]*targetDemand{}, instances: map[string]*instanceDemand{}, memory: mostMemory, hold: usualHold}
 }
 
+// SetMemory sets how long a target's past demand counts.
+func (d *Demand) SetMemory(m time.Duration) { d.memory = m }
+
 // instanceGone is how long after its last word an instance counts as gone: five
 // of its words.
 const instanceGone = 2500 * time.Millisecond
@@ -130,7 +135,7 @@
 	passed := now.Sub(d.updated).Seconds()
 	d.updated = now
 	d.learnHold(now, sums, passed)
-	keep := math.Exp(-passed / demandMemory.Seconds())
+	keep := math.Exp(-passed / d.memory.Seconds())
 	keepRate := math.Exp(-passed / rateMemory.Seconds())
 	for name, t := range d.targets {
 		sum := sums[name]
@@ -138,7 +143,7 @@
 		t.arrived *= keepRate
 		current := max(float64(sum.Waiting+sum.InFlight), t.arrived/d.window(now)*d.hold*ratePart)
 		t.level = max(current, t.level*keep+current*(1-keep))
-		if t.level < forgottenDemand && now.Sub(t.last) > demandMemory {
+		if t.level < forgottenDemand && now.Sub(t.last) > d.memory {
 			delete(d.targets, name)
 		}
 	}
--- a/residency/place.go
+++ b/residency/place.go
@@ -198,7 +198,7 @@
 	}
 	for _, name := range s.models() {
 		x := w.models[name]
-		if x == nil || x == m || s.goes(name) || w.now.Sub(s.loaded[name]) < leastResidence || !w.spare(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
+		if x == nil || x == m || s.goes(name) || w.now.Sub(s.loaded[name]) < x.LoadTime || !w.spare(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
 			continue
 		}
 		if victim == nil || w.dearness(x) < w.dearness(victim) {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -29,8 +29,6 @@
 	// silent.
 	retireLeast = 100 * time.Millisecond
 	retireMost  = 1100 * time.Millisecond
-	// leastResidence is how long a model stays that was just loaded.
-	leastResidence = 3 * time.Second
 	// maxRetiring is the part of a pool's servers that may be exchanging a model
 	// at once: meanwhile they serve less.
 	maxRetiring = 0.4
@@ -94,7 +92,10 @@
 
 // Update takes in the deployment as it is now.
 func (p *Planner) Update(now time.Time, v *topology.View) {
-	p.config = v.Config
+	if p.config != v.Config {
+		p.config = v.Config
+		p.demand.SetMemory(memoryFor(v.Config))
+	}
 	listed := map[string]bool{}
 	for _, e := range v.Servers {
 		listed[e.ID] = true
@@ -112,6 +113,23 @@
 	}
 }
 
+// memoryFor returns how long past demand counts: a replica that goes idle is worth
+// keeping for as long as loading it again would take, and a bit more.
+func memoryFor(c *topology.Config) time.Duration {
+	longest := time.Duration(0)
+	if c != nil {
+		for _, s := range c.Services {
+			if s.Engine == nil {
+				continue
+			}
+			for _, m := range s.Engine.Models {
+				longest = max(longest, m.LoadTime)
+			}
+		}
+	}
+	return min(max(longest*3/2, leastMemory), mostMemory)
+}
+
 // Plan returns the orders to send now, at most one for each server. Each has to
 // be answered by Done.
 func (p *Planner) Plan(now time.Time) []Order {
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -452,3 +453,43 @@
 		}
 	})
 }
+
+// Demand that passes on to the next model over six seconds, again and again:
+// replicas have to be where it is, not where it was.
+func TestReplicasKeepUpWithDemandThatGoesOnMoving(t *testing.T) {
+	const (
+		perReplica = 16 // requests at once of one model that a server carries well
+		moves      = 5
+		moveTime   = 6 * time.Second
+	)
+	shares := []float64{120, 60, 30, 15, 0}
+	w := newWorld(t, 9, 14, 0)
+	for m := range 14 {
+		w.place(fmt.Sprint("m", m), m%9, (m+4)%9)
+	}
+	demand := func(model int, moved float64) float64 {
+		rank := float64(model) - moved // 0: the busiest
+		if rank < -1 || rank >= float64(len(shares)-1) {
+			return 0
+		}
+		low := int(math.Floor(rank))
+		part := rank - float64(low)
+		before := 0.0
+		if low >= 0 {
+			before = shares[low]
+		}
+		return before*(1-part) + shares[low+1]*part
+	}
+	short, asked := 0.0, 0.0
+	for step := range moves * int(moveTime/(100*time.Millisecond)) {
+		moved := float64(step) * 0.1 / moveTime.Seconds()
+		for m := range 10 {
+			n := int(demand(m, moved))
+			w.ask(fmt.Sprint("m", m), n, 0)
+			asked += float64(n)
+			short += max(0, float64(n-perReplica*w.replicas(fmt.Sprint("m", m))))
+		}
+		w.step()
+	}
+	require.Less(t, short/asked, 0.23, "the part of the requests beyond what replicas carry well")
+}
