Loads from the weight store under way are bounded by its rate and a load's time

Cause: a constant of five served two deployments whose store carries 3 and 7 at once; larger ones carry 12 and 17.

--- a/residency/place.go
+++ b/residency/place.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		onDisk := slices.Contains(s.OnDisk, m.Name)
-		if !onDisk && (w.budget.tokens < 1 || w.loading >= maxLoading) {
+		if !onDisk && (w.budget.tokens < 1 || w.loading >= w.mostLoading(m)) {
 			continue
 		}
 		victim, fits := w.victim(s, m)
@@ -142,6 +142,13 @@
 	return w.order(best, m, bestVictim), true
 }
 
+// mostLoading bounds the loads from the weight store under way over all servers.
+// Each one beyond what the store's rate and a load's time make together slows
+// them all; one more keeps the store busy between two plans.
+func (w *pool) mostLoading(m *model) int {
+	return int(math.Ceil(w.engine.LoadsPerSecond*m.LoadTime.Seconds())) + 1
+}
+
 const (
 	// storeCost, for each second that a load from the weight store takes, and
 	// unloadCost, for an unload before a load, are weighed against a server's fill
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -43,8 +43,11 @@
 	// copyLevel is the demand, in requests at once, for which an adapter gets
 	// one more copy where places are free.
 	copyLevel = 1.0
-	// loadBurst is how many loads from the weight store may begin at once.
+	// loadBurst is how many loads from the weight store may begin at once, and
+	// burstTime the time whose loads may come on top where the rate is high: the
+	// platform allows three, and a tenth of five seconds' worth.
 	loadBurst = 3.0
+	burstTime = 400 * time.Millisecond
 	// loadPart is the part of the weight store's rate that is used: the platform
 	// judges loads when they begin, which may be later than ordered.
 	loadPart = 0.9
@@ -53,9 +56,6 @@
 	maxQuestions = 32
 	// askAgain is when a server that didn't say its state is asked again.
 	askAgain = time.Second
-	// maxLoading bounds the loads from the weight store under way over all
-	// servers, since each more beyond its concurrency slows them all.
-	maxLoading = 5
 )
 
 // Planner decides about orders. It does no I/O, and its answer is a function of
@@ -79,7 +79,7 @@
 // fill gives the budget its due at a rate of loads a second.
 func (b *loadBudget) fill(now time.Time, rate float64) {
 	if !b.filled.IsZero() {
-		b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*rate*loadPart, loadBurst)
+		b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*rate*loadPart, loadBurst+rate*burstTime.Seconds())
 	}
 	b.filled = now
 }
