--- a/decide/filter.go
+++ b/decide/filter.go
@@ -21,7 +21,7 @@
 // usable are the filters that hold whatever the load is; fitting are those that
 // a request can wait for.
 var (
-	usable  = []filter{liveFilter{}, residentFilter{}, avoidFilter{}}
+	usable  = []filter{liveFilter{}, reachFilter{}, residentFilter{}, avoidFilter{}}
 	fitting = []filter{roomFilter{}, apartFilter{}, deadlineFilter{}}
 )
 
@@ -43,10 +43,22 @@
 	return c.server.listed && !c.server.Leaving && !now.Before(c.server.retryAt)
 }
 
-// residentFilter drops replicas that lately said they don't have the target.
+// reachFilter drops servers of a failure domain that seems cut off, while any
+// others are there.
+type reachFilter struct{}
+
+func (reachFilter) keep(s *Scheduler, now time.Time, _ *flight, c *candidate) bool {
+	return s.reachCut || !now.Before(c.server.domain.cutTo)
+}
+
+// residentFilter drops replicas that lately said they don't have the target, and
+// those of servers that lost all that they held.
 type residentFilter struct{}
 
-func (residentFilter) keep(_ *Scheduler, now time.Time, _ *flight, c *candidate) bool {
+func (residentFilter) keep(_ *Scheduler, now time.Time, f *flight, c *candidate) bool {
+	if f.target.Model != "" && c.server.empty(now) {
+		return false
+	}
 	return !now.Before(c.replica.unreadyTo)
 }
 
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -28,7 +28,13 @@
 	errors   average // part of its answers that were its own failures
 	speed    average // its time for a piece of work against what the target usually takes
 	failures int     // in a row
+	refusals int     // in a row
+	lacks    int     // targets that it said it lacks, in a row
 	retryAt  time.Time
+
+	domain     *domainState
+	emptyStart string    // the start that lost what it held
+	emptyTo    time.Time // until then it is taken to hold nothing
 }
 
 // poolState is what an instance knows of a pool.
@@ -82,6 +88,7 @@
 	pools    map[string]*poolState
 	partners map[string]*partnerState
 	everyone []*partnerState // the partners, by index
+	domains  map[string]*domainState
 }
 
 func newFleet() fleet {
@@ -90,6 +97,7 @@
 		targets:  map[string]*targetState{},
 		pools:    map[string]*poolState{},
 		partners: map[string]*partnerState{},
+		domains:  map[string]*domainState{},
 	}
 }
 
@@ -127,7 +135,7 @@
 		}
 		s.Server, s.listed, s.noQueue = srv, true, t.NoServerQueue
 		s.Slots = max(s.Slots, 1)
-		s.pool = f.pool(srv.Pool)
+		s.pool, s.domain = f.pool(srv.Pool), f.domain(srv.FailureDomain)
 		s.setPart(t.Entries[srv.FailureDomain])
 		listed[i] = s
 	}
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -32,8 +32,18 @@
 // choose returns where the request goes now: to a free slot of the own failure
 // domain, of another, or to the short queue of a server. Where it returns nil,
 // waitable says whether waiting may help: some replica could be used but for its
-// load.
+// load. Servers of a failure domain that seems cut off come last of all.
 func (s *Scheduler) choose(now time.Time, f *flight) (c *candidate, waitable bool) {
+	s.reachCut = false
+	if c, waitable = s.chooseByFill(now, f); c != nil || waitable {
+		return c, waitable
+	}
+	s.reachCut = true
+	return s.chooseByFill(now, f)
+}
+
+// chooseByFill tries one fill after the other.
+func (s *Scheduler) chooseByFill(now time.Time, f *flight) (c *candidate, waitable bool) {
 	t := f.target
 	s.hinted = nil
 	if f.Prefix != 0 {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -32,9 +32,6 @@
 	// second under that in which one restarts.
 	failureBackoff    = 250 * time.Millisecond
 	failureBackoffMax = 10 * time.Second
-	// overloadedPause is how long a server that refused for lack of room is left
-	// alone: about one slot's turn.
-	overloadedPause = 100 * time.Millisecond
 	// leavingPause covers the time until the table knows that a server leaves.
 	leavingPause = 30 * time.Second
 	// unready and unreadyMax bound how long a replica is passed over that said
@@ -100,15 +97,25 @@
 
 // blame notes what a failure says about the server and the replica.
 func (s *Scheduler) blame(now time.Time, t *targetState, srv *serverState, f Failure) {
+	gone, cut := notReached(f)
+	switch {
+	case gone:
+		srv.gone(now)
+	case cut:
+		srv.domain.unreachable(now, srv.ID)
+	}
 	switch f.Reason {
 	case infra.ReasonNotResident:
 		if r := t.replica(srv); r != nil {
 			r.unreadyTo = now.Add(backoff(unready, unreadyMax, r.bounces))
 			r.bounces++
 		}
+		if t.Adapter == "" {
+			srv.lacked(now)
+		}
 	case infra.ReasonOverloaded:
 		srv.window = max(srv.part, float64(srv.own)*windowShrink)
-		srv.retryAt = now.Add(overloadedPause)
+		srv.refusedAgain(now)
 	case infra.ReasonLeaving:
 		srv.retryAt = now.Add(leavingPause)
 	case infra.ReasonFailed:
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -30,6 +30,7 @@
 	candidates []candidate
 	sorted     []*flight
 	hinted     *serverState // of the decision under way: the server that probably has the prefix
+	reachCut   bool         // servers of domains that seem cut off may be chosen
 	fill       fill         // of the decision under way: how full a server may be
 	meanLoad   float64      // of the decision under way: the candidates' mean load
 }
@@ -120,7 +121,8 @@
 	}
 	if o.Complete && f.at != nil && f.at.ID == server {
 		f.target.learn(now, f, o)
-		f.at.failures = 0
+		f.at.served()
+		f.at.domain.answered()
 		f.at.errors.add(0)
 		f.at.pool.budget.succeeded()
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -16,8 +16,9 @@
 	Addr          string // IP:port
 	Pool          string // a pool's or a plain service's name
 	FailureDomain string
-	Slots         int  // requests that it batches at most; for a plain service its concurrency
-	Leaving       bool // gets no new work
+	Slots         int    // requests that it batches at most; for a plain service its concurrency
+	Leaving       bool   // gets no new work
+	Start         string // tells a server that started again from the one before; may be empty
 }
 
 // Replica is a place where a target can be served.
