--- a/decide/filter.go
+++ b/decide/filter.go
@@ -106,5 +106,6 @@
 	if s.fill == queueing {
 		need = f.safe + c.wait(f)
 	}
-	return need*max(c.server.slowness(), 1) <= f.left(now)
+	left := f.left(now)
+	return left > 0 && need*max(c.server.slowness(), 1) <= left
 }
--- a/decide/policy_test.go
+++ b/decide/policy_test.go
@@ -89,3 +89,16 @@
 		})
 	}
 }
+
+// A slot frees after a waiting request's time is up, and before the tick that
+// refuses it. How long the target takes isn't known yet.
+func TestARequestWhoseTimeIsUpIsNotDispatchedWhenASlotFrees(t *testing.T) {
+	s := testScheduler(testTable(1, 1, 1, "am"))
+	require.Equal(t, ActionDispatch, s.Arrive(simStart, ask("first", "am", time.Minute))[0].Action)
+	for n := 0; s.Queued() == 0; n++ { // the server's own short queue fills first
+		s.Arrive(simStart, ask(fmt.Sprint("late", n), "am", time.Second))
+	}
+	for _, d := range s.Left(simStart.Add(time.Second), "first") {
+		require.NotEqual(t, ActionDispatch, d.Action, "%s", d.Request)
+	}
+}
--- /dev/null
+++ b/decide/suspect_test.go
@@ -0,0 +1,94 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/infra"
+)
+
+// refuse has a server answer that it is full.
+func refuse(s *Scheduler, now time.Time, id, server string) []Decision {
+	return s.Failed(now, id, server, Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone})
+}
+
+// One of four servers refuses whatever reaches it, and so is always the emptiest.
+// Requests may be sent to one server only.
+func TestAServerThatRefusesAllIsLeftAlone(t *testing.T) {
+	s := testScheduler(testTable(4, 100, 1, "am"))
+	lost := 0
+	for i := range 200 { // 20 a second
+		now := simStart.Add(time.Duration(i) * 50 * time.Millisecond)
+		r := ask(fmt.Sprint(i), "am", time.Hour)
+		r.MaxAttempts = 1
+		d := s.Arrive(now, r)[0]
+		if d.Server.ID == "s0" {
+			lost++
+			refuse(s, now, r.ID, "s0")
+			continue
+		}
+		answered(s, now, r.ID, d.Server.ID)
+	}
+	require.Less(t, lost, 20, "a constant pause of 0.1 s costs 43")
+}
+
+// A server crashed and is back empty, while the table still has its models there.
+func TestAServerThatRefusedAConnectionHoldsNothingUntilItsEntryShowsItsStart(t *testing.T) {
+	table := testTable(2, 100, 1, "am")
+	s := testScheduler(table)
+	now := simStart
+	sentTo := func(id string) string {
+		d := s.Arrive(now, ask(id, "am", time.Hour))[0]
+		answered(s, now, id, d.Server.ID)
+		return d.Server.ID
+	}
+	for n := 0; ; n++ {
+		id := fmt.Sprint("lost", n)
+		d := s.Arrive(now, ask(id, "am", time.Hour))[0]
+		if d.Server.ID == "s0" {
+			s.Failed(now, id, "s0", Failure{Reason: infra.ReasonUnreachable, Effect: infra.EffectNone, Unsent: true})
+			s.Left(now, id)
+			break
+		}
+		answered(s, now, id, d.Server.ID)
+	}
+	now = now.Add(failureBackoff + time.Millisecond) // it may be tried again
+	for n := range 20 {
+		require.Equal(t, "s1", sentTo(fmt.Sprint("empty", n)))
+	}
+	again := *table
+	again.Servers = append([]Server(nil), table.Servers...)
+	again.Servers[0].Start = "later"
+	s.SetTable(now, &again)
+	seen := map[string]bool{}
+	for n := range 20 {
+		seen[sentTo(fmt.Sprint("back", n))] = true
+	}
+	require.True(t, seen["s0"], "its new start is listed with what it holds")
+}
+
+// The way to a failure domain is cut: each connection there is given up on after
+// a second that its caller doesn't have.
+func TestADomainThatSeemsCutOffComesLast(t *testing.T) {
+	table := testTable(12, 100, 1, "am")
+	for i := range 6 {
+		table.Servers[i].FailureDomain = "d1"
+	}
+	table.OwnDomain = "d2" // all of them are as far
+	s := testScheduler(table)
+	cut := 0
+	for i := range 100 { // 50 a second
+		now := simStart.Add(time.Duration(i) * 20 * time.Millisecond)
+		id := fmt.Sprint(i)
+		d := s.Arrive(now, ask(id, "am", time.Hour))
+		for d[0].Server.FailureDomain == "d1" {
+			cut++
+			d = s.Failed(now, id, d[0].Server.ID, Failure{Reason: infra.ReasonTimeout, Effect: infra.EffectNone, Unsent: true})
+		}
+		answered(s, now, id, d[0].Server.ID)
+	}
+	require.Less(t, cut, 10, "each server by itself costs 19")
+}
