--- a/decide/load.go
+++ b/decide/load.go
@@ -82,6 +82,14 @@
 	return float64(s.own) + w*others + (1-w)*s.others
 }
 
+// loadAge returns how old the newest report is, 0 where there is none.
+func (s *serverState) loadAge(now time.Time) time.Duration {
+	if s.reportedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.reportedAt)
+}
+
 // trust is the weight of a report of an age, from 1 down to 0.
 func trust(age time.Duration) float64 {
 	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -255,6 +255,7 @@
 			Queued:     f.target.queue.len(),
 			Service:    seconds(f.need),
 			Score:      c.score,
+			LoadAge:    srv.loadAge(now),
 		},
 	})
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -130,6 +130,7 @@
 	Wait       time.Duration // expected wait for a slot
 	Service    time.Duration // expected time of service
 	Score      float64
+	LoadAge    time.Duration // of what was known of other instances' requests at the server; 0: nothing was
 }
 
 // Failure says how an attempt failed.
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -61,7 +61,9 @@
 	var at topology.Position
 	failures := 0 // in a row
 	for fresh := true; ctx.Err() == nil; {
+		began := time.Now()
 		c, next, err := i.readConfig(ctx, at, fresh)
+		i.metrics.storeCall("config", began)
 		if err != nil {
 			fresh = fresh || outOfRange(err)
 			if errors.Is(err, context.Canceled) {
@@ -114,7 +116,9 @@
 			supervise.Pause(ctx, fedPoll)
 			continue
 		}
+		began := time.Now()
 		r, err := i.readServers(ctx)
+		i.metrics.storeCall("servers", began)
 		now := time.Now()
 		if err != nil {
 			if outOfRange(err) {
@@ -203,6 +207,17 @@
 	}
 }
 
+// configReadAge returns for how long the read of configurations is under way, in
+// milliseconds, -1 if none is.
+func (i *Instance) configReadAge() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.configRead == nil {
+		return -1
+	}
+	return ageMs(i.configReadAt)
+}
+
 func (i *Instance) noteProblems(changes []topology.ServerChange) {
 	for _, c := range changes {
 		if c.Problem != nil {
--- a/instance/front.go
+++ b/instance/front.go
@@ -139,7 +139,7 @@
 
 func (f *front) metricsMux() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", f.instance.metrics.serve)
+	mux.Handle("/metrics", f.instance.metrics.handler())
 	return mux
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -47,6 +47,7 @@
 	mu           sync.Mutex
 	view         topology.View // its parts are replaced, never changed
 	storeDown    bool
+	storeAt      time.Time          // when the store last answered
 	orderedAt    time.Time          // when a lease holder last said that it may order
 	configRead   context.CancelFunc // ends the read of configurations under way; nil: none is
 	configReadAt time.Time          // when it began
@@ -72,8 +73,9 @@
 		i.view.Nodes[domain] = assumedInstances
 	}
 	i.lease = residency.NewLease(o.Group, memberName(o.Node, time.Now()), o.Node.LeaseTTL, o.Clock, o.Log)
+	i.believe()
 	i.controller = residency.NewController(residency.Options{
-		Holder: o.Node.Name, Lease: i.lease, Orderer: o.Orderer, View: i.currentView, Counter: m.count, Log: o.Log,
+		Holder: o.Node.Name, Lease: i.lease, Orderer: o.Orderer, View: i.currentView, Counted: m.ordered, Log: o.Log,
 	})
 	return i
 }
@@ -167,14 +169,14 @@
 func (i *Instance) setServers(servers []topology.Server) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.logServers(servers)
+	i.logServers(servers, time.Now())
 	i.view.Servers = servers
 	i.rebuild()
 }
 
 // logServers writes a line for each server that came, went or began to leave.
 // The lock is held.
-func (i *Instance) logServers(servers []topology.Server) {
+func (i *Instance) logServers(servers []topology.Server, now time.Time) {
 	old := make(map[string]*topology.Server, len(i.view.Servers))
 	for n := range i.view.Servers {
 		old[i.view.Servers[n].ID] = &i.view.Servers[n]
@@ -188,10 +190,11 @@
 		}
 		i.log.WithFields(logrus.Fields{
 			"server": s.ID, "service": s.Service, "addr": s.Addr, "domain": s.Domain, "leaving": s.Leaving, "models": len(s.Models),
+			"started_ms": now.Sub(s.Born).Milliseconds(),
 		}).Info("server listed")
 	}
-	for id := range old {
-		i.log.WithField("server", id).Info("server gone")
+	for id, was := range old {
+		i.log.WithFields(logrus.Fields{"server": id, "started_ms": now.Sub(was.Born).Milliseconds()}).Info("server gone")
 	}
 }
 
@@ -239,12 +242,12 @@
 
 // storeFailed notes that the store did not answer a read.
 func (i *Instance) storeFailed(read string, err error) {
-	i.metrics.storeFailures.Add(1)
+	i.metrics.storeFailures.Inc()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.storeDown {
 		i.storeDown = true
-		i.log.WithFields(logrus.Fields{"read": read, "error": err}).Warn("store lost")
+		i.log.WithFields(logrus.Fields{"read": read, "last_answer_ms": ageMs(i.storeAt), "error": err}).Warn("store lost")
 	}
 }
 
@@ -253,8 +256,17 @@
 	defer i.mu.Unlock()
 	if i.storeDown {
 		i.storeDown = false
-		i.log.Info("store regained")
+		i.log.WithField("last_answer_ms", ageMs(i.storeAt)).Info("store regained")
 	}
+	i.storeAt = time.Now()
+}
+
+// ageMs returns how long ago something was, in milliseconds, -1 if it never was.
+func ageMs(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
 }
 
 // configVersion returns the version of the configuration in force, 0 before the first.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -1,118 +1,120 @@
 package instance
 
 import (
-	"fmt"
 	"net/http"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // latencyBounds are the upper bounds of the latency histograms' buckets, in
-// seconds: dense around the goals of some hundred milliseconds.
+// seconds: dense around the goals of some hundred milliseconds. They are the same
+// on all instances, so that their buckets can be added up.
 var latencyBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 15}
 
+// namespace begins the names of all metrics.
+const namespace = "greengageferry"
+
 // metrics counts what happens, for the operators. It implements relay.Metrics.
+// Labels are bounded: outcomes, actions, reasons and calls are constants.
 type metrics struct {
-	mu        sync.Mutex
-	counts    map[metricKey]int64
-	took      histogram
-	firstByte histogram
-
-	storeFailures atomic.Int64
-}
-
-// metricKey is one counter: a metric with its labels' text.
-type metricKey struct{ name, labels string }
-
-type histogram struct {
-	buckets []int64 // one more than the bounds
-	sum     float64
+	registry *prometheus.Registry
+
+	requests      *prometheus.CounterVec // by outcome
+	decisions     *prometheus.CounterVec // by action and reason
+	orders        *prometheus.CounterVec // by result
+	storeFailures prometheus.Counter
+	took          prometheus.Histogram
+	firstByte     prometheus.Histogram
+	wait          prometheus.Histogram
+	eventGap      prometheus.Histogram
+	storeCalls    *prometheus.HistogramVec // by what is read
 }
 
 func newMetrics() *metrics {
-	h := func() histogram { return histogram{buckets: make([]int64, len(latencyBounds)+1)} }
-	return &metrics{counts: map[metricKey]int64{}, took: h(), firstByte: h()}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBounds})
+	}
+	m := &metrics{
+		registry:  prometheus.NewRegistry(),
+		requests:  counters("requests_total", "Requests by the class of their end.", "outcome"),
+		decisions: counters("decisions_total", "Decisions about requests.", "action", "reason"),
+		orders:    counters("orders_total", "Orders to servers.", "result"),
+		storeFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_failures_total", Help: "Reads of the platform's store that failed.",
+		}),
+		took:      histogram("request_seconds", "From a request's arrival to its end."),
+		firstByte: histogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
+		wait:      histogram("wait_seconds", "From a request's arrival to its first attempt."),
+		eventGap:  histogram("event_gap_seconds", "The longest pause of a stream."),
+		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "store_call_seconds", Help: "Reads of the platform's store, their waiting included.", Buckets: latencyBounds,
+		}, []string{"read"}),
+	}
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.storeFailures, m.took, m.firstByte, m.wait, m.eventGap, m.storeCalls)
+	return m
 }
 
-func (h *histogram) add(d time.Duration) {
-	s := d.Seconds()
-	at, _ := slices.BinarySearch(latencyBounds, s)
-	h.buckets[at]++
-	h.sum += s
+// gauge registers a gauge of what the instance believes.
+func (m *metrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
 }
 
 // Ended implements relay.Metrics.
 func (m *metrics) Ended(outcome string, took time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.counts[metricKey{"requests_total", `{outcome="` + outcome + `"}`}]++
-	m.took.add(took)
+	m.requests.WithLabelValues(outcome).Inc()
+	m.took.Observe(took.Seconds())
 }
 
 // FirstByte implements relay.Metrics.
-func (m *metrics) FirstByte(took time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.firstByte.add(took)
-}
+func (m *metrics) FirstByte(took time.Duration) { m.firstByte.Observe(took.Seconds()) }
+
+// Waited implements relay.Metrics.
+func (m *metrics) Waited(took time.Duration) { m.wait.Observe(took.Seconds()) }
+
+// Gap implements relay.Metrics.
+func (m *metrics) Gap(longest time.Duration) { m.eventGap.Observe(longest.Seconds()) }
 
 // Decided implements relay.Metrics.
-func (m *metrics) Decided(action, reason string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.counts[metricKey{"decisions_total", `{action="` + action + `",reason="` + reason + `"}`}]++
-}
+func (m *metrics) Decided(action, reason string) { m.decisions.WithLabelValues(action, reason).Inc() }
 
-// count adds to a counter without labels.
-func (m *metrics) count(name string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.counts[metricKey{name, ""}]++
+// ordered counts an order to a server.
+func (m *metrics) ordered(result string) { m.orders.WithLabelValues(result).Inc() }
+
+// storeCall observes a read of the store.
+func (m *metrics) storeCall(read string, began time.Time) {
+	m.storeCalls.WithLabelValues(read).Observe(time.Since(began).Seconds())
 }
 
-// prefix begins the names of all metrics.
-const prefix = "greengageferry_"
-
-// serve writes the metrics in the Prometheus text format.
-func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	keys := make([]metricKey, 0, len(m.counts))
-	for k := range m.counts {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b metricKey) int { return compareKeys(a, b) })
-	for _, k := range keys {
-		fmt.Fprintf(w, "%s%s%s %d\n", prefix, k.name, k.labels, m.counts[k])
-	}
-	fmt.Fprintf(w, "%sstore_failures_total %d\n", prefix, m.storeFailures.Load())
-	m.took.write(w, "request_seconds")
-	m.firstByte.write(w, "first_byte_seconds")
+// handler serves the metrics in the Prometheus text format.
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func compareKeys(a, b metricKey) int {
-	if a.name != b.name {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	}
-	if a.labels < b.labels {
-		return -1
-	}
-	return 1
+// believe registers the gauges of what the instance believes, and how old it is.
+func (i *Instance) believe() {
+	g := i.metrics.gauge
+	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
+	g("servers", "Servers listed.", func() float64 { return float64(len(i.currentView().Servers)) })
+	g("servers_age_seconds", "Since the store last answered for the list of servers, to this instance or the lease holder; -1: never.", i.servers.ageSeconds)
+	g("store_answer_age_seconds", "Since the store last answered this instance; -1: never.", func() float64 {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return float64(ageMs(i.storeAt)) / 1000
+	})
+	g("store_down", "1 while the store doesn't answer this instance.", func() float64 { return oneIf(i.storeIsDown()) })
+	g("lease_held", "1 while this instance holds the lease.", func() float64 { return oneIf(i.lease.Holds()) })
+	g("instances", "Live instances.", func() float64 { return float64(i.instances()) })
+	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.InHand()) })
 }
 
-func (h *histogram) write(w http.ResponseWriter, name string) {
-	var sum int64
-	for n, bound := range latencyBounds {
-		sum += h.buckets[n]
-		fmt.Fprintf(w, "%s%s_bucket{le=\"%g\"} %d\n", prefix, name, bound, sum)
+func oneIf(b bool) float64 {
+	if b {
+		return 1
 	}
-	sum += h.buckets[len(latencyBounds)]
-	fmt.Fprintf(w, "%s%s_bucket{le=\"+Inf\"} %d\n", prefix, name, sum)
-	fmt.Fprintf(w, "%s%s_sum %g\n%s%s_count %d\n", prefix, name, h.sum, prefix, name, sum)
+	return 0
 }
--- /dev/null
+++ b/instance/metrics_test.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMetricsAreServedAsTextWithBucketsThatAddUp(t *testing.T) {
+	m := newMetrics()
+	m.Ended("done", 30*time.Millisecond)
+	m.Decided("dispatch", "best_score")
+	m.FirstByte(20 * time.Millisecond)
+	m.Waited(time.Millisecond)
+	m.Gap(time.Minute)
+	m.ordered("accepted")
+	m.storeCall("servers", time.Now())
+	m.gauge("config_version", "help", func() float64 { return 7 })
+	w := httptest.NewRecorder()
+	m.handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	body, err := io.ReadAll(w.Body)
+	require.NoError(t, err)
+	for _, line := range []string{
+		`greengageferry_requests_total{outcome="done"} 1`,
+		`greengageferry_decisions_total{action="dispatch",reason="best_score"} 1`,
+		`greengageferry_orders_total{result="accepted"} 1`,
+		`greengageferry_request_seconds_bucket{le="0.025"} 0`,
+		`greengageferry_request_seconds_bucket{le="0.05"} 1`,
+		`greengageferry_event_gap_seconds_bucket{le="15"} 0`,
+		`greengageferry_event_gap_seconds_bucket{le="+Inf"} 1`,
+		`greengageferry_store_call_seconds_count{read="servers"} 1`,
+		`greengageferry_config_version 7`,
+	} {
+		require.Contains(t, string(body), line+"\n")
+	}
+}
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -45,6 +45,13 @@
 	l.fedUntil = time.Time{}
 }
 
+// ageSeconds returns how old the list is, -1 before the first.
+func (l *serverList) ageSeconds() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(ageMs(l.freshAt)) / 1000
+}
+
 // position returns where in the store the next read goes on.
 func (l *serverList) position() topology.Position {
 	l.mu.Lock()
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -68,12 +68,13 @@
 // syncer tells the lease holder what this instance is asked for, and takes in
 // what the holder knows of all.
 type syncer struct {
-	instance *Instance
-	client   *http.Client
-	holder   string    // the holder's address; empty: not known
-	askedAt  time.Time // when the store was last asked who it is
-	ordered  time.Time // when a holder last said that it may order
-	silent   int       // words in a row that the holder didn't answer
+	instance   *Instance
+	client     *http.Client
+	holder     string    // the holder's address; empty: not known
+	askedAt    time.Time // when the store was last asked who it is
+	ordered    time.Time // when a holder last said that it may order
+	answeredAt time.Time // when the holder last answered
+	silent     int       // words in a row that the holder didn't answer
 }
 
 func newSyncer(i *Instance) *syncer {
@@ -137,7 +138,7 @@
 		s.failed(err)
 		return
 	}
-	s.silent = 0
+	s.silent, s.answeredAt = 0, time.Now()
 	summary := summaryOf(res)
 	if res.GetServers() != nil {
 		summary.Loads = i.servers.follow(sent, res.GetServers(), i.setServers)
@@ -160,7 +161,9 @@
 	if s.silent < mostSilent && !(errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition) {
 		return
 	}
-	s.instance.log.WithFields(logrus.Fields{"holder": s.holder, "error": err}).Warn("lease holder lost")
+	s.instance.log.WithFields(logrus.Fields{
+		"holder": s.holder, "last_answer_ms": ageMs(s.answeredAt), "error": err,
+	}).Warn("lease holder lost")
 	s.holder, s.silent = "", 0
 }
 
@@ -281,7 +284,7 @@
 // learn takes in what the lease holder knows of all instances.
 func (i *Instance) learn(s residency.Summary) {
 	if version := i.configVersion(); version != 0 && s.Version > version {
-		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version}).Warn("configuration behind other instances")
+		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version, "read_ms": i.configReadAge()}).Warn("configuration behind other instances")
 		i.restartConfigRead(behindAge)
 	}
 	i.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,6 +40,10 @@
 func (c *call) attempt(ctx context.Context, d decide.Decision) string {
 	c.attempts++
 	sent := time.Now()
+	if !c.sent {
+		c.sent = true
+		c.relay.opts.Metrics.Waited(sent.Sub(c.arrived))
+	}
 	watch := stall.Watch(ctx, max(silentLeast, time.Duration(silentPart*float64(c.deadline.Sub(sent)))), c.mayMove(d))
 	defer watch.Stop()
 	ctx = watch.Context()
@@ -178,7 +182,7 @@
 	}
 	c.relay.desk.ended(c, c.completed(sent, res.StatusCode))
 	c.writeKept(k)
-	c.log("answered", res.StatusCode)
+	c.log(reasonAnswered, res.StatusCode)
 	return outcomeDone
 }
 
@@ -211,7 +215,7 @@
 		c.abort("broken_off")
 	}
 	c.relay.desk.ended(c, c.completed(sent, res.StatusCode))
-	c.log("answered", res.StatusCode)
+	c.log(reasonAnswered, res.StatusCode)
 	return outcomeDone
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -69,6 +69,7 @@
 	at        string // the server that its attempt is at; the desk's lock guards it
 
 	attempts  int
+	sent      bool       // an attempt was begun
 	ran       bool       // an attempt may have run
 	failed    *kept      // the newest whole failure that a server answered
 	stream    streamSent // what of a stream the caller has
@@ -168,7 +169,7 @@
 // timeUp ends a call whose time is up, or whose caller has gone.
 func (c *call) timeUp(ctx context.Context) string {
 	if c.req.Context().Err() != nil {
-		c.log("caller_left", 0)
+		c.log(reasonLeft, 0)
 		return outcomeCallerLeft
 	}
 	if c.stream.begun {
@@ -239,6 +240,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// The reasons of ends that are no failure.
+const (
+	reasonAnswered = "answered" // the server's whole answer went out
+	reasonLeft     = "caller_left"
+)
+
+// wentWell says whether an end is no failure: its line explains nothing, and may
+// be left out first where lines have to be.
+func wentWell(reason string) bool { return reason == reasonAnswered || reason == reasonLeft }
+
 // log writes the one line for the request's end.
 func (c *call) log(reason string, status int) {
 	f := logrus.Fields{
@@ -258,11 +269,16 @@
 		f["events"] = c.stream.events
 		f["last_event"] = c.stream.last
 		f["max_gap_ms"] = c.stream.maxGap.Milliseconds()
+		c.relay.opts.Metrics.Gap(c.stream.maxGap)
 	}
 	if !c.firstByte.IsZero() {
 		f["first_byte_ms"] = c.firstByte.Sub(c.arrived).Milliseconds()
 	}
-	c.relay.opts.Log.WithFields(f).Info("request ended")
+	level := logrus.WarnLevel
+	if wentWell(reason) {
+		level = logrus.InfoLevel
+	}
+	c.relay.opts.Log.WithFields(f).Log(level, "request ended")
 }
 
 // readBody reads the caller's whole body, since an attempt that failed may have
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -214,10 +214,15 @@
 	case decide.ActionDispatch:
 		f["server"] = dec.Server.ID
 		f["score"] = strconv.FormatFloat(dec.Inputs.Score, 'g', 3, 64)
+		f["load_age_ms"] = dec.Inputs.LoadAge.Milliseconds()
 	case decide.ActionQueue:
 		f["wait_ms"] = dec.Inputs.Wait.Milliseconds()
 	case decide.ActionRefuse:
 		f["retry_after_ms"] = dec.RetryAfter.Milliseconds()
 	}
-	d.log.WithFields(f).Info("request decision")
+	level := logrus.InfoLevel
+	if dec.Action == decide.ActionRefuse {
+		level = logrus.WarnLevel
+	}
+	d.log.WithFields(f).Log(level, "request decision")
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,6 +76,10 @@
 	Ended(outcome string, took time.Duration)
 	// FirstByte observes the time from a request's arrival to its answer's first byte.
 	FirstByte(took time.Duration)
+	// Waited observes the time from a request's arrival to its first attempt.
+	Waited(took time.Duration)
+	// Gap observes the longest pause of a stream.
+	Gap(longest time.Duration)
 	// Decided counts a decision.
 	Decided(action, reason string)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -62,6 +62,8 @@
 func (testMetrics) Ended(string, time.Duration) {}
 func (testMetrics) FirstByte(time.Duration)     {}
 func (testMetrics) Decided(string, string)      {}
+func (testMetrics) Waited(time.Duration)        {}
+func (testMetrics) Gap(time.Duration)           {}
 
 // backendServer answers by its script and counts what reached it.
 type backendServer struct {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -76,7 +76,7 @@
 		o.FirstToken = first.Sub(sent)
 	}
 	c.relay.desk.ended(c, o)
-	c.log("answered", res.StatusCode)
+	c.log(reasonAnswered, res.StatusCode)
 	return outcomeDone
 }
 
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -40,7 +40,7 @@
 	Lease   *Lease
 	Orderer Orderer
 	View    func() topology.View
-	Counter func(name string) // counts an event
+	Counted func(result string) // counts an order: accepted or failed
 	Log     logrus.FieldLogger
 }
 
@@ -312,11 +312,11 @@
 	}
 	if err != nil {
 		f["error"] = err
-		c.o.Counter("orders_failed_total")
+		c.o.Counted("failed")
 		c.o.Log.WithFields(f).Warn("order failed")
 		return
 	}
 	f["already_so"] = r == AlreadySo
-	c.o.Counter("orders_accepted_total")
+	c.o.Counted("accepted")
 	c.o.Log.WithFields(f).Info("order accepted")
 }
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -108,7 +108,7 @@
 	defer l.mu.Unlock()
 	if !l.failing {
 		l.failing = true
-		l.log.WithField("error", err).Warn("lease renewals fail")
+		l.log.WithFields(logrus.Fields{"renewed_ms": (l.clock() - l.renewed).Milliseconds(), "holds": l.epoch != 0, "error": err}).Warn("lease renewals fail")
 	}
 }
 
@@ -140,7 +140,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.epoch != 0 {
-		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "reason": why}).Info("lease lost")
+		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "reason": why, "held_ms": (l.clock() - l.won).Milliseconds()}).Info("lease lost")
 		l.epoch = 0
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,11 +27,14 @@
 
 	binary, settings, log string
 
+	output *os.File // where the program writes its log; nil: to the file
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd     // nil: it doesn't run
 	ended   chan struct{} // closed once it has
 	boots   int           // how often it was started
 	wanted  bool          // false: it was told to end, or killed
+	killed  bool          // its grace period was over before it had ended
 	ownEnds []string      // each time that it ended by itself
 }
 
@@ -98,12 +101,14 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	defer log.Close() // the process has its own
 	cmd := exec.Command(p.binary, "instance")
 	cmd.Env = append(os.Environ(), standin.SettingsEnv(p.settings))
 	cmd.Stdout, cmd.Stderr = log, log
-	err = cmd.Start()
-	_ = log.Close() // the process has its own
-	if err != nil {
+	if p.output != nil {
+		cmd.Stdout = p.output
+	}
+	if err := cmd.Start(); err != nil {
 		return errors.WithStack(err)
 	}
 	p.cmd, p.wanted, p.ended = cmd, true, make(chan struct{})
@@ -150,6 +155,9 @@
 	case <-time.After(grace):
 		p.Signal(syscall.SIGKILL)
 		<-ended
+		p.mu.Lock()
+		p.killed = true
+		p.mu.Unlock()
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"errors"
 	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"greengageferry/platform/standin"
 )
 
 var (
@@ -87,6 +92,44 @@
 	group.Wait()
 }
 
+// TestAnInstanceWhoseLogNobodyReadsGoesOn: its standard output is a pipe that is
+// full after some hundred lines, and its ring after some thousand.
+func TestAnInstanceWhoseLogNobodyReadsGoesOn(t *testing.T) {
+	const requests = 4000 // of two lines each
+	w, err := newWorld(worldOptions{Binary: binary(t), Run: 249})
+	require.NoError(t, err)
+	defer os.RemoveAll(w.dir)
+	defer w.Close()
+	p := w.Instances[0]
+	p.Signal(syscall.SIGKILL)
+	p.AwaitEnd()
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer reader.Close()
+	p.output = writer
+	require.NoError(t, p.Start())
+	require.NoError(t, writer.Close())
+	r := &runner{world: w}
+	serves := func() bool { return r.probe(p, standin.PlainPath, "") }
+	_, ok := r.until(wideBounds.Recover, serves)
+	require.True(t, ok)
+	var group errgroup.Group
+	group.SetLimit(callersCount)
+	for range requests {
+		group.Go(func() error {
+			if !serves() {
+				return errors.New("not served")
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+	p.Signal(syscall.SIGTERM)
+	p.AwaitEnd()
+	require.Empty(t, p.OwnEnds())
+	require.False(t, p.killed, "it ended by itself within its grace period")
+}
+
 // play plays one seed. What it printed is shown where a promise was broken.
 func play(t *testing.T, o Options) {
 	var out bytes.Buffer
