An entry from before a model came doesn't show that its unload is done

By reading: an unload counted as done once the newest entry lacked the model, also where that entry was written before the model was loaded; with models that stay for one load's time that is common. Change: an entry shows an order only where an entry has shown the time before it. Seen: the test fails without the change.

--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -387,6 +387,37 @@
 
 // The store is away: no entry changes. What is loaded must be known and told all
 // the same, and a place that is freed be used.
+// A model that was just loaded is unloaded again. The newest entry is from before
+// it came, and so lacks it; the server still holds it until its runs have ended.
+func TestAnEntryFromBeforeAModelCameDoesNotFreeItsPlace(t *testing.T) {
+	entry := func(models ...string) topology.Server {
+		e := topology.Server{ID: "s", Service: "llm", Born: start}
+		for _, m := range models {
+			e.Models = append(e.Models, topology.HeldModel{Name: m, Version: 1})
+		}
+		return e
+	}
+	s := &server{Server: entry("m0"), entry: entry("m0")}
+	now := start
+	s.said(now, State{Models: entry("m0").Models})
+	s.accepted(now, Order{Server: "s", Model: "m1"}, loadPatience*loadTime)
+	now = now.Add(loadTime)
+	s.said(now, State{Sequence: 1, Models: entry("m0", "m1").Models})
+	s.settle(now)
+	require.Nil(t, s.waitsFor)
+	late := entry("m0") // written before m1 came, and changed in something else
+	late.OnDisk = []string{"m1"}
+	s.update(now, late)
+	s.accepted(now, Order{Server: "s", Model: "m1", Unload: true, Sequence: 1}, unloadPatience)
+	s.update(now.Add(time.Millisecond), late)
+	require.NotNil(t, s.waitsFor, "the unload isn't done")
+	require.Contains(t, s.models(), "m1", "it still takes its place")
+	s.update(now.Add(2*time.Second), entry("m0", "m1"))
+	require.NotNil(t, s.waitsFor)
+	s.update(now.Add(3*time.Second), entry("m0"))
+	require.Nil(t, s.waitsFor, "an entry that lacks it after one that had it shows the unload")
+}
+
 func TestWithoutEntriesServersAreAskedWhatBecameOfTheirOrders(t *testing.T) {
 	w := newWorld(t, 2, 5, 0)
 	for i := range 3 {
--- a/residency/server.go
+++ b/residency/server.go
@@ -40,6 +40,7 @@
 	sequence        int64                // orders that it accepted
 	done            []change             // accepted adapter orders that aren't in its models yet
 	waitsFor        *Order               // an order for a model that is under way
+	shownBefore     bool                 // an entry has shown what it was like before that order, or still does
 	patience        time.Time            // until when it is waited for
 	askAt           time.Time            // when to ask whether it is carried out
 	ghosts          []ghost              // orders that may yet be carried out
@@ -85,6 +86,9 @@
 	}
 	if !e.Equal(&s.entry) {
 		s.entry, s.entryNew = e, true
+		if w := s.waitsFor; w != nil && e.Holds(w.Model, "") == w.Unload {
+			s.shownBefore = true
+		}
 		models := s.Models
 		s.Server = e
 		s.Models = models
@@ -97,9 +101,12 @@
 
 // believes says whether an entry's models are newer than what the server said
 // itself: that was long enough ago, or the entry shows an order that came after.
+// It shows that only where an entry has shown the time before the order: one that
+// lacks a model may be from before the model was loaded, and its place would be
+// filled while the server still unloads it.
 func (s *server) believes(now time.Time, e *topology.Server) bool {
 	w := s.waitsFor
-	return now.Sub(s.saidAt) > entryLag || w != nil && e.Holds(w.Model, "") != w.Unload
+	return now.Sub(s.saidAt) > entryLag || w != nil && s.shownBefore && e.Holds(w.Model, "") != w.Unload
 }
 
 // settle drops what the server's entry shows by now, and what was waited for
@@ -314,6 +321,7 @@
 		s.dropped = append(s.dropped, drop{model: o.Model, until: now.Add(patience)})
 	}
 	s.waitsFor = &o
+	s.shownBefore = s.entry.Holds(o.Model, "") == o.Unload
 	s.patience = now.Add(patience)
 }
 
