--- a/instance/servers.go
+++ b/instance/servers.go
@@ -171,11 +171,11 @@
 const unread topology.Position = -1
 
 func stepOf(d *topology.Delta) *exchange.ServerStep {
-	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, Added: heldOf(d.Added), Lost: heldOf(d.Lost)}
+	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, Added: wireModels(d.Added), Lost: wireModels(d.Lost)}
 	if s := d.Server; s != nil {
 		out.Server = &exchange.Server{
 			Service: s.Service, Addr: s.Addr, FailureDomain: s.Domain, Slots: uint32(s.Slots), Leaving: s.Leaving,
-			BornMs: s.Born.UnixMilli(), Models: heldOf(s.Models), OnDisk: s.OnDisk,
+			BornMs: s.Born.UnixMilli(), Models: wireModels(s.Models), OnDisk: s.OnDisk,
 		}
 	}
 	return out
@@ -192,7 +192,7 @@
 	return d
 }
 
-func heldOf(models []topology.HeldModel) []*exchange.HeldModel {
+func wireModels(models []topology.HeldModel) []*exchange.HeldModel {
 	var out []*exchange.HeldModel
 	for _, m := range models {
 		out = append(out, &exchange.HeldModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -213,11 +213,11 @@
 	for _, l := range res.GetLoads() {
 		s.Loads[l.GetServer()] = int(l.GetInFlight())
 	}
-	s.Held, s.Lost, s.Since = heldFrom(res.GetHeld()), heldFrom(res.GetHeldLost()), res.GetHeldSince()
+	s.Held, s.Lost, s.Since = heldOfWire(res.GetHeld()), heldOfWire(res.GetHeldLost()), res.GetHeldSince()
 	return s
 }
 
-func heldFrom(held []*exchange.Held) topology.HeldList {
+func heldOfWire(held []*exchange.Held) topology.HeldList {
 	var out []topology.Held
 	for _, h := range held {
 		out = append(out, topology.Held{Server: h.GetServer(), Model: h.GetModel(), Adapter: h.GetAdapter(), Dropped: h.GetDropped()})
@@ -225,7 +225,7 @@
 	return topology.NewHeldList(out)
 }
 
-func heldList(held topology.HeldList) []*exchange.Held {
+func wireHeld(held topology.HeldList) []*exchange.Held {
 	var out []*exchange.Held
 	for _, h := range held {
 		out = append(out, &exchange.Held{Server: h.Server, Model: h.Model, Adapter: h.Adapter, Dropped: h.Dropped})
@@ -268,7 +268,7 @@
 			res.Loads = append(res.Loads, &exchange.ServerLoad{Server: server, InFlight: uint32(n)})
 		}
 	}
-	res.Held, res.HeldLost, res.HeldSince = heldList(summary.Held), heldList(summary.Lost), summary.Since
+	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.Lost), summary.Since
 	return res, nil
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -50,9 +50,9 @@
 	Instances []*Process
 	History   *History
 
-	dir     string
-	places  []*place
-	servers *http.Server // the store's
+	dir       string
+	places    []*place
+	storeHTTP *http.Server
 
 	mu      sync.Mutex
 	version int // of the newest configuration
@@ -127,8 +127,8 @@
 	if err != nil {
 		return "", errors.WithStack(err)
 	}
-	w.servers = &http.Server{Handler: standin.MapOwners(w.Store, w.peerLinks), ReadHeaderTimeout: time.Second}
-	w.group.Go(func() { _ = w.servers.Serve(l) }) // ends when it is closed
+	w.storeHTTP = &http.Server{Handler: standin.MapOwners(w.Store, w.peerLinks), ReadHeaderTimeout: time.Second}
+	w.group.Go(func() { _ = w.storeHTTP.Serve(l) }) // ends when it is closed
 	return l.Addr().String(), nil
 }
 
@@ -303,8 +303,8 @@
 		_ = p.http.Close() // nothing is lost by it
 		p.link.Close()
 	}
-	if w.servers != nil {
-		_ = w.servers.Close() // the same
+	if w.storeHTTP != nil {
+		_ = w.storeHTTP.Close() // the same
 	}
 	w.group.Wait()
 }
--- /dev/null
+++ b/topology/fleet_test.go
@@ -0,0 +1,105 @@
+package topology
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawServer draws one of a few descriptions of a server.
+func drawServer(t *rapid.T, id string) *Server {
+	s := &Server{ID: id, Service: "llm", Addr: "10.0.0.1:1", Slots: 8, Born: time.UnixMilli(int64(rapid.IntRange(1, 2).Draw(t, "born")))}
+	s.Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+	for m := range rapid.IntRange(0, 3).Draw(t, "models") {
+		model := HeldModel{Name: fmt.Sprint("m", m), Version: int64(rapid.IntRange(1, 2).Draw(t, "version"))}
+		for a := range 4 {
+			if rapid.Bool().Draw(t, "adapter") {
+				model.Adapters = append(model.Adapters, AdapterName(a+1))
+			}
+		}
+		s.Models = append(s.Models, model)
+	}
+	if rapid.Bool().Draw(t, "disk") {
+		s.OnDisk = []string{"m0"}
+	}
+	return s
+}
+
+// TestAFollowerComesToTheSameList: one fleet reads changes, outages and lapses
+// included; another is told only the steps since the list that it has.
+func TestAFollowerComesToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := NewFleet(), NewFleet()
+		now := time.UnixMilli(1_000_000)
+		for _, f := range []*Fleet{leader, follower} { // both have read the store
+			f.Apply(now, []ServerChange{{ID: "s0", Server: &Server{ID: "s0"}}})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			c := ServerChange{ID: fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "server"))}
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0: // its entry goes
+				leader.Apply(now, []ServerChange{c})
+			case 1:
+				leader.StoreBack(now)
+			case 2:
+				leader.Expire(now)
+			default:
+				c.Server = drawServer(t, c.ID)
+				leader.Apply(now, []ServerChange{c})
+			}
+			if rapid.Bool().Draw(t, "told") {
+				steps, ok := leader.Since(follower.Digest())
+				require.True(t, ok)
+				require.True(t, follower.Follow(steps, leader.Digest()))
+				require.Equal(t, leader.IDs(), follower.IDs())
+				a, b := leader.Servers(), follower.Servers()
+				for n := range a {
+					require.True(t, a[n].Equal(&b[n]), "%+v, %+v", a[n], b[n])
+				}
+			}
+		}
+	})
+}
+
+func TestAListThatIsNotAmongTheNewestIsNotFollowed(t *testing.T) {
+	leader, other := NewFleet(), NewFleet()
+	now := time.UnixMilli(1_000_000)
+	other.Apply(now, []ServerChange{{ID: "x", Server: &Server{ID: "x"}}})
+	leader.Apply(now, []ServerChange{{ID: "y", Server: &Server{ID: "y"}}})
+	_, ok := leader.Since(other.Digest())
+	require.False(t, ok)
+	require.False(t, other.Follow([]Delta{{ID: "y", Server: &Server{ID: "y"}}}, leader.Digest()), "its list differs by x")
+	for n := range 3 * fleetSteps {
+		leader.Apply(now, []ServerChange{{ID: "y", Server: &Server{ID: "y", Slots: n + 1}}})
+	}
+	require.Less(t, len(leader.steps), 2*fleetSteps, "what is kept is bounded")
+}
+
+func TestWhatServersHoldIsToldAsADifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h HeldHistory
+		var known HeldList
+		h.Add(nil)
+		for range rapid.IntRange(1, 2*heldKept).Draw(t, "lists") {
+			var held []Held
+			for n := range rapid.IntRange(0, 4).Draw(t, "held") {
+				held = append(held, Held{Server: fmt.Sprint("s", n%2), Model: fmt.Sprint("m", rapid.IntRange(0, 2).Draw(t, "model")), Dropped: rapid.Bool().Draw(t, "dropped")})
+			}
+			h.Add(NewHeldList(held))
+			if rapid.IntRange(0, 3).Draw(t, "told") > 0 {
+				continue
+			}
+			if lost, added, ok := h.Since(known.Digest()); ok {
+				known = known.Change(lost, added)
+			} else {
+				known = h.Newest()
+			}
+			require.True(t, known.Equal(h.Newest()), "%v, %v", known, h.Newest())
+		}
+		require.LessOrEqual(t, len(h.lists), heldKept)
+	})
+}
