--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,10 +33,12 @@
 // fixedSeeds are played by every run of the tests: some that cover much, and
 // each one that ever broke a promise.
 var fixedSeeds = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	length time.Duration // of the time in which faults begin: it places them
+	cause  string
 }{
-	{1, "covers: the first one"},
+	{1, 3 * time.Second, "covers: the first one"},
+	{1000, 8 * time.Second, "the soak's own fault: addresses used again, overlapping, left the plain service with one server, which the calm part then took out"},
 }
 
 var program struct {
@@ -76,7 +78,7 @@
 	path := binary(t)
 	if *seeds == 0 {
 		for _, f := range fixedSeeds {
-			play(t, Options{Binary: path, Seed: f.seed, Length: 3 * time.Second, Bounds: wideBounds})
+			play(t, Options{Binary: path, Seed: f.seed, Length: f.length, Bounds: wideBounds})
 		}
 		return
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -36,6 +36,7 @@
 type place struct {
 	link   *Proxy
 	domain string
+	home   string // the service that it belongs to, whatever faults put there
 	http   *http.Server
 
 	server atomic.Pointer[standin.Server]
@@ -146,7 +147,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	p := &place{domain: domain}
+	p := &place{domain: domain, home: service}
 	p.http = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		p.server.Load().ServeHTTP(rw, r)
 	})}
@@ -202,6 +203,20 @@
 	w.startServer(p, id, service)
 }
 
+// restore gives a place back to its service, where faults that overlapped left
+// the other one's server there: else a service could be left with one server, and
+// refuse rightly while that leaves.
+func (w *World) restore(p *place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.opts.Service == p.home {
+		return
+	}
+	p.server.Load().Remove()
+	p.link.Reset()
+	w.startServer(p, "", p.home)
+}
+
 // Replace has a place's server leave in order, and starts a new one once it has
 // had time for what it had in hand.
 func (w *World) Replace(p *place, after time.Duration) {
@@ -274,6 +289,7 @@
 	w.Store.SetLossy(false)
 	for _, p := range w.places {
 		w.Revive(p, false)
+		w.restore(p)
 		p.link.Set(LinkState{})
 	}
 	for _, p := range w.Instances {
