A server that leaves right after an outage is kept no longer than lapsed ones are; the soak's addresses differ

Traced: an instance whose way to the store had healed at 12.2 s saw an entry go at 13.6 s and kept that server for two seconds from then, as one that had only run out; the other eight dropped it at once. Ruled out: the holder's list (all fed instances knew within 0.3 s). Change: such servers are kept until about two seconds after the store's return, not after their entry went.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -169,14 +169,14 @@
 func (i *Instance) setServers(servers []topology.Server) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.logServers(servers, time.Now())
+	i.logServers(servers)
 	i.view.Servers = servers
 	i.rebuild()
 }
 
 // logServers writes a line for each server that came, went or began to leave.
 // The lock is held.
-func (i *Instance) logServers(servers []topology.Server, now time.Time) {
+func (i *Instance) logServers(servers []topology.Server) {
 	old := make(map[string]*topology.Server, len(i.view.Servers))
 	for n := range i.view.Servers {
 		old[i.view.Servers[n].ID] = &i.view.Servers[n]
@@ -190,11 +190,11 @@
 		}
 		i.log.WithFields(logrus.Fields{
 			"server": s.ID, "service": s.Service, "addr": s.Addr, "domain": s.Domain, "leaving": s.Leaving, "models": len(s.Models),
-			"started_ms": now.Sub(s.Born).Milliseconds(),
+			"started_ms": ageMs(s.Born),
 		}).Info("server listed")
 	}
 	for id, was := range old {
-		i.log.WithFields(logrus.Fields{"server": id, "started_ms": now.Sub(was.Born).Milliseconds()}).Info("server gone")
+		i.log.WithFields(logrus.Fields{"server": id, "started_ms": ageMs(was.Born)}).Info("server gone")
 	}
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -60,11 +60,8 @@
 		Name: o.Name, Domain: o.Domain, IP: o.IP, Domains: o.Domains, MemoryMB: memoryMB,
 		Grace: grace, LeaseTTL: leaseTTL, RetryRatio: retryRatio, RetryWindow: retryWindow, RetryReserve: retryReserve,
 	}
-	for _, addr := range []*string{&n.CallersAddr, &n.HealthAddr, &n.PeerAddr} {
-		var err error
-		if *addr, err = freeAddr(o.IP); err != nil {
-			return nil, err
-		}
+	if err := freeAddrs(o.IP, &n.CallersAddr, &n.HealthAddr, &n.PeerAddr); err != nil {
+		return nil, err
 	}
 	p := &Process{
 		Node: n, binary: o.Binary,
@@ -80,14 +77,18 @@
 	return p, standin.WriteSettings(p.settings, n)
 }
 
-// freeAddr returns an address on an IP of loopback that nothing listens at.
-func freeAddr(ip string) (string, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", errors.WithStack(err)
+// freeAddrs sets addresses on an IP of loopback that nothing listens at. All are
+// open at once for a moment, so that no two are the same.
+func freeAddrs(ip string, addrs ...*string) error {
+	for _, addr := range addrs {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		defer l.Close() // nothing came that could be lost
+		*addr = l.Addr().String()
 	}
-	addr := l.Addr().String()
-	return addr, errors.WithStack(l.Close())
+	return nil
 }
 
 // Start starts the program, if it doesn't run.
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -26,11 +26,10 @@
 const (
 	// lapsed is how long after the store came back a server is kept whose entry
 	// went: entries that ran out while the store was away are written again
-	// within two seconds if their servers live.
-	lapsed = 2 * time.Second
-	// afterOutage is how long after the store's return entries may still run
-	// out for its absence.
-	afterOutage = 2 * time.Second
+	// within about two seconds if their servers live. Counted from the store's return and
+	// not from when the entry went: one that leaves meanwhile would be used for two
+	// seconds more, longer than a server that leaves may be.
+	lapsed = 2100 * time.Millisecond
 	// fleetSteps is how many steps are kept for instances that are behind: some
 	// seconds' worth while every adapter of a large fleet is loaded.
 	fleetSteps = 2048
@@ -150,10 +149,8 @@
 	if _, known := f.servers[id]; !known {
 		return false
 	}
-	if !f.outage.IsZero() && now.Sub(f.outage) < afterOutage {
-		if _, waits := f.leaving[id]; !waits {
-			f.leaving[id] = now.Add(lapsed)
-		}
+	if until := f.outage.Add(lapsed); !f.outage.IsZero() && now.Before(until) {
+		f.leaving[id] = until
 		return false
 	}
 	f.take(Delta{ID: id, Gone: true})
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -103,3 +103,17 @@
 		require.LessOrEqual(t, len(h.lists), heldKept)
 	})
 }
+
+// An instance's way to the store heals; right after, a server leaves in order. It
+// must not be taken for one whose entry only ran out meanwhile for longer than
+// that may take.
+func TestAServerThatLeavesAfterAnOutageIsKeptNoLongerThanLapsedOnesAre(t *testing.T) {
+	f := NewFleet()
+	now := time.UnixMilli(1_000_000)
+	f.Apply(now, []ServerChange{{ID: "s", Server: &Server{ID: "s"}}})
+	f.StoreBack(now)
+	now = now.Add(1400 * time.Millisecond)
+	require.False(t, f.Apply(now, []ServerChange{{ID: "s"}}), "it may only have lapsed")
+	require.True(t, f.Expire(now.Add(700*time.Millisecond)))
+	require.Empty(t, f.Servers())
+}
