The store's return is counted from when it may have come, not from when it was noticed

Traced: the way healed at 12.4 s, the read that succeeded came at 13.3 s, and a server that left was kept until two seconds after that. Change: the wait begins 0.4 s after the last failed read was begun. Ruled out: a shorter wait (servers that live would be dropped after each outage).

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -46,6 +46,12 @@
 	// holderWait is how long a read of the lease holder waits: what others hear
 	// from it must not be older than fedFor where servers write all at once.
 	holderWait = 300 * time.Millisecond
+	// returnLag is how long after the last read that failed was begun the store, or
+	// the way to it, is taken to have come back. It may have been at any time until
+	// the first read that succeeds, up to two seconds later; servers whose entries
+	// went are kept for two seconds from then, and must not be used any more three
+	// seconds after the return, when the bound on servers that leave holds again.
+	returnLag = 400 * time.Millisecond
 	// fedPoll is how often an instance looks whether the lease holder's word still
 	// stands in for a read.
 	fedPoll = 100 * time.Millisecond
@@ -109,7 +115,8 @@
 // only while the lease holder's word doesn't stand in for that, since the holder
 // reads for all, and while it seems away, to see when it is back.
 func (i *Instance) followServers(ctx context.Context) error {
-	failures := 0 // in a row
+	failures := 0        // in a row
+	var failed time.Time // when the last read that failed was begun
 	for ctx.Err() == nil {
 		if !i.lease.Holds() && i.servers.fed(time.Now()) && !i.storeIsDown() {
 			failures = 0
@@ -126,12 +133,13 @@
 			}
 			i.storeFailed("servers", err)
 			failures++
+			failed = began
 			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
 			continue
 		}
 		if failures > 0 {
 			failures = 0
-			i.servers.storeBack(now)
+			i.servers.storeBack(failed.Add(returnLag))
 			i.restartConfigRead(0)
 		}
 		i.storeAnswered()
