Read once more: a reset stood twice in the soak's proxy, heartbeats were compared twice

proxy.resetAll does by abort what it did by itself, and two comments there say what is done; Fleet.Apply compares an entry with the one before once, not twice, on the path of every heartbeat. Behaviour and tests are as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,7 +22,7 @@
 	drainTime = 3 * time.Second
 )
 
-// fault is one disturbance from outside.
+// fault is one fault from outside, at its time.
 type fault struct {
 	name string
 	at   time.Duration // since the callers began
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -69,10 +69,7 @@
 // resetAll breaks all connections. The lock is held.
 func (p *Proxy) resetAll() {
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // closed already if it fails
-		}
-		_ = c.Close() // the same
+		abort(c)
 	}
 }
 
@@ -109,8 +106,7 @@
 	return true
 }
 
-// drop closes a connection: with a reset, so that an end that wasn't the other
-// side's own can't look like one.
+// drop closes a connection whose directions have both ended, and forgets it.
 func (p *Proxy) drop(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,6 +114,8 @@
 	_ = c.Close() // may be closed already
 }
 
+// abort closes a connection with a reset, so that an end that wasn't the other
+// side's own can't look like one.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // closed already if it fails
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -60,13 +60,15 @@
 		if known && c.Server.Born.Before(old.Born) {
 			continue // an entry of an earlier start that came late
 		}
-		if !known {
+		switch {
+		case !known:
 			f.take(Delta{ID: c.ID, Server: c.Server})
-		} else if !old.Equal(c.Server) {
+			changed = true
+		case !old.Equal(c.Server):
 			f.take(deltaOf(&old, c.Server))
+			changed = true
 		}
 		f.servers[c.ID] = *c.Server
-		changed = changed || !known || !old.Equal(c.Server)
 	}
 	return changed
 }
