--- a/residency/order.go
+++ b/residency/order.go
@@ -41,7 +41,7 @@
 
 // State is what a server says of itself.
 type State struct {
-	Sequence int64 // orders that it accepted since its start
-	Busy     bool  // an order for a model is under way
-	Models   []topology.HeldModel
+	Sequence int64                // orders that it accepted since its start
+	Busy     bool                 // an order for a model is under way
+	Models   []topology.HeldModel // with the adapters that are on their way to it
 }
