A hung read of the newest configuration is begun again once the store is back

Cause, by reading: restartConfigRead reaches only reads that follow changes. Test: fails without the change.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -108,6 +108,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
+	defer i.interrupt(cancel)()
 	return i.opts.Source.NewestConfig(ctx)
 }
 
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -1,10 +1,14 @@
 package instance
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"greengageferry/topology"
 )
 
 func TestManyInstancesReadEntriesLessOften(t *testing.T) {
@@ -31,3 +35,32 @@
 	i.restartConfigRead(0)
 	require.Equal(t, 1, ended, "no read is under way")
 }
+
+// hungSource is a store that never answers a read of the newest configuration.
+type hungSource struct{ topology.Source }
+
+// NewestConfig implements topology.Source.
+func (hungSource) NewestConfig(ctx context.Context) (*topology.Config, topology.Position, error) {
+	<-ctx.Done()
+	return nil, 0, context.Cause(ctx)
+}
+
+// A read of the newest configuration that was begun as the store went away may
+// never be answered. Left to its own timeout it was over 2.9 s after the store's
+// return, and its retry later still.
+func TestAHungReadOfTheNewestIsBegunAgainOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := &Instance{opts: Options{Source: hungSource{}}}
+		begun := time.Now()
+		ended := make(chan error, 1)
+		go func() {
+			_, _, err := i.readConfig(t.Context(), 0, true)
+			ended <- err
+		}()
+		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
+		i.restartConfigRead(0)
+		require.ErrorIs(t, <-ended, context.Canceled)
+		require.Equal(t, 100*time.Millisecond, time.Since(begun))
+	})
+}
