A server with enough prompts to read gets no more; what waits goes by the goal it can make

Change: the time until a server has read what it was given counts in choosing, and a server with 0.4 s of it gets no more; a request that waited is late for its goal if those 0.4 s make it late.

--- a/decide/engine_test.go
+++ b/decide/engine_test.go
@@ -137,6 +137,47 @@
 	require.GreaterOrEqual(t, float64(within)/float64(len(p.ratios)), 0.9)
 }
 
+// A hundred seconds' worth of reading a minute for each server: what it can't
+// read waits here, goes in the order of its goals, or is refused.
+func TestBeyondWhatServersReadMostOfThoseServedMakeTheirGoal(t *testing.T) {
+	const goal = 800 * time.Millisecond
+	p := newPrompts(2)
+	p.play(2, 20*time.Second, goal)
+	p.waits, p.refused = nil, 0
+	p.play(35, 30*time.Second, goal)
+	inTime := 0
+	for _, w := range p.waits {
+		if w <= goal {
+			inTime++
+		}
+	}
+	require.Greater(t, p.refused, 100, "it is more than the servers read")
+	read := float64(len(p.waits)) / 30
+	require.Greater(t, read, 14.0, "and they have something to read all the while")
+	require.GreaterOrEqual(t, float64(inTime)/float64(len(p.waits)), 0.8)
+}
+
+func TestAServerWithEnoughToReadGetsNoMoreUntilAFirstToken(t *testing.T) {
+	p := newPrompts(1)
+	for range readSamples {
+		p.s.fleet.pools["p"].engine.learnRead(1900, 100*time.Millisecond)
+	}
+	prompt := func(id string, tokens int) Request {
+		r := ask(id, "am", time.Minute)
+		r.PromptTokens = tokens
+		return r
+	}
+	require.Equal(t, ActionDispatch, p.s.Arrive(simStart, prompt("long", 8000))[0].Action)
+	require.Equal(t, ActionQueue, p.s.Arrive(simStart, prompt("next", 500))[0].Action)
+	d := p.s.Began(simStart.Add(420*time.Millisecond), "long", "s0")
+	require.Len(t, d, 1)
+	require.Equal(t, "next", d[0].Request)
+	require.Zero(t, d[0].Inputs.Unread)
+
+	p.s.Reported(simStart.Add(time.Second), "s0", infra.Load{Running: 9, UnreadTokens: 9000}, 0)
+	require.Equal(t, ActionQueue, p.s.Arrive(simStart.Add(time.Second), prompt("third", 500))[0].Action, "others' prompts count as well")
+}
+
 func TestAnAttemptThatFailsLeavesNothingUnread(t *testing.T) {
 	p := newPrompts(2)
 	r := ask("r", "am", time.Minute)
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -23,7 +23,7 @@
 // a request can wait for.
 var (
 	usable  = []filter{liveFilter{}, reachFilter{}, residentFilter{}, avoidFilter{}}
-	fitting = []filter{roomFilter{}, apartFilter{}, deadlineFilter{}}
+	fitting = []filter{roomFilter{}, readFilter{}, apartFilter{}, deadlineFilter{}}
 )
 
 // passes says whether the candidate gets through all filters.
@@ -89,6 +89,30 @@
 	return c.server.room(now, most)
 }
 
+const (
+	// roomyRead is the time for which a server may have prompts to read and go
+	// before one of another failure domain.
+	roomyRead = 0.1 // seconds
+	// mostRead is the time for which a server may have prompts to read and get one
+	// more: enough that it has something to do until the instances have heard that
+	// it has room.
+	mostRead = 0.4 // seconds
+)
+
+// readFilter drops servers that have enough prompts to read. It is for demand
+// beyond what a model's servers read: what would wait there for its first token
+// waits here, where the request whose goal is nearest goes first and the others can
+// still be refused as not run; and the streams that run there aren't held up by
+// more reading than they can bear.
+type readFilter struct{}
+
+func (readFilter) keep(s *Scheduler, _ time.Time, _ *flight, c *candidate) bool {
+	if s.fill == roomy {
+		return c.readWait() <= roomyRead
+	}
+	return c.readWait() <= mostRead
+}
+
 // apartFilter keeps requests that may crash a server from each other, so that
 // the next crash tells which of them does.
 type apartFilter struct{}
--- a/decide/score.go
+++ b/decide/score.go
@@ -25,7 +25,7 @@
 	score(s *Scheduler, now time.Time, f *flight, c *candidate) float64
 }
 
-var scorers = []scorer{workScorer{}, waitScorer{}, prefixScorer{}, failureScorer{}}
+var scorers = []scorer{workScorer{}, waitScorer{}, readScorer{}, prefixScorer{}, failureScorer{}}
 
 // workScorer is the time of service at the server's own speed and fill. It is
 // for a slow server among good ones.
@@ -52,6 +52,15 @@
 	return over / float64(c.server.Slots) * serviceOf(f)
 }
 
+// readScorer is the time until the server has read the prompts that it was given
+// before. It is for engines whose time goes into reading: a server with few
+// requests may have several seconds of it before it.
+type readScorer struct{}
+
+func (readScorer) score(_ *Scheduler, _ time.Time, _ *flight, c *candidate) float64 {
+	return c.readWait()
+}
+
 // prefixScorer credits the server that probably has the prompt's beginning in
 // its cache. The hint misleads when the engine has dropped it since.
 type prefixScorer struct{}
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -69,6 +69,15 @@
 	return st.first.mean
 }
 
+// readAhead returns the seconds for which a request that waited has to wait at the
+// server for others' prompts, 0 where reading isn't known to take the time there.
+func (t *targetState) readAhead(f *flight) float64 {
+	if t.pool == nil || f.PromptTokens <= 0 || t.pool.engine.rate() <= 0 {
+		return 0
+	}
+	return mostRead
+}
+
 // allowed returns how many tokens the answer may have.
 func (t *targetState) allowed(r *Request) int {
 	if r.MaxTokens > 0 && (t.MaxTokens <= 0 || r.MaxTokens < t.MaxTokens) {
