The read of configurations is begun again when the lease's renewals succeed again

Each instance renews every 0.7 s, and so knows of the return within that. Test: the return is told once.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -73,6 +73,9 @@
 		i.view.Nodes[domain] = assumedInstances
 	}
 	i.lease = residency.NewLease(o.Group, memberName(o.Node, time.Now()), o.Node.LeaseTTL, o.Clock, o.Log)
+	// A read that the store left unanswered as it answered others would hide a
+	// configuration for its whole 4.8 s, three more than may pass.
+	i.lease.OnReturn(func() { i.restartConfigRead(0) })
 	i.believe()
 	i.controller = residency.NewController(residency.Options{
 		Holder: o.Node.Name, Lease: i.lease, Orderer: o.Orderer, View: i.currentView, Counted: m.ordered, Log: o.Log,
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -64,6 +64,7 @@
 	won        time.Duration // when
 	renewed    time.Duration // when the newest renewal that was answered had been sent
 	failing    bool          // the last renewal was not answered
+	returned   func()        // called where a renewal is answered after one was not; may be nil
 }
 
 // NewLease returns a lease that isn't held. The member's name must be unique to
@@ -72,6 +73,10 @@
 	return &Lease{group: g, member: member, ttl: ttl, clock: clock, log: log}
 }
 
+// OnReturn has f called each time that a renewal is answered after one was not: the
+// store is back, or the way to it. It has to be called before Run.
+func (l *Lease) OnReturn(f func()) { l.returned = f }
+
 // Run renews until ctx ends, and then gives the lease up.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -99,7 +104,9 @@
 		l.failed(err)
 		return
 	}
-	l.answered(sent, now, slices.Contains(parts, leasePartition))
+	if back := l.answered(sent, now, slices.Contains(parts, leasePartition)); back && l.returned != nil {
+		l.returned()
+	}
 }
 
 // failed notes a renewal without an answer; the first in a row is logged.
@@ -112,14 +119,14 @@
 	}
 }
 
-// answered takes in a renewal's answer.
-func (l *Lease) answered(sent time.Duration, generation int64, holds bool) {
+// answered takes in a renewal's answer, and says whether the one before had none.
+func (l *Lease) answered(sent time.Duration, generation int64, holds bool) (back bool) {
 	if !holds {
 		l.lose("passed on")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failing {
+	if back = l.failing; back {
 		l.failing = false
 		l.log.WithField("gap_ms", (sent - l.renewed).Milliseconds()).Info("lease renewals succeed again")
 	}
@@ -128,12 +135,13 @@
 	l.generation = generation
 	l.renewed = sent
 	if !holds {
-		return
+		return back
 	}
 	if anew { // else the epoch stays: an order of before that comes late bears no lower one
 		l.epoch, l.won = generation, l.clock()
 		l.log.WithFields(logrus.Fields{"epoch": l.epoch}).Info("lease won")
 	}
+	return back
 }
 
 func (l *Lease) lose(why string) {
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -109,6 +109,24 @@
 	require.Positive(t, l.Epoch(func() bool { return true }), "nobody else reaches the store")
 }
 
+func TestTheReturnOfTheStoreIsToldOnce(t *testing.T) {
+	clock := func() time.Duration { return 0 }
+	g := newFakeGroup(clock)
+	l := NewLease(g, "a", 3*time.Second, clock, quietLog())
+	told := 0
+	l.OnReturn(func() { told++ })
+	l.renew(t.Context())
+	require.Zero(t, told, "it was never away")
+	g.down = true
+	l.renew(t.Context())
+	l.renew(t.Context())
+	require.Zero(t, told)
+	g.down = false
+	l.renew(t.Context())
+	l.renew(t.Context())
+	require.Equal(t, 1, told)
+}
+
 func TestLeaseThatWasAnothersMeanwhileIsWonAnew(t *testing.T) {
 	now := time.Duration(0)
 	clock := func() time.Duration { return now }
