--- a/decide/engine.go
+++ b/decide/engine.go
@@ -18,6 +18,10 @@
 	paceQuantile = 0.1
 	// leastPaced is how many tokens an answer must have for its pace to count.
 	leastPaced = 8
+	// unreadHalfLife is how long a report of unread tokens keeps half of its weight:
+	// a server reads what it may be given in some 0.4 s, and by then has been given
+	// as much again.
+	unreadHalfLife = 300 * time.Millisecond
 	// quantilePull is how far one sample moves an estimated quantile, as a part of
 	// it: it settles within some tens of samples, and follows within as many.
 	quantilePull = 0.05
@@ -133,7 +137,7 @@
 	if s.reportedAt.IsZero() {
 		return float64(s.unread)
 	}
-	w := trust(now.Sub(s.reportedAt))
+	w := trust(now.Sub(s.reportedAt), unreadHalfLife)
 	return float64(s.unread) + w*float64(max(s.report.UnreadTokens-s.unreadThen, 0)) + (1-w)*s.othersUnread
 }
 
--- a/decide/load.go
+++ b/decide/load.go
@@ -79,7 +79,7 @@
 		return float64(s.own)
 	}
 	others := float64(max(s.report.Running+s.report.Waiting-s.ownThen, 0))
-	w := trust(now.Sub(s.reportedAt))
+	w := trust(now.Sub(s.reportedAt), reportHalfLife)
 	return float64(s.own) + w*others + (1-w)*s.others
 }
 
@@ -92,8 +92,8 @@
 }
 
 // trust is the weight of a report of an age, from 1 down to 0.
-func trust(age time.Duration) float64 {
-	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
+func trust(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(halfLife))
 }
 
 // queueFor returns how many requests may wait at the server for a partner to
