losses: where requests were lost, and how well first tokens were predicted, from instances' logs

The table that the account rests on, by route, moment and reason, and the calibration of predictions, made from the lines that instances write anyway.

--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -35,5 +35,6 @@
 	c.Register(&loadCommand{}, "")
 	c.Register(&measureCommand{}, "")
 	c.Register(&traceCommand{}, "")
+	c.Register(&lossesCommand{}, "")
 	c.Register(&versionCommand{}, "")
 }
