Read once more: reading times, others' estimates, candidates and log files each worked out in one place

The seconds for a number of prompt tokens stood in four places, the blend of a report with the others' mean in two, a server as a candidate in three, opening and scanning a log in two. The candidate that pumpServer used was worked out twice.

--- a/cmd/greengageferry/losses.go
+++ b/cmd/greengageferry/losses.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"flag"
@@ -50,7 +49,7 @@
 	}
 	l := newLosses(c.window, c.late)
 	for _, name := range f.Args() {
-		if err := l.readFile(name); err != nil {
+		if err := readLog(name, l.read); err != nil {
 			fmt.Fprintln(os.Stderr, "losses:", err)
 			return subcommands.ExitFailure
 		}
@@ -90,26 +89,7 @@
 	}
 }
 
-func (l *losses) readFile(name string) error {
-	if name == "-" {
-		return l.read(os.Stdin)
-	}
-	file, err := os.Open(name)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	return l.read(file)
-}
-
-func (l *losses) read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		l.line(scanner.Text())
-	}
-	return scanner.Err()
-}
+func (l *losses) read(r io.Reader) error { return scanLog(r, l.line) }
 
 // line takes in one line; any that isn't about a request is passed over.
 func (l *losses) line(line string) {
--- a/cmd/greengageferry/trace.go
+++ b/cmd/greengageferry/trace.go
@@ -58,29 +58,46 @@
 	return subcommands.ExitSuccess
 }
 
-func traceFile(name, request string) ([]string, error) {
+func traceFile(name, request string) (lines []string, err error) {
+	err = readLog(name, func(r io.Reader) error {
+		lines, err = traceLines(r, request)
+		return err
+	})
+	return lines, err
+}
+
+// readLog hands a log file to read; - is standard input.
+func readLog(name string, read func(io.Reader) error) error {
 	if name == "-" {
-		return traceLines(os.Stdin, request)
+		return read(os.Stdin)
 	}
 	file, err := os.Open(name)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer file.Close()
-	return traceLines(file, request)
+	return read(file)
 }
 
-// traceLines returns the lines that bear request=ID as a field.
-func traceLines(r io.Reader, request string) ([]string, error) {
-	var out []string
+// scanLog hands each line of a log to take.
+func scanLog(r io.Reader, take func(line string)) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		if slices.Contains(strings.Fields(scanner.Text()), "request="+request) {
-			out = append(out, scanner.Text())
-		}
+		take(scanner.Text())
 	}
-	return out, scanner.Err()
+	return scanner.Err()
+}
+
+// traceLines returns the lines that bear request=ID as a field.
+func traceLines(r io.Reader, request string) ([]string, error) {
+	var out []string
+	err := scanLog(r, func(line string) {
+		if slices.Contains(strings.Fields(line), "request="+request) {
+			out = append(out, line)
+		}
+	})
+	return out, err
 }
 
 // logTime returns a line's time, as it sorts.
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -69,6 +69,16 @@
 	return m.read.value
 }
 
+// readTime returns the seconds in which an engine reads so many prompt tokens, 0
+// where too little is known.
+func (m *engineModel) readTime(tokens float64) float64 {
+	rate := m.rate()
+	if rate <= 0 {
+		return 0
+	}
+	return tokens / rate
+}
+
 // learnRead takes in a first token, for a request whose prompt had nothing to
 // wait for.
 func (m *engineModel) learnRead(tokens int, took time.Duration) {
@@ -88,11 +98,10 @@
 // its prompt is read, and its part of the steps of a full batch. It is 0 where too
 // little is known.
 func (m *engineModel) work(prompt int, output float64, slots int) float64 {
-	rate := m.rate()
-	if rate <= 0 {
+	if m.rate() <= 0 {
 		return 0
 	}
-	return float64(prompt)/rate + output*m.pace.value/float64(max(slots, 1))
+	return m.readTime(float64(prompt)) + output*m.pace.value/float64(max(slots, 1))
 }
 
 // Work returns how many seconds of a whole engine the request would take, 0
@@ -138,31 +147,19 @@
 // instance's own, exactly, and the others' from the report, which gives way to
 // their recent mean as it ages.
 func (s *serverState) unreadAt(now time.Time) float64 {
-	if s.reportedAt.IsZero() {
-		return float64(s.unread)
-	}
-	w := trust(now.Sub(s.reportedAt), unreadHalfLife)
-	return float64(s.unread) + w*float64(max(s.report.UnreadTokens-s.unreadThen, 0)) + (1-w)*s.othersUnread
+	return s.withOthers(now, s.unread, s.report.UnreadTokens-s.unreadThen, s.othersUnread, unreadHalfLife)
 }
 
 // firstToken returns the seconds until the request's first token would come from
 // the server, 0 where too little is known.
 func (c *candidate) firstToken(f *flight) float64 {
-	rate := c.server.pool.engine.rate()
-	if rate <= 0 {
-		return 0
-	}
-	return (c.unread + float64(f.PromptTokens)) / rate
+	return c.server.pool.engine.readTime(c.unread + float64(f.PromptTokens))
 }
 
 // readWait returns the seconds until the server would begin to read one more
 // prompt, 0 where too little is known.
 func (c *candidate) readWait() float64 {
-	rate := c.server.pool.engine.rate()
-	if rate <= 0 {
-		return 0
-	}
-	return c.unread / rate
+	return c.server.pool.engine.readTime(c.unread)
 }
 
 // Unread returns the prompt tokens of this instance's requests at a server that
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -14,6 +14,11 @@
 	score   float64 // expected seconds to the end of the answer
 }
 
+// newCandidate returns a server as a candidate, without its replica.
+func newCandidate(now time.Time, s *serverState) candidate {
+	return candidate{server: s, load: s.load(now), unread: s.unreadAt(now)}
+}
+
 // filter says whether a candidate may get a request at all.
 type filter interface {
 	keep(s *Scheduler, now time.Time, f *flight, c *candidate) bool
--- a/decide/load.go
+++ b/decide/load.go
@@ -75,12 +75,17 @@
 // exactly, and the others' from the report. As that ages it gives way to their
 // recent mean, and never to zero: a server doesn't empty because it is silent.
 func (s *serverState) load(now time.Time) float64 {
+	return s.withOthers(now, s.own, s.report.Running+s.report.Waiting-s.ownThen, s.others, reportHalfLife)
+}
+
+// withOthers adds to this instance's own what the others have at the server: as
+// the report said, giving way to their recent mean as it ages.
+func (s *serverState) withOthers(now time.Time, own, reported int, mean float64, halfLife time.Duration) float64 {
 	if s.reportedAt.IsZero() {
-		return float64(s.own)
+		return float64(own)
 	}
-	others := float64(max(s.report.Running+s.report.Waiting-s.ownThen, 0))
-	w := trust(now.Sub(s.reportedAt), reportHalfLife)
-	return float64(s.own) + w*others + (1-w)*s.others
+	w := trust(now.Sub(s.reportedAt), halfLife)
+	return float64(own) + w*float64(max(reported, 0)) + (1-w)*mean
 }
 
 // loadAge returns how old the newest report is, 0 where there is none.
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -111,7 +111,9 @@
 }
 
 func (s *Scheduler) consider(now time.Time, r *replicaState) {
-	s.candidates = append(s.candidates, candidate{replica: r, server: r.server, load: r.server.load(now), unread: r.server.unreadAt(now)})
+	c := newCandidate(now, r.server)
+	c.replica = r
+	s.candidates = append(s.candidates, c)
 }
 
 func (s *Scheduler) scoreAll(now time.Time, f *flight) {
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -9,31 +9,31 @@
 func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
 	s.fill = queueing
 	for s.queued > 0 && srv.room(now, srv.Slots+srv.queueFor(under)) {
-		f, r := s.nextFor(now, srv)
+		f, c := s.nextFor(now, srv)
 		if f == nil {
 			return
 		}
-		s.candidates = append(s.candidates[:0], candidate{replica: r, server: srv, load: srv.load(now), unread: srv.unreadAt(now)})
+		s.candidates = append(s.candidates[:0], c)
 		s.start(now, f, &s.candidates[0])
 	}
 }
 
 // nextFor returns the waiting request that the server should take next, with
-// the replica it takes there, or nil.
-func (s *Scheduler) nextFor(now time.Time, srv *serverState) (*flight, *replicaState) {
+// the candidate that the server is for it, or nil.
+func (s *Scheduler) nextFor(now time.Time, srv *serverState) (*flight, candidate) {
 	var best *flight
-	var at *replicaState
-	load, unread := srv.load(now), srv.unreadAt(now)
+	var at candidate
+	c := newCandidate(now, srv)
 	for _, r := range srv.residents {
 		t := r.target
 		if t.queue.len() == 0 || best != nil && !s.goesFirst(srv.pool, t, best) {
 			continue
 		}
-		c := candidate{replica: &t.replicas[r.replica], server: srv, load: load, unread: unread}
+		c.replica = &t.replicas[r.replica]
 		for i := 0; i < classes; i++ {
 			f := t.queue.head(i)
 			if f != nil && (best == nil || s.before(srv.pool, f, best)) && passes(usable, s, now, f, &c) && passes(fitting, s, now, f, &c) {
-				best, at = f, c.replica
+				best, at = f, c
 				break
 			}
 		}
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -58,8 +58,8 @@
 // ordinary speed that has nothing else to read, 0 where too little is known.
 func (t *targetState) firstToken(now time.Time, f *flight) float64 {
 	if t.pool != nil && f.PromptTokens > 0 {
-		if rate := t.pool.engine.rate(); rate > 0 {
-			return float64(f.PromptTokens) / rate
+		if reading := t.pool.engine.readTime(float64(f.PromptTokens)); reading > 0 {
+			return reading
 		}
 	}
 	st := t.times(now)
