Instances with little processor stand for the lease later

Cause: as 295 machines started each found no holder for 0.9 s, since the platform deals the lease anew with each member that joins; all joined, and the lease passed through four hands in six seconds, two of them machines with 0.19 of a core.

Change: asking and standing are apart; an instance stands later by the square of what it lacks of a core.

--- a/instance/directory.go
+++ b/instance/directory.go
@@ -21,20 +21,34 @@
 	// another is looked for in the store: where many instances press upon a holder
 	// that is busy for a moment, all their questions to the store gain nothing.
 	mostSilent = 2
-	// standFirst is how long after its start an instance with a whole core may ask
-	// the store who holds the lease, and stand for it where nobody does; one with
-	// less of a core waits longer, to standMost at most. So one with much processor
-	// gets it, and the others find it held.
-	standFirst = 150 * time.Millisecond
-	standMost  = time.Second
+	// askFirst is how long after its start an instance with a whole core asks the
+	// store who holds the lease; one with less of a core waits longer, to askMost at
+	// most: where all start at once, most then find it held.
+	askFirst = 150 * time.Millisecond
+	askMost  = time.Second
+	// standMost bounds how long after its start an instance may first stand for the
+	// lease, if the store names no holder. One with a whole core does when it asks,
+	// one with less waits longer by the square, so that those with much processor
+	// have settled who gets it: each that joins may have the platform deal it anew,
+	// and where 295 instances stood within a second, the lease passed through four
+	// hands in six seconds.
+	standMost = 4 * time.Second
 )
 
+// askAfter is how long after its start an instance first asks who holds the lease.
+func askAfter(cores float64) time.Duration {
+	if cores <= 0 {
+		return askFirst
+	}
+	return min(time.Duration(float64(askFirst)/cores), askMost)
+}
+
 // standAfter is how long after its start an instance may first stand for the lease.
 func standAfter(cores float64) time.Duration {
 	if cores <= 0 {
-		return standFirst
+		return askFirst
 	}
-	return min(time.Duration(float64(standFirst)/cores), standMost)
+	return min(time.Duration(float64(askFirst)/(cores*cores)), standMost)
 }
 
 // directory decides whom an instance speaks to: the lease holder where it is
@@ -43,6 +57,7 @@
 type directory struct {
 	domain string
 	begun  time.Time // the store isn't asked before
+	stands time.Time // nor does the instance stand for the lease before
 
 	holder     string    // the holder's address; empty: not known
 	heardAt    time.Time // when the holder last answered
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -73,11 +73,14 @@
 }
 
 func newSyncer(i *Instance) *syncer {
-	n := i.opts.Node
+	n, now := i.opts.Node, time.Now()
+	apart := rand.N(askFirst) // so that instances alike don't all ask at once
 	return &syncer{
-		instance:  i,
-		client:    &http.Client{Transport: netconn.Transport(peerIdle, time.Minute)},
-		directory: directory{domain: n.Domain, begun: time.Now().Add(standAfter(n.Cores) + rand.N(standFirst))},
+		instance: i,
+		client:   &http.Client{Transport: netconn.Transport(peerIdle, time.Minute)},
+		directory: directory{
+			domain: n.Domain, begun: now.Add(askAfter(n.Cores) + apart), stands: now.Add(standAfter(n.Cores) + apart),
+		},
 	}
 }
 
@@ -216,7 +219,9 @@
 	}
 	s.directory.found(time.Now(), memberAddr(member))
 	if s.directory.holder == "" {
-		s.instance.lease.Vacant()
+		if !time.Now().Before(s.directory.stands) {
+			s.instance.lease.Vacant()
+		}
 		return
 	}
 	s.instance.log.WithField("holder", s.directory.holder).Info("lease holder found")
