A stream that the watchdog has just ended is not begun

Cause, by reading: the first event of a resumable stream was read, the watchdog on a silent server ended the attempt before it was disarmed (the desk's lock lay between), the answer was begun with that event, and broke off at the next read.

Change: the watchdog is disarmed first, and says whether it was too late; then the attempt counts as silent, and the scheduler decides again.

Tested with a body that brings its event a millisecond after the limit; the test fails on the code before.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -44,13 +44,16 @@
 	}
 }
 
-// Disarm stops watching; the next time it is armed with the limit.
-func (w *Watchdog) Disarm(limit time.Duration) {
+// Disarm stops watching; the next time it is armed with the limit. It is called
+// while the watchdog is armed, and says whether that came too late: then the
+// attempt is ended, whatever has just come from the server.
+func (w *Watchdog) Disarm(limit time.Duration) (late bool) {
 	if w.off {
-		return
+		return false
 	}
-	w.timer.Stop()
+	late = !w.timer.Stop()
 	w.limit.Store(int64(limit))
+	return late
 }
 
 // Stop frees the watchdog and ends its context.
--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/decide"
+	"greengageferry/internal/stall"
+	"greengageferry/topology"
+)
+
+// lateBody brings its first event after a time, whoever has given up meanwhile.
+type lateBody struct {
+	after time.Duration
+	sent  bool
+}
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, io.ErrUnexpectedEOF
+	}
+	b.sent = true
+	time.Sleep(b.after)
+	return copy(p, "id: 1\ndata: x\n\n"), nil
+}
+
+func (b *lateBody) Close() error { return nil }
+
+// A first event that comes as the watchdog gives its server up: begun with it, the
+// answer broke off at once, and the caller was cut off.
+func TestAStreamWhoseServerWasJustGivenUpIsNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := New(Options{Headers: testHeaders{}, Log: log, Metrics: testMetrics{}, Rand: rand.New(rand.NewPCG(1, 1))})
+		w := httptest.NewRecorder()
+		c := &call{
+			relay: r, w: w, req: httptest.NewRequest(http.MethodPost, "/resume/x", nil), arrived: time.Now(),
+			route: &topology.Route{Stream: true, Repeat: topology.Resumable, Attempts: 2}, service: &topology.Service{},
+			deadline: time.Now().Add(time.Minute), decisions: make(chan decide.Decision, decisionsKept),
+		}
+		watch := stall.Watch(t.Context(), time.Second, true)
+		defer watch.Stop()
+		res := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: &lateBody{after: time.Second + time.Millisecond}}
+		require.Empty(t, c.passStream(watch.Context(), decide.Decision{}, res, time.Now(), watch), "the scheduler decides again")
+		require.False(t, c.stream.begun)
+		require.Zero(t, w.Body.Len())
+		require.False(t, w.Flushed)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,11 +41,16 @@
 	for {
 		n, err := res.Body.Read(*buf)
 		if n > 0 {
+			if watch.Disarm(max(streamSilence, gapsSilent*c.route.MaxGap)) && !c.stream.begun {
+				// A stream that the watchdog has just ended must not be begun: its
+				// caller would see it break off where another server, or an error
+				// that says so, could still answer.
+				return c.noAnswer(ctx, d, context.Cause(ctx))
+			}
 			if first.IsZero() {
 				first = time.Now()
 				c.relay.desk.began(c)
 			}
-			watch.Disarm(max(streamSilence, gapsSilent*c.route.MaxGap))
 			watch.Arm()
 			data := (*buf)[:n]
 			if whole {
