--- a/decide/deal.go
+++ b/decide/deal.go
@@ -37,6 +37,15 @@
 	interval   time.Duration
 }
 
+// told returns how many requests contend for the server's places, 0 where they
+// aren't dealt out.
+func (d *dealing) told() int {
+	if !d.limited {
+		return 0
+	}
+	return int(d.contending)
+}
+
 // deal draws the instance's part of the places that a server has until the next
 // report: those free now and those that will free. Of all that wait, each
 // instance gets places in proportion to its own; since that is mostly less than
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -268,6 +268,7 @@
 			Unread:     int(c.unread),
 			First:      seconds(c.firstToken(f)),
 			LoadAge:    srv.loadAge(now),
+			Contending: srv.dealing.told(),
 		},
 	})
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -180,6 +180,7 @@
 	s.directory.answered(now, addr, summary.Ordering, word.StoreDown)
 	if len(summary.Candidates) > 0 {
 		s.candidates = summary.Candidates
+		i.log.WithFields(logrus.Fields{"candidates": len(s.candidates), "chosen": summary.Chosen}).Info("lease candidates told")
 		s.directory.learn(s.candidates)
 	}
 	i.lease.Heard(summary.Chosen)
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -236,6 +236,9 @@
 		f["unread_tokens"] = dec.Inputs.Unread
 		f["first_ms"] = dec.Inputs.First.Milliseconds()
 		f["load_age_ms"] = dec.Inputs.LoadAge.Milliseconds()
+		if dec.Inputs.Contending > 0 {
+			f["contending"] = dec.Inputs.Contending
+		}
 	case decide.ActionQueue:
 		f["wait_ms"] = dec.Inputs.Wait.Milliseconds()
 	case decide.ActionRefuse:
