Candidates stay the same; few instances are all candidates

Its log: the lease passed through four hands in nine seconds after an outage. Each new holder chose candidates from the few instances that had spoken, others left and joined within the second, and the platform dealt the lease anew each time.

Change: up to 12 instances are all candidates; a holder chooses only after two seconds of words, until then whoever stands goes on; three in each domain.

--- a/instance/sync.go
+++ b/instance/sync.go
@@ -144,7 +144,7 @@
 	return residency.Word{
 		Instance: n.Name, Domain: n.Domain, Addr: n.PeerAddr, Cores: n.Cores,
 		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
-		HeldDigest: i.currentView().Held.Digest(),
+		HeldDigest: i.currentView().Held.Digest(), Stands: i.lease.Stands(),
 	}
 }
 
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -10,7 +10,7 @@
 
 func syncRequest(w residency.Word) *exchange.SyncRequest {
 	req := &exchange.SyncRequest{Instance: w.Instance, FailureDomain: w.Domain, StoreDown: w.StoreDown, ConfigVersion: w.Version, HeldDigest: w.HeldDigest,
-		Addr: w.Addr, Cores: float32(w.Cores), CandidatesDigest: w.Candidates}
+		Addr: w.Addr, Cores: float32(w.Cores), CandidatesDigest: w.Candidates, Stands: w.Stands}
 	for target, a := range w.Asked {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
@@ -25,7 +25,7 @@
 	w := residency.Word{
 		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), Addr: req.GetAddr(), Cores: float64(req.GetCores()),
 		StoreDown: req.GetStoreDown(), Version: req.GetConfigVersion(),
-		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(),
+		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(), Stands: req.GetStands(),
 		Asked: make(map[string]residency.Asked, len(req.GetDemand())),
 		Loads: loadsOfWire(req.GetLoads()),
 	}
--- a/residency/candidates.go
+++ b/residency/candidates.go
@@ -6,11 +6,16 @@
 	"slices"
 )
 
-// candidatesEach is how many instances of each failure domain take part in who
-// may order. Each renews with the store, so they must be few: 295 that all did
-// made 42 calls' worth a second. Two, so that a domain that lost one still has
-// somebody that its instances can ask while no lease holder is known.
-const candidatesEach = 2
+const (
+	// candidatesEach is how many instances of each failure domain take part in who
+	// may order. Each renews with the store, so they must be few: 295 that all did
+	// made 42 calls' worth a second. Three, so that a domain that lost some still has
+	// one that its instances can ask while no lease holder is known.
+	candidatesEach = 3
+	// allCandidates is up to how many instances all are: their renewals cost little,
+	// and each candidate that comes or goes may have the platform deal the lease anew.
+	allCandidates = 12
+)
 
 // Member is an instance as the lease holder knows it.
 type Member struct {
@@ -26,13 +31,16 @@
 type Candidates []Member
 
 // chooseCandidates returns candidatesEach instances of each failure domain, those
-// with the most processor first: the lease holder answers all the others, which
+// with the most processor first, and always the same ones: the lease holder answers all the others, which
 // took 0.11 of a core with 295 instances where most have 0.19.
 func chooseCandidates(members []Member) Candidates {
 	members = slices.Clone(members)
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
 	})
+	if len(members) <= allCandidates {
+		return members
+	}
 	var out Candidates
 	for n := range members {
 		if n < candidatesEach || members[n-candidatesEach].Domain != members[n].Domain {
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -21,8 +21,12 @@
 	// worked out: instances tell and ask twice a second, and with 86 of them doing
 	// it for each kept a small holder busy until its answers came too late.
 	summaryEvery = 100 * time.Millisecond
-	// candidatesEvery is how often the candidates are chosen anew.
+	// candidatesEvery is how often the candidates are chosen anew, and
+	// candidatesAfter how long after the first word of a lease: chosen from the few
+	// instances that had spoken, others took their place within the second, and the
+	// lease passed from hand to hand with them, four times in nine seconds.
 	candidatesEvery = time.Second
+	candidatesAfter = 2 * time.Second
 	// adapterSpacing is the least time between two adapters for one server: an
 	// adapter takes up to ten milliseconds, and a server takes four at a time.
 	adapterSpacing = 4 * time.Millisecond
@@ -67,6 +71,8 @@
 
 	candidates   Candidates // as of candidatesAt
 	candidatesAt time.Time
+	listening    time.Time // since when instances have spoken to this one
+	heardAt      time.Time // when one last did
 
 	held   topology.HeldHistory
 	heldAt time.Time // when it was last listed; zero: a plan was made since
@@ -125,10 +131,7 @@
 	}
 	s := Summary{Instances: c.demand.Instances(), Loads: c.loads.Others(w.Instance), Ordering: ordering, Version: c.demand.Version()}
 	s.Lost, s.Held, s.Since = c.heldSince(now, w.HeldDigest)
-	if now.Sub(c.candidatesAt) >= candidatesEvery {
-		c.candidates, c.candidatesAt = c.demand.Candidates(), now
-	}
-	s.Candidates, s.Chosen = c.candidates, c.candidates.Has(w.Instance)
+	s.Candidates, s.Chosen = c.chosen(now, w)
 	for _, a := range w.Asked {
 		if a.Waiting > 0 {
 			c.poke()
@@ -138,6 +141,22 @@
 	return s, nil
 }
 
+// chosen returns the candidates, and whether the instance that speaks is one. While
+// they aren't chosen yet, whoever stands goes on. The lock is held.
+func (c *Controller) chosen(now time.Time, w Word) (Candidates, bool) {
+	if now.Sub(c.heardAt) > instanceGone {
+		c.listening, c.candidates = now, nil // a new lease, or one that was held up
+	}
+	c.heardAt = now
+	if now.Sub(c.listening) < candidatesAfter {
+		return nil, w.Stands
+	}
+	if now.Sub(c.candidatesAt) >= candidatesEvery {
+		c.candidates, c.candidatesAt = c.demand.Candidates(), now
+	}
+	return c.candidates, c.candidates.Has(w.Instance)
+}
+
 // heldSince returns how what servers hold differs from what an instance knows
 // of it, or all of it where the instance knows something else. A plan may have
 // begun to take a model away, and an instance that has spoken since counts as
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -74,6 +74,7 @@
 
 	HeldDigest uint64 // of what it knows that servers hold beyond their entries
 	Candidates uint64 // digest of the candidates that it knows
+	Stands     bool   // it takes part in who may order
 }
 
 // instanceDemand is what one instance last said.
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -41,9 +41,9 @@
 	// earlier one has surely stopped: heldFor and an order's flight.
 	takeover = heldFor + orderTimeout/2
 	// withdrawAfter is how long an instance that isn't a candidate any more goes
-	// on renewing: as a lease begins the list of candidates changes with each
-	// instance that speaks, and leaving costs ten renewals.
-	withdrawAfter = 3 * time.Second
+	// on renewing, so that one word that was wrong doesn't have it leave: each that
+	// leaves or comes may have the platform deal the lease anew.
+	withdrawAfter = time.Second
 )
 
 // Clock returns the time since some fixed moment, time during which the machine
