--- a/instance/directory.go
+++ b/instance/directory.go
@@ -62,6 +62,7 @@
 	holder     string    // the holder's address; empty: not known
 	heardAt    time.Time // when the holder last answered
 	ordered    time.Time // when the holder last said that it may order, or was found
+	named      bool      // it is the store that named it, and it hasn't answered since
 	silent     int       // words in a row that the holder didn't answer
 	candidates []string  // their addresses, those of the own failure domain first
 	next       int       // of candidates, to be asked
@@ -114,7 +115,7 @@
 
 // answered notes an answer of the holder.
 func (d *directory) answered(now time.Time, addr string, ordering, storeDown bool) {
-	d.holder, d.silent = addr, 0
+	d.holder, d.silent, d.named = addr, 0, false
 	d.heardAt, d.answeredAt = now, now
 	switch {
 	case ordering:
@@ -125,7 +126,15 @@
 }
 
 // found notes who holds the lease, as the store says; empty: nobody does.
-func (d *directory) found(now time.Time, holder string) { d.holder, d.ordered = holder, now }
+func (d *directory) found(now time.Time, holder string) {
+	d.holder, d.ordered, d.named = holder, now, holder != ""
+}
+
+// vacant says whether this instance should stand for the lease, after the store
+// named nobody, or one that isn't the holder any more: where all were killed the
+// store names the one of before for seconds, and those that waited for that to end
+// joined one after the other, each time with the lease dealt anew.
+func (d *directory) vacant(now time.Time) bool { return d.holder == "" && !now.Before(d.stands) }
 
 // referred notes an answer of an instance that doesn't hold the lease, and whom
 // it takes for the holder.
--- a/instance/directory_test.go
+++ b/instance/directory_test.go
@@ -94,3 +94,18 @@
 	require.False(t, d.failed("h", false, true), "a candidate can only ask the store")
 	require.True(t, d.failed("h", true, true), "it said itself that it isn't")
 }
+
+// Where all were killed the store goes on naming the holder of before.
+func TestAHolderThatTheStoreNamesAndThatIsNoneLeavesTheLeaseVacant(t *testing.T) {
+	d := &directory{stands: began}
+	require.True(t, d.vacant(began))
+	d.found(began, "h")
+	require.False(t, d.vacant(began))
+	require.True(t, d.named)
+	require.True(t, d.failed("h", true, false))
+	require.True(t, d.vacant(began))
+	require.False(t, d.vacant(began.Add(-1)), "those with more processor stand first")
+	d.found(began, "h")
+	d.answered(began, "h", true, false)
+	require.False(t, d.named, "it answered: if it is lost now, another candidate takes over")
+}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -192,10 +192,14 @@
 // failed notes that an instance didn't answer a word.
 func (s *syncer) failed(addr string, err error) {
 	var refused twirp.Error
+	named := s.directory.named
 	lost := s.directory.failed(addr, errors.As(err, &refused) && refused.Code() == twirp.FailedPrecondition, s.instance.lease.Stands())
 	if lost || addr == s.directory.holder {
 		s.instance.servers.unfed()
 	}
+	if lost && named && s.directory.vacant(time.Now()) {
+		s.instance.lease.Vacant()
+	}
 	if lost {
 		s.instance.log.WithFields(logrus.Fields{
 			"holder": addr, "last_answer_ms": ageMs(s.directory.heardAt), "error": err,
@@ -219,10 +223,10 @@
 		return
 	}
 	s.directory.found(time.Now(), memberAddr(member))
+	if s.directory.vacant(time.Now()) {
+		s.instance.lease.Vacant()
+	}
 	if s.directory.holder == "" {
-		if !time.Now().Before(s.directory.stands) {
-			s.instance.lease.Vacant()
-		}
 		return
 	}
 	s.instance.log.WithField("holder", s.directory.holder).Info("lease holder found")
