--- a/instance/follow.go
+++ b/instance/follow.go
@@ -27,6 +27,11 @@
 	// version stands in for a read that waits for the next one. Of 295 instances
 	// those reads were every sixth call to the store.
 	configToldFor = 1500 * time.Millisecond
+	// storeProbe is how often an instance that the store turns away looks whether it
+	// is back, while another that reaches the store tells it what is new there. A
+	// third of 295 instances that each tried twice a second were a good part of a
+	// day's calls.
+	storeProbe = 3 * time.Second
 	// configSpacingTold is configSpacing where instances are told of new versions:
 	// more than a word apart, so that a burst of changes is read a few times only.
 	configSpacingTold = 600 * time.Millisecond
@@ -113,11 +118,14 @@
 // which configuration is the newest, so that no read has to wait for one. With few
 // instances each reads for itself: a change is in force sooner.
 func (i *Instance) configTold(now time.Time) bool {
-	if i.lease.Stands() || i.instances() <= manyInstances || i.storeIsDown() {
+	if i.lease.Stands() || i.instances() <= manyInstances {
 		return false
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.storeDown && now.Sub(i.storeTriedAt) >= storeProbe {
+		return false // one read shows whether it is back
+	}
 	return i.view.Config != nil && !i.told.storeDown && now.Sub(i.told.at) < configToldFor
 }
 
@@ -196,10 +204,14 @@
 // the holder does for all, and without one the candidates do. One that has just
 // read them waits to be told before it reads again, where there are many.
 func (i *Instance) readsServers(now time.Time) bool {
-	if i.lease.Holds() || i.storeIsDown() {
+	if i.lease.Holds() {
 		return true
 	}
-	if i.servers.fed(now) {
+	fed := i.servers.fed(now)
+	if i.storeIsDown() {
+		return !fed || !i.configTold(now)
+	}
+	if fed {
 		return false
 	}
 	return i.lease.Stands() || i.instances() <= manyInstances || !i.servers.fresh(now)
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/residency"
 	"greengageferry/topology"
 )
 
@@ -64,3 +65,48 @@
 		require.Equal(t, 100*time.Millisecond, time.Since(begun))
 	})
 }
+
+// told is an instance among many that heard from a holder a moment ago.
+func toldInstance(now time.Time) *Instance {
+	i := &Instance{lease: residency.NewLease(nil, "a", time.Second, func() time.Duration { return 0 }, nil), servers: newServerList()}
+	i.view.Config, i.view.Nodes = &topology.Config{Version: 7}, map[string]int{"d": 295}
+	i.told = told{at: now, version: 7}
+	i.servers.fedUntil = now.Add(fedFor)
+	return i
+}
+
+// Of many instances only those that stand for the lease read the store all the
+// time; one that the store turns away hears what is new from another, and looks
+// now and then whether it is back.
+func TestAnInstanceThatIsToldDoesNotReadTheStore(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	i := toldInstance(now)
+	require.True(t, i.configTold(now))
+	require.False(t, i.configBehind())
+	require.False(t, i.readsServers(now))
+	i.told.version = 8
+	require.True(t, i.configBehind())
+	i.storeDown, i.storeTriedAt = true, now
+	require.True(t, i.configTold(now))
+	require.False(t, i.readsServers(now))
+	later := now.Add(storeProbe)
+	i.told.at, i.servers.fedUntil = later, later.Add(fedFor)
+	require.False(t, i.configTold(later), "it looks whether the store is back")
+	require.True(t, i.readsServers(later))
+	i.storeTriedAt = later
+	i.told.storeDown = true
+	require.False(t, i.configTold(later), "nobody tells what is new: each has to see for itself")
+	require.True(t, i.readsServers(later))
+}
+
+func TestAnInstanceThatIsNotToldReadsTheStore(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	i := toldInstance(now)
+	require.False(t, i.configTold(now.Add(configToldFor)))
+	require.True(t, i.readsServers(now.Add(fedFor)))
+	i.lease.Heard(true)
+	require.False(t, i.configTold(now), "a candidate reads configurations for the others")
+	i = toldInstance(now)
+	i.view.Nodes = map[string]int{"d": manyInstances}
+	require.False(t, i.configTold(now), "few instances each read for themselves")
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,6 +48,7 @@
 	view         topology.View // its parts are replaced, never changed
 	storeDown    bool
 	storeAt      time.Time          // when the store last answered
+	storeTriedAt time.Time          // when it last didn't
 	orderedAt    time.Time          // when a lease holder last said that it may order
 	told         told               // by the lease holder or a candidate
 	configRead   context.CancelFunc // ends the read of configurations under way; nil: none is
@@ -250,6 +251,7 @@
 	i.metrics.storeFailures.Inc()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.storeTriedAt = time.Now()
 	if !i.storeDown {
 		i.storeDown = true
 		i.log.WithFields(logrus.Fields{"read": read, "last_answer_ms": ageMs(i.storeAt), "error": err}).Warn("store lost")
