Plain services are taken to be fast until shown otherwise, and never dealt

Cause: the first seconds' queue, before an instance had eight requests to know how long they hold a slot, kept itself up: what waited made the servers contended, and what was dealt waited for the next report (700 of 700 a second, p50 0.7 s).

--- a/decide/deal.go
+++ b/decide/deal.go
@@ -55,6 +55,10 @@
 	d := &s.dealing
 	d.residents = len(s.residents)
 	own := s.wanted(now)
+	if s.fast() { // what waits for it is gone by the next report
+		d.limited = false
+		return
+	}
 	places := max(float64(s.Slots)-s.load(now)+s.frees(d.interval), 0)
 	d.limited = d.contending > 0 && d.instances > s.Slots && max(d.contending, own) > places
 	if !d.limited {
--- a/decide/load.go
+++ b/decide/load.go
@@ -130,11 +130,24 @@
 // instances that took its servers for full, while 30 of their 60 slots were, held
 // its requests until the next report: half of them for 0.7 s, of a goal of 0.3.
 func (s *serverState) shortQueue(goal time.Duration) int {
-	held := s.pool.held
-	if held.n < fastSamples || held.mean+held.dev >= s.dealing.interval.Seconds() {
+	if !s.fast() {
 		return 0
 	}
-	return min(int(goalQueue*goal.Seconds()/max(held.mean, leastHeld)*float64(s.Slots)), mostShort*s.Slots)
+	if !s.pool.held.warm() {
+		return s.Slots
+	}
+	return min(int(goalQueue*goal.Seconds()/max(s.pool.held.mean, leastHeld)*float64(s.Slots)), mostShort*s.Slots)
+}
+
+// fast says whether the server's slots free more often than it is reported of. A
+// plain service's are taken to until enough requests have shown how long they hold
+// one: an instance may get one in a second.
+func (s *serverState) fast() bool {
+	held := s.pool.held
+	if held.n < fastSamples {
+		return len(s.residents) > 0 && s.residents[0].target.Service
+	}
+	return held.mean+held.dev < Horizon.Seconds()
 }
 
 // room says whether the instance may send the server one more request, so that
