A holder that loses the lease stays a candidate

Cause, by reading: the holder never heard its own choice, so once the lease was dealt to another it left the group and joined again two seconds later, and each has the lease dealt anew.

--- a/instance/sync.go
+++ b/instance/sync.go
@@ -122,6 +122,7 @@
 	if i.lease.Holds() {
 		summary, err := i.controller.Said(time.Now(), word)
 		if err == nil {
+			i.lease.Heard(summary.Chosen) // a holder that loses the lease stays a candidate
 			i.learn(summary)
 			i.heard(told{at: time.Now(), version: summary.Version})
 		}
