--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// event writes one event of a stream.
+func event(w http.ResponseWriter, n int) {
+	fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+	w.(http.Flusher).Flush()
+}
+
+func streamOf(from, to int) string {
+	var sb strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&sb, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return sb.String()
+}
+
+// breakingStream breaks off in the middle of the third event on its first call,
+// and goes on after the caller's last event on the others.
+func breakingStream(calls *atomic.Int64, lasts *sync.Map) func(http.ResponseWriter, *http.Request, string) {
+	return func(w http.ResponseWriter, r *http.Request, _ string) {
+		n := calls.Add(1)
+		lasts.Store(n, r.Header.Get("Last"))
+		sealed(w, r)
+		w.Header().Set("Seal", fmt.Sprint("seal", n))
+		w.Header().Set("Content-Type", "text/event-stream")
+		from := 1
+		if last := r.Header.Get("Last"); last != "" {
+			from, _ = strconv.Atoi(last) // the test's own numbers
+			from++
+		}
+		for e := from; e <= 5; e++ {
+			if n == 1 && e == 3 {
+				_, _ = io.WriteString(w, "id: 3\ndata: ev")
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			event(w, e)
+		}
+	}
+}
+
+func TestAResumableStreamGoesOnAtAnotherServerAfterItsLastWholeEvent(t *testing.T) {
+	var calls atomic.Int64
+	var lasts sync.Map
+	script := breakingStream(&calls, &lasts)
+	b := newBench(t, script, script)
+	a := b.do(b.request("POST", "/resume/", "prompt"))
+	require.NoError(t, a.err)
+	require.Equal(t, streamOf(1, 5), a.body)
+	require.Equal(t, "seal1", a.header.Get("Seal"), "the headers of the first server")
+	last, _ := lasts.Load(int64(2))
+	require.Equal(t, "2", last)
+}
+
+func TestAStreamThatMayRunOnceBreaksOffVisibly(t *testing.T) {
+	var calls atomic.Int64
+	var lasts sync.Map
+	script := breakingStream(&calls, &lasts)
+	b := newBench(t, script, script)
+	a := b.do(b.request("POST", "/stream/", "prompt"))
+	require.Error(t, a.err, "it must not look complete")
+	require.EqualValues(t, 1, calls.Load())
+}
+
+func TestEventsAreSentOnAsTheyArrive(t *testing.T) {
+	next := make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request, _ string) {
+		sealed(w, r)
+		for n := 1; n <= 3; n++ {
+			event(w, n)
+			<-next
+		}
+	})
+	res, err := b.client.Do(b.request("POST", "/stream/", "prompt"))
+	require.NoError(t, err)
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	for n := 1; n <= 3; n++ {
+		for lines.Scan() && lines.Text() != "data: event "+fmt.Sprint(n) {
+		}
+		require.Equal(t, "data: event "+fmt.Sprint(n), lines.Text())
+		next <- struct{}{} // the server goes on only now
+	}
+}
+
+func TestACallerThatLeavesFreesItsServer(t *testing.T) {
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	b := newBench(t, func(_ http.ResponseWriter, r *http.Request, _ string) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := b.client.Do(b.request("POST", "/once/", "body").WithContext(ctx))
+	require.Error(t, err)
+	<-ended // or the test's own time runs out
+	require.Eventually(t, func() bool { return len(b.relay.Loads()) == 0 }, 5*time.Second, time.Millisecond)
+}
+
+func FuzzWholeEvents(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\nda", 7)
+	f.Add("\n\n\n", 1)
+	f.Fuzz(func(t *testing.T, stream string, size int) {
+		size = max(1, size%97)
+		var sent, pending []byte
+		data := []byte(stream)
+		for len(data) > 0 {
+			n := min(size, len(data))
+			var events []byte
+			events, pending = wholeEvents(append(pending, data[:n]...))
+			sent = append(sent, events...)
+			data = data[n:]
+		}
+		require.Equal(t, stream, string(sent)+string(pending))
+		if len(sent) > 0 {
+			require.True(t, strings.HasSuffix(string(sent), "\n\n"))
+		}
+		_ = lastEventID(sent)
+	})
+}
+
+func TestLastEventID(t *testing.T) {
+	require.Equal(t, "12", lastEventID([]byte("id: 11\ndata: x\n\nid: 12\ndata: y\n\n")))
+	require.Equal(t, "1", lastEventID([]byte("id:1\n\n")))
+	require.Empty(t, lastEventID([]byte("data: no id: 5\n\n")))
+}
