--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	silent  bool               // no entry reaches the store
 	due     map[string]float64 // parts of requests, by target
 	work    map[string]float64 // seconds of a whole server that a request takes, by target
+	exact   bool               // asked names the requests of a step, and what is in flight stands for none
 }
 
 type engine struct {
@@ -138,7 +140,7 @@
 		case o.Unload:
 			x.unloads, x.ready = o.Model, w.now.Add(300*time.Millisecond)
 		default:
-			x.loading, x.ready = o.Model, w.now.Add(loadTime)
+			x.loading, x.ready = o.Model, w.now.Add(w.loadTime(x, o.Model))
 			require.LessOrEqual(w.t, float64(len(x.models)+1)*modelMB, w.service.Engine.MemoryMB, "models on %s", x.id)
 			if !x.disk[o.Model] {
 				w.loads = append(w.loads, w.now)
@@ -150,10 +152,27 @@
 	return false
 }
 
+// loadTime is how long an engine takes to load a model: a fifth where it has it on disk.
+func (w *world) loadTime(x *engine, model string) time.Duration {
+	for _, m := range w.service.Engine.Models {
+		if m.Name == model && x.disk[model] {
+			return m.LoadTime / 5
+		}
+		if m.Name == model {
+			return m.LoadTime
+		}
+	}
+	return loadTime
+}
+
 // arrivals returns what is asked for with the requests of one step: each holds
 // its place for a second.
 func (w *world) arrivals() map[string]Asked {
 	out := map[string]Asked{}
+	if w.exact {
+		maps.Copy(out, w.asked)
+		return out
+	}
 	for name, a := range w.asked {
 		w.due[name] += float64(a.InFlight+a.Waiting) / 10
 		a.Requests = int(w.due[name])
