--- a/decide/deal.go
+++ b/decide/deal.go
@@ -54,14 +54,14 @@
 func (s *serverState) deal(now time.Time, rng *rand.Rand) {
 	d := &s.dealing
 	d.residents = len(s.residents)
-	own := s.wanted(now)
-	if s.fast() { // what waits for it is gone by the next report
-		d.limited = false
+	d.limited = d.contending > 0 && d.instances > s.Slots && !s.fast() // what waits for a fast one is gone by the next report
+	if !d.limited {
 		return
 	}
+	own := s.wanted(now)
 	places := max(float64(s.Slots)-s.load(now)+s.frees(d.interval), 0)
-	d.limited = d.contending > 0 && d.instances > s.Slots && max(d.contending, own) > places
-	if !d.limited {
+	if max(d.contending, own) <= places {
+		d.limited = false
 		return
 	}
 	share := places * own / d.contending
