--- a/decide/crowd_test.go
+++ b/decide/crowd_test.go
@@ -61,7 +61,7 @@
 
 	told   []counted // the newest last; reports bring the oldest
 	tables []*Table  // by instance
-	deals  bool      // reports say how many requests wait
+	quotas bool      // reports say how many requests contend
 }
 
 // counted is what all instances have at a moment.
@@ -187,7 +187,7 @@
 	was := c.told[0]
 	for _, e := range c.engines {
 		load := infra.Load{Running: was.loads[e.id]}
-		if c.deals {
+		if c.quotas {
 			load.Contending = int(was.contending[e.id] + 0.5)
 		}
 		c.carryOut(i, c.schedulers[i].Reported(c.now, e.id, load, crowdLag))
@@ -284,23 +284,23 @@
 }
 
 // result plays eight seconds in which the models that are short get replicas after three.
-func crowdResult(instances int, deals bool) *crowd {
+func crowdResult(instances int, quotas bool) *crowd {
 	c, weights := newCrowd(instances, 7)
-	c.deals = deals
+	c.quotas = quotas
 	c.after(3*time.Second, func() { c.grow(weights) })
 	c.play(weights, 8*time.Second)
 	return c
 }
 
-// Before places were dealt out, 2.8 of 100 requests of 300 instances were turned
+// Without quotas 2.8 of 100 requests of 300 instances were turned
 // away by engines that all of them had sent something at once; with 0.6 as many are
 // served in time.
-func TestPlacesAreDealtWhereInstancesAreMoreThanAServersSlots(t *testing.T) {
+func TestWithQuotasInstancesDoNotFloodAServer(t *testing.T) {
 	for _, instances := range []int{100, 300} {
-		alone, dealt := crowdResult(instances, false), crowdResult(instances, true)
-		t.Logf("%d instances: turned away %d, dealt %d of %d; in time %d, dealt %d",
-			instances, alone.turnedAway, dealt.turnedAway, alone.asked, alone.inTime, dealt.inTime)
-		require.Less(t, 2*dealt.turnedAway, alone.turnedAway)
-		require.Greater(t, float64(dealt.inTime), 0.97*float64(alone.inTime))
+		alone, shared := crowdResult(instances, false), crowdResult(instances, true)
+		t.Logf("%d instances: turned away %d, with quotas %d of %d; in time %d, with quotas %d",
+			instances, alone.turnedAway, shared.turnedAway, alone.asked, alone.inTime, shared.inTime)
+		require.Less(t, 2*shared.turnedAway, alone.turnedAway)
+		require.Greater(t, float64(shared.inTime), 0.97*float64(alone.inTime))
 	}
 }
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -35,7 +35,7 @@
 	lacks    int     // targets that it said it lacks, in a row
 	retryAt  time.Time
 
-	dealing    dealing
+	quota      quota
 	domain     *domainState
 	emptyStart string    // the start that lost what it held
 	emptyTo    time.Time // until then it is taken to hold nothing
@@ -150,7 +150,7 @@
 		s.pool, s.domain = f.pool(srv.Pool), f.domain(srv.FailureDomain)
 		s.pool.slots = s.Slots
 		s.setPart(t.Entries[srv.FailureDomain])
-		s.dealing.instances = instances
+		s.quota.instances = instances
 		listed[i] = s
 	}
 	for id, s := range f.servers {
--- a/decide/load.go
+++ b/decide/load.go
@@ -153,8 +153,8 @@
 // room says whether the instance may send the server one more request, so that
 // it has at most so many.
 func (s *serverState) room(now time.Time, most int) bool {
-	if s.dealing.limited && now.Sub(s.dealing.at) < dealtFor {
-		return s.dealing.places > 0
+	if s.quota.limited && now.Sub(s.quota.at) < quotaFor {
+		return s.quota.left > 0
 	}
 	window := s.window
 	if now.Sub(s.reportedAt) > reportTooOld {
--- a/decide/deal.go
+++ b/decide/quota.go
@@ -7,15 +7,14 @@
 )
 
 const (
-	// mostInterval bounds the time between two load reports for which an instance
-	// is dealt places in advance: after a longer silence nothing is known of what
-	// frees.
+	// mostInterval bounds the time between two load reports for which a quota is
+	// drawn in advance: after a longer silence nothing is known of what frees.
 	mostInterval = time.Second
-	// dealtFor is how long places hold without another report: after it each
+	// quotaFor is how long a quota holds without another report: after it each
 	// instance goes by what it knows itself, as where no lease holder is known.
-	dealtFor = 1500 * time.Millisecond
-	// Horizon is the time for whose arrivals a server's places are dealt, together
-	// with what waits: as long as a report takes to bring what others sent.
+	quotaFor = 1500 * time.Millisecond
+	// Horizon is the time for whose arrivals a server's slots are shared out,
+	// together with what waits: as long as a report takes to bring what others sent.
 	Horizon = 500 * time.Millisecond
 	// leastHeld bounds, in seconds, how short a request is taken to hold its slot.
 	leastHeld = 0.001
@@ -23,49 +22,48 @@
 	arrivalsMemory = 2 * time.Second
 )
 
-// dealing is an instance's part of a server that more requests wait for, over all
-// instances, than it takes. It is for many instances with queues before few
+// quota is an instance's part of the slots of a server that more requests want,
+// over all instances, than it has. It is for many instances with queues before few
 // replicas: each that sent one request as a report showed room, or as a replica
 // came, together sent a server of 12 slots two hundred, which it refused.
-type dealing struct {
-	instances  int       // that there are; places are dealt where a server has fewer
-	contending float64   // requests of all instances that wait for what the server serves
-	residents  int       // targets that it served when places were last dealt
-	limited    bool      // more wait than it takes until the next report
-	places     int       // where limited: requests that this instance may send it until then
+type quota struct {
+	instances  int       // that there are; quotas are for servers with fewer slots
+	contending float64   // requests of all instances that want what the server serves
+	residents  int       // targets that it served when the quota was last drawn
+	limited    bool      // they want more than it has until the next report
+	left       int       // where limited: requests that this instance may send it until then
 	at         time.Time // of the last report
 	interval   time.Duration
 }
 
-// told returns how many requests contend for the server's places, 0 where they
-// aren't dealt out.
-func (d *dealing) told() int {
-	if !d.limited {
+// contenders returns how many requests contend for the server's slots, 0 where
+// there is no quota.
+func (q *quota) contenders() int {
+	if !q.limited {
 		return 0
 	}
-	return int(d.contending)
+	return int(q.contending)
 }
 
-// deal draws the instance's part of the places that a server has until the next
-// report: those free now and those that will free. Of all that wait, each
-// instance gets places in proportion to its own; since that is mostly less than
-// one, it is drawn, so that the instances together send as many as there is room
-// for.
-func (s *serverState) deal(now time.Time, rng *rand.Rand) {
-	d := &s.dealing
-	d.residents = len(s.residents)
-	d.limited = d.contending > 0 && d.instances > s.Slots && !s.fast() // what waits for a fast one is gone by the next report
-	if !d.limited {
+// drawQuota draws the instance's part of the slots that the server has until the
+// next report: those free now and those that will free. Each instance gets its part
+// in proportion to its own requests of all that want them. That is mostly less than
+// one, so it is drawn at random: together the instances send as many as there is
+// room for.
+func (s *serverState) drawQuota(now time.Time, rng *rand.Rand) {
+	q := &s.quota
+	q.residents = len(s.residents)
+	q.limited = q.contending > 0 && q.instances > s.Slots && !s.fast() // what waits for a fast one is gone by the next report
+	if !q.limited {
 		return
 	}
 	own := s.wanted(now)
-	places := max(float64(s.Slots)-s.load(now)+s.frees(d.interval), 0)
-	if max(d.contending, own) <= places {
-		d.limited = false
+	slots := max(float64(s.Slots)-s.load(now)+s.frees(q.interval), 0)
+	if max(q.contending, own) <= slots {
+		q.limited = false
 		return
 	}
-	share := places * own / d.contending
-	d.places = int(math.Floor(share + rng.Float64()))
+	q.left = int(math.Floor(slots*own/q.contending + rng.Float64()))
 }
 
 // wanted returns how many of this instance's requests want what the server serves
@@ -83,8 +81,8 @@
 	return float64(t.queue.len()) + t.arrivals.rate(now)*Horizon.Seconds()
 }
 
-// Spread deals out what is wanted of targets, in equal parts, over the servers
-// that serve them.
+// Spread divides what is wanted of targets, in equal parts, among the servers that
+// serve them.
 func (s *Scheduler) Spread(wanted map[string]float64) map[string]float64 {
 	out := map[string]float64{}
 	for name, n := range wanted {
@@ -124,13 +122,13 @@
 	return float64(s.Slots) * within.Seconds() / max(held, leastHeld)
 }
 
-// contended takes in how many requests of all instances wait for what the server
-// serves, and deals anew.
-func (s *serverState) contended(now time.Time, waiting int, rng *rand.Rand) {
-	d := &s.dealing
-	if !d.at.IsZero() {
-		d.interval = min(now.Sub(d.at), mostInterval)
+// contended takes in how many requests of all instances want what the server
+// serves, and draws the instance's quota anew.
+func (s *serverState) contended(now time.Time, wanting int, rng *rand.Rand) {
+	q := &s.quota
+	if !q.at.IsZero() {
+		q.interval = min(now.Sub(q.at), mostInterval)
 	}
-	d.at, d.contending = now, float64(waiting)
-	s.deal(now, rng)
+	q.at, q.contending = now, float64(wanting)
+	s.drawQuota(now, rng)
 }
--- a/decide/deal_test.go
+++ b/decide/quota_test.go
@@ -43,15 +43,15 @@
 }
 
 // A plain service's slots free many times between two reports. Taken to free once
-// at most, they were dealt so sparsely that 16,700 of 20,400 requests were refused
+// at most, the quotas were so small that 16,700 of 20,400 requests were refused
 // before servers of which half the slots were free.
-func TestShortRequestsAreNotDealtPlaces(t *testing.T) {
+func TestShortRequestsHaveNoQuota(t *testing.T) {
 	s := many(6, 295, 60*time.Millisecond)
 	s.Reported(simStart, "s", infra.Load{Running: 3, Contending: 25}, 0)
-	require.False(t, s.fleet.servers["s"].dealing.limited)
+	require.False(t, s.fleet.servers["s"].quota.limited)
 	require.Equal(t, 1, s.send(simStart, 1))
 	s.Reported(simStart, "s", infra.Load{Running: 3, Contending: 100}, 0)
-	require.False(t, s.fleet.servers["s"].dealing.limited, "what was held back would only wait for the next report")
+	require.False(t, s.fleet.servers["s"].quota.limited, "what was held back would only wait for the next report")
 }
 
 // Before an instance has had enough requests to know how long they hold a slot, a
@@ -69,26 +69,26 @@
 		s.fleet.servers["s"].pool.held.add(2)
 	}
 	s.Reported(simStart.Add(time.Second), "s", infra.Load{Running: 7, Contending: 100}, 0)
-	require.True(t, s.fleet.servers["s"].dealing.limited)
+	require.True(t, s.fleet.servers["s"].quota.limited)
 }
 
-func TestALimitedServerTakesWhatWasDealtAndWithoutReportsWhatIsKnown(t *testing.T) {
+func TestAQuotaHoldsUntilReportsStayAway(t *testing.T) {
 	s := many(12, 295, time.Second)
 	s.Reported(simStart, "s", infra.Load{Running: 12, Contending: 300}, 0)
-	d := &s.fleet.servers["s"].dealing
+	d := &s.fleet.servers["s"].quota
 	require.True(t, d.limited)
-	d.places = 2
+	d.left = 2
 	require.Equal(t, 2, s.send(simStart, 5))
-	later := simStart.Add(dealtFor)
+	later := simStart.Add(quotaFor)
 	s.fleet.servers["s"].report = infra.Load{}
 	s.fleet.servers["s"].window = 9
-	require.Positive(t, len(s.Tick(later)), "nobody deals any more")
+	require.Positive(t, len(s.Tick(later)), "nobody reports any more")
 }
 
-func TestFewInstancesAreNotDealtPlaces(t *testing.T) {
+func TestFewInstancesHaveNoQuota(t *testing.T) {
 	s := many(12, 12, time.Second)
 	s.Reported(simStart, "s", infra.Load{Running: 3, Contending: 300}, 0)
-	require.False(t, s.fleet.servers["s"].dealing.limited)
+	require.False(t, s.fleet.servers["s"].quota.limited)
 	require.Positive(t, s.send(simStart, 1))
 }
 
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -62,8 +62,8 @@
 		s.crowd = s.crowd || srv.FailureDomain == t.OwnDomain && t.Entries[t.OwnDomain] > srv.Slots
 	}
 	for i := range t.Servers { // what a server newly serves may be waited for by all
-		if srv := s.fleet.servers[t.Servers[i].ID]; len(srv.residents) > srv.dealing.residents {
-			srv.deal(now, s.rng)
+		if srv := s.fleet.servers[t.Servers[i].ID]; len(srv.residents) > srv.quota.residents {
+			srv.drawQuota(now, s.rng)
 		}
 	}
 	s.pumpAll(now)
@@ -241,7 +241,7 @@
 	f.at, f.sentAt = srv, now
 	f.alone, f.begun = c.unread <= aloneUnread && f.delivered == 0, false
 	srv.unread += f.PromptTokens
-	srv.dealing.places--
+	srv.quota.left--
 	f.lined = c.load+1 > float64(srv.Slots)
 	f.attempts++
 	f.target.inFlight++
@@ -268,7 +268,7 @@
 			Unread:     int(c.unread),
 			First:      seconds(c.firstToken(f)),
 			LoadAge:    srv.loadAge(now),
-			Contending: srv.dealing.told(),
+			Contending: srv.quota.contenders(),
 		},
 	})
 }
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -29,7 +29,7 @@
 	// standMost bounds how long after its start an instance may first stand for the
 	// lease, if the store names no holder. One with a whole core does when it asks,
 	// one with less waits longer by the square, so that those with much processor
-	// have settled who gets it: each that joins may have the platform deal it anew,
+	// have settled who gets it: each that joins may have the platform pass it on,
 	// and where 295 instances stood within a second, the lease passed through four
 	// hands in six seconds.
 	standMost = 4 * time.Second
@@ -133,7 +133,7 @@
 // vacant says whether this instance should stand for the lease, after the store
 // named nobody, or one that isn't the holder any more: where all were killed the
 // store names the one of before for seconds, and those that waited for that to end
-// joined one after the other, each time with the lease dealt anew.
+// joined one after the other, each time with the lease passed on.
 func (d *directory) vacant(now time.Time) bool { return d.holder == "" && !now.Before(d.stands) }
 
 // referred notes an answer of an instance that doesn't hold the lease, and whom
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -66,7 +66,7 @@
 	}, age))
 }
 
-// spread deals out what is wanted of targets over the servers that serve them.
+// spread divides what is wanted of targets among the servers that serve them.
 func (d *desk) spread(wanted map[string]float64) map[string]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -123,7 +123,7 @@
 // Demand returns what was asked for since the last call, by target.
 func (r *Relay) Demand() map[string]residency.Asked { return r.desk.demand() }
 
-// Spread deals out what is wanted of targets over the servers that serve them.
+// Spread divides what is wanted of targets among the servers that serve them.
 func (r *Relay) Spread(wanted map[string]float64) map[string]float64 { return r.desk.spread(wanted) }
 
 // Wanted is readable after a request had to wait for a target without a
--- a/residency/candidates.go
+++ b/residency/candidates.go
@@ -13,7 +13,7 @@
 	// one that its instances can ask while no lease holder is known.
 	candidatesEach = 3
 	// allCandidates is up to how many instances all are: their renewals cost little,
-	// and each candidate that comes or goes may have the platform deal the lease anew.
+	// and each candidate that comes or goes may have the platform pass the lease on.
 	allCandidates = 12
 )
 
--- a/residency/candidates_test.go
+++ b/residency/candidates_test.go
@@ -44,7 +44,7 @@
 }
 
 // A holder that has just won knows few instances: until it has heard of all,
-// whoever stands goes on, so that the lease isn't dealt anew for it.
+// whoever stands goes on, so that the lease isn't passed on for it.
 func TestCandidatesAreChosenOnceInstancesHaveSpoken(t *testing.T) {
 	c := NewController(Options{})
 	now := start
@@ -108,5 +108,5 @@
 	require.Contains(t, g.joined, "a")
 	l.Heard(false)
 	l.withdraw(t.Context())
-	require.NotContains(t, g.joined, "a", "another gets what it may have been dealt at once")
+	require.NotContains(t, g.joined, "a", "another gets what it may have been given at once")
 }
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -48,7 +48,7 @@
 	Orderer Orderer
 	View    func() topology.View
 	Counted func(result string) // counts an order: accepted or failed
-	// Spread deals out what is wanted of targets over the servers that serve them.
+	// Spread divides what is wanted of targets among the servers that serve them.
 	Spread func(wanted map[string]float64) map[string]float64
 	Log    logrus.FieldLogger
 }
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -42,7 +42,7 @@
 	takeover = heldFor + orderTimeout/2
 	// withdrawAfter is how long an instance that isn't a candidate any more goes
 	// on renewing, so that one word that was wrong doesn't have it leave: each that
-	// leaves or comes may have the platform deal the lease anew.
+	// leaves or comes may have the platform pass the lease on.
 	withdrawAfter = time.Second
 )
 
