Models that hardly anybody asks for go to busy servers

Engines that had crashed came back with rare models, which went to the idlest servers, and hot models found no place there.

Change: a model with less demand than a second replica would help goes where much else is asked for.

Ruled out: choosing among replicas (near servers first or not: within noise), the rate of loads (unspent in those seconds), keeping the last replicas of rare models, keeping replicas from full servers (both within noise).

--- a/residency/place.go
+++ b/residency/place.go
@@ -122,7 +122,7 @@
 		if !fits && victim == nil {
 			continue
 		}
-		cost := w.pressure(s)
+		cost := w.crowding(s, m)
 		if !onDisk {
 			cost += storeCost * m.LoadTime.Seconds()
 		}
@@ -158,6 +158,18 @@
 	unloadCost = 0.5
 )
 
+// crowding is what a server's other demand costs a model there, in fills of its
+// batch. A model that hardly anybody asks for goes where much else is asked for, and
+// leaves the servers with free slots to the models that need them: engines that had
+// crashed came back with rare models, and while 60 to 105 of 240 servers were full,
+// as many had next to nothing to do.
+func (w *pool) crowding(s *server, m *model) float64 {
+	if m.level < w.fair() {
+		return -min(w.pressure(s), 1)
+	}
+	return w.pressure(s)
+}
+
 // pressure is how full a server is with the demand of the models that it holds.
 func (w *pool) pressure(s *server) float64 {
 	sum := 0.0
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -309,3 +309,20 @@
 	}
 	require.Less(t, short/asked, 0.23, "the part of the requests beyond what replicas carry well")
 }
+
+// A model that hardly anybody asks for adds nothing to a server's load, and must not
+// take the place on an idle one that a busy model needs.
+func TestRareModelsGoToBusyServersAndBusyOnesToIdleServers(t *testing.T) {
+	w := newWorld(t, 2, 4, 0)
+	w.place("m0", 0)
+	w.place("m1", 1)
+	w.ask("m0", 3, 0) // too little for a second replica
+	w.run(3 * time.Second)
+	w.ask("m2", 0, 1)
+	w.run(time.Second)
+	require.Contains(t, w.engines[0].models, "m2")
+	require.NotContains(t, w.engines[1].models, "m2")
+	w.ask("m3", 20, 10)
+	w.run(3 * time.Second)
+	require.Contains(t, w.engines[1].models, "m3")
+}
