--- a/decide/types.go
+++ b/decide/types.go
@@ -139,6 +139,13 @@
 	Contending int           // requests of all instances that want what the server serves, where this instance has a quota of its slots; 0: it has none
 }
 
+// RateLimit is how many requests a server takes, of all instances together, while
+// it is in need.
+type RateLimit struct {
+	Named     bool    // false: the server takes what its slots hold
+	PerSecond float64 // requests; 0: none
+}
+
 // Failure says how an attempt failed.
 type Failure struct {
 	Reason infra.Reason
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -24,6 +24,7 @@
 	requests      *prometheus.CounterVec // by outcome
 	decisions     *prometheus.CounterVec // by action and reason
 	orders        *prometheus.CounterVec // by result
+	sentLimited   prometheus.Counter
 	storeFailures prometheus.Counter
 	took          prometheus.Histogram
 	firstByte     prometheus.Histogram
@@ -44,6 +45,9 @@
 		requests:  counters("requests_total", "Requests by the class of their end.", "outcome"),
 		decisions: counters("decisions_total", "Decisions about requests.", "action", "reason"),
 		orders:    counters("orders_total", "Orders to servers.", "result"),
+		sentLimited: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "sent_rate_limited_total", Help: "Attempts at servers that name a rate limit.",
+		}),
 		storeFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_failures_total", Help: "Reads of the platform's store that failed.",
 		}),
@@ -55,7 +59,7 @@
 			Namespace: namespace, Name: "store_call_seconds", Help: "Reads of the platform's store, their waiting included.", Buckets: latencyBounds,
 		}, []string{"read"}),
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.storeFailures, m.took, m.firstByte, m.wait, m.eventGap, m.storeCalls)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentLimited, m.storeFailures, m.took, m.firstByte, m.wait, m.eventGap, m.storeCalls)
 	return m
 }
 
@@ -82,6 +86,9 @@
 // Decided implements relay.Metrics.
 func (m *metrics) Decided(action, reason string) { m.decisions.WithLabelValues(action, reason).Inc() }
 
+// SentLimited implements relay.Metrics.
+func (m *metrics) SentLimited() { m.sentLimited.Inc() }
+
 // ordered counts an order to a server.
 func (m *metrics) ordered(result string) { m.orders.WithLabelValues(result).Inc() }
 
@@ -109,6 +116,7 @@
 	g("store_down", "1 while the store doesn't answer this instance.", func() float64 { return oneIf(i.storeIsDown()) })
 	g("lease_held", "1 while this instance holds the lease.", func() float64 { return oneIf(i.lease.Holds()) })
 	g("instances", "Live instances.", func() float64 { return float64(i.instances()) })
+	g("servers_rate_limited", "Servers that name a rate limit.", func() float64 { return float64(i.relay.RateLimited()) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.InHand()) })
 }
 
--- a/instance/metrics_test.go
+++ b/instance/metrics_test.go
@@ -17,6 +17,7 @@
 	m.Waited(time.Millisecond)
 	m.Gap(time.Minute)
 	m.ordered("accepted")
+	m.SentLimited()
 	m.storeCall("servers", time.Now())
 	m.gauge("config_version", "help", func() float64 { return 7 })
 	w := httptest.NewRecorder()
@@ -27,6 +28,7 @@
 		`greengageferry_requests_total{outcome="done"} 1`,
 		`greengageferry_decisions_total{action="dispatch",reason="best_score"} 1`,
 		`greengageferry_orders_total{result="accepted"} 1`,
+		`greengageferry_sent_rate_limited_total 1`,
 		`greengageferry_request_seconds_bucket{le="0.025"} 0`,
 		`greengageferry_request_seconds_bucket{le="0.05"} 1`,
 		`greengageferry_event_gap_seconds_bucket{le="15"} 0`,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,6 +62,8 @@
 	Sealed    bool // it bears the server's proof that the answer is its own
 	NotRun    bool // the server did not run the request
 	Encoded   bool // the body isn't as the server made it
+	RateLimit decide.RateLimit
+	Problem   error // a header of it that can't be read; nil: there is none
 }
 
 // Options is what a Relay is built from. All must be set.
@@ -84,6 +86,8 @@
 	Gap(longest time.Duration)
 	// Decided counts a decision.
 	Decided(action, reason string)
+	// SentLimited counts an attempt at a server that names a rate limit.
+	SentLimited()
 }
 
 // Relay is the handler of the callers' requests.
@@ -126,6 +130,9 @@
 // Spread divides what is wanted of targets among the servers that serve them.
 func (r *Relay) Spread(wanted map[string]float64) map[string]float64 { return r.desk.spread(wanted) }
 
+// RateLimited returns how many servers name a rate limit.
+func (r *Relay) RateLimited() int { return r.desk.rateLimited() }
+
 // Wanted is readable after a request had to wait for a target without a
 // replica. It bears at most one signal.
 func (r *Relay) Wanted() <-chan struct{} { return r.desk.wanted }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -62,6 +62,7 @@
 func (testMetrics) Decided(string, string)      {}
 func (testMetrics) Waited(time.Duration)        {}
 func (testMetrics) Gap(time.Duration)           {}
+func (testMetrics) SentLimited()                {}
 
 // backendServer answers by its script and counts what reached it.
 type backendServer struct {
