--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -61,6 +61,7 @@
 func (noMetrics) FirstByte(time.Duration)     {}
 func (noMetrics) Decided(string, string)      {}
 func (noMetrics) Waited(time.Duration)        {}
+func (noMetrics) SentLimited()                {}
 func (noMetrics) Gap(time.Duration)           {}
 
 func newFailing(t *testing.T, script http.HandlerFunc) *failing {
