Instances together keep the rate limit that a server names

Seen: a server in need that had named 1.3 requests a second got 5.6; callers saw nothing of it, the server did.

Cause: what a server named was passed on to callers and read by nobody. Its class is a figure for all instances together that each instance would have to keep by itself: no instance sent that server more than three requests in four seconds, less than the 5.2 that it had named, and all nine together sent 20. So reading it isn't enough, and equal shares aren't either: with 295 instances each would have one request in four minutes, unused where nobody asks.

Mend: an instance takes the limit from its own answers or hears it from the lease holder, to which all repeat it with each word; requests go to servers without a limit first; and the holder, of which there is one, grants single requests to instances whose requests wait, from one bucket for a server. Grants lapse after a second, and a new holder begins at nothing, so what two holders grant doesn't add up. While no holder is heard each instance has a turn now and then, by the place among all that it was last told, so that turns follow each other evenly; one that was never told takes itself for one of as many as the system is designed for. The limit ends with an answer without one to a request sent after the last with one, or with the server's start.

The test found that words taken in out of their order made a negative number of grants, a very large one on the wire; mended with a test. The test's window is four seconds by the clock now, no longer 80 samples, which stretch on a busy machine.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -30,6 +30,9 @@
 	// the first there can be no change, and beyond the second nothing is known.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
+	// longestGap bounds, in seconds, the time between two requests that an instance
+	// may send: beyond what callers are told nothing has to be told apart.
+	longestGap = 300.0
 	// noReplicaRetry is when to come back for a target that is being loaded.
 	noReplicaRetry = 2 * time.Second
 	// expectedRate is how many requests a second start for a target whose first
@@ -70,13 +73,13 @@
 // and its caller learns too late to do anything else.
 func (s *Scheduler) enqueue(now time.Time, f *flight) {
 	t := f.target
-	wait := s.expectedWait(f)
+	wait := s.expectedWait(now, f)
 	if f.late(now, wait) {
-		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.safe-f.left(now), t.gap()))
+		s.refuse(f, ReasonDeadline, t.returns.next(now, wait+f.safe-f.left(now), s.gap(now, t)))
 		return
 	}
 	if s.queued >= maxQueued && !s.makeRoom(now, f) {
-		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, t.gap()))
+		s.refuse(f, ReasonQueueFull, t.returns.next(now, wait, s.gap(now, t)))
 		return
 	}
 	t.queue.push(f)
@@ -104,7 +107,7 @@
 		return false
 	}
 	victim := worst.queue.last()
-	after := worst.returns.next(now, 0, worst.gap())
+	after := worst.returns.next(now, 0, s.gap(now, worst))
 	s.unqueue(victim)
 	s.refuse(victim, ReasonShare, after)
 	return true
@@ -120,14 +123,14 @@
 
 // expectedWait returns the seconds that the request would wait in its queue
 // behind those that go before it.
-func (s *Scheduler) expectedWait(f *flight) float64 {
-	return (float64(f.target.queue.ahead(f)) + firstWait) / f.target.rate(1)
+func (s *Scheduler) expectedWait(now time.Time, f *flight) float64 {
+	return (float64(f.target.queue.ahead(f)) + firstWait) / s.rate(now, f.target, 1)
 }
 
 // rate returns how many of the target's waiting requests start in a second, if
 // so many more came: its part of the slots that this instance gets at its
 // servers. Those that wait there share them by number, partners by weight.
-func (t *targetState) rate(more int) float64 {
+func (s *Scheduler) rate(now time.Time, t *targetState, more int) float64 {
 	n := min(len(t.replicas), sampled)
 	if n == 0 && t.Expected {
 		return expectedRate
@@ -152,7 +155,7 @@
 				counted = o.partner
 			}
 		}
-		sum += mine / max(all, mine) * t.partner.weight / weights / srv.gap()
+		sum += mine / max(all, mine) * t.partner.weight / weights / s.serverGap(now, srv, more)
 	}
 	return sum
 }
@@ -163,11 +166,27 @@
 	return s.pool.holdTime() * s.slowness() / float64(max(s.own, 1))
 }
 
+// serverGap returns the seconds between two requests that this instance may send
+// the server, if so many more wanted to: a slot has to free, and a rate limit to
+// let it have one.
+func (s *Scheduler) serverGap(now time.Time, srv *serverState, more int) float64 {
+	if !srv.rateLimit.Named {
+		return srv.gap()
+	}
+	return max(srv.gap(), min(1/srv.limitRate(now, &s.rationing, more), longestGap))
+}
+
 // gap returns the least gap of the target's servers.
-func (t *targetState) gap() float64 {
-	least := unknownService
+func (s *Scheduler) gap(now time.Time, t *targetState) float64 {
+	least := longestGap
 	for i := range t.replicas[:min(len(t.replicas), sampled)] {
-		least = min(least, t.replicas[i].server.gap())
+		least = min(least, s.serverGap(now, t.replicas[i].server, 1))
+		if !t.replicas[i].server.rateLimit.Named {
+			least = min(least, unknownService)
+		}
+	}
+	if len(t.replicas) == 0 {
+		return unknownService
 	}
 	return least
 }
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -28,7 +28,7 @@
 // a request can wait for.
 var (
 	usable  = []filter{liveFilter{}, reachFilter{}, residentFilter{}, avoidFilter{}}
-	fitting = []filter{roomFilter{}, readFilter{}, apartFilter{}, deadlineFilter{}}
+	fitting = []filter{rateFilter{}, roomFilter{}, readFilter{}, apartFilter{}, deadlineFilter{}}
 )
 
 // passes says whether the candidate gets through all filters.
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -36,6 +36,7 @@
 	retryAt  time.Time
 
 	quota      quota
+	rateLimit  limitState
 	domain     *domainState
 	emptyStart string    // the start that lost what it held
 	emptyTo    time.Time // until then it is taken to hold nothing
@@ -154,6 +155,9 @@
 			s = &serverState{}
 			f.servers[srv.ID] = s
 		}
+		if s.Start != srv.Start {
+			s.rateLimit = limitState{} // it started again, and knows nothing of before
+		}
 		s.Server, s.listed, s.noQueue = srv, true, t.NoServerQueue
 		s.Slots = max(s.Slots, 1)
 		s.pool, s.domain = f.pool(srv.Pool), f.domain(srv.FailureDomain)
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -24,6 +24,7 @@
 	roomy    fill = iota // up to roomyPart of its slots taken
 	fitted               // a free slot
 	queueing             // its own short queue
+	rationed             // a free slot of a server that names a rate limit
 )
 
 // roomyPart is the part of its slots up to which a server's batch is quick.
@@ -54,7 +55,10 @@
 	if s.crowd {
 		s.fill = fitted
 	}
-	for ; s.fill <= queueing; s.fill++ {
+	for ; s.fill <= rationed; s.fill++ {
+		if s.fill == rationed && !s.limitAllows(now, t) {
+			break
+		}
 		for _, replicas := range [][]replicaState{near, far} {
 			c, w := s.among(now, f, replicas)
 			if c != nil {
@@ -96,9 +100,11 @@
 func (s *Scheduler) sample(now time.Time, f *flight, replicas []replicaState) {
 	s.candidates = s.candidates[:0]
 	n := len(replicas)
-	if n <= sampled {
+	if n <= sampled || s.fill == rationed {
 		for i := range replicas {
-			s.consider(now, &replicas[i])
+			if n <= sampled || replicas[i].server.rateLimit.Named {
+				s.consider(now, &replicas[i])
+			}
 		}
 		return
 	}
--- a/decide/pump.go
+++ b/decide/pump.go
@@ -11,6 +11,9 @@
 // owner asks. Within a partner the request goes first that has to start first.
 func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
 	s.fill = queueing
+	if srv.rateLimit.Named {
+		s.fill = rationed
+	}
 	for s.queued > 0 && srv.room(now, srv.Slots+srv.queueFor(under, mostGoal)) {
 		f, c := s.nextFor(now, srv)
 		if f == nil {
@@ -108,7 +111,7 @@
 // hear of it while there is time to do something else.
 func (s *Scheduler) expire(now time.Time, t *targetState) {
 	s.sorted = t.queue.sorted(s.sorted[:0])
-	rate := t.rate(0)
+	rate := s.rate(now, t, 0)
 	kept := 0
 	for _, f := range s.sorted {
 		if !f.missed && f.missesGoal(now) {
--- /dev/null
+++ b/decide/ratelimit.go
@@ -0,0 +1,306 @@
+package decide
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// GrantFor is how long a granted request may be sent, counted from the word that
+	// asked for it. Unsent ones lapse: an instance that saved them up could send
+	// them all at once, beside what others were granted meanwhile.
+	GrantFor = time.Second
+	// sharedFor is how long after the lease holder's last word an instance waits for
+	// it to share out a rate limit; then it goes by its own share.
+	sharedFor = 1500 * time.Millisecond
+	// ownPart is the part of its equal share that an instance takes for itself while
+	// nobody shares the limit out: instances may be more than it was told of, and a
+	// lease holder that others reach goes on sharing out the whole.
+	ownPart = 0.7
+	// turnOpen is how long an instance may use one of its turns: requests come when
+	// they come, and turns that are kept open for longer add up.
+	turnOpen = 3 * time.Second
+	// mostInstances is how many instances there are taken to be until the lease
+	// holder has said so: as many as the system is designed for.
+	mostInstances = 370
+	// liftedKept is how long an instance repeats that a server names no limit any more.
+	liftedKept = 30 * time.Second
+)
+
+// RateSaid is what an instance says of a server's rate limit to the lease holder.
+type RateSaid struct {
+	Server string
+	Start  string // of the server, as Server.Start
+	Limit  RateLimit
+	Age    time.Duration // since an answer showed it
+	Heard  bool          // an answer to this instance showed it; false: it was told
+	Wants  int           // requests that wait here and could go there
+}
+
+// RateShare is what the lease holder tells an instance of a server's rate limit.
+type RateShare struct {
+	Server  string
+	Start   string
+	Limit   RateLimit
+	Age     time.Duration // since an answer to any instance showed it
+	Granted int           // requests that this instance may send
+}
+
+// RateShares is all that the lease holder tells of rate limits.
+type RateShares struct {
+	Shares    []RateShare
+	Position  int // of this instance among all, from 0
+	Instances int // that there are
+}
+
+// LimitChange is a rate limit that was told and differs from what was known.
+type LimitChange struct {
+	Server string
+	Before RateLimit
+	Since  time.Time // since when Before was known
+}
+
+// limitState is what an instance knows of the rate limit that a server names. A
+// limit is for all instances together: the lease holder shares it out among those
+// whose requests wait. While none is heard, each instance has a turn now and then;
+// by its position the turns of all follow each other evenly.
+type limitState struct {
+	RateLimit
+	shown time.Time // when an answer, to whichever instance, last showed it
+	heard bool      // that answer was to this instance
+	since time.Time // when it was first known
+
+	granted []grant // by the lease holder, those that lapse first in front
+
+	turnsFrom time.Time     // no turn before it
+	turnEvery time.Duration // 0: never
+	sentAt    time.Time     // the last request
+}
+
+func (l *limitState) set(now time.Time, limit RateLimit, shown time.Time, heard bool) {
+	if limit.Named && !l.Named {
+		l.since = now
+	}
+	l.RateLimit, l.shown, l.heard = limit, shown, heard
+}
+
+// grant is requests that the lease holder lets an instance send until a time.
+type grant struct {
+	requests int
+	to       time.Time
+}
+
+// rationing is what an instance knows of how limits are shared out.
+type rationing struct {
+	toldAt    time.Time // by the lease holder
+	position  float64   // of this instance among all, as a part of them
+	instances int       // 0: not told
+}
+
+// shared says whether the lease holder shares limits out.
+func (r *rationing) shared(now time.Time) bool {
+	return !r.toldAt.IsZero() && now.Sub(r.toldAt) < sharedFor
+}
+
+func (r *rationing) count() float64 {
+	if r.instances <= 0 {
+		return mostInstances
+	}
+	return float64(r.instances)
+}
+
+// Answered takes in what an answer says of its server's rate limit, to a request
+// that was sent at a time. It returns whether that changed what is known.
+func (s *Scheduler) Answered(now time.Time, server string, sent time.Time, limit RateLimit, complete bool) bool {
+	srv := s.fleet.servers[server]
+	if srv == nil {
+		return false
+	}
+	l := &srv.rateLimit
+	// An answer without a limit may have been made before the server named one,
+	// and a refusal names none.
+	if !limit.Named && (!l.Named || !complete || !sent.After(l.shown)) {
+		return false
+	}
+	changed := l.RateLimit != limit
+	l.set(now, limit, now, true)
+	s.schedule(l)
+	return changed
+}
+
+// RatesTold takes in what the lease holder told of rate limits, in answer to a word
+// that was sent at a time. It returns what that changed.
+func (s *Scheduler) RatesTold(now, sent time.Time, told RateShares) (changes []LimitChange, out []Decision) {
+	s.out = s.out[:0]
+	r := &s.rationing
+	r.toldAt, r.instances = sent, told.Instances
+	r.position = (float64(told.Position) + 0.5) / r.count()
+	for _, share := range told.Shares {
+		srv := s.fleet.servers[share.Server]
+		if srv == nil || srv.Start != share.Start {
+			continue
+		}
+		l := &srv.rateLimit
+		if shown := sent.Add(-share.Age); l.RateLimit != share.Limit && shown.After(l.shown) {
+			changes = append(changes, LimitChange{share.Server, l.RateLimit, l.since})
+			l.set(now, share.Limit, shown, false)
+		}
+		if share.Granted > 0 {
+			l.granted = append(l.granted, grant{share.Granted, sent.Add(GrantFor)})
+		}
+		s.schedule(l)
+		s.pumpServer(now, srv)
+	}
+	return changes, s.out
+}
+
+// Rates returns what this instance has to say of rate limits.
+func (s *Scheduler) Rates(now time.Time) []RateSaid {
+	var out []RateSaid
+	for id, srv := range s.fleet.servers {
+		l := &srv.rateLimit
+		if !srv.listed || !l.Named && (!l.heard || now.Sub(l.shown) > liftedKept) {
+			continue
+		}
+		out = append(out, RateSaid{
+			Server: id, Start: srv.Start, Limit: l.RateLimit, Age: now.Sub(l.shown), Heard: l.heard,
+			Wants: srv.wants(now),
+		})
+	}
+	return out
+}
+
+// RateLimitOf returns the rate limit that a server names, and since when it is known.
+func (s *Scheduler) RateLimitOf(server string) (RateLimit, time.Time) {
+	srv := s.fleet.servers[server]
+	if srv == nil {
+		return RateLimit{}, time.Time{}
+	}
+	return srv.rateLimit.RateLimit, srv.rateLimit.since
+}
+
+// RateLimited returns how many servers name a rate limit.
+func (s *Scheduler) RateLimited() int {
+	n := 0
+	for _, srv := range s.fleet.servers {
+		if srv.listed && srv.rateLimit.Named {
+			n++
+		}
+	}
+	return n
+}
+
+// wants returns how many requests wait that could go to the server if its rate limit
+// let them, beyond those that it already does, each counted in equal parts at all
+// that serve it.
+func (s *serverState) wants(now time.Time) int {
+	if !s.rateLimit.Named || now.Before(s.retryAt) || !s.room(now, s.Slots) {
+		return 0
+	}
+	sum := 0.0
+	for _, r := range s.residents {
+		sum += float64(r.target.queue.len()) / float64(len(r.target.replicas))
+	}
+	return max(int(math.Ceil(sum))-s.rateLimit.grants(now), 0)
+}
+
+// grants returns how many granted requests may be sent now.
+func (l *limitState) grants(now time.Time) int {
+	l.granted = slices.DeleteFunc(l.granted, func(g grant) bool { return g.requests == 0 || !now.Before(g.to) })
+	n := 0
+	for _, g := range l.granted {
+		n += g.requests
+	}
+	return n
+}
+
+// schedule sets the instance's own turns at a server, for when nobody shares the
+// limit out. They begin anew with each word of the lease holder, which all
+// instances hear within the same half second.
+func (s *Scheduler) schedule(l *limitState) {
+	r := &s.rationing
+	every := time.Duration(0)
+	if rate := l.PerSecond * ownPart / r.count(); rate > 0 {
+		every = time.Duration(min(float64(time.Second)/rate, float64(math.MaxInt64)/2))
+	}
+	from := r.toldAt.Add(sharedFor)
+	position := r.position
+	if r.toldAt.IsZero() {
+		from, position = l.since, s.rationing.drawn(s.rng)
+	}
+	l.turnsFrom, l.turnEvery = from.Add(time.Duration(position*float64(every))), every
+}
+
+// drawn returns the position of an instance that was told none: it stays the same.
+func (r *rationing) drawn(rng *rand.Rand) float64 {
+	if r.position == 0 {
+		r.position = rng.Float64()
+	}
+	return r.position
+}
+
+// turn says whether a turn is open that no request was sent in yet. Turns move when
+// the limit does: two requests are half of the time between turns apart at least.
+func (l *limitState) turn(now time.Time) bool {
+	since := now.Sub(l.turnsFrom)
+	if l.turnEvery <= 0 || since < 0 || now.Sub(l.sentAt) < l.turnEvery/2 {
+		return false
+	}
+	into := since % l.turnEvery
+	return into < turnOpen && l.sentAt.Before(now.Add(-into))
+}
+
+// allows says whether the instance may send the server a request now.
+func (l *limitState) allows(now time.Time, r *rationing) bool {
+	if !l.Named || l.grants(now) > 0 {
+		return true
+	}
+	return !r.shared(now) && l.turn(now)
+}
+
+// spend takes a request that is sent from what was granted, or from the turn, and
+// says whether it was granted.
+func (l *limitState) spend(now time.Time) bool {
+	l.sentAt = now
+	if l.grants(now) == 0 {
+		return false
+	}
+	l.granted[0].requests--
+	return true
+}
+
+// limitRate returns the requests a second that the server's rate limit lets this
+// instance send, if so many more wanted to: its part of all that want what the
+// server serves, or its own share.
+func (s *serverState) limitRate(now time.Time, r *rationing, more int) float64 {
+	if !r.shared(now) {
+		return s.rateLimit.PerSecond * ownPart / r.count()
+	}
+	own := s.wanted(now) + float64(more)
+	return s.rateLimit.PerSecond * own / max(own, s.quota.contending, 1)
+}
+
+// rateFilter drops servers that name a rate limit, unless all others have no room
+// and a request may be sent there: what the limit allows is for requests that
+// nobody else can serve.
+type rateFilter struct{}
+
+func (rateFilter) keep(s *Scheduler, now time.Time, _ *flight, c *candidate) bool {
+	if !c.server.rateLimit.Named {
+		return s.fill != rationed
+	}
+	return s.fill == rationed && c.server.rateLimit.allows(now, &s.rationing)
+}
+
+// limitAllows says whether any of the target's servers names a rate limit under
+// which a request may be sent now.
+func (s *Scheduler) limitAllows(now time.Time, t *targetState) bool {
+	for i := range t.replicas {
+		if l := &t.replicas[i].server.rateLimit; l.Named && l.allows(now, &s.rationing) {
+			return true
+		}
+	}
+	return false
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -15,16 +15,17 @@
 // The slice that a method returns is reused by the next call of any method:
 // its owner carries the decisions out, or copies them, before that call.
 type Scheduler struct {
-	rng      *rand.Rand
-	fleet    fleet
-	requests map[string]*flight
-	spare    []*flight // for reuse
-	queued   int
-	prefixes prefixes
-	draining bool
-	turn     int
-	nearFill float64 // see Table.NearFill
-	crowd    bool    // the own domain has more instances than its servers have slots
+	rng       *rand.Rand
+	fleet     fleet
+	requests  map[string]*flight
+	spare     []*flight // for reuse
+	queued    int
+	prefixes  prefixes
+	draining  bool
+	turn      int
+	nearFill  float64 // see Table.NearFill
+	rationing rationing
+	crowd     bool // the own domain has more instances than its servers have slots
 
 	out        []Decision
 	candidates []candidate
@@ -110,7 +111,7 @@
 	}
 	switch reason, ok := s.again(now, r, f); {
 	case !ok:
-		s.refuse(r, reason, r.target.returns.next(now, 0, r.target.gap()))
+		s.refuse(r, reason, r.target.returns.next(now, 0, s.gap(now, r.target)))
 	default:
 		s.place(now, r)
 	}
@@ -220,7 +221,7 @@
 		return
 	}
 	if f.left(now) < f.need {
-		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, f.target.gap()))
+		s.refuse(f, ReasonDeadline, f.target.returns.next(now, 0, s.gap(now, f.target)))
 		return
 	}
 	c, waitable := s.choose(now, f)
@@ -242,6 +243,7 @@
 	f.alone, f.begun = c.unread <= aloneUnread && f.delivered == 0, false
 	srv.unread += f.PromptTokens
 	srv.quota.left--
+	granted := srv.rateLimit.spend(now)
 	f.lined = c.load+1 > float64(srv.Slots)
 	f.attempts++
 	f.target.inFlight++
@@ -269,6 +271,8 @@
 			First:      seconds(c.firstToken(f)),
 			LoadAge:    srv.loadAge(now),
 			Contending: srv.quota.contenders(),
+			Limit:      srv.rateLimit.RateLimit,
+			Granted:    granted,
 		},
 	})
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -136,6 +136,8 @@
 	Unread     int           // prompt tokens that the chosen server has yet to read, of all instances
 	First      time.Duration // expected time to the first token from now; 0: too little is known
 	LoadAge    time.Duration // of what was known of other instances' requests at the server; 0: nothing was
+	Limit      RateLimit     // that the chosen server names
+	Granted    bool          // under it, the lease holder granted this request; false: it was this instance's turn
 	Contending int           // requests of all instances that want what the server serves, where this instance has a quota of its slots; 0: it has none
 }
 
--- a/instance/ratelimit_test.go
+++ b/instance/ratelimit_test.go
@@ -29,8 +29,17 @@
 )
 
 // A server in need named a limit of 1.3 requests a second for all instances
-// together. Nine instances sent it three requests or fewer each within four
-// seconds, no one of them more than it had named, and together 23.
+// together. Nobody read it: the server got 3.6 requests a second before and 5.6
+// after, twelve of them in the second in which it named the limit, from eight of nine
+// instances. None of these sent it more than three in four seconds, which one
+// instance may; so it isn't enough that each keeps the limit by itself. What settled
+// it were the dispatches to that server by instance in the four seconds before it had
+// more than it may:
+//
+//	annex-hall-1 3, annex-hall-2 1, cold-room-hall-1 2, cold-room-hall-2 0, dock-hall-a-1 3,
+//	dock-hall-a-2 2, dock-hall-a-3 3, dock-hall-b-1 3, dock-hall-b-2 3
+//
+// Now the lease holder grants single requests to the instances whose requests wait.
 func TestInstancesTogetherKeepTheRateLimitThatAServerNames(t *testing.T) {
 	d := deploy(t)
 	for n := len(d.instances); n < limitInstances; n++ {
@@ -42,16 +51,25 @@
 	defer stop()
 	server.NameLimit(limitNamed)
 	time.Sleep(limitTold)
-	var ran []int
-	for began := time.Now(); time.Since(began) < limitWatch; time.Sleep(sampleEvery) {
-		ran = append(ran, len(server.Ran()))
+	type sample struct {
+		at  time.Time
+		ran int
 	}
-	most, window := 0, int(limitWindow/sampleEvery)
-	for n := window; n < len(ran); n++ {
-		most = max(most, ran[n]-ran[n-window])
+	began := sample{time.Now(), len(server.Ran())}
+	samples := []sample{began}
+	most, from := 0, 0
+	for time.Since(began.at) < limitWatch {
+		time.Sleep(sampleEvery)
+		now := sample{time.Now(), len(server.Ran())}
+		samples = append(samples, now)
+		for now.at.Sub(samples[from].at) > limitWindow {
+			from++
+		}
+		most = max(most, now.ran-samples[from].ran)
 	}
 	require.LessOrEqual(t, most, limitMost, "requests in %s", limitWindow)
-	served := float64(ran[len(ran)-1]-ran[0]) / limitWatch.Seconds()
+	last := samples[len(samples)-1]
+	served := float64(last.ran-began.ran) / last.at.Sub(began.at).Seconds()
 	require.Greater(t, served, limitNamed/2, "requests a second: what the limit allows is served")
 }
 
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -123,7 +123,7 @@
 		summary, err := i.controller.Said(time.Now(), word)
 		if err == nil {
 			i.lease.Heard(summary.Chosen) // a holder that loses the lease stays a candidate
-			i.learn(summary)
+			i.learn(time.Now(), summary)
 			i.heard(told{at: time.Now(), version: summary.Version})
 		}
 		return // the lease has just gone: the next word finds the new holder
@@ -145,7 +145,7 @@
 	return residency.Word{
 		Instance: n.Name, Domain: n.Domain, Addr: n.PeerAddr, Cores: n.Cores,
 		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
-		HeldDigest: i.currentView().Held.Digest(), Stands: i.lease.Stands(),
+		Rates: i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Stands: i.lease.Stands(),
 	}
 }
 
@@ -185,7 +185,7 @@
 		s.directory.learn(s.candidates)
 	}
 	i.lease.Heard(summary.Chosen)
-	i.learn(summary)
+	i.learn(sent, summary)
 	i.heard(told{at: now, version: summary.Version, storeDown: res.GetStoreDown(), holder: addr})
 	return true
 }
@@ -278,6 +278,7 @@
 	if res.Servers == nil {
 		res.Loads = wireLoads(summary.Loads)
 	}
+	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.Lost), summary.Since
 	return res, nil
 }
@@ -306,8 +307,9 @@
 	return i.front.serveOn(ctx, l, exchange.NewExchangeServer(exchangeServer{i}))
 }
 
-// learn takes in what the lease holder knows of all instances.
-func (i *Instance) learn(s residency.Summary) {
+// learn takes in what the lease holder knows of all instances, told in answer to a
+// word that was sent at a time.
+func (i *Instance) learn(sent time.Time, s residency.Summary) {
 	if version := i.configVersion(); version != 0 && s.Version > version {
 		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version, "read_ms": i.configReadAge()}).Warn("configuration behind other instances")
 		i.restartConfigRead(behindAge)
@@ -331,6 +333,7 @@
 	}
 	servers := i.view.Servers
 	i.mu.Unlock()
+	i.relay.RatesTold(sent, s.Rates)
 	if s.Loads == nil {
 		return // told for another list of servers: the next word brings them
 	}
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengageferry/decide"
 	"greengageferry/exchange"
 	"greengageferry/residency"
 	"greengageferry/topology"
@@ -18,6 +19,12 @@
 		})
 	}
 	req.Loads = wireLoads(w.Loads)
+	for _, r := range w.Rates {
+		req.Rates = append(req.Rates, &exchange.RateSaid{
+			Server: r.Server, Start: r.Start, Named: r.Limit.Named, PerSecond: r.Limit.PerSecond,
+			AgeMs: uint32(r.Age.Milliseconds()), Heard: r.Heard, Wants: uint32(r.Wants),
+		})
+	}
 	return req
 }
 
@@ -35,9 +42,37 @@
 			Work: time.Duration(d.GetWorkMs()) * time.Millisecond,
 		}
 	}
+	for _, r := range req.GetRates() {
+		w.Rates = append(w.Rates, decide.RateSaid{
+			Server: r.GetServer(), Start: r.GetStart(), Limit: decide.RateLimit{Named: r.GetNamed(), PerSecond: r.GetPerSecond()},
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, Heard: r.GetHeard(), Wants: int(r.GetWants()),
+		})
+	}
 	return w
 }
 
+func wireRates(shares []decide.RateShare) []*exchange.RateShare {
+	var out []*exchange.RateShare
+	for _, r := range shares {
+		out = append(out, &exchange.RateShare{
+			Server: r.Server, Start: r.Start, Named: r.Limit.Named, PerSecond: r.Limit.PerSecond,
+			AgeMs: uint32(r.Age.Milliseconds()), Granted: uint32(r.Granted),
+		})
+	}
+	return out
+}
+
+func ratesOfWire(rates []*exchange.RateShare) []decide.RateShare {
+	var out []decide.RateShare
+	for _, r := range rates {
+		out = append(out, decide.RateShare{
+			Server: r.GetServer(), Start: r.GetStart(), Limit: decide.RateLimit{Named: r.GetNamed(), PerSecond: r.GetPerSecond()},
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, Granted: int(r.GetGranted()),
+		})
+	}
+	return out
+}
+
 func summaryOf(res *exchange.SyncResponse) residency.Summary {
 	s := residency.Summary{Instances: map[string]int{}, Ordering: res.GetOrdering(), Version: res.GetConfigVersion()}
 	for _, d := range res.GetInstances() {
@@ -45,6 +80,10 @@
 	}
 	s.Loads = loadsOfWire(res.GetLoads())
 	s.Chosen, s.Candidates = res.GetChosen(), candidatesOfWire(res.GetCandidates())
+	s.Rates = decide.RateShares{Shares: ratesOfWire(res.GetRates()), Position: int(res.GetPlace())}
+	for _, n := range s.Instances {
+		s.Rates.Instances += n
+	}
 	s.Held, s.Lost, s.Since = heldOfWire(res.GetHeld()), heldOfWire(res.GetHeldLost()), res.GetHeldSince()
 	return s
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,7 +55,7 @@
 	defer res.Body.Close()
 	c.relay.backends.answered(d.Server.ID, res.Header)
 	said := c.relay.opts.Headers.Answer(res.StatusCode, res.Header)
-	c.relay.desk.answered(c, d.Server.ID, said)
+	c.relay.desk.answered(c, d.Server.ID, sent, res.StatusCode, said)
 	if said.NotRun {
 		c.logAttempt(d, "not_run", res.StatusCode)
 		return c.notRun(res.StatusCode)
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -31,8 +31,7 @@
 	scheduler *decide.Scheduler
 	calls     map[string]*call
 	asked     map[string]residency.Asked
-	inFlight  map[string]int         // by server
-	limited   map[string]rateLimited // by server that names a rate limit
+	inFlight  map[string]int // by server
 	ticking   bool
 	log       logrus.FieldLogger
 	metrics   Metrics
@@ -45,7 +44,6 @@
 		calls:     map[string]*call{},
 		asked:     map[string]residency.Asked{},
 		inFlight:  map[string]int{},
-		limited:   map[string]rateLimited{},
 		log:       log,
 		metrics:   m,
 		wanted:    make(chan struct{}, 1),
@@ -238,8 +236,8 @@
 		f["unread_tokens"] = dec.Inputs.Unread
 		f["first_ms"] = dec.Inputs.First.Milliseconds()
 		f["load_age_ms"] = dec.Inputs.LoadAge.Milliseconds()
-		if l, ok := d.limited[dec.Server.ID]; ok {
-			f["limit_per_s"] = l.perSecond
+		if dec.Inputs.Limit.Named {
+			f["limit_per_s"], f["granted"] = dec.Inputs.Limit.PerSecond, dec.Inputs.Granted
 			d.metrics.SentLimited()
 		}
 		if dec.Inputs.Contending > 0 {
--- a/relay/ratelimit.go
+++ b/relay/ratelimit.go
@@ -4,40 +4,60 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"greengageferry/decide"
 )
 
-// rateLimited is a server that names a rate limit.
-type rateLimited struct {
-	perSecond float64 // requests, of all instances together
-	since     time.Time
+// answered takes in what a server's answer, to a request that was sent at a time,
+// says of the server itself.
+func (d *desk) answered(c *call, server string, sent time.Time, status int, said Answer) {
+	if said.Problem != nil {
+		d.log.WithFields(logrus.Fields{"server": server, "request": c.said.ID, "error": said.Problem}).Warn("server's answer not readable")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before, since := d.scheduler.RateLimitOf(server)
+	if d.scheduler.Answered(time.Now(), server, sent, said.RateLimit, said.Sealed && status/100 == 2) {
+		d.noteLimit(server, before, since, "answer")
+		d.want() // the others hear of it from the lease holder
+	}
 }
 
-// answered takes in what a server's answer says of the server itself.
-func (d *desk) answered(c *call, server string, said Answer) {
+// ratesTold takes in what the lease holder told of rate limits.
+func (d *desk) ratesTold(sent time.Time, told decide.RateShares) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	log := d.log.WithFields(logrus.Fields{"server": server, "request": c.said.ID})
-	if said.Problem != nil {
-		log.WithField("error", said.Problem).Warn("server's answer not readable")
-		return
+	changes, decisions := d.scheduler.RatesTold(time.Now(), sent, told)
+	for _, c := range changes {
+		d.noteLimit(c.Server, c.Before, c.Since, "lease_holder")
 	}
-	was, limited := d.limited[server]
-	switch {
-	case said.RateLimit.Named && (!limited || was.perSecond != said.RateLimit.PerSecond):
-		if !limited {
-			was.since = time.Now()
-		}
-		log.WithFields(logrus.Fields{"per_second": said.RateLimit.PerSecond, "before": was.perSecond}).Info("server names a rate limit")
-		d.limited[server] = rateLimited{perSecond: said.RateLimit.PerSecond, since: was.since}
-	case !said.RateLimit.Named && limited && said.Sealed:
-		log.WithField("named_ms", time.Since(was.since).Milliseconds()).Info("server names no rate limit any more")
-		delete(d.limited, server)
+	d.carryOut(decisions)
+}
+
+// noteLimit writes the line for a server's rate limit that changed.
+func (d *desk) noteLimit(server string, before decide.RateLimit, since time.Time, by string) {
+	f := logrus.Fields{"server": server, "by": by}
+	now, _ := d.scheduler.RateLimitOf(server)
+	if now.Named {
+		f["per_second"], f["before"] = now.PerSecond, before.PerSecond
+		d.log.WithFields(f).Info("server names a rate limit")
+		return
 	}
+	f["named_ms"] = time.Since(since).Milliseconds()
+	d.log.WithFields(f).Info("server names no rate limit any more")
+}
+
+// rates returns what this instance has to say of rate limits.
+func (d *desk) rates() []decide.RateSaid {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.Rates(time.Now())
 }
 
 // rateLimited returns how many servers name a rate limit.
 func (d *desk) rateLimited() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.limited)
+	return d.scheduler.RateLimited()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,6 +130,13 @@
 // Spread divides what is wanted of targets among the servers that serve them.
 func (r *Relay) Spread(wanted map[string]float64) map[string]float64 { return r.desk.spread(wanted) }
 
+// RatesTold takes in what the lease holder told of servers' rate limits, in answer to
+// a word that was sent at a time.
+func (r *Relay) RatesTold(sent time.Time, told decide.RateShares) { r.desk.ratesTold(sent, told) }
+
+// Rates returns what this instance knows of servers' rate limits, and what it wants of them.
+func (r *Relay) Rates() []decide.RateSaid { return r.desk.rates() }
+
 // RateLimited returns how many servers name a rate limit.
 func (r *Relay) RateLimited() int { return r.desk.rateLimited() }
 
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -66,8 +66,11 @@
 	noted   time.Time // when it was last logged what lacks replicas
 	known   []string  // the instances that were known at the newest renewal
 
-	loads   Loads // as of loadsAt
-	loadsAt time.Time
+	loads     Loads          // as of loadsAt
+	positions map[string]int // of the instances; the same
+	loadsAt   time.Time
+
+	rates *rateShares // of the lease; nil while it isn't held
 
 	candidates   Candidates // as of candidatesAt
 	candidatesAt time.Time
@@ -108,6 +111,8 @@
 
 	Candidates Candidates // for who may order
 	Chosen     bool       // the instance is among them
+
+	Rates decide.RateShares // the rate limits that servers name
 }
 
 // NotHolderError says that the instance doesn't hold the lease.
@@ -128,10 +133,12 @@
 	c.demand.Said(now, w)
 	if now.Sub(c.loadsAt) >= summaryEvery {
 		c.loads, c.loadsAt = c.demand.Loads(c.o.Spread(c.demand.Wanted(now, decide.Horizon))), now
+		c.positions = c.demand.Positions()
 	}
 	s := Summary{Instances: c.demand.Instances(), Loads: c.loads.Others(w.Instance), Ordering: ordering, Version: c.demand.Version()}
 	s.Lost, s.Held, s.Since = c.heldSince(now, w.HeldDigest)
 	s.Candidates, s.Chosen = c.chosen(now, w)
+	s.Rates = c.sharedOut(now, w)
 	for _, a := range w.Asked {
 		if a.Waiting > 0 {
 			c.poke()
@@ -157,6 +164,16 @@
 	return c.candidates, c.candidates.Has(w.Instance)
 }
 
+// sharedOut returns what an instance is told of rate limits. The lock is held.
+func (c *Controller) sharedOut(now time.Time, w Word) decide.RateShares {
+	if c.rates == nil {
+		c.rates = newRateShares()
+	}
+	return decide.RateShares{
+		Shares: c.rates.said(now, w.Instance, w.Rates), Position: c.positions[w.Instance], Instances: len(c.positions),
+	}
+}
+
 // heldSince returns how what servers hold differs from what an instance knows
 // of it, or all of it where the instance knows something else. A plan may have
 // begun to take a model away, and an instance that has spoken since counts as
@@ -251,7 +268,7 @@
 	}
 	if epoch == 0 {
 		if !c.o.Lease.Holds() {
-			c.planner = nil
+			c.planner, c.rates = nil, nil
 		}
 		return nil, nil
 	}
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"greengageferry/decide"
 )
 
 const (
@@ -72,6 +74,8 @@
 	StoreDown bool             // it doesn't reach the platform's store
 	Version   int64            // of the configuration in force there
 
+	Rates []decide.RateSaid // of servers that name a rate limit
+
 	HeldDigest uint64 // of what it knows that servers hold beyond their entries
 	Candidates uint64 // digest of the candidates that it knows
 	Stands     bool   // it takes part in who may order
@@ -273,6 +277,15 @@
 	return chooseCandidates(members)
 }
 
+// Positions returns each live instance's place among all, from 0.
+func (d *Demand) Positions() map[string]int {
+	out := make(map[string]int, len(d.instances))
+	for n, name := range slices.Sorted(maps.Keys(d.instances)) {
+		out[name] = n
+	}
+	return out
+}
+
 // Names returns the live instances.
 func (d *Demand) Names() []string { return slices.Collect(maps.Keys(d.instances)) }
 
--- /dev/null
+++ b/residency/ratelimit.go
@@ -0,0 +1,133 @@
+package residency
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"greengageferry/decide"
+)
+
+const (
+	// grantBurst is the time whose requests may be granted at once, leastBurst
+	// requests at least: the words of those that wait come that far apart, and what
+	// comes due before them would be lost.
+	grantBurst = 500 * time.Millisecond
+	leastBurst = 2
+	// limitRepeated is how long a rate limit is told on after the last word of an
+	// instance that knows it from the server itself.
+	limitRepeated = 5 * time.Second
+	// wantFresh is how long what an instance wants counts against the others: as long
+	// as it may be between two of its words.
+	wantFresh = time.Second
+)
+
+// rateShares shares out the rate limits that servers name, over all instances: it
+// grants single requests to the instances whose requests wait. A server's limit may
+// be a request a second before hundreds of instances; equal shares would be one in
+// minutes for each, and go unused where nobody asks. Grants of a lease begin at
+// nothing, since the holder before may just have made some. It is not safe for
+// concurrent use.
+type rateShares struct {
+	servers map[string]*rateShare
+}
+
+// rateShare is one server's rate limit.
+type rateShare struct {
+	start  string // of the server
+	limit  decide.RateLimit
+	shown  time.Time // when an answer to any instance showed it
+	said   time.Time // when an instance last said so
+	tokens float64   // requests that may be granted
+	filled time.Time
+	wants  map[string]rateWant // by instance
+}
+
+// rateWant is how many requests an instance wants to send.
+type rateWant struct {
+	requests int
+	at       time.Time
+}
+
+func newRateShares() *rateShares { return &rateShares{servers: map[string]*rateShare{}} }
+
+// said takes in what an instance says of rate limits, and returns what it is told.
+func (r *rateShares) said(now time.Time, instance string, said []decide.RateSaid) []decide.RateShare {
+	for _, x := range said {
+		r.learn(now, &x)
+	}
+	wants := map[string]int{}
+	for _, x := range said {
+		wants[x.Server] = x.Wants
+	}
+	var out []decide.RateShare
+	for id, s := range r.servers {
+		if now.Sub(s.said) > limitRepeated {
+			delete(r.servers, id)
+			continue
+		}
+		out = append(out, decide.RateShare{
+			Server: id, Start: s.start, Limit: s.limit, Age: now.Sub(s.shown), Granted: s.grant(now, instance, wants[id]),
+		})
+	}
+	slices.SortFunc(out, func(a, b decide.RateShare) int { return strings.Compare(a.Server, b.Server) })
+	return out
+}
+
+// learn takes in what an answer showed an instance.
+func (r *rateShares) learn(now time.Time, x *decide.RateSaid) {
+	if !x.Heard {
+		return
+	}
+	s := r.servers[x.Server]
+	shown := now.Add(-x.Age)
+	if s == nil || s.start != x.Start && shown.After(s.shown) {
+		s = &rateShare{start: x.Start, wants: map[string]rateWant{}, filled: now}
+		r.servers[x.Server] = s
+	}
+	if s.start != x.Start {
+		return
+	}
+	s.said = now
+	if shown.After(s.shown) {
+		s.fill(now)
+		s.limit, s.shown = x.Limit, shown
+	}
+}
+
+// fill gives the server's share what came due. Words that wait for the lock may be
+// taken in out of their order.
+func (s *rateShare) fill(now time.Time) {
+	if !now.After(s.filled) {
+		return
+	}
+	rate := s.limit.PerSecond
+	s.tokens = min(s.tokens+now.Sub(s.filled).Seconds()*rate, max(leastBurst, rate*grantBurst.Seconds()))
+	s.filled = now
+}
+
+// grant returns how many of the requests that an instance wants to send it may: its
+// part of what may be granted, by what all want.
+func (s *rateShare) grant(now time.Time, instance string, wanted int) int {
+	if !s.limit.Named {
+		return 0
+	}
+	s.fill(now)
+	s.wants[instance] = rateWant{wanted, now}
+	all := 0
+	for name, w := range s.wants {
+		if w.requests == 0 || now.Sub(w.at) > wantFresh {
+			delete(s.wants, name)
+			continue
+		}
+		all += w.requests
+	}
+	if all == 0 || s.tokens < 1 {
+		return 0
+	}
+	part := math.Ceil(s.tokens * float64(wanted) / float64(all))
+	n := int(min(float64(wanted), part, math.Floor(s.tokens)))
+	s.tokens -= float64(n)
+	return n
+}
