Models that only a rate-limited server holds are brought to others

Load: an engine that names a rate limit alone holds models that are asked for more often than it takes requests; what the limit turns away is lost until the limit ends, though other engines have room. The lease holder plans with the limits that it shares out: a limited engine counts as a replica only of models that no other holds and that are asked for less than 0.6 of what is left of its limit, and gets nothing new.

--- a/residency/controller.go
+++ b/residency/controller.go
@@ -276,6 +276,9 @@
 		c.planner = NewPlanner(c.demand)
 	}
 	v := c.o.View()
+	if c.rates != nil {
+		c.planner.SetRateLimits(c.rates.named())
+	}
 	c.planner.Update(now, &v)
 	questions, orders = c.planner.Unsure(now), c.planner.Plan(now)
 	c.noteLacking(now)
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -214,6 +214,14 @@
 	return 0
 }
 
+// Rate returns how many requests a second a target was lately asked for.
+func (d *Demand) Rate(now time.Time, target string) float64 {
+	if t := d.targets[target]; t != nil {
+		return t.arrived / d.window(now)
+	}
+	return 0
+}
+
 // Work returns how many servers a target lately kept busy, or would have.
 func (d *Demand) Work(target string) float64 {
 	if t := d.targets[target]; t != nil {
@@ -310,8 +318,8 @@
 // will come within a time.
 func (d *Demand) Wanted(now time.Time, within time.Duration) map[string]float64 {
 	out := make(map[string]float64, len(d.targets))
-	for name, t := range d.targets {
-		out[name] = t.arrived / d.window(now) * within.Seconds()
+	for name := range d.targets {
+		out[name] = d.Rate(now, name) * within.Seconds()
 	}
 	for _, i := range d.instances {
 		for name, a := range i.asked {
--- a/residency/place.go
+++ b/residency/place.go
@@ -111,7 +111,7 @@
 	bestCost := math.Inf(1)
 	var bestVictim *model
 	for _, s := range w.servers {
-		if !s.free(w.now) || slices.Contains(m.replicas, s) {
+		if !s.free(w.now) || slices.Contains(m.replicas, s) || slices.Contains(w.limited, s) {
 			continue
 		}
 		onDisk := slices.Contains(s.OnDisk, m.Name)
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -48,6 +48,9 @@
 	// copyLevel is the demand, in requests at once, for which an adapter gets
 	// one more copy where places are free.
 	copyLevel = 1.0
+	// limitPart is the part of a server's rate limit up to which the models that only
+	// it holds are left to it: requests don't come evenly.
+	limitPart = 0.6
 	// loadBurst is how many loads from the weight store may begin at once, and
 	// burstTime the time whose loads may come on top where the rate is high: the
 	// platform allows three, and a tenth of five seconds' worth.
@@ -70,6 +73,7 @@
 	config  *topology.Config
 	demand  *Demand
 	budgets map[string]*loadBudget // by service
+	limits  map[string]float64     // requests a second, by server that names a rate limit
 	begun   time.Time              // when the first plan was made
 	lacking []Lack                 // of the last plan
 }
@@ -95,6 +99,10 @@
 	return &Planner{servers: map[string]*server{}, demand: demand, budgets: map[string]*loadBudget{}}
 }
 
+// SetRateLimits takes in the requests a second that servers which name a rate limit
+// take, by server.
+func (p *Planner) SetRateLimits(limits map[string]float64) { p.limits = limits }
+
 // Update takes in the deployment as it is now.
 func (p *Planner) Update(now time.Time, v *topology.View) {
 	if p.config != v.Config {
--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -326,3 +326,28 @@
 	w.run(3 * time.Second)
 	require.Contains(t, w.engines[1].models, "m3")
 }
+
+// An engine that names a rate limit serves a request a second of a model that only
+// it holds: what else is asked for has to go elsewhere, and comes back to it once it
+// names none any more.
+func TestModelsAskedForBeyondARateLimitAreBroughtToOtherServers(t *testing.T) {
+	w := newWorld(t, 3, 5, 0)
+	w.place("m0", 0)
+	w.place("m1", 0)
+	w.place("m2", 1)
+	w.ask("m0", 3, 0)
+	w.run(3 * time.Second)
+	require.Equal(t, 1, w.replicas("m0"), "it isn't asked for enough to need another")
+	w.p.SetRateLimits(map[string]float64{"s0": 1.3})
+	w.run(4 * time.Second)
+	require.Equal(t, 2, w.replicas("m0"))
+	require.Equal(t, 1, w.replicas("m1"), "nobody asks for it")
+	held := len(w.engines[0].models)
+	w.ask("m3", 20, 10)
+	w.run(4 * time.Second)
+	require.Len(t, w.engines[0].models, held, "it gets nothing more while it is in need")
+	w.p.SetRateLimits(nil)
+	loads := len(w.loads)
+	w.run(4 * time.Second)
+	require.Len(t, w.loads, loads, "nothing moves for it")
+}
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -20,7 +20,8 @@
 	models   map[string]*model
 	ordered  []*model // as the configuration lists them
 	servers  []*server
-	demand   float64 // of all models together, in requests at once
+	limited  []*server // of them, those that name a rate limit
+	demand   float64   // of all models together, in requests at once
 	loading  int
 	retiring int
 }
@@ -28,6 +29,7 @@
 // model is one model of a pool while a plan is made.
 type model struct {
 	topology.Model
+	rate     float64 // requests a second, its adapters' included
 	level    float64 // requests at once, its adapters' included; at least what the work asked for amounts to
 	busy     float64 // servers that the work asked for keeps busy
 	waiting  int
@@ -47,6 +49,7 @@
 		x := &model{Model: m}
 		for n := 0; n <= m.Adapters; n++ {
 			name := w.target(m.Name, n)
+			x.rate += p.demand.Rate(now, name)
 			x.level += p.demand.Level(name)
 			x.waiting += p.demand.Waiting(name)
 			x.busy += p.demand.Work(name)
@@ -59,6 +62,9 @@
 			w.addServer(s)
 		}
 	}
+	for _, s := range w.limited {
+		w.addLimited(s)
+	}
 	w.budget.fill(now, w.engine.LoadsPerSecond)
 	for _, m := range w.ordered {
 		m.level = max(m.level, m.busy/busyPart*w.fair())
@@ -104,18 +110,45 @@
 		return
 	}
 	w.servers = append(w.servers, s)
+	if _, ok := w.p.limits[s.ID]; ok {
+		w.limited = append(w.limited, s)
+		return
+	}
 	if r := s.retiring; r != nil && w.models[r.heir] != nil {
 		w.models[r.heir].replicas = append(w.models[r.heir].replicas, s)
 		w.models[r.heir].coming++
 	}
 	for _, name := range s.models() {
-		m := w.models[name]
-		if m == nil || s.goes(name) {
-			continue
+		if m := w.models[name]; m != nil && !s.goes(name) {
+			m.add(s)
+		}
+	}
+}
+
+func (m *model) add(s *server) {
+	m.replicas = append(m.replicas, s)
+	if !s.Server.Holds(m.Name, "") {
+		m.coming++
+	}
+}
+
+// addLimited counts a server that names a rate limit as a replica only of those of
+// its models that no other server holds and that are asked for so little that the
+// limit is enough for them. The others are brought to other servers, where their
+// requests needn't wait for the limit.
+func (w *pool) addLimited(s *server) {
+	var alone []*model
+	for _, name := range s.models() {
+		if m := w.models[name]; m != nil && !s.goes(name) && len(m.replicas) == 0 {
+			alone = append(alone, m)
 		}
-		m.replicas = append(m.replicas, s)
-		if !s.Server.Holds(name, "") {
-			m.coming++
+	}
+	slices.SortFunc(alone, func(a, b *model) int { return cmp.Compare(a.rate, b.rate) })
+	left := w.p.limits[s.ID] * limitPart
+	for _, m := range alone {
+		if m.rate <= left {
+			left -= m.rate
+			m.add(s)
 		}
 	}
 }
@@ -160,7 +193,7 @@
 	if size <= 0 {
 		return len(w.servers)
 	}
-	return len(w.servers) * int((w.engine.MemoryMB-w.adapterRoom())/size)
+	return (len(w.servers) - len(w.limited)) * int((w.engine.MemoryMB-w.adapterRoom())/size)
 }
 
 // fair is the demand of one model, in requests at once, from which another
--- a/residency/ratelimit.go
+++ b/residency/ratelimit.go
@@ -75,6 +75,17 @@
 	return out
 }
 
+// named returns the rate limits that servers name, in requests a second.
+func (r *rateShares) named() map[string]float64 {
+	out := map[string]float64{}
+	for id, s := range r.servers {
+		if s.limit.Named {
+			out[id] = s.limit.PerSecond
+		}
+	}
+	return out
+}
+
 // learn takes in what an answer showed an instance.
 func (r *rateShares) learn(now time.Time, x *decide.RateSaid) {
 	if !x.Heard {
