Repeats are bounded before the instances have been counted

Found by looking for other bounds that all instances share. The retries that the platform allows over all instances were divided by three instances for each failure domain until a lease holder had said how many there are. At 295 instances, all restarted, each took 14 repeats at once and as many again within the window for itself: 8,260 where nothing succeeds, of 630 allowed. Until it is told, an instance takes itself for one of as many as the system is designed for: one repeat at once, and what recent successes allow.

--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -22,9 +22,9 @@
 	// turnOpen is how long an instance may use one of its turns: requests come when
 	// they come, and turns that are kept open for longer add up.
 	turnOpen = 3 * time.Second
-	// mostInstances is how many instances there are taken to be until the lease
-	// holder has said so: as many as the system is designed for.
-	mostInstances = 370
+	// MostInstances is how many instances there are taken to be, where all share one
+	// bound, until the lease holder has said so: as many as the system is designed for.
+	MostInstances = 370
 	// liftedKept is how long an instance repeats that a server names no limit any more.
 	liftedKept = 30 * time.Second
 )
@@ -106,7 +106,7 @@
 
 func (r *rationing) count() float64 {
 	if r.instances <= 0 {
-		return mostInstances
+		return MostInstances
 	}
 	return float64(r.instances)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -96,8 +96,7 @@
 }
 
 // assumedInstances is how many instances each failure domain is taken to have
-// until the lease holder says so: more than most have, so that the budgets that
-// all share are spent too slowly rather than too fast.
+// until the lease holder says so.
 const assumedInstances = 3
 
 func (i *Instance) currentView() topology.View {
@@ -234,10 +233,16 @@
 	retryTricklePart = 0.4 // of its share of the reserve, over a window
 )
 
-// retryPolicy returns this instance's part of the retries.
+// retryPolicy returns this instance's part of the retries. Where nobody has counted
+// the instances yet, it is that of one of as many as there may be: after all were
+// killed that lasts for seconds, in which all of them repeat.
 func (i *Instance) retryPolicy(v *topology.View) decide.RetryPolicy {
 	n := i.node.Load()
-	share := n.RetryReserve / float64(max(v.Instances(), 1))
+	instances := v.Instances()
+	if !v.Counted {
+		instances = decide.MostInstances
+	}
+	share := n.RetryReserve / float64(max(instances, 1))
 	return decide.RetryPolicy{
 		Share:        n.RetryRatio * retryRatioPart,
 		Reserve:      max(share*retryReservePart, 1),
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -318,8 +318,8 @@
 	if s.Ordering {
 		i.orderedAt = time.Now()
 	}
-	if len(s.Instances) > 0 && !maps.Equal(i.view.Nodes, s.Instances) {
-		i.view.Nodes = s.Instances
+	if len(s.Instances) > 0 && !(i.view.Counted && maps.Equal(i.view.Nodes, s.Instances)) {
+		i.view.Nodes, i.view.Counted = s.Instances, true
 		i.log.WithField("instances", s.Instances).Info("instances counted")
 		i.rebuild()
 	}
--- a/topology/table.go
+++ b/topology/table.go
@@ -30,6 +30,7 @@
 	Index   *Index
 	Servers []Server       // by id
 	Nodes   map[string]int // live instances by failure domain, this one included
+	Counted bool           // Nodes is what a lease holder told; false: it is assumed
 	// Expected says that a model that no server holds is loaded once it is asked
 	// for, so that requests wait for it.
 	Expected bool
