soak, stand-in: servers that name a rate limit

Up to two servers of a run name a limit of one to six requests a second for eight seconds, beside the other faults; the judge counts what they get from instances that have passed on such an answer, and excuses no instance for its own faults. The limits are drawn for themselves, so that each seed's other faults stay what they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -20,6 +21,11 @@
 	longestFault  = 4 * time.Second
 	// drainTime is how long a server that leaves in order stays.
 	drainTime = 3 * time.Second
+	// limitLasts is how long a server names a rate limit: long enough to be judged,
+	// beside other faults.
+	limitLasts = 8 * time.Second
+	// limitsMost bounds how many servers do so in a run.
+	limitsMost = 2
 )
 
 // fault is one fault from outside, at its time.
@@ -85,6 +91,21 @@
 			rng:  rand.New(rand.NewPCG(seed, uint64(n)+1)),
 		}
 	}
+	return append(faults, limits(seed, length)...)
+}
+
+// limits draws the servers that name a rate limit. They are drawn for themselves, so
+// that a seed's other faults stay what they were.
+func limits(seed uint64, length time.Duration) []fault {
+	rng := rand.New(rand.NewPCG(seed, math.MaxUint64))
+	faults := make([]fault, rng.IntN(limitsMost+1))
+	for n := range faults {
+		faults[n] = fault{
+			name: "server names a rate limit", run: nameLimit, last: limitLasts,
+			at:  time.Duration(rng.Int64N(int64(length))),
+			rng: rand.New(rand.NewPCG(seed, math.MaxUint64-1-uint64(n))),
+		}
+	}
 	return faults
 }
 
@@ -199,6 +220,15 @@
 	return nil
 }
 
+// nameLimit has a server in need name a rate limit of one to six requests a second.
+func nameLimit(w *World, rng *rand.Rand, last time.Duration) error {
+	server := w.anyPlace(rng).server.Load()
+	server.NameLimit(1 + 5*rng.Float64())
+	time.Sleep(last)
+	server.NameLimit(0)
+	return nil
+}
+
 func storeAway(w *World, _ *rand.Rand, last time.Duration) error {
 	w.Store.SetDown(true)
 	time.Sleep(last)
--- a/soak/history.go
+++ b/soak/history.go
@@ -28,6 +28,7 @@
 	Status   int    // 0: no answer
 	Answers  string // the id of the request that the answer says it is for
 	Server   string // whose proof the answer bears
+	Limited  bool   // the answer names its server's rate limit
 	Body     string
 	Err      error // the answer didn't end in order
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -30,6 +30,14 @@
 	// regressSlack is how much later than a version was seen a request must be
 	// sent to be held to it: two requests over two connections may overtake.
 	regressSlack = 250 * time.Millisecond
+	// A server that names a rate limit may get limitRatio times what that allows in
+	// limitWindow, and limitReserve requests: from limitStable after it named it on,
+	// of the instances that have known it for toldSlack.
+	limitRatio   = 1.5
+	limitWindow  = 4 * time.Second
+	limitReserve = 5
+	limitStable  = 3 * time.Second
+	toldSlack    = 500 * time.Millisecond
 )
 
 // judge holds what one run showed, prepared for the checks.
@@ -58,6 +66,7 @@
 	j.versions()
 	j.orders()
 	j.retries()
+	j.limits()
 	return j.violations
 }
 
@@ -256,13 +265,65 @@
 	}
 }
 
-// within counts the times in the window that ends at end.
-func within(times []time.Time, end time.Time) int {
+// limits checks that servers which named a rate limit got no more than it allows,
+// over all the instances that had passed on an answer that names it. No fault of an
+// instance excuses it here.
+func (j *judge) limits() {
+	type start struct {
+		server string
+		since  time.Time
+	}
+	told := j.toldLimits()
+	got := map[start][]time.Time{}
+	broken := map[start]bool{}
+	for _, a := range j.history.arrivals {
+		r := j.asked[a.Ask.ID]
+		if a.Limit.PerSecond <= 0 || r == nil {
+			continue
+		}
+		at, ok := told[teller{a.Server, r.Instance, r.Boot}]
+		if !ok || a.At.Sub(at) < toldSlack {
+			continue
+		}
+		s := start{a.Server, a.Limit.Since}
+		got[s] = append(got[s], a.At)
+		most := limitRatio*a.Limit.PerSecond*limitWindow.Seconds() + limitReserve
+		if n := recent(got[s], a.At, limitWindow); a.At.Sub(s.since) > limitStable && float64(n) > most && !broken[s] {
+			broken[s] = true
+			j.broken("a server's rate limit is kept", "%s, which named %.1f a second, got %d in %s", a.Server, a.Limit.PerSecond, n, limitWindow)
+		}
+	}
+}
+
+// teller is a start of an instance that passes on a server's answers.
+type teller struct {
+	server, instance string
+	boot             int
+}
+
+// toldLimits returns when each start of an instance had passed on a server's first
+// answer that names a rate limit.
+func (j *judge) toldLimits() map[teller]time.Time {
+	told := map[teller]time.Time{}
+	for _, r := range j.history.results {
+		t := teller{r.Server, r.Instance, r.Boot}
+		if at, ok := told[t]; r.Limited && (!ok || r.Ended.Before(at)) {
+			told[t] = r.Ended
+		}
+	}
+	return told
+}
+
+// recent counts the times within a window that ends at end.
+func recent(times []time.Time, end time.Time, window time.Duration) int {
 	n := 0
 	for _, t := range times {
-		if !t.After(end) && t.After(end.Add(-retryWindow)) {
+		if !t.After(end) && t.After(end.Add(-window)) {
 			n++
 		}
 	}
 	return n
 }
+
+// within counts the times in the retries' window that ends at end.
+func within(times []time.Time, end time.Time) int { return recent(times, end, retryWindow) }
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -77,6 +77,7 @@
 				h.arrivals[len(h.arrivals)-1].Ran = false
 			}
 		},
+		"a server's rate limit is kept": func(h *History) { limited(h, 12) },
 	} {
 		h := madeHistory()
 		require.Empty(t, Judge(h))
@@ -89,6 +90,40 @@
 	}
 }
 
+// limited adds as many requests within three seconds, long after their server named a
+// limit of one a second, and the answer that told their instance of it.
+func limited(h *History, requests int) {
+	limit := standin.RateLimit{PerSecond: 1, Since: began.Add(10 * time.Second)}
+	for n := range requests + 1 {
+		at := 30*time.Second + time.Duration(n-1)*200*time.Millisecond
+		if n == 0 {
+			at = 20 * time.Second
+		}
+		r, a := served(fmt.Sprint("limited-", n), KindUnsafe, at)
+		r.Limited, a.Limit = true, limit
+		h.results = append(h.results, r)
+		h.arrivals = append(h.arrivals, a)
+	}
+}
+
+func TestALimitIsJudgedByTheInstancesThatKnowIt(t *testing.T) {
+	h := madeHistory()
+	limited(h, 12)
+	for n := range h.results {
+		h.results[n].Limited = false
+	}
+	require.Empty(t, Judge(h), "none was told")
+	h = madeHistory()
+	limited(h, 12)
+	for n := range h.arrivals {
+		h.arrivals[n].Limit.Since = began.Add(29900 * time.Millisecond)
+	}
+	require.Empty(t, Judge(h), "it was just named")
+	h = madeHistory()
+	limited(h, 11)
+	require.Empty(t, Judge(h), "it may get half more, and five")
+}
+
 // madeHistory returns one request of each kind, and two orders.
 func madeHistory() *History {
 	h := newHistory()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 	cause  string
 }{
 	{1, 3 * time.Second, "covers: the first one"},
+	{50005, 3 * time.Second, "covers: servers that name rate limits while instances are killed, terminated and suspended"},
 	{1032, 3 * time.Second, "the soak's own fault: two addresses of an instance were the same; drawn by the system, not by the seed"},
 	{1000, 8 * time.Second, "the soak's own fault: addresses used again, overlapping, left the plain service with one server, which the calm part then took out"},
 }
