A rate limit that instances were only told of is shared out too

Found by reading. A lease holder counted only what an instance had from the server itself. Once those instances had ended and the lease had passed on, the others kept the limit and the new holder knew none, so it granted nothing: the server would have got no request any more, and nobody could have heard that its limit had ended. What was told counts now where nothing else is known, and never goes before an answer.

--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -15,13 +14,6 @@
 	// sharedFor is how long after the lease holder's last word an instance waits for
 	// it to share out a rate limit; then it goes by its own share.
 	sharedFor = 1500 * time.Millisecond
-	// ownPart is the part of its equal share that an instance takes for itself while
-	// nobody shares the limit out: instances may be more than it was told of, and a
-	// lease holder that others reach goes on sharing out the whole.
-	ownPart = 0.7
-	// turnOpen is how long an instance may use one of its turns: requests come when
-	// they come, and turns that are kept open for longer add up.
-	turnOpen = 3 * time.Second
 	// MostInstances is how many instances there are taken to be, where all share one
 	// bound, until the lease holder has said so: as many as the system is designed for.
 	MostInstances = 370
@@ -216,42 +208,6 @@
 	return n
 }
 
-// schedule sets the instance's own turns at a server, for when nobody shares the
-// limit out. They begin anew with each word of the lease holder, which all
-// instances hear within the same half second.
-func (s *Scheduler) schedule(l *limitState) {
-	r := &s.rationing
-	every := time.Duration(0)
-	if rate := l.PerSecond * ownPart / r.count(); rate > 0 {
-		every = time.Duration(min(float64(time.Second)/rate, float64(math.MaxInt64)/2))
-	}
-	from := r.toldAt.Add(sharedFor)
-	position := r.position
-	if r.toldAt.IsZero() {
-		from, position = l.since, s.rationing.drawn(s.rng)
-	}
-	l.turnsFrom, l.turnEvery = from.Add(time.Duration(position*float64(every))), every
-}
-
-// drawn returns the position of an instance that was told none: it stays the same.
-func (r *rationing) drawn(rng *rand.Rand) float64 {
-	if r.position == 0 {
-		r.position = rng.Float64()
-	}
-	return r.position
-}
-
-// turn says whether a turn is open that no request was sent in yet. Turns move when
-// the limit does: two requests are half of the time between turns apart at least.
-func (l *limitState) turn(now time.Time) bool {
-	since := now.Sub(l.turnsFrom)
-	if l.turnEvery <= 0 || since < 0 || now.Sub(l.sentAt) < l.turnEvery/2 {
-		return false
-	}
-	into := since % l.turnEvery
-	return into < turnOpen && l.sentAt.Before(now.Add(-into))
-}
-
 // allows says whether the instance may send the server a request now.
 func (l *limitState) allows(now time.Time, r *rationing) bool {
 	if !l.Named || l.grants(now) > 0 {
--- a/residency/ratelimit.go
+++ b/residency/ratelimit.go
@@ -16,7 +16,7 @@
 	grantBurst = 500 * time.Millisecond
 	leastBurst = 2
 	// limitRepeated is how long a rate limit is told on after the last word of an
-	// instance that knows it from the server itself.
+	// instance that knows it.
 	limitRepeated = 5 * time.Second
 	// wantFresh is how long what an instance wants counts against the others: as long
 	// as it may be between two of its words.
@@ -86,11 +86,11 @@
 	return out
 }
 
-// learn takes in what an answer showed an instance.
+// learn takes in what an instance knows of a server's rate limit. What it was only
+// told counts where nothing else is known, as after the lease has passed on: an
+// instance that keeps a limit of which it gets no share would never send the server
+// anything again, and never hear that the limit has ended.
 func (r *rateShares) learn(now time.Time, x *decide.RateSaid) {
-	if !x.Heard {
-		return
-	}
 	s := r.servers[x.Server]
 	shown := now.Add(-x.Age)
 	if s == nil || s.start != x.Start && shown.After(s.shown) {
@@ -101,7 +101,7 @@
 		return
 	}
 	s.said = now
-	if shown.After(s.shown) {
+	if s.shown.IsZero() || x.Heard && shown.After(s.shown) {
 		s.fill(now)
 		s.limit, s.shown = x.Limit, shown
 	}
--- a/residency/ratelimit_test.go
+++ b/residency/ratelimit_test.go
@@ -370,3 +370,29 @@
 	require.Equal(t, "2", told[0].Start)
 	require.False(t, told[0].Limit.Named)
 }
+
+// The instances that had heard of the limit from the server itself have ended, and
+// the lease has passed on. Those that were only told keep the limit: without a share
+// of it nobody would ever ask the server again, and hear that the limit has ended.
+func TestALimitThatInstancesWereOnlyToldOfIsSharedOut(t *testing.T) {
+	r := newRateShares()
+	said := []decide.RateSaid{{Server: "s", Limit: decide.RateLimit{Named: true, PerSecond: 2}, Age: time.Minute, Wants: 1}}
+	granted := 0
+	for n := range 10 {
+		for _, share := range r.said(rationStart.Add(time.Duration(n)*rationWords), "a", said) {
+			granted += share.Granted
+		}
+	}
+	require.Positive(t, granted)
+}
+
+// What instances were told goes round: it mustn't look newer than what a server says.
+func TestWhatInstancesWereToldNeverGoesBeforeAnAnswer(t *testing.T) {
+	r := newRateShares()
+	limit := decide.RateLimit{Named: true, PerSecond: 2}
+	r.said(rationStart, "a", []decide.RateSaid{{Server: "s", Limit: limit, Heard: true}})
+	later := rationStart.Add(time.Second)
+	r.said(later, "a", []decide.RateSaid{{Server: "s", Heard: true}})
+	told := r.said(later.Add(time.Millisecond), "b", []decide.RateSaid{{Server: "s", Limit: limit}})
+	require.False(t, told[0].Limit.Named)
+}
