Settings read again end no instance that drains or has just started

Looking for the other end of the same window found the worse case: an instance that drains had stopped listening to SIGHUP, and the signal killed it with its requests in hand. The signal is listened to from the command's first statement to the program's end; what is left is the start of the runtime itself.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -65,6 +65,10 @@
 
 // Execute implements subcommands.Command.
 func (c *instanceCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// From the first moment to the last: what isn't listened to ends the program,
+	// also while it drains, and with it the requests in hand.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	level, err := logrus.ParseLevel(c.level)
 	if err != nil || f.NArg() > 0 {
 		fmt.Fprint(os.Stderr, "wrong usage: ", c.Usage())
@@ -99,7 +103,7 @@
 		Log:     log,
 		Rand:    rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
 	})
-	go c.reload(ctx, i, log)
+	go c.reload(ctx, hup, i, log)
 	if err := i.Run(ctx); err != nil {
 		log.WithField("error", err).Error("ended")
 		return subcommands.ExitFailure
@@ -112,11 +116,8 @@
 // without a signal.
 const settingsEvery = 5 * time.Second
 
-// reload reads the settings again at SIGHUP, and when the file has changed.
-func (c *instanceCommand) reload(ctx context.Context, i *instance.Instance, log logrus.FieldLogger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// reload reads the settings again when hup is readable, and when the file has changed.
+func (c *instanceCommand) reload(ctx context.Context, hup <-chan os.Signal, i *instance.Instance, log logrus.FieldLogger) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	read := changedAt()
--- a/soak/process.go
+++ b/soak/process.go
@@ -36,6 +36,7 @@
 	wanted  bool          // false: it was told to end, or killed
 	killed  bool          // its grace period was over before it had ended
 	ownEnds []string      // each time that it ended by itself
+	lastEnd error         // how it last ended; nil: with exit code 0
 }
 
 // processOptions is what a Process is built from.
@@ -122,6 +123,7 @@
 	err := cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastEnd = err
 	if p.wanted {
 		p.ownEnds = append(p.ownEnds, fmt.Sprintf("%s ended by itself: %v", p.Node.Name, err))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,6 +96,25 @@
 	group.Wait()
 }
 
+// An instance that was told to end has some seconds for what is in hand. Told in
+// that time to read its settings again, it was killed by that signal: it listened to
+// it no more, and so cut off whatever it had in hand.
+func TestSettingsReadAgainEndNoInstanceThatDrains(t *testing.T) {
+	w, err := newWorld(worldOptions{Binary: binary(t), Run: 248})
+	require.NoError(t, err)
+	defer os.RemoveAll(w.dir)
+	defer w.Close()
+	p := w.Instances[0]
+	r := &runner{world: w}
+	_, ok := r.until(wideBounds.Recover, func() bool { return r.probe(p, standin.PlainPath, "") })
+	require.True(t, ok)
+	p.Signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond) // it has heard of it
+	p.Signal(syscall.SIGHUP)
+	p.AwaitEnd()
+	require.NoError(t, p.lastEnd)
+}
+
 // TestAnInstanceWhoseLogNobodyReadsGoesOn: its standard output is a pipe that is
 // full after some hundred lines, and its ring after some thousand.
 func TestAnInstanceWhoseLogNobodyReadsGoesOn(t *testing.T) {
