A server in need gets what it takes, so that its limit is seen to end

Now its limit is used first: where no request waits, the lease holder grants what comes due beyond one request to instances that expect some, by the rate at which requests came; what wasn't sent in time is said in the next word and granted again, up to four at once and half a second's worth.

--- a/decide/pick.go
+++ b/decide/pick.go
@@ -21,10 +21,10 @@
 // domain first: a batch that is nearly full is slower than one in another
 // domain that is half a millisecond away.
 const (
-	roomy    fill = iota // up to roomyPart of its slots taken
+	rationed fill = iota // a free slot of a server whose rate limit lets a request be sent
+	roomy                // up to roomyPart of its slots taken
 	fitted               // a free slot
 	queueing             // its own short queue
-	rationed             // a free slot of a server that names a rate limit
 )
 
 // roomyPart is the part of its slots up to which a server's batch is quick.
@@ -51,13 +51,9 @@
 		s.hinted = s.prefixes.get(now, prefixKey{t.Model, f.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	s.fill = roomy
-	if s.crowd {
-		s.fill = fitted
-	}
-	for ; s.fill <= rationed; s.fill++ {
-		if s.fill == rationed && !s.limitAllows(now, t) {
-			break
+	for s.fill = rationed; s.fill <= queueing; s.fill++ {
+		if s.fill == rationed && !s.limitAllows(now, t) || s.fill == roomy && s.crowd {
+			continue
 		}
 		for _, replicas := range [][]replicaState{near, far} {
 			c, w := s.among(now, f, replicas)
--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -28,7 +28,12 @@
 	Limit  RateLimit
 	Age    time.Duration // since an answer showed it
 	Heard  bool          // an answer to this instance showed it; false: it was told
-	Wants  int           // requests that wait here and could go there
+	// Waiting is how many requests wait here that could go there, and Expects how
+	// many more will come within GrantFor, each in equal parts at all servers that
+	// it could go to.
+	Waiting int
+	Expects float64
+	Lapsed  int // granted requests that weren't sent in time, since this was last said
 }
 
 // RateShare is what the lease holder tells an instance of a server's rate limit.
@@ -65,6 +70,7 @@
 	since time.Time // when it was first known
 
 	granted []grant // by the lease holder, those that lapse first in front
+	lapsed  int     // of them, that were not sent in time and not yet said so
 
 	turnsFrom time.Time     // no turn before it
 	turnEvery time.Duration // 0: never
@@ -119,6 +125,7 @@
 	changed := l.RateLimit != limit
 	l.set(now, limit, now, true)
 	s.schedule(l)
+	s.limited = s.RateLimited() > 0
 	return changed
 }
 
@@ -145,6 +152,7 @@
 		s.schedule(l)
 		s.pumpServer(now, srv)
 	}
+	s.limited = s.RateLimited() > 0
 	return changes, s.out
 }
 
@@ -156,10 +164,14 @@
 		if !srv.listed || !l.Named && (!l.heard || now.Sub(l.shown) > liftedKept) {
 			continue
 		}
-		out = append(out, RateSaid{
-			Server: id, Start: srv.Start, Limit: l.RateLimit, Age: now.Sub(l.shown), Heard: l.heard,
-			Wants: srv.wants(now),
-		})
+		said := RateSaid{Server: id, Start: srv.Start, Limit: l.RateLimit, Age: now.Sub(l.shown), Heard: l.heard}
+		if l.Named && srv.takes(now) {
+			said.Waiting = max(int(math.Ceil(srv.waiting()))-l.grants(now), 0)
+			said.Expects = srv.expects(now)
+		}
+		l.grants(now)
+		said.Lapsed, l.lapsed = l.lapsed, 0
+		out = append(out, said)
 	}
 	return out
 }
@@ -184,27 +196,44 @@
 	return n
 }
 
-// wants returns how many requests wait that could go to the server if its rate limit
-// let them, beyond those that it already does, each counted in equal parts at all
-// that serve it.
-func (s *serverState) wants(now time.Time) int {
-	if !s.rateLimit.Named || now.Before(s.retryAt) || !s.room(now, s.Slots) {
-		return 0
-	}
+// takes says whether the server would get a request of this instance now, if its
+// rate limit let it.
+func (s *serverState) takes(now time.Time) bool {
+	return !s.Leaving && !now.Before(s.retryAt) && s.room(now, s.Slots)
+}
+
+// waiting returns how many requests wait that could go to the server, each counted in
+// equal parts at all that serve it.
+func (s *serverState) waiting() float64 {
 	sum := 0.0
 	for _, r := range s.residents {
 		sum += float64(r.target.queue.len()) / float64(len(r.target.replicas))
 	}
-	return max(int(math.Ceil(sum))-s.rateLimit.grants(now), 0)
+	return sum
+}
+
+// expects returns how many requests that could go to the server will come within
+// GrantFor, counted likewise.
+func (s *serverState) expects(now time.Time) float64 {
+	sum := 0.0
+	for _, r := range s.residents {
+		sum += r.target.arrivals.rate(now) * GrantFor.Seconds() / float64(len(r.target.replicas))
+	}
+	return sum
 }
 
-// grants returns how many granted requests may be sent now.
+// grants returns how many granted requests may be sent now, and drops those that have
+// lapsed.
 func (l *limitState) grants(now time.Time) int {
-	l.granted = slices.DeleteFunc(l.granted, func(g grant) bool { return g.requests == 0 || !now.Before(g.to) })
 	n := 0
-	for _, g := range l.granted {
+	l.granted = slices.DeleteFunc(l.granted, func(g grant) bool {
+		if !now.Before(g.to) {
+			l.lapsed += g.requests
+			return true
+		}
 		n += g.requests
-	}
+		return g.requests == 0
+	})
 	return n
 }
 
@@ -238,9 +267,9 @@
 	return s.rateLimit.PerSecond * own / max(own, s.quota.contending, 1)
 }
 
-// rateFilter drops servers that name a rate limit, unless all others have no room
-// and a request may be sent there: what the limit allows is for requests that
-// nobody else can serve.
+// rateFilter drops servers that name a rate limit, unless it lets this instance send
+// a request now. Such a server goes first: what the limit allows lapses, and only
+// answers show that the limit has ended.
 type rateFilter struct{}
 
 func (rateFilter) keep(s *Scheduler, now time.Time, _ *flight, c *candidate) bool {
@@ -250,9 +279,12 @@
 	return s.fill == rationed && c.server.rateLimit.allows(now, &s.rationing)
 }
 
-// limitAllows says whether any of the target's servers names a rate limit under
-// which a request may be sent now.
+// limitAllows says whether any of the target's servers names a rate limit that lets
+// this instance send a request now.
 func (s *Scheduler) limitAllows(now time.Time, t *targetState) bool {
+	if !s.limited {
+		return false
+	}
 	for i := range t.replicas {
 		if l := &t.replicas[i].server.rateLimit; l.Named && l.allows(now, &s.rationing) {
 			return true
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -25,6 +25,7 @@
 	turn      int
 	nearFill  float64 // see Table.NearFill
 	rationing rationing
+	limited   bool // some server names a rate limit
 	crowd     bool // the own domain has more instances than its servers have slots
 
 	out        []Decision
@@ -53,6 +54,7 @@
 	for _, gone := range s.fleet.set(t) {
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
+	s.limited = s.RateLimited() > 0
 	s.nearFill = t.NearFill
 	if s.nearFill <= 0 {
 		s.nearFill = roomyPart
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -22,7 +22,7 @@
 	for _, r := range w.Rates {
 		req.Rates = append(req.Rates, &exchange.RateSaid{
 			Server: r.Server, Start: r.Start, Named: r.Limit.Named, PerSecond: r.Limit.PerSecond,
-			AgeMs: uint32(r.Age.Milliseconds()), Heard: r.Heard, Wants: uint32(r.Wants),
+			AgeMs: uint32(r.Age.Milliseconds()), Heard: r.Heard, Waiting: uint32(r.Waiting), Expects: float32(r.Expects), Lapsed: uint32(r.Lapsed),
 		})
 	}
 	return req
@@ -45,7 +45,7 @@
 	for _, r := range req.GetRates() {
 		w.Rates = append(w.Rates, decide.RateSaid{
 			Server: r.GetServer(), Start: r.GetStart(), Limit: decide.RateLimit{Named: r.GetNamed(), PerSecond: r.GetPerSecond()},
-			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, Heard: r.GetHeard(), Wants: int(r.GetWants()),
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, Heard: r.GetHeard(), Waiting: int(r.GetWaiting()), Expects: float64(r.GetExpects()), Lapsed: int(r.GetLapsed()),
 		})
 	}
 	return w
--- a/residency/ratelimit.go
+++ b/residency/ratelimit.go
@@ -10,14 +10,18 @@
 )
 
 const (
-	// grantBurst is the time whose requests may be granted at once, leastBurst
-	// requests at least: the words of those that wait come that far apart, and what
-	// comes due before them would be lost.
+	// grantBurst is the time whose requests may be granted at once, beside leastBurst
+	// requests: the words of those that wait come that far apart, what comes due before
+	// them would be lost, and several instances may have to be granted one each until
+	// one of them has a request to send.
 	grantBurst = 500 * time.Millisecond
-	leastBurst = 2
+	leastBurst = 4
 	// limitRepeated is how long a rate limit is told on after the last word of an
 	// instance that knows it.
 	limitRepeated = 5 * time.Second
+	// likelyPart is how many of the requests that the busiest instance expects one has
+	// to expect to be granted any before they come: others' grants would mostly lapse.
+	likelyPart = 0.5
 	// wantFresh is how long what an instance wants counts against the others: as long
 	// as it may be between two of its words.
 	wantFresh = time.Second
@@ -44,10 +48,12 @@
 	wants  map[string]rateWant // by instance
 }
 
-// rateWant is how many requests an instance wants to send.
+// rateWant is how many requests an instance wants to send: those that wait, and those
+// that it expects.
 type rateWant struct {
-	requests int
-	at       time.Time
+	waiting int
+	expects float64
+	at      time.Time
 }
 
 func newRateShares() *rateShares { return &rateShares{servers: map[string]*rateShare{}} }
@@ -57,9 +63,12 @@
 	for _, x := range said {
 		r.learn(now, &x)
 	}
-	wants := map[string]int{}
+	wants := map[string]rateWant{}
 	for _, x := range said {
-		wants[x.Server] = x.Wants
+		wants[x.Server] = rateWant{x.Waiting, x.Expects, now}
+		if s := r.servers[x.Server]; s != nil && s.start == x.Start {
+			s.put(float64(x.Lapsed))
+		}
 	}
 	var out []decide.RateShare
 	for id, s := range r.servers {
@@ -113,32 +122,43 @@
 	if !now.After(s.filled) {
 		return
 	}
-	rate := s.limit.PerSecond
-	s.tokens = min(s.tokens+now.Sub(s.filled).Seconds()*rate, max(leastBurst, rate*grantBurst.Seconds()))
+	s.put(now.Sub(s.filled).Seconds() * s.limit.PerSecond)
 	s.filled = now
 }
 
-// grant returns how many of the requests that an instance wants to send it may: its
-// part of what may be granted, by what all want.
-func (s *rateShare) grant(now time.Time, instance string, wanted int) int {
+// put adds requests to what may be granted. They may all be granted at once, and
+// those of the next seconds be sent beside them.
+func (s *rateShare) put(requests float64) {
+	s.tokens = min(s.tokens+requests, leastBurst+s.limit.PerSecond*grantBurst.Seconds())
+}
+
+// grant returns how many requests an instance may send: its part of what may be
+// granted, by how many wait at all instances. Where none wait, what comes due beyond
+// one request goes to those that expect some.
+func (s *rateShare) grant(now time.Time, instance string, want rateWant) int {
 	if !s.limit.Named {
 		return 0
 	}
 	s.fill(now)
-	s.wants[instance] = rateWant{wanted, now}
-	all := 0
+	s.wants[instance] = want
+	waiting, expects := 0, 0.0
 	for name, w := range s.wants {
-		if w.requests == 0 || now.Sub(w.at) > wantFresh {
+		if now.Sub(w.at) > wantFresh {
 			delete(s.wants, name)
 			continue
 		}
-		all += w.requests
+		waiting += w.waiting
+		expects = max(expects, w.expects)
 	}
-	if all == 0 || s.tokens < 1 {
-		return 0
+	whole, asked := math.Floor(s.tokens), 0.0
+	switch {
+	case waiting > 0:
+		asked = min(float64(want.waiting), math.Ceil(s.tokens*float64(want.waiting)/float64(waiting)))
+	case want.expects >= expects*likelyPart:
+		whole--
+		asked = math.Ceil(want.expects)
 	}
-	part := math.Ceil(s.tokens * float64(wanted) / float64(all))
-	n := int(min(float64(wanted), part, math.Floor(s.tokens)))
-	s.tokens -= float64(n)
-	return n
+	n := max(min(asked, whole), 0)
+	s.tokens -= n
+	return int(n)
 }
--- a/residency/ratelimit_test.go
+++ b/residency/ratelimit_test.go
@@ -79,8 +79,9 @@
 	told bool // its instance had had an answer that names the limit for rationTold
 }
 
-// newRationWorld returns instances that all know how many they are, where known is set.
-func newRationWorld(instances int, seed uint64, limit float64) *rationWorld {
+// newRationWorld returns instances before the server, and beside it others that serve
+// the same and name no limit.
+func newRationWorld(instances, others int, seed uint64, limit float64) *rationWorld {
 	w := &rationWorld{
 		now: rationStart, rng: rand.New(rand.NewPCG(seed, 1)), holder: newRateShares(),
 		reached: func(int) bool { return true }, told: map[int]time.Time{},
@@ -91,6 +92,10 @@
 		Targets: map[string]*decide.Target{"m": {Name: "m", Pool: "p", Model: "m", Replicas: []decide.Replica{{}}}},
 		Entries: map[string]int{}, NoServerQueue: true,
 	}
+	for n := range others {
+		t.Servers = append(t.Servers, decide.Server{ID: fmt.Sprint("other", n), Pool: "p", FailureDomain: "d1", Slots: 24, Start: "1"})
+		t.Targets["m"].Replicas = append(t.Targets["m"].Replicas, decide.Replica{Server: n + 1})
+	}
 	for i := range instances {
 		t.Entries[rationDomain(i)]++
 	}
@@ -147,15 +152,21 @@
 func (w *rationWorld) carryOut(i int, decisions []decide.Decision) {
 	for _, d := range append([]decide.Decision(nil), decisions...) {
 		if d.Action == decide.ActionDispatch {
-			sent := w.now
-			told, ok := w.told[i]
-			w.arrived = append(w.arrived, rationArrival{sent, ok && sent.Sub(told) >= rationTold})
+			sent, server := w.now, d.Server.ID
+			if server == "s" {
+				told, ok := w.told[i]
+				w.arrived = append(w.arrived, rationArrival{sent, ok && sent.Sub(told) >= rationTold})
+			}
 			w.after(rationServes, func() {
-				w.schedulers[i].Answered(w.now, "s", sent, w.limit(), true)
-				if _, ok := w.told[i]; !ok {
+				limit := decide.RateLimit{}
+				if server == "s" {
+					limit = w.limit()
+				}
+				w.schedulers[i].Answered(w.now, server, sent, limit, true)
+				if _, ok := w.told[i]; !ok && limit.Named {
 					w.told[i] = w.now
 				}
-				w.carryOut(i, w.schedulers[i].Ended(w.now, d.Request, "s", decide.Outcome{Complete: true, Total: rationServes, Tokens: 1}))
+				w.carryOut(i, w.schedulers[i].Ended(w.now, d.Request, server, decide.Outcome{Complete: true, Total: rationServes, Tokens: 1}))
 			})
 		}
 	}
@@ -253,7 +264,7 @@
 	for _, c := range rationCases {
 		for seed := range c.seeds {
 			t.Run(fmt.Sprintf("%s, %d instances, %g a second, seed %d", name, c.instances, c.limit, seed), func(t *testing.T) {
-				play(t, newRationWorld(c.instances, seed, c.limit), c.limit)
+				play(t, newRationWorld(c.instances, 0, seed, c.limit), c.limit)
 			})
 		}
 	}
@@ -349,11 +360,36 @@
 	})
 }
 
+// Where other servers have room for all that is asked, a server in need must still get
+// some of it: else nobody hears that it isn't in need any more, and it stands idle.
+func TestAServerThatNamesNoLimitAnyMoreIsUsedAgainBesideOthers(t *testing.T) {
+	for _, c := range rationCases {
+		t.Run(fmt.Sprintf("%d instances, %g a second", c.instances, c.limit), func(t *testing.T) {
+			w := newRationWorld(c.instances, 2, 1, c.limit)
+			named := w.limit
+			w.limit = func() decide.RateLimit {
+				if w.now.Sub(rationStart) > 20*time.Second {
+					return decide.RateLimit{}
+				}
+				return named()
+			}
+			w.play(5 * c.limit)
+			require.LessOrEqual(t, mostWithin(w.arrived, func(a rationArrival) bool {
+				at := a.at.Sub(rationStart)
+				return at >= rationJudged && at < 20*time.Second
+			}), allowed(c.limit))
+			t.Logf("sent %g while it names a limit, %g after", w.sentIn(rationJudged, 20*time.Second)/17, w.sentIn(30*time.Second, rationLength)/10)
+			require.Positive(t, w.sentIn(rationJudged, 20*time.Second))
+			require.Greater(t, w.sentIn(30*time.Second, rationLength), 0.15*5*c.limit*10)
+		})
+	}
+}
+
 // Words wait for a lock, and one that came before may be taken in after another.
 func TestWordsThatCrossGrantNoMore(t *testing.T) {
 	r := newRateShares()
 	limit := decide.RateLimit{Named: true, PerSecond: 2}
-	said := []decide.RateSaid{{Server: "s", Limit: limit, Heard: true, Wants: 1}}
+	said := []decide.RateSaid{{Server: "s", Limit: limit, Heard: true, Waiting: 1}}
 	at := func(ms int) time.Time { return rationStart.Add(time.Duration(ms) * time.Millisecond) }
 	r.said(at(0), "a", said)
 	require.Equal(t, 1, r.said(at(600), "a", said)[0].Granted)
@@ -376,7 +412,7 @@
 // of it nobody would ever ask the server again, and hear that the limit has ended.
 func TestALimitThatInstancesWereOnlyToldOfIsSharedOut(t *testing.T) {
 	r := newRateShares()
-	said := []decide.RateSaid{{Server: "s", Limit: decide.RateLimit{Named: true, PerSecond: 2}, Age: time.Minute, Wants: 1}}
+	said := []decide.RateSaid{{Server: "s", Limit: decide.RateLimit{Named: true, PerSecond: 2}, Age: time.Minute, Waiting: 1}}
 	granted := 0
 	for n := range 10 {
 		for _, share := range r.said(rationStart.Add(time.Duration(n)*rationWords), "a", said) {
