--- a/residency/ratelimit.go
+++ b/residency/ratelimit.go
@@ -11,11 +11,10 @@
 
 const (
 	// grantBurst is the time whose requests may be granted at once, beside leastBurst
-	// requests: the words of those that wait come that far apart, what comes due before
-	// them would be lost, and several instances may have to be granted one each until
-	// one of them has a request to send.
+	// requests: the words of those that wait come that far apart, and what comes due
+	// before them would be lost.
 	grantBurst = 500 * time.Millisecond
-	leastBurst = 4
+	leastBurst = 2
 	// limitRepeated is how long a rate limit is told on after the last word of an
 	// instance that knows it.
 	limitRepeated = 5 * time.Second
