decide: instances are counted over failure domains in one place

The sum stood in the scheduler's table, in the deployment's view and in what the lease holder tells. No behaviour changes.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -144,10 +144,7 @@
 		s.listed = false
 		s.residents = s.residents[:0]
 	}
-	instances := 0
-	for _, n := range t.Entries {
-		instances += n
-	}
+	instances := CountInstances(t.Entries)
 	listed := make([]*serverState, len(t.Servers))
 	for i, srv := range t.Servers {
 		s := f.servers[srv.ID]
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -30,10 +30,11 @@
 // roomyPart is the part of its slots up to which a server's batch is quick.
 const roomyPart = 0.6
 
-// choose returns where the request goes now: to a free slot of the own failure
-// domain, of another, or to the short queue of a server. Where it returns nil,
-// waitable says whether waiting may help: some replica could be used but for its
-// load. Servers of a failure domain that seems cut off come last of all.
+// choose returns where the request goes now: to a server whose rate limit lets it be
+// sent, to a free slot of the own failure domain, of another, or to the short queue of
+// a server. Where it returns nil, waitable says whether waiting may help: some replica
+// could be used but for its load. Servers of a failure domain that seems cut off come
+// last of all.
 func (s *Scheduler) choose(now time.Time, f *flight) (c *candidate, waitable bool) {
 	s.reachCut = false
 	if c, waitable = s.chooseByFill(now, f); c != nil || waitable {
@@ -148,9 +149,9 @@
 	return a
 }
 
-// pickByRoom picks at random in proportion to the free slots and to the speed. It is for more instances than a server has slots, which read the
-// same report and would all choose the emptiest server; so they fill each as far
-// as it has room.
+// pickByRoom picks at random in proportion to the free slots and to the speed. It is
+// for more instances than a server has slots, which read the same report and would all
+// choose the emptiest server; so they fill each as far as it has room.
 func (s *Scheduler) pickByRoom() *candidate {
 	sum := 0.0
 	for i := range s.candidates {
--- a/decide/types.go
+++ b/decide/types.go
@@ -61,6 +61,15 @@
 	NearFill      float64 // the part of its slots up to which a server of the own domain goes before others; 0: roomyPart
 }
 
+// CountInstances returns how many instances there are in all failure domains.
+func CountInstances(byDomain map[string]int) int {
+	n := 0
+	for _, count := range byDomain {
+		n += count
+	}
+	return n
+}
+
 // Request is what the decisions need to know of a caller's request.
 type Request struct {
 	ID           string
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -80,9 +80,8 @@
 	}
 	s.Loads = loadsOfWire(res.GetLoads())
 	s.Chosen, s.Candidates = res.GetChosen(), candidatesOfWire(res.GetCandidates())
-	s.Rates = decide.RateShares{Shares: ratesOfWire(res.GetRates()), Position: int(res.GetPlace())}
-	for _, n := range s.Instances {
-		s.Rates.Instances += n
+	s.Rates = decide.RateShares{
+		Shares: ratesOfWire(res.GetRates()), Position: int(res.GetPlace()), Instances: decide.CountInstances(s.Instances),
 	}
 	s.Held, s.Lost, s.Since = heldOfWire(res.GetHeld()), heldOfWire(res.GetHeldLost()), res.GetHeldSince()
 	return s
--- a/topology/table.go
+++ b/topology/table.go
@@ -38,13 +38,7 @@
 }
 
 // Instances returns how many instances live, in all failure domains.
-func (v *View) Instances() int {
-	n := 0
-	for _, count := range v.Nodes {
-		n += count
-	}
-	return n
-}
+func (v *View) Instances() int { return decide.CountInstances(v.Nodes) }
 
 // nearFill is the part of its slots up to which a server of the own failure
 // domain goes before others. Prompts are read between other requests' tokens, so
