--- a/instance/sync.go
+++ b/instance/sync.go
@@ -24,9 +24,8 @@
 const (
 	// The time between two words to the lease holder is syncShare for each instance
 	// that there is, within syncLeast and syncMost: demand, loads and servers are
-	// told that late at most. 0.2 s in place of 0.5 among nine instances raised the
-	// part of streams that are served in time (mean worth of 12 played days 0.624
-	// to 0.654); the holder of 86 has as many words to answer as it can.
+	// told that late at most, and streams are served in time by it; the holder has
+	// as many words to answer as it can.
 	syncLeast = 200 * time.Millisecond
 	syncMost  = 500 * time.Millisecond
 	// syncSpacing is the least time between two of them, where requests wait for
