decide, relay: a changed rate limit is one message; shares of a server's targets in one loop

An answer's limit was looked up once before it was taken in and once more for its line, on each answer; what changed is returned now. What is wanted, waits and is expected at a server repeated one loop over its targets. Servers that name a limit are counted anew only where one changed. The holder reads a word's limits once.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -178,16 +178,17 @@
 
 // gap returns the least gap of the target's servers.
 func (s *Scheduler) gap(now time.Time, t *targetState) float64 {
+	if len(t.replicas) == 0 {
+		return unknownService
+	}
 	least := longestGap
 	for i := range t.replicas[:min(len(t.replicas), sampled)] {
-		least = min(least, s.serverGap(now, t.replicas[i].server, 1))
-		if !t.replicas[i].server.rateLimit.Named {
+		srv := t.replicas[i].server
+		least = min(least, s.serverGap(now, srv, 1))
+		if !srv.rateLimit.Named {
 			least = min(least, unknownService)
 		}
 	}
-	if len(t.replicas) == 0 {
-		return unknownService
-	}
 	return least
 }
 
--- a/decide/quota.go
+++ b/decide/quota.go
@@ -69,9 +69,15 @@
 // wanted returns how many of this instance's requests want what the server serves
 // within Horizon, each counted in equal parts at all that serve it.
 func (s *serverState) wanted(now time.Time) float64 {
+	return s.share(func(t *targetState) float64 { return t.wanted(now) })
+}
+
+// share adds up what count returns of each target that the server serves, in equal
+// parts at all that serve it.
+func (s *serverState) share(count func(*targetState) float64) float64 {
 	sum := 0.0
 	for _, r := range s.residents {
-		sum += r.target.wanted(now) / float64(len(r.target.replicas))
+		sum += count(r.target) / float64(len(r.target.replicas))
 	}
 	return sum
 }
--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -52,11 +52,11 @@
 	Instances int // that there are
 }
 
-// LimitChange is a rate limit that was told and differs from what was known.
+// LimitChange is a server's rate limit that differs from what was known.
 type LimitChange struct {
-	Server string
-	Before RateLimit
-	Since  time.Time // since when Before was known
+	Server      string
+	Before, Now RateLimit
+	Since       time.Time // when the limit was first known
 }
 
 // limitState is what an instance knows of the rate limit that a server names. A
@@ -77,11 +77,14 @@
 	sentAt    time.Time     // the last request
 }
 
-func (l *limitState) set(now time.Time, limit RateLimit, shown time.Time, heard bool) {
+// set takes in a limit that an answer showed, and returns what that changed.
+func (l *limitState) set(now time.Time, server string, limit RateLimit, shown time.Time, heard bool) LimitChange {
 	if limit.Named && !l.Named {
 		l.since = now
 	}
+	change := LimitChange{Server: server, Before: l.RateLimit, Now: limit, Since: l.since}
 	l.RateLimit, l.shown, l.heard = limit, shown, heard
+	return change
 }
 
 // grant is requests that the lease holder lets an instance send until a time.
@@ -110,23 +113,25 @@
 }
 
 // Answered takes in what an answer says of its server's rate limit, to a request
-// that was sent at a time. It returns whether that changed what is known.
-func (s *Scheduler) Answered(now time.Time, server string, sent time.Time, limit RateLimit, complete bool) bool {
+// that was sent at a time. It returns what that changed, if anything.
+func (s *Scheduler) Answered(now time.Time, server string, sent time.Time, limit RateLimit, complete bool) (LimitChange, bool) {
 	srv := s.fleet.servers[server]
 	if srv == nil {
-		return false
+		return LimitChange{}, false
 	}
 	l := &srv.rateLimit
 	// An answer without a limit may have been made before the server named one,
 	// and a refusal names none.
 	if !limit.Named && (!l.Named || !complete || !sent.After(l.shown)) {
-		return false
+		return LimitChange{}, false
 	}
-	changed := l.RateLimit != limit
-	l.set(now, limit, now, true)
+	change := l.set(now, server, limit, now, true)
 	s.schedule(l)
+	if change.Now == change.Before {
+		return change, false
+	}
 	s.limited = s.RateLimited() > 0
-	return changed
+	return change, true
 }
 
 // RatesTold takes in what the lease holder told of rate limits, in answer to a word
@@ -143,8 +148,7 @@
 		}
 		l := &srv.rateLimit
 		if shown := sent.Add(-share.Age); l.RateLimit != share.Limit && shown.After(l.shown) {
-			changes = append(changes, LimitChange{share.Server, l.RateLimit, l.since})
-			l.set(now, share.Limit, shown, false)
+			changes = append(changes, l.set(now, share.Server, share.Limit, shown, false))
 		}
 		if share.Granted > 0 {
 			l.granted = append(l.granted, grant{share.Granted, sent.Add(GrantFor)})
@@ -176,15 +180,6 @@
 	return out
 }
 
-// RateLimitOf returns the rate limit that a server names, and since when it is known.
-func (s *Scheduler) RateLimitOf(server string) (RateLimit, time.Time) {
-	srv := s.fleet.servers[server]
-	if srv == nil {
-		return RateLimit{}, time.Time{}
-	}
-	return srv.rateLimit.RateLimit, srv.rateLimit.since
-}
-
 // RateLimited returns how many servers name a rate limit.
 func (s *Scheduler) RateLimited() int {
 	n := 0
@@ -202,24 +197,14 @@
 	return !s.Leaving && !now.Before(s.retryAt) && s.room(now, s.Slots)
 }
 
-// waiting returns how many requests wait that could go to the server, each counted in
-// equal parts at all that serve it.
+// waiting returns how many requests wait that could go to the server, and expects how
+// many more will come within GrantFor.
 func (s *serverState) waiting() float64 {
-	sum := 0.0
-	for _, r := range s.residents {
-		sum += float64(r.target.queue.len()) / float64(len(r.target.replicas))
-	}
-	return sum
+	return s.share(func(t *targetState) float64 { return float64(t.queue.len()) })
 }
 
-// expects returns how many requests that could go to the server will come within
-// GrantFor, counted likewise.
 func (s *serverState) expects(now time.Time) float64 {
-	sum := 0.0
-	for _, r := range s.residents {
-		sum += r.target.arrivals.rate(now) * GrantFor.Seconds() / float64(len(r.target.replicas))
-	}
-	return sum
+	return s.share(func(t *targetState) float64 { return t.arrivals.rate(now) * GrantFor.Seconds() })
 }
 
 // grants returns how many granted requests may be sent now, and drops those that have
--- a/relay/ratelimit.go
+++ b/relay/ratelimit.go
@@ -17,9 +17,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	before, since := d.scheduler.RateLimitOf(server)
-	if d.scheduler.Answered(time.Now(), server, sent, said.RateLimit, said.Sealed && status/100 == 2) {
-		d.noteLimit(server, before, since, "answer")
+	change, changed := d.scheduler.Answered(time.Now(), server, sent, said.RateLimit, said.Sealed && status/100 == 2)
+	if changed {
+		d.noteLimit(change, "answer")
 		d.want() // the others hear of it from the lease holder
 	}
 }
@@ -30,21 +30,20 @@
 	defer d.mu.Unlock()
 	changes, decisions := d.scheduler.RatesTold(time.Now(), sent, told)
 	for _, c := range changes {
-		d.noteLimit(c.Server, c.Before, c.Since, "lease_holder")
+		d.noteLimit(c, "lease_holder")
 	}
 	d.carryOut(decisions)
 }
 
 // noteLimit writes the line for a server's rate limit that changed.
-func (d *desk) noteLimit(server string, before decide.RateLimit, since time.Time, by string) {
-	f := logrus.Fields{"server": server, "by": by}
-	now, _ := d.scheduler.RateLimitOf(server)
-	if now.Named {
-		f["per_second"], f["before"] = now.PerSecond, before.PerSecond
+func (d *desk) noteLimit(c decide.LimitChange, by string) {
+	f := logrus.Fields{"server": c.Server, "by": by}
+	if c.Now.Named {
+		f["per_second"], f["before"] = c.Now.PerSecond, c.Before.PerSecond
 		d.log.WithFields(f).Info("server names a rate limit")
 		return
 	}
-	f["named_ms"] = time.Since(since).Milliseconds()
+	f["named_ms"] = time.Since(c.Since).Milliseconds()
 	d.log.WithFields(f).Info("server names no rate limit any more")
 }
 
--- a/residency/ratelimit.go
+++ b/residency/ratelimit.go
@@ -59,11 +59,9 @@
 
 // said takes in what an instance says of rate limits, and returns what it is told.
 func (r *rateShares) said(now time.Time, instance string, said []decide.RateSaid) []decide.RateShare {
-	for _, x := range said {
-		r.learn(now, &x)
-	}
 	wants := map[string]rateWant{}
 	for _, x := range said {
+		r.learn(now, &x)
 		wants[x.Server] = rateWant{x.Waiting, x.Expects, now}
 		if s := r.servers[x.Server]; s != nil && s.start == x.Start {
 			s.put(float64(x.Lapsed))
