instance: report how long ago the configuration was confirmed as the newest

After the incident "late configuration", neither logs nor metrics could distinguish a read that is waiting for the next version from one that will never be answered. Add the following, without changing any logic:

- The metric greengageferry_config_confirmed_age_seconds: the time since the store last confirmed that the version in force is the newest, or -1 before the first confirmation.
- The log line "configuration read canceled", written for each read that is ended without an answer so that it can be restarted.
It gives the age of the read, the time since the version was confirmed, the version in force and the newest version reported to this instance.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -92,6 +92,9 @@
 		if err != nil {
 			fresh = fresh || outOfRange(err)
 			if errors.Is(err, context.Canceled) {
+				if ctx.Err() == nil {
+					i.logCanceledConfigRead(began)
+				}
 				fresh = true // only the newest counts: in between there may be many, each as large
 				continue
 			}
@@ -109,11 +112,33 @@
 		if c != nil {
 			i.setConfig(c)
 		}
+		i.noteConfigConfirmed(time.Now())
 		supervise.Pause(ctx, i.configPause())
 	}
 	return nil
 }
 
+// noteConfigConfirmed records that the configuration in force was the newest at the
+// given time. A time before the one already recorded is ignored.
+func (i *Instance) noteConfigConfirmed(at time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if at.After(i.configConfirmedAt) {
+		i.configConfirmedAt = at
+	}
+}
+
+// logCanceledConfigRead logs a read of configurations that was canceled before the
+// store answered.
+func (i *Instance) logCanceledConfigRead(began time.Time) {
+	version := i.configVersion()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.log.WithFields(logrus.Fields{
+		"read_ms": ageMs(began), "confirmed_ms": ageMs(i.configConfirmedAt), "version": version, "newest": i.told.version,
+	}).Warn("configuration read canceled")
+}
+
 // configTold says whether the lease holder, or a candidate, tells this instance
 // which configuration is the newest, so that no read has to wait for one. With few
 // instances each reads for itself: a change is in force sooner.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -53,8 +53,10 @@
 	told         told               // by the lease holder or a candidate
 	configRead   context.CancelFunc // ends the read of configurations under way; nil: none is
 	configReadAt time.Time          // when it began
-	changed      chan struct{}      // readable after the view changed; bears at most one signal
-	limits       chan topology.Limits
+	// configConfirmedAt is when a read last showed that the configuration in force is the newest.
+	configConfirmedAt time.Time
+	changed           chan struct{} // readable after the view changed; bears at most one signal
+	limits            chan topology.Limits
 }
 
 // New returns an instance that does nothing yet.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -106,6 +106,11 @@
 func (i *Instance) believe() {
 	g := i.metrics.gauge
 	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
+	g("config_confirmed_age_seconds", "Since the configuration in force was last known to be the newest; -1: never.", func() float64 {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return float64(ageMs(i.configConfirmedAt)) / 1000
+	})
 	g("servers", "Servers listed.", func() float64 { return float64(len(i.currentView().Servers)) })
 	g("servers_age_seconds", "Since the store last answered for the list of servers, to this instance or the lease holder; -1: never.", i.servers.ageSeconds)
 	g("store_answer_age_seconds", "Since the store last answered this instance; -1: never.", func() float64 {
