instance: bound how long an unanswered read can hide a configuration

Cause: an instance waits for the next configuration with a read of up to 4.8 s, or 10.8 s with more than 12 instances. A read that is never answered, because the connection is silent or the store dropped it, cannot be distinguished from one that is still waiting. It hid a new version for that long, while the platform allows 2 s. Answers from other instances helped only while a lease holder was known and had the version itself. With many instances, the answers of a holder whose own read was lost even kept the others from reading. In general, what an instance knew of the newest version carried no age.

Change: record when the newest version was last confirmed, as is already done for the list of servers. The lease holder reads every 0.85 s. Its answers, and those of candidates, say how long ago the store confirmed to them that no newer version existed (config_age_ms). A waiting read is canceled once that confirmation is 1.5 s old. An answer without an age, as from an older program, confirms nothing. A read of the newest configuration now times out after 2 s instead of 3 s. The pause after a failed read is counted from the beginning of that read.

Evidence: of the 288 cases of TestAChangeComesInForceInTimeThoughReadsAreLost, 168 failed before this change and none fails now. They cover 9 and 295 instances, without a lease holder, with answers that carry no age, and with a holder that is cut off together with the instance. In follow_test.go, told values now carry a confirmation; its checks are unchanged.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -13,19 +13,27 @@
 )
 
 const (
-	// configWait is how long one read waits for a configuration. It bounds how
-	// long a connection that went silent unnoticed can hide one.
+	// configWait is how long one read waits for a configuration while another
+	// instance confirms that no newer one exists.
 	configWait = 4 * time.Second
 	// configWaitMany is the same where there are more than manyInstances: their
-	// reads are a good part of the store's, and one that missed a configuration
-	// hears of it from the others.
+	// reads are a good part of the store's.
 	configWaitMany = 10 * time.Second
+	// configWaitHolder is the same for the instances whose reads confirm the
+	// configuration for others: the lease holder, and the candidates while no other
+	// instance confirms it to them.
+	configWaitHolder = 700 * time.Millisecond
+	// configWaitUnconfirmed is the same for the remaining instances while no other
+	// instance confirms the configuration to them.
+	configWaitUnconfirmed = 1200 * time.Millisecond
 	// configSpacing is the least time between two reads of configurations:
 	// changes come sixteen a second at times, and each is decoded whole.
 	configSpacing = 150 * time.Millisecond
-	// configToldFor is for how long after the lease holder's last word its newest
-	// version stands in for a read that waits for the next one. Of 295 instances
-	// those reads were every sixth call to the store.
+	// configToldFor is how long the store's confirmation that a version is the
+	// newest remains valid. Until it expires, an answer of the lease holder or a
+	// candidate replaces a read. Once it has expired, a waiting read is canceled and
+	// the newest version is read: an unresponsive store or connection must not hide
+	// a configuration for longer than the two seconds that the platform allows.
 	configToldFor = 1500 * time.Millisecond
 	// storeProbe is how often an instance that the store turns away looks whether it
 	// is back, while another that reaches the store tells it what is new there. A
@@ -70,8 +78,9 @@
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// newestTimeout bounds a read of everything.
-	newestTimeout = 3 * time.Second
+	// newestTimeout bounds a read of everything. It leaves time for a second read
+	// when one sent just before the store's return is never answered.
+	newestTimeout = 2 * time.Second
 )
 
 // followConfig is the duty that follows the operators' configuration.
@@ -100,11 +109,12 @@
 			}
 			i.storeFailed("config", err)
 			failures++
-			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
+			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures)-time.Since(began))
 			continue
 		}
 		failures = 0
 		i.storeAnswered()
+		newest := fresh || next == at // after a partial read, newer versions may remain unread
 		if fresh || next > at {
 			at = next
 		}
@@ -112,14 +122,16 @@
 		if c != nil {
 			i.setConfig(c)
 		}
-		i.noteConfigConfirmed(time.Now())
+		if newest {
+			i.noteConfigConfirmed(time.Now())
+		}
 		supervise.Pause(ctx, i.configPause())
 	}
 	return nil
 }
 
 // noteConfigConfirmed records that the configuration in force was the newest at the
-// given time. A time before the one already recorded is ignored.
+// given time. Times before the recorded one are ignored.
 func (i *Instance) noteConfigConfirmed(at time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -128,7 +140,7 @@
 	}
 }
 
-// logCanceledConfigRead logs a read of configurations that was canceled before the
+// logCanceledConfigRead logs that a read of configurations was canceled before the
 // store answered.
 func (i *Instance) logCanceledConfigRead(began time.Time) {
 	version := i.configVersion()
@@ -151,7 +163,7 @@
 	if i.storeDown && now.Sub(i.storeTriedAt) >= storeProbe {
 		return false // one read shows whether it is back
 	}
-	return i.view.Config != nil && !i.told.storeDown && now.Sub(i.told.at) < configToldFor
+	return i.view.Config != nil && !i.told.storeDown && now.Sub(i.told.confirmedAt) < configToldFor
 }
 
 // configBehind says whether another instance was told to have a newer configuration.
@@ -171,13 +183,11 @@
 
 func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (*topology.Config, topology.Position, error) {
 	if !fresh {
-		wait := configWait
-		if i.instances() > manyInstances {
-			wait = configWaitMany
-		}
+		wait := i.nextConfigWait(time.Now())
 		ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 		defer cancel()
 		defer i.interrupt(cancel)()
+		go i.cancelUnconfirmedRead(ctx, cancel)
 		return i.opts.Source.NextConfig(ctx, at, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -186,6 +196,46 @@
 	return i.opts.Source.NewestConfig(ctx)
 }
 
+// nextConfigWait returns how long a read that begins at now waits for a configuration.
+func (i *Instance) nextConfigWait(now time.Time) time.Duration {
+	stands, holds := i.lease.Stands(), i.lease.Holds()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	confirmed := now.Sub(i.told.confirmedAt) < configToldFor
+	switch {
+	case holds || !confirmed && stands:
+		return configWaitHolder
+	case !confirmed:
+		return configWaitUnconfirmed
+	case i.view.Instances() > manyInstances:
+		return configWaitMany
+	}
+	return configWait
+}
+
+// cancelUnconfirmedRead calls cancel once the store's last confirmation of the
+// version in force, to this instance or to one that reported it, is older than
+// configToldFor and the read has taken at least behindAge. It returns after that or
+// when ctx, the context of the read, ends.
+func (i *Instance) cancelUnconfirmedRead(ctx context.Context, cancel context.CancelFunc) {
+	began := time.Now()
+	for {
+		i.mu.Lock()
+		deadline := i.configConfirmedAt.Add(configToldFor)
+		i.mu.Unlock()
+		if earliest := began.Add(behindAge); deadline.Before(earliest) {
+			deadline = earliest
+		}
+		if !time.Now().Before(deadline) {
+			cancel()
+			return
+		}
+		if !supervise.Pause(ctx, time.Until(deadline)) {
+			return
+		}
+	}
+}
+
 // followServers is the duty that follows the servers' entries. It reads the store
 // only while the lease holder's word doesn't stand in for that, since the holder
 // reads for all, and while it seems away, to see when it is back.
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -70,7 +70,7 @@
 func toldInstance(now time.Time) *Instance {
 	i := &Instance{lease: residency.NewLease(nil, "a", time.Second, func() time.Duration { return 0 }, nil), servers: newServerList()}
 	i.view.Config, i.view.Nodes = &topology.Config{Version: 7}, map[string]int{"d": 295}
-	i.told = told{at: now, version: 7}
+	i.told = told{at: now, version: 7, confirmedAt: now}
 	i.servers.fedUntil = now.Add(fedFor)
 	return i
 }
@@ -90,7 +90,7 @@
 	require.True(t, i.configTold(now))
 	require.False(t, i.readsServers(now))
 	later := now.Add(storeProbe)
-	i.told.at, i.servers.fedUntil = later, later.Add(fedFor)
+	i.told.at, i.told.confirmedAt, i.servers.fedUntil = later, later, later.Add(fedFor)
 	require.False(t, i.configTold(later), "it looks whether the store is back")
 	require.True(t, i.readsServers(later))
 	i.storeTriedAt = later
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -53,7 +53,8 @@
 	told         told               // by the lease holder or a candidate
 	configRead   context.CancelFunc // ends the read of configurations under way; nil: none is
 	configReadAt time.Time          // when it began
-	// configConfirmedAt is when a read last showed that the configuration in force is the newest.
+	// configConfirmedAt is when the store last confirmed, to this instance or to one
+	// that reported it, that the configuration in force was the newest; zero: never.
 	configConfirmedAt time.Time
 	changed           chan struct{} // readable after the view changed; bears at most one signal
 	limits            chan topology.Limits
@@ -168,7 +169,7 @@
 	i.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "services": len(c.Services)}).Info("configuration in force")
 	i.rebuild()
 	if first {
-		i.told.at = time.Now() // what was just read is as new as what would be told
+		i.told.confirmedAt = time.Now() // the read that just completed confirms it as another instance would
 		i.limits <- c.Limits
 	}
 }
--- a/instance/late_config_test.go
+++ b/instance/late_config_test.go
@@ -18,16 +18,17 @@
 )
 
 const (
-	// changeBound is the time from a configuration's acknowledgement until it must be
-	// in force, and returnBound the same from when the store answers again.
+	// changeBound is the time within which a configuration must be in force after its
+	// acknowledgement, and returnBound the same after the store answers again.
 	changeBound = 2 * time.Second
 	returnBound = 3 * time.Second
-	// mostCalls bounds the reads of an instance in each test case, of some 15 seconds.
-	mostCalls = 40
+	// maxCalls bounds an instance's reads of the store in each test case, which lasts
+	// about 15 seconds.
+	maxCalls = 40
 )
 
-// lossySource is a store whose configuration changes once. It never answers reads
-// that wait at lostFrom, nor those that begin until lostTo.
+// lossySource is a store whose configuration changes once, at changedAt. It never
+// answers a read that begins before lostTo and whose answer is due at lostFrom or later.
 type lossySource struct {
 	topology.Source
 	changedAt, lostFrom, lostTo time.Time
@@ -49,20 +50,21 @@
 // NextConfig implements topology.Source.
 func (s *lossySource) NextConfig(ctx context.Context, from topology.Position, wait time.Duration) (*topology.Config, topology.Position, error) {
 	until := time.Now().Add(wait)
-	news := from < 2 && s.changedAt.Before(until)
-	if news {
+	changes := from < 2 && s.changedAt.Before(until)
+	if changes {
 		until = s.changedAt
 	}
 	if err := s.answer(ctx, until); err != nil {
 		return nil, from, err
 	}
-	if !news {
+	if !changes {
 		return nil, from, nil
 	}
 	return &topology.Config{Version: 2}, 2, nil
 }
 
-// answer waits until a time, or until ctx ends for a read that is lost.
+// answer blocks until the answer to a read is due. It returns an error if ctx ends
+// first, and for a read that is never answered once ctx ends.
 func (s *lossySource) answer(ctx context.Context, until time.Time) error {
 	s.calls.Add(1)
 	began := time.Now()
@@ -79,30 +81,30 @@
 }
 
 type lostReadsCase struct {
-	instances int
-	candidate bool
-	word      *told // repeated by the lease holder or a candidate; nil: none is heard
-	calm      time.Duration
-	lost      time.Duration
-	changed   time.Duration // after reads are no longer lost
+	instances    int
+	candidate    bool
+	told         *told         // by the lease holder or a candidate, repeatedly; nil: no answers
+	lostAfter    time.Duration // from the start to the first lost read
+	lostFor      time.Duration
+	changedAfter time.Duration // from the end of the losses to the change; may be negative
 }
 
-// A read that is never answered must not hide a configuration for longer than a
-// change may take, whatever is heard from other instances that have not read it either.
+// A read that is never answered must not delay a configuration beyond the bound on
+// changes, even if other instances that have not read it report an older version.
 func TestAChangeComesInForceInTimeThoughReadsAreLost(t *testing.T) {
-	words := map[string]*told{
+	answers := map[string]*told{
 		"no holder":                     nil,
 		"a holder that has not read it": {version: 1},
 		"a holder that is cut off":      {version: 1, storeDown: true},
 	}
 	for _, instances := range []int{9, 295} {
-		for holder, word := range words {
+		for holder, answer := range answers {
 			for _, candidate := range []bool{false, true} {
-				for _, calm := range []time.Duration{7000, 8500} {
-					for _, lost := range []time.Duration{0, 300, 5000} {
-						for _, changed := range []time.Duration{-100, 100, 700, 1500} {
-							c := lostReadsCase{instances, candidate, word, calm * time.Millisecond, lost * time.Millisecond, changed * time.Millisecond}
-							name := fmt.Sprintf("%d instances, %s, candidate=%v, after %s, lost for %s, changed %s later", instances, holder, candidate, c.calm, c.lost, c.changed)
+				for _, lostAfter := range []time.Duration{7000, 8500} {
+					for _, lostFor := range []time.Duration{0, 300, 5000} {
+						for _, changedAfter := range []time.Duration{-100, 100, 700, 1500} {
+							c := lostReadsCase{instances, candidate, answer, lostAfter * time.Millisecond, lostFor * time.Millisecond, changedAfter * time.Millisecond}
+							name := fmt.Sprintf("%d instances, %s, candidate=%v, after %s, lost for %s, changed %s later", instances, holder, candidate, c.lostAfter, c.lostFor, c.changedAfter)
 							t.Run(name, func(t *testing.T) { synctest.Test(t, c.run) })
 						}
 					}
@@ -114,8 +116,8 @@
 
 func (c lostReadsCase) run(t *testing.T) {
 	start := time.Now()
-	source := &lossySource{lostFrom: start.Add(c.calm), lostTo: start.Add(c.calm + c.lost)}
-	source.changedAt = source.lostTo.Add(c.changed)
+	source := &lossySource{lostFrom: start.Add(c.lostAfter), lostTo: start.Add(c.lostAfter + c.lostFor)}
+	source.changedAt = source.lostTo.Add(c.changedAfter)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	i := New(Options{
@@ -126,20 +128,20 @@
 	i.lease.Heard(c.candidate)
 	ctx, cancel := context.WithCancel(t.Context())
 	var duties sync.WaitGroup
-	duties.Go(func() { _ = i.followConfig(ctx) }) // ends with ctx
+	duties.Go(func() { _ = i.followConfig(ctx) }) // returns nil once ctx ends
 	duties.Go(func() {
-		for c.word != nil && ctx.Err() == nil {
-			word := *c.word
-			word.at = time.Now()
-			i.heard(word)
+		for c.told != nil && ctx.Err() == nil {
+			answer := *c.told
+			answer.at = time.Now()
+			i.heard(answer)
 			time.Sleep(syncMost)
 		}
 	})
-	bound := max(c.changed+changeBound, returnBound)
+	bound := max(c.changedAfter+changeBound, returnBound)
 	time.Sleep(time.Until(source.lostTo.Add(bound)))
 	version, calls := i.configVersion(), source.calls.Load()
 	cancel()
 	duties.Wait()
 	require.EqualValues(t, 2, version)
-	require.Less(t, calls, int64(mostCalls))
+	require.Less(t, calls, int64(maxCalls))
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -170,7 +170,7 @@
 	}
 	if res.GetNotHolder() {
 		s.directory.referred(now, res.GetHolder())
-		i.heard(told{at: now, version: res.GetConfigVersion(), storeDown: res.GetStoreDown()})
+		i.heard(toldOf(sent, res, ""))
 		return s.directory.holder == ""
 	}
 	summary := summaryOf(res)
@@ -185,7 +185,7 @@
 	}
 	i.lease.Heard(summary.Chosen)
 	i.learn(sent, summary)
-	i.heard(told{at: now, version: summary.Version, storeDown: res.GetStoreDown(), holder: addr})
+	i.heard(toldOf(sent, res, addr))
 	return true
 }
 
@@ -238,6 +238,21 @@
 	version   int64  // the newest of the configuration that it knows of
 	storeDown bool   // it doesn't reach the platform's store
 	holder    string // the holder's address; empty: it isn't the one that told
+	// confirmedAt is when the store confirmed to that instance that no version newer
+	// than version existed; zero: not reported.
+	confirmedAt time.Time
+}
+
+// toldOf returns what the answer to a word sent at the given time reports. holder is
+// the address of the instance that answered if it holds the lease, empty otherwise.
+// The confirmation's age is subtracted from the time of sending, so that the time
+// in transit never makes it appear more recent.
+func toldOf(sent time.Time, res *exchange.SyncResponse, holder string) told {
+	t := told{at: time.Now(), version: res.GetConfigVersion(), storeDown: res.GetStoreDown(), holder: holder}
+	if res.ConfigAgeMs != nil {
+		t.confirmedAt = sent.Add(-time.Duration(res.GetConfigAgeMs()) * time.Millisecond)
+	}
+	return t
 }
 
 // heard takes in what another instance told.
@@ -245,6 +260,22 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.told = t
+	if i.view.Config != nil && i.view.Config.Version >= t.version && t.confirmedAt.After(i.configConfirmedAt) {
+		i.configConfirmedAt = t.confirmedAt
+	}
+}
+
+// configAgeMs returns the value of config_age_ms in answers to other instances: how
+// long ago the store last confirmed that the configuration in force was the newest,
+// in milliseconds, nil if it never did.
+func (i *Instance) configAgeMs() *uint32 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.configConfirmedAt.IsZero() {
+		return nil
+	}
+	age := uint32(ageMs(i.configConfirmedAt))
+	return &age
 }
 
 // exchangeServer answers other instances' words. It implements exchange.Exchange.
@@ -266,6 +297,7 @@
 	}
 	res := &exchange.SyncResponse{
 		Ordering: summary.Ordering, ConfigVersion: summary.Version, Chosen: summary.Chosen, StoreDown: e.instance.storeIsDown(),
+		ConfigAgeMs: e.instance.configAgeMs(),
 	}
 	if summary.Candidates.Digest() != w.Candidates {
 		res.Candidates = wireCandidates(summary.Candidates)
@@ -292,7 +324,7 @@
 	}
 	i.mu.Unlock()
 	return &exchange.SyncResponse{
-		NotHolder: true, Holder: holder, ConfigVersion: i.configVersion(), StoreDown: i.storeIsDown(),
+		NotHolder: true, Holder: holder, ConfigVersion: i.configVersion(), StoreDown: i.storeIsDown(), ConfigAgeMs: i.configAgeMs(),
 		Servers: i.servers.steps(now, req.GetServersDigest(), nil),
 	}
 }
