instance: count the confirmation of a configuration from the store's read

Two faults could each hide a newer version, on top of the 1.5 s:

- An answer to another instance read the version and the age of its confirmation one after the other.
If a version came into force in between, its confirmation was reported with the previous version, and stood for up to 1.5 s more.
- A confirmation was counted from the arrival of the store's answer, which may have been in transit for 0.8 s, or 2 s for a read of the newest configuration.

The version and the age are now read under one lock. A confirmation counts from the end of the wait of a read that returned nothing, and otherwise from the beginning of the read. A lease holder that knows of a new version only from another instance's report still reports the higher of the two versions. While no configuration exists at all, no age is reported.

In the test, lease holders that have not read the new version now also report an age that grows once their reads are lost.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -96,7 +96,7 @@
 			fresh = true // many may follow from here, and only the newest counts
 		}
 		began := time.Now()
-		c, next, err := i.readConfig(ctx, at, fresh)
+		res, err := i.readConfig(ctx, at, fresh)
 		i.metrics.storeCall("config", began)
 		if err != nil {
 			fresh = fresh || outOfRange(err)
@@ -114,17 +114,14 @@
 		}
 		failures = 0
 		i.storeAnswered()
-		newest := fresh || next == at // after a partial read, newer versions may remain unread
-		if fresh || next > at {
-			at = next
+		if fresh || res.next > at {
+			at = res.next
 		}
 		fresh = false
-		if c != nil {
-			i.setConfig(c)
-		}
-		if newest {
-			i.noteConfigConfirmed(time.Now())
+		if res.config != nil {
+			i.setConfig(res.config)
 		}
+		i.noteConfigConfirmed(res.confirmedAt)
 		supervise.Pause(ctx, i.configPause())
 	}
 	return nil
@@ -181,19 +178,42 @@
 	return configSpacing
 }
 
-func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (*topology.Config, topology.Position, error) {
-	if !fresh {
-		wait := i.nextConfigWait(time.Now())
-		ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+// configResult is the result of a read of configurations.
+type configResult struct {
+	config *topology.Config  // nil: none newer
+	next   topology.Position // where the next read begins
+	// confirmedAt is a time at which no configuration newer than config, or than the
+	// one in force if config is nil, existed; zero after a partial read, since newer
+	// versions may remain unread.
+	confirmedAt time.Time
+}
+
+// readConfig reads the newest configuration if fresh is set, and otherwise waits for
+// one at position at or later. The confirmation's time doesn't depend on when the
+// answer arrives: a delayed answer must not hide a version written in the meantime.
+func (i *Instance) readConfig(ctx context.Context, at topology.Position, fresh bool) (configResult, error) {
+	began := time.Now()
+	if fresh {
+		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
 		defer i.interrupt(cancel)()
-		go i.cancelUnconfirmedRead(ctx, cancel)
-		return i.opts.Source.NextConfig(ctx, at, wait)
+		c, next, err := i.opts.Source.NewestConfig(ctx)
+		return configResult{config: c, next: next, confirmedAt: began}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	wait := i.nextConfigWait(began)
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	defer i.interrupt(cancel)()
-	return i.opts.Source.NewestConfig(ctx)
+	go i.cancelUnconfirmedRead(ctx, cancel)
+	c, next, err := i.opts.Source.NextConfig(ctx, at, wait)
+	res := configResult{config: c, next: next}
+	if next == at {
+		res.confirmedAt = began
+		if waitEnd := began.Add(wait); !time.Now().Before(waitEnd) {
+			res.confirmedAt = waitEnd // the store waited for a newer one until then
+		}
+	}
+	return res, err
 }
 
 // nextConfigWait returns how long a read that begins at now waits for a configuration.
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -55,7 +55,7 @@
 		begun := time.Now()
 		ended := make(chan error, 1)
 		go func() {
-			_, _, err := i.readConfig(t.Context(), 0, true)
+			_, err := i.readConfig(t.Context(), 0, true)
 			ended <- err
 		}()
 		synctest.Wait()
--- a/instance/late_config_test.go
+++ b/instance/late_config_test.go
@@ -96,6 +96,7 @@
 		"no holder":                     nil,
 		"a holder that has not read it": {version: 1},
 		"a holder that is cut off":      {version: 1, storeDown: true},
+		"a holder whose reads are lost": {version: 1, confirmedAt: time.Unix(1, 0)}, // run sets the actual time
 	}
 	for _, instances := range []int{9, 295} {
 		for holder, answer := range answers {
@@ -133,6 +134,12 @@
 		for c.told != nil && ctx.Err() == nil {
 			answer := *c.told
 			answer.at = time.Now()
+			if !answer.confirmedAt.IsZero() { // its age is 0 until reads are lost, and grows from then on
+				answer.confirmedAt = answer.at
+				if answer.at.After(source.lostFrom) {
+					answer.confirmedAt = source.lostFrom
+				}
+			}
 			i.heard(answer)
 			time.Sleep(syncMost)
 		}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -265,17 +265,18 @@
 	}
 }
 
-// configAgeMs returns the value of config_age_ms in answers to other instances: how
-// long ago the store last confirmed that the configuration in force was the newest,
-// in milliseconds, nil if it never did.
-func (i *Instance) configAgeMs() *uint32 {
+// confirmedConfig returns the version of the configuration in force and how long ago
+// the store last confirmed that it was the newest, in milliseconds; 0 and nil before
+// the first confirmation. Both are read under one lock, so that the confirmation of a
+// newer version is never reported with an older one.
+func (i *Instance) confirmedConfig() (version int64, configAgeMs *uint32) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.configConfirmedAt.IsZero() {
-		return nil
+	if i.view.Config == nil || i.configConfirmedAt.IsZero() {
+		return 0, nil
 	}
 	age := uint32(ageMs(i.configConfirmedAt))
-	return &age
+	return i.view.Config.Version, &age
 }
 
 // exchangeServer answers other instances' words. It implements exchange.Exchange.
@@ -295,9 +296,10 @@
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
+	version, age := e.instance.confirmedConfig()
 	res := &exchange.SyncResponse{
-		Ordering: summary.Ordering, ConfigVersion: summary.Version, Chosen: summary.Chosen, StoreDown: e.instance.storeIsDown(),
-		ConfigAgeMs: e.instance.configAgeMs(),
+		Ordering: summary.Ordering, Chosen: summary.Chosen, StoreDown: e.instance.storeIsDown(),
+		ConfigVersion: max(summary.Version, version), ConfigAgeMs: age,
 	}
 	if summary.Candidates.Digest() != w.Candidates {
 		res.Candidates = wireCandidates(summary.Candidates)
@@ -323,8 +325,9 @@
 		holder = i.told.holder
 	}
 	i.mu.Unlock()
+	version, age := i.confirmedConfig()
 	return &exchange.SyncResponse{
-		NotHolder: true, Holder: holder, ConfigVersion: i.configVersion(), StoreDown: i.storeIsDown(), ConfigAgeMs: i.configAgeMs(),
+		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.steps(now, req.GetServersDigest(), nil),
 	}
 }
