netconn: close idle connections to the store after a request without an answer

It was found by code review.

A client of the store keeps up to six idle connections. If all of them went silent at once, each retried call took the next silent connection and timed out again (0.5 s for a lease renewal, 1.6 s for the servers' entries, 2 s for the newest configuration), until keep-alive probes detected the silent connections three seconds later.

The transport for the store and for other instances now closes its idle connections after a request that fails without an answer. TestRequestAfterTimeoutUsesNewConnection fails with the previous transport (deadline exceeded). Connections to servers are unchanged: there are many addresses, and a request whose server is silent is sent to another server.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -92,7 +92,7 @@
 	defer closeLog()
 	log.WithFields(logrus.Fields{"instance": node.Name, "domain": node.Domain, "version": version}).Info("starting")
 	seed := uint64(time.Now().UnixNano())
-	store := platform.NewStore(node.StoreAddr, netconn.Transport(storeIdle, time.Minute))
+	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(storeIdle, time.Minute))
 	i := instance.New(instance.Options{
 		Node:    node,
 		Source:  store,
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -76,7 +76,7 @@
 	apart := rand.N(askFirst) // so that instances alike don't all ask at once
 	return &syncer{
 		instance: i,
-		client:   &http.Client{Transport: netconn.Transport(peerIdle, time.Minute)},
+		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(peerIdle, time.Minute)},
 		directory: directory{
 			domain: n.Domain, begun: now.Add(askAfter(n.Cores) + apart), stands: now.Add(standAfter(n.Cores) + apart),
 		},
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -80,3 +80,23 @@
 		WriteBufferSize:     buffer,
 	}
 }
+
+// IdleClosingTransport closes its idle connections, to all addresses, when a request
+// fails or is canceled before its response headers arrive. Other connections from the
+// same pool may be silent as well, and each would make another request time out. Use
+// it for clients that call only a few addresses.
+type IdleClosingTransport struct{ *http.Transport }
+
+// NewIdleClosingTransport returns an IdleClosingTransport with the arguments of Transport.
+func NewIdleClosingTransport(idle int, idleTime time.Duration) *IdleClosingTransport {
+	return &IdleClosingTransport{Transport(idle, idleTime)}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *IdleClosingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		t.CloseIdleConnections()
+	}
+	return resp, err
+}
--- a/netconn/netconn_test.go
+++ b/netconn/netconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +59,48 @@
 	require.LessOrEqual(t, before, BootTime())
 	require.Less(t, BootTime()-before, time.Hour)
 }
+
+// Guards against successive requests timing out one by one on idle connections that
+// went silent together: the request after a timeout must use a new connection.
+func TestRequestAfterTimeoutUsesNewConnection(t *testing.T) {
+	const connections = 4
+	var mu sync.Mutex
+	seen, silent := map[string]bool{}, false
+	allOpen := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		unanswered := silent && seen[r.RemoteAddr]
+		seen[r.RemoteAddr] = true
+		if len(seen) == connections && !silent {
+			silent = true
+			close(allOpen)
+		}
+		mu.Unlock()
+		if unanswered {
+			<-r.Context().Done()
+			return
+		}
+		<-allOpen
+	}))
+	defer server.Close()
+	transport := NewIdleClosingTransport(connections, time.Minute)
+	defer transport.CloseIdleConnections()
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+		require.NoError(t, err)
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	var wg sync.WaitGroup
+	for range connections {
+		wg.Go(func() { require.NoError(t, call(10*time.Second)) })
+	}
+	wg.Wait()
+	require.Error(t, call(100*time.Millisecond), "request on a silent connection")
+	require.NoError(t, call(10*time.Second))
+}
--- a/quickstart/platform.go
+++ b/quickstart/platform.go
@@ -63,7 +63,7 @@
 }
 
 func platformInstance(node *topology.Node, o Options) *instance.Instance {
-	store := platform.NewStore(node.StoreAddr, netconn.Transport(storeIdle, time.Minute))
+	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(storeIdle, time.Minute))
 	return instance.New(instance.Options{
 		Node: node, Source: store, Group: store, Headers: platform.Headers{},
 		Orderer: platform.NewOrders(netconn.Transport(orderIdle, time.Second)),
