instance: don't wait for new entries in the first read after the holder's list

Cause: an instance uses the lease holder's list until it is 1.4 s old, and then reads the store itself. That read waited up to 0.8 s for entries and timed out after 1.6 s. If the holder and the connection to the store went silent at the same time and that read was lost, the next read began 3.1 s after the silence. A server that had begun to leave in the meantime should have received no requests by then: the bound is 2 s after the acknowledgement, and 3 s after a disturbance.

Change: the first read after the holder's list has expired, and a read after a failed one, return the available entries without waiting and time out after 0.8 s. In the case above, the next read begins after 2.3 s. The lease holder's reads, which wait up to 0.3 s, now time out after 1.1 s instead of 1.6 s.

TestALeavingServerIsKnownInTimeThoughTheHolderAndAReadAreLost fails without the change.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -262,14 +262,15 @@
 func (i *Instance) followServers(ctx context.Context) error {
 	failures := 0        // in a row
 	var failed time.Time // when the last read that failed was begun
+	immediate := true    // the next read must not wait for new entries
 	for ctx.Err() == nil {
 		if !i.readsServers(time.Now()) {
-			failures = 0
+			failures, immediate = 0, true
 			supervise.Pause(ctx, fedPoll)
 			continue
 		}
 		began := time.Now()
-		r, err := i.readServers(ctx)
+		r, err := i.readServers(ctx, immediate)
 		i.metrics.storeCall("servers", began)
 		now := time.Now()
 		if err != nil {
@@ -278,7 +279,7 @@
 			}
 			i.storeFailed("servers", err)
 			failures++
-			failed = began
+			failed, immediate = began, true
 			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
 			continue
 		}
@@ -288,6 +289,7 @@
 			i.restartConfigRead(0)
 		}
 		i.storeAnswered()
+		immediate = false
 		i.noteProblems(r.changes)
 		i.servers.take(now, r, i.setServers)
 		supervise.Pause(ctx, i.serversSpacing())
@@ -334,15 +336,21 @@
 	return i.view.Instances()
 }
 
-func (i *Instance) readServers(ctx context.Context) (read, error) {
+// readServers reads the servers' entries that follow the known position, or all of them
+// if there is none. If immediate is set, the read doesn't wait for new entries and times
+// out sooner: an unanswered read must not hide for long that a server is leaving.
+func (i *Instance) readServers(ctx context.Context, immediate bool) (read, error) {
 	at := i.servers.position()
 	if at != unread {
-		ctx, cancel := context.WithTimeout(ctx, serversWait+readSlack)
-		defer cancel()
 		wait := serversWait
-		if i.lease.Holds() {
+		switch {
+		case immediate:
+			wait = 0
+		case i.lease.Holds():
 			wait = holderWait
 		}
+		ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+		defer cancel()
 		changes, next, err := i.opts.Source.NextServers(ctx, at, wait)
 		return read{from: at, next: next, changes: changes}, err
 	}
--- /dev/null
+++ b/instance/leaving_test.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/topology"
+)
+
+// leavingSource is a store in which a server's entry says from leavingAt on that it is
+// leaving. It never answers the first read.
+type leavingSource struct {
+	topology.Source
+	leavingAt time.Time
+	reads     int
+}
+
+func serverChanges(leaving bool) []topology.ServerChange {
+	return []topology.ServerChange{{ID: "s", Server: &topology.Server{ID: "s", Leaving: leaving}}}
+}
+
+// NextServers implements topology.Source.
+func (s *leavingSource) NextServers(ctx context.Context, from topology.Position, wait time.Duration) ([]topology.ServerChange, topology.Position, error) {
+	if s.reads++; s.reads == 1 {
+		<-ctx.Done()
+		return nil, from, context.Cause(ctx)
+	}
+	if from < 2 && !time.Now().Before(s.leavingAt) {
+		return serverChanges(true), 2, nil
+	}
+	time.Sleep(wait)
+	return nil, from, nil
+}
+
+// An unanswered read right after the lease holder was lost must not hide a leaving
+// server beyond the bound.
+func TestALeavingServerIsKnownInTimeThoughTheHolderAndAReadAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		lostAt := time.Now()
+		source := &leavingSource{leavingAt: lostAt.Add(100 * time.Millisecond)}
+		i := New(Options{
+			Node: &topology.Node{Domain: "d"}, Source: source, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
+			Clock: func() time.Duration { return time.Since(lostAt) },
+		})
+		i.servers.take(lostAt, read{all: true, next: 1, changes: serverChanges(false)}, i.setServers)
+		i.servers.fedUntil = lostAt.Add(fedFor)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- i.followServers(ctx) }()
+		time.Sleep(returnBound)
+		leaving := i.currentView().Servers[0].Leaving
+		cancel()
+		require.NoError(t, <-ended)
+		require.True(t, leaving)
+	})
+}
