relay, platform: log what servers' answers say about leaving and Retry-After

No logic is changed. A value that can't be decoded is logged as "server's answer not readable".

"attempt failed" now includes retry_after_ms and server_leaving. "request ended" includes server and server_leaving if the newest answer says that its server is leaving.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,6 +55,7 @@
 	defer res.Body.Close()
 	c.relay.backends.answered(d.Server.ID, res.Header)
 	said := c.relay.opts.Headers.Answer(res.StatusCode, res.Header)
+	c.lastAnswer, c.lastAnswerBy = said, d.Server.ID
 	c.relay.desk.answered(c, d.Server.ID, sent, res.StatusCode, said)
 	if said.NotRun {
 		c.logAttempt(d, "not_run", res.StatusCode)
@@ -249,7 +250,7 @@
 
 // logAttempt writes the line for an attempt that went wrong.
 func (c *call) logAttempt(d decide.Decision, reason string, status int) {
-	c.relay.opts.Log.WithFields(logrus.Fields{
+	f := logrus.Fields{
 		"request": c.said.ID,
 		"attempt": c.attempts,
 		"server":  d.Server.ID,
@@ -258,5 +259,13 @@
 		"status":  status,
 		"error":   reason,
 		"ms":      time.Since(c.arrived).Milliseconds(),
-	}).Warn("attempt failed")
+	}
+	// Without a status, lastAnswer may belong to an earlier attempt.
+	if status != 0 && c.lastAnswer.RetryAfter > 0 {
+		f["retry_after_ms"] = c.lastAnswer.RetryAfter.Milliseconds()
+	}
+	if status != 0 && c.lastAnswer.Leaving {
+		f["server_leaving"] = true
+	}
+	c.relay.opts.Log.WithFields(f).Warn("attempt failed")
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -68,12 +68,14 @@
 	decisions chan decide.Decision
 	at        string // the server that its attempt is at; the desk's lock guards it
 
-	attempts  int
-	sent      bool       // an attempt was begun
-	ran       bool       // an attempt may have run
-	failed    *kept      // the newest whole failure that a server answered
-	stream    streamSent // what of a stream the caller has
-	firstByte time.Time
+	attempts     int
+	sent         bool       // an attempt was begun
+	ran          bool       // an attempt may have run
+	failed       *kept      // the newest whole failure that a server answered
+	lastAnswer   Answer     // the newest answer to any attempt
+	lastAnswerBy string     // the id of the server that lastAnswer came from
+	stream       streamSent // what of a stream the caller has
+	firstByte    time.Time
 }
 
 // kept is a server's whole answer.
@@ -267,6 +269,9 @@
 		f["route"] = c.route.Name
 		f["target"] = c.target
 	}
+	if c.lastAnswer.Leaving {
+		f["server"], f["server_leaving"] = c.lastAnswerBy, true
+	}
 	if c.stream.begun {
 		f["events"] = c.stream.events
 		f["last_event"] = c.stream.last
--- a/relay/ratelimit.go
+++ b/relay/ratelimit.go
@@ -11,6 +11,9 @@
 // answered takes in what a server's answer, to a request that was sent at a time,
 // says of the server itself.
 func (d *desk) answered(c *call, server string, sent time.Time, status int, said Answer) {
+	if said.NoticeProblem != nil {
+		d.log.WithFields(logrus.Fields{"server": server, "request": c.said.ID, "error": said.NoticeProblem}).Warn("server's answer not readable")
+	}
 	if said.Problem != nil {
 		d.log.WithFields(logrus.Fields{"server": server, "request": c.said.ID, "error": said.Problem}).Warn("server's answer not readable")
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,13 @@
 	NotRun    bool // the server did not run the request
 	Encoded   bool // the body isn't as the server made it
 	RateLimit decide.RateLimit
-	Problem   error // a header of it that can't be read; nil: there is none
+	// RetryAfter is how long this instance should send no requests to a server that
+	// refused this one; 0: not said.
+	RetryAfter time.Duration
+	Leaving    bool  // the server will shut down soon and should get no new requests
+	Problem    error // RateLimit could not be decoded; nil: it could
+	// NoticeProblem says that RetryAfter or Leaving could not be decoded; nil: they could.
+	NoticeProblem error
 }
 
 // Options is what a Relay is built from. All must be set.
