instance: send no new requests to a server whose answers say that it is leaving

Symptom: callers' requests went to a server that was about to shut down, up to 13 s after it had begun to say so in its answers. The store was unavailable, so the server's entry did not show it.

Cause: nothing read what an answer says about its server. More generally, an instance relied on the store alone where it had the information from the server itself.

Change: the relay reports such an answer, and the instance marks that start of the server as leaving in everything it bases decisions on, just as if the server's entry said so: the server gets no new requests, and the lease holder places its models elsewhere. The mark outlives the entry, which may expire while the store is unavailable and reappear unchanged. It ends when the server restarts, or five minutes after the server was last listed.

Instances report leaving servers to each other in Sync, to the lease holder or, if none is known, to a candidate, so the other instances stop using them too. Each instance acts on the answers it receives itself, so the bound does not depend on the number of instances, a disconnected failure domain or a lost lease holder.

TestOtherInstancesHearThatAServerLeaves covers operation without a lease holder, an entry that expires and reappears, and a restart.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -45,7 +45,9 @@
 	controller *residency.Controller
 
 	mu           sync.Mutex
-	view         topology.View // its parts are replaced, never changed
+	view         topology.View           // its parts are replaced, never changed
+	listed       []topology.Server       // the servers as their entries describe them
+	leaving      topology.LeavingServers // the servers that said so in their answers
 	storeDown    bool
 	storeAt      time.Time          // when the store last answered
 	storeTriedAt time.Time          // when it last didn't
@@ -65,11 +67,11 @@
 	m := newMetrics()
 	i := &Instance{
 		opts: o, log: o.Log, metrics: m,
-		relay:   relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand}),
 		changed: make(chan struct{}, 1),
 		limits:  make(chan topology.Limits, 1),
 		servers: newServerList(),
 	}
+	i.relay = relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, OnLeaving: i.addLeavingServer})
 	i.front = newFront(i)
 	i.node.Store(o.Node)
 	i.view.Expected = true
@@ -177,6 +179,41 @@
 func (i *Instance) setServers(servers []topology.Server) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.listed = servers
+	i.updateServers(time.Now())
+}
+
+// addLeavingServer records that a server's answer said that it is leaving. This instance
+// sends it no new requests from then on, and reports it in the next Sync.
+func (i *Instance) addLeavingServer(s topology.ServerStart) {
+	i.addLeavingServers([]topology.ServerStart{s})
+}
+
+// addLeavingServers records servers whose answers, to this or another instance, said
+// that they are leaving.
+func (i *Instance) addLeavingServers(servers []topology.ServerStart) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	added, now := false, time.Now()
+	for _, s := range servers {
+		added = i.leaving.Add(now, s) || added
+	}
+	if added {
+		i.updateServers(now)
+	}
+}
+
+// leavingServers returns the listed servers whose answers said that they are leaving.
+func (i *Instance) leavingServers() []topology.ServerStart {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving.Listed(i.listed)
+}
+
+// updateServers updates the view's servers from the list and from what is known of
+// leaving servers. The lock is held.
+func (i *Instance) updateServers(now time.Time) {
+	servers := i.leaving.Mark(now, i.listed)
 	i.logServers(servers)
 	i.view.Servers = servers
 	i.rebuild()
--- a/instance/leaving_answers_test.go
+++ b/instance/leaving_answers_test.go
@@ -16,17 +16,17 @@
 
 const (
 	noticeInstances = 9
-	// noticeTold is how long after a server's answers begin to say something each
-	// instance has passed one on.
-	noticeTold = 2 * time.Second
-	// drainBound is how long after that an instance may still send a leaving server
-	// requests, and drainWatch how long it is watched from then on.
-	drainBound = 2 * time.Second
-	drainWatch = 3 * time.Second
+	// noticeDelay is the time within which each instance has relayed an answer that
+	// says that the server is leaving.
+	noticeDelay = 2 * time.Second
+	// drainBound is how long after that an instance may still send requests to the
+	// server. drainObservation is how long it must get none from then on.
+	drainBound       = 2 * time.Second
+	drainObservation = 3 * time.Second
 )
 
-// streams asks every instance for streams of BusyModel again and again, and returns
-// what ends that and how many were served whole.
+// streams requests streams of BusyModel from every instance in a loop until stop is
+// called. stop returns how many streams were complete.
 func (d *deployment) streams() (stop func() int) {
 	var asking sync.WaitGroup
 	var served atomic.Int64
@@ -59,7 +59,8 @@
 	}
 }
 
-// While the store is away only a server's answers say that it leaves.
+// A server that announces only in its answers that it is leaving, because the store is
+// unavailable, must get no new requests.
 func TestAServerWhoseAnswersSayThatItLeavesGetsNoNewRequests(t *testing.T) {
 	d := deploy(t)
 	d.grow(noticeInstances)
@@ -67,11 +68,11 @@
 	leaving := d.site.Servers[0]
 	stop := d.streams()
 	leaving.Drain()
-	time.Sleep(noticeTold + drainBound)
+	time.Sleep(noticeDelay + drainBound)
 	before := len(leaving.Ran())
-	time.Sleep(drainWatch)
+	time.Sleep(drainObservation)
 	after := len(leaving.Ran())
 	served := stop()
 	require.Equal(t, before, after)
-	require.Greater(t, served, noticeInstances, "the other server goes on")
+	require.Greater(t, served, noticeInstances, "the other server must still serve streams")
 }
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -63,3 +63,38 @@
 		require.True(t, leaving)
 	})
 }
+
+// Instances must learn from each other, even without a lease holder, that a server's
+// answers said that it is leaving, and not forget it while its entry does not show it.
+func TestOtherInstancesHearThatAServerLeaves(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	started := time.Now()
+	newInstance := func() *Instance {
+		i := New(Options{
+			Node: &topology.Node{Domain: "d"}, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
+			Clock: func() time.Duration { return time.Since(started) },
+		})
+		i.setServers([]topology.Server{{ID: "s"}, {ID: "t"}})
+		return i
+	}
+	reporter, candidate, other := newInstance(), newInstance(), newInstance()
+	candidate.lease.Heard(true)
+	s := reporter.currentView().Servers[0]
+	reporter.addLeavingServer(topology.ServerStart{ID: "s", Start: s.StartID()})
+	for _, i := range []*Instance{reporter, other} {
+		word := i.word()
+		res, err := exchangeServer{candidate}.Sync(t.Context(), syncRequest(word))
+		require.NoError(t, err)
+		i.addLeavingServers(startsOfWire(res.GetLeaving()))
+	}
+	for _, i := range []*Instance{reporter, candidate, other} {
+		require.True(t, i.currentView().Servers[0].Leaving)
+		require.False(t, i.currentView().Servers[1].Leaving)
+		i.setServers(nil)
+		i.setServers([]topology.Server{{ID: "s"}})
+		require.True(t, i.currentView().Servers[0].Leaving, "its entry expired and reappeared")
+		i.setServers([]topology.Server{{ID: "s", Born: time.UnixMilli(1)}})
+		require.False(t, i.currentView().Servers[0].Leaving, "it restarted")
+	}
+}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -144,7 +144,8 @@
 	return residency.Word{
 		Instance: n.Name, Domain: n.Domain, Addr: n.PeerAddr, Cores: n.Cores,
 		Asked: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
-		Rates: i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Stands: i.lease.Stands(),
+		Leaving: i.leavingServers(),
+		Rates:   i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Stands: i.lease.Stands(),
 	}
 }
 
@@ -164,6 +165,7 @@
 		return false
 	}
 	now := time.Now()
+	i.addLeavingServers(startsOfWire(res.GetLeaving()))
 	var loads map[string]residency.Load
 	if res.GetServers() != nil {
 		loads = i.servers.follow(sent, res.GetServers(), i.setServers)
@@ -285,6 +287,7 @@
 // Sync implements exchange.Exchange.
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	w := wordOf(req)
+	e.instance.addLeavingServers(w.Leaving)
 	summary, err := e.instance.controller.Said(time.Now(), w)
 	var notHolder *residency.NotHolderError
 	if errors.As(err, &notHolder) && e.instance.lease.Stands() {
@@ -312,6 +315,7 @@
 		res.Loads = wireLoads(summary.Loads)
 	}
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
+	res.Leaving = wireStarts(e.instance.leavingServers())
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.Lost), summary.Since
 	return res, nil
 }
@@ -329,6 +333,7 @@
 	return &exchange.SyncResponse{
 		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.steps(now, req.GetServersDigest(), nil),
+		Leaving: wireStarts(i.leavingServers()),
 	}
 }
 
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -19,6 +19,7 @@
 		})
 	}
 	req.Loads = wireLoads(w.Loads)
+	req.Leaving = wireStarts(w.Leaving)
 	for _, r := range w.Rates {
 		req.Rates = append(req.Rates, &exchange.RateSaid{
 			Server: r.Server, Start: r.Start, Named: r.Limit.Named, PerSecond: r.Limit.PerSecond,
@@ -34,7 +35,7 @@
 		StoreDown: req.GetStoreDown(), Version: req.GetConfigVersion(),
 		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(), Stands: req.GetStands(),
 		Asked: make(map[string]residency.Asked, len(req.GetDemand())),
-		Loads: loadsOfWire(req.GetLoads()),
+		Loads: loadsOfWire(req.GetLoads()), Leaving: startsOfWire(req.GetLeaving()),
 	}
 	for _, d := range req.GetDemand() {
 		w.Asked[d.GetTarget()] = residency.Asked{
@@ -103,6 +104,22 @@
 	return out
 }
 
+func wireStarts(starts []topology.ServerStart) []*exchange.ServerStart {
+	var out []*exchange.ServerStart
+	for _, s := range starts {
+		out = append(out, &exchange.ServerStart{Id: s.ID, Start: s.Start})
+	}
+	return out
+}
+
+func startsOfWire(starts []*exchange.ServerStart) []topology.ServerStart {
+	var out []topology.ServerStart
+	for _, s := range starts {
+		out = append(out, topology.ServerStart{ID: s.GetId(), Start: s.GetStart()})
+	}
+	return out
+}
+
 func heldOfWire(held []*exchange.Held) topology.HeldList {
 	var out []topology.Held
 	for _, h := range held {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,7 +77,9 @@
 	Headers Headers
 	Log     logrus.FieldLogger
 	Metrics Metrics
-	Rand    *rand.Rand // owned by the Relay from then on
+	// OnLeaving is called for each answer that says that its server is leaving.
+	OnLeaving func(topology.ServerStart)
+	Rand      *rand.Rand // owned by the Relay from then on
 }
 
 // Metrics is told of what happens to requests.
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/topology"
 )
 
 const (
@@ -66,13 +67,14 @@
 // Word is what an instance says to the lease holder.
 type Word struct {
 	Instance  string
-	Domain    string           // its failure domain
-	Addr      string           // IP:port for other instances
-	Cores     float64          // of processor that it may use
-	Asked     map[string]Asked // by target
-	Loads     map[string]Load  // by server
-	StoreDown bool             // it doesn't reach the platform's store
-	Version   int64            // of the configuration in force there
+	Domain    string                 // its failure domain
+	Addr      string                 // IP:port for other instances
+	Cores     float64                // of processor that it may use
+	Asked     map[string]Asked       // by target
+	Loads     map[string]Load        // by server
+	StoreDown bool                   // it doesn't reach the platform's store
+	Version   int64                  // of the configuration in force there
+	Leaving   []topology.ServerStart // servers whose answers said that they are leaving
 
 	Rates []decide.RateSaid // of servers that name a rate limit
 
--- /dev/null
+++ b/topology/leaving.go
@@ -0,0 +1,83 @@
+package topology
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// leavingRetention is how long a leaving server is remembered after it was last
+// listed: its entry may expire while the store is unavailable, and reappear without
+// showing that the server is leaving.
+const leavingRetention = 5 * time.Minute
+
+// ServerStart identifies one start of a backend server.
+type ServerStart struct {
+	ID    string
+	Start string // as returned by Server.StartID
+}
+
+// StartID tells apart the starts of a server that restarts under the same id.
+func (s *Server) StartID() string { return strconv.FormatInt(s.Born.UnixMilli(), 36) }
+
+// LeavingServers holds the servers whose answers said that they are leaving. Their
+// entries may show this later or, while the store is unavailable, not at all. The zero
+// value is ready to use. It is not safe for concurrent use.
+type LeavingServers struct {
+	byID map[string]leavingServer
+}
+
+type leavingServer struct {
+	start    string
+	lastSeen time.Time // when it was last listed or added
+}
+
+// Add records that a server is leaving, and returns whether this was not known yet.
+func (l *LeavingServers) Add(now time.Time, s ServerStart) bool {
+	if l.byID == nil {
+		l.byID = map[string]leavingServer{}
+	}
+	old, known := l.byID[s.ID]
+	l.byID[s.ID] = leavingServer{s.Start, now}
+	return !known || old.start != s.Start
+}
+
+// Mark returns the listed servers with the added ones marked as leaving, and leaves
+// listed itself unchanged. It forgets those that have restarted or were not listed
+// within leavingRetention.
+func (l *LeavingServers) Mark(now time.Time, listed []Server) []Server {
+	if len(l.byID) == 0 {
+		return listed
+	}
+	out := slices.Clone(listed)
+	for i := range out {
+		s := &out[i]
+		added, known := l.byID[s.ID]
+		switch {
+		case !known:
+		case added.start != s.StartID():
+			delete(l.byID, s.ID)
+		default:
+			s.Leaving = true
+			l.byID[s.ID] = leavingServer{added.start, now}
+		}
+	}
+	for id, added := range l.byID {
+		if now.Sub(added.lastSeen) > leavingRetention {
+			delete(l.byID, id)
+		}
+	}
+	return out
+}
+
+// Listed returns the added servers that are in the list with the same start.
+func (l *LeavingServers) Listed(servers []Server) []ServerStart {
+	var out []ServerStart
+	for i := range servers {
+		s := &servers[i]
+		if added, known := l.byID[s.ID]; known && added.start == s.StartID() {
+			out = append(out, ServerStart{s.ID, added.start})
+		}
+	}
+	return out
+}
--- a/topology/table.go
+++ b/topology/table.go
@@ -69,7 +69,7 @@
 		}
 		t.Servers = append(t.Servers, decide.Server{
 			ID: s.ID, Addr: s.Addr, Pool: s.Service, FailureDomain: s.Domain, Slots: slots, Leaving: s.Leaving,
-			Start: strconv.FormatInt(s.Born.UnixMilli(), 36),
+			Start: s.StartID(),
 		})
 	}
 	if v.Config == nil {
