topology: keep the latest start of a leaving server

The mark of a leaving server was replaced by whichever start of it was reported last, and removed when another start was listed. An instance with an outdated server list, for example because its store is unavailable, reports an earlier start with each Sync. That removed the mark of a later start that was leaving too, and the server received requests again until its next answer.

Starts are now compared: an earlier start does not replace a later one, and an entry from before a restart does not remove the mark.

The property test's model now tracks the remembered servers. This test, TestLeavingServersAreForgotten, and TestLeavingServersKeepTheLatestStart fail without the change. relay.Options.OnLeaving may be nil, as in three tests that omit it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,7 +59,7 @@
 	c.relay.desk.answered(c, d.Server.ID, sent, res.StatusCode, said)
 	// A 421 may come from another server that now has the address, so it counts only if it
 	// names the intended one.
-	if said.Leaving && (res.StatusCode != http.StatusMisdirectedRequest || said.ServerID == d.Server.ID) {
+	if said.Leaving && c.relay.opts.OnLeaving != nil && (res.StatusCode != http.StatusMisdirectedRequest || said.ServerID == d.Server.ID) {
 		c.relay.opts.OnLeaving(topology.ServerStart{ID: d.Server.ID, Start: d.Server.Start})
 	}
 	if said.NotRun {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,12 +72,12 @@
 	NoticeProblem error
 }
 
-// Options is what a Relay is built from. All must be set.
+// Options is what a Relay is built from. All fields must be set unless noted otherwise.
 type Options struct {
 	Headers Headers
 	Log     logrus.FieldLogger
 	Metrics Metrics
-	// OnLeaving is called for each answer that says that its server is leaving.
+	// OnLeaving is called for each answer that says that its server is leaving. It may be nil.
 	OnLeaving func(topology.ServerStart)
 	Rand      *rand.Rand // owned by the Relay from then on
 }
--- a/topology/leaving.go
+++ b/topology/leaving.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -38,6 +39,10 @@
 		l.byID = map[string]leavingServer{}
 	}
 	old, known := l.byID[s.ID]
+	// An instance with an outdated server list may report an earlier start.
+	if known && startedBefore(s.Start, old.start) {
+		return false
+	}
 	l.byID[s.ID] = leavingServer{s.Start, now}
 	return !known || old.start != s.Start
 }
@@ -49,12 +54,14 @@
 	if len(l.byID) == 0 {
 		return listed
 	}
+	// Remove expired servers first, as marking would renew them.
+	maps.DeleteFunc(l.byID, func(_ string, added leavingServer) bool { return now.Sub(added.lastSeen) > leavingRetention })
 	out := slices.Clone(listed)
 	for i := range out {
 		s := &out[i]
 		added, known := l.byID[s.ID]
 		switch {
-		case !known:
+		case !known, startedBefore(s.StartID(), added.start): // the entry may predate the restart
 		case added.start != s.StartID():
 			delete(l.byID, s.ID)
 		default:
@@ -62,14 +69,17 @@
 			l.byID[s.ID] = leavingServer{added.start, now}
 		}
 	}
-	for id, added := range l.byID {
-		if now.Sub(added.lastSeen) > leavingRetention {
-			delete(l.byID, id)
-		}
-	}
 	return out
 }
 
+// startedBefore reports whether the start with StartID a precedes the one with StartID b
+// of the same server. It returns false if either cannot be parsed.
+func startedBefore(a, b string) bool {
+	x, errA := strconv.ParseInt(a, 36, 64)
+	y, errB := strconv.ParseInt(b, 36, 64)
+	return errA == nil && errB == nil && x < y
+}
+
 // Listed returns the added servers that are in the list with the same start.
 func (l *LeavingServers) Listed(servers []Server) []ServerStart {
 	var out []ServerStart
--- a/topology/leaving_test.go
+++ b/topology/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -30,36 +31,53 @@
 	require.False(t, l.Mark(now, []Server{s})[0].Leaving)
 }
 
+// A report or list entry of an earlier start must not remove the mark of a later one.
+func TestLeavingServersKeepTheLatestStart(t *testing.T) {
+	var l LeavingServers
+	now := time.UnixMilli(1_000_000)
+	earlier, later := listedServer("s", 9), listedServer("s", 100)
+	require.True(t, l.Add(now, ServerStart{"s", later.StartID()}))
+	require.False(t, l.Add(now, ServerStart{"s", earlier.StartID()}))
+	require.False(t, l.Mark(now, []Server{earlier})[0].Leaving)
+	require.True(t, l.Mark(now, []Server{later})[0].Leaving)
+	require.False(t, l.Mark(now.Add(leavingRetention+time.Second), []Server{later})[0].Leaving)
+}
+
 // Only the start that was added may be marked, and none may be remembered beyond the
 // retention period.
 func TestLeavingServersAreForgotten(t *testing.T) {
+	type addedServer struct {
+		born     int64
+		lastSeen time.Time
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		var l LeavingServers
 		now := time.UnixMilli(1_000_000)
-		addedStart := map[string]int64{} // the last one added, by id
-		lastSeen := map[string]int64{}   // Unix time in ms, by id
+		model := map[string]addedServer{} // expected contents of l, by server id
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100_000).Draw(t, "ms")) * time.Millisecond)
 			id, born := fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "server")), int64(rapid.IntRange(1, 2).Draw(t, "born"))
 			s := listedServer(id, born)
+			added, known := model[id]
 			if rapid.Bool().Draw(t, "add") {
-				l.Add(now, ServerStart{id, s.StartID()})
-				addedStart[id], lastSeen[id] = born, now.UnixMilli()
+				require.Equal(t, !known || born > added.born, l.Add(now, ServerStart{id, s.StartID()}))
+				if !known || born >= added.born {
+					model[id] = addedServer{born, now}
+				}
 				continue
 			}
-			marked := l.Mark(now, []Server{s})[0].Leaving
-			recent := now.UnixMilli()-lastSeen[id] <= leavingRetention.Milliseconds()
-			if addedStart[id] == born && recent {
-				require.True(t, marked)
-			}
-			if marked {
-				require.Equal(t, addedStart[id], born)
-				lastSeen[id] = now.UnixMilli()
-			} else {
-				delete(addedStart, id)
+			maps.DeleteFunc(model, func(_ string, added addedServer) bool { return now.Sub(added.lastSeen) > leavingRetention })
+			added, known = model[id]
+			require.Equal(t, known && born == added.born, l.Mark(now, []Server{s})[0].Leaving)
+			switch {
+			case known && born == added.born:
+				model[id] = addedServer{born, now}
+			case known && born > added.born:
+				delete(model, id)
 			}
-			for remembered, server := range l.byID {
-				require.LessOrEqual(t, now.Sub(server.lastSeen), leavingRetention, remembered)
+			require.Len(t, l.byID, len(model))
+			for id, server := range l.byID {
+				require.LessOrEqual(t, now.Sub(server.lastSeen), leavingRetention, id)
 			}
 		}
 	})
