soak: inject drains during store outages and refusals with Retry-After

Add two checks, each for one start of an instance and one start of a server: - Once an instance has passed on an answer which reports that its server is leaving, no request that a caller sends to that instance more than 2 s later reaches that server. - At most two refused requests reach a server between 0.5 s after a refusal and the end of its pause. Both checks excuse a period in which that instance was suspended or that server's link was disrupted.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -142,7 +142,7 @@
 	defer res.Body.Close()
 	r.Status = res.StatusCode
 	r.Answers, r.Server = standin.Answer(res)
-	r.Limited = standin.NamesRateLimit(res)
+	r.Limited, r.Leaving = standin.NamesRateLimit(res), standin.ReportsLeaving(res)
 	body, err := io.ReadAll(res.Body)
 	r.Body = string(body)
 	return err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,12 @@
 	limitLasts = 8 * time.Second
 	// limitsMost bounds how many servers do so in a run.
 	limitsMost = 2
+	// refusalDuration is how long a server refuses all requests, with a Retry-After of
+	// refusalRetryAfter. A drain while the store is down lasts drainTime longer.
+	refusalDuration   = 6 * time.Second
+	refusalRetryAfter = 4 * time.Second
+	// maxDrainsAndRefusals bounds how many faults drainsAndRefusals draws for a run.
+	maxDrainsAndRefusals = 2
 )
 
 // fault is one fault from outside, at its time.
@@ -59,7 +65,7 @@
 	{"callers' link", 2, linkFault(func(w *World, rng *rand.Rand) *Proxy { return w.anyInstance(rng).Callers })},
 	{"store's link", 4, linkFault(func(w *World, rng *rand.Rand) *Proxy { return w.anyInstance(rng).Store })},
 	{"peers' link", 3, linkFault(func(w *World, rng *rand.Rand) *Proxy { return w.anyInstance(rng).Peers })},
-	{"server's link", 5, linkFault(func(w *World, rng *rand.Rand) *Proxy { return w.anyPlace(rng).link })},
+	{"server's link", 5, serverLinkFault},
 	{"server crashed", 4, crashServer},
 	{"server's address used again", 2, reuseAddress},
 	{"server replaced", 3, replaceServer},
@@ -91,7 +97,28 @@
 			rng:  rand.New(rand.NewPCG(seed, uint64(n)+1)),
 		}
 	}
-	return append(faults, limits(seed, length)...)
+	faults = append(faults, limits(seed, length)...)
+	return append(faults, drainsAndRefusals(seed, length)...)
+}
+
+// drainsAndRefusals draws faults in which instances learn only from a server's answers
+// that it is leaving or asks for a pause. Separate random sources keep a seed's other faults
+// unchanged.
+func drainsAndRefusals(seed uint64, length time.Duration) []fault {
+	const stream = math.MaxUint64 / 2
+	rng := rand.New(rand.NewPCG(seed, stream))
+	faults := make([]fault, rng.IntN(maxDrainsAndRefusals+1))
+	for n := range faults {
+		faults[n] = fault{
+			name: "server refuses with Retry-After", run: refuseWithRetryAfter, last: refusalDuration,
+			at:  time.Duration(rng.Int64N(int64(length))),
+			rng: rand.New(rand.NewPCG(seed, stream+1+uint64(n))),
+		}
+		if rng.IntN(2) == 0 {
+			faults[n].name, faults[n].run = "server drains while the store is down", drainWhileStoreDown
+		}
+	}
+	return faults
 }
 
 // limits draws the servers that name a rate limit. They are drawn for themselves, so
@@ -139,9 +166,11 @@
 
 func suspendInstance(w *World, rng *rand.Rand, last time.Duration) error {
 	p := w.anyInstance(rng)
+	start := time.Now()
 	p.Signal(syscall.SIGSTOP)
 	time.Sleep(last)
 	p.Signal(syscall.SIGCONT)
+	w.History.disrupted(p.Node.Name, start, time.Now())
 	return nil
 }
 
@@ -175,26 +204,43 @@
 // linkFault disturbs a link: delayed, cut one way or both, reset once or refusing.
 func linkFault(pick func(*World, *rand.Rand) *Proxy) func(*World, *rand.Rand, time.Duration) error {
 	return func(w *World, rng *rand.Rand, last time.Duration) error {
-		link := pick(w, rng)
-		states := []LinkState{
-			{Delay: 20*time.Millisecond + time.Duration(rng.Int64N(int64(300*time.Millisecond)))},
-			{HoldOut: true},
-			{HoldIn: true},
-			{HoldOut: true, HoldIn: true},
-			{Refuse: true},
-		}
-		kind := rng.IntN(len(states) + 1)
-		if kind == len(states) {
-			link.Reset()
-			return nil
-		}
-		link.Set(states[kind])
-		time.Sleep(last)
-		link.Set(LinkState{})
+		disruptLink(pick(w, rng), rng, last)
 		return nil
 	}
 }
 
+// serverLinkFault disrupts a server's link and records the disruption for the servers
+// at that link when it starts and when it ends.
+func serverLinkFault(w *World, rng *rand.Rand, last time.Duration) error {
+	p := w.anyPlace(rng)
+	before, start := w.serverIDAt(p), time.Now()
+	disruptLink(p.link, rng, last)
+	w.History.disrupted(before, start, time.Now())
+	if after := w.serverIDAt(p); after != before {
+		w.History.disrupted(after, start, time.Now())
+	}
+	return nil
+}
+
+// disruptLink delays, holds back or refuses a link's traffic for a while, or resets it once.
+func disruptLink(link *Proxy, rng *rand.Rand, last time.Duration) {
+	states := []LinkState{
+		{Delay: 20*time.Millisecond + time.Duration(rng.Int64N(int64(300*time.Millisecond)))},
+		{HoldOut: true},
+		{HoldIn: true},
+		{HoldOut: true, HoldIn: true},
+		{Refuse: true},
+	}
+	kind := rng.IntN(len(states) + 1)
+	if kind == len(states) {
+		link.Reset()
+		return
+	}
+	link.Set(states[kind])
+	time.Sleep(last)
+	link.Set(LinkState{})
+}
+
 func crashServer(w *World, rng *rand.Rand, last time.Duration) error {
 	p := w.anyPlace(rng)
 	w.Crash(p)
@@ -229,6 +275,25 @@
 	return nil
 }
 
+// refuseWithRetryAfter makes a server refuse all requests with a Retry-After of
+// refusalRetryAfter.
+func refuseWithRetryAfter(w *World, rng *rand.Rand, last time.Duration) error {
+	server := w.anyPlace(rng).server.Load()
+	server.Refuse(refusalRetryAfter)
+	time.Sleep(last)
+	server.Refuse(0)
+	return nil
+}
+
+// drainWhileStoreDown drains and replaces a server while the store is down, so that
+// instances learn only from its answers that it is leaving.
+func drainWhileStoreDown(w *World, rng *rand.Rand, last time.Duration) error {
+	w.Store.SetDown(true)
+	w.Replace(w.anyPlace(rng), drainTime+last)
+	w.Store.SetDown(false)
+	return nil
+}
+
 func storeAway(w *World, _ *rand.Rand, last time.Duration) error {
 	w.Store.SetDown(true)
 	time.Sleep(last)
--- a/soak/history.go
+++ b/soak/history.go
@@ -29,6 +29,7 @@
 	Answers  string // the id of the request that the answer says it is for
 	Server   string // whose proof the answer bears
 	Limited  bool   // the answer names its server's rate limit
+	Leaving  bool   // the answer reports that its server is leaving
 	Body     string
 	Err      error // the answer didn't end in order
 }
@@ -38,12 +39,13 @@
 
 // History is what callers and servers saw. It implements standin.Observer.
 type History struct {
-	mu       sync.Mutex
-	arrivals []standin.Arrival
-	orders   []standin.Order
-	results  []Result
-	heals    []time.Time // when a link healed or a process went on
-	versions map[int]time.Time
+	mu          sync.Mutex
+	arrivals    []standin.Arrival
+	orders      []standin.Order
+	results     []Result
+	heals       []time.Time // when a link healed or a process went on
+	disruptions []disruption
+	versions    map[int]time.Time
 }
 
 func newHistory() *History { return &History{versions: map[int]time.Time{}} }
@@ -74,6 +76,19 @@
 	h.heals = append(h.heals, time.Now())
 }
 
+// disruption is a period in which an instance was suspended or a server's link was faulty.
+type disruption struct {
+	target   string // the instance's name or the server's id
+	from, to time.Time
+}
+
+// disrupted records a disruption of an instance, by name, or of a server, by id.
+func (h *History) disrupted(target string, from, to time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disruptions = append(h.disruptions, disruption{target, from, to})
+}
+
 func (h *History) configured(version int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,13 @@
 	limitReserve = 5
 	limitStable  = 3 * time.Second
 	toldSlack    = 500 * time.Millisecond
+	// A server may still get requests that callers send within leavingGrace after the
+	// instance has passed on an answer which reports that the server is leaving.
+	leavingGrace = 2 * time.Second
+	// A server may refuse at most maxPauseRequests further requests of an instance
+	// between pauseSlack after a refusal with a Retry-After and the end of that pause.
+	maxPauseRequests = 2
+	pauseSlack       = 500 * time.Millisecond
 )
 
 // judge holds what one run showed, prepared for the checks.
@@ -67,6 +75,8 @@
 	j.orders()
 	j.retries()
 	j.limits()
+	j.leaving()
+	j.pauses()
 	return j.violations
 }
 
@@ -295,6 +305,83 @@
 	}
 }
 
+// leaving checks that an instance stops sending new requests to a server within
+// leavingGrace of passing on an answer which reports that the server is leaving.
+func (j *judge) leaving() {
+	told := map[startPair]time.Time{}
+	for _, a := range j.history.arrivals {
+		r := j.asked[a.Ask.ID]
+		if r == nil || !r.Leaving || r.Server != a.Server {
+			continue
+		}
+		pair := startPairOf(a, r)
+		if at, ok := told[pair]; !ok || r.Ended.Before(at) {
+			told[pair] = r.Ended
+		}
+	}
+	for _, a := range j.history.arrivals {
+		r := j.asked[a.Ask.ID]
+		if !a.Leaving || r == nil {
+			continue
+		}
+		at, ok := told[startPairOf(a, r)]
+		if delay := r.Sent.Sub(at); ok && delay > leavingGrace && !j.disruptedBetween(at, a.At, a.Server, r.Instance) {
+			j.broken("servers get no new requests after their answers say that they are leaving", "%s received %s from %s, sent %s after an answer that says so", a.Server, r.Ask.ID, r.Instance, delay)
+		}
+	}
+}
+
+// pauses checks that instances hold off requests to a server for the Retry-After of its
+// refusals, apart from maxPauseRequests.
+func (j *judge) pauses() {
+	type refusal struct {
+		at       time.Time
+		pause    time.Duration
+		requests int // refused between pauseSlack after it and the end of the pause
+	}
+	refusals, broken := map[startPair][]*refusal{}, map[startPair]bool{}
+	for _, a := range j.history.arrivals {
+		r := j.asked[a.Ask.ID]
+		if r == nil || a.RetryAfter <= 0 {
+			continue
+		}
+		pair := startPairOf(a, r)
+		for _, earlier := range refusals[pair] {
+			if since := a.At.Sub(earlier.at); since > pauseSlack && since < earlier.pause && !j.disruptedBetween(earlier.at, a.At, a.Server, r.Instance) {
+				if earlier.requests++; earlier.requests > maxPauseRequests && !broken[pair] {
+					broken[pair] = true
+					j.broken("the Retry-After of servers is honored", "%s received %d requests from %s within a pause of %s", a.Server, earlier.requests, r.Instance, earlier.pause)
+				}
+			}
+		}
+		refusals[pair] = append(refusals[pair], &refusal{at: a.At, pause: a.RetryAfter})
+	}
+}
+
+// startPair is a start of a server and a start of an instance that sends it requests.
+// A server may start again under its id, and its earlier answers then no longer apply.
+type startPair struct {
+	server   string
+	born     time.Time
+	instance string
+	boot     int
+}
+
+func startPairOf(a standin.Arrival, r *Result) startPair {
+	return startPair{a.Server, a.Born, r.Instance, r.Boot}
+}
+
+// disruptedBetween reports whether any of the targets was disrupted between two times, so
+// that the instance may not have received the server's answers in time.
+func (j *judge) disruptedBetween(from, to time.Time, targets ...string) bool {
+	for _, d := range j.history.disruptions {
+		if d.from.Before(to) && slices.Contains(targets, d.target) && d.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // teller is a start of an instance that passes on a server's answers.
 type teller struct {
 	server, instance string
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -139,6 +139,49 @@
 	return h
 }
 
+// TestServersLeavingOrPausingAreJudged guards against missed violations when an instance
+// keeps sending requests to a server that is leaving or that asked for a pause, and
+// against false ones after a disruption or a restart of the server.
+func TestServersLeavingOrPausingAreJudged(t *testing.T) {
+	historyWith := func(change func(*standin.Arrival)) *History {
+		h := newHistory()
+		for n := range 5 {
+			r, a := served(fmt.Sprint("r", n), KindSafe, time.Duration(n)*600*time.Millisecond)
+			change(&a)
+			r.Leaving = a.Leaving
+			if a.RetryAfter > 0 {
+				a.Ran, r.Status = false, 503
+			}
+			h.results, h.arrivals = append(h.results, r), append(h.arrivals, a)
+		}
+		return h
+	}
+	leaving := historyWith(func(a *standin.Arrival) { a.Leaving = true })
+	refusing := historyWith(func(a *standin.Arrival) { a.RetryAfter = 2 * time.Second })
+	for promise, h := range map[string]*History{
+		"servers get no new requests after their answers say that they are leaving": leaving,
+		"the Retry-After of servers is honored":                                     refusing,
+	} {
+		violations := Judge(h)
+		require.Len(t, violations, 1)
+		require.Equal(t, promise, violations[0].Promise)
+	}
+	for _, h := range []*History{leaving, refusing} {
+		h.disrupted("desk-2", began.Add(time.Second), began.Add(1100*time.Millisecond))
+		require.Len(t, Judge(h), 1)
+		h.disrupted("front-0", began.Add(time.Second), began.Add(1100*time.Millisecond))
+		require.Empty(t, Judge(h))
+	}
+	require.Empty(t, Judge(historyWith(func(*standin.Arrival) {})))
+	starts := 0
+	restarting := func(a *standin.Arrival) {
+		starts++
+		a.Born = began.Add(time.Duration(starts) * time.Second)
+		a.Leaving = true
+	}
+	require.Empty(t, Judge(historyWith(restarting)), "an answer does not apply to other starts of the server")
+}
+
 // TestOrdersHeldBackByAFaultAreExcused: an order that a suspended instance sent
 // may arrive right after it went on.
 func TestOrdersHeldBackByAFaultAreExcused(t *testing.T) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -306,6 +306,13 @@
 	return nil
 }
 
+// serverIDAt returns the id of the server at a place.
+func (w *World) serverIDAt(p *place) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.opts.ID
+}
+
 // anyPlace returns a place that the seed picks.
 func (w *World) anyPlace(rng *rand.Rand) *place { return w.places[rng.IntN(len(w.places))] }
 
