instance: followers read anew after the store is restored from an older copy

The platform's store may be restored from a copy that is some seconds old. Offsets then go back and are reused, so a follower that continues from its old position may miss what is written there, without any 410: no instance sees a changed configuration or a leaving server until the next change.

If an answer's era differs from that of the position read from, the follower begins with the newest again. Instances tell each other the newest era they know, and accept neither a list of servers nor a confirmation of a configuration from an instance that knows only an older one. An era that is missing, invalid or older than the known one is logged once per known era and stops nothing. An increase is logged once and counted in store_eras_total.

Tests that used numbers as positions now use structs.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -114,9 +114,12 @@
 		}
 		failures = 0
 		i.storeAnswered()
-		if fresh || res.next > at {
-			at = res.next
+		if i.observeEra(res.next.Era, "store") == eraStale || !fresh && res.next.Era != at.Era && res.next.Era != 0 {
+			fresh = true // the answer's era isn't the position's, so reading can't continue from there
+			supervise.Pause(ctx, retryFirst)
+			continue
 		}
+		at = res.next
 		fresh = false
 		if res.config != nil {
 			i.setConfig(res.config)
@@ -283,6 +286,11 @@
 			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
 			continue
 		}
+		if i.observeEra(r.next.Era, "store") == eraStale || !r.all && r.next.Era != r.from.Era && r.next.Era != 0 {
+			i.servers.reread()
+			supervise.Pause(ctx, retryFirst)
+			continue
+		}
 		if failures > 0 {
 			failures = 0
 			i.servers.storeBack(failed.Add(returnLag))
--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -43,7 +43,7 @@
 // NewestConfig implements topology.Source.
 func (hungSource) NewestConfig(ctx context.Context) (*topology.Config, topology.Position, error) {
 	<-ctx.Done()
-	return nil, 0, context.Cause(ctx)
+	return nil, topology.Position{}, context.Cause(ctx)
 }
 
 // A read of the newest configuration that was begun as the store went away may
@@ -55,7 +55,7 @@
 		begun := time.Now()
 		ended := make(chan error, 1)
 		go func() {
-			_, err := i.readConfig(t.Context(), 0, true)
+			_, err := i.readConfig(t.Context(), topology.Position{}, true)
 			ended <- err
 		}()
 		synctest.Wait()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -58,6 +58,8 @@
 	// configConfirmedAt is when the store last confirmed, to this instance or to one
 	// that reported it, that the configuration in force was the newest; zero: never.
 	configConfirmedAt time.Time
+	era               int64         // newest known era of the store, 0: none
+	eraWarned         int64         // the known era when a missing or older one was last logged
 	changed           chan struct{} // readable after the view changed; bears at most one signal
 	limits            chan topology.Limits
 }
--- a/instance/late_config_test.go
+++ b/instance/late_config_test.go
@@ -38,19 +38,19 @@
 // NewestConfig implements topology.Source.
 func (s *lossySource) NewestConfig(ctx context.Context) (*topology.Config, topology.Position, error) {
 	if err := s.answer(ctx, time.Now()); err != nil {
-		return nil, 0, err
+		return nil, topology.Position{}, err
 	}
 	version := int64(1)
 	if !time.Now().Before(s.changedAt) {
 		version = 2
 	}
-	return &topology.Config{Version: version}, topology.Position(version), nil
+	return &topology.Config{Version: version}, topology.Position{Offset: version}, nil
 }
 
 // NextConfig implements topology.Source.
 func (s *lossySource) NextConfig(ctx context.Context, from topology.Position, wait time.Duration) (*topology.Config, topology.Position, error) {
 	until := time.Now().Add(wait)
-	changes := from < 2 && s.changedAt.Before(until)
+	changes := from.Offset < 2 && s.changedAt.Before(until)
 	if changes {
 		until = s.changedAt
 	}
@@ -60,7 +60,7 @@
 	if !changes {
 		return nil, from, nil
 	}
-	return &topology.Config{Version: 2}, 2, nil
+	return &topology.Config{Version: 2}, topology.Position{Offset: 2}, nil
 }
 
 // answer blocks until the answer to a read is due. It returns an error if ctx ends
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -32,8 +32,8 @@
 		<-ctx.Done()
 		return nil, from, context.Cause(ctx)
 	}
-	if from < 2 && !time.Now().Before(s.leavingAt) {
-		return serverChanges(true), 2, nil
+	if from.Offset < 2 && !time.Now().Before(s.leavingAt) {
+		return serverChanges(true), topology.Position{Offset: 2}, nil
 	}
 	time.Sleep(wait)
 	return nil, from, nil
@@ -51,7 +51,7 @@
 			Node: &topology.Node{Domain: "d"}, Source: source, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
 			Clock: func() time.Duration { return time.Since(lostAt) },
 		})
-		i.servers.take(lostAt, read{all: true, next: 1, changes: serverChanges(false)}, i.setServers)
+		i.servers.take(lostAt, read{all: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
 		i.servers.fedUntil = lostAt.Add(fedFor)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -26,6 +26,7 @@
 	orders        *prometheus.CounterVec // by result
 	sentLimited   prometheus.Counter
 	storeFailures prometheus.Counter
+	storeEras     prometheus.Counter
 	took          prometheus.Histogram
 	firstByte     prometheus.Histogram
 	wait          prometheus.Histogram
@@ -51,6 +52,9 @@
 		storeFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_failures_total", Help: "Reads of the platform's store that failed.",
 		}),
+		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_eras_total", Help: "Times that the platform's store came back from an older copy.",
+		}),
 		took:      histogram("request_seconds", "From a request's arrival to its end."),
 		firstByte: histogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
 		wait:      histogram("wait_seconds", "From a request's arrival to its first attempt."),
@@ -59,7 +63,7 @@
 			Namespace: namespace, Name: "store_call_seconds", Help: "Reads of the platform's store, their waiting included.", Buckets: latencyBounds,
 		}, []string{"read"}),
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentLimited, m.storeFailures, m.took, m.firstByte, m.wait, m.eventGap, m.storeCalls)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentLimited, m.storeFailures, m.storeEras, m.took, m.firstByte, m.wait, m.eventGap, m.storeCalls)
 	return m
 }
 
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -83,6 +83,16 @@
 	l.at = unread
 }
 
+// storeRestored has the next read begin with the newest of each server after the store was
+// restored from an older copy. Servers without an entry are kept for a while, since live
+// ones write theirs again.
+func (l *serverList) storeRestored(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = unread
+	l.fleet.StoreBack(now)
+}
+
 // take takes in a read, and hands the list on where anything but heartbeats changed.
 func (l *serverList) take(now time.Time, r read, changedTo func([]topology.Server)) {
 	l.mu.Lock()
@@ -125,7 +135,7 @@
 	if !ok || l.freshAt.IsZero() {
 		return nil
 	}
-	out := &exchange.ServerSteps{Digest: l.fleet.Digest(), Position: int64(l.at), AgeMs: uint32(now.Sub(l.freshAt).Milliseconds())}
+	out := &exchange.ServerSteps{Digest: l.fleet.Digest(), Position: l.at.Offset, Era: l.at.Era, AgeMs: uint32(now.Sub(l.freshAt).Milliseconds())}
 	for n := range deltas {
 		out.Steps = append(out.Steps, stepOf(&deltas[n]))
 	}
@@ -172,7 +182,7 @@
 	}
 	before := l.fleet.Digest()
 	if l.fleet.Follow(deltas, told.GetDigest()) {
-		l.at, l.freshAt, l.fedUntil = topology.Position(told.GetPosition()), fresh, fresh.Add(fedFor)
+		l.at, l.freshAt, l.fedUntil = topology.Position{Era: told.GetEra(), Offset: told.GetPosition()}, fresh, fresh.Add(fedFor)
 	} else {
 		l.at, l.fedUntil = unread, time.Time{}
 	}
@@ -182,7 +192,7 @@
 }
 
 // unread is the position of a list that has to be read anew.
-const unread topology.Position = -1
+var unread = topology.Position{Offset: -1}
 
 func stepOf(d *topology.Delta) *exchange.ServerStep {
 	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, Added: wireModels(d.Added), Lost: wireModels(d.Lost)}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -158,13 +158,16 @@
 	client := exchange.NewExchangeProtobufClient("http://"+addr, s.client)
 	sent := time.Now()
 	req := syncRequest(word)
-	req.ServersDigest = i.servers.digest()
+	req.ServersDigest, req.StoreEra = i.servers.digest(), i.storeEra()
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.failed(addr, err)
 		return false
 	}
 	now := time.Now()
+	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
+		res.Servers, res.ConfigAgeMs = nil, nil // they predate the restore of the store
+	}
 	i.addLeavingServers(startsOfWire(res.GetLeaving()))
 	var loads map[string]residency.Load
 	if res.GetServers() != nil {
@@ -287,6 +290,7 @@
 // Sync implements exchange.Exchange.
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	w := wordOf(req)
+	e.instance.observeEra(req.GetStoreEra(), "instance")
 	e.instance.addLeavingServers(w.Leaving)
 	summary, err := e.instance.controller.Said(time.Now(), w)
 	var notHolder *residency.NotHolderError
@@ -315,7 +319,7 @@
 		res.Loads = wireLoads(summary.Loads)
 	}
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
-	res.Leaving = wireStarts(e.instance.leavingServers())
+	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.Lost), summary.Since
 	return res, nil
 }
@@ -333,7 +337,7 @@
 	return &exchange.SyncResponse{
 		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.steps(now, req.GetServersDigest(), nil),
-		Leaving: wireStarts(i.leavingServers()),
+		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(),
 	}
 }
 
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -60,6 +60,13 @@
 		if known && c.Server.Born.Before(old.Born) {
 			continue // an entry of an earlier start that came late
 		}
+		if known && old.Leaving && !c.Server.Leaving && c.Server.Born.Equal(old.Born) {
+			// The entry predates the start of leaving, as after the store was restored from an
+			// older copy. Within one start a server never stops leaving.
+			next := *c.Server
+			next.Leaving = true
+			c.Server = &next
+		}
 		switch {
 		case !known:
 			f.take(Delta{ID: c.ID, Server: c.Server})
--- a/topology/source.go
+++ b/topology/source.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// Position is a place in one of the store's sequences of changes.
-type Position int64
+// Position is a place in one of the store's sequences of changes. It is only
+// valid within one era of the store: offsets are reused after the store is restored from
+// an older copy.
+type Position struct {
+	Era    int64 // increases each time the store is restored from an older copy; 0: unknown
+	Offset int64
+}
 
 // ServerChange is one change of a server's entry.
 type ServerChange struct {
@@ -16,7 +21,9 @@
 }
 
 // Source is where the deployment is read from. Errors are *infra.Error;
-// infra.ReasonOutOfRange asks to begin with the newest again.
+// infra.ReasonOutOfRange asks to begin with the newest again. The position that a read
+// returns has the era of the store's answer. If that differs from the era of the position
+// read from, the changes returned don't continue from that position.
 type Source interface {
 	NewestConfig(ctx context.Context) (*Config, Position, error)
 	NextConfig(ctx context.Context, from Position, wait time.Duration) (*Config, Position, error)
