residency: keep the lease and its tokens safe when the store is restored from an older copy

A store that is restored from an older copy assigns the lease's partition as it was then and issues generations a second time. Generations are our fencing tokens, so a new holder could order with a token that servers had already seen, or with a lower one.

An answer to a renewal in a newer era ends a lease that is held. An answer in an older era neither renews nor wins the lease; one without the partition still ends it, which is on the safe side. Instances exchange the highest fencing token that they know, with its holder, in Sync. A lease that is won gets a token above it, also if the instance learns of it between the win and its first order. If the store was never restored from an older copy, the token is the generation, as before.

It assumes that at most one member is suspended at a time: if the only instances that know the last token are gone or suspended, the generation alone decides.

--- a/instance/era.go
+++ b/instance/era.go
@@ -52,6 +52,7 @@
 	}
 	i.mu.Unlock()
 	i.metrics.storeEras.Inc()
+	i.lease.ObserveEra(era)
 	i.servers.storeRestored(time.Now())
 	return eraAdvanced
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -158,7 +158,7 @@
 	client := exchange.NewExchangeProtobufClient("http://"+addr, s.client)
 	sent := time.Now()
 	req := syncRequest(word)
-	req.ServersDigest, req.StoreEra = i.servers.digest(), i.storeEra()
+	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.failed(addr, err)
@@ -168,6 +168,7 @@
 	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
 		res.Servers, res.ConfigAgeMs = nil, nil // they predate the restore of the store
 	}
+	i.lease.ObserveToken(tokenOfWire(res.GetToken()))
 	i.addLeavingServers(startsOfWire(res.GetLeaving()))
 	var loads map[string]residency.Load
 	if res.GetServers() != nil {
@@ -291,6 +292,7 @@
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	w := wordOf(req)
 	e.instance.observeEra(req.GetStoreEra(), "instance")
+	e.instance.lease.ObserveToken(tokenOfWire(req.GetToken()))
 	e.instance.addLeavingServers(w.Leaving)
 	summary, err := e.instance.controller.Said(time.Now(), w)
 	var notHolder *residency.NotHolderError
@@ -320,6 +322,7 @@
 	}
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
 	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
+	res.Token = wireToken(e.instance.lease.Token())
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.Lost), summary.Since
 	return res, nil
 }
@@ -337,7 +340,7 @@
 	return &exchange.SyncResponse{
 		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.steps(now, req.GetServersDigest(), nil),
-		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(),
+		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
 	}
 }
 
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -104,6 +104,14 @@
 	return out
 }
 
+func wireToken(t residency.Token) *exchange.Token {
+	return &exchange.Token{Number: t.Number, Holder: t.Holder}
+}
+
+func tokenOfWire(t *exchange.Token) residency.Token {
+	return residency.Token{Number: t.GetNumber(), Holder: t.GetHolder()}
+}
+
 func wireStarts(starts []topology.ServerStart) []*exchange.ServerStart {
 	var out []*exchange.ServerStart
 	for _, s := range starts {
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -12,15 +12,27 @@
 // Group is the platform's group membership: it deals partitions out to members,
 // each to one at a time. The member with the first partition holds the lease.
 type Group interface {
-	// Join makes the member part of the group or keeps it there, and returns the
-	// group's generation with the partitions that the member holds.
-	Join(ctx context.Context, group, topic, member string, ttl time.Duration, generation int64) (int64, []int, error)
+	// Join adds the member to the group or extends its membership.
+	Join(ctx context.Context, group, topic, member string, ttl time.Duration, generation int64) (Membership, error)
 	// Leave takes the member out.
 	Leave(ctx context.Context, group, member string) error
 	// Owner returns the member that holds a partition, empty if none does.
 	Owner(ctx context.Context, group string, partition int) (string, error)
 }
 
+// Token is a fencing token with the member whose orders carry it.
+type Token struct {
+	Number int64 // 0: none
+	Holder string
+}
+
+// Membership is the result of a member's join.
+type Membership struct {
+	Era        int64 // of the store; increases each time it is restored from an older copy, 0: not reported
+	Generation int64 // of the group; increases with each change within an era
+	Partitions []int // held by the member
+}
+
 const (
 	// group and topic name the membership at the platform.
 	group = "residency"
@@ -62,11 +74,15 @@
 
 	mu         sync.Mutex
 	generation int64
-	epoch      int64         // the fencing token: the generation in which the lease was won
+	era        int64         // newest known era of the store, 0: none
+	otherToken Token         // the highest known fencing token of other members
+	ownToken   int64         // the newest fencing token of this member
+	epoch      int64         // the fencing token while the lease is held; see nextToken and ObserveToken
 	won        time.Duration // when
 	renewed    time.Duration // when the newest renewal that was answered had been sent
 	failing    bool          // the last renewal was not answered
 	returned   func()        // called where a renewal is answered after one was not; may be nil
+	reportEra  func(int64)   // called with the store era in each renewal's answer; may be nil
 	chosen     bool          // the lease holder last said that this instance is a candidate
 	vacant     bool          // the store said that nobody holds the lease, and no holder was heard since
 	standUntil time.Duration // it stands until then, chosen or not
@@ -84,6 +100,10 @@
 // store is back, or the way to it. It has to be called before Run.
 func (l *Lease) OnReturn(f func()) { l.returned = f }
 
+// OnEra has f called with the store era in each renewal's answer. It has to be called
+// before Run.
+func (l *Lease) OnEra(f func(era int64)) { l.reportEra = f }
+
 // Run renews while the instance stands, until ctx ends, and then gives the lease up.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -175,16 +195,73 @@
 	l.joined = true
 	l.mu.Unlock()
 	sent := l.clock()
-	now, parts, err := l.group.Join(ctx, group, topic, l.member, l.ttl, generation)
+	m, err := l.group.Join(ctx, group, topic, l.member, l.ttl, generation)
 	if err != nil {
 		l.failed(err)
 		return
 	}
-	if back := l.answered(sent, now, slices.Contains(parts, leasePartition)); back && l.returned != nil {
+	back := l.answered(sent, m)
+	if l.reportEra != nil {
+		l.reportEra(m.Era)
+	}
+	if back && l.returned != nil {
 		l.returned()
 	}
 }
 
+// ObserveEra processes the store era that the store or another instance reported; 0 means
+// not reported. A newer era means that the store was restored from an older copy: a lease
+// that is held is lost, since the restored store may have assigned it to another member.
+func (l *Lease) ObserveEra(era int64) {
+	l.mu.Lock()
+	restored := era > l.era && l.era != 0
+	l.era = max(l.era, era)
+	if restored {
+		l.generation = 0 // the restored group's may be lower
+	}
+	l.mu.Unlock()
+	if restored {
+		l.lose("store restored from an older copy")
+	}
+}
+
+// ObserveToken processes a fencing token that another instance reported. During the
+// takeover wait, before the first order, the token of a lease that is held is raised
+// above it.
+func (l *Lease) ObserveToken(t Token) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.Number <= l.otherToken.Number || t.Holder == l.member {
+		return
+	}
+	l.otherToken = t
+	if l.epoch != 0 && l.epoch <= t.Number && l.clock()-l.won < takeover {
+		l.epoch, l.ownToken = t.Number+1, t.Number+1
+		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "other_token": t.Number, "other_holder": t.Holder}).Info("lease's token raised")
+	}
+}
+
+// nextToken returns the fencing token of a lease won in a generation: the generation
+// itself unless, as after a restore of the store, this member's newest token is higher or
+// another member's is at least as high. The lock is held.
+func (l *Lease) nextToken(generation int64) int64 {
+	if l.ownToken > generation { // another member may have used the same number
+		return max(l.ownToken, l.otherToken.Number) + 1
+	}
+	return max(generation, l.otherToken.Number+1)
+}
+
+// Token returns the highest fencing token known to this instance; its number is 0 if
+// none is known.
+func (l *Lease) Token() Token {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ownToken >= l.otherToken.Number {
+		return Token{l.ownToken, l.member}
+	}
+	return l.otherToken
+}
+
 // failed notes a renewal without an answer; the first in a row is logged.
 func (l *Lease) failed(err error) {
 	l.mu.Lock()
@@ -196,25 +273,31 @@
 }
 
 // answered takes in a renewal's answer, and says whether the one before had none.
-func (l *Lease) answered(sent time.Duration, generation int64, holds bool) (back bool) {
+func (l *Lease) answered(sent time.Duration, m Membership) (back bool) {
+	l.ObserveEra(m.Era)
+	holds := slices.Contains(m.Partitions, leasePartition)
 	if !holds {
 		l.lose("passed on")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if m.Era != 0 && m.Era < l.era {
+		return false // an answer from before the restore must not renew or win the lease
+	}
 	if back = l.failing; back {
 		l.failing = false
 		l.log.WithField("gap_ms", (sent - l.renewed).Milliseconds()).Info("lease renewals succeed again")
 	}
 	// After a gap the partition may have been another member's meanwhile.
 	anew := l.epoch == 0 || sent-l.renewed >= heldFor
-	l.generation = generation
+	l.generation = m.Generation
 	l.renewed = sent
 	if !holds {
 		return back
 	}
 	if anew { // else the epoch stays: an order of before that comes late bears no lower one
-		l.epoch, l.won = generation, l.clock()
+		l.epoch, l.won = l.nextToken(m.Generation), l.clock()
+		l.ownToken = l.epoch
 		l.log.WithFields(logrus.Fields{"epoch": l.epoch}).Info("lease won")
 	}
 	return back
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 type fakeGroup struct {
 	now        func() time.Duration
 	down       bool
+	era        int64
 	generation int64
 	owner      string
 	joined     map[string]time.Duration // when each member's last join arrived
@@ -47,9 +49,9 @@
 	}
 }
 
-func (g *fakeGroup) Join(_ context.Context, _, _, member string, ttl time.Duration, generation int64) (int64, []int, error) {
+func (g *fakeGroup) Join(_ context.Context, _, _, member string, ttl time.Duration, generation int64) (Membership, error) {
 	if g.down {
-		return 0, nil, errDown
+		return Membership{}, errDown
 	}
 	g.expire(ttl)
 	if _, ok := g.joined[member]; !ok {
@@ -65,9 +67,9 @@
 		g.generation++
 	}
 	if g.owner == member && g.leaving != member {
-		return g.generation, []int{leasePartition, 3}, nil
+		return Membership{Era: g.era, Generation: g.generation, Partitions: []int{leasePartition, 3}}, nil
 	}
-	return g.generation, []int{5}, nil
+	return Membership{Era: g.era, Generation: g.generation, Partitions: []int{5}}, nil
 }
 
 func (g *fakeGroup) Leave(_ context.Context, _, member string) error {
@@ -223,3 +225,94 @@
 		}
 	})
 }
+
+// groupSnapshot is the state of a fakeGroup that restore returns to.
+type groupSnapshot struct {
+	generation int64
+	owner      string
+	leaving    string
+	joined     map[string]time.Duration
+	seen       map[string]int64
+}
+
+func (g *fakeGroup) snapshot() groupSnapshot {
+	return groupSnapshot{g.generation, g.owner, g.leaving, maps.Clone(g.joined), maps.Clone(g.seen)}
+}
+
+func (g *fakeGroup) restore(s groupSnapshot) {
+	g.era++
+	g.generation, g.owner, g.leaving, g.joined, g.seen = s.generation, s.owner, s.leaving, maps.Clone(s.joined), maps.Clone(s.seen)
+}
+
+// A restored store assigns partitions and generations a second time. Members are cut off
+// from it, suspended and rebalanced, and exchange the tokens they know. Guards against an
+// order while an earlier holder's may still be in flight, and against fencing tokens that
+// are reused by another holder or decrease.
+func TestNoTwoHoldersOrderAfterTheStoreIsRestoredFromAnOlderCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		clock := func() time.Duration { return now }
+		g := newFakeGroup(clock)
+		g.era = 1
+		snapshots := []groupSnapshot{g.snapshot()}
+		names := []string{"a", "b", "c"}
+		leases := map[string]*Lease{}
+		cut, suspendedUntil := map[string]bool{}, map[string]time.Duration{}
+		for _, n := range names {
+			leases[n] = NewLease(g, n, 3*time.Second, clock, quietLog())
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		lastEpoch, lastHolder, lastOrder := int64(0), "", time.Duration(0)
+		exchangedAt, resumesAt := time.Duration(0), time.Duration(0)
+		for range 400 {
+			now += time.Duration(rng.IntN(300)) * time.Millisecond
+			switch rng.IntN(24) {
+			case 0:
+				n := names[rng.IntN(3)]
+				cut[n] = !cut[n]
+			case 1:
+				g.down = !g.down
+			case 2:
+				if g.owner != "" {
+					g.rebalance()
+				}
+			case 3, 4:
+				g.restore(snapshots[max(0, len(snapshots)-1-rng.IntN(20))])
+			case 5:
+				if n := names[rng.IntN(3)]; now >= resumesAt+time.Second { // one at a time, with tokens exchanged in between
+					resumesAt = now + time.Duration(rng.IntN(4000))*time.Millisecond
+					suspendedUntil[n] = resumesAt
+				}
+			}
+			snapshots = append(snapshots, g.snapshot())
+			for _, n := range names {
+				if !cut[n] && now >= suspendedUntil[n] {
+					leases[n].renew(context.Background())
+				}
+			}
+			exchange := now-exchangedAt >= 500*time.Millisecond
+			if exchange {
+				exchangedAt = now
+			}
+			for _, n := range names {
+				for _, other := range names {
+					if exchange && n != other && now >= suspendedUntil[n] && now >= suspendedUntil[other] {
+						leases[n].ObserveToken(leases[other].Token())
+					}
+				}
+			}
+			for _, n := range names {
+				epoch := leases[n].Epoch(reachable)
+				if epoch == 0 || now < suspendedUntil[n] {
+					continue
+				}
+				if n != lastHolder {
+					require.Greater(t, epoch, lastEpoch)
+					require.GreaterOrEqual(t, now-lastOrder, orderTimeout/2, "the earlier holder's order may be on its way")
+				}
+				require.GreaterOrEqual(t, epoch, lastEpoch)
+				lastEpoch, lastHolder, lastOrder = epoch, n, now
+			}
+		}
+	})
+}
