soak: restore the store from an older copy

In half of the runs the store is down for 0.3 s and is restored from a copy taken 0.5 to 3.5 s before the outage. Servers write their entries again with their next heartbeats, the operator writes the newest configuration again within a second. The fault has its own random sources, so a seed's other faults are unchanged.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,6 +32,15 @@
 	refusalRetryAfter = 4 * time.Second
 	// maxDrainsAndRefusals bounds how many faults drainsAndRefusals draws for a run.
 	maxDrainsAndRefusals = 2
+	// minCopyAge and maxCopyAge bound the age of the copy from which the store is
+	// restored, as of the start of the outage.
+	minCopyAge = 500 * time.Millisecond
+	maxCopyAge = 3500 * time.Millisecond
+	// restoreDowntime is how long the store is down while it is restored.
+	restoreDowntime = 300 * time.Millisecond
+	// maxRewriteDelay bounds the time from the restore until the operator writes the
+	// newest configuration again.
+	maxRewriteDelay = time.Second
 )
 
 // fault is one fault from outside, at its time.
@@ -98,7 +107,8 @@
 		}
 	}
 	faults = append(faults, limits(seed, length)...)
-	return append(faults, drainsAndRefusals(seed, length)...)
+	faults = append(faults, drainsAndRefusals(seed, length)...)
+	return append(faults, storeRestores(seed, length)...)
 }
 
 // drainsAndRefusals draws faults in which instances learn only from a server's answers
@@ -136,6 +146,22 @@
 	return faults
 }
 
+// storeRestores draws one restore of the store from an older copy for half of the seeds.
+// Separate random sources keep a seed's other faults unchanged.
+func storeRestores(seed uint64, length time.Duration) []fault {
+	const stream = math.MaxUint64 / 3
+	rng := rand.New(rand.NewPCG(seed, stream))
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	return []fault{{
+		name: "store restored from an older copy", run: restoreStore,
+		at:   time.Duration(rng.Int64N(int64(length))),
+		last: minCopyAge + time.Duration(rng.Int64N(int64(maxCopyAge-minCopyAge))),
+		rng:  rand.New(rand.NewPCG(seed, stream+1)),
+	}}
+}
+
 // inject plays the faults, each at its time, and returns when all have ended.
 func inject(ctx context.Context, w *World, faults []fault) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -294,6 +320,20 @@
 	return nil
 }
 
+// restoreStore takes the store down and restores it from a copy taken at the start of the
+// fault. The operator writes the newest configuration again after a random delay, and
+// servers write their entries again with their next heartbeats.
+func restoreStore(w *World, rng *rand.Rand, last time.Duration) error {
+	snapshot := w.Store.Snapshot()
+	time.Sleep(last)
+	w.Store.SetDown(true)
+	time.Sleep(restoreDowntime)
+	w.Store.Restore(snapshot)
+	w.Store.SetDown(false)
+	time.Sleep(time.Duration(rng.Int64N(int64(maxRewriteDelay))))
+	return w.RewriteConfig()
+}
+
 func storeAway(w *World, _ *rand.Rand, last time.Duration) error {
 	w.Store.SetDown(true)
 	time.Sleep(last)
--- a/soak/world.go
+++ b/soak/world.go
@@ -242,6 +242,14 @@
 	return w.Store.PutConfig(standin.Config(w.version))
 }
 
+// RewriteConfig writes the newest configuration again, as the operator does after the store
+// is restored from an older copy.
+func (w *World) RewriteConfig() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Store.PutConfig(standin.Config(w.version))
+}
+
 // Version returns the version of the newest configuration.
 func (w *World) Version() int {
 	w.mu.Lock()
