--- a/instance/leaving_answers_test.go
+++ b/instance/leaving_answers_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,26 +27,14 @@
 // streams requests streams of BusyModel from every instance in a loop until stop is
 // called. stop returns how many streams were complete.
 func (d *deployment) streams() (stop func() int) {
-	var asking sync.WaitGroup
 	var served atomic.Int64
-	ended := make(chan struct{})
-	for _, r := range d.instances {
-		asking.Go(func() {
-			for {
-				select {
-				case <-ended:
-					return
-				case <-time.After(sampleEvery):
-				}
-				if status, _, body := d.ask(r, standin.StreamPath, standin.BusyModel); status == http.StatusOK && strings.Count(body, "\n\n") == 10 {
-					served.Add(1)
-				}
-			}
-		})
-	}
+	stopLoops := d.loopPerInstance(func(_ int, r *running) {
+		if status, _, body := d.ask(r, standin.StreamPath, standin.BusyModel); status == http.StatusOK && strings.Count(body, "\n\n") == 10 {
+			served.Add(1)
+		}
+	})
 	return func() int {
-		close(ended)
-		asking.Wait()
+		stopLoops()
 		return int(served.Load())
 	}
 }
--- a/instance/ratelimit_test.go
+++ b/instance/ratelimit_test.go
@@ -75,25 +75,33 @@
 
 // crowd asks every instance again and again, and returns what ends that.
 func (d *deployment) crowd(path string) (stop func()) {
-	var asking sync.WaitGroup
+	return d.loopPerInstance(func(_ int, r *running) {
+		status, _, _ := d.ask(r, path, "")
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			d.t.Errorf("status %d", status)
+		}
+	})
+}
+
+// loopPerInstance calls f in a loop in one goroutine per instance, with the instance and
+// its index n, until stop is called. stop waits for calls that are in progress.
+func (d *deployment) loopPerInstance(f func(n int, r *running)) (stop func()) {
+	var group sync.WaitGroup
 	ended := make(chan struct{})
-	for _, r := range d.instances {
-		asking.Go(func() {
+	for n, r := range d.instances {
+		group.Go(func() {
 			for {
 				select {
 				case <-ended:
 					return
 				case <-time.After(sampleEvery):
 				}
-				status, _, _ := d.ask(r, path, "")
-				if status != http.StatusOK && status != http.StatusServiceUnavailable {
-					d.t.Errorf("status %d", status)
-				}
+				f(n, r)
 			}
 		})
 	}
 	return func() {
 		close(ended)
-		asking.Wait()
+		group.Wait()
 	}
 }
--- a/instance/retry_after_test.go
+++ b/instance/retry_after_test.go
@@ -26,30 +26,18 @@
 	d.grow(noticeInstances)
 	var mu sync.Mutex
 	sender := map[string]int{} // instance by request id
-	var asking sync.WaitGroup
-	ended := make(chan struct{})
-	for n, r := range d.instances {
-		asking.Go(func() {
-			for {
-				select {
-				case <-ended:
-					return
-				case <-time.After(sampleEvery):
-				}
-				_, id, _ := d.ask(r, standin.StreamPath, standin.BusyModel)
-				mu.Lock()
-				sender[id] = n
-				mu.Unlock()
-			}
-		})
-	}
+	stopLoops := d.loopPerInstance(func(n int, r *running) {
+		_, id, _ := d.ask(r, standin.StreamPath, standin.BusyModel)
+		mu.Lock()
+		defer mu.Unlock()
+		sender[id] = n
+	})
 	server := d.site.Servers[0]
 	server.Refuse(refusalRetryAfter)
 	time.Sleep(2*refusalRetryAfter + refusalRetryAfter/2)
 	refused := server.Refused()
 	server.Refuse(0)
-	close(ended)
-	asking.Wait()
+	stopLoops()
 	require.NotEmpty(t, refused)
 	for n, first := range refused {
 		sent := 0
