instance: ask a store that reports an older era less and less often

By reading: a store that goes on reporting an era older than the known one was asked for the newest configuration ten times a second. The pause between reads grows now, as after failures.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -112,9 +112,15 @@
 			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures)-time.Since(began))
 			continue
 		}
-		failures = 0
 		i.storeAnswered()
-		if i.observeEra(res.next.Era, "store") == eraStale || !fresh && res.next.Era != at.Era && res.next.Era != 0 {
+		if i.observeEra(res.next.Era, "store") == eraStale {
+			fresh = true
+			failures++
+			supervise.Pause(ctx, supervise.Backoff(retryFirst, retryMost, failures))
+			continue
+		}
+		failures = 0
+		if !fresh && res.next.Era != at.Era && res.next.Era != 0 {
 			fresh = true // the answer's era isn't the position's, so reading can't continue from there
 			supervise.Pause(ctx, retryFirst)
 			continue
