--- a/instance/era_test.go
+++ b/instance/era_test.go
@@ -83,12 +83,7 @@
 				2: {server("leaves", false), server("old", false)},
 			},
 		}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		i := New(Options{
-			Node: &topology.Node{Domain: "d"}, Source: source, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
-			Clock: func() time.Duration { return time.Since(start) },
-		})
+		i := newTestInstance(source)
 		ctx, cancel := context.WithCancel(t.Context())
 		var duties sync.WaitGroup
 		duties.Go(func() { _ = i.followConfig(ctx) })
@@ -133,3 +128,12 @@
 	log.SetOutput(io.Discard)
 	return log
 }
+
+// newTestInstance returns an instance of failure domain d that runs no duties.
+func newTestInstance(source topology.Source) *Instance {
+	started := time.Now()
+	return New(Options{
+		Node: &topology.Node{Domain: "d"}, Source: source, Log: quietLog(), Rand: rand.New(rand.NewPCG(1, 1)),
+		Clock: func() time.Duration { return time.Since(started) },
+	})
+}
--- a/instance/late_config_test.go
+++ b/instance/late_config_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/topology"
@@ -119,12 +116,7 @@
 	start := time.Now()
 	source := &lossySource{lostFrom: start.Add(c.lostAfter), lostTo: start.Add(c.lostAfter + c.lostFor)}
 	source.changedAt = source.lostTo.Add(c.changedAfter)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	i := New(Options{
-		Node: &topology.Node{Domain: "d"}, Source: source, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
-		Clock: func() time.Duration { return time.Since(start) },
-	})
+	i := newTestInstance(source)
 	i.view.Nodes = map[string]int{"d": c.instances}
 	i.lease.Heard(c.candidate)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/topology"
@@ -43,14 +40,9 @@
 // server beyond the bound.
 func TestALeavingServerIsKnownInTimeThoughTheHolderAndAReadAreLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		lostAt := time.Now()
 		source := &leavingSource{leavingAt: lostAt.Add(100 * time.Millisecond)}
-		i := New(Options{
-			Node: &topology.Node{Domain: "d"}, Source: source, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
-			Clock: func() time.Duration { return time.Since(lostAt) },
-		})
+		i := newTestInstance(source)
 		i.servers.take(lostAt, read{all: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
 		i.servers.fedUntil = lostAt.Add(fedFor)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -67,14 +59,8 @@
 // Instances must learn from each other, even without a lease holder, that a server's
 // answers said that it is leaving, and not forget it while its entry does not show it.
 func TestOtherInstancesHearThatAServerLeaves(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	started := time.Now()
 	newInstance := func() *Instance {
-		i := New(Options{
-			Node: &topology.Node{Domain: "d"}, Log: log, Rand: rand.New(rand.NewPCG(1, 1)),
-			Clock: func() time.Duration { return time.Since(started) },
-		})
+		i := newTestInstance(nil)
 		i.setServers([]topology.Server{{ID: "s"}, {ID: "t"}})
 		return i
 	}
