--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -170,6 +170,24 @@
 	require.Len(t, epochs, 1)
 }
 
+// lastOrder is the newest order of any holder.
+type lastOrder struct {
+	holder string
+	epoch  int64
+	at     time.Duration
+}
+
+// next checks an order against the last one: epochs grow from one holder to the next,
+// and no two holders order within an order's time.
+func (o *lastOrder) next(t *rapid.T, holder string, epoch int64, now time.Duration) {
+	if holder != o.holder {
+		require.Greater(t, epoch, o.epoch)
+		require.GreaterOrEqual(t, now-o.at, orderTimeout/2, "the earlier holder's order may be on its way")
+	}
+	require.GreaterOrEqual(t, epoch, o.epoch)
+	*o = lastOrder{holder, epoch, now}
+}
+
 // Members join, are cut off, suspended and rebalanced in any order; the store
 // goes down and may let its times run out meanwhile. No two may order within
 // each other's time, and epochs only grow from one holder to the next.
@@ -186,8 +204,7 @@
 			leases[n] = NewLease(g, n, ttl, clock, quietLog())
 		}
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		lastEpoch, lastHolder := int64(0), ""
-		lastOrder := time.Duration(0)
+		var last lastOrder
 		for range 400 {
 			now += time.Duration(rng.IntN(300)) * time.Millisecond
 			switch rng.IntN(20) {
@@ -215,12 +232,7 @@
 				if epoch == 0 {
 					continue
 				}
-				if n != lastHolder {
-					require.Greater(t, epoch, lastEpoch)
-					require.GreaterOrEqual(t, now-lastOrder, orderTimeout/2, "the earlier holder's order may be on its way")
-				}
-				require.GreaterOrEqual(t, epoch, lastEpoch)
-				lastEpoch, lastHolder, lastOrder = epoch, n, now
+				last.next(t, n, epoch, now)
 			}
 		}
 	})
@@ -262,7 +274,7 @@
 			leases[n] = NewLease(g, n, 3*time.Second, clock, quietLog())
 		}
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		lastEpoch, lastHolder, lastOrder := int64(0), "", time.Duration(0)
+		var last lastOrder
 		exchangedAt, resumesAt := time.Duration(0), time.Duration(0)
 		for range 400 {
 			now += time.Duration(rng.IntN(300)) * time.Millisecond
@@ -306,12 +318,7 @@
 				if epoch == 0 || now < suspendedUntil[n] {
 					continue
 				}
-				if n != lastHolder {
-					require.Greater(t, epoch, lastEpoch)
-					require.GreaterOrEqual(t, now-lastOrder, orderTimeout/2, "the earlier holder's order may be on its way")
-				}
-				require.GreaterOrEqual(t, epoch, lastEpoch)
-				lastEpoch, lastHolder, lastOrder = epoch, n, now
+				last.next(t, n, epoch, now)
 			}
 		}
 	})
