instance: log and count servers kept without an entry, and lists taken from other instances

What couldn't be told apart in the incident: an instance that never learned that a server's entry was removed, one that learned it late, and one that listed the server again. The position of a list and the servers that are kept beside it are now in lines and gauges. No decision changes.

--- a/instance/follow_test.go
+++ b/instance/follow_test.go
@@ -69,7 +69,7 @@
 // newInformedInstance returns one of many instances that has just received a holder's
 // report and list of servers.
 func newInformedInstance(now time.Time) *Instance {
-	i := &Instance{lease: residency.NewLease(nil, "a", time.Second, func() time.Duration { return 0 }, nil), servers: newServerList()}
+	i := &Instance{lease: residency.NewLease(nil, "a", time.Second, func() time.Duration { return 0 }, nil), servers: newServerList(quietLog())}
 	i.view.Config, i.view.InstancesByDomain = &topology.Config{Version: 7}, map[string]int{"d": 295}
 	i.peerStatus = peerStatus{receivedAt: now, version: 7, confirmedAt: now}
 	i.servers.holderListValidUntil = now.Add(holderListTTL)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -76,7 +76,7 @@
 		opts: o, log: o.Log, metrics: m,
 		viewChanged: make(chan struct{}, 1),
 		limits:      make(chan topology.Limits, 1),
-		servers:     newServerList(),
+		servers:     newServerList(o.Log),
 	}
 	i.relay = relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, OnLeaving: i.addLeavingServer})
 	i.frontend = newFrontend(i)
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -120,6 +120,8 @@
 	})
 	g("servers", "Servers listed.", func() float64 { return float64(len(i.currentView().Servers)) })
 	g("servers_age_seconds", "Since the store last answered for the list of servers, to this instance or the lease holder; -1: never.", i.servers.ageSeconds)
+	g("servers_position", "Offset in the store up to which the list of servers was read, by this instance or the lease holder; -1: to be read in full.", func() float64 { return float64(i.servers.position().Offset) })
+	g("servers_without_entry", "Servers used though their entries disappeared, just after an outage of the store.", func() float64 { return float64(i.servers.keptCount()) })
 	g("store_answer_age_seconds", "Since the store last answered this instance; -1: never.", func() float64 {
 		i.mu.Lock()
 		defer i.mu.Unlock()
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -1,9 +1,12 @@
 package instance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"greengageferry/exchange"
 	"greengageferry/residency"
 	"greengageferry/topology"
@@ -24,6 +27,7 @@
 // the lease holder. Both ways apply the same steps and so lead to the same lists. A
 // digest identifies each list, so that two instances can compare theirs.
 type serverList struct {
+	log                  logrus.FieldLogger
 	mu                   sync.Mutex
 	fleet                *topology.Fleet
 	readPosition         topology.Position // position in the store up to which the list was read
@@ -31,8 +35,8 @@
 	holderListValidUntil time.Time         // until then the holder's list replaces a read of the store
 }
 
-func newServerList() *serverList {
-	return &serverList{fleet: topology.NewFleet(), readPosition: noPosition}
+func newServerList(log logrus.FieldLogger) *serverList {
+	return &serverList{log: log, fleet: topology.NewFleet(), readPosition: noPosition}
 }
 
 // holderListValid reports whether the holder's list replaces a read of the store.
@@ -104,6 +108,7 @@
 	if !r.snapshot && r.from != l.readPosition {
 		return // the holder's steps have moved the position in the meantime
 	}
+	defer l.logKept(l.fleet.Kept(), r.next)
 	var changed bool
 	if r.snapshot {
 		changed = l.fleet.Reset(now, r.changes)
@@ -117,6 +122,29 @@
 	}
 }
 
+// logKept logs the servers that have been kept without an entry, or no longer are, since
+// the given ones were. The caller must hold mu.
+func (l *serverList) logKept(before []string, at topology.Position) {
+	kept := l.fleet.Kept()
+	for _, id := range kept {
+		if !slices.Contains(before, id) {
+			l.log.WithFields(logrus.Fields{"server": id, "position": at.Offset}).Info("server kept without entry")
+		}
+	}
+	for _, id := range before {
+		if !slices.Contains(kept, id) {
+			l.log.WithFields(logrus.Fields{"server": id, "listed": slices.Contains(l.fleet.IDs(), id)}).Info("server no longer kept without entry")
+		}
+	}
+}
+
+// keptCount returns how many servers are kept without an entry.
+func (l *serverList) keptCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.fleet.Kept())
+}
+
 // onStoreReturn records that the store answers again after an outage. now is the assumed
 // time of its return, see storeReturnLag.
 func (l *serverList) onStoreReturn(now time.Time) {
@@ -187,13 +215,17 @@
 	for _, s := range steps.GetSteps() {
 		deltas = append(deltas, deltaFromWire(s))
 	}
-	before := l.fleet.Digest()
+	before, from := l.fleet.Digest(), l.readPosition
+	defer l.logKept(l.fleet.Kept(), from)
 	if l.fleet.ApplyDeltas(deltas, steps.GetDigest()) {
 		l.readPosition, l.asOf, l.holderListValidUntil = topology.Position{Era: steps.GetEra(), Offset: steps.GetPosition()}, stepsAsOf, stepsAsOf.Add(holderListTTL)
 	} else {
 		l.readPosition, l.holderListValidUntil = noPosition, time.Time{}
 	}
 	if l.fleet.Digest() != before {
+		l.log.WithFields(logrus.Fields{
+			"from": from.Offset, "position": steps.GetPosition(), "changes": len(deltas), "age_ms": ageMs(stepsAsOf), "matches": l.fleet.Digest() == steps.GetDigest(),
+		}).Info("server list taken from instance")
 		onChange(l.fleet.Servers())
 	}
 }
--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -12,7 +12,7 @@
 
 // newTestServerList returns a list with the given servers, as read from the store.
 func newTestServerList(now time.Time, ids ...string) *serverList {
-	l := newServerList()
+	l := newServerList(quietLog())
 	var changes []topology.ServerChange
 	for _, id := range ids {
 		changes = append(changes, topology.ServerChange{ID: id, Server: &topology.Server{ID: id, Born: now}})
@@ -50,5 +50,5 @@
 	require.Nil(t, holder.stepsSince(sent, l.digest(), nil))
 	require.Nil(t, l.applySteps(sent, nil, ignoreServers))
 	require.False(t, l.holderListValid(sent))
-	require.Nil(t, newServerList().stepsSince(sent, 0, nil), "a holder that has read nothing has no steps")
+	require.Nil(t, newServerList(quietLog()).stepsSince(sent, 0, nil), "a holder that has read nothing has no steps")
 }
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -182,6 +182,9 @@
 	return changed
 }
 
+// Kept returns the sorted ids of the servers that are kept without an entry.
+func (f *Fleet) Kept() []string { return slices.Sorted(maps.Keys(f.pendingRemoval)) }
+
 // IDs returns the servers' sorted ids. The slice must not be modified.
 func (f *Fleet) IDs() []string {
 	if f.ids == nil {
