instance: a failing test: a removed server stays listed after its list was taken over

Callers saw requests go to a server 12.4 s after it had left. The test has one instance take over a list while the lease holder keeps a removed server for the time in which its entry may come back. The position goes along, the knowledge that the server is to be removed doesn't.

--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -52,3 +52,30 @@
 	require.False(t, l.holderListValid(sent))
 	require.Nil(t, newServerList(quietLog()).stepsSince(sent, 0, nil), "a holder that has read nothing has no steps")
 }
+
+// An instance that takes over a list from one that keeps a server without an entry must
+// not use that server forever.
+func TestServerRemovedBeforeAListWasTakenOverIsNotUsedForever(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	holder, l := newTestServerList(now, "a", "b"), newTestServerList(now, "a", "b")
+	holder.onStoreReturn(now)
+	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
+	sent := now.Add(100 * time.Millisecond)
+	holder.applyRead(sent, removal, ignoreServers)
+	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), ignoreServers)
+
+	// The holder is lost. The instance reads on from its position and finds nothing new.
+	require.Equal(t, topology.Position{Offset: 2}, l.position())
+	later := now.Add(10 * time.Second)
+	l.applyRead(later, serversRead{from: l.position(), next: l.position()}, ignoreServers)
+	require.Equal(t, []string{"a"}, serverIDs(l))
+}
+
+// serverIDs returns the ids of the servers that an instance with the list uses.
+func serverIDs(l *serverList) []string {
+	var out []string
+	for _, s := range l.fleet.Servers() {
+		out = append(out, s.ID)
+	}
+	return out
+}
