instance: servers without an entry are part of the list that instances share

Cause: just after an outage an instance keeps a server whose entry disappears for 2.1 s, since the entry may only have expired. This stood beside the list. An instance that took the list over, by steps from the lease holder, took the position after the removal along, but not the removal: once the holder was lost or the lease moved, it never read of it again. In the same way an entry that came back was lost, and a live server removed for good. And an instance that had reached the store all the while kept the servers that only the holder kept.

Now a server without an entry stays in the list and is marked as such (no_entry in ServerStep, part of the digest). The list is then all that follows from the position, whoever read it. Whether a server without an entry is used is each instance's own decision, by when it last was without news of the store. An older build doesn't know the mark, sees another digest and reads the store itself.

--- a/instance/servers.go
+++ b/instance/servers.go
@@ -195,7 +195,7 @@
 		return nil
 	}
 	if stepsAsOf.After(l.asOf) {
-		l.applyDeltas(steps, stepsAsOf, onChange)
+		l.applyDeltas(sent, steps, stepsAsOf, onChange)
 	}
 	ids := l.fleet.IDs()
 	if steps.GetDigest() != l.fleet.Digest() || len(steps.GetLoads()) != len(ids) || len(steps.GetUnreadTokens()) != len(ids) || len(steps.GetContending()) != len(ids) {
@@ -208,24 +208,34 @@
 	return loads
 }
 
+// maxListGap is the longest time without news of the list in which no entry can expire:
+// servers write about once a second, and an entry expires after three missed times.
+const maxListGap = 2 * time.Second
+
 // applyDeltas applies the holder's steps, which were current at stepsAsOf. The caller
 // must hold mu.
-func (l *serverList) applyDeltas(steps *exchange.ServerSteps, stepsAsOf time.Time, onChange func([]topology.Server)) {
+func (l *serverList) applyDeltas(now time.Time, steps *exchange.ServerSteps, stepsAsOf time.Time, onChange func([]topology.Server)) {
+	if !l.asOf.IsZero() && stepsAsOf.Sub(l.asOf) > maxListGap {
+		l.fleet.StoreRecovered(stepsAsOf) // there may have been an outage that only the holder noticed the end of
+	}
 	deltas := make([]topology.Delta, 0, len(steps.GetSteps()))
 	for _, s := range steps.GetSteps() {
 		deltas = append(deltas, deltaFromWire(s))
 	}
 	before, from := l.fleet.Digest(), l.readPosition
 	defer l.logKept(l.fleet.Kept(), from)
-	if l.fleet.ApplyDeltas(deltas, steps.GetDigest()) {
+	if l.fleet.ApplyDeltas(now, deltas, steps.GetDigest()) {
 		l.readPosition, l.asOf, l.holderListValidUntil = topology.Position{Era: steps.GetEra(), Offset: steps.GetPosition()}, stepsAsOf, stepsAsOf.Add(holderListTTL)
 	} else {
 		l.readPosition, l.holderListValidUntil = noPosition, time.Time{}
 	}
+	expired := l.fleet.ExpireKept(stepsAsOf)
 	if l.fleet.Digest() != before {
 		l.log.WithFields(logrus.Fields{
 			"from": from.Offset, "position": steps.GetPosition(), "changes": len(deltas), "age_ms": ageMs(stepsAsOf), "matches": l.fleet.Digest() == steps.GetDigest(),
 		}).Info("server list taken from instance")
+	}
+	if expired || l.fleet.Digest() != before {
 		onChange(l.fleet.Servers())
 	}
 }
@@ -234,7 +244,7 @@
 var noPosition = topology.Position{Offset: -1}
 
 func wireStep(d *topology.Delta) *exchange.ServerStep {
-	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, Added: wireModels(d.Added), Lost: wireModels(d.Lost)}
+	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, NoEntry: d.NoEntry, Added: wireModels(d.Added), Lost: wireModels(d.Lost)}
 	if s := d.Server; s != nil {
 		out.Server = &exchange.Server{
 			Service: s.Service, Addr: s.Addr, FailureDomain: s.Domain, Slots: uint32(s.Slots), Leaving: s.Leaving,
@@ -245,7 +255,7 @@
 }
 
 func deltaFromWire(s *exchange.ServerStep) topology.Delta {
-	d := topology.Delta{ID: s.GetId(), Gone: s.GetGone(), Added: modelsFromWire(s.GetAdded()), Lost: modelsFromWire(s.GetLost())}
+	d := topology.Delta{ID: s.GetId(), Gone: s.GetGone(), NoEntry: s.GetNoEntry(), Added: modelsFromWire(s.GetAdded()), Lost: modelsFromWire(s.GetLost())}
 	if w := s.GetServer(); w != nil {
 		d.Server = &topology.Server{
 			ID: s.GetId(), Service: w.GetService(), Addr: w.GetAddr(), Domain: w.GetFailureDomain(), Slots: int(w.GetSlots()),
--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -1,10 +1,14 @@
 package instance
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"greengageferry/residency"
 	"greengageferry/topology"
@@ -79,3 +83,111 @@
 	}
 	return out
 }
+
+// An instance that reached the store all the while must not use a server whose entry was
+// removed, though the lease holder, which didn't, keeps the server for a while.
+func TestServerKeptByTheHolderAloneIsNotUsedByOthers(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	holder, l := newTestServerList(now, "a", "b"), newTestServerList(now, "a", "b")
+	holder.onStoreReturn(now)
+	sent := now.Add(100 * time.Millisecond)
+	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
+	holder.applyRead(sent, removal, ignoreServers)
+	var told []topology.Server
+	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), func(s []topology.Server) { told = s })
+	require.Equal(t, []string{"a", "b"}, serverIDs(holder))
+	require.Equal(t, []string{"a"}, serverIDs(l))
+	require.Len(t, told, 1)
+}
+
+// A server whose entry came back must not be removed later by an instance that learned
+// this from another instance's list.
+func TestServerBackInATakenOverListIsNotRemoved(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	holder, l := newTestServerList(now, "a", "b"), newTestServerList(now, "a", "b")
+	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
+	for _, x := range []*serverList{holder, l} {
+		x.onStoreReturn(now)
+		x.applyRead(now.Add(100*time.Millisecond), removal, ignoreServers)
+	}
+	back := serversRead{from: topology.Position{Offset: 2}, next: topology.Position{Offset: 3}, changes: []topology.ServerChange{{ID: "b", Server: &topology.Server{ID: "b", Born: now}}}}
+	sent := now.Add(500 * time.Millisecond)
+	holder.applyRead(sent, back, ignoreServers)
+	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), ignoreServers)
+	require.Equal(t, topology.Position{Offset: 3}, l.position())
+	l.applyRead(now.Add(10*time.Second), serversRead{from: l.position(), next: l.position()}, ignoreServers)
+	require.Equal(t, []string{"a", "b"}, serverIDs(l))
+}
+
+// fakeServersLog is the store's sequence of changes of servers' entries.
+type fakeServersLog []topology.ServerChange
+
+// read returns what a list reads from its position on.
+func (log fakeServersLog) read(from topology.Position) serversRead {
+	end := topology.Position{Offset: int64(len(log))}
+	if from == noPosition {
+		return serversRead{snapshot: true, next: end, changes: log.newest()}
+	}
+	return serversRead{from: from, next: end, changes: log[from.Offset:]}
+}
+
+// newest returns the newest entry of each server that has one.
+func (log fakeServersLog) newest() []topology.ServerChange {
+	byID := map[string]topology.ServerChange{}
+	for _, c := range log {
+		byID[c.ID] = c
+	}
+	maps.DeleteFunc(byID, func(_ string, c topology.ServerChange) bool { return c.Server == nil })
+	out := slices.Collect(maps.Values(byID))
+	slices.SortFunc(out, func(a, b topology.ServerChange) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Whoever an instance took its list from, and whichever of its reads failed, it must use
+// exactly the servers with an entry once it reads the store again.
+func TestListsTakenFromOtherInstancesAgreeWithTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.UnixMilli(1_000_000)
+		log := fakeServersLog{{ID: "a", Server: &topology.Server{ID: "a"}}, {ID: "b", Server: &topology.Server{ID: "b"}}}
+		lists := make([]*serverList, rapid.IntRange(2, 4).Draw(t, "instances"))
+		for n := range lists {
+			lists[n] = newServerList(quietLog())
+			lists[n].applyRead(now, log.read(noPosition), ignoreServers)
+		}
+		list := func(label string) *serverList {
+			return lists[rapid.IntRange(0, len(lists)-1).Draw(t, label)]
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				c := topology.ServerChange{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")}
+				if rapid.Bool().Draw(t, "has entry") {
+					c.Server = &topology.Server{ID: c.ID, Leaving: rapid.Bool().Draw(t, "leaving")}
+				}
+				log = append(log, c)
+			case 1, 2:
+				list("store returns for").onStoreReturn(now)
+			case 3:
+				l := list("reads")
+				l.applyRead(now, log.read(l.position()), ignoreServers)
+			default:
+				from, l := list("from"), list("learns")
+				l.applySteps(now, from.stepsSince(now, l.digest(), nil), ignoreServers)
+			}
+		}
+		for range 2 {
+			now = now.Add(3 * time.Second)
+			for _, l := range lists {
+				l.applyRead(now, log.read(l.position()), ignoreServers)
+			}
+		}
+		var want []string
+		for _, c := range log.newest() {
+			want = append(want, c.ID)
+		}
+		for _, l := range lists {
+			require.Equal(t, want, serverIDs(l))
+		}
+	})
+}
--- a/topology/delta.go
+++ b/topology/delta.go
@@ -11,10 +11,13 @@
 // adapters changed, as for each of the hundreds of adapters that are loaded after a start.
 type Delta struct {
 	ID     string
-	Server *Server     // the new description; nil: the server was removed, or only its models changed
-	Gone   bool        // the server is no longer listed
-	Added  []HeldModel // models with their added adapters
-	Lost   []HeldModel // models with their removed adapters; without adapters: the model was removed
+	Server *Server // the new description; nil: the server was removed, or only its models changed
+	Gone   bool    // the server is no longer listed
+	// NoEntry says that the server's entry was removed and nothing else changed. Any
+	// other delta of a server says that it has an entry.
+	NoEntry bool
+	Added   []HeldModel // models with their added adapters
+	Lost    []HeldModel // models with their removed adapters; without adapters: the model was removed
 }
 
 // newDelta returns the delta between two descriptions of a server.
@@ -51,6 +54,7 @@
 		return *d.Server
 	}
 	next := *s
+	next.NoEntry = d.NoEntry
 	next.Models = slices.Clone(s.Models)
 	for _, m := range d.Lost {
 		next.Models = slices.DeleteFunc(next.Models, func(x HeldModel) bool { return x.Name == m.Name && len(m.Adapters) == 0 })
@@ -110,5 +114,8 @@
 	}
 	text("disk")
 	text(s.OnDisk...)
+	if s.NoEntry {
+		text("no entry")
+	}
 	return h.Sum64()
 }
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -7,14 +7,19 @@
 )
 
 // Fleet holds the list of backend servers. It is updated from changes in the store or
-// from another instance's deltas. It is not safe for concurrent use.
+// from another instance's deltas. A server whose entry disappears just after a store
+// outage stays in the list, without an entry: an instance that takes over the list goes on
+// reading after the removal, and must know of it. The Fleet is not safe for concurrent use.
 type Fleet struct {
-	servers          map[string]Server
-	pendingRemoval   map[string]time.Time // when to remove the servers that are kept without an entry
-	storeRecoveredAt time.Time            // when the store last became available again
-	digest           uint64               // of the current list
-	steps            []step               // the newest ones, oldest first
-	ids              []string             // of the servers, sorted; nil: outdated
+	servers map[string]Server
+	// keptUntil holds the servers without an entry that this instance still uses, with the
+	// end of their entryRestoreWindow. It isn't part of the list that instances share: an
+	// instance that has reached the store all the while doesn't use such servers.
+	keptUntil        map[string]time.Time
+	storeRecoveredAt time.Time // when the store last became available again
+	digest           uint64    // of the current list
+	steps            []step    // the newest ones, oldest first
+	ids              []string  // of the servers, sorted; nil: outdated
 }
 
 // step is a change of the list, with the digest of the list after the change.
@@ -38,7 +43,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet() *Fleet {
-	return &Fleet{servers: map[string]Server{}, pendingRemoval: map[string]time.Time{}}
+	return &Fleet{servers: map[string]Server{}, keptUntil: map[string]time.Time{}}
 }
 
 // StoreRecovered records that the store is available again after an outage.
@@ -56,7 +61,6 @@
 			changed = f.removeEntry(now, c.ID) || changed
 			continue
 		}
-		delete(f.pendingRemoval, c.ID)
 		old, known := f.servers[c.ID]
 		if known && c.Server.Born.Before(old.Born) {
 			continue // an outdated entry of an earlier start
@@ -90,7 +94,9 @@
 	if !known || d.Gone {
 		f.ids = nil
 	}
-	delete(f.pendingRemoval, d.ID)
+	if !d.NoEntry {
+		delete(f.keptUntil, d.ID)
+	}
 	if d.Gone {
 		delete(f.servers, d.ID)
 	} else {
@@ -129,11 +135,16 @@
 
 // ApplyDeltas applies another instance's deltas, and reports whether the result is the
 // list with the digest. If not, the list must be read from the store.
-func (f *Fleet) ApplyDeltas(steps []Delta, digest uint64) bool {
+func (f *Fleet) ApplyDeltas(now time.Time, steps []Delta, digest uint64) bool {
 	for _, d := range steps {
-		if _, known := f.servers[d.ID]; known || d.Server != nil {
-			f.applyDelta(d)
+		_, known := f.servers[d.ID]
+		if !known && d.Server == nil {
+			continue
+		}
+		if d.NoEntry {
+			f.keepForRestore(now, d.ID)
 		}
+		f.applyDelta(d)
 	}
 	return f.digest == digest
 }
@@ -154,27 +165,50 @@
 	return changed
 }
 
-// removeEntry handles the removal of a server's entry, and reports whether the list
-// changed. The server is removed at once or, if the entry may only have expired during a
-// store outage, after entryRestoreWindow.
+// removeEntry handles the removal of a server's entry, and reports whether the servers to
+// use changed. The server is removed at once or, if the entry may only have expired during
+// a store outage, marked as one without an entry.
 func (f *Fleet) removeEntry(now time.Time, id string) bool {
-	if _, known := f.servers[id]; !known {
+	s, known := f.servers[id]
+	if !known || s.NoEntry {
 		return false
 	}
-	if until := f.storeRecoveredAt.Add(entryRestoreWindow); !f.storeRecoveredAt.IsZero() && now.Before(until) {
-		f.pendingRemoval[id] = until
+	if f.keepForRestore(now, id) {
+		f.applyDelta(Delta{ID: id, NoEntry: true})
 		return false
 	}
 	f.applyDelta(Delta{ID: id, Gone: true})
 	return true
 }
 
-// RemoveExpired removes the servers that were kept without an entry and whose time is
-// over. It reports whether the list changed.
+// keepForRestore keeps a server in use until the end of entryRestoreWindow, and reports
+// whether that is still to come.
+func (f *Fleet) keepForRestore(now time.Time, id string) bool {
+	until := f.storeRecoveredAt.Add(entryRestoreWindow)
+	if f.storeRecoveredAt.IsZero() || !now.Before(until) {
+		return false
+	}
+	f.keptUntil[id] = until
+	return true
+}
+
+// ExpireKept ends the use of the servers that were kept without an entry and whose time
+// is over, and reports whether there were any. They stay in the list.
+func (f *Fleet) ExpireKept(now time.Time) bool {
+	before := len(f.keptUntil)
+	maps.DeleteFunc(f.keptUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return len(f.keptUntil) < before
+}
+
+// RemoveExpired removes the servers without an entry that are not kept any more, and
+// reports whether there were any. Only an instance that reads the store does so: others
+// must keep the list of the instance that they get theirs from.
 func (f *Fleet) RemoveExpired(now time.Time) bool {
+	f.ExpireKept(now)
 	changed := false
-	for id, until := range f.pendingRemoval {
-		if !now.Before(until) {
+	for _, id := range f.IDs() {
+		_, kept := f.keptUntil[id]
+		if s := f.servers[id]; s.NoEntry && !kept {
 			f.applyDelta(Delta{ID: id, Gone: true})
 			changed = true
 		}
@@ -182,10 +216,11 @@
 	return changed
 }
 
-// Kept returns the sorted ids of the servers that are kept without an entry.
-func (f *Fleet) Kept() []string { return slices.Sorted(maps.Keys(f.pendingRemoval)) }
+// Kept returns the sorted ids of the servers that are used without an entry.
+func (f *Fleet) Kept() []string { return slices.Sorted(maps.Keys(f.keptUntil)) }
 
-// IDs returns the servers' sorted ids. The slice must not be modified.
+// IDs returns the sorted ids of the servers in the list, including those without an
+// entry. The slice must not be modified.
 func (f *Fleet) IDs() []string {
 	if f.ids == nil {
 		f.ids = slices.Sorted(maps.Keys(f.servers))
@@ -193,11 +228,14 @@
 	return f.ids
 }
 
-// Servers returns the servers, sorted by id.
+// Servers returns the servers to use, sorted by id.
 func (f *Fleet) Servers() []Server {
 	out := make([]Server, 0, len(f.servers))
 	for _, id := range f.IDs() {
-		out = append(out, f.servers[id])
+		s := f.servers[id]
+		if _, kept := f.keptUntil[id]; kept || !s.NoEntry {
+			out = append(out, s)
+		}
 	}
 	return out
 }
--- a/topology/fleet_test.go
+++ b/topology/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,7 +30,8 @@
 }
 
 // One fleet applies changes, with store outages and expired entries; another applies only
-// the deltas since its own list. Both must have the same list.
+// the deltas since its own list. Both must have the same list, servers without an entry
+// included.
 func TestFollowerReachesSameList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		leader, follower := NewFleet(), NewFleet()
@@ -54,17 +56,35 @@
 			if rapid.Bool().Draw(t, "told") {
 				steps, ok := leader.DeltasSince(follower.Digest())
 				require.True(t, ok)
-				require.True(t, follower.ApplyDeltas(steps, leader.Digest()))
+				require.True(t, follower.ApplyDeltas(now, steps, leader.Digest()))
 				require.Equal(t, leader.IDs(), follower.IDs())
-				a, b := leader.Servers(), follower.Servers()
-				for n := range a {
-					require.True(t, a[n].Equal(&b[n]), "%+v, %+v", a[n], b[n])
+				for _, id := range leader.IDs() {
+					a, b := leader.servers[id], follower.servers[id]
+					require.True(t, a.Equal(&b), "%+v, %+v", a, b)
 				}
+				requireUsesAllWithEntry(t, leader)
+				requireUsesAllWithEntry(t, follower)
 			}
 		}
 	})
 }
 
+// requireUsesAllWithEntry checks that a fleet uses the servers with an entry, and of the
+// others only those that it keeps.
+func requireUsesAllWithEntry(t *rapid.T, f *Fleet) {
+	var want []string
+	for _, id := range f.IDs() {
+		if !f.servers[id].NoEntry || slices.Contains(f.Kept(), id) {
+			want = append(want, id)
+		}
+	}
+	var used []string
+	for _, s := range f.Servers() {
+		used = append(used, s.ID)
+	}
+	require.Equal(t, want, used)
+}
+
 func TestUnknownListNotFollowed(t *testing.T) {
 	leader, other := NewFleet(), NewFleet()
 	now := time.UnixMilli(1_000_000)
@@ -72,7 +92,7 @@
 	leader.ApplyChanges(now, []ServerChange{{ID: "y", Server: &Server{ID: "y"}}})
 	_, ok := leader.DeltasSince(other.Digest())
 	require.False(t, ok)
-	require.False(t, other.ApplyDeltas([]Delta{{ID: "y", Server: &Server{ID: "y"}}}, leader.Digest()), "the follower's list also has x")
+	require.False(t, other.ApplyDeltas(now, []Delta{{ID: "y", Server: &Server{ID: "y"}}}, leader.Digest()), "the follower's list also has x")
 	for n := range 3 * minKeptSteps {
 		leader.ApplyChanges(now, []ServerChange{{ID: "y", Server: &Server{ID: "y", Slots: n + 1}}})
 	}
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -95,6 +95,9 @@
 	Sequence int64     // number of orders accepted since its start
 	Models   []HeldModel
 	OnDisk   []string // models that it can load without the weight store
+	// NoEntry says that the server's entry was removed just after a store outage, in which
+	// it may only have expired. See Fleet.
+	NoEntry bool
 }
 
 // HeldModel is a model that a server has loaded, with the loaded ones of its adapters.
@@ -127,7 +130,7 @@
 // It ignores Sequence.
 func (s *Server) Equal(o *Server) bool {
 	if s.ID != o.ID || s.Service != o.Service || s.Addr != o.Addr || s.Domain != o.Domain || s.Slots != o.Slots ||
-		s.Leaving != o.Leaving || !s.Born.Equal(o.Born) {
+		s.Leaving != o.Leaving || !s.Born.Equal(o.Born) || s.NoEntry != o.NoEntry {
 		return false
 	}
 	return slices.EqualFunc(s.Models, o.Models, HeldModel.equal) && slices.Equal(s.OnDisk, o.OnDisk)
