residency: an entry that lacks what its server reported has the server queried

Cause: an entry was taken to lag by 4 s at most. The first one read after an outage can be as old as the outage: it lacked adapters that had been ordered, and confirmed by the server itself, while the store was away, and their slots were filled again. Now such an entry only makes the holder ask the server. What an entry has in addition is adopted as before.

Evidence: the test fails before (5 slots counted of 8).

--- a/residency/plan_test.go
+++ b/residency/plan_test.go
@@ -170,6 +170,28 @@
 	require.Equal(t, 3, s.adapterCount(), "the lagging entry doesn't free a slot")
 }
 
+// After a store outage the newest entry may be older than anything that the server
+// reported since, and must not free the adapter slots that were filled meanwhile.
+func TestEntryFromBeforeAnOutageDoesNotFreeAdapterSlots(t *testing.T) {
+	models := func(adapters ...string) []topology.HeldModel {
+		return []topology.HeldModel{{Name: "m", Version: 1, Adapters: adapters}}
+	}
+	s := &server{}
+	s.update(start, topology.Server{ID: "s", Models: models()})
+	s.handleState(start, State{Sequence: 5, Models: models("a1", "a2", "a3", "a4", "a5")})
+	for n, a := range []string{"a6", "a7", "a8"} {
+		s.orderAccepted(start.Add(2*time.Second), Order{Model: "m", Adapter: a, Sequence: int64(5 + n)}, 0)
+	}
+	now := start.Add(entryLag + 300*time.Millisecond)
+	s.update(now, topology.Server{ID: "s", Models: models("a1", "a2")})
+	require.Equal(t, 8, s.adapterCount())
+	require.False(t, s.available(now))
+	require.True(t, s.needsStateQuery(now))
+	s.handleState(now, State{Sequence: 8, Models: models("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8")})
+	require.Equal(t, 8, s.adapterCount())
+	require.True(t, s.available(now))
+}
+
 // A model that was just loaded is unloaded again. The newest entry dates from before
 // the load and lacks the model, but the server still holds it until its requests have
 // ended.
--- a/residency/server.go
+++ b/residency/server.go
@@ -93,20 +93,50 @@
 		s.Server = e
 		s.Models = models
 	}
-	if s.entryPending && s.entryIsCurrent(now, &e) {
-		s.Models, s.entryPending = e.Models, false
+	if s.entryPending {
+		s.considerEntry(now, &e)
 	}
 	s.reconcile(now)
 }
 
-// entryIsCurrent reports whether an entry's models are newer than the server's own
-// state report: that report is older than entryLag, or the entry shows the effect of
-// the order that is being executed. The effect counts only if an entry has shown the
-// state before the order: an entry without a model may date from before the model was
-// loaded, and its memory would be reused while the server still unloads it.
-func (s *server) entryIsCurrent(now time.Time, e *topology.Server) bool {
+// considerEntry adopts an entry's models if they are newer than the server's own state
+// report: if the entry shows the effect of the order that is being executed, or the report
+// is older than entryLag. An entry may be older than that, for instance after a store
+// outage. Before what it lacks is taken to be free, the server is queried.
+func (s *server) considerEntry(now time.Time, e *topology.Server) {
+	switch {
+	case s.showsExecution(e):
+	case now.Sub(s.stateAt) <= entryLag:
+		return
+	case s.stateKnown && lacksHeld(e, s.Models):
+		s.stateKnown = false
+		return
+	}
+	s.Models, s.entryPending = e.Models, false
+}
+
+// showsExecution reports whether an entry shows the effect of the order that is being
+// executed. This counts only if an entry has shown the state before the order: an entry
+// without a model may date from before the model was loaded, and its memory would be
+// reused while the server still unloads it.
+func (s *server) showsExecution(e *topology.Server) bool {
 	o := s.executing
-	return now.Sub(s.stateAt) > entryLag || o != nil && s.priorStateSeen && e.Holds(o.Model, "") != o.Unload
+	return o != nil && s.priorStateSeen && e.Holds(o.Model, "") != o.Unload
+}
+
+// lacksHeld reports whether an entry lacks any of the models or of their adapters.
+func lacksHeld(e *topology.Server, models []topology.HeldModel) bool {
+	for _, m := range models {
+		if !e.Holds(m.Name, "") {
+			return true
+		}
+		for _, a := range m.Adapters {
+			if !e.Holds(m.Name, a) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // reconcile drops accepted and unanswered orders that the entry shows by now or whose
