instance: a list of servers is as old as the store's answer, not as its processing

An instance that stood still after the store had answered, or that got a slow answer, took the list for as new as the moment at which it went on, kept from reading for up to 1.4 s, and passed the list on as new.

Now a read is as old as its begin, or as the end of the time for which it waited: the store answers by then. The code before had no such time to test.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -287,7 +287,6 @@
 		began := time.Now()
 		r, err := i.readServers(ctx, immediate)
 		i.metrics.observeStoreCall("servers", began)
-		now := time.Now()
 		if err != nil {
 			if isOutOfRange(err) {
 				i.servers.requireSnapshot()
@@ -311,7 +310,7 @@
 		i.storeAnswered()
 		immediate = false
 		i.logUnusableEntries(r.changes)
-		i.servers.applyRead(now, r, i.setServers)
+		i.servers.applyRead(r, i.setServers)
 		supervise.Pause(ctx, i.minServersReadInterval())
 	}
 	return nil
@@ -362,24 +361,33 @@
 // there is none. If immediate is set, the read doesn't wait for new entries and times out
 // sooner: an unanswered read must not hide for long that a server is leaving.
 func (i *Instance) readServers(ctx context.Context, immediate bool) (serversRead, error) {
-	pos := i.servers.position()
-	if pos != noPosition {
-		wait := serversWait
-		switch {
-		case immediate:
-			wait = 0
-		case i.lease.Holds():
-			wait = serversWaitHolder
-		}
-		ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	pos, began := i.servers.position(), time.Now()
+	if pos == noPosition {
+		ctx, cancel := context.WithTimeout(ctx, newestReadTimeout)
 		defer cancel()
-		changes, next, err := i.opts.Source.NextServers(ctx, pos, wait)
-		return serversRead{from: pos, next: next, changes: changes}, err
+		changes, next, err := i.opts.Source.NewestServers(ctx)
+		return serversRead{snapshot: true, next: next, changes: changes, asOf: began}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, newestReadTimeout)
+	wait := i.nextServersWait(immediate)
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
-	changes, next, err := i.opts.Source.NewestServers(ctx)
-	return serversRead{snapshot: true, next: next, changes: changes}, err
+	changes, next, err := i.opts.Source.NextServers(ctx, pos, wait)
+	asOf := time.Now()
+	if waitEnd := began.Add(wait); asOf.After(waitEnd) {
+		asOf = waitEnd // the store answers by then
+	}
+	return serversRead{from: pos, next: next, changes: changes, asOf: asOf}, err
+}
+
+// nextServersWait returns how long a read of servers' entries waits for new ones.
+func (i *Instance) nextServersWait(immediate bool) time.Duration {
+	switch {
+	case immediate:
+		return 0
+	case i.lease.Holds():
+		return serversWaitHolder
+	}
+	return serversWait
 }
 
 // registerConfigRead registers cancel as the way for restartConfigRead to cancel a read,
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -43,7 +43,7 @@
 		lostAt := time.Now()
 		source := &leavingSource{leavingAt: lostAt.Add(100 * time.Millisecond)}
 		i := newTestInstance(source)
-		i.servers.applyRead(lostAt, serversRead{snapshot: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
+		i.servers.applyRead(serversRead{asOf: lostAt, snapshot: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
 		i.servers.holderListValidUntil = lostAt.Add(holderListTTL)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -84,3 +84,37 @@
 		require.False(t, i.currentView().Servers[0].Leaving, "it restarted")
 	}
 }
+
+// An instance that stood still after the store's answer must not take the list for as new
+// as the moment at which it went on, nor pass it on as such.
+func TestListIsAsOldAsTheStoresAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newTestInstance(stillSource{})
+		i.servers.applyRead(serversRead{asOf: time.Now(), snapshot: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
+		r, err := i.readServers(t.Context(), false)
+		require.NoError(t, err)
+		require.Equal(t, stillTime-serversWait, time.Since(r.asOf))
+		i.servers.requireSnapshot()
+		r, err = i.readServers(t.Context(), false)
+		require.NoError(t, err)
+		require.Equal(t, stillTime, time.Since(r.asOf))
+	})
+}
+
+// stillTime is how long an instance with a stillSource stands still in each read.
+const stillTime = 1300 * time.Millisecond
+
+// stillSource is a store whose answers an instance takes in late.
+type stillSource struct{ topology.Source }
+
+// NextServers implements topology.Source.
+func (stillSource) NextServers(_ context.Context, from topology.Position, _ time.Duration) ([]topology.ServerChange, topology.Position, error) {
+	time.Sleep(stillTime)
+	return nil, from, nil
+}
+
+// NewestServers implements topology.Source.
+func (stillSource) NewestServers(context.Context) ([]topology.ServerChange, topology.Position, error) {
+	time.Sleep(stillTime)
+	return nil, topology.Position{Offset: 1}, nil
+}
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -81,6 +81,9 @@
 	next     topology.Position
 	snapshot bool // changes holds the newest entry of each server, not the changes after from
 	changes  []topology.ServerChange
+	// asOf is when the store gave the answer at the earliest. A process that stood still, or
+	// a slow answer, must not make the list appear more recent than it is.
+	asOf time.Time
 }
 
 // requireSnapshot makes the next read fetch the newest entry of each server.
@@ -102,7 +105,7 @@
 
 // applyRead applies a read, and calls onChange after a snapshot or if anything but
 // heartbeats changed.
-func (l *serverList) applyRead(now time.Time, r serversRead, onChange func([]topology.Server)) {
+func (l *serverList) applyRead(r serversRead, onChange func([]topology.Server)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !r.snapshot && r.from != l.readPosition {
@@ -111,17 +114,25 @@
 	defer l.logKept(l.fleet.Kept(), r.next)
 	var changed bool
 	if r.snapshot {
-		changed = l.fleet.Reset(now, r.changes)
+		changed = l.fleet.Reset(r.asOf, r.changes)
 	} else {
-		changed = l.fleet.ApplyChanges(now, r.changes)
+		changed = l.fleet.ApplyChanges(r.asOf, r.changes)
 	}
-	changed = l.fleet.RemoveExpired(now) || changed
-	l.readPosition, l.asOf = r.next, now
+	changed = l.fleet.RemoveExpired(r.asOf) || changed
+	l.readPosition, l.asOf = r.next, later(l.asOf, r.asOf)
 	if changed || r.snapshot {
 		onChange(l.fleet.Servers())
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // logKept logs the servers that have been kept without an entry, or no longer are, since
 // the given ones were. The caller must hold mu.
 func (l *serverList) logKept(before []string, at topology.Position) {
--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -21,18 +21,24 @@
 	for _, id := range ids {
 		changes = append(changes, topology.ServerChange{ID: id, Server: &topology.Server{ID: id, Born: now}})
 	}
-	l.applyRead(now, serversRead{snapshot: true, next: topology.Position{Offset: 1}, changes: changes}, func([]topology.Server) {})
+	applyAt(l, now, serversRead{snapshot: true, next: topology.Position{Offset: 1}, changes: changes})
 	return l
 }
 
 func ignoreServers([]topology.Server) {}
 
+// applyAt applies a read that the store answered at the given time.
+func applyAt(l *serverList, asOf time.Time, r serversRead) {
+	r.asOf = asOf
+	l.applyRead(r, ignoreServers)
+}
+
 func TestHolderListIsValidUntilItsTTL(t *testing.T) {
 	now := time.UnixMilli(1_000_000)
 	holder, l := newTestServerList(now, "a", "b"), newTestServerList(now, "a", "b")
 	require.False(t, l.holderListValid(now))
 	later := now.Add(400 * time.Millisecond)
-	holder.applyRead(later, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 5}, changes: []topology.ServerChange{{ID: "b"}}}, ignoreServers)
+	applyAt(holder, later, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 5}, changes: []topology.ServerChange{{ID: "b"}}})
 	sent := later.Add(100 * time.Millisecond)
 	var list []topology.Server
 	loads := l.applySteps(sent, holder.stepsSince(sent, l.digest(), map[string]residency.Load{"a": {InFlight: 3, Unread: 700}}), func(s []topology.Server) { list = s })
@@ -41,7 +47,7 @@
 	require.Equal(t, topology.Position{Offset: 5}, l.position(), "a read of its own goes on from there")
 	require.True(t, l.holderListValid(later.Add(holderListTTL-time.Millisecond)))
 	require.False(t, l.holderListValid(later.Add(holderListTTL)), "the TTL begins at the store's answer to the holder, not at the holder's response")
-	l.applyRead(sent, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 9}, changes: []topology.ServerChange{{ID: "b", Server: &topology.Server{ID: "b"}}}}, ignoreServers)
+	applyAt(l, sent, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 9}, changes: []topology.ServerChange{{ID: "b", Server: &topology.Server{ID: "b"}}}})
 	require.Equal(t, topology.Position{Offset: 5}, l.position(), "a read that began before is too old")
 	l.invalidateHolderList()
 	require.False(t, l.holderListValid(sent))
@@ -65,13 +71,13 @@
 	holder.onStoreReturn(now)
 	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
 	sent := now.Add(100 * time.Millisecond)
-	holder.applyRead(sent, removal, ignoreServers)
+	applyAt(holder, sent, removal)
 	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), ignoreServers)
 
 	// The holder is lost. The instance reads on from its position and finds nothing new.
 	require.Equal(t, topology.Position{Offset: 2}, l.position())
 	later := now.Add(10 * time.Second)
-	l.applyRead(later, serversRead{from: l.position(), next: l.position()}, ignoreServers)
+	applyAt(l, later, serversRead{from: l.position(), next: l.position()})
 	require.Equal(t, []string{"a"}, serverIDs(l))
 }
 
@@ -92,7 +98,7 @@
 	holder.onStoreReturn(now)
 	sent := now.Add(100 * time.Millisecond)
 	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
-	holder.applyRead(sent, removal, ignoreServers)
+	applyAt(holder, sent, removal)
 	var told []topology.Server
 	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), func(s []topology.Server) { told = s })
 	require.Equal(t, []string{"a", "b"}, serverIDs(holder))
@@ -108,14 +114,14 @@
 	removal := serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}, changes: []topology.ServerChange{{ID: "b"}}}
 	for _, x := range []*serverList{holder, l} {
 		x.onStoreReturn(now)
-		x.applyRead(now.Add(100*time.Millisecond), removal, ignoreServers)
+		applyAt(x, now.Add(100*time.Millisecond), removal)
 	}
 	back := serversRead{from: topology.Position{Offset: 2}, next: topology.Position{Offset: 3}, changes: []topology.ServerChange{{ID: "b", Server: &topology.Server{ID: "b", Born: now}}}}
 	sent := now.Add(500 * time.Millisecond)
-	holder.applyRead(sent, back, ignoreServers)
+	applyAt(holder, sent, back)
 	l.applySteps(sent.Add(time.Millisecond), holder.stepsSince(sent, l.digest(), nil), ignoreServers)
 	require.Equal(t, topology.Position{Offset: 3}, l.position())
-	l.applyRead(now.Add(10*time.Second), serversRead{from: l.position(), next: l.position()}, ignoreServers)
+	applyAt(l, now.Add(10*time.Second), serversRead{from: l.position(), next: l.position()})
 	require.Equal(t, []string{"a", "b"}, serverIDs(l))
 }
 
@@ -152,7 +158,7 @@
 		lists := make([]*serverList, rapid.IntRange(2, 4).Draw(t, "instances"))
 		for n := range lists {
 			lists[n] = newServerList(quietLog())
-			lists[n].applyRead(now, log.read(noPosition), ignoreServers)
+			applyAt(lists[n], now, log.read(noPosition))
 		}
 		list := func(label string) *serverList {
 			return lists[rapid.IntRange(0, len(lists)-1).Draw(t, label)]
@@ -170,7 +176,7 @@
 				list("store returns for").onStoreReturn(now)
 			case 3:
 				l := list("reads")
-				l.applyRead(now, log.read(l.position()), ignoreServers)
+				applyAt(l, now, log.read(l.position()))
 			default:
 				from, l := list("from"), list("learns")
 				l.applySteps(now, from.stepsSince(now, l.digest(), nil), ignoreServers)
@@ -179,7 +185,7 @@
 		for range 2 {
 			now = now.Add(3 * time.Second)
 			for _, l := range lists {
-				l.applyRead(now, log.read(l.position()), ignoreServers)
+				applyAt(l, now, log.read(l.position()))
 			}
 		}
 		var want []string
