instance: of two lists of servers the one from later in the store is newer

Lists were compared by the time at which they were answered. A read of all entries that was under way while another instance's newer list arrived replaced it, and listed a server that had gone as in use; a list from earlier in the store that was read later was taken over together with its position.

Now positions are compared (era, then offset). Both tests fail before.

--- a/instance/servers.go
+++ b/instance/servers.go
@@ -108,8 +108,8 @@
 func (l *serverList) applyRead(r serversRead, onChange func([]topology.Server)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !r.snapshot && r.from != l.readPosition {
-		return // the holder's steps have moved the position in the meantime
+	if l.isOutdated(r) {
+		return
 	}
 	defer l.logKept(l.fleet.Kept(), r.next)
 	var changed bool
@@ -125,6 +125,15 @@
 	}
 }
 
+// isOutdated reports whether steps from another instance have moved the position past that
+// of a read while the read was under way. The caller must hold mu.
+func (l *serverList) isOutdated(r serversRead) bool {
+	if r.snapshot {
+		return r.next.Before(l.readPosition)
+	}
+	return r.from != l.readPosition
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -205,7 +214,7 @@
 	if steps == nil {
 		return nil
 	}
-	if stepsAsOf.After(l.asOf) {
+	if !stepsPosition(steps).Before(l.readPosition) {
 		l.applyDeltas(sent, steps, stepsAsOf, onChange)
 	}
 	ids := l.fleet.IDs()
@@ -236,7 +245,8 @@
 	before, from := l.fleet.Digest(), l.readPosition
 	defer l.logKept(l.fleet.Kept(), from)
 	if l.fleet.ApplyDeltas(now, deltas, steps.GetDigest()) {
-		l.readPosition, l.asOf, l.holderListValidUntil = topology.Position{Era: steps.GetEra(), Offset: steps.GetPosition()}, stepsAsOf, stepsAsOf.Add(holderListTTL)
+		l.readPosition, l.asOf = stepsPosition(steps), later(l.asOf, stepsAsOf)
+		l.holderListValidUntil = later(l.holderListValidUntil, stepsAsOf.Add(holderListTTL))
 	} else {
 		l.readPosition, l.holderListValidUntil = noPosition, time.Time{}
 	}
@@ -251,6 +261,11 @@
 	}
 }
 
+// stepsPosition returns the position in the store that an instance's list is from.
+func stepsPosition(steps *exchange.ServerSteps) topology.Position {
+	return topology.Position{Era: steps.GetEra(), Offset: steps.GetPosition()}
+}
+
 // noPosition is the read position of a list that has to be read in full.
 var noPosition = topology.Position{Offset: -1}
 
--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -197,3 +197,29 @@
 		}
 	})
 }
+
+// A read that was under way while another instance's newer list arrived must not take
+// that list's servers back.
+func TestOlderSnapshotDoesNotReplaceANewerList(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	holder, l := newTestServerList(now, "a", "b"), newTestServerList(now, "a", "b")
+	snapshot := fakeServersLog{{ID: "a", Server: &topology.Server{ID: "a", Born: now}}, {ID: "b", Server: &topology.Server{ID: "b", Born: now}}}.read(noPosition)
+	applyAt(holder, now, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 3}, changes: []topology.ServerChange{{ID: "b"}}})
+	l.requireSnapshot()
+	l.applySteps(now, holder.stepsSince(now, l.digest(), nil), ignoreServers)
+	applyAt(l, now.Add(time.Second), snapshot)
+	require.Equal(t, []string{"a"}, serverIDs(l))
+	require.Equal(t, topology.Position{Offset: 3}, l.position())
+}
+
+// Of two lists the one from later in the store is newer, whenever it was answered.
+func TestListFromEarlierInTheStoreIsNotTaken(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	holder, l := newTestServerList(now, "a"), newTestServerList(now, "a")
+	applyAt(l, now, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 2}})
+	sent := now.Add(time.Second)
+	applyAt(holder, sent, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 1}})
+	l.applySteps(sent, holder.stepsSince(sent, l.digest(), nil), ignoreServers)
+	require.Equal(t, topology.Position{Offset: 2}, l.position())
+	require.False(t, l.holderListValid(sent))
+}
--- a/topology/source.go
+++ b/topology/source.go
@@ -13,6 +13,14 @@
 	Offset int64
 }
 
+// Before reports whether p is an earlier place than o. An unknown era counts as the other's.
+func (p Position) Before(o Position) bool {
+	if p.Era != o.Era && p.Era != 0 && o.Era != 0 {
+		return p.Era < o.Era
+	}
+	return p.Offset < o.Offset
+}
+
 // ServerChange is a change of a server's entry in the store.
 type ServerChange struct {
 	ID     string
