topology: a server whose entry said that it leaves is remembered after the entry is gone

Only servers whose answers said so were. One whose entry disappeared was forgotten, and an entry from before, which a slow or restored store may still bring, listed it as in use again; nothing else would have stopped that until the server's next entry. What instances tell each other stays: an entry tells itself.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -52,7 +52,7 @@
 	mu                sync.Mutex
 	view              topology.View           // its fields are replaced, never modified in place
 	listed            []topology.Server       // the servers as described by their entries
-	leaving           topology.LeavingServers // the servers whose answers said that they are leaving
+	leaving           topology.LeavingServers // the servers whose answers or entries said that they are leaving
 	storeDown         bool
 	storeAnsweredAt   time.Time          // when the store last answered
 	storeFailedAt     time.Time          // when the store last failed to answer
@@ -222,6 +222,7 @@
 // updateServers recomputes the view's servers from the listed and the leaving servers.
 // The caller must hold mu.
 func (i *Instance) updateServers(now time.Time) {
+	i.leaving.AddListed(now, i.listed)
 	servers := i.leaving.Mark(now, i.listed)
 	i.logServerChanges(servers)
 	i.view.Servers = servers
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -118,3 +118,16 @@
 	time.Sleep(stillTime)
 	return nil, topology.Position{Offset: 1}, nil
 }
+
+// A server whose entry said that it is leaving must not be used again though the entry
+// disappears and one from before appears.
+func TestServerSeenLeavingIsNotForgottenWhenItsEntryDisappears(t *testing.T) {
+	i := newTestInstance(nil)
+	i.setServers([]topology.Server{{ID: "s", Leaving: true}})
+	i.setServers(nil)
+	i.setServers([]topology.Server{{ID: "s"}})
+	require.True(t, i.currentView().Servers[0].Leaving)
+	require.Empty(t, i.report().Leaving, "others learn it from its entry")
+	i.setServers([]topology.Server{{ID: "s", Born: time.UnixMilli(1)}})
+	require.False(t, i.currentView().Servers[0].Leaving, "it restarted")
+}
--- a/topology/leaving.go
+++ b/topology/leaving.go
@@ -21,20 +21,37 @@
 // StartID tells apart the starts of a server that restarts under the same id.
 func (s *Server) StartID() string { return strconv.FormatInt(s.Born.UnixMilli(), 36) }
 
-// LeavingServers holds the servers whose responses marked them as leaving. Their entries
-// may show this later or, while the store is unavailable, not at all. The zero
-// value is ready to use. It is not safe for concurrent use.
+// LeavingServers holds the servers whose responses or entries marked them as leaving. The
+// entries may show this later than the responses or, while the store is unavailable, not at
+// all; and after an entry has disappeared, one from before the server was leaving may
+// appear. The zero value is ready to use. It is not safe for concurrent use.
 type LeavingServers struct {
 	byID map[string]leavingServer
 }
 
 type leavingServer struct {
-	start    string
-	lastSeen time.Time // when it was last listed or added
+	start      string
+	lastSeen   time.Time // when it was last listed or added
+	byResponse bool      // a response marked it, not only its entry
 }
 
-// Add records that a server is leaving, and returns whether this was not known yet.
+// Add records that a response marked a server as leaving, and returns whether this was not
+// known yet.
 func (l *LeavingServers) Add(now time.Time, s ServerStart) bool {
+	return l.add(s, leavingServer{start: s.Start, lastSeen: now, byResponse: true})
+}
+
+// AddListed records the servers whose entries mark them as leaving.
+func (l *LeavingServers) AddListed(now time.Time, listed []Server) {
+	for i := range listed {
+		s := &listed[i]
+		if s.Leaving {
+			l.add(ServerStart{s.ID, s.StartID()}, leavingServer{start: s.StartID(), lastSeen: now})
+		}
+	}
+}
+
+func (l *LeavingServers) add(s ServerStart, added leavingServer) bool {
 	if l.byID == nil {
 		l.byID = map[string]leavingServer{}
 	}
@@ -43,7 +60,8 @@
 	if known && startedBefore(s.Start, old.start) {
 		return false
 	}
-	l.byID[s.ID] = leavingServer{s.Start, now}
+	added.byResponse = added.byResponse || known && old.start == s.Start && old.byResponse
+	l.byID[s.ID] = added
 	return !known || old.start != s.Start
 }
 
@@ -66,7 +84,8 @@
 			delete(l.byID, s.ID)
 		default:
 			s.Leaving = true
-			l.byID[s.ID] = leavingServer{added.start, now}
+			added.lastSeen = now
+			l.byID[s.ID] = added
 		}
 	}
 	return out
@@ -80,12 +99,12 @@
 	return errA == nil && errB == nil && x < y
 }
 
-// Listed returns the added servers that are in the list with the same start.
+// Listed returns the servers marked by responses that are in the list with the same start.
 func (l *LeavingServers) Listed(servers []Server) []ServerStart {
 	var out []ServerStart
 	for i := range servers {
 		s := &servers[i]
-		if added, known := l.byID[s.ID]; known && added.start == s.StartID() {
+		if added, known := l.byID[s.ID]; known && added.byResponse && added.start == s.StartID() {
 			out = append(out, ServerStart{s.ID, added.start})
 		}
 	}
