caller: a crash is found though its server answers late afterwards

What callers saw: 12 sendings of a poisoned request crashed 5 servers where 4 are allowed (TestWholePoisonRequest beside heavy work, log in whole/testdata).

Three of the five attempts that broke with an unexpected EOF say crash=false: whether a server has crashed is asked within 300 ms, once, and a server that restarts on a busy machine doesn't answer by then. Such a crash was reported by nobody, so the first sending, which crashed two servers, led to no quarantine.

Now the question is asked again for up to 10 s, with no request waiting for it. The test fails before (no crash reported).

--- a/caller/attempts_test.go
+++ b/caller/attempts_test.go
@@ -253,6 +253,29 @@
 	require.Empty(t, r.quarantine.reportedCrashes())
 }
 
+// A server that restarts slowly after a crash must not hide that the request crashed it.
+func TestCrashIsReportedThoughItsServerAnswersLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newHarness(t)
+		began := time.Now()
+		r.onFirstAttempt(func(context.Context, infra.GenerateRequest) (infra.Stream, error) { return nil, connectionError() })
+		r.engine.status = func(string) (infra.ServerStatus, error) {
+			if time.Since(began) < 4*time.Second {
+				return infra.ServerStatus{}, &infra.Error{Op: "status", Reason: infra.ReasonTimeout, Effect: infra.EffectUnknown}
+			}
+			return infra.ServerStatus{Boot: "boot-2"}, nil
+		}
+		r.UpdateBoot("e0", "boot-1")
+		r.UpdateBoot("e1", "boot-1")
+		w := r.post("/v1/completions", `{"model":"tray","prompt":"p"}`)
+		require.Equal(t, http.StatusOK, w.Code, "the request waits for no answer")
+		r.requireDrained(t)
+		require.Len(t, r.quarantine.reportedCrashes(), 1)
+		require.Equal(t, "boot-1", r.quarantine.reportedCrashes()[0].Boot)
+		require.Less(t, time.Since(began), 6*time.Second)
+	})
+}
+
 func TestQuarantinedRequestIsNotRun(t *testing.T) {
 	r := newHarness(t)
 	r.quarantine.quarantined[digest([]byte("kitchen"), []byte("tray"), []byte("p"))] = true
--- a/caller/crash.go
+++ b/caller/crash.go
@@ -8,6 +8,7 @@
 	"greengageferry/decide"
 	"greengageferry/infra"
 	"greengageferry/record"
+	"greengageferry/supervise"
 )
 
 const (
@@ -19,6 +20,13 @@
 	// crashed. A dead process refuses the connection at once; the timeout limits
 	// the delay that a lost network adds to a retry.
 	crashCheckTimeout = 300 * time.Millisecond
+	// crashRecheckInterval is the pause between further queries if the first one
+	// didn't tell, crashRecheckTimeout limits each, and crashRecheckLimit all of
+	// them: on a busy machine a server that was restarted after a crash answers
+	// only after seconds.
+	crashRecheckInterval = 500 * time.Millisecond
+	crashRecheckTimeout  = 2 * time.Second
+	crashRecheckLimit    = 10 * time.Second
 	// bootCheckInterval is the time between queries for the boot ID of a server in
 	// use. A restart that no request caused is mistaken for a crash only if it
 	// happens between the last query and the attempt.
@@ -122,46 +130,103 @@
 	s.cancels.put(cancelRequest{server: server}) // without an attempt: only a boot query; if the queue is full, the next query follows after bootCheckInterval
 }
 
+// crashCheck is an attempt whose connection broke without an answer, with what was known
+// about its server when it began.
+type crashCheck struct {
+	fingerprint []byte
+	server      decide.Server
+	boot        string // empty if unknown
+	together    uint32 // attempts in flight at the server
+	brokeAt     time.Time
+}
+
+// report returns the report of the crash.
+func (c *crashCheck) report() *record.Crash {
+	return &record.Crash{Fingerprint: c.fingerprint, Server: c.server.ID, Boot: c.boot, Together: c.together, AtUnixMs: c.brokeAt.UnixMilli()}
+}
+
+// crashResult is what a crashCheck found.
+type crashResult int
+
+const (
+	crashUnknown crashResult = iota // the server doesn't answer in time
+	crashed
+	notCrashed
+)
+
 // detectCrash reports whether the server crashed while running the attempt, and
-// sends a crash report if so. A crash is assumed if the connection broke without an
-// answer and the server is now unreachable or has another boot ID. The comparison
-// uses the boot ID known when the attempt began, since one learned later may belong
-// to the next boot. A plain service has no boot ID: its crashes can't be
-// distinguished from a broken connection and aren't reported.
+// sends a crash report if so. If the server doesn't answer in time, recheckCrash goes on
+// asking, and no request waits for it. A plain service has no boot ID: its crashes can't
+// be distinguished from a broken connection and aren't reported.
 func (s *Server) detectCrash(ctx context.Context, c *call, boot string, e *attemptError) bool {
 	connBroken := e.failure.Reason == infra.ReasonUnreachable && e.failure.Effect == infra.EffectUnknown
 	if !connBroken || e.disconnected || ctx.Err() != nil || c.target.Service {
 		return false
 	}
-	statusCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	check := crashCheck{fingerprint: c.fingerprint[:], server: c.server, boot: boot, brokeAt: time.Now()}
+	switch s.checkCrash(ctx, &check, crashCheckTimeout) {
+	case crashed:
+		s.reportCrash(check.report())
+		return true
+	case crashUnknown:
+		if !s.crashChecks.put(check) {
+			s.metrics.count("crash_reports_dropped") // the next crash caused by the same request is checked again
+		}
+	}
+	return false
+}
+
+// checkCrash queries the server's status. A crash is assumed if the server is now
+// unreachable or has another boot ID than the one known when the attempt began, since one
+// learned later may belong to the next boot.
+func (s *Server) checkCrash(ctx context.Context, check *crashCheck, timeout time.Duration) crashResult {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	status, err := s.opts.Engine.Status(statusCtx, c.server.Addr)
-	lastKnown, inFlight := s.serverTracker.updateBoot(c.server.ID, status.Boot, time.Now())
-	previous := boot
-	if previous == "" {
-		previous = lastKnown
+	status, err := s.opts.Engine.Status(ctx, check.server.Addr)
+	lastKnown, inFlight := s.serverTracker.updateBoot(check.server.ID, status.Boot, time.Now())
+	if check.boot == "" {
+		check.boot = lastKnown
 	}
-	if err == nil && (previous == "" || previous == status.Boot) {
-		return false
+	check.together = max(check.together, uint32(inFlight))
+	if err == nil {
+		if check.boot == "" || check.boot == status.Boot {
+			return notCrashed
+		}
+		return crashed
 	}
-	if err != nil && failureOf(err).Reason != infra.ReasonUnreachable {
-		return false // the server answers, or is only slow
+	switch failureOf(err).Reason {
+	case infra.ReasonUnreachable:
+		return crashed
+	case infra.ReasonTimeout, infra.ReasonCanceled:
+		return crashUnknown
 	}
-	s.metrics.count("crashes")
-	s.reportCrash(&record.Crash{
-		Fingerprint: c.fingerprint[:],
-		Server:      c.server.ID,
-		Boot:        previous,
-		Together:    uint32(inFlight),
-		AtUnixMs:    time.Now().UnixMilli(),
-	})
-	return true
+	return notCrashed // the server answers
+}
+
+// recheckCrash queries a server until it is known whether it crashed, and sends a crash
+// report if so.
+func (s *Server) recheckCrash(ctx context.Context, check crashCheck) {
+	for time.Since(check.brokeAt) < crashRecheckLimit {
+		if !supervise.Pause(ctx, crashRecheckInterval) {
+			return
+		}
+		switch s.checkCrash(ctx, &check, crashRecheckTimeout) {
+		case crashed:
+			s.reportCrash(check.report())
+			return
+		case notCrashed:
+			return
+		}
+	}
+	s.metrics.count("crash_checks_unanswered")
+	s.opts.Log.WithField("server", check.server.ID).Warn("server didn't tell whether it crashed")
 }
 
 // reportCrash queues a crash report for the log; no request waits for it. If the
 // queue is full the report is dropped and counted. The next crash caused by the
 // same request is reported again.
 func (s *Server) reportCrash(c *record.Crash) {
+	s.metrics.count("crashes")
 	if !s.crashes.put(c) {
 		s.metrics.count("crash_reports_dropped")
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -37,6 +37,7 @@
 	answers       *answerCache
 	results       *outbox[*record.ClaimResult] // see reportResult for a full queue
 	crashes       *outbox[*record.Crash]       // see reportCrash for a full queue
+	crashChecks   *outbox[crashCheck]          // see detectCrash for a full queue
 	cancels       *outbox[cancelRequest]       // see cancelAttempt for a full queue
 	serverTracker *serverTracker
 	workTracker   *workTracker
@@ -73,6 +74,9 @@
 	s.crashes = &outbox[*record.Crash]{
 		queue: make(chan *record.Crash, o.Limits.ConcurrentRequests), maxConcurrent: maxConcurrentCrashReports, send: s.opts.Quarantine.ReportCrash, work: s.workTracker, onPanic: s.logOutboxPanic,
 	}
+	s.crashChecks = &outbox[crashCheck]{
+		queue: make(chan crashCheck, o.Limits.ConcurrentRequests), maxConcurrent: maxConcurrentCrashReports, send: s.recheckCrash, work: s.workTracker, onPanic: s.logOutboxPanic,
+	}
 	s.cancels = &outbox[cancelRequest]{
 		queue: make(chan cancelRequest, o.Limits.CancelQueue), maxConcurrent: maxConcurrentCancels, send: s.sendCancel, onPanic: s.logOutboxPanic,
 	}
@@ -96,6 +100,7 @@
 	duty("dispatcher", s.runDispatcher)
 	duty("results", s.results.run)
 	duty("crashes", s.crashes.run)
+	duty("crash checks", s.crashChecks.run)
 	duty("cancels", s.cancels.run)
 	err := g.Wait()
 	if ctx.Err() != nil {
