instance: the read that ends the use of a removed server isn't kept waiting

Cause: a server without an entry is used until a read later than 2.1 s after the store's return. That read was one that waits for news for up to 0.8 s, after a pause of 0.4 s, so the use went on for up to 1.2 s more.

Now the pause and the wait end at that moment. The test fails before.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -311,11 +311,21 @@
 		immediate = false
 		i.logUnusableEntries(r.changes)
 		i.servers.applyRead(r, i.setServers)
-		supervise.Pause(ctx, i.minServersReadInterval())
+		supervise.Pause(ctx, i.untilExpiry(i.minServersReadInterval()))
 	}
 	return nil
 }
 
+// untilExpiry returns the duration, shortened to end when a server that is kept without an
+// entry has been kept long enough. Only a read after that moment ends its use.
+func (i *Instance) untilExpiry(d time.Duration) time.Duration {
+	expiry := i.servers.nextExpiry()
+	if expiry.IsZero() {
+		return d
+	}
+	return min(d, max(time.Until(expiry), 0))
+}
+
 // shouldReadServers reports whether this instance has to read the servers' entries itself
 // now. The lease holder reads for all instances; without a holder the candidates do. With
 // many instances, one that has just read the entries waits for a peer's list before
@@ -368,7 +378,7 @@
 		changes, next, err := i.opts.Source.NewestServers(ctx)
 		return serversRead{snapshot: true, next: next, changes: changes, asOf: began}, err
 	}
-	wait := i.nextServersWait(immediate)
+	wait := i.untilExpiry(i.nextServersWait(immediate))
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
 	changes, next, err := i.opts.Source.NextServers(ctx, pos, wait)
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -131,3 +131,35 @@
 	i.setServers([]topology.Server{{ID: "s", Born: time.UnixMilli(1)}})
 	require.False(t, i.currentView().Servers[0].Leaving, "it restarted")
 }
+
+// removedSource is a store in which a server's entry has been removed.
+type removedSource struct{ topology.Source }
+
+// NextServers implements topology.Source.
+func (removedSource) NextServers(_ context.Context, from topology.Position, wait time.Duration) ([]topology.ServerChange, topology.Position, error) {
+	if from.Offset < 2 {
+		return []topology.ServerChange{{ID: "s"}}, topology.Position{Offset: 2}, nil
+	}
+	time.Sleep(wait)
+	return nil, from, nil
+}
+
+// A server whose entry was removed just after an outage must not be used until the end of
+// whichever read comes after the time in which the entry may come back.
+func TestServerKeptAfterAnOutageIsNotKeptUntilTheNextReadEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		returned := time.Now()
+		i := newTestInstance(removedSource{})
+		i.servers.applyRead(serversRead{asOf: returned, snapshot: true, next: topology.Position{Offset: 1}, changes: serverChanges(false)}, i.setServers)
+		i.servers.onStoreReturn(returned)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- i.followServers(ctx) }()
+		time.Sleep(time.Second)
+		require.Len(t, i.currentView().Servers, 1, "the entry may only have expired")
+		time.Sleep(1200 * time.Millisecond)
+		require.Empty(t, i.currentView().Servers)
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// nextExpiry returns when the first of the servers that are kept without an entry has been
+// kept long enough; zero: there are none.
+func (l *serverList) nextExpiry() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.NextExpiry()
+}
+
 // keptCount returns how many servers are kept without an entry.
 func (l *serverList) keptCount() int {
 	l.mu.Lock()
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -200,6 +200,18 @@
 	return len(f.keptUntil) < before
 }
 
+// NextExpiry returns when the first of the servers that are kept without an entry has been
+// kept long enough; zero: there are none.
+func (f *Fleet) NextExpiry() time.Time {
+	var next time.Time
+	for _, until := range f.keptUntil {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	return next
+}
+
 // RemoveExpired removes the servers without an entry that are not kept any more, and
 // reports whether there were any. Only an instance that reads the store does so: others
 // must keep the list of the instance that they get theirs from.
