instance: an instance whose knowledge nothing confirms asks others

What callers saw: while the store refused 4 of 9 instances for 9 s, these sent requests to servers that others had listed as leaving up to 8.2 s before, and served a configuration 9 s old.

Cause: an instance learned from the store or from the one lease holder that it knew. Refused together with its holder it asked nobody else, and the holder took itself for the holder until the store answered again.

A holder that hears of a token as high as its own has lost the lease; others go to the token's holder. A gap to a newer configuration is logged once.

--- a/instance/directory.go
+++ b/instance/directory.go
@@ -65,6 +65,7 @@
 	competeFrom time.Time // the instance doesn't compete for the lease earlier
 
 	holder           string    // the holder's address; empty: unknown
+	token            int64     // the highest known fencing token
 	holderAnsweredAt time.Time // when the holder last answered
 	orderingAt       time.Time // when the holder last reported that it may order, or became known
 	namedByStore     bool      // the store named the holder, and it hasn't answered since
@@ -136,6 +137,19 @@
 	l.holder, l.orderingAt, l.namedByStore = holder, now, holder != ""
 }
 
+// onToken records the highest fencing token that this instance has heard of and the address
+// of the instance that won it. A new one means that the lease has passed on, whatever the
+// previous holder says.
+func (l *holderLocator) onToken(now time.Time, token int64, holder string) {
+	if token <= l.token || holder == "" {
+		return
+	}
+	l.token = token
+	if holder != l.holder {
+		l.holder, l.orderingAt, l.unanswered, l.namedByStore = holder, now, 0, false
+	}
+}
+
 // shouldCompete reports whether this instance should compete for the lease, after the
 // store named no holder or one that no longer holds the lease. After all instances were
 // killed, the store names the previous holder for seconds. Instances that waited for the
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -141,14 +141,16 @@
 	return nil
 }
 
-// noteConfigConfirmed records that the configuration in force was the newest at the
-// given time. Times before the recorded one are ignored.
-func (i *Instance) noteConfigConfirmed(at time.Time) {
+// noteConfigConfirmed records that the configuration in force was the newest at the given
+// time, and reports whether that is later than the recorded time.
+func (i *Instance) noteConfigConfirmed(at time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if at.After(i.configConfirmedAt) {
-		i.configConfirmedAt = at
+	if !at.After(i.configConfirmedAt) {
+		return false
 	}
+	i.configConfirmedAt = at
+	return true
 }
 
 // logCanceledConfigRead logs that a read of configurations was canceled before the
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -58,11 +58,15 @@
 	storeFailedAt     time.Time          // when the store last failed to answer
 	orderingAt        time.Time          // when a lease holder last reported that it may order
 	peerStatus        peerStatus         // last reported by the lease holder or a candidate
+	peers             []string           // addresses of the candidates, as last reported by the lease holder
+	otherPeers        []string           // addresses of further instances, see notePeers
 	cancelConfigRead  context.CancelFunc // cancels the configuration read in progress; nil: none
 	configReadBeganAt time.Time          // when the configuration read in progress began
 	// configConfirmedAt is when the store last confirmed, to this instance or to one that
 	// reported it, that the configuration in force was the newest; zero: never.
 	configConfirmedAt time.Time
+	loggedGap         configGap            // last logged, see noteConfigBehind
+	gapReports        int                  // reports of loggedGap
 	era               int64                // newest known era of the store, 0: none
 	eraWarned         int64                // the known era when a missing or older one was last logged
 	viewChanged       chan struct{}        // signaled after the view changed; buffers one signal
@@ -150,6 +154,7 @@
 			supervise.Duty{Name: "lease", Run: i.runLease},
 			supervise.Duty{Name: "orders", Run: i.controller.Run},
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
+			supervise.Duty{Name: "learn", Run: newLearner(i).run},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: frontend.serveCallers},
 			supervise.Duty{Name: "health", Run: frontend.serveHealth},
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -197,10 +197,7 @@
 	if !ok || l.asOf.IsZero() {
 		return nil
 	}
-	out := &exchange.ServerSteps{Digest: l.fleet.Digest(), Position: l.readPosition.Offset, Era: l.readPosition.Era, AgeMs: uint32(now.Sub(l.asOf).Milliseconds())}
-	for n := range deltas {
-		out.Steps = append(out.Steps, wireStep(&deltas[n]))
-	}
+	out := l.wireSteps(now, deltas)
 	if loads == nil {
 		return out
 	}
@@ -212,6 +209,46 @@
 	return out
 }
 
+// stepsOrAll returns the steps from another instance's list, given by its digest and
+// position, to this one, or the whole list if the steps aren't kept. It returns nil if the
+// other list is newer.
+func (l *serverList) stepsOrAll(now time.Time, digest uint64, at topology.Position) *exchange.ServerSteps {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asOf.IsZero() || l.readPosition.Before(at) {
+		return nil
+	}
+	if deltas, ok := l.fleet.DeltasSince(digest); ok {
+		return l.wireSteps(now, deltas)
+	}
+	out := l.wireSteps(now, l.fleet.All())
+	out.Full = true
+	return out
+}
+
+// wireSteps encodes deltas that lead to the current list. The caller must hold mu.
+func (l *serverList) wireSteps(now time.Time, deltas []topology.Delta) *exchange.ServerSteps {
+	out := &exchange.ServerSteps{Digest: l.fleet.Digest(), Position: l.readPosition.Offset, Era: l.readPosition.Era, AgeMs: uint32(now.Sub(l.asOf).Milliseconds())}
+	for n := range deltas {
+		out.Steps = append(out.Steps, wireStep(&deltas[n]))
+	}
+	return out
+}
+
+// digestAndPosition identifies the list to another instance.
+func (l *serverList) digestAndPosition() (uint64, topology.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.Digest(), l.readPosition
+}
+
+// age returns how long ago the store confirmed the list, to this instance or another.
+func (l *serverList) age(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.asOf)
+}
+
 // applySteps applies the steps in another instance's response to a request that was sent
 // at the given time and named the list with the given digest, and calls onChange if the
 // list changed. It returns the loads by server, or nil if that instance's list differs from
@@ -223,7 +260,7 @@
 	if steps == nil {
 		return nil
 	}
-	sameList := l.fleet.Digest() == asked // a read may have changed it meanwhile
+	sameList := steps.GetFull() || l.fleet.Digest() == asked // a read may have changed it meanwhile
 	if sameList && !stepsPosition(steps).Before(l.readPosition) {
 		l.applyDeltas(sent, steps, stepsAsOf, onChange)
 	}
@@ -254,7 +291,11 @@
 	}
 	before, from := l.fleet.Digest(), l.readPosition
 	defer l.logKept(l.fleet.Kept(), from)
-	if l.fleet.ApplyDeltas(now, deltas, steps.GetDigest()) {
+	apply := l.fleet.ApplyDeltas
+	if steps.GetFull() {
+		apply = l.fleet.ApplyAll
+	}
+	if apply(now, deltas, steps.GetDigest()) {
 		l.readPosition, l.asOf = stepsPosition(steps), later(l.asOf, stepsAsOf)
 		l.holderListValidUntil = later(l.holderListValidUntil, stepsAsOf.Add(holderListTTL))
 	} else {
@@ -282,6 +323,7 @@
 func wireStep(d *topology.Delta) *exchange.ServerStep {
 	out := &exchange.ServerStep{Id: d.ID, Gone: d.Gone, NoEntry: d.NoEntry, Added: wireModels(d.Added), Lost: wireModels(d.Lost)}
 	if s := d.Server; s != nil {
+		out.NoEntry = s.NoEntry
 		out.Server = &exchange.Server{
 			Service: s.Service, Addr: s.Addr, FailureDomain: s.Domain, Slots: uint32(s.Slots), Leaving: s.Leaving,
 			BornMs: s.Born.UnixMilli(), Models: wireModels(s.Models), OnDisk: s.OnDisk,
@@ -296,7 +338,9 @@
 		d.Server = &topology.Server{
 			ID: s.GetId(), Service: w.GetService(), Addr: w.GetAddr(), Domain: w.GetFailureDomain(), Slots: int(w.GetSlots()),
 			Leaving: w.GetLeaving(), Born: time.UnixMilli(w.GetBornMs()), Models: modelsFromWire(w.GetModels()), OnDisk: w.GetOnDisk(),
+			NoEntry: s.GetNoEntry(),
 		}
+		d.NoEntry = false // said by the description
 	}
 	return d
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -128,12 +128,16 @@
 	if i.lease.Holds() {
 		summary, err := i.controller.HandleReport(time.Now(), report)
 		if err == nil {
+			i.setPeers(summary.Candidates)
 			i.lease.ObserveHolder(summary.Chosen) // a holder that loses the lease stays a candidate
 			i.update(time.Now(), summary)
 			i.setPeerStatus(peerStatus{receivedAt: time.Now(), version: summary.Version})
 		}
 		return // on an error the lease was just lost, and the next sync finds the new holder
 	}
+	if t := i.lease.Token(); t.Holder != i.lease.Member() {
+		s.holderLocator.onToken(time.Now(), t.Number, memberAddr(t.Holder))
+	}
 	for range 2 {
 		if s.holderLocator.shouldQueryStore(time.Now(), i.lease.Stands(), i.instanceCount()) {
 			s.queryStore(ctx)
@@ -195,6 +199,7 @@
 		s.candidates = summary.Candidates
 		i.log.WithFields(logrus.Fields{"candidates": len(s.candidates), "chosen": summary.Chosen}).Info("lease candidates told")
 		s.holderLocator.update(s.candidates)
+		i.setPeers(s.candidates)
 	}
 	i.lease.ObserveHolder(summary.Chosen)
 	i.update(sent, summary)
@@ -298,6 +303,7 @@
 // Sync implements exchange.Exchange.
 func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
 	report := reportFromWire(req)
+	e.instance.notePeers(req.GetAddr())
 	e.instance.observeEra(req.GetStoreEra(), "instance")
 	e.instance.lease.ObserveToken(tokenFromWire(req.GetToken()))
 	e.instance.addLeavingServers(report.Leaving)
@@ -364,8 +370,7 @@
 // update applies the lease holder's summary of all instances, received in response to a
 // report that was sent at the given time.
 func (i *Instance) update(sent time.Time, s residency.Summary) {
-	if version := i.configVersion(); version != 0 && s.Version > version {
-		i.log.WithFields(logrus.Fields{"version": version, "newest": s.Version, "read_ms": i.configReadAge()}).Warn("configuration behind other instances")
+	if i.noteConfigBehind(s.Version) {
 		i.restartConfigRead(minCancelableReadAge)
 	}
 	i.mu.Lock()
@@ -397,6 +402,28 @@
 	}
 }
 
+// noteConfigBehind reports whether another instance has a newer configuration in force
+// than this one, and logs each time that the two versions change.
+func (i *Instance) noteConfigBehind(newest int64) bool {
+	version, readMs := i.configVersion(), i.configReadAge()
+	if version == 0 || newest <= version {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	behind := configGap{version, newest}
+	if behind != i.loggedGap {
+		i.log.WithFields(logrus.Fields{"version": version, "newest": newest, "read_ms": readMs, "together": i.gapReports}).Warn("configuration behind other instances")
+		i.loggedGap, i.gapReports = behind, 0
+	}
+	i.gapReports++
+	return true
+}
+
+// configGap is the version of the configuration in force and a newer one that another
+// instance has.
+type configGap struct{ version, newest int64 }
+
 // updateExpected recomputes whether requests should wait for a model that no server
 // holds. The caller must hold mu.
 func (i *Instance) updateExpected() {
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -98,6 +98,9 @@
 	return &Lease{group: g, member: member, ttl: ttl, clock: clock, log: log, joinSignal: make(chan struct{}, 1)}
 }
 
+// Member returns the name under which this instance competes.
+func (l *Lease) Member() string { return l.member }
+
 // OnRecovery sets a function to call whenever a renewal is answered after one was not,
 // which means that the store or the connection to it is back. It must be called before
 // Run.
@@ -231,19 +234,26 @@
 	}
 }
 
-// ObserveToken processes a fencing token that another instance reported. During the
-// takeover wait, before the first order, it raises the token of a held lease above the
-// reported one.
+// ObserveToken processes a fencing token that another instance reported. If it is as high
+// as that of a held lease, another member has won the lease meanwhile, and this one has
+// lost it. During the takeover wait, before the first order, the own token is raised
+// instead: the other member may be the previous holder.
 func (l *Lease) ObserveToken(t Token) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if t.Number <= l.otherToken.Number || t.Holder == l.member {
+		l.mu.Unlock()
 		return
 	}
 	l.otherToken = t
-	if l.epoch != 0 && l.epoch <= t.Number && l.clock()-l.wonAt < takeoverWait {
+	superseded := l.epoch != 0 && l.epoch <= t.Number
+	if superseded && l.clock()-l.wonAt < takeoverWait {
 		l.epoch, l.ownToken = t.Number+1, t.Number+1
 		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "other_token": t.Number, "other_holder": t.Holder}).Info("lease's token raised")
+		superseded = false
+	}
+	l.mu.Unlock()
+	if superseded {
+		l.lose("superseded by " + t.Holder)
 	}
 }
 
--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -94,7 +94,7 @@
 	if !known || d.Gone {
 		f.ids = nil
 	}
-	if !d.NoEntry {
+	if !d.NoEntry && (d.Server == nil || !d.Server.NoEntry) {
 		delete(f.keptUntil, d.ID)
 	}
 	if d.Gone {
@@ -149,6 +149,41 @@
 	return f.digest == digest
 }
 
+// All returns deltas that describe the whole list.
+func (f *Fleet) All() []Delta {
+	out := make([]Delta, 0, len(f.servers))
+	for _, id := range f.IDs() {
+		s := f.servers[id]
+		out = append(out, Delta{ID: id, Server: &s})
+	}
+	return out
+}
+
+// ApplyAll replaces the list by another instance's, described by All, and reports whether
+// the result is the list with the digest.
+func (f *Fleet) ApplyAll(now time.Time, all []Delta, digest uint64) bool {
+	listed := map[string]bool{}
+	for _, d := range all {
+		listed[d.ID] = true
+	}
+	for _, id := range slices.Clone(f.IDs()) {
+		if !listed[id] {
+			f.applyDelta(Delta{ID: id, Gone: true})
+		}
+	}
+	for _, d := range all {
+		old, known := f.servers[d.ID]
+		if d.Server == nil || known && old.Equal(d.Server) {
+			continue
+		}
+		if d.Server.NoEntry {
+			f.keepForRestore(now, d.ID)
+		}
+		f.applyDelta(d)
+	}
+	return f.digest == digest
+}
+
 // Reset replaces all entries by the newest entry of each server, and reports whether the
 // list changed.
 func (f *Fleet) Reset(now time.Time, entries []ServerChange) bool {
--- a/topology/source.go
+++ b/topology/source.go
@@ -37,6 +37,8 @@
 type Source interface {
 	NewestConfig(ctx context.Context) (*Config, Position, error)
 	NextConfig(ctx context.Context, from Position, wait time.Duration) (*Config, Position, error)
+	// DecodeConfig decodes the Record of a Config that another instance has read.
+	DecodeConfig(record []byte) (*Config, error)
 	NewestServers(ctx context.Context) ([]ServerChange, Position, error)
 	NextServers(ctx context.Context, from Position, wait time.Duration) ([]ServerChange, Position, error)
 }
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -27,6 +27,7 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	Record   []byte // as read from the store; instances pass it on to each other
 }
 
 // Route maps the requests for a host and a path prefix to services.
