--- a/decide/pump.go
+++ b/decide/dequeue.go
@@ -5,11 +5,11 @@
 // assumedGoal is the first-token goal that is assumed before a request is selected.
 const assumedGoal = time.Second
 
-// pumpServer gives the server's free slots to queued requests for targets there. The
+// dequeueForServer gives the server's free slots to queued requests for targets there. The
 // partner with the smallest share of the pool for its weight goes first: idle capacity is
 // lent and taken back slot by slot as soon as its owner has requests. Within a partner the
 // request with the earliest latest start goes first.
-func (s *Scheduler) pumpServer(now time.Time, srv *serverState) {
+func (s *Scheduler) dequeueForServer(now time.Time, srv *serverState) {
 	s.fillLevel = fillServerQueue
 	if srv.rateLimit.Named {
 		s.fillLevel = fillRateLimited
@@ -61,9 +61,9 @@
 	return a.queueKey < b.queueKey
 }
 
-// pumpAll refuses queued requests that would miss their deadline, then starts the first of
+// dequeueAll refuses queued requests that would miss their deadline, then starts the first of
 // each queue in turn for as long as any can start.
-func (s *Scheduler) pumpAll(now time.Time) {
+func (s *Scheduler) dequeueAll(now time.Time) {
 	n := len(s.fleet.sortedTargets)
 	if n == 0 {
 		return
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -136,7 +136,7 @@
 	}
 	req.firstTokenSeen = true
 	req.dispatchedTo.unread -= req.PromptTokens
-	s.pumpServer(now, req.dispatchedTo)
+	s.dequeueForServer(now, req.dispatchedTo)
 	return s.out
 }
 
--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -154,7 +154,7 @@
 			l.grants = append(l.grants, grant{share.Granted, sent.Add(GrantTTL)})
 		}
 		s.scheduleTurns(l)
-		s.pumpServer(now, srv)
+		s.dequeueForServer(now, srv)
 	}
 	s.rateLimitActive = s.RateLimitedServers() > 0
 	return changes, s.out
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -70,7 +70,7 @@
 			srv.drawQuota(now, s.rng)
 		}
 	}
-	s.pumpAll(now)
+	s.dequeueAll(now)
 	return s.out
 }
 
@@ -118,7 +118,7 @@
 	default:
 		s.route(now, req)
 	}
-	s.pumpServer(now, srv)
+	s.dequeueForServer(now, srv)
 	return s.out
 }
 
@@ -155,7 +155,7 @@
 	if srv := s.fleet.servers[server]; srv != nil {
 		srv.updateLoad(now, load, age)
 		srv.updateQuota(now, load.Contending, s.rng)
-		s.pumpServer(now, srv)
+		s.dequeueForServer(now, srv)
 	}
 	return s.out
 }
@@ -172,7 +172,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.out = s.out[:0]
 	if s.queued > 0 {
-		s.pumpAll(now)
+		s.dequeueAll(now)
 	}
 	return s.out
 }
@@ -311,7 +311,7 @@
 	s.release(now, req)
 	s.forget(req)
 	if srv != nil {
-		s.pumpServer(now, srv)
+		s.dequeueForServer(now, srv)
 	}
 }
 
