--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,7 @@
 // Options configures a run.
 type Options struct {
 	Binary      string // path of the executable
+	OtherBinary string // path of the executable of every second instance; empty: Binary
 	Seed        uint64
 	FaultPeriod time.Duration // period in which faults start
 	Bounds      Bounds
@@ -47,7 +48,7 @@
 // Run plays one seed: it injects faults, waits until everything has recovered, and checks
 // the deployment without faults. An error means that the run itself failed.
 func Run(o Options) (*Report, error) {
-	d, err := newDeployment(deploymentOptions{Binary: o.Binary, Run: int(o.Seed)})
+	d, err := newDeployment(deploymentOptions{Binary: o.Binary, OtherBinary: o.OtherBinary, Run: int(o.Seed)})
 	if err != nil {
 		return nil, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	firstSeed      = flag.Uint64("first", 1, "first seed")
 	concurrentRuns = flag.Int("at-once", 3, "number of concurrent deployments")
 	length         = flag.Duration("length", 8*time.Second, "period in which faults start")
+	otherBinary    = flag.String("other", "", "executable of another build, for every second instance")
 	keepLogs       = flag.Bool("keep", false, "keep the instances' logs also of runs without violations")
 )
 
@@ -91,7 +92,7 @@
 	for n := range *seedCount {
 		running <- struct{}{}
 		group.Go(func() {
-			runSeed(t, Options{Binary: path, Seed: *firstSeed + uint64(n), FaultPeriod: *length, Bounds: RequiredBounds})
+			runSeed(t, Options{Binary: path, OtherBinary: *otherBinary, Seed: *firstSeed + uint64(n), FaultPeriod: *length, Bounds: RequiredBounds})
 			<-running
 		})
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -65,8 +65,9 @@
 
 // deploymentOptions configures a Deployment.
 type deploymentOptions struct {
-	Binary string // path of the executable
-	Run    int    // sets the addresses; concurrent deployments need different values modulo 250
+	Binary      string // path of the executable
+	OtherBinary string // path of the executable of every second instance; empty: Binary
+	Run         int    // sets the addresses; concurrent deployments need different values modulo 250
 }
 
 // newDeployment starts the store, the servers and the instances.
@@ -104,8 +105,12 @@
 		return nil, err
 	}
 	for n := range instancesPerDomain * len(domains) {
+		binary := o.Binary
+		if o.OtherBinary != "" && n%2 == 1 {
+			binary = o.OtherBinary
+		}
 		p, err := newProcess(processOptions{
-			Binary: o.Binary, Dir: d.dir, IP: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, o.Run%250, n+1),
+			Binary: binary, Dir: d.dir, IP: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, o.Run%250, n+1),
 			Name: fmt.Sprint("front-", n), Domain: domains[n%len(domains)], Domains: domains, StoreAddr: addr,
 		})
 		if err != nil {
