--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -68,16 +68,16 @@
 	if n == 0 {
 		return
 	}
-	s.pumpOffset++
+	s.dequeueOffset++
 	for i := range n {
-		if t := s.fleet.sortedTargets[(s.pumpOffset+i)%n]; t.queue.len() > 0 {
+		if t := s.fleet.sortedTargets[(s.dequeueOffset+i)%n]; t.queue.len() > 0 {
 			s.expireQueued(now, t)
 		}
 	}
 	for progress := true; progress && s.queued > 0; {
 		progress = false
 		for i := range n {
-			if t := s.fleet.sortedTargets[(s.pumpOffset+i)%n]; t.queue.len() > 0 && s.startNext(now, t) {
+			if t := s.fleet.sortedTargets[(s.dequeueOffset+i)%n]; t.queue.len() > 0 && s.startNext(now, t) {
 				progress = true
 			}
 		}
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -66,8 +66,13 @@
 // run is the duty.
 func (l *learner) run(ctx context.Context) error {
 	defer func() { _ = l.asks.Wait() }() // no error is returned
+	outOfDate := false
 	for supervise.Pause(ctx, l.interval(time.Now())) {
-		if !l.instance.isOutOfDate(time.Now()) {
+		if now := l.instance.isOutOfDate(time.Now()); now != outOfDate {
+			outOfDate = now
+			l.logState(outOfDate)
+		}
+		if !outOfDate {
 			l.noteNews(l.preferredPeer())
 			continue
 		}
@@ -81,6 +86,21 @@
 	return nil
 }
 
+// logState logs that the instance's knowledge is out of date, or no longer is.
+func (l *learner) logState(outOfDate bool) {
+	i := l.instance
+	i.mu.Lock()
+	fields := logrus.Fields{"confirmed_ms": ageMs(i.configConfirmedAt)}
+	i.mu.Unlock()
+	fields["list_ms"] = int64(i.servers.ageSeconds() * 1000)
+	if outOfDate {
+		i.log.WithFields(fields).Warn("knowledge out of date, asking other instances")
+		return
+	}
+	fields["peer"] = l.preferredPeer()
+	i.log.WithFields(fields).Info("knowledge confirmed again")
+}
+
 // interval returns the pause before the next round.
 func (l *learner) interval(now time.Time) time.Duration {
 	l.mu.Lock()
@@ -193,6 +213,7 @@
 // ask asks one instance and takes over what is newer than this instance's own knowledge.
 func (l *learner) ask(ctx context.Context, addr string) {
 	i := l.instance
+	i.metrics.peerQuestions.Inc()
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	sent := time.Now()
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -28,6 +28,7 @@
 	sentRateLimited prometheus.Counter
 	storeFailures   prometheus.Counter
 	storeEras       prometheus.Counter
+	peerQuestions   prometheus.Counter
 	duration        prometheus.Histogram
 	firstByte       prometheus.Histogram
 	wait            prometheus.Histogram
@@ -56,6 +57,9 @@
 		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_eras_total", Help: "Times that the platform's store came back from an older copy.",
 		}),
+		peerQuestions: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "peer_questions_total", Help: "Questions to other instances while this one's knowledge was out of date.",
+		}),
 		duration:  histogram("request_seconds", "From a request's arrival to its end."),
 		firstByte: histogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
 		wait:      histogram("wait_seconds", "From a request's arrival to its first attempt."),
@@ -64,7 +68,7 @@
 			Namespace: namespace, Name: "store_call_seconds", Help: "Reads of the platform's store, their waiting included.", Buckets: latencyBuckets,
 		}, []string{"read"}),
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.storeEras, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls)
 	return m
 }
 
