--- a/instance/learn.go
+++ b/instance/learn.go
@@ -33,12 +33,13 @@
 	// maxOpenQuestions bounds the questions under way: instances that are cut off answer
 	// none, and must not hold up the next round.
 	maxOpenQuestions = 3 * learnFanoutFew
-	// outOfDateAge is the age from which the list of servers and the configuration count
-	// as out of date. Confirmed by the lease holder, they are at most 1.1 s old. With
-	// more than manyInstances the holder is asked less often, and their ages are at most
-	// holderListTTL and configConfirmationTTL.
-	outOfDateAge = 1200 * time.Millisecond
-	// unconfirmedAge replaces outOfDateAge while the store doesn't answer this instance or
+	// outOfDateListAge and outOfDateConfigAge are the ages from which the list of servers
+	// and the configuration count as out of date. Confirmed by the lease holder, they are
+	// younger, also just after a change. With more than manyInstances the holder is asked
+	// less often, and their ages are at most holderListTTL and configConfirmationTTL.
+	outOfDateListAge   = 1200 * time.Millisecond
+	outOfDateConfigAge = 1420 * time.Millisecond
+	// unconfirmedAge replaces both while the store doesn't answer this instance or
 	// the one that it syncs with.
 	unconfirmedAge = 500 * time.Millisecond
 )
@@ -127,7 +128,7 @@
 // isOutOfDate reports whether neither the store nor another instance has confirmed the
 // list of servers or the configuration lately.
 func (i *Instance) isOutOfDate(now time.Time) bool {
-	maxList, maxConfig := outOfDateAge, outOfDateAge
+	maxList, maxConfig := outOfDateListAge, outOfDateConfigAge
 	if i.instanceCount() > manyInstances {
 		maxList, maxConfig = holderListTTL, configConfirmationTTL
 	}
