--- a/instance/instance.go
+++ b/instance/instance.go
@@ -4,8 +4,9 @@
 // the platform's store, relays callers' requests, and competes for the lease whose holder
 // decides which models the servers hold. The syncer reports demand, load and server state
 // to the lease holder and applies its summary of all instances. The holderLocator decides
-// which instance to report to. The serverList is read from the store or copied from the
-// lease holder. The frontend serves callers, health checks and metrics.
+// which instance to report to. The learner asks other instances while nothing confirms what
+// this one knows. The serverList is read from the store or copied from another instance.
+// The frontend serves callers, health checks and metrics.
 package instance
 
 import (
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -64,13 +64,13 @@
 	return l
 }
 
-// run is the duty.
+// run is the duty. It asks in rounds while the instance is out of date.
 func (l *learner) run(ctx context.Context) error {
 	defer func() { _ = l.asks.Wait() }() // no error is returned
 	outOfDate := false
 	for supervise.Pause(ctx, l.interval(time.Now())) {
-		if now := l.instance.isOutOfDate(time.Now()); now != outOfDate {
-			outOfDate = now
+		if is := l.instance.isOutOfDate(time.Now()); is != outOfDate {
+			outOfDate = is
 			l.logState(outOfDate)
 		}
 		if !outOfDate {
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -24,15 +24,15 @@
 const holderListTTL = 1400 * time.Millisecond
 
 // serverList is the instance's list of servers, either read from the store or copied from
-// the lease holder. Both ways apply the same steps and so lead to the same lists. A
+// the lease holder or another instance. Both ways apply the same steps and so lead to the same lists. A
 // digest identifies each list, so that two instances can compare theirs.
 type serverList struct {
 	log                  logrus.FieldLogger
 	mu                   sync.Mutex
 	fleet                *topology.Fleet
 	readPosition         topology.Position // position in the store up to which the list was read
-	asOf                 time.Time         // when the store confirmed the list, to this instance or the holder
-	holderListValidUntil time.Time         // until then the holder's list replaces a read of the store
+	asOf                 time.Time         // when the store confirmed the list, to this instance or another
+	holderListValidUntil time.Time         // until then the list of the holder, or of another instance, replaces a read of the store
 }
 
 func newServerList(log logrus.FieldLogger) *serverList {
@@ -279,11 +279,11 @@
 // servers write about once a second, and an entry expires after three missed times.
 const maxListGap = 2 * time.Second
 
-// applyDeltas applies the holder's steps, which were current at stepsAsOf. The caller
+// applyDeltas applies another instance's steps, which were current at stepsAsOf. The caller
 // must hold mu.
 func (l *serverList) applyDeltas(now time.Time, steps *exchange.ServerSteps, stepsAsOf time.Time, onChange func([]topology.Server)) {
 	if !l.asOf.IsZero() && stepsAsOf.Sub(l.asOf) > maxListGap {
-		l.fleet.StoreRecovered(stepsAsOf) // there may have been an outage that only the holder noticed the end of
+		l.fleet.StoreRecovered(stepsAsOf) // an outage may have ended, as only the other instance noticed
 	}
 	deltas := make([]topology.Delta, 0, len(steps.GetSteps()))
 	for _, s := range steps.GetSteps() {
