--- a/instance/directory_test.go
+++ b/instance/directory_test.go
@@ -109,3 +109,17 @@
 	l.onHolderAnswer(testStart, "h", true, false)
 	require.False(t, l.namedByStore, "it answered: if it is lost now, another candidate takes over")
 }
+
+// An instance must leave a holder that the store refuses for the one that won the lease
+// since, and not go back to it.
+func TestANewerTokenNamesTheHolder(t *testing.T) {
+	l := locatorWithCandidates("x1")
+	l.onToken(testStart, 10, "x1")
+	require.Equal(t, "x1", l.holder)
+	l.onToken(testStart, 12, "y1")
+	require.Equal(t, "y1", l.holder)
+	l.onToken(testStart, 10, "x1")
+	require.Equal(t, "y1", l.holder, "an older token changes nothing")
+	l.onToken(testStart, 13, "")
+	require.Equal(t, "y1", l.holder, "a member without an address can't be asked")
+}
--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -360,3 +360,32 @@
 		}
 	}
 }
+
+// What another instance says must never make an instance forget what it knows.
+func TestOlderOrUnusableKnowledgeIsIgnored(t *testing.T) {
+	i := newTestInstance(refusingSource{})
+	i.setConfig(spreadConfig(5))
+	i.servers.applyRead(serversRead{asOf: time.Now(), snapshot: true, next: topology.Position{Era: 2, Offset: 9}, changes: serverChanges(false)}, i.setServers)
+	i.observeEra(2, "store")
+	req := i.stateRequest()
+	for _, res := range []*exchange.StateResponse{
+		{},
+		{StoreEra: 1, Servers: &exchange.ServerSteps{Full: true, Position: 100, Era: 1}},
+		{StoreEra: 2, Servers: &exchange.ServerSteps{Full: true, Position: 8, Era: 2}},
+		{StoreEra: 2, Config: []byte("not a configuration"), ConfigVersion: 6},
+		{StoreEra: 2, ConfigVersion: 4},
+	} {
+		require.False(t, i.learnState(time.Now(), "10.0.0.1:1", req, res), "%v", res)
+		require.EqualValues(t, 5, i.configVersion())
+		require.Len(t, i.currentView().Servers, 1)
+		require.Equal(t, topology.Position{Era: 2, Offset: 9}, i.servers.position())
+	}
+}
+
+// refusingSource can't decode any configuration.
+type refusingSource struct{ topology.Source }
+
+// DecodeConfig implements topology.Source.
+func (refusingSource) DecodeConfig([]byte) (*topology.Config, error) {
+	return nil, &infra.Error{Op: "decode", Reason: infra.ReasonProtocol}
+}
--- a/instance/servers_test.go
+++ b/instance/servers_test.go
@@ -243,3 +243,19 @@
 	require.Equal(t, []string{"a"}, serverIDs(l))
 	require.Equal(t, topology.Position{Offset: 2}, l.position(), "its own list is as good as before")
 }
+
+// A list that no steps lead to must be taken over whole, servers without an entry included.
+func TestListWithoutCommonStepsIsTakenWhole(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	other, l := newTestServerList(now, "a", "b", "c"), newTestServerList(now, "x", "b")
+	other.onStoreReturn(now)
+	applyAt(other, now, serversRead{from: topology.Position{Offset: 1}, next: topology.Position{Offset: 7}, changes: []topology.ServerChange{{ID: "c"}}})
+	digest, at := l.digestAndPosition()
+	answer := other.stepsOrAll(now, digest, at)
+	require.True(t, answer.GetFull())
+	l.applySteps(now, digest, answer, ignoreServers)
+	require.Equal(t, other.digest(), l.digest())
+	require.Equal(t, []string{"a", "b"}, serverIDs(l), "it has reached the store all the while")
+	require.Equal(t, topology.Position{Offset: 7}, l.position())
+	require.Nil(t, l.stepsOrAll(now, other.digest(), topology.Position{Offset: 8}), "the other list is newer")
+}
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -328,3 +328,30 @@
 		}
 	})
 }
+
+// A holder that can't reach the store must not go on as the holder once it hears that
+// another member has won the lease.
+func TestHolderThatHearsOfANewerTokenHasLostTheLease(t *testing.T) {
+	now := time.Duration(0)
+	clock := func() time.Duration { return now }
+	g := newFakeGroup(clock)
+	l := NewLease(g, "a", 3*time.Second, clock, quietLog())
+	l.renew(t.Context())
+	for now < takeoverWait {
+		now += renewInterval
+		l.renew(t.Context())
+	}
+	own := l.Token()
+	l.ObserveToken(Token{Number: own.Number - 1, Holder: "b"})
+	require.True(t, l.Holds(), "an older token changes nothing")
+	g.down = true
+	l.ObserveToken(Token{Number: own.Number + 4, Holder: "b"})
+	require.False(t, l.Holds())
+	require.Zero(t, l.Epoch(func() bool { return true }))
+	require.Equal(t, Token{Number: own.Number + 4, Holder: "b"}, l.Token())
+	g.down = false
+	l.renew(t.Context())
+	require.True(t, l.Holds(), "the store still names it")
+	require.Greater(t, l.Token().Number, own.Number+4)
+	require.Zero(t, l.Epoch(notUnreachable), "it waits as any new holder does")
+}
