--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -22,7 +22,7 @@
 	queued               int
 	prefixIndex          prefixIndex
 	draining             bool
-	dequeueOffset           int
+	dequeueOffset        int
 	localFillLimit       float64 // see Table.LocalFillLimit
 	rationing            rationing
 	rateLimitActive      bool // some server has an active rate limit
