relay, platform: client accounts and their API keys

A request is checked before its body is read, again after that, and again at dispatch if the configuration has changed: a key that was taken away gets 401, one that moved to another account 503. An account's priority goes before its route's. While the configuration in force was not confirmed within config-ms, a missing key or route is answered with 503, not for good; with strict-revoke no key is accepted beyond revoke-ms. A lookup compares digests by hash, so nothing about keys shows in its duration.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -83,7 +83,7 @@
 		limits:      make(chan topology.Limits, 1),
 		servers:     newServerList(o.Log),
 	}
-	i.relay = relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, OnLeaving: i.addLeavingServer})
+	i.relay = relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, OnLeaving: i.addLeavingServer, Trust: i.configTrust})
 	i.frontend = newFrontend(i)
 	i.node.Store(o.Node)
 	i.view.LoadOnDemand = true
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -72,8 +72,14 @@
 }
 
 func (d *deployment) start(name, domain string) *runningInstance {
+	return d.startWith(name, domain, func(*topology.Node) {})
+}
+
+// startWith starts an instance with changed settings.
+func (d *deployment) startWith(name, domain string, change func(*topology.Node)) *runningInstance {
 	node, err := d.site.Node(name, domain)
 	require.NoError(d.t, err)
+	change(node)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	transport := netconn.Transport(4, time.Second)
@@ -125,6 +131,12 @@
 // send sends a request through an instance and returns its status, its id and its body;
 // status 0: no complete answer.
 func (d *deployment) send(r *runningInstance, path, model string) (int, string, string) {
+	d.t.Helper()
+	return d.sendWithKey(r, path, model, "")
+}
+
+// sendWithKey is like send, with an API key unless it is empty.
+func (d *deployment) sendWithKey(r *runningInstance, path, model, key string) (int, string, string) {
 	d.t.Helper()
 	id := fmt.Sprintf("%016x", d.lastRequestID.Add(1))
 	req, err := http.NewRequest("POST", "http://"+r.node.CallersAddr+path, strings.NewReader("body"))
@@ -132,6 +144,9 @@
 	req.Host = standin.Host
 	req.Header.Set("Greengageferry-Request-Id", id)
 	req.Header.Set("Greengageferry-Deadline-Ms", "9000")
+	if key != "" {
+		req.Header.Set("Greengageferry-Credential", key)
+	}
 	if model != "" {
 		req.Header.Set("Greengageferry-Model", model)
 		req.Header.Set("Greengageferry-Token-Usage", "100,10")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,7 +94,8 @@
 	a := AttemptHeaders{
 		Server:    s.ID,
 		Remaining: time.Until(c.deadline),
-		Urgency:   min(topUrgency+c.route.Rank, lowestUrgency),
+		Urgency:   min(topUrgency+c.rank(), lowestUrgency),
+		Account:   c.accountName(),
 	}
 	if c.stream.started {
 		a.LastEventID = c.stream.lastID
--- a/relay/call.go
+++ b/relay/call.go
@@ -64,6 +64,7 @@
 	id            string // unique within this instance
 	configVersion int64  // of the configuration in use for the request
 	route         *topology.Route
+	account       *topology.Account // nil: the request has no known API key and needs none
 	service       *topology.Service
 	target        string
 	body          []byte
@@ -97,16 +98,18 @@
 	if !strings.HasPrefix(c.req.RequestURI, "/") || c.headers.ID == "" {
 		return c.reject(http.StatusBadRequest, "malformed")
 	}
+	if a := c.admit(v); a.status != 0 {
+		return c.respondDenied(a)
+	}
 	if status, reason := c.readBody(v.Config.Limits); status != 0 {
 		return c.reject(status, reason)
 	}
 	v = c.relay.view.Load() // reading the body may take long: use the newest configuration
-	path, _, _ := strings.Cut(c.req.RequestURI, "?")
-	c.route = v.Index.Match(c.req.Host, path)
-	if c.route == nil {
-		return c.reject(http.StatusNotFound, "no_route")
+	a := c.admit(v)
+	if a.status != 0 {
+		return c.respondDenied(a)
 	}
-	c.configVersion = v.Config.Version
+	c.setAdmission(v, a)
 	name := c.route.Pick(rand.Float64())
 	service := v.Config.Services[name]
 	c.service = &service
@@ -118,6 +121,12 @@
 	return c.run()
 }
 
+// path returns the path of the request as its caller sent it, without the query.
+func (c *call) path() string {
+	path, _, _ := strings.Cut(c.req.RequestURI, "?")
+	return path
+}
+
 func (c *call) setDeadline() {
 	timeout := defaultTimeout
 	if c.route.Timeout > 0 {
@@ -134,7 +143,7 @@
 	r := decide.Request{
 		ID:           c.id,
 		Target:       c.target,
-		Priority:     max(0, prioritizedRanks-c.route.Rank),
+		Priority:     max(0, prioritizedRanks-c.rank()),
 		Arrived:      c.arrived,
 		Deadline:     c.deadline,
 		PromptTokens: c.headers.PromptTokens,
@@ -167,6 +176,9 @@
 			if d.Action == decide.ActionRefuse {
 				return c.endOnRefusal(d)
 			}
+			if outcome := c.keyRevoked(); outcome != "" {
+				return outcome
+			}
 			if outcome := c.attempt(ctx, d); outcome != "" {
 				return outcome
 			}
@@ -222,7 +234,7 @@
 
 // reject responds that the request is invalid or has no route.
 func (c *call) reject(status int, reason string) string {
-	if status != http.StatusNotFound {
+	if status != http.StatusNotFound && status != http.StatusUnauthorized {
 		c.w.Header().Set("Connection", "close") // the following bytes may not be a request
 	}
 	c.writeStatus(status, reason)
@@ -273,6 +285,9 @@
 		f["route"] = c.route.Name
 		f["target"] = c.target
 	}
+	if c.account != nil {
+		f["account"] = c.account.Name
+	}
 	if c.lastResponse.Leaving {
 		f["server"], f["server_leaving"] = c.lastResponseServer, true
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,7 @@
 	MaxTokens    int           // upper bound of output tokens
 	LengthHint   int           // output tokens that the caller expects
 	PrefixHash   uint64        // of the prompt parts that other requests may share
+	Key          topology.KeyDigest
 }
 
 // AttemptHeaders holds the headers that an attempt has in addition to the caller's.
@@ -55,6 +56,7 @@
 	Remaining   time.Duration // time until the request's deadline
 	Urgency     int           // 1 (most urgent) to 9; 0: not set
 	LastEventID string        // resume the stream after this event; empty: keep the caller's header
+	Account     string        // name of the client account; empty: none
 }
 
 // ResponseHeaders holds the decoded headers of a server's response.
@@ -81,7 +83,17 @@
 	Metrics Metrics
 	// OnLeaving is called for each response that marks its server as leaving. It may be nil.
 	OnLeaving func(topology.ServerStart)
-	Rand      *rand.Rand // owned by the Relay
+	// Trust reports what the age of the configuration in force allows. It may be nil: the
+	// configuration is always current.
+	Trust func() ConfigTrust
+	Rand  *rand.Rand // owned by the Relay
+}
+
+// ConfigTrust is what an instance may do by a configuration that a newer one may have
+// replaced.
+type ConfigTrust struct {
+	MayReject bool // answer for good that a route or an API key doesn't exist
+	MayAccept bool // accept API keys
 }
 
 // Metrics records what happens to requests.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,12 +33,22 @@
 	if err != nil {
 		ms = 0 // not set
 	}
-	return RequestHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	r := RequestHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	if key := h.Get("Key"); key != "" {
+		r.Key = topology.DigestKey(key)
+	}
+	return r
 }
 
 func (testHeaders) SetAttempt(h http.Header, a AttemptHeaders) {
 	h.Del("Reserved")
 	h.Set("Server-Id", a.Server)
+	h.Del("Key")
+	h.Del("Account")
+	if a.Account != "" {
+		h.Set("Account", a.Account)
+	}
+	h.Set("Urgency", strconv.Itoa(a.Urgency))
 	h.Set("Timeout", strconv.Itoa(int(a.Remaining.Milliseconds())))
 	if a.LastEventID != "" {
 		h.Set("Last", a.LastEventID)
@@ -93,6 +103,8 @@
 	front    *httptest.Server
 	backends []*backendServer
 	routes   []topology.Route
+	accounts *topology.Accounts // nil: requests need no API key
+	trust    ConfigTrust
 	client   *http.Client
 }
 
@@ -102,7 +114,11 @@
 func newHarness(t *testing.T, scripts ...func(http.ResponseWriter, *http.Request, string)) *harness {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	b := &harness{t: t, relay: New(Options{Headers: testHeaders{}, Log: log, Metrics: testMetrics{}, Rand: rand.New(rand.NewPCG(1, 1))})}
+	b := &harness{t: t, trust: ConfigTrust{MayReject: true, MayAccept: true}}
+	b.relay = New(Options{
+		Headers: testHeaders{}, Log: log, Metrics: testMetrics{}, Rand: rand.New(rand.NewPCG(1, 1)),
+		Trust: func() ConfigTrust { return b.trust },
+	})
 	for _, script := range scripts {
 		s := &backendServer{script: script, left: make(chan struct{}, 100)}
 		s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +155,7 @@
 func (b *harness) setView(version int64) {
 	v := &topology.View{
 		Config: &topology.Config{
-			Version: version, Routes: b.routes, Services: map[string]topology.Service{"svc": {Name: "svc"}},
+			Version: version, Routes: b.routes, Accounts: b.accounts, Services: map[string]topology.Service{"svc": {Name: "svc"}},
 			Limits: topology.Limits{BodyBytes: 1000, IdleTimeout: time.Second},
 		},
 		Index:             topology.NewIndex(b.routes),
--- /dev/null
+++ b/topology/accounts.go
@@ -0,0 +1,102 @@
+package topology
+
+import (
+	"crypto/sha256"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// KeyDigest is the SHA-256 digest of an API key. Keys are kept and compared only as
+// digests. The zero KeyDigest stands for no key.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of an API key, which must not be empty.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// Account is a client account: whose requests carry one of its API keys.
+type Account struct {
+	Name      string
+	Keys      []KeyDigest // empty: the account can send no requests
+	Rank      int         // where HasRank: priority of its requests instead of their routes' Rank
+	HasRank   bool
+	Allowance Allowance
+}
+
+// Allowance limits what a client account's requests use, over all instances together.
+type Allowance struct {
+	PerSecond float64 // units per second; 0: unlimited
+	Burst     float64 // units that may be used at once in addition
+	Unit      AllowanceUnit
+	// DefaultTokens is what a request counts that doesn't state its tokens, with UnitTokens.
+	DefaultTokens float64
+}
+
+// Limited reports whether there is a limit.
+func (a *Allowance) Limited() bool { return a.PerSecond > 0 }
+
+// AllowanceUnit is what an allowance counts.
+type AllowanceUnit int
+
+// The units of allowances.
+const (
+	UnitRequests AllowanceUnit = iota
+	UnitTokens                 // tokens of the prompt and the most tokens of the answer
+)
+
+// Accounts holds the client accounts of a configuration. It is immutable.
+type Accounts struct {
+	byKey  map[KeyDigest]*Account
+	byName map[string]*Account
+}
+
+// AccountError reports a client account that can't be used.
+type AccountError struct {
+	Account string // its name
+	Reason  string
+}
+
+// Error implements error.
+func (e *AccountError) Error() string {
+	return "client account " + strconv.Quote(e.Account) + ": " + e.Reason
+}
+
+// NewAccounts checks and indexes client accounts. The error is an *AccountError.
+func NewAccounts(accounts []Account) (*Accounts, error) {
+	x := &Accounts{byKey: make(map[KeyDigest]*Account, len(accounts)), byName: make(map[string]*Account, len(accounts))}
+	for i := range accounts {
+		if err := x.add(&accounts[i]); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	return x, nil
+}
+
+func (x *Accounts) add(a *Account) error {
+	switch {
+	case a.Name == "":
+		return &AccountError{a.Name, "it has no name"}
+	case x.byName[a.Name] != nil:
+		return &AccountError{a.Name, "it is declared twice"}
+	case a.Allowance.PerSecond < 0 || a.Allowance.Burst < 0 || a.Allowance.DefaultTokens < 0:
+		return &AccountError{a.Name, "its allowance is negative"}
+	}
+	x.byName[a.Name] = a
+	for _, key := range a.Keys {
+		if other := x.byKey[key]; other != nil && other != a {
+			return &AccountError{a.Name, "one of its keys belongs to account " + strconv.Quote(other.Name) + " too"}
+		}
+		x.byKey[key] = a
+	}
+	return nil
+}
+
+// ByKey returns the account that the key belongs to, or nil. The lookup is by digest, so
+// its duration depends on no key's characters.
+func (x *Accounts) ByKey(key KeyDigest) *Account { return x.byKey[key] }
+
+// ByName returns the account with that name, or nil.
+func (x *Accounts) ByName(name string) *Account { return x.byName[name] }
+
+// Len returns the number of accounts.
+func (x *Accounts) Len() int { return len(x.byName) }
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -26,8 +26,9 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
+	Accounts *Accounts // nil: requests need no API key
 	Limits   Limits
-	Record   []byte // as read from the store; instances pass it on to each other
+	Record   []byte // as read from the store, with digests in place of API keys; instances pass it on to each other
 }
 
 // Route maps the requests for a host and a path prefix to services.
@@ -42,6 +43,7 @@
 	MaxGap   time.Duration // the longest pause between events that counts as on time; 0: none declared
 	Attempts int           // maximum number of attempts of one request
 	Rank     int           // priority; 0 is the most urgent
+	Public   bool          // requests need no API key
 	Choices  []Choice      // at least one
 }
 
@@ -160,4 +162,18 @@
 	RetryRatio   float64       // retries allowed per request, over all instances
 	RetryWindow  time.Duration // period that the retry limits are counted in
 	RetryReserve float64       // retries allowed beyond the ratio in each window, over all instances
+
+	ConfigBound time.Duration // time within which a configuration must be in force; 0: not set
+	// RevocationBound is how long API keys may be accepted without the store's confirmation
+	// that the configuration is the newest; 0: without a bound.
+	RevocationBound time.Duration
+	Allowances      AllowanceBounds
+}
+
+// AllowanceBounds is how exactly the allowances of client accounts have to be kept: in no
+// Window may an account use more than (PerSecond x Window + Burst) x (1 + Overage) + Slack.
+type AllowanceBounds struct {
+	Window  time.Duration // 0: not set
+	Overage float64       // fraction
+	Slack   float64       // units
 }
