allowance: client accounts' allowances, credits from the lease holder

Change: package allowance, without I/O: a Meter in each instance admits requests against credit, the lease holder's Allocator grants it out of one bucket for each account, with the answers to syncs and to Draw calls; without a holder each instance uses its own part. Totals are cumulative, so messages may be lost, doubled and late. Requests beyond an allowance get 429 before they take a place in a queue, with a Retry-After of their turn; what did not run is given back. The holder writes the number of instances to the store, for instances that begin with nothing remembered. Metrics by account (64 at most) and verdict, a log line for each refusal.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -99,6 +99,7 @@
 		Node:    node,
 		Source:  store,
 		Group:   store,
+		Counts:  store,
 		Headers: platform.Headers{},
 		Orderer: platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, orderIdleTimeout)),
 		Clock:   netconn.BootTime,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,6 +31,7 @@
 	Source  topology.Source
 	Headers relay.Headers
 	Group   residency.Group
+	Counts  CountStore
 	Orderer residency.Orderer
 	Clock   residency.Clock
 	Log     logrus.FieldLogger
@@ -47,6 +48,8 @@
 	frontend *frontend
 	servers  *serverList
 
+	allowances *allowances
+
 	lease      *residency.Lease
 	controller *residency.Controller
 
@@ -83,7 +86,12 @@
 		limits:      make(chan topology.Limits, 1),
 		servers:     newServerList(o.Log),
 	}
-	i.relay = relay.New(relay.Options{Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, OnLeaving: i.addLeavingServer, Trust: i.configTrust})
+	i.allowances = newAllowances(i)
+	i.allowances.meter.SetBounds(o.Node.Allowances)
+	i.relay = relay.New(relay.Options{
+		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand,
+		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances,
+	})
 	i.frontend = newFrontend(i)
 	i.node.Store(o.Node)
 	i.view.LoadOnDemand = true
@@ -107,6 +115,7 @@
 // startup.
 func (i *Instance) SetNode(n *topology.Node) {
 	i.node.Store(n)
+	i.allowances.meter.SetBounds(n.Allowances)
 	i.log.Info("settings read again")
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -156,6 +165,7 @@
 			supervise.Duty{Name: "orders", Run: i.controller.Run},
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
+			supervise.Duty{Name: "count", Run: i.keepCount},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: frontend.serveCallers},
 			supervise.Duty{Name: "health", Run: frontend.serveHealth},
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -86,7 +86,7 @@
 	orders := netconn.Transport(1, time.Second)
 	store := platform.NewStore(node.StoreAddr, transport)
 	i := instance.New(instance.Options{
-		Node: node, Source: store, Group: store, Headers: platform.Headers{}, Orderer: platform.NewOrderClient(orders),
+		Node: node, Source: store, Group: store, Counts: store, Headers: platform.Headers{}, Orderer: platform.NewOrderClient(orders),
 		Clock: netconn.BootTime, Log: log, Rand: rand.New(rand.NewPCG(1, uint64(len(d.instances)))),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"greengageferry/allowance"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets, in seconds.
@@ -38,6 +41,11 @@
 	eventGap        prometheus.Histogram
 	storeCalls      *prometheus.HistogramVec // by kind of read
 	storeResults    *prometheus.CounterVec   // by kind of read and how it ended, see storeResult
+	allowances      *prometheus.CounterVec   // by account, see accountLabel, and verdict
+	draws           *prometheus.CounterVec   // by result
+
+	accountsMu sync.Mutex
+	accounts   map[string]bool // those with a label of their own
 }
 
 func newMetrics() *metrics {
@@ -77,8 +85,11 @@
 		storeResults: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_reads_total", Help: "Reads of the platform's store by how they ended.",
 		}, []string{"read", "result"}),
+		allowances: counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
+		draws:      counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
+		accounts:   map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws)
 	return m
 }
 
@@ -133,6 +144,32 @@
 	m.storeResults.WithLabelValues(read, storeResult(err)).Inc()
 }
 
+// maxAccountLabels bounds how many accounts have a label of their own in the metrics.
+const maxAccountLabels = 64
+
+// accountLabel returns the label of an account: its name, or "other" for accounts beyond the
+// first maxAccountLabels.
+func (m *metrics) accountLabel(name string) string {
+	m.accountsMu.Lock()
+	defer m.accountsMu.Unlock()
+	if m.accounts[name] {
+		return name
+	}
+	if len(m.accounts) >= maxAccountLabels {
+		return "other"
+	}
+	m.accounts[name] = true
+	return name
+}
+
+// countAllowance counts a request by its account and by what the allowance allowed.
+func (m *metrics) countAllowance(account string, v allowance.Verdict) {
+	m.allowances.WithLabelValues(m.accountLabel(account), v.String()).Inc()
+}
+
+// countDraw counts a call that asked the lease holder for credit.
+func (m *metrics) countDraw(err error) { m.draws.WithLabelValues(storeResult(err)).Inc() }
+
 // handler serves the metrics in the Prometheus text format.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -128,6 +128,7 @@
 	if i.lease.Holds() {
 		summary, err := i.controller.HandleReport(time.Now(), report)
 		if err == nil {
+			i.allowances.syncOwn(time.Now())
 			i.setPeers(summary.Candidates)
 			i.lease.ObserveHolder(summary.IsCandidate) // a holder that loses the lease stays a candidate
 			i.update(time.Now(), summary)
@@ -170,6 +171,9 @@
 	sent := time.Now()
 	req := newSyncRequest(report)
 	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
+	if usage, ok := i.allowances.report(sent); ok {
+		req.Allowances = wireAllowances(usage)
+	}
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.onPeerFailure(addr, err)
@@ -191,6 +195,9 @@
 		i.setPeerStatus(peerStatusFromWire(sent, res, ""))
 		return s.holderLocator.holder == ""
 	}
+	if res.GetAllowances() != nil {
+		i.allowances.meter.Apply(sent, grantsFromWire(res.GetAllowances()))
+	}
 	summary := summaryFromWire(res)
 	if res.GetServers() != nil {
 		summary.Loads = loads
@@ -340,6 +347,11 @@
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
 	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
 	res.Token = wireToken(e.instance.lease.Token())
+	if req.GetAllowances() != nil {
+		if grants, ok := e.instance.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
+			res.Allowances = wireGrants(grants)
+		}
+	}
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.HeldRemoved), summary.HeldIncremental
 	return res, nil
 }
--- a/relay/account.go
+++ b/relay/account.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"greengageferry/allowance"
 	"greengageferry/topology"
 )
 
@@ -115,3 +116,42 @@
 	}
 	return c.reject(http.StatusUnauthorized, "key_revoked")
 }
+
+// charge charges the request to its account's allowance, before it takes a place in any
+// queue.
+func (c *call) charge() allowance.Decision {
+	if c.account == nil || c.relay.opts.Allowances == nil {
+		return allowance.Decision{Verdict: allowance.Admitted}
+	}
+	d := c.relay.opts.Allowances.Admit(c.req.Context(), c.account, c.tokens())
+	if d.Verdict == allowance.Admitted {
+		c.charged = c.account
+	}
+	return d
+}
+
+// tokens returns the tokens that the request states: those of its prompt and the most of its
+// answer.
+func (c *call) tokens() int { return c.headers.PromptTokens + c.headers.MaxTokens }
+
+// refuseCharge refuses a request that its account's allowance doesn't admit.
+func (c *call) refuseCharge(d allowance.Decision) string {
+	if d.Verdict == allowance.Unknown {
+		return c.refuse("allowance_unknown", d.RetryAfter)
+	}
+	c.relay.opts.Headers.SetRetryAfter(c.w.Header(), d.RetryAfter)
+	c.writeStatus(http.StatusTooManyRequests, "allowance_exceeded")
+	return outcomeRefused
+}
+
+// returnCharge gives back the charge of a request that ended with the given outcome, if it
+// did not run.
+func (c *call) returnCharge(outcome string) {
+	if c.charged == nil || c.mayHaveRun || c.stream.started {
+		return
+	}
+	switch outcome {
+	case outcomeRefused, outcomeRejected, outcomeCallerLeft:
+		c.relay.opts.Allowances.Return(c.charged, c.tokens())
+	}
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"greengageferry/allowance"
 	"greengageferry/decide"
 	"greengageferry/infra"
 	"greengageferry/topology"
@@ -65,6 +66,7 @@
 	configVersion int64  // of the configuration in use for the request
 	route         *topology.Route
 	account       *topology.Account // nil: the request has no known API key and needs none
+	charged       *topology.Account // whose allowance the request is charged to; nil: none
 	service       *topology.Service
 	target        string
 	body          []byte
@@ -110,6 +112,9 @@
 		return c.respondDenied(a)
 	}
 	c.setAdmission(v, a)
+	if d := c.charge(); d.Verdict != allowance.Admitted {
+		return c.refuseCharge(d)
+	}
 	name := c.route.Pick(rand.Float64())
 	service := v.Config.Services[name]
 	c.service = &service
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"greengageferry/allowance"
 	"greengageferry/decide"
 	"greengageferry/residency"
 	"greengageferry/topology"
@@ -86,7 +88,9 @@
 	// Trust reports what the age of the configuration in force allows. It may be nil: the
 	// configuration is always current.
 	Trust func() ConfigTrust
-	Rand  *rand.Rand // owned by the Relay
+	// Allowances keeps the client accounts' allowances. It may be nil: none has one.
+	Allowances Allowances
+	Rand       *rand.Rand // owned by the Relay
 }
 
 // ConfigTrust is what an instance may do by a configuration that a newer one may have
@@ -96,6 +100,15 @@
 	MayAccept bool // accept API keys
 }
 
+// Allowances keeps the allowances of client accounts.
+type Allowances interface {
+	// Admit charges a request that states the given number of tokens. It may wait until
+	// the lease holder was asked, at most some 100 ms.
+	Admit(ctx context.Context, account *topology.Account, tokens int) allowance.Decision
+	// Return gives back the charge of a request that did not run.
+	Return(account *topology.Account, tokens int)
+}
+
 // Metrics records what happens to requests.
 type Metrics interface {
 	// ObserveRequest counts a finished request by outcome and observes its duration.
@@ -203,5 +216,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	outcome := c.serve()
+	c.returnCharge(outcome)
 	r.opts.Metrics.ObserveRequest(outcome, time.Since(arrived))
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -34,6 +34,9 @@
 		ms = 0 // not set
 	}
 	r := RequestHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	if n, err := strconv.Atoi(h.Get("Tokens")); err == nil {
+		r.PromptTokens = n
+	}
 	if key := h.Get("Key"); key != "" {
 		r.Key = topology.DigestKey(key)
 	}
--- a/topology/accounts.go
+++ b/topology/accounts.go
@@ -46,8 +46,9 @@
 
 // Accounts holds the client accounts of a configuration. It is immutable.
 type Accounts struct {
-	byKey  map[KeyDigest]*Account
-	byName map[string]*Account
+	byKey   map[KeyDigest]*Account
+	byName  map[string]*Account
+	limited bool // any has an allowance
 }
 
 // AccountError reports a client account that can't be used.
@@ -82,6 +83,7 @@
 		return &AccountError{a.Name, "its allowance is negative"}
 	}
 	x.byName[a.Name] = a
+	x.limited = x.limited || a.Allowance.Limited()
 	for _, key := range a.Keys {
 		if other := x.byKey[key]; other != nil && other != a {
 			return &AccountError{a.Name, "one of its keys belongs to account " + strconv.Quote(other.Name) + " too"}
@@ -95,8 +97,16 @@
 // its duration depends on no key's characters.
 func (x *Accounts) ByKey(key KeyDigest) *Account { return x.byKey[key] }
 
-// ByName returns the account with that name, or nil.
-func (x *Accounts) ByName(name string) *Account { return x.byName[name] }
+// ByName returns the account with that name, or nil. x may be nil.
+func (x *Accounts) ByName(name string) *Account {
+	if x == nil {
+		return nil
+	}
+	return x.byName[name]
+}
+
+// HasLimits reports whether any account's allowance is limited. x may be nil.
+func (x *Accounts) HasLimits() bool { return x != nil && x.limited }
 
 // Len returns the number of accounts.
 func (x *Accounts) Len() int { return len(x.byName) }
