--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -88,7 +88,7 @@
 		node.MetricsAddr = net.JoinHostPort(node.IP, strconv.Itoa(c.metricsPort))
 	}
 	debug.SetMemoryLimit(int64(float64(node.MemoryMB) * memoryLimitFraction * (1 << 20)))
-	ctx, stop := signalContext(ctx)
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log, closeLog := newLogger(level, os.Stdout)
 	defer closeLog()
--- a/cmd/greengageferry/logging.go
+++ b/cmd/greengageferry/logging.go
@@ -203,7 +203,7 @@
 	return log, writer.Close
 }
 
-// signalContext returns a context that is canceled at SIGINT or SIGTERM.
+// signalContext returns a context that is canceled at SIGINT, SIGTERM or SIGHUP.
 func signalContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 }
