--- a/cmd/greengageferry/losses.go
+++ b/cmd/greengageferry/losses.go
@@ -29,8 +29,9 @@
 func (*lossesCommand) Usage() string {
 	return `losses [-window D] [-late D] FILE...:
   Read the logs of any instances, - for standard input, and print how requests
-  ended: by route, by the moment of their end, and by reason; then how the times to
-  first tokens compare with those that the instances had predicted.
+  ended: by route, by client account, by the moment of their end, and by reason;
+  then how the times to first tokens compare with those that the instances had
+  predicted.
   Exit codes: 0 done, 1 a file can't be read or bears no request, 2 wrong usage.
 `
 }
@@ -72,6 +73,7 @@
 	late             time.Duration // time to first byte above which an answer is late
 	total            reasonCounts
 	byRoute          map[string]reasonCounts
+	byAccount        map[string]reasonCounts // only of requests with a client account
 	byWindow         map[time.Time]reasonCounts
 	dispatches       map[string]dispatch // by request: its latest dispatch
 	predictionRatios []float64           // actual over predicted time to first token
@@ -85,7 +87,7 @@
 
 func newLossStats(window, late time.Duration) *lossStats {
 	return &lossStats{
-		window: window, late: late, total: reasonCounts{}, byRoute: map[string]reasonCounts{},
+		window: window, late: late, total: reasonCounts{}, byRoute: map[string]reasonCounts{}, byAccount: map[string]reasonCounts{},
 		byWindow: map[time.Time]reasonCounts{}, dispatches: map[string]dispatch{},
 	}
 }
@@ -114,6 +116,9 @@
 	}
 	l.total[reason]++
 	increment(l.byRoute, cmp.Or(logField(line, "route"), "none"), reason)
+	if account := logField(line, "account"); account != "" {
+		increment(l.byAccount, account, reason)
+	}
 	increment(l.byWindow, at.Truncate(l.window), reason)
 	request := logField(line, "request")
 	d, ok := l.dispatches[request]
@@ -150,6 +155,9 @@
 	for _, name := range slices.Sorted(maps.Keys(l.byRoute)) {
 		row(name, l.byRoute[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(l.byAccount)) {
+		row("account "+name, l.byAccount[name])
+	}
 	for _, at := range slices.SortedFunc(maps.Keys(l.byWindow), time.Time.Compare) {
 		row(at.Format("15:04:05.000"), l.byWindow[at])
 	}
--- a/cmd/greengageferry/losses_test.go
+++ b/cmd/greengageferry/losses_test.go
@@ -12,7 +12,7 @@
 a time="2026-01-01T00:00:01.500Z" level=info msg="request ended" attempts=1 first_byte_ms=300 ms=520 reason=answered request=1 route=r1
 b time="2026-01-01T00:00:02.000Z" level=info msg="request decision" action=dispatch first_ms=100 request=2 target=m
 b time="2026-01-01T00:00:07.000Z" level=info msg="request ended" attempts=1 first_byte_ms=1400 ms=5100 reason=answered request=2 route=r1
-b time="2026-01-01T00:00:07.100Z" level=warning msg="request ended" attempts=0 ms=20 reason=deadline request=3 route=r2
+b time="2026-01-01T00:00:07.100Z" level=warning msg="request ended" account=acme attempts=0 ms=20 reason=deadline request=3 route=r2
 b time="2026-01-01T00:00:07.200Z" level=info msg="server gone" server=1
 not a line of a log
 `
@@ -22,6 +22,7 @@
 	require.NoError(t, l.read(strings.NewReader(lossesLog)))
 	require.Equal(t, reasonCounts{"answered": 1, "answered late": 1, "deadline": 1}, l.total)
 	require.Equal(t, map[string]reasonCounts{"r1": {"answered": 1, "answered late": 1}, "r2": {"deadline": 1}}, l.byRoute)
+	require.Equal(t, map[string]reasonCounts{"acme": {"deadline": 1}}, l.byAccount)
 	first := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	require.Equal(t, map[time.Time]reasonCounts{
 		first:                      {"answered": 1},
