allowance: credit in advance while less is asked for than the rate

An account's first request found an empty bucket though nothing had been used. Change: while less than the rate is asked for, instances may hold a quarter of what a window allows as credit, for three seconds or two requests; what was used and what is out are counted in a sliding window, of which nine tenths are granted. Once more is asked for, credit comes out of the bucket only, and instances return what they hold. A report names only accounts that changed.

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"greengageferry/topology"
@@ -16,11 +17,16 @@
 	// equalFraction is the fraction of an allowance that instances have in equal parts
 	// while no lease holder answers. The rest is in proportion to their demand.
 	equalFraction = 0.2
-	// While the demand is below contendedFraction of the rate, reserveFraction of the bucket is
-	// kept for requests that wait for credit. Otherwise many instances would hold all of it
-	// for requests that come to others.
+	// contendedFraction is the fraction of the rate from which on a demand counts as
+	// contended: credit is then granted out of the bucket only, not in advance.
 	contendedFraction = 0.9
-	reserveFraction   = 0.5
+	// advanceFraction is the fraction of what may be used in a window that instances may
+	// hold as credit in advance. All of it may be used while no lease holder answers and
+	// each instance uses its part.
+	advanceFraction = 0.25
+	// windowFraction is the fraction of what may be used in a window that is granted. The
+	// rest covers what instances use of their own parts.
+	windowFraction = 0.9
 	// minEmptyTime, or emptyTimePerInstance times the number of instances if that is longer,
 	// and maxEmptyTime bound the time for which an instance is told that asking again is in
 	// vain: about the time until its next sync brings credit.
@@ -49,8 +55,11 @@
 // bucket is an account's allowance.
 type bucket struct {
 	limit    topology.Allowance
-	level    float64 // units that instances may still use, those granted included
+	level    float64 // units that instances may still use, those granted included; negative: used in advance
 	filledAt time.Time
+	used     *window
+	sums     claimTotals // of claims, computed at summedAt and kept up to date since
+	summedAt time.Time
 	claims   map[string]*claim // by instance
 }
 
@@ -94,11 +103,30 @@
 		if !stale {
 			k.update(now, c, u, l.term)
 		}
-		out.Accounts = append(out.Accounts, k.grant(now, c, u, l.capacity(k), instances))
+		out.Accounts = append(out.Accounts, k.grant(now, c, u, l.bounds, instances))
+	}
+	if len(r.Usage) == 0 || !r.Usage[0].Draw {
+		out.Accounts = l.appendContended(now, out.Accounts, r)
 	}
 	return out
 }
 
+// appendContended appends the contended accounts for which an instance holds credit that it
+// did not report: it returns the credit once it knows.
+func (l *Allocator) appendContended(now time.Time, to []Grant, r Report) []Grant {
+	for name, k := range l.accounts {
+		c := k.claims[r.Instance]
+		if c == nil || c.credit <= 0 || !k.contended(k.totals(now)) {
+			continue
+		}
+		if slices.ContainsFunc(r.Usage, func(u Usage) bool { return u.Account == name }) {
+			continue
+		}
+		to = append(to, Grant{Account: name, Total: c.granted, Part: c.part})
+	}
+	return to
+}
+
 // register records that an instance has reported, and returns whether a newer report of it
 // has been processed.
 func (l *Allocator) register(now time.Time, r Report) (stale bool) {
@@ -113,7 +141,7 @@
 		}
 		i.start, i.sequence = r.Start, 0
 		for _, k := range l.accounts {
-			k.drop(r.Instance) // the instance has started anew, without its credit
+			k.drop(now, r.Instance) // the instance has started anew, without its credit
 		}
 	}
 	if r.Sequence <= i.sequence {
@@ -127,7 +155,8 @@
 func (l *Allocator) bucket(now time.Time, name string, limit topology.Allowance) *bucket {
 	k := l.accounts[name]
 	if k == nil {
-		k = &bucket{limit: limit, filledAt: now, claims: map[string]*claim{}}
+		k = &bucket{limit: limit, filledAt: l.startedAt, claims: map[string]*claim{}}
+		k.used = newWindow(l.bounds.Window, limit.PerSecond, l.startedAt, now) // what was used before this term isn't known
 		l.accounts[name] = k
 	}
 	k.limit = limit
@@ -155,7 +184,7 @@
 		if silence > forgetAfter {
 			delete(l.instances, name)
 			for _, other := range l.accounts {
-				other.drop(name)
+				other.drop(now, name)
 			}
 			continue
 		}
@@ -190,13 +219,20 @@
 }
 
 // drop removes an instance's claim. It may have used its credit without reporting it.
-func (k *bucket) drop(instance string) {
+func (k *bucket) drop(now time.Time, instance string) {
 	if c := k.claims[instance]; c != nil {
-		k.level -= c.credit
+		k.use(now, c.credit)
 		delete(k.claims, instance)
+		k.summedAt = time.Time{}
 	}
 }
 
+// use records that units were used.
+func (k *bucket) use(now time.Time, units float64) {
+	k.level -= units
+	k.used.add(now, units)
+}
+
 // claim returns an instance's claim.
 func (k *bucket) claim(instance string) *claim {
 	c := k.claims[instance]
@@ -218,13 +254,15 @@
 		c.used, c.asked = u.Used, u.Asked
 		k.level += u.Credit
 	}
-	k.level -= u.Used - c.used
+	k.use(now, u.Used-c.used)
+	before := *c
 	c.decay(now)
 	c.demand += max(u.Asked-c.asked, 0)
 	c.used, c.asked = u.Used, u.Asked
 	c.credit = u.Credit + max(c.granted-applied, 0)
 	c.wanting = max(u.Want-c.credit, 0)
 	c.reportedAt = now
+	k.sums.replace(&before, c)
 }
 
 // decay brings the demand up to date.
@@ -238,31 +276,27 @@
 // grant grants an instance what it wants, or its share of what is there if all together
 // want more, but not less than its next request needs: smaller credits at many instances
 // would serve nobody.
-func (k *bucket) grant(now time.Time, c *claim, u *Usage, capacity float64, instances int) Grant {
+func (k *bucket) grant(now time.Time, c *claim, u *Usage, b topology.AllowanceBounds, instances int) Grant {
 	t := k.totals(now)
-	free := max(min(k.level, capacity)-t.credit, 0)
-	need := max(min(u.Need, u.Want, capacity)-c.credit, 0)
-	available := free
-	if t.demand < contendedFraction*k.limit.PerSecond*demandTimeConstant.Seconds() {
-		available = max(free-reserveFraction*capacity, 0)
-	}
+	contended := k.contended(t)
+	available := k.available(now, t, b, contended, u.Draw)
+	need := max(min(u.Need, u.Want)-c.credit, 0)
 	given := c.wanting
 	if t.wanted > available {
-		given = math.Floor(available * c.wanting / max(t.wanted, 1))
-		if u.Draw || available == free {
-			given = max(given, need)
-		}
+		given = max(math.Floor(available*c.wanting/max(t.wanted, 1)), need)
 	}
-	if given < need || given > free {
+	if given < need || given > available {
 		given = 0
 	}
-	g := Grant{Account: u.Account}
-	if need > free {
-		g.EmptyIn = emptyTime((need-free)/k.limit.PerSecond, instances)
+	g := Grant{Account: u.Account, Open: !contended}
+	if need > given && (contended || u.Draw) {
+		g.EmptyIn = emptyTime((need-available)/k.limit.PerSecond, instances)
 	}
+	before := *c
 	c.granted += given
 	c.credit += given
 	c.wanting = max(c.wanting-given, 0)
+	k.sums.replace(&before, c)
 	c.part = equalFraction / float64(max(instances, 1))
 	if t.demand > 0 {
 		c.part += (1 - equalFraction) * c.demand / t.demand
@@ -271,6 +305,29 @@
 	return g
 }
 
+// contended reports whether more is asked for than the rate, or was used in advance than
+// the bucket had.
+func (k *bucket) contended(t claimTotals) bool {
+	return k.level < 0 || t.demand > contendedFraction*k.limit.PerSecond*demandTimeConstant.Seconds()
+}
+
+// available returns what may be granted now. A bucket that isn't contended may be granted in
+// advance, since what isn't asked for isn't used: up to advanceFraction of a window to
+// instances that want to hold credit, and all that a window leaves to requests that wait for
+// it.
+func (k *bucket) available(now time.Time, t claimTotals, b topology.AllowanceBounds, contended, waits bool) float64 {
+	inWindow := k.limit.PerSecond*b.Window.Seconds() + k.limit.Burst + extra(&k.limit, b)
+	left := max(windowFraction*inWindow-k.used.sum(now)-t.credit, 0)
+	free := max(min(k.level, capacity(&k.limit, b))-t.credit, 0)
+	switch {
+	case contended:
+		return min(left, free)
+	case waits:
+		return max(left, free)
+	}
+	return max(min(advanceFraction*inWindow-t.credit, left), free, 0)
+}
+
 // claimTotals are sums over an account's claims.
 type claimTotals struct {
 	credit float64
@@ -278,7 +335,22 @@
 	demand float64 // of instances that report
 }
 
+// replace replaces a claim that reports by its new state.
+func (t *claimTotals) replace(before, after *claim) {
+	t.credit += after.credit - before.credit
+	t.wanted += after.wanting - before.wanting
+	t.demand += after.demand - before.demand
+}
+
+// sumInterval is how long the sums of claims are kept up to date before they are computed
+// anew: each of hundreds of instances reports twice a second.
+const sumInterval = 100 * time.Millisecond
+
+// totals returns the sums of the account's claims.
 func (k *bucket) totals(now time.Time) claimTotals {
+	if !k.summedAt.IsZero() && now.Sub(k.summedAt) < sumInterval {
+		return k.sums
+	}
 	var t claimTotals
 	for _, c := range k.claims {
 		t.credit += c.credit
@@ -287,6 +359,7 @@
 			t.demand += c.demand
 		}
 	}
+	k.sums, k.summedAt = t, now
 	return t
 }
 
--- a/allowance/doc.go
+++ b/allowance/doc.go
@@ -42,6 +42,7 @@
 	Account string
 	Total   float64       // units granted to this start of the instance in this term of the lease
 	Part    float64       // fraction of the allowance that the instance may use while no lease holder answers
+	Open    bool          // less is asked for than the rate: the instance may hold credit in advance
 	EmptyIn time.Duration // time until the bucket has what the instance needs; 0: it has
 }
 
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -16,16 +16,25 @@
 	// wantHorizon is the time for which an instance wants to hold credit at the rate that
 	// it was lately asked for: two of the longest intervals between two syncs.
 	wantHorizon = time.Second
+	// openHorizon replaces wantHorizon while an account is open, so that few requests have
+	// to ask the lease holder.
+	openHorizon = 3 * time.Second
+	// advanceRequests is how many average requests an instance wants to hold credit for in
+	// advance while an account is open.
+	advanceRequests = 2
 	// minWantRequests is how many requests an instance must expect within wantHorizon to
-	// hold credit in advance. Credit for one request at each of many instances would be all
-	// that there is.
+	// hold credit while an account isn't open. Credit for one request at each of many
+	// instances would be all that there is.
 	minWantRequests = 2
+	// assumedTokens is the average request that is assumed before the first one.
+	assumedTokens = 2000
+	// maxAdvanceAccounts is the number of accounts up to which an instance holds credit for
+	// those that it was not asked for yet.
+	maxAdvanceAccounts = 64
 	// costWeight is the weight of a request in the average units of a request.
 	costWeight = 0.1
 	// drawPause is how long no request asks the lease holder after one got no answer.
 	drawPause = 300 * time.Millisecond
-	// idleTimeout is how long after an account's last request it isn't reported any more.
-	idleTimeout = 20 * time.Second
 	// demandTimeConstant is the time in which a request's weight in the demand decays to 1/e.
 	demandTimeConstant = 5 * time.Second
 	// maxInstances is the number of instances assumed until the lease holder reports it:
@@ -98,7 +107,8 @@
 	demand     float64 // units asked for, decaying with demandTimeConstant
 	meanCost   float64 // average units of recent requests
 	decayedAt  time.Time
-	askedAt    time.Time // of the last request
+	open       bool      // the lease holder said that less is asked for than the rate
+	changed    bool      // since the newest report
 	pending    float64   // units of the requests that wait for credit
 	emptyUntil time.Time // until then asking the lease holder is in vain
 	returnAt   time.Time // when the caller that was refused last was told to return
@@ -179,6 +189,7 @@
 	}
 	a.used -= cost
 	a.credit += cost
+	a.changed = true
 }
 
 // decide decides about a request. available is the credit that it may use: what others wait
@@ -196,6 +207,10 @@
 		d.Verdict = Admitted
 	case mayDraw:
 		d.Verdict = DrawFirst
+	case !alone && a.open && a.credit >= 0: // the lease holder only didn't answer in time
+		a.credit -= cost
+		a.used += cost
+		d.Verdict = Admitted
 	case alone && m.admitAlone(now, a, cost):
 		a.used += cost
 		d.Verdict = Admitted
@@ -272,7 +287,10 @@
 func (m *Meter) account(now time.Time, name string, limit topology.Allowance) *account {
 	a := m.accounts[name]
 	if a == nil {
-		a = &account{limit: limit, poolAt: now, decayedAt: now}
+		a = &account{limit: limit, poolAt: now, decayedAt: now, open: true, changed: true, meanCost: 1}
+		if limit.Unit == topology.UnitTokens {
+			a.meanCost = assumedTokens
+		}
 		m.accounts[name] = a
 	}
 	if a.limit != limit {
@@ -290,11 +308,8 @@
 	a.decay(now)
 	a.asked += cost
 	a.demand += cost
-	if a.meanCost == 0 {
-		a.meanCost = cost
-	}
 	a.meanCost += costWeight * (cost - a.meanCost)
-	a.askedAt = now
+	a.changed = true
 }
 
 // decay brings the decaying figures up to date.
@@ -315,12 +330,12 @@
 
 // want returns the credit that the instance wants to hold in advance.
 func (a *account) want(now time.Time) float64 {
+	if a.open {
+		return math.Ceil(max(a.rate(now)*openHorizon.Seconds(), advanceRequests*a.meanCost))
+	}
 	want := a.rate(now) * wantHorizon.Seconds()
 	if want < minWantRequests*a.meanCost {
 		return 0
 	}
 	return math.Ceil(want)
 }
-
-// returnCredit returns the credit beyond what the instance wants to hold.
-func (a *account) returnCredit(now time.Time) { a.credit = min(a.credit, max(a.want(now), a.pending)) }
--- a/allowance/meter_sync.go
+++ b/allowance/meter_sync.go
@@ -5,25 +5,40 @@
 	"math"
 	"slices"
 	"time"
+
+	"greengageferry/topology"
 )
 
-// Report returns the report on the accounts that were asked for lately. Credit that will not
-// be needed soon is returned with it.
-func (m *Meter) Report(now time.Time) Report {
+// Report returns the report on the accounts that were asked for since the last one, or whose
+// credit isn't what the instance wants to hold. Credit beyond that is returned with it.
+func (m *Meter) Report(now time.Time, accounts *topology.Accounts) Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if accounts.Len() <= maxAdvanceAccounts {
+		for x := range accounts.All() {
+			if x.Allowance.Limited() {
+				m.account(now, x.Name, x.Allowance)
+			}
+		}
+	}
 	out := m.newReport()
 	for name, a := range m.accounts {
-		if now.Sub(a.askedAt) > idleTimeout {
+		want := max(a.want(now), a.pending)
+		if !a.changed && a.credit <= want && a.credit >= want*refillFraction {
 			continue
 		}
-		a.returnCredit(now)
-		out.Usage = append(out.Usage, a.usage(name, max(a.want(now), a.pending), math.Ceil(a.meanCost)))
+		a.changed = false
+		a.credit = min(a.credit, want)
+		out.Usage = append(out.Usage, a.usage(name, want, math.Ceil(a.meanCost)))
 	}
 	slices.SortFunc(out.Usage, func(x, y Usage) int { return cmp.Compare(x.Account, y.Account) })
 	return out
 }
 
+// refillFraction is the fraction of the wanted credit below which an account is reported
+// though it was not asked for.
+const refillFraction = 0.5
+
 // ReportAccount returns the report on one account, to ask the lease holder for credit for a
 // request that counts the given units.
 func (m *Meter) ReportAccount(now time.Time, name string, cost float64) Report {
@@ -81,6 +96,7 @@
 	if g.Part > 0 {
 		a.part = g.Part
 	}
+	a.open = g.Open
 	a.emptyUntil = time.Time{}
 	if g.EmptyIn > 0 {
 		a.emptyUntil = sent.Add(g.EmptyIn)
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -212,7 +212,7 @@
 			}
 			if !s.now.Before(x.nextSync) {
 				s.syncs++
-				s.exchange(x, x.meter.Report(s.now))
+				s.exchange(x, x.meter.Report(s.now, s.accounts))
 				x.nextSync = s.now.Add(s.syncInterval())
 			}
 			for units := rate(i) * simStep.Seconds(); units > 0; {
--- a/instance/allowances.go
+++ b/instance/allowances.go
@@ -154,10 +154,11 @@
 
 // report returns the report of a sync, and false if no account has an allowance.
 func (a *allowances) report(now time.Time) (allowance.Report, bool) {
-	if !a.inForce() {
+	c := a.instance.currentView().Config
+	if c == nil || !c.Accounts.HasLimits() {
 		return allowance.Report{}, false
 	}
-	r := a.meter.Report(now)
+	r := a.meter.Report(now, c.Accounts)
 	r.Instance = a.instance.opts.Node.Name
 	return r, true
 }
--- a/topology/accounts.go
+++ b/topology/accounts.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"iter"
+	"maps"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -108,5 +110,18 @@
 // HasLimits reports whether any account's allowance is limited. x may be nil.
 func (x *Accounts) HasLimits() bool { return x != nil && x.limited }
 
-// Len returns the number of accounts.
-func (x *Accounts) Len() int { return len(x.byName) }
+// Len returns the number of accounts. x may be nil.
+func (x *Accounts) Len() int {
+	if x == nil {
+		return 0
+	}
+	return len(x.byName)
+}
+
+// All yields the accounts, in no particular order. x may be nil.
+func (x *Accounts) All() iter.Seq[*Account] {
+	if x == nil {
+		return func(func(*Account) bool) {}
+	}
+	return maps.Values(x.byName)
+}
