allowance: one bucket bounds credit in advance too

Change: credit comes out of one bucket of the burst and three quarters of what may be used beyond the rate and the burst; while less than the rate is asked for, seven tenths of it may be held in advance. Silent instances' parts shrink what counts as contended.

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -20,13 +20,9 @@
 	// contendedFraction is the fraction of the rate from which on a demand counts as
 	// contended: credit is then granted out of the bucket only, not in advance.
 	contendedFraction = 0.9
-	// advanceFraction is the fraction of what may be used in a window that instances may
-	// hold as credit in advance. All of it may be used while no lease holder answers and
-	// each instance uses its part.
-	advanceFraction = 0.25
-	// windowFraction is the fraction of what may be used in a window that is granted. The
-	// rest covers what instances use of their own parts.
-	windowFraction = 0.9
+	// advanceFraction is the fraction of the bucket that instances may hold as credit in
+	// advance while less is asked for than the rate. The rest is for requests that wait.
+	advanceFraction = 0.7
 	// minEmptyTime, or emptyTimePerInstance times the number of instances if that is longer,
 	// and maxEmptyTime bound the time for which an instance is told that asking again is in
 	// vain: about the time until its next sync brings credit.
@@ -57,7 +53,7 @@
 	limit    topology.Allowance
 	level    float64 // units that instances may still use, those granted included; negative: used in advance
 	filledAt time.Time
-	used     *window
+	heard    float64     // fraction of the allowance that silent instances don't use
 	sums     claimTotals // of claims, computed at summedAt and kept up to date since
 	summedAt time.Time
 	claims   map[string]*claim // by instance
@@ -103,7 +99,7 @@
 		if !stale {
 			k.update(now, c, u, l.term)
 		}
-		out.Accounts = append(out.Accounts, k.grant(now, c, u, l.bounds, instances))
+		out.Accounts = append(out.Accounts, k.grant(now, c, u, l.capacity(k), instances))
 	}
 	if len(r.Usage) == 0 || !r.Usage[0].Draw {
 		out.Accounts = l.appendContended(now, out.Accounts, r)
@@ -141,7 +137,7 @@
 		}
 		i.start, i.sequence = r.Start, 0
 		for _, k := range l.accounts {
-			k.drop(now, r.Instance) // the instance has started anew, without its credit
+			k.drop(r.Instance) // the instance has started anew, without its credit
 		}
 	}
 	if r.Sequence <= i.sequence {
@@ -155,8 +151,7 @@
 func (l *Allocator) bucket(now time.Time, name string, limit topology.Allowance) *bucket {
 	k := l.accounts[name]
 	if k == nil {
-		k = &bucket{limit: limit, filledAt: l.startedAt, claims: map[string]*claim{}}
-		k.used = newWindow(l.bounds.Window, limit.PerSecond, l.startedAt, now) // what was used before this term isn't known
+		k = &bucket{limit: limit, filledAt: l.startedAt, heard: 1, claims: map[string]*claim{}}
 		l.accounts[name] = k
 	}
 	k.limit = limit
@@ -172,8 +167,9 @@
 		return
 	}
 	k.filledAt = now
-	heard := 1 - k.silentPart(now, l)
-	k.level = min(k.level+k.limit.PerSecond*heard*elapsed, l.capacity(k))
+	silent := k.silentPart(now, l)
+	k.heard = 1 - silent
+	k.level = min(k.level+k.limit.PerSecond*k.heard*elapsed, l.capacity(k))
 }
 
 // silentPart returns the fraction of the allowance that silent instances may be using.
@@ -184,7 +180,7 @@
 		if silence > forgetAfter {
 			delete(l.instances, name)
 			for _, other := range l.accounts {
-				other.drop(now, name)
+				other.drop(name)
 			}
 			continue
 		}
@@ -219,20 +215,14 @@
 }
 
 // drop removes an instance's claim. It may have used its credit without reporting it.
-func (k *bucket) drop(now time.Time, instance string) {
+func (k *bucket) drop(instance string) {
 	if c := k.claims[instance]; c != nil {
-		k.use(now, c.credit)
+		k.level -= c.credit
 		delete(k.claims, instance)
 		k.summedAt = time.Time{}
 	}
 }
 
-// use records that units were used.
-func (k *bucket) use(now time.Time, units float64) {
-	k.level -= units
-	k.used.add(now, units)
-}
-
 // claim returns an instance's claim.
 func (k *bucket) claim(instance string) *claim {
 	c := k.claims[instance]
@@ -254,7 +244,7 @@
 		c.used, c.asked = u.Used, u.Asked
 		k.level += u.Credit
 	}
-	k.use(now, u.Used-c.used)
+	k.level -= u.Used - c.used
 	before := *c
 	c.decay(now)
 	c.demand += max(u.Asked-c.asked, 0)
@@ -276,10 +266,10 @@
 // grant grants an instance what it wants, or its share of what is there if all together
 // want more, but not less than its next request needs: smaller credits at many instances
 // would serve nobody.
-func (k *bucket) grant(now time.Time, c *claim, u *Usage, b topology.AllowanceBounds, instances int) Grant {
+func (k *bucket) grant(now time.Time, c *claim, u *Usage, capacity float64, instances int) Grant {
 	t := k.totals(now)
 	contended := k.contended(t)
-	available := k.available(now, t, b, contended, u.Draw)
+	available := k.available(t, capacity, contended, u.Draw)
 	need := max(min(u.Need, u.Want)-c.credit, 0)
 	given := c.wanting
 	if t.wanted > available {
@@ -308,24 +298,16 @@
 // contended reports whether more is asked for than the rate, or was used in advance than
 // the bucket had.
 func (k *bucket) contended(t claimTotals) bool {
-	return k.level < 0 || t.demand > contendedFraction*k.limit.PerSecond*demandTimeConstant.Seconds()
+	return k.level < 0 || t.demand > contendedFraction*k.heard*k.limit.PerSecond*demandTimeConstant.Seconds()
 }
 
-// available returns what may be granted now. A bucket that isn't contended may be granted in
-// advance, since what isn't asked for isn't used: up to advanceFraction of a window to
-// instances that want to hold credit, and all that a window leaves to requests that wait for
-// it.
-func (k *bucket) available(now time.Time, t claimTotals, b topology.AllowanceBounds, contended, waits bool) float64 {
-	inWindow := k.limit.PerSecond*b.Window.Seconds() + k.limit.Burst + extra(&k.limit, b)
-	left := max(windowFraction*inWindow-k.used.sum(now)-t.credit, 0)
-	free := max(min(k.level, capacity(&k.limit, b))-t.credit, 0)
-	switch {
-	case contended:
-		return min(left, free)
-	case waits:
-		return max(left, free)
+// available returns what may be granted now.
+func (k *bucket) available(t claimTotals, capacity float64, contended, waits bool) float64 {
+	free := max(min(k.level, capacity)-t.credit, 0)
+	if contended || waits {
+		return free
 	}
-	return max(min(advanceFraction*inWindow-t.credit, left), free, 0)
+	return max(free-(1-advanceFraction)*capacity, 0)
 }
 
 // claimTotals are sums over an account's claims.
--- a/allowance/experiment_test.go
+++ b/allowance/experiment_test.go
@@ -39,7 +39,7 @@
 	draws        float64 // a second
 }
 
-// play asks for half of the rate for 12 s, then jumps to the given multiple of it for 24 s.
+// play asks for half of the rate for 12 s, then jumps to the given multiple of it for 40 s.
 func (s *sim) play(spread func(rate float64, n int) func(int) float64, x float64) simResult {
 	n := len(s.instances)
 	cost := exponentialCost(s.rng, meanRequest)
@@ -51,9 +51,9 @@
 	out.draws = float64(s.draws) / 8
 	s.run(8*time.Second, cost, spread(x*s.limit.PerSecond, n))
 	_, before := s.mostInWindow()
-	s.run(16*time.Second, cost, spread(x*s.limit.PerSecond, n))
+	s.run(32*time.Second, cost, spread(x*s.limit.PerSecond, n))
 	most, total := s.mostInWindow()
-	out.contendedUse = (total - before) / (16 * s.limit.PerSecond)
+	out.contendedUse = (total - before) / (32 * s.limit.PerSecond)
 	out.window = most / allowed(s.limit)
 	return out
 }
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -207,10 +207,6 @@
 		d.Verdict = Admitted
 	case mayDraw:
 		d.Verdict = DrawFirst
-	case !alone && a.open && a.credit >= 0: // the lease holder only didn't answer in time
-		a.credit -= cost
-		a.used += cost
-		d.Verdict = Admitted
 	case alone && m.admitAlone(now, a, cost):
 		a.used += cost
 		d.Verdict = Admitted
