allowance: an instance that starts anew has its part from its start on

After a lease holder is lost, 1.2 s passed before parts were used. -1 ns was logged as 0 ms since the last answer. Change: parts accrue from the process's start; a holder counts as lost after 0.9 s; the bucket has seven tenths of what may be used beyond the rate and the burst.

--- a/allowance/doc.go
+++ b/allowance/doc.go
@@ -67,7 +67,7 @@
 
 // bucketFraction is the fraction of what may be used beyond the rate and the burst that is
 // part of the bucket. The rest covers new lease holders and instances that are cut off.
-const bucketFraction = 0.75
+const bucketFraction = 0.7
 
 // extra returns the units that may be used in a window beyond the rate and the burst.
 func extra(a *topology.Allowance, b topology.AllowanceBounds) float64 {
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -11,8 +11,8 @@
 
 const (
 	// holderTimeout is how long after the last answer of a lease holder an instance begins
-	// to use its own part of the allowances: three syncs.
-	holderTimeout = 1200 * time.Millisecond
+	// to use its own part of the allowances: one sync that isn't answered, and the next.
+	holderTimeout = 900 * time.Millisecond
 	// wantHorizon is the time for which an instance wants to hold credit at the rate that
 	// it was lately asked for: two of the longest intervals between two syncs.
 	wantHorizon = time.Second
@@ -84,6 +84,7 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	start     int64
+	startedAt time.Time
 	bounds    topology.AllowanceBounds
 	accounts  map[string]*account
 	sequence  int64
@@ -114,10 +115,9 @@
 	returnAt   time.Time // when the caller that was refused last was told to return
 }
 
-// NewMeter returns a meter without credit. start must differ between two starts of the
-// instance.
-func NewMeter(start int64, rng *rand.Rand) *Meter {
-	return &Meter{rng: rng, start: start, accounts: map[string]*account{}}
+// NewMeter returns a meter without credit. now is the time of the instance's start.
+func NewMeter(now time.Time, rng *rand.Rand) *Meter {
+	return &Meter{rng: rng, start: now.UnixNano(), startedAt: now, accounts: map[string]*account{}}
 }
 
 // SetBounds sets how exactly allowances have to be kept.
@@ -283,7 +283,7 @@
 func (m *Meter) account(now time.Time, name string, limit topology.Allowance) *account {
 	a := m.accounts[name]
 	if a == nil {
-		a = &account{limit: limit, poolAt: now, decayedAt: now, open: true, changed: true, meanCost: 1}
+		a = &account{limit: limit, poolAt: m.startedAt, decayedAt: now, open: true, changed: true, meanCost: 1}
 		if limit.Unit == topology.UnitTokens {
 			a.meanCost = assumedTokens
 		}
--- a/instance/allowances.go
+++ b/instance/allowances.go
@@ -44,10 +44,9 @@
 type draw struct{ done chan struct{} }
 
 func newAllowances(i *Instance) *allowances {
-	start := time.Now().UnixNano()
 	return &allowances{
 		instance: i,
-		meter:    allowance.NewMeter(start, rand.New(rand.NewPCG(uint64(start), rand.Uint64()))),
+		meter:    allowance.NewMeter(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
 		draws:    map[string]*draw{},
 	}
@@ -84,10 +83,19 @@
 func (a *allowances) log(account *topology.Account, cost float64, d allowance.Decision) {
 	a.instance.log.WithFields(logrus.Fields{
 		"account": account.Name, "verdict": d.Verdict, "units": cost, "credit": d.Credit, "per_second": account.Allowance.PerSecond,
-		"holder_ms": d.HolderAge.Milliseconds(), "retry_after_ms": d.RetryAfter.Milliseconds(),
+		"holder_ms": holderMs(d.HolderAge), "retry_after_ms": d.RetryAfter.Milliseconds(),
 	}).Warn("allowance decision")
 }
 
+// holderMs returns the age of the lease holder's last answer in milliseconds, -1 if there
+// was none.
+func holderMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // draw waits until the lease holder was asked for the account's credit after the caller has
 // recorded its request. Requests for one account share a call.
 func (a *allowances) draw(ctx context.Context, account string, cost float64) {
