allowance: no credit in advance where it would not go round

Change: credit is held in advance only if it is enough for an average request at half of the instances.

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -21,8 +21,11 @@
 	// contended: credit is then granted out of the bucket only, not in advance.
 	contendedFraction = 0.9
 	// advanceFraction is the fraction of the bucket that instances may hold as credit in
-	// advance while less is asked for than the rate. The rest is for requests that wait.
+	// advance while less is asked for than the rate. The rest is for requests that wait. If it
+	// isn't enough for an average request at minAdvanced of the instances, none is held: a
+	// few instances would hold what requests at all others need.
 	advanceFraction = 0.7
+	minAdvanced     = 0.5
 	// minEmptyTime, or emptyTimePerInstance times the number of instances if that is longer,
 	// and maxEmptyTime bound the time for which an instance is told that asking again is in
 	// vain: about the time until its next sync brings credit.
@@ -269,7 +272,7 @@
 func (k *bucket) grant(now time.Time, c *claim, u *Usage, capacity float64, instances int) Grant {
 	t := k.totals(now)
 	contended := k.contended(t)
-	available := k.available(t, capacity, contended, u.Draw)
+	available := k.available(t, capacity, u, instances, contended)
 	need := max(min(u.Need, u.Want)-c.credit, 0)
 	given := c.wanting
 	if t.wanted > available {
@@ -302,11 +305,14 @@
 }
 
 // available returns what may be granted now.
-func (k *bucket) available(t claimTotals, capacity float64, contended, waits bool) float64 {
+func (k *bucket) available(t claimTotals, capacity float64, u *Usage, instances int, contended bool) float64 {
 	free := max(min(k.level, capacity)-t.credit, 0)
-	if contended || waits {
+	if contended || u.Draw {
 		return free
 	}
+	if advanceFraction*capacity < minAdvanced*float64(instances)*u.Need {
+		return 0
+	}
 	return max(free-(1-advanceFraction)*capacity, 0)
 }
 
