--- /dev/null
+++ b/instance/exchange_server.go
@@ -0,0 +1,92 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"greengageferry/exchange"
+	"greengageferry/residency"
+)
+
+// exchangeServer answers other instances' Sync calls. It implements exchange.Exchange.
+type exchangeServer struct{ instance *Instance }
+
+// Sync implements exchange.Exchange.
+func (e exchangeServer) Sync(_ context.Context, req *exchange.SyncRequest) (*exchange.SyncResponse, error) {
+	report := reportFromWire(req)
+	e.instance.notePeers(req.GetAddr())
+	e.instance.observeEra(req.GetStoreEra(), "instance")
+	e.instance.lease.ObserveToken(tokenFromWire(req.GetToken()))
+	e.instance.addLeavingServers(report.Leaving)
+	summary, err := e.instance.controller.HandleReport(time.Now(), report)
+	var notHolder *residency.NotHolderError
+	if errors.As(err, &notHolder) && e.instance.lease.Competes() {
+		return e.instance.candidateResponse(time.Now(), req), nil
+	}
+	if errors.As(err, &notHolder) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, notHolder.Error())
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	version, age := e.instance.confirmedConfig()
+	res := &exchange.SyncResponse{
+		Ordering: summary.Ordering, Chosen: summary.IsCandidate, StoreDown: e.instance.storeIsDown(),
+		ConfigVersion: max(summary.Version, version), ConfigAgeMs: age,
+	}
+	named := 1
+	if summary.Candidates.Digest() != report.Candidates {
+		res.Candidates = wireCandidates(summary.Candidates)
+		named = maxNamedPeers // the instance may have just started
+	}
+	res.Peers = e.instance.somePeers(named)
+	for domain, n := range summary.Instances {
+		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
+	}
+	res.Servers = e.instance.servers.stepsSince(time.Now(), req.GetServersDigest(), summary.Loads)
+	if res.Servers == nil {
+		res.Loads = wireLoads(summary.Loads)
+	}
+	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
+	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
+	res.Token = wireToken(e.instance.lease.Token())
+	if req.GetAllowances() != nil {
+		if grants, ok := e.instance.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
+			res.Allowances = wireGrants(grants)
+		}
+	}
+	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.HeldRemoved), summary.HeldIncremental
+	return res, nil
+}
+
+// candidateResponse is the response of a candidate that doesn't hold the lease.
+// Candidates read the store for the instances of their failure domain while there is no
+// holder.
+func (i *Instance) candidateResponse(now time.Time, req *exchange.SyncRequest) *exchange.SyncResponse {
+	i.mu.Lock()
+	holder := ""
+	if now.Sub(i.peerStatus.receivedAt) <= minHolderQueryInterval {
+		holder = i.peerStatus.holder
+	}
+	i.mu.Unlock()
+	version, age := i.confirmedConfig()
+	return &exchange.SyncResponse{
+		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
+		Servers: i.servers.stepsSince(now, req.GetServersDigest(), nil),
+		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
+		Peers: i.somePeers(1),
+	}
+}
+
+// servePeers is the duty that serves other instances.
+func (i *Instance) servePeers(ctx context.Context) error {
+	l, err := net.Listen("tcp4", i.opts.Node.PeerAddr)
+	if err != nil {
+		return errors.Wrap(err, "listening for instances")
+	}
+	return i.frontend.serveOn(ctx, l, exchange.NewExchangeServer(exchangeServer{i}))
+}
