allowance: a restart after a step of the clock is a new start

Cause: reading the diff: an instance's start is its time of day, and a lower one than the holder knew was taken for a late report; after a step back the instance would have had no credit for 30 s. Change: any other start is a new one; what the former held counts as used.

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -134,10 +134,7 @@
 		i = &reporter{start: r.Start}
 		l.instances[r.Instance] = i
 	}
-	if i.start != r.Start {
-		if r.Start < i.start {
-			return true
-		}
+	if i.start != r.Start { // starts aren't ordered: the time of day may have been set back
 		i.start, i.sequence = r.Start, 0
 		for _, k := range l.accounts {
 			k.drop(r.Instance) // the instance has started anew, without its credit
--- a/allowance/doc.go
+++ b/allowance/doc.go
@@ -53,8 +53,8 @@
 	Accounts  []Grant
 }
 
-// Cost returns the units that a request counts, a whole number. tokens is the sum that the request states,
-// 0 if it states none.
+// Cost returns the units that a request counts, a whole number. tokens is the sum that the
+// request states, 0 if it states none.
 func Cost(a *topology.Allowance, tokens int) float64 {
 	if a.Unit != topology.UnitTokens {
 		return 1
