--- a/instance/allowances_test.go
+++ b/instance/allowances_test.go
@@ -22,6 +22,16 @@
 	return c
 }
 
+// deployWithAllowance runs a site in which an allowance is in force at all instances.
+func deployWithAllowance(t *testing.T, perSecond float64) *deployment {
+	d := deploy(t)
+	require.NoError(t, d.site.Store.PutConfig(withAllowance(2, perSecond)))
+	for _, r := range d.instances {
+		d.waitUntil(func() bool { return d.status(r, "k1") == 200 })
+	}
+	return d
+}
+
 // allowedInWindow is how many requests of an account may run in the stand-in's window.
 func allowedInWindow(perSecond float64) float64 {
 	return (perSecond*window.Seconds()+perSecond)*1.1 + 5
@@ -57,12 +67,8 @@
 // One account sends many times its allowance at all instances: it gets what it may, and
 // another account doesn't notice.
 func TestAllowanceIsSharedByAllInstances(t *testing.T) {
-	d := deploy(t)
 	const perSecond = 50
-	require.NoError(t, d.site.Store.PutConfig(withAllowance(2, perSecond)))
-	for _, r := range d.instances {
-		d.waitUntil(func() bool { return d.status(r, "k1") == 200 })
-	}
+	d := deployWithAllowance(t, perSecond)
 	var free map[int]int
 	var both sync.WaitGroup
 	both.Go(func() { free = d.flood("k2", window) })
@@ -88,12 +94,8 @@
 
 // Without a lease holder and without the store, instances go on with their parts.
 func TestAllowanceWithoutAHolder(t *testing.T) {
-	d := deploy(t)
 	const perSecond = 50
-	require.NoError(t, d.site.Store.PutConfig(withAllowance(2, perSecond)))
-	for _, r := range d.instances {
-		d.waitUntil(func() bool { return d.status(r, "k1") == 200 })
-	}
+	d := deployWithAllowance(t, perSecond)
 	d.flood("k1", time.Second)
 	d.site.Store.SetDown(true)
 	time.Sleep(4 * time.Second) // longer than a lease without renewals
