--- a/relay/account.go
+++ b/relay/account.go
@@ -92,10 +92,10 @@
 	return c.account.Name
 }
 
-// keyRevoked ends a call whose API key a newer configuration has taken away while the
+// endIfKeyRevoked ends a call whose API key a newer configuration has taken away while the
 // request waited, before the attempt of the decision begins. It returns the request's
 // outcome, or "" if the key still belongs to the same account.
-func (c *call) keyRevoked() string {
+func (c *call) endIfKeyRevoked() string {
 	v := c.relay.view.Load()
 	if v.Config.Version == c.configVersion || v.Config.Accounts == nil || c.route.Public {
 		return ""
--- a/relay/call.go
+++ b/relay/call.go
@@ -181,7 +181,7 @@
 			if d.Action == decide.ActionRefuse {
 				return c.endOnRefusal(d)
 			}
-			if outcome := c.keyRevoked(); outcome != "" {
+			if outcome := c.endIfKeyRevoked(); outcome != "" {
 				return outcome
 			}
 			if outcome := c.attempt(ctx, d); outcome != "" {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,7 +49,7 @@
 	MaxTokens    int           // upper bound of output tokens
 	LengthHint   int           // output tokens that the caller expects
 	PrefixHash   uint64        // of the prompt parts that other requests may share
-	Key          topology.KeyDigest
+	Key          topology.KeyDigest // of the caller's API key
 }
 
 // AttemptHeaders holds the headers that an attempt has in addition to the caller's.
