--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,12 +43,12 @@
 	ID           string // chosen by the caller, a new one for each of its own attempts
 	Model        string
 	Adapter      string
-	Timeout      time.Duration // how long the caller waits for the response
-	LastEventID  string        // the caller resumes a stream after this event
-	PromptTokens int           // tokens of the prompt
-	MaxTokens    int           // upper bound of output tokens
-	LengthHint   int           // output tokens that the caller expects
-	PrefixHash   uint64        // of the prompt parts that other requests may share
+	Timeout      time.Duration      // how long the caller waits for the response
+	LastEventID  string             // the caller resumes a stream after this event
+	PromptTokens int                // tokens of the prompt
+	MaxTokens    int                // upper bound of output tokens
+	LengthHint   int                // output tokens that the caller expects
+	PrefixHash   uint64             // of the prompt parts that other requests may share
 	Key          topology.KeyDigest // of the caller's API key
 }
 
