instance: reads before the instances are counted go back to what they were

Cause: the change was made on the assumption that servers' entries, read each 0.4 s by instances that take themselves for one of twelve, are most of the calls before traffic. Change: reverted. What the 1,300 calls until second 12 are is open.

--- a/instance/follow_servers.go
+++ b/instance/follow_servers.go
@@ -130,7 +130,7 @@
 	if holderListValid {
 		return false
 	}
-	return i.lease.Competes() || i.readerCount() <= manyInstances || !i.servers.fresh(now)
+	return i.lease.Competes() || i.instanceCount() <= manyInstances || !i.servers.fresh(now)
 }
 
 // minServersReadInterval returns the minimum time between this instance's reads of the
@@ -139,7 +139,7 @@
 	if i.lease.Holds() {
 		return minServersReadInterval // all other instances depend on the holder's reads
 	}
-	return serversReadIntervalFor(i.readerCount())
+	return serversReadIntervalFor(i.instanceCount())
 }
 
 // serversReadIntervalFor returns the minimum time between two reads of servers' entries
@@ -149,19 +149,6 @@
 	return time.Duration(factor * float64(minServersReadInterval))
 }
 
-// readerCount returns the number of live instances, to decide how often each reads the
-// store. Until a lease holder has counted them they are taken for many: all instances that
-// start at the same time read until one of them holds the lease, which takes seconds, and
-// 69 of them made 800 calls meanwhile.
-func (i *Instance) readerCount() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if !i.view.InstancesKnown {
-		return manyInstances * maxReadIntervalFactor
-	}
-	return i.view.Instances()
-}
-
 // instanceCount returns the known or assumed number of live instances.
 func (i *Instance) instanceCount() int {
 	i.mu.Lock()
