allowance: the replays run side by side

Cause: with the race detector on the replay of 48 cases took over 3 minutes on one processor. Change: a parallel subtest for each. The cases and bounds are the same.

--- a/allowance/experiment_test.go
+++ b/allowance/experiment_test.go
@@ -61,17 +61,20 @@
 // TestAllowanceIsUsedAndKept plays one account at each size: evenly spread and in one
 // failure domain only, with a demand that jumps to 2 and to 8 times the rate.
 func TestAllowanceIsUsedAndKept(t *testing.T) {
+	spreads := map[string]func(float64, int) func(int) float64{"even": equally, "one domain": inOneDomain}
 	for _, n := range simSizes {
 		for _, rate := range []float64{4200, 50_000, 400_000} {
 			for _, x := range []float64{2, 8} {
-				for name, spread := range map[string]func(float64, int) func(int) float64{"even": equally, "one domain": inOneDomain} {
-					s := newSim(1, n, topology.Allowance{PerSecond: rate, Burst: rate, Unit: topology.UnitTokens})
-					r := s.play(spread, x)
-					t.Logf("%3d instances, %6.0f/s x%g, %-10s: used %.3f of the rate, refused below it %.4f, window %.2f, draws %.0f/s", n, rate, x, name, r.contendedUse, r.refusedBelow, r.window, r.draws)
-					label := fmt.Sprint(n, " instances, ", rate, " a second x", x, ", ", name)
-					assert.LessOrEqual(t, r.window, 1.0, label)
-					assert.GreaterOrEqual(t, r.contendedUse, 0.95, label)
-					assert.LessOrEqual(t, r.refusedBelow, 0.001, label)
+				for name, spread := range spreads {
+					t.Run(fmt.Sprint(n, " instances, ", rate, " a second x", x, ", ", name), func(t *testing.T) {
+						t.Parallel()
+						s := newSim(1, n, topology.Allowance{PerSecond: rate, Burst: rate, Unit: topology.UnitTokens})
+						r := s.play(spread, x)
+						t.Logf("used %.3f of the rate, refused below it %.4f, window %.2f, draws %.0f/s", r.contendedUse, r.refusedBelow, r.window, r.draws)
+						assert.LessOrEqual(t, r.window, 1.0)
+						assert.GreaterOrEqual(t, r.contendedUse, 0.95)
+						assert.LessOrEqual(t, r.refusedBelow, 0.001)
+					})
 				}
 			}
 		}
--- a/allowance/failures_test.go
+++ b/allowance/failures_test.go
@@ -80,6 +80,7 @@
 // TestAllowanceIsKeptUnderFailures: whatever fails, no more is used in any window than is
 // allowed.
 func TestAllowanceIsKeptUnderFailures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.SampledFrom([]float64{4200, 50_000, 400_000}).Draw(t, "rate")
 		n := rapid.SampledFrom([]int{4, 9, 40}).Draw(t, "instances in all")
