--- a/caller/attempts_test.go
+++ b/caller/attempts_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/infra"
+	"greengageferry/internal/digest"
 	"greengageferry/record"
 )
 
@@ -278,7 +279,7 @@
 
 func TestQuarantinedRequestIsNotRun(t *testing.T) {
 	r := newHarness(t)
-	r.quarantine.quarantined[digest([]byte("kitchen"), []byte("tray"), []byte("p"))] = true
+	r.quarantine.quarantined[digest.Sum([]byte("kitchen"), []byte("tray"), []byte("p"))] = true
 	w := r.post("/v1/completions", `{"model":"tray","prompt":"p","max_tokens":5}`)
 	require.Equal(t, http.StatusUnprocessableEntity, w.Code)
 	require.Contains(t, w.Body.String(), `"outcome":"not_run"`)
--- a/caller/keyed.go
+++ b/caller/keyed.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
-	"hash"
 	"net/http"
 	"time"
 
@@ -12,6 +9,7 @@
 
 	"greengageferry/caller/api"
 	"greengageferry/claims"
+	"greengageferry/internal/digest"
 	"greengageferry/record"
 )
 
@@ -27,23 +25,6 @@
 	maxFetchFailures = 3
 )
 
-// digest returns the SHA-256 of the parts, each prefixed with its length, so that
-// different lists of parts never have the same encoding.
-func digest(parts ...[]byte) [sha256.Size]byte {
-	h := sha256.New()
-	for _, p := range parts {
-		writePart(h, p)
-	}
-	return [sha256.Size]byte(h.Sum(nil))
-}
-
-func writePart(h hash.Hash, p []byte) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(p)))
-	h.Write(length[:])
-	h.Write(p)
-}
-
 // claimRequest describes a request that must be claimed before it may run.
 type claimRequest struct {
 	key         string   // the caller's Idempotency-Key
@@ -56,7 +37,7 @@
 // not end when the caller disconnects, so that a retry finds the answer; callerCtx
 // does.
 func (s *Server) serveClaimed(ctx, callerCtx context.Context, c *call, rw *response, j job, claim claimRequest) *api.Problem {
-	key := digest([]byte(c.sender.partner), []byte(c.sender.caller), []byte(claim.key))
+	key := digest.Sum([]byte(c.sender.partner), []byte(c.sender.caller), []byte(claim.key))
 	claim.attempt = newID()
 	s.answers.begin(claim.attempt)                         // before the claim, since a duplicate may query it as soon as the claim is known
 	defer s.answers.finish(claim.attempt, Answer{}, false) // has an effect only after a panic: marks the answer as lost
--- a/caller/keyed_test.go
+++ b/caller/keyed_test.go
@@ -14,6 +14,7 @@
 
 	"greengageferry/claims"
 	"greengageferry/infra"
+	"greengageferry/internal/digest"
 	"greengageferry/record"
 )
 
@@ -69,10 +70,10 @@
 
 func TestRetryOfLostFirstRequestHasUnknownOutcome(t *testing.T) {
 	r := newHarness(t)
-	key := digest([]byte("kitchen"), []byte("desk"), []byte("k"))
+	key := digest.Sum([]byte("kitchen"), []byte("desk"), []byte("k"))
 	body := `{"model":"tray","prompt":"p"}`
 	canonical, _ := canonicalJSON([]byte(body))
-	fingerprint := digest([]byte("kitchen"), []byte("/v1/completions"), canonical)
+	fingerprint := digest.Sum([]byte("kitchen"), []byte("/v1/completions"), canonical)
 	_, err := r.claimer.Claim(t.Context(), &record.Claim{Key: key[:], Fingerprint: fingerprint[:], Instance: "gone", Attempt: "a"})
 	require.NoError(t, err)
 	r.answers.fetch = func(context.Context, string, string) (Answer, bool, bool, error) { return Answer{}, false, false, nil }
--- a/caller/models.go
+++ b/caller/models.go
@@ -10,6 +10,7 @@
 	"greengageferry/caller/api"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/digest"
 )
 
 // defaultMaxTokens limits an answer if the table sets no limit. It is the
@@ -122,7 +123,7 @@
 	defer cancel()
 	return s.serveClaimed(ctx, callerCtx, c, rw, j, claimRequest{
 		key:         o.key,
-		fingerprint: digest([]byte(c.sender.partner), []byte(r.URL.Path), canonical),
+		fingerprint: digest.Sum([]byte(c.sender.partner), []byte(r.URL.Path), canonical),
 	})
 }
 
@@ -156,7 +157,7 @@
 	if c.maxTokens > limit {
 		return api.Invalid(api.CodeBadField, "max_tokens is over the model's most, %d", limit)
 	}
-	c.fingerprint = digest([]byte(c.sender.partner), []byte(t.Name), []byte(req.Prompt))
+	c.fingerprint = digest.Sum([]byte(c.sender.partner), []byte(t.Name), []byte(req.Prompt))
 	return s.checkQuarantine(c)
 }
 
--- a/caller/services.go
+++ b/caller/services.go
@@ -13,6 +13,7 @@
 	"greengageferry/config"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/digest"
 	"greengageferry/internal/hop"
 	"greengageferry/internal/stall"
 )
@@ -54,7 +55,7 @@
 	}
 	c.applyOptions(o, t, s.opts.Limits.MaxTimeout)
 	c.promptBytes = len(body)
-	c.fingerprint = digest([]byte(c.sender.partner), []byte(name), []byte(r.Method), []byte(subpath), []byte(r.URL.RawQuery), body)
+	c.fingerprint = digest.Sum([]byte(c.sender.partner), []byte(name), []byte(r.Method), []byte(subpath), []byte(r.URL.RawQuery), body)
 	if p := s.checkQuarantine(c); p != nil {
 		return p
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -144,6 +144,9 @@
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
 	c.logFailedAttempt(d, err.Error(), 0)
+	if connectionBroke(f) {
+		c.logBrokenConnection(d)
+	}
 	if f.Unsent {
 		c.attempts--
 	}
@@ -151,6 +154,23 @@
 	return ""
 }
 
+// connectionBroke reports whether the connection to the server broke while the server may
+// have been running the request.
+func connectionBroke(f decide.Failure) bool {
+	return f.Reason == infra.ReasonUnreachable && f.Effect == infra.EffectUnknown
+}
+
+// logBrokenConnection logs which request was in flight when the connection to its server
+// broke. A request that crashes its servers has one such line for each, all with the same
+// fingerprint.
+func (c *call) logBrokenConnection(d decide.Decision) {
+	c.relay.opts.Log.WithFields(logrus.Fields{
+		"request":     c.headers.ID,
+		"server":      d.Server.ID,
+		"fingerprint": c.fingerprint().String(),
+	}).Warn("connection broke while the server ran the request")
+}
+
 // abandonAttempt ends a call whose caller disconnected or whose deadline passed before
 // the attempt's response was complete.
 func (c *call) abandonAttempt(ctx context.Context, d decide.Decision, f decide.Failure) string {
--- a/relay/call.go
+++ b/relay/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"greengageferry/allowance"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/quarantine"
 	"greengageferry/topology"
 )
 
@@ -82,6 +84,9 @@
 	lastResponseServer string            // id of the server that sent lastResponse
 	stream             streamState       // what of a stream was sent to the caller
 	firstByte          time.Time
+
+	fingerprintOnce  sync.Once
+	fingerprintValue quarantine.Fingerprint // see fingerprint
 }
 
 // bufferedResponse is a server's response that was read completely.
--- /dev/null
+++ b/relay/fingerprint.go
@@ -0,0 +1,15 @@
+package relay
+
+import "greengageferry/quarantine"
+
+// fingerprint identifies the call's request. It is the same whenever the caller sends the
+// request again, through any instance. The request's id is not part of it, since each of
+// the caller's attempts has another.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	c.fingerprintOnce.Do(func() {
+		c.fingerprintValue = quarantine.NewFingerprint(
+			[]byte(c.accountName()), []byte(c.req.Method), []byte(c.req.Host), []byte(c.req.RequestURI),
+			[]byte(c.headers.Model), []byte(c.headers.Adapter), c.body)
+	})
+	return c.fingerprintValue
+}
