--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -45,8 +45,11 @@
 }
 
 // deploy runs a stand-in site with one instance in each of its failure domains.
-func deploy(t *testing.T) *deployment {
-	site, err := standin.NewSite()
+func deploy(t *testing.T) *deployment { return deployWith(t, standin.SiteOptions{PlainServers: 1}) }
+
+// deployWith is like deploy, with a site of the given size.
+func deployWith(t *testing.T, o standin.SiteOptions) *deployment {
+	site, err := standin.NewSiteWith(o)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
