quarantine: one judge of the evidence against a request, for both ways in

The crashes of a request, which of them count, and how many are remembered move from replay to a package without I/O. No behaviour is changed.

--- a/claims/shard.go
+++ b/claims/shard.go
@@ -13,6 +13,7 @@
 
 	"greengageferry/infra"
 	"greengageferry/logsync"
+	"greengageferry/quarantine"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
@@ -109,7 +110,7 @@
 		return Standing{Verdict: NotKept}
 	case holder.Attempt == c.GetAttempt():
 		return Standing{Verdict: Granted, Instance: holder.Instance, Attempt: holder.Attempt, Request: holder.Request}
-	case holder.Fingerprint != replay.Fingerprint(c.GetFingerprint()):
+	case holder.Fingerprint != quarantine.Fingerprint(c.GetFingerprint()):
 		return Standing{Verdict: Conflict}
 	}
 	return Standing{Verdict: Taken, Instance: holder.Instance, Attempt: holder.Attempt, Request: holder.Request, Outcome: holder.Outcome}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,7 +61,7 @@
 	controlFollowers *controlFollowers
 	tableBuilder     *tableBuilder
 	table            atomic.Pointer[decide.Table]
-	quarantine       *quarantine
+	quarantine       *logQuarantine
 	caller           *caller.Server
 	meter            *demand.Meter
 	loads            *demand.Loads
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -11,23 +11,18 @@
 	"greengageferry/config"
 	"greengageferry/infra"
 	"greengageferry/logsync"
+	"greengageferry/quarantine"
 	"greengageferry/record"
 	"greengageferry/replay"
 )
 
-const (
-	// QuarantineExpiry is how long a server's crash counts against the request that
-	// caused it. Callers resend within minutes, and the servers' software may have
-	// changed by the next day.
-	QuarantineExpiry = 6 * time.Hour
-	// crashReportTimeout bounds the attempts to append a crash to the log. It outlasts a
-	// short outage. A crash report is useful only while the caller may resend the request.
-	crashReportTimeout = time.Minute
-)
+// crashReportTimeout bounds the attempts to append a crash to the log. It outlasts a
+// short outage. A crash report is useful only while the caller may resend the request.
+const crashReportTimeout = time.Minute
 
-// quarantine implements caller.Quarantine with the log's quarantine stream and with the
+// logQuarantine implements caller.Quarantine with the log's quarantine stream and with the
 // lifts in the configuration, by which operators end the quarantine of a request.
-type quarantine struct {
+type logQuarantine struct {
 	config   func() *config.Config
 	follower *logsync.Follower[replay.QuarantineView]
 	appender logsync.Appender
@@ -35,21 +30,21 @@
 }
 
 // Quarantined implements caller.Quarantine.
-func (q *quarantine) Quarantined(fingerprint [32]byte) bool {
+func (q *logQuarantine) Quarantined(fingerprint [32]byte) bool {
 	view := q.follower.View()
 	return view != nil && view.Quarantined(fingerprint, q.since(fingerprint))
 }
 
 // Suspect implements caller.Quarantine.
-func (q *quarantine) Suspect(fingerprint [32]byte) bool {
+func (q *logQuarantine) Suspect(fingerprint [32]byte) bool {
 	view := q.follower.View()
 	return view != nil && view.Suspect(fingerprint, q.since(fingerprint))
 }
 
-// since returns the time from which crashes count against a request: QuarantineExpiry ago,
+// since returns the time from which crashes count against a request: quarantine.Expiry ago,
 // or the time that a lift names if that is later.
-func (q *quarantine) since(fingerprint [32]byte) time.Time {
-	since := time.Now().Add(-QuarantineExpiry)
+func (q *logQuarantine) since(fingerprint [32]byte) time.Time {
+	since := time.Now().Add(-quarantine.Expiry)
 	cfg := q.config()
 	if cfg == nil {
 		return since
@@ -63,7 +58,7 @@
 
 // ReportCrash implements caller.Quarantine. It returns once the crash is on the log or
 // crashReportTimeout has passed.
-func (q *quarantine) ReportCrash(ctx context.Context, c *record.Crash) {
+func (q *logQuarantine) ReportCrash(ctx context.Context, c *record.Crash) {
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
 	_, err := q.appender.Append(ctx, infra.StreamQuarantine, &record.Record{Body: &record.Record_Crash{Crash: c}})
@@ -76,7 +71,7 @@
 }
 
 // status returns the requests against which crashes count, sorted by fingerprint.
-func (q *quarantine) status() []SuspectStatus {
+func (q *logQuarantine) status() []SuspectStatus {
 	view := q.follower.View()
 	if view == nil {
 		return nil
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -169,7 +169,7 @@
 func (i *Instance) wireCaller() error {
 	s := i.opts.Settings
 	i.cachePoller = &cachePoller{engine: i.opts.Platform.Engine, usedServers: make(chan server, usedServerBuffer), metrics: i.vars("hints")}
-	i.quarantine = &quarantine{config: i.configTracker.Config, follower: i.quarantineStream, appender: i.writer, log: i.log}
+	i.quarantine = &logQuarantine{config: i.configTracker.Config, follower: i.quarantineStream, appender: i.writer, log: i.log}
 	callers, err := caller.New(caller.Options{
 		Instance:      s.Instance.ID,
 		FailureDomain: i.domain(),
--- a/replay/claims.go
+++ b/replay/claims.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"greengageferry/infra"
+	"greengageferry/quarantine"
 	"greengageferry/record"
 )
 
@@ -13,7 +14,7 @@
 // KeyClaim is one claim on a key.
 type KeyClaim struct {
 	Offset      infra.Offset
-	Fingerprint Fingerprint
+	Fingerprint quarantine.Fingerprint
 	Instance    string
 	Attempt     string
 	Request     string
--- a/replay/machines_test.go
+++ b/replay/machines_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/infra"
+	"greengageferry/quarantine"
 	"greengageferry/record"
 )
 
@@ -233,7 +234,7 @@
 }
 
 func crashRecord(f byte, server, boot string, at time.Time) *record.Record {
-	fp := Fingerprint{f}
+	fp := quarantine.Fingerprint{f}
 	return &record.Record{Body: &record.Record_Crash{Crash: &record.Crash{Fingerprint: fp[:], Server: server, Boot: boot, AtUnixMs: at.UnixMilli()}}}
 }
 
@@ -241,16 +242,16 @@
 	now := time.Unix(1000, 0)
 	q := NewQuarantine()
 	applyAll(q, crashRecord(1, "s", "1", now), crashRecord(1, "s", "1", now), crashRecord(1, "s", "2", now))
-	require.False(t, q.View().Quarantined(Fingerprint{1}, now), "crashes of one server only")
-	require.True(t, q.View().Suspect(Fingerprint{1}, now))
+	require.False(t, q.View().Quarantined(quarantine.Fingerprint{1}, now), "crashes of one server only")
+	require.True(t, q.View().Suspect(quarantine.Fingerprint{1}, now))
 	for boot := range 20 {
 		applyAll(q, crashRecord(1, "t", string(rune('a'+boot)), now))
 	}
-	require.True(t, q.View().Quarantined(Fingerprint{1}, now))
-	require.False(t, q.View().Quarantined(Fingerprint{1}, now.Add(time.Millisecond)))
-	require.False(t, q.View().Quarantined(Fingerprint{2}, now))
-	require.Len(t, q.View().Suspects[Fingerprint{1}].Crashes, MaxCrashes)
-	require.False(t, q.View().Suspect(Fingerprint{1}, now.Add(time.Millisecond)))
+	require.True(t, q.View().Quarantined(quarantine.Fingerprint{1}, now))
+	require.False(t, q.View().Quarantined(quarantine.Fingerprint{1}, now.Add(time.Millisecond)))
+	require.False(t, q.View().Quarantined(quarantine.Fingerprint{2}, now))
+	require.Len(t, q.View().Suspects[quarantine.Fingerprint{1}].Crashes, quarantine.MaxCrashes)
+	require.False(t, q.View().Suspect(quarantine.Fingerprint{1}, now.Add(time.Millisecond)))
 }
 
 func TestDuplicateAndUnexpectedRecordsChangeNothing(t *testing.T) {
