instance: a request that crashes servers is refused by all instances after three

Nothing recognised the request: each attempt has a new id and instances kept nothing of it (hypothesis 1); an instance's own retries doubled it where it is idempotent (2); the servers ended under it (3 is ruled out: the stand-ins crash for that request alone).

An attempt whose connection breaks asks whether the server still listens. If not, the crash is reported against the request's fingerprint (account, method, host, path, model, body) to all known instances at once, and the caller's answer waits for that, at most 0.1 s. After one crash the instances send the request to the same server, by rendezvous hashing, so that copies under way at several instances end one server together. After three it is refused as not run, and its attempts in hand end. A crash counts no more once the server answers any instance, or any server completes the request. The lease holder passes reports on to all instances; Sync and State bring what was missed. Which crashes quarantine a request is quarantine.Rule, as for the log's stream. Operators see and lift quarantines (metrics, log, settings).

Tests: the one that was known red (3 servers, idempotent or not, at both instances at once); in simulated time 9, 66 and 295 instances (3 each), store and links away, restarts, crashes for other reasons, servers that are only unreachable, expiry, lifts, bounded memory.

--- a/decide/filter.go
+++ b/decide/filter.go
@@ -28,7 +28,7 @@
 // eligibilityFilters don't depend on load. capacityFilters do: it can help to queue a
 // request that only they reject.
 var (
-	eligibilityFilters = []filter{availabilityFilter{}, reachabilityFilter{}, residencyFilter{}, failedServerFilter{}}
+	eligibilityFilters = []filter{availabilityFilter{}, reachabilityFilter{}, residencyFilter{}, failedServerFilter{}, affinityFilter{}}
 	capacityFilters    = []filter{rateFilter{}, slotFilter{}, prefillFilter{}, suspectFilter{}, deadlineFilter{}}
 )
 
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -96,6 +96,10 @@
 // requests with the same prefix share that replica's cache.
 func (s *Scheduler) sample(now time.Time, req *requestState, replicas []replicaState) {
 	s.candidates = s.candidates[:0]
+	if req.Affinity != 0 {
+		s.sampleByAffinity(now, req, replicas)
+		return
+	}
 	n := len(replicas)
 	if n <= sampleSize || s.fillLevel == fillRateLimited {
 		for i := range replicas {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -130,13 +130,13 @@
 	}
 }
 
-// mayRetry reports whether a request whose attempt failed may be dispatched again, and the
-// reason if not.
-func (s *Scheduler) mayRetry(now time.Time, req *requestState, f Failure) (Reason, bool) {
+// mayRetry reports whether a request whose attempt at the server failed may be dispatched
+// again, and the reason if not.
+func (s *Scheduler) mayRetry(now time.Time, req *requestState, srv *serverState, f Failure) (Reason, bool) {
 	switch {
 	case f.Effect != infra.EffectNone && !req.Idempotent:
 		return ReasonMayHaveRun, false
-	case req.crashes >= maxCrashes:
+	case f.Quarantined || req.crashes >= maxCrashes:
 		return ReasonQuarantined, false
 	case !now.Before(req.Deadline):
 		return ReasonDeadline, false
@@ -145,7 +145,7 @@
 	case f.Unsent:
 		return "", true
 	}
-	budget := &req.failedServer.pool.budget
+	budget := &srv.pool.budget
 	if (f.Effect != infra.EffectNone || budget.policy.CountRefused) && !budget.tryWithdraw(now) {
 		return ReasonRetryBudget, false
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -102,7 +102,9 @@
 	srv := req.dispatchedTo
 	s.recordFailure(now, req.target, srv, f)
 	s.release(now, req)
-	req.failedServer = srv
+	if f.Reason != infra.ReasonCanceled {
+		req.failedServer = srv
+	}
 	req.deliveredTokens = max(req.deliveredTokens, f.Tokens)
 	if f.Unsent {
 		req.attempts--
@@ -110,9 +112,12 @@
 	}
 	if f.Crash {
 		req.crashes++
-		req.Suspect = true
 	}
-	switch reason, ok := s.mayRetry(now, req, f); {
+	req.Suspect = req.Suspect || f.Suspect || f.Crash
+	if f.Affinity != 0 {
+		req.Affinity = f.Affinity
+	}
+	switch reason, ok := s.mayRetry(now, req, srv, f); {
 	case !ok:
 		s.refuse(req, reason, req.target.returns.next(now, 0, s.minSendInterval(now, req.target)))
 	default:
--- a/decide/types.go
+++ b/decide/types.go
@@ -86,7 +86,8 @@
 	LengthHint   int    // answer length in tokens that the caller expects; 0: not known
 	Prefix       uint64 // infra.PrefixHash of the prompt; 0: none
 	Idempotent   bool   // may be retried after an attempt with unknown outcome
-	Suspect      bool   // a backend server crashed while running the request; it shares no server with other suspects
+	Suspect      bool   // servers crashed while running the request; it shares no server with other suspects
+	Affinity     uint64 // not 0: see affinityFilter
 	MaxAttempts  int    // limit of attempts that reach a server; 0: maxAttempts
 	// Goal is the target time from Arrived to the first token. At FirstTokenDeadline the
 	// caller gives up if no token has come. Zero: not known.
@@ -164,6 +165,10 @@
 	Effect infra.Effect
 	Tokens int  // tokens already delivered to the caller
 	Crash  bool // the server crashed while running the attempt
+	// Quarantined is set if the request must not run again, Suspect and Affinity as in Request.
+	Quarantined bool
+	Suspect     bool
+	Affinity    uint64
 	// RetryAfter is how long the server asked this instance to send it no requests; 0: not
 	// given.
 	RetryAfter time.Duration
--- a/instance/crashing_requests_test.go
+++ b/instance/crashing_requests_test.go
@@ -20,8 +20,9 @@
 func TestRequestThatCrashesServersEndsFewOfThem(t *testing.T) {
 	d := deployWith(t, standin.SiteOptions{PlainServers: 6, Restart: 300 * time.Millisecond})
 	require.NoError(t, d.site.Store.PutConfig(standin.Config(2)))
-	for _, r := range d.instances {
+	for _, r := range d.instances { // a model is loaded once there is a lease holder, whom all know
 		d.waitUntil(func() bool { status, _, _ := d.send(r, "/more/1", ""); return status == 200 })
+		d.waitUntil(func() bool { status, _, _ := d.send(r, standin.StreamPath, standin.RareModel); return status == 200 })
 	}
 	for _, c := range []struct {
 		name, path string
--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -54,6 +54,7 @@
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
 	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
 	res.Token = wireToken(e.instance.lease.Token())
+	res.SuspectsDigest, res.Suspects = e.instance.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	if req.GetAllowances() != nil {
 		if grants, ok := e.instance.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
 			res.Allowances = wireGrants(grants)
@@ -74,7 +75,9 @@
 	}
 	i.mu.Unlock()
 	version, age := i.confirmedConfig()
+	digest, suspects := i.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	return &exchange.SyncResponse{
+		SuspectsDigest: digest, Suspects: suspects,
 		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.stepsSince(now, req.GetServersDigest(), nil),
 		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,6 +49,7 @@
 	servers  *serverList
 
 	allowances *allowances
+	suspects   *suspects
 
 	lease      *residency.Lease
 	controller *residency.Controller
@@ -88,9 +89,10 @@
 	}
 	i.allowances = newAllowances(i)
 	i.allowances.meter.SetBounds(o.Node.Allowances)
+	i.suspects = newSuspects(i)
 	i.relay = relay.New(relay.Options{
 		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand,
-		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances,
+		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects,
 	})
 	i.frontend = newFrontend(i)
 	i.node.Store(o.Node)
@@ -165,6 +167,7 @@
 			supervise.Duty{Name: "orders", Run: i.controller.Run},
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
+			supervise.Duty{Name: "suspects", Run: i.suspects.run},
 			supervise.Duty{Name: "count", Run: i.keepCount},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: frontend.serveCallers},
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -232,7 +232,9 @@
 // stateRequest tells another instance what this one knows.
 func (i *Instance) stateRequest() *exchange.StateRequest {
 	digest, at := i.servers.digestAndPosition()
+	suspectsDigest, suspects := i.suspects.all()
 	return &exchange.StateRequest{
+		SuspectsDigest: suspectsDigest, Suspects: suspects,
 		ServersDigest: digest, ServersPosition: at.Offset, ServersEra: at.Era,
 		ConfigVersion: i.configVersion(), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
 		Leaving: wireStarts(i.leavingServers()), Addr: i.opts.Node.PeerAddr,
@@ -244,6 +246,7 @@
 func (i *Instance) learnState(sent time.Time, addr string, req *exchange.StateRequest, res *exchange.StateResponse) bool {
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
+	i.suspects.merge(res.GetSuspects())
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
 		return false // the rest predates the restore of the store
@@ -282,7 +285,9 @@
 	peers := i.somePeers(maxNamedPeers)
 	i.notePeers(req.GetAddr())
 	version, age := i.confirmedConfig()
+	suspectsDigest, suspects := i.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	res := &exchange.StateResponse{
+		SuspectsDigest: suspectsDigest, Suspects: suspects,
 		Servers:       i.servers.stepsOrAll(time.Now(), req.GetServersDigest(), topology.Position{Era: req.GetServersEra(), Offset: req.GetServersPosition()}),
 		ConfigVersion: version, ConfigAgeMs: age,
 		StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()), Leaving: wireStarts(i.leavingServers()),
--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -248,8 +248,8 @@
 	for n, i := range w.instances {
 		client := &http.Client{Transport: spreadNetwork{w, n}}
 		s, l := newSyncer(i), newLearner(i)
-		s.client, l.client = client, client
-		for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, s.run, l.run} {
+		s.client, l.client, i.suspects.client = client, client, client
+		for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, s.run, l.run, i.suspects.run} {
 			duties.Go(func() { _ = run(ctx) }) // returns nil once ctx ends
 		}
 	}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -43,6 +43,7 @@
 	storeResults    *prometheus.CounterVec   // by kind of read and how it ended, see storeResult
 	allowances      *prometheus.CounterVec   // by account, see accountLabel, and verdict
 	draws           *prometheus.CounterVec   // by result
+	crashes         prometheus.Counter
 
 	accountsMu sync.Mutex
 	accounts   map[string]bool // those with a label of their own
@@ -75,6 +76,9 @@
 		peerQuestions: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "peer_questions_total", Help: "Questions to other instances while this one's knowledge was out of date.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "crashed_attempts_total", Help: "Attempts whose server crashed.",
+		}),
 		duration:  histogram("request_seconds", "From a request's arrival to its end."),
 		firstByte: histogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
 		wait:      histogram("wait_seconds", "From a request's arrival to its first attempt."),
@@ -89,7 +93,7 @@
 		draws:      counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
 		accounts:   map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes)
 	return m
 }
 
@@ -178,6 +182,8 @@
 // registerGauges registers the gauges of the instance's state and of how old that is.
 func (i *Instance) registerGauges() {
 	g := i.metrics.gauge
+	g("suspected_requests", "Requests during which a server crashed, as far as that speaks against them.", func() float64 { n, _ := i.suspects.counts(); return float64(n) })
+	g("quarantined_requests", "Requests that are refused because they crash servers.", func() float64 { _, n := i.suspects.counts(); return float64(n) })
 	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
 	g("config_confirmed_age_seconds", "Since the configuration in force was last known to be the newest; -1: never.", func() float64 {
 		i.mu.Lock()
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -170,6 +170,7 @@
 	sent := time.Now()
 	req := newSyncRequest(report)
 	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
+	req.SuspectsDigest, req.Suspects = i.suspects.forHolder()
 	if usage, ok := i.allowances.report(sent); ok {
 		req.Allowances = wireAllowances(usage)
 	}
@@ -184,6 +185,8 @@
 	}
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
+	i.suspects.onHolderAnswer(res.GetSuspectsDigest(), res.GetSuspects())
+	i.notePeers(addr)
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	var loads map[string]residency.Load
 	if res.GetServers() != nil {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// MaxCrashes is the maximum number of crashes remembered for one request: more than any
-// Rule asks for.
+// MaxCrashes is the maximum number of crashes that Add remembers for one request: more than
+// any Rule asks for.
 const MaxCrashes = 8
 
 // Expiry is how long a server's crash counts against the request that caused it. Callers
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -61,6 +61,18 @@
 	require.Len(t, s.Crashes(Fingerprint{1, 1}), MaxCrashes)
 }
 
+// Guards against two full sets that keep bringing back what the other has dropped.
+func TestFullSetIsNotChangedByWhatItDropped(t *testing.T) {
+	s := NewSet()
+	for i := range 3 * MaxMergedCrashes {
+		require.Equal(t, i < MaxMergedCrashes, s.Merge(Fingerprint{1}, crash(fmt.Sprint(i))))
+	}
+	for i := range 3 * MaxMergedCrashes {
+		require.False(t, s.Merge(Fingerprint{1}, crash(fmt.Sprint(i))))
+	}
+	require.Len(t, s.Crashes(Fingerprint{1}), MaxMergedCrashes)
+}
+
 // Reports may be lost for a while, arrive late, twice and in any order.
 func TestSetsThatAreMergedInAnyOrderBecomeEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -87,14 +87,24 @@
 	delete(s.suspects, oldest)
 }
 
-// Merge adds a crash that another set holds, with its marks, and reports whether that
-// changed this set.
+// MaxMergedCrashes is the maximum number of crashes of one request that Merge remembers.
+// Further ones are dropped, and not older ones in their place: another set would bring those
+// back, without end.
+const MaxMergedCrashes = 32
+
+// Merge adds a crash that another set may hold as well, with its marks, and reports whether
+// that changed this set.
 func (s *Set) Merge(f Fingerprint, c Crash) bool {
-	if s.Add(f, c, 0) {
-		return true
-	}
 	crashes := s.Crashes(f)
 	at := slices.IndexFunc(crashes, c.sameCrash)
+	if at < 0 && len(crashes) >= MaxMergedCrashes {
+		return false
+	}
+	if at < 0 {
+		s.put(f, append(slices.Clone(crashes), c), 0)
+		s.evictOldest()
+		return true
+	}
 	merged := crashes[at]
 	merged.Void, merged.Repeat = merged.Void || c.Void, merged.Repeat || c.Repeat
 	if merged == crashes[at] {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,10 +59,10 @@
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
-	// A 421 may come from another server that now has the address, so its leaving notice
-	// counts only if it names the intended server.
-	if headers.Leaving && c.relay.opts.OnLeaving != nil && (res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID) {
-		c.relay.opts.OnLeaving(topology.ServerStart{ID: d.Server.ID, Start: d.Server.Start})
+	// A 421 may come from another server that now has the address, so it says something of
+	// the intended server only if it names that.
+	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
+		c.handleServerAnswer(d, sent, headers)
 	}
 	if headers.NotRun {
 		c.logFailedAttempt(d, "not_run", res.StatusCode)
@@ -79,6 +79,16 @@
 	return c.relayResponse(ctx, d, res, sent)
 }
 
+// handleServerAnswer passes on what an answer says of the server that gave it.
+func (c *call) handleServerAnswer(d decide.Decision, sent time.Time, headers ResponseHeaders) {
+	if headers.Leaving && c.relay.opts.OnLeaving != nil {
+		c.relay.opts.OnLeaving(topology.ServerStart{ID: d.Server.ID, Start: d.Server.Start})
+	}
+	if q := c.relay.opts.Quarantine; q != nil && q.Active() {
+		q.ReportAnswer(d.Server.ID, sent)
+	}
+}
+
 // canRetryElsewhere reports whether the request may be retried at another server if
 // this one falls silent. If not, the attempt is not ended for silence: the server may
 // only be busy, and no other server can respond.
@@ -136,7 +146,7 @@
 		f.Reason, f.Effect = e.Reason, e.Effect
 	}
 	f.Unsent = f.Effect == infra.EffectNone
-	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded {
+	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
 		return c.abandonAttempt(ctx, d, f)
 	}
 	var silent *stall.Error
@@ -144,11 +154,12 @@
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
 	c.logFailedAttempt(d, err.Error(), 0)
-	if connectionBroke(f) {
-		c.logBrokenConnection(d)
-	}
-	if f.Unsent {
+	switch {
+	case connectionBroke(f):
+		f = c.handleBrokenConnection(d, f)
+	case f.Unsent:
 		c.attempts--
+		f = c.settle(ctx, f)
 	}
 	c.reportFailure(f)
 	return ""
@@ -171,14 +182,17 @@
 	}).Warn("connection broke while the server ran the request")
 }
 
-// abandonAttempt ends a call whose caller disconnected or whose deadline passed before
-// the attempt's response was complete.
+// abandonAttempt ends a call whose caller disconnected, whose deadline passed or whose
+// request became quarantined before the attempt's response was complete.
 func (c *call) abandonAttempt(ctx context.Context, d decide.Decision, f decide.Failure) string {
 	c.mayHaveRun = c.mayHaveRun || !f.Unsent
 	c.relay.dispatcher.abandon(c)
 	reason := "deadline passed before the response was complete"
-	if c.req.Context().Err() != nil {
+	switch {
+	case c.req.Context().Err() != nil:
 		reason = "caller disconnected before the response was complete"
+	case isQuarantined(ctx):
+		reason = "request became quarantined before the response was complete"
 	}
 	c.logFailedAttempt(d, reason, 0)
 	return c.endOnContextDone(ctx)
@@ -207,6 +221,7 @@
 	if len(body) > maxBufferedBytes {
 		return c.relayUnbuffered(ctx, d, res, body, sent)
 	}
+	c.reportCompletion()
 	buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
 	if res.StatusCode >= 500 {
 		return c.handleServerFailure(d, buffered)
@@ -247,6 +262,7 @@
 		c.logFailedAttempt(d, err.Error(), res.StatusCode)
 		c.abort("broken_off")
 	}
+	c.reportCompletion()
 	c.relay.dispatcher.completed(c, c.outcome(sent, res.StatusCode))
 	c.logEnd(reasonAnswered, res.StatusCode)
 	return outcomeDone
--- a/relay/call.go
+++ b/relay/call.go
@@ -85,6 +85,9 @@
 	stream             streamState       // what of a stream was sent to the caller
 	firstByte          time.Time
 
+	cancel           context.CancelCauseFunc // ends all attempts
+	verdict          Verdict                 // what was known against the request when the newest attempt began
+	reported         <-chan struct{}         // closed once other instances know of the newest crash; nil: there was none
 	fingerprintOnce  sync.Once
 	fingerprintValue quarantine.Fingerprint // see fingerprint
 }
@@ -162,6 +165,8 @@
 		Prefix:       c.headers.PrefixHash,
 		Idempotent:   c.route.Retry != topology.AtMostOnce,
 		MaxAttempts:  c.route.Attempts,
+		Suspect:      c.verdict.Crashes >= isolatedFrom,
+		Affinity:     c.affinity(),
 	}
 	if c.route.Stream {
 		r.Goal = c.route.Goal
@@ -175,6 +180,11 @@
 func (c *call) run() string {
 	ctx, cancel := context.WithDeadline(c.req.Context(), c.deadline)
 	defer cancel()
+	ctx, c.cancel = context.WithCancelCause(ctx)
+	defer c.cancel(nil)
+	if c.updateVerdict(); c.verdict.Quarantined {
+		return c.endQuarantined()
+	}
 	c.id = c.headers.ID + "#" + strconv.FormatUint(c.relay.lastSerial.Add(1), 10)
 	c.relay.dispatcher.submit(c, c.schedulerRequest())
 	for {
@@ -189,6 +199,11 @@
 			if outcome := c.endIfKeyRevoked(); outcome != "" {
 				return outcome
 			}
+			if outcome, proceed := c.checkBeforeAttempt(); outcome != "" {
+				return outcome
+			} else if !proceed {
+				continue
+			}
 			if outcome := c.attempt(ctx, d); outcome != "" {
 				return outcome
 			}
@@ -202,6 +217,9 @@
 		c.logEnd(reasonCallerLeft, 0)
 		return outcomeCallerLeft
 	}
+	if isQuarantined(ctx) {
+		return c.endQuarantined()
+	}
 	if c.stream.started {
 		c.abort("deadline")
 	}
@@ -213,7 +231,10 @@
 
 // endOnRefusal ends a call that the scheduler refused, possibly after failed attempts.
 func (c *call) endOnRefusal(d decide.Decision) string {
+	c.waitReported()
 	switch {
+	case d.Reason == decide.ReasonQuarantined:
+		return c.endQuarantined()
 	case c.stream.started:
 		c.abort(string(d.Reason))
 		return outcomeBroken
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -103,6 +105,13 @@
 	return out
 }
 
+// unfinished returns the calls that the scheduler knows.
+func (d *dispatcher) unfinished() []*call {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.calls))
+}
+
 // submit passes a new call to the scheduler.
 func (d *dispatcher) submit(c *call, r decide.Request) {
 	d.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,8 @@
 	Trust func() ConfigTrust
 	// Allowances keeps the client accounts' allowances. It may be nil: none has one.
 	Allowances Allowances
+	// Quarantine knows which requests crash servers. It may be nil: none is refused for it.
+	Quarantine Quarantine
 	Rand       *rand.Rand // owned by the Relay
 }
 
@@ -131,6 +133,7 @@
 	view           atomic.Pointer[topology.View]
 	dispatcher     *dispatcher
 	backends       backends
+	crashes        crashChecks
 	draining       atomic.Bool
 	activeRequests atomic.Int64
 	lastSerial     atomic.Uint64 // serial number of the newest request
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -71,6 +71,7 @@
 	if !c.stream.started { // a stream without events is complete, too
 		c.startStream(res)
 	}
+	c.reportCompletion()
 	events := c.stream.events - eventsBefore
 	tokensPerEvent := 1
 	if c.service.Engine != nil {
@@ -97,6 +98,10 @@
 		return outcomeCallerLeft
 	}
 	c.logFailedAttempt(d, err.Error(), res.StatusCode)
+	if ctx.Err() == nil {
+		c.handleBrokenConnection(d, decide.Failure{})
+		c.waitReported()
+	}
 	c.abort("stream_broke")
 	return outcomeBroken
 }
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -150,6 +150,17 @@
 	return s, nil
 }
 
+// InstanceAddrs returns the addresses of the live instances for other instances, while this
+// instance holds the lease.
+func (c *Controller) InstanceAddrs() []string {
+	if !c.o.Lease.Holds() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.demand.InstanceAddrs()
+}
+
 // candidacy returns the candidates and whether the reporting instance is one. Until
 // candidates are chosen, the latter is whether the instance already competes for the
 // lease. The lock is held.
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -303,6 +303,15 @@
 // InstanceNames returns the names of the live instances.
 func (d *DemandTracker) InstanceNames() []string { return slices.Collect(maps.Keys(d.instances)) }
 
+// InstanceAddrs returns the addresses of the live instances for other instances.
+func (d *DemandTracker) InstanceAddrs() []string {
+	out := make([]string, 0, len(d.instances))
+	for _, i := range d.instances {
+		out = append(out, i.member.Addr)
+	}
+	return out
+}
+
 // maxReportAge is the maximum age of an instance's report that it doesn't reach the
 // store: less than the wait of a new lease holder before its first order, and more than
 // the time between two reports.
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -168,6 +168,9 @@
 	// that the configuration is the newest; 0: without a bound.
 	RevocationBound time.Duration
 	Allowances      AllowanceBounds
+	// QuarantineLifts ends quarantines: a server's crash until that time no longer counts
+	// against the request with that fingerprint, in hexadecimal.
+	QuarantineLifts map[string]time.Time
 }
 
 // AllowanceBounds is how exactly the allowances of client accounts have to be kept: in no
