--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,13 +19,14 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/netconn"
 	"greengageferry/relay"
 	"greengageferry/residency"
 	"greengageferry/supervise"
 	"greengageferry/topology"
 )
 
-// Options configures an Instance. All fields must be set.
+// Options configures an Instance. All fields must be set unless noted otherwise.
 type Options struct {
 	Node    *topology.Node
 	Source  topology.Source
@@ -36,6 +37,7 @@
 	Clock   residency.Clock
 	Log     logrus.FieldLogger
 	Rand    *rand.Rand
+	Dial    netconn.DialFunc // opens connections to servers for callers' requests; nil: netconn.Dial
 }
 
 // Instance is one instance of the system. Create it with New and start it with Run.
@@ -91,7 +93,7 @@
 	i.allowances.meter.SetBounds(o.Node.Allowances)
 	i.suspects = newSuspects(i)
 	i.relay = relay.New(relay.Options{
-		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand,
+		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial,
 		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects,
 	})
 	i.frontend = newFrontend(i)
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -35,6 +35,7 @@
 	stop   context.CancelFunc
 	exited chan error
 	client *http.Client
+	links  *serverLinks
 }
 
 type deployment struct {
@@ -88,12 +89,14 @@
 	transport := netconn.Transport(4, time.Second)
 	orders := netconn.Transport(1, time.Second)
 	store := platform.NewStore(node.StoreAddr, transport)
+	links := &serverLinks{}
 	i := instance.New(instance.Options{
+		Dial: links.dial,
 		Node: node, Source: store, Group: store, Counts: store, Headers: platform.Headers{}, Orderer: platform.NewOrderClient(orders),
 		Clock: netconn.BootTime, Log: log, Rand: rand.New(rand.NewPCG(1, uint64(len(d.instances)))),
 	})
 	ctx, stop := context.WithCancel(context.Background())
-	r := &runningInstance{node: node, stop: stop, exited: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	r := &runningInstance{node: node, stop: stop, exited: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}, links: links}
 	go func() {
 		err := i.Run(ctx)
 		transport.CloseIdleConnections()
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -50,10 +50,13 @@
 	}
 }
 
-// dialWithReset opens a connection that is reset when it is closed, which discards sent
+// DialFunc opens a connection, as http.Transport.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dial opens a connection that is reset when it is closed, which discards sent
 // data that has not arrived. Otherwise a request that was abandoned in a network partition
 // would be delivered after the partition, seconds after a newer request.
-func dialWithReset(ctx context.Context, network, addr string) (net.Conn, error) {
+func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := Dialer().DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
@@ -70,8 +73,13 @@
 // Transport returns a transport that keeps at most maxIdle idle connections to each
 // address, each for at most idleTimeout.
 func Transport(maxIdle int, idleTimeout time.Duration) *http.Transport {
+	return TransportWith(Dial, maxIdle, idleTimeout)
+}
+
+// TransportWith is like Transport, with connections that dial opens.
+func TransportWith(dial DialFunc, maxIdle int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialWithReset,
+		DialContext:         dial,
 		DisableCompression:  true, // bodies are relayed unchanged
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
--- a/netconn/netconn_test.go
+++ b/netconn/netconn_test.go
@@ -29,7 +29,7 @@
 		_, err = io.ReadAll(conn)
 		ended <- err
 	}()
-	conn, err := dialWithReset(context.Background(), "tcp4", l.Addr().String())
+	conn, err := Dial(context.Background(), "tcp4", l.Addr().String())
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 	require.ErrorIs(t, <-ended, unix.ECONNRESET)
--- a/relay/backends.go
+++ b/relay/backends.go
@@ -33,9 +33,11 @@
 	startedAt time.Time
 }
 
-// backends holds a connection pool for each server. The zero value is ready to use. It
-// is safe for concurrent use.
+// backends holds a connection pool for each server, whose connections dial opens. It is
+// safe for concurrent use.
 type backends struct {
+	dial netconn.DialFunc
+
 	mu    sync.Mutex
 	pools map[string]*connPool // by server id
 }
@@ -93,7 +95,7 @@
 	if old := b.pools[k.id]; old != nil {
 		old.transport.CloseIdleConnections()
 	}
-	t := netconn.Transport(maxIdlePerServer, idleTimeout)
+	t := netconn.TransportWith(b.dial, maxIdlePerServer, idleTimeout)
 	b.pools[k.id] = &connPool{key: k, transport: t, idleTimeout: idleTimeout}
 	return t
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -23,9 +23,9 @@
 )
 
 // crashChecks finds out whether servers whose connections broke have crashed. A connection
-// that breaks may as well be reset on its way, or by a server that goes on. The zero value
-// is ready to use.
+// that breaks may as well be reset on its way, or by a server that goes on.
 type crashChecks struct {
+	dial   netconn.DialFunc
 	checks singleflight.Group // by server id
 
 	mu      sync.Mutex
@@ -45,7 +45,7 @@
 		return r.crashed
 	}
 	result, _, _ := k.checks.Do(s.ID, func() (any, error) {
-		r := crashCheck{crashed: refusesConnections(s.Addr), at: time.Now()}
+		r := crashCheck{crashed: k.refusesConnections(s.Addr), at: time.Now()}
 		k.keep(s.ID, r)
 		return r, nil
 	})
@@ -76,10 +76,10 @@
 }
 
 // refusesConnections reports whether no process listens on the address.
-func refusesConnections(addr string) bool {
+func (k *crashChecks) refusesConnections(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	conn, err := netconn.Dialer().DialContext(ctx, "tcp4", addr)
+	conn, err := k.dial(ctx, "tcp4", addr)
 	if err == nil {
 		_ = conn.Close() // it was opened for the check alone
 		return false
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"greengageferry/allowance"
 	"greengageferry/decide"
+	"greengageferry/netconn"
 	"greengageferry/residency"
 	"greengageferry/topology"
 )
@@ -92,7 +93,9 @@
 	Allowances Allowances
 	// Quarantine knows which requests crash servers. It may be nil: none is refused for it.
 	Quarantine Quarantine
-	Rand       *rand.Rand // owned by the Relay
+	// Dial opens the connections to servers; nil: netconn.Dial.
+	Dial netconn.DialFunc
+	Rand *rand.Rand // owned by the Relay
 }
 
 // ConfigTrust is what an instance may do by a configuration that a newer one may have
@@ -141,7 +144,10 @@
 
 // New returns a relay that refuses requests until SetView is called.
 func New(o Options) *Relay {
-	r := &Relay{opts: o}
+	if o.Dial == nil {
+		o.Dial = netconn.Dial
+	}
+	r := &Relay{opts: o, backends: backends{dial: o.Dial}, crashes: crashChecks{dial: o.Dial}}
 	r.dispatcher = newDispatcher(o.Rand, o.Log, o.Metrics)
 	return r
 }
