relay: an instance sends attempts through another to servers that it doesn't reach

A connection that can't be made, or is known not to be, is replaced by one more step: another instance carries the attempt to the server and the response back. It decides nothing: the instance that has the caller counts, retries, resumes and reports, so that a request runs at most once, is charged once, and spends one retry budget. It doesn't pass an attempt on again; it refuses, as not sent, what it doesn't reach either, when it drains and when it carries too many. Draining waits for what it carries. Which servers are reached directly is found by probes and told nobody: it opens no breaker elsewhere and orders nothing.

--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -91,5 +91,5 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for instances")
 	}
-	return i.frontend.serveOn(ctx, l, exchange.NewExchangeServer(exchangeServer{i}))
+	return i.frontend.serveOn(ctx, l, i.forwards)
 }
--- a/instance/front.go
+++ b/instance/front.go
@@ -32,6 +32,9 @@
 	// drainCloseMargin is how long before the platform's SIGKILL the requests that are
 	// still in flight are aborted.
 	drainCloseMargin = 500 * time.Millisecond
+	// forwardPollInterval is how often a draining instance checks whether the attempts that
+	// it forwards for others have ended.
+	forwardPollInterval = 50 * time.Millisecond
 )
 
 // frontend serves callers, health checks and metrics over HTTP.
@@ -181,5 +184,7 @@
 	if err := group.Wait(); err != nil {
 		f.instance.log.WithField("error", err).Warn("requests are broken off")
 	}
+	for f.instance.forwards.Active() > 0 && supervise.Pause(ctx, forwardPollInterval) {
+	}
 	f.instance.log.WithField("in_hand", f.instance.relay.ActiveRequests()).Info("drained")
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/exchange"
 	"greengageferry/netconn"
 	"greengageferry/relay"
 	"greengageferry/residency"
@@ -52,6 +53,7 @@
 
 	allowances *allowances
 	suspects   *suspects
+	forwards   *relay.ForwardServer // serves other instances
 
 	lease      *residency.Lease
 	controller *residency.Controller
@@ -93,9 +95,10 @@
 	i.allowances.meter.SetBounds(o.Node.Allowances)
 	i.suspects = newSuspects(i)
 	i.relay = relay.New(relay.Options{
-		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial,
+		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial, Peers: i.knownPeers,
 		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects,
 	})
+	i.forwards = i.relay.NewForwardServer(exchange.NewExchangeServer(exchangeServer{i}))
 	i.frontend = newFrontend(i)
 	i.node.Store(o.Node)
 	i.view.LoadOnDemand = true
@@ -170,6 +173,7 @@
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
 			supervise.Duty{Name: "suspects", Run: i.suspects.run},
+			supervise.Duty{Name: "paths", Run: i.relay.ProbePaths},
 			supervise.Duty{Name: "count", Run: i.keepCount},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: frontend.serveCallers},
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -182,6 +182,7 @@
 // registerGauges registers the gauges of the instance's state and of how old that is.
 func (i *Instance) registerGauges() {
 	g := i.metrics.gauge
+	g("unreachable_servers", "Servers that this instance reaches only through another one.", func() float64 { return float64(i.relay.UnreachableServers()) })
 	g("suspected_requests", "Requests during which a server crashed, as far as that speaks against them.", func() float64 { n, _ := i.suspects.counts(); return float64(n) })
 	g("quarantined_requests", "Requests that are refused because they crash servers.", func() float64 { _, n := i.suspects.counts(); return float64(n) })
 	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,13 +49,14 @@
 	watch := stall.Watch(ctx, max(minSilenceTimeout, time.Duration(silenceTimeoutFraction*float64(c.deadline.Sub(sent)))), c.canRetryElsewhere(d))
 	defer watch.Stop()
 	ctx = watch.Context()
-	transport := c.relay.backends.get(d.Server.ID, d.Server.Addr)
-	res, err := infra.Send("relay", d.Server.Addr, transport.RoundTrip, c.forwardedRequest(ctx, d.Server))
+	res, err := c.send(ctx, d.Server)
 	if err != nil {
 		return c.handleAttemptError(ctx, d, err)
 	}
 	defer res.Body.Close()
-	c.relay.backends.handleResponse(d.Server.ID, res.Header)
+	if !c.forwarded {
+		c.relay.backends.handleResponse(d.Server.ID, res.Header)
+	}
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
@@ -154,6 +155,9 @@
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
 	c.logFailedAttempt(d, err.Error(), 0)
+	if !c.forwarded && !f.Unsent && (f.Reason == infra.ReasonTimeout || isTimeout(err)) {
+		c.relay.paths.probeSoon(map[string]string{d.Server.ID: d.Server.Addr})
+	}
 	switch {
 	case connectionBroke(f):
 		f = c.handleBrokenConnection(d, f)
@@ -307,6 +311,9 @@
 		"error":   reason,
 		"ms":      time.Since(c.arrived).Milliseconds(),
 	}
+	if c.forwarded {
+		f["forwarded"] = true
+	}
 	// Without a status, lastResponse may belong to an earlier attempt.
 	if status != 0 && c.lastResponse.RetryAfter > 0 {
 		f["retry_after_ms"] = c.lastResponse.RetryAfter.Milliseconds()
--- a/relay/backends.go
+++ b/relay/backends.go
@@ -58,6 +58,26 @@
 	return b.replace(poolKey{id: id, addr: addr}, defaultIdleTimeout)
 }
 
+// addrs returns the addresses of the servers that have a pool, by server id.
+func (b *backends) addrs() map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]string, len(b.pools))
+	for id, p := range b.pools {
+		out[id] = p.key.addr
+	}
+	return out
+}
+
+// closeIdle closes the idle connections to a server.
+func (b *backends) closeIdle(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[id]; p != nil {
+		p.transport.CloseIdleConnections()
+	}
+}
+
 // handleResponse applies the Keep-Alive header of a server's response.
 func (b *backends) handleResponse(id string, h http.Header) {
 	idleTimeout := time.Duration(float64(keepAliveTimeout(h.Get("Keep-Alive"))) * idleTimeoutFraction)
--- a/relay/call.go
+++ b/relay/call.go
@@ -86,6 +86,7 @@
 	firstByte          time.Time
 
 	cancel           context.CancelCauseFunc // ends all attempts
+	forwarded        bool                    // the newest attempt was sent through another instance
 	verdict          Verdict                 // what was known against the request when the newest attempt began
 	reported         <-chan struct{}         // closed once other instances know of the newest crash; nil: there was none
 	fingerprintOnce  sync.Once
@@ -316,6 +317,9 @@
 		f["route"] = c.route.Name
 		f["target"] = c.target
 	}
+	if c.forwarded {
+		f["forwarded"] = true
+	}
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
--- /dev/null
+++ b/relay/forward_server.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"greengageferry/decide"
+	"greengageferry/infra"
+	"greengageferry/internal/hop"
+)
+
+const (
+	// forwardConnectTimeout is how long another instance's attempt waits here for a
+	// connection to its server. The other instance has waited before and may ask a third.
+	forwardConnectTimeout = 200 * time.Millisecond
+	// maxForwards bounds the attempts that are forwarded at a time. The few instances that
+	// still reach servers have callers of their own.
+	maxForwards = 1024
+)
+
+// ForwardServer sends other instances' attempts on to servers that these can't reach. It
+// only carries them: the instance that has the caller decides, retries and counts.
+type ForwardServer struct {
+	relay     *Relay
+	otherwise http.Handler // requests that are not attempts to forward
+	active    atomic.Int64
+}
+
+// NewForwardServer returns a handler that passes all other requests to otherwise.
+func (r *Relay) NewForwardServer(otherwise http.Handler) *ForwardServer {
+	return &ForwardServer{relay: r, otherwise: otherwise}
+}
+
+// Active returns how many attempts are being forwarded.
+func (f *ForwardServer) Active() int { return int(f.active.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (f *ForwardServer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(headerForwardTo)
+	if id == "" {
+		f.otherwise.ServeHTTP(w, req)
+		return
+	}
+	w.Header().Set(headerForwarded, "1")
+	server, ok := f.relay.inServiceServer(id)
+	if !ok || !f.relay.paths.direct(id) || f.relay.draining.Load() {
+		writeForwardError(w, infra.ReasonUnavailable, true)
+		return
+	}
+	if req.Header.Get(headerForwardCheck) != "" {
+		w.Header().Set(headerForwardCheck, strconv.FormatBool(f.relay.crashes.crashed(server)))
+		return
+	}
+	if f.active.Add(1) > maxForwards {
+		f.active.Add(-1)
+		writeForwardError(w, infra.ReasonOverloaded, true)
+		return
+	}
+	defer f.active.Add(-1)
+	f.forward(w, req, server)
+}
+
+// forward sends the attempt to the server and copies the response.
+func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(connectWithin(ctx, cancel), req, s))
+	if err != nil {
+		var e *infra.Error
+		errors.As(err, &e)
+		writeForwardError(w, e.Reason, e.Effect == infra.EffectNone)
+		return
+	}
+	defer res.Body.Close()
+	f.relay.backends.handleResponse(s.ID, res.Header)
+	copyResponse(w, res)
+}
+
+// connectWithin returns a context that ends if its request has no connection after
+// forwardConnectTimeout.
+func connectWithin(ctx context.Context, cancel context.CancelCauseFunc) context.Context {
+	timer := time.AfterFunc(forwardConnectTimeout, func() { cancel(context.DeadlineExceeded) })
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
+}
+
+// forwardRequest returns the request to send to the server.
+func forwardRequest(ctx context.Context, in *http.Request, s decide.Server) *http.Request {
+	out := in.Clone(ctx)
+	out.RequestURI = ""
+	out.URL = &url.URL{Scheme: "http", Host: s.Addr, Opaque: in.RequestURI}
+	hop.RemoveHeaders(out.Header)
+	out.Header.Del(headerForwardTo)
+	if len(out.Header["User-Agent"]) == 0 {
+		out.Header["User-Agent"] = []string{""} // the caller sent none: keeps net/http from adding its own
+	}
+	return out
+}
+
+// copyResponse sends the server's response on as it arrives. If it breaks off, the
+// connection is closed, so that it can't be taken for complete.
+func copyResponse(w http.ResponseWriter, res *http.Response) {
+	h := w.Header()
+	for name, values := range res.Header {
+		h[name] = values
+	}
+	hop.RemoveHeaders(h)
+	h.Set(headerForwarded, "1")
+	h.Del(headerForwardError)
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil // keeps net/http from adding one
+		}
+	}
+	w.WriteHeader(res.StatusCode)
+	flush := http.NewResponseController(w)
+	buf := streamBuffers.Get().(*[]byte)
+	defer streamBuffers.Put(buf)
+	for {
+		n, err := res.Body.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil || flush.Flush() != nil {
+				panic(http.ErrAbortHandler) // the other instance is gone
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// writeForwardError reports that the response isn't the server's.
+func writeForwardError(w http.ResponseWriter, reason infra.Reason, unsent bool) {
+	w.Header().Set(headerForwardError, string(reason))
+	if unsent {
+		w.Header().Set(headerForwardUnsent, "1")
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -129,7 +129,7 @@
 func (c *call) handleBrokenConnection(d decide.Decision, f decide.Failure) decide.Failure {
 	c.logBrokenConnection(d)
 	q := c.relay.opts.Quarantine
-	if q == nil || !c.relay.isInService(d.Server.ID) || !c.relay.crashes.crashed(d.Server) {
+	if q == nil || !c.serverCrashed(d.Server) {
 		return f
 	}
 	c.relay.opts.Log.WithFields(logrus.Fields{
@@ -176,16 +176,30 @@
 	}
 }
 
-// isInService reports whether a server is listed and not leaving. One that is leaving or
-// that was removed ends without a crash.
-func (r *Relay) isInService(server string) bool {
-	servers := r.view.Load().Servers
-	for i := range servers {
-		if servers[i].ID == server {
-			return !servers[i].Leaving
+// serverCrashed reports whether the server of an attempt whose connection broke has crashed.
+// One that is leaving or was removed ends without a crash.
+func (c *call) serverCrashed(s decide.Server) bool {
+	if _, ok := c.relay.inServiceServer(s.ID); !ok {
+		return false
+	}
+	if c.forwarded {
+		return c.relay.forwarder.crashed(s)
+	}
+	return c.relay.crashes.crashed(s)
+}
+
+// inServiceServer returns a server if it is listed and not leaving.
+func (r *Relay) inServiceServer(id string) (decide.Server, bool) {
+	v := r.view.Load()
+	if v == nil {
+		return decide.Server{}, false
+	}
+	for i := range v.Servers {
+		if s := &v.Servers[i]; s.ID == id {
+			return decide.Server{ID: s.ID, Addr: s.Addr, FailureDomain: s.Domain}, !s.Leaving
 		}
 	}
-	return false
+	return decide.Server{}, false
 }
 
 // AbortQuarantined ends the calls in hand whose requests have become quarantined. Those that
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,6 +93,9 @@
 	Allowances Allowances
 	// Quarantine knows which requests crash servers. It may be nil: none is refused for it.
 	Quarantine Quarantine
+	// Peers returns the addresses of other instances, through which servers are reached that
+	// this instance doesn't reach itself. It may be nil: there are none.
+	Peers func() []string
 	// Dial opens the connections to servers; nil: netconn.Dial.
 	Dial netconn.DialFunc
 	Rand *rand.Rand // owned by the Relay
@@ -137,6 +140,8 @@
 	dispatcher     *dispatcher
 	backends       backends
 	crashes        crashChecks
+	paths          *paths
+	forwarder      *forwarder // nil: there are no other instances
 	draining       atomic.Bool
 	activeRequests atomic.Int64
 	lastSerial     atomic.Uint64 // serial number of the newest request
@@ -147,8 +152,11 @@
 	if o.Dial == nil {
 		o.Dial = netconn.Dial
 	}
-	r := &Relay{opts: o, backends: backends{dial: o.Dial}, crashes: crashChecks{dial: o.Dial}}
+	r := &Relay{opts: o, backends: backends{dial: o.Dial}, crashes: crashChecks{dial: o.Dial}, paths: newPaths(o.Dial, o.Log)}
 	r.dispatcher = newDispatcher(o.Rand, o.Log, o.Metrics)
+	if o.Peers != nil {
+		r.forwarder = newForwarder(o.Peers)
+	}
 	return r
 }
 
@@ -156,6 +164,7 @@
 func (r *Relay) SetView(v *topology.View, t *decide.Table) {
 	r.view.Store(v)
 	r.backends.retainListed(v.Servers)
+	r.paths.retainListed(v.Servers)
 	r.dispatcher.setTable(t)
 }
 
