lease: a holder that reaches few servers gives the lease up

A holder among the instances cut off from the servers kept the lease and ordered nothing: no model was loaded while the cut lasted. It gives the lease up at once and stands again when it reaches more than half of the servers that it uses. Its safety is as before: it stops ordering first, and the next holder waits. Forwarding: connections to other instances open within 0.2 s or not at all, and one instance is asked where all lately failed, so that a failure domain that is cut off from all others doesn't wait for four of them each time. TestBarredHolderGivesUpTheLease doesn't compile before.

--- a/instance/sync.go
+++ b/instance/sync.go
@@ -96,6 +96,7 @@
 		case <-s.instance.relay.SyncNeeded():
 		}
 		if s.instance.ready() {
+			s.instance.lease.SetBarred(s.instance.relay.CutOff())
 			s.syncOnce(ctx)
 			s.instance.mu.Lock()
 			s.instance.updateExpected()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -35,8 +36,12 @@
 const (
 	// maxForwardTries is how many instances are tried for one attempt.
 	maxForwardTries = 4
-	// peerBackoff is how long an instance is tried after all others that could not forward.
+	// peerBackoff is how long an instance that could not forward is left out while there are
+	// others.
 	peerBackoff = time.Second
+	// peerDialTimeout bounds the opening of a connection to another instance. In a network
+	// partition it never opens, and a third instance may be reached.
+	peerDialTimeout = 200 * time.Millisecond
 	// goneTTL is how long no instance is asked for a server that another one didn't reach
 	// either.
 	goneTTL = time.Second
@@ -58,11 +63,18 @@
 
 func newForwarder(peers func() []string) *forwarder {
 	return &forwarder{
-		peers: peers, transport: netconn.Transport(maxIdlePerPeer, peerIdleTimeout),
+		peers: peers, transport: netconn.TransportWith(dialPeer, maxIdlePerPeer, peerIdleTimeout),
 		failedAt: map[string]time.Time{}, goneAt: map[string]time.Time{},
 	}
 }
 
+// dialPeer opens a connection to another instance.
+func dialPeer(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	return netconn.Dial(ctx, network, addr)
+}
+
 // send sends the request to the server through another instance. newRequest returns the
 // request as it is sent directly. If no instance can send it, the error's effect is none.
 func (f *forwarder) send(ctx context.Context, s decide.Server, newRequest func(context.Context) *http.Request) (*http.Response, error) {
@@ -114,23 +126,19 @@
 	return e
 }
 
-// pickPeers returns the instances to try, in random order, those that lately failed last.
+// pickPeers returns the instances to try in random order, or one of those that lately
+// failed if there are no others.
 func (f *forwarder) pickPeers() []string {
 	peers := f.peers()
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var first, last []string
-	for _, p := range peers {
-		if now.Sub(f.failedAt[p]) < peerBackoff {
-			last = append(last, p)
-		} else {
-			first = append(first, p)
-		}
+	usable := slices.DeleteFunc(slices.Clone(peers), func(p string) bool { return now.Sub(f.failedAt[p]) < peerBackoff })
+	if len(usable) == 0 {
+		return peers[:min(1, len(peers))]
 	}
-	out := append(first, last...)
-	return out[:min(maxForwardTries, len(out))]
+	return usable[:min(maxForwardTries, len(usable))]
 }
 
 func (f *forwarder) noteFailure(peer string) {
@@ -236,5 +244,12 @@
 	})
 }
 
+// CutOff reports whether this instance reaches directly less than half of the servers that it
+// uses.
+func (r *Relay) CutOff() bool {
+	blocked := r.paths.blockedServers()
+	return blocked > 0 && 2*blocked > len(r.backends.addrs())
+}
+
 // UnreachableServers returns how many servers this instance can't reach directly.
 func (r *Relay) UnreachableServers() int { return r.paths.blockedServers() }
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -88,6 +88,7 @@
 	candidate    bool          // the lease holder last reported that this instance is a candidate
 	vacant       bool          // the store reported no holder, and no holder has answered since
 	competeUntil time.Duration // the instance competes until then even if it isn't a candidate
+	barred       bool          // see SetBarred
 	joined       bool          // the instance has sent a renewal and hasn't left the group since
 	joinSignal   chan struct{} // capacity 1; signaled when the instance starts to compete
 }
@@ -158,7 +159,22 @@
 func (l *Lease) Competes() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.candidate || l.vacant || l.epoch != 0 || l.clock() < l.competeUntil
+	return !l.barred && (l.candidate || l.vacant || l.epoch != 0 || l.clock() < l.competeUntil)
+}
+
+// SetBarred sets whether the instance must not hold the lease: it reaches too few servers to
+// send them orders. A holder that is barred gives the lease up, and stops ordering at once.
+func (l *Lease) SetBarred(barred bool) {
+	l.mu.Lock()
+	changed := l.barred != barred
+	l.barred = barred
+	if changed {
+		l.signalJoin()
+	}
+	l.mu.Unlock()
+	if barred {
+		l.lose("servers out of reach")
+	}
 }
 
 // ObserveHolder records that the lease holder answered and whether it counts this
@@ -309,7 +325,7 @@
 	newTerm := l.epoch == 0 || sent-l.renewedAt >= leaseValidity
 	l.generation = m.Generation
 	l.renewedAt = sent
-	if !holds {
+	if !holds || l.barred {
 		return recovered
 	}
 	if newTerm { // otherwise the epoch stays, so that a delayed order never carries a lower one
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -355,3 +355,31 @@
 	require.Greater(t, l.Token().Number, own.Number+4)
 	require.Zero(t, l.Epoch(notUnreachable), "it waits as any new holder does")
 }
+
+// A holder that reaches no servers can't order anything; another instance has to.
+func TestBarredHolderGivesUpTheLease(t *testing.T) {
+	now := time.Duration(0)
+	clock := func() time.Duration { return now }
+	g := &fakeGroup{now: clock, joined: map[string]time.Duration{}, generations: map[string]int64{}}
+	a, b := NewLease(g, "a", leaseTTLForTest, clock, quietLog()), NewLease(g, "b", leaseTTLForTest, clock, quietLog())
+	ctx := t.Context()
+	a.ObserveVacancy()
+	a.renew(ctx)
+	require.True(t, a.Holds())
+	b.ObserveHolder(true)
+	b.renew(ctx)
+	a.SetBarred(true)
+	require.False(t, a.Holds(), "at once")
+	require.False(t, a.Competes())
+	a.renew(ctx) // one that was under way
+	require.False(t, a.Holds())
+	a.leaveGroup(ctx)
+	b.renew(ctx)
+	require.True(t, b.Holds())
+	a.SetBarred(false)
+	require.True(t, a.Competes())
+	a.renew(ctx)
+	require.False(t, a.Holds(), "b holds the lease")
+}
+
+const leaseTTLForTest = 3 * time.Second
