--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,7 @@
 	// RetryAfter is how long this instance should send no requests to a server that
 	// refused this one; 0: not set.
 	RetryAfter   time.Duration
+	RefusalLimit int   // refusals per second above which the server fails; 0: it says nothing
 	Leaving      bool  // the server will shut down soon and should get no new requests
 	RateLimitErr error // set if RateLimit could not be decoded
 	// NoticeErr is set if RetryAfter or Leaving could not be decoded.
