instance: quarantines outlast the restart of all instances

A request that crashes servers fell three more once all instances were restarted at once: none was left that knew of it. The lease holder saves the quarantined requests in the platform's store when they change, and each instance loads them once at its start. TestQuarantineOutlastsTheRestartOfAllInstances does not compile before.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -96,15 +96,16 @@
 	seed := uint64(time.Now().UnixNano())
 	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(maxIdleStoreConns, time.Minute))
 	i := instance.New(instance.Options{
-		Node:    node,
-		Source:  store,
-		Group:   store,
-		Counts:  store,
-		Headers: platform.Headers{},
-		Orderer: platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, orderIdleTimeout)),
-		Clock:   netconn.BootTime,
-		Log:     log,
-		Rand:    rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
+		Node:        node,
+		Source:      store,
+		Group:       store,
+		Counts:      store,
+		Quarantines: store,
+		Headers:     platform.Headers{},
+		Orderer:     platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, orderIdleTimeout)),
+		Clock:       netconn.BootTime,
+		Log:         log,
+		Rand:        rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
 	})
 	go c.reloadSettings(ctx, hup, i, log)
 	if err := i.Run(ctx); err != nil {
--- a/instance/crashing_requests_test.go
+++ b/instance/crashing_requests_test.go
@@ -79,3 +79,38 @@
 		}
 	}
 }
+
+// All instances end at once, so that none is left that knows of the request.
+func TestQuarantineOutlastsTheRestartOfAllInstances(t *testing.T) {
+	const path = "/more/crash"
+	d := deployWith(t, standin.SiteOptions{PlainServers: 6, Restart: 300 * time.Millisecond})
+	require.NoError(t, d.site.Store.PutConfig(standin.Config(2)))
+	for _, r := range d.instances {
+		d.waitUntil(func() bool { status, _, _ := d.send(r, "/more/1", ""); return status == 200 })
+		d.waitUntil(func() bool { status, _, _ := d.send(r, standin.StreamPath, standin.RareModel); return status == 200 })
+	}
+	refused := func(r *runningInstance) bool {
+		_, _, body := d.send(r, path, "")
+		return body == "quarantined\n"
+	}
+	for range 6 {
+		d.send(d.instances[0], path, "")
+	}
+	d.waitUntil(func() bool { return refused(d.instances[0]) && refused(d.instances[1]) })
+	time.Sleep(time.Second) // in which the lease holder saves it
+	crashes := d.site.Crashes()
+	old := d.instances
+	d.instances = nil
+	var ending sync.WaitGroup
+	for _, r := range old {
+		ending.Go(func() { d.stopInstance(r) })
+	}
+	ending.Wait()
+	for n, domain := range d.site.Domains {
+		r := d.start(fmt.Sprint("new-", n), domain)
+		d.waitUntil(func() bool { status, _, _ := d.send(r, "/more/1", ""); return status == 200 })
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, refused(r))
+	}
+	require.Equal(t, crashes, d.site.Crashes())
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,11 +34,13 @@
 	Headers relay.Headers
 	Group   residency.Group
 	Counts  CountStore
-	Orderer residency.Orderer
-	Clock   residency.Clock
-	Log     logrus.FieldLogger
-	Rand    *rand.Rand
-	Dial    netconn.DialFunc // opens connections to servers for callers' requests; nil: netconn.Dial
+	// Quarantines may be nil: quarantines end with the last instance that knows of them.
+	Quarantines QuarantineStore
+	Orderer     residency.Orderer
+	Clock       residency.Clock
+	Log         logrus.FieldLogger
+	Rand        *rand.Rand
+	Dial        netconn.DialFunc // opens connections to servers for callers' requests; nil: netconn.Dial
 }
 
 // Instance is one instance of the system. Create it with New and start it with Run.
@@ -173,6 +175,7 @@
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
 			supervise.Duty{Name: "suspects", Run: i.suspects.run},
+			supervise.Duty{Name: "quarantines", Run: i.suspects.keep},
 			supervise.Duty{Name: "paths", Run: i.relay.ProbePaths},
 			supervise.Duty{Name: "count", Run: i.keepCount},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -92,7 +92,7 @@
 	links := &serverLinks{}
 	i := instance.New(instance.Options{
 		Dial: links.dial,
-		Node: node, Source: store, Group: store, Counts: store, Headers: platform.Headers{}, Orderer: platform.NewOrderClient(orders),
+		Node: node, Source: store, Group: store, Counts: store, Quarantines: store, Headers: platform.Headers{}, Orderer: platform.NewOrderClient(orders),
 		Clock: netconn.BootTime, Log: log, Rand: rand.New(rand.NewPCG(1, uint64(len(d.instances)))),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/quickstart/platform.go
+++ b/quickstart/platform.go
@@ -67,7 +67,7 @@
 func newPlatformInstance(node *topology.Node, o Options) *instance.Instance {
 	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(maxIdleStoreConns, time.Minute))
 	return instance.New(instance.Options{
-		Node: node, Source: store, Group: store, Counts: store, Headers: platform.Headers{},
+		Node: node, Source: store, Group: store, Counts: store, Quarantines: store, Headers: platform.Headers{},
 		Orderer: platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, time.Second)),
 		Clock:   netconn.BootTime,
 		Log:     o.Log.WithField("instance", node.Name),
