--- a/decide/refusal_limit.go
+++ b/decide/refusal_limit.go
@@ -14,10 +14,9 @@
 	return true
 }
 
-// refusalSpacing returns the least time between two refusals of this instance's requests by
-// the server, 0 if it survives any number. The instances share the number: without it a
-// server that is full for a second refuses each instance's requests many times, and fails.
-// Where it survives many, an instance still has one at a time.
+// refusalSpacing returns how long this instance sends a server nothing after a refusal, 0 if
+// the server survives any number. The instances share that number evenly: without a pause, a
+// server that is full for a second refuses each of them many times, and fails.
 func (s *serverState) refusalSpacing() time.Duration {
 	limit := s.pool.refusalLimit
 	if limit <= 0 {
@@ -26,19 +25,14 @@
 	return time.Duration(max(s.quota.instances, 1)) * time.Second / time.Duration(limit)
 }
 
-// refusalRoom bounds how many requests this instance may have at a server on trial, which the
-// server may refuse together: its share of the refusals that the server survives.
-func (s *serverState) refusalRoom() int {
-	return max(1, s.pool.refusalLimit/max(s.quota.instances, 1))
-}
-
-// mayBeRefused reports whether a further request could be refused together with more others
-// than this instance's share. Reports on the load of a pool that says that it fails are not
-// trusted beyond an even share of the slots.
-func (s *serverState) mayBeRefused() bool {
+// exceedsRefusalShare reports whether this instance has so many requests at a server that it
+// could be refused more than its share of what the server survives. Load reports are too old
+// to show that a server has just filled up, so they aren't used for more than an even share
+// of its slots.
+func (s *serverState) exceedsRefusalShare() bool {
 	if s.pool.refusalLimit <= 0 {
 		return false
 	}
-	share := s.Slots / max(s.quota.instances, 1)
-	return s.own >= share+s.refusalRoom()
+	instances := max(s.quota.instances, 1)
+	return s.own >= s.Slots/instances+max(1, s.pool.refusalLimit/instances)
 }
