relay: an instance without others sends directly

Found while reading the diff: with no other instance configured, a server that probes took for out of reach left the attempt with neither an answer nor an error.

--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -228,3 +228,10 @@
 		require.Equal(t, unsent, neverSent(forwardError("peer", w.Result())))
 	}
 }
+
+// An instance without others sends directly, whatever its probes say.
+func TestInstanceWithoutPeersSendsDirectly(t *testing.T) {
+	b := newHarness(t, respondWith("x"))
+	b.relay.paths.block("s0", b.backends[0].Listener.Addr().String())
+	require.Equal(t, http.StatusOK, b.do(b.request("POST", "/once/", "body")).status)
+}
--- a/relay/send.go
+++ b/relay/send.go
@@ -22,7 +22,7 @@
 	}
 	c.forwarded = false
 	var unreached error
-	if r.paths.direct(s.ID) {
+	if r.forwarder == nil || r.paths.direct(s.ID) {
 		res, err := infra.Send("relay", s.Addr, r.backends.get(s.ID, s.Addr).RoundTrip, newRequest(ctx))
 		if err == nil || !neverSent(err) || ctx.Err() != nil {
 			return res, err
@@ -33,7 +33,7 @@
 		}
 	}
 	if r.forwarder == nil {
-		return nil, unreached
+		return nil, unreached // of the server, since it was sent to directly
 	}
 	c.forwarded = true
 	res, err := r.forwarder.send(ctx, s, newRequest)
@@ -41,6 +41,7 @@
 	case err == nil && unreached != nil:
 		r.blockPath(s.ID, s.Addr)
 	case err != nil && neverSent(err) && unreached != nil:
+		c.forwarded = false
 		return nil, unreached // says more of the server
 	}
 	return res, err
