relay, netconn: each sending of an attempt is seen: its connection, how often, the time it names

Cause: an attempt's line didn't say on which connection it went, nor that net/http had sent it more than once, so that sendings by net/http, retries of ours and crashes looked alike. Change: netconn records for a request the connections it was given; 'attempt failed' has sendings, kept_conn, conn_age_ms and left_ms (the deadline that the server was told), 'request ended' has sendings, 'connection broke' the server's start; sendings_total counts them, with connection=again for each beyond the first of one attempt. No logic is changed.

--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -62,6 +62,7 @@
 func (noMetrics) ObserveFirstByte(time.Duration)       {}
 func (noMetrics) CountDecision(string, string)         {}
 func (noMetrics) ObserveQueueTime(time.Duration)       {}
+func (noMetrics) CountSendings(bool, int)              {}
 func (noMetrics) CountRateLimitedAttempt()             {}
 func (noMetrics) ObserveStreamGap(time.Duration)       {}
 
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -44,6 +44,7 @@
 	allowances      *prometheus.CounterVec   // by account, see accountLabel, and verdict
 	draws           *prometheus.CounterVec   // by result
 	crashes         prometheus.Counter
+	sendings        *prometheus.CounterVec // by connection: new, kept, or again
 
 	accountsMu sync.Mutex
 	accounts   map[string]bool // those with a label of their own
@@ -91,12 +92,23 @@
 		}, []string{"read", "result"}),
 		allowances: counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
 		draws:      counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
+		sendings:   counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
 		accounts:   map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings)
 	return m
 }
 
+// CountSendings implements relay.Metrics.
+func (m *metrics) CountSendings(reused bool, again int) {
+	connection := "new"
+	if reused {
+		connection = "kept"
+	}
+	m.sendings.WithLabelValues(connection).Inc()
+	m.sendings.WithLabelValues("again").Add(float64(again))
+}
+
 // gauge registers a gauge whose value is computed on each scrape.
 func (m *metrics) gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -79,7 +79,7 @@
 // TransportWith is like Transport, with connections that dial opens.
 func TransportWith(dial DialFunc, maxIdle int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         recordConns(dial),
 		DisableCompression:  true, // bodies are relayed unchanged
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
--- /dev/null
+++ b/netconn/sending.go
@@ -0,0 +1,54 @@
+package netconn
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"time"
+)
+
+// Sending is how one request was sent. It is valid once its RoundTrip has returned.
+type Sending struct {
+	Connections int       // connections that the request was given, one after the other
+	Reused      bool      // the newest of them had carried a request before
+	Opened      time.Time // when the newest was opened; zero: there was none
+}
+
+// Age returns how long ago the connection was opened, 0 if there was none.
+func (s *Sending) Age() time.Duration {
+	if s.Opened.IsZero() {
+		return 0
+	}
+	return time.Since(s.Opened)
+}
+
+// Record returns a context for a request that records in s how it is sent. The request must
+// go through a transport of this package.
+func (s *Sending) Record(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
+}
+
+func (s *Sending) gotConn(info httptrace.GotConnInfo) {
+	s.Connections++
+	s.Reused = info.Reused
+	if c, ok := info.Conn.(*conn); ok {
+		s.Opened = c.opened
+	}
+}
+
+// conn is a connection of a transport of this package.
+type conn struct {
+	net.Conn
+	opened time.Time
+}
+
+// recordConns returns a DialFunc that returns connections of dial as *conn.
+func recordConns(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c, opened: time.Now()}, nil
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -102,9 +102,10 @@
 	h := c.req.Header.Clone()
 	hop.RemoveHeaders(h)
 	delete(h, "Expect") // meant for this instance, which has read the body
+	c.timeLeft = time.Until(c.deadline)
 	a := AttemptHeaders{
 		Server:    s.ID,
-		Remaining: time.Until(c.deadline),
+		Remaining: c.timeLeft,
 		Urgency:   min(topUrgency+c.rank(), lowestUrgency),
 		Account:   c.accountName(),
 	}
@@ -183,9 +184,11 @@
 // fingerprint.
 func (c *call) logBrokenConnection(d decide.Decision) {
 	c.relay.opts.Log.WithFields(logrus.Fields{
-		"request":     c.headers.ID,
-		"server":      d.Server.ID,
-		"fingerprint": c.fingerprint().String(),
+		"request":      c.headers.ID,
+		"server":       d.Server.ID,
+		"server_start": d.Server.Start,
+		"conn_age_ms":  c.sending.Age().Milliseconds(),
+		"fingerprint":  c.fingerprint().String(),
 	}).Warn("connection broke while the server ran the request")
 }
 
@@ -313,6 +316,10 @@
 		"status":  status,
 		"error":   reason,
 		"ms":      time.Since(c.arrived).Milliseconds(),
+		"left_ms": c.timeLeft.Milliseconds(),
+	}
+	if n := c.sending.Connections; n > 0 {
+		f["sendings"], f["kept_conn"], f["conn_age_ms"] = n, c.sending.Reused, c.sending.Age().Milliseconds()
 	}
 	if c.forwarded {
 		f["forwarded"] = true
--- a/relay/call.go
+++ b/relay/call.go
@@ -16,6 +16,7 @@
 	"greengageferry/allowance"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/netconn"
 	"greengageferry/quarantine"
 	"greengageferry/topology"
 )
@@ -77,6 +78,9 @@
 	serverID      string // of the server that the attempt was dispatched to, empty: none; guarded by dispatcher.mu
 
 	attempts           int
+	sendings           int               // connections that attempts were given, at most one for each is right
+	sending            netconn.Sending   // of the newest attempt
+	timeLeft           time.Duration     // until the deadline that the newest attempt told its server
 	sent               bool              // an attempt was started
 	mayHaveRun         bool              // an attempt may have run
 	lastFailure        *bufferedResponse // the newest error response that was read completely
@@ -309,6 +313,7 @@
 		"reason":   reason,
 		"status":   status,
 		"attempts": c.attempts,
+		"sendings": c.sendings,
 		"may_run":  c.mayHaveRun,
 		"ms":       time.Since(c.arrived).Milliseconds(),
 		"config":   c.configVersion,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,9 @@
 	CountDecision(action, reason string)
 	// CountRateLimitedAttempt counts an attempt at a server that names a rate limit.
 	CountRateLimitedAttempt()
+	// CountSendings counts an attempt that was given a connection, which had carried a
+	// request before or not, and how often it was given another one after that.
+	CountSendings(reused bool, again int)
 }
 
 // Relay is the HTTP handler of callers' requests.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,6 +76,7 @@
 func (testMetrics) ObserveQueueTime(time.Duration)       {}
 func (testMetrics) ObserveStreamGap(time.Duration)       {}
 func (testMetrics) CountRateLimitedAttempt()             {}
+func (testMetrics) CountSendings(bool, int)              {}
 
 // backendServer responds as its script does, and counts the requests that it receives.
 type backendServer struct {
--- a/relay/send.go
+++ b/relay/send.go
@@ -9,14 +9,17 @@
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/netconn"
 )
 
 // send sends an attempt to its server, directly or, if the server can't be reached, through
 // another instance.
 func (c *call) send(ctx context.Context, s decide.Server) (*http.Response, error) {
+	defer c.countSending()
 	r := c.relay
 	newRequest := func(ctx context.Context) *http.Request {
-		req := c.forwardedRequest(ctx, s)
+		c.sending = netconn.Sending{}
+		req := c.forwardedRequest(c.sending.Record(ctx), s)
 		req.Header.Del(headerForwardCheck) // only instances may ask that
 		return req
 	}
@@ -47,6 +50,15 @@
 	return res, err
 }
 
+// countSending counts the connections that the newest attempt was given.
+func (c *call) countSending() {
+	n := c.sending.Connections
+	c.sendings += n
+	if n > 0 {
+		c.relay.opts.Metrics.CountSendings(c.sending.Reused, n-1)
+	}
+}
+
 // neverSent reports whether no server can have received anything of the request.
 func neverSent(err error) bool {
 	var e *infra.Error
