netconn: a request leaves at most once for each RoundTrip

What callers saw: what may run once could run many times, and retries piled up uncounted. Cause: when a kept connection breaks before the response, http.Transport sends the request again on the next kept one, by method and headers of the caller's choice. No attempt, retry budget, rate limit, pause, quarantine or deadline of ours saw these sendings. The guard was a list of methods in relay, for one kind of route, and another one in infra. Change: netconn.Transport, which everything that calls servers, instances, the store and the product's own platform goes through, gives a request another connection only while no byte of it has been written to the one before, counted at the connection. Otherwise that connection is closed unwritten and the request fails with BrokenError, for the caller to decide. A request over a connection that was closed while idle is still sent (both codes).

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -102,7 +102,7 @@
 		Counts:      store,
 		Quarantines: store,
 		Headers:     platform.Headers{},
-		Orderer:     platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, orderIdleTimeout)),
+		Orderer:     platform.NewOrderClient(netconn.NewTransport(maxIdleOrderConns, orderIdleTimeout)),
 		Clock:       netconn.BootTime,
 		Log:         log,
 		Rand:        rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
--- a/entry/transport.go
+++ b/entry/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengageferry/infra"
+	"greengageferry/netconn"
 	"greengageferry/settings"
 )
 
@@ -31,13 +32,13 @@
 // Dial opens a connection; it has the signature of net.Dialer.DialContext.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// newTransport returns an HTTP transport with this package's timeouts and connection
+// newTransport returns a transport with this package's timeouts and connection
 // limits. A nil dial means TCP.
-func newTransport(dial Dial) *http.Transport {
+func newTransport(dial Dial) *netconn.Transport {
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &http.Transport{
+	return netconn.SendOnce(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -46,7 +47,7 @@
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConnsPerServer,
 		IdleConnTimeout:     idleConnTimeout,
-	}
+	})
 }
 
 func dialTCP(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -64,12 +65,13 @@
 // httpPlatform returns HTTP clients for the platform addresses in the settings. The clients
 // have no timeout of their own: the context of each call has a deadline.
 func httpPlatform(s *settings.Settings, dial Dial) Platform {
-	client := &http.Client{Transport: newTransport(dial)}
+	transport := newTransport(dial)
+	client := &http.Client{Transport: transport}
 	return Platform{
 		Log:       infra.NewHTTPLog(string(s.Platform.Log), client),
 		Instances: infra.NewHTTPInstances(string(s.Platform.Instances), client),
 		Store:     infra.NewHTTPStore(string(s.Platform.WeightStore), client),
 		Engine:    infra.NewHTTPEngine(client),
-		Services:  infra.NewHTTPServices(client),
+		Services:  infra.NewHTTPServices(transport),
 	}
 }
--- a/infra/http_services.go
+++ b/infra/http_services.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
+
+	"greengageferry/netconn"
 )
 
 // Headers exchanged with plain services.
@@ -23,21 +24,19 @@
 
 var _ Services = (*HTTPServices)(nil)
 
-// NewHTTPServices returns Services that use the client.
-func NewHTTPServices(client *http.Client) *HTTPServices {
-	return &HTTPServices{httpClient: newHTTPClient(client)}
+// NewHTTPServices returns Services over a transport that sends each call at most once:
+// whether a call may be repeated is its caller's decision.
+func NewHTTPServices(transport *netconn.Transport) *HTTPServices {
+	return &HTTPServices{httpClient: newHTTPClient(&http.Client{Transport: transport})}
 }
 
 // Call implements Services. The context also bounds the reading of the response body.
 func (s *HTTPServices) Call(ctx context.Context, addr string, req ServiceRequest) (*ServiceAnswer, error) {
 	k := call{op: "service.call", addr: addr}
-	r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+addr+req.Path, nonReplayableBody{bytes.NewReader(req.Body)})
+	r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+addr+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		return nil, &Error{Op: k.op, Addr: k.addr, Reason: ReasonBadRequest, Effect: EffectNone, Err: err}
 	}
-	if len(req.Body) > 0 {
-		r.ContentLength = int64(len(req.Body))
-	}
 	if req.Header != nil {
 		r.Header = req.Header.Clone()
 	}
@@ -52,12 +51,3 @@
 	}
 	return &ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
 }
-
-// nonReplayableBody keeps the HTTP transport from retrying a request by itself. After a
-// broken connection the transport retries a request whose method is idempotent or that has
-// an Idempotency-Key, if its body is empty or can be rewound. This type hides both facts
-// about the body: the transport must not decide whether a call may be repeated.
-type nonReplayableBody struct{ io.Reader }
-
-// Close implements io.Closer.
-func (nonReplayableBody) Close() error { return nil }
--- a/infra/http_test.go
+++ b/infra/http_test.go
@@ -16,16 +16,19 @@
 	"go.uber.org/goleak"
 
 	"greengageferry/infra"
+	"greengageferry/netconn"
 	"greengageferry/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // newClient returns an HTTP client whose idle connections are closed at the test's end.
-func newClient(t *testing.T) *http.Client {
-	transport := &http.Transport{}
+func newClient(t *testing.T) *http.Client { return &http.Client{Transport: newTransport(t)} }
+
+func newTransport(t *testing.T) *netconn.Transport {
+	transport := netconn.SendOnce(&http.Transport{})
 	t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Transport: transport}
+	return transport
 }
 
 // startServer starts a server that is closed at the test's end.
@@ -140,7 +143,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		})
-		services := infra.NewHTTPServices(newClient(t))
+		services := infra.NewHTTPServices(newTransport(t))
 		req := infra.ServiceRequest{Attempt: "a", Method: method, Path: "/x", Header: http.Header{"Idempotency-Key": {"k"}}}
 		first, err := services.Call(t.Context(), addrOf(s), req)
 		require.NoError(t, err)
@@ -156,7 +159,7 @@
 func TestServiceCall(t *testing.T) {
 	service := standin.NewService(standin.ServiceOptions{Name: "invoices"})
 	s := startServer(t, service.ServeHTTP)
-	services := infra.NewHTTPServices(newClient(t))
+	services := infra.NewHTTPServices(newTransport(t))
 	req := infra.ServiceRequest{Attempt: "a1", Method: http.MethodPut, Path: "/orders/7?dry=1", Body: []byte("two trays")}
 	answer, err := services.Call(t.Context(), addrOf(s), req)
 	require.NoError(t, err)
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -86,8 +86,8 @@
 	change(node)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	transport := netconn.Transport(4, time.Second)
-	orders := netconn.Transport(1, time.Second)
+	transport := netconn.NewTransport(4, time.Second)
+	orders := netconn.NewTransport(1, time.Second)
 	store := platform.NewStore(node.StoreAddr, transport)
 	links := &serverLinks{}
 	i := instance.New(instance.Options{
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -24,6 +24,7 @@
 
 	"greengageferry/entry"
 	"greengageferry/infra"
+	"greengageferry/netconn"
 	"greengageferry/settings"
 	"greengageferry/supervise"
 )
@@ -141,14 +142,15 @@
 
 // platform returns clients of the stand-ins whose traffic is counted.
 func (m *measurement) platform() entry.Platform {
-	client := m.traffic.client()
+	transport := m.traffic.transport()
+	client := &http.Client{Transport: transport}
 	url := func(name string) string { return m.fleet.standins[name].URL() }
 	return entry.Platform{
 		Log:       infra.NewHTTPLog(url("log"), client),
 		Instances: infra.NewHTTPInstances(url("list"), client),
 		Store:     infra.NewHTTPStore(url("store"), client),
 		Engine:    infra.NewHTTPEngine(client),
-		Services:  infra.NewHTTPServices(client),
+		Services:  infra.NewHTTPServices(transport),
 	}
 }
 
@@ -204,10 +206,10 @@
 	return n, err
 }
 
-// client returns an HTTP client whose connections are counted.
-func (t *traffic) client() *http.Client {
+// transport returns a transport whose connections are counted.
+func (t *traffic) transport() *netconn.Transport {
 	dialer := &net.Dialer{}
-	return &http.Client{Transport: &http.Transport{
+	return netconn.SendOnce(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -215,7 +217,7 @@
 			}
 			return &countingConn{Conn: conn, traffic: t}, nil
 		},
-	}}
+	})
 }
 
 // heapBytes returns the heap in use after a garbage collection, in bytes.
--- a/netconn/netconn.go
+++ b/netconn/netconn.go
@@ -70,33 +70,15 @@
 	return conn, nil
 }
 
-// Transport returns a transport that keeps at most maxIdle idle connections to each
-// address, each for at most idleTimeout.
-func Transport(maxIdle int, idleTimeout time.Duration) *http.Transport {
-	return TransportWith(Dial, maxIdle, idleTimeout)
-}
-
-// TransportWith is like Transport, with connections that dial opens.
-func TransportWith(dial DialFunc, maxIdle int, idleTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         recordConns(dial),
-		DisableCompression:  true, // bodies are relayed unchanged
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize,
-	}
-}
-
 // IdleClosingTransport closes its idle connections, to all addresses, when a request
 // fails or is canceled before its response headers arrive. Other connections from the
 // same pool may be silent as well, and each would make another request time out. Use
 // it for clients that call only a few addresses.
-type IdleClosingTransport struct{ *http.Transport }
+type IdleClosingTransport struct{ *Transport }
 
-// NewIdleClosingTransport returns an IdleClosingTransport with the arguments of Transport.
+// NewIdleClosingTransport returns an IdleClosingTransport with the arguments of NewTransport.
 func NewIdleClosingTransport(maxIdle int, idleTimeout time.Duration) *IdleClosingTransport {
-	return &IdleClosingTransport{Transport(maxIdle, idleTimeout)}
+	return &IdleClosingTransport{NewTransport(maxIdle, idleTimeout)}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/netconn/sending.go
+++ b/netconn/sending.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,7 +40,15 @@
 // conn is a connection of a transport of this package.
 type conn struct {
 	net.Conn
-	opened time.Time
+	opened  time.Time
+	written atomic.Int64 // bytes
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // recordConns returns a DialFunc that returns connections of dial as *conn.
--- a/quickstart/platform.go
+++ b/quickstart/platform.go
@@ -68,7 +68,7 @@
 	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(maxIdleStoreConns, time.Minute))
 	return instance.New(instance.Options{
 		Node: node, Source: store, Group: store, Counts: store, Quarantines: store, Headers: platform.Headers{},
-		Orderer: platform.NewOrderClient(netconn.Transport(maxIdleOrderConns, time.Second)),
+		Orderer: platform.NewOrderClient(netconn.NewTransport(maxIdleOrderConns, time.Second)),
 		Clock:   netconn.BootTime,
 		Log:     o.Log.WithField("instance", node.Name),
 		Rand:    rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,9 +127,6 @@
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
 		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.body)), nil }
 	}
-	if c.route.Retry == topology.AtMostOnce {
-		preventResend(req)
-	}
 	return req.WithContext(ctx)
 }
 
--- a/relay/backends.go
+++ b/relay/backends.go
@@ -44,12 +44,12 @@
 
 type connPool struct {
 	key         poolKey
-	transport   *http.Transport
+	transport   *netconn.Transport
 	idleTimeout time.Duration // of the transport's connections
 }
 
 // get returns the transport for a server.
-func (b *backends) get(id, addr string) *http.Transport {
+func (b *backends) get(id, addr string) *netconn.Transport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p := b.pools[id]; p != nil && p.key.addr == addr {
@@ -108,14 +108,14 @@
 
 // replace creates a pool and closes the idle connections of the server's old one. The
 // lock is held.
-func (b *backends) replace(k poolKey, idleTimeout time.Duration) *http.Transport {
+func (b *backends) replace(k poolKey, idleTimeout time.Duration) *netconn.Transport {
 	if b.pools == nil {
 		b.pools = map[string]*connPool{}
 	}
 	if old := b.pools[k.id]; old != nil {
 		old.transport.CloseIdleConnections()
 	}
-	t := netconn.TransportWith(b.dial, maxIdlePerServer, idleTimeout)
+	t := netconn.NewTransportWith(b.dial, maxIdlePerServer, idleTimeout)
 	b.pools[k.id] = &connPool{key: k, transport: t, idleTimeout: idleTimeout}
 	return t
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -55,7 +55,7 @@
 // use.
 type forwarder struct {
 	peers     func() []string // addresses of other instances
-	transport *http.Transport
+	transport *netconn.Transport
 
 	mu       sync.Mutex
 	failedAt map[string]time.Time // by address: when an instance last could not forward
@@ -64,7 +64,7 @@
 
 func newForwarder(peers func() []string) *forwarder {
 	return &forwarder{
-		peers: peers, transport: netconn.TransportWith(dialPeer, maxIdlePerPeer, peerIdleTimeout),
+		peers: peers, transport: netconn.NewTransportWith(dialPeer, maxIdlePerPeer, peerIdleTimeout),
 		failedAt: map[string]time.Time{}, goneAt: map[string]time.Time{},
 	}
 }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -98,7 +98,6 @@
 	out.URL = &url.URL{Scheme: "http", Host: s.Addr, Opaque: in.RequestURI}
 	hop.RemoveHeaders(out.Header)
 	out.Header.Del(headerForwardTo)
-	preventResend(out)
 	if len(out.Header["User-Agent"]) == 0 {
 		out.Header["User-Agent"] = []string{""} // the caller sent none: keeps net/http from adding its own
 	}
--- a/relay/single_send_test.go
+++ b/relay/single_send_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -86,6 +87,35 @@
 	}
 }
 
+// Each sending of a request has its own deadline: none may tell a server of more time than is
+// left.
+func TestEachSendingHasItsOwnDeadline(t *testing.T) {
+	const hold, timeout = 100 * time.Millisecond, 2 * time.Second
+	var mu sync.Mutex
+	var ends []time.Time // when each sending's deadline passes
+	script := func(w http.ResponseWriter, r *http.Request, _ string) {
+		if r.URL.Path == openingPath {
+			return
+		}
+		left, err := strconv.Atoi(r.Header.Get("Timeout"))
+		mu.Lock()
+		ends = append(ends, time.Now().Add(time.Duration(left)*time.Millisecond))
+		mu.Unlock()
+		if err == nil {
+			time.Sleep(hold)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	b := newHarness(t, script, script)
+	b.openConnections(b.relay)
+	start := time.Now()
+	b.do(b.request("GET", "/safe/", "", "Timeout", strconv.Itoa(int(timeout.Milliseconds()))))
+	require.Len(t, ends, 2)
+	for _, end := range ends {
+		require.Less(t, end.Sub(start), timeout+hold/2)
+	}
+}
+
 // Guards against a request being lost because its connection was closed by the server while it
 // was idle: as long as nothing of it was sent, it may go over another one.
 func TestRequestIsSentOnNewConnectionIfTheKeptOneWasClosed(t *testing.T) {
