--- a/instance/crashing_requests_test.go
+++ b/instance/crashing_requests_test.go
@@ -18,7 +18,17 @@
 // Guards against a request that crashes each server that runs it being dispatched without
 // end: its caller sends it again through any instance, each time under a new id.
 func TestRequestThatCrashesServersEndsFewOfThem(t *testing.T) {
-	d := deployWith(t, standin.SiteOptions{PlainServers: 6, Restart: 300 * time.Millisecond})
+	for _, keepID := range []bool{false, true} {
+		for _, restart := range []time.Duration{5 * time.Millisecond, 300 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("back after %s, same id %t", restart, keepID), func(t *testing.T) {
+				testCrashingRequest(t, standin.SiteOptions{PlainServers: 9, Restart: restart, KeepID: keepID})
+			})
+		}
+	}
+}
+
+func testCrashingRequest(t *testing.T, o standin.SiteOptions) {
+	d := deployWith(t, o)
 	require.NoError(t, d.site.Store.PutConfig(standin.Config(2)))
 	for _, r := range d.instances { // a model is loaded once there is a lease holder, whom all know
 		d.waitUntil(func() bool { status, _, _ := d.send(r, "/more/1", ""); return status == 200 })
