--- a/decide/affinity.go
+++ b/decide/affinity.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,18 +30,20 @@
 }
 
 // firstByAffinity returns the server that ranks first for the request's affinity key, nil if
-// no replica is eligible.
+// no replica is eligible. Servers that crashed under the request rank last: all instances know
+// these, but each only its own failed attempts.
 func (s *Scheduler) firstByAffinity(now time.Time, req *requestState) *serverState {
 	var first *serverState
-	best := uint64(0)
+	best, bestCrashed := uint64(0), true
 	for i := range req.target.replicas {
 		r := &req.target.replicas[i]
 		c := candidate{replica: r, server: r.server}
 		if !passesAll(affinityEligibility, s, now, req, &c) {
 			continue
 		}
-		if rank := affinityRank(req.Affinity, r.server.ID); first == nil || rank > best {
-			first, best = r.server, rank
+		rank, crashed := affinityRank(req.Affinity, r.server.ID), slices.Contains(req.CrashedServers, r.server.ID)
+		if first == nil || crashed != bestCrashed && bestCrashed || crashed == bestCrashed && rank > best {
+			first, best, bestCrashed = r.server, rank, crashed
 		}
 	}
 	return first
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -44,11 +44,15 @@
 
 // availabilityFilter drops servers that are unlisted, draining, paused or in backoff after
 // failures. Besides the table it uses the results of this instance's own attempts, which
-// are more recent.
+// are more recent. For a request with an affinity key it doesn't: instances whose attempts
+// went differently would send its copies to different servers.
 type availabilityFilter struct{}
 
-func (availabilityFilter) keep(_ *Scheduler, now time.Time, _ *requestState, c *candidate) bool {
-	return c.server.listed && !c.server.Leaving && c.server.available(now)
+func (availabilityFilter) keep(_ *Scheduler, now time.Time, req *requestState, c *candidate) bool {
+	if !c.server.listed || c.server.Leaving || now.Before(c.server.pausedUntil) {
+		return false
+	}
+	return req.Affinity != 0 || !now.Before(c.server.backoffUntil)
 }
 
 // reachabilityFilter drops servers of a failure domain that seems unreachable, as long as
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -115,7 +115,7 @@
 	}
 	req.Suspect = req.Suspect || f.Suspect || f.Crash
 	if f.Affinity != 0 {
-		req.Affinity = f.Affinity
+		req.Affinity, req.CrashedServers = f.Affinity, f.CrashedServers
 	}
 	switch reason, ok := s.mayRetry(now, req, srv, f); {
 	case !ok:
--- a/decide/types.go
+++ b/decide/types.go
@@ -88,7 +88,10 @@
 	Idempotent   bool   // may be retried after an attempt with unknown outcome
 	Suspect      bool   // servers crashed while running the request; it shares no server with other suspects
 	Affinity     uint64 // not 0: see affinityFilter
-	MaxAttempts  int    // limit of attempts that reach a server; 0: maxAttempts
+	// CrashedServers are the ids of servers that crashed while running the request, as far as
+	// all instances know. With an affinity key, others are preferred.
+	CrashedServers []string
+	MaxAttempts    int // limit of attempts that reach a server; 0: maxAttempts
 	// Goal is the target time from Arrived to the first token. At FirstTokenDeadline the
 	// caller gives up if no token has come. Zero: not known.
 	Goal               time.Duration
@@ -165,10 +168,12 @@
 	Effect infra.Effect
 	Tokens int  // tokens already delivered to the caller
 	Crash  bool // the server crashed while running the attempt
-	// Quarantined is set if the request must not run again, Suspect and Affinity as in Request.
-	Quarantined bool
-	Suspect     bool
-	Affinity    uint64
+	// Quarantined is set if the request must not run again. Suspect, Affinity and
+	// CrashedServers are as in Request.
+	Quarantined    bool
+	Suspect        bool
+	Affinity       uint64
+	CrashedServers []string
 	// RetryAfter is how long the server asked this instance to send it no requests; 0: not
 	// given.
 	RetryAfter time.Duration
--- /dev/null
+++ b/instance/suspect_runs.go
@@ -0,0 +1,93 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"greengageferry/exchange"
+	"greengageferry/quarantine"
+	"greengageferry/residency"
+)
+
+const (
+	// permitTTL is how long a permitted run keeps the request's other copies from running if
+	// nothing is heard of it.
+	permitTTL = 3 * time.Second
+	// maxPermitHolderAge is the age of the lease holder's last answer beyond which it isn't
+	// asked.
+	maxPermitHolderAge = time.Second
+)
+
+// suspectRuns permits, at the lease holder, single runs of requests under which two servers
+// crashed. Copies that instances send at the same moment would crash a server each, before
+// any instance knows of another's crash. It is safe for concurrent use.
+type suspectRuns struct {
+	mu    sync.Mutex
+	until map[quarantine.Fingerprint]time.Time // when the newest permit of a request ends
+}
+
+// permit reports whether a request may run now.
+func (r *suspectRuns) permit(now time.Time, f quarantine.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for other, until := range r.until {
+		if !now.Before(until) {
+			delete(r.until, other)
+		}
+	}
+	if _, running := r.until[f]; running {
+		return false
+	}
+	if r.until == nil {
+		r.until = map[quarantine.Fingerprint]time.Time{}
+	}
+	r.until[f] = now.Add(permitTTL)
+	return true
+}
+
+// completed ends a request's permit: a server has completed the request.
+func (r *suspectRuns) completed(f quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.until, f)
+}
+
+// PermitRun implements relay.Quarantine. Without an answer of a lease holder the request may
+// run: copies of it meet at one server as long as the instances see the same servers.
+func (s *suspects) PermitRun(ctx context.Context, f quarantine.Fingerprint) bool {
+	i := s.instance
+	if i.lease.Holds() {
+		return s.runs.permit(time.Now(), f)
+	}
+	i.mu.Lock()
+	holder, age := i.peerStatus.holder, time.Since(i.peerStatus.receivedAt)
+	i.mu.Unlock()
+	if holder == "" || age > maxPermitHolderAge {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	res, err := exchange.NewExchangeProtobufClient("http://"+holder, s.client).PermitSuspect(ctx, &exchange.SuspectRun{Fingerprint: f[:]})
+	if err != nil {
+		i.log.WithFields(logrus.Fields{"holder": holder, "fingerprint": f.String(), "error": err}).Warn("lease holder did not answer whether a suspect may run")
+		return true
+	}
+	return res.GetGranted()
+}
+
+// PermitSuspect implements exchange.Exchange.
+func (e exchangeServer) PermitSuspect(_ context.Context, req *exchange.SuspectRun) (*exchange.SuspectPermit, error) {
+	if !e.instance.lease.Holds() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, (&residency.NotHolderError{}).Error())
+	}
+	var f quarantine.Fingerprint
+	if len(req.GetFingerprint()) != len(f) {
+		return nil, twirp.InvalidArgumentError("fingerprint", "has another length")
+	}
+	copy(f[:], req.GetFingerprint())
+	return &exchange.SuspectPermit{Granted: e.instance.suspects.runs.permit(time.Now(), f)}, nil
+}
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/hex"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,12 +31,14 @@
 	maxOpenReports = 4
 	// maxExchangedSuspects bounds the requests in one message, some 100 bytes each.
 	maxExchangedSuspects = 256
+	// reportIDBase is the base of the numbers that identify reports.
+	reportIDBase = 36
 )
 
 // crashRule quarantines a request that crashed three servers. One run must have begun when
 // the request was suspected already: many servers that crash at once for another reason may
 // all have run the same innocent one.
-var crashRule = quarantine.Rule{Servers: 3, Repeat: true}
+var crashRule = quarantine.Rule{Crashes: 3, Repeat: true}
 
 // suspects holds the requests during which servers crashed, as far as this instance or
 // another saw. An instance that sees a crash reports it at once to all instances it knows;
@@ -42,6 +46,7 @@
 type suspects struct {
 	instance *Instance
 	client   *http.Client
+	runs     suspectRuns   // permitted while this instance holds the lease
 	active   atomic.Bool   // some crash speaks against a request
 	wake     chan struct{} // signaled after pending changed; buffers one signal
 
@@ -72,7 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	crashes, since := s.set.Crashes(f), s.since(f)
-	return relay.Verdict{Crashes: quarantine.Count(crashes, since), Quarantined: crashRule.Quarantines(crashes, since)}
+	return relay.Verdict{
+		Crashes: quarantine.Count(crashes, since), Servers: quarantine.Servers(crashes, since), Quarantined: crashRule.Quarantines(crashes, since),
+	}
 }
 
 // since returns the time from which crashes count against a request: quarantine.Expiry
@@ -87,10 +94,11 @@
 }
 
 // ReportCrash implements relay.Quarantine.
-func (s *suspects) ReportCrash(f quarantine.Fingerprint, server string, repeat bool) <-chan struct{} {
+func (s *suspects) ReportCrash(f quarantine.Fingerprint, crash quarantine.Crash) <-chan struct{} {
 	s.instance.metrics.crashes.Inc()
+	crash.Boot = strconv.FormatUint(rand.Uint64(), reportIDBase)
 	return s.change(func() []quarantine.Fingerprint {
-		s.set.Merge(f, quarantine.Crash{Server: server, At: time.Now(), Repeat: repeat})
+		s.set.Report(f, crash)
 		return []quarantine.Fingerprint{f}
 	})
 }
@@ -106,8 +114,14 @@
 }
 
 // ReportAnswer implements relay.Quarantine.
-func (s *suspects) ReportAnswer(server string, sent time.Time) {
-	s.change(func() []quarantine.Fingerprint { return s.set.VoidServer(server, sent) })
+func (s *suspects) ReportAnswer(server string, opened, sent time.Time) {
+	s.change(func() []quarantine.Fingerprint {
+		survived := s.set.VoidServer(server, opened, sent)
+		for _, f := range survived {
+			s.instance.log.WithFields(logrus.Fields{"server": server, "fingerprint": f.String()}).Info("server survived the request")
+		}
+		return survived
+	})
 }
 
 // change calls f, which changes the set and returns the requests to report. The returned
@@ -154,8 +168,14 @@
 	return changed
 }
 
-// applyVerdicts ends the attempts of requests that have become quarantined by a change.
+// applyVerdicts ends the attempts of requests that have become quarantined by a change, and
+// the permits of those that nothing speaks against any more.
 func (s *suspects) applyVerdicts(changed []quarantine.Fingerprint) {
+	for _, f := range changed {
+		if s.Verdict(f).Crashes == 0 {
+			s.runs.completed(f)
+		}
+	}
 	s.mu.Lock()
 	s.updateActive()
 	s.mu.Unlock()
@@ -235,15 +255,19 @@
 }
 
 // toForward returns those of the changed requests that are reported further. The lease
-// holder knows all instances and reports everything. Others report what is close to a
-// quarantine, since the instance that saw it may reach neither the holder nor all others.
+// holder knows all instances and reports every confirmed crash. What is close to a quarantine
+// all report, since the instance that saw it may reach neither the holder nor all others. A
+// single crash that isn't confirmed is often a connection that was reset, and not reported to
+// all.
 func (s *suspects) toForward(changed []quarantine.Fingerprint) []quarantine.Fingerprint {
-	if s.instance.lease.Holds() {
-		return changed
-	}
+	holds := s.instance.lease.Holds()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(changed, func(f quarantine.Fingerprint) bool { return len(s.set.Crashes(f)) < 2 })
+	return slices.DeleteFunc(changed, func(f quarantine.Fingerprint) bool {
+		crashes := s.set.Crashes(f)
+		confirmed := slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.Confirmed })
+		return len(crashes) < 2 && !(holds && confirmed)
+	})
 }
 
 // reportAddrs returns the addresses of the instances to report to: all if this instance
@@ -338,9 +362,7 @@
 	for _, f := range fingerprints {
 		w := &exchange.Suspect{Fingerprint: f[:]}
 		for _, c := range s.set.Crashes(f) {
-			w.Crashes = append(w.Crashes, &exchange.SuspectCrash{
-				Server: c.Server, AgeMs: uint32(now.Sub(c.At).Milliseconds()), Repeat: c.Repeat, Void: c.Void,
-			})
+			w.Crashes = append(w.Crashes, crashToWire(now, c))
 		}
 		out = append(out, w)
 	}
@@ -357,13 +379,34 @@
 	copy(f[:], w.GetFingerprint())
 	var crashes []quarantine.Crash
 	for _, c := range w.GetCrashes()[:min(len(w.GetCrashes()), quarantine.MaxMergedCrashes)] {
-		crashes = append(crashes, quarantine.Crash{
-			Server: c.GetServer(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond), Repeat: c.GetRepeat(), Void: c.GetVoid(),
-		})
+		crashes = append(crashes, crashFromWire(now, c))
 	}
 	return f, crashes, true
 }
 
+// crashToWire encodes a crash. Times are sent as ages, since clocks differ.
+func crashToWire(now time.Time, c quarantine.Crash) *exchange.SuspectCrash {
+	w := &exchange.SuspectCrash{
+		Server: c.Server, Report: c.Boot, AgeMs: uint32(now.Sub(c.At).Milliseconds()), Repeat: c.Repeat, Void: c.Void, Confirmed: c.Confirmed,
+	}
+	if !c.Opened.IsZero() {
+		w.OpenedAgeMs = uint32(max(now.Sub(c.Opened).Milliseconds(), 1))
+	}
+	return w
+}
+
+// crashFromWire decodes a crash.
+func crashFromWire(now time.Time, w *exchange.SuspectCrash) quarantine.Crash {
+	c := quarantine.Crash{
+		Server: w.GetServer(), Boot: w.GetReport(), At: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond),
+		Repeat: w.GetRepeat(), Void: w.GetVoid(), Confirmed: w.GetConfirmed(),
+	}
+	if age := w.GetOpenedAgeMs(); age > 0 {
+		c.Opened = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return c
+}
+
 // ReportCrashes implements exchange.Exchange.
 func (e exchangeServer) ReportCrashes(ctx context.Context, req *exchange.CrashReport) (*exchange.CrashReportResponse, error) {
 	s := e.instance.suspects
--- a/instance/suspects_test.go
+++ b/instance/suspects_test.go
@@ -26,25 +26,50 @@
 	simBystanders = 6
 )
 
+// simServer is a server of a crashWorld.
+type simServer struct {
+	id      string
+	started time.Time
+}
+
 // crashWorld is a spreadWorld with callers whose requests run on servers that may crash.
 type crashWorld struct {
 	*spreadWorld
-	servers []string // their ids, which change when they crash
+	servers []simServer
 	starts  int
 	others  int // requests that crash nothing
+	// keepIDs is set if servers start again at once under their ids. Their addresses then never
+	// refuse a connection.
+	keepIDs bool
 }
 
+// simRestartTime is how long a server that keeps its id takes to start again.
+const simRestartTime = 5 * time.Millisecond
+
 func newCrashWorld(seed uint64, size int) *crashWorld {
-	w := &crashWorld{spreadWorld: newSpreadWorld(seed, size)}
+	w := &crashWorld{spreadWorld: newSpreadWorld(seed, size), keepIDs: seed%2 == 0}
 	for range simServers {
 		w.servers = append(w.servers, w.newServer())
 	}
 	return w
 }
 
-func (w *crashWorld) newServer() string {
+func (w *crashWorld) newServer() simServer {
 	w.starts++
-	return fmt.Sprint("server-", w.starts)
+	return simServer{fmt.Sprint("server-", w.starts), time.Now()}
+}
+
+// crash has a server start again, and returns its crash as an instance sees it whose
+// connection is as old as the server's process.
+func (w *crashWorld) crash(at int, repeat bool) quarantine.Crash {
+	s := &w.servers[at]
+	c := quarantine.Crash{Server: s.id, At: time.Now(), Opened: s.started, Repeat: repeat, Confirmed: !w.keepIDs}
+	if w.keepIDs {
+		s.started = c.At.Add(simRestartTime)
+	} else {
+		*s = w.newServer()
+	}
+	return c
 }
 
 // send sends a request that crashes servers through an instance, and reports whether it
@@ -56,13 +81,12 @@
 	}
 	at := w.rng.IntN(len(w.servers))
 	if verdict.Crashes > 0 { // as the scheduler chooses by affinity
-		at = slices.IndexFunc(w.servers, func(s string) bool { return s == slices.MaxFunc(w.servers, w.byAffinity(f)) })
+		at = slices.IndexFunc(w.servers, func(s simServer) bool { return s == slices.MaxFunc(w.servers, w.byAffinity(f)) })
 	}
 	time.Sleep(100 * time.Millisecond) // the run
-	server := w.servers[at]
-	w.servers[at] = w.newServer()
-	told := i.suspects.ReportCrash(f, server, verdict.Crashes > 0)
-	w.crashOthers(server)
+	crash := w.crash(at, verdict.Crashes > 0)
+	told := i.suspects.ReportCrash(f, crash)
+	w.crashOthers(crash)
 	select {
 	case <-told:
 	case <-time.After(reportTimeout):
@@ -70,19 +94,20 @@
 	return true
 }
 
-func (w *crashWorld) byAffinity(f quarantine.Fingerprint) func(a, b string) int {
-	rank := func(s string) uint64 { return xxhash.Sum64String(f.String() + s) }
-	return func(a, b string) int { return cmp.Compare(rank(a), rank(b)) }
+func (w *crashWorld) byAffinity(f quarantine.Fingerprint) func(a, b simServer) int {
+	rank := func(s simServer) uint64 { return xxhash.Sum64String(f.String() + s.id) }
+	return func(a, b simServer) int { return cmp.Compare(rank(a), rank(b)) }
 }
 
 // crashOthers reports the other requests that a crashed server ran, and has some of them
 // complete elsewhere.
-func (w *crashWorld) crashOthers(server string) {
+func (w *crashWorld) crashOthers(crash quarantine.Crash) {
 	for range simBystanders {
 		w.others++
 		f := quarantine.NewFingerprint(fmt.Append(nil, "other", w.others%(4*simBystanders)))
 		i := w.instances[w.rng.IntN(len(w.instances))]
-		i.suspects.ReportCrash(f, server, i.suspects.Verdict(f).Crashes > 0)
+		crash.Repeat = i.suspects.Verdict(f).Crashes > 0
+		i.suspects.ReportCrash(f, crash)
 		if w.rng.IntN(4) > 0 {
 			w.instances[w.rng.IntN(len(w.instances))].suspects.ReportCompleted(f)
 		}
@@ -130,15 +155,17 @@
 
 // The size that the system is designed for has too many instances for each to know all.
 func TestRequestThatCrashesServersIsRefusedByHundredsOfInstances(t *testing.T) {
-	runCrashes(t, 295, 1, func(t *testing.T, w *crashWorld) {
-		crashes := 0
-		for range 20 {
-			if w.send(w.instances[w.rng.IntN(len(w.instances))], quarantine.Fingerprint{1}) {
-				crashes++
+	for _, seed := range []uint64{1, 2} { // servers that start again under new ids, and under theirs
+		runCrashes(t, 295, seed, func(t *testing.T, w *crashWorld) {
+			crashes := 0
+			for range 20 {
+				if w.send(w.instances[w.rng.IntN(len(w.instances))], quarantine.Fingerprint{1}) {
+					crashes++
+				}
 			}
-		}
-		require.Equal(t, maxCrashedServers, crashes)
-	})
+			require.Equal(t, maxCrashedServers, crashes)
+		})
+	}
 }
 
 // Neither the store nor all links between instances are needed: what is reported to some
@@ -201,9 +228,9 @@
 				repeats[n] = i.suspects.Verdict(popular).Crashes > 0
 			}
 			for n, i := range w.instances {
-				i.suspects.ReportCrash(popular, w.newServer(), repeats[n])
+				i.suspects.ReportCrash(popular, w.crash(n, repeats[n]))
 			}
-			w.crashOthers(w.newServer())
+			w.crashOthers(w.crash(len(w.instances), false))
 			time.Sleep(time.Duration(w.rng.IntN(1000)) * time.Millisecond)
 			w.instances[w.rng.IntN(len(w.instances))].suspects.ReportCompleted(popular)
 			time.Sleep(time.Duration(100+w.rng.IntN(1000)) * time.Millisecond)
@@ -220,13 +247,15 @@
 func TestServerThatAnswersAnyInstanceHasNotCrashed(t *testing.T) {
 	runCrashes(t, 5, 1, func(t *testing.T, w *crashWorld) {
 		f := quarantine.Fingerprint{1}
+		opened := time.Now()
+		time.Sleep(2 * time.Second)
 		for n := range 4 {
-			w.instances[0].suspects.ReportCrash(f, fmt.Sprint("server-", n+1), n > 0)
+			w.instances[0].suspects.ReportCrash(f, w.crash(n, n > 0))
 		}
 		require.True(t, w.instances[0].suspects.Verdict(f).Quarantined)
 		time.Sleep(time.Second)
 		for n := range 4 {
-			w.instances[1].suspects.ReportAnswer(fmt.Sprint("server-", n+1), time.Now())
+			w.instances[1].suspects.ReportAnswer(fmt.Sprint("server-", n+1), opened, time.Now())
 		}
 		time.Sleep(reportTimeout)
 		for _, i := range w.instances {
@@ -236,6 +265,51 @@
 	})
 }
 
+// Guards against a server that is back at once under its id clearing the request that crashed
+// it: it answers, but over a connection that was opened since.
+func TestServerThatIsBackUnderItsIDHasCrashed(t *testing.T) {
+	runCrashes(t, 5, 2, func(t *testing.T, w *crashWorld) {
+		f := quarantine.Fingerprint{1}
+		for n := range maxCrashedServers {
+			w.instances[n].suspects.ReportCrash(f, w.crash(0, n > 0))
+			time.Sleep(20 * time.Millisecond)
+			w.instances[n].suspects.ReportAnswer(w.servers[0].id, w.servers[0].started, time.Now())
+			time.Sleep(reportTimeout)
+		}
+		for _, i := range w.instances {
+			require.Equal(t, maxCrashedServers, i.suspects.Verdict(f).Crashes)
+			require.True(t, i.suspects.Verdict(f).Quarantined)
+		}
+	})
+}
+
+// Guards against copies of a request that were sent at one moment crashing a server each: of
+// those at all instances, one runs at a time.
+func TestOneCopyOfASuspectRunsAtATime(t *testing.T) {
+	forCrashSeeds(t, []int{9, 66}, func(t *testing.T, w *crashWorld) {
+		f := quarantine.Fingerprint{1}
+		permitted := func() int {
+			n := 0
+			for _, i := range w.instances {
+				if i.suspects.PermitRun(t.Context(), f) {
+					n++
+				}
+			}
+			return n
+		}
+		for range 2 {
+			w.instances[0].suspects.ReportCrash(f, w.crash(0, false))
+			time.Sleep(simRestartTime)
+		}
+		require.Equal(t, 1, permitted())
+		time.Sleep(permitTTL)
+		require.Equal(t, 1, permitted(), "nothing was heard of the first for some time")
+		w.instances[1].suspects.ReportCompleted(f)
+		time.Sleep(reportTimeout)
+		require.Equal(t, 1, permitted(), "the second was completed")
+	})
+}
+
 func TestUnusableReportsOfCrashesAreIgnored(t *testing.T) {
 	s := newTestInstance(refusingSource{}).suspects
 	crashes := make([]*exchange.SuspectCrash, 100)
@@ -262,12 +336,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		i := newTestInstance(refusingSource{})
 		s, once, thrice := i.suspects, quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
-		s.ReportCrash(once, "a", false)
+		s.ReportCrash(once, quarantine.Crash{Server: "a", At: time.Now()})
 		for _, server := range []string{"a", "b", "c"} {
-			s.ReportCrash(thrice, server, true)
+			s.ReportCrash(thrice, quarantine.Crash{Server: server, At: time.Now(), Repeat: true})
 		}
 		time.Sleep(suspectTTL + time.Second)
-		s.ReportCrash(quarantine.Fingerprint{3}, "d", false)
+		s.ReportCrash(quarantine.Fingerprint{3}, quarantine.Crash{Server: "d", At: time.Now()})
 		require.Zero(t, s.Verdict(once).Crashes)
 		require.True(t, s.Verdict(thrice).Quarantined)
 		lifted := *i.opts.Node
@@ -276,7 +350,7 @@
 		require.False(t, s.Verdict(thrice).Quarantined)
 		require.Zero(t, s.Verdict(thrice).Crashes)
 		time.Sleep(quarantine.Expiry)
-		s.ReportCrash(quarantine.Fingerprint{4}, "e", false)
+		s.ReportCrash(quarantine.Fingerprint{4}, quarantine.Crash{Server: "e", At: time.Now()})
 		require.Equal(t, 1, s.set.Len())
 	})
 }
--- a/netconn/sending.go
+++ b/netconn/sending.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -42,6 +43,7 @@
 	net.Conn
 	opened  time.Time
 	written atomic.Int64 // bytes
+	onClose func()
 }
 
 // Write implements net.Conn.
@@ -51,13 +53,49 @@
 	return n, err
 }
 
-// recordConns returns a DialFunc that returns connections of dial as *conn.
-func recordConns(dial DialFunc) DialFunc {
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
+// openConns holds a transport's open connections. It is safe for concurrent use.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// record returns a DialFunc that returns connections of dial as *conn.
+func (o *openConns) record(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dial(ctx, network, addr)
+		nc, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, opened: time.Now()}, nil
+		c := &conn{Conn: nc, opened: time.Now()}
+		c.onClose = func() { o.remove(c) }
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.conns[c] = struct{}{}
+		return c, nil
+	}
+}
+
+func (o *openConns) remove(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c)
+}
+
+// countBefore returns how many connections are open that were opened before t.
+func (o *openConns) countBefore(t time.Time) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for c := range o.conns {
+		if c.opened.Before(t) {
+			n++
+		}
 	}
+	return n
 }
--- a/netconn/transport.go
+++ b/netconn/transport.go
@@ -17,7 +17,10 @@
 // again, on one kept connection after the other, though the server may have run them. What
 // may be sent again, how often, when and with which deadline is the caller's decision. So a
 // request is given another connection only while no byte of it has been written.
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	open *openConns
+}
 
 // NewTransport returns a Transport that keeps at most maxIdle idle connections to each
 // address, each for at most idleTimeout.
@@ -43,10 +46,15 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	t.DialContext = recordConns(dial)
-	return &Transport{t}
+	open := &openConns{conns: map[*conn]struct{}{}}
+	t.DialContext = open.record(dial)
+	return &Transport{t, open}
 }
 
+// OpenBefore returns how many connections are open that were opened before at. One whose peer
+// has closed it may count for some milliseconds more.
+func (t *Transport) OpenBefore(at time.Time) int { return t.open.countBefore(at) }
+
 // BrokenError means that the connection broke before the response, after some of the request
 // was sent. The server may have run it.
 type BrokenError struct{ Addr string }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -16,9 +16,15 @@
 // Crash is the crash of a backend server while it ran a request.
 type Crash struct {
 	Server   string
-	Boot     string    // id of the server process that crashed; empty: Server identifies it
+	Boot     string    // id of the server process that crashed, or of the report if that isn't known; may be empty
 	Together uint32    // requests that the reporting instance had in flight on the server
 	At       time.Time // by the reader's clock, or by the reporting instance's where a log keeps it
+	// Opened is when the connection was opened that broke, so the crashed process had started
+	// by then. Zero: not known.
+	Opened time.Time
+	// Confirmed is set if the server's address refused connections after the crash. Otherwise
+	// all connections to it had broken, which a reset on their way may do as well.
+	Confirmed bool
 	// Repeat is set if the run began when the request was already suspected of another crash.
 	Repeat bool
 	// Void is set once the crash doesn't speak against the request any more: the server was
@@ -26,39 +32,77 @@
 	Void bool
 }
 
-// sameCrash reports whether both reports are about the same crash.
+// began returns the latest time at which the crashed process can have started.
+func (c Crash) began() time.Time {
+	if c.Opened.IsZero() {
+		return c.At
+	}
+	return c.Opened
+}
+
+// sameCrash reports whether both are the same report, or name the same process.
 func (c Crash) sameCrash(o Crash) bool { return c.Server == o.Server && c.Boot == o.Boot }
 
 // Rule says which crashes quarantine a request. One crash is never enough, since a server's
 // end for another reason must not condemn the requests that it ran.
 type Rule struct {
-	Servers int  // different servers that crashed
-	Repeat  bool // and one of the runs was a Crash.Repeat
+	Crashes          int  // at least
+	DifferentServers bool // and so many different servers, instead of starts of any server
+	Repeat           bool // and one of the runs was a Crash.Repeat
 }
 
 // Quarantines reports whether the crashes at or after since quarantine their request.
 func (r Rule) Quarantines(crashes []Crash, since time.Time) bool {
-	var servers []string
-	repeated := false
+	standing := standing(crashes, since)
+	repeated := slices.ContainsFunc(standing, func(c Crash) bool { return c.Repeat })
+	n := countStarts(standing)
+	if r.DifferentServers {
+		n = len(Servers(standing, since))
+	}
+	return n >= r.Crashes && (repeated || !r.Repeat)
+}
+
+// Count returns how many starts of servers crashed under their request, at or after since, as
+// far as that speaks against it.
+func Count(crashes []Crash, since time.Time) int { return countStarts(standing(crashes, since)) }
+
+// standing returns the crashes that count against their request, at or after since.
+func standing(crashes []Crash, since time.Time) []Crash {
+	var out []Crash
 	for _, c := range crashes {
-		if c.Void || c.At.Before(since) {
-			continue
+		if !c.Void && !c.At.Before(since) {
+			out = append(out, c)
 		}
-		repeated = repeated || c.Repeat
+	}
+	return out
+}
+
+// Servers returns the ids of the servers that crashed under their request, at or after since,
+// as far as that speaks against it.
+func Servers(crashes []Crash, since time.Time) []string {
+	var servers []string
+	for _, c := range standing(crashes, since) {
 		if !slices.Contains(servers, c.Server) {
 			servers = append(servers, c.Server)
 		}
 	}
-	return len(servers) >= r.Servers && (repeated || !r.Repeat)
+	return servers
 }
 
-// Count returns how many of the crashes speak against their request, at or after since.
-func Count(crashes []Crash, since time.Time) int {
+// countStarts returns how many starts of servers the crashes ended. A server may start again
+// under its id, and several reports may be about one crash. A connection that was open when
+// the server crashed broke with it; one that was opened later was to another start.
+func countStarts(crashes []Crash) int {
+	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+	crashedAt := map[string]time.Time{} // by server: when its newest start crashed
 	n := 0
-	for _, c := range crashes {
-		if !c.Void && !c.At.Before(since) {
-			n++
+	for _, c := range sorted {
+		at, ok := crashedAt[c.Server]
+		if ok && c.began().Before(at) {
+			continue
 		}
+		crashedAt[c.Server] = c.At
+		n++
 	}
 	return n
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -17,34 +17,79 @@
 
 func crash(server string) Crash { return Crash{Server: server, At: start} }
 
-func TestRuleCountsDifferentServersWhoseCrashesStand(t *testing.T) {
-	rule := Rule{Servers: 3, Repeat: true}
+func TestRuleCountsCrashesThatStand(t *testing.T) {
+	rule := Rule{Crashes: 3, Repeat: true}
+	different := Rule{Crashes: 3, Repeat: true, DifferentServers: true}
 	repeat := Crash{Server: "c", At: start, Repeat: true}
 	void := Crash{Server: "c", At: start, Repeat: true, Void: true}
 	for name, c := range map[string]struct {
-		crashes []Crash
-		want    bool
+		crashes                  []Crash
+		want, wantWhereDifferent bool
 	}{
-		"three, one of them a repeat":    {[]Crash{crash("a"), crash("b"), repeat}, true},
-		"three at once":                  {[]Crash{crash("a"), crash("b"), crash("d")}, false},
-		"two":                            {[]Crash{crash("a"), repeat}, false},
-		"one server three times":         {[]Crash{repeat, {Server: "c", Boot: "2", At: start}, {Server: "c", Boot: "3", At: start}}, false},
-		"the third is void":              {[]Crash{crash("a"), crash("b"), void}, false},
-		"the first is too long ago":      {[]Crash{{Server: "a", At: start.Add(-time.Second)}, crash("b"), repeat}, false},
-		"the third of four is void":      {[]Crash{crash("a"), crash("b"), void, {Server: "d", At: start, Repeat: true}}, true},
-		"no crash":                       {nil, false},
-		"one, which was a repeat itself": {[]Crash{repeat}, false},
+		"three, one of them a repeat":    {[]Crash{crash("a"), crash("b"), repeat}, true, true},
+		"three at once":                  {[]Crash{crash("a"), crash("b"), crash("d")}, false, false},
+		"two":                            {[]Crash{crash("a"), repeat}, false, false},
+		"three starts of one server":     {[]Crash{repeat, {Server: "c", Boot: "2", At: start}, {Server: "c", Boot: "3", At: start}}, true, false},
+		"the third is void":              {[]Crash{crash("a"), crash("b"), void}, false, false},
+		"the first is too long ago":      {[]Crash{{Server: "a", At: start.Add(-time.Second)}, crash("b"), repeat}, false, false},
+		"the third of four is void":      {[]Crash{crash("a"), crash("b"), void, {Server: "d", At: start, Repeat: true}}, true, true},
+		"no crash":                       {nil, false, false},
+		"one, which was a repeat itself": {[]Crash{repeat}, false, false},
 	} {
 		require.Equal(t, c.want, rule.Quarantines(c.crashes, start), name)
+		require.Equal(t, c.wantWhereDifferent, different.Quarantines(c.crashes, start), name)
 	}
 }
 
-func TestServerThatAnswersVoidsOnlyCrashesBeforeTheRequest(t *testing.T) {
+// connCrash is the crash of server a at a time in milliseconds, seen on a connection that was
+// opened at another.
+func connCrash(openedMS, atMS int) Crash {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	return Crash{Server: "a", Boot: fmt.Sprint(openedMS, "-", atMS), Opened: at(openedMS), At: at(atMS)}
+}
+
+func TestCrashesAreToldApartByTheirConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes []Crash
+		want    int
+	}{
+		"seen by two instances at once":                  {[]Crash{connCrash(0, 1000), connCrash(500, 1001)}, 1},
+		"a request over a connection that was dead":      {[]Crash{connCrash(0, 1000), connCrash(0, 1040)}, 1},
+		"back after 5 ms":                                {[]Crash{connCrash(0, 1000), connCrash(1006, 1030)}, 2},
+		"back twice, in any order":                       {[]Crash{connCrash(1040, 1060), connCrash(0, 1000), connCrash(1006, 1030)}, 3},
+		"back, and each crash seen by two":               {[]Crash{connCrash(0, 1000), connCrash(1, 1002), connCrash(1006, 1030), connCrash(1008, 1031)}, 2},
+		"an older connection that was noticed late":      {[]Crash{connCrash(0, 1000), connCrash(1006, 1030), connCrash(900, 1050)}, 2},
+		"a connection whose opening time isn't known":    {[]Crash{connCrash(0, 1000), {Server: "a", Boot: "x", At: start.Add(2 * time.Second)}}, 2},
+		"the same over different servers isn't the same": {[]Crash{connCrash(0, 1000), {Server: "b", Opened: start, At: start.Add(time.Second)}}, 2},
+	} {
+		require.Equal(t, c.want, Count(c.crashes, time.Time{}), name)
+	}
+}
+
+func TestReportOfAKnownCrashChangesOnlyItsMarks(t *testing.T) {
+	s := NewSet()
+	s.Report(Fingerprint{1}, connCrash(0, 1000))
+	again := connCrash(500, 1001)
+	again.Repeat, again.Confirmed = true, true
+	s.Report(Fingerprint{1}, again)
+	require.Len(t, s.Crashes(Fingerprint{1}), 1)
+	require.True(t, s.Crashes(Fingerprint{1})[0].Repeat)
+	require.True(t, s.Crashes(Fingerprint{1})[0].Confirmed)
+	s.Report(Fingerprint{1}, connCrash(1006, 1030))
+	require.Len(t, s.Crashes(Fingerprint{1}), 2)
+}
+
+// A server may be back at once under its id, so an answer over a connection that was opened
+// since the crash doesn't show that it survived.
+func TestOnlyAnswerOverOlderConnectionVoidsACrash(t *testing.T) {
 	s := NewSet()
 	s.Add(Fingerprint{1}, crash("a"), 0)
-	require.Empty(t, s.VoidServer("a", start), "the request may have been sent before the crash")
-	require.Empty(t, s.VoidServer("b", start.Add(time.Second)))
-	require.Equal(t, []Fingerprint{{1}}, s.VoidServer("a", start.Add(time.Second)))
+	older, later := start.Add(-10*time.Second), start.Add(time.Second)
+	require.Empty(t, s.VoidServer("a", older, start), "the request may have been sent before the crash")
+	require.Empty(t, s.VoidServer("b", older, later))
+	require.Empty(t, s.VoidServer("a", start.Add(5*time.Millisecond), later), "the connection was opened since")
+	require.Empty(t, s.VoidServer("a", start.Add(-5*time.Millisecond), later), "the time of the crash isn't known so exactly")
+	require.Equal(t, []Fingerprint{{1}}, s.VoidServer("a", older, later))
 	require.Zero(t, Count(s.Crashes(Fingerprint{1}), time.Time{}))
 }
 
@@ -94,7 +139,7 @@
 			case 1:
 				pick().VoidRequest(f)
 			case 2:
-				pick().VoidServer(server, start.Add(time.Second))
+				pick().VoidServer(server, start.Add(-time.Minute), start.Add(time.Second))
 			case 3:
 				merge(pick(), pick())
 			}
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -16,7 +16,7 @@
 
 // Suspect is a request during which at least one backend server crashed. It is immutable.
 type Suspect struct {
-	Crashes []Crash // at most one for each server and boot, oldest first
+	Crashes []Crash // at most one for each server and boot, in the order they became known
 	Last    uint64  // order of the newest crash, for eviction
 }
 
@@ -106,7 +106,7 @@
 		return true
 	}
 	merged := crashes[at]
-	merged.Void, merged.Repeat = merged.Void || c.Void, merged.Repeat || c.Repeat
+	merged.Void, merged.Repeat, merged.Confirmed = merged.Void || c.Void, merged.Repeat || c.Repeat, merged.Confirmed || c.Confirmed
 	if merged == crashes[at] {
 		return false
 	}
@@ -122,12 +122,34 @@
 	return s.voidIf(f, func(Crash) bool { return true })
 }
 
-// VoidServer marks all crashes of a server as void that it survived: it answered a request
-// that was sent after them. It returns the requests that this changed.
-func (s *Set) VoidServer(server string, sent time.Time) []Fingerprint {
+// Report adds a crash that this instance saw. If the same crash is known, only its marks
+// change.
+func (s *Set) Report(f Fingerprint, c Crash) {
+	for _, known := range s.Crashes(f) {
+		if known.Server == c.Server && countStarts([]Crash{known, c}) == 1 {
+			known.Repeat, known.Confirmed = known.Repeat || c.Repeat, known.Confirmed || c.Confirmed
+			s.Merge(f, known)
+			return
+		}
+	}
+	s.Merge(f, c)
+}
+
+// SurvivalMargin is how much older than a crash a connection must be to show that its server
+// survived: a crash is noticed some time after it, and by another instance later still.
+const SurvivalMargin = time.Second
+
+// VoidServer marks all crashes of a server as void that it survived: over a connection that
+// was opened before them it answered a request that was sent after them. A server that
+// answers over a newer connection may be another start. It returns the requests that this
+// changed.
+func (s *Set) VoidServer(server string, opened, sent time.Time) []Fingerprint {
 	var out []Fingerprint
+	survived := func(c Crash) bool {
+		return c.Server == server && opened.Add(SurvivalMargin).Before(c.At) && c.At.Before(sent)
+	}
 	for f := range s.suspects {
-		if s.voidIf(f, func(c Crash) bool { return c.Server == server && c.At.Before(sent) }) {
+		if s.voidIf(f, survived) {
 			out = append(out, f)
 		}
 	}
@@ -192,6 +214,9 @@
 	if c.Repeat {
 		marks |= 2
 	}
+	if c.Confirmed {
+		marks |= 4
+	}
 	d := xxhash.New()
 	_, _ = d.Write(f[:]) // never fails, as below
 	_, _ = d.Write([]byte{marks})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -42,6 +42,7 @@
 func (c *call) attempt(ctx context.Context, d decide.Decision) string {
 	c.attempts++
 	sent := time.Now()
+	c.sentAt = sent
 	if !c.sent {
 		c.sent = true
 		c.relay.opts.Metrics.ObserveQueueTime(sent.Sub(c.arrived))
@@ -85,8 +86,8 @@
 	if headers.Leaving && c.relay.opts.OnLeaving != nil {
 		c.relay.opts.OnLeaving(topology.ServerStart{ID: d.Server.ID, Start: d.Server.Start})
 	}
-	if q := c.relay.opts.Quarantine; q != nil && q.Active() {
-		q.ReportAnswer(d.Server.ID, sent)
+	if q := c.relay.opts.Quarantine; q != nil && q.Active() && !c.forwarded {
+		q.ReportAnswer(d.Server.ID, c.sending.Opened, sent)
 	}
 }
 
@@ -161,7 +162,7 @@
 	}
 	switch {
 	case connectionBroke(f):
-		f = c.handleBrokenConnection(d, f)
+		f = c.handleBrokenConnection(ctx, d, f)
 	case f.Unsent:
 		c.attempts--
 		f = c.settle(ctx, f)
@@ -267,6 +268,7 @@
 		c.relay.dispatcher.abandon(c)
 		c.mayHaveRun = true
 		c.logFailedAttempt(d, err.Error(), res.StatusCode)
+		c.reportBrokenResponse(ctx, d)
 		c.abort("broken_off")
 	}
 	c.reportCompletion()
@@ -275,6 +277,16 @@
 	return outcomeDone
 }
 
+// reportBrokenResponse finds out and reports, before the caller's connection is closed, whether
+// the server crashed whose response broke off.
+func (c *call) reportBrokenResponse(ctx context.Context, d decide.Decision) {
+	if ctx.Err() != nil {
+		return // the caller or the deadline ended the response
+	}
+	c.handleBrokenConnection(ctx, d, decide.Failure{})
+	c.waitReported()
+}
+
 // writeBuffered sends a server's complete response.
 func (c *call) writeBuffered(buffered *bufferedResponse) {
 	c.firstByte = time.Now()
--- a/relay/backends.go
+++ b/relay/backends.go
@@ -69,6 +69,16 @@
 	return out
 }
 
+// openBefore returns how many connections to a server are open that were opened before at.
+func (b *backends) openBefore(id string, at time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[id]; p != nil {
+		return p.transport.OpenBefore(at)
+	}
+	return 0
+}
+
 // closeIdle closes the idle connections to a server.
 func (b *backends) closeIdle(id string) {
 	b.mu.Lock()
--- a/relay/call.go
+++ b/relay/call.go
@@ -82,6 +82,7 @@
 	sending            netconn.Sending   // of the newest attempt
 	timeLeft           time.Duration     // until the deadline that the newest attempt told its server
 	sent               bool              // an attempt was started
+	sentAt             time.Time         // when the newest attempt was started
 	mayHaveRun         bool              // an attempt may have run
 	lastFailure        *bufferedResponse // the newest error response that was read completely
 	lastResponse       ResponseHeaders   // headers of the newest response to any attempt
@@ -172,6 +173,8 @@
 		MaxAttempts:  c.route.Attempts,
 		Suspect:      c.verdict.Crashes >= isolatedFrom,
 		Affinity:     c.affinity(),
+
+		CrashedServers: c.verdict.Servers,
 	}
 	if c.route.Stream {
 		r.Goal = c.route.Goal
@@ -204,7 +207,7 @@
 			if outcome := c.endIfKeyRevoked(); outcome != "" {
 				return outcome
 			}
-			if outcome, proceed := c.checkBeforeAttempt(); outcome != "" {
+			if outcome, proceed := c.checkBeforeAttempt(ctx); outcome != "" {
 				return outcome
 			} else if !proceed {
 				continue
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -11,78 +11,128 @@
 
 	"greengageferry/decide"
 	"greengageferry/netconn"
+	"greengageferry/quarantine"
 )
 
 const (
-	// crashCheckTimeout bounds one check. The address of a process that has ended refuses a
+	// crashCheckTimeout bounds one dial. The address of a process that has ended refuses a
 	// connection within a round trip; of a machine that isn't reached nothing is known.
 	crashCheckTimeout = 200 * time.Millisecond
-	// crashCheckTTL is how long a check's result is used for further broken connections to
+	// dialResultTTL is how long a dial's result is used for further broken connections to
 	// the same server. They break together.
-	crashCheckTTL = 100 * time.Millisecond
+	dialResultTTL = 100 * time.Millisecond
+	// closingTime is how long after the first the other connections of a process that ended
+	// may still seem open.
+	closingTime = 20 * time.Millisecond
 )
 
-// crashChecks finds out whether servers whose connections broke have crashed. A connection
-// that breaks may as well be reset on its way, or by a server that goes on.
+// crashVerdict says whether a server crashed.
+type crashVerdict int
+
+const (
+	notCrashed        crashVerdict = iota
+	presumablyCrashed              // all connections broke, but its address accepts new ones
+	surelyCrashed                  // all connections broke, and its address refuses new ones
+)
+
+var crashVerdictNames = map[crashVerdict]string{
+	notCrashed: "not_crashed", presumablyCrashed: "presumably_crashed", surelyCrashed: "crashed",
+}
+
+// dialResult is how a server's address answered.
+type dialResult int
+
+const (
+	dialUnanswered dialResult = iota // the server isn't reached: nothing is known of it
+	dialRefused
+	dialAccepted // by the server, its next start, or another process
+)
+
+// crashChecks finds out whether servers whose connections broke have crashed. A process that
+// ends breaks all its connections. Its address refuses new ones until it is back, which may
+// be sooner than anyone asks. A connection that is reset on its way, or by a server that goes
+// on, leaves others open, some of them opened well before. It is safe for concurrent use.
 type crashChecks struct {
-	dial   netconn.DialFunc
-	checks singleflight.Group // by server id
+	dial netconn.DialFunc
+	// openBefore returns how many connections to the server are open that were opened before
+	// the given time.
+	openBefore func(server string, at time.Time) int
+	dials      singleflight.Group // by server id
 
 	mu      sync.Mutex
-	results map[string]crashCheck // by server id
+	results map[string]recentDial // by server id
+}
+
+// recentDial is the result of a dial that has just ended.
+type recentDial struct {
+	at     time.Time
+	result dialResult
 }
 
-// crashCheck is the result of a check.
-type crashCheck struct {
-	at      time.Time
-	crashed bool
+// judge reports whether a server crashed when one of its connections broke at the given time.
+func (k *crashChecks) judge(s decide.Server, brokeAt time.Time) crashVerdict {
+	older := brokeAt.Add(-quarantine.SurvivalMargin)
+	if k.openBefore(s.ID, older) > 0 {
+		time.Sleep(time.Until(brokeAt.Add(closingTime)))
+	}
+	if k.openBefore(s.ID, older) > 0 {
+		return notCrashed
+	}
+	switch k.dialServer(s) {
+	case dialRefused:
+		return surelyCrashed
+	case dialAccepted:
+		return presumablyCrashed
+	}
+	return notCrashed
 }
 
-// crashed reports whether the server's address refuses connections. Callers that ask at the
-// same time share one check.
-func (k *crashChecks) crashed(s decide.Server) bool {
+// dialServer dials the server's address. Callers that ask at the same time share one dial.
+func (k *crashChecks) dialServer(s decide.Server) dialResult {
 	if r, ok := k.recent(s.ID); ok {
-		return r.crashed
+		return r
 	}
-	result, _, _ := k.checks.Do(s.ID, func() (any, error) {
-		r := crashCheck{crashed: k.refusesConnections(s.Addr), at: time.Now()}
-		k.keep(s.ID, r)
+	result, _, _ := k.dials.Do(s.ID, func() (any, error) {
+		r := k.dialAddr(s.Addr)
+		k.keep(s.ID, recentDial{time.Now(), r})
 		return r, nil
 	})
-	return result.(crashCheck).crashed
+	return result.(dialResult)
 }
 
-// recent returns the result of a check that has just ended.
-func (k *crashChecks) recent(server string) (crashCheck, bool) {
+// recent returns the result of a dial that has just ended.
+func (k *crashChecks) recent(server string) (dialResult, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r, ok := k.results[server]
-	return r, ok && time.Since(r.at) < crashCheckTTL
+	return r.result, ok && time.Since(r.at) < dialResultTTL
 }
 
 // keep stores a result and drops those that are no longer used.
-func (k *crashChecks) keep(server string, r crashCheck) {
+func (k *crashChecks) keep(server string, r recentDial) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.results == nil {
-		k.results = map[string]crashCheck{}
+		k.results = map[string]recentDial{}
 	}
 	for id, old := range k.results {
-		if time.Since(old.at) >= crashCheckTTL {
+		if time.Since(old.at) >= dialResultTTL {
 			delete(k.results, id)
 		}
 	}
 	k.results[server] = r
 }
 
-// refusesConnections reports whether no process listens on the address.
-func (k *crashChecks) refusesConnections(addr string) bool {
+func (k *crashChecks) dialAddr(addr string) dialResult {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	conn, err := k.dial(ctx, "tcp4", addr)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close() // it was opened for the check alone
-		return false
+		return dialAccepted
+	case errors.Is(err, unix.ECONNREFUSED):
+		return dialRefused
 	}
-	return errors.Is(err, unix.ECONNREFUSED)
+	return dialUnanswered
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -23,7 +23,8 @@
 const (
 	// headerForwardTo is the id of the server.
 	headerForwardTo = "Forward-To-Server"
-	// headerForwardCheck asks only whether the server has crashed.
+	// headerForwardCheck asks only whether the server crashed when a connection to it broke,
+	// so many milliseconds ago. In the response it is one of forwardedVerdicts.
 	headerForwardCheck = "Forward-Check"
 	// headerForwarded is set in each response of an instance that forwards.
 	headerForwarded = "Forwarded-By-Instance"
@@ -164,19 +165,32 @@
 	return time.Since(f.goneAt[server]) < goneTTL
 }
 
-// crashed asks other instances whether the server's address refuses connections.
-func (f *forwarder) crashed(s decide.Server) bool {
+// judge asks another instance whether the server crashed when a connection to it broke at the
+// given time.
+func (f *forwarder) judge(s decide.Server, brokeAt time.Time) crashVerdict {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*crashCheckTimeout)
 	defer cancel()
 	res, err := f.send(ctx, s, func(ctx context.Context) *http.Request {
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr+"/", nil) // never fails with these arguments
-		req.Header.Set(headerForwardCheck, "1")
+		req.Header.Set(headerForwardCheck, strconv.FormatInt(time.Since(brokeAt).Milliseconds(), 10))
 		return req
 	})
 	if err != nil {
-		return false
+		return notCrashed
 	}
 	defer res.Body.Close()
-	crashed, err := strconv.ParseBool(res.Header.Get(headerForwardCheck))
-	return err == nil && crashed
+	return forwardedVerdicts[res.Header.Get(headerForwardCheck)] // notCrashed if it says nothing usable
+}
+
+// forwardedVerdicts are the values of headerForwardCheck in a response.
+var forwardedVerdicts = map[string]crashVerdict{"false": notCrashed, "presumed": presumablyCrashed, "true": surelyCrashed}
+
+// forwardedVerdict returns the value of headerForwardCheck for a verdict.
+func forwardedVerdict(verdict crashVerdict) string {
+	for value, v := range forwardedVerdicts {
+		if v == verdict {
+			return value
+		}
+	}
+	return ""
 }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -55,8 +55,9 @@
 		writeForwardError(w, infra.ReasonUnavailable, true)
 		return
 	}
-	if req.Header.Get(headerForwardCheck) != "" {
-		w.Header().Set(headerForwardCheck, strconv.FormatBool(f.relay.crashes.crashed(server)))
+	if age := req.Header.Get(headerForwardCheck); age != "" {
+		verdict := f.relay.crashes.judge(server, time.Now().Add(-brokenFor(age)))
+		w.Header().Set(headerForwardCheck, forwardedVerdict(verdict))
 		return
 	}
 	if f.active.Add(1) > maxForwards {
@@ -68,6 +69,20 @@
 	f.forward(w, req, server)
 }
 
+// brokenFor decodes how long ago a connection broke. A check that says nothing usable is about
+// one that has just broken.
+func brokenFor(value string) time.Duration {
+	ms, err := strconv.Atoi(value)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(min(ms, maxBrokenForMS)) * time.Millisecond
+}
+
+// maxBrokenForMS bounds how long ago, in milliseconds, a connection may have broken: longer
+// than its instance waits for the check.
+const maxBrokenForMS = 1000
+
 // forward sends the attempt to the server and copies the response.
 func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server) {
 	ctx, cancel := context.WithCancelCause(req.Context())
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -12,6 +12,7 @@
 	"greengageferry/decide"
 	"greengageferry/infra"
 	"greengageferry/quarantine"
+	"greengageferry/topology"
 )
 
 const (
@@ -22,9 +23,13 @@
 	// quarantineRetryAfter is the Retry-After of a quarantined request. It is longer than a
 	// caller waits for any answer.
 	quarantineRetryAfter = 30 * time.Second
-	// crashSettleTime is how long a suspect whose server refuses the connection waits before
-	// it is sent to another: the server may just have crashed under a copy of it, and news
-	// of that is on its way.
+	// suspectRetryAfter is the Retry-After of a suspect while a copy of it runs.
+	suspectRetryAfter = time.Second
+	// reasonSuspect ends such a request.
+	reasonSuspect = "suspect"
+	// crashSettleTime is how long a suspect whose server crashed or refuses the connection
+	// waits before it is sent to another: a copy of it may just have crashed that server or
+	// another one, and news of that is on its way.
 	crashSettleTime = 50 * time.Millisecond
 	// reportWait bounds how long the answer to a request waits until other instances know
 	// of the crash: its caller may send it again at once, to any of them.
@@ -38,20 +43,24 @@
 	Active() bool
 	// Verdict returns what is known against a request.
 	Verdict(quarantine.Fingerprint) Verdict
-	// ReportCrash records that a server crashed while it ran a request. repeat: the request
-	// was suspected when that run began. The returned channel is closed once other instances
-	// know.
-	ReportCrash(f quarantine.Fingerprint, server string, repeat bool) <-chan struct{}
+	// ReportCrash records that a server crashed while it ran a request. The returned channel
+	// is closed once other instances know.
+	ReportCrash(f quarantine.Fingerprint, crash quarantine.Crash) <-chan struct{}
+	// PermitRun reports whether a request with isolatedFrom crashes may run now: of its copies
+	// at all instances one may at a time.
+	PermitRun(context.Context, quarantine.Fingerprint) bool
 	// ReportCompleted records that a server completed a request.
 	ReportCompleted(quarantine.Fingerprint)
-	// ReportAnswer records that a server answered a request that was sent at the given time.
-	ReportAnswer(server string, sent time.Time)
+	// ReportAnswer records that a server answered a request that was sent at the given time,
+	// over a connection that was opened at the given time.
+	ReportAnswer(server string, opened, sent time.Time)
 }
 
 // Verdict is what is known against a request.
 type Verdict struct {
-	Crashes     int  // of servers that ran it
-	Quarantined bool // it must not run again
+	Crashes     int      // of servers that ran it
+	Servers     []string // that crashed
+	Quarantined bool     // it must not run again
 }
 
 // QuarantinedError ends the attempts of a request that became quarantined while they ran.
@@ -90,7 +99,7 @@
 
 // suspicion adds to a failure what is known against the request.
 func (c *call) suspicion(f decide.Failure) decide.Failure {
-	f.Affinity = c.affinity()
+	f.Affinity, f.CrashedServers = c.affinity(), c.verdict.Servers
 	f.Suspect = c.verdict.Crashes >= isolatedFrom
 	f.Quarantined = c.verdict.Quarantined
 	return f
@@ -99,21 +108,30 @@
 // checkBeforeAttempt asks, before an attempt begins, what became known since the decision.
 // It returns the request's outcome if it must not run, and whether the attempt may begin;
 // if not, a new decision follows.
-func (c *call) checkBeforeAttempt() (outcome string, proceed bool) {
-	if !c.updateVerdict() {
-		return "", true
-	}
+func (c *call) checkBeforeAttempt(ctx context.Context) (outcome string, proceed bool) {
+	changed := c.updateVerdict()
 	if c.verdict.Quarantined {
 		c.relay.dispatcher.abandon(c)
 		return c.endQuarantined(), false
 	}
-	c.reportFailure(c.suspicion(decide.Failure{Reason: infra.ReasonCanceled, Effect: infra.EffectNone, Unsent: true}))
-	return "", false
+	if changed {
+		c.reportFailure(c.suspicion(decide.Failure{Reason: infra.ReasonCanceled, Effect: infra.EffectNone, Unsent: true}))
+		return "", false
+	}
+	if c.verdict.Crashes >= isolatedFrom && !c.relay.opts.Quarantine.PermitRun(ctx, c.fingerprint()) {
+		c.relay.dispatcher.abandon(c)
+		return c.endRefused(reasonSuspect, suspectRetryAfter), false
+	}
+	return "", true
 }
 
 // endQuarantined ends the call of a request that must not run again.
 func (c *call) endQuarantined() string {
-	reason := string(decide.ReasonQuarantined)
+	return c.endRefused(string(decide.ReasonQuarantined), quarantineRetryAfter)
+}
+
+// endRefused ends the call of a request that must not run now.
+func (c *call) endRefused(reason string, retryAfter time.Duration) string {
 	switch {
 	case c.stream.started:
 		c.abort(reason)
@@ -121,26 +139,48 @@
 	case c.mayHaveRun:
 		return c.fail(http.StatusBadGateway, reason)
 	}
-	return c.refuse(reason, quarantineRetryAfter)
+	return c.refuse(reason, retryAfter)
 }
 
 // handleBrokenConnection finds out whether the server of an attempt whose connection broke
 // has crashed, and reports it. It returns the failure with what is known then.
-func (c *call) handleBrokenConnection(d decide.Decision, f decide.Failure) decide.Failure {
+func (c *call) handleBrokenConnection(ctx context.Context, d decide.Decision, f decide.Failure) decide.Failure {
 	c.logBrokenConnection(d)
 	q := c.relay.opts.Quarantine
-	if q == nil || !c.serverCrashed(d.Server) {
+	if q == nil {
 		return f
 	}
+	brokeAt := time.Now()
+	verdict := c.serverCrashed(d.Server, brokeAt)
+	crash := quarantine.Crash{
+		Server: d.Server.ID, At: brokeAt, Opened: c.serverSeenFrom(), Repeat: c.verdict.Crashes > 0, Confirmed: verdict == surelyCrashed,
+	}
 	c.relay.opts.Log.WithFields(logrus.Fields{
-		"request": c.headers.ID, "server": d.Server.ID, "fingerprint": c.fingerprint().String(), "repeat": c.verdict.Crashes > 0,
-	}).Warn("server crashed while it ran the request")
-	c.reported = q.ReportCrash(c.fingerprint(), d.Server.ID, c.verdict.Crashes > 0)
+		"request": c.headers.ID, "server": d.Server.ID, "server_start": d.Server.Start, "fingerprint": c.fingerprint().String(),
+		"repeat": crash.Repeat, "verdict": crashVerdictNames[verdict],
+	}).Warn("server checked after its connection broke")
+	if verdict == notCrashed {
+		return f
+	}
+	c.reported = q.ReportCrash(c.fingerprint(), crash)
 	c.updateVerdict()
-	return c.suspicion(f)
+	if c.route.Retry == topology.AtMostOnce || c.attempts >= c.route.Attempts {
+		return c.suspicion(f) // it isn't sent again
+	}
+	return c.settle(ctx, f)
 }
 
-// settle waits before a suspect whose server refused the connection is sent to another.
+// serverSeenFrom returns since when the process is known to have run that the newest attempt
+// was sent to. Of an attempt that another instance forwarded that is when it was sent.
+func (c *call) serverSeenFrom() time.Time {
+	if c.forwarded || c.sending.Opened.IsZero() {
+		return c.sentAt
+	}
+	return c.sending.Opened
+}
+
+// settle waits before a suspect whose server crashed or refused the connection is sent to
+// another. It returns the failure with what is known then.
 func (c *call) settle(ctx context.Context, f decide.Failure) decide.Failure {
 	if c.verdict.Crashes == 0 {
 		return f
@@ -178,14 +218,14 @@
 
 // serverCrashed reports whether the server of an attempt whose connection broke has crashed.
 // One that is leaving or was removed ends without a crash.
-func (c *call) serverCrashed(s decide.Server) bool {
+func (c *call) serverCrashed(s decide.Server, brokeAt time.Time) crashVerdict {
 	if _, ok := c.relay.inServiceServer(s.ID); !ok {
-		return false
+		return notCrashed
 	}
 	if c.forwarded {
-		return c.relay.forwarder.crashed(s)
+		return c.relay.forwarder.judge(s, brokeAt)
 	}
-	return c.relay.crashes.crashed(s)
+	return c.relay.crashes.judge(s, brokeAt)
 }
 
 // inServiceServer returns a server if it is listed and not leaving.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,7 +156,8 @@
 	if o.Dial == nil {
 		o.Dial = netconn.Dial
 	}
-	r := &Relay{opts: o, backends: backends{dial: o.Dial}, crashes: crashChecks{dial: o.Dial}, paths: newPaths(o.Dial, o.Log)}
+	r := &Relay{opts: o, backends: backends{dial: o.Dial}, paths: newPaths(o.Dial, o.Log)}
+	r.crashes = crashChecks{dial: o.Dial, openBefore: r.backends.openBefore}
 	r.dispatcher = newDispatcher(o.Rand, o.Log, o.Metrics)
 	if o.Peers != nil {
 		r.forwarder = newForwarder(o.Peers)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -98,10 +98,7 @@
 		return outcomeCallerLeft
 	}
 	c.logFailedAttempt(d, err.Error(), res.StatusCode)
-	if ctx.Err() == nil {
-		c.handleBrokenConnection(d, decide.Failure{})
-		c.waitReported()
-	}
+	c.reportBrokenResponse(ctx, d)
 	c.abort("stream_broke")
 	return outcomeBroken
 }
--- a/replay/quarantine.go
+++ b/replay/quarantine.go
@@ -12,7 +12,7 @@
 
 // crashRule quarantines a request that crashed two different servers. The request's own
 // retries stop there as well.
-var crashRule = quarantine.Rule{Servers: 2}
+var crashRule = quarantine.Rule{Crashes: 2, DifferentServers: true}
 
 // QuarantineView is an immutable snapshot of the quarantine stream.
 type QuarantineView struct {
