retries: shares come from a count of all instances, begin empty and are whole

What callers saw: nothing yet; by reading and simulation, retries of all instances can exceed what the platform allows together. Causes, of one class (a share is dealt by what one instance knows at that moment): - a new lease holder told its first reporters a count that had only begun (1, 2, ... of 9), and each raised its budget at once. Slots, quotas and rate limits, which divide by the same number, follow. After all were restarted, the store's number serves, which was kept for allowances only. - a budget began full at each start, though the instance before it may just have spent its share, and a larger share filled it at once. A shared budget begins empty and fills by refill and successes. - a share below one retry was rounded up to one for each instance. The reserve is now dealt in whole retries by position: with fewer retries than instances some have one, the others none.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -110,6 +110,7 @@
 	partners      map[string]*partnerState
 	partnerList   []*partnerState // by partnerState.index
 	domains       map[string]*domainState
+	retry         RetryPolicy
 }
 
 func newFleet() fleet {
@@ -124,10 +125,12 @@
 
 // applyTable replaces the table and returns the targets that are no longer in it.
 func (f *fleet) applyTable(now time.Time, t *Table) (gone []*targetState) {
-	listed := f.updateServers(now, t)
+	f.retry = t.Retry
 	for _, p := range f.pools {
+		p.budget.refill(now)
 		p.budget.setPolicy(t.Retry)
 	}
+	listed := f.updateServers(now, t)
 	f.sortedTargets = f.sortedTargets[:0]
 	for _, name := range sortedNames(t.Targets) {
 		f.sortedTargets = append(f.sortedTargets, f.updateTarget(t, t.Targets[name], listed))
@@ -216,7 +219,7 @@
 func (f *fleet) pool(name string) *poolState {
 	p := f.pools[name]
 	if p == nil {
-		p = &poolState{slowdown: 1, budget: newRetryBudget()}
+		p = &poolState{slowdown: 1, budget: newRetryBudget(f.retry)}
 		f.pools[name] = p
 	}
 	return p
--- a/decide/ratelimit.go
+++ b/decide/ratelimit.go
@@ -50,7 +50,7 @@
 type RateShares struct {
 	Shares    []RateShare
 	Position  int // this instance's index among all instances
-	Instances int // number of instances
+	Instances int // number of instances; 0: the lease holder hasn't counted all yet
 }
 
 // LimitChange is a change of a server's known rate limit.
@@ -139,8 +139,11 @@
 func (s *Scheduler) ApplyRateShares(now, sent time.Time, shares RateShares) (changes []LimitChange, out []Decision) {
 	s.out = s.out[:0]
 	r := &s.rateSharing
-	r.updatedAt, r.instances = sent, shares.Instances
-	r.position = (float64(shares.Position) + 0.5) / r.instanceCount()
+	r.updatedAt = sent
+	if shares.Instances > 0 {
+		r.instances = shares.Instances
+		r.position = (float64(shares.Position) + 0.5) / r.instanceCount()
+	}
 	for _, share := range shares.Shares {
 		srv := s.fleet.servers[share.Server]
 		if srv == nil || srv.Start != share.Start {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -46,6 +46,10 @@
 	Ratio           float64 // retries per recent success
 	Reserve         float64 // retries allowed without any success; also the budget's maximum
 	RefillPerSecond float64 // retries per second added to the budget
+	// Shared means that the policy is this instance's share of what all instances may send
+	// together. A budget then begins empty, and a larger share fills it no faster: the
+	// retries may have been sent by the instance before this start, or by others.
+	Shared bool
 	// CountRefused also counts retries of requests that a server refused before starting
 	// them. It is for platforms that limit all requests to a pool.
 	CountRefused bool
@@ -67,15 +71,21 @@
 	refilledAt time.Time
 }
 
-func newRetryBudget() retryBudget {
-	p := RetryPolicy{}.withDefaults()
+func newRetryBudget(p RetryPolicy) retryBudget {
+	p = p.withDefaults()
+	if p.Shared {
+		return retryBudget{policy: p}
+	}
 	return retryBudget{policy: p, tokens: p.Reserve}
 }
 
 // setPolicy changes the limits. Retries already spent stay spent.
 func (b *retryBudget) setPolicy(p RetryPolicy) {
 	p = p.withDefaults()
-	b.tokens = min(max(b.tokens+p.Reserve-b.policy.Reserve, 0), p.Reserve)
+	if !p.Shared {
+		b.tokens = max(b.tokens+p.Reserve-b.policy.Reserve, 0)
+	}
+	b.tokens = min(b.tokens, p.Reserve)
 	b.policy = p
 }
 
@@ -83,11 +93,16 @@
 	b.tokens = min(b.tokens+b.policy.Ratio, b.policy.Reserve)
 }
 
-func (b *retryBudget) tryWithdraw(now time.Time) bool {
+// refill adds what has accrued since the last refill. The first only sets its time.
+func (b *retryBudget) refill(now time.Time) {
 	if !b.refilledAt.IsZero() {
 		b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*b.policy.RefillPerSecond, b.policy.Reserve)
 	}
 	b.refilledAt = now
+}
+
+func (b *retryBudget) tryWithdraw(now time.Time) bool {
+	b.refill(now)
 	if b.tokens < 1 {
 		return false
 	}
--- a/instance/allowances.go
+++ b/instance/allowances.go
@@ -171,12 +171,6 @@
 	return r, true
 }
 
-// inForce reports whether any account has an allowance.
-func (a *allowances) inForce() bool {
-	c := a.instance.currentView().Config
-	return c != nil && c.Accounts.HasLimits()
-}
-
 // grant answers an instance's report if this instance holds the lease.
 func (a *allowances) grant(now time.Time, report allowance.Report) (allowance.Grants, bool) {
 	i := a.instance
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -60,6 +60,8 @@
 	lease      *residency.Lease
 	controller *residency.Controller
 
+	savedInstances atomic.Int64 // number of instances that the store had kept; 0: not known
+
 	mu                sync.Mutex
 	view              topology.View           // its fields are replaced, never modified in place
 	listed            []topology.Server       // the servers as described by their entries
@@ -303,31 +305,16 @@
 	}
 }
 
-// The platform limits the retries of all instances together. Each instance uses only
-// these fractions of its share, because it doesn't know how many retries the others send.
-const (
-	retryRatioFraction   = 0.7 // of the retry ratio
-	retryReserveFraction = 0.4 // of the instance's share of the reserve, available at once
-	retryRefillFraction  = 0.4 // of the instance's share of the reserve, refilled over a window
-)
-
-// retryPolicy returns this instance's limits on retries. Until the lease holder reports
-// the number of instances, the share is computed for the largest number that the system
-// is designed for: after all instances were killed, the number stays unknown for seconds
-// in which all of them retry.
+// retryPolicy returns this instance's share of the retries that the platform allows all
+// instances together. After all instances were killed, their number stays unknown for seconds
+// in which all of them retry, unless the store has kept it.
 func (i *Instance) retryPolicy(v *topology.View) decide.RetryPolicy {
 	n := i.node.Load()
-	instances := v.Instances()
-	if !v.InstancesKnown {
-		instances = decide.MaxInstances
-	}
-	share := n.RetryReserve / float64(max(instances, 1))
-	return decide.RetryPolicy{
-		Ratio:           n.RetryRatio * retryRatioFraction,
-		Reserve:         max(share*retryReserveFraction, 1),
-		RefillPerSecond: share * retryRefillFraction / max(n.RetryWindow.Seconds(), 1),
-		CountRefused:    true,
+	count := decide.InstanceCount{Instances: int(i.savedInstances.Load()), Position: -1}
+	if v.InstancesKnown {
+		count = decide.InstanceCount{Instances: v.Instances(), Position: v.Position}
 	}
+	return decide.SharedRetries{Ratio: n.RetryRatio, Reserve: n.RetryReserve, Window: n.RetryWindow}.Policy(count)
 }
 
 // storeFailed records that the store did not answer a read.
--- a/instance/instance_count.go
+++ b/instance/instance_count.go
@@ -11,8 +11,8 @@
 )
 
 // CountStore keeps the number of instances beyond the end of all of them: each one that
-// starts anew needs it to know its part of the client accounts' allowances until a lease
-// holder answers.
+// starts anew needs it to know its part of what all instances share until a lease holder has
+// counted them.
 type CountStore interface {
 	SaveInstances(ctx context.Context, n int) error
 	LoadInstances(ctx context.Context) (int, error) // 0: none was saved
@@ -35,21 +35,15 @@
 )
 
 // keepCount is the duty that loads the number of instances if nobody has told it, and saves
-// it while this instance holds the lease, if client accounts have allowances.
+// it while this instance holds the lease.
 func (i *Instance) keepCount(ctx context.Context) error {
 	saved, savedAt := 0, time.Time{}
-	loadAt := time.Time{}
+	loadAt := time.Now().Add(rand.N(loadDelay))
 	for supervise.Pause(ctx, countInterval) {
-		if !i.allowances.inForce() {
-			continue
-		}
 		now := time.Now()
-		if loadAt.IsZero() {
-			loadAt = now.Add(rand.N(loadDelay))
-		}
-		n := i.allowances.meter.Instances()
+		n := i.countedInstances()
 		switch {
-		case n == 0 && now.After(loadAt):
+		case n == 0 && i.savedInstances.Load() == 0 && now.After(loadAt):
 			loadAt = now.Add(loadRetryDelay)
 			i.loadCount(ctx)
 		case n > 0 && i.lease.Holds() && countChanged(saved, n) && now.Sub(savedAt) >= saveInterval:
@@ -62,6 +56,17 @@
 	return nil
 }
 
+// countedInstances returns the number of instances that a lease holder has counted, 0 if none
+// has told it.
+func (i *Instance) countedInstances() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.view.InstancesKnown {
+		return 0
+	}
+	return i.view.Instances()
+}
+
 // countChanged reports whether the number of instances differs enough from the saved one.
 func countChanged(saved, n int) bool {
 	difference := max(saved-n, n-saved)
@@ -79,7 +84,9 @@
 		return
 	}
 	if n > 0 {
+		i.savedInstances.Store(int64(n))
 		i.allowances.meter.SetInstances(n)
+		i.signalViewChanged()
 		i.log.WithField("instances", n).Info("number of instances loaded")
 	}
 }
--- a/instance/shares_test.go
+++ b/instance/shares_test.go
@@ -21,9 +21,14 @@
 const retryInstances = 295
 
 // totalRetries returns how many retries all instances together may send within a window
-// of ten seconds under a policy if no request succeeds.
-func totalRetries(p decide.RetryPolicy) float64 {
-	return retryInstances * (p.Reserve + 10*p.RefillPerSecond)
+// of ten seconds if no request succeeds, with the policy of each.
+func totalRetries(policy func(position int) decide.RetryPolicy) float64 {
+	total := 0.0
+	for n := range retryInstances {
+		p := policy(n)
+		total += p.Reserve + 10*p.RefillPerSecond
+	}
+	return total
 }
 
 // After all instances are killed and restarted, none knows the number of instances until
@@ -35,11 +40,15 @@
 		v.InstancesByDomain[domain] = assumedInstancesPerDomain
 	}
 	p := newRetryInstance().retryPolicy(&v)
-	require.LessOrEqual(t, totalRetries(p), 630.0)
+	require.LessOrEqual(t, totalRetries(func(int) decide.RetryPolicy { return p }), 630.0)
 	require.GreaterOrEqual(t, p.Reserve, 1.0, "a server that dies costs a request nothing")
 }
 
 func TestRetriesAreBoundedOnceInstancesAreCounted(t *testing.T) {
-	v := topology.View{InstancesByDomain: map[string]int{"a": 100, "b": 195}, InstancesKnown: true}
-	require.LessOrEqual(t, totalRetries(newRetryInstance().retryPolicy(&v)), 630.0)
+	require.LessOrEqual(t, totalRetries(func(position int) decide.RetryPolicy {
+		v := topology.View{InstancesByDomain: map[string]int{"a": 100, "b": 195}, InstancesKnown: true, Position: position}
+		p := newRetryInstance().retryPolicy(&v)
+		require.GreaterOrEqual(t, p.Reserve, 1.0)
+		return p
+	}), 630.0)
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -271,11 +271,7 @@
 	if s.Ordering {
 		i.orderingAt = time.Now()
 	}
-	if len(s.Instances) > 0 && !(i.view.InstancesKnown && maps.Equal(i.view.InstancesByDomain, s.Instances)) {
-		i.view.InstancesByDomain, i.view.InstancesKnown = s.Instances, true
-		i.log.WithField("instances", s.Instances).Info("instances counted")
-		i.signalViewChanged()
-	}
+	i.applyCount(s)
 	held := s.Held
 	if s.HeldIncremental {
 		held = i.view.Held.Change(s.HeldRemoved, s.Held)
@@ -296,6 +292,25 @@
 	}
 }
 
+// applyCount applies a lease holder's count of the instances, if it has counted all: a count
+// that has only begun would give this instance several times its share. The caller must hold
+// mu.
+func (i *Instance) applyCount(s residency.Summary) {
+	if len(s.Instances) == 0 {
+		return
+	}
+	v := &i.view
+	same := v.InstancesKnown && maps.Equal(v.InstancesByDomain, s.Instances)
+	if same && v.Position == s.Rates.Position {
+		return
+	}
+	v.InstancesByDomain, v.InstancesKnown, v.Position = s.Instances, true, s.Rates.Position
+	if !same {
+		i.log.WithFields(logrus.Fields{"instances": s.Instances, "position": v.Position}).Info("instances counted")
+	}
+	i.signalViewChanged()
+}
+
 // noteConfigBehind reports whether another instance has a newer configuration in force
 // than this one, and logs each time that the two versions change.
 func (i *Instance) noteConfigBehind(newest int64) bool {
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -74,10 +74,9 @@
 
 	rates *rateAllocator // of this lease; nil while it isn't held
 
-	candidates     Candidates // chosen at candidatesAt
-	candidatesAt   time.Time
-	listeningSince time.Time // since when instances have reported to this one without a long gap
-	lastReportAt   time.Time // when the newest report arrived
+	candidates      Candidates // chosen at candidatesAt
+	candidatesAt    time.Time
+	candidatesSince time.Time // DemandTracker.ListeningSince of the reports they are chosen from
 
 	held   topology.HeldHistory
 	heldAt time.Time // when held was last updated; zero: a plan was made since
@@ -103,7 +102,7 @@
 // Summary is what the lease holder reports to an instance about all instances. Its maps
 // and slices must not be modified.
 type Summary struct {
-	Instances       map[string]int    // number of live instances by failure domain
+	Instances       map[string]int    // number of live instances by failure domain; nil: not all are counted yet
 	Loads           map[string]Load   // load from the other instances, by server
 	Held            topology.HeldList // how the models and adapters held by servers differ from the servers' entries
 	HeldRemoved     topology.HeldList // if HeldIncremental: items the instance knows that no longer apply
@@ -137,10 +136,14 @@
 		c.loads, c.loadsAt = c.demand.Loads(c.o.Spread(c.demand.ExpectedRequests(now, decide.ArrivalHorizon))), now
 		c.positions = c.demand.Positions()
 	}
-	s := Summary{Instances: c.demand.Instances(), Loads: c.loads.Others(report.Instance), Ordering: ordering, Version: c.demand.Version()}
+	s := Summary{Loads: c.loads.Others(report.Instance), Ordering: ordering, Version: c.demand.Version()}
 	s.HeldRemoved, s.Held, s.HeldIncremental = c.heldSince(now, report.HeldDigest)
 	s.Candidates, s.IsCandidate = c.candidacy(now, report)
 	s.Rates = c.ratesFor(now, report)
+	if c.demand.CountedAll(now) {
+		s.Instances = c.demand.Instances()
+		s.Rates.Position, s.Rates.Instances = c.positions[report.Instance], len(c.positions)
+	}
 	for _, a := range report.TargetDemand {
 		if a.Waiting > 0 {
 			c.requestPlan()
@@ -165,11 +168,10 @@
 // candidates are chosen, the latter is whether the instance already competes for the
 // lease. The lock is held.
 func (c *Controller) candidacy(now time.Time, report InstanceReport) (Candidates, bool) {
-	if now.Sub(c.lastReportAt) > instanceTimeout {
-		c.listeningSince, c.candidates = now, nil // first report of this lease, or after a long gap
+	if since := c.demand.ListeningSince(); since != c.candidatesSince {
+		c.candidatesSince, c.candidates = since, nil
 	}
-	c.lastReportAt = now
-	if now.Sub(c.listeningSince) < candidatesDelay {
+	if now.Sub(c.candidatesSince) < candidatesDelay {
 		return nil, report.Competes
 	}
 	if now.Sub(c.candidatesAt) >= candidatesInterval {
@@ -183,9 +185,7 @@
 	if c.rates == nil {
 		c.rates = newRateAllocator()
 	}
-	return decide.RateShares{
-		Shares: c.rates.reported(now, report.Instance, report.Rates), Position: c.positions[report.Instance], Instances: len(c.positions),
-	}
+	return decide.RateShares{Shares: c.rates.reported(now, report.Instance, report.Rates)}
 }
 
 // heldSince returns how the models and adapters held by servers differ from what the
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -64,6 +64,9 @@
 	holdSeconds float64 // mean time that a request occupies a slot, over all targets
 	startedAt   time.Time
 	updatedAt   time.Time
+
+	listeningSince time.Time // since when instances have reported to this one without a long gap
+	lastReportAt   time.Time // when the newest report arrived
 }
 
 // InstanceReport is what an instance reports to the lease holder.
@@ -118,6 +121,10 @@
 
 // HandleReport processes an instance's report.
 func (d *DemandTracker) HandleReport(now time.Time, report InstanceReport) {
+	if now.Sub(d.lastReportAt) > instanceTimeout {
+		d.listeningSince = now // the first report of this lease, or after a long gap
+	}
+	d.lastReportAt = now
 	member := Member{Name: report.Instance, Domain: report.Domain, Addr: report.Addr, Cores: report.Cores}
 	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, storeDown: report.StoreDown, version: report.Version}
 	for name, a := range report.TargetDemand {
@@ -252,6 +259,16 @@
 	return time.Time{}
 }
 
+// ListeningSince returns since when instances have reported to this one without a long gap.
+func (d *DemandTracker) ListeningSince() time.Time { return d.listeningSince }
+
+// CountedAll reports whether each live instance that reaches this one has had the time to
+// report to it. Until then the count of instances has only begun, and who divides something
+// by it takes several times its share.
+func (d *DemandTracker) CountedAll(now time.Time) bool {
+	return !d.listeningSince.IsZero() && now.Sub(d.listeningSince) >= instanceTimeout
+}
+
 // Instances returns the number of live instances in each failure domain.
 func (d *DemandTracker) Instances() map[string]int {
 	out := map[string]int{}
--- a/topology/table.go
+++ b/topology/table.go
@@ -30,7 +30,8 @@
 	Index             *Index
 	Servers           []Server       // sorted by id
 	InstancesByDomain map[string]int // number of live instances by failure domain, this one included
-	InstancesKnown    bool           // InstancesByDomain comes from a lease holder; false: it is an assumption
+	InstancesKnown    bool           // InstancesByDomain comes from a lease holder that has counted all; false: it is an assumption
+	Position          int            // of this instance among all, from 0; meaningful if InstancesKnown
 	// LoadOnDemand says that a model that no server holds is loaded once it is
 	// requested. Requests are then queued for it instead of refused.
 	LoadOnDemand bool
