relay: a check of a server that crashed says why, and a reset connection isn't 'not reached'

Only a timeout or a missing route counts so now. The log names what was found: crashed, presumably_crashed, goes_on, ended_in_order or not_known.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -30,13 +30,29 @@
 type crashVerdict int
 
 const (
-	notCrashed        crashVerdict = iota
-	presumablyCrashed              // all connections broke, but its address accepts new ones
-	surelyCrashed                  // all connections broke, and its address refuses new ones
+	notKnown          crashVerdict = iota // its address isn't reached, or nobody says anything of it
+	endedInOrder                          // it was leaving, or is no longer listed
+	goesOn                                // an older connection to it is open
+	presumablyCrashed                     // all connections broke, but its address accepts new ones
+	surelyCrashed                         // all connections broke, and its address refuses new ones
 )
 
+// crashed reports whether the verdict counts as a crash.
+func (v crashVerdict) crashed() bool { return v == presumablyCrashed || v == surelyCrashed }
+
+// crashVerdictNames are the verdicts as logs and other instances name them.
 var crashVerdictNames = map[crashVerdict]string{
-	notCrashed: "not_crashed", presumablyCrashed: "presumably_crashed", surelyCrashed: "crashed",
+	notKnown: "not_known", endedInOrder: "ended_in_order", goesOn: "goes_on", presumablyCrashed: "presumably_crashed", surelyCrashed: "crashed",
+}
+
+// crashVerdictNamed returns the verdict with the name, notKnown if there is none.
+func crashVerdictNamed(name string) crashVerdict {
+	for verdict, n := range crashVerdictNames {
+		if n == name {
+			return verdict
+		}
+	}
+	return notKnown
 }
 
 // dialResult is how a server's address answered.
@@ -45,7 +61,7 @@
 const (
 	dialUnanswered dialResult = iota // the server isn't reached: nothing is known of it
 	dialRefused
-	dialAccepted // by the server, its next start, or another process
+	dialAccepted // by the server, its next start, or another process, even if it was reset at once
 )
 
 // crashChecks finds out whether servers whose connections broke have crashed. A process that
@@ -76,7 +92,7 @@
 		time.Sleep(time.Until(brokeAt.Add(closingTime)))
 	}
 	if k.openBefore(s.ID, older) > 0 {
-		return notCrashed
+		return goesOn
 	}
 	switch k.dialServer(s) {
 	case dialRefused:
@@ -84,7 +100,7 @@
 	case dialAccepted:
 		return presumablyCrashed
 	}
-	return notCrashed
+	return notKnown
 }
 
 // dialServer dials the server's address. Callers that ask at the same time share one dial.
@@ -133,6 +149,8 @@
 		return dialAccepted
 	case errors.Is(err, unix.ECONNREFUSED):
 		return dialRefused
+	case isTimeout(err) || errors.Is(err, unix.EHOSTUNREACH) || errors.Is(err, unix.ENETUNREACH):
+		return dialUnanswered
 	}
-	return dialUnanswered
+	return dialAccepted
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -32,11 +32,13 @@
 		opened time.Time // of a connection that is still open
 		want   crashVerdict
 	}{
-		"address refuses":                     {refuses, time.Time{}, surelyCrashed},
-		"back at once, or another process is": {accepts, time.Time{}, presumablyCrashed},
-		"not reached":                         {unanswered, time.Time{}, notCrashed},
-		"goes on":                             {accepts, brokeAt.Add(-time.Minute), notCrashed},
-		"goes on, but new connections are refused":                    {refuses, brokeAt.Add(-time.Minute), notCrashed},
+		"address refuses":                          {refuses, time.Time{}, surelyCrashed},
+		"back at once, or another process is":      {accepts, time.Time{}, presumablyCrashed},
+		"not reached":                              {unanswered, time.Time{}, notKnown},
+		"accepts, and resets the connection":       {fails(unix.ECONNRESET), time.Time{}, presumablyCrashed},
+		"no route to it":                           {fails(unix.EHOSTUNREACH), time.Time{}, notKnown},
+		"goes on":                                  {accepts, brokeAt.Add(-time.Minute), goesOn},
+		"goes on, but new connections are refused": {refuses, brokeAt.Add(-time.Minute), goesOn},
 		"back, with a connection opened before the crash was noticed": {accepts, brokeAt.Add(-quarantine.SurvivalMargin / 2), presumablyCrashed},
 	} {
 		checks := crashChecks{dial: c.dial, openBefore: func(_ string, at time.Time) int {
@@ -50,10 +52,10 @@
 }
 
 func TestVerdictPassesThroughAnotherInstance(t *testing.T) {
-	for verdict := range crashVerdictNames {
-		require.Equal(t, verdict, forwardedVerdicts[forwardedVerdict(verdict)])
+	for verdict, name := range crashVerdictNames {
+		require.Equal(t, verdict, crashVerdictNamed(name))
 	}
-	require.Equal(t, notCrashed, forwardedVerdicts[""])
+	require.Equal(t, notKnown, crashVerdictNamed(""))
 	require.Equal(t, 20*time.Millisecond, brokenFor("20"))
 	require.Equal(t, time.Second, brokenFor("999999999"))
 	require.Zero(t, brokenFor("-1"))
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -24,7 +24,7 @@
 	// headerForwardTo is the id of the server.
 	headerForwardTo = "Forward-To-Server"
 	// headerForwardCheck asks only whether the server crashed when a connection to it broke,
-	// so many milliseconds ago. In the response it is one of forwardedVerdicts.
+	// so many milliseconds ago. In the response it is one of crashVerdictNames.
 	headerForwardCheck = "Forward-Check"
 	// headerForwarded is set in each response of an instance that forwards.
 	headerForwarded = "Forwarded-By-Instance"
@@ -176,21 +176,8 @@
 		return req
 	})
 	if err != nil {
-		return notCrashed
+		return notKnown
 	}
 	defer res.Body.Close()
-	return forwardedVerdicts[res.Header.Get(headerForwardCheck)] // notCrashed if it says nothing usable
-}
-
-// forwardedVerdicts are the values of headerForwardCheck in a response.
-var forwardedVerdicts = map[string]crashVerdict{"false": notCrashed, "presumed": presumablyCrashed, "true": surelyCrashed}
-
-// forwardedVerdict returns the value of headerForwardCheck for a verdict.
-func forwardedVerdict(verdict crashVerdict) string {
-	for value, v := range forwardedVerdicts {
-		if v == verdict {
-			return value
-		}
-	}
-	return ""
+	return crashVerdictNamed(res.Header.Get(headerForwardCheck))
 }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -57,7 +57,7 @@
 	}
 	if age := req.Header.Get(headerForwardCheck); age != "" {
 		verdict := f.relay.crashes.judge(server, time.Now().Add(-brokenFor(age)))
-		w.Header().Set(headerForwardCheck, forwardedVerdict(verdict))
+		w.Header().Set(headerForwardCheck, crashVerdictNames[verdict])
 		return
 	}
 	if f.active.Add(1) > maxForwards {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -159,7 +159,7 @@
 		"request": c.headers.ID, "server": d.Server.ID, "server_start": d.Server.Start, "fingerprint": c.fingerprint().String(),
 		"repeat": crash.Repeat, "verdict": crashVerdictNames[verdict],
 	}).Warn("server checked after its connection broke")
-	if verdict == notCrashed {
+	if !verdict.crashed() {
 		return f
 	}
 	c.reported = q.ReportCrash(c.fingerprint(), crash)
@@ -220,7 +220,7 @@
 // One that is leaving or was removed ends without a crash.
 func (c *call) serverCrashed(s decide.Server, brokeAt time.Time) crashVerdict {
 	if _, ok := c.relay.inServiceServer(s.ID); !ok {
-		return notCrashed
+		return endedInOrder
 	}
 	if c.forwarded {
 		return c.relay.forwarder.judge(s, brokeAt)
