decide: what is learned of a server ends with its start

Cause: backoff, failures in a row, error rate, speed, load reports, hints of cached prefixes and missing models were kept by the server's id, over its restarts; only rate limits and pauses ended. Change: all of it ends when the table shows another start; a forwarder's note that no instance reaches a server is about its start too. Result: TestServerThatStartedAgainIsUsedAtOnce fails before.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -82,6 +82,7 @@
 // replicaState is a replica with what failed attempts there showed.
 type replicaState struct {
 	server            *serverState
+	start             string // Server.Start of the process that it is about
 	version           string
 	unreadyUntil      time.Time // not used before, since the server reported the target missing
 	consecutiveMisses int
@@ -159,7 +160,7 @@
 			f.servers[srv.ID] = s
 		}
 		if s.Start != srv.Start {
-			s.rateLimit, s.pausedUntil = limitState{}, time.Time{} // a restart clears both
+			s.forgetStart()
 		}
 		s.Server, s.listed, s.noQueue = srv, true, t.NoServerQueue
 		s.Slots = max(s.Slots, 1)
@@ -178,6 +179,16 @@
 	return listed
 }
 
+// forgetStart drops what this instance learned of the server's process, which has ended. The
+// requests that the instance has there are still its own to end.
+func (s *serverState) forgetStart() {
+	s.rateLimit, s.pausedUntil, s.backoffUntil = limitState{}, time.Time{}, time.Time{}
+	s.errorRate, s.slowdown = average{}, average{}
+	s.consecutiveFailures, s.consecutiveRefusals, s.consecutiveMisses = 0, 0, 0
+	s.report, s.reportedAt = infra.Load{}, time.Time{}
+	s.othersInFlight, s.othersUnread = 0, 0
+}
+
 func (f *fleet) updateTarget(t *Table, target *Target, listed []*serverState) *targetState {
 	ts := f.targets[target.Name]
 	if ts == nil {
@@ -209,11 +220,11 @@
 // previousState returns the replica's state from the old table, or a new one.
 func previousState(old []replicaState, s *serverState, version string) replicaState {
 	for i := range old {
-		if old[i].server == s && old[i].version == version {
+		if old[i].server == s && old[i].start == s.Start && old[i].version == version {
 			return old[i]
 		}
 	}
-	return replicaState{server: s, version: version}
+	return replicaState{server: s, start: s.Start, version: version}
 }
 
 func (f *fleet) pool(name string) *poolState {
--- a/decide/prefix.go
+++ b/decide/prefix.go
@@ -23,6 +23,7 @@
 
 type prefixHint struct {
 	server *serverState
+	start  string // Server.Start of the process that has it cached
 	seenAt time.Time
 }
 
@@ -43,7 +44,7 @@
 		p.young, p.old = p.old, p.young
 		clear(p.young)
 	}
-	p.young[k] = prefixHint{s, now}
+	p.young[k] = prefixHint{s, s.Start, now}
 }
 
 // get returns the server that probably has the prefix, or nil.
@@ -52,7 +53,7 @@
 	if !ok {
 		h, ok = p.old[k]
 	}
-	if !ok || now.Sub(h.seenAt) > prefixHintTTL {
+	if !ok || h.start != h.server.Start || now.Sub(h.seenAt) > prefixHintTTL {
 		return nil
 	}
 	return h.server
--- a/decide/suspect_test.go
+++ b/decide/suspect_test.go
@@ -93,3 +93,40 @@
 	}
 	require.Less(t, cut, 10, "detection per server alone costs 19")
 }
+
+// Guards against what was learned of a server's process outlasting it: a server that failed
+// and started again under its id was left out for up to 10 s.
+func TestServerThatStartedAgainIsUsedAtOnce(t *testing.T) {
+	table := testTable(2, 100, 1, "am")
+	s := testScheduler(table)
+	now := simStart
+	for n := range 40 { // s0 fails all that it gets, and its backoff grows
+		id := fmt.Sprint("lost", n)
+		r := newTestRequest(id, "am", time.Hour)
+		r.MaxAttempts = 1
+		d := s.Submit(now, r)[0]
+		if d.Server.ID == "s0" {
+			s.AttemptFailed(now, id, "s0", Failure{Reason: infra.ReasonUnreachable})
+		} else {
+			completeRequest(s, now, id, d.Server.ID)
+		}
+		now = now.Add(failureBackoff)
+	}
+	used := func() bool {
+		for n := range 20 {
+			id := fmt.Sprint("later", now.UnixNano(), n)
+			d := s.Submit(now, newTestRequest(id, "am", time.Hour))[0]
+			completeRequest(s, now, id, d.Server.ID)
+			if d.Server.ID == "s0" {
+				return true
+			}
+		}
+		return false
+	}
+	require.False(t, used(), "in backoff")
+	again := *table
+	again.Servers = append([]Server(nil), table.Servers...)
+	again.Servers[0].Start = "2"
+	s.SetTable(now, &again)
+	require.True(t, used())
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -60,7 +60,7 @@
 
 	mu       sync.Mutex
 	failedAt map[string]time.Time // by address: when an instance last could not forward
-	goneAt   map[string]time.Time // by server id: when no instance reached it
+	goneAt   map[string]time.Time // by startKey of a server: when no instance reached it
 }
 
 func newForwarder(peers func() []string) *forwarder {
@@ -81,7 +81,7 @@
 // request as it is sent directly. If no instance can send it, the error's effect is none.
 func (f *forwarder) send(ctx context.Context, s decide.Server, newRequest func(context.Context) *http.Request) (*http.Response, error) {
 	unreached := error(&infra.Error{Op: "forward", Addr: s.Addr, Reason: infra.ReasonTimeout, Effect: infra.EffectNone})
-	if f.presumedGone(s.ID) {
+	if f.presumedGone(s) {
 		return nil, unreached
 	}
 	tried := false
@@ -104,7 +104,7 @@
 		f.noteFailure(peer)
 	}
 	if tried {
-		f.noteGone(s.ID)
+		f.noteGone(s)
 	}
 	return nil, unreached
 }
@@ -151,18 +151,21 @@
 	f.failedAt[peer] = now
 }
 
-func (f *forwarder) noteGone(server string) {
+// startKey identifies one start of a server.
+func startKey(s decide.Server) string { return s.ID + " " + s.Start }
+
+func (f *forwarder) noteGone(s decide.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	maps.DeleteFunc(f.goneAt, func(_ string, at time.Time) bool { return now.Sub(at) >= goneTTL })
-	f.goneAt[server] = now
+	f.goneAt[startKey(s)] = now
 }
 
-func (f *forwarder) presumedGone(server string) bool {
+func (f *forwarder) presumedGone(s decide.Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.goneAt[server]) < goneTTL
+	return time.Since(f.goneAt[startKey(s)]) < goneTTL
 }
 
 // judge asks another instance whether the server crashed when a connection to it broke at the
