soak: sees every form of BUDGET

The soak sent no GET, and so many requests that the ratio of the retry bound hid what went beyond the reserve; its servers came back late or elsewhere, and no request crashed any. Now half of the runs have few requests, nearly all GET; others have requests without a body, with idempotency keys, DELETE. New faults: servers that break connections, kept connections that are reset, servers back under their id after 5 ms, requests that crash servers (back after 5 ms, 0.3 or 4 s), the lease holder killed. Each run ends with two crashing requests, three crashes allowed each. -binary plays another build.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -16,9 +17,12 @@
 const (
 	// callerCount is the number of concurrent callers. Each sends one request at a time over
 	// its own connection.
-	callerCount = 24
-	// callerPause is the time between two requests of a caller.
-	callerPause = 20 * time.Millisecond
+	callerCount      = 24
+	lightCallerCount = 36 // in runs with lightCallerPause
+	// callerPause is the time between two requests of a caller, lightCallerPause that of runs
+	// with few requests, in which the retries allowed are nearly all of the reserve.
+	callerPause      = 20 * time.Millisecond
+	lightCallerPause = 900 * time.Millisecond
 	// callerTimeout is how long a caller waits for an answer.
 	callerTimeout = 4 * time.Second
 	// cancelShare is the share of requests that callers cancel, cancelDelay after sending.
@@ -36,11 +40,18 @@
 	deployment   *Deployment
 	requestCount atomic.Int64
 	ready        []atomic.Bool // by index of the instance: the load balancer considers it ready
+	light        bool          // few requests, most of them GET
 	group        sync.WaitGroup
 }
 
-func newLoadGenerator(d *Deployment) *loadGenerator {
-	return &loadGenerator{deployment: d, ready: make([]atomic.Bool, len(d.Instances))}
+func newLoadGenerator(d *Deployment, light bool) *loadGenerator {
+	return &loadGenerator{deployment: d, light: light, ready: make([]atomic.Bool, len(d.Instances))}
+}
+
+// hasLightLoad reports whether a seed's run has few requests.
+func hasLightLoad(seed uint64) bool {
+	const stream = math.MaxUint64 / 7
+	return rand.New(rand.NewPCG(seed, stream)).IntN(2) == 0
 }
 
 // run starts the callers and the load balancer's health checks, which run until ctx ends.
@@ -48,7 +59,7 @@
 	for n := range g.deployment.Instances {
 		g.group.Go(func() { g.checkHealth(ctx, n) })
 	}
-	for n := range callerCount {
+	for n := range g.callers() {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+1))
 		g.group.Go(func() { g.runCaller(ctx, rng) })
 	}
@@ -101,22 +112,64 @@
 			instance = -1
 			transport.CloseIdleConnections()
 		}
-		time.Sleep(callerPause)
+		time.Sleep(g.pause())
+	}
+}
+
+// callers returns the number of callers.
+func (g *loadGenerator) callers() int {
+	if g.light {
+		return lightCallerCount
+	}
+	return callerCount
+}
+
+// pause returns the time between two requests of a caller.
+func (g *loadGenerator) pause() time.Duration {
+	if g.light {
+		return lightCallerPause
 	}
+	return callerPause
+}
+
+// vary makes half of a plain service's requests ones that HTTP libraries take for idempotent:
+// without a body, and with an idempotency key or, if their route allows it, as GET.
+func vary(rng *rand.Rand, req standin.Ask, kind Kind) standin.Ask {
+	if rng.IntN(2) == 0 {
+		return req
+	}
+	req.Body = ""
+	switch {
+	case kind == KindSafe:
+		req.Method = http.MethodGet
+	case rng.IntN(2) == 0:
+		req.Method, req.Key = http.MethodDelete, req.ID
+	default:
+		req.Key = req.ID
+	}
+	return req
 }
 
 // nextRequest returns a random request with a new id.
 func (g *loadGenerator) nextRequest(rng *rand.Rand) (standin.Ask, Kind) {
 	id := fmt.Sprint("r", g.requestCount.Add(1))
 	req := standin.Ask{ID: id, Method: http.MethodPost, Body: "body of " + id, Timeout: callerTimeout}
+	unsafe, safe := 0.4, 0.1
+	if g.light {
+		unsafe, safe = 0.1, 0.8
+	}
 	switch p := rng.Float64(); {
-	case p < 0.4:
+	case p < unsafe:
 		req.Path = standin.PlainPath + id
-		return req, KindUnsafe
-	case p < 0.5:
+		return vary(rng, req, KindUnsafe), KindUnsafe
+	case p < unsafe+safe:
 		req.Path = standin.VersionPath(g.deployment.ConfigVersion()) + id
-		return req, KindSafe
-	case p < 0.6:
+		if g.light {
+			req.Method, req.Body = http.MethodGet, ""
+			return req, KindSafe
+		}
+		return vary(rng, req, KindSafe), KindSafe
+	case p < unsafe+safe+0.1:
 		req.Model = standin.RareModel
 	default:
 		req.Model = standin.BusyModel
@@ -153,10 +206,13 @@
 	return err
 }
 
+// newProbeID returns a new id of a request that no caller sends.
+func (d *Deployment) newProbeID() string { return fmt.Sprint("probe", d.probeCount.Add(1)) }
+
 // probe sends one request to an instance over a new connection and records the result.
 func (d *Deployment) probe(p *Process, path, model string) Result {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	id := fmt.Sprint("probe", d.probeCount.Add(1))
+	id := d.newProbeID()
 	r := Result{
 		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: path + id, Model: model, Body: id, Timeout: callerTimeout},
 		Kind: KindSafe, Instance: p.Node.Name, Boot: p.Boot(), Sent: time.Now(),
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,7 +77,7 @@
 	{"instance terminated", 3, terminateInstance},
 	{"instances restarted in turn", 1, rollingRestart},
 	{"settings read again", 2, reloadSettings},
-	{"callers' link", 2, linkFault(func(d *Deployment, rng *rand.Rand) *Proxy { return d.randomInstance(rng).CallerLink })},
+	{"callers' link", 2, callerLinkFault},
 	{"store's link", 4, linkFault(func(d *Deployment, rng *rand.Rand) *Proxy { return d.randomInstance(rng).StoreLink })},
 	{"peers' link", 3, linkFault(func(d *Deployment, rng *rand.Rand) *Proxy { return d.randomInstance(rng).PeerLink })},
 	{"server's link", 5, serverLinkFault},
@@ -115,6 +115,7 @@
 	faults = append(faults, rateLimits(seed, period)...)
 	faults = append(faults, drainsAndRefusals(seed, period)...)
 	faults = append(faults, storeRestores(seed, period)...)
+	faults = append(faults, budgetFaults(seed, period)...)
 	return append(faults, slowStores(seed, period)...)
 }
 
@@ -266,6 +267,15 @@
 	}
 }
 
+// callerLinkFault disrupts an instance's link from its callers and records the disruption.
+func callerLinkFault(d *Deployment, rng *rand.Rand, duration time.Duration) error {
+	p := d.randomInstance(rng)
+	start := time.Now()
+	disruptLink(p.CallerLink, rng, duration)
+	d.History.addDisruption(p.Node.Name, start, time.Now())
+	return nil
+}
+
 // serverLinkFault disrupts a server's link and records the disruption for the servers
 // at that link when it starts and when it ends.
 func serverLinkFault(d *Deployment, rng *rand.Rand, duration time.Duration) error {
--- a/soak/history.go
+++ b/soak/history.go
@@ -64,6 +64,16 @@
 	h.orders = append(h.orders, o)
 }
 
+// newestHolder returns the holder that sent the newest order, "" if there was none.
+func (h *History) newestHolder() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.orders) == 0 {
+		return ""
+	}
+	return h.orders[len(h.orders)-1].Holder
+}
+
 // addResult records a request as its caller saw it.
 func (h *History) addResult(r Result) {
 	h.mu.Lock()
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -73,6 +73,22 @@
 		"no order of an older lease follows an order of a newer lease": func(h *History) {
 			h.orders[0].Token, h.orders[1].Token = 2, 1
 		},
+		"servers are told of no more time than is left": func(h *History) {
+			for range maxLateDeadlines + 1 {
+				r, a := servedRequest(fmt.Sprint("late", len(h.results)), KindSafe, time.Second)
+				r.Ask.Timeout, a.Ask.Timeout = time.Second, time.Second+2*deadlineSlack
+				h.results, h.arrivals = append(h.results, r), append(h.arrivals, a)
+			}
+		},
+		"a request that crashes servers is refused": func(h *History) {
+			for n := range 2*maxCrashes + 2 {
+				r, a := servedRequest(fmt.Sprint("crash", n), KindUnsafe, time.Duration(n)*crashSettleTime)
+				r.Ask.Path = standin.PlainPath + standin.CrashPath
+				r.Body = standin.PlainBody(r.Server, r.Ask.Path)
+				a.Ask.Path = r.Ask.Path
+				h.results, h.arrivals = append(h.results, r), append(h.arrivals, a)
+			}
+		},
 		"retries are bounded": func(h *History) {
 			for range retryReserve + 2 {
 				h.arrivals = append(h.arrivals, h.arrivals[1])
--- a/soak/run.go
+++ b/soak/run.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	defer d.Close()
-	load := newLoadGenerator(d)
+	load := newLoadGenerator(d, hasLightLoad(o.Seed))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	load.run(ctx, o.Seed)
@@ -143,6 +143,7 @@
 		r.violated("all requests are served again after the faults", "after %s: %s", r.opts.Bounds.Recover, r.failingProbes())
 		return nil
 	}
+	r.sendCrashingRequests()
 	return r.checkCalm()
 }
 
@@ -164,6 +165,24 @@
 	return nil
 }
 
+// sendCrashingRequests sends requests that crash each server that runs them, again and again
+// through all instances, and checks how many servers each crashes.
+func (r *runner) sendCrashingRequests() {
+	for _, path := range []string{standin.VersionPath(r.deployment.ConfigVersion()), standin.PlainPath} {
+		c := crashingRequest{path: path + standin.CrashPath + "-calm", restart: restartDelays[int(r.opts.Seed)%len(restartDelays)]}
+		crashes := r.deployment.sendCrashing(c, crashingCopies, r.nextInstance)
+		if crashes > maxCrashes {
+			r.violated("a request crashes few servers", "%s crashed %d", c.path, crashes)
+		}
+	}
+	r.waitUntil(r.opts.Bounds.Recover, r.allServe)
+}
+
+// nextInstance returns the nth instance, in turn.
+func (r *runner) nextInstance(n int) *Process {
+	return r.deployment.Instances[n%len(r.deployment.Instances)]
+}
+
 // quietPeriod is how long a leaving server must run no requests to count as drained.
 const quietPeriod = time.Second
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"flag"
 	"os"
@@ -24,6 +25,7 @@
 	concurrentRuns = flag.Int("at-once", 3, "number of concurrent deployments")
 	length         = flag.Duration("length", 8*time.Second, "period in which faults start")
 	otherBinary    = flag.String("other", "", "executable of another build, for every second instance")
+	binary         = flag.String("binary", "", "executable to play instead of the code's own")
 	keepLogs       = flag.Bool("keep", false, "keep the instances' logs also of runs without violations")
 )
 
@@ -52,6 +54,9 @@
 
 // buildProgram builds the program once and returns the path of the executable.
 func buildProgram(t *testing.T) string {
+	if *binary != "" {
+		return *binary
+	}
 	program.once.Do(func() {
 		dir, err := os.MkdirTemp("", "soak-program-")
 		if err != nil {
@@ -157,6 +162,30 @@
 	require.False(t, p.graceExceeded, "the instance must exit within its grace period")
 }
 
+// TestRetriesStayBoundedWhileServersBreakConnections guards against requests that are sent
+// again uncounted. With few requests, nearly all of them GET, the platform's reserve is most of
+// what is allowed, and kept connections are many enough to break one after the other.
+func TestRetriesStayBoundedWhileServersBreakConnections(t *testing.T) {
+	d, err := newDeployment(deploymentOptions{Binary: buildProgram(t), Run: 247})
+	require.NoError(t, err)
+	defer os.RemoveAll(d.dir)
+	defer d.Close()
+	r := &runner{deployment: d}
+	_, ok := r.waitUntil(wideBounds.Recover, r.allServe)
+	require.True(t, ok, r.failingProbes())
+	require.NoError(t, d.WriteNextConfig())
+	load := newLoadGenerator(d, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	load.run(ctx, 1)
+	time.Sleep(retryWindow) // in which the budgets fill, and connections are kept
+	require.NoError(t, breakConnections(d, nil, 0))
+	cancel()
+	load.group.Wait()
+	retries := len(d.History.arrivals) - len(d.History.results)
+	t.Logf("%d requests, %d retries or more", len(d.History.results), retries)
+	require.Empty(t, Check(d.History))
+}
+
 // runSeed plays one seed, logs its output and reports each violation as an error.
 func runSeed(t *testing.T, o Options) {
 	var out bytes.Buffer
--- a/soak/world.go
+++ b/soak/world.go
@@ -59,6 +59,8 @@
 	configVersion int // version of the newest configuration
 	serverCount   int // number of server ids given out
 	probeCount    atomic.Int64
+	crashes       atomic.Int64 // by requests that crash servers
+	restartDelay  atomic.Int64 // nanoseconds until a server that crashed by a request starts again
 	group         sync.WaitGroup
 	stop          context.CancelFunc
 }
@@ -179,6 +181,7 @@
 		ID: id, Service: service, Addr: e.link.Addr, Domain: e.domain, Slots: serverSlots,
 		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: eventInterval, Observer: d.History,
 	}
+	e.opts.Crash = sync.OnceFunc(func() { d.crashAndRestart(e) })
 	e.server.Store(standin.NewServer(d.Store, e.opts))
 	e.down.Store(false)
 	e.link.Set(LinkState{})
