--- /dev/null
+++ b/instance/suspects_wire.go
@@ -0,0 +1,67 @@
+package instance
+
+import (
+	"time"
+
+	"greengageferry/exchange"
+	"greengageferry/quarantine"
+)
+
+// wireRepeated encodes the newest of the requests with two crashes or more. The caller must
+// hold mu.
+func (s *suspects) wireRepeated() []*exchange.Suspect {
+	repeated := s.set.Repeated()
+	return s.wireSuspects(repeated[max(0, len(repeated)-maxExchangedSuspects):])
+}
+
+// wireSuspects encodes requests with their crashes. The caller must hold mu.
+func (s *suspects) wireSuspects(fingerprints []quarantine.Fingerprint) []*exchange.Suspect {
+	now := time.Now()
+	var out []*exchange.Suspect
+	for _, f := range fingerprints {
+		w := &exchange.Suspect{Fingerprint: f[:]}
+		for _, c := range s.set.Crashes(f) {
+			w.Crashes = append(w.Crashes, crashToWire(now, c))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// suspectFromWire decodes a request with its crashes. It returns false if the fingerprint
+// isn't one.
+func suspectFromWire(now time.Time, w *exchange.Suspect) (quarantine.Fingerprint, []quarantine.Crash, bool) {
+	var f quarantine.Fingerprint
+	if len(w.GetFingerprint()) != len(f) {
+		return f, nil, false
+	}
+	copy(f[:], w.GetFingerprint())
+	var crashes []quarantine.Crash
+	for _, c := range w.GetCrashes()[:min(len(w.GetCrashes()), quarantine.MaxMergedCrashes)] {
+		crashes = append(crashes, crashFromWire(now, c))
+	}
+	return f, crashes, true
+}
+
+// crashToWire encodes a crash. Times are sent as ages, since clocks differ.
+func crashToWire(now time.Time, c quarantine.Crash) *exchange.SuspectCrash {
+	w := &exchange.SuspectCrash{
+		Server: c.Server, Report: c.Boot, AgeMs: uint32(now.Sub(c.At).Milliseconds()), Repeat: c.Repeat, Void: c.Void, Confirmed: c.Confirmed,
+	}
+	if !c.Opened.IsZero() {
+		w.OpenedAgeMs = uint32(max(now.Sub(c.Opened).Milliseconds(), 1))
+	}
+	return w
+}
+
+// crashFromWire decodes a crash.
+func crashFromWire(now time.Time, w *exchange.SuspectCrash) quarantine.Crash {
+	c := quarantine.Crash{
+		Server: w.GetServer(), Boot: w.GetReport(), At: now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond),
+		Repeat: w.GetRepeat(), Void: w.GetVoid(), Confirmed: w.GetConfirmed(),
+	}
+	if age := w.GetOpenedAgeMs(); age > 0 {
+		c.Opened = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return c
+}
