relay: instances that aren't reached say nothing of a server

Cause, of the class of 'a server is taken for what one instance saw': when no other instance could be asked, be it that each was only slow to accept a connection, the server was noted as reached by nobody for a second, and no instance was asked for it. Change: only an instance that answers that it can't send to the server counts. Result: TestPeersThatAreNotReachedSayNothingOfAServer fails before.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -84,13 +84,15 @@
 	if f.presumedGone(s) {
 		return nil, unreached
 	}
-	tried := false
+	unreachedByPeer := false
 	for _, peer := range f.pickPeers() {
 		req := newRequest(ctx)
 		req.URL.Host = peer
 		req.Header.Set(headerForwardTo, s.ID)
 		res, err := infra.Send("forward", peer, f.transport.RoundTrip, req)
 		if err == nil {
+			// Only an instance that answered says something of the server.
+			unreachedByPeer = unreachedByPeer || res.Header.Get(headerForwardUnsent) != ""
 			err = forwardError(peer, res)
 		}
 		if err == nil {
@@ -100,10 +102,9 @@
 		if ctx.Err() != nil || errors.As(err, &e) && e.Effect != infra.EffectNone {
 			return nil, err
 		}
-		tried = true
 		f.noteFailure(peer)
 	}
-	if tried {
+	if unreachedByPeer {
 		f.noteGone(s)
 	}
 	return nil, unreached
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -200,6 +200,23 @@
 	require.Equal(t, 1, asked)
 }
 
+// Guards against all forwarding ending for a second because the other instances were slow to
+// accept a connection, which says nothing of the server.
+func TestPeersThatAreNotReachedSayNothingOfAServer(t *testing.T) {
+	b := newHarness(t, respondWith("x"))
+	_, _, addr := b.forwardingPeer()
+	closed := httptest.NewServer(http.NotFoundHandler())
+	gone := closed.Listener.Addr().String()
+	closed.Close()
+	peers := []string{gone}
+	b.cutOff()
+	b.relay.forwarder.peers = func() []string { return append([]string(nil), peers...) }
+	require.NotEqual(t, http.StatusOK, b.do(b.request("POST", "/safe/", "body", "Timeout", "100")).status)
+	peers = []string{gone, addr}
+	time.Sleep(goneTTL / 2) // the scheduler's backoff for the server has ended
+	require.Equal(t, http.StatusOK, b.do(b.request("POST", "/safe/", "body", "Timeout", "100")).status)
+}
+
 func TestProbesFindWhichServersAreReached(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
 	addr := b.backends[0].Listener.Addr().String()
