--- a/soak/callers.go
+++ b/soak/callers.go
@@ -39,13 +39,19 @@
 type loadGenerator struct {
 	deployment   *Deployment
 	requestCount atomic.Int64
+	callers      int
 	ready        []atomic.Bool // by index of the instance: the load balancer considers it ready
-	light        bool          // few requests, most of them GET
+	light        atomic.Bool   // few requests, most of them GET
 	group        sync.WaitGroup
 }
 
 func newLoadGenerator(d *Deployment, light bool) *loadGenerator {
-	return &loadGenerator{deployment: d, light: light, ready: make([]atomic.Bool, len(d.Instances))}
+	g := &loadGenerator{deployment: d, callers: callerCount, ready: make([]atomic.Bool, len(d.Instances))}
+	if light {
+		g.callers = lightCallerCount
+		g.light.Store(true)
+	}
+	return g
 }
 
 // hasLightLoad reports whether a seed's run has few requests.
@@ -59,7 +65,7 @@
 	for n := range g.deployment.Instances {
 		g.group.Go(func() { g.checkHealth(ctx, n) })
 	}
-	for n := range g.callers() {
+	for n := range g.callers {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+1))
 		g.group.Go(func() { g.runCaller(ctx, rng) })
 	}
@@ -116,17 +122,9 @@
 	}
 }
 
-// callers returns the number of callers.
-func (g *loadGenerator) callers() int {
-	if g.light {
-		return lightCallerCount
-	}
-	return callerCount
-}
-
 // pause returns the time between two requests of a caller.
 func (g *loadGenerator) pause() time.Duration {
-	if g.light {
+	if g.light.Load() {
 		return lightCallerPause
 	}
 	return callerPause
@@ -155,7 +153,7 @@
 	id := fmt.Sprint("r", g.requestCount.Add(1))
 	req := standin.Ask{ID: id, Method: http.MethodPost, Body: "body of " + id, Timeout: callerTimeout}
 	unsafe, safe := 0.4, 0.1
-	if g.light {
+	if g.light.Load() {
 		unsafe, safe = 0.1, 0.8
 	}
 	switch p := rng.Float64(); {
@@ -164,7 +162,7 @@
 		return vary(rng, req, KindUnsafe), KindUnsafe
 	case p < unsafe+safe:
 		req.Path = standin.VersionPath(g.deployment.ConfigVersion()) + id
-		if g.light {
+		if g.light.Load() {
 			req.Method, req.Body = http.MethodGet, ""
 			return req, KindSafe
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	load.run(ctx, o.Seed)
-	r := &runner{deployment: d, opts: o, out: o.Out}
+	r := &runner{deployment: d, load: load, opts: o, out: o.Out}
 	err = r.runPhases()
 	cancel()
 	load.group.Wait()
@@ -110,6 +110,7 @@
 // runner runs the phases of a run in order.
 type runner struct {
 	deployment *Deployment
+	load       *loadGenerator
 	opts       Options
 	out        io.Writer
 	violations []Violation
@@ -143,6 +144,7 @@
 		r.violated("all requests are served again after the faults", "after %s: %s", r.opts.Bounds.Recover, r.failingProbes())
 		return nil
 	}
+	r.load.light.Store(false) // the share that is served is of enough requests in all runs
 	r.sendCrashingRequests()
 	return r.checkCalm()
 }
