relay: the test of each sending's deadline reads what the servers wrote under their lock

Cause: the servers' handlers append under a mutex, the test read without it; a connection that a server breaks writes nothing that would order the two for the race detector. Change: the test takes the mutex; nothing asserted changes.

--- a/relay/single_send_test.go
+++ b/relay/single_send_test.go
@@ -110,6 +110,8 @@
 	b.openConnections(b.relay)
 	start := time.Now()
 	b.do(b.request("GET", "/safe/", "", "Timeout", strconv.Itoa(int(timeout.Milliseconds()))))
+	mu.Lock()
+	defer mu.Unlock()
 	require.Len(t, ends, 2)
 	for _, end := range ends {
 		require.Less(t, end.Sub(start), timeout+hold/2)
