instance: a cut ends reads that wait already, as TCP does

Cause: the test's links ended only reads that began after the cut. A read that waited, one for each kept connection, waited on until the connection was closed, so attempts under way at the cut kept their slots until the requests' deadline 9 s later (the instances' decisions show no dispatch in between, and all at once then). TCP_USER_TIMEOUT and probes end such connections within 2 to 3 s, as the links' comment promised. Change: silence ends the waiting reads too.

--- a/instance/server_links_test.go
+++ b/instance/server_links_test.go
@@ -83,7 +83,13 @@
 	closeOnce   sync.Once
 }
 
-func (c *linkConn) silence() { c.silenceOnce.Do(func() { close(c.silent) }) }
+// silence makes the connection fall silent, also for a read that already waits.
+func (c *linkConn) silence() {
+	c.silenceOnce.Do(func() {
+		close(c.silent)
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // in the past; whatever it returns, the read ends or has ended
+	})
+}
 
 // Read implements net.Conn.
 func (c *linkConn) Read(p []byte) (int, error) {
