--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -193,7 +193,7 @@
 			part += equalFraction / float64(len(l.instances))
 		}
 	}
-	return min(part+l.unheardPart(now), 1)
+	return min(part+l.unreportedPart(now), 1)
 }
 
 // instanceCount returns the number of instances that reported lately, or are expected to.
@@ -204,9 +204,9 @@
 	return max(len(l.instances), l.expected)
 }
 
-// unheardPart returns the fraction of the instances that have not reported in this term:
+// unreportedPart returns the fraction of the instances that have not reported in this term:
 // they are cut off, or still get credit from the lease holder before.
-func (l *Allocator) unheardPart(now time.Time) float64 {
+func (l *Allocator) unreportedPart(now time.Time) float64 {
 	unheard := l.expected - len(l.instances)
 	if unheard <= 0 || now.Sub(l.startedAt) > forgetAfter {
 		return 0
--- a/instance/instance_count.go
+++ b/instance/instance_count.go
@@ -34,8 +34,8 @@
 	loadRetryDelay = 2 * time.Second
 )
 
-// keepCount is the duty that loads the number of instances if nobody has told it, and saves
-// it while this instance holds the lease.
+// keepCount is the duty that loads the number of instances if no lease holder has sent it,
+// and saves it while this instance holds the lease.
 func (i *Instance) keepCount(ctx context.Context) error {
 	saved, savedAt := 0, time.Time{}
 	loadAt := time.Now().Add(rand.N(loadDelay))
@@ -57,7 +57,7 @@
 }
 
 // countedInstances returns the number of instances that a lease holder has counted, 0 if none
-// has told it.
+// has sent it.
 func (i *Instance) countedInstances() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/instance/suspect_runs.go
+++ b/instance/suspect_runs.go
@@ -15,7 +15,7 @@
 
 const (
 	// permitTTL is how long a permitted run keeps the request's other copies from running if
-	// nothing is heard of it.
+	// its end is not reported.
 	permitTTL = 3 * time.Second
 	// maxPermitHolderAge is the age of the lease holder's last answer beyond which it isn't
 	// asked.
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -50,10 +50,10 @@
 	active   atomic.Bool   // some crash speaks against a request
 	wake     chan struct{} // signaled after pending changed; buffers one signal
 
-	mu      sync.Mutex
-	set     *quarantine.Set
-	pending map[quarantine.Fingerprint]bool // changed, and not reported yet
-	told    chan struct{}                   // closed once pending was reported
+	mu       sync.Mutex
+	set      *quarantine.Set
+	pending  map[quarantine.Fingerprint]bool // changed, and not reported yet
+	reported chan struct{}                   // closed once pending was reported
 	// holderDigest is the digest of the set of the instance that last answered Sync.
 	holderDigest uint64
 }
@@ -65,7 +65,7 @@
 		wake:     make(chan struct{}, 1),
 		set:      quarantine.NewSet(),
 		pending:  map[quarantine.Fingerprint]bool{},
-		told:     make(chan struct{}),
+		reported: make(chan struct{}),
 	}
 }
 
@@ -132,17 +132,17 @@
 	for _, fingerprint := range changed {
 		s.pending[fingerprint] = true
 	}
-	told := s.told
+	reported := s.reported
 	s.mu.Unlock()
 	if len(changed) == 0 {
-		return told
+		return reported
 	}
 	s.applyVerdicts(changed)
 	select {
 	case s.wake <- struct{}{}:
 	default: // a signal is already pending
 	}
-	return told
+	return reported
 }
 
 // merge adds what another instance knows, and returns the requests that this changed.
@@ -232,10 +232,10 @@
 func (s *suspects) reportPending(ctx context.Context) {
 	s.mu.Lock()
 	report := &exchange.CrashReport{Suspects: s.wireSuspects(s.takePending())}
-	told := s.told
-	s.told = make(chan struct{})
+	reported := s.reported
+	s.reported = make(chan struct{})
 	s.mu.Unlock()
-	defer close(told)
+	defer close(reported)
 	if len(report.GetSuspects()) == 0 {
 		return
 	}
@@ -355,9 +355,9 @@
 	if len(forwarded) == 0 {
 		return &exchange.CrashReportResponse{}, nil
 	}
-	told := s.change(func() []quarantine.Fingerprint { return forwarded })
+	reported := s.change(func() []quarantine.Fingerprint { return forwarded })
 	select {
-	case <-told:
+	case <-reported:
 	case <-ctx.Done():
 	}
 	return &exchange.CrashReportResponse{}, nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -165,7 +165,7 @@
 		f = c.handleBrokenConnection(ctx, d, f)
 	case f.Unsent:
 		c.attempts--
-		f = c.settle(ctx, f)
+		f = c.awaitOtherReports(ctx, f)
 	}
 	c.reportFailure(f)
 	return ""
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -27,10 +27,10 @@
 	suspectRetryAfter = time.Second
 	// reasonSuspect ends such a request.
 	reasonSuspect = "suspect"
-	// crashSettleTime is how long a suspect whose server crashed or refuses the connection
+	// otherReportsWait is how long a suspect whose server crashed or refuses the connection
 	// waits before it is sent to another: a copy of it may just have crashed that server or
 	// another one, and news of that is on its way.
-	crashSettleTime = 50 * time.Millisecond
+	otherReportsWait = 50 * time.Millisecond
 	// reportWait bounds how long the answer to a request waits until other instances know
 	// of the crash: its caller may send it again at once, to any of them.
 	reportWait = 100 * time.Millisecond
@@ -167,7 +167,7 @@
 	if c.route.Retry == topology.AtMostOnce || c.attempts >= c.route.Attempts {
 		return c.suspicion(f) // it isn't sent again
 	}
-	return c.settle(ctx, f)
+	return c.awaitOtherReports(ctx, f)
 }
 
 // serverSeenFrom returns since when the process is known to have run that the newest attempt
@@ -179,13 +179,13 @@
 	return c.sending.Opened
 }
 
-// settle waits before a suspect whose server crashed or refused the connection is sent to
+// awaitOtherReports waits before a suspect whose server crashed or refused the connection is sent to
 // another. It returns the failure with what is known then.
-func (c *call) settle(ctx context.Context, f decide.Failure) decide.Failure {
+func (c *call) awaitOtherReports(ctx context.Context, f decide.Failure) decide.Failure {
 	if c.verdict.Crashes == 0 {
 		return f
 	}
-	timer := time.NewTimer(crashSettleTime)
+	timer := time.NewTimer(otherReportsWait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -143,14 +143,14 @@
 	}
 	defer p.untrack(to)
 	var both sync.WaitGroup
-	both.Go(func() { p.pump(to, from, func(s LinkState) bool { return s.HoldToTarget }) })
-	both.Go(func() { p.pump(from, to, func(s LinkState) bool { return s.HoldFromTarget }) })
+	both.Go(func() { p.copyWhileOpen(to, from, func(s LinkState) bool { return s.HoldToTarget }) })
+	both.Go(func() { p.copyWhileOpen(from, to, func(s LinkState) bool { return s.HoldFromTarget }) })
 	both.Wait()
 }
 
-// pump copies data from src to dst until either side ends. holds reports whether a link state
+// copyWhileOpen copies data from src to dst until either side ends. holds reports whether a link state
 // holds back this direction.
-func (p *Proxy) pump(dst, src net.Conn, holds func(LinkState) bool) {
+func (p *Proxy) copyWhileOpen(dst, src net.Conn, holds func(LinkState) bool) {
 	data := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(data)
