--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -179,8 +179,8 @@
 	return c.sending.Opened
 }
 
-// awaitOtherReports waits before a suspect whose server crashed or refused the connection is sent to
-// another. It returns the failure with what is known then.
+// awaitOtherReports waits before a suspect whose server crashed or refused the connection is
+// sent to another. It returns the failure with what is known then.
 func (c *call) awaitOtherReports(ctx context.Context, f decide.Failure) decide.Failure {
 	if c.verdict.Crashes == 0 {
 		return f
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -148,8 +148,8 @@
 	both.Wait()
 }
 
-// copyWhileOpen copies data from src to dst until either side ends. holds reports whether a link state
-// holds back this direction.
+// copyWhileOpen copies data from src to dst until either side ends. holds reports whether a
+// link state holds back this direction.
 func (p *Proxy) copyWhileOpen(dst, src net.Conn, holds func(LinkState) bool) {
 	data := make([]byte, chunkBytes)
 	for {
