soak, whole, instance: logs of test runs say how long goroutines waited for a processor

Change: internal/schedlag reads the runtime's histogram of scheduling latencies; runs log it beside their results.

--- a/instance/cut_off_test.go
+++ b/instance/cut_off_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/internal/schedlag"
 	"greengageferry/platform/standin"
 )
 
@@ -81,6 +82,7 @@
 // and those nearly all.
 func (d *deployment) compareCutOff(c cutOffCase, interval time.Duration) bool {
 	cut, others := d.instances[:c.cut], d.instances[c.cut:]
+	lag := schedlag.Start()
 	ask := time.NewTicker(interval)
 	defer ask.Stop()
 	for _, r := range cut {
@@ -93,7 +95,7 @@
 	}
 	atCut := d.servedShare(cut, interval)
 	atOthers := d.servedShare(others, interval)
-	d.t.Logf("served %.3f, by the others %.3f, asked each %s", atCut, atOthers, interval)
+	d.t.Logf("served %.3f, by the others %.3f, asked each %s; %s", atCut, atOthers, interval, lag)
 	for _, r := range cut {
 		r.links.cut(notCut)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"greengageferry/internal/schedlag"
 	"greengageferry/platform/standin"
 )
 
@@ -43,6 +44,7 @@
 	Requests, Served int
 	Violations       []Violation
 	LogDir           string // directory of the instances' log files
+	Lag              string // how long goroutines of this process waited for a processor
 }
 
 // Run plays one seed: it injects faults, waits until everything has recovered, and checks
@@ -53,6 +55,7 @@
 		return nil, err
 	}
 	defer d.Close()
+	lag := schedlag.Start()
 	load := newLoadGenerator(d, hasLightLoad(o.Seed))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -64,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	report := &Report{LogDir: d.dir, Violations: append(r.violations, Check(d.History)...)}
+	report := &Report{LogDir: d.dir, Lag: lag.String(), Violations: append(r.violations, Check(d.History)...)}
 	for _, p := range d.Instances {
 		for _, exit := range p.UnexpectedExits() {
 			report.Violations = append(report.Violations, Violation{"instances do not exit unexpectedly", exit})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -195,7 +195,7 @@
 		t.Errorf("seed %d: %+v", o.Seed, err)
 		return
 	}
-	t.Logf("seed=%d requests=%d served=%d broken=%d\n%s", o.Seed, report.Requests, report.Served, len(report.Violations), out.String())
+	t.Logf("seed=%d requests=%d served=%d broken=%d\n%s\n%s", o.Seed, report.Requests, report.Served, len(report.Violations), report.Lag, out.String())
 	for _, v := range report.Violations {
 		t.Errorf("seed %d: %s (logs: %s)", o.Seed, v, report.LogDir)
 	}
--- a/whole/deploy_test.go
+++ b/whole/deploy_test.go
@@ -21,6 +21,7 @@
 	"greengageferry/config"
 	"greengageferry/entry"
 	"greengageferry/infra"
+	"greengageferry/internal/schedlag"
 	"greengageferry/load"
 	"greengageferry/quickstart"
 	"greengageferry/record"
@@ -82,6 +83,7 @@
 	group    errgroup.Group
 	clients  []*http.Transport
 	logs     logTail
+	lag      *schedlag.Meter
 
 	mu    sync.Mutex
 	truth GroundTruth
@@ -143,7 +145,7 @@
 func newDeployment(t *testing.T) *deployment {
 	p, err := quickstart.StartPlatform(quickstart.PlatformOptions{History: true, RestartTime: 500 * time.Millisecond})
 	require.NoError(t, err)
-	d := &deployment{t: t, platform: p, network: standin.NewNetwork()}
+	d := &deployment{t: t, platform: p, network: standin.NewNetwork(), lag: schedlag.Start()}
 	d.truth = GroundTruth{Leaving: map[string]time.Time{}, Shutdowns: map[string]time.Time{}}
 	t.Cleanup(d.close)
 	d.truth.Models = declaredModels(t)
@@ -424,6 +426,7 @@
 	for id, s := range d.platform.Services {
 		d.truth.Services[id] = s.Truth()
 	}
+	d.t.Logf("%s", d.lag)
 	history := d.history.CallerView()
 	outcomes := map[string]int{}
 	for _, t := range history {
