instance: reports of crashes go through the lease holder

Change: an instance reports to the lease holder, which tells all of what is confirmed or has two crashes; without a holder's answer within 50 ms it reports to all, as before. The answer to a report says whether the instance holds the lease. VoidServer copies crashes only where it changes one.

--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +57,7 @@
 	owner      string        // member that holds the lease
 	renewedAt  time.Time     // by the owner
 	generation int64
+	crashCalls atomic.Int64 // calls of ReportCrashes
 }
 
 // spreadStore is the store as one instance reaches it. It implements topology.Source and
@@ -211,6 +214,9 @@
 		<-req.Context().Done()
 		return nil, context.Cause(req.Context())
 	}
+	if path.Base(req.URL.Path) == "ReportCrashes" {
+		t.world.crashCalls.Add(1)
+	}
 	time.Sleep(time.Millisecond)
 	w := httptest.NewRecorder()
 	exchange.NewExchangeServer(exchangeServer{t.world.instances[to]}).ServeHTTP(w, req)
--- a/instance/peer_status.go
+++ b/instance/peer_status.go
@@ -6,6 +6,10 @@
 	"greengageferry/exchange"
 )
 
+// maxHolderAge is the age of the lease holder's last answer beyond which nothing is asked of it
+// or reported to it: two intervals of Sync.
+const maxHolderAge = time.Second
+
 // peerStatus is what the lease holder or a candidate reported in its last Sync response.
 type peerStatus struct {
 	receivedAt time.Time
@@ -52,3 +56,13 @@
 	age := uint32(ageMs(i.configConfirmedAt))
 	return i.view.Config.Version, &age
 }
+
+// recentHolder returns the address of the lease holder, "" if none has answered lately.
+func (i *Instance) recentHolder() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if time.Since(i.peerStatus.receivedAt) > maxHolderAge {
+		return ""
+	}
+	return i.peerStatus.holder
+}
--- /dev/null
+++ b/instance/suspect_reports.go
@@ -0,0 +1,158 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"greengageferry/exchange"
+	"greengageferry/quarantine"
+)
+
+const (
+	// reportTimeout bounds one report to another instance, which may be out of reach.
+	reportTimeout = 100 * time.Millisecond
+	// holderReportTimeout bounds a report to the lease holder, so that time is left to report
+	// to all others without it.
+	holderReportTimeout = reportTimeout / 2
+	// forwardWait is how long the lease holder's answer to a report waits for its own reports
+	// to all others, of which some may be out of reach.
+	forwardWait = holderReportTimeout / 2
+	// maxOpenReports bounds the rounds of reports under way. While more are needed, what
+	// they are about is collected for the next.
+	maxOpenReports = 4
+)
+
+// run is the duty that reports changes to other instances.
+func (s *suspects) run(ctx context.Context) error {
+	var rounds errgroup.Group
+	rounds.SetLimit(maxOpenReports)
+	defer func() { _ = rounds.Wait() }() // no error is returned
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		}
+		rounds.Go(func() error {
+			s.reportPending(ctx)
+			return nil
+		})
+	}
+}
+
+// reportPending reports what has changed: to the lease holder, which reports it to all, or to
+// all instances known if this instance holds the lease or the holder isn't reached. So the
+// messages about a change grow with the number of instances, not with its square.
+func (s *suspects) reportPending(ctx context.Context) {
+	holds := s.instance.lease.Holds()
+	s.mu.Lock()
+	changed := s.takePending()
+	if holds {
+		changed = s.neededByAll(changed)
+	}
+	report := &exchange.CrashReport{Suspects: s.wireSuspects(changed)}
+	reported := s.reported
+	s.reported = make(chan struct{})
+	s.mu.Unlock()
+	defer close(reported)
+	if len(changed) == 0 || !holds && s.reportToHolder(ctx, report) {
+		return
+	}
+	s.reportToAll(ctx, report)
+}
+
+// takePending returns the requests to report now. The caller must hold mu.
+func (s *suspects) takePending() []quarantine.Fingerprint {
+	var out []quarantine.Fingerprint
+	for f := range s.pending {
+		if len(out) == maxExchangedSuspects {
+			break
+		}
+		out = append(out, f)
+		delete(s.pending, f)
+	}
+	return out
+}
+
+// neededByAll returns those of the requests that all instances need to know of. A single
+// crash that isn't confirmed is often a connection that was reset. The caller must hold mu.
+func (s *suspects) neededByAll(fingerprints []quarantine.Fingerprint) []quarantine.Fingerprint {
+	return slices.DeleteFunc(fingerprints, func(f quarantine.Fingerprint) bool {
+		crashes := s.set.Crashes(f)
+		confirmed := slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.Confirmed })
+		return len(crashes) < 2 && !confirmed
+	})
+}
+
+// reportToHolder reports whether the lease holder has taken the report.
+func (s *suspects) reportToHolder(ctx context.Context, report *exchange.CrashReport) bool {
+	holder := s.instance.recentHolder()
+	if holder == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderReportTimeout)
+	defer cancel()
+	return s.report(ctx, holder, report).GetHoldsLease()
+}
+
+// reportToAll sends the report to all instances known.
+func (s *suspects) reportToAll(ctx context.Context, report *exchange.CrashReport) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var reports errgroup.Group
+	for _, addr := range s.reportAddrs() {
+		reports.Go(func() error {
+			s.report(ctx, addr, report)
+			return nil // what is missed follows with Sync or State
+		})
+	}
+	_ = reports.Wait() // no error is returned
+}
+
+// report sends the report to an instance and returns its answer, nil if there is none.
+func (s *suspects) report(ctx context.Context, addr string, report *exchange.CrashReport) *exchange.CrashReportResponse {
+	res, err := exchange.NewExchangeProtobufClient("http://"+addr, s.client).ReportCrashes(ctx, report)
+	if err != nil {
+		s.instance.log.WithFields(logrus.Fields{"peer": addr, "error": err}).Debug("crash not reported")
+		return nil
+	}
+	return res
+}
+
+// reportAddrs returns the addresses of the instances to report to: all if this instance
+// holds the lease, else those that it knows.
+func (s *suspects) reportAddrs() []string {
+	own := s.instance.opts.Node.PeerAddr
+	addrs := slices.Concat(s.instance.knownPeers(), s.instance.controller.InstanceAddrs())
+	slices.Sort(addrs)
+	return slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return addr == own || addr == "" })
+}
+
+// ReportCrashes implements exchange.Exchange. An instance that doesn't hold the lease reports
+// further what is close to a quarantine, since the instance that saw it may reach neither the
+// holder nor all others.
+func (e exchangeServer) ReportCrashes(ctx context.Context, req *exchange.CrashReport) (*exchange.CrashReportResponse, error) {
+	s, holds := e.instance.suspects, e.instance.lease.Holds()
+	changed := s.merge(req.GetSuspects())
+	s.mu.Lock()
+	changed = slices.DeleteFunc(s.neededByAll(changed), func(f quarantine.Fingerprint) bool {
+		return !holds && len(s.set.Crashes(f)) < 2
+	})
+	s.mu.Unlock()
+	if len(changed) == 0 {
+		return &exchange.CrashReportResponse{HoldsLease: holds}, nil
+	}
+	reported := s.change(func() []quarantine.Fingerprint { return changed })
+	timer := time.NewTimer(forwardWait)
+	defer timer.Stop()
+	select {
+	case <-reported:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return &exchange.CrashReportResponse{HoldsLease: holds}, nil
+}
--- a/instance/suspect_runs.go
+++ b/instance/suspect_runs.go
@@ -17,9 +17,6 @@
 	// permitTTL is how long a permitted run keeps the request's other copies from running if
 	// its end is not reported.
 	permitTTL = 3 * time.Second
-	// maxPermitHolderAge is the age of the lease holder's last answer beyond which it isn't
-	// asked.
-	maxPermitHolderAge = time.Second
 )
 
 // suspectRuns permits, at the lease holder, single runs of requests under which two servers
@@ -63,10 +60,8 @@
 	if i.lease.Holds() {
 		return s.runs.permit(time.Now(), f)
 	}
-	i.mu.Lock()
-	holder, age := i.peerStatus.holder, time.Since(i.peerStatus.receivedAt)
-	i.mu.Unlock()
-	if holder == "" || age > maxPermitHolderAge {
+	holder := i.recentHolder()
+	if holder == "" {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -1,18 +1,15 @@
 package instance
 
 import (
-	"context"
 	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"greengageferry/exchange"
 	"greengageferry/netconn"
@@ -24,11 +21,6 @@
 	// suspectTTL is how long a request is remembered that isn't quarantined. Callers send a
 	// request again within seconds.
 	suspectTTL = 2 * time.Minute
-	// reportTimeout bounds one report to another instance, which may be out of reach.
-	reportTimeout = 100 * time.Millisecond
-	// maxOpenReports bounds the rounds of reports under way. While more are needed, what
-	// they are about is collected for the next.
-	maxOpenReports = 4
 	// maxExchangedSuspects bounds the requests in one message, some 100 bytes each.
 	maxExchangedSuspects = 256
 	// reportIDBase is the base of the numbers that identify reports.
@@ -41,8 +33,8 @@
 var crashRule = quarantine.Rule{Crashes: 3, Repeat: true}
 
 // suspects holds the requests during which servers crashed, as far as this instance or
-// another saw. An instance that sees a crash reports it at once to all instances it knows;
-// what was missed follows with the calls of Sync and State. It implements relay.Quarantine.
+// another saw. An instance that sees a crash reports it at once; what was missed follows with
+// the calls of Sync and State. It implements relay.Quarantine.
 type suspects struct {
 	instance *Instance
 	client   *http.Client
@@ -210,88 +202,6 @@
 	s.active.Store(active)
 }
 
-// run is the duty that reports changes to other instances.
-func (s *suspects) run(ctx context.Context) error {
-	var rounds errgroup.Group
-	rounds.SetLimit(maxOpenReports)
-	defer func() { _ = rounds.Wait() }() // no error is returned
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-s.wake:
-		}
-		rounds.Go(func() error {
-			s.reportPending(ctx)
-			return nil
-		})
-	}
-}
-
-// reportPending reports what has changed to all instances known.
-func (s *suspects) reportPending(ctx context.Context) {
-	s.mu.Lock()
-	report := &exchange.CrashReport{Suspects: s.wireSuspects(s.takePending())}
-	reported := s.reported
-	s.reported = make(chan struct{})
-	s.mu.Unlock()
-	defer close(reported)
-	if len(report.GetSuspects()) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	var reports errgroup.Group
-	for _, addr := range s.reportAddrs() {
-		reports.Go(func() error {
-			_, err := exchange.NewExchangeProtobufClient("http://"+addr, s.client).ReportCrashes(ctx, report)
-			if err != nil {
-				s.instance.log.WithFields(logrus.Fields{"peer": addr, "error": err}).Debug("crash not reported")
-			}
-			return nil // it follows with Sync or State
-		})
-	}
-	_ = reports.Wait() // no error is returned
-}
-
-// toForward returns those of the changed requests that are reported further. The lease
-// holder knows all instances and reports every confirmed crash. What is close to a quarantine
-// all report, since the instance that saw it may reach neither the holder nor all others. A
-// single crash that isn't confirmed is often a connection that was reset, and not reported to
-// all.
-func (s *suspects) toForward(changed []quarantine.Fingerprint) []quarantine.Fingerprint {
-	holds := s.instance.lease.Holds()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.DeleteFunc(changed, func(f quarantine.Fingerprint) bool {
-		crashes := s.set.Crashes(f)
-		confirmed := slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.Confirmed })
-		return len(crashes) < 2 && !(holds && confirmed)
-	})
-}
-
-// reportAddrs returns the addresses of the instances to report to: all if this instance
-// holds the lease, else those that it knows.
-func (s *suspects) reportAddrs() []string {
-	own := s.instance.opts.Node.PeerAddr
-	addrs := slices.Concat(s.instance.knownPeers(), s.instance.controller.InstanceAddrs())
-	slices.Sort(addrs)
-	return slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return addr == own || addr == "" })
-}
-
-// takePending returns the requests to report now. The caller must hold mu.
-func (s *suspects) takePending() []quarantine.Fingerprint {
-	var out []quarantine.Fingerprint
-	for f := range s.pending {
-		if len(out) == maxExchangedSuspects {
-			break
-		}
-		out = append(out, f)
-		delete(s.pending, f)
-	}
-	return out
-}
-
 // forHolder returns the digest of the set for a call of Sync, and the requests unless the
 // instance that is asked had the same when it last answered.
 func (s *suspects) forHolder() (uint64, []*exchange.Suspect) {
@@ -347,18 +257,3 @@
 	}
 	return suspected, quarantined
 }
-
-// ReportCrashes implements exchange.Exchange.
-func (e exchangeServer) ReportCrashes(ctx context.Context, req *exchange.CrashReport) (*exchange.CrashReportResponse, error) {
-	s := e.instance.suspects
-	forwarded := s.toForward(s.merge(req.GetSuspects()))
-	if len(forwarded) == 0 {
-		return &exchange.CrashReportResponse{}, nil
-	}
-	reported := s.change(func() []quarantine.Fingerprint { return forwarded })
-	select {
-	case <-reported:
-	case <-ctx.Done():
-	}
-	return &exchange.CrashReportResponse{}, nil
-}
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -158,19 +158,16 @@
 
 func (s *Set) voidIf(f Fingerprint, matches func(Crash) bool) bool {
 	suspect := s.suspects[f]
-	if suspect == nil {
+	speaks := func(c Crash) bool { return !c.Void && matches(c) }
+	if suspect == nil || !slices.ContainsFunc(suspect.Crashes, speaks) {
 		return false
 	}
-	crashes, changed := slices.Clone(suspect.Crashes), false
+	crashes := slices.Clone(suspect.Crashes)
 	for i, c := range crashes {
-		if !c.Void && matches(c) {
-			crashes[i].Void, changed = true, true
-		}
-	}
-	if changed {
-		s.suspects[f] = &Suspect{Crashes: crashes, Last: suspect.Last}
+		crashes[i].Void = c.Void || matches(c)
 	}
-	return changed
+	s.suspects[f] = &Suspect{Crashes: crashes, Last: suspect.Last}
+	return true
 }
 
 // Expire removes the requests whose newest crash was before the time that keepSince returns
