instance: calls of State carry crashes only if the other knows others

Cause: while the store is down each instance calls State at others each 0.2 s, and each request held all requests with two crashes, whether the other knew them or not; since crashes are recognised by their connections there are dozens. Change: as in calls of Sync, they are sent only if the digest differs from that of the instance that answered last.

--- a/instance/learn.go
+++ b/instance/learn.go
@@ -232,7 +232,7 @@
 // stateRequest tells another instance what this one knows.
 func (i *Instance) stateRequest() *exchange.StateRequest {
 	digest, at := i.servers.digestAndPosition()
-	suspectsDigest, suspects := i.suspects.all()
+	suspectsDigest, suspects := i.suspects.forPeer()
 	return &exchange.StateRequest{
 		SuspectsDigest: suspectsDigest, Suspects: suspects,
 		ServersDigest: digest, ServersPosition: at.Offset, ServersEra: at.Era,
@@ -246,7 +246,7 @@
 func (i *Instance) learnState(sent time.Time, addr string, req *exchange.StateRequest, res *exchange.StateResponse) bool {
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
-	i.suspects.merge(res.GetSuspects())
+	i.suspects.onPeerAnswer(res.GetSuspectsDigest(), res.GetSuspects())
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
 		return false // the rest predates the restore of the store
--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -58,6 +58,8 @@
 	renewedAt  time.Time     // by the owner
 	generation int64
 	crashCalls atomic.Int64 // calls of ReportCrashes
+	stateCalls atomic.Int64 // calls of State
+	stateBytes atomic.Int64 // of their requests and answers
 }
 
 // spreadStore is the store as one instance reaches it. It implements topology.Source and
@@ -214,12 +216,16 @@
 		<-req.Context().Done()
 		return nil, context.Cause(req.Context())
 	}
-	if path.Base(req.URL.Path) == "ReportCrashes" {
-		t.world.crashCalls.Add(1)
-	}
 	time.Sleep(time.Millisecond)
 	w := httptest.NewRecorder()
 	exchange.NewExchangeServer(exchangeServer{t.world.instances[to]}).ServeHTTP(w, req)
+	switch path.Base(req.URL.Path) {
+	case "ReportCrashes":
+		t.world.crashCalls.Add(1)
+	case "State":
+		t.world.stateCalls.Add(1)
+		t.world.stateBytes.Add(req.ContentLength + int64(w.Body.Len()))
+	}
 	return w.Result(), nil
 }
 
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -46,8 +46,9 @@
 	set      *quarantine.Set
 	pending  map[quarantine.Fingerprint]bool // changed, and not reported yet
 	reported chan struct{}                   // closed once pending was reported
-	// holderDigest is the digest of the set of the instance that last answered Sync.
-	holderDigest uint64
+	// holderDigest and peerDigest are the digests of the sets of the instances that last
+	// answered Sync and State.
+	holderDigest, peerDigest uint64
 }
 
 func newSuspects(i *Instance) *suspects {
@@ -235,11 +236,23 @@
 	return own, s.wireRepeated()
 }
 
-// all returns the digest and the requests, for a call of State.
-func (s *suspects) all() (uint64, []*exchange.Suspect) {
+// forPeer is like forHolder, for a call of State.
+func (s *suspects) forPeer() (uint64, []*exchange.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.set.Digest(), s.wireRepeated()
+	digest := s.set.Digest()
+	if digest == s.peerDigest {
+		return digest, nil
+	}
+	return digest, s.wireRepeated()
+}
+
+// onPeerAnswer applies the answer to a call of State.
+func (s *suspects) onPeerAnswer(digest uint64, received []*exchange.Suspect) {
+	s.merge(received)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peerDigest = digest
 }
 
 // counts returns how many requests are suspected and how many of these are quarantined.
--- a/instance/suspects_test.go
+++ b/instance/suspects_test.go
@@ -334,6 +334,36 @@
 	}
 }
 
+// Guards against instances that the store refuses telling each other, in each call, all crashes
+// that both know.
+func TestCallsBetweenInstancesDoNotRepeatCrashesThatBothKnow(t *testing.T) {
+	runCrashes(t, 9, 2, func(t *testing.T, w *crashWorld) {
+		w.mu.Lock()
+		for n := range w.refusals {
+			w.refusals[n] = refused
+		}
+		w.mu.Unlock()
+		bytesPerCall := func() float64 {
+			w.stateCalls.Store(0)
+			w.stateBytes.Store(0)
+			time.Sleep(spreadBound)
+			require.Positive(t, w.stateCalls.Load())
+			return float64(w.stateBytes.Load()) / float64(w.stateCalls.Load())
+		}
+		time.Sleep(spreadBound)
+		before := bytesPerCall()
+		for n := range 40 { // a server breaks connections of requests that were sent again
+			f := quarantine.NewFingerprint(fmt.Append(nil, n))
+			for range 2 {
+				w.instances[n%len(w.instances)].suspects.ReportCrash(f, w.crash(n%simServers, false))
+				time.Sleep(simRestartTime)
+			}
+		}
+		time.Sleep(spreadBound)
+		require.Less(t, bytesPerCall(), 2*before)
+	})
+}
+
 func TestUnusableReportsOfCrashesAreIgnored(t *testing.T) {
 	s := newTestInstance(refusingSource{}).suspects
 	crashes := make([]*exchange.SuspectCrash, 100)
