netconn, relay: tests of unwritten requests don't race with the closing of connections

Cause: the test closed the server's side and sent at once; until the transport has seen the end of the connection the request is written, and then it must not be sent again, which is what the transport did. Change: the kept connections refuse to be written to, so nothing of the request ever is, and the request is seen to have been given more than one; relay's like test waits until its connections are seen to be closed instead of 10 ms.

--- a/netconn/transport_test.go
+++ b/netconn/transport_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // breakingServer counts requests, and breaks the connection of each once breaks is set.
@@ -76,14 +78,39 @@
 	}
 }
 
+// unwritableConn is a connection to which nothing can be written once broken is set. Reads
+// don't notice.
+type unwritableConn struct {
+	net.Conn
+	broken *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c unwritableConn) Write(p []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", unix.EPIPE)}
+	}
+	return c.Conn.Write(p)
+}
+
 // A request of which nothing was written may go over another connection.
 func TestUnwrittenRequestGoesOverAnotherConnection(t *testing.T) {
+	const connections = 4
 	s := newBreakingServer(t)
-	transport := NewTransport(4, time.Minute)
+	var broken, opened atomic.Bool
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := Dial(ctx, network, addr)
+		if err != nil || opened.Load() {
+			return conn, err
+		}
+		return unwritableConn{conn, &broken}, nil
+	}
+	transport := NewTransportWith(dial, connections, time.Minute)
 	defer transport.CloseIdleConnections()
-	s.open(t, transport, 4)
-	s.CloseClientConnections()
-	for range 4 {
+	s.open(t, transport, connections)
+	opened.Store(true)
+	broken.Store(true)
+	for n := range connections {
 		req, err := http.NewRequest(http.MethodPost, s.URL, strings.NewReader("body"))
 		require.NoError(t, err)
 		var sending Sending
@@ -94,7 +121,11 @@
 		require.NoError(t, res.Body.Close())
 		require.Equal(t, "body", string(body))
 		require.False(t, sending.Opened.IsZero())
+		if n == 0 {
+			require.Greater(t, sending.Connections, 1)
+		}
 	}
+	require.EqualValues(t, 2*connections, s.requests.Load())
 }
 
 // Guards against a response whose body is read late being cut off by the end of its RoundTrip.
--- a/relay/single_send_test.go
+++ b/relay/single_send_test.go
@@ -125,7 +125,8 @@
 		b := newHarness(t, respondWith("ok"))
 		b.openConnections(b.relay)
 		b.backends[0].CloseClientConnections()
-		time.Sleep(10 * time.Millisecond) // in which the relay sees that its connections are closed
+		closed := func() bool { return b.relay.backends.openBefore("s0", time.Now()) == 0 }
+		require.Eventually(t, closed, 5*time.Second, time.Millisecond, "the relay sees that its connections are closed")
 		require.Equal(t, http.StatusOK, b.do(b.request(method, "/once/", "body")).status)
 		require.EqualValues(t, keptConnections+1, b.calls())
 	}
