--- /dev/null
+++ b/instance/suspect_reports_test.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/quarantine"
+)
+
+// Guards against a server that breaks connections making each instance report to each other
+// one: all calls about a change grow with the instances, and a single crash that may be a reset
+// is no news to all.
+func TestReportsOfCrashesDoNotGrowWithTheSquareOfTheInstances(t *testing.T) {
+	const changes = 3
+	for _, size := range []int{9, 66} {
+		runCrashes(t, size, 2, func(t *testing.T, w *crashWorld) {
+			for n, i := range w.instances { // each loses another request to the same reset
+				i.suspects.ReportCrash(quarantine.NewFingerprint(fmt.Append(nil, n)), w.crash(0, false))
+			}
+			time.Sleep(reportTimeout)
+			require.LessOrEqual(t, int(w.crashCalls.Swap(0)), 2*size)
+			f := quarantine.Fingerprint{1}
+			for n := range changes - 1 {
+				w.instances[n].suspects.ReportCrash(f, w.crash(1, n > 0))
+				time.Sleep(reportTimeout)
+			}
+			w.instances[changes].suspects.ReportCompleted(f)
+			time.Sleep(reportTimeout)
+			require.LessOrEqual(t, int(w.crashCalls.Load()), changes*3*size)
+		})
+	}
+}
+
+// Guards against instances that the store refuses telling each other, in each call, all crashes
+// that both know.
+func TestCallsBetweenInstancesDoNotRepeatCrashesThatBothKnow(t *testing.T) {
+	runCrashes(t, 9, 2, func(t *testing.T, w *crashWorld) {
+		w.mu.Lock()
+		for n := range w.refusals {
+			w.refusals[n] = refused
+		}
+		w.mu.Unlock()
+		bytesPerCall := func() float64 {
+			w.stateCalls.Store(0)
+			w.stateBytes.Store(0)
+			time.Sleep(spreadBound)
+			require.Positive(t, w.stateCalls.Load())
+			return float64(w.stateBytes.Load()) / float64(w.stateCalls.Load())
+		}
+		time.Sleep(spreadBound)
+		before := bytesPerCall()
+		for n := range 40 { // a server breaks connections of requests that were sent again
+			f := quarantine.NewFingerprint(fmt.Append(nil, n))
+			for range 2 {
+				w.instances[n%len(w.instances)].suspects.ReportCrash(f, w.crash(n%simServers, false))
+				time.Sleep(simRestartTime)
+			}
+		}
+		time.Sleep(spreadBound)
+		require.Less(t, bytesPerCall(), 2*before)
+	})
+}
