respbody, relay, instance: logs and metrics say how an answer's body is framed and ends

Cause: of a stream that reached its caller truncated the logs said only "answered" and how many whole events there were, so that three hypotheses (connection taken for the answer's end, an end between two events, a lost reset) looked the same.

Change: infra.Send watches each response's body (internal/respbody): framing (length, chunks, connection) and end (whole, inside_event, no_event, failed, open). The relay's lines "request ended" and "attempt failed" carry framing and body_end, a metric counts both, and an instance that forwards passes on how the server framed the body, which it frames anew. No decision depends on it yet.

--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
+	"greengageferry/internal/respbody"
 	"greengageferry/platform"
 	"greengageferry/relay"
 	"greengageferry/topology"
@@ -63,8 +64,10 @@
 func (noMetrics) CountDecision(string, string)         {}
 func (noMetrics) ObserveQueueTime(time.Duration)       {}
 func (noMetrics) CountSendings(bool, int)              {}
-func (noMetrics) CountRateLimitedAttempt()             {}
-func (noMetrics) ObserveStreamGap(time.Duration)       {}
+
+func (noMetrics) CountBody(respbody.Framing, respbody.End) {}
+func (noMetrics) CountRateLimitedAttempt()                 {}
+func (noMetrics) ObserveStreamGap(time.Duration)           {}
 
 func newRelayFixture(t *testing.T, backend http.HandlerFunc) *relayFixture {
 	f := &relayFixture{}
--- a/infra/http.go
+++ b/infra/http.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"greengageferry/internal/respbody"
 )
 
 // Limits on the size of responses, so that no response can exhaust an instance's memory.
@@ -147,8 +149,9 @@
 	return Send(k.op, k.addr, c.client.Do, req)
 }
 
-// Send sends a request and returns the response, whatever its status. The error is an
-// *Error whose Effect is EffectNone only if nothing of the request can have been sent.
+// Send sends a request and returns the response, whatever its status. Its body is a
+// *respbody.Body. The error is an *Error whose Effect is EffectNone only if nothing of the
+// request can have been sent.
 func Send(op, addr string, do func(*http.Request) (*http.Response, error), req *http.Request) (*http.Response, error) {
 	var t connTrace
 	ctx := httptrace.WithClientTrace(req.Context(), t.hooks())
@@ -157,6 +160,7 @@
 		k := call{op: op, addr: addr}
 		return nil, k.transportError(ctx, t.effect(ctx, err), err)
 	}
+	respbody.Watch(res)
 	return res, nil
 }
 
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"greengageferry/allowance"
+	"greengageferry/internal/respbody"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets, in seconds.
@@ -45,6 +46,7 @@
 	draws           *prometheus.CounterVec   // by result
 	crashes         prometheus.Counter
 	sendings        *prometheus.CounterVec // by connection: new, kept, or again
+	bodies          *prometheus.CounterVec // by framing and end
 
 	accountsMu sync.Mutex
 	accounts   map[string]bool // those with a label of their own
@@ -93,9 +95,10 @@
 		allowances: counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
 		draws:      counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
 		sendings:   counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
+		bodies:     counters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
 		accounts:   map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.bodies)
 	return m
 }
 
@@ -109,6 +112,11 @@
 	m.sendings.WithLabelValues("again").Add(float64(again))
 }
 
+// CountBody implements relay.Metrics.
+func (m *metrics) CountBody(framing respbody.Framing, end respbody.End) {
+	m.bodies.WithLabelValues(string(framing), string(end)).Inc()
+}
+
 // gauge registers a gauge whose value is computed on each scrape.
 func (m *metrics) gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"greengageferry/decide"
 	"greengageferry/infra"
 	"greengageferry/internal/hop"
+	"greengageferry/internal/respbody"
 	"greengageferry/internal/stall"
 	"greengageferry/topology"
 )
@@ -50,11 +51,14 @@
 	watch := stall.Watch(ctx, max(minSilenceTimeout, time.Duration(silenceTimeoutFraction*float64(c.deadline.Sub(sent)))), c.canRetryElsewhere(d))
 	defer watch.Stop()
 	ctx = watch.Context()
+	c.answer = nil
 	res, err := c.send(ctx, d.Server)
 	if err != nil {
 		return c.handleAttemptError(ctx, d, err)
 	}
 	defer res.Body.Close()
+	c.answer = respbody.Watch(res)
+	defer c.countBody()
 	if !c.forwarded {
 		c.relay.backends.handleResponse(d.Server.ID, res.Header)
 	}
@@ -76,6 +80,7 @@
 		return ""
 	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
+		c.answer.ExpectEvents()
 		return c.relayStream(ctx, d, res, sent, watch)
 	}
 	return c.relayResponse(ctx, d, res, sent)
@@ -313,6 +318,18 @@
 	c.w.WriteHeader(status)
 }
 
+// countBody counts the body of the newest attempt's response by its framing and its end.
+func (c *call) countBody() {
+	c.relay.opts.Metrics.CountBody(c.answer.Framing(), c.answer.End())
+}
+
+// addBodyFields adds to a log line how the newest attempt's response was framed and ended.
+func (c *call) addBodyFields(f logrus.Fields) {
+	if c.answer != nil {
+		f["framing"], f["body_end"] = c.answer.Framing(), c.answer.End()
+	}
+}
+
 // logFailedAttempt writes the log line for a failed attempt. A status of 0 means that
 // there was no response.
 func (c *call) logFailedAttempt(d decide.Decision, reason string, status int) {
@@ -333,6 +350,7 @@
 	if c.forwarded {
 		f["forwarded"] = true
 	}
+	c.addBodyFields(f)
 	// Without a status, lastResponse may belong to an earlier attempt.
 	if status != 0 && c.lastResponse.RetryAfter > 0 {
 		f["retry_after_ms"] = c.lastResponse.RetryAfter.Milliseconds()
--- a/relay/call.go
+++ b/relay/call.go
@@ -15,6 +15,7 @@
 	"greengageferry/allowance"
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/respbody"
 	"greengageferry/netconn"
 	"greengageferry/quarantine"
 	"greengageferry/topology"
@@ -70,6 +71,7 @@
 	sendings           int               // connections that attempts were given, at most one for each is right
 	sending            netconn.Sending   // of the newest attempt
 	timeLeft           time.Duration     // until the deadline that the newest attempt told its server
+	answer             *respbody.Body    // body of the newest attempt's response; nil: there is none
 	sent               bool              // an attempt was started
 	sentAt             time.Time         // when the newest attempt was started
 	mayHaveRun         bool              // an attempt may have run
--- a/relay/end.go
+++ b/relay/end.go
@@ -131,6 +131,7 @@
 	if c.forwarded {
 		f["forwarded"] = true
 	}
+	c.addBodyFields(f)
 	if c.account != nil {
 		f["account"] = c.account.Name
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,6 +15,7 @@
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/internal/respbody"
 	"greengageferry/netconn"
 )
 
@@ -30,6 +31,8 @@
 	headerForwarded = "Forwarded-By-Instance"
 	// headerForwardError says that the response isn't the server's: an infra.Reason.
 	headerForwardError = "Forward-Error"
+	// headerForwardFraming is the respbody.Framing of the server's response.
+	headerForwardFraming = "Forward-Framing"
 	// headerForwardUnsent is set with headerForwardError if nothing of the request can have
 	// reached the server.
 	headerForwardUnsent = "Forward-Unsent"
@@ -118,6 +121,7 @@
 		_ = res.Body.Close() // an instance that doesn't know how to forward
 		return &infra.Error{Op: "forward", Addr: peer, Reason: infra.ReasonUnavailable, Effect: infra.EffectNone}
 	case res.Header.Get(headerForwardError) == "":
+		takeFraming(res)
 		res.Header.Del(headerForwarded)
 		return nil
 	}
@@ -129,6 +133,15 @@
 	return e
 }
 
+// takeFraming sets the framing of the server's response, which the forwarding instance has
+// framed anew.
+func takeFraming(res *http.Response) {
+	if framing := res.Header.Get(headerForwardFraming); framing != "" {
+		respbody.Watch(res).SetFraming(respbody.Framing(framing))
+		res.Header.Del(headerForwardFraming)
+	}
+}
+
 // pickPeers returns the instances to try in random order, or one of those that lately
 // failed if there are no others.
 func (f *forwarder) pickPeers() []string {
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -15,6 +15,7 @@
 	"greengageferry/decide"
 	"greengageferry/infra"
 	"greengageferry/internal/hop"
+	"greengageferry/internal/respbody"
 )
 
 const (
@@ -128,6 +129,7 @@
 	}
 	hop.RemoveHeaders(h)
 	h.Set(headerForwarded, "1")
+	h.Set(headerForwardFraming, string(respbody.Watch(res).Framing()))
 	h.Del(headerForwardError)
 	for _, name := range []string{"Content-Type", "Date"} {
 		if _, ok := h[name]; !ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"greengageferry/allowance"
 	"greengageferry/decide"
+	"greengageferry/internal/respbody"
 	"greengageferry/netconn"
 	"greengageferry/residency"
 	"greengageferry/topology"
@@ -132,6 +133,8 @@
 	CountDecision(action, reason string)
 	// CountRateLimitedAttempt counts an attempt at a server that names a rate limit.
 	CountRateLimitedAttempt()
+	// CountBody counts a server's response by how its body was framed and ended.
+	CountBody(framing respbody.Framing, end respbody.End)
 	// CountSendings counts an attempt that was given a connection, which had carried a
 	// request before or not, and how often it was given another one after that.
 	CountSendings(reused bool, again int)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
+	"greengageferry/internal/respbody"
 	"greengageferry/internal/testmain"
 	"greengageferry/topology"
 )
@@ -78,6 +79,8 @@
 func (testMetrics) CountRateLimitedAttempt()             {}
 func (testMetrics) CountSendings(bool, int)              {}
 
+func (testMetrics) CountBody(respbody.Framing, respbody.End) {}
+
 // backendServer responds as its script does, and counts the requests that it receives.
 type backendServer struct {
 	*httptest.Server
