--- a/infra/http_test.go
+++ b/infra/http_test.go
@@ -266,3 +266,23 @@
 	_, err := infra.NewHTTPEngine(newClient(t)).Status(t.Context(), addrOf(s))
 	requireError(t, err, infra.ReasonProtocol, infra.EffectUnknown)
 }
+
+// A stream of events without a length and without chunks ends with its connection, also if its
+// service dies.
+func TestTruncatedEventStreamEndsWithAnError(t *testing.T) {
+	for body, complete := range map[string]bool{"data: x\n\n": true, "data: x\n\ndata": false, "data: x\n": false, "": false} {
+		s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+body)
+			_ = conn.Close()
+		})
+		res, err := infra.NewHTTPServices(newTransport(t)).Call(t.Context(), addrOf(s), infra.ServiceRequest{Attempt: "a", Method: http.MethodGet, Path: "/x"})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.Equal(t, complete, err == nil, "%q: %v", body, err)
+		require.NoError(t, res.Body.Close())
+	}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -28,6 +28,11 @@
 	// cancelShare is the share of requests that callers cancel, cancelDelay after sending.
 	cancelShare = 0.04
 	cancelDelay = 40 * time.Millisecond
+	// onceStreamShare is the share of streams that can't be resumed.
+	onceStreamShare = 0.5
+	// http10Share is the share of requests sent in HTTP/1.0, whose callers have nothing but the
+	// connection's end to tell that an answer without a length is complete.
+	http10Share = 0.2
 	// healthCheckInterval is the time between the load balancer's health checks of an instance.
 	healthCheckInterval = 250 * time.Millisecond
 	// unhealthyThreshold is the number of consecutive failed health checks after which an
@@ -172,6 +177,10 @@
 	default:
 		req.Model = standin.BusyModel
 	}
+	if rng.Float64() < onceStreamShare {
+		req.Path = standin.OnceStreamPath + id
+		return req, KindOnceStream
+	}
 	req.Path = standin.StreamPath + id
 	return req, KindStream
 }
@@ -185,6 +194,9 @@
 	}
 	request, kind := g.nextRequest(rng)
 	r := Result{Ask: request, Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), Sent: time.Now()}
+	if rng.Float64() < http10Share {
+		transport = http10Transport{}
+	}
 	r.request(transport, p.CallerLink.Addr, timeout)
 	return r
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -12,11 +12,18 @@
 
 // The kinds of request.
 const (
-	KindUnsafe Kind = iota // must run at most once
-	KindSafe               // may be repeated
-	KindStream             // an event stream that may be resumed
+	KindUnsafe     Kind = iota // must run at most once
+	KindSafe                   // may be repeated
+	KindStream                 // an event stream that may be resumed
+	KindOnceStream             // an event stream that must run at most once
 )
 
+// isStream reports whether requests of the kind are answered by event streams.
+func (k Kind) isStream() bool { return k == KindStream || k == KindOnceStream }
+
+// runsOnce reports whether requests of the kind must run at most once.
+func (k Kind) runsOnce() bool { return k == KindUnsafe || k == KindOnceStream }
+
 // Result is one request as its caller saw it.
 type Result struct {
 	Ask         standin.Ask
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -111,7 +111,7 @@
 
 // expectedService returns the service that must run requests of a kind.
 func expectedService(k Kind) string {
-	if k == KindStream {
+	if k.isStream() {
 		return standin.ServiceEngines
 	}
 	return standin.ServicePlain
@@ -121,7 +121,7 @@
 func (c *checker) checkResult(r *Result) {
 	runs := len(c.runsByID[r.Ask.ID])
 	switch {
-	case r.Kind == KindUnsafe && runs > 1:
+	case r.Kind.runsOnce() && runs > 1:
 		c.violated("a non-idempotent request runs at most once", "%s ran %d times", r.Ask.ID, runs)
 	case runs > maxAttempts:
 		c.violated("attempts are bounded", "%s ran %d times", r.Ask.ID, runs)
@@ -129,7 +129,7 @@
 	switch r.Status {
 	case 0:
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if r.Kind == KindUnsafe && runs > 0 {
+		if r.Kind.runsOnce() && runs > 0 {
 			c.violated("requests reported as not run did not run", "%s got status %d and ran", r.Ask.ID, r.Status)
 		}
 	case http.StatusOK:
@@ -158,7 +158,7 @@
 	if !known {
 		c.violated("a success comes from a server that ran the request", "%s got an answer signed by %q, which did not run it", r.Ask.ID, r.Server)
 	}
-	if r.Kind == KindStream {
+	if r.Kind.isStream() {
 		c.checkStream(r)
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,7 @@
 	{50005, 3 * time.Second, "covers: servers that state rate limits while instances are killed, terminated and suspended"},
 	{1032, 3 * time.Second, "fault of the test: two addresses of an instance were the same; the system picks them, not the seed"},
 	{1000, 8 * time.Second, "fault of the test: overlapping reuses of addresses left the plain service with one server, which was then drained in the phase without faults"},
+	{95000, 8 * time.Second, "truncated streams told as complete"},
 }
 
 var program struct {
--- a/soak/world.go
+++ b/soak/world.go
@@ -29,6 +29,7 @@
 	eventsPerStream   = 10
 	eventInterval     = 10 * time.Millisecond
 	serverSlots       = 8
+	unframedShare     = 0.3 // of streams: without a length and chunks
 	modelLoadTime     = 200 * time.Millisecond
 )
 
@@ -180,6 +181,7 @@
 	e.opts = standin.ServerOptions{
 		ID: id, Service: service, Addr: e.link.Addr, Domain: e.domain, Slots: serverSlots,
 		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: eventInterval, Observer: d.History,
+		UnframedShare: unframedShare,
 	}
 	e.opts.Crash = sync.OnceFunc(func() { d.crashAndRestart(e) })
 	e.server.Store(standin.NewServer(d.Store, e.opts))
