respbody, relay, netconn: an answer is complete only if its content says so, for every caller

Cause: net/http reports the end of the connection as io.EOF, the end of the body, if a response has neither a length nor chunks, whether its server had finished or died. relayStream took it for complete unless the route is resumable; a forwarding instance turned it into well-formed chunks, and so did the client of plain services. Callers of HTTP/1.0 had a fault of their own: a broken answer ended with an ordinary close.

Change: respbody.Body, through which all answers of servers are read (infra.Send), returns io.EOF only for a complete body: a stream that ends inside an event, or with its connection before its first event, ends with a TruncatedError, in any framing. Line breaks may be LF, CRLF or CR. netconn.ResetTruncated has the connection to a caller of HTTP/1.0 reset unless an answer without a length is complete, also when the process dies; both ways in go through it. A body that is read whole is sent with its length.

Why it holds: no reader sees the connection's io.EOF itself any more; the decision stands in one place, below both protocols and below forwarding.

--- a/caller/http.go
+++ b/caller/http.go
@@ -14,6 +14,7 @@
 
 	"greengageferry/caller/api"
 	"greengageferry/decide"
+	"greengageferry/netconn"
 )
 
 // The paths of the callers' interface.
@@ -36,11 +37,13 @@
 	HeaderSizeLimit = 16 << 10
 )
 
-// ConfigureHTTPServer sets the timeouts and limits of a server for Handler.
+// ConfigureHTTPServer sets the timeouts and limits of a server for Handler, and that the handler
+// knows its connections.
 func ConfigureHTTPServer(h *http.Server) {
 	h.ReadHeaderTimeout = HeaderReadTimeout
 	h.IdleTimeout = KeepAliveTimeout
 	h.MaxHeaderBytes = HeaderSizeLimit
+	h.ConnContext = netconn.ConnContext
 }
 
 // serve answers one request. Every failure, a panic included, is answered with a
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,7 @@
 
 	"greengageferry/decide"
 	"greengageferry/infra"
+	"greengageferry/netconn"
 	"greengageferry/record"
 	"greengageferry/supervise"
 )
@@ -139,7 +140,7 @@
 func (s *Server) Idle() <-chan struct{} { return s.workTracker.idle }
 
 // Handler returns the handler of the callers' HTTP interface.
-func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+func (s *Server) Handler() http.Handler { return netconn.ResetTruncated(http.HandlerFunc(s.serve)) }
 
 // lockedRand is a random source that is safe for concurrent use.
 type lockedRand struct {
--- a/instance/front.go
+++ b/instance/front.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"greengageferry/netconn"
 	"greengageferry/supervise"
 	"greengageferry/topology"
 )
@@ -107,6 +108,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		ErrorLog:          newHTTPErrorLog(f.instance.log),
+		ConnContext:       netconn.ConnContext,
 	}
 }
 
--- a/internal/respbody/eventtail.go
+++ b/internal/respbody/eventtail.go
@@ -1,5 +1,7 @@
 package respbody
 
+import "bytes"
+
 // maxTail is how many bytes at the end of a stream decide whether it ends after an event: a
 // line break and a blank line, of two bytes each at most.
 const maxTail = 4
@@ -38,6 +40,25 @@
 	return ok
 }
 
+// EndOfLastEvent returns where the last event ends that ends in data, 0 if none does.
+func EndOfLastEvent(data []byte) int {
+	for end := len(data); end > 0; end-- {
+		rest, ok := cutLineBreak(data[:end])
+		if !ok {
+			continue
+		}
+		if _, ok := cutLineBreak(rest); ok || len(rest) == 0 {
+			return end
+		}
+	}
+	return 0
+}
+
+// CountEvents returns how many events end in data whose lines end with LF or CRLF.
+func CountEvents(data []byte) int {
+	return bytes.Count(data, []byte("\n\n")) + bytes.Count(data, []byte("\n\r\n"))
+}
+
 // cutLineBreak removes the line break at the end of b, and reports whether there is one.
 func cutLineBreak(b []byte) ([]byte, bool) {
 	n := len(b)
--- a/internal/respbody/respbody.go
+++ b/internal/respbody/respbody.go
@@ -1,8 +1,10 @@
-// Package respbody records how the body of an HTTP response is framed and how it ends.
+// Package respbody decides whether the body of an HTTP response is complete, and records how
+// it is framed and how it ends. All that read the answers of servers read them through it.
 //
 // A body without a length and without chunks ends with its connection, so its end looks the
 // same whether the server had finished or its process died. Only its content can tell: a
-// stream of server-sent events is cut where it ends inside an event.
+// stream of server-sent events is cut where it ends inside an event. It is never guessed that a
+// stream is complete which ended with its connection before its first event.
 package respbody
 
 import (
@@ -36,6 +38,18 @@
 // contentTypeEvents is the media type of a stream of server-sent events.
 const contentTypeEvents = "text/event-stream"
 
+// TruncatedError is returned by Body.Read in place of io.EOF if the body isn't complete though
+// its framing says so.
+type TruncatedError struct {
+	Framing Framing
+	End     End
+}
+
+// Error implements error.
+func (e *TruncatedError) Error() string {
+	return "the answer is truncated: its end, by " + string(e.Framing) + ", is " + string(e.End)
+}
+
 // Body is the body of a response. It is not safe for concurrent use.
 type Body struct {
 	io.ReadCloser
@@ -85,7 +99,8 @@
 // End returns how the body ended.
 func (b *Body) End() End { return b.end }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the body is complete, and else the
+// error of the connection or a *TruncatedError.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if b.events {
@@ -93,7 +108,9 @@
 	}
 	switch {
 	case err == io.EOF:
-		b.end = b.endAtEOF()
+		if b.end = b.endAtEOF(); b.end != Whole {
+			return n, &TruncatedError{b.framing, b.end}
+		}
 	case err != nil:
 		b.end = Failed
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -296,6 +297,9 @@
 func (c *call) writeBuffered(buffered *bufferedResponse) {
 	c.firstByte = time.Now()
 	c.relay.opts.Metrics.ObserveFirstByte(time.Since(c.arrived))
+	if len(buffered.body) > 0 { // its length is known, however the server framed it
+		buffered.header.Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	}
 	c.writeHead(buffered.status, buffered.header)
 	_, _ = c.w.Write(buffered.body) // fails only if the caller disconnected
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -149,6 +149,7 @@
 	crashes        crashChecks
 	paths          *paths
 	forwarder      *forwarder // nil: there are no other instances
+	handler        http.Handler
 	draining       atomic.Bool
 	activeRequests atomic.Int64
 	lastSerial     atomic.Uint64 // serial number of the newest request
@@ -162,6 +163,7 @@
 	r := &Relay{opts: o, backends: backends{dial: o.Dial}, paths: newPaths(o.Dial, o.Log)}
 	r.crashes = crashChecks{dial: o.Dial, openBefore: r.backends.openBefore}
 	r.dispatcher = newDispatcher(o.Rand, o.Log, o.Metrics)
+	r.handler = netconn.ResetTruncated(http.HandlerFunc(r.serve))
 	if o.Peers != nil {
 		r.forwarder = newForwarder(o.Peers)
 	}
@@ -225,8 +227,12 @@
 // ActiveRequests returns how many requests have arrived and not been finished.
 func (r *Relay) ActiveRequests() int { return int(r.activeRequests.Load()) }
 
-// ServeHTTP implements http.Handler.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+// ServeHTTP implements http.Handler. The ConnContext of its http.Server must be
+// netconn.ConnContext.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) { r.handler.ServeHTTP(w, req) }
+
+// serve answers one request.
+func (r *Relay) serve(w http.ResponseWriter, req *http.Request) {
 	arrived := time.Now()
 	r.activeRequests.Add(1)
 	defer r.activeRequests.Add(-1)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"greengageferry/decide"
 	"greengageferry/internal/respbody"
 	"greengageferry/internal/testmain"
+	"greengageferry/netconn"
 	"greengageferry/topology"
 )
 
@@ -150,7 +151,9 @@
 		b.routes = append(b.routes, r)
 	}
 	b.setView(1)
-	b.front = httptest.NewServer(b.relay)
+	b.front = httptest.NewUnstartedServer(b.relay)
+	b.front.Config.ConnContext = netconn.ConnContext
+	b.front.Start()
 	b.client = b.front.Client()
 	t.Cleanup(func() {
 		b.front.Close()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/internal/respbody"
 	"greengageferry/internal/stall"
 	"greengageferry/topology"
 )
@@ -61,14 +62,14 @@
 				return outcomeCallerLeft
 			}
 		}
-		if err == io.EOF && len(pending) == 0 {
+		if err == io.EOF {
 			break
 		}
 		if err != nil {
 			return c.handleStreamError(ctx, d, res, err)
 		}
 	}
-	if !c.stream.started { // a stream without events is complete, too
+	if !c.stream.started { // a stream without events is complete if its framing says so
 		c.startStream(res)
 	}
 	c.reportCompletion()
@@ -119,7 +120,7 @@
 	if !c.stream.started {
 		c.startStream(res)
 	}
-	c.stream.events += bytes.Count(data, eventTerminator)
+	c.stream.events += respbody.CountEvents(data)
 	now := time.Now()
 	if !c.stream.lastWrite.IsZero() {
 		c.stream.maxGap = max(c.stream.maxGap, now.Sub(c.stream.lastWrite))
@@ -136,16 +137,9 @@
 	return rc.Flush()
 }
 
-// eventTerminator is the blank line that ends an event of a stream.
-var eventTerminator = []byte("\n\n")
-
 // splitWholeEvents splits data after its last complete event. The rest is a copy.
 func splitWholeEvents(data []byte) (whole, rest []byte) {
-	at := bytes.LastIndex(data, eventTerminator)
-	if at < 0 {
-		return nil, data
-	}
-	at += len(eventTerminator)
+	at := respbody.EndOfLastEvent(data)
 	return data[:at], bytes.Clone(data[at:])
 }
 
--- a/relay/truncated_test.go
+++ b/relay/truncated_test.go
@@ -92,6 +92,7 @@
 	for _, v := range callerVersions {
 		for _, way := range []string{"direct", "forwarded"} {
 			t.Run(v.name+"/"+way, func(t *testing.T) {
+				t.Parallel()
 				shared := script()
 				b := newHarness(t, shared, shared)
 				if way == "forwarded" {
