topology, relay, instance: logs and metrics say at which software version a stream began and goes on

Cause: no line said which software version a server has, at which a stream began and goes on, or that a request takes up an earlier one, so that the hypotheses about streams of two versions couldn't be told apart.

Change: the version of a server's entry is decoded and belongs to that start of the server; it is part of the lists that instances share. No decision depends on it yet.

--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -65,6 +65,7 @@
 func (noMetrics) ObserveQueueTime(time.Duration)       {}
 func (noMetrics) CountSendings(bool, int)              {}
 
+func (noMetrics) CountResumption(string, string)           {}
 func (noMetrics) CountBody(respbody.Framing, respbody.End) {}
 func (noMetrics) CountRateLimitedAttempt()                 {}
 func (noMetrics) ObserveStreamGap(time.Duration)           {}
--- a/decide/types.go
+++ b/decide/types.go
@@ -22,6 +22,8 @@
 	Slots         int    // maximum batch size; for a plain service its maximum concurrency
 	Leaving       bool   // it is draining and gets no new requests
 	Start         string // identifies this start of the server process; differs after a restart; may be empty
+
+	SoftwareVersion string // of this start; empty: not known
 }
 
 // Replica is a server that is ready to serve a target.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -275,7 +275,7 @@
 		}
 		i.log.WithFields(logrus.Fields{
 			"server": s.ID, "service": s.Service, "addr": s.Addr, "domain": s.Domain, "leaving": s.Leaving, "models": len(s.Models),
-			"started_ms": ageMs(s.Born),
+			"started_ms": ageMs(s.Born), "version": s.SoftwareVersion,
 		}).Info("server listed")
 	}
 	for id, previous := range old {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -47,6 +47,7 @@
 	crashes         prometheus.Counter
 	sendings        *prometheus.CounterVec // by connection: new, kept, or again
 	bodies          *prometheus.CounterVec // by framing and end
+	resumptions     *prometheus.CounterVec // by who took the stream up and by version
 
 	accountsMu sync.Mutex
 	accounts   map[string]bool // those with a label of their own
@@ -92,13 +93,14 @@
 		storeResults: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_reads_total", Help: "Reads of the platform's store by how they ended.",
 		}, []string{"read", "result"}),
-		allowances: counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
-		draws:      counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
-		sendings:   counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
-		bodies:     counters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
-		accounts:   map[string]bool{},
+		allowances:  counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
+		draws:       counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
+		sendings:    counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
+		bodies:      counters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
+		resumptions: counters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
+		accounts:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.bodies)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.bodies, m.resumptions)
 	return m
 }
 
@@ -117,6 +119,11 @@
 	m.bodies.WithLabelValues(string(framing), string(end)).Inc()
 }
 
+// CountResumption implements relay.Metrics.
+func (m *metrics) CountResumption(by, version string) {
+	m.resumptions.WithLabelValues(by, version).Inc()
+}
+
 // gauge registers a gauge whose value is computed on each scrape.
 func (m *metrics) gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
--- a/instance/servers.go
+++ b/instance/servers.go
@@ -332,7 +332,7 @@
 		out.NoEntry = s.NoEntry
 		out.Server = &exchange.Server{
 			Service: s.Service, Addr: s.Addr, FailureDomain: s.Domain, Slots: uint32(s.Slots), Leaving: s.Leaving,
-			BornMs: s.Born.UnixMilli(), Models: wireModels(s.Models), OnDisk: s.OnDisk,
+			BornMs: s.Born.UnixMilli(), SoftwareVersion: s.SoftwareVersion, Models: wireModels(s.Models), OnDisk: s.OnDisk,
 		}
 	}
 	return out
@@ -344,7 +344,7 @@
 		d.Server = &topology.Server{
 			ID: s.GetId(), Service: w.GetService(), Addr: w.GetAddr(), Domain: w.GetFailureDomain(), Slots: int(w.GetSlots()),
 			Leaving: w.GetLeaving(), Born: time.UnixMilli(w.GetBornMs()), Models: modelsFromWire(w.GetModels()), OnDisk: w.GetOnDisk(),
-			NoEntry: s.GetNoEntry(),
+			NoEntry: s.GetNoEntry(), SoftwareVersion: w.GetSoftwareVersion(),
 		}
 		d.NoEntry = false // said by the description
 	}
--- a/relay/end.go
+++ b/relay/end.go
@@ -138,7 +138,11 @@
 	if c.lastResponse.Leaving {
 		f["server"], f["server_leaving"] = c.lastResponseServer, true
 	}
+	if c.headers.Resumes != "" {
+		f["resumes"] = c.headers.Resumes
+	}
 	if c.stream.started {
+		f["version"] = c.stream.version
 		f["events"] = c.stream.events
 		f["last_event"] = c.stream.lastID
 		f["max_gap_ms"] = c.stream.maxGap.Milliseconds()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,7 @@
 	Adapter      string
 	Timeout      time.Duration      // how long the caller waits for the response
 	LastEventID  string             // the caller resumes a stream after this event
+	Resumes      string             // id of the attempt of the caller's that brought that stream's first event
 	PromptTokens int                // tokens of the prompt
 	MaxTokens    int                // upper bound of output tokens
 	LengthHint   int                // output tokens that the caller expects
@@ -135,6 +136,10 @@
 	CountRateLimitedAttempt()
 	// CountBody counts a server's response by how its body was framed and ended.
 	CountBody(framing respbody.Framing, end respbody.End)
+	// CountResumption counts a stream that goes on at another server, by who took it up
+	// ("answer": this call, "caller": a new request) and whether the server has the software
+	// version at which the stream began ("same", "other" or "unknown").
+	CountResumption(by, version string)
 	// CountSendings counts an attempt that was given a connection, which had carried a
 	// request before or not, and how often it was given another one after that.
 	CountSendings(reused bool, again int)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		ms = 0 // not set
 	}
-	r := RequestHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	r := RequestHeaders{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if n, err := strconv.Atoi(h.Get("Tokens")); err == nil {
 		r.PromptTokens = n
 	}
@@ -80,6 +80,7 @@
 func (testMetrics) CountRateLimitedAttempt()             {}
 func (testMetrics) CountSendings(bool, int)              {}
 
+func (testMetrics) CountResumption(string, string)           {}
 func (testMetrics) CountBody(respbody.Framing, respbody.End) {}
 
 // backendServer responds as its script does, and counts the requests that it receives.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,6 +17,7 @@
 // streamState describes what of a stream was sent to the caller, over all attempts.
 type streamState struct {
 	started   bool
+	version   string // software version of the server that sent the first event; empty: not known
 	events    int
 	lastID    string        // id of the last complete event that has one
 	lastWrite time.Time     // when data was last sent
@@ -37,6 +38,7 @@
 	var pending []byte // the received part of an incomplete event
 	var firstData time.Time
 	eventsBefore := c.stream.events
+	c.noteResumption(d.Server)
 	rc := http.NewResponseController(c.w)
 	for {
 		n, err := res.Body.Read(*buf)
@@ -56,7 +58,7 @@
 			if resumable {
 				data, pending = splitWholeEvents(append(pending, data...))
 			}
-			if werr := c.sendEvents(res, data, rc); werr != nil {
+			if werr := c.sendEvents(d, res, data, rc); werr != nil {
 				c.relay.dispatcher.abandon(c)
 				c.logEnd("caller_left", res.StatusCode)
 				return outcomeCallerLeft
@@ -70,7 +72,7 @@
 		}
 	}
 	if !c.stream.started { // a stream without events is complete if its framing says so
-		c.startStream(res)
+		c.startStream(res, d.Server)
 	}
 	c.reportCompletion()
 	events := c.stream.events - eventsBefore
@@ -105,20 +107,21 @@
 }
 
 // startStream sends the stream's status and headers.
-func (c *call) startStream(res *http.Response) {
+func (c *call) startStream(res *http.Response, s decide.Server) {
 	c.stream.started = true
+	c.stream.version = s.SoftwareVersion
 	c.firstByte = time.Now()
 	c.relay.opts.Metrics.ObserveFirstByte(time.Since(c.arrived))
 	c.writeHead(res.StatusCode, res.Header)
 }
 
 // sendEvents sends data of the stream to the caller and flushes it.
-func (c *call) sendEvents(res *http.Response, data []byte, rc *http.ResponseController) error {
+func (c *call) sendEvents(d decide.Decision, res *http.Response, data []byte, rc *http.ResponseController) error {
 	if len(data) == 0 {
 		return nil
 	}
 	if !c.stream.started {
-		c.startStream(res)
+		c.startStream(res, d.Server)
 	}
 	c.stream.events += respbody.CountEvents(data)
 	now := time.Now()
--- a/topology/delta.go
+++ b/topology/delta.go
@@ -107,7 +107,7 @@
 			_, _ = h.Write([]byte{0})
 		}
 	}
-	text(s.ID, s.Service, s.Addr, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Leaving), strconv.FormatInt(s.Born.UnixMilli(), 10))
+	text(s.ID, s.Service, s.Addr, s.Domain, strconv.Itoa(s.Slots), strconv.FormatBool(s.Leaving), strconv.FormatInt(s.Born.UnixMilli(), 10), s.SoftwareVersion)
 	for _, m := range s.Models {
 		text("model", m.Name, strconv.FormatInt(m.Version, 10))
 		text(m.Adapters...)
--- a/topology/table.go
+++ b/topology/table.go
@@ -70,7 +70,7 @@
 		}
 		t.Servers = append(t.Servers, decide.Server{
 			ID: s.ID, Addr: s.Addr, Pool: s.Service, FailureDomain: s.Domain, Slots: slots, Leaving: s.Leaving,
-			Start: s.StartID(),
+			Start: s.StartID(), SoftwareVersion: s.SoftwareVersion,
 		})
 	}
 	if v.Config == nil {
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -95,6 +95,9 @@
 	Slots    int
 	Leaving  bool
 	Born     time.Time // time of its start, which differs between restarts under one id
+	// SoftwareVersion is the version of the software of this start, not of any model's
+	// weights; empty: not known, which is never the same as another unknown one.
+	SoftwareVersion string
 	Sequence int64     // number of orders accepted since its start
 	Models   []HeldModel
 	OnDisk   []string // models that it can load without the weight store
@@ -133,7 +136,7 @@
 // It ignores Sequence.
 func (s *Server) Equal(o *Server) bool {
 	if s.ID != o.ID || s.Service != o.Service || s.Addr != o.Addr || s.Domain != o.Domain || s.Slots != o.Slots ||
-		s.Leaving != o.Leaving || !s.Born.Equal(o.Born) || s.NoEntry != o.NoEntry {
+		s.Leaving != o.Leaving || !s.Born.Equal(o.Born) || s.NoEntry != o.NoEntry || s.SoftwareVersion != o.SoftwareVersion {
 		return false
 	}
 	return slices.EqualFunc(s.Models, o.Models, HeldModel.equal) && slices.Equal(s.OnDisk, o.OnDisk)
