--- a/soak/callers.go
+++ b/soak/callers.go
@@ -119,6 +119,7 @@
 		}
 		r := g.send(transport, rng, instance)
 		g.deployment.History.addResult(r)
+		g.resume(rng, r)
 		if r.Err != nil || r.Status/100 != 2 {
 			instance = -1
 			transport.CloseIdleConnections()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"greengageferry/platform/standin"
@@ -80,6 +78,7 @@
 	c.checkRateLimits()
 	c.checkLeaving()
 	c.checkRetryAfter()
+	c.checkVersions()
 	return c.violations
 }
 
@@ -99,7 +98,7 @@
 		return
 	}
 	got := a.Ask
-	got.LastEvent, got.Timeout = "", r.Ask.Timeout // both differ between sendings
+	got.LastEvent, got.Timeout = r.Ask.LastEvent, r.Ask.Timeout // both differ between sendings
 	if got != r.Ask {
 		c.violated("requests reach servers unchanged", "sent %+v, arrived %+v", r.Ask, a.Ask)
 	}
@@ -169,17 +168,16 @@
 
 // checkStream checks that no event is missing, duplicated or from another stream.
 func (c *checker) checkStream(r *Result) {
-	events := strings.Split(r.Body, "\n\n")
-	last := len(events) - 1 // the part after the last complete event
-	for n, e := range events[:last] {
-		want := "id: " + strconv.Itoa(n+1) + "\ndata: " + standin.EventData(n+1)
-		if e != want {
-			c.violated("stream events arrive in order and without gaps", "%s: event %d is %q", r.Ask.ID, n+1, e)
+	events, rest := r.events()
+	first := r.resumesAfter() + 1
+	for n, e := range events {
+		if want := standin.EventData(first+n, e.version); e.id != first+n || e.data != want {
+			c.violated("stream events arrive in order and without gaps", "%s: event %d is %+v", r.Ask.ID, first+n, e)
 			return
 		}
 	}
-	if r.Err == nil && (last != eventsPerStream || events[last] != "") {
-		c.violated("a stream that ends normally is complete", "%s ended after %d events", r.Ask.ID, last)
+	if r.Err == nil && (first+len(events) != eventsPerStream+1 || rest != "") {
+		c.violated("a stream that ends normally is complete", "%s ended after %d events", r.Ask.ID, first+len(events)-1)
 	}
 }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 
 // streamEvent returns event n of a stream as it is sent.
 func streamEvent(n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, standin.EventData(n))
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, standin.EventData(n, "v1"))
 }
 
 // TestEachCheckDetectsItsViolation violates each rule once in a valid history, which guards
@@ -59,6 +60,13 @@
 		"a success is the server's complete answer":          func(h *History) { h.results[0].Body = "desk" },
 		"a stream that ends normally is complete":            func(h *History) { h.results[2].Body = streamEvent(1) + streamEvent(2) },
 		"stream events arrive in order and without gaps":     func(h *History) { h.results[2].Body = streamEvent(1) + streamEvent(3) },
+		"streams go on only at the software version that began them": func(h *History) {
+			for n := range maxMixedStreams + 1 {
+				r, a := servedRequest(fmt.Sprint("mixed-", n), KindStream, time.Duration(n+10)*time.Second)
+				r.Body = strings.Replace(r.Body, "v1", "v2", 1)
+				h.results, h.arrivals = append(h.results, r), append(h.arrivals, a)
+			}
+		},
 		"configurations never revert": func(h *History) {
 			h.results[1].Ask.Path = standin.VersionPath(3) + "a"
 			h.arrivals[1].Ask.Path = h.results[1].Ask.Path
--- a/soak/world.go
+++ b/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -37,6 +38,7 @@
 type endpoint struct {
 	link        *Proxy
 	domain      string
+	version     string // of the software of the servers that start here; guarded by Deployment.mu
 	homeService string // the service it belongs to; faults may put a server of the other one there
 	http        *http.Server
 
@@ -71,6 +73,7 @@
 	Binary      string // path of the executable
 	OtherBinary string // path of the executable of every second instance; empty: Binary
 	Run         int    // sets the addresses; concurrent deployments need different values modulo 250
+	Engines     int    // servers of models in each failure domain; 0: engineServersPerDomain
 }
 
 // newDeployment starts the store, the servers and the instances.
@@ -91,7 +94,7 @@
 	}
 	domains := []string{"east", "west"}
 	for _, domain := range domains {
-		for range engineServersPerDomain {
+		for range cmp.Or(o.Engines, engineServersPerDomain) {
 			if err := d.addEndpoint(domain, standin.ServiceEngines); err != nil {
 				return nil, err
 			}
@@ -156,7 +159,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	e := &endpoint{domain: domain, homeService: service}
+	e := &endpoint{domain: domain, homeService: service, version: versionOf(len(d.endpoints))}
 	e.http = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		e.server.Load().ServeHTTP(rw, r)
 	})}
@@ -171,6 +174,10 @@
 	return nil
 }
 
+// versionOf returns the software version of the servers that start at the nth endpoint: two
+// versions serve side by side.
+func versionOf(n int) string { return fmt.Sprint("v", 1+n%2) }
+
 // startServer starts a server that holds no models at an endpoint, under the given id or a
 // new one if id is empty. The caller holds the lock.
 func (d *Deployment) startServer(e *endpoint, id, service string) {
@@ -179,7 +186,7 @@
 		id = fmt.Sprintf("%s-%d", service, d.serverCount)
 	}
 	e.opts = standin.ServerOptions{
-		ID: id, Service: service, Addr: e.link.Addr, Domain: e.domain, Slots: serverSlots,
+		ID: id, Service: service, Addr: e.link.Addr, Domain: e.domain, Slots: serverSlots, Version: e.version,
 		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: eventInterval, Observer: d.History,
 		UnframedShare: unframedShare,
 	}
