origin, relay, residency, instance: a stream goes on only at the software version that began it

The scheduler continued a stream wherever its model was held, and no instance could tell where the stream began that a caller takes up.

A request that goes on with a stream is restricted to the version that began it, by a target of its own, so that its queue, its estimates and its demand are its own, and the lease holder loads the model or adapter there if no server of that version holds it. Unknown, it goes on only if one version alone served for as long as streams live; else it is refused at once as not run. A version without a server is refused at once, an answer whose version is unknown breaks off.

Why it holds: the check stands before each attempt, not only at the choice; telling late costs a refusal and never a mixed stream.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -117,7 +117,11 @@
 	if f.Affinity != 0 {
 		req.Affinity, req.CrashedServers = f.Affinity, f.CrashedServers
 	}
-	switch reason, ok := s.mayRetry(now, req, srv, f); {
+	reason, ok := s.mayRetry(now, req, srv, f)
+	if ok && !s.retarget(req, f.Target) {
+		reason, ok = ReasonOtherVersion, false
+	}
+	switch {
 	case !ok:
 		s.refuse(req, reason, req.target.returns.next(now, 0, s.minSendInterval(now, req.target)))
 	default:
@@ -127,6 +131,20 @@
 	return s.out
 }
 
+// retarget gives a request that isn't dispatched another target, unless name is empty. It reports
+// whether there is one with that name.
+func (s *Scheduler) retarget(req *requestState, name string) bool {
+	if name == "" {
+		return true
+	}
+	t := s.fleet.targets[name]
+	if t == nil {
+		return false
+	}
+	req.Target, req.target = name, t
+	return true
+}
+
 // Ended handles the end of the request, with the outcome of its last attempt.
 func (s *Scheduler) Ended(now time.Time, request, server string, o Outcome) []Decision {
 	s.out = s.out[:0]
--- a/decide/types.go
+++ b/decide/types.go
@@ -139,6 +139,7 @@
 	ReasonMayHaveRun    Reason = "may_have_run"   // not idempotent, and an earlier attempt may have run
 	ReasonShuttingDown  Reason = "shutting_down"  // the instance is shutting down
 	ReasonQuarantined   Reason = "quarantined"    // the request crashes backend servers
+	ReasonOtherVersion  Reason = "other_version"  // no server has the software version at which the stream began
 	ReasonCallerLeft    Reason = "caller_left"    // the caller disconnected
 )
 
@@ -179,6 +180,9 @@
 	// RetryAfter is how long the server asked this instance to send it no requests; 0: not
 	// given.
 	RetryAfter time.Duration
+	// Target replaces the request's target from now on; empty: it stays. A stream that goes on
+	// is restricted to servers of the software version that began it.
+	Target string
 	// Unsent is set if no connection was made. The attempt reached no server and counts
 	// neither against the attempt limit nor as a retry.
 	Unsent bool
--- a/instance/front.go
+++ b/instance/front.go
@@ -127,7 +127,7 @@
 func (f *frontend) serveHealth(ctx context.Context) error {
 	mux := f.metricsMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if f.draining.Load() || !f.instance.ready() {
+		if f.draining.Load() || !f.instance.ready() || !f.instance.origins.mayAsk(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -55,6 +55,7 @@
 
 	allowances *allowances
 	suspects   *suspects
+	origins    *origins
 	forwards   *relay.ForwardServer // serves other instances
 
 	lease      *residency.Lease
@@ -98,9 +99,10 @@
 	i.allowances = newAllowances(i)
 	i.allowances.meter.SetBounds(o.Node.Allowances)
 	i.suspects = newSuspects(i)
+	i.origins = newOrigins(i)
 	i.relay = relay.New(relay.Options{
 		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial, Peers: i.knownPeers,
-		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects,
+		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects, Origins: i.origins,
 	})
 	i.forwards = i.relay.NewForwardServer(exchange.NewExchangeServer(exchangeServer{i}))
 	i.frontend = newFrontend(i)
@@ -177,6 +179,7 @@
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
 			supervise.Duty{Name: "suspects", Run: i.suspects.run},
+			supervise.Duty{Name: "origins", Run: i.origins.run},
 			supervise.Duty{Name: "quarantines", Run: i.suspects.keep},
 			supervise.Duty{Name: "paths", Run: i.relay.ProbePaths},
 			supervise.Duty{Name: "count", Run: i.keepCount},
@@ -204,6 +207,7 @@
 	if old := i.view.Config; old != nil && c.Version <= old.Version {
 		return
 	}
+	i.origins.setConfig(c)
 	first := i.view.Config == nil
 	i.view.Config = c
 	i.view.Index = topology.NewIndex(c.Routes)
@@ -256,6 +260,7 @@
 	servers := i.leaving.Mark(now, i.listed)
 	i.logServerChanges(servers)
 	i.view.Servers = servers
+	i.view.Versions = i.origins.setServers(now, servers)
 	i.signalViewChanged()
 }
 
--- a/instance/known_peers.go
+++ b/instance/known_peers.go
@@ -57,6 +57,7 @@
 	if len(candidates) == 0 {
 		return
 	}
+	i.origins.setMembers(candidates)
 	addrs := make([]string, len(candidates))
 	for n, c := range candidates {
 		addrs[n] = c.Addr
--- a/relay/call.go
+++ b/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -61,7 +62,9 @@
 	account       *topology.Account // nil: the request has no known API key and needs none
 	charged       *topology.Account // whose allowance the request is charged to; nil: none
 	service       *topology.Service
-	target        string
+	target        string // guarded by dispatcher.mu once the request is submitted
+	anyVersion    string // target without a restriction to a software version
+	version       string // software version of the servers that may run the request; empty: any
 	body          []byte
 	deadline      time.Time
 	decisions     chan decide.Decision
@@ -117,18 +120,30 @@
 		return c.respondDenied(a)
 	}
 	c.setAdmission(v, a)
+	resumed, ok := c.origin()
+	if !ok {
+		return c.refuse(reasonOriginUnknown, originRetryAfter)
+	}
 	if d := c.charge(); d.Verdict != allowance.Admitted {
 		return c.refuseCharge(d)
 	}
-	name := c.route.Pick(rand.Float64())
+	c.setTarget(v, cmp.Or(resumed.Service, c.route.Pick(rand.Float64())))
+	if resumed.Version != "" && !c.restrictTo(v, resumed.Version) {
+		return c.refuse(string(decide.ReasonOtherVersion), originRetryAfter)
+	}
+	c.setDeadline()
+	return c.run()
+}
+
+// setTarget sets the service that runs the request, and the target there.
+func (c *call) setTarget(v *topology.View, name string) {
 	service := v.Config.Services[name]
 	c.service = &service
 	c.target = name
 	if service.Engine != nil {
 		c.target = topology.TargetName(name, c.headers.Model, c.headers.Adapter)
 	}
-	c.setDeadline()
-	return c.run()
+	c.anyVersion = c.target
 }
 
 // path returns the path of the request as its caller sent it, without the query.
@@ -198,6 +213,10 @@
 			if outcome := c.endIfKeyRevoked(); outcome != "" {
 				return outcome
 			}
+			if c.version != "" && d.Server.SoftwareVersion != c.version {
+				c.reportFailure(decide.Failure{Reason: infra.ReasonCanceled, Effect: infra.EffectNone, Unsent: true})
+				continue
+			}
 			if outcome, proceed := c.checkBeforeAttempt(ctx); outcome != "" {
 				return outcome
 			} else if !proceed {
@@ -251,6 +270,7 @@
 func (c *call) reportFailure(f decide.Failure) {
 	c.mayHaveRun = c.mayHaveRun || f.Effect != infra.EffectNone
 	f.Tokens = c.tokensSent()
+	f.Target = c.restrictedTarget()
 	c.relay.dispatcher.attemptFailed(c, f)
 }
 
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -137,6 +137,9 @@
 	defer d.mu.Unlock()
 	server := c.serverID
 	d.releaseServer(c)
+	if f.Target != "" {
+		c.target = f.Target
+	}
 	d.deliver(d.scheduler.AttemptFailed(time.Now(), c.id, server, f))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,6 +96,9 @@
 	Allowances Allowances
 	// Quarantine knows which requests crash servers. It may be nil: none is refused for it.
 	Quarantine Quarantine
+	// Origins knows at which software version streams began. It may be nil: streams that
+	// callers take up again are refused.
+	Origins Origins
 	// Peers returns the addresses of other instances, through which servers are reached that
 	// this instance doesn't reach itself. It may be nil: there are none.
 	Peers func() []string
@@ -177,10 +180,10 @@
 
 // SetView replaces the view of the deployment and the routing table built from it.
 func (r *Relay) SetView(v *topology.View, t *decide.Table) {
-	r.view.Store(v)
 	r.backends.retainListed(v.Servers)
 	r.paths.retainListed(v.Servers)
-	r.dispatcher.setTable(t)
+	r.dispatcher.setTable(t) // before the view, by which requests are given targets of the table
+	r.view.Store(v)
 }
 
 // UpdateRemoteLoad sets the load that all other instances together put on a server.
--- /dev/null
+++ b/relay/resumption_test.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cuttingStream returns a script that cuts the first stream of all its servers inside the third
+// event, and writes into each event which server sent it.
+func cuttingStream(calls *atomic.Int64, server string) func(http.ResponseWriter, *http.Request, string) {
+	return func(w http.ResponseWriter, r *http.Request, _ string) {
+		first := calls.Add(1) == 1
+		last, _ := strconv.Atoi(r.Header.Get("Last")) // 0: from the start
+		var body string
+		for n := last + 1; n <= streamLength; n++ {
+			if first && n == 3 {
+				body += "id"
+				break
+			}
+			body += fmt.Sprintf("id: %d\ndata: %s\n\n", n, server)
+		}
+		writeRaw(w, r, "Content-Type: text/event-stream\r\n", serverEnd{sent: body})
+	}
+}
+
+// newVersionsHarness returns a harness whose servers have the given software versions, and name
+// them in their events.
+func newVersionsHarness(t *testing.T, versions ...string) *harness {
+	var calls atomic.Int64
+	var scripts []func(http.ResponseWriter, *http.Request, string)
+	for _, v := range versions {
+		scripts = append(scripts, cuttingStream(&calls, v))
+	}
+	b := newHarness(t, scripts...)
+	b.versions = versions
+	b.setView(2)
+	return b
+}
+
+// versionedBody returns the events from a number on as servers of a version send them.
+func versionedBody(from int, version string) string {
+	body := ""
+	for n := from; n <= streamLength; n++ {
+		body += fmt.Sprintf("id: %d\ndata: %s\n\n", n, version)
+	}
+	return body
+}
+
+func TestAnswerGoesOnOnlyAtItsVersion(t *testing.T) {
+	for range 20 {
+		b := newVersionsHarness(t, "v1", "v2", "v1", "v2")
+		a := b.do(b.request("POST", "/resume/", "prompt"))
+		require.NoError(t, a.err)
+		require.Contains(t, []string{versionedBody(1, "v1"), versionedBody(1, "v2")}, a.body)
+	}
+}
+
+func TestAnswerWhoseVersionIsGoneOrUnknownBreaksOff(t *testing.T) {
+	for _, versions := range [][]string{{"v1", "v1"}, {"", ""}} {
+		b := newVersionsHarness(t, versions...)
+		for _, s := range b.backends {
+			answer := s.script
+			s.script = func(w http.ResponseWriter, r *http.Request, body string) {
+				if versions[0] == "v1" { // both have started again with another version
+					b.versions = []string{"v2", "v2"}
+					b.setView(3)
+				}
+				answer(w, r, body)
+			}
+		}
+		a := b.do(b.request("POST", "/resume/", "prompt"))
+		require.Error(t, a.err)
+		require.Contains(t, a.body, "id: 2")
+		require.NotContains(t, a.body, "id: 3")
+	}
+}
+
+func TestStreamTakenUpByItsCallerGoesOnOnlyAtItsVersion(t *testing.T) {
+	for range 10 {
+		b := newVersionsHarness(t, "v1", "v2", "v1", "v2")
+		_ = b.do(b.request("POST", "/stream/", "prompt")) // the first call is cut
+		b.origins.Began("first", Origin{"svc", "v2"})
+		a := b.do(b.request("POST", "/resume/", "prompt", "Last", "2", "Resumes", "first"))
+		require.NoError(t, a.err)
+		require.Equal(t, versionedBody(3, "v2"), a.body)
+	}
+}
+
+func TestStreamOfUnknownOriginIsRefusedAsNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare  func(b *harness)
+		resumes  string
+		expected int
+	}{
+		"nobody knows it":                 {func(*harness) {}, "first", 503},
+		"its caller doesn't say":          {func(*harness) {}, "", 503},
+		"its version serves no more":      {func(b *harness) { b.origins.Began("first", Origin{"svc", "v0"}) }, "first", 503},
+		"its service isn't the route's":   {func(b *harness) { b.origins.Began("first", Origin{"other", "v1"}) }, "first", 503},
+		"one version is possible":         {func(b *harness) { b.origins.only = "v1" }, "first", 200},
+		"one version, not said which":     {func(b *harness) { b.origins.only = "v1" }, "", 200},
+		"the only version serves no more": {func(b *harness) { b.origins.only = "v0" }, "first", 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newVersionsHarness(t, "v1", "v2")
+			_ = b.do(b.request("POST", "/stream/", "prompt")) // the first call is cut
+			calls := b.calls()
+			c.prepare(b)
+			a := b.do(b.request("POST", "/resume/", "prompt", "Last", "2", "Resumes", c.resumes))
+			require.Equal(t, c.expected, a.status)
+			if c.expected == 200 {
+				require.Equal(t, versionedBody(3, "v1"), a.body)
+				return
+			}
+			require.NotEmpty(t, a.header.Get("Retry-After"))
+			require.Equal(t, calls, b.calls(), "no server may have got it")
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -91,7 +91,7 @@
 
 // handleStreamError handles a stream that ended prematurely.
 func (c *call) handleStreamError(ctx context.Context, d decide.Decision, res *http.Response, err error) string {
-	if !c.stream.started || c.route.Retry == topology.Resumable {
+	if !c.stream.started || c.mayResume() {
 		return c.handleAttemptError(ctx, d, err)
 	}
 	c.mayHaveRun = true
@@ -110,6 +110,7 @@
 func (c *call) startStream(res *http.Response, s decide.Server) {
 	c.stream.started = true
 	c.stream.version = s.SoftwareVersion
+	c.rememberOrigin()
 	c.firstByte = time.Now()
 	c.relay.opts.Metrics.ObserveFirstByte(time.Since(c.arrived))
 	c.writeHead(res.StatusCode, res.Header)
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -15,6 +15,7 @@
 	copies      int
 	waiting     int
 	concurrency float64
+	version     string // software version of the servers that lack it; empty: of all
 }
 
 // planAdapters orders adapter loads on the servers that hold the adapter's model: first
@@ -49,6 +50,11 @@
 			shortage := adapterShortage{model: m, adapter: topology.AdapterName(n)}
 			name := w.targetName(m.Name, n)
 			shortage.concurrency, shortage.waiting = w.p.demand.Concurrency(name), w.p.demand.Waiting(name)
+			for _, version := range w.p.demand.Versions(name) {
+				at := topology.VersionTarget(name, version)
+				shortage.concurrency += w.p.demand.Concurrency(at)
+				shortage.waiting += w.p.demand.Waiting(at)
+			}
 			for _, s := range m.replicas {
 				if s.holds(m.Name, shortage.adapter) {
 					shortage.copies++
@@ -57,18 +63,41 @@
 			if shortage.copies == 0 || shortage.copies < len(m.replicas) && shortage.concurrency > demandPerCopy*float64(shortage.copies) {
 				out = append(out, shortage)
 			}
+			out = append(out, w.versionShortages(m, n)...)
 		}
 	}
 	return out
 }
 
+// versionShortages returns the software versions at which streams of a model's nth adapter wait
+// that no server of that version holds.
+func (w *pool) versionShortages(m *model, n int) []adapterShortage {
+	var out []adapterShortage
+	name, adapter := w.targetName(m.Name, n), topology.AdapterName(n)
+	for _, version := range w.p.demand.Versions(name) {
+		waiting := w.p.demand.Waiting(topology.VersionTarget(name, version))
+		held := slices.ContainsFunc(m.replicas, func(s *server) bool {
+			return s.SoftwareVersion == version && s.holds(m.Name, adapter)
+		})
+		if waiting > 0 && !held {
+			out = append(out, adapterShortage{model: m, adapter: adapter, waiting: waiting, version: version})
+		}
+	}
+	return out
+}
+
+// excludes reports whether the shortage isn't one of the server's software version.
+func (a *adapterShortage) excludes(s *server) bool {
+	return a.version != "" && a.version != s.SoftwareVersion
+}
+
 // placeAdapter returns an order toward one more copy of an adapter: a load, or an
 // unload that frees a slot.
 func (w *pool) placeAdapter(shortage adapterShortage) (Order, bool) {
 	var best *server
 	available := 0
 	for _, s := range shortage.model.replicas {
-		if !s.available(w.now) || !s.Server.Holds(shortage.model.Name, "") || s.holds(shortage.model.Name, shortage.adapter) {
+		if shortage.excludes(s) || !s.available(w.now) || !s.Server.Holds(shortage.model.Name, "") || s.holds(shortage.model.Name, shortage.adapter) {
 			continue
 		}
 		if n := w.engine.AdapterSlots - s.adapterCount(); n > available {
@@ -92,7 +121,7 @@
 	oldest := time.Time{}
 	found := false
 	for _, s := range shortage.model.replicas {
-		if !s.available(w.now) || !s.Server.Holds(shortage.model.Name, "") {
+		if shortage.excludes(s) || !s.available(w.now) || !s.Server.Holds(shortage.model.Name, "") {
 			continue
 		}
 		for _, m := range s.Models {
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -49,6 +49,7 @@
 // DemandTracker tracks demand over all instances. It is not safe for concurrent use.
 type DemandTracker struct {
 	targets     map[string]*targetState
+	versions    map[string][]string // see Versions
 	instances   map[string]*instanceState
 	decayTime   time.Duration
 	holdSeconds float64 // mean time that a request occupies a slot, over all targets
@@ -175,8 +176,26 @@
 			delete(d.targets, name)
 		}
 	}
+	d.updateVersions()
 }
 
+// updateVersions finds the targets that are asked for at some software version alone.
+func (d *DemandTracker) updateVersions() {
+	d.versions = map[string][]string{}
+	for name := range d.targets {
+		if target, version := topology.CutVersion(name); version != "" {
+			d.versions[target] = append(d.versions[target], version)
+		}
+	}
+	for _, versions := range d.versions {
+		slices.Sort(versions)
+	}
+}
+
+// Versions returns the software versions at which a target was lately asked for by requests
+// that can't run at another one, since they go on with a stream.
+func (d *DemandTracker) Versions(target string) []string { return d.versions[target] }
+
 // rateWindow returns the time in seconds that the decaying request counts stand for:
 // rateDecayTime, or less if the tracker is younger. With the full time, a new lease
 // holder would take the few requests reported so far for a low rate, overestimate the
--- a/residency/place.go
+++ b/residency/place.go
@@ -13,7 +13,7 @@
 // configuration. A declared model that was evicted is loaded again when it is
 // requested.
 func (w *pool) planModels() []Order {
-	var out []Order
+	out := w.planVersions()
 	underReplicated := w.underReplicated()
 	w.recordShortages(underReplicated)
 	for len(underReplicated) > 0 {
@@ -21,7 +21,7 @@
 			return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
 		})
 		m := underReplicated[0]
-		o, found := w.addReplica(m)
+		o, found := w.addReplica(m, "")
 		if o != nil {
 			out = append(out, *o)
 		}
@@ -106,10 +106,10 @@
 // demandPerReplica returns the model's demand divided by its replicas.
 func (m *model) demandPerReplica() float64 { return m.concurrency / float64(max(len(m.replicas), 1)) }
 
-// addReplica chooses a server for one more replica of a model and returns the order to
-// load the model there, or nil if another model has to drain first. found is false if
-// no server is suitable.
-func (w *pool) addReplica(m *model) (o *Order, found bool) {
+// addReplica chooses a server, of the given software version unless that is empty, for one more
+// replica of a model and returns the order to load the model there, or nil if another model has
+// to drain first. found is false if no server is suitable.
+func (w *pool) addReplica(m *model, version string) (o *Order, found bool) {
 	var best *server
 	bestCost := math.Inf(1)
 	var bestVictim *model
@@ -117,6 +117,9 @@
 		if !s.available(w.now) || slices.Contains(m.replicas, s) || slices.Contains(w.rateLimited, s) {
 			continue
 		}
+		if version != "" && s.SoftwareVersion != version {
+			continue
+		}
 		onDisk := slices.Contains(s.OnDisk, m.Name)
 		if !onDisk && (w.budget.tokens < 1 || w.storeLoads >= w.maxStoreLoads(m)) {
 			continue
@@ -220,7 +223,7 @@
 	}
 	for _, name := range s.models() {
 		x := w.models[name]
-		if x == nil || x == m || s.isUnloading(name) || w.now.Sub(s.firstSeen[name]) < x.LoadTime || !w.canEvict(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
+		if x == nil || x.Name == m.Name || w.keepsVersion(x, s) || s.isUnloading(name) || w.now.Sub(s.firstSeen[name]) < x.LoadTime || !w.canEvict(x, m) || used-x.MemoryMB+m.MemoryMB > w.engine.MemoryMB {
 			continue
 		}
 		if victim == nil || w.evictionCost(x) < w.evictionCost(victim) {
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -36,6 +36,8 @@
 	desired     int // replicas
 	replicas    []*server
 	pending     int // replicas that are still being loaded
+	// versions are the software versions at which streams of the model go on.
+	versions []string
 }
 
 // pool returns a service's pool with the desired replicas of all models.
@@ -50,10 +52,13 @@
 		x := &model{Model: m}
 		for n := 0; n <= m.Adapters; n++ {
 			name := w.targetName(m.Name, n)
-			x.rate += p.demand.Rate(now, name)
-			x.concurrency += p.demand.Concurrency(name)
-			x.waiting += p.demand.Waiting(name)
-			x.busyServers += p.demand.Work(name)
+			x.addDemand(now, p.demand, name)
+			for _, version := range p.demand.Versions(name) {
+				x.addDemand(now, p.demand, topology.VersionTarget(name, version))
+				if !slices.Contains(x.versions, version) {
+					x.versions = append(x.versions, version)
+				}
+			}
 		}
 		w.models[m.Name] = x
 		w.modelList = append(w.modelList, x)
@@ -78,6 +83,14 @@
 	return w
 }
 
+// addDemand adds the demand for a target.
+func (m *model) addDemand(now time.Time, demand *DemandTracker, target string) {
+	m.rate += demand.Rate(now, target)
+	m.concurrency += demand.Concurrency(target)
+	m.waiting += demand.Waiting(target)
+	m.busyServers += demand.Work(target)
+}
+
 // drainComplete reports whether all instances have stopped using a draining model.
 func (w *pool) drainComplete(draining *drainingModel) bool {
 	if w.now.Sub(draining.startedAt) >= maxDrainTime {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -47,6 +47,7 @@
 	callers      int
 	ready        []atomic.Bool // by index of the instance: the load balancer considers it ready
 	light        atomic.Bool   // few requests, most of them GET
+	streamsOnly  bool          // only streams that may be resumed
 	group        sync.WaitGroup
 }
 
@@ -159,8 +160,11 @@
 	id := fmt.Sprint("r", g.requestCount.Add(1))
 	req := standin.Ask{ID: id, Method: http.MethodPost, Body: "body of " + id, Timeout: callerTimeout}
 	unsafe, safe := 0.4, 0.1
-	if g.light.Load() {
+	switch {
+	case g.light.Load():
 		unsafe, safe = 0.1, 0.8
+	case g.streamsOnly:
+		unsafe, safe = 0, 0
 	}
 	switch p := rng.Float64(); {
 	case p < unsafe:
@@ -178,7 +182,7 @@
 	default:
 		req.Model = standin.BusyModel
 	}
-	if rng.Float64() < onceStreamShare {
+	if !g.streamsOnly && rng.Float64() < onceStreamShare {
 		req.Path = standin.OnceStreamPath + id
 		return req, KindOnceStream
 	}
@@ -194,7 +198,7 @@
 		timeout = cancelDelay
 	}
 	request, kind := g.nextRequest(rng)
-	r := Result{Ask: request, Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), Sent: time.Now()}
+	r := Result{Ask: request, Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now()}
 	if rng.Float64() < http10Share {
 		transport = http10Transport{}
 	}
@@ -226,7 +230,7 @@
 	id := d.newProbeID()
 	r := Result{
 		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: path + id, Model: model, Body: id, Timeout: callerTimeout},
-		Kind: KindSafe, Instance: p.Node.Name, Boot: p.Boot(), Sent: time.Now(),
+		Kind: KindSafe, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
 	}
 	switch path {
 	case standin.PlainPath:
--- a/soak/history.go
+++ b/soak/history.go
@@ -26,19 +26,21 @@
 
 // Result is one request as its caller saw it.
 type Result struct {
-	Ask         standin.Ask
-	Kind        Kind
-	Instance    string
-	Boot        int // number of starts of the instance when the request was sent
-	Sent        time.Time
-	Ended       time.Time
-	Status      int    // 0: no answer
-	EchoedID    string // request id in the answer
-	Server      string // id of the server that signed the answer; empty: the instance itself answered
-	RateLimited bool   // the answer states its server's rate limit
-	Leaving     bool   // the answer reports that its server is leaving
-	Body        string
-	Err         error // not nil if the answer is missing or did not end normally
+	Ask      standin.Ask
+	Kind     Kind
+	Instance string
+	Boot     int // number of starts of the instance when the request was sent
+	// InstanceStarted is when the instance last started before the request was sent.
+	InstanceStarted time.Time
+	Sent            time.Time
+	Ended           time.Time
+	Status          int    // 0: no answer
+	EchoedID        string // request id in the answer
+	Server          string // id of the server that signed the answer; empty: the instance itself answered
+	RateLimited     bool   // the answer states its server's rate limit
+	Leaving         bool   // the answer reports that its server is leaving
+	Body            string
+	Err             error // not nil if the answer is missing or did not end normally
 }
 
 // Served reports whether the request succeeded and its answer ended normally.
--- a/soak/process.go
+++ b/soak/process.go
@@ -33,10 +33,11 @@
 	cmd             *exec.Cmd     // nil: not running
 	exited          chan struct{} // closed when the process has exited
 	starts          int           // number of times the process was started
-	shouldRun       bool          // false after SIGTERM or SIGKILL was sent
-	graceExceeded   bool          // the process was killed because it ran beyond its grace period
-	unexpectedExits []string      // descriptions of exits that no signal asked for
-	exitErr         error         // result of the last exit; nil: exit code 0
+	startedAt       time.Time
+	shouldRun       bool     // false after SIGTERM or SIGKILL was sent
+	graceExceeded   bool     // the process was killed because it ran beyond its grace period
+	unexpectedExits []string // descriptions of exits that no signal asked for
+	exitErr         error    // result of the last exit; nil: exit code 0
 }
 
 // processOptions configures a Process.
@@ -115,6 +116,7 @@
 	}
 	p.cmd, p.shouldRun, p.exited = cmd, true, make(chan struct{})
 	p.starts++
+	p.startedAt = time.Now()
 	go p.wait(cmd, p.exited)
 	return nil
 }
@@ -185,6 +187,13 @@
 	return p.starts
 }
 
+// StartedAt returns when the process was last started.
+func (p *Process) StartedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.startedAt
+}
+
 // UnexpectedExits describes each exit that was not preceded by SIGTERM or SIGKILL.
 func (p *Process) UnexpectedExits() []string {
 	p.mu.Lock()
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -33,7 +33,7 @@
 			return
 		}
 		p := g.deployment.Instances[instance]
-		next := Result{Ask: ask, Kind: KindStream, Instance: p.Node.Name, Boot: p.Boot(), Sent: time.Now()}
+		next := Result{Ask: ask, Kind: KindStream, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now()}
 		next.request(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, p.CallerLink.Addr, callerTimeout)
 		g.deployment.History.addResult(next)
 		broken = next
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +15,8 @@
 	// large it must be, relative to that of new streams.
 	minResumptions  = 12
 	minResumedShare = 0.9
+	// touchTime is how long after its start an instance counts as in touch with the others.
+	touchTime = 3 * time.Second
 )
 
 // receivedEvent is one event of a stream as its caller saw it.
@@ -90,42 +93,41 @@
 }
 
 // resumptions counts the requests that begin a stream, and those that resume one, with how many
-// of each brought an event.
+// of each ran, though a server may have cut them short.
 type resumptions struct {
 	begun, begunServed, resumed, resumedServed int
 }
 
-// countResumptions counts the streams sent in a period at whose version at least two servers
-// serve, as serving says.
-func (h *History) countResumptions(from, to time.Time, serving func(version string) bool) resumptions {
+// countResumptions counts the streams sent in a period to instances in touch, at whose version at
+// least two servers serve.
+func (h *History) countResumptions(from, to time.Time) resumptions {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out resumptions
-	began := map[string]string{}
 	for n := range h.results {
 		r := &h.results[n]
-		events, _ := r.events()
-		if r.Kind != KindStream {
-			continue
-		}
-		if r.Ask.Resumes == "" && len(events) > 0 {
-			began[r.Ask.ID] = events[0].version
-		}
-		if r.Sent.Before(from) || !r.Sent.Before(to) {
+		if r.Kind != KindStream || r.Sent.Before(from) || !r.Sent.Before(to) || r.Sent.Sub(r.InstanceStarted) < touchTime {
 			continue
 		}
-		switch {
-		case r.Ask.Resumes == "":
+		if r.Ask.Resumes == "" {
 			out.begun++
-			out.begunServed += min(len(events), 1)
-		case serving(began[r.Ask.Resumes]):
+			out.begunServed += r.ran()
+		} else {
 			out.resumed++
-			out.resumedServed += min(len(events), 1)
+			out.resumedServed += r.ran()
 		}
 	}
 	return out
 }
 
+// ran returns 1 if a server ran the request, whether or not it cut the answer short, else 0.
+func (r *Result) ran() int {
+	if r.Status == http.StatusOK || r.Status == http.StatusBadGateway {
+		return 1
+	}
+	return 0
+}
+
 // check returns an error text if resumptions bring events much more seldom than new streams.
 func (n resumptions) check() string {
 	if n.resumed < minResumptions || n.begun == 0 {
@@ -136,3 +138,16 @@
 	}
 	return ""
 }
+
+// refusedResumptions counts the resumptions sent since a time that no server ran, by their answer.
+func (h *History) refusedResumptions(from time.Time) map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]int{}
+	for n := range h.results {
+		if r := &h.results[n]; r.Ask.Resumes != "" && !r.Sent.Before(from) && r.ran() == 0 {
+			out[fmt.Sprint(r.Status, " ", strings.TrimSpace(r.Body))]++
+		}
+	}
+	return out
+}
--- a/topology/routes.go
+++ b/topology/routes.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"slices"
 	"strings"
 )
 
@@ -66,6 +67,11 @@
 	return nil
 }
 
+// Serves reports whether the route's requests may go to the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Choices, func(c Choice) bool { return c.Service == service })
+}
+
 // Pick returns one of the route's services, chosen by weight. draw is a random number in
 // [0, 1).
 func (r *Route) Pick(draw float64) string {
--- a/topology/table.go
+++ b/topology/table.go
@@ -21,6 +21,21 @@
 	return service + "/" + model + "/" + adapter
 }
 
+// versionSeparator separates a target from the software version of the servers that it is
+// restricted to. It can't occur in the name of a model.
+const versionSeparator = " @"
+
+// VersionTarget returns the name of the target that is another one at servers of a software
+// version.
+func VersionTarget(target, version string) string { return target + versionSeparator + version }
+
+// CutVersion splits the name of a target into that of the target without a restriction to a
+// software version, and the version; empty: there is none.
+func CutVersion(target string) (name, version string) {
+	name, version, _ = strings.Cut(target, versionSeparator)
+	return name, version
+}
+
 // AdapterName returns the name of a model's nth adapter, counted from 1: a1, a2 and so on.
 func AdapterName(n int) string { return "a" + strconv.Itoa(n) }
 
@@ -36,6 +51,25 @@
 	// requested. Requests are then queued for it instead of refused.
 	LoadOnDemand bool
 	Held         HeldList // differences between what servers hold and what their entries show
+	// Versions holds, for each service of which servers of several software versions serve or
+	// served lately, those versions. An unknown one is left out.
+	Versions map[string][]string
+}
+
+// TargetAt returns the name of the target that serves a service's target at a software version
+// alone.
+func (v *View) TargetAt(service, target, version string) string {
+	if len(v.Versions[service]) > 1 {
+		return VersionTarget(target, version)
+	}
+	return target
+}
+
+// Serves reports whether a server of the service that has the software version isn't leaving.
+func (v *View) Serves(service, version string) bool {
+	return slices.ContainsFunc(v.Servers, func(s Server) bool {
+		return s.Service == service && s.SoftwareVersion == version && !s.Leaving
+	})
 }
 
 // Instances returns the number of live instances in all failure domains.
@@ -77,7 +111,7 @@
 		return t
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
-		addTargets(t, v.Config.Services[name], v.LoadOnDemand)
+		addTargets(t, v, v.Config.Services[name])
 	}
 	byServer := map[string]HeldList{}
 	for _, h := range v.Held {
@@ -97,9 +131,9 @@
 }
 
 // addTargets adds a service's targets, without replicas.
-func addTargets(t *decide.Table, s Service, loadOnDemand bool) {
+func addTargets(t *decide.Table, v *View, s Service) {
 	if s.Engine == nil {
-		t.Targets[s.Name] = &decide.Target{Name: s.Name, Pool: s.Name, Service: true}
+		addTarget(t, v, decide.Target{Name: s.Name, Pool: s.Name, Service: true})
 		return
 	}
 	for _, m := range s.Engine.Models {
@@ -109,16 +143,33 @@
 				adapter = AdapterName(n)
 			}
 			name := TargetName(s.Name, m.Name, adapter)
-			t.Targets[name] = &decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ReplicaPending: loadOnDemand}
+			addTarget(t, v, decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ReplicaPending: v.LoadOnDemand})
 		}
 	}
 }
 
+// addTarget adds a target and, for each software version of its service if there are several,
+// the target at that version.
+func addTarget(t *decide.Table, v *View, target decide.Target) {
+	t.Targets[target.Name] = &target
+	if len(v.Versions[target.Pool]) < 2 {
+		return
+	}
+	for _, version := range v.Versions[target.Pool] {
+		at := target
+		at.Name = VersionTarget(target.Name, version)
+		at.ReplicaPending = target.ReplicaPending && v.Serves(target.Pool, version)
+		t.Targets[at.Name] = &at
+	}
+}
+
 // addReplicas adds a server, given by its index in the table, to the targets that it can
 // serve.
 func addReplicas(t *decide.Table, index int, s *Server, held HeldList) {
-	if target := t.Targets[s.Service]; target != nil {
-		target.Replicas = append(target.Replicas, decide.Replica{Server: index})
+	if t.Targets[s.Service] != nil {
+		for _, target := range targetsAt(t, index, s.Service) {
+			target.Replicas = append(target.Replicas, decide.Replica{Server: index})
+		}
 		return
 	}
 	for _, m := range s.Models {
@@ -153,14 +204,24 @@
 // addReplica adds a server to the target, unless it is there already or the target is
 // not configured.
 func addReplica(t *decide.Table, index int, name string, version int64) {
-	target := t.Targets[name]
-	if target == nil {
-		return
-	}
 	r := decide.Replica{Server: index, Version: strconv.FormatInt(version, 10)}
-	if !slices.Contains(target.Replicas, r) {
-		target.Replicas = append(target.Replicas, r)
+	for _, target := range targetsAt(t, index, name) {
+		if !slices.Contains(target.Replicas, r) {
+			target.Replicas = append(target.Replicas, r)
+		}
+	}
+}
+
+// targetsAt returns the target with the name and the same target at the server's software
+// version, as far as they are configured.
+func targetsAt(t *decide.Table, server int, name string) []*decide.Target {
+	var out []*decide.Target
+	for _, n := range []string{name, VersionTarget(name, t.Servers[server].SoftwareVersion)} {
+		if target := t.Targets[n]; target != nil {
+			out = append(out, target)
+		}
 	}
+	return out
 }
 
 // SplitModel splits a request's model name, model/adapter, into model and adapter.
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -31,6 +31,18 @@
 	Record   []byte // as read from the store, with digests in place of API keys; instances pass it on to each other
 }
 
+// LongestResumable returns the longest timeout of a route whose streams may be resumed, 0 if
+// there is none.
+func (c *Config) LongestResumable() time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if c.Routes[i].Retry == Resumable {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // Route maps the requests for a host and a path prefix to services.
 type Route struct {
 	Name     string
@@ -88,19 +100,19 @@
 
 // Server is a backend server, as described by its newest entry in the store.
 type Server struct {
-	ID       string
-	Service  string
-	Addr     string // IP:port
-	Domain   string // its failure domain
-	Slots    int
-	Leaving  bool
-	Born     time.Time // time of its start, which differs between restarts under one id
+	ID      string
+	Service string
+	Addr    string // IP:port
+	Domain  string // its failure domain
+	Slots   int
+	Leaving bool
+	Born    time.Time // time of its start, which differs between restarts under one id
 	// SoftwareVersion is the version of the software of this start, not of any model's
 	// weights; empty: not known, which is never the same as another unknown one.
 	SoftwareVersion string
-	Sequence int64     // number of orders accepted since its start
-	Models   []HeldModel
-	OnDisk   []string // models that it can load without the weight store
+	Sequence        int64 // number of orders accepted since its start
+	Models          []HeldModel
+	OnDisk          []string // models that it can load without the weight store
 	// NoEntry says that the server's entry was removed just after a store outage, in which
 	// it may only have expired. See Fleet.
 	NoEntry bool
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -150,3 +150,41 @@
 		require.Equal(t, 0, replicaCount(t, tb, target), "the adapters of a dropped model must be dropped too")
 	}
 }
+
+// A target at a software version has the replicas of that version's servers alone, and waits for
+// a load only if one of them could hold it.
+func TestTargetsAtSoftwareVersions(t *testing.T) {
+	model := []HeldModel{{Name: "m", Version: 1}}
+	v := &View{
+		Config: &Config{Services: map[string]Service{"llm": {Name: "llm", Engine: &Engine{Models: []Model{{Name: "m"}}}}}},
+		Servers: []Server{
+			{ID: "a", Service: "llm", Models: model, SoftwareVersion: "v1"},
+			{ID: "b", Service: "llm", Models: model, SoftwareVersion: "v2", Leaving: true},
+			{ID: "c", Service: "llm", Models: model},
+		},
+		LoadOnDemand: true,
+		Versions:     map[string][]string{"llm": {"v1", "v2", "v3"}},
+	}
+	targets := BuildTable("d", v, decide.RetryPolicy{}).Targets
+	servers := func(name string) []int {
+		var out []int
+		for _, r := range targets[name].Replicas {
+			out = append(out, r.Server)
+		}
+		return out
+	}
+	require.Equal(t, []int{0, 1, 2}, servers("llm/m"))
+	require.Equal(t, []int{0}, servers(VersionTarget("llm/m", "v1")))
+	require.Equal(t, []int{1}, servers(VersionTarget("llm/m", "v2")))
+	require.Empty(t, servers(VersionTarget("llm/m", "v3")))
+	require.True(t, targets[VersionTarget("llm/m", "v1")].ReplicaPending)
+	require.False(t, targets[VersionTarget("llm/m", "v2")].ReplicaPending)
+	require.False(t, targets[VersionTarget("llm/m", "v3")].ReplicaPending)
+	require.NotContains(t, targets, VersionTarget("llm/m", ""), "an unknown version is no version")
+	name, version := CutVersion(v.TargetAt("llm", "llm/m", "v1"))
+	require.Equal(t, []string{"llm/m", "v1"}, []string{name, version})
+
+	v.Versions = map[string][]string{"llm": {"v1"}}
+	require.Len(t, BuildTable("d", v, decide.RetryPolicy{}).Targets, 1, "one version needs no targets of its own")
+	require.Equal(t, "llm/m", v.TargetAt("llm", "llm/m", "v1"))
+}
