decide: a request from the queue is taken for one with a single replica only if it is

What callers saw: a request that had waited in the queue was left at a silent server until its deadline, though another server served its target.

Cause: the reason only_replica was given by how many replicas were considered at the dispatch: from the queue that is the one whose slot freed, else those that are not full.

Change: it is given if no second replica is eligible for the request; full ones count.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -30,6 +30,7 @@
 
 	out          []Decision // returned by the current call
 	candidates   []candidate
+	checked      candidate // by hasOneEligibleReplica; kept here to avoid an allocation
 	sorted       []*requestState
 	prefixServer *serverState // of the current request: server that probably has the prefix cached
 	allowCutOff  bool         // servers of failure domains that seem unreachable may be chosen
@@ -266,6 +267,10 @@
 
 func (s *Scheduler) dispatch(now time.Time, req *requestState, c *candidate) {
 	srv := c.server
+	reason := ReasonBestScore
+	if s.hasOneEligibleReplica(now, req) {
+		reason = ReasonOnlyReplica
+	}
 	req.dispatchedTo, req.dispatchedAt = srv, now
 	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
 	srv.unread += req.PromptTokens
@@ -282,10 +287,6 @@
 	if req.Prefix != 0 {
 		s.prefixIndex.put(now, prefixKey{req.target.Model, req.Prefix}, srv)
 	}
-	reason := ReasonBestScore
-	if len(s.candidates) == 1 {
-		reason = ReasonOnlyReplica
-	}
 	s.out = append(s.out, Decision{
 		Request: req.ID, Action: ActionDispatch, Server: srv.Server, Version: c.replica.version, Reason: reason,
 		Inputs: Inputs{
@@ -304,6 +305,23 @@
 	})
 }
 
+// hasOneEligibleReplica reports whether no more than one of the target's replicas is eligible for
+// the request. Others that are only full count.
+func (s *Scheduler) hasOneEligibleReplica(now time.Time, req *requestState) bool {
+	eligible := 0
+	for i := range req.target.replicas {
+		r := &req.target.replicas[i]
+		s.checked = candidate{replica: r, server: r.server}
+		if !passesAll(eligibilityFilters, s, now, req, &s.checked) {
+			continue
+		}
+		if eligible++; eligible > 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // release frees the request's slot at its server.
 func (s *Scheduler) release(now time.Time, req *requestState) {
 	srv := req.dispatchedTo
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"greengageferry/platform/standin"
 )
 
 const (
@@ -33,6 +35,7 @@
 	}{
 		{"no other faults", func(ctx context.Context, _ *testing.T, _ *Deployment) { <-ctx.Done() }, true},
 		{"instances killed", killInstances, true},
+		{"servers crash", crashEngines, true},
 		{"all instances killed at once", killAllInstances, false},
 		{"servers replaced by a new version", releaseVersion, false},
 	} {
@@ -84,6 +87,21 @@
 	}
 }
 
+// crashEngines crashes one server of models after the other. It starts again, empty.
+func crashEngines(ctx context.Context, t *testing.T, d *Deployment) {
+	rng := rand.New(rand.NewPCG(3, 1))
+	for ctx.Err() == nil {
+		e := d.randomEndpoint(rng)
+		if e.homeService != standin.ServiceEngines {
+			continue
+		}
+		d.Crash(e)
+		time.Sleep(killInterval / 2)
+		d.Restart(e, false)
+		time.Sleep(killInterval / 2)
+	}
+}
+
 // killAllInstances kills all instances, and starts them again.
 func killAllInstances(ctx context.Context, t *testing.T, d *Deployment) {
 	time.Sleep(versionsPeriod / 2)
