--- a/instance/origins.go
+++ b/instance/origins.go
@@ -46,7 +46,7 @@
 	instance *Instance
 	client   *http.Client
 	wake     chan struct{} // signaled after a stream began; buffers one signal
-	start    time.Time
+	start    time.Time     // of the instance
 
 	mu      sync.Mutex
 	history *origin.History
@@ -143,16 +143,14 @@
 		return at, true
 	}
 	at, asked, answered := o.ask(ctx, stream)
-	ok := at != relay.Origin{}
-	if !ok {
+	if at == (relay.Origin{}) {
 		o.instance.log.WithFields(logrus.Fields{"resumes": id, "asked": asked, "answered": answered}).Info("origin of a stream not known")
+		return at, false
 	}
-	if ok {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.records.Add(origin.Record{Stream: stream, Service: at.Service, Version: at.Version, Began: time.Now()})
-	}
-	return at, ok
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records.Add(origin.Record{Stream: stream, Service: at.Service, Version: at.Version, Began: time.Now()})
+	return at, true
 }
 
 func (o *origins) remembered(s origin.Stream) (relay.Origin, bool) {
@@ -214,7 +212,8 @@
 			supervise.Pause(ctx, originsBatchTime)
 		}
 		for addr, report := range o.reports(time.Now()) {
-			tellings.TryGo(func() error { // what isn't told costs a refusal at most
+			// What isn't told for want of room costs a refusal at most.
+			tellings.TryGo(func() error {
 				o.tell(ctx, addr, report)
 				return nil
 			})
@@ -233,7 +232,11 @@
 		return nil
 	}
 	out := map[string]*exchange.OriginsReport{}
-	for _, rec := range o.records.TakeOwn(func(service string) bool { _, only := o.history.Only(now, service); return !only }) {
+	mayBeSeveral := func(service string) bool {
+		_, only := o.history.Only(now, service)
+		return !only
+	}
+	for _, rec := range o.records.TakeOwn(mayBeSeveral) {
 		for _, addr := range origin.Holders(o.members.List(), o.instance.opts.Node.Domain, rec.Stream) {
 			if addr == o.instance.opts.Node.PeerAddr {
 				continue
