topology, instance: servers of an unknown software version count as one more version

Cause: where some servers don't say their version and the others have one, a stream that goes on had the target of all servers, and was turned back before each attempt at one that doesn't say. It would have been refused after six.

Change: it has the target of its version. Fleets whose servers all say theirs see no change.

Result: TestVersionsOfTheViewAreThoseOfItsServers, with the unknown version among those expected, failed before and passes; TestTargetsAtSoftwareVersions has that case, too.

--- a/instance/origins.go
+++ b/instance/origins.go
@@ -96,8 +96,8 @@
 	o.records.SetLifetime(lifetime)
 }
 
-// setServers takes over the listed servers, and returns the software versions by service where
-// there are several; see topology.View.Versions.
+// setServers takes over the listed servers, and returns the software versions by service; see
+// topology.View.Versions.
 func (o *origins) setServers(now time.Time, servers []topology.Server) map[string][]string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -108,9 +108,8 @@
 		if _, done := out[name]; done {
 			continue
 		}
-		known := slices.DeleteFunc(o.history.Versions(now, name), func(v string) bool { return v == "" })
-		slices.Sort(known)
-		out[name] = known
+		out[name] = o.history.Versions(now, name)
+		slices.Sort(out[name])
 	}
 	return out
 }
--- a/instance/origins_test.go
+++ b/instance/origins_test.go
@@ -67,9 +67,9 @@
 func TestVersionsOfTheViewAreThoseOfItsServers(t *testing.T) {
 	i := newTestInstance(nil)
 	i.setServers(listed("v2", "v1", ""))
-	require.Equal(t, []string{"v1", "v2"}, i.currentView().Versions["svc"])
+	require.Equal(t, []string{"", "v1", "v2"}, i.currentView().Versions["svc"])
 	i.setServers(listed("v2"))
-	require.Equal(t, []string{"v1", "v2"}, i.currentView().Versions["svc"], "streams of v1 may still live")
+	require.Equal(t, []string{"", "v1", "v2"}, i.currentView().Versions["svc"], "streams of v1 may still live")
 	_, only := i.origins.Only("svc")
 	require.False(t, only)
 }
--- a/topology/table.go
+++ b/topology/table.go
@@ -51,8 +51,8 @@
 	// requested. Requests are then queued for it instead of refused.
 	LoadOnDemand bool
 	Held         HeldList // differences between what servers hold and what their entries show
-	// Versions holds, for each service of which servers of several software versions serve or
-	// served lately, those versions. An unknown one is left out.
+	// Versions holds the software versions of each service's servers that serve or served
+	// lately. An unknown one is "", which counts as one more.
 	Versions map[string][]string
 }
 
@@ -156,6 +156,9 @@
 		return
 	}
 	for _, version := range v.Versions[target.Pool] {
+		if version == "" {
+			continue // no request can be restricted to it
+		}
 		at := target
 		at.Name = VersionTarget(target.Name, version)
 		at.ReplicaPending = target.ReplicaPending && v.Serves(target.Pool, version)
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -163,7 +163,7 @@
 			{ID: "c", Service: "llm", Models: model},
 		},
 		LoadOnDemand: true,
-		Versions:     map[string][]string{"llm": {"v1", "v2", "v3"}},
+		Versions:     map[string][]string{"llm": {"", "v1", "v2", "v3"}},
 	}
 	targets := BuildTable("d", v, decide.RetryPolicy{}).Targets
 	servers := func(name string) []int {
@@ -184,6 +184,8 @@
 	name, version := CutVersion(v.TargetAt("llm", "llm/m", "v1"))
 	require.Equal(t, []string{"llm/m", "v1"}, []string{name, version})
 
+	v.Versions = map[string][]string{"llm": {"", "v1"}}
+	require.Equal(t, VersionTarget("llm/m", "v1"), v.TargetAt("llm", "llm/m", "v1"), "servers of an unknown version serve as well")
 	v.Versions = map[string][]string{"llm": {"v1"}}
 	require.Len(t, BuildTable("d", v, decide.RetryPolicy{}).Targets, 1, "one version needs no targets of its own")
 	require.Equal(t, "llm/m", v.TargetAt("llm", "llm/m", "v1"))
