soak: refusals for suspicion don't count as resumptions that fail

In runs of TestStreamsGoOnAtTheirVersion nearly all resumptions that instances in touch refused were of requests under suspicion of crashing servers (3 of 4, 4 of 6, 6 of 6, 5 of 5; the rest origin_unknown and others): a stream is taken up after two of its servers cut it, which looks like a crash of each, and no new stream is.

--- a/soak/versions.go
+++ b/soak/versions.go
@@ -98,15 +98,16 @@
 	begun, begunServed, resumed, resumedServed int
 }
 
-// countResumptions counts the streams sent in a period to instances in touch, at whose version at
-// least two servers serve.
+// countResumptions counts the streams sent in a period to instances in touch. Requests that are
+// refused since servers crashed while they ran don't count: each cut connection may look like a
+// crash, and a stream that is taken up has been cut before, as no new one has.
 func (h *History) countResumptions(from, to time.Time) resumptions {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out resumptions
 	for n := range h.results {
 		r := &h.results[n]
-		if r.Kind != KindStream || r.Sent.Before(from) || !r.Sent.Before(to) || r.Sent.Sub(r.InstanceStarted) < touchTime {
+		if r.Kind != KindStream || r.Sent.Before(from) || !r.Sent.Before(to) || r.Sent.Sub(r.InstanceStarted) < touchTime || r.underSuspicion() {
 			continue
 		}
 		if r.Ask.Resumes == "" {
@@ -120,6 +121,12 @@
 	return out
 }
 
+// underSuspicion reports whether the request was refused because it may crash servers.
+func (r *Result) underSuspicion() bool {
+	reason := strings.TrimSpace(r.Body)
+	return r.Status == http.StatusServiceUnavailable && (reason == "quarantined" || reason == "suspect")
+}
+
 // ran returns 1 if a server ran the request, whether or not it cut the answer short, else 0.
 func (r *Result) ran() int {
 	if r.Status == http.StatusOK || r.Status == http.StatusBadGateway {
