--- a/soak/versions.go
+++ b/soak/versions.go
@@ -98,8 +98,9 @@
 	begun, begunServed, resumed, resumedServed int
 }
 
-// countResumptions counts the streams sent in a period to instances in touch. Requests that are
-// refused since servers crashed while they ran don't count: each cut connection may look like a
+// countResumptions counts the streams sent in a period to instances in touch. One that was killed
+// meanwhile gives no answer and isn't in touch; a stream is taken up just after a kill, when the
+// load balancer hasn't noticed it yet, as few new ones begin. Requests that are refused since servers crashed while they ran don't count: each cut connection may look like a
 // crash, and a stream that is taken up has been cut before, as no new one has.
 func (h *History) countResumptions(from, to time.Time) resumptions {
 	h.mu.Lock()
@@ -107,7 +108,7 @@
 	var out resumptions
 	for n := range h.results {
 		r := &h.results[n]
-		if r.Kind != KindStream || r.Sent.Before(from) || !r.Sent.Before(to) || r.Sent.Sub(r.InstanceStarted) < touchTime || r.underSuspicion() {
+		if r.Kind != KindStream || r.Sent.Before(from) || !r.Sent.Before(to) || r.Sent.Sub(r.InstanceStarted) < touchTime || r.Status == 0 || r.underSuspicion() {
 			continue
 		}
 		if r.Ask.Resumes == "" {
