relay, operations: lines of refused attempts say what the server survives and what the instance has there

Cause: nothing tells which instances were refused by a server that says how many refusals it survives, nor how many requests each had there. Change: attempt failed has survives_per_s and own_in_flight.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -356,6 +356,9 @@
 	}
 	c.addBodyFields(f)
 	// Without a status, lastResponse may belong to an earlier attempt.
+	if status != 0 && c.lastResponse.RefusalLimit > 0 {
+		f["survives_per_s"], f["own_in_flight"] = c.lastResponse.RefusalLimit, c.relay.dispatcher.inFlightAt(d.Server.ID)
+	}
 	if status != 0 && c.lastResponse.RetryAfter > 0 {
 		f["retry_after_ms"] = c.lastResponse.RetryAfter.Milliseconds()
 	}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -88,6 +88,13 @@
 	return out
 }
 
+// inFlightAt returns how many calls are dispatched to the server.
+func (d *dispatcher) inFlightAt(server string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inFlight[server]
+}
+
 func (d *dispatcher) demand() map[string]residency.TargetDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
