stand-in, soak: servers that fail by refusing

Cause: neither the stand-in nor the soak had servers with few slots that fail if they have to refuse too many requests, so nothing could show it with real processes. Change: a plain server can be brittle, says so and falls; a fault makes the plain servers so under half as much again as they bear; the judge counts their falls.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -104,6 +104,7 @@
 	faults = append(faults, storeRestores(seed, period)...)
 	faults = append(faults, budgetFaults(seed, period)...)
 	faults = append(faults, streamFaults(seed, period)...)
+	faults = append(faults, brittleFaults(seed, period)...)
 	return append(faults, slowStores(seed, period)...)
 }
 
--- a/soak/history.go
+++ b/soak/history.go
@@ -55,6 +55,9 @@
 	heals       []time.Time // ends of faults
 	disruptions []disruption
 	configTimes map[int]time.Time // when each configuration version was written
+
+	falls          []fall
+	brittlePeriods []brittlePeriod
 }
 
 func newHistory() *History { return &History{configTimes: map[int]time.Time{}} }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -78,6 +78,7 @@
 	c.checkRateLimits()
 	c.checkLeaving()
 	c.checkRetryAfter()
+	c.checkFalls()
 	c.checkVersions()
 	return c.violations
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -62,8 +62,9 @@
 	configVersion int // version of the newest configuration
 	serverCount   int // number of server ids given out
 	probeCount    atomic.Int64
-	crashes       atomic.Int64 // by requests that crash servers
-	restartDelay  atomic.Int64 // nanoseconds until a server that crashed by a request starts again
+	crashes       atomic.Int64    // by requests that crash servers
+	brittle       standin.Brittle // of the plain servers; guarded by mu
+	restartDelay  atomic.Int64    // nanoseconds until a server that crashed by a request starts again
 	group         sync.WaitGroup
 	stop          context.CancelFunc
 }
@@ -74,6 +75,7 @@
 	OtherBinary string // path of the executable of every second instance; empty: Binary
 	Run         int    // sets the addresses; concurrent deployments need different values modulo 250
 	Engines     int    // servers of models in each failure domain; 0: engineServersPerDomain
+	Instances   int    // in each failure domain; 0: instancesPerDomain
 }
 
 // newDeployment starts the store, the servers and the instances.
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for n := range instancesPerDomain * len(domains) {
+	for n := range cmp.Or(o.Instances, instancesPerDomain) * len(domains) {
 		binary := o.Binary
 		if o.OtherBinary != "" && n%2 == 1 {
 			binary = o.OtherBinary
@@ -190,6 +192,10 @@
 		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: eventInterval, Observer: d.History,
 		UnframedShare: unframedShare,
 	}
+	if service == standin.ServicePlain {
+		e.opts.Brittle = d.brittle
+	}
+	e.opts.Fall = sync.OnceFunc(func() { d.fall(e) })
 	e.opts.Crash = sync.OnceFunc(func() { d.crashAndRestart(e) })
 	e.server.Store(standin.NewServer(d.Store, e.opts))
 	e.down.Store(false)
