gateway, relay, instance: servers that fail by refusing get no more than their slots, at any number of instances

Cause: each instance kept an equal share of a server's slots and of its figure, of one request at least; with 18 instances or more these add up to more than the server has room for. Each knew the figure from its own answers alone, and one answer without it ended it for all. The figure and the instances that may be gateways are told by the lease holder and between instances.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -52,7 +52,6 @@
 	service           serviceTimes
 	budget            retryBudget
 	held              average // seconds that attempts held a slot, whatever their outcome
-	refusalLimit      int     // refusals per second that a server of the pool survives; 0: any number
 	totalInFlight     int     // this instance's requests in the pool
 	inFlightByPartner []int   // the same by partnerState.index
 }
--- a/decide/load.go
+++ b/decide/load.go
@@ -117,9 +117,6 @@
 // queueAllowance returns the number of requests that may wait at the server for a partner
 // of that share to add a request with that first-token goal.
 func (s *serverState) queueAllowance(share shareStatus, goal time.Duration) int {
-	if s.pool.refusalLimit > 0 {
-		return 0
-	}
 	if s.noQueue {
 		return s.fastServerQueue(goal)
 	}
@@ -162,9 +159,6 @@
 // hasRoom reports whether the instance may send one more request to the server, which then
 // has at most limit requests.
 func (s *serverState) hasRoom(now time.Time, limit int) bool {
-	if s.exceedsRefusalShare() {
-		return false
-	}
 	if s.quota.limited && now.Sub(s.quota.lastReportAt) < quotaTTL {
 		return s.quota.remaining > 0
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -109,6 +109,8 @@
 	req.deliveredTokens = max(req.deliveredTokens, f.Tokens)
 	if f.Unsent {
 		req.attempts--
+	}
+	if f.Unsent && f.Reason != infra.ReasonOverloaded { // a gateway without room costs next to nothing
 		req.unsentAttempts++
 	}
 	if f.Crash {
--- a/decide/suspect.go
+++ b/decide/suspect.go
@@ -81,7 +81,7 @@
 
 // recordRefusal records that the server refused a request.
 func (s *serverState) recordRefusal(now time.Time) {
-	s.backoffUntil = now.Add(max(backoff(refusalBackoff, refusalBackoffMax, s.consecutiveRefusals), s.refusalSpacing()))
+	s.backoffUntil = now.Add(backoff(refusalBackoff, refusalBackoffMax, s.consecutiveRefusals))
 	s.consecutiveRefusals++
 }
 
--- a/gateway/fleet_sim_test.go
+++ b/gateway/fleet_sim_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/infra"
 )
 
@@ -21,7 +23,7 @@
 	simNetworkDelay   = time.Millisecond
 	simTickInterval   = 25 * time.Millisecond
 	simLength         = 12 * time.Second
-	simSettled        = 4 * time.Second // falls before that don't count
+	simSettled        = 4 * time.Second // falls before that don't count, unless simOptions says otherwise
 	simDomains        = 3
 )
 
@@ -33,6 +35,10 @@
 	load                               float64       // requested, as a fraction of what the servers can serve
 	service                            time.Duration // of a request alone at a server; twice that with all slots taken
 	sturdy                             bool          // servers survive any number of refusals
+	direct                             bool          // all instances send to the servers themselves
+	settled                            time.Duration // falls before that don't count; 0: simSettled
+	knownBy                            float64       // fraction of the instances that know the refusal limit from the start
+	leaveEvery                         time.Duration // a member is replaced so often; 0: never
 }
 
 func (o simOptions) String() string {
@@ -81,6 +87,15 @@
 	afterStart time.Duration // since the server started
 }
 
+// simInstance is what an instance knows and admits as a gateway.
+type simInstance struct {
+	addr    string
+	limits  gateway.Limits
+	members gateway.Members
+	limiter gateway.Limiter
+	waiting map[uint64]func() // by attempt: sends it
+}
+
 // fleetSim is the simulation.
 type fleetSim struct {
 	simOptions
@@ -92,6 +107,7 @@
 	servers    map[string]*simServer
 	order      []*simServer
 	requests   map[string]*simRequest
+	gateways   []*simInstance // by instance
 
 	arrived, served, refused int
 	falls                    []simFall // after simSettled
@@ -140,6 +156,7 @@
 		f.after(time.Duration(f.rng.Float64()*float64(simReportInterval)), func() { f.report(n) })
 		f.after(time.Duration(f.rng.Float64()*float64(simTickInterval)), func() { f.tick(n) })
 	}
+	f.addGateways()
 	f.after(0, f.arrive)
 	return f
 }
@@ -194,24 +211,30 @@
 		case decide.ActionDispatch:
 			r.attempt++
 			r.sent = f.now
-			f.after(simNetworkDelay, func() { f.deliver(f.servers[d.Server.ID], r) })
+			f.send(n, f.servers[d.Server.ID], r)
 		}
 	}
 }
 
-// deliver has a request arrive at its server.
-func (f *fleetSim) deliver(s *simServer, r *simRequest) {
+// deliver has a request arrive at its server. done is called when it ends there.
+func (f *fleetSim) deliver(s *simServer, r *simRequest, done func(gateway.Ending)) {
 	switch {
 	case s.down:
+		done(gateway.Completed)
 		f.fail(s, r, decide.Failure{Reason: infra.ReasonUnreachable, Effect: infra.EffectNone, Unsent: true})
 	case len(s.running) >= f.slots+f.waiting:
+		f.shown(r.instance)
+		done(gateway.Refused)
 		f.fail(s, r, decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone})
 		f.refuse(s, r)
 	default:
 		s.running[r.id] = r
 		start, attempt := s.start, r.attempt
 		took := time.Duration(float64(f.service) * (1 + float64(len(s.running))/float64(f.slots)))
-		f.after(took, func() { f.complete(s, r, start, attempt) })
+		f.after(took, func() {
+			done(gateway.Completed)
+			f.complete(s, r, start, attempt)
+		})
 	}
 }
 
@@ -227,6 +250,7 @@
 	}
 	delete(s.running, r.id)
 	f.served++
+	f.shown(r.instance)
 	f.after(simNetworkDelay, func() {
 		delete(f.requests, r.id)
 		f.carryOut(r.instance, f.schedulers[r.instance].Ended(f.now, r.id, s.id, decide.Outcome{Complete: true, FirstToken: f.service / 4, Total: f.now.Sub(r.sent), Tokens: 50}))
@@ -242,7 +266,7 @@
 	if f.sturdy || len(s.refusals) <= simRefusalLimit {
 		return
 	}
-	if f.now.Sub(simStart) >= simSettled {
+	if f.now.Sub(simStart) >= cmp.Or(f.settled, simSettled) {
 		f.falls = append(f.falls, s.fall(f.now))
 	}
 	s.down, s.refusals = true, nil
--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -22,6 +22,7 @@
 	e.instance.observeEra(req.GetStoreEra(), "instance")
 	e.instance.lease.ObserveToken(tokenFromWire(req.GetToken()))
 	e.instance.addLeavingServers(report.Leaving)
+	e.instance.relay.ObserveRefusalLimits(time.Now(), refusalLimitsFromWire(req.GetRefusalLimits()))
 	summary, err := e.instance.controller.HandleReport(time.Now(), report)
 	var notHolder *residency.NotHolderError
 	if errors.As(err, &notHolder) && e.instance.lease.Competes() {
@@ -54,6 +55,10 @@
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
 	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
 	res.Token = wireToken(e.instance.lease.Token())
+	res.RefusalLimits = wireRefusalLimits(e.instance.relay.RefusalLimits())
+	if summary.Gateways.Digest() != req.GetGatewaysDigest() {
+		res.Gateways = wireGateways(summary.Gateways)
+	}
 	res.SuspectsDigest, res.Suspects = e.instance.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	if req.GetAllowances() != nil {
 		if grants, ok := e.instance.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
@@ -81,7 +86,7 @@
 		NotHolder: true, Holder: holder, ConfigVersion: version, StoreDown: i.storeIsDown(), ConfigAgeMs: age,
 		Servers: i.servers.stepsSince(now, req.GetServersDigest(), nil),
 		Leaving: wireStarts(i.leavingServers()), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
-		Peers: i.somePeers(1),
+		Peers: i.somePeers(1), RefusalLimits: wireRefusalLimits(i.relay.RefusalLimits()), Gateways: i.gatewaysFor(req.GetGatewaysDigest()),
 	}
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -101,7 +101,7 @@
 	i.suspects = newSuspects(i)
 	i.origins = newOrigins(i)
 	i.relay = relay.New(relay.Options{
-		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial, Peers: i.knownPeers,
+		Headers: o.Headers, Log: o.Log, Metrics: m, Rand: o.Rand, Dial: o.Dial, Peers: i.knownPeers, Addr: o.Node.PeerAddr,
 		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects, Origins: i.origins,
 	})
 	i.forwards = i.relay.NewForwardServer(exchange.NewExchangeServer(exchangeServer{i}))
--- a/instance/learn.go
+++ b/instance/learn.go
@@ -238,6 +238,7 @@
 		ServersDigest: digest, ServersPosition: at.Offset, ServersEra: at.Era,
 		ConfigVersion: i.configVersion(), StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()),
 		Leaving: wireStarts(i.leavingServers()), Addr: i.opts.Node.PeerAddr,
+		RefusalLimits: wireRefusalLimits(i.relay.RefusalLimits()), GatewaysDigest: i.relay.Gateways().Digest(),
 	}
 }
 
@@ -246,6 +247,10 @@
 func (i *Instance) learnState(sent time.Time, addr string, req *exchange.StateRequest, res *exchange.StateResponse) bool {
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
+	i.relay.ObserveRefusalLimits(sent, refusalLimitsFromWire(res.GetRefusalLimits()))
+	if len(i.relay.Gateways()) == 0 {
+		i.setGateways(gatewaysFromWire(res.GetGateways()))
+	}
 	i.suspects.onPeerAnswer(res.GetSuspectsDigest(), res.GetSuspects())
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
@@ -284,6 +289,7 @@
 	i.addLeavingServers(startsFromWire(req.GetLeaving()))
 	peers := i.somePeers(maxNamedPeers)
 	i.notePeers(req.GetAddr())
+	i.relay.ObserveRefusalLimits(time.Now(), refusalLimitsFromWire(req.GetRefusalLimits()))
 	version, age := i.confirmedConfig()
 	suspectsDigest, suspects := i.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	res := &exchange.StateResponse{
@@ -291,7 +297,7 @@
 		Servers:       i.servers.stepsOrAll(time.Now(), req.GetServersDigest(), topology.Position{Era: req.GetServersEra(), Offset: req.GetServersPosition()}),
 		ConfigVersion: version, ConfigAgeMs: age,
 		StoreEra: i.storeEra(), Token: wireToken(i.lease.Token()), Leaving: wireStarts(i.leavingServers()),
-		Peers: peers,
+		Peers: peers, RefusalLimits: wireRefusalLimits(i.relay.RefusalLimits()), Gateways: i.gatewaysFor(req.GetGatewaysDigest()),
 	}
 	if c := i.currentView().Config; c != nil && version > req.GetConfigVersion() {
 		res.ConfigVersion, res.Config = c.Version, c.Record
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -45,6 +45,7 @@
 	allowances      *prometheus.CounterVec   // by account, see accountLabel, and verdict
 	draws           *prometheus.CounterVec   // by result
 	crashes         prometheus.Counter
+	admissions      *prometheus.CounterVec // by result
 	sendings        *prometheus.CounterVec // by connection: new, kept, or again
 	bodies          *prometheus.CounterVec // by framing and end
 	resumptions     *prometheus.CounterVec // by who took the stream up and by version
@@ -96,11 +97,12 @@
 		allowances:  counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
 		draws:       counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
 		sendings:    counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
+		admissions:  counters("gateway_admissions_total", "Attempts at servers that fail by refusing that this instance was asked to send, by what became of them: at_once, waited, full.", "result"),
 		bodies:      counters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
 		resumptions: counters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
 		accounts:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.bodies, m.resumptions)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
 	return m
 }
 
@@ -114,6 +116,9 @@
 	m.sendings.WithLabelValues("again").Add(float64(again))
 }
 
+// CountGatewayAdmission implements relay.Metrics.
+func (m *metrics) CountGatewayAdmission(result string) { m.admissions.WithLabelValues(result).Inc() }
+
 // CountBody implements relay.Metrics.
 func (m *metrics) CountBody(framing respbody.Framing, end respbody.End) {
 	m.bodies.WithLabelValues(string(framing), string(end)).Inc()
@@ -231,6 +236,8 @@
 	g("lease_held", "1 while this instance holds the lease.", func() float64 { return boolToFloat(i.lease.Holds()) })
 	g("instances", "Live instances.", func() float64 { return float64(i.instanceCount()) })
 	g("servers_rate_limited", "Servers that name a rate limit.", func() float64 { return float64(i.relay.RateLimitedServers()) })
+	g("services_refusal_limited", "Services whose servers fail if they have to refuse too many requests.", func() float64 { return float64(len(i.relay.RefusalLimits())) })
+	g("gateway_members", "Instances that may be gateways of such servers, as far as this one knows.", func() float64 { return float64(len(i.relay.Gateways())) })
 	g("servers_paused", "Servers that get no requests from this instance until their Retry-After has passed.", func() float64 { return float64(i.relay.PausedServers()) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.ActiveRequests()) })
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -130,6 +130,7 @@
 		if err == nil {
 			i.allowances.syncOwn(time.Now())
 			i.setPeers(summary.Candidates)
+			i.setGateways(summary.Gateways)
 			i.lease.ObserveHolder(summary.IsCandidate) // a holder that loses the lease stays a candidate
 			i.update(time.Now(), summary)
 			i.setPeerStatus(peerStatus{receivedAt: time.Now(), version: summary.Version})
@@ -172,6 +173,7 @@
 	req := newSyncRequest(report)
 	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
 	req.SuspectsDigest, req.Suspects = i.suspects.forHolder()
+	req.RefusalLimits, req.GatewaysDigest = wireRefusalLimits(i.relay.RefusalLimits()), i.relay.Gateways().Digest()
 	if usage, ok := i.allowances.report(sent); ok {
 		req.Allowances = wireAllowances(usage)
 	}
@@ -187,6 +189,8 @@
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
 	i.suspects.onHolderAnswer(res.GetSuspectsDigest(), res.GetSuspects())
+	i.relay.ObserveRefusalLimits(sent, refusalLimitsFromWire(res.GetRefusalLimits()))
+	i.setGateways(gatewaysFromWire(res.GetGateways()))
 	i.notePeers(addr)
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	var loads map[string]residency.Load
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,9 @@
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
+	if res.StatusCode != http.StatusMisdirectedRequest && c.relay.gateways.observe(d.Server.Pool, headers.RefusalLimit, time.Now(), "answer") {
+		c.relay.dispatcher.signalSync() // the lease holder tells the other instances
+	}
 	// A 421 may come from another server that now has the address, so it says something of
 	// the intended server only if it names that.
 	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -33,6 +33,10 @@
 	headerForwardError = "Forward-Error"
 	// headerForwardFraming is the respbody.Framing of the server's response.
 	headerForwardFraming = "Forward-Framing"
+	// headerForwardLimit asks the instance as a gateway of the server: so many refusals per second
+	// the server survives. headerForwardWait is set with it if the attempt may wait for a slot.
+	headerForwardLimit = "Forward-Refusal-Limit"
+	headerForwardWait  = "Forward-Wait"
 	// headerForwardUnsent is set with headerForwardError if nothing of the request can have
 	// reached the server.
 	headerForwardUnsent = "Forward-Unsent"
@@ -113,6 +117,39 @@
 	return nil, unreached
 }
 
+// gatewayRequest asks another instance to send an attempt as a gateway of its server.
+type gatewayRequest struct {
+	limit   int  // refusals per second that the server survives
+	mayWait bool // the attempt may wait there for a slot
+}
+
+// sendVia sends the request to the server through the instance at the address, a gateway of the
+// server.
+func (f *forwarder) sendVia(ctx context.Context, addr string, s decide.Server, g gatewayRequest, newRequest func(context.Context) *http.Request) (*http.Response, error) {
+	req := newRequest(ctx)
+	req.URL.Host = addr
+	req.Header.Set(headerForwardTo, s.ID)
+	req.Header.Set(headerForwardLimit, strconv.Itoa(g.limit))
+	if g.mayWait {
+		req.Header.Set(headerForwardWait, "1")
+	}
+	res, err := infra.Send("forward", addr, f.transport.RoundTrip, req)
+	if err == nil {
+		err = forwardError(addr, res)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// failedLately reports whether an instance could not forward lately.
+func (f *forwarder) failedLately(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.failedAt[addr]) < peerBackoff
+}
+
 // forwardError returns the error that a forwarding instance reports instead of the server's
 // response, nil if the response is the server's.
 func forwardError(peer string, res *http.Response) error {
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/infra"
 	"greengageferry/internal/hop"
 	"greengageferry/internal/respbody"
@@ -61,13 +62,38 @@
 		w.Header().Set(headerForwardCheck, crashVerdictNames[verdict])
 		return
 	}
+	limit, mayWait := takeGatewayRequest(req.Header)
+	f.relay.gateways.observe(server.Pool, limit, time.Now(), "instance")
 	if f.active.Add(1) > maxForwards {
 		f.active.Add(-1)
 		writeForwardError(w, infra.ReasonOverloaded, true)
 		return
 	}
 	defer f.active.Add(-1)
-	f.forward(w, req, server)
+	limit = max(limit, f.relay.gateways.limitOf(server.Pool))
+	if limit == 0 {
+		f.forward(w, req, server, nil)
+		return
+	}
+	p := f.relay.gateways.admit(req.Context(), server, limit, true, mayWait)
+	if p == nil {
+		writeForwardError(w, infra.ReasonOverloaded, true)
+		return
+	}
+	defer p.release(gateway.Abandoned) // unless it was released before
+	f.forward(w, req, server, p)
+}
+
+// takeGatewayRequest removes from the headers what asks this instance as a gateway.
+func takeGatewayRequest(h http.Header) (limit int, mayWait bool) {
+	limit, err := strconv.Atoi(h.Get(headerForwardLimit))
+	if err != nil {
+		limit = 0 // the instance that asks knows of no limit
+	}
+	mayWait = h.Get(headerForwardWait) != ""
+	h.Del(headerForwardLimit)
+	h.Del(headerForwardWait)
+	return limit, mayWait
 }
 
 // brokenFor decodes how long ago a connection broke. A check that says nothing usable is about
@@ -84,12 +110,16 @@
 // than its instance waits for the check.
 const maxBrokenForMS = 1000
 
-// forward sends the attempt to the server and copies the response.
-func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server) {
+// forward sends the attempt to the server and copies the response. The permit is nil if the
+// server needs none.
+func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server, p *sendPermit) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(connectWithin(ctx, cancel), req, s))
 	if err != nil {
+		if p != nil {
+			p.releaseFailed(ctx, err)
+		}
 		var e *infra.Error
 		errors.As(err, &e)
 		writeForwardError(w, e.Reason, e.Effect == infra.EffectNone)
@@ -97,6 +127,9 @@
 	}
 	defer res.Body.Close()
 	f.relay.backends.handleResponse(s.ID, res.Header)
+	if p != nil {
+		p.releaseWith(res, f.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header))
+	}
 	copyResponse(w, res)
 }
 
--- /dev/null
+++ b/relay/gateways_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/gateway"
+)
+
+// gatewayHarness is a harness whose servers fail by refusing, and other instances that are their
+// gateways.
+type gatewayHarness struct {
+	*harness
+	peers []*Relay
+	addrs []string
+}
+
+// withGateways starts n gateways. The harness's own relay isn't one.
+func withGateways(b *harness, n int) *gatewayHarness {
+	h := &gatewayHarness{harness: b}
+	var members []gateway.Member
+	for range n {
+		peer, _, addr := b.forwardingPeer()
+		peer.gateways.self = addr
+		h.peers, h.addrs = append(h.peers, peer), append(h.addrs, addr)
+		members = append(members, gateway.Member{Domain: "d", Addr: addr})
+	}
+	b.relay.forwarder = newForwarder(func() []string { return h.addrs })
+	b.t.Cleanup(b.relay.forwarder.transport.CloseIdleConnections)
+	for _, r := range append([]*Relay{b.relay}, h.peers...) {
+		r.SetGateways(gateway.ChooseMembers(members))
+	}
+	b.relay.gateways.observe("svc", 1, time.Now(), "answer")
+	return h
+}
+
+func TestServerThatFailsByRefusingGetsNoMoreThanItsSlotsThroughGateways(t *testing.T) {
+	var running, most atomic.Int64
+	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) {
+		n := running.Add(1)
+		defer running.Add(-1)
+		for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+		}
+		time.Sleep(50 * time.Millisecond)
+		writeSeal(w, r)
+		_, _ = io.WriteString(w, "x")
+	})
+	h := withGateways(b, 3)
+	var group sync.WaitGroup
+	var served atomic.Int64
+	for range 40 {
+		group.Go(func() {
+			if b.do(b.request("POST", "/once/", "body", "Timeout", "3000")).status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	require.LessOrEqual(t, most.Load(), int64(4), "the server has four slots")
+	require.Equal(t, served.Load(), b.calls(), "each request ran once at most")
+	require.Positive(t, served.Load())
+	for _, peer := range h.peers {
+		require.Equal(t, 1, peer.gateways.limitOf("svc"), "a gateway learns from what it is asked")
+	}
+}
+
+func TestGatewayThatIsGoneIsReplaced(t *testing.T) {
+	b := newHarness(t, respondWith("x"))
+	h := withGateways(b, 3)
+	h.relay.SetGateways(gateway.ChooseMembers([]gateway.Member{
+		{Domain: "d", Addr: "127.0.0.1:1"}, {Domain: "d", Addr: "127.0.0.1:2"}, {Domain: "d", Addr: h.addrs[0]},
+	}))
+	for range 10 {
+		require.Equal(t, http.StatusOK, b.do(b.request("POST", "/once/", "body")).status)
+	}
+	require.EqualValues(t, 10, b.calls())
+}
+
+// An instance that knows of no gateways has only its share of the slots, rounded down.
+func TestWithoutGatewaysInstancesKeepTheirShareRoundedDown(t *testing.T) {
+	b := newHarness(t, respondWith("x"))
+	withGateways(b, 0)
+	require.Equal(t, http.StatusOK, b.do(b.request("POST", "/once/", "body")).status, "it is the only instance")
+	b.relay.gateways.setInstances(5)
+	require.Equal(t, http.StatusServiceUnavailable, b.do(b.request("POST", "/once/", "body", "Timeout", "300")).status)
+	require.EqualValues(t, 1, b.calls())
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -81,6 +81,8 @@
 
 func (testMetrics) CountRateLimitedAttempt() {}
 
+func (testMetrics) CountGatewayAdmission(string) {}
+
 func (testMetrics) CountSendings(bool, int) {}
 
 func (testMetrics) CountResumption(string, string) {}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -236,7 +236,7 @@
 	}
 	for i := range v.Servers {
 		if s := &v.Servers[i]; s.ID == id {
-			return decide.Server{ID: s.ID, Addr: s.Addr, FailureDomain: s.Domain}, !s.Leaving
+			return s.TableEntry(), !s.Leaving
 		}
 	}
 	return decide.Server{}, false
--- a/relay/ratelimit.go
+++ b/relay/ratelimit.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +20,6 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if status != http.StatusMisdirectedRequest && d.scheduler.ObserveRefusalLimit(server, headers.RefusalLimit) {
-		d.log.WithFields(logrus.Fields{"server": server, "refusals_per_s": headers.RefusalLimit}).Info("servers changed how many refusals they survive")
-	}
 	change, changed := d.scheduler.ObserveRateLimit(time.Now(), server, sent, headers.RateLimit, headers.Sealed && status/100 == 2)
 	if changed {
 		d.logLimitChange(change, "answer")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"greengageferry/allowance"
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/internal/respbody"
 	"greengageferry/netconn"
 	"greengageferry/residency"
@@ -102,6 +103,8 @@
 	// Peers returns the addresses of other instances, through which servers are reached that
 	// this instance doesn't reach itself. It may be nil: there are none.
 	Peers func() []string
+	// Addr is this instance's address for other instances; empty: there are no others.
+	Addr string
 	// Dial opens the connections to servers; nil: netconn.Dial.
 	Dial netconn.DialFunc
 	Rand *rand.Rand // owned by the Relay
@@ -143,6 +146,9 @@
 	// ("answer": this call, "caller": a new request) and whether the server has the software
 	// version at which the stream began ("same", "other" or "unknown").
 	CountResumption(by, version string)
+	// CountGatewayAdmission counts an attempt at a server that fails by refusing which this
+	// instance was asked to send, by what became of it: "at_once", "waited" or "full".
+	CountGatewayAdmission(result string)
 	// CountSendings counts an attempt that was given a connection, which had carried a
 	// request before or not, and how often it was given another one after that.
 	CountSendings(reused bool, again int)
@@ -157,6 +163,7 @@
 	crashes        crashChecks
 	paths          *paths
 	forwarder      *forwarder // nil: there are no other instances
+	gateways       *gateways
 	handler        http.Handler
 	draining       atomic.Bool
 	activeRequests atomic.Int64
@@ -169,6 +176,7 @@
 		o.Dial = netconn.Dial
 	}
 	r := &Relay{opts: o, backends: backends{dial: o.Dial}, paths: newPaths(o.Dial, o.Log)}
+	r.gateways = newGateways(o.Addr, o.Log, o.Metrics)
 	r.crashes = crashChecks{dial: o.Dial, openBefore: r.backends.openBefore}
 	r.dispatcher = newDispatcher(o.Rand, o.Log, o.Metrics)
 	r.handler = netconn.ResetTruncated(http.HandlerFunc(r.serve))
@@ -182,6 +190,7 @@
 func (r *Relay) SetView(v *topology.View, t *decide.Table) {
 	r.backends.retainListed(v.Servers)
 	r.paths.retainListed(v.Servers)
+	r.gateways.setInstances(v.Instances())
 	r.dispatcher.setTable(t) // before the view, by which requests are given targets of the table
 	r.view.Store(v)
 }
@@ -215,6 +224,23 @@
 // limits: the known limits, and how many requests it wants to send to each server.
 func (r *Relay) Rates() []decide.RateReport { return r.dispatcher.rates() }
 
+// SetGateways replaces the instances that may be gateways of servers that fail by refusing.
+func (r *Relay) SetGateways(m gateway.Members) { r.gateways.setMembers(m) }
+
+// Gateways returns the instances that may be gateways, as last set.
+func (r *Relay) Gateways() gateway.Members { return r.gateways.currentMembers() }
+
+// RefusalLimits returns which services' servers fail by refusing.
+func (r *Relay) RefusalLimits() []gateway.Limit { return r.gateways.knownLimits() }
+
+// ObserveRefusalLimits records what another instance knows of services whose servers fail by
+// refusing. It said so at the given time at the latest.
+func (r *Relay) ObserveRefusalLimits(said time.Time, limits []gateway.Limit) {
+	for _, l := range limits {
+		r.gateways.observe(l.Service, l.PerSecond, said.Add(-l.Age), "instance")
+	}
+}
+
 // RateLimitedServers returns how many servers name a rate limit.
 func (r *Relay) RateLimitedServers() int { return r.dispatcher.rateLimitedServers() }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -20,10 +20,15 @@
 	newRequest := func(ctx context.Context) *http.Request {
 		c.sending = netconn.Sending{}
 		req := c.forwardedRequest(c.sending.Record(ctx), s)
-		req.Header.Del(headerForwardCheck) // only instances may ask that
+		for _, name := range []string{headerForwardCheck, headerForwardLimit, headerForwardWait} {
+			req.Header.Del(name) // only instances may set these
+		}
 		return req
 	}
 	c.forwarded = false
+	if limit := r.gateways.limitOf(s.Pool); limit > 0 && r.forwarder != nil {
+		return c.sendThroughGateway(ctx, s, limit, newRequest)
+	}
 	var unreached error
 	if r.forwarder == nil || r.paths.direct(s.ID) {
 		res, err := infra.Send("relay", s.Addr, r.backends.get(s.ID, s.Addr).RoundTrip, newRequest(ctx))
@@ -65,6 +70,12 @@
 	return errors.As(err, &e) && e.Effect == infra.EffectNone
 }
 
+// isOverloaded reports whether an attempt found no room.
+func isOverloaded(err error) bool {
+	var e *infra.Error
+	return errors.As(err, &e) && e.Reason == infra.ReasonOverloaded
+}
+
 // isTimeout reports whether a network error is a timeout.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/infra"
 	"greengageferry/supervise"
 	"greengageferry/topology"
@@ -76,6 +77,8 @@
 
 	candidates      Candidates // chosen at candidatesAt
 	candidatesAt    time.Time
+	gateways        gateway.Members
+	gatewaysAt      time.Time // when gateways were chosen
 	candidatesSince time.Time // DemandTracker.ListeningSince of the reports they are chosen from
 
 	held   topology.HeldHistory
@@ -113,6 +116,8 @@
 	Candidates  Candidates // for the lease
 	IsCandidate bool       // the reporting instance is a candidate
 
+	Gateways gateway.Members // that may be gateways; nil: not all instances are counted yet
+
 	Rates decide.RateShares // rate limits stated by servers, with the instance's share
 }
 
@@ -142,6 +147,7 @@
 	s.Rates = c.ratesFor(now, report)
 	if c.demand.CountedAll(now) {
 		s.Instances = c.demand.Instances()
+		s.Gateways = c.currentGateways(now)
 		s.Rates.Position, s.Rates.Instances = c.positions[report.Instance], len(c.positions)
 	}
 	for _, a := range report.TargetDemand {
@@ -180,6 +186,14 @@
 	return c.candidates, c.candidates.Contains(report.Instance)
 }
 
+// currentGateways returns the instances that may be gateways. The lock is held.
+func (c *Controller) currentGateways(now time.Time) gateway.Members {
+	if now.Sub(c.gatewaysAt) >= summaryInterval {
+		c.gateways, c.gatewaysAt = c.demand.Gateways(), now
+	}
+	return c.gateways
+}
+
 // ratesFor returns an instance's share of the rate limits. The lock is held.
 func (c *Controller) ratesFor(now time.Time, report InstanceReport) decide.RateShares {
 	if c.rates == nil {
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/topology"
 )
 
@@ -317,6 +318,15 @@
 	return chooseCandidates(members)
 }
 
+// Gateways returns the instances that may be gateways.
+func (d *DemandTracker) Gateways() gateway.Members {
+	members := make([]gateway.Member, 0, len(d.instances))
+	for _, i := range d.instances {
+		members = append(members, gateway.Member{Domain: i.member.Domain, Addr: i.member.Addr})
+	}
+	return gateway.ChooseMembers(members)
+}
+
 // Positions returns each live instance's index in the list of all, from 0.
 func (d *DemandTracker) Positions() map[string]int {
 	out := make(map[string]int, len(d.instances))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"flag"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -187,6 +188,31 @@
 	require.Empty(t, Check(d.History))
 }
 
+// manyInstances is more instances than a plain server has room for.
+const manyInstances = 20
+
+// TestServersThatFailByRefusingAreNotMadeToByManyInstances guards against many instances that
+// together send such a server more than it has room for, though none of them sends much.
+func TestServersThatFailByRefusingAreNotMadeToByManyInstances(t *testing.T) {
+	d, err := newDeployment(deploymentOptions{Binary: buildProgram(t), Run: 246, Instances: manyInstances / 2})
+	require.NoError(t, err)
+	defer os.RemoveAll(d.dir)
+	defer d.Close()
+	r := &runner{deployment: d}
+	_, ok := r.waitUntil(wideBounds.Recover, r.allServe)
+	require.True(t, ok, r.failingProbes())
+	time.Sleep(stableWindow)
+	require.NoError(t, makeBrittle(d, rand.New(rand.NewPCG(1, 1)), 2*brittleDuration))
+	served := 0
+	for _, r := range d.History.results {
+		if r.Served() {
+			served++
+		}
+	}
+	t.Logf("falls %d; %d of %d requests served", len(d.History.falls), served, len(d.History.results))
+	require.Empty(t, Check(d.History))
+}
+
 // runSeed plays one seed, logs its output and reports each violation as an error.
 func runSeed(t *testing.T, o Options) {
 	var out bytes.Buffer
--- a/topology/table.go
+++ b/topology/table.go
@@ -85,6 +85,18 @@
 // states none.
 const defaultServiceSlots = 64
 
+// TableEntry returns the server as the routing table lists it.
+func (s *Server) TableEntry() decide.Server {
+	slots := s.Slots
+	if slots <= 0 {
+		slots = defaultServiceSlots
+	}
+	return decide.Server{
+		ID: s.ID, Addr: s.Addr, Pool: s.Service, FailureDomain: s.Domain, Slots: slots, Leaving: s.Leaving,
+		Start: s.StartID(), SoftwareVersion: s.SoftwareVersion,
+	}
+}
+
 // BuildTable returns the routing table of a view for an instance in the failure domain.
 // A leaving server stays in the table, marked as such, so that its running requests are
 // still accounted for.
@@ -97,15 +109,8 @@
 		LocalFillLimit: localPreferenceFill,
 		NoServerQueue:  true,
 	}
-	for _, s := range v.Servers {
-		slots := s.Slots
-		if slots <= 0 {
-			slots = defaultServiceSlots
-		}
-		t.Servers = append(t.Servers, decide.Server{
-			ID: s.ID, Addr: s.Addr, Pool: s.Service, FailureDomain: s.Domain, Slots: slots, Leaving: s.Leaving,
-			Start: s.StartID(), SoftwareVersion: s.SoftwareVersion,
-		})
+	for i := range v.Servers {
+		t.Servers = append(t.Servers, v.Servers[i].TableEntry())
 	}
 	if v.Config == nil {
 		return t
