platform, quarantine, relay: logs say which parts lost requests share, and whether their answers had begun

Cause: the shared parts of a prompt reached no decision and no log, so nothing tells what requests that are lost with their servers have in common. No decision changes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,7 @@
 	watch := stall.Watch(ctx, max(minSilenceTimeout, time.Duration(silenceTimeoutFraction*float64(c.deadline.Sub(sent)))), c.canRetryElsewhere(d))
 	defer watch.Stop()
 	ctx = watch.Context()
-	c.answer = nil
+	c.answer, c.answerBegan = nil, time.Time{}
 	res, err := c.send(ctx, d.Server)
 	if err != nil {
 		return c.handleAttemptError(ctx, d, err)
@@ -196,9 +197,28 @@
 		"server_start": d.Server.Start,
 		"conn_age_ms":  c.sending.Age().Milliseconds(),
 		"fingerprint":  c.fingerprint().String(),
+		"parts":        c.partNames(),
+		"begun_ms":     sinceMs(c.answerBegan),
 	}).Warn("connection broke while the server ran the request")
 }
 
+// partNames names the shared parts of the call's prompt for the log.
+func (c *call) partNames() string {
+	names := make([]string, 0, len(c.headers.SharedParts))
+	for _, f := range c.partFingerprints() {
+		names = append(names, f.String())
+	}
+	return strings.Join(names, ",")
+}
+
+// sinceMs returns the time since at in milliseconds, -1 if at is zero.
+func sinceMs(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
 // abandonAttempt ends a call whose caller disconnected, whose deadline passed or whose
 // request became quarantined before the attempt's response was complete.
 func (c *call) abandonAttempt(ctx context.Context, d decide.Decision, f decide.Failure) string {
--- a/relay/call.go
+++ b/relay/call.go
@@ -89,7 +89,9 @@
 	verdict          Verdict                 // what was known against the request when the newest attempt began
 	reported         <-chan struct{}         // closed once other instances know of the newest crash; nil: there was none
 	fingerprintOnce  sync.Once
-	fingerprintValue quarantine.Fingerprint // see fingerprint
+	fingerprintValue quarantine.Fingerprint   // see fingerprint
+	parts            []quarantine.Fingerprint // see partFingerprints; owned by the call's goroutine
+	answerBegan      time.Time                // when the newest attempt's answer began; zero: it has not
 }
 
 // bufferedResponse is a server's response that was read completely.
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -13,3 +13,13 @@
 	})
 	return c.fingerprintValue
 }
+
+// partFingerprints identify the parts of the call's prompt that other requests may share.
+func (c *call) partFingerprints() []quarantine.Fingerprint {
+	if c.parts == nil {
+		for _, id := range c.headers.SharedParts {
+			c.parts = append(c.parts, quarantine.NewPartFingerprint(id))
+		}
+	}
+	return c.parts
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,7 @@
 	MaxTokens    int                // upper bound of output tokens
 	LengthHint   int                // output tokens that the caller expects
 	PrefixHash   uint64             // of the prompt parts that other requests may share
+	SharedParts  []string           // ids of these parts
 	Key          topology.KeyDigest // of the caller's API key
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,6 +51,7 @@
 			}
 			if firstData.IsZero() {
 				firstData = time.Now()
+				c.answerBegan = firstData
 				c.relay.dispatcher.streamStarted(c)
 			}
 			watch.Arm()
