quarantine, instance, relay: a part of prompts that crashes servers is refused by all instances

Cause: what is suspected was a whole request, by account, path, model and body. No two of these requests are alike, so each crash left new suspects with one crash each.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -179,6 +179,7 @@
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
 			supervise.Duty{Name: "suspects", Run: i.suspects.run},
+			supervise.Duty{Name: "condemned", Run: i.suspects.condemn},
 			supervise.Duty{Name: "origins", Run: i.origins.run},
 			supervise.Duty{Name: "quarantines", Run: i.suspects.keep},
 			supervise.Duty{Name: "paths", Run: i.relay.ProbePaths},
--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -221,7 +221,7 @@
 		client := &http.Client{Transport: spreadNetwork{w, n}}
 		s, l := newSyncer(i), newLearner(i)
 		s.client, l.client, i.suspects.client = client, client, client
-		for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, s.run, l.run, i.suspects.run} {
+		for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, s.run, l.run, i.suspects.run, i.suspects.condemn} {
 			duties.Go(func() { _ = run(ctx) }) // returns nil once ctx ends
 		}
 	}
--- a/instance/suspect_reports_test.go
+++ b/instance/suspect_reports_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/quarantine"
+	"greengageferry/relay"
 )
 
 // Guards against a server that breaks connections making each instance report to each other
@@ -18,13 +19,13 @@
 	for _, size := range []int{9, 66} {
 		runCrashes(t, size, 2, func(t *testing.T, w *crashWorld) {
 			for n, i := range w.instances { // each loses another request to the same reset
-				i.suspects.ReportCrash(quarantine.NewFingerprint(fmt.Append(nil, n)), w.crash(0, false))
+				i.suspects.ReportCrash(relay.CrashReport{Request: quarantine.NewFingerprint(fmt.Append(nil, n)), Crash: w.crash(0, false)})
 			}
 			time.Sleep(reportTimeout)
 			require.LessOrEqual(t, int(w.crashCalls.Swap(0)), 2*size)
 			f := quarantine.Fingerprint{1}
 			for n := range changes - 1 {
-				w.instances[n].suspects.ReportCrash(f, w.crash(1, n > 0))
+				w.instances[n].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(1, n > 0)})
 				time.Sleep(reportTimeout)
 			}
 			w.instances[changes].suspects.ReportCompleted(f)
@@ -55,7 +56,7 @@
 		for n := range 40 { // a server breaks connections of requests that were sent again
 			f := quarantine.NewFingerprint(fmt.Append(nil, n))
 			for range 2 {
-				w.instances[n%len(w.instances)].suspects.ReportCrash(f, w.crash(n%simServers, false))
+				w.instances[n%len(w.instances)].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(n%simServers, false)})
 				time.Sleep(simRestartTime)
 			}
 		}
--- a/instance/suspect_runs.go
+++ b/instance/suspect_runs.go
@@ -53,23 +53,38 @@
 	delete(r.until, f)
 }
 
-// PermitRun implements relay.Quarantine. Without an answer of a lease holder the request may
-// run: copies of it meet at one server as long as the instances see the same servers.
+// permitHere reports, at the lease holder, whether a request may run now, or one with a condemned
+// part.
+func (s *suspects) permitHere(now time.Time, f quarantine.Fingerprint) bool {
+	if f.IsPart() {
+		s.mu.Lock()
+		due := quarantine.TrialDue(now, s.set.Crashes(f), s.since(f))
+		s.mu.Unlock()
+		if !due {
+			return false
+		}
+	}
+	return s.runs.permit(now, f)
+}
+
+// PermitRun implements relay.Quarantine. Without an answer of a lease holder a request may run:
+// copies of it meet at one server as long as the instances see the same servers. A trial of a part
+// of prompts may not, since requests with it meet nowhere.
 func (s *suspects) PermitRun(ctx context.Context, f quarantine.Fingerprint) bool {
 	i := s.instance
 	if i.lease.Holds() {
-		return s.runs.permit(time.Now(), f)
+		return s.permitHere(time.Now(), f)
 	}
 	holder := i.recentHolder()
 	if holder == "" {
-		return true
+		return !f.IsPart()
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	res, err := exchange.NewExchangeProtobufClient("http://"+holder, s.client).PermitSuspect(ctx, &exchange.SuspectRun{Fingerprint: f[:]})
 	if err != nil {
 		i.log.WithFields(logrus.Fields{"holder": holder, "fingerprint": f.String(), "error": err}).Warn("lease holder did not answer whether a suspect may run")
-		return true
+		return !f.IsPart()
 	}
 	return res.GetGranted()
 }
@@ -84,5 +99,5 @@
 		return nil, twirp.InvalidArgumentError("fingerprint", "has another length")
 	}
 	copy(f[:], req.GetFingerprint())
-	return &exchange.SuspectPermit{Granted: e.instance.suspects.runs.permit(time.Now(), f)}, nil
+	return &exchange.SuspectPermit{Granted: e.instance.suspects.permitHere(time.Now(), f)}, nil
 }
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -1,9 +1,12 @@
 package instance
 
 import (
+	"context"
 	"encoding/hex"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +18,7 @@
 	"greengageferry/netconn"
 	"greengageferry/quarantine"
 	"greengageferry/relay"
+	"greengageferry/supervise"
 )
 
 const (
@@ -32,6 +36,13 @@
 // all have run the same innocent one.
 var crashRule = quarantine.Rule{Crashes: 3, Repeat: true}
 
+// partRule condemns a part of prompts. Nothing is kept apart before that, since the parts that
+// everybody uses are suspected with each crash, until the next answer clears them.
+var partRule = quarantine.PartRule{Moments: 4, Spacing: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Explained: 0.8}
+
+// condemnInterval is how often it is checked which parts of prompts are condemned.
+const condemnInterval = 100 * time.Millisecond
+
 // suspects holds the requests during which servers crashed, as far as this instance or
 // another saw. An instance that sees a crash reports it at once; what was missed follows with
 // the calls of Sync and State. It implements relay.Quarantine.
@@ -46,6 +57,9 @@
 	set      *quarantine.Set
 	pending  map[quarantine.Fingerprint]bool // changed, and not reported yet
 	reported chan struct{}                   // closed once pending was reported
+	// condemned holds the parts of prompts that are refused. A part stays condemned until no crash
+	// speaks against it any more.
+	condemned map[quarantine.Fingerprint]bool
 	// holderDigest and peerDigest are the digests of the sets of the instances that last
 	// answered Sync and State.
 	holderDigest, peerDigest uint64
@@ -59,6 +73,8 @@
 		set:      quarantine.NewSet(),
 		pending:  map[quarantine.Fingerprint]bool{},
 		reported: make(chan struct{}),
+
+		condemned: map[quarantine.Fingerprint]bool{},
 	}
 }
 
@@ -66,13 +82,69 @@
 func (s *suspects) Active() bool { return s.active.Load() }
 
 // Verdict implements relay.Quarantine.
-func (s *suspects) Verdict(f quarantine.Fingerprint) relay.Verdict {
+func (s *suspects) Verdict(f quarantine.Fingerprint, parts []quarantine.Fingerprint) relay.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	crashes, since := s.set.Crashes(f), s.since(f)
-	return relay.Verdict{
-		Crashes: quarantine.Count(crashes, since), Servers: quarantine.Servers(crashes, since), Quarantined: crashRule.Quarantines(crashes, since),
+	v := relay.Verdict{
+		Crashes: quarantine.Count(crashes, since), Servers: quarantine.Servers(crashes, since), Quarantined: s.isQuarantined(f),
+	}
+	condemned := 0
+	for _, part := range parts {
+		if s.isQuarantined(part) {
+			condemned++
+			v.Trial = part
+		}
+	}
+	// A request with two condemned parts would speak against both.
+	if condemned > 1 || condemned == 1 && !quarantine.TrialDue(time.Now(), s.set.Crashes(v.Trial), s.since(v.Trial)) {
+		v.Trial, v.Quarantined = quarantine.Fingerprint{}, true
+	}
+	return v
+}
+
+// isQuarantined reports whether a request or a part of prompts is quarantined. The caller must hold
+// mu.
+func (s *suspects) isQuarantined(f quarantine.Fingerprint) bool {
+	if f.IsPart() {
+		return s.condemned[f]
+	}
+	crashes := s.set.Crashes(f)
+	return len(crashes) > 0 && crashRule.Quarantines(crashes, s.since(f))
+}
+
+// updateCondemned recomputes which parts are condemned, and returns the new ones. The caller must
+// hold mu.
+func (s *suspects) updateCondemned(now time.Time) []quarantine.Fingerprint {
+	maps.DeleteFunc(s.condemned, func(f quarantine.Fingerprint, _ bool) bool {
+		return quarantine.Count(s.set.Crashes(f), s.since(f)) == 0
+	})
+	added := slices.DeleteFunc(s.set.CondemnedParts(now, partRule, s.since), func(f quarantine.Fingerprint) bool { return s.condemned[f] })
+	for _, f := range added {
+		s.condemned[f] = true
+	}
+	return added
+}
+
+// condemn is the duty that checks which parts of prompts are condemned.
+func (s *suspects) condemn(ctx context.Context) error {
+	for supervise.Pause(ctx, condemnInterval) {
+		if !s.Active() {
+			continue
+		}
+		s.mu.Lock()
+		added := s.updateCondemned(time.Now())
+		s.mu.Unlock()
+		s.endQuarantined(added)
 	}
+	return nil
+}
+
+// standing returns how many crashes speak against a request or a part.
+func (s *suspects) standing(f quarantine.Fingerprint) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return quarantine.Count(s.set.Crashes(f), s.since(f))
 }
 
 // since returns the time from which crashes count against a request: quarantine.Expiry
@@ -87,22 +159,24 @@
 }
 
 // ReportCrash implements relay.Quarantine.
-func (s *suspects) ReportCrash(f quarantine.Fingerprint, crash quarantine.Crash) <-chan struct{} {
+func (s *suspects) ReportCrash(r relay.CrashReport) <-chan struct{} {
 	s.instance.metrics.crashes.Inc()
-	crash.Boot = strconv.FormatUint(rand.Uint64(), reportIDBase)
+	r.Boot = strconv.FormatUint(rand.Uint64(), reportIDBase)
 	return s.change(func() []quarantine.Fingerprint {
-		s.set.Report(f, crash)
-		return []quarantine.Fingerprint{f}
+		s.set.Report(r.Request, r.Crash)
+		for _, part := range r.Parts {
+			c := r.Crash
+			c.Repeat = part == r.Trial
+			s.set.Report(part, c)
+		}
+		return append([]quarantine.Fingerprint{r.Request}, r.Parts...)
 	})
 }
 
 // ReportCompleted implements relay.Quarantine.
-func (s *suspects) ReportCompleted(f quarantine.Fingerprint) {
+func (s *suspects) ReportCompleted(fingerprints ...quarantine.Fingerprint) {
 	s.change(func() []quarantine.Fingerprint {
-		if s.set.VoidRequest(f) {
-			return []quarantine.Fingerprint{f}
-		}
-		return nil
+		return slices.DeleteFunc(slices.Clone(fingerprints), func(f quarantine.Fingerprint) bool { return !s.set.VoidRequest(f) })
 	})
 }
 
@@ -165,33 +239,50 @@
 // the permits of those that nothing speaks against any more.
 func (s *suspects) applyVerdicts(changed []quarantine.Fingerprint) {
 	for _, f := range changed {
-		if s.Verdict(f).Crashes == 0 {
+		if s.standing(f) == 0 {
 			s.runs.completed(f)
 		}
 	}
 	s.mu.Lock()
 	s.updateActive()
-	s.mu.Unlock()
-	quarantined := map[quarantine.Fingerprint]bool{}
+	added := s.updateCondemned(time.Now())
 	for _, f := range changed {
-		if s.Verdict(f).Quarantined {
-			quarantined[f] = true
+		if !f.IsPart() && s.isQuarantined(f) {
+			added = append(added, f)
 		}
 	}
-	if len(quarantined) == 0 {
+	s.mu.Unlock()
+	s.endQuarantined(added)
+}
+
+// endQuarantined logs what has become quarantined, and ends its attempts.
+func (s *suspects) endQuarantined(added []quarantine.Fingerprint) {
+	if len(added) == 0 {
 		return
 	}
-	for f := range quarantined {
-		s.instance.log.WithField("fingerprint", hex.EncodeToString(f[:])).Warn("request is quarantined, since it crashes servers")
+	quarantined := map[quarantine.Fingerprint]bool{}
+	for _, f := range added {
+		quarantined[f] = true
+		s.logQuarantined(f)
 	}
 	s.instance.relay.AbortQuarantined(func(f quarantine.Fingerprint) bool { return quarantined[f] })
 }
 
+// logQuarantined logs what has become quarantined.
+func (s *suspects) logQuarantined(f quarantine.Fingerprint) {
+	l := s.instance.log.WithField("fingerprint", hex.EncodeToString(f[:]))
+	if f.IsPart() {
+		l.Warn("part of prompts is quarantined, since it crashes servers")
+		return
+	}
+	l.Warn("request is quarantined, since it crashes servers")
+}
+
 // updateActive drops expired requests and recomputes active. The caller must hold mu.
 func (s *suspects) updateActive() {
 	now := time.Now()
-	s.set.Expire(func(crashes []quarantine.Crash) time.Time {
-		if crashRule.Quarantines(crashes, now.Add(-quarantine.Expiry)) {
+	s.set.Expire(func(f quarantine.Fingerprint, crashes []quarantine.Crash) time.Time {
+		if s.condemned[f] || !f.IsPart() && crashRule.Quarantines(crashes, now.Add(-quarantine.Expiry)) {
 			return now.Add(-quarantine.Expiry)
 		}
 		return now.Add(-suspectTTL)
@@ -264,7 +355,7 @@
 		if quarantine.Count(suspect.Crashes, since) > 0 {
 			suspected++
 		}
-		if crashRule.Quarantines(suspect.Crashes, since) {
+		if s.isQuarantined(f) {
 			quarantined++
 		}
 	}
--- a/instance/suspects_store.go
+++ b/instance/suspects_store.go
@@ -74,8 +74,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []quarantine.Fingerprint
-	for f, suspect := range s.set.Suspects() {
-		if crashRule.Quarantines(suspect.Crashes, s.since(f)) {
+	for f := range s.set.Suspects() {
+		if s.isQuarantined(f) {
 			out = append(out, f)
 		}
 	}
--- a/instance/suspects_test.go
+++ b/instance/suspects_test.go
@@ -15,6 +15,7 @@
 
 	"greengageferry/exchange"
 	"greengageferry/quarantine"
+	"greengageferry/relay"
 )
 
 const (
@@ -75,7 +76,7 @@
 // send sends a request that crashes servers through an instance, and reports whether it
 // crashed one.
 func (w *crashWorld) send(i *Instance, f quarantine.Fingerprint) bool {
-	verdict := i.suspects.Verdict(f)
+	verdict := i.suspects.Verdict(f, nil)
 	if verdict.Quarantined {
 		return false
 	}
@@ -85,7 +86,7 @@
 	}
 	time.Sleep(100 * time.Millisecond) // the run
 	crash := w.crash(at, verdict.Crashes > 0)
-	told := i.suspects.ReportCrash(f, crash)
+	told := i.suspects.ReportCrash(relay.CrashReport{Request: f, Crash: crash})
 	w.crashOthers(crash)
 	select {
 	case <-told:
@@ -106,8 +107,8 @@
 		w.others++
 		f := quarantine.NewFingerprint(fmt.Append(nil, "other", w.others%(4*simBystanders)))
 		i := w.instances[w.rng.IntN(len(w.instances))]
-		crash.Repeat = i.suspects.Verdict(f).Crashes > 0
-		i.suspects.ReportCrash(f, crash)
+		crash.Repeat = i.suspects.Verdict(f, nil).Crashes > 0
+		i.suspects.ReportCrash(relay.CrashReport{Request: f, Crash: crash})
 		if w.rng.IntN(4) > 0 {
 			w.instances[w.rng.IntN(len(w.instances))].suspects.ReportCompleted(f)
 		}
@@ -148,7 +149,7 @@
 		}
 		require.Equal(t, maxCrashedServers, crashes)
 		for _, i := range w.instances {
-			require.True(t, i.suspects.Verdict(quarantine.Fingerprint{1}).Quarantined)
+			require.True(t, i.suspects.Verdict(quarantine.Fingerprint{1}, nil).Quarantined)
 		}
 	})
 }
@@ -178,7 +179,7 @@
 		}
 		time.Sleep(2 * spreadBound)
 		for _, n := range w.joinedTo(0) {
-			require.True(t, w.instances[n].suspects.Verdict(quarantine.Fingerprint{1}).Quarantined, "instance %d, refusals %v, cut %v", n, w.refusals, w.cut)
+			require.True(t, w.instances[n].suspects.Verdict(quarantine.Fingerprint{1}, nil).Quarantined, "instance %d, refusals %v, cut %v", n, w.refusals, w.cut)
 		}
 	})
 }
@@ -212,7 +213,7 @@
 		}
 		time.Sleep(time.Second)
 		for _, i := range w.instances {
-			require.True(t, i.suspects.Verdict(quarantine.Fingerprint{1}).Quarantined)
+			require.True(t, i.suspects.Verdict(quarantine.Fingerprint{1}, nil).Quarantined)
 		}
 	})
 }
@@ -225,10 +226,10 @@
 		for range 5 {
 			repeats := make([]bool, len(w.instances))
 			for n, i := range w.instances { // each runs it on another server, and all of these end at once
-				repeats[n] = i.suspects.Verdict(popular).Crashes > 0
+				repeats[n] = i.suspects.Verdict(popular, nil).Crashes > 0
 			}
 			for n, i := range w.instances {
-				i.suspects.ReportCrash(popular, w.crash(n, repeats[n]))
+				i.suspects.ReportCrash(relay.CrashReport{Request: popular, Crash: w.crash(n, repeats[n])})
 			}
 			w.crashOthers(w.crash(len(w.instances), false))
 			time.Sleep(time.Duration(w.rng.IntN(1000)) * time.Millisecond)
@@ -250,16 +251,16 @@
 		opened := time.Now()
 		time.Sleep(2 * time.Second)
 		for n := range 4 {
-			w.instances[0].suspects.ReportCrash(f, w.crash(n, n > 0))
+			w.instances[0].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(n, n > 0)})
 		}
-		require.True(t, w.instances[0].suspects.Verdict(f).Quarantined)
+		require.True(t, w.instances[0].suspects.Verdict(f, nil).Quarantined)
 		time.Sleep(time.Second)
 		for n := range 4 {
 			w.instances[1].suspects.ReportAnswer(fmt.Sprint("server-", n+1), opened, time.Now())
 		}
 		time.Sleep(reportTimeout)
 		for _, i := range w.instances {
-			require.Zero(t, i.suspects.Verdict(f).Crashes)
+			require.Zero(t, i.suspects.Verdict(f, nil).Crashes)
 			require.False(t, i.suspects.Active())
 		}
 	})
@@ -271,14 +272,14 @@
 	runCrashes(t, 5, 2, func(t *testing.T, w *crashWorld) {
 		f := quarantine.Fingerprint{1}
 		for n := range maxCrashedServers {
-			w.instances[n].suspects.ReportCrash(f, w.crash(0, n > 0))
+			w.instances[n].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(0, n > 0)})
 			time.Sleep(20 * time.Millisecond)
 			w.instances[n].suspects.ReportAnswer(w.servers[0].id, w.servers[0].started, time.Now())
 			time.Sleep(reportTimeout)
 		}
 		for _, i := range w.instances {
-			require.Equal(t, maxCrashedServers, i.suspects.Verdict(f).Crashes)
-			require.True(t, i.suspects.Verdict(f).Quarantined)
+			require.Equal(t, maxCrashedServers, i.suspects.Verdict(f, nil).Crashes)
+			require.True(t, i.suspects.Verdict(f, nil).Quarantined)
 		}
 	})
 }
@@ -298,7 +299,7 @@
 			return n
 		}
 		for range 2 {
-			w.instances[0].suspects.ReportCrash(f, w.crash(0, false))
+			w.instances[0].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(0, false)})
 			time.Sleep(simRestartTime)
 		}
 		require.Equal(t, 1, permitted())
@@ -336,21 +337,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		i := newTestInstance(refusingSource{})
 		s, once, thrice := i.suspects, quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
-		s.ReportCrash(once, quarantine.Crash{Server: "a", At: time.Now()})
+		s.ReportCrash(relay.CrashReport{Request: once, Crash: quarantine.Crash{Server: "a", At: time.Now()}})
 		for _, server := range []string{"a", "b", "c"} {
-			s.ReportCrash(thrice, quarantine.Crash{Server: server, At: time.Now(), Repeat: true})
+			s.ReportCrash(relay.CrashReport{Request: thrice, Crash: quarantine.Crash{Server: server, At: time.Now(), Repeat: true}})
 		}
 		time.Sleep(suspectTTL + time.Second)
-		s.ReportCrash(quarantine.Fingerprint{3}, quarantine.Crash{Server: "d", At: time.Now()})
-		require.Zero(t, s.Verdict(once).Crashes)
-		require.True(t, s.Verdict(thrice).Quarantined)
+		s.ReportCrash(relay.CrashReport{Request: quarantine.Fingerprint{3}, Crash: quarantine.Crash{Server: "d", At: time.Now()}})
+		require.Zero(t, s.Verdict(once, nil).Crashes)
+		require.True(t, s.Verdict(thrice, nil).Quarantined)
 		lifted := *i.opts.Node
 		lifted.QuarantineLifts = map[string]time.Time{fmt.Sprintf("%x", thrice[:]): time.Now()}
 		i.SetNode(&lifted)
-		require.False(t, s.Verdict(thrice).Quarantined)
-		require.Zero(t, s.Verdict(thrice).Crashes)
+		require.False(t, s.Verdict(thrice, nil).Quarantined)
+		require.Zero(t, s.Verdict(thrice, nil).Crashes)
 		time.Sleep(quarantine.Expiry)
-		s.ReportCrash(quarantine.Fingerprint{4}, quarantine.Crash{Server: "e", At: time.Now()})
+		s.ReportCrash(relay.CrashReport{Request: quarantine.Fingerprint{4}, Crash: quarantine.Crash{Server: "e", At: time.Now()}})
 		require.Equal(t, 1, s.set.Len())
 	})
 }
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,103 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// PartRule says which crashes condemn a part of prompts. Crashes at one moment say little: servers
+// that end together for another reason all ran requests with the parts that many share. So crashes
+// count by their moments, and only moments that the part explains: of the servers that crashed then,
+// nearly all ran a request with it.
+type PartRule struct {
+	Moments   int           // at least
+	Spacing   time.Duration // between two moments
+	Settle    time.Duration // until what other instances saw at a moment is known
+	Explained float64       // fraction of the servers of a moment that ran a request with the part
+}
+
+// CondemnedParts returns the parts of prompts that their crashes condemn, as far as these were at or
+// after the time that since returns for them.
+func (s *Set) CondemnedParts(now time.Time, r PartRule, since func(Fingerprint) time.Time) []Fingerprint {
+	var out []Fingerprint
+	var all []Crash // sorted by time; made only if some part has enough crashes
+	for f, suspect := range s.suspects {
+		if !f.IsPart() || len(suspect.Crashes) < r.Moments {
+			continue
+		}
+		own := sortedByTime(standing(suspect.Crashes, since(f)))
+		if countStarts(own) < r.Moments {
+			continue
+		}
+		if all == nil {
+			all = s.allCrashes()
+		}
+		if r.explainedMoments(now, own, all) >= r.Moments {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// allCrashes returns the crashes under all requests and parts, sorted by time.
+func (s *Set) allCrashes() []Crash {
+	var out []Crash
+	for _, suspect := range s.suspects {
+		out = append(out, suspect.Crashes...)
+	}
+	return sortedByTime(out)
+}
+
+func sortedByTime(crashes []Crash) []Crash {
+	return slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
+// explainedMoments returns how many moments a part explains whose own crashes are given, of all. Both
+// are sorted by time.
+func (r PartRule) explainedMoments(now time.Time, own, all []Crash) int {
+	n := 0
+	for len(own) > 0 {
+		from, to := own[0].At, own[0].At.Add(r.Spacing)
+		if now.Sub(from) < r.Settle {
+			break
+		}
+		mine := serversBetween(own, from, to)
+		others := serversBetween(all, from.Add(-r.Spacing/2), to)
+		if float64(len(mine)) >= r.Explained*float64(len(others)) {
+			n++
+		}
+		own = own[searchTime(own, to):]
+	}
+	return n
+}
+
+// searchTime returns the index of the first crash at or after a time.
+func searchTime(sorted []Crash, at time.Time) int {
+	n, _ := slices.BinarySearchFunc(sorted, at, func(c Crash, at time.Time) int { return c.At.Compare(at) })
+	return n
+}
+
+// serversBetween returns the servers that crashed from one time to before another.
+func serversBetween(sorted []Crash, from, to time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, c := range sorted[searchTime(sorted, from):searchTime(sorted, to)] {
+		out[c.Server] = true
+	}
+	return out
+}
+
+// trialDelays are how long after the newest crash a condemned part is tried again, by how many
+// trials have crashed a server. The last one repeats.
+var trialDelays = []time.Duration{2 * time.Second, 30 * time.Second, 10 * time.Minute, time.Hour}
+
+// TrialDue reports whether one request with a condemned part may run. Crash.Repeat marks the
+// crashes of earlier trials.
+func TrialDue(now time.Time, crashes []Crash, since time.Time) bool {
+	standing := standing(crashes, since)
+	if len(standing) == 0 {
+		return true
+	}
+	newest := slices.MaxFunc(standing, func(a, b Crash) int { return a.At.Compare(b.At) })
+	trials := countStarts(slices.DeleteFunc(standing, func(c Crash) bool { return !c.Repeat }))
+	return now.Sub(newest.At) >= trialDelays[min(trials, len(trialDelays)-1)]
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -158,3 +159,43 @@
 		}
 	})
 }
+
+// Crashes of many servers at one moment say nothing of a part that all their requests share, and
+// a part that few of them ran doesn't explain their crashes.
+func TestPartIsCondemnedByMomentsThatItExplains(t *testing.T) {
+	rule := PartRule{Moments: 4, Spacing: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Explained: 0.8}
+	part, other := NewPartFingerprint("part"), NewPartFingerprint("other")
+	condemned := func(ms []int, othersAt ...int) bool {
+		s := NewSet()
+		for n, x := range ms {
+			s.Report(part, Crash{Server: fmt.Sprint("s", n), At: start.Add(time.Duration(x) * time.Millisecond)})
+		}
+		for n, x := range othersAt {
+			s.Report(other, Crash{Server: fmt.Sprint("o", n), At: start.Add(time.Duration(x) * time.Millisecond)})
+		}
+		return slices.Contains(s.CondemnedParts(start.Add(1300*time.Millisecond), rule, func(Fingerprint) time.Time { return start }), part)
+	}
+	require.False(t, condemned([]int{0, 10, 20, 30, 40, 50, 60, 70}), "one moment")
+	require.False(t, condemned([]int{0, 300, 600}))
+	require.True(t, condemned([]int{0, 300, 600, 900}))
+	require.True(t, condemned([]int{0, 10, 300, 310, 600, 610, 900}))
+	require.False(t, condemned([]int{0, 300, 600, 1100}), "what else crashed at the last is not known yet")
+	require.False(t, condemned([]int{0, 300, 600, 900}, 905), "another server crashed without it")
+	require.True(t, condemned([]int{0, 310, 650, 1000}, 520), "a crash at another moment")
+}
+
+func TestTrialsOfAPartBecomeRare(t *testing.T) {
+	crashes := []Crash{{Server: "a", At: start}, {Server: "b", At: start.Add(time.Second)}}
+	require.True(t, TrialDue(start, nil, start))
+	require.False(t, TrialDue(start.Add(2900*time.Millisecond), crashes, start))
+	require.True(t, TrialDue(start.Add(3*time.Second), crashes, start))
+	crashes = append(crashes, Crash{Server: "c", At: start.Add(3 * time.Second), Repeat: true})
+	require.False(t, TrialDue(start.Add(32*time.Second), crashes, start))
+	require.True(t, TrialDue(start.Add(33*time.Second), crashes, start))
+}
+
+func TestFingerprintsOfPartsAreToldApart(t *testing.T) {
+	require.True(t, NewPartFingerprint("5c1e07a2").IsPart())
+	require.NotEqual(t, NewPartFingerprint("5c1e07a2"), NewPartFingerprint("91bd3f06"))
+	require.False(t, NewFingerprint([]byte("5c1e07a2")).IsPart())
+}
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -172,10 +172,10 @@
 
 // Expire removes the requests whose newest crash was before the time that keepSince returns
 // for their crashes.
-func (s *Set) Expire(keepSince func([]Crash) time.Time) {
-	maps.DeleteFunc(s.suspects, func(_ Fingerprint, suspect *Suspect) bool {
+func (s *Set) Expire(keepSince func(Fingerprint, []Crash) time.Time) {
+	maps.DeleteFunc(s.suspects, func(f Fingerprint, suspect *Suspect) bool {
 		newest := slices.MaxFunc(suspect.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-		return newest.At.Before(keepSince(suspect.Crashes))
+		return newest.At.Before(keepSince(f, suspect.Crashes))
 	})
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,7 +53,8 @@
 	watch := stall.Watch(ctx, max(minSilenceTimeout, time.Duration(silenceTimeoutFraction*float64(c.deadline.Sub(sent)))), c.canRetryElsewhere(d))
 	defer watch.Stop()
 	ctx = watch.Context()
-	c.answer, c.answerBegan = nil, time.Time{}
+	c.answer = nil
+	c.setAnswer(func(a *answerState) { *a = answerState{trial: a.trial} })
 	res, err := c.send(ctx, d.Server)
 	if err != nil {
 		return c.handleAttemptError(ctx, d, err)
@@ -198,7 +199,7 @@
 		"conn_age_ms":  c.sending.Age().Milliseconds(),
 		"fingerprint":  c.fingerprint().String(),
 		"parts":        c.partNames(),
-		"begun_ms":     sinceMs(c.answerBegan),
+		"begun_ms":     sinceMs(c.currentAnswer().beganAt),
 	}).Warn("connection broke while the server ran the request")
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -89,9 +89,11 @@
 	verdict          Verdict                 // what was known against the request when the newest attempt began
 	reported         <-chan struct{}         // closed once other instances know of the newest crash; nil: there was none
 	fingerprintOnce  sync.Once
-	fingerprintValue quarantine.Fingerprint   // see fingerprint
-	parts            []quarantine.Fingerprint // see partFingerprints; owned by the call's goroutine
-	answerBegan      time.Time                // when the newest attempt's answer began; zero: it has not
+	fingerprintValue quarantine.Fingerprint // see fingerprint
+	partsOnce        sync.Once
+	parts            []quarantine.Fingerprint // see partFingerprints
+	answerMu         sync.Mutex
+	answerState      answerState // guarded by answerMu
 }
 
 // bufferedResponse is a server's response that was read completely.
@@ -179,7 +181,7 @@
 		Prefix:       c.headers.PrefixHash,
 		Idempotent:   c.route.Retry != topology.AtMostOnce,
 		MaxAttempts:  c.route.Attempts,
-		Suspect:      c.verdict.Crashes >= isolatedFrom,
+		Suspect:      c.verdict.Crashes >= isolatedFrom || c.verdict.isTrial(),
 		Affinity:     c.affinity(),
 
 		CrashedServers: c.verdict.Servers,
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -16,10 +16,10 @@
 
 // partFingerprints identify the parts of the call's prompt that other requests may share.
 func (c *call) partFingerprints() []quarantine.Fingerprint {
-	if c.parts == nil {
+	c.partsOnce.Do(func() {
 		for _, id := range c.headers.SharedParts {
 			c.parts = append(c.parts, quarantine.NewPartFingerprint(id))
 		}
-	}
+	})
 	return c.parts
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -41,28 +41,42 @@
 type Quarantine interface {
 	// Active reports whether any request is suspected. If not, nothing else needs a call.
 	Active() bool
-	// Verdict returns what is known against a request.
-	Verdict(quarantine.Fingerprint) Verdict
-	// ReportCrash records that a server crashed while it ran a request. The returned channel
-	// is closed once other instances know.
-	ReportCrash(f quarantine.Fingerprint, crash quarantine.Crash) <-chan struct{}
-	// PermitRun reports whether a request with isolatedFrom crashes may run now: of its copies
-	// at all instances one may at a time.
+	// Verdict returns what is known against a request, and against the shared parts of its prompt.
+	Verdict(f quarantine.Fingerprint, parts []quarantine.Fingerprint) Verdict
+	// ReportCrash records that a server crashed while it ran a request. The returned channel is
+	// closed once other instances know.
+	ReportCrash(CrashReport) <-chan struct{}
+	// PermitRun reports whether a request with isolatedFrom crashes may run now, or one with a
+	// condemned part: of all those at all instances one may at a time.
 	PermitRun(context.Context, quarantine.Fingerprint) bool
-	// ReportCompleted records that a server completed a request.
-	ReportCompleted(quarantine.Fingerprint)
+	// ReportCompleted records that a server completed a request, or survived parts of a prompt.
+	ReportCompleted(...quarantine.Fingerprint)
 	// ReportAnswer records that a server answered a request that was sent at the given time,
 	// over a connection that was opened at the given time.
 	ReportAnswer(server string, opened, sent time.Time)
 }
 
+// CrashReport is the crash of a server, with what it speaks against.
+type CrashReport struct {
+	quarantine.Crash
+	Request quarantine.Fingerprint
+	Parts   []quarantine.Fingerprint // of the request's prompt
+	Trial   quarantine.Fingerprint   // that of them of which the run was a trial; zero: none
+}
+
 // Verdict is what is known against a request.
 type Verdict struct {
 	Crashes     int      // of servers that ran it
 	Servers     []string // that crashed
 	Quarantined bool     // it must not run again
+	// Trial is the only condemned part of the prompt, if it may be tried again: the request may run
+	// if PermitRun allows it. Zero: there is none.
+	Trial quarantine.Fingerprint
 }
 
+// isTrial reports whether the request may only run as a trial of a part of its prompt.
+func (v Verdict) isTrial() bool { return v.Trial != quarantine.Fingerprint{} }
+
 // QuarantinedError ends the attempts of a request that became quarantined while they ran.
 type QuarantinedError struct{}
 
@@ -83,8 +97,8 @@
 		return false
 	}
 	before := c.verdict
-	c.verdict = q.Verdict(c.fingerprint())
-	return c.verdict.Crashes > before.Crashes || c.verdict.Quarantined && !before.Quarantined
+	c.verdict = q.Verdict(c.fingerprint(), c.partFingerprints())
+	return c.verdict.Crashes > before.Crashes || c.verdict.isTrial() && !before.isTrial() || c.verdict.Quarantined && !before.Quarantined
 }
 
 // affinity returns the key by which the instances send a suspect to the same server, 0 if
@@ -100,7 +114,7 @@
 // suspicion adds to a failure what is known against the request.
 func (c *call) suspicion(f decide.Failure) decide.Failure {
 	f.Affinity, f.CrashedServers = c.affinity(), c.verdict.Servers
-	f.Suspect = c.verdict.Crashes >= isolatedFrom
+	f.Suspect = c.verdict.Crashes >= isolatedFrom || c.verdict.isTrial()
 	f.Quarantined = c.verdict.Quarantined
 	return f
 }
@@ -122,6 +136,10 @@
 		c.relay.dispatcher.abandon(c)
 		return c.endRefused(reasonSuspect, suspectRetryAfter), false
 	}
+	if c.verdict.isTrial() && !c.currentAnswer().trial && !c.permitTrial(ctx) {
+		c.relay.dispatcher.abandon(c)
+		return c.endQuarantined(), false
+	}
 	return "", true
 }
 
@@ -162,7 +180,7 @@
 	if !verdict.crashed() {
 		return f
 	}
-	c.reported = q.ReportCrash(c.fingerprint(), crash)
+	c.reported = q.ReportCrash(CrashReport{Crash: crash, Request: c.fingerprint(), Parts: c.blamedParts(brokeAt), Trial: c.trialOf()})
 	c.updateVerdict()
 	if c.route.Retry == topology.AtMostOnce || c.attempts >= c.route.Attempts {
 		return c.suspicion(f) // it isn't sent again
@@ -212,7 +230,7 @@
 // reportCompletion tells the quarantine that a server completed the request.
 func (c *call) reportCompletion() {
 	if q := c.relay.opts.Quarantine; q != nil && q.Active() {
-		q.ReportCompleted(c.fingerprint())
+		q.ReportCompleted(append([]quarantine.Fingerprint{c.fingerprint()}, c.partFingerprints()...)...)
 	}
 }
 
@@ -246,7 +264,7 @@
 // wait at a server for their run are thereby dropped there, before it crashes.
 func (r *Relay) AbortQuarantined(quarantined func(quarantine.Fingerprint) bool) {
 	for _, c := range r.dispatcher.unfinished() {
-		if quarantined(c.fingerprint()) {
+		if c.endsWith(quarantined) {
 			c.cancel(&QuarantinedError{})
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,10 +51,11 @@
 			}
 			if firstData.IsZero() {
 				firstData = time.Now()
-				c.answerBegan = firstData
+				c.setAnswer(func(a *answerState) { a.beganAt = firstData })
 				c.relay.dispatcher.streamStarted(c)
 			}
 			watch.Arm()
+			c.noteProgress(time.Now())
 			data := (*buf)[:n]
 			if resumable {
 				data, pending = splitWholeEvents(append(pending, data...))
