soak: callers send each request once

Change: callers use a transport that sends once; with the old one the test counts three arrivals of two requests. Also: requests with a part that crashes servers, in the calm part of each run and as a fault.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengageferry/netconn"
 	"greengageferry/platform/standin"
 )
 
@@ -108,7 +109,7 @@
 // runCaller runs one caller until ctx ends. It keeps its connection to an instance until a
 // request fails.
 func (g *loadGenerator) runCaller(ctx context.Context, rng *rand.Rand) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	transport := newCallerTransport()
 	defer transport.CloseIdleConnections()
 	instance := -1
 	for ctx.Err() == nil {
@@ -129,6 +130,12 @@
 	}
 }
 
+// newCallerTransport returns the transport of one caller. It sends each request once, as callers do:
+// http.Transport sends one again that looks idempotent if its kept connection breaks.
+func newCallerTransport() *netconn.Transport {
+	return netconn.SendOnce(&http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true})
+}
+
 // pause returns the time between two requests of a caller.
 func (g *loadGenerator) pause() time.Duration {
 	if g.light.Load() {
@@ -182,6 +189,7 @@
 	default:
 		req.Model = standin.BusyModel
 	}
+	req.Parts = soundParts(id)
 	if !g.streamsOnly && rng.Float64() < onceStreamShare {
 		req.Path = standin.OnceStreamPath + id
 		return req, KindOnceStream
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -105,6 +105,7 @@
 	faults = append(faults, budgetFaults(seed, period)...)
 	faults = append(faults, streamFaults(seed, period)...)
 	faults = append(faults, brittleFaults(seed, period)...)
+	faults = append(faults, partFaults(seed, period)...)
 	return append(faults, slowStores(seed, period)...)
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -149,6 +149,7 @@
 	}
 	r.load.light.Store(false) // the share that is served is of enough requests in all runs
 	r.sendCrashingRequests()
+	r.checkCrashingParts()
 	return r.checkCalm()
 }
 
