instance, platform: instances that start without a lease holder know whom to ask where streams began

What callers saw: with instances killed one after the other, streams that they took up again were refused as of unknown origin; all lines said asked=0. Cause: the instances to ask came from the lease holder alone, and the holder was lost with each kill of it. Change: the holder saves the candidates in the platform's store beside the number of instances, and instances that no holder has answered load both.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -68,14 +68,15 @@
 	listed            []topology.Server       // the servers as described by their entries
 	leaving           topology.LeavingServers // the servers whose answers or entries said that they are leaving
 	storeDown         bool
-	storeAnsweredAt   time.Time          // when the store last answered
-	storeFailedAt     time.Time          // when the store last failed to answer
-	orderingAt        time.Time          // when a lease holder last reported that it may order
-	peerStatus        peerStatus         // last reported by the lease holder or a candidate
-	peers             []string           // addresses of the candidates, as last reported by the lease holder
-	otherPeers        []string           // addresses of further instances, none of peers; see notePeers
-	cancelConfigRead  context.CancelFunc // cancels the configuration read in progress; nil: none
-	configReadBeganAt time.Time          // when the configuration read in progress began
+	storeAnsweredAt   time.Time            // when the store last answered
+	storeFailedAt     time.Time            // when the store last failed to answer
+	orderingAt        time.Time            // when a lease holder last reported that it may order
+	peerStatus        peerStatus           // last reported by the lease holder or a candidate
+	peers             []string             // addresses of the candidates, as last reported by the lease holder
+	candidates        residency.Candidates // of which peers are the addresses
+	otherPeers        []string             // addresses of further instances, none of peers; see notePeers
+	cancelConfigRead  context.CancelFunc   // cancels the configuration read in progress; nil: none
+	configReadBeganAt time.Time            // when the configuration read in progress began
 	// configConfirmedAt is when the store last confirmed, to this instance or to one that
 	// reported it, that the configuration in force was the newest; zero: never.
 	configConfirmedAt time.Time
--- a/instance/instance_count.go
+++ b/instance/instance_count.go
@@ -7,15 +7,17 @@
 
 	"github.com/sirupsen/logrus"
 
+	"greengageferry/residency"
 	"greengageferry/supervise"
 )
 
-// CountStore keeps the number of instances beyond the end of all of them: each one that
-// starts anew needs it to know its part of what all instances share until a lease holder has
-// counted them.
+// CountStore keeps the number of instances and the candidates for the lease beyond the end of all
+// of them. Until a lease holder has answered, an instance that starts anew knows by them its part of
+// what all instances share, and whom it may ask.
 type CountStore interface {
 	SaveInstances(ctx context.Context, n int) error
-	LoadInstances(ctx context.Context) (int, error) // 0: none was saved
+	SaveCandidates(ctx context.Context, candidates residency.Candidates) error
+	LoadInstances(ctx context.Context) (residency.SavedInstances, error)
 }
 
 const (
@@ -38,6 +40,7 @@
 // and saves it while this instance holds the lease.
 func (i *Instance) keepCount(ctx context.Context) error {
 	saved, savedAt := 0, time.Time{}
+	savedCandidates, candidatesSavedAt := uint64(0), time.Time{}
 	loadAt := time.Now().Add(rand.N(loadDelay))
 	for supervise.Pause(ctx, countInterval) {
 		now := time.Now()
@@ -52,6 +55,13 @@
 				saved = n
 			}
 		}
+		candidates := i.candidatesToSave()
+		if digest := candidates.Digest(); len(candidates) > 0 && digest != savedCandidates && now.Sub(candidatesSavedAt) >= saveInterval {
+			candidatesSavedAt = now
+			if i.saveCandidates(ctx, candidates) {
+				savedCandidates = digest
+			}
+		}
 	}
 	return nil
 }
@@ -77,13 +87,14 @@
 	ctx, cancel := context.WithTimeout(ctx, countTimeout)
 	defer cancel()
 	began := time.Now()
-	n, err := i.opts.Counts.LoadInstances(ctx)
+	saved, err := i.opts.Counts.LoadInstances(ctx)
 	i.metrics.observeStoreCall("count", began, err)
 	if err != nil {
 		i.log.WithField("error", err).Warn("number of instances not loaded")
 		return
 	}
-	if n > 0 {
+	i.usePeersUntilTold(saved.Candidates)
+	if n := saved.Count; n > 0 {
 		i.savedInstances.Store(int64(n))
 		i.allowances.meter.SetInstances(n)
 		i.signalViewChanged()
@@ -101,3 +112,37 @@
 	i.log.WithField("instances", n).Info("number of instances saved")
 	return true
 }
+
+// candidatesToSave returns the candidates for the lease while this instance holds it.
+func (i *Instance) candidatesToSave() residency.Candidates {
+	if !i.lease.Holds() {
+		return nil
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.candidates
+}
+
+func (i *Instance) saveCandidates(ctx context.Context, candidates residency.Candidates) bool {
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	if err := i.opts.Counts.SaveCandidates(ctx, candidates); err != nil {
+		i.log.WithField("error", err).Warn("lease candidates not saved")
+		return false
+	}
+	i.log.WithField("candidates", len(candidates)).Info("lease candidates saved")
+	return true
+}
+
+// usePeersUntilTold takes over candidates that an earlier lease holder saved, unless one has told
+// this instance of others.
+func (i *Instance) usePeersUntilTold(candidates residency.Candidates) {
+	i.mu.Lock()
+	told := len(i.candidates) > 0
+	i.mu.Unlock()
+	if told || len(candidates) == 0 {
+		return
+	}
+	i.log.WithField("candidates", len(candidates)).Info("lease candidates loaded")
+	i.setPeers(candidates)
+}
--- a/instance/known_peers.go
+++ b/instance/known_peers.go
@@ -64,7 +64,7 @@
 	}
 	i.mu.Lock()
 	former := i.peers
-	i.peers = addrs
+	i.peers, i.candidates = addrs, candidates
 	i.otherPeers = slices.DeleteFunc(i.otherPeers, func(addr string) bool { return slices.Contains(addrs, addr) })
 	i.mu.Unlock()
 	i.notePeers(former...) // one that was only cut off from the holder may still be reached
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -237,6 +237,7 @@
 	g("instances", "Live instances.", func() float64 { return float64(i.instanceCount()) })
 	g("servers_rate_limited", "Servers that name a rate limit.", func() float64 { return float64(i.relay.RateLimitedServers()) })
 	g("services_refusal_limited", "Services whose servers fail if they have to refuse too many requests.", func() float64 { return float64(len(i.relay.RefusalLimits())) })
+	g("known_instances", "Other instances that this one knows and may ask.", func() float64 { return float64(len(i.knownPeers())) })
 	g("gateway_members", "Instances that may be gateways of such servers, as far as this one knows.", func() float64 { return float64(len(i.relay.Gateways())) })
 	g("servers_paused", "Servers that get no requests from this instance until their Retry-After has passed.", func() float64 { return float64(i.relay.PausedServers()) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.ActiveRequests()) })
--- a/residency/candidates.go
+++ b/residency/candidates.go
@@ -33,6 +33,12 @@
 // domain.
 type Candidates []Member
 
+// SavedInstances is what the platform's store keeps of the instances beyond the end of all of them.
+type SavedInstances struct {
+	Count      int        // 0: not known
+	Candidates Candidates // with failure domain and address alone; empty: not known
+}
+
 // chooseCandidates returns candidatesPerDomain instances of each failure domain, those
 // with the most CPU cores first. The choice is deterministic. CPU matters because the
 // lease holder answers all other instances, which took 0.11 of a core with 295
