--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -63,7 +63,9 @@
 func (noMetrics) ObserveFirstByte(time.Duration)       {}
 func (noMetrics) CountDecision(string, string)         {}
 func (noMetrics) ObserveQueueTime(time.Duration)       {}
-func (noMetrics) CountSendings(bool, int)              {}
+func (noMetrics) CountGatewayAdmission(string)         {}
+
+func (noMetrics) CountSendings(bool, int) {}
 
 func (noMetrics) CountResumption(string, string)           {}
 func (noMetrics) CountBody(respbody.Framing, respbody.End) {}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -77,8 +77,8 @@
 
 	candidates      Candidates // chosen at candidatesAt
 	candidatesAt    time.Time
-	gateways        gateway.Members
-	gatewaysAt      time.Time // when gateways were chosen
+	gateways        gateway.Members // chosen at gatewaysAt
+	gatewaysAt      time.Time
 	candidatesSince time.Time // DemandTracker.ListeningSince of the reports they are chosen from
 
 	held   topology.HeldHistory
@@ -170,30 +170,6 @@
 	return c.demand.InstanceAddrs()
 }
 
-// candidacy returns the candidates and whether the reporting instance is one. Until
-// candidates are chosen, the latter is whether the instance already competes for the
-// lease. The lock is held.
-func (c *Controller) candidacy(now time.Time, report InstanceReport) (Candidates, bool) {
-	if since := c.demand.ListeningSince(); since != c.candidatesSince {
-		c.candidatesSince, c.candidates = since, nil
-	}
-	if now.Sub(c.candidatesSince) < candidatesDelay {
-		return nil, report.Competes
-	}
-	if now.Sub(c.candidatesAt) >= candidatesInterval {
-		c.candidates, c.candidatesAt = c.demand.Candidates(), now
-	}
-	return c.candidates, c.candidates.Contains(report.Instance)
-}
-
-// currentGateways returns the instances that may be gateways. The lock is held.
-func (c *Controller) currentGateways(now time.Time) gateway.Members {
-	if now.Sub(c.gatewaysAt) >= summaryInterval {
-		c.gateways, c.gatewaysAt = c.demand.Gateways(), now
-	}
-	return c.gateways
-}
-
 // ratesFor returns an instance's share of the rate limits. The lock is held.
 func (c *Controller) ratesFor(now time.Time, report InstanceReport) decide.RateShares {
 	if c.rates == nil {
