relay: a refusal limit ends though requests go on through gateways

Cause: found in reading: an instance that was asked as a gateway took the figure for just shown, told it on with no age, and the instance that had asked learned it anew: with requests going on it never ended. Besides, a wrapped empty body hid how a response to HEAD is framed. Change: a request to a gateway carries the figure's age; an empty body stays what it is. Result: TestRefusalLimitGrowsOldThoughRequestsGoThroughGateways, TestHeadThroughGatewaysIsFramedAsDirectly; the former needs the age, which nothing sent before.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -53,6 +53,15 @@
 	return known.perSecond
 }
 
+// Get returns the service's limit with its age, or false if it has none.
+func (l *Limits) Get(now time.Time, service string) (Limit, bool) {
+	perSecond := l.Of(now, service)
+	if perSecond == 0 {
+		return Limit{}, false
+	}
+	return Limit{Service: service, PerSecond: perSecond, Age: max(now.Sub(l.byService[service].shownAt), 0)}, true
+}
+
 // List returns all limits by service, and forgets those that are too old.
 func (l *Limits) List(now time.Time) []Limit {
 	var out []Limit
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"greengageferry/decide"
+	"greengageferry/gateway"
 	"greengageferry/infra"
 	"greengageferry/internal/respbody"
 	"greengageferry/netconn"
@@ -33,8 +35,9 @@
 	headerForwardError = "Forward-Error"
 	// headerForwardFraming is the respbody.Framing of the server's response.
 	headerForwardFraming = "Forward-Framing"
-	// headerForwardLimit asks the instance as a gateway of the server: so many refusals per second
-	// the server survives. headerForwardWait is set with it if the attempt may wait for a slot.
+	// headerForwardLimit asks the instance as a gateway of the server: how many refusals per second
+	// the server survives, and how many milliseconds ago an answer showed that, separated by a comma.
+	// headerForwardWait is set with it if the attempt may wait for a slot.
 	headerForwardLimit = "Forward-Refusal-Limit"
 	headerForwardWait  = "Forward-Wait"
 	// headerForwardUnsent is set with headerForwardError if nothing of the request can have
@@ -119,8 +122,8 @@
 
 // gatewayRequest asks another instance to send an attempt as a gateway of its server.
 type gatewayRequest struct {
-	limit   int  // refusals per second that the server survives
-	mayWait bool // the attempt may wait there for a slot
+	limit   gateway.Limit // of the server's service
+	mayWait bool          // the attempt may wait there for a slot
 }
 
 // sendVia sends the request to the server through the instance at the address, a gateway of the
@@ -129,7 +132,7 @@
 	req := newRequest(ctx)
 	req.URL.Host = addr
 	req.Header.Set(headerForwardTo, s.ID)
-	req.Header.Set(headerForwardLimit, strconv.Itoa(g.limit))
+	req.Header.Set(headerForwardLimit, fmt.Sprintf("%d,%d", g.limit.PerSecond, g.limit.Age.Milliseconds()))
 	if g.mayWait {
 		req.Header.Set(headerForwardWait, "1")
 	}
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -62,20 +63,20 @@
 		w.Header().Set(headerForwardCheck, crashVerdictNames[verdict])
 		return
 	}
-	limit, mayWait := takeGatewayRequest(req.Header)
-	f.relay.gateways.observe(server.Pool, limit, time.Now(), "instance")
+	asked := takeGatewayRequest(req.Header)
+	f.relay.gateways.observe(server.Pool, asked.limit.PerSecond, time.Now().Add(-asked.limit.Age), "instance")
 	if f.active.Add(1) > maxForwards {
 		f.active.Add(-1)
 		writeForwardError(w, infra.ReasonOverloaded, true)
 		return
 	}
 	defer f.active.Add(-1)
-	limit = max(limit, f.relay.gateways.limitOf(server.Pool))
+	limit := max(asked.limit.PerSecond, f.relay.gateways.limitOf(server.Pool))
 	if limit == 0 {
 		f.forward(w, req, server, nil)
 		return
 	}
-	p := f.relay.gateways.admit(req.Context(), server, limit, true, mayWait)
+	p := f.relay.gateways.admit(req.Context(), server, limit, true, asked.mayWait)
 	if p == nil {
 		writeForwardError(w, infra.ReasonOverloaded, true)
 		return
@@ -84,16 +85,19 @@
 	f.forward(w, req, server, p)
 }
 
-// takeGatewayRequest removes from the headers what asks this instance as a gateway.
-func takeGatewayRequest(h http.Header) (limit int, mayWait bool) {
-	limit, err := strconv.Atoi(h.Get(headerForwardLimit))
-	if err != nil {
-		limit = 0 // the instance that asks knows of no limit
+// takeGatewayRequest removes from the headers what asks this instance as a gateway. The limit is
+// zero if the instance that asks knows of none.
+func takeGatewayRequest(h http.Header) gatewayRequest {
+	limit, age, _ := strings.Cut(h.Get(headerForwardLimit), ",")
+	perSecond, limitErr := strconv.Atoi(limit)
+	ageMS, ageErr := strconv.Atoi(age)
+	g := gatewayRequest{mayWait: h.Get(headerForwardWait) != ""}
+	if limitErr == nil && ageErr == nil && perSecond > 0 && ageMS >= 0 {
+		g.limit = gateway.Limit{PerSecond: perSecond, Age: time.Duration(ageMS) * time.Millisecond}
 	}
-	mayWait = h.Get(headerForwardWait) != ""
 	h.Del(headerForwardLimit)
 	h.Del(headerForwardWait)
-	return limit, mayWait
+	return g
 }
 
 // brokenFor decodes how long ago a connection broke. A check that says nothing usable is about
--- a/relay/gateways.go
+++ b/relay/gateways.go
@@ -84,6 +84,14 @@
 	return g.limits.Of(time.Now(), service)
 }
 
+// limitWithAge returns the refusal limit of a service with its age, zero if it has none.
+func (g *gateways) limitWithAge(service string) gateway.Limit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l, _ := g.limits.Get(time.Now(), service)
+	return l
+}
+
 func (g *gateways) knownLimits() []gateway.Limit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -182,14 +190,21 @@
 
 // releaseWith has the permit released when the response ends. headers are the response's.
 func (p *sendPermit) releaseWith(res *http.Response, headers ResponseHeaders) {
+	how := endingOf(res, headers)
+	if headers.NotRun || res.Body == http.NoBody { // which tells how the response is framed
+		p.release(how)
+		return
+	}
+	res.Body = &admittedBody{ReadCloser: res.Body, permit: p}
+}
+
+// endingOf returns how an attempt with the response ends, unless its body breaks off.
+func endingOf(res *http.Response, headers ResponseHeaders) gateway.Ending {
 	switch {
-	case headers.NotRun && (res.StatusCode == http.StatusMisdirectedRequest || res.StatusCode == http.StatusBadRequest):
-		p.release(gateway.Completed)
-	case headers.NotRun:
-		p.release(gateway.Refused) // for want of room
-	default:
-		res.Body = &admittedBody{ReadCloser: res.Body, permit: p}
+	case !headers.NotRun, res.StatusCode == http.StatusMisdirectedRequest, res.StatusCode == http.StatusBadRequest:
+		return gateway.Completed
 	}
+	return gateway.Refused // for want of room
 }
 
 // releaseFailed releases the permit of an attempt that got no response. What this side ended
@@ -270,7 +285,7 @@
 		return nil, noRoom(s), false
 	}
 	c.forwarded = true
-	res, err = r.forwarder.sendVia(ctx, addr, s, gatewayRequest{limit, mayWait}, newRequest)
+	res, err = r.forwarder.sendVia(ctx, addr, s, gatewayRequest{r.gateways.limitWithAge(s.Pool), mayWait}, newRequest)
 	return res, err, true
 }
 
--- a/relay/gateways_test.go
+++ b/relay/gateways_test.go
@@ -82,6 +82,34 @@
 	require.EqualValues(t, 10, b.calls())
 }
 
+// Requests that go on being sent through gateways must not keep alive what no answer shows any more.
+func TestRefusalLimitGrowsOldThoughRequestsGoThroughGateways(t *testing.T) {
+	b := newHarness(t, respondWith("x"))
+	h := withGateways(b, 3)
+	shown := time.Now().Add(-10 * time.Second)
+	b.relay.gateways.limits = gateway.Limits{}
+	b.relay.gateways.observe("svc", 1, shown, "answer")
+	for range 5 {
+		require.Equal(t, http.StatusOK, b.do(b.request("POST", "/once/", "body")).status)
+	}
+	learned := 0
+	for _, peer := range h.peers {
+		if limit := peer.gateways.limitWithAge("svc"); limit.PerSecond > 0 {
+			learned++
+			require.GreaterOrEqual(t, limit.Age, 9*time.Second)
+		}
+	}
+	require.Positive(t, learned)
+}
+
+func TestHeadThroughGatewaysIsFramedAsDirectly(t *testing.T) {
+	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) { writeSeal(w, r) })
+	withGateways(b, 1)
+	a := b.do(b.request("HEAD", "/safe/", ""))
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.status)
+}
+
 // An instance that knows of no gateways has only its share of the slots, rounded down.
 func TestWithoutGatewaysInstancesKeepTheirShareRoundedDown(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
