gateway, relay: what nothing is known of is sent to through gateways

Callers of servers that fail by refusing were failed in the first seconds of a start: instances that knew nothing of a service sent to its servers directly, and each server failed within 0.2 s.

Change: until an answer tells whether the servers of a service survive any number of refusals, an instance sends through gateways, as if they survived one a second. An answer without a limit is remembered for 10 minutes.

The simulation is deterministic, and each instance syncs with the holder by itself every 0.5 s, instead of all learning 0.5 s after the first. TestRefusalLimitLastsUntilNoAnswerShowsIt asks the same and the unknown state; TestServerOfWhichNothingIsKnownGetsNoMoreThanItsSlots fails without the change.

--- a/gateway/falls_test.go
+++ b/gateway/falls_test.go
@@ -66,6 +66,15 @@
 	require.Empty(t, f.falls)
 }
 
+// All instances start at once and know nothing of the servers. Each server failed in the first
+// fifth of a second, or its gateways sent it nothing long after it had refused them once.
+func TestServersDoNotFallBeforeInstancesKnowThem(t *testing.T) {
+	for seed := range uint64(8) {
+		o := simOptions{instances: 72, servers: 4, slots: 6, waiting: 1, load: 1.5, service: fastService, seed: seed}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkFalls(t, o) })
+	}
+}
+
 // Instances that have just started don't know yet what servers say of refusals, and lists of
 // members differ between instances while one of them leaves or comes back.
 func TestServersDoNotFallWhileInstancesKnowDifferentThings(t *testing.T) {
--- a/gateway/fleet_sim_test.go
+++ b/gateway/fleet_sim_test.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -39,6 +41,7 @@
 	settled                            time.Duration // falls before that don't count; 0: simSettled
 	knownBy                            float64       // fraction of the instances that know the refusal limit from the start
 	leaveEvery                         time.Duration // a member is replaced so often; 0: never
+	seed                               uint64
 }
 
 func (o simOptions) String() string {
@@ -108,6 +111,7 @@
 	order      []*simServer
 	requests   map[string]*simRequest
 	gateways   []*simInstance // by instance
+	holder     gateway.Limits // what the lease holder was told
 
 	arrived, served, refused int
 	falls                    []simFall // after simSettled
@@ -143,7 +147,7 @@
 func simDomain(n int) string { return fmt.Sprint("d", n%simDomains) }
 
 func newFleetSim(o simOptions) *fleetSim {
-	f := &fleetSim{simOptions: o, now: simStart, rng: rand.New(rand.NewPCG(1, 1)), servers: map[string]*simServer{}, requests: map[string]*simRequest{}}
+	f := &fleetSim{simOptions: o, now: simStart, rng: rand.New(rand.NewPCG(1, 1+o.seed)), servers: map[string]*simServer{}, requests: map[string]*simRequest{}}
 	for n := range o.servers {
 		s := &simServer{upSince: simStart, id: fmt.Sprintf("s%03d", n), domain: simDomain(n), running: map[string]*simRequest{}}
 		f.servers[s.id] = s
@@ -271,8 +275,8 @@
 	}
 	s.down, s.refusals = true, nil
 	s.start++
-	for _, r := range s.running {
-		f.fail(s, r, decide.Failure{Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown})
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		f.fail(s, s.running[id], decide.Failure{Reason: infra.ReasonUnreachable, Effect: infra.EffectUnknown})
 	}
 	s.running = map[string]*simRequest{}
 	f.publish()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,5 +153,18 @@
 	return r.Shares[rank]
 }
 
+// ShareFor returns how many requests the instance at the address may have at the server if it is
+// asked by one that takes the server's refusal limit for askedLimit, and so may have chosen it
+// though it is no gateway.
+func (m Members) ShareFor(addr string, s Server, askedLimit int) int {
+	route := m.RouteTo(s)
+	share := route.ShareOf(addr)
+	if askedLimit == s.RefusalLimit || slices.Contains(route.Ranking[:len(route.Shares)], addr) {
+		return share
+	}
+	s.RefusalLimit = askedLimit
+	return min(share, m.RouteTo(s).ShareOf(addr))
+}
+
 // SmallestShare returns the share of a gateway that doesn't know the others.
 func SmallestShare(s Server) int { return max(s.Slots/gatewayCount(s, maxGateways), 1) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -113,14 +113,26 @@
 func TestRefusalLimitLastsUntilNoAnswerShowsIt(t *testing.T) {
 	var l gateway.Limits
 	now := time.UnixMilli(1_000_000)
-	require.False(t, l.Observe(now, "desk", 0, now), "an answer without it ends nothing")
-	require.True(t, l.Observe(now, "desk", 5, now))
+	requireLimit := func(perSecond int, known bool, at time.Time) {
+		t.Helper()
+		gotPerSecond, gotKnown := l.Of(at, "desk")
+		require.Equal(t, perSecond, gotPerSecond)
+		require.Equal(t, known, gotKnown)
+	}
+	requireLimit(0, false, now)
+	require.False(t, l.Observe(now, "desk", 0, now.Add(time.Millisecond)))
+	requireLimit(0, true, now)
+	require.True(t, l.Observe(now, "desk", 5, now), "one answer that shows it counts more than one without it")
+	require.False(t, l.Observe(now, "desk", 0, now.Add(time.Second)), "an answer without it ends nothing")
 	require.False(t, l.Observe(now, "desk", 7, now.Add(-time.Second)), "an older answer")
-	require.Equal(t, 5, l.Of(now, "desk"))
+	requireLimit(5, true, now)
 	require.Equal(t, []gateway.Limit{{Service: "desk", PerSecond: 5, Age: 14 * time.Second}}, l.List(now.Add(14*time.Second)))
-	require.Zero(t, l.Of(now.Add(15*time.Second), "desk"))
+	requireLimit(0, false, now.Add(15*time.Second))
 	require.False(t, l.Observe(now.Add(15*time.Second), "desk", 5, now), "too old when it is passed on")
 	require.Empty(t, l.List(now.Add(15*time.Second)))
+	require.False(t, l.Observe(now.Add(15*time.Second), "desk", 0, now.Add(15*time.Second)))
+	requireLimit(0, true, now.Add(16*time.Second))
+	requireLimit(0, false, now.Add(15*time.Second+10*time.Minute))
 }
 
 // request asks for an attempt to be sent while no other waits for a pause to end.
--- a/gateway/gateways_sim_test.go
+++ b/gateway/gateways_sim_test.go
@@ -12,7 +12,7 @@
 
 const (
 	simMaxWait      = 150 * time.Millisecond // at a gateway
-	simSyncInterval = 500 * time.Millisecond // until all instances know what one has learned
+	simSyncInterval = 500 * time.Millisecond // between two syncs of an instance with the lease holder
 	simService      = "p"
 )
 
@@ -29,6 +29,7 @@
 			g.limits.Observe(f.now, simService, simRefusalLimit, f.now)
 		}
 		f.gateways = append(f.gateways, g)
+		f.after(time.Duration(f.rng.Float64()*float64(simSyncInterval)), func() { f.sync(n) })
 	}
 	if f.leaveEvery > 0 {
 		f.after(f.leaveEvery, func() { f.replaceMember(all) })
@@ -46,46 +47,65 @@
 	f.after(f.leaveEvery, func() { f.replaceMember(all) })
 }
 
-// shown records that an answer to the instance showed the refusal limit, of which all others learn
-// from the lease holder.
+// shown records that an answer to the instance showed the refusal limit.
 func (f *fleetSim) shown(n int) {
-	if f.direct || !f.gateways[n].limits.Observe(f.now, simService, simRefusalLimit, f.now) {
-		return
+	f.gateways[n].limits.Observe(f.now, simService, simRefusalLimit, f.now)
+}
+
+// sync has the instance tell the lease holder the refusal limits that it knows, and learn those
+// that the holder knows.
+func (f *fleetSim) sync(n int) {
+	own := &f.gateways[n].limits
+	for _, l := range own.List(f.now) {
+		f.holder.Observe(f.now, l.Service, l.PerSecond, f.now.Add(-l.Age))
 	}
-	f.after(simSyncInterval, func() {
-		for _, g := range f.gateways {
-			g.limits.Observe(f.now, simService, simRefusalLimit, f.now)
-		}
-	})
+	for _, l := range f.holder.List(f.now) {
+		own.Observe(f.now, l.Service, l.PerSecond, f.now.Add(-l.Age))
+	}
+	f.after(simSyncInterval, func() { f.sync(n) })
 }
 
 // send sends a request from an instance to a server.
 func (f *fleetSim) send(n int, s *simServer, r *simRequest) {
-	limit := f.gateways[n].limits.Of(f.now, simService)
-	if f.direct || limit == 0 {
+	if f.direct {
 		f.after(simNetworkDelay, func() { f.deliver(s, r, func(gateway.Ending) {}) })
 		return
 	}
+	limit, known := f.gateways[n].limits.Of(f.now, simService)
+	if !known {
+		limit = gateway.AssumedLimit
+	}
 	route := f.gateways[n].members.RouteTo(gateway.Server{ID: s.id, Domain: s.domain, Slots: f.slots, RefusalLimit: limit})
 	order := route.Order(f.rng.IntN(len(route.Shares)))
-	f.ask(s, r, order[:min(gateway.GatewayTries, len(route.Shares))])
+	f.ask(s, r, known, order[:min(gateway.GatewayTries, len(route.Shares))])
 }
 
-// ask asks gateways one after the other to send the request.
-func (f *fleetSim) ask(s *simServer, r *simRequest, addrs []string) {
+// ask asks gateways one after the other to send the request. known says whether the instance that
+// asks knows the refusal limit.
+func (f *fleetSim) ask(s *simServer, r *simRequest, known bool, addrs []string) {
 	if len(addrs) == 0 {
 		f.fail(s, r, decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone, Unsent: true})
 		return
 	}
-	f.after(simNetworkDelay, func() { f.admit(s, r, addrs) })
+	f.after(simNetworkDelay, func() { f.admit(s, r, known, addrs) })
 }
 
 // admit has the first of the gateways admit the request or not.
-func (f *fleetSim) admit(s *simServer, r *simRequest, addrs []string) {
+func (f *fleetSim) admit(s *simServer, r *simRequest, known bool, addrs []string) {
 	n, _ := strconv.Atoi(addrs[0][1:])
 	g := f.gateways[n]
-	g.limits.Observe(f.now, simService, simRefusalLimit, f.now)
-	route := g.members.RouteTo(gateway.Server{ID: s.id, Domain: s.domain, Slots: f.slots, RefusalLimit: simRefusalLimit})
+	if known {
+		g.limits.Observe(f.now, simService, simRefusalLimit, f.now)
+	}
+	limit, shown := g.limits.Of(f.now, simService)
+	if !shown {
+		limit = gateway.AssumedLimit
+	}
+	asked := limit
+	if !known {
+		asked = gateway.AssumedLimit
+	}
+	share := g.members.ShareFor(g.addr, gateway.Server{ID: s.id, Domain: s.domain, Slots: f.slots, RefusalLimit: limit}, asked)
 	start := s.id + " " + strconv.Itoa(s.start)
 	f.seq++
 	id := uint64(f.seq)
@@ -94,7 +114,7 @@
 			f.deliver(s, r, func(how gateway.Ending) { f.release(g, start, how) })
 		})
 	}
-	verdict, admitted := g.limiter.Request(f.now, start, route.ShareOf(g.addr), id, len(addrs) == 1)
+	verdict, admitted := g.limiter.Request(f.now, start, share, id, len(addrs) == 1)
 	g.sendWaiting(admitted)
 	switch verdict {
 	case gateway.Admitted:
@@ -104,11 +124,11 @@
 		f.after(simMaxWait, func() {
 			if g.limiter.Withdraw(f.now, start, id) {
 				delete(g.waiting, id)
-				f.ask(s, r, nil)
+				f.ask(s, r, known, nil)
 			}
 		})
 	default:
-		f.ask(s, r, addrs[1:])
+		f.ask(s, r, known, addrs[1:])
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,9 +68,7 @@
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
-	if res.StatusCode != http.StatusMisdirectedRequest && c.relay.gateways.observe(d.Server.Pool, headers.RefusalLimit, time.Now(), "answer") {
-		c.relay.dispatcher.signalSync() // the lease holder tells the other instances
-	}
+	c.observeRefusalLimit(d, res, headers)
 	// A 421 may come from another server that now has the address, so it says something of
 	// the intended server only if it names that.
 	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
@@ -92,6 +90,20 @@
 	return c.relayResponse(ctx, d, res, sent)
 }
 
+// observeRefusalLimit records what an answer says of the refusals that its server survives. One that
+// may be another server's says nothing.
+func (c *call) observeRefusalLimit(d decide.Decision, res *http.Response, headers ResponseHeaders) {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if headers.RefusalLimit == 0 && !headers.NotRun && !c.isAuthentic(res, headers) {
+		return
+	}
+	if c.relay.gateways.observe(d.Server.Pool, headers.RefusalLimit, time.Now(), "answer") {
+		c.relay.dispatcher.signalSync() // the lease holder tells the other instances
+	}
+}
+
 // handleServerAnswer passes on what an answer says of the server that gave it.
 func (c *call) handleServerAnswer(d decide.Decision, sent time.Time, headers ResponseHeaders) {
 	if headers.Leaving && c.relay.opts.OnLeaving != nil {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -37,6 +37,7 @@
 	headerForwardFraming = "Forward-Framing"
 	// headerForwardLimit asks the instance as a gateway of the server: how many refusals per second
 	// the server survives, and how many milliseconds ago an answer showed that, separated by a comma.
+	// Both are 0 if that isn't known.
 	// headerForwardWait is set with it if the attempt may wait for a slot.
 	headerForwardLimit = "Forward-Refusal-Limit"
 	headerForwardWait  = "Forward-Wait"
@@ -122,8 +123,9 @@
 
 // gatewayRequest asks another instance to send an attempt as a gateway of its server.
 type gatewayRequest struct {
-	limit   gateway.Limit // of the server's service
-	mayWait bool          // the attempt may wait there for a slot
+	limit     gateway.Limit // of the server's service, zero if it isn't known
+	asGateway bool          // false: the instance is only to reach the server
+	mayWait   bool          // the attempt may wait there for a slot
 }
 
 // sendVia sends the request to the server through the instance at the address, a gateway of the
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -64,19 +65,21 @@
 		return
 	}
 	asked := takeGatewayRequest(req.Header)
-	f.relay.gateways.observe(server.Pool, asked.limit.PerSecond, time.Now().Add(-asked.limit.Age), "instance")
+	if asked.limit.PerSecond > 0 {
+		f.relay.gateways.observe(server.Pool, asked.limit.PerSecond, time.Now().Add(-asked.limit.Age), "instance")
+	}
 	if f.active.Add(1) > maxForwards {
 		f.active.Add(-1)
 		writeForwardError(w, infra.ReasonOverloaded, true)
 		return
 	}
 	defer f.active.Add(-1)
-	limit := max(asked.limit.PerSecond, f.relay.gateways.limitOf(server.Pool))
-	if limit == 0 {
+	limit, known := f.relay.gateways.limitOf(server)
+	if limit == 0 || !known && !asked.asGateway {
 		f.forward(w, req, server, nil)
 		return
 	}
-	p := f.relay.gateways.admit(req.Context(), server, limit, true, asked.mayWait)
+	p := f.relay.gateways.admit(req.Context(), server, sendRequest{limit: limit, askedLimit: asked.limitOr(limit), mayWait: asked.mayWait})
 	if p == nil {
 		writeForwardError(w, infra.ReasonOverloaded, true)
 		return
@@ -91,7 +94,7 @@
 	limit, age, _ := strings.Cut(h.Get(headerForwardLimit), ",")
 	perSecond, limitErr := strconv.Atoi(limit)
 	ageMS, ageErr := strconv.Atoi(age)
-	g := gatewayRequest{mayWait: h.Get(headerForwardWait) != ""}
+	g := gatewayRequest{asGateway: limit != "", mayWait: h.Get(headerForwardWait) != ""}
 	if limitErr == nil && ageErr == nil && perSecond > 0 && ageMS >= 0 {
 		g.limit = gateway.Limit{PerSecond: perSecond, Age: time.Duration(ageMS) * time.Millisecond}
 	}
@@ -100,6 +103,15 @@
 	return g
 }
 
+// limitOr returns the limit by which the instance that asks chose this one, or the given one if it
+// didn't choose a gateway.
+func (g gatewayRequest) limitOr(limit int) int {
+	if !g.asGateway {
+		return limit
+	}
+	return cmp.Or(g.limit.PerSecond, gateway.AssumedLimit)
+}
+
 // brokenFor decodes how long ago a connection broke. A check that says nothing usable is about
 // one that has just broken.
 func brokenFor(value string) time.Duration {
--- a/relay/gateways.go
+++ b/relay/gateways.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -77,11 +78,16 @@
 	return changed
 }
 
-// limitOf returns how many refusals per second the servers of a service survive, 0 if any number.
-func (g *gateways) limitOf(service string) int {
+// limitOf returns how many refusals per second the server survives, 0 if any number. Until an
+// answer tells, it is gateway.AssumedLimit if the server has gateways, and known is false.
+func (g *gateways) limitOf(s decide.Server) (limit int, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limits.Of(time.Now(), service)
+	limit, known = g.limits.Of(time.Now(), s.Pool)
+	if !known && s.Slots > 0 && len(g.members) > 0 {
+		return gateway.AssumedLimit, false
+	}
+	return limit, known
 }
 
 // limitWithAge returns the refusal limit of a service with its age, zero if it has none.
@@ -113,13 +119,21 @@
 	return route.Order(rand.IntN(len(route.Shares))), len(route.Shares)
 }
 
+// sendRequest is how an attempt asks to be sent to a server by this instance.
+type sendRequest struct {
+	limit      int  // refusals per second that the server survives, as this instance knows it
+	askedLimit int  // as the instance knows it that asks, 0 if that is this one
+	mayWait    bool // for a slot
+}
+
 // share returns how many requests this instance may have at the server. The caller must hold mu.
-func (g *gateways) share(s decide.Server, limit int, forOthers bool) int {
-	if n := g.members.RouteTo(describe(s, limit)).ShareOf(g.self); n > 0 {
+func (g *gateways) share(s decide.Server, req sendRequest) int {
+	asked := cmp.Or(req.askedLimit, req.limit)
+	if n := g.members.ShareFor(g.self, describe(s, req.limit), asked); n > 0 {
 		return n
 	}
-	if forOthers {
-		return gateway.SmallestShare(describe(s, limit))
+	if req.askedLimit > 0 {
+		return gateway.SmallestShare(describe(s, min(req.limit, asked)))
 	}
 	return s.Slots / max(g.instances, 1) // rounded down: all instances may do so at once
 }
@@ -133,12 +147,12 @@
 
 // admit asks for an attempt to be sent to a server by this instance, of its own caller or for
 // another instance. If it may not be sent, the result is nil. The permit has to be released.
-func (g *gateways) admit(ctx context.Context, s decide.Server, limit int, forOthers, mayWait bool) *sendPermit {
+func (g *gateways) admit(ctx context.Context, s decide.Server, req sendRequest) *sendPermit {
 	p := &sendPermit{gateways: g, start: startKey(s)}
 	g.mu.Lock()
 	g.lastID++
 	id := g.lastID
-	verdict, others := g.limiter.Request(time.Now(), p.start, g.share(s, limit, forOthers), id, mayWait)
+	verdict, others := g.limiter.Request(time.Now(), p.start, g.share(s, req), id, req.mayWait)
 	g.wake(others)
 	var admitted chan struct{}
 	if verdict == gateway.Waiting {
@@ -250,8 +264,8 @@
 	return &infra.Error{Op: "gateway", Addr: s.Addr, Reason: infra.ReasonOverloaded, Effect: infra.EffectNone}
 }
 
-// sendThroughGateway sends an attempt to a server that survives so many refusals per second through
-// one of its gateways, which may be this instance.
+// sendThroughGateway sends an attempt to a server that may survive only so many refusals per second
+// through one of its gateways, which may be this instance.
 func (c *call) sendThroughGateway(ctx context.Context, s decide.Server, limit int, newRequest func(context.Context) *http.Request) (*http.Response, error) {
 	r := c.relay
 	addrs, gatewayCount := r.gateways.askOrder(s, limit)
@@ -291,14 +305,14 @@
 		return nil, noRoom(s), false
 	}
 	c.forwarded = true
-	res, err = r.forwarder.sendVia(ctx, addr, s, gatewayRequest{r.gateways.limitWithAge(s.Pool), mayWait}, newRequest)
+	res, err = r.forwarder.sendVia(ctx, addr, s, gatewayRequest{limit: r.gateways.limitWithAge(s.Pool), asGateway: true, mayWait: mayWait}, newRequest)
 	return res, err, true
 }
 
 // sendAdmitted sends an attempt to its server as one of its gateways.
 func (c *call) sendAdmitted(ctx context.Context, s decide.Server, limit int, mayWait bool, newRequest func(context.Context) *http.Request) (*http.Response, error) {
 	r := c.relay
-	p := r.gateways.admit(ctx, s, limit, false, mayWait)
+	p := r.gateways.admit(ctx, s, sendRequest{limit: limit, mayWait: mayWait})
 	if p == nil {
 		return nil, noRoom(s)
 	}
--- a/relay/gateways_test.go
+++ b/relay/gateways_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"greengageferry/decide"
 	"greengageferry/gateway"
 )
 
@@ -66,10 +67,39 @@
 	require.Equal(t, served.Load(), b.calls(), "each request ran once at most")
 	require.Positive(t, served.Load())
 	for _, peer := range h.peers {
-		require.Equal(t, 1, peer.gateways.limitOf("svc"), "a gateway learns from what it is asked")
+		require.Equal(t, 1, peer.gateways.limitWithAge("svc").PerSecond, "a gateway learns from what it is asked")
 	}
 }
 
+// Until an answer tells, any server may fail by refusing: instances that knew nothing yet sent it
+// more than its slots.
+func TestServerOfWhichNothingIsKnownGetsNoMoreThanItsSlots(t *testing.T) {
+	var running atomic.Int64
+	finish := make(chan struct{})
+	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) {
+		running.Add(1)
+		<-finish
+		writeSeal(w, r)
+		_, _ = io.WriteString(w, "x")
+	})
+	finishAll := sync.OnceFunc(func() { close(finish) })
+	t.Cleanup(finishAll)
+	h := withGateways(b, 3)
+	b.relay.gateways.limits = gateway.Limits{}
+	var group sync.WaitGroup
+	for range 40 {
+		group.Go(func() { b.do(b.request("POST", "/once/", "body", "Timeout", "2000")) })
+	}
+	require.Never(t, func() bool { return running.Load() > 4 }, 400*time.Millisecond, 20*time.Millisecond, "the server has four slots")
+	require.Positive(t, running.Load())
+	finishAll()
+	group.Wait()
+	_, known := b.relay.gateways.limitOf(decide.Server{Pool: "svc", Slots: 4})
+	require.True(t, known, "the server survives any number")
+	require.Empty(t, h.relay.RefusalLimits())
+	require.Equal(t, http.StatusOK, b.do(b.request("POST", "/once/", "body")).status)
+}
+
 func TestGatewayThatIsGoneIsReplaced(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
 	h := withGateways(b, 3)
--- a/relay/send.go
+++ b/relay/send.go
@@ -26,7 +26,7 @@
 		return req
 	}
 	c.forwarded = false
-	if limit := r.gateways.limitOf(s.Pool); limit > 0 && r.forwarder != nil {
+	if limit, _ := r.gateways.limitOf(s); limit > 0 && r.forwarder != nil {
 		return c.sendThroughGateway(ctx, s, limit, newRequest)
 	}
 	var unreached error
