allowance: an instance's part leaves silent instances theirs

Change: what silent instances hold, and those that have not reported in this term, is no one else's; the rest is shared as before. With all heard the parts are what they were.

TestPartsOfInstancesAreTheWholeAtMost fails before (0.82; 0.12 allowed).

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -53,13 +53,14 @@
 
 // bucket is an account's allowance.
 type bucket struct {
-	limit    topology.Allowance
-	level    float64 // units that instances may still use, those granted included; negative: used in advance
-	filledAt time.Time
-	heard    float64     // fraction of the allowance that silent instances don't use
-	sums     claimTotals // of claims, computed at summedAt and kept up to date since
-	summedAt time.Time
-	claims   map[string]*claim // by instance
+	limit     topology.Allowance
+	level     float64 // units that instances may still use, those granted included; negative: used in advance
+	filledAt  time.Time
+	heard     float64     // fraction of the allowance that silent instances don't use
+	reporting int         // instances that aren't silent
+	sums      claimTotals // of claims, computed at summedAt and kept up to date since
+	summedAt  time.Time
+	claims    map[string]*claim // by instance
 }
 
 // claim is an instance's part in a bucket.
@@ -162,19 +163,19 @@
 
 // fill adds what has accrued, less the parts of silent instances.
 func (k *bucket) fill(now time.Time, l *Allocator) {
+	silent, reporting := k.silentPart(now, l)
+	k.heard, k.reporting = 1-silent, reporting
 	elapsed := now.Sub(k.filledAt).Seconds()
 	if elapsed <= 0 {
 		return
 	}
 	k.filledAt = now
-	silent := k.silentPart(now, l)
-	k.heard = 1 - silent
 	k.level = min(k.level+k.limit.PerSecond*k.heard*elapsed, l.capacity(k))
 }
 
-// silentPart returns the fraction of the allowance that silent instances may be using.
-func (k *bucket) silentPart(now time.Time, l *Allocator) float64 {
-	part := 0.0
+// silentPart returns the fraction of the allowance that silent instances may be using, and the
+// number of those that aren't silent.
+func (k *bucket) silentPart(now time.Time, l *Allocator) (part float64, reporting int) {
 	for name, i := range l.instances {
 		silence := now.Sub(i.reportedAt)
 		if silence > forgetAfter {
@@ -185,6 +186,7 @@
 			continue
 		}
 		if silence <= silentAfter {
+			reporting++
 			continue
 		}
 		if c := k.claims[name]; c != nil && c.part > 0 {
@@ -193,7 +195,7 @@
 			part += equalFraction / float64(len(l.instances))
 		}
 	}
-	return min(part+l.unreportedPart(now), 1)
+	return min(part+l.unreportedPart(now), 1), reporting
 }
 
 // instanceCount returns the number of instances that reported lately, or are expected to.
@@ -287,14 +289,22 @@
 	c.credit += given
 	c.wanting = max(c.wanting-given, 0)
 	k.sums.replace(&before, c)
-	c.part = equalFraction / float64(max(instances, 1))
-	if t.demand > 0 {
-		c.part += (1 - equalFraction) * c.demand / t.demand
-	}
+	c.part = k.partOf(c, t, instances)
 	g.Total, g.Part = c.granted, c.part
 	return g
 }
 
+// partOf returns the fraction of the allowance that an instance may use while no lease holder
+// answers. Silent instances keep theirs, so that all parts together are no more than the whole.
+func (k *bucket) partOf(c *claim, t claimTotals, instances int) float64 {
+	part := equalFraction / float64(max(instances, 1))
+	if t.demand <= 0 {
+		return part
+	}
+	byDemand := max(k.heard-part*float64(k.reporting), 0)
+	return part + byDemand*min(c.demand/t.demand, 1)
+}
+
 // contended reports whether more is asked for than the rate, or was used in advance than
 // the bucket had.
 func (k *bucket) contended(t claimTotals) bool {
