instance, quarantine: evidence against parts of prompts costs what changes

Cause: parts that many prompts share are suspected with each crash and cleared by the next answer. Each such change went through the whole set (expiry, activity, all condemned parts), each answer too (what its server survived), each sync hashed it; each report told all crashes of a part again; and sets, which then differ all the time, were exchanged with every sync.

Change: the set caches its digest, and knows which servers have crashes that an answer may void; parts are condemned by their duty alone, every 0.1 s; reports tell what stands and what became void; sets are exchanged once a second at most with an instance, once something came of it; what is void everywhere isn't exchanged. An instance that shows a crash that another knows to be void is told again.

Tests of crashes and parts green. VoidServer now returns a map; its test asks the same.

--- a/instance/learn.go
+++ b/instance/learn.go
@@ -251,7 +251,7 @@
 	if len(i.relay.Gateways()) == 0 {
 		i.setGateways(gatewaysFromWire(res.GetGateways()))
 	}
-	i.suspects.onPeerAnswer(res.GetSuspectsDigest(), res.GetSuspects())
+	i.suspects.onPeerAnswer(req.GetSuspectsDigest(), res.GetSuspectsDigest(), res.GetSuspects())
 	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
 	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
 		return false // the rest predates the restore of the store
--- a/instance/suspect_reports.go
+++ b/instance/suspect_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -52,40 +53,42 @@
 	s.mu.Lock()
 	changed := s.takePending()
 	if holds {
-		changed = s.neededByAll(changed)
+		s.keepNeededByAll(changed)
 	}
-	report := &exchange.CrashReport{Suspects: s.wireSuspects(changed)}
+	report := &exchange.CrashReport{Suspects: s.wireChanges(changed)}
 	reported := s.reported
 	s.reported = make(chan struct{})
 	s.mu.Unlock()
 	defer close(reported)
-	if len(changed) == 0 || !holds && s.reportToHolder(ctx, report) {
+	if len(report.Suspects) == 0 || !holds && s.reportToHolder(ctx, report) {
 		return
 	}
 	s.reportToAll(ctx, report)
 }
 
-// takePending returns the requests to report now. The caller must hold mu.
-func (s *suspects) takePending() []quarantine.Fingerprint {
-	var out []quarantine.Fingerprint
-	for f := range s.pending {
+// takePending returns what to report now. The caller must hold mu.
+func (s *suspects) takePending() map[quarantine.Fingerprint]map[crashKey]bool {
+	out := map[quarantine.Fingerprint]map[crashKey]bool{}
+	for f, voided := range s.pending {
 		if len(out) == maxExchangedSuspects {
 			break
 		}
-		out = append(out, f)
+		out[f] = voided
 		delete(s.pending, f)
 	}
 	return out
 }
 
-// neededByAll returns those of the requests that all instances need to know of. A single
-// crash that isn't confirmed is often a connection that was reset. The caller must hold mu.
-func (s *suspects) neededByAll(fingerprints []quarantine.Fingerprint) []quarantine.Fingerprint {
-	return slices.DeleteFunc(fingerprints, func(f quarantine.Fingerprint) bool {
-		crashes := s.set.Crashes(f)
-		confirmed := slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.Confirmed })
-		return len(crashes) < 2 && !confirmed
-	})
+// isNeededByAll reports whether all instances need to know of a request. A single crash that isn't
+// confirmed is often a connection that was reset. The caller must hold mu.
+func (s *suspects) isNeededByAll(f quarantine.Fingerprint) bool {
+	crashes := s.set.Crashes(f)
+	return len(crashes) >= 2 || slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.Confirmed })
+}
+
+// keepNeededByAll drops the requests that not all instances need to know of. The caller must hold mu.
+func (s *suspects) keepNeededByAll(changed map[quarantine.Fingerprint]map[crashKey]bool) {
+	maps.DeleteFunc(changed, func(f quarantine.Fingerprint, _ map[crashKey]bool) bool { return !s.isNeededByAll(f) })
 }
 
 // reportToHolder reports whether the lease holder has taken the report.
@@ -139,14 +142,14 @@
 	s, holds := e.instance.suspects, e.instance.lease.Holds()
 	changed := s.merge(req.GetSuspects())
 	s.mu.Lock()
-	changed = slices.DeleteFunc(s.neededByAll(changed), func(f quarantine.Fingerprint) bool {
-		return !holds && len(s.set.Crashes(f)) < 2
+	maps.DeleteFunc(changed, func(f quarantine.Fingerprint, _ []quarantine.Crash) bool {
+		return !s.isNeededByAll(f) || !holds && len(s.set.Crashes(f)) < 2
 	})
 	s.mu.Unlock()
 	if len(changed) == 0 {
 		return &exchange.CrashReportResponse{HoldsLease: holds}, nil
 	}
-	reported := s.change(func() []quarantine.Fingerprint { return changed })
+	reported := s.change(func() changes { return changed })
 	timer := time.NewTimer(forwardWait)
 	defer timer.Stop()
 	select {
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -40,8 +41,27 @@
 // everybody uses are suspected with each crash, until the next answer clears them.
 var partRule = quarantine.PartRule{Moments: 4, Spacing: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Explained: 0.8, Noticed: time.Second}
 
-// condemnInterval is how often it is checked which parts of prompts are condemned.
-const condemnInterval = 100 * time.Millisecond
+const (
+	// condemnInterval is how often it is checked which parts of prompts are condemned, and
+	// expireInterval how often what is too old is forgotten.
+	condemnInterval = 100 * time.Millisecond
+	expireInterval  = time.Second
+	// settledAfter is how long after its newest change a set can condemn a part: by then the
+	// newest moment of crashes is settled.
+	settledAfter = 2 * time.Second
+	// suspectExchangeInterval is the least time between two exchanges of whole sets with an
+	// instance. They repeat what reports of crashes have told, unless one was lost.
+	suspectExchangeInterval = time.Second
+	// noExchange is the digest that asks an instance for nothing.
+	noExchange = math.MaxUint64
+)
+
+// changes are the requests and the parts that a change is about, with their crashes that became
+// void by it.
+type changes map[quarantine.Fingerprint][]quarantine.Crash
+
+// crashKey identifies a crash of a request.
+type crashKey struct{ server, boot string }
 
 // suspects holds the requests during which servers crashed, as far as this instance or
 // another saw. An instance that sees a crash reports it at once; what was missed follows with
@@ -55,14 +75,14 @@
 
 	mu       sync.Mutex
 	set      *quarantine.Set
-	pending  map[quarantine.Fingerprint]bool // changed, and not reported yet
-	reported chan struct{}                   // closed once pending was reported
+	pending  map[quarantine.Fingerprint]map[crashKey]bool // changed and not reported yet, with the crashes that became void
+	reported chan struct{}                                // closed once pending was reported
 	// condemned holds the parts of prompts that are refused. A part stays condemned until no crash
 	// speaks against it any more.
 	condemned map[quarantine.Fingerprint]bool
-	// holderDigest and peerDigest are the digests of the sets of the instances that last
-	// answered Sync and State.
-	holderDigest, peerDigest uint64
+	expiredAt time.Time // when the set was last expired
+	// toHolder and toPeer are the exchanges by Sync and State.
+	toHolder, toPeer suspectExchange
 }
 
 func newSuspects(i *Instance) *suspects {
@@ -71,7 +91,7 @@
 		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
 		wake:     make(chan struct{}, 1),
 		set:      quarantine.NewSet(),
-		pending:  map[quarantine.Fingerprint]bool{},
+		pending:  map[quarantine.Fingerprint]map[crashKey]bool{},
 		reported: make(chan struct{}),
 
 		condemned: map[quarantine.Fingerprint]bool{},
@@ -113,12 +133,8 @@
 	return len(crashes) > 0 && crashRule.Quarantines(crashes, s.since(f))
 }
 
-// updateCondemned recomputes which parts are condemned, and returns the new ones. The caller must
-// hold mu.
+// updateCondemned condemns the parts that have become so, and returns them. The caller must hold mu.
 func (s *suspects) updateCondemned(now time.Time) []quarantine.Fingerprint {
-	maps.DeleteFunc(s.condemned, func(f quarantine.Fingerprint, _ bool) bool {
-		return quarantine.Count(s.set.Crashes(f), s.since(f)) == 0
-	})
 	added := slices.DeleteFunc(s.set.CondemnedParts(now, partRule, s.since), func(f quarantine.Fingerprint) bool { return s.condemned[f] })
 	for _, f := range added {
 		s.condemned[f] = true
@@ -126,14 +142,29 @@
 	return added
 }
 
-// condemn is the duty that checks which parts of prompts are condemned.
+// clearCondemned drops the parts that no crash speaks against any more. The caller must hold mu.
+func (s *suspects) clearCondemned() {
+	maps.DeleteFunc(s.condemned, func(f quarantine.Fingerprint, _ bool) bool {
+		return quarantine.Count(s.set.Crashes(f), s.since(f)) == 0
+	})
+}
+
+// condemn is the duty that checks which parts are condemned, and forgets what is too old.
 func (s *suspects) condemn(ctx context.Context) error {
+	var version uint64
+	var changedAt time.Time
 	for supervise.Pause(ctx, condemnInterval) {
-		if !s.Active() {
-			continue
-		}
+		now := time.Now()
 		s.mu.Lock()
-		added := s.updateCondemned(time.Now())
+		s.expire(now)
+		if v := s.set.Version(); v != version {
+			version, changedAt = v, now
+		}
+		var added []quarantine.Fingerprint
+		s.clearCondemned()
+		if now.Sub(changedAt) < settledAfter {
+			added = s.updateCondemned(now)
+		}
 		s.mu.Unlock()
 		s.endQuarantined(added)
 	}
@@ -162,59 +193,82 @@
 func (s *suspects) ReportCrash(r relay.CrashReport) <-chan struct{} {
 	s.instance.metrics.crashes.Inc()
 	r.Boot = strconv.FormatUint(rand.Uint64(), reportIDBase)
-	return s.change(func() []quarantine.Fingerprint {
+	return s.change(func() changes {
 		s.set.Report(r.Request, r.Crash)
+		changed := changes{r.Request: nil}
 		for _, part := range r.Parts {
 			c := r.Crash
 			c.Repeat = part == r.Trial
 			s.set.Report(part, c)
+			changed[part] = nil
 		}
-		return append([]quarantine.Fingerprint{r.Request}, r.Parts...)
+		return changed
 	})
 }
 
 // ReportCompleted implements relay.Quarantine.
 func (s *suspects) ReportCompleted(fingerprints ...quarantine.Fingerprint) {
-	s.change(func() []quarantine.Fingerprint {
-		return slices.DeleteFunc(slices.Clone(fingerprints), func(f quarantine.Fingerprint) bool { return !s.set.VoidRequest(f) })
+	s.change(func() changes {
+		changed := changes{}
+		for _, f := range fingerprints {
+			if voided := s.set.VoidRequest(f); len(voided) > 0 {
+				changed[f] = voided
+			}
+		}
+		return changed
 	})
 }
 
 // ReportAnswer implements relay.Quarantine.
 func (s *suspects) ReportAnswer(server string, opened, sent time.Time) {
-	s.change(func() []quarantine.Fingerprint {
+	s.change(func() changes {
 		survived := s.set.VoidServer(server, opened, sent)
-		for _, f := range survived {
+		for f := range survived {
 			s.instance.log.WithFields(logrus.Fields{"server": server, "fingerprint": f.String()}).Info("server survived the request")
 		}
 		return survived
 	})
 }
 
-// change calls f, which changes the set and returns the requests to report. The returned
+// change calls f, which changes the set and returns the changes to report. The returned
 // channel is closed once they were reported.
-func (s *suspects) change(f func() []quarantine.Fingerprint) <-chan struct{} {
+func (s *suspects) change(f func() changes) <-chan struct{} {
 	s.mu.Lock()
 	changed := f()
-	for _, fingerprint := range changed {
-		s.pending[fingerprint] = true
-	}
+	s.addPending(changed)
 	reported := s.reported
 	s.mu.Unlock()
 	if len(changed) == 0 {
 		return reported
 	}
-	s.applyVerdicts(changed)
+	s.applyVerdicts(slices.Collect(maps.Keys(changed)))
+	s.wakeReports()
+	return reported
+}
+
+// addPending adds changes to those to report. The caller must hold mu.
+func (s *suspects) addPending(changed changes) {
+	for f, voided := range changed {
+		if s.pending[f] == nil {
+			s.pending[f] = map[crashKey]bool{}
+		}
+		for _, c := range voided {
+			s.pending[f][crashKey{c.Server, c.Boot}] = true
+		}
+	}
+}
+
+func (s *suspects) wakeReports() {
 	select {
 	case s.wake <- struct{}{}:
 	default: // a signal is already pending
 	}
-	return reported
 }
 
-// merge adds what another instance knows, and returns the requests that this changed.
-func (s *suspects) merge(received []*exchange.Suspect) []quarantine.Fingerprint {
-	var changed []quarantine.Fingerprint
+// merge adds what another instance knows, and returns what this changed. What the other takes for
+// standing and this instance knows to be void is reported again.
+func (s *suspects) merge(received []*exchange.Suspect) changes {
+	changed, again := changes{}, changes{}
 	now := time.Now()
 	s.mu.Lock()
 	for _, w := range received[:min(len(received), maxExchangedSuspects)] {
@@ -224,28 +278,51 @@
 		}
 		for _, c := range crashes {
 			if now.Sub(c.At) < quarantine.Expiry && s.set.Merge(f, c) {
-				changed = append(changed, f)
+				changed[f] = appendVoid(changed[f], c)
+			} else if !c.Void && s.isVoid(f, c) {
+				again[f] = append(again[f], c)
 			}
 		}
 	}
+	s.addPending(again)
 	s.mu.Unlock()
+	if len(again) > 0 {
+		s.wakeReports()
+	}
 	if len(changed) > 0 {
-		s.applyVerdicts(changed)
+		s.applyVerdicts(slices.Collect(maps.Keys(changed)))
 	}
 	return changed
 }
 
+// appendVoid appends a crash if it is void.
+func appendVoid(to []quarantine.Crash, c quarantine.Crash) []quarantine.Crash {
+	if !c.Void {
+		return to
+	}
+	return append(to, c)
+}
+
+// isVoid reports whether a crash is known to be void. The caller must hold mu.
+func (s *suspects) isVoid(f quarantine.Fingerprint, c quarantine.Crash) bool {
+	return slices.ContainsFunc(s.set.Crashes(f), func(known quarantine.Crash) bool {
+		return known.Server == c.Server && known.Boot == c.Boot && known.Void
+	})
+}
+
 // applyVerdicts ends the attempts of requests that have become quarantined by a change, and
-// the permits of those that nothing speaks against any more.
+// the permits of those that nothing speaks against any more. Parts become condemned in condemn.
 func (s *suspects) applyVerdicts(changed []quarantine.Fingerprint) {
+	var added []quarantine.Fingerprint
 	for _, f := range changed {
 		if s.standing(f) == 0 {
 			s.runs.completed(f)
 		}
 	}
 	s.mu.Lock()
-	s.updateActive()
-	added := s.updateCondemned(time.Now())
+	s.expire(time.Now())
+	s.active.Store(s.set.AnyStanding())
+	s.clearCondemned()
 	for _, f := range changed {
 		if !f.IsPart() && s.isQuarantined(f) {
 			added = append(added, f)
@@ -278,40 +355,74 @@
 	l.Warn("request is quarantined, since it crashes servers")
 }
 
-// updateActive drops expired requests and recomputes active. The caller must hold mu.
-func (s *suspects) updateActive() {
-	now := time.Now()
+// expire drops expired requests, at most every expireInterval. The caller must hold mu.
+func (s *suspects) expire(now time.Time) {
+	if now.Sub(s.expiredAt) < expireInterval {
+		return
+	}
+	s.expiredAt = now
 	s.set.Expire(func(f quarantine.Fingerprint, crashes []quarantine.Crash) time.Time {
 		if s.condemned[f] || !f.IsPart() && crashRule.Quarantines(crashes, now.Add(-quarantine.Expiry)) {
 			return now.Add(-quarantine.Expiry)
 		}
 		return now.Add(-suspectTTL)
 	})
-	active := false
-	for _, suspect := range s.set.Suspects() {
-		active = active || quarantine.Count(suspect.Crashes, time.Time{}) > 0
-	}
-	s.active.Store(active)
+	s.active.Store(s.set.AnyStanding())
+}
+
+// suspectExchange is the exchange of sets by one kind of call.
+type suspectExchange struct {
+	at     time.Time // of the newest one that brought something either way
+	digest uint64    // of the other's set when it last answered
+	sent   int       // requests sent by the newest one
 }
 
-// forHolder returns the digest of the set for a call of Sync, and the requests unless the
-// instance that is asked had the same when it last answered.
-func (s *suspects) forHolder() (uint64, []*exchange.Suspect) {
+// begin returns the digest of the set for a call, and the requests unless the instance that is asked
+// had the same when it last answered.
+func (s *suspects) begin(x *suspectExchange) (uint64, []*exchange.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if time.Since(x.at) < suspectExchangeInterval {
+		return noExchange, nil
+	}
 	digest := s.set.Digest()
-	if digest == s.holderDigest {
+	x.sent = 0
+	if digest == x.digest {
 		return digest, nil
 	}
-	return digest, s.wireRepeated()
+	out := s.wireRepeated()
+	x.sent = len(out)
+	return digest, out
 }
 
-// onHolderAnswer applies the answer to a call of Sync.
-func (s *suspects) onHolderAnswer(digest uint64, received []*exchange.Suspect) {
+// end applies the answer to a call that began with the given digest.
+func (s *suspects) end(x *suspectExchange, asked, digest uint64, received []*exchange.Suspect) {
+	if asked == noExchange {
+		return
+	}
 	s.merge(received)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holderDigest = digest
+	x.digest = digest
+	if x.sent+len(received) > 0 {
+		x.at = time.Now()
+	}
+}
+
+// forHolder begins an exchange with the lease holder.
+func (s *suspects) forHolder() (uint64, []*exchange.Suspect) { return s.begin(&s.toHolder) }
+
+// onHolderAnswer applies the answer to a call of Sync with the digest asked.
+func (s *suspects) onHolderAnswer(asked, digest uint64, received []*exchange.Suspect) {
+	s.end(&s.toHolder, asked, digest, received)
+}
+
+// forPeer is like forHolder, for a call of State.
+func (s *suspects) forPeer() (uint64, []*exchange.Suspect) { return s.begin(&s.toPeer) }
+
+// onPeerAnswer applies the answer to a call of State with the digest asked.
+func (s *suspects) onPeerAnswer(asked, digest uint64, received []*exchange.Suspect) {
+	s.end(&s.toPeer, asked, digest, received)
 }
 
 // exchange merges what another instance sent with its digest, and returns this one's, with
@@ -321,31 +432,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	own := s.set.Digest()
-	if own == digest {
+	if own == digest || digest == noExchange {
 		return own, nil
 	}
 	return own, s.wireRepeated()
 }
 
-// forPeer is like forHolder, for a call of State.
-func (s *suspects) forPeer() (uint64, []*exchange.Suspect) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	digest := s.set.Digest()
-	if digest == s.peerDigest {
-		return digest, nil
-	}
-	return digest, s.wireRepeated()
-}
-
-// onPeerAnswer applies the answer to a call of State.
-func (s *suspects) onPeerAnswer(digest uint64, received []*exchange.Suspect) {
-	s.merge(received)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.peerDigest = digest
-}
-
 // counts returns how many requests are suspected and how many of these are quarantined.
 func (s *suspects) counts() (suspected, quarantined int) {
 	s.mu.Lock()
--- a/instance/suspects_test.go
+++ b/instance/suspects_test.go
@@ -205,7 +205,7 @@
 		}
 		for _, i := range w.instances {
 			i.suspects.mu.Lock()
-			i.suspects.holderDigest = 0
+			i.suspects.toHolder = suspectExchange{}
 			if i != w.instances[0] {
 				i.suspects.set = quarantine.NewSet()
 			}
--- a/instance/suspects_wire.go
+++ b/instance/suspects_wire.go
@@ -19,15 +19,38 @@
 	now := time.Now()
 	var out []*exchange.Suspect
 	for _, f := range fingerprints {
-		w := &exchange.Suspect{Fingerprint: f[:]}
+		out = append(out, wireSuspect(now, f, s.set.Crashes(f)))
+	}
+	return out
+}
+
+// wireChanges encodes requests with the crashes that stand and those that became void. What was void
+// before was told then. The caller must hold mu.
+func (s *suspects) wireChanges(changed map[quarantine.Fingerprint]map[crashKey]bool) []*exchange.Suspect {
+	now := time.Now()
+	var out []*exchange.Suspect
+	for f, voided := range changed {
+		var crashes []quarantine.Crash
 		for _, c := range s.set.Crashes(f) {
-			w.Crashes = append(w.Crashes, crashToWire(now, c))
+			if !c.Void || voided[crashKey{c.Server, c.Boot}] {
+				crashes = append(crashes, c)
+			}
+		}
+		if len(crashes) > 0 {
+			out = append(out, wireSuspect(now, f, crashes))
 		}
-		out = append(out, w)
 	}
 	return out
 }
 
+func wireSuspect(now time.Time, f quarantine.Fingerprint, crashes []quarantine.Crash) *exchange.Suspect {
+	w := &exchange.Suspect{Fingerprint: f[:]}
+	for _, c := range crashes {
+		w.Crashes = append(w.Crashes, crashToWire(now, c))
+	}
+	return w
+}
+
 // suspectFromWire decodes a request with its crashes. It returns false if the fingerprint
 // isn't one.
 func suspectFromWire(now time.Time, w *exchange.Suspect) (quarantine.Fingerprint, []quarantine.Crash, bool) {
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -188,7 +188,7 @@
 	}
 	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
 	i.addLeavingServers(startsFromWire(res.GetLeaving()))
-	i.suspects.onHolderAnswer(res.GetSuspectsDigest(), res.GetSuspects())
+	i.suspects.onHolderAnswer(req.GetSuspectsDigest(), res.GetSuspectsDigest(), res.GetSuspects())
 	i.relay.ObserveRefusalLimits(sent, refusalLimitsFromWire(res.GetRefusalLimits()))
 	i.setGateways(gatewaysFromWire(res.GetGateways()))
 	i.notePeers(addr)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -90,7 +91,7 @@
 	require.Empty(t, s.VoidServer("b", older, later))
 	require.Empty(t, s.VoidServer("a", start.Add(5*time.Millisecond), later), "the connection was opened since")
 	require.Empty(t, s.VoidServer("a", start.Add(-5*time.Millisecond), later), "the time of the crash isn't known so exactly")
-	require.Equal(t, []Fingerprint{{1}}, s.VoidServer("a", older, later))
+	require.Equal(t, []Fingerprint{{1}}, slices.Collect(maps.Keys(s.VoidServer("a", older, later))))
 	require.Zero(t, Count(s.Crashes(Fingerprint{1}), time.Time{}))
 }
 
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -26,10 +26,42 @@
 type Set struct {
 	suspects map[Fingerprint]*Suspect
 	order    uint64
+	version  uint64 // counts changes
+
+	digest        uint64 // as of digestVersion
+	digestVersion uint64
+	// newest is when each server's newest crash was that may not be void. It may be later, but never
+	// earlier.
+	newest map[string]time.Time
 }
 
 // NewSet returns an empty set.
-func NewSet() *Set { return &Set{suspects: map[Fingerprint]*Suspect{}} }
+func NewSet() *Set {
+	return &Set{suspects: map[Fingerprint]*Suspect{}, newest: map[string]time.Time{}}
+}
+
+// Version returns a number that grows with each change.
+func (s *Set) Version() uint64 { return s.version }
+
+// set stores a request.
+func (s *Set) set(f Fingerprint, suspect *Suspect) {
+	s.suspects[f] = suspect
+	s.version++
+	for _, c := range suspect.Crashes {
+		if !c.Void && c.At.After(s.newest[c.Server]) {
+			s.newest[c.Server] = c.At
+		}
+	}
+}
+
+// remove removes a request.
+func (s *Set) remove(f Fingerprint) {
+	delete(s.suspects, f)
+	s.version++
+	if len(s.suspects) == 0 {
+		clear(s.newest)
+	}
+}
 
 // Len returns the number of requests.
 func (s *Set) Len() int { return len(s.suspects) }
@@ -47,7 +79,7 @@
 
 // Restore puts a request into the set as it was.
 func (s *Set) Restore(f Fingerprint, suspect Suspect) {
-	s.suspects[f] = &suspect
+	s.set(f, &suspect)
 	s.order = max(s.order, suspect.Last)
 }
 
@@ -68,7 +100,7 @@
 		order = s.order + 1
 	}
 	s.order = max(s.order, order)
-	s.suspects[f] = &Suspect{Crashes: crashes, Last: order}
+	s.set(f, &Suspect{Crashes: crashes, Last: order})
 }
 
 // evictOldest removes the request whose newest crash is oldest if there are more than
@@ -84,7 +116,7 @@
 			oldest, last = f, suspect.Last
 		}
 	}
-	delete(s.suspects, oldest)
+	s.remove(oldest)
 }
 
 // MaxMergedCrashes is the maximum number of crashes of one request that Merge remembers.
@@ -112,13 +144,13 @@
 	}
 	crashes = slices.Clone(crashes)
 	crashes[at] = merged
-	s.suspects[f] = &Suspect{Crashes: crashes, Last: s.suspects[f].Last}
+	s.set(f, &Suspect{Crashes: crashes, Last: s.suspects[f].Last})
 	return true
 }
 
-// VoidRequest marks all crashes of a request as void, after a server completed it. It
-// reports whether that changed the set.
-func (s *Set) VoidRequest(f Fingerprint) bool {
+// VoidRequest marks all crashes of a request as void, after a server completed it. It returns
+// those that were not.
+func (s *Set) VoidRequest(f Fingerprint) []Crash {
 	return s.voidIf(f, func(Crash) bool { return true })
 }
 
@@ -142,48 +174,87 @@
 // VoidServer marks all crashes of a server as void that it survived: over a connection that
 // was opened before them it answered a request that was sent after them. A server that
 // answers over a newer connection may be another start. It returns the requests that this
-// changed.
-func (s *Set) VoidServer(server string, opened, sent time.Time) []Fingerprint {
-	var out []Fingerprint
+// changed, with the crashes.
+func (s *Set) VoidServer(server string, opened, sent time.Time) map[Fingerprint][]Crash {
+	if !opened.Add(SurvivalMargin).Before(s.newest[server]) {
+		return nil
+	}
+	out := map[Fingerprint][]Crash{}
 	survived := func(c Crash) bool {
 		return c.Server == server && opened.Add(SurvivalMargin).Before(c.At) && c.At.Before(sent)
 	}
 	for f := range s.suspects {
-		if s.voidIf(f, survived) {
-			out = append(out, f)
+		if voided := s.voidIf(f, survived); len(voided) > 0 {
+			out[f] = voided
 		}
 	}
+	s.updateNewest(server)
 	return out
 }
 
-func (s *Set) voidIf(f Fingerprint, matches func(Crash) bool) bool {
+// updateNewest recomputes when the server's newest crash was that isn't void.
+func (s *Set) updateNewest(server string) {
+	var newest time.Time
+	for _, suspect := range s.suspects {
+		for _, c := range suspect.Crashes {
+			if c.Server == server && !c.Void && c.At.After(newest) {
+				newest = c.At
+			}
+		}
+	}
+	s.newest[server] = newest
+}
+
+// voidIf marks the crashes of a request as void that match, and returns those that were not.
+func (s *Set) voidIf(f Fingerprint, matches func(Crash) bool) (voided []Crash) {
 	suspect := s.suspects[f]
 	speaks := func(c Crash) bool { return !c.Void && matches(c) }
 	if suspect == nil || !slices.ContainsFunc(suspect.Crashes, speaks) {
-		return false
+		return nil
 	}
 	crashes := slices.Clone(suspect.Crashes)
-	for i, c := range crashes {
-		crashes[i].Void = c.Void || matches(c)
+	for i := range crashes {
+		if speaks(crashes[i]) {
+			crashes[i].Void = true
+			voided = append(voided, crashes[i])
+		}
 	}
-	s.suspects[f] = &Suspect{Crashes: crashes, Last: suspect.Last}
-	return true
+	s.set(f, &Suspect{Crashes: crashes, Last: suspect.Last})
+	return voided
 }
 
 // Expire removes the requests whose newest crash was before the time that keepSince returns
 // for their crashes.
 func (s *Set) Expire(keepSince func(Fingerprint, []Crash) time.Time) {
-	maps.DeleteFunc(s.suspects, func(f Fingerprint, suspect *Suspect) bool {
+	for f, suspect := range s.suspects {
 		newest := slices.MaxFunc(suspect.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-		return newest.At.Before(keepSince(f, suspect.Crashes))
-	})
+		if newest.At.Before(keepSince(f, suspect.Crashes)) {
+			s.remove(f)
+		}
+	}
+}
+
+// AnyStanding reports whether any crash isn't void.
+func (s *Set) AnyStanding() bool {
+	for _, suspect := range s.suspects {
+		if slices.ContainsFunc(suspect.Crashes, func(c Crash) bool { return !c.Void }) {
+			return true
+		}
+	}
+	return false
+}
+
+// isRepeated reports whether a request has two crashes or more, of which one at least isn't void.
+func (s *Suspect) isRepeated() bool {
+	return len(s.Crashes) > 1 && slices.ContainsFunc(s.Crashes, func(c Crash) bool { return !c.Void })
 }
 
-// Repeated returns the requests with two crashes or more, void or not, newest last.
+// Repeated returns the requests with two crashes or more of which one at least isn't void, newest
+// last.
 func (s *Set) Repeated() []Fingerprint {
 	var out []Fingerprint
 	for f, suspect := range s.suspects {
-		if len(suspect.Crashes) > 1 {
+		if suspect.isRepeated() {
 			out = append(out, f)
 		}
 	}
@@ -194,12 +265,19 @@
 // Digest identifies what the set knows of the requests that Repeated returns; 0: there are
 // none. The order and the times of crashes don't count, since they differ between instances.
 func (s *Set) Digest() uint64 {
+	if s.digestVersion == s.version {
+		return s.digest
+	}
 	sum := uint64(0)
-	for _, f := range s.Repeated() {
-		for _, c := range s.suspects[f].Crashes {
+	for f, suspect := range s.suspects {
+		if !suspect.isRepeated() {
+			continue
+		}
+		for _, c := range suspect.Crashes {
 			sum += crashDigest(f, c)
 		}
 	}
+	s.digest, s.digestVersion = sum, s.version
 	return sum
 }
 
