origin, relay: streams don't begin at a version that others may not know yet

Change: while a version is new to an instance, listed for 3 s or less beside one alone that is older, streams that may be taken up begin at the older one, as long as that has a server that isn't leaving. By the time the new one gets streams, each list that counts has it.

TestStreamBeginsWhereNoInstanceTakesItForAnotherVersion (lists 0.1, 1.4 and 2.9 s old) fails if no version counts as settled, from the first moment on. What is left: an instance that starts while a version is new.

--- a/instance/origins.go
+++ b/instance/origins.go
@@ -135,6 +135,13 @@
 	return o.history.Only(now, service)
 }
 
+// Settled implements relay.Origins.
+func (o *origins) Settled(service string) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Settled(time.Now(), service)
+}
+
 // Find implements relay.Origins.
 func (o *origins) Find(ctx context.Context, id string) (relay.Origin, bool) {
 	stream := origin.StreamOf(id)
--- a/origin/history.go
+++ b/origin/history.go
@@ -24,7 +24,7 @@
 
 // serviceHistory holds the software versions of one service's servers.
 type serviceHistory struct {
-	listed map[string]bool
+	listed map[string]time.Time // by version: since when one of its servers is listed
 	goneAt map[string]time.Time // by version: when the last of its servers was no longer listed
 }
 
@@ -48,7 +48,7 @@
 	}
 	for name := range listed {
 		if h.services[name] == nil {
-			h.services[name] = &serviceHistory{goneAt: map[string]time.Time{}}
+			h.services[name] = &serviceHistory{listed: map[string]time.Time{}, goneAt: map[string]time.Time{}}
 		}
 	}
 	for name, s := range h.services {
@@ -60,6 +60,12 @@
 	for v := range s.listed {
 		if !listed[v] {
 			s.goneAt[v] = now
+			delete(s.listed, v)
+		}
+	}
+	for v := range listed {
+		if _, known := s.listed[v]; !known {
+			s.listed[v] = now
 		}
 	}
 	for v, at := range s.goneAt {
@@ -67,7 +73,6 @@
 			delete(s.goneAt, v)
 		}
 	}
-	s.listed = listed
 }
 
 // Watch records that the list of servers was last confirmed at asOf. While it is older than
@@ -93,6 +98,29 @@
 	return versions[0], true
 }
 
+// Settled returns the software version at which new streams of the service should begin while
+// another one is so new that other instances may not have it in their lists yet. It returns false
+// if all listed versions are new, or none is, or several aren't.
+func (h *History) Settled(now time.Time, service string) (version string, ok bool) {
+	s := h.services[service]
+	if s == nil {
+		return "", false
+	}
+	settled, unsettled := 0, 0
+	for v, since := range s.listed {
+		if now.Sub(since) <= MaxListAge {
+			unsettled++
+			continue
+		}
+		version = v
+		settled++
+	}
+	if settled != 1 || unsettled == 0 || version == "" {
+		return "", false
+	}
+	return version, true
+}
+
 // Versions returns the software versions at which living streams of the service can have begun,
 // as far as this instance has seen, in no order. An unknown one is "".
 func (h *History) Versions(now time.Time, service string) []string {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -91,6 +91,51 @@
 	require.True(t, ok)
 }
 
+// Guards against streams of two versions: an instance whose list lacks a version that is new takes
+// a stream that began there for one of the only version that it knows. Each stream begins where the
+// beginning instance's history lets it, at the newest version otherwise.
+func TestStreamBeginsWhereNoInstanceTakesItForAnotherVersion(t *testing.T) {
+	for _, listAge := range []float64{0.1, 1.4, 2.9} {
+		beginner, other := watched(20, "v1"), watched(20, "v1")
+		begun := ""
+		for at := 20.0; at < 30; at += 0.1 {
+			beginner.Update(after(at), serversOf("v1", "v2"))
+			beginner.Watch(after(at), after(at))
+			confirmed := at - listAge
+			if confirmed >= 20 {
+				other.Update(after(at), serversOf("v1", "v2"))
+			}
+			other.Watch(after(at), after(confirmed))
+			begun = "v2"
+			if version, ok := beginner.Settled(after(at), "svc"); ok {
+				begun = version
+			}
+			if only, ok := other.Only(after(at), "svc"); ok {
+				require.Equal(t, only, begun, "%.1f s after the new version, list %.1f s old", at-20, listAge)
+			}
+		}
+		require.Equal(t, "v2", begun, "the new version is used in the end")
+	}
+}
+
+func TestOneSettledVersionAtMost(t *testing.T) {
+	h := watched(20, "v1")
+	settled := func(at float64) string {
+		v, _ := h.Settled(after(at), "svc")
+		return v
+	}
+	require.Empty(t, settled(20), "there is no other")
+	h.Update(after(20), serversOf("v1", "v2"))
+	require.Equal(t, "v1", settled(21))
+	h.Update(after(22), serversOf("v2"))
+	require.Empty(t, settled(22), "its servers are gone")
+	h.Update(after(24), serversOf("v1", "v2", "v3"))
+	require.Equal(t, "v2", settled(24), "v1 is new again")
+	h.Update(after(26), serversOf("v1", "v2", "v3", "v4"))
+	require.Equal(t, "v2", settled(26))
+	require.Empty(t, settled(28), "three are known to all")
+}
+
 func TestRecordsAreToldOnceAndForgotten(t *testing.T) {
 	r := NewRecords(lifetime)
 	r.AddOwn(Record{StreamOf("a"), "svc", "v1", start})
--- a/relay/call.go
+++ b/relay/call.go
@@ -135,6 +135,7 @@
 	if resumed.Version != "" && !c.restrictTo(v, resumed.Version) {
 		return c.refuse(string(decide.ReasonOtherVersion), originRetryAfter)
 	}
+	c.avoidNewVersion(v)
 	c.setDeadline()
 	return c.run()
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -130,6 +130,8 @@
 	mu    sync.Mutex
 	known map[string]Origin
 	only  string // the one version possible; empty: there may be several
+	// settled is the version at which streams begin; empty: any
+	settled string
 }
 
 func (f *fakeOrigins) Began(id string, o Origin) {
@@ -150,6 +152,8 @@
 
 func (f *fakeOrigins) Only(string) (string, bool) { return f.only, f.only != "" }
 
+func (f *fakeOrigins) Settled(string) (string, bool) { return f.settled, f.settled != "" }
+
 // newHarness starts a relay and one server for each script. Routes: /once/ is not
 // idempotent, /safe/ is, /stream/ is a non-idempotent stream and /resume/ a resumable
 // one. Each request is sent to at most two servers.
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -26,6 +26,9 @@
 	// Only returns the one software version at which streams of the service that still live can
 	// have begun, and false if there may be several.
 	Only(service string) (version string, ok bool)
+	// Settled returns the software version at which streams of the service should begin while
+	// another one is new, and false if there is no such choice.
+	Settled(service string) (version string, ok bool)
 }
 
 const (
@@ -76,6 +79,25 @@
 	return v.Serves(c.service.Name, version)
 }
 
+// avoidNewVersion restricts a request that begins a stream to the software version that all
+// instances know, while another one is new: an instance that doesn't know the new one yet would
+// take the stream up at the other.
+func (c *call) avoidNewVersion(v *topology.View) {
+	if !c.beginsStream() || c.relay.opts.Origins == nil {
+		return
+	}
+	version, ok := c.relay.opts.Origins.Settled(c.service.Name)
+	if ok && v.Serves(c.service.Name, version) {
+		c.restrictTo(v, version)
+	}
+}
+
+// beginsStream reports whether the request begins a stream that may be taken up, and has not got
+// anything of it yet.
+func (c *call) beginsStream() bool {
+	return c.route.Retry == topology.Resumable && c.headers.LastEventID == "" && !c.stream.started
+}
+
 // restrictedTarget returns the target of the request's next attempt, empty if it stays. Once the
 // stream has started it is restricted to the software version that began it. If no server has
 // that, no target has the returned name.
@@ -88,6 +110,10 @@
 	}
 	v := c.relay.view.Load()
 	if !v.Serves(c.service.Name, c.version) {
+		if c.beginsStream() {
+			c.version = ""
+			return c.anyVersion
+		}
 		return topology.VersionTarget(c.anyVersion, c.version)
 	}
 	return v.TargetAt(c.service.Name, c.anyVersion, c.version)
--- a/relay/resumption_test.go
+++ b/relay/resumption_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// While a version is new, streams that may be taken up begin at the other, as long as that serves.
+func TestStreamsBeginAtTheVersionThatAllInstancesKnow(t *testing.T) {
+	b := newVersionsHarness(t, "v1", "v2", "v2", "v2")
+	b.origins.settled = "v1"
+	for n := range 10 {
+		a := b.do(b.request("POST", "/resume/", "prompt", "Id", fmt.Sprint("r", n)))
+		require.NoError(t, a.err)
+		require.Equal(t, versionedBody(1, "v1"), a.body)
+	}
+	b.versions = []string{"v2", "v2", "v2", "v2"}
+	b.setView(3)
+	require.Equal(t, 200, b.do(b.request("POST", "/resume/", "prompt", "Id", "last")).status)
+}
+
 func TestAnswerWhoseVersionIsGoneOrUnknownBreaksOff(t *testing.T) {
 	for _, versions := range [][]string{{"v1", "v1"}, {"", ""}} {
 		b := newVersionsHarness(t, versions...)
