soak, known red: most new connections come to one instance with little processor time

The soak can do it now (-crowd): 1,500 connections a second, one request each, nine tenths to one instance that gets 2 ms of each 60.

--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,7 @@
 	Seed        uint64
 	FaultPeriod time.Duration // period in which faults start
 	Bounds      Bounds
+	Crowd       bool      // most new connections come to one instance for a while
 	Out         io.Writer // receives one line per fault and result
 }
 
@@ -150,6 +151,9 @@
 	r.load.light.Store(false) // the share that is served is of enough requests in all runs
 	r.sendCrashingRequests()
 	r.checkCrashingParts()
+	if r.opts.Crowd {
+		r.checkCrowdedInstance()
+	}
 	return r.checkCalm()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,6 +27,7 @@
 	length         = flag.Duration("length", 8*time.Second, "period in which faults start")
 	otherBinary    = flag.String("other", "", "executable of another build, for every second instance")
 	binary         = flag.String("binary", "", "executable to play instead of the code's own")
+	crowd          = flag.Bool("crowd", false, "have most new connections come to one instance with little processor time")
 	keepLogs       = flag.Bool("keep", false, "keep the instances' logs also of runs without violations")
 )
 
@@ -99,7 +100,7 @@
 	for n := range *seedCount {
 		running <- struct{}{}
 		group.Go(func() {
-			runSeed(t, Options{Binary: path, OtherBinary: *otherBinary, Seed: *firstSeed + uint64(n), FaultPeriod: *length, Bounds: RequiredBounds})
+			runSeed(t, Options{Binary: path, OtherBinary: *otherBinary, Seed: *firstSeed + uint64(n), FaultPeriod: *length, Bounds: RequiredBounds, Crowd: *crowd})
 			<-running
 		})
 	}
