instance: changes of parts of prompts are reported together

Cause: while servers crash, each answer clears parts that prompts share, and each such change was a report to the lease holder and from there to all instances, a call each.

Change: changes of parts alone are collected for 0.1 s.

--- a/instance/suspect_reports.go
+++ b/instance/suspect_reports.go
@@ -22,6 +22,9 @@
 	// forwardWait is how long the lease holder's answer to a report waits for its own reports
 	// to all others, of which some may be out of reach.
 	forwardWait = holderReportTimeout / 2
+	// partsReportDelay is how long changes of parts of prompts are collected, unless a request is
+	// reported sooner. A part isn't condemned by what is newer than partRule.Settle.
+	partsReportDelay = 100 * time.Millisecond
 	// maxOpenReports bounds the rounds of reports under way. While more are needed, what
 	// they are about is collected for the next.
 	maxOpenReports = 4
@@ -37,23 +40,36 @@
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
+			rounds.Go(func() error {
+				s.reportPending(ctx, false)
+				return nil
+			})
+		case <-s.partsDue:
+			rounds.Go(func() error {
+				s.reportPending(ctx, true)
+				return nil
+			})
 		}
-		rounds.Go(func() error {
-			s.reportPending(ctx)
-			return nil
-		})
 	}
 }
 
 // reportPending reports what has changed: to the lease holder, which reports it to all, or to
 // all instances known if this instance holds the lease or the holder isn't reached. So the
-// messages about a change grow with the number of instances, not with its square.
-func (s *suspects) reportPending(ctx context.Context) {
+// messages about a change grow with the number of instances, not with its square. Changes of parts
+// alone are reported only if partsDue is set, so that many are told at once: parts that prompts share
+// change all the time while servers crash.
+func (s *suspects) reportPending(ctx context.Context, partsDue bool) {
 	holds := s.instance.lease.Holds()
 	s.mu.Lock()
-	changed := s.takePending()
 	if holds {
-		s.keepNeededByAll(changed)
+		s.keepNeededByAll(s.pending)
+	}
+	var changed map[quarantine.Fingerprint]map[crashKey]bool
+	if partsDue || s.requestPending() {
+		changed = s.takePending()
+	}
+	if len(s.pending) > 0 {
+		s.armPartsDue()
 	}
 	report := &exchange.CrashReport{Suspects: s.wireChanges(changed)}
 	reported := s.reported
@@ -66,6 +82,34 @@
 	s.reportToAll(ctx, report)
 }
 
+// requestPending reports whether something other than parts is to be reported. The caller must hold
+// mu.
+func (s *suspects) requestPending() bool {
+	for f := range s.pending {
+		if !f.IsPart() {
+			return true
+		}
+	}
+	return false
+}
+
+// armPartsDue has partsDue signaled after partsReportDelay. The caller must hold mu.
+func (s *suspects) armPartsDue() {
+	if s.partsArmed {
+		return
+	}
+	s.partsArmed = true
+	time.AfterFunc(partsReportDelay, func() {
+		s.mu.Lock()
+		s.partsArmed = false
+		s.mu.Unlock()
+		select {
+		case s.partsDue <- struct{}{}:
+		default: // a signal is already pending
+		}
+	})
+}
+
 // takePending returns what to report now. The caller must hold mu.
 func (s *suspects) takePending() map[quarantine.Fingerprint]map[crashKey]bool {
 	out := map[quarantine.Fingerprint]map[crashKey]bool{}
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -72,11 +72,14 @@
 	runs     suspectRuns   // permitted while this instance holds the lease
 	active   atomic.Bool   // some crash speaks against a request
 	wake     chan struct{} // signaled after pending changed; buffers one signal
+	partsDue chan struct{} // signaled when parts are to be reported; buffers one signal
 
 	mu       sync.Mutex
 	set      *quarantine.Set
 	pending  map[quarantine.Fingerprint]map[crashKey]bool // changed and not reported yet, with the crashes that became void
 	reported chan struct{}                                // closed once pending was reported
+	// partsArmed is set while partsDue will be signaled.
+	partsArmed bool
 	// condemned holds the parts of prompts that are refused. A part stays condemned until no crash
 	// speaks against it any more.
 	condemned map[quarantine.Fingerprint]bool
@@ -90,6 +93,7 @@
 		instance: i,
 		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
 		wake:     make(chan struct{}, 1),
+		partsDue: make(chan struct{}, 1),
 		set:      quarantine.NewSet(),
 		pending:  map[quarantine.Fingerprint]map[crashKey]bool{},
 		reported: make(chan struct{}),
