quarantine, instance: parts of prompts cost less while many servers crash

And each report told again all crashes of a part that stand.

A report of a part holds the crashes that are new or became void, the first with the second; reports of whole requests are as before. Sets are still exchanged once a second.

Tests of crashes and parts green.

--- a/instance/suspect_exchange_test.go
+++ b/instance/suspect_exchange_test.go
@@ -28,9 +28,9 @@
 // A part that many prompts share crashes with each server and is cleared by the next answer. Each
 // report told all its crashes again, which were most of the bytes between instances.
 func TestReportsTellOnlyCrashesThatChanged(t *testing.T) {
-	s, f := newTestInstance(refusingSource{}).suspects, quarantine.Fingerprint{1}
+	s, f := newTestInstance(refusingSource{}).suspects, quarantine.NewPartFingerprint("shared")
 	crash := func(n int) {
-		s.ReportCrash(relay.CrashReport{Request: f, Crash: quarantine.Crash{Server: fmt.Sprint("s", n), At: time.Now()}})
+		s.ReportCrash(relay.CrashReport{Request: quarantine.Fingerprint{byte(n)}, Crash: quarantine.Crash{Server: fmt.Sprint("s", n), At: time.Now()}, Parts: []quarantine.Fingerprint{f}})
 	}
 	for n := range 20 {
 		crash(n)
@@ -38,8 +38,10 @@
 	require.Len(t, takeReport(s, f), 20)
 	s.ReportCompleted(f)
 	require.Len(t, takeReport(s, f), 20, "all of them became void")
-	crash(20)
-	require.Len(t, takeReport(s, f), 1)
+	for n := range 2 {
+		crash(20 + n)
+		require.Len(t, takeReport(s, f), 1)
+	}
 	require.Empty(t, takeReport(s, f))
 }
 
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -50,8 +50,8 @@
 	settledAfter = 2 * time.Second
 )
 
-// changes are the requests and the parts that a change is about, with their crashes that became
-// void by it.
+// changes are the requests and the parts that a change is about, with the crashes that are new or
+// became void by it.
 type changes map[quarantine.Fingerprint][]quarantine.Crash
 
 // crashKey identifies a crash of a request.
@@ -70,7 +70,7 @@
 
 	mu       sync.Mutex
 	set      *quarantine.Set
-	pending  map[quarantine.Fingerprint]map[crashKey]bool // changed and not reported yet, with the crashes that became void
+	pending  map[quarantine.Fingerprint]map[crashKey]bool // changed and not reported yet, with the crashes that did
 	reported chan struct{}                                // closed once pending was reported
 	// partsArmed is set while partsDue will be signaled.
 	partsArmed bool
@@ -143,7 +143,7 @@
 // clearCondemned drops the parts that no crash speaks against any more. The caller must hold mu.
 func (s *suspects) clearCondemned() {
 	maps.DeleteFunc(s.condemned, func(f quarantine.Fingerprint, _ bool) bool {
-		return quarantine.Count(s.set.Crashes(f), s.since(f)) == 0
+		return !quarantine.Stands(s.set.Crashes(f), s.since(f))
 	})
 }
 
@@ -169,13 +169,6 @@
 	return nil
 }
 
-// standing returns how many crashes speak against a request or a part.
-func (s *suspects) standing(f quarantine.Fingerprint) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return quarantine.Count(s.set.Crashes(f), s.since(f))
-}
-
 // since returns the time from which crashes count against a request: quarantine.Expiry
 // ago, or when an operator lifted its quarantine if that is later.
 func (s *suspects) since(f quarantine.Fingerprint) time.Time {
@@ -192,13 +185,11 @@
 	s.instance.metrics.crashes.Inc()
 	r.Boot = strconv.FormatUint(rand.Uint64(), reportIDBase)
 	return s.change(func() changes {
-		s.set.Report(r.Request, r.Crash)
-		changed := changes{r.Request: nil}
+		changed := changes{r.Request: {s.set.Report(r.Request, r.Crash)}}
 		for _, part := range r.Parts {
 			c := r.Crash
 			c.Repeat = part == r.Trial
-			s.set.Report(part, c)
-			changed[part] = nil
+			changed[part] = []quarantine.Crash{s.set.Report(part, c)}
 		}
 		return changed
 	})
@@ -246,11 +237,11 @@
 
 // addPending adds changes to those to report. The caller must hold mu.
 func (s *suspects) addPending(changed changes) {
-	for f, voided := range changed {
+	for f, crashes := range changed {
 		if s.pending[f] == nil {
 			s.pending[f] = map[crashKey]bool{}
 		}
-		for _, c := range voided {
+		for _, c := range crashes {
 			s.pending[f][crashKey{c.Server, c.Boot}] = true
 		}
 	}
@@ -276,7 +267,7 @@
 		}
 		for _, c := range crashes {
 			if now.Sub(c.At) < quarantine.Expiry && s.set.Merge(f, c) {
-				changed[f] = appendVoid(changed[f], c)
+				changed[f] = append(changed[f], c)
 			} else if !c.Void && s.isVoid(f, c) {
 				again[f] = append(again[f], c)
 			}
@@ -293,14 +284,6 @@
 	return changed
 }
 
-// appendVoid appends a crash if it is void.
-func appendVoid(to []quarantine.Crash, c quarantine.Crash) []quarantine.Crash {
-	if !c.Void {
-		return to
-	}
-	return append(to, c)
-}
-
 // isVoid reports whether a crash is known to be void. The caller must hold mu.
 func (s *suspects) isVoid(f quarantine.Fingerprint, c quarantine.Crash) bool {
 	return slices.ContainsFunc(s.set.Crashes(f), func(known quarantine.Crash) bool {
@@ -312,12 +295,12 @@
 // the permits of those that nothing speaks against any more. Parts become condemned in condemn.
 func (s *suspects) applyVerdicts(changed []quarantine.Fingerprint) {
 	var added []quarantine.Fingerprint
+	s.mu.Lock()
 	for _, f := range changed {
-		if s.standing(f) == 0 {
+		if !quarantine.Stands(s.set.Crashes(f), s.since(f)) {
 			s.runs.completed(f)
 		}
 	}
-	s.mu.Lock()
 	s.expire(time.Now())
 	s.active.Store(s.set.AnyStanding())
 	s.clearCondemned()
--- a/instance/suspects_wire.go
+++ b/instance/suspects_wire.go
@@ -24,15 +24,18 @@
 	return out
 }
 
-// wireChanges encodes requests with the crashes that stand and those that became void. What was void
-// before was told then. The caller must hold mu.
+// wireChanges encodes requests and parts with the crashes that changed. Of a request those that stand
+// are told again, since a report may be lost, and of a part the first with the second, since a single
+// one isn't told to all. The caller must hold mu.
 func (s *suspects) wireChanges(changed map[quarantine.Fingerprint]map[crashKey]bool) []*exchange.Suspect {
 	now := time.Now()
 	var out []*exchange.Suspect
-	for f, voided := range changed {
+	for f, keys := range changed {
+		known := s.set.Crashes(f)
+		again := !f.IsPart() || len(known) <= 2
 		var crashes []quarantine.Crash
-		for _, c := range s.set.Crashes(f) {
-			if !c.Void || voided[crashKey{c.Server, c.Boot}] {
+		for _, c := range known {
+			if keys[crashKey{c.Server, c.Boot}] || again && !c.Void {
 				crashes = append(crashes, c)
 			}
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -66,6 +66,11 @@
 // far as that speaks against it.
 func Count(crashes []Crash, since time.Time) int { return countStarts(standing(crashes, since)) }
 
+// Stands reports whether any crash counts against its request, at or after since.
+func Stands(crashes []Crash, since time.Time) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return !c.Void && !c.At.Before(since) })
+}
+
 // standing returns the crashes that count against their request, at or after since.
 func standing(crashes []Crash, since time.Time) []Crash {
 	var out []Crash
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -22,44 +22,75 @@
 // after the time that since returns for them.
 func (s *Set) CondemnedParts(now time.Time, r PartRule, since func(Fingerprint) time.Time) []Fingerprint {
 	var out []Fingerprint
-	var all []Crash // sorted by time; made only if some part has enough crashes
+	var all []serverCrash // made only if some part has enough crashes
 	for f, suspect := range s.suspects {
-		if !f.IsPart() || len(suspect.Crashes) < r.Moments {
+		if !f.IsPart() || countNotVoid(suspect.Crashes) < r.Moments {
 			continue
 		}
-		own := sortedByTime(standing(suspect.Crashes, since(f)))
+		own := standing(suspect.Crashes, since(f))
 		if countStarts(own) < r.Moments {
 			continue
 		}
 		if all == nil {
 			all = s.allCrashes()
 		}
-		if r.explainedMoments(now, own, all) >= r.Moments {
+		if r.explainedMoments(now, serverCrashes(own), all) >= r.Moments {
 			out = append(out, f)
 		}
 	}
 	return out
 }
 
-// allCrashes returns the crashes under all requests and parts, sorted by time.
-func (s *Set) allCrashes() []Crash {
-	var out []Crash
+// countNotVoid returns how many crashes aren't void, without allocating: most parts have none.
+func countNotVoid(crashes []Crash) int {
+	n := 0
+	for i := range crashes {
+		if !crashes[i].Void {
+			n++
+		}
+	}
+	return n
+}
+
+// serverCrash is that a server crashed, under whatever requests.
+type serverCrash struct {
+	server string
+	at     time.Time
+}
+
+// allCrashes returns the crashes under all requests and parts.
+func (s *Set) allCrashes() []serverCrash {
+	lists := make([][]Crash, 0, len(s.suspects))
 	for _, suspect := range s.suspects {
-		out = append(out, suspect.Crashes...)
+		lists = append(lists, suspect.Crashes)
 	}
-	return sortedByTime(out)
+	return serverCrashes(lists...)
 }
 
-func sortedByTime(crashes []Crash) []Crash {
-	return slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+// serverCrashes returns the crashes of the lists, each once, sorted by time. A crash is in the lists of
+// all requests and parts that its server ran.
+func serverCrashes(lists ...[]Crash) []serverCrash {
+	seen := map[serverCrash]bool{}
+	var out []serverCrash
+	for _, crashes := range lists {
+		for i := range crashes {
+			c := serverCrash{crashes[i].Server, crashes[i].At}
+			if !seen[c] {
+				seen[c] = true
+				out = append(out, c)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b serverCrash) int { return a.at.Compare(b.at) })
+	return out
 }
 
 // explainedMoments returns how many moments a part explains whose own crashes are given, of all. Both
 // are sorted by time.
-func (r PartRule) explainedMoments(now time.Time, own, all []Crash) int {
+func (r PartRule) explainedMoments(now time.Time, own, all []serverCrash) int {
 	n, sorted := 0, own
 	for len(own) > 0 {
-		from, to := own[0].At, own[0].At.Add(r.Spacing)
+		from, to := own[0].at, own[0].at.Add(r.Spacing)
 		if now.Sub(from) < r.Settle {
 			break
 		}
@@ -75,16 +106,16 @@
 }
 
 // searchTime returns the index of the first crash at or after a time.
-func searchTime(sorted []Crash, at time.Time) int {
-	n, _ := slices.BinarySearchFunc(sorted, at, func(c Crash, at time.Time) int { return c.At.Compare(at) })
+func searchTime(sorted []serverCrash, at time.Time) int {
+	n, _ := slices.BinarySearchFunc(sorted, at, func(c serverCrash, at time.Time) int { return c.at.Compare(at) })
 	return n
 }
 
 // serversBetween returns the servers that crashed from one time to before another.
-func serversBetween(sorted []Crash, from, to time.Time) map[string]bool {
+func serversBetween(sorted []serverCrash, from, to time.Time) map[string]bool {
 	out := map[string]bool{}
 	for _, c := range sorted[searchTime(sorted, from):searchTime(sorted, to)] {
-		out[c.Server] = true
+		out[c.server] = true
 	}
 	return out
 }
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -155,16 +155,17 @@
 }
 
 // Report adds a crash that this instance saw. If the same crash is known, only its marks
-// change.
-func (s *Set) Report(f Fingerprint, c Crash) {
+// change. It returns the crash as the set holds it.
+func (s *Set) Report(f Fingerprint, c Crash) Crash {
 	for _, known := range s.Crashes(f) {
 		if known.Server == c.Server && countStarts([]Crash{known, c}) == 1 {
 			known.Repeat, known.Confirmed = known.Repeat || c.Repeat, known.Confirmed || c.Confirmed
 			s.Merge(f, known)
-			return
+			return known
 		}
 	}
 	s.Merge(f, c)
+	return c
 }
 
 // SurvivalMargin is how much older than a crash a connection must be to show that its server
