decide, exchange: interfaces of what all instances know together

Backlogs by rank, speeds of servers and client accounts' demands get their messages; nothing reads them yet. A simulation of contended engines is added.

--- /dev/null
+++ b/decide/contention_sim_test.go
@@ -0,0 +1,434 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/infra"
+)
+
+// A simulation of callers who compete for too little room: many instances choose among the same
+// engines by reports that are contentionReportLag old, and get requests of three ranks. Rank 0
+// has a short goal, rank 2 can wait for many seconds.
+
+const (
+	contentionEngines     = 90
+	contentionSlots       = 16
+	contentionModels      = 24
+	contentionPlaces      = 3  // models that an engine holds
+	contentionEngineQueue = 33 // requests that an engine queues before it refuses
+	contentionAccounts    = 16
+	contentionInterval    = 500 * time.Millisecond // between reports to an instance
+	contentionReportLag   = 400 * time.Millisecond // age of the data in a report
+	contentionSnapshot    = 100 * time.Millisecond
+	contentionWarmup      = 10 * time.Second // requests that arrive earlier aren't counted
+	contentionEnd         = 20 * time.Second
+	contentionDeadline    = 10 * time.Second
+	lateWorth             = 0.25 // of an answer that starts after its goal
+)
+
+// requestKind is a kind of request of the simulation.
+type requestKind struct {
+	rank  int
+	goal  time.Duration // to the first token
+	hold  time.Duration // of a slot, at a server of speed 1
+	share float64       // of all requests
+}
+
+var contentionKinds = []requestKind{
+	{rank: 0, goal: 400 * time.Millisecond, hold: 1200 * time.Millisecond, share: 1.0 / 2},
+	{rank: 1, goal: 1500 * time.Millisecond, hold: 500 * time.Millisecond, share: 1.0 / 3},
+	{rank: 2, goal: 10 * time.Second, hold: 1200 * time.Millisecond, share: 1.0 / 6},
+}
+
+// contention is what a simulation is given.
+type contention struct {
+	instances int
+	load      float64   // of all slots at speed 1
+	speeds    []float64 // of the engines, in turn; nil: 1
+	hot       float64   // how many times as much the first account sends as the others; 0: the same
+	seed      uint64
+}
+
+// contentionResult counts the requests that arrived after the warm-up.
+type contentionResult struct {
+	arrived, inTime, late [3]int // by rank
+	hotArrived, hotInTime int    // of the first account
+	byEngine              []int  // requests started
+}
+
+func (r *contentionResult) inTimeShare(rank int) float64 {
+	return float64(r.inTime[rank]) / float64(max(r.arrived[rank], 1))
+}
+
+// worth is the mean worth of a request, 1 if all are in time.
+func (r *contentionResult) worth() float64 {
+	sum, n := 0.0, 0
+	for rank := range r.arrived {
+		sum += float64(r.inTime[rank]) + lateWorth*float64(r.late[rank])
+		n += r.arrived[rank]
+	}
+	return sum / float64(n)
+}
+
+// othersInTime is the share in time of the accounts but the first.
+func (r *contentionResult) othersInTime() float64 {
+	inTime, arrived := -r.hotInTime, -r.hotArrived
+	for rank := range r.arrived {
+		inTime += r.inTime[rank]
+		arrived += r.arrived[rank]
+	}
+	return float64(inTime) / float64(arrived)
+}
+
+func (r *contentionResult) String() string {
+	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f",
+		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime())
+}
+
+// contentionRequest is a request of the simulation.
+type contentionRequest struct {
+	Request
+	kind    *requestKind
+	at      int // index of its instance
+	counted bool
+}
+
+// contentionEngine runs contentionSlots requests at once and queues others, the most urgent first.
+type contentionEngine struct {
+	id      string
+	speed   float64
+	running int
+	waiting []*contentionRequest
+}
+
+// contentionState is what a report holds.
+type contentionState struct {
+	loads    []int // by engine
+	backlogs []Backlog
+	accounts []AccountDemand
+}
+
+type contentionSim struct {
+	contention
+	now        time.Time
+	rng        *rand.Rand
+	events     simEvents
+	seq        int
+	schedulers []*Scheduler
+	engines    []*contentionEngine
+	byID       map[string]*contentionEngine
+	requests   map[string]*contentionRequest
+	weights    []float64 // of the models
+	arrivals   map[string]*[Ranks]arrivalRate
+	starts     map[string]*arrivalRate
+	speeds     map[string]*SpeedSample // of all instances together
+	snapshots  []contentionState       // newest last; reports carry the oldest
+	result     contentionResult
+}
+
+func (c *contentionSim) after(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.events, simEvent{c.now.Add(d), c.seq, do})
+}
+
+// simulateContention runs the simulation to contentionEnd.
+func simulateContention(in contention) *contentionResult {
+	c := &contentionSim{
+		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
+		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: map[string]*SpeedSample{},
+	}
+	t := c.newTable()
+	for i := range in.instances {
+		s := NewScheduler(rand.New(rand.NewPCG(in.seed, uint64(i))))
+		own := *t
+		own.OwnDomain = fmt.Sprint("d", i%3)
+		s.SetTable(c.now, &own)
+		c.schedulers = append(c.schedulers, s)
+		c.after(time.Duration(c.rng.Float64()*float64(contentionInterval)), func() { c.report(i) })
+		c.after(time.Duration(i)*time.Millisecond, func() { c.tick(i) })
+	}
+	c.takeSnapshot()
+	c.arrive()
+	for end := c.now.Add(contentionEnd); len(c.events) > 0 && c.events[0].at.Before(end); {
+		e := heap.Pop(&c.events).(simEvent)
+		c.now = e.at
+		e.do()
+	}
+	return &c.result
+}
+
+// newTable returns the routing table, with models placed by popularity.
+func (c *contentionSim) newTable() *Table {
+	t := &Table{
+		Targets: map[string]*Target{}, Entries: map[string]int{}, NoServerQueue: true, LocalFillLimit: 0.2,
+		RoomByRank: true, AccountWeights: map[string]float64{},
+	}
+	for a := range contentionAccounts {
+		t.AccountWeights[fmt.Sprint("account", a)] = 1
+	}
+	for i := range c.instances {
+		t.Entries[fmt.Sprint("d", i%3)]++
+	}
+	for i := range contentionEngines {
+		e := &contentionEngine{id: fmt.Sprintf("e%03d", i), speed: 1}
+		if len(c.contention.speeds) > 0 {
+			e.speed = c.contention.speeds[i%len(c.contention.speeds)]
+		}
+		c.engines, c.byID[e.id] = append(c.engines, e), e
+		t.Servers = append(t.Servers, Server{ID: e.id, Pool: "p", FailureDomain: fmt.Sprint("d", i%3), Slots: contentionSlots})
+	}
+	c.result.byEngine = make([]int, contentionEngines)
+	sum := 0.0
+	for m := range contentionModels {
+		c.weights = append(c.weights, 1/float64(m+4))
+		sum += c.weights[m]
+	}
+	place := 0
+	order := c.rng.Perm(contentionEngines)
+	for m := range c.weights {
+		c.weights[m] /= sum
+		target := &Target{Name: fmt.Sprint("m", m), Pool: "p", Model: fmt.Sprint("m", m)}
+		for range max(2, int(c.weights[m]*contentionEngines*contentionPlaces)) {
+			target.Replicas = append(target.Replicas, Replica{Server: order[place%contentionEngines]})
+			place++
+		}
+		t.Targets[target.Name] = target
+	}
+	return t
+}
+
+func (c *contentionSim) tick(i int) {
+	c.carryOut(i, c.schedulers[i].Tick(c.now))
+	c.after(25*time.Millisecond, func() { c.tick(i) })
+}
+
+// takeSnapshot records what instances report. It reaches the others contentionReportLag later.
+func (c *contentionSim) takeSnapshot() {
+	var st contentionState
+	for _, e := range c.engines {
+		st.loads = append(st.loads, e.running+len(e.waiting))
+	}
+	st.backlogs = c.backlogs()
+	byAccount := map[AccountDemand]AccountDemand{}
+	for _, s := range c.schedulers {
+		for _, d := range s.AccountDemands() {
+			k := AccountDemand{Account: d.Account, Pool: d.Pool}
+			sum := byAccount[k]
+			byAccount[k] = AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: sum.Waiting + d.Waiting, InFlight: sum.InFlight + d.InFlight}
+		}
+		for _, sample := range s.TakeSpeedSamples() {
+			sum := c.speeds[sample.Server]
+			if sum == nil {
+				sum = &SpeedSample{}
+				c.speeds[sample.Server] = sum
+			}
+			sum.Count += sample.Count
+			sum.LogSum += sample.LogSum
+		}
+	}
+	for _, d := range byAccount {
+		st.accounts = append(st.accounts, d)
+	}
+	slices.SortFunc(st.accounts, func(a, b AccountDemand) int { return strings.Compare(a.Account, b.Account) })
+	c.snapshots = append(c.snapshots, st)
+	if len(c.snapshots) > int(contentionReportLag/contentionSnapshot) {
+		c.snapshots = c.snapshots[1:]
+	}
+	c.after(contentionSnapshot, c.takeSnapshot)
+}
+
+// backlogs returns what all instances have queued and get, by target.
+func (c *contentionSim) backlogs() []Backlog {
+	var out []Backlog
+	for m := range c.weights {
+		b := Backlog{Target: fmt.Sprint("m", m)}
+		if a := c.arrivals[b.Target]; a != nil {
+			for rank := range a {
+				b.Arrivals[rank] = a[rank].rate(c.now)
+			}
+			b.Starts = c.starts[b.Target].rate(c.now)
+		}
+		for _, s := range c.schedulers {
+			for _, h := range s.fleet.targets[b.Target].queue.heaps {
+				for _, req := range h {
+					b.Waiting[RankIndex(req.Rank)]++
+				}
+			}
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// report gives an instance the oldest snapshot.
+func (c *contentionSim) report(i int) {
+	was := c.snapshots[0]
+	s := c.schedulers[i]
+	var speeds []ServerSpeed
+	for _, e := range c.engines {
+		if sum := c.speeds[e.id]; sum != nil && sum.Count > 0 {
+			speeds = append(speeds, ServerSpeed{Server: e.id, Speed: math.Exp(-sum.LogSum / float64(sum.Count)), Count: float64(sum.Count)})
+		}
+	}
+	s.UpdateSpeeds(c.now, speeds)
+	s.UpdateAccounts(c.now, was.accounts)
+	c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
+	wanted := map[string]float64{}
+	for _, b := range was.backlogs {
+		for rank := range b.Waiting {
+			wanted[b.Target] += b.Waiting[rank] + b.Arrivals[rank]*ArrivalHorizon.Seconds()
+		}
+	}
+	contending := s.SpreadOverServers(wanted)
+	for n, e := range c.engines {
+		load := infra.Load{Running: was.loads[n], Contending: int(contending[e.id] + 0.5)}
+		c.carryOut(i, s.UpdateLoad(c.now, e.id, load, contentionReportLag))
+	}
+	c.after(contentionInterval, func() { c.report(i) })
+}
+
+func (c *contentionSim) carryOut(i int, decisions []Decision) {
+	for _, d := range slices.Clone(decisions) {
+		r := c.requests[d.Request]
+		switch d.Action {
+		case ActionRefuse:
+			delete(c.requests, d.Request)
+		case ActionDispatch:
+			e := c.byID[d.Server.ID]
+			c.after(time.Millisecond, func() { c.deliver(e, r) })
+		}
+	}
+}
+
+func (c *contentionSim) deliver(e *contentionEngine, r *contentionRequest) {
+	switch {
+	case e.running < contentionSlots:
+		c.start(e, r)
+	case len(e.waiting) < contentionEngineQueue:
+		e.waiting = append(e.waiting, r)
+	default:
+		c.carryOut(r.at, c.schedulers[r.at].AttemptFailed(c.now, r.ID, e.id, Failure{Reason: infra.ReasonOverloaded}))
+	}
+}
+
+func (c *contentionSim) start(e *contentionEngine, r *contentionRequest) {
+	e.running++
+	c.count(e, r)
+	c.starts[r.Target].add(c.now)
+	sent := c.now
+	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
+	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
+		e.running--
+		delete(c.requests, r.ID)
+		c.carryOut(r.at, c.schedulers[r.at].Ended(c.now, r.ID, e.id, Outcome{Complete: true, FirstToken: 30 * time.Millisecond, Total: c.now.Sub(sent), Tokens: 100}))
+		c.startWaiting(e)
+	})
+}
+
+// startWaiting starts the most urgent request that waits at an engine.
+func (c *contentionSim) startWaiting(e *contentionEngine) {
+	if len(e.waiting) == 0 {
+		return
+	}
+	next := 0
+	for n, r := range e.waiting {
+		if r.Rank < e.waiting[next].Rank {
+			next = n
+		}
+	}
+	r := e.waiting[next]
+	e.waiting = slices.Delete(e.waiting, next, next+1)
+	c.start(e, r)
+}
+
+func (c *contentionSim) count(e *contentionEngine, r *contentionRequest) {
+	if !r.counted {
+		return
+	}
+	for n := range c.engines {
+		if c.engines[n] == e {
+			c.result.byEngine[n]++
+		}
+	}
+	switch took := c.now.Sub(r.Arrived); {
+	case took <= r.kind.goal:
+		c.result.inTime[r.kind.rank]++
+		if r.Account == "account0" {
+			c.result.hotInTime++
+		}
+	case took < contentionDeadline:
+		c.result.late[r.kind.rank]++
+	}
+}
+
+// arrive has requests arrive one after the other, at any instance.
+func (c *contentionSim) arrive() {
+	hold := 0.0
+	for _, k := range contentionKinds {
+		hold += k.share * k.hold.Seconds()
+	}
+	rate := c.load * contentionEngines * contentionSlots / hold
+	extra := 0.0
+	if c.hot > 0 {
+		extra = c.hot - 1
+	}
+	rate *= (contentionAccounts + extra) / contentionAccounts
+	c.after(time.Duration(c.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		c.arrive()
+		c.submit(extra)
+	})
+}
+
+func (c *contentionSim) submit(extra float64) {
+	k := &contentionKinds[pickShare(c.rng.Float64(), func(n int) float64 { return contentionKinds[n].share }, len(contentionKinds))]
+	account := max(0, int(c.rng.Float64()*(contentionAccounts+extra)-extra))
+	target := fmt.Sprint("m", pickShare(c.rng.Float64(), func(n int) float64 { return c.weights[n] }, len(c.weights)))
+	c.seq++
+	r := &contentionRequest{kind: k, at: c.rng.IntN(len(c.schedulers)), counted: c.now.Sub(simStart) >= contentionWarmup && c.now.Sub(simStart) < contentionEnd-contentionKinds[1].goal}
+	r.Request = Request{
+		ID: fmt.Sprint(c.seq), Target: target, Arrived: c.now, Deadline: c.now.Add(contentionDeadline), MaxTokens: 100, MaxAttempts: 2,
+		Goal: k.goal, Rank: k.rank, Priority: 2 - k.rank, Account: fmt.Sprint("account", account),
+	}
+	if c.arrivals[target] == nil {
+		c.arrivals[target], c.starts[target] = &[Ranks]arrivalRate{}, &arrivalRate{}
+	}
+	c.arrivals[target][k.rank].add(c.now)
+	if r.counted {
+		c.result.arrived[k.rank]++
+		if account == 0 {
+			c.result.hotArrived++
+		}
+	}
+	c.requests[r.ID] = r
+	c.carryOut(r.at, c.schedulers[r.at].Submit(c.now, r.Request))
+}
+
+// pickShare returns the index at which the sum of the shares exceeds x.
+func pickShare(x float64, share func(int) float64, n int) int {
+	for i := range n - 1 {
+		if x -= share(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// Reports as old as those of a busy fleet, all ranks asked for: the simulation itself counts each
+// request once.
+func TestContentionCountsEachRequestOnce(t *testing.T) {
+	r := simulateContention(contention{instances: 9, load: 0.5, seed: 7})
+	t.Log(r)
+	for rank := range r.arrived {
+		require.LessOrEqual(t, r.inTime[rank]+r.late[rank], r.arrived[rank])
+		require.Greater(t, r.inTimeShare(rank), 0.95)
+	}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -61,7 +61,12 @@
 	Retry     RetryPolicy        // zero value: defaults
 	// NoServerQueue disables queueing at servers whose slots are all taken. It is for
 	// servers that assign slots in an order of their own.
-	NoServerQueue  bool
+	NoServerQueue bool
+	// RoomByRank is set if requests of several ranks compete for the servers of a pool.
+	RoomByRank bool
+	// AccountWeights holds the client accounts' relative shares of contended room; nil: accounts
+	// have no shares of their own.
+	AccountWeights map[string]float64
 	LocalFillLimit float64 // slot utilization, 0 to 1, up to which servers of the own domain are preferred; 0: lowFillFraction
 }
 
@@ -79,7 +84,9 @@
 	ID           string
 	Partner      string
 	Target       string
-	Priority     int // 0 is normal; higher is served first
+	Priority     int    // 0 is normal; higher is served first
+	Rank         int    // 0 is the most urgent; see RankIndex
+	Account      string // client account; empty: none
 	Arrived      time.Time
 	Deadline     time.Time
 	PromptBytes  int
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -158,7 +158,8 @@
 		Instance: n.Name, Domain: n.Domain, Addr: n.PeerAddr, Cores: n.Cores,
 		TargetDemand: i.relay.Demand(), Loads: i.relay.Loads(), StoreDown: i.storeIsDown(), Version: i.configVersion(),
 		Leaving: i.leavingServers(),
-		Rates:   i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Competes: i.lease.Competes(),
+		Speeds:  i.relay.TakeSpeedSamples(), Accounts: i.relay.AccountDemands(),
+		Rates: i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Competes: i.lease.Competes(),
 	}
 }
 
@@ -287,6 +288,7 @@
 	servers := i.view.Servers
 	i.mu.Unlock()
 	i.relay.ApplyRateShares(sent, s.Rates)
+	i.relay.UpdateShared(s, i.syncInterval()/2)
 	if s.Loads == nil {
 		return // the loads refer to another list of servers; the next sync brings matching ones
 	}
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -17,10 +17,11 @@
 	for target, a := range report.TargetDemand {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
-			WorkMs: uint32(a.Work.Milliseconds()),
+			WorkMs: uint32(a.Work.Milliseconds()), ByRank: wireRanks(a.ByRank),
 		})
 	}
 	req.Loads = wireLoads(report.Loads)
+	req.Speeds, req.Accounts = wireSpeedSamples(report.Speeds), wireAccountDemands(report.Accounts)
 	req.Leaving = wireStarts(report.Leaving)
 	for _, r := range report.Rates {
 		req.Rates = append(req.Rates, &exchange.RateSaid{
@@ -38,11 +39,12 @@
 		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(), Competes: req.GetStands(),
 		TargetDemand: make(map[string]residency.TargetDemand, len(req.GetDemand())),
 		Loads:        loadsFromWire(req.GetLoads()), Leaving: startsFromWire(req.GetLeaving()),
+		Speeds: speedSamplesFromWire(req.GetSpeeds()), Accounts: accountDemandsFromWire(req.GetAccounts()),
 	}
 	for _, d := range req.GetDemand() {
 		report.TargetDemand[d.GetTarget()] = residency.TargetDemand{
 			Requests: int(d.GetRequests()), Waiting: int(d.GetWaiting()), InFlight: int(d.GetInFlight()),
-			Work: time.Duration(d.GetWorkMs()) * time.Millisecond,
+			Work: time.Duration(d.GetWorkMs()) * time.Millisecond, ByRank: ranksFromWire(d.GetByRank()),
 		}
 	}
 	for _, r := range req.GetRates() {
@@ -82,6 +84,7 @@
 		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
 	}
 	s.Loads = loadsFromWire(res.GetLoads())
+	s.Backlogs, s.Speeds, s.Accounts = backlogsFromWire(res.GetBacklogs()), speedsFromWire(res.GetSpeeds()), accountDemandsFromWire(res.GetAccounts())
 	s.IsCandidate, s.Candidates = res.GetChosen(), candidatesFromWire(res.GetCandidates())
 	s.Rates = decide.RateShares{
 		Shares: ratesFromWire(res.GetRates()), Position: int(res.GetPlace()), Instances: decide.CountInstances(s.Instances),
--- /dev/null
+++ b/instance/wire_shared.go
@@ -0,0 +1,109 @@
+package instance
+
+import (
+	"time"
+
+	"greengageferry/decide"
+	"greengageferry/exchange"
+	"greengageferry/residency"
+)
+
+func wireRanks(ranks [decide.Ranks]residency.RankDemand) []*exchange.RankDemand {
+	out := make([]*exchange.RankDemand, len(ranks))
+	for n, r := range ranks {
+		out[n] = &exchange.RankDemand{
+			Requests: uint32(r.Requests), Waiting: uint32(r.Waiting), InFlight: uint32(r.InFlight), GoalMs: uint32(r.Goal.Milliseconds()),
+		}
+	}
+	return out
+}
+
+func ranksFromWire(ranks []*exchange.RankDemand) [decide.Ranks]residency.RankDemand {
+	var out [decide.Ranks]residency.RankDemand
+	for n, r := range ranks[:min(len(ranks), decide.Ranks)] {
+		out[n] = residency.RankDemand{
+			Requests: int(r.GetRequests()), Waiting: int(r.GetWaiting()), InFlight: int(r.GetInFlight()), Goal: time.Duration(r.GetGoalMs()) * time.Millisecond,
+		}
+	}
+	return out
+}
+
+func wireBacklogs(backlogs []decide.Backlog) []*exchange.Backlog {
+	var out []*exchange.Backlog
+	for _, b := range backlogs {
+		out = append(out, &exchange.Backlog{Target: b.Target, Waiting: wireByRank(b.Waiting), Arrivals: wireByRank(b.Arrivals), Starts: float32(b.Starts)})
+	}
+	return out
+}
+
+func backlogsFromWire(backlogs []*exchange.Backlog) []decide.Backlog {
+	var out []decide.Backlog
+	for _, b := range backlogs {
+		out = append(out, decide.Backlog{Target: b.GetTarget(), Waiting: byRankFromWire(b.GetWaiting()), Arrivals: byRankFromWire(b.GetArrivals()), Starts: float64(b.GetStarts())})
+	}
+	return out
+}
+
+func wireByRank(values [decide.Ranks]float64) []float32 {
+	out := make([]float32, len(values))
+	for n, v := range values {
+		out[n] = float32(v)
+	}
+	return out
+}
+
+func byRankFromWire(values []float32) [decide.Ranks]float64 {
+	var out [decide.Ranks]float64
+	for n, v := range values[:min(len(values), decide.Ranks)] {
+		out[n] = float64(v)
+	}
+	return out
+}
+
+func wireSpeedSamples(samples []decide.SpeedSample) []*exchange.SpeedSample {
+	var out []*exchange.SpeedSample
+	for _, s := range samples {
+		out = append(out, &exchange.SpeedSample{Server: s.Server, Start: s.Start, Count: uint32(s.Count), LogSum: float32(s.LogSum)})
+	}
+	return out
+}
+
+func speedSamplesFromWire(samples []*exchange.SpeedSample) []decide.SpeedSample {
+	var out []decide.SpeedSample
+	for _, s := range samples {
+		out = append(out, decide.SpeedSample{Server: s.GetServer(), Start: s.GetStart(), Count: int(s.GetCount()), LogSum: float64(s.GetLogSum())})
+	}
+	return out
+}
+
+func wireSpeeds(speeds []decide.ServerSpeed) []*exchange.ServerSpeed {
+	var out []*exchange.ServerSpeed
+	for _, s := range speeds {
+		out = append(out, &exchange.ServerSpeed{Server: s.Server, Start: s.Start, Speed: float32(s.Speed), Count: float32(s.Count)})
+	}
+	return out
+}
+
+func speedsFromWire(speeds []*exchange.ServerSpeed) []decide.ServerSpeed {
+	var out []decide.ServerSpeed
+	for _, s := range speeds {
+		out = append(out, decide.ServerSpeed{Server: s.GetServer(), Start: s.GetStart(), Speed: float64(s.GetSpeed()), Count: float64(s.GetCount())})
+	}
+	return out
+}
+
+func wireAccountDemands(demands []decide.AccountDemand) []*exchange.AccountDemand {
+	var out []*exchange.AccountDemand
+	for _, d := range demands {
+		out = append(out, &exchange.AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: float32(d.Waiting), InFlight: float32(d.InFlight)})
+	}
+	return out
+}
+
+func accountDemandsFromWire(demands []*exchange.AccountDemand) []decide.AccountDemand {
+	var out []decide.AccountDemand
+	for _, d := range demands {
+		out = append(out, decide.AccountDemand{Account: d.GetAccount(), Pool: d.GetPool(), Waiting: float64(d.GetWaiting()), InFlight: float64(d.GetInFlight())})
+	}
+	return out
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -174,6 +174,8 @@
 		ID:           c.id,
 		Target:       c.target,
 		Priority:     max(0, prioritizedRanks-c.rank()),
+		Rank:         c.rank(),
+		Account:      c.accountName(),
 		Arrived:      c.arrived,
 		Deadline:     c.deadline,
 		PromptTokens: c.headers.PromptTokens,
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -102,10 +102,13 @@
 	d.arrivals = map[string]residency.TargetDemand{}
 	for _, c := range d.calls {
 		a := out[c.target]
+		rank := &a.ByRank[decide.RankIndex(c.rank())]
 		if c.serverID != "" {
 			a.InFlight++
+			rank.InFlight++
 		} else {
 			a.Waiting++
+			rank.Waiting++
 		}
 		out[c.target] = a
 	}
@@ -126,6 +129,9 @@
 	a := d.arrivals[c.target]
 	a.Requests++
 	a.Work += d.scheduler.Work(&r)
+	rank := &a.ByRank[decide.RankIndex(r.Rank)]
+	rank.Requests++
+	rank.Goal = r.Goal
 	d.arrivals[c.target] = a
 	d.calls[c.id] = c
 	d.deliver(d.scheduler.Submit(c.arrived, r))
--- /dev/null
+++ b/relay/shared.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"time"
+
+	"greengageferry/decide"
+	"greengageferry/residency"
+)
+
+// UpdateShared applies what all instances together know, as the lease holder told it: backlogs,
+// speeds of servers and client accounts' demands. age is how old it is in the mean.
+func (r *Relay) UpdateShared(s residency.Summary, age time.Duration) {
+	r.dispatcher.updateShared(s, age)
+}
+
+// TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
+func (r *Relay) TakeSpeedSamples() []decide.SpeedSample { return r.dispatcher.takeSpeedSamples() }
+
+// AccountDemands returns what this instance has of client accounts' requests.
+func (r *Relay) AccountDemands() []decide.AccountDemand { return r.dispatcher.accountDemands() }
+
+func (d *dispatcher) updateShared(s residency.Summary, age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.scheduler.UpdateSpeeds(now, s.Speeds)
+	d.scheduler.UpdateAccounts(now, s.Accounts)
+	d.deliver(d.scheduler.UpdateBacklogs(now, s.Backlogs, age))
+}
+
+func (d *dispatcher) takeSpeedSamples() []decide.SpeedSample {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.TakeSpeedSamples()
+}
+
+func (d *dispatcher) accountDemands() []decide.AccountDemand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.AccountDemands()
+}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -119,6 +119,10 @@
 	Gateways gateway.Members // that may be gateways; nil: not all instances are counted yet
 
 	Rates decide.RateShares // rate limits stated by servers, with the instance's share
+
+	Backlogs []decide.Backlog       // of all instances, by target
+	Speeds   []decide.ServerSpeed   // as all instances measured them
+	Accounts []decide.AccountDemand // of all instances
 }
 
 // NotHolderError means that this instance doesn't hold the lease.
@@ -145,6 +149,7 @@
 	s.HeldRemoved, s.Held, s.HeldIncremental = c.heldSince(now, report.HeldDigest)
 	s.Candidates, s.IsCandidate = c.candidacy(now, report)
 	s.Rates = c.ratesFor(now, report)
+	s.Backlogs, s.Speeds, s.Accounts = c.demand.Backlogs(now), c.demand.Speeds(now), c.demand.Accounts(now)
 	if c.demand.CountedAll(now) {
 		s.Instances = c.demand.Instances()
 		s.Gateways = c.currentGateways(now)
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -45,6 +45,15 @@
 	Waiting  int           // requests now
 	InFlight int           // requests now
 	Work     time.Duration // server time that the requests take, in time of a whole server; 0: unknown
+	ByRank   [decide.Ranks]RankDemand
+}
+
+// RankDemand is the part of a TargetDemand that has one rank.
+type RankDemand struct {
+	Requests int           // as in TargetDemand
+	Waiting  int           // as in TargetDemand
+	InFlight int           // as in TargetDemand
+	Goal     time.Duration // shortest time to the first token that the newest requests' routes ask for; 0: none
 }
 
 // DemandTracker tracks demand over all instances. It is not safe for concurrent use.
@@ -75,6 +84,9 @@
 
 	Rates []decide.RateReport // rate limits stated by servers
 
+	Speeds   []decide.SpeedSample   // of servers, since the previous report
+	Accounts []decide.AccountDemand // of client accounts, now
+
 	HeldDigest uint64 // of the instance's list of differences between servers and their entries
 	Candidates uint64 // digest of the candidates known to the instance
 	Competes   bool   // the instance competes for the lease
