decide, relay, cmd: route explains where a request would go, without sending it

Operators ask why a request goes where it goes. An instance answers over the exchange with all replicas, their load and score, and the rule that excludes each. The explanation agrees with what Submit then decides while servers fill, requests queue and are refused, and changes nothing but the random source (tests).

--- a/cmd/greengageferry/main.go
+++ b/cmd/greengageferry/main.go
@@ -37,5 +37,6 @@
 	c.Register(&measureCommand{}, "")
 	c.Register(&traceCommand{}, "")
 	c.Register(&lossesCommand{}, "")
+	c.Register(&routeCommand{}, "")
 	c.Register(&versionCommand{}, "")
 }
--- /dev/null
+++ b/decide/explain.go
@@ -0,0 +1,110 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Explanation says what would be decided about a request now, and why.
+type Explanation struct {
+	Action    Action
+	Reason    Reason
+	Server    Server        // with ActionDispatch: one that would be chosen; others may be as likely
+	QueueWait time.Duration // expected, unless a server would be chosen
+	Replicas  []ExplainedReplica
+}
+
+// ExplainedReplica is a replica with the estimates that decide about it.
+type ExplainedReplica struct {
+	Server     Server
+	Near       bool    // in the instance's own failure domain
+	DroppedBy  string  // the rule that excludes it; empty: none
+	Load       float64 // estimated requests of all instances at the server
+	Unread     float64 // estimated prompt tokens not yet prefilled there
+	Slowdown   float64 // time that it takes, relative to its pool; above 1 is slow
+	Score      float64 // expected seconds to the end of the answer; lower is better
+	FillLimit  int     // most requests, of all instances, up to which the server would get this one
+	OwnRequest int     // requests of this instance at the server
+}
+
+// Explain returns what would be decided about a request now. It changes nothing but the state of
+// the random source.
+func (s *Scheduler) Explain(now time.Time, r Request) Explanation {
+	req := &requestState{Request: r, heapIndex: -1, target: s.fleet.targets[r.Target]}
+	if req.target == nil {
+		return Explanation{Action: ActionRefuse, Reason: ReasonUnknownTarget}
+	}
+	s.setDeadline(req)
+	s.prepare(now, req)
+	e := s.explainAction(now, req)
+	s.fillLevel = fillServerQueue
+	e.Replicas = s.explainReplicas(now, req)
+	return e
+}
+
+// explainAction returns the explanation without the replicas.
+func (s *Scheduler) explainAction(now time.Time, req *requestState) Explanation {
+	t := req.target
+	wait := s.expectedWait(now, req)
+	switch {
+	case s.draining:
+		return Explanation{Action: ActionRefuse, Reason: ReasonShuttingDown}
+	case len(t.replicas) == 0 && !t.ReplicaPending:
+		return Explanation{Action: ActionRefuse, Reason: ReasonNoReplica}
+	case req.timeLeft(now) < req.serviceTime:
+		return Explanation{Action: ActionRefuse, Reason: ReasonDeadline}
+	}
+	c, waitable := s.choose(now, req)
+	switch {
+	case c != nil:
+		return Explanation{Action: ActionDispatch, Reason: ReasonBestScore, Server: c.server.Server}
+	case !waitable && len(t.replicas) > 0 && req.wouldMissDeadline(now, t.untilAvailable(now)):
+		return Explanation{Action: ActionRefuse, Reason: ReasonNoReplica, QueueWait: seconds(t.untilAvailable(now))}
+	case req.wouldMissDeadline(now, wait):
+		return Explanation{Action: ActionRefuse, Reason: ReasonDeadline, QueueWait: seconds(wait)}
+	}
+	return Explanation{Action: ActionQueue, Reason: ReasonNoFreeSlot, QueueWait: seconds(wait)}
+}
+
+// explainReplicas returns all replicas, the eligible ones first and then by score.
+func (s *Scheduler) explainReplicas(now time.Time, req *requestState) []ExplainedReplica {
+	t := req.target
+	s.candidates = s.candidates[:0]
+	for i := range t.replicas {
+		s.addCandidate(now, &t.replicas[i])
+	}
+	s.scoreAll(now, req)
+	out := make([]ExplainedReplica, 0, len(s.candidates))
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		out = append(out, ExplainedReplica{
+			Server: c.server.Server, Near: i < t.near, DroppedBy: s.droppedBy(now, req, c),
+			Load: c.load, Unread: c.unread, Slowdown: c.server.relativeSlowdown(), Score: c.score,
+			FillLimit: c.server.requestLimit(), OwnRequest: c.server.own,
+		})
+	}
+	slices.SortStableFunc(out, func(a, b ExplainedReplica) int {
+		return cmp.Or(cmp.Compare(len(a.DroppedBy), len(b.DroppedBy)), cmp.Compare(a.Score, b.Score))
+	})
+	return out
+}
+
+// droppedBy returns the name of the first filter that drops the candidate, empty if none does.
+func (s *Scheduler) droppedBy(now time.Time, req *requestState, c *candidate) string {
+	for _, f := range slices.Concat(eligibilityFilters, capacityFilters) {
+		if !f.keep(s, now, req, c) {
+			return filterName(f)
+		}
+	}
+	return ""
+}
+
+// filterName returns a filter's name without the package and the suffix of its type: "slot" for
+// slotFilter.
+func filterName(f filter) string {
+	_, name, _ := strings.Cut(fmt.Sprintf("%T", f), ".")
+	return strings.TrimSuffix(name, "Filter")
+}
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -239,6 +239,9 @@
 	decide.ActionRefuse:   "refuse",
 }
 
+// ActionName returns the name of an action in logs.
+func ActionName(a decide.Action) string { return actionNames[a] }
+
 // logDecision counts a decision and writes its log line, with its reason and inputs.
 func (d *dispatcher) logDecision(c *call, dec decide.Decision) {
 	action := actionNames[dec.Action]
