relay, netconn: nothing is sent for a caller whose close has arrived

Cause: net/http notices a closed connection in a goroutine of its own, which starts once the request was read.

Change: the kernel is asked with poll (POLLRDHUP: FIN and RST, also behind data that nobody has read; nothing is consumed) once a request was read, before it is charged and queued; before each attempt; and once more when a connection is ready for it, also by an instance that forwards for another. Callers that closed only their half count as gone, as they did for net/http.

That queued requests and those waiting for a connection aren't sent held already.

--- a/instance/front.go
+++ b/instance/front.go
@@ -151,7 +151,9 @@
 
 // serveOn serves h on l until ctx ends.
 func (f *frontend) serveOn(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: newHTTPErrorLog(f.instance.log)}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: newHTTPErrorLog(f.instance.log), ConnContext: netconn.ConnContext,
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(l) }()
 	select {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -172,7 +172,7 @@
 		f.Reason, f.Effect = e.Reason, e.Effect
 	}
 	f.Unsent = f.Effect == infra.EffectNone
-	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
+	if c.callerLeft() || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
 		return c.abandonAttempt(ctx, d, f)
 	}
 	var silent *stall.Error
@@ -239,7 +239,7 @@
 	c.relay.dispatcher.abandon(c)
 	reason := "deadline passed before the response was complete"
 	switch {
-	case c.req.Context().Err() != nil:
+	case c.callerLeft():
 		reason = "caller disconnected before the response was complete"
 	case isQuarantined(ctx):
 		reason = "request became quarantined before the response was complete"
--- a/relay/call.go
+++ b/relay/call.go
@@ -118,6 +118,9 @@
 	if status, reason := c.readBody(v.Config.Limits); status != 0 {
 		return c.reject(status, reason)
 	}
+	if c.callerLeft() {
+		return c.endCallerLeft()
+	}
 	v = c.relay.view.Load() // reading the body may take long: use the newest configuration
 	a := c.admit(v)
 	if a.status != 0 {
@@ -217,6 +220,10 @@
 			if d.Action == decide.ActionRefuse {
 				return c.endOnRefusal(d)
 			}
+			if c.callerLeft() {
+				c.relay.dispatcher.abandon(c)
+				return c.endCallerLeft()
+			}
 			if outcome := c.endIfKeyRevoked(); outcome != "" {
 				return outcome
 			}
--- a/relay/end.go
+++ b/relay/end.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/netconn"
 )
 
 // The outcomes that requests are counted by.
@@ -24,9 +25,8 @@
 
 // endOnContextDone ends a call whose deadline has passed or whose caller disconnected.
 func (c *call) endOnContextDone(ctx context.Context) string {
-	if c.req.Context().Err() != nil {
-		c.logEnd(reasonCallerLeft, 0)
-		return outcomeCallerLeft
+	if c.callerLeft() {
+		return c.endCallerLeft()
 	}
 	if isQuarantined(ctx) {
 		return c.endQuarantined()
@@ -40,6 +40,16 @@
 	return c.fail(http.StatusGatewayTimeout, "deadline")
 }
 
+// callerLeft reports whether the caller has closed its connection. Nothing may be sent to a server
+// for it any more.
+func (c *call) callerLeft() bool { return netconn.CallerGone(c.req.Context()) }
+
+// endCallerLeft ends a call whose caller disconnected.
+func (c *call) endCallerLeft() string {
+	c.logEnd(reasonCallerLeft, 0)
+	return outcomeCallerLeft
+}
+
 // endOnRefusal ends a call that the scheduler refused, possibly after failed attempts.
 func (c *call) endOnRefusal(d decide.Decision) string {
 	c.waitReported()
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -19,6 +19,7 @@
 	"greengageferry/infra"
 	"greengageferry/internal/hop"
 	"greengageferry/internal/respbody"
+	"greengageferry/netconn"
 )
 
 const (
@@ -46,7 +47,8 @@
 // Active returns how many attempts are being forwarded.
 func (f *ForwardServer) Active() int { return int(f.active.Load()) }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. The ConnContext of its http.Server must be
+// netconn.ConnContext.
 func (f *ForwardServer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get(headerForwardTo)
 	if id == "" {
@@ -131,7 +133,8 @@
 func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server, p *sendPermit) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
-	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(connectWithin(ctx, cancel), req, s))
+	sendCtx := netconn.WhileCallerStays(connectWithin(ctx, cancel), req.Context(), cancel)
+	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(sendCtx, req, s))
 	if err != nil {
 		if p != nil {
 			p.releaseFailed(ctx, err)
--- a/relay/send.go
+++ b/relay/send.go
@@ -19,7 +19,7 @@
 	r := c.relay
 	newRequest := func(ctx context.Context) *http.Request {
 		c.sending = netconn.Sending{}
-		req := c.forwardedRequest(c.sending.Record(ctx), s)
+		req := c.forwardedRequest(netconn.WhileCallerStays(c.sending.Record(ctx), c.req.Context(), c.cancel), s)
 		for _, name := range []string{headerForwardCheck, headerForwardLimit, headerForwardWait} {
 			req.Header.Del(name) // only instances may set these
 		}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -98,7 +98,7 @@
 	}
 	c.mayHaveRun = true
 	c.relay.dispatcher.abandon(c)
-	if c.req.Context().Err() != nil {
+	if c.callerLeft() {
 		c.logEnd("caller_left", res.StatusCode)
 		return outcomeCallerLeft
 	}
