relay: what requests in hand hold is bounded by the instance's memory

Cause: bodies of requests and buffered responses had no bound in all; a caller that read nothing kept its response for good; the part of an event that has arrived was held without a bound until the event ended.

Change: each request in hand counts with 32 KB, its body as it arrives and its buffered response; beyond 0.3 of the instance's memory requests are refused with 503 before they are queued. A response must be read within 2 s of its request's deadline. An event of a resumable stream of over 1 MB fails its attempt. Gauge held_bytes, end reasons memory_full and caller_reads_slowly.

Measured: tests of relay and instance pass. Without the write deadline a response that nobody reads stays in hand (test fails for all three kinds of route), without the bound an event of 40 MB is held (test fails).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -106,6 +106,7 @@
 		OnLeaving: i.addLeavingServer, Trust: i.configTrust, Allowances: i.allowances, Quarantine: i.suspects, Origins: i.origins,
 	})
 	i.forwards = i.relay.NewForwardServer(exchange.NewExchangeServer(exchangeServer{i}))
+	i.relay.SetMemoryLimit(heldLimit(o.Node))
 	i.frontend = newFrontend(i)
 	i.node.Store(o.Node)
 	i.view.LoadOnDemand = true
@@ -130,12 +131,22 @@
 func (i *Instance) SetNode(n *topology.Node) {
 	i.node.Store(n)
 	i.allowances.meter.SetBounds(n.Allowances)
+	i.relay.SetMemoryLimit(heldLimit(n))
 	i.log.Info("settings read again")
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.signalViewChanged()
 }
 
+// heldMemoryFraction is the fraction of an instance's memory that requests in hand may take. The
+// rest is for what the instance knows, for garbage and for the program itself.
+const heldMemoryFraction = 0.3
+
+// heldLimit returns how many bytes requests in hand may take; 0: no limit.
+func heldLimit(n *topology.Node) int64 {
+	return int64(float64(n.MemoryMB) * heldMemoryFraction * (1 << 20))
+}
+
 // assumedInstancesPerDomain is the assumed number of instances in each failure domain
 // until the lease holder reports the actual number.
 const assumedInstancesPerDomain = 3
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -179,6 +179,10 @@
 	if errors.As(context.Cause(ctx), &silent) {
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
+	var event *EventTooLargeError
+	if errors.As(err, &event) {
+		f.Reason = infra.ReasonProtocol
+	}
 	c.logFailedAttempt(d, err.Error(), 0)
 	if !c.forwarded && !f.Unsent && (f.Reason == infra.ReasonTimeout || isTimeout(err)) {
 		c.relay.paths.probeSoon(map[string]string{d.Server.ID: d.Server.Addr})
@@ -272,6 +276,7 @@
 		return c.relayUnbuffered(ctx, d, res, body, sent)
 	}
 	c.reportCompletion()
+	c.hold(int64(len(body)))
 	buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
 	if res.StatusCode >= 500 {
 		return c.handleServerFailure(d, buffered)
--- a/relay/call.go
+++ b/relay/call.go
@@ -66,6 +66,7 @@
 	anyVersion    string // target without a restriction to a software version
 	version       string // software version of the servers that may run the request; empty: any
 	body          []byte
+	held          int64 // bytes reserved in Relay.memory
 	deadline      time.Time
 	decisions     chan decide.Decision
 	serverID      string // of the server that the attempt was dispatched to, empty: none; guarded by dispatcher.mu
@@ -105,6 +106,10 @@
 
 // serve sends the response and returns the request's outcome.
 func (c *call) serve() string {
+	c.limitWriting(c.arrived.Add(defaultTimeout))
+	if !c.reserve(requestOverhead) {
+		return c.refuseForMemory()
+	}
 	v := c.relay.view.Load()
 	if v == nil || v.Config == nil {
 		return c.refuse("unconfigured", unconfiguredRetryAfter)
@@ -115,7 +120,11 @@
 	if a := c.admit(v); a.status != 0 {
 		return c.respondDenied(a)
 	}
-	if status, reason := c.readBody(v.Config.Limits); status != 0 {
+	switch status, reason := c.readBody(v.Config.Limits); status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		return c.refuseForMemory()
+	default:
 		return c.reject(status, reason)
 	}
 	if c.callerLeft() {
@@ -169,6 +178,7 @@
 		timeout = min(timeout, c.headers.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout - min(timeoutMargin, timeout/4))
+	c.limitWriting(c.deadline)
 }
 
 // schedulerRequest returns the scheduler's description of the request.
@@ -261,13 +271,16 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.req.Body, limit))
+	body, err := io.ReadAll(&reservingReader{http.MaxBytesReader(c.w, c.req.Body, limit), c})
 	c.body = body
 	var tooLarge *http.MaxBytesError
 	var timeout interface{ Timeout() bool }
+	var full *memoryFullError
 	switch {
 	case err == nil:
 		return 0, ""
+	case errors.As(err, &full):
+		return http.StatusServiceUnavailable, reasonMemoryFull
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, "body_too_large"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/relay/end.go
+++ b/relay/end.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
@@ -118,6 +120,17 @@
 	reasonCallerLeft = "caller_left"
 )
 
+// reasonCallerSlow is the end reason of a response that its caller did not read in time.
+const reasonCallerSlow = "caller_reads_slowly"
+
+// writeFailure returns the end reason of a response that could not be written to its caller.
+func writeFailure(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return reasonCallerSlow
+	}
+	return reasonCallerLeft
+}
+
 // isNormalEnd reports whether the end reason is not a failure. The log lines of such
 // requests have the info level, so that they are dropped first if logs are reduced.
 func isNormalEnd(reason string) bool { return reason == reasonAnswered || reason == reasonCallerLeft }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -76,6 +76,11 @@
 		return
 	}
 	defer f.active.Add(-1)
+	if !f.relay.memory.reserve(requestOverhead) {
+		writeForwardError(w, infra.ReasonOverloaded, true)
+		return
+	}
+	defer f.relay.memory.release(requestOverhead)
 	limit, known := f.relay.gateways.limitOf(server)
 	if limit == 0 || !known && !asked.asGateway {
 		f.forward(w, req, server, nil)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -165,6 +165,7 @@
 	paths          *paths
 	forwarder      *forwarder // nil: there are no other instances
 	gateways       *gateways
+	memory         heldMemory
 	handler        http.Handler
 	draining       atomic.Bool
 	activeRequests atomic.Int64
@@ -282,6 +283,7 @@
 	if r.draining.Load() || len(req.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.releaseMemory()
 	outcome := c.serve()
 	c.returnCharge(outcome)
 	r.opts.Metrics.ObserveRequest(outcome, time.Since(arrived))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"greengageferry/decide"
 	"greengageferry/internal/respbody"
 	"greengageferry/internal/stall"
@@ -59,10 +62,13 @@
 			data := (*buf)[:n]
 			if resumable {
 				data, pending = splitWholeEvents(append(pending, data...))
+				if len(pending) > maxEventBytes {
+					err = errors.WithStack(&EventTooLargeError{maxEventBytes})
+				}
 			}
 			if werr := c.sendEvents(d, res, data, rc); werr != nil {
 				c.relay.dispatcher.abandon(c)
-				c.logEnd("caller_left", res.StatusCode)
+				c.logEnd(writeFailure(werr), res.StatusCode)
 				return outcomeCallerLeft
 			}
 		}
@@ -143,6 +149,12 @@
 	return rc.Flush()
 }
 
+// EventTooLargeError reports that a server sent more bytes than Limit without ending an event.
+type EventTooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *EventTooLargeError) Error() string { return fmt.Sprintf("an event exceeds %d bytes", e.Limit) }
+
 // splitWholeEvents splits data after its last complete event. The rest is a copy.
 func splitWholeEvents(data []byte) (whole, rest []byte) {
 	at := respbody.EndOfLastEvent(data)
