relay: statuses that promise not run are given only where that is true

Cause: a server's own 429, 408 or long 503 without the header that says not run was relayed, though it counts as run; and a late refusal that names an earlier request was taken for one of this request, which was then sent again or answered 503.

Change: a response that names another request says nothing of this one; a server's response whose status promises not run, without saying so, is answered 502, and retried where that is allowed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,11 @@
 		c.relay.backends.handleResponse(d.Server.ID, res.Header)
 	}
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
+	if c.answersAnother(headers) {
+		c.logFailedAttempt(d, "answer_to_another_request", res.StatusCode)
+		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
+		return ""
+	}
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
 	c.observeRefusalLimit(d, res, headers)
@@ -83,6 +88,12 @@
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
 	}
+	if promisesNotRun(res.StatusCode) { // though the server doesn't say that it did not run the request
+		c.reportCompletion()
+		c.logFailedAttempt(d, "server_failure", res.StatusCode)
+		c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: headers.RetryAfter})
+		return ""
+	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
 		c.answer.ExpectEvents()
 		return c.relayStream(ctx, d, res, sent, watch)
@@ -154,6 +165,22 @@
 	return req.WithContext(ctx)
 }
 
+// answersAnother reports whether a response names another request. It may be a late second answer
+// to an earlier one, so that it says not run says nothing of this one.
+func (c *call) answersAnother(headers ResponseHeaders) bool {
+	return headers.RequestID != "" && headers.RequestID != c.headers.ID
+}
+
+// promisesNotRun reports whether a response with the status promises callers that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // isAuthentic reports whether the server itself sent the response, and to this request.
 // A late response to an earlier request has another id.
 func (c *call) isAuthentic(res *http.Response, headers ResponseHeaders) bool {
@@ -291,9 +318,7 @@
 // the request is not retried, or all retries fail, this response is relayed.
 func (c *call) handleServerFailure(d decide.Decision, buffered *bufferedResponse) string {
 	c.logFailedAttempt(d, "server_failure", buffered.status)
-	if buffered.status != http.StatusServiceUnavailable { // a 503 would promise that the request did not run
-		c.lastFailure = buffered
-	}
+	c.lastFailure = buffered
 	c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: c.lastResponse.RetryAfter})
 	return ""
 }
