--- a/instance/follow_servers.go
+++ b/instance/follow_servers.go
@@ -56,6 +56,10 @@
 	// entries. It leaves time for a second read if one sent just before the store's
 	// return is never answered.
 	newestReadTimeout = 2 * time.Second
+	// maxLoggedEntries bounds the entries of one read that are logged as not usable, and
+	// maxLoggedError the text of each, in bytes: other programs write them.
+	maxLoggedEntries = 4
+	maxLoggedError   = 200
 )
 
 // followServers is the duty that follows the servers' entries. It skips reads of the
@@ -211,13 +215,23 @@
 }
 
 func (i *Instance) logUnusableEntries(changes []topology.ServerChange) {
+	unusable := 0
 	for _, c := range changes {
-		if c.Err != nil {
-			i.log.WithFields(logrus.Fields{"server": c.ID, "error": c.Err}).Warn("server entry not usable")
+		if c.Err == nil {
+			continue
+		}
+		if unusable++; unusable <= maxLoggedEntries {
+			i.log.WithFields(logrus.Fields{"server": c.ID, "error": truncate(c.Err.Error(), maxLoggedError)}).Warn("server entry not usable")
 		}
 	}
+	if unusable > maxLoggedEntries {
+		i.log.WithField("entries", unusable).Warn("more server entries not usable")
+	}
 }
 
+// truncate returns the first n bytes of text.
+func truncate(text string, n int) string { return text[:min(n, len(text))] }
+
 func isOutOfRange(err error) bool {
 	var e *infra.Error
 	return errors.As(err, &e) && e.Reason == infra.ReasonOutOfRange
