--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,6 +66,11 @@
 		c.relay.backends.handleResponse(d.Server.ID, res.Header)
 	}
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
+	if c.answersAnother(headers) {
+		c.logFailedAttempt(d, "answer_to_another_request", res.StatusCode)
+		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
+		return ""
+	}
 	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
 	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
 	c.observeRefusalLimit(d, res, headers)
@@ -83,6 +88,12 @@
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
 	}
+	if promisesNotRun(res.StatusCode) { // though the server doesn't say that it did not run the request
+		c.reportCompletion()
+		c.logFailedAttempt(d, "server_failure", res.StatusCode)
+		c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: headers.RetryAfter})
+		return ""
+	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
 		c.answer.ExpectEvents()
 		return c.relayStream(ctx, d, res, sent, watch)
@@ -154,6 +165,22 @@
 	return req.WithContext(ctx)
 }
 
+// answersAnother reports whether a response names another request. It may be a late second answer
+// to an earlier one, so that it says not run says nothing of this one.
+func (c *call) answersAnother(headers ResponseHeaders) bool {
+	return headers.RequestID != "" && headers.RequestID != c.headers.ID
+}
+
+// promisesNotRun reports whether a response with the status promises callers that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // isAuthentic reports whether the server itself sent the response, and to this request.
 // A late response to an earlier request has another id.
 func (c *call) isAuthentic(res *http.Response, headers ResponseHeaders) bool {
@@ -172,13 +199,17 @@
 		f.Reason, f.Effect = e.Reason, e.Effect
 	}
 	f.Unsent = f.Effect == infra.EffectNone
-	if c.req.Context().Err() != nil || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
+	if c.callerLeft() || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
 		return c.abandonAttempt(ctx, d, f)
 	}
 	var silent *stall.Error
 	if errors.As(context.Cause(ctx), &silent) {
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
+	var event *EventTooLargeError
+	if errors.As(err, &event) {
+		f.Reason = infra.ReasonProtocol
+	}
 	c.logFailedAttempt(d, err.Error(), 0)
 	if !c.forwarded && !f.Unsent && (f.Reason == infra.ReasonTimeout || isTimeout(err)) {
 		c.relay.paths.probeSoon(map[string]string{d.Server.ID: d.Server.Addr})
@@ -239,7 +270,7 @@
 	c.relay.dispatcher.abandon(c)
 	reason := "deadline passed before the response was complete"
 	switch {
-	case c.req.Context().Err() != nil:
+	case c.callerLeft():
 		reason = "caller disconnected before the response was complete"
 	case isQuarantined(ctx):
 		reason = "request became quarantined before the response was complete"
@@ -272,6 +303,7 @@
 		return c.relayUnbuffered(ctx, d, res, body, sent)
 	}
 	c.reportCompletion()
+	c.hold(int64(len(body)))
 	buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
 	if res.StatusCode >= 500 {
 		return c.handleServerFailure(d, buffered)
@@ -286,9 +318,7 @@
 // the request is not retried, or all retries fail, this response is relayed.
 func (c *call) handleServerFailure(d decide.Decision, buffered *bufferedResponse) string {
 	c.logFailedAttempt(d, "server_failure", buffered.status)
-	if buffered.status != http.StatusServiceUnavailable { // a 503 would promise that the request did not run
-		c.lastFailure = buffered
-	}
+	c.lastFailure = buffered
 	c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: c.lastResponse.RetryAfter})
 	return ""
 }
