residency, platform: nothing of an earlier start of a server holds for the next

Cause: a server that started again under its id kept what its earlier start held for up to 4 s, its drain, its dropped models and its count of orders; the answer to a query or an order of the earlier start was taken for one of the new start.

Change: a new born voids what the server held, its drain, drops and orders; the result of a call under way is void; a state report that names an earlier born is ignored. Unanswered orders stay, as the new start may still carry them out.

Tests: TestNothingOfAnEarlierStartHoldsForTheNext fails before. That connections (TestNewStartUnderTheSameIDGetsNewConnections), the instances' lists, leaving, backoff, pauses, loads, replicas and prefix hints go by the start held already.

--- a/residency/order.go
+++ b/residency/order.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"time"
 
 	"greengageferry/topology"
 )
@@ -45,4 +46,5 @@
 	Sequence int64                // orders accepted since the server's start
 	Busy     bool                 // an order for a model is being executed
 	Models   []topology.HeldModel // including adapters that are still being transferred to the server
+	Born     time.Time            // when the server started; zero: it doesn't say
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -176,8 +176,10 @@
 	if s == nil {
 		return
 	}
-	s.callInFlight, s.orderInFlight = false, nil
+	void := s.endCall()
 	switch {
+	case void:
+		s.orderFailed(now, o, mayExecute)
 	case r == Accepted || r == AlreadyApplied && o.Adapter != "" && o.Unload: // unloading an unused adapter takes no time
 		s.orderAccepted(now, o, p.completionTimeout(s, o))
 	default:
@@ -209,7 +211,8 @@
 // HandleReportFailure records that a server didn't report its state.
 func (p *Planner) HandleReportFailure(now time.Time, id string) {
 	if s := p.servers[id]; s != nil {
-		s.callInFlight, s.idleUntil = false, now.Add(stateRetryDelay)
+		s.endCall()
+		s.idleUntil = now.Add(stateRetryDelay)
 	}
 }
 
--- a/residency/server.go
+++ b/residency/server.go
@@ -49,6 +49,7 @@
 	firstSeen       map[string]time.Time // when each model was first seen, by name; zero: before this lease
 	callInFlight    bool                 // an order or a state query is in flight
 	orderInFlight   *Order               // the order in flight
+	callVoid        bool                 // the call in flight was made to an earlier start of the server
 	idleUntil       time.Time            // no order or state query before that time
 }
 
@@ -82,7 +83,7 @@
 // update processes the server's entry, which may be unchanged.
 func (s *server) update(now time.Time, e topology.Server) {
 	if !e.Born.Equal(s.entry.Born) {
-		s.stateKnown, s.adapterChanges, s.executing = false, nil, nil // the server restarted, which voids earlier orders
+		s.forgetStart()
 	}
 	if !e.Equal(&s.entry) {
 		s.entry, s.entryPending = e, true
@@ -99,6 +100,24 @@
 	s.reconcile(now)
 }
 
+// forgetStart drops what is known of an earlier start of the server: what it held, and the orders
+// that it accepted. Unanswered orders may still reach the new start, and calls in flight are
+// answered or given up.
+func (s *server) forgetStart() {
+	s.stateKnown, s.stateAt, s.sequence = false, time.Time{}, 0
+	s.adapterChanges, s.executing, s.priorStateSeen = nil, nil, false
+	s.draining, s.dropped, s.firstSeen = nil, nil, nil
+	s.callVoid = s.callInFlight
+}
+
+// endCall records that the call in flight ended, and reports whether its result is void, since it
+// may be of an earlier start of the server.
+func (s *server) endCall() (void bool) {
+	void = s.callVoid
+	s.callInFlight, s.orderInFlight, s.callVoid = false, nil, false
+	return void
+}
+
 // considerEntry adopts an entry's models if they are newer than the server's own state
 // report: if the entry shows the effect of the order that is being executed, or the report
 // is older than entryLag. An entry may be older than that, for instance after a store
@@ -182,7 +201,9 @@
 
 // handleState processes the state that the server reported.
 func (s *server) handleState(now time.Time, st State) {
-	s.callInFlight = false
+	if s.endCall() || st.Born.Before(s.entry.Born) && !st.Born.IsZero() {
+		return // of an earlier start: it is queried again
+	}
 	s.nextQueryAt = now.Add(stateQueryInterval)
 	s.Models, s.sequence, s.stateAt, s.entryPending = st.Models, st.Sequence, now, false
 	s.stateKnown, s.adapterChanges = true, nil
