--- a/decide/filter.go
+++ b/decide/filter.go
@@ -29,7 +29,7 @@
 // request that only they reject.
 var (
 	eligibilityFilters = []filter{availabilityFilter{}, reachabilityFilter{}, residencyFilter{}, failedServerFilter{}, affinityFilter{}}
-	capacityFilters    = []filter{rateFilter{}, slotFilter{}, prefillFilter{}, suspectFilter{}, deadlineFilter{}}
+	capacityFilters    = []filter{rateFilter{}, slotFilter{}, prefillFilter{}, memoryFilter{}, suspectFilter{}, deadlineFilter{}}
 )
 
 // passesAll reports whether all filters keep the candidate.
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -16,6 +16,7 @@
 	noQueue       bool           // see Table.NoServerQueue
 	own           int            // this instance's requests at the server; exact
 	unread        int            // prompt tokens of own requests without a first token
+	heldTokens    int            // sizes of own requests; see Request.tokenSize
 	suspects      int            // own requests that may crash a server
 	servedTargets []servedTarget // targets that the server has ready
 	pool          *poolState
@@ -51,6 +52,7 @@
 	slots             int // per server
 	service           serviceTimes
 	budget            retryBudget
+	requestTokens     average // sizes of this instance's requests; see Request.tokenSize
 	held              average // seconds that attempts held a slot, whatever their outcome
 	totalInFlight     int     // this instance's requests in the pool
 	inFlightByPartner []int   // the same by partnerState.index
--- /dev/null
+++ b/decide/memory.go
@@ -0,0 +1,41 @@
+package decide
+
+import "time"
+
+// tokenSize returns the tokens that the request takes of its server's memory: its prompt and the
+// longest answer that it allows, or 0 if these aren't known.
+func (r *Request) tokenSize() int { return r.PromptTokens + r.MaxTokens }
+
+// exceedsServer reports whether the request is larger than a whole server's memory. Servers
+// refuse such a request as if they were full, so that it must not wait for one to be free.
+func (t *targetState) exceedsServer(r *Request) bool {
+	return t.ServerMemory > 0 && r.tokenSize() > t.ServerMemory
+}
+
+// memoryFilter drops servers whose memory the request would exceed, together with the requests
+// that are there. This instance's own count by their size, others by the mean size of own ones. A
+// server without requests always has room.
+type memoryFilter struct{}
+
+func (memoryFilter) keep(_ *Scheduler, _ time.Time, req *requestState, c *candidate) bool {
+	limit := req.target.ServerMemory
+	if limit == 0 || c.load < 1 {
+		return true
+	}
+	others := max(c.load-float64(c.server.own), 0)
+	held := float64(c.server.heldTokens) + others*c.server.pool.requestTokens.mean
+	return held+float64(req.tokenSize()) <= float64(limit)
+}
+
+// holdTokens records that the request is at the server.
+func (s *serverState) holdTokens(req *requestState) {
+	req.heldTokens = req.tokenSize()
+	s.heldTokens += req.heldTokens
+	s.pool.requestTokens.add(float64(req.heldTokens))
+}
+
+// releaseTokens records that the request has left the server.
+func (s *serverState) releaseTokens(req *requestState) {
+	s.heldTokens -= req.heldTokens
+	req.heldTokens = 0
+}
--- a/decide/request.go
+++ b/decide/request.go
@@ -16,6 +16,7 @@
 	crashes         int
 	deliveredTokens int          // tokens that the caller has received
 	failedServer    *serverState // server of the last failed attempt, not to be retried at once
+	heldTokens      int          // counted in dispatchedTo.heldTokens
 	serviceTime     float64      // expected service time in seconds; 0: unknown
 	safeServiceTime float64      // upper estimate of the service time in seconds
 	queueKey        float64      // lowest is served first: latest start minus the priority's head start, in Unix seconds
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -84,6 +84,8 @@
 		s.refuse(req, ReasonShuttingDown, shutdownRetry)
 	case req.target == nil:
 		s.refuse(req, ReasonUnknownTarget, 0)
+	case req.target.exceedsServer(&r):
+		s.refuse(req, ReasonTooLarge, maxRetryAfter)
 	default:
 		req.target.arrivalRate.add(now)
 		s.setDeadline(req)
@@ -276,6 +278,7 @@
 	req.dispatchedTo, req.dispatchedAt = srv, now
 	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
 	srv.unread += req.PromptTokens
+	srv.holdTokens(req)
 	srv.quota.remaining--
 	granted := srv.rateLimit.consume(now)
 	req.queuedAtServer = c.load+1 > float64(srv.Slots)
@@ -334,6 +337,7 @@
 	req.dispatchedTo = nil
 	req.target.inFlight--
 	srv.own--
+	srv.releaseTokens(req)
 	if !req.firstTokenSeen {
 		srv.unread -= req.PromptTokens
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -41,6 +41,7 @@
 	Adapter          string
 	Service          bool
 	MaxTokens        int           // limit for one answer
+	ServerMemory     int           // tokens that a server holds of its requests' prompts and answers; 0: not known
 	FirstTokenTarget time.Duration // latency objective from arrival to the first token
 	PerTokenTarget   time.Duration // latency objective between tokens
 	Timeout          time.Duration // deadline of requests whose caller sets none; 0: defaultTimeout
@@ -141,6 +142,7 @@
 	ReasonQueueFull     Reason = "queue_full"     // the queue is full
 	ReasonPartnerShare  Reason = "partner_share"  // evicted from a full queue: its partner queues the most for its weight
 	ReasonNoReplica     Reason = "no_replica"     // no replica is ready and reachable
+	ReasonTooLarge      Reason = "too_large"      // larger than a whole server's memory
 	ReasonUnknownTarget Reason = "unknown_target" // no target has that name
 	ReasonRetryBudget   Reason = "retry_budget"   // retry budget or attempt limit exhausted
 	ReasonMayHaveRun    Reason = "may_have_run"   // not idempotent, and an earlier attempt may have run
--- a/topology/table.go
+++ b/topology/table.go
@@ -148,7 +148,7 @@
 				adapter = AdapterName(n)
 			}
 			name := TargetName(s.Name, m.Name, adapter)
-			addTarget(t, v, decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ReplicaPending: v.LoadOnDemand})
+			addTarget(t, v, decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ServerMemory: s.Engine.KVTokens, ReplicaPending: v.LoadOnDemand})
 		}
 	}
 }
