decide, residency: servers' speeds as all instances measured them

Each instance learned servers' speeds from its own answers alone: with 112 servers and 83 instances one answer of a server in 16 s. Instances now report seconds per token by server and model; the lease holder fits models' times and servers' speeds and tells the speeds. Scores, quotas, waits and prefill times go by them, and requests leave their failure domain for faster servers while the own ones are fuller.

--- a/decide/average.go
+++ b/decide/average.go
@@ -7,6 +7,8 @@
 	// twenty samples count: few enough to follow a slowing server within seconds, enough
 	// to tolerate an outlier.
 	averageWeight = 0.05
+	// averageSamples is the number of samples that an average mostly rests on.
+	averageSamples = 1 / averageWeight
 	// minAverageSamples is the number of samples before a refusal may depend on an
 	// average.
 	minAverageSamples = 3
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -108,6 +107,8 @@
 	speed   float64
 	running int
 	waiting []*contentionRequest
+	slowed  time.Time // when its speed fell; zero: it didn't
+	answers int       // begun and ended since
 }
 
 // contentionState is what a report holds.
@@ -115,6 +116,7 @@
 	loads    []int // by engine
 	backlogs []Backlog
 	accounts []AccountDemand
+	speeds   []ServerSpeed
 }
 
 type contentionSim struct {
@@ -130,8 +132,8 @@
 	weights    []float64 // of the models
 	arrivals   map[string]*[Ranks]arrivalRate
 	starts     map[string]*arrivalRate
-	speeds     map[string]*SpeedSample // of all instances together
-	snapshots  []contentionState       // newest last; reports carry the oldest
+	speeds     *SpeedEstimator   // of all instances together
+	snapshots  []contentionState // newest last; reports carry the oldest
 	result     contentionResult
 }
 
@@ -142,9 +144,15 @@
 
 // simulateContention runs the simulation to contentionEnd.
 func simulateContention(in contention) *contentionResult {
+	c := newContentionSim(in)
+	c.run()
+	return &c.result
+}
+
+func newContentionSim(in contention) *contentionSim {
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
-		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: map[string]*SpeedSample{},
+		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: NewSpeedEstimator(),
 	}
 	t := c.newTable()
 	for i := range in.instances {
@@ -158,12 +166,15 @@
 	}
 	c.takeSnapshot()
 	c.arrive()
+	return c
+}
+
+func (c *contentionSim) run() {
 	for end := c.now.Add(contentionEnd); len(c.events) > 0 && c.events[0].at.Before(end); {
 		e := heap.Pop(&c.events).(simEvent)
 		c.now = e.at
 		e.do()
 	}
-	return &c.result
 }
 
 // newTable returns the routing table, with models placed by popularity.
@@ -225,16 +236,10 @@
 			sum := byAccount[k]
 			byAccount[k] = AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: sum.Waiting + d.Waiting, InFlight: sum.InFlight + d.InFlight}
 		}
-		for _, sample := range s.TakeSpeedSamples() {
-			sum := c.speeds[sample.Server]
-			if sum == nil {
-				sum = &SpeedSample{}
-				c.speeds[sample.Server] = sum
-			}
-			sum.Count += sample.Count
-			sum.LogSum += sample.LogSum
-		}
+		c.speeds.Add(s.TakeSpeedSamples())
 	}
+	c.speeds.Fit(c.now)
+	st.speeds = c.speeds.Speeds()
 	for _, d := range byAccount {
 		st.accounts = append(st.accounts, d)
 	}
@@ -273,13 +278,7 @@
 func (c *contentionSim) report(i int) {
 	was := c.snapshots[0]
 	s := c.schedulers[i]
-	var speeds []ServerSpeed
-	for _, e := range c.engines {
-		if sum := c.speeds[e.id]; sum != nil && sum.Count > 0 {
-			speeds = append(speeds, ServerSpeed{Server: e.id, Speed: math.Exp(-sum.LogSum / float64(sum.Count)), Count: float64(sum.Count)})
-		}
-	}
-	s.UpdateSpeeds(c.now, speeds)
+	s.UpdateSpeeds(c.now, was.speeds)
 	s.UpdateAccounts(c.now, was.accounts)
 	c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
 	wanted := map[string]float64{}
@@ -328,6 +327,9 @@
 	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
 	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
 		e.running--
+		if !e.slowed.IsZero() && !sent.Before(e.slowed) {
+			e.answers++
+		}
 		delete(c.requests, r.ID)
 		c.carryOut(r.at, c.schedulers[r.at].Ended(c.now, r.ID, e.id, Outcome{Complete: true, FirstToken: 30 * time.Millisecond, Total: c.now.Sub(sent), Tokens: 100}))
 		c.startWaiting(e)
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -55,7 +55,7 @@
 // unread prompt tokens at the server, those not yet prefilled, and hardly on the number of
 // requests.
 type enginePerformance struct {
-	prefill quantile // prompt tokens per second of engines with no other prompt
+	prefill quantile // prompt tokens per second of engines of speed 1 with no other prompt
 	decode  quantile // seconds per output token without concurrent prefill
 }
 
@@ -78,7 +78,7 @@
 }
 
 // recordPrefill adds a sample from the time to the first token of a request whose prompt
-// didn't have to wait.
+// didn't have to wait, as it would be at a server of speed 1.
 func (m *enginePerformance) recordPrefill(tokens int, took time.Duration) {
 	if tokens >= minPrefillTokens && took > 0 {
 		m.prefill.add(float64(tokens)/took.Seconds(), prefillQuantile)
@@ -132,7 +132,8 @@
 		return s.out
 	}
 	if req.prefilledAlone {
-		req.dispatchedTo.pool.engine.recordPrefill(req.PromptTokens, now.Sub(req.dispatchedAt))
+		took := seconds(now.Sub(req.dispatchedAt).Seconds() * req.dispatchedTo.speed())
+		req.dispatchedTo.pool.engine.recordPrefill(req.PromptTokens, took)
 	}
 	req.firstTokenSeen = true
 	req.dispatchedTo.unread -= req.PromptTokens
@@ -150,13 +151,13 @@
 // timeToFirstToken returns the seconds until the request's first token would come from the
 // server, 0 if not known.
 func (c *candidate) timeToFirstToken(req *requestState) float64 {
-	return c.server.pool.engine.prefillTime(c.unread + float64(req.PromptTokens))
+	return c.server.pool.engine.prefillTime(c.unread+float64(req.PromptTokens)) / c.server.speed()
 }
 
 // prefillWait returns the seconds until the server would start to prefill another prompt,
 // 0 if not known.
 func (c *candidate) prefillWait() float64 {
-	return c.server.pool.engine.prefillTime(c.unread)
+	return c.server.pool.engine.prefillTime(c.unread) / c.server.speed()
 }
 
 // Unread returns the prompt tokens of this instance's requests at the server that have no
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -31,6 +31,8 @@
 
 	errorRate           average // fraction of answers that were the server's own failures
 	slowdown            average // time taken divided by the target's usual time; above 1 is slow
+	speedSums           []speedSum
+	shared              sharedSpeed
 	consecutiveFailures int
 	consecutiveRefusals int
 	consecutiveMisses   int // requests in a row for which the server reported a missing model
@@ -99,6 +101,8 @@
 	service     serviceTimes
 	arrivalRate arrivalRate
 	returns     returns
+	totalSpeed  float64 // of the replicas
+	uneven      bool    // some replica's server is known to be slower or faster than the mean
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
@@ -111,6 +115,7 @@
 	partnerList   []*partnerState // by partnerState.index
 	domains       map[string]*domainState
 	retry         RetryPolicy
+	speedsToldAt  time.Time // when the lease holder last told servers' speeds; zero: not lately
 }
 
 func newFleet() fleet {
@@ -183,6 +188,7 @@
 func (s *serverState) forgetStart() {
 	s.rateLimit, s.pausedUntil, s.backoffUntil = limitState{}, time.Time{}, time.Time{}
 	s.errorRate, s.slowdown = average{}, average{}
+	s.speedSums, s.shared = nil, sharedSpeed{}
 	s.consecutiveFailures, s.consecutiveRefusals, s.consecutiveMisses = 0, 0, 0
 	s.report, s.reportedAt = infra.Load{}, time.Time{}
 	s.othersInFlight, s.othersUnread = 0, 0
@@ -213,6 +219,7 @@
 			ts.near = len(ts.replicas)
 		}
 	}
+	ts.sumSpeeds()
 	return ts
 }
 
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -1,6 +1,9 @@
 package decide
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// sampleSize is the number of replicas that a decision considers. It makes a decision
@@ -35,6 +38,7 @@
 // queue. Failure domains that seem unreachable come last. If it returns nil, waitable
 // reports whether queueing may help: some replica is eligible but for its load.
 func (s *Scheduler) choose(now time.Time, req *requestState) (c *candidate, waitable bool) {
+	s.expireSpeeds(now)
 	s.allowCutOff = false
 	if c, waitable = s.chooseByFill(now, req); c != nil || waitable {
 		return c, waitable
@@ -51,6 +55,9 @@
 		s.prefixServer = s.prefixIndex.get(now, prefixKey{t.Model, req.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
+	if t.uneven {
+		near, far = t.replicas, nil // see preferNear
+	}
 	for s.fillLevel = fillRateLimited; s.fillLevel <= fillServerQueue; s.fillLevel++ {
 		if s.fillLevel == fillRateLimited && !s.limitAllows(now, t) || s.fillLevel == fillLow && s.instancesExceedSlots {
 			continue
@@ -84,6 +91,9 @@
 	if len(kept) == 0 {
 		return nil, waitable
 	}
+	if req.target.uneven {
+		s.preferNear()
+	}
 	s.scoreAll(now, req)
 	if s.instancesExceedSlots {
 		return s.pickByFreeSlots(), true
@@ -137,6 +147,27 @@
 	}
 }
 
+// preferNear drops the candidates of other failure domains if some of the own one are no
+// fuller for their speed than the mean. If the own domain always went first, its slow servers
+// would queue requests beside fast ones with free slots in other domains.
+func (s *Scheduler) preferNear() {
+	mean := 0.0
+	for i := range s.candidates {
+		mean += s.candidates[i].fill() / float64(len(s.candidates))
+	}
+	isPreferred := func(c candidate) bool { return c.server.FailureDomain == s.ownDomain && c.fill() <= mean }
+	if !slices.ContainsFunc(s.candidates, isPreferred) {
+		return
+	}
+	s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return !isPreferred(c) })
+}
+
+// fill returns how full the server would be with one more request, as the time that its
+// requests take there against that of a full server of speed 1.
+func (c *candidate) fill() float64 {
+	return (c.load + 1) / float64(c.server.Slots) / c.server.speed()
+}
+
 // pick returns the better of two random candidates, or occasionally a random one to probe
 // it.
 func (s *Scheduler) pick() *candidate {
--- a/decide/quota.go
+++ b/decide/quota.go
@@ -71,17 +71,17 @@
 }
 
 // demand returns the number of this instance's requests for the server's targets, queued
-// or expected within ArrivalHorizon, each divided equally among the target's replicas.
+// or expected within ArrivalHorizon, each divided among the target's replicas by their speed.
 func (s *serverState) demand(now time.Time) float64 {
 	return s.sumOverTargets(func(t *targetState) float64 { return t.demand(now) })
 }
 
-// sumOverTargets adds up count over the server's targets, each divided by the number of
-// the target's replicas.
+// sumOverTargets adds up count over the server's targets, each divided among the target's
+// replicas by their speed.
 func (s *serverState) sumOverTargets(count func(*targetState) float64) float64 {
 	sum := 0.0
 	for _, r := range s.servedTargets {
-		sum += count(r.target) / float64(len(r.target.replicas))
+		sum += count(r.target) * s.speed() / r.target.totalSpeed
 	}
 	return sum
 }
@@ -92,8 +92,8 @@
 	return float64(t.queue.len()) + t.arrivalRate.rate(now)*ArrivalHorizon.Seconds()
 }
 
-// SpreadOverServers divides the wanted requests, by target name, equally among the
-// servers that have the target ready. It returns them by server ID.
+// SpreadOverServers divides the wanted requests, by target name, among the servers that
+// have the target ready, by their speed. It returns them by server ID.
 func (s *Scheduler) SpreadOverServers(wanted map[string]float64) map[string]float64 {
 	out := map[string]float64{}
 	for name, n := range wanted {
@@ -102,7 +102,8 @@
 			continue
 		}
 		for i := range t.replicas {
-			out[t.replicas[i].server.ID] += n / float64(len(t.replicas))
+			srv := t.replicas[i].server
+			out[srv.ID] += n * srv.speed() / t.totalSpeed
 		}
 	}
 	return out
@@ -129,7 +130,7 @@
 
 // expectedReleases estimates how many slots of a full server are released within a time.
 func (s *serverState) expectedReleases(within time.Duration) float64 {
-	return float64(s.Slots) * within.Seconds() / max(s.pool.holdTime(), minHoldTime)
+	return float64(s.Slots) * s.speed() * within.Seconds() / max(s.pool.holdTime(), minHoldTime)
 }
 
 // updateQuota draws a new quota, given the number of requests of all instances that
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -24,6 +24,7 @@
 	draining             bool
 	dequeueOffset        int
 	localFillLimit       float64 // see Table.LocalFillLimit
+	ownDomain            string  // see Table.OwnDomain
 	rateSharing          rateSharing
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
@@ -57,7 +58,7 @@
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
 	s.rateLimitActive = s.RateLimitedServers() > 0
-	s.localFillLimit = t.LocalFillLimit
+	s.localFillLimit, s.ownDomain = t.LocalFillLimit, t.OwnDomain
 	if s.localFillLimit <= 0 {
 		s.localFillLimit = lowFillFraction
 	}
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -17,22 +17,6 @@
 	Starts   float64        // requests per second that servers began to run
 }
 
-// SpeedSample is what an instance measured of a server's speed since its last report.
-type SpeedSample struct {
-	Server string
-	Start  string  // of the server, as in Server.Start: what an earlier start showed is void
-	Count  int     // answers
-	LogSum float64 // sum of the natural logarithms of time taken / the pool's usual time
-}
-
-// ServerSpeed is a server's speed as all instances together measured it.
-type ServerSpeed struct {
-	Server string
-	Start  string
-	Speed  float64 // work per time relative to the mean of its pool; above 1 is fast
-	Count  float64 // answers that it rests on, weighted by age
-}
-
 // AccountDemand is what an instance, or all instances together, have of a client account's
 // requests for a pool.
 type AccountDemand struct {
@@ -49,13 +33,6 @@
 	return s.out
 }
 
-// TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
-func (s *Scheduler) TakeSpeedSamples() []SpeedSample { return nil }
-
-// UpdateSpeeds handles the servers' speeds as all instances together measured them. They replace
-// all earlier ones.
-func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {}
-
 // AccountDemands returns what this instance has of client accounts' requests.
 func (s *Scheduler) AccountDemands() []AccountDemand { return nil }
 
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -96,6 +96,9 @@
 		return
 	case o.Tokens > 1:
 		s.learn((o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1), usual.perToken.mean)
+		if o.Tokens >= minSpeedTokens {
+			s.measure(t.Model, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
+		}
 		s.pool.engine.recordDecode(o.Tokens, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
 	}
 	t.service.learn(now, t, f, o)
@@ -130,6 +133,9 @@
 		return
 	}
 	f.dispatchedTo.learn(abandonedFactor*took, usual)
+	if !t.Service && !f.queuedAtServer && t.service.perToken.warm() && t.allowed(&f.Request) >= minSpeedTokens {
+		f.dispatchedTo.measure(t.Model, t.service.perToken.mean*min(abandonedFactor*took/usual, maxSlowdown))
+	}
 }
 
 // learn updates the averages with the time that some work took, in seconds, and
@@ -144,9 +150,13 @@
 }
 
 // relativeSlowdown returns how many times as long as its pool's average the server takes,
-// or 1 if that isn't known. It lets one slow server among normal ones get fewer requests;
+// or 1 if that isn't known. What all instances measured is preferred if it rests on more
+// answers than this one's. It lets one slow server among normal ones get fewer requests;
 // only failures exclude a server.
 func (s *serverState) relativeSlowdown() float64 {
+	if s.shared.speed > 0 && s.shared.count > float64(min(s.slowdown.n, averageSamples)) {
+		return 1 / s.shared.speed
+	}
 	if !s.slowdown.warm() || s.pool.slowdown <= 0 {
 		return 1
 	}
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -145,7 +145,7 @@
 			s.queryStore(ctx)
 		}
 		addr := s.holderLocator.nextPeer(i.lease.Competes())
-		if addr == "" || s.syncWith(ctx, addr, report) {
+		if addr == "" || s.syncWith(ctx, addr, &report) {
 			return
 		}
 	}
@@ -164,14 +164,15 @@
 }
 
 // syncWith sends a report to an instance. It returns true if that instance holds the
-// lease, or doesn't know who does, so that there is nobody else to ask.
-func (s *syncer) syncWith(ctx context.Context, addr string, report residency.InstanceReport) bool {
+// lease, or doesn't know who does, so that there is nobody else to ask. The report's speeds
+// are dropped if there is no answer: the lease holder may have counted them.
+func (s *syncer) syncWith(ctx context.Context, addr string, report *residency.InstanceReport) bool {
 	i := s.instance
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+addr, s.client)
 	sent := time.Now()
-	req := newSyncRequest(report)
+	req := newSyncRequest(*report)
 	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
 	req.SuspectsDigest, req.Suspects = i.suspects.forHolder()
 	req.RefusalLimits, req.GatewaysDigest = wireRefusalLimits(i.relay.RefusalLimits()), i.relay.Gateways().Digest()
@@ -181,6 +182,7 @@
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.onPeerFailure(addr, err)
+		report.Speeds = nil
 		return false
 	}
 	now := time.Now()
--- a/instance/wire_shared.go
+++ b/instance/wire_shared.go
@@ -63,7 +63,7 @@
 func wireSpeedSamples(samples []decide.SpeedSample) []*exchange.SpeedSample {
 	var out []*exchange.SpeedSample
 	for _, s := range samples {
-		out = append(out, &exchange.SpeedSample{Server: s.Server, Start: s.Start, Count: uint32(s.Count), LogSum: float32(s.LogSum)})
+		out = append(out, &exchange.SpeedSample{Server: s.Server, Start: s.Start, Count: uint32(s.Count), LogSum: float32(s.LogSum), Pool: s.Pool, Model: s.Model})
 	}
 	return out
 }
@@ -71,7 +71,7 @@
 func speedSamplesFromWire(samples []*exchange.SpeedSample) []decide.SpeedSample {
 	var out []decide.SpeedSample
 	for _, s := range samples {
-		out = append(out, decide.SpeedSample{Server: s.GetServer(), Start: s.GetStart(), Count: int(s.GetCount()), LogSum: float64(s.GetLogSum())})
+		out = append(out, decide.SpeedSample{Server: s.GetServer(), Start: s.GetStart(), Count: int(s.GetCount()), LogSum: float64(s.GetLogSum()), Pool: s.GetPool(), Model: s.GetModel()})
 	}
 	return out
 }
--- a/relay/shared.go
+++ b/relay/shared.go
@@ -16,6 +16,10 @@
 // TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
 func (r *Relay) TakeSpeedSamples() []decide.SpeedSample { return r.dispatcher.takeSpeedSamples() }
 
+// ServerSpeeds returns the shared speeds of the slowest and the fastest server, 1 if none are
+// known.
+func (r *Relay) ServerSpeeds() (slowest, fastest float64) { return r.dispatcher.serverSpeeds() }
+
 // AccountDemands returns what this instance has of client accounts' requests.
 func (r *Relay) AccountDemands() []decide.AccountDemand { return r.dispatcher.accountDemands() }
 
@@ -34,6 +38,12 @@
 	return d.scheduler.TakeSpeedSamples()
 }
 
+func (d *dispatcher) serverSpeeds() (slowest, fastest float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.SpeedRange()
+}
+
 func (d *dispatcher) accountDemands() []decide.AccountDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 	// shortageLogInterval is the minimum time between two log reports of models that
 	// lack replicas.
 	shortageLogInterval = time.Second
+	// speedLogInterval is the minimum time between two log reports of changed speeds.
+	speedLogInterval = time.Second
 	// results is the buffer for results of orders, one for each of as many servers.
 	// When the buffer is full, senders wait, and so do further orders to their servers.
 	results = 256
@@ -67,6 +70,7 @@
 	demand             *DemandTracker
 	planner            *Planner  // nil while the lease isn't held
 	shortagesLoggedAt  time.Time // when models that lack replicas were last logged
+	speedsLoggedAt     time.Time // when changes of servers' speeds were last logged
 	instancesAtRenewal []string  // instances known at the newest renewal
 
 	loads     Loads          // computed at loadsAt
@@ -149,7 +153,7 @@
 	s.HeldRemoved, s.Held, s.HeldIncremental = c.heldSince(now, report.HeldDigest)
 	s.Candidates, s.IsCandidate = c.candidacy(now, report)
 	s.Rates = c.ratesFor(now, report)
-	s.Backlogs, s.Speeds, s.Accounts = c.demand.Backlogs(now), c.demand.Speeds(now), c.demand.Accounts(now)
+	s.Backlogs, s.Speeds, s.Accounts = c.demand.Backlogs(now), c.demand.Speeds(now, report.Instance), c.demand.Accounts(now)
 	if c.demand.CountedAll(now) {
 		s.Instances = c.demand.Instances()
 		s.Gateways = c.currentGateways(now)
@@ -293,6 +297,7 @@
 	c.planner.Update(now, &v)
 	queries, orders = c.planner.StateQueries(now), c.planner.Plan(now)
 	c.logShortages(now)
+	c.logSpeedChanges(now)
 	return queries, orders
 }
 
@@ -310,6 +315,20 @@
 	}
 }
 
+// logSpeedChanges logs the servers whose speed became known or changed, once a second. The lock
+// is held.
+func (c *Controller) logSpeedChanges(now time.Time) {
+	if now.Sub(c.speedsLoggedAt) < speedLogInterval {
+		return
+	}
+	c.speedsLoggedAt = now
+	for _, s := range c.demand.TakeSpeedChanges() {
+		c.o.Log.WithFields(logrus.Fields{
+			"server": s.Server, "start": s.Start, "speed": math.Round(s.Speed*100) / 100, "before": math.Round(s.Before*100) / 100, "answers": int(s.Count),
+		}).Info("server speed changed")
+	}
+}
+
 // handleResult passes the outcome of an order or state query to the planner.
 func (c *Controller) handleResult(r orderResult) {
 	c.mu.Lock()
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -68,6 +68,8 @@
 
 	listeningSince time.Time // since when instances have reported to this one without a long gap
 	lastReportAt   time.Time // when the newest report arrived
+
+	speeds *speedTracker
 }
 
 // InstanceReport is what an instance reports to the lease holder.
@@ -113,7 +115,7 @@
 
 // NewDemandTracker returns a tracker without any targets.
 func NewDemandTracker() *DemandTracker {
-	return &DemandTracker{targets: map[string]*targetState{}, instances: map[string]*instanceState{}, decayTime: maxDecayTime, holdSeconds: defaultHoldSeconds}
+	return &DemandTracker{targets: map[string]*targetState{}, instances: map[string]*instanceState{}, decayTime: maxDecayTime, holdSeconds: defaultHoldSeconds, speeds: newSpeedTracker()}
 }
 
 // SetDecayTime sets the time constant with which past demand decays.
@@ -131,6 +133,7 @@
 	d.lastReportAt = now
 	member := Member{Name: report.Instance, Domain: report.Domain, Addr: report.Addr, Cores: report.Cores}
 	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, storeDown: report.StoreDown, version: report.Version}
+	d.speeds.estimator.Add(report.Speeds)
 	for name, a := range report.TargetDemand {
 		if a.Requests > 0 || a.Waiting > 0 {
 			t := d.target(name)
