--- /dev/null
+++ b/decide/server_speed_test.go
@@ -0,0 +1,120 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// toldScheduler returns a scheduler of two servers, told that s0 has half the usual speed.
+func toldScheduler() *Scheduler {
+	s := testScheduler(testTable(2, 4, 1, "am"))
+	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Speed: 0.5, Count: 50}, {Server: "s1", Speed: 1.5, Count: 50}})
+	return s
+}
+
+func TestSamplesAreTakenOnce(t *testing.T) {
+	s := testScheduler(testTable(1, 4, 1, "am"))
+	warmUp(s, "am")
+	samples := s.TakeSpeedSamples()
+	require.Len(t, samples, 1)
+	require.Equal(t, SpeedSample{Server: "s0", Pool: "p", Model: "am", Count: 5, LogSum: samples[0].LogSum}, samples[0])
+	require.Empty(t, s.TakeSpeedSamples())
+}
+
+func TestShortAnswersAreNoSamples(t *testing.T) {
+	s := testScheduler(testTable(1, 4, 1, "am"))
+	d := s.Submit(simStart, newTestRequest("r", "am", time.Minute))[0]
+	s.Ended(simStart.Add(time.Second), "r", d.Server.ID, Outcome{Complete: true, FirstToken: 100 * time.Millisecond, Total: time.Second, Tokens: minSpeedTokens - 1})
+	require.Empty(t, s.TakeSpeedSamples())
+}
+
+// A server that lets attempts hang completes the quick ones only.
+func TestAbandonedAttemptIsASample(t *testing.T) {
+	s := testScheduler(testTable(1, 4, 1, "am"))
+	warmUp(s, "am")
+	s.TakeSpeedSamples()
+	at := simStart.Add(time.Second)
+	s.Submit(at, newTestRequest("r", "am", time.Minute))
+	s.Cancel(at.Add(10*time.Second), "r")
+	require.Len(t, s.TakeSpeedSamples(), 1)
+	s.Submit(at, newTestRequest("r", "am", time.Minute))
+	s.Cancel(at.Add(100*time.Millisecond), "r")
+	require.Empty(t, s.TakeSpeedSamples(), "it took no longer than others")
+}
+
+func TestSharedSpeedIsUsed(t *testing.T) {
+	s := toldScheduler()
+	slow, fast := s.fleet.servers["s0"], s.fleet.servers["s1"]
+	require.Equal(t, 2.0, slow.relativeSlowdown())
+	require.InDelta(t, 3, fast.expectedReleases(time.Second)/slow.expectedReleases(time.Second), 0.001)
+	require.Equal(t, map[string]float64{"s0": 2, "s1": 6}, s.SpreadOverServers(map[string]float64{"am": 8}))
+	slowest, fastest := s.SpeedRange()
+	require.Equal(t, []float64{0.5, 1.5}, []float64{slowest, fastest})
+}
+
+// An instance that has more answers of a server than all instances together told goes by its own.
+func TestOwnAnswersCountMoreThanFewShared(t *testing.T) {
+	s := testScheduler(testTable(1, 4, 1, "am"))
+	warmUp(s, "am")
+	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Speed: 0.5, Count: 3}})
+	require.Equal(t, 1.0, s.fleet.servers["s0"].relativeSlowdown())
+}
+
+// Without a lease holder, or cut off from it, an instance goes by its own answers again.
+func TestSharedSpeedsEndWithoutLeaseHolder(t *testing.T) {
+	s := toldScheduler()
+	s.Submit(simStart.Add(speedsTTL), newTestRequest("a", "am", time.Minute))
+	require.Equal(t, 2.0, s.fleet.servers["s0"].relativeSlowdown())
+	s.Submit(simStart.Add(speedsTTL+time.Millisecond), newTestRequest("b", "am", time.Minute))
+	require.Equal(t, 1.0, s.fleet.servers["s0"].relativeSlowdown())
+	require.False(t, s.fleet.targets["am"].uneven)
+}
+
+// A new lease holder doesn't know a server's speed yet and doesn't tell it.
+func TestSharedSpeedEndsIfNoLongerTold(t *testing.T) {
+	s := toldScheduler()
+	for now := simStart; now.Before(simStart.Add(serverSpeedTTL)); now = now.Add(time.Second) {
+		s.UpdateSpeeds(now, nil)
+		require.Equal(t, 2.0, s.fleet.servers["s0"].relativeSlowdown())
+	}
+	s.UpdateSpeeds(simStart.Add(serverSpeedTTL+time.Second), nil)
+	require.Equal(t, 1.0, s.fleet.servers["s0"].relativeSlowdown())
+}
+
+func TestSharedSpeedIsOfOneStart(t *testing.T) {
+	table := testTable(2, 4, 1, "am")
+	table.Servers[0].Start = "a"
+	s := testScheduler(table)
+	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Start: "other", Speed: 0.5, Count: 50}})
+	require.Equal(t, 1.0, s.fleet.servers["s0"].speed())
+	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Start: "a", Speed: 0.5, Count: 50}})
+	require.Equal(t, 0.5, s.fleet.servers["s0"].speed())
+	restarted := testTable(2, 4, 1, "am")
+	restarted.Servers[0].Start = "b"
+	s.SetTable(simStart, restarted)
+	require.Equal(t, 1.0, s.fleet.servers["s0"].speed())
+}
+
+// The own failure domain goes first, but not while its slow servers fill beside faster ones.
+func TestRequestsLeaveTheirDomainForFasterServers(t *testing.T) {
+	send := func(speeds []ServerSpeed) map[string]int {
+		table := testTable(4, 8, 1, "am")
+		for i := range table.Servers {
+			table.Servers[i].FailureDomain = fmt.Sprint("d", i/2)
+		}
+		s := testScheduler(table)
+		s.UpdateSpeeds(simStart, speeds)
+		byDomain := map[string]int{}
+		for n := range 8 {
+			d := s.Submit(simStart, newTestRequest(fmt.Sprint(n), "am", time.Minute))[0]
+			byDomain[d.Server.FailureDomain]++
+		}
+		return byDomain
+	}
+	require.Equal(t, map[string]int{"d0": 8}, send(nil), "all alike")
+	uneven := []ServerSpeed{{Server: "s0", Speed: 0.5, Count: 50}, {Server: "s1", Speed: 0.5, Count: 50}, {Server: "s2", Speed: 1.5, Count: 50}, {Server: "s3", Speed: 1.5, Count: 50}}
+	require.Greater(t, send(uneven)["d1"], 4)
+}
--- a/residency/speeds.go
+++ b/residency/speeds.go
@@ -20,6 +20,9 @@
 	speedTurns    = 20
 	// speedStep is the ratio, either way, from which a change is told at once and logged.
 	speedStep = 4.0 / 3
+	// maxChangesTold bounds the changes in one answer. Where more servers change at once, as
+	// after a new lease holder's first fit, the others are told in turn.
+	maxChangesTold = 48
 	// maxSpeedChanges bounds the changes kept for the log.
 	maxSpeedChanges = 20
 )
@@ -104,8 +107,13 @@
 	first := t.next[instance] % n
 	t.next[instance] = first + inTurn
 	var out []decide.ServerSpeed
+	changes := 0
 	for i, s := range t.told {
-		if (i-first+n)%n < inTurn || now.Sub(s.announcedAt) < speedTellTime {
+		switch {
+		case (i-first+n)%n < inTurn:
+			out = append(out, s.ServerSpeed)
+		case changes < maxChangesTold && now.Sub(s.announcedAt) < speedTellTime:
+			changes++
 			out = append(out, s.ServerSpeed)
 		}
 	}
