--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -99,6 +99,7 @@
 	service     serviceTimes
 	arrivalRate arrivalRate
 	returns     returns
+	backlog     sharedBacklog // of all instances
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -27,6 +27,7 @@
 	rateSharing          rateSharing
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
+	backlogsTold         bool // the newest report had backlogs of all instances
 
 	out          []Decision // returned by the current call
 	candidates   []candidate
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -42,13 +42,6 @@
 	InFlight float64 // at servers
 }
 
-// UpdateBacklogs handles the newest backlogs of all instances together, this one included. They
-// replace all earlier ones. age is how old they are in the mean.
-func (s *Scheduler) UpdateBacklogs(now time.Time, backlogs []Backlog, age time.Duration) []Decision {
-	s.out = s.out[:0]
-	return s.out
-}
-
 // TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
 func (s *Scheduler) TakeSpeedSamples() []SpeedSample { return nil }
 
