residency, exchange: what waits, arrives and starts everywhere, by target and rank

Cause: the lease holder learned what waits by target and told nobody. Change: instances tell it by rank, with what they sent to servers, where ranks compete; it tells all what waits, arrives and starts, only of targets for which requests lately waited, summed once per summary. The simulation has refused callers come back once.

--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -32,6 +32,7 @@
 	contentionWarmup      = 10 * time.Second // requests that arrive earlier aren't counted
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
+	callerPatience        = 3    // callers wait for this part of their time left to come back
 	lateWorth             = 0.25 // of an answer that starts after its goal
 )
 
@@ -52,9 +53,12 @@
 // contention is what a simulation is given.
 type contention struct {
 	instances int
-	load      float64   // of all slots at speed 1
-	speeds    []float64 // of the engines, in turn; nil: 1
-	hot       float64   // how many times as much the first account sends as the others; 0: the same
+	load      float64       // of all slots at speed 1
+	speeds    []float64     // of the engines, in turn; nil: 1
+	returns   bool          // refused callers come back once, as callers do
+	cutFrom   time.Duration // from here on no report arrives, until cutTo
+	cutTo     time.Duration
+	hot       float64 // how many times as much the first account sends as the others; 0: the same
 	seed      uint64
 }
 
@@ -63,6 +67,11 @@
 	arrived, inTime, late [3]int // by rank
 	hotArrived, hotInTime int    // of the first account
 	byEngine              []int  // requests started
+
+	refused  [3]int        // callers that got no answer, by rank
+	returned [3]int        // callers that came back, by rank
+	again    [3]int        // those of them that were refused again
+	held     time.Duration // by callers that were refused, at instances
 }
 
 func (r *contentionResult) inTimeShare(rank int) float64 {
@@ -89,16 +98,28 @@
 	return float64(inTime) / float64(arrived)
 }
 
+// refusedAgain is the share of the callers that came back who were refused again.
+func (r *contentionResult) refusedAgain() float64 {
+	again, returned := 0, 0
+	for rank := range r.again {
+		again += r.again[rank]
+		returned += r.returned[rank]
+	}
+	return float64(again) / float64(max(returned, 1))
+}
+
 func (r *contentionResult) String() string {
-	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f",
-		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime())
+	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v, held %v",
+		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.held.Round(time.Second))
 }
 
 // contentionRequest is a request of the simulation.
 type contentionRequest struct {
 	Request
 	kind    *requestKind
-	at      int // index of its instance
+	at      int       // index of its instance
+	first   time.Time // when the caller first came
+	again   bool      // the caller came back
 	counted bool
 }
 
@@ -129,7 +150,7 @@
 	requests   map[string]*contentionRequest
 	weights    []float64 // of the models
 	arrivals   map[string]*[Ranks]arrivalRate
-	starts     map[string]*arrivalRate
+	starts     map[string]*[Ranks]arrivalRate
 	speeds     map[string]*SpeedSample // of all instances together
 	snapshots  []contentionState       // newest last; reports carry the oldest
 	result     contentionResult
@@ -144,7 +165,7 @@
 func simulateContention(in contention) *contentionResult {
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
-		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: map[string]*SpeedSample{},
+		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: map[string]*SpeedSample{},
 	}
 	t := c.newTable()
 	for i := range in.instances {
@@ -255,7 +276,9 @@
 			for rank := range a {
 				b.Arrivals[rank] = a[rank].rate(c.now)
 			}
-			b.Starts = c.starts[b.Target].rate(c.now)
+			for rank := range b.Starts {
+				b.Starts[rank] = c.starts[b.Target][rank].rate(c.now)
+			}
 		}
 		for _, s := range c.schedulers {
 			for _, h := range s.fleet.targets[b.Target].queue.heaps {
@@ -271,6 +294,10 @@
 
 // report gives an instance the oldest snapshot.
 func (c *contentionSim) report(i int) {
+	c.after(contentionInterval, func() { c.report(i) })
+	if at := c.now.Sub(simStart); at >= c.cutFrom && at < c.cutTo {
+		return
+	}
 	was := c.snapshots[0]
 	s := c.schedulers[i]
 	var speeds []ServerSpeed
@@ -293,7 +320,6 @@
 		load := infra.Load{Running: was.loads[n], Contending: int(contending[e.id] + 0.5)}
 		c.carryOut(i, s.UpdateLoad(c.now, e.id, load, contentionReportLag))
 	}
-	c.after(contentionInterval, func() { c.report(i) })
 }
 
 func (c *contentionSim) carryOut(i int, decisions []Decision) {
@@ -302,6 +328,7 @@
 		switch d.Action {
 		case ActionRefuse:
 			delete(c.requests, d.Request)
+			c.refuse(r, d.RetryAfter)
 		case ActionDispatch:
 			e := c.byID[d.Server.ID]
 			c.after(time.Millisecond, func() { c.deliver(e, r) })
@@ -323,7 +350,7 @@
 func (c *contentionSim) start(e *contentionEngine, r *contentionRequest) {
 	e.running++
 	c.count(e, r)
-	c.starts[r.Target].add(c.now)
+	c.starts[r.Target][r.Rank].add(c.now)
 	sent := c.now
 	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
 	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
@@ -359,7 +386,7 @@
 			c.result.byEngine[n]++
 		}
 	}
-	switch took := c.now.Sub(r.Arrived); {
+	switch took := c.now.Sub(r.first); {
 	case took <= r.kind.goal:
 		c.result.inTime[r.kind.rank]++
 		if r.Account == "account0" {
@@ -399,19 +426,57 @@
 		Goal: k.goal, Rank: k.rank, Priority: 2 - k.rank, Account: fmt.Sprint("account", account),
 	}
 	if c.arrivals[target] == nil {
-		c.arrivals[target], c.starts[target] = &[Ranks]arrivalRate{}, &arrivalRate{}
+		c.arrivals[target], c.starts[target] = &[Ranks]arrivalRate{}, &[Ranks]arrivalRate{}
 	}
-	c.arrivals[target][k.rank].add(c.now)
 	if r.counted {
 		c.result.arrived[k.rank]++
 		if account == 0 {
 			c.result.hotArrived++
 		}
 	}
+	r.first = c.now
+	c.submitTo(r)
+}
+
+func (c *contentionSim) submitTo(r *contentionRequest) {
+	c.arrivals[r.Target][r.Rank].add(c.now)
 	c.requests[r.ID] = r
 	c.carryOut(r.at, c.schedulers[r.at].Submit(c.now, r.Request))
 }
 
+// refuse has a caller come back at any instance when it was told to, but within a third of the
+// time that it has left.
+func (c *contentionSim) refuse(r *contentionRequest, after time.Duration) {
+	if r.counted {
+		c.result.held += c.now.Sub(r.Arrived)
+	}
+	if !c.returns || r.again {
+		c.countRefused(r)
+		return
+	}
+	c.after(min(after, r.Deadline.Sub(c.now)/callerPatience), func() { c.comeBack(r) })
+}
+
+func (c *contentionSim) countRefused(r *contentionRequest) {
+	if !r.counted {
+		return
+	}
+	c.result.refused[r.kind.rank]++
+	if r.again {
+		c.result.again[r.kind.rank]++
+	}
+}
+
+func (c *contentionSim) comeBack(was *contentionRequest) {
+	r := *was
+	c.seq++
+	r.ID, r.Arrived, r.at, r.again = fmt.Sprint(c.seq), c.now, c.rng.IntN(len(c.schedulers)), true
+	if r.counted {
+		c.result.returned[r.kind.rank]++
+	}
+	c.submitTo(&r)
+}
+
 // pickShare returns the index at which the sum of the shares exceeds x.
 func pickShare(x float64, share func(int) float64, n int) int {
 	for i := range n - 1 {
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -14,7 +14,7 @@
 	Target   string
 	Waiting  [Ranks]float64 // queued at instances, by rank
 	Arrivals [Ranks]float64 // per second, by rank
-	Starts   float64        // requests per second that servers began to run
+	Starts   [Ranks]float64 // sent to servers per second, by rank
 }
 
 // SpeedSample is what an instance measured of a server's speed since its last report.
--- a/instance/wire_shared.go
+++ b/instance/wire_shared.go
@@ -9,10 +9,14 @@
 )
 
 func wireRanks(ranks [decide.Ranks]residency.RankDemand) []*exchange.RankDemand {
-	out := make([]*exchange.RankDemand, len(ranks))
-	for n, r := range ranks {
+	n := len(ranks)
+	for n > 0 && ranks[n-1] == (residency.RankDemand{}) {
+		n--
+	}
+	out := make([]*exchange.RankDemand, n)
+	for n, r := range ranks[:n] {
 		out[n] = &exchange.RankDemand{
-			Requests: uint32(r.Requests), Waiting: uint32(r.Waiting), InFlight: uint32(r.InFlight), GoalMs: uint32(r.Goal.Milliseconds()),
+			Requests: uint32(r.Requests), Waiting: uint32(r.Waiting), InFlight: uint32(r.InFlight), GoalMs: uint32(r.Goal.Milliseconds()), Starts: uint32(r.Starts),
 		}
 	}
 	return out
@@ -22,7 +26,7 @@
 	var out [decide.Ranks]residency.RankDemand
 	for n, r := range ranks[:min(len(ranks), decide.Ranks)] {
 		out[n] = residency.RankDemand{
-			Requests: int(r.GetRequests()), Waiting: int(r.GetWaiting()), InFlight: int(r.GetInFlight()), Goal: time.Duration(r.GetGoalMs()) * time.Millisecond,
+			Requests: int(r.GetRequests()), Waiting: int(r.GetWaiting()), InFlight: int(r.GetInFlight()), Goal: time.Duration(r.GetGoalMs()) * time.Millisecond, Starts: int(r.GetStarts()),
 		}
 	}
 	return out
@@ -31,7 +35,7 @@
 func wireBacklogs(backlogs []decide.Backlog) []*exchange.Backlog {
 	var out []*exchange.Backlog
 	for _, b := range backlogs {
-		out = append(out, &exchange.Backlog{Target: b.Target, Waiting: wireByRank(b.Waiting), Arrivals: wireByRank(b.Arrivals), Starts: float32(b.Starts)})
+		out = append(out, &exchange.Backlog{Target: b.Target, Waiting: wireByRank(b.Waiting), Arrivals: wireByRank(b.Arrivals), Starts: wireByRank(b.Starts)})
 	}
 	return out
 }
@@ -39,14 +43,18 @@
 func backlogsFromWire(backlogs []*exchange.Backlog) []decide.Backlog {
 	var out []decide.Backlog
 	for _, b := range backlogs {
-		out = append(out, decide.Backlog{Target: b.GetTarget(), Waiting: byRankFromWire(b.GetWaiting()), Arrivals: byRankFromWire(b.GetArrivals()), Starts: float64(b.GetStarts())})
+		out = append(out, decide.Backlog{Target: b.GetTarget(), Waiting: byRankFromWire(b.GetWaiting()), Arrivals: byRankFromWire(b.GetArrivals()), Starts: byRankFromWire(b.GetStarts())})
 	}
 	return out
 }
 
 func wireByRank(values [decide.Ranks]float64) []float32 {
-	out := make([]float32, len(values))
-	for n, v := range values {
+	n := len(values)
+	for n > 0 && values[n-1] == 0 {
+		n--
+	}
+	out := make([]float32, n)
+	for n, v := range values[:n] {
 		out[n] = float32(v)
 	}
 	return out
--- a/relay/call.go
+++ b/relay/call.go
@@ -69,6 +69,7 @@
 	deadline      time.Time
 	decisions     chan decide.Decision
 	serverID      string // of the server that the attempt was dispatched to, empty: none; guarded by dispatcher.mu
+	startCounted  bool   // the call was once sent to a server; guarded by dispatcher.mu
 
 	attempts           int
 	sendings           int               // connections that attempts were given, at most one for each is right
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -35,6 +35,8 @@
 	arrivals   map[string]residency.TargetDemand // requests and work since the last call of demand, by target
 	inFlight   map[string]int                    // dispatched calls, by server id
 	ticking    bool                              // a tick is scheduled
+	unranked   residency.RankDemand              // counts what isn't reported
+	byRank     bool                              // demand is counted by rank; see decide.Table.RoomByRank
 	log        logrus.FieldLogger
 	metrics    Metrics
 	syncNeeded chan struct{}
@@ -55,6 +57,7 @@
 func (d *dispatcher) setTable(t *decide.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.byRank = t.RoomByRank
 	d.deliver(d.scheduler.SetTable(time.Now(), t))
 }
 
@@ -102,7 +105,7 @@
 	d.arrivals = map[string]residency.TargetDemand{}
 	for _, c := range d.calls {
 		a := out[c.target]
-		rank := &a.ByRank[decide.RankIndex(c.rank())]
+		rank := d.rankDemand(&a, c)
 		if c.serverID != "" {
 			a.InFlight++
 			rank.InFlight++
@@ -115,6 +118,26 @@
 	return out
 }
 
+// rankDemand returns the part of a target's demand that a call belongs to. Where ranks aren't told
+// apart, it is one that isn't reported. The lock is held.
+func (d *dispatcher) rankDemand(a *residency.TargetDemand, c *call) *residency.RankDemand {
+	if !d.byRank {
+		return &d.unranked
+	}
+	return &a.ByRank[decide.RankIndex(c.rank())]
+}
+
+// countStart counts a call that is sent to a server for the first time. The lock is held.
+func (d *dispatcher) countStart(c *call) {
+	if c.startCounted || !d.byRank {
+		return
+	}
+	c.startCounted = true
+	a := d.arrivals[c.target]
+	d.rankDemand(&a, c).Starts++
+	d.arrivals[c.target] = a
+}
+
 // unfinished returns the calls that the scheduler knows.
 func (d *dispatcher) unfinished() []*call {
 	d.mu.Lock()
@@ -129,7 +152,7 @@
 	a := d.arrivals[c.target]
 	a.Requests++
 	a.Work += d.scheduler.Work(&r)
-	rank := &a.ByRank[decide.RankIndex(r.Rank)]
+	rank := d.rankDemand(&a, c)
 	rank.Requests++
 	rank.Goal = r.Goal
 	d.arrivals[c.target] = a
@@ -211,6 +234,7 @@
 		case decide.ActionDispatch:
 			c.serverID = dec.Server.ID
 			d.inFlight[c.serverID]++
+			d.countStart(c)
 		case decide.ActionRefuse:
 			delete(d.calls, dec.Request)
 		case decide.ActionQueue:
--- a/residency/backlog.go
+++ b/residency/backlog.go
@@ -1,10 +1,99 @@
 package residency
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"greengageferry/decide"
 )
 
-// Backlogs returns what all instances together have of requests, by target.
-func (d *DemandTracker) Backlogs(now time.Time) []decide.Backlog { return nil }
+const (
+	// rankRateTime is the time constant with which past requests decay in a target's arrivals
+	// and starts by rank: a few reports of each instance.
+	rankRateTime = 2 * time.Second
+	// backlogMemory is how long after a request last waited for a target its backlog is still
+	// told, so that instances don't lose sight of it between two bursts.
+	backlogMemory = 3 * time.Second
+)
+
+// rankRates are a target's arrivals and starts by rank over all instances.
+type rankRates struct {
+	arrivals  [decide.Ranks]float64 // requests, decaying with rankRateTime
+	starts    [decide.Ranks]float64 // the same, of those sent to servers
+	updatedAt time.Time
+	waitedAt  time.Time // when a request was last reported as waiting; zero: none was by rank
+}
+
+// add counts what an instance reported.
+func (r *rankRates) add(now time.Time, demand *TargetDemand) {
+	keep := r.decay(now)
+	r.updatedAt = now
+	for rank := range demand.ByRank {
+		b := &demand.ByRank[rank]
+		r.arrivals[rank] = r.arrivals[rank]*keep + float64(b.Requests)
+		r.starts[rank] = r.starts[rank]*keep + float64(b.Starts)
+		if b.Waiting > 0 {
+			r.waitedAt = now
+		}
+	}
+}
+
+// decay returns what is left of the counts of the last update.
+func (r *rankRates) decay(now time.Time) float64 {
+	return math.Exp(-now.Sub(r.updatedAt).Seconds() / rankRateTime.Seconds())
+}
+
+// addRates counts an instance's report of a target, if it has ranks.
+func (d *DemandTracker) addRates(now time.Time, target string, demand *TargetDemand) {
+	if demand.ByRank == ([decide.Ranks]RankDemand{}) {
+		return
+	}
+	d.target(target).rates.add(now, demand)
+}
+
+// Backlogs returns what all live instances together have of requests, by target. Only targets
+// for which requests wait, or lately did, are in it.
+func (d *DemandTracker) Backlogs(now time.Time) []decide.Backlog {
+	var out []decide.Backlog
+	window := d.rankRateWindow(now)
+	index := map[string]int{}
+	for name, t := range d.targets {
+		r := &t.rates
+		if r.waitedAt.IsZero() || now.Sub(r.waitedAt) > backlogMemory {
+			continue
+		}
+		index[name] = len(out)
+		b := decide.Backlog{Target: name}
+		keep := r.decay(now)
+		for rank := range b.Arrivals {
+			b.Arrivals[rank] = r.arrivals[rank] * keep / window
+			b.Starts[rank] = r.starts[rank] * keep / window
+		}
+		out = append(out, b)
+	}
+	for _, i := range d.instances {
+		if now.Sub(i.reportedAt) > instanceTimeout {
+			continue
+		}
+		for name, demand := range i.demand {
+			n, told := index[name]
+			for rank := 0; told && rank < decide.Ranks; rank++ {
+				out[n].Waiting[rank] += float64(demand.ByRank[rank].Waiting)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b decide.Backlog) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// rankRateWindow returns the time in seconds that the decaying counts by rank stand for, as
+// rateWindow does for all requests.
+func (d *DemandTracker) rankRateWindow(now time.Time) float64 {
+	age := minRateWindow
+	if !d.listeningSince.IsZero() {
+		age = max(now.Sub(d.listeningSince), minRateWindow)
+	}
+	return rankRateTime.Seconds() * (1 - math.Exp(-age.Seconds()/rankRateTime.Seconds()))
+}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -69,8 +69,9 @@
 	shortagesLoggedAt  time.Time // when models that lack replicas were last logged
 	instancesAtRenewal []string  // instances known at the newest renewal
 
-	loads     Loads          // computed at loadsAt
-	positions map[string]int // of the instances; computed at loadsAt
+	loads     Loads            // computed at loadsAt
+	backlogs  []decide.Backlog // of all instances; computed at loadsAt
+	positions map[string]int   // of the instances; computed at loadsAt
 	loadsAt   time.Time
 
 	rates *rateAllocator // of this lease; nil while it isn't held
@@ -144,12 +145,13 @@
 	if now.Sub(c.loadsAt) >= summaryInterval {
 		c.loads, c.loadsAt = c.demand.Loads(c.o.Spread(c.demand.ExpectedRequests(now, decide.ArrivalHorizon))), now
 		c.positions = c.demand.Positions()
+		c.backlogs = c.demand.Backlogs(now)
 	}
 	s := Summary{Loads: c.loads.Others(report.Instance), Ordering: ordering, Version: c.demand.Version()}
 	s.HeldRemoved, s.Held, s.HeldIncremental = c.heldSince(now, report.HeldDigest)
 	s.Candidates, s.IsCandidate = c.candidacy(now, report)
 	s.Rates = c.ratesFor(now, report)
-	s.Backlogs, s.Speeds, s.Accounts = c.demand.Backlogs(now), c.demand.Speeds(now), c.demand.Accounts(now)
+	s.Backlogs, s.Speeds, s.Accounts = c.backlogs, c.demand.Speeds(now), c.demand.Accounts(now)
 	if c.demand.CountedAll(now) {
 		s.Instances = c.demand.Instances()
 		s.Gateways = c.currentGateways(now)
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -45,7 +45,7 @@
 	Waiting  int           // requests now
 	InFlight int           // requests now
 	Work     time.Duration // server time that the requests take, in time of a whole server; 0: unknown
-	ByRank   [decide.Ranks]RankDemand
+	ByRank   [decide.Ranks]RankDemand // zero unless ranks compete for servers
 }
 
 // RankDemand is the part of a TargetDemand that has one rank.
@@ -53,6 +53,7 @@
 	Requests int           // as in TargetDemand
 	Waiting  int           // as in TargetDemand
 	InFlight int           // as in TargetDemand
+	Starts   int           // sent to servers since the previous report
 	Goal     time.Duration // shortest time to the first token that the newest requests' routes ask for; 0: none
 }
 
@@ -109,6 +110,7 @@
 	requests      float64   // received, decaying with rateDecayTime
 	work          float64   // server time of the requests in seconds, decaying with workDecayTime
 	lastRequested time.Time // when a request was last reported
+	rates         rankRates
 }
 
 // NewDemandTracker returns a tracker without any targets.
@@ -138,6 +140,7 @@
 			t.requests += float64(a.Requests)
 			t.work += a.Work.Seconds()
 		}
+		d.addRates(now, name, &a)
 	}
 }
 
