decide: admission, refusal and return from what waits at all instances

Cause: each instance estimated waits from its own queue and its own rate, and gave refused callers times without knowing the others'. Change: where the backlog of all instances is known and binds, waits are the number of a rank's requests over the rate at which servers start them; those that missed their goal get what arrivals leave; refused callers are told a time at which the backlog will have been served, shared out among instances, or one after their deadline. Log and metric.

--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -70,6 +70,7 @@
 func (noMetrics) CountResumption(string, string)           {}
 func (noMetrics) CountBody(respbody.Framing, respbody.End) {}
 func (noMetrics) CountRateLimitedAttempt()                 {}
+func (noMetrics) CountBacklogRefusal(bool)                 {}
 func (noMetrics) ObserveStreamGap(time.Duration)           {}
 
 func newRelayFixture(t *testing.T, backend http.HandlerFunc) *relayFixture {
--- a/decide/admit.go
+++ b/decide/admit.go
@@ -32,6 +32,8 @@
 	// maxSendInterval bounds, in seconds, the estimated time between two requests that an
 	// instance may send. It exceeds maxRetryAfter, so longer intervals make no difference.
 	maxSendInterval = 300.0
+	// maxWait bounds an expected wait in seconds. No request waits longer.
+	maxWait = 300.0
 	// noReplicaRetry is the retry delay for a target without a ready replica.
 	noReplicaRetry = 2 * time.Second
 	// pendingReplicaRate is the start rate, in requests per second, of a target whose
@@ -74,7 +76,7 @@
 	t := req.target
 	wait := s.expectedWait(now, req)
 	if req.wouldMissDeadline(now, wait) {
-		s.refuse(req, ReasonDeadline, t.returns.next(now, wait+req.safeServiceTime-req.timeLeft(now), s.minSendInterval(now, t)))
+		s.refuseLate(now, req, wait, retryTime{wait + req.safeServiceTime - req.timeLeft(now), s.minSendInterval(now, t)})
 		return
 	}
 	if s.queued >= maxQueued && !s.evictQueued(now, req) {
@@ -122,8 +124,11 @@
 }
 
 // expectedWait returns the seconds that the request would wait behind those that are
-// served before it.
+// served before it: those of all instances, if they are known.
 func (s *Scheduler) expectedWait(now time.Time, req *requestState) float64 {
+	if backlog, ok := req.target.estimateBacklog(now); ok {
+		return backlog.wait(req, lastInRank)
+	}
 	return (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
 }
 
@@ -193,24 +198,4 @@
 	return shortest
 }
 
-// returns spreads the retry times given to refused callers, one for each slot that frees,
-// so that they don't all retry at once.
-type returns struct {
-	latest time.Time // latest retry time given
-}
-
-// next returns the delay for the next caller: at least earliest seconds from now and gap
-// seconds after the previous caller's.
-func (r *returns) next(now time.Time, earliest, gap float64) time.Duration {
-	first := now.Add(max(seconds(earliest), minRetryAfter))
-	r.latest = r.latest.Add(seconds(gap))
-	if r.latest.Before(first) {
-		r.latest = first
-	}
-	if last := now.Add(maxRetryAfter); r.latest.After(last) {
-		r.latest = last
-	}
-	return r.latest.Sub(now)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -52,10 +52,7 @@
 		return waiting, arrivals
 	}
 	ownArrivals := t.arrivalRate.rate(now)
-	total := 0.0
-	for _, a := range t.backlog.Arrivals {
-		total += a
-	}
+	total := sum(t.backlog.Arrivals)
 	for rank := range waiting {
 		waiting[rank] = max(t.backlog.Waiting[rank]-t.backlog.own[rank], 0)
 		if total > 0 { // this instance's arrivals aren't counted by rank
@@ -75,3 +72,114 @@
 	}
 	return out
 }
+
+const (
+	// significantBacklog is the time, in seconds, that servers need for what waits everywhere, from
+	// which on starts show the servers' capacity and not only what callers ask for.
+	significantBacklog = 0.5
+	// minMeasuredStarts is the lowest rate of starts, per second, that says something.
+	minMeasuredStarts = 0.5
+	// newReplicaTime is how long measured starts don't show yet what a new replica brings.
+	newReplicaTime = 3 * time.Second
+	// lastInRank is the position of a request that comes after all others of its rank.
+	lastInRank = 1.0
+)
+
+// backlogEstimate is what the requests of all instances for a target mean for one of them.
+type backlogEstimate struct {
+	waiting  [Ranks]float64 // at all instances
+	starts   [Ranks]float64 // per second, of the rank and less urgent ones
+	leftover [Ranks]float64 // starts per second beyond the arrivals of the rank and more urgent ones
+}
+
+// estimateBacklog returns the estimate for a target, or false if this instance's own queue tells
+// more: nothing recent is known, or servers could start requests faster than they lately did.
+func (t *targetState) estimateBacklog(now time.Time) (e backlogEstimate, ok bool) {
+	b := &t.backlog
+	if !b.known(now) || len(t.replicas) == 0 || now.Sub(t.replicaAddedAt) < newReplicaTime {
+		return e, false
+	}
+	starts := sum(b.Starts)
+	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
+		return e, false
+	}
+	others, _ := t.othersBacklog(now)
+	own := t.queue.waitingByRank()
+	left, arrivals := starts, 0.0
+	for rank := range Ranks {
+		e.waiting[rank] = others[rank] + own[rank]
+		e.starts[rank] = left
+		left -= b.Starts[rank]
+		arrivals += b.Arrivals[rank]
+		e.leftover[rank] = starts - arrivals
+	}
+	return e, true
+}
+
+// wait returns the seconds that a request will wait. position is its place, from 0 to 1, among those
+// of its rank at all instances.
+//
+// Requests of a rank wait as long as servers take to start as many of them, whatever the order of
+// service. Servers could start them instead of less urgent ones, so those count in the rate. A
+// request that missed its goal comes after new ones: it gets what those leave.
+func (e *backlogEstimate) wait(req *requestState, position float64) float64 {
+	rank := RankIndex(req.Rank)
+	rate := e.starts[rank]
+	if req.goalMissed {
+		rate = e.leftover[rank]
+	}
+	return min((position*e.waiting[rank]+headWaitTurns)/max(rate, 1/maxWait), maxWait)
+}
+
+// timeToDrain returns in how many seconds all that waits with the rank or a more urgent one will
+// have been served, and how many requests per second servers then start beyond new ones; both
+// 0 if as many arrive as start. extra is how many requests per second are expected beyond those
+// that lately arrived.
+func (e *backlogEstimate) timeToDrain(rank int, extra float64) (drain, rate float64) {
+	rate = e.leftover[rank] - extra
+	if rate <= 0 {
+		return 0, 0
+	}
+	for _, n := range e.waiting[:rank+1] {
+		drain += n / rate
+	}
+	return drain, rate
+}
+
+// queuePositions places queued requests, in their order of service, among those of their ranks.
+type queuePositions struct {
+	ahead, all [Ranks]float64
+}
+
+func newQueuePositions(requests []*requestState) queuePositions {
+	var p queuePositions
+	for _, req := range requests {
+		p.all[RankIndex(req.Rank)]++
+	}
+	return p
+}
+
+// next returns the position, from 0 to 1, of the next request.
+func (p *queuePositions) next(req *requestState) float64 {
+	rank := RankIndex(req.Rank)
+	at := (p.ahead[rank] + headWaitTurns) / p.all[rank]
+	p.ahead[rank]++
+	return at
+}
+
+// refusalInputs returns what the refusal of a request that would wait too long rests on.
+func (t *targetState) refusalInputs(now time.Time, wait float64, shared bool) Inputs {
+	in := Inputs{Candidates: len(t.replicas), Queued: t.queue.len(), QueueWait: seconds(wait)}
+	if b := &t.backlog; shared {
+		in.Shared = SharedInputs{Known: true, Waiting: sum(b.Waiting), Arrivals: sum(b.Arrivals), Starts: sum(b.Starts), Age: now.Sub(b.takenAt)}
+	}
+	return in
+}
+
+func sum(byRank [Ranks]float64) float64 {
+	total := 0.0
+	for _, v := range byRank {
+		total += v
+	}
+	return total
+}
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -32,7 +32,6 @@
 	contentionWarmup      = 10 * time.Second // requests that arrive earlier aren't counted
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
-	callerPatience        = 3    // callers wait for this part of their time left to come back
 	lateWorth             = 0.25 // of an answer that starts after its goal
 )
 
@@ -55,6 +54,8 @@
 	instances int
 	load      float64       // of all slots at speed 1
 	speeds    []float64     // of the engines, in turn; nil: 1
+	alone     bool          // instances aren't told what the others have waiting
+	end       time.Duration // 0: contentionEnd
 	returns   bool          // refused callers come back once, as callers do
 	cutFrom   time.Duration // from here on no report arrives, until cutTo
 	cutTo     time.Duration
@@ -179,7 +180,11 @@
 	}
 	c.takeSnapshot()
 	c.arrive()
-	for end := c.now.Add(contentionEnd); len(c.events) > 0 && c.events[0].at.Before(end); {
+	length := contentionEnd
+	if in.end > 0 {
+		length = in.end
+	}
+	for end := c.now.Add(length); len(c.events) > 0 && c.events[0].at.Before(end); {
 		e := heap.Pop(&c.events).(simEvent)
 		c.now = e.at
 		e.do()
@@ -308,7 +313,9 @@
 	}
 	s.UpdateSpeeds(c.now, speeds)
 	s.UpdateAccounts(c.now, was.accounts)
-	c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
+	if !c.alone {
+		c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
+	}
 	wanted := map[string]float64{}
 	for _, b := range was.backlogs {
 		for rank := range b.Waiting {
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -114,6 +114,8 @@
 func (s *Scheduler) expireQueued(now time.Time, t *targetState) {
 	s.sorted = t.queue.sorted(s.sorted[:0])
 	startRate, pause := s.startRate(now, t, 0), t.remainingPause(now)
+	backlog, shared := t.estimateBacklog(now)
+	positions := newQueuePositions(s.sorted)
 	ahead := 0
 	for _, req := range s.sorted {
 		if !req.goalMissed && req.wouldMissGoal(now) {
@@ -122,9 +124,14 @@
 			t.queue.push(req)
 		}
 
-		if req.wouldMissDeadline(now, pause+(float64(ahead)+headWaitTurns)/startRate) {
+		wait := (float64(ahead) + headWaitTurns) / startRate
+		if shared {
+			wait = backlog.wait(req, positions.next(req))
+		}
+		if req.wouldMissDeadline(now, pause+wait) {
 			s.removeQueued(req)
-			s.refuse(req, ReasonDeadline, t.returns.next(now, max(pause, float64(ahead)/startRate+req.safeServiceTime-req.timeLeft(now)), 1/startRate))
+			own := retryTime{max(pause, float64(ahead)/startRate+req.safeServiceTime-req.timeLeft(now)), 1 / startRate}
+			s.refuseLate(now, req, pause+wait, own)
 			continue
 		}
 		ahead++
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -100,6 +100,8 @@
 	arrivalRate arrivalRate
 	returns     returns
 	backlog     sharedBacklog // of all instances
+
+	replicaAddedAt time.Time // when the target last got a replica
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
@@ -134,7 +136,7 @@
 	listed := f.updateServers(now, t)
 	f.sortedTargets = f.sortedTargets[:0]
 	for _, name := range sortedNames(t.Targets) {
-		f.sortedTargets = append(f.sortedTargets, f.updateTarget(t, t.Targets[name], listed))
+		f.sortedTargets = append(f.sortedTargets, f.updateTarget(now, t, t.Targets[name], listed))
 	}
 	for name, ts := range f.targets {
 		if t.Targets[name] == nil {
@@ -189,7 +191,7 @@
 	s.othersInFlight, s.othersUnread = 0, 0
 }
 
-func (f *fleet) updateTarget(t *Table, target *Target, listed []*serverState) *targetState {
+func (f *fleet) updateTarget(now time.Time, t *Table, target *Target, listed []*serverState) *targetState {
 	ts := f.targets[target.Name]
 	if ts == nil {
 		ts = &targetState{}
@@ -202,6 +204,9 @@
 	}
 	ts.partner.weight = weightOf(t, target.Partner)
 	old := ts.replicas
+	if len(target.Replicas) > len(old) {
+		ts.replicaAddedAt = now
+	}
 	ts.replicas = make([]replicaState, 0, len(target.Replicas))
 	for _, near := range []bool{true, false} {
 		for _, r := range target.Replicas {
--- /dev/null
+++ b/decide/returns.go
@@ -0,0 +1,135 @@
+package decide
+
+import "time"
+
+const (
+	// callerPatience is the part of the time left to a refused caller, 1 in callerPatience, for
+	// which it puts its return off.
+	callerPatience = 3
+	// returnSlot and returnSlots give the grid on which returns are counted in advance. It spans
+	// a third of the longest common deadlines.
+	returnSlot  = 250 * time.Millisecond
+	returnSlots = 32
+	// returnHorizon is the time ahead for which expected returns count as arrivals.
+	returnHorizon = time.Second
+)
+
+// returns spreads the retry times given to refused callers, one for each slot that frees,
+// so that they don't all retry at once.
+type returns struct {
+	latest   time.Time // latest retry time given
+	expected *expectedReturns
+}
+
+// expectedReturns counts the callers that this instance told to come back, by time and rank.
+type expectedReturns struct {
+	counts [returnSlots][Ranks]uint16
+	first  int64 // number of the first slot that is still counted
+}
+
+// next returns the delay for the next caller: at least earliest seconds from now and gap
+// seconds after the previous caller's.
+func (r *returns) next(now time.Time, earliest, gap float64) time.Duration {
+	first := now.Add(max(seconds(earliest), minRetryAfter))
+	r.latest = r.latest.Add(seconds(gap))
+	if r.latest.Before(first) {
+		r.latest = first
+	}
+	if last := now.Add(maxRetryAfter); r.latest.After(last) {
+		r.latest = last
+	}
+	return r.latest.Sub(now)
+}
+
+// nextWithin returns the delay for the next caller as next does, but only if it is at most
+// patience. Otherwise the next caller isn't put behind this one.
+func (r *returns) nextWithin(now time.Time, earliest, gap float64, patience time.Duration) (after time.Duration, ok bool) {
+	before := r.latest
+	if after = r.next(now, earliest, gap); after <= patience {
+		return after, true
+	}
+	r.latest = before
+	return 0, false
+}
+
+// expect counts a caller that was told to come back after a delay.
+func (r *returns) expect(now time.Time, after time.Duration, rank int) {
+	if r.expected == nil {
+		r.expected = &expectedReturns{}
+	}
+	e := r.expected
+	e.advance(now)
+	if n := slotNumber(now.Add(after)) - e.first; n < returnSlots {
+		e.counts[(e.first+n)%returnSlots][RankIndex(rank)]++
+	}
+}
+
+// rate returns the returns per second, of ranks up to the given one, that are expected within
+// returnHorizon.
+func (r *returns) rate(now time.Time, rank int) float64 {
+	if r.expected == nil {
+		return 0
+	}
+	e := r.expected
+	e.advance(now)
+	sum := 0
+	for n := range int64(returnHorizon / returnSlot) {
+		for _, count := range e.counts[(e.first+n)%returnSlots][:rank+1] {
+			sum += int(count)
+		}
+	}
+	return float64(sum) / returnHorizon.Seconds()
+}
+
+// advance forgets the slots that are over.
+func (e *expectedReturns) advance(now time.Time) {
+	first := slotNumber(now)
+	for n := max(e.first, first-returnSlots); n < first; n++ {
+		e.counts[n%returnSlots] = [Ranks]uint16{}
+	}
+	e.first = max(e.first, first)
+}
+
+func slotNumber(t time.Time) int64 { return t.UnixNano() / int64(returnSlot) }
+
+// retryTime is when refused callers may come back, by what this instance alone knows.
+type retryTime struct {
+	earliest float64 // seconds
+	gap      float64 // seconds between two callers
+}
+
+// refuseLate refuses a request that would wait too long for a slot, and tells its caller when to
+// come back.
+func (s *Scheduler) refuseLate(now time.Time, req *requestState, wait float64, own retryTime) {
+	t := req.target
+	backlog, shared := t.estimateBacklog(now)
+	in := t.refusalInputs(now, wait, shared)
+	var after time.Duration
+	if shared {
+		after, in.Shared.Room = s.sharedRetryAfter(now, req, &backlog)
+	} else {
+		after = t.returns.next(now, own.earliest, own.gap)
+	}
+	s.refuse(req, ReasonDeadline, after)
+	s.out[len(s.out)-1].Inputs = in
+}
+
+// sharedRetryAfter returns when a refused caller should come back: when what waits at all instances
+// will have been served, and after the callers that were sent away before. Each instance gives
+// out its part of the starts. Where there will be no room while the caller still comes back, it is
+// told a time after its deadline, so that nobody is sent back in vain.
+func (s *Scheduler) sharedRetryAfter(now time.Time, req *requestState, backlog *backlogEstimate) (after time.Duration, room bool) {
+	r, rank := &req.target.returns, RankIndex(req.Rank)
+	left := max(req.Deadline.Sub(now), minRetryAfter)
+	patience := left / callerPatience
+	instances := float64(s.instances)
+	drain, rate := backlog.timeToDrain(rank, r.rate(now, rank)*instances)
+	if rate > 0 {
+		if after, ok := r.nextWithin(now, drain, instances/rate, patience); ok {
+			r.expect(now, after, rank)
+			return after, true
+		}
+	}
+	r.expect(now, patience, rank)
+	return min(left, maxRetryAfter), false
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -27,6 +27,7 @@
 	rateSharing          rateSharing
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
+	instances            int  // number of instances, at least 1
 	backlogsTold         bool // the newest report had backlogs of all instances
 
 	out          []Decision // returned by the current call
@@ -62,6 +63,7 @@
 	if s.localFillLimit <= 0 {
 		s.localFillLimit = lowFillFraction
 	}
+	s.instances = max(CountInstances(t.Entries), 1)
 	s.instancesExceedSlots = false
 	for i := range t.Servers {
 		srv := &t.Servers[i]
--- a/decide/types.go
+++ b/decide/types.go
@@ -164,6 +164,17 @@
 	ServerLimit      RateLimit     // of the chosen server
 	Granted          bool          // the lease holder granted this request under ServerLimit; false: sent in this instance's own turn
 	Contending       int           // requests of all instances that compete for the server's slots; 0: this instance has no quota there
+	Shared           SharedInputs  // with ActionRefuse
+}
+
+// SharedInputs are the parts of a decision that come from all instances' requests for the target.
+type SharedInputs struct {
+	Known    bool // false: the decision rests on this instance's own queue
+	Waiting  float64
+	Arrivals float64       // per second
+	Starts   float64       // per second
+	Age      time.Duration // of the above
+	Room     bool          // there will be room for the caller when it comes back
 }
 
 // RateLimit is the request rate, over all instances, that an overloaded server accepts.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	decisions       *prometheus.CounterVec // by action and reason
 	orders          *prometheus.CounterVec // by result
 	sentRateLimited prometheus.Counter
+	backlogRefusals *prometheus.CounterVec
 	storeFailures   prometheus.Counter
 	lateAnswers     prometheus.Counter
 	storeEras       prometheus.Counter
@@ -69,6 +71,9 @@
 		sentRateLimited: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "sent_rate_limited_total", Help: "Attempts at servers that name a rate limit.",
 		}),
+		backlogRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "backlog_refusals_total", Help: "Refusals by what waits at all instances, by whether there will be room when the caller comes back.",
+		}, []string{"room"}),
 		storeFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_failures_total", Help: "Reads of the platform's store that failed.",
 		}),
@@ -102,7 +107,7 @@
 		resumptions: counters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
 		accounts:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
+	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.backlogRefusals, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
 	return m
 }
 
@@ -157,6 +162,11 @@
 // CountRateLimitedAttempt implements relay.Metrics.
 func (m *metrics) CountRateLimitedAttempt() { m.sentRateLimited.Inc() }
 
+// CountBacklogRefusal implements relay.Metrics.
+func (m *metrics) CountBacklogRefusal(room bool) {
+	m.backlogRefusals.WithLabelValues(strconv.FormatBool(room)).Inc()
+}
+
 // countOrder counts an order to a server by its result.
 func (m *metrics) countOrder(result string) { m.orders.WithLabelValues(result).Inc() }
 
--- a/instance/metrics_test.go
+++ b/instance/metrics_test.go
@@ -19,6 +19,7 @@
 	m.ObserveStreamGap(time.Minute)
 	m.countOrder("accepted")
 	m.CountRateLimitedAttempt()
+	m.CountBacklogRefusal(true)
 	m.observeStoreCall("servers", time.Now(), nil)
 	m.observeStoreCall("servers", time.Now(), context.DeadlineExceeded)
 	m.gauge("config_version", "help", func() float64 { return 7 })
@@ -31,6 +32,7 @@
 		`greengageferry_decisions_total{action="dispatch",reason="best_score"} 1`,
 		`greengageferry_orders_total{result="accepted"} 1`,
 		`greengageferry_sent_rate_limited_total 1`,
+		`greengageferry_backlog_refusals_total{room="true"} 1`,
 		`greengageferry_request_seconds_bucket{le="0.025"} 0`,
 		`greengageferry_request_seconds_bucket{le="0.05"} 1`,
 		`greengageferry_event_gap_seconds_bucket{le="15"} 0`,
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -263,6 +263,22 @@
 	decide.ActionRefuse:   "refuse",
 }
 
+// addBacklogFields adds what a refusal for lack of time rests on, and counts it if that is what all
+// instances together have.
+func (d *dispatcher) addBacklogFields(f logrus.Fields, in *decide.Inputs) {
+	if in.QueueWait > 0 {
+		f["wait_ms"] = in.QueueWait.Milliseconds()
+	}
+	b := &in.Shared
+	if !b.Known {
+		return
+	}
+	f["waiting_all"], f["backlog_age_ms"], f["room"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.Room
+	f["starts_per_s"] = strconv.FormatFloat(b.Starts, 'f', 1, 64)
+	f["arrivals_per_s"] = strconv.FormatFloat(b.Arrivals, 'f', 1, 64)
+	d.metrics.CountBacklogRefusal(b.Room)
+}
+
 // logDecision counts a decision and writes its log line, with its reason and inputs.
 func (d *dispatcher) logDecision(c *call, dec decide.Decision) {
 	action := actionNames[dec.Action]
@@ -298,6 +314,7 @@
 		f["wait_ms"] = dec.Inputs.QueueWait.Milliseconds()
 	case decide.ActionRefuse:
 		f["retry_after_ms"] = dec.RetryAfter.Milliseconds()
+		d.addBacklogFields(f, &dec.Inputs)
 	}
 	level := logrus.InfoLevel
 	if dec.Action == decide.ActionRefuse {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -81,6 +81,8 @@
 
 func (testMetrics) CountRateLimitedAttempt() {}
 
+func (testMetrics) CountBacklogRefusal(bool) {}
+
 func (testMetrics) CountGatewayAdmission(string) {}
 
 func (testMetrics) CountSendings(bool, int) {}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,6 +141,9 @@
 	CountDecision(action, reason string)
 	// CountRateLimitedAttempt counts an attempt at a server that names a rate limit.
 	CountRateLimitedAttempt()
+	// CountBacklogRefusal counts a refusal that rests on what waits at all instances, by
+	// whether there will be room for the caller when it comes back.
+	CountBacklogRefusal(room bool)
 	// CountBody counts a server's response by how its body was framed and ended.
 	CountBody(framing respbody.Framing, end respbody.End)
 	// CountResumption counts a stream that goes on at another server, by who took it up
