decide: what is past its goal gets what arrivals leave

Cause: on engines with a known read rate a request with a goal of 0.4 s counts as having missed it when it arrives, so it was refused with slots to come. Change: only a request that is past its goal by the clock is estimated by what arrivals leave.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -127,7 +127,7 @@
 // served before it: those of all instances, if they are known.
 func (s *Scheduler) expectedWait(now time.Time, req *requestState) float64 {
 	if backlog, ok := req.target.estimateBacklog(now); ok {
-		return backlog.wait(req, lastInRank)
+		return backlog.wait(now, req, lastInRank)
 	}
 	return (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
 }
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -121,11 +121,11 @@
 //
 // Requests of a rank wait as long as servers take to start as many of them, whatever the order of
 // service. Servers could start them instead of less urgent ones, so those count in the rate. A
-// request that missed its goal comes after new ones: it gets what those leave.
-func (e *backlogEstimate) wait(req *requestState, position float64) float64 {
+// request that is past its goal comes after new ones: it gets what those leave.
+func (e *backlogEstimate) wait(now time.Time, req *requestState, position float64) float64 {
 	rank := RankIndex(req.Rank)
 	rate := e.starts[rank]
-	if req.goalMissed {
+	if req.Goal > 0 && now.Sub(req.Arrived) > req.Goal {
 		rate = e.leftover[rank]
 	}
 	return min((position*e.waiting[rank]+headWaitTurns)/max(rate, 1/maxWait), maxWait)
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -126,7 +126,7 @@
 
 		wait := (float64(ahead) + headWaitTurns) / startRate
 		if shared {
-			wait = backlog.wait(req, positions.next(req))
+			wait = backlog.wait(now, req, positions.next(req))
 		}
 		if req.wouldMissDeadline(now, pause+wait) {
 			s.removeQueued(req)
