--- /dev/null
+++ b/decide/backlog_test.go
@@ -0,0 +1,176 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// floodedScheduler returns the scheduler of one of 75 instances. The one server of target "am" is
+// taken by the requests of other instances, and this instance has nothing queued.
+func floodedScheduler(t *testing.T) *Scheduler {
+	t.Helper()
+	s := testScheduler(testTable(1, 1, 75, "am"))
+	warmUp(s, "am")
+	d := s.Submit(simStart, newTestRequest("running", "am", time.Minute))
+	require.Equal(t, ActionDispatch, d[0].Action)
+	return s
+}
+
+// rankedRequest returns a request that arrives at now.
+func rankedRequest(id string, now time.Time, rank int, deadline time.Duration) Request {
+	r := newTestRequest(id, "am", deadline)
+	r.Rank, r.Arrived, r.Deadline = rank, now, now.Add(deadline)
+	return r
+}
+
+// afterReplicas is a time at which starts show what the table's replicas bring.
+var afterReplicas = simStart.Add(newReplicaTime + time.Second)
+
+// One of many instances has an empty queue while the others have 200 requests waiting: the wait
+// behind those, at the rate at which they start, is longer than the caller has.
+func TestRequestIsRefusedForWhatWaitsElsewhere(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	require.Equal(t, ActionQueue, s.Submit(now, rankedRequest("before", now, 0, 10*time.Second))[0].Action)
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Arrivals: [Ranks]float64{30}, Starts: [Ranks]float64{10}}}, 0)
+	d := s.Submit(now, rankedRequest("after", now, 0, 10*time.Second))[0]
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, ReasonDeadline, d.Reason)
+	require.Equal(t, SharedInputs{Known: true, Waiting: 200, Arrivals: 30, Starts: 10}, d.Inputs.Shared)
+	require.Equal(t, 10*time.Second, d.RetryAfter, "more requests arrive than start: it would be refused again")
+}
+
+// The same for a request that waits already: it is refused with most of its time left.
+func TestQueuedRequestIsRefusedForWhatWaitsElsewhere(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	s.Submit(now, rankedRequest("waiting", now, 0, 10*time.Second))
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{500}, Arrivals: [Ranks]float64{30}, Starts: [Ranks]float64{10}}}, 0)
+	d := s.Tick(now)
+	require.Len(t, d, 1)
+	require.Equal(t, ActionRefuse, d[0].Action)
+}
+
+// Batch work waits everywhere. It is no reason to refuse a more urgent request, but one to refuse
+// more of its rank.
+func TestLessUrgentBacklogRefusesNoUrgentRequest(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{0, 0, 500}, Starts: [Ranks]float64{5, 0, 5}}}, 0)
+	require.Equal(t, ActionQueue, s.Submit(now, rankedRequest("urgent", now, 0, 10*time.Second))[0].Action)
+	require.Equal(t, ActionRefuse, s.Submit(now, rankedRequest("batch", now, 2, 10*time.Second))[0].Action)
+}
+
+// A request that is past its goal is behind all that arrive: where they take all slots, it is
+// refused at once and not after its whole deadline.
+func TestRequestPastItsGoalGetsWhatArrivalsLeave(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	r := rankedRequest("late", now, 0, 10*time.Second)
+	r.Goal = time.Second
+	s.Submit(now, r)
+	flood := []Backlog{{Target: "am", Waiting: [Ranks]float64{20}, Arrivals: [Ranks]float64{12}, Starts: [Ranks]float64{10}}}
+	s.UpdateBacklogs(now, flood, 0)
+	require.Empty(t, s.Tick(now))
+	now = now.Add(r.Goal + time.Millisecond)
+	s.UpdateBacklogs(now, flood, 0)
+	require.Len(t, s.Tick(now), 1)
+}
+
+// Callers wait some three seconds for a first token, and come back within four. A backlog that
+// shrinks is gone by then: each caller is told a time of its own, at this instance's part of the
+// rate at which servers start more than arrives.
+func TestReturnsAreSpreadOverWhatServersStart(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{800}, Arrivals: [Ranks]float64{20}, Starts: [Ranks]float64{200}}}, 0)
+	var told []time.Duration
+	for i := range 4 {
+		r := rankedRequest(fmt.Sprint(i), now, 0, 15*time.Second)
+		r.FirstTokenDeadline = now.Add(3 * time.Second)
+		d := s.Submit(now, r)[0]
+		require.Equal(t, ActionRefuse, d.Action)
+		require.True(t, d.Inputs.Shared.Room)
+		told = append(told, d.RetryAfter)
+	}
+	for i, after := range told[1:] {
+		require.Greater(t, after, told[i])
+	}
+	require.LessOrEqual(t, told[3], 5*time.Second, "callers come back within a third of their time")
+	var last Decision
+	for i := range 100 {
+		r := rankedRequest(fmt.Sprint("more", i), now, 0, 15*time.Second)
+		r.FirstTokenDeadline = now.Add(3 * time.Second)
+		last = s.Submit(now, r)[0]
+	}
+	require.False(t, last.Inputs.Shared.Room, "the places in time are given out")
+	require.Equal(t, 15*time.Second, last.RetryAfter)
+}
+
+// Callers that were told to come back count as arrivals before they do.
+func TestExpectedReturnsCountByTimeAndRank(t *testing.T) {
+	var r returns
+	now := simStart
+	r.expect(now, 1500*time.Millisecond, 1)
+	r.expect(now, time.Hour, 0)
+	require.Zero(t, r.rate(now, 1))
+	now = now.Add(time.Second)
+	require.Equal(t, 1.0, r.rate(now, 1))
+	require.Zero(t, r.rate(now, 0))
+	now = now.Add(time.Second)
+	require.Zero(t, r.rate(now, 1))
+	require.Zero(t, r.rate(now.Add(time.Hour), 3))
+}
+
+// The lease holder is gone, this instance is cut off, or it has just started: nothing recent is
+// told, and each decision is the one of an instance that was never told anything.
+func TestOldBacklogsDecideNothing(t *testing.T) {
+	told, alone := floodedScheduler(t), floodedScheduler(t)
+	now := afterReplicas
+	told.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
+	now = now.Add(backlogTTL)
+	for i := range 40 {
+		r := rankedRequest(fmt.Sprint(i), now, i%3, 10*time.Second)
+		require.Equal(t, alone.Submit(now, r), told.Submit(now, r))
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		require.Equal(t, alone.Tick(now), told.Tick(now))
+	}
+}
+
+// A target that has just got a replica starts more requests than were lately measured.
+func TestNewReplicaOutdatesStarts(t *testing.T) {
+	s := testScheduler(testTable(1, 1, 75, "am"))
+	warmUp(s, "am")
+	s.Submit(simStart, newTestRequest("running", "am", time.Minute))
+	s.UpdateBacklogs(simStart, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
+	require.Equal(t, ActionQueue, s.Submit(simStart, rankedRequest("a", simStart, 0, 10*time.Second))[0].Action)
+}
+
+// 75 instances, a third more load than slots, and callers that come back once as they were told.
+// Alone, each instance counts on a slot at each server and holds requests for seconds that it then
+// refuses. With what waits everywhere, it refuses them at once, and what is served is served in
+// time more often.
+func TestManyInstancesRefuseAtOnceWhatCannotBeServed(t *testing.T) {
+	flood := contention{instances: 75, load: 1.3, seed: 7, returns: true, end: 17 * time.Second}
+	told := simulateContention(flood)
+	flood.alone = true
+	alone := simulateContention(flood)
+	t.Log("alone", alone)
+	t.Log("told", told)
+	require.Greater(t, told.worth(), alone.worth()+0.04)
+	require.Less(t, told.heldEach(), alone.heldEach()/2)
+	require.Less(t, told.refusedAgain(), alone.refusedAgain())
+}
+
+// The same flood, and the lease holder is lost in the middle of it: for three seconds nobody is told
+// anything, then its successor tells all again.
+func TestLostLeaseHolderInAFlood(t *testing.T) {
+	flood := contention{instances: 9, load: 1.3, seed: 7, returns: true, end: 17 * time.Second, cutFrom: 11 * time.Second, cutTo: 14 * time.Second}
+	told := simulateContention(flood)
+	flood.alone = true
+	alone := simulateContention(flood)
+	t.Log("alone", alone)
+	t.Log("told", told)
+	require.Greater(t, told.worth(), alone.worth()-0.02)
+	require.Less(t, told.heldEach(), alone.heldEach())
+}
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -72,7 +72,7 @@
 	refused  [3]int        // callers that got no answer, by rank
 	returned [3]int        // callers that came back, by rank
 	again    [3]int        // those of them that were refused again
-	held     time.Duration // by callers that were refused, at instances
+	held     time.Duration // by instances, of requests that were then refused
 }
 
 func (r *contentionResult) inTimeShare(rank int) float64 {
@@ -109,6 +109,15 @@
 	return float64(again) / float64(max(returned, 1))
 }
 
+// heldEach is how long requests that were refused had been held, in the mean.
+func (r *contentionResult) heldEach() time.Duration {
+	tries := 0
+	for rank := range r.refused {
+		tries += r.refused[rank] + r.returned[rank]
+	}
+	return r.held / time.Duration(max(tries, 1))
+}
+
 func (r *contentionResult) String() string {
 	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v, held %v",
 		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.held.Round(time.Second))
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -115,17 +115,20 @@
 }
 
 // sharedRetryAfter returns when a refused caller should come back: when what waits at all instances
-// will have been served, and after the callers that were sent away before. Each instance gives
-// out its part of the starts. Where there will be no room while the caller still comes back, it is
-// told a time after its deadline, so that nobody is sent back in vain.
+// will have been served, or at least be so little that the caller can wait behind it, and after
+// the callers that were sent away before. Each instance gives out its part of the starts. Where
+// there will be no room while the caller still comes back, it is told a time after its deadline,
+// so that nobody is sent back in vain.
 func (s *Scheduler) sharedRetryAfter(now time.Time, req *requestState, backlog *backlogEstimate) (after time.Duration, room bool) {
 	r, rank := &req.target.returns, RankIndex(req.Rank)
 	left := max(req.Deadline.Sub(now), minRetryAfter)
 	patience := left / callerPatience
 	instances := float64(s.instances)
 	drain, rate := backlog.timeToDrain(rank, r.rate(now, rank)*instances)
-	if rate > 0 {
-		if after, ok := r.nextWithin(now, drain, instances/rate, patience); ok {
+	tolerable := req.longestWait(now, patience) * backlog.starts[rank]
+	if rate > 0 && drain-tolerable/rate <= patience.Seconds() {
+		earliest := min(drain, patience.Seconds()/2)
+		if after, ok := r.nextWithin(now, earliest, instances/rate, patience); ok {
 			r.expect(now, after, rank)
 			return after, true
 		}
@@ -133,3 +136,13 @@
 	r.expect(now, patience, rank)
 	return min(left, maxRetryAfter), false
 }
+
+// longestWait returns how many seconds the request could wait for a slot if it came back after a
+// delay.
+func (req *requestState) longestWait(now time.Time, after time.Duration) float64 {
+	wait := req.timeLeft(now) - after.Seconds() - req.safeServiceTime
+	if !req.FirstTokenDeadline.IsZero() {
+		wait = min(wait, req.FirstTokenDeadline.Sub(req.Arrived).Seconds()-req.target.expectedFirstToken(now, req))
+	}
+	return max(wait, 0)
+}
