decide: who is refused by an instance's own queue comes back when it has been served

Cause: the time told was the excess of the wait over the time left, mostly 0.25 s, and the caller was refused again; requests for models being loaded were refused just before the model was there. Change: where ranks compete, callers are told when what waits now will have been served, or when the model is loaded by what loads lately took.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -102,6 +102,7 @@
 	backlog     sharedBacklog // of all instances
 
 	replicaAddedAt time.Time // when the target last got a replica
+	lackingSince   time.Time // when a request was first queued for want of a replica; zero: it isn't so
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
@@ -114,6 +115,7 @@
 	partnerList   []*partnerState // by partnerState.index
 	domains       map[string]*domainState
 	retry         RetryPolicy
+	loadTime      average // seconds from the first request that waits for a model's first replica to the replica
 }
 
 func newFleet() fleet {
@@ -219,6 +221,7 @@
 			ts.near = len(ts.replicas)
 		}
 	}
+	f.noteReplicas(now, ts)
 	return ts
 }
 
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -105,15 +105,46 @@
 	backlog, shared := t.estimateBacklog(now)
 	in := t.refusalInputs(now, wait, shared)
 	var after time.Duration
-	if shared {
+	switch {
+	case shared:
 		after, in.Shared.Room = s.sharedRetryAfter(now, req, &backlog)
-	} else {
+	case s.roomByRank:
+		after = t.returns.next(now, max(own.earliest, wait, t.untilLoaded(now, s.fleet.loadTime)), own.gap)
+	default:
 		after = t.returns.next(now, own.earliest, own.gap)
 	}
 	s.refuse(req, ReasonDeadline, after)
 	s.out[len(s.out)-1].Inputs = in
 }
 
+// untilLoaded returns in how many seconds the target will probably have its first replica, or 0 if
+// it has one or nothing is known.
+func (t *targetState) untilLoaded(now time.Time, loadTime average) float64 {
+	if len(t.replicas) > 0 || t.lackingSince.IsZero() || !loadTime.warm() {
+		return 0
+	}
+	return max(loadTime.mean-now.Sub(t.lackingSince).Seconds(), 0)
+}
+
+// noteLacking notes that a request is queued for want of a replica.
+func (t *targetState) noteLacking(now time.Time) {
+	if now.Sub(t.lackingSince) > maxRetryAfter {
+		t.lackingSince = now
+	}
+}
+
+// noteReplicas follows how long targets that are asked for lack a replica.
+func (f *fleet) noteReplicas(now time.Time, t *targetState) {
+	switch {
+	case len(t.replicas) == 0 || t.lackingSince.IsZero():
+	case t.queue.len() > 0:
+		f.loadTime.add(now.Sub(t.lackingSince).Seconds())
+		t.lackingSince = time.Time{}
+	default:
+		t.lackingSince = time.Time{}
+	}
+}
+
 // sharedRetryAfter returns when a refused caller should come back: when what waits at all instances
 // will have been served, or at least be so little that the caller can wait behind it, and after
 // the callers that were sent away before. Each instance gives out its part of the starts. Where
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -27,6 +27,7 @@
 	rateSharing          rateSharing
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
+	roomByRank           bool // see Table.RoomByRank
 	instances            int  // number of instances, at least 1
 	backlogsTold         bool // the newest report had backlogs of all instances
 
@@ -63,6 +64,7 @@
 	if s.localFillLimit <= 0 {
 		s.localFillLimit = lowFillFraction
 	}
+	s.roomByRank = t.RoomByRank
 	s.instances = max(CountInstances(t.Entries), 1)
 	s.instancesExceedSlots = false
 	for i := range t.Servers {
@@ -247,6 +249,7 @@
 	s.prepare(now, req)
 	if len(req.target.replicas) == 0 {
 		if req.target.ReplicaPending {
+			req.target.noteLacking(now)
 			s.enqueue(now, req)
 			return
 		}
