--- /dev/null
+++ b/instance/wire_shared_test.go
@@ -0,0 +1,38 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"greengageferry/decide"
+	"greengageferry/exchange"
+	"greengageferry/residency"
+)
+
+func TestBacklogsKeepTheirValuesOnTheWire(t *testing.T) {
+	b := []decide.Backlog{{Target: "m", Waiting: [decide.Ranks]float64{1, 2}, Arrivals: [decide.Ranks]float64{0, 0.5}, Starts: [decide.Ranks]float64{0, 0, 0, 4}}}
+	require.Equal(t, b, backlogsFromWire(wireBacklogs(b)))
+	ranks := [decide.Ranks]residency.RankDemand{{}, {Requests: 1, Waiting: 2, InFlight: 3, Goal: 4 * time.Millisecond, Starts: 5}}
+	require.Equal(t, ranks, ranksFromWire(wireRanks(ranks)))
+}
+
+// Calm deployments, and those without ranks, send what they sent before: nothing for ranks and
+// backlogs. What a busy one is told grows with the targets that wait, not with the instances.
+func TestBytesOfBacklogs(t *testing.T) {
+	require.Empty(t, wireRanks([decide.Ranks]residency.RankDemand{}))
+	require.Empty(t, wireBacklogs(nil))
+	res := &exchange.SyncResponse{}
+	for i := range 32 {
+		res.Backlogs = append(res.Backlogs, wireBacklogs([]decide.Backlog{{
+			Target:  fmt.Sprintf("service/model%07d", i),
+			Waiting: [decide.Ranks]float64{20, 10, 5}, Arrivals: [decide.Ranks]float64{40, 20, 10}, Starts: [decide.Ranks]float64{15, 5, 1},
+		}})...)
+	}
+	require.Less(t, proto.Size(res), 2500)
+	t.Log(proto.Size(res))
+	t.Log(proto.Size(&exchange.Demand{ByRank: wireRanks([decide.Ranks]residency.RankDemand{{Requests: 20, Waiting: 5, InFlight: 3, Goal: 400 * time.Millisecond, Starts: 9}})}))
+}
--- a/residency/backlog.go
+++ b/residency/backlog.go
@@ -16,6 +16,9 @@
 	// backlogMemory is how long after a request last waited for a target its backlog is still
 	// told, so that instances don't lose sight of it between two bursts.
 	backlogMemory = 3 * time.Second
+	// maxBacklogs bounds the targets of which backlogs are told, those with most waiting first:
+	// some 2 KB.
+	maxBacklogs = 32
 )
 
 // rankRates are a target's arrivals and starts by rank over all instances.
@@ -53,8 +56,8 @@
 	d.target(target).rates.add(now, demand)
 }
 
-// Backlogs returns what all live instances together have of requests, by target. Only targets
-// for which requests wait, or lately did, are in it.
+// Backlogs returns what all live instances together have of requests, by target, those with most
+// waiting first. Only targets for which requests wait, or lately did, are in it.
 func (d *DemandTracker) Backlogs(now time.Time) []decide.Backlog {
 	var out []decide.Backlog
 	window := d.rankRateWindow(now)
@@ -84,8 +87,18 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b decide.Backlog) int { return cmp.Compare(a.Target, b.Target) })
-	return out
+	slices.SortFunc(out, func(a, b decide.Backlog) int {
+		return cmp.Or(cmp.Compare(sumRanks(b.Waiting), sumRanks(a.Waiting)), cmp.Compare(a.Target, b.Target))
+	})
+	return out[:min(len(out), maxBacklogs)]
+}
+
+func sumRanks(byRank [decide.Ranks]float64) float64 {
+	total := 0.0
+	for _, v := range byRank {
+		total += v
+	}
+	return total
 }
 
 // rankRateWindow returns the time in seconds that the decaying counts by rank stand for, as
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -41,10 +41,10 @@
 
 // TargetDemand is the demand for a target as reported by one instance.
 type TargetDemand struct {
-	Requests int           // received since the previous report
-	Waiting  int           // requests now
-	InFlight int           // requests now
-	Work     time.Duration // server time that the requests take, in time of a whole server; 0: unknown
+	Requests int                      // received since the previous report
+	Waiting  int                      // requests now
+	InFlight int                      // requests now
+	Work     time.Duration            // server time that the requests take, in time of a whole server; 0: unknown
 	ByRank   [decide.Ranks]RankDemand // zero unless ranks compete for servers
 }
 
