decide, relay: who can't wait for a model's load is refused at once and comes back when it is there

Change: where ranks compete, instances learn how long models that are asked for lack a replica, refuse who can't wait, and tell the rest of that time. Such callers count as waiting where replicas are planned.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -129,7 +129,8 @@
 	if backlog, ok := req.target.estimateBacklog(now); ok {
 		return backlog.wait(now, req, lastInRank)
 	}
-	return (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
+	wait := (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
+	return max(wait, s.untilLoaded(now, req.target))
 }
 
 // startRate returns how many of the target's queued requests start per second if extra
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -30,6 +30,7 @@
 	for _, b := range backlogs {
 		if t := s.fleet.targets[b.Target]; t != nil {
 			t.backlog.update(now.Add(-age), b, t.queue.waitingByRank())
+			t.noteLacking(now)
 		}
 	}
 	return s.out
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -146,33 +146,33 @@
 	require.Equal(t, ActionQueue, s.Submit(simStart, rankedRequest("a", simStart, 0, 10*time.Second))[0].Action)
 }
 
-// Models take some four seconds to load, and callers wait two for a first token. Who is refused
-// while its model is loaded comes back when it is there.
+// Models take some four seconds to load, and callers wait two for a first token. They are refused at
+// once, and come back when their model is there; who can wait that long does.
 func TestCallersComeBackWhenTheirModelIsLoaded(t *testing.T) {
 	table := testTable(1, 10, 75, "am")
 	table.RoomByRank = true
-	table.Targets["am"].ReplicaPending = true
 	without := *table
 	without.Targets = map[string]*Target{"am": {Name: "am", Partner: "a", Model: "am", ReplicaPending: true}}
 	s := testScheduler(&without)
 	now := simStart
-	queue := func(id string, firstToken time.Duration) {
+	submit := func(id string, firstToken time.Duration) Decision {
 		r := rankedRequest(id, now, 0, 15*time.Second)
 		r.FirstTokenDeadline = now.Add(firstToken)
-		require.Equal(t, ActionQueue, s.Submit(now, r)[0].Action)
+		return s.Submit(now, r)[0]
 	}
 	for i := range minAverageSamples {
-		queue(fmt.Sprint("loads", i), 8*time.Second)
+		require.Equal(t, ActionQueue, submit(fmt.Sprint("loads", i), 8*time.Second).Action)
 		now = now.Add(4 * time.Second)
 		s.SetTable(now, table)
 		s.SetTable(now, &without)
 	}
-	queue("refused", 2*time.Second)
+	require.Equal(t, ActionQueue, submit("can wait", 5*time.Second).Action)
+	now = now.Add(time.Second)
+	d := submit("can't wait", 2*time.Second)
+	require.Equal(t, ActionRefuse, d.Action)
+	require.Equal(t, 3*time.Second, d.RetryAfter)
 	now = now.Add(2 * time.Second)
-	d := s.Tick(now)
-	require.Len(t, d, 1)
-	require.Equal(t, ActionRefuse, d[0].Action)
-	require.Equal(t, 2*time.Second, d[0].RetryAfter)
+	require.Equal(t, ActionQueue, submit("nearly loaded", 2*time.Second).Action)
 }
 
 // 75 instances, a third more load than slots, and callers that come back once as they were told.
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -115,6 +115,7 @@
 	s.sorted = t.queue.sorted(s.sorted[:0])
 	startRate, pause := s.startRate(now, t, 0), t.remainingPause(now)
 	backlog, shared := t.estimateBacklog(now)
+	untilLoaded := s.untilLoaded(now, t)
 	positions := newQueuePositions(s.sorted)
 	ahead := 0
 	for _, req := range s.sorted {
@@ -124,7 +125,7 @@
 			t.queue.push(req)
 		}
 
-		wait := (float64(ahead) + headWaitTurns) / startRate
+		wait := max((float64(ahead)+headWaitTurns)/startRate, untilLoaded)
 		if shared {
 			wait = backlog.wait(now, req, positions.next(req))
 		}
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// callerPatience is the part of the time left to a refused caller, 1 in callerPatience, for
-	// which it puts its return off.
-	callerPatience = 3
+	// CallerPatience is the part of the time left to a refused caller, 1 in CallerPatience, for
+	// which it puts its return off at most.
+	CallerPatience = 3
 	// returnSlot and returnSlots give the grid on which returns are counted in advance. It spans
 	// a third of the longest common deadlines.
 	returnSlot  = 250 * time.Millisecond
@@ -109,7 +109,7 @@
 	case shared:
 		after, in.Shared.Room = s.sharedRetryAfter(now, req, &backlog)
 	case s.roomByRank:
-		after = t.returns.next(now, max(own.earliest, wait, t.untilLoaded(now, s.fleet.loadTime)), own.gap)
+		after = t.returns.next(now, max(own.earliest, wait), own.gap)
 	default:
 		after = t.returns.next(now, own.earliest, own.gap)
 	}
@@ -117,34 +117,6 @@
 	s.out[len(s.out)-1].Inputs = in
 }
 
-// untilLoaded returns in how many seconds the target will probably have its first replica, or 0 if
-// it has one or nothing is known.
-func (t *targetState) untilLoaded(now time.Time, loadTime average) float64 {
-	if len(t.replicas) > 0 || t.lackingSince.IsZero() || !loadTime.warm() {
-		return 0
-	}
-	return max(loadTime.mean-now.Sub(t.lackingSince).Seconds(), 0)
-}
-
-// noteLacking notes that a request is queued for want of a replica.
-func (t *targetState) noteLacking(now time.Time) {
-	if now.Sub(t.lackingSince) > maxRetryAfter {
-		t.lackingSince = now
-	}
-}
-
-// noteReplicas follows how long targets that are asked for lack a replica.
-func (f *fleet) noteReplicas(now time.Time, t *targetState) {
-	switch {
-	case len(t.replicas) == 0 || t.lackingSince.IsZero():
-	case t.queue.len() > 0:
-		f.loadTime.add(now.Sub(t.lackingSince).Seconds())
-		t.lackingSince = time.Time{}
-	default:
-		t.lackingSince = time.Time{}
-	}
-}
-
 // sharedRetryAfter returns when a refused caller should come back: when what waits at all instances
 // will have been served, or at least be so little that the caller can wait behind it, and after
 // the callers that were sent away before. Each instance gives out its part of the starts. Where
@@ -153,7 +125,7 @@
 func (s *Scheduler) sharedRetryAfter(now time.Time, req *requestState, backlog *backlogEstimate) (after time.Duration, room bool) {
 	r, rank := &req.target.returns, RankIndex(req.Rank)
 	left := max(req.Deadline.Sub(now), minRetryAfter)
-	patience := left / callerPatience
+	patience := left / CallerPatience
 	instances := float64(s.instances)
 	drain, rate := backlog.timeToDrain(rank, r.rate(now, rank)*instances)
 	tolerable := req.longestWait(now, patience) * backlog.starts[rank]
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -35,6 +35,7 @@
 	arrivals   map[string]residency.TargetDemand // requests and work since the last call of demand, by target
 	inFlight   map[string]int                    // dispatched calls, by server id
 	ticking    bool                              // a tick is scheduled
+	absent     []absentCall                      // callers that will come back when their model is loaded
 	unranked   residency.RankDemand              // counts what isn't reported
 	byRank     bool                              // demand is counted by rank; see decide.Table.RoomByRank
 	log        logrus.FieldLogger
@@ -115,6 +116,7 @@
 		}
 		out[c.target] = a
 	}
+	d.addAbsent(out)
 	return out
 }
 
@@ -237,6 +239,7 @@
 			d.countStart(c)
 		case decide.ActionRefuse:
 			delete(d.calls, dec.Request)
+			d.noteAbsent(c, dec)
 		case decide.ActionQueue:
 			d.signalSync()
 			continue
