decide: expected returns count as arrivals in admission, beyond those that lately came

Cause: only the times told to the next callers took them into account. Change: so does what is left for requests past their goal; estimates are made once a pass, not for each refusal. Result: unit tests.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -74,9 +74,11 @@
 // would learn too late to do anything else.
 func (s *Scheduler) enqueue(now time.Time, req *requestState) {
 	t := req.target
-	wait := s.expectedWait(now, req)
+	backlog := s.estimateBacklog(now, t)
+	wait := s.expectedWait(now, req, &backlog)
 	if req.wouldMissDeadline(now, wait) {
-		s.refuseLate(now, req, wait, retryTime{wait + req.safeServiceTime - req.timeLeft(now), s.minSendInterval(now, t)})
+		own := retryTime{wait + req.safeServiceTime - req.timeLeft(now), s.minSendInterval(now, t)}
+		s.refuseLate(now, req, wait, own, &backlog)
 		return
 	}
 	if s.queued >= maxQueued && !s.evictQueued(now, req) {
@@ -125,8 +127,8 @@
 
 // expectedWait returns the seconds that the request would wait behind those that are
 // served before it: those of all instances, if they are known.
-func (s *Scheduler) expectedWait(now time.Time, req *requestState) float64 {
-	if backlog, ok := req.target.estimateBacklog(now); ok {
+func (s *Scheduler) expectedWait(now time.Time, req *requestState, backlog *backlogEstimate) float64 {
+	if backlog.binds {
 		return backlog.wait(now, req, lastInRank)
 	}
 	wait := (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -88,22 +88,24 @@
 
 // backlogEstimate is what the requests of all instances for a target mean for one of them.
 type backlogEstimate struct {
+	binds    bool           // false: this instance's own queue tells more, and the rest isn't set
 	waiting  [Ranks]float64 // at all instances
 	starts   [Ranks]float64 // per second, of the rank and less urgent ones
 	leftover [Ranks]float64 // starts per second beyond the arrivals of the rank and more urgent ones
 }
 
-// estimateBacklog returns the estimate for a target, or false if this instance's own queue tells
-// more: nothing recent is known, or servers could start requests faster than they lately did.
-func (t *targetState) estimateBacklog(now time.Time) (e backlogEstimate, ok bool) {
+// estimateBacklog returns the estimate for a target. It doesn't bind if nothing recent is known, or
+// if servers could start requests faster than they lately did.
+func (s *Scheduler) estimateBacklog(now time.Time, t *targetState) (e backlogEstimate) {
 	b := &t.backlog
 	if !b.known(now) || len(t.replicas) == 0 || now.Sub(t.replicaAddedAt) < newReplicaTime {
-		return e, false
+		return e
 	}
 	starts := sum(b.Starts)
 	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
-		return e, false
+		return e
 	}
+	e.binds = true
 	others, _ := t.othersBacklog(now)
 	own := t.queue.waitingByRank()
 	left, arrivals := starts, 0.0
@@ -112,9 +114,9 @@
 		e.starts[rank] = left
 		left -= b.Starts[rank]
 		arrivals += b.Arrivals[rank]
-		e.leftover[rank] = starts - arrivals
+		e.leftover[rank] = starts - arrivals - t.returns.increase(now, rank)*float64(s.instances)
 	}
-	return e, true
+	return e
 }
 
 // wait returns the seconds that a request will wait. position is its place, from 0 to 1, among those
@@ -134,10 +136,9 @@
 
 // timeToDrain returns in how many seconds all that waits with the rank or a more urgent one will
 // have been served, and how many requests per second servers then start beyond new ones; both
-// 0 if as many arrive as start. extra is how many requests per second are expected beyond those
-// that lately arrived.
-func (e *backlogEstimate) timeToDrain(rank int, extra float64) (drain, rate float64) {
-	rate = e.leftover[rank] - extra
+// 0 if as many arrive as start.
+func (e *backlogEstimate) timeToDrain(rank int) (drain, rate float64) {
+	rate = e.leftover[rank]
 	if rate <= 0 {
 		return 0, 0
 	}
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -111,13 +111,29 @@
 	now := simStart
 	r.expect(now, 1500*time.Millisecond, 1)
 	r.expect(now, time.Hour, 0)
-	require.Zero(t, r.rate(now, 1))
+	require.Zero(t, r.increase(now, 1))
 	now = now.Add(time.Second)
-	require.Equal(t, 1.0, r.rate(now, 1))
-	require.Zero(t, r.rate(now, 0))
+	require.Equal(t, 1.0, r.increase(now, 1))
+	require.Zero(t, r.increase(now, 0))
+	r.expect(now, 1500*time.Millisecond, 1)
 	now = now.Add(time.Second)
-	require.Zero(t, r.rate(now, 1))
-	require.Zero(t, r.rate(now.Add(time.Hour), 3))
+	require.Zero(t, r.increase(now, 1), "as many came as will come")
+	require.Zero(t, r.increase(now.Add(time.Hour), 3))
+}
+
+// The places of callers that were told to come back aren't given to requests that arrive meanwhile and
+// are no more urgent; more urgent ones go first all the same.
+func TestExpectedReturnsKeepTheirPlaces(t *testing.T) {
+	s, now := floodedScheduler(t), afterReplicas
+	target := s.fleet.targets["am"]
+	flood := []Backlog{{Target: "am", Waiting: [Ranks]float64{0, 20}, Arrivals: [Ranks]float64{0, 8}, Starts: [Ranks]float64{0, 10}}}
+	s.UpdateBacklogs(now, flood, 0)
+	before := s.estimateBacklog(now, target)
+	require.Equal(t, 2.0, before.leftover[1])
+	target.returns.expect(now, returnSlot, 1)
+	after := s.estimateBacklog(now, target)
+	require.Equal(t, 2.0-75, after.leftover[1], "each instance told as many")
+	require.Equal(t, before.leftover[0], after.leftover[0])
 }
 
 // The lease holder is gone, this instance is cut off, or it has just started: nothing recent is
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -114,7 +114,7 @@
 func (s *Scheduler) expireQueued(now time.Time, t *targetState) {
 	s.sorted = t.queue.sorted(s.sorted[:0])
 	startRate, pause := s.startRate(now, t, 0), t.remainingPause(now)
-	backlog, shared := t.estimateBacklog(now)
+	backlog := s.estimateBacklog(now, t)
 	untilLoaded := s.untilLoaded(now, t)
 	positions := newQueuePositions(s.sorted)
 	ahead := 0
@@ -126,13 +126,13 @@
 		}
 
 		wait := max((float64(ahead)+headWaitTurns)/startRate, untilLoaded)
-		if shared {
+		if backlog.binds {
 			wait = backlog.wait(now, req, positions.next(req))
 		}
 		if req.wouldMissDeadline(now, pause+wait) {
 			s.removeQueued(req)
 			own := retryTime{max(pause, float64(ahead)/startRate+req.safeServiceTime-req.timeLeft(now)), 1 / startRate}
-			s.refuseLate(now, req, pause+wait, own)
+			s.refuseLate(now, req, pause+wait, own, &backlog)
 			continue
 		}
 		ahead++
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -10,8 +10,8 @@
 	// a third of the longest common deadlines.
 	returnSlot  = 250 * time.Millisecond
 	returnSlots = 32
-	// returnHorizon is the time ahead for which expected returns count as arrivals.
-	returnHorizon = time.Second
+	// returnHorizon is the number of slots ahead for which expected returns count as arrivals.
+	returnHorizon = 4
 )
 
 // returns spreads the retry times given to refused callers, one for each slot that frees,
@@ -24,7 +24,7 @@
 // expectedReturns counts the callers that this instance told to come back, by time and rank.
 type expectedReturns struct {
 	counts [returnSlots][Ranks]uint16
-	first  int64 // number of the first slot that is still counted
+	first  int64 // number of the first slot that is kept, returnHorizon before the present one
 }
 
 // next returns the delay for the next caller: at least earliest seconds from now and gap
@@ -59,31 +59,38 @@
 	}
 	e := r.expected
 	e.advance(now)
-	if n := slotNumber(now.Add(after)) - e.first; n < returnSlots {
-		e.counts[(e.first+n)%returnSlots][RankIndex(rank)]++
+	if n := slotNumber(now.Add(after)); n < e.first+returnSlots {
+		e.counts[n%returnSlots][rank]++
 	}
 }
 
-// rate returns the returns per second, of ranks up to the given one, that are expected within
-// returnHorizon.
-func (r *returns) rate(now time.Time, rank int) float64 {
+// increase returns how many callers per second, of ranks up to the given one, are expected to come
+// back soon beyond those that lately did: these count as arrivals already.
+func (r *returns) increase(now time.Time, rank int) float64 {
 	if r.expected == nil {
 		return 0
 	}
 	e := r.expected
 	e.advance(now)
+	more := e.count(e.first+returnHorizon, rank) - e.count(e.first, rank)
+	return max(float64(more), 0) / (returnHorizon * returnSlot.Seconds())
+}
+
+// count returns how many callers of ranks up to the given one come back in the returnHorizon slots
+// from a slot on.
+func (e *expectedReturns) count(from int64, rank int) int {
 	sum := 0
-	for n := range int64(returnHorizon / returnSlot) {
-		for _, count := range e.counts[(e.first+n)%returnSlots][:rank+1] {
+	for n := from; n < from+returnHorizon; n++ {
+		for _, count := range e.counts[n%returnSlots][:rank+1] {
 			sum += int(count)
 		}
 	}
-	return float64(sum) / returnHorizon.Seconds()
+	return sum
 }
 
 // advance forgets the slots that are over.
 func (e *expectedReturns) advance(now time.Time) {
-	first := slotNumber(now)
+	first := slotNumber(now) - returnHorizon
 	for n := max(e.first, first-returnSlots); n < first; n++ {
 		e.counts[n%returnSlots] = [Ranks]uint16{}
 	}
@@ -100,14 +107,13 @@
 
 // refuseLate refuses a request that would wait too long for a slot, and tells its caller when to
 // come back.
-func (s *Scheduler) refuseLate(now time.Time, req *requestState, wait float64, own retryTime) {
+func (s *Scheduler) refuseLate(now time.Time, req *requestState, wait float64, own retryTime, backlog *backlogEstimate) {
 	t := req.target
-	backlog, shared := t.estimateBacklog(now)
-	in := t.refusalInputs(now, wait, shared)
+	in := t.refusalInputs(now, wait, backlog.binds)
 	var after time.Duration
 	switch {
-	case shared:
-		after, in.Shared.Room = s.sharedRetryAfter(now, req, &backlog)
+	case backlog.binds:
+		after, in.Shared.Room = s.sharedRetryAfter(now, req, backlog)
 	case s.roomByRank:
 		after = t.returns.next(now, max(own.earliest, wait), own.gap)
 	default:
@@ -126,12 +132,11 @@
 	r, rank := &req.target.returns, RankIndex(req.Rank)
 	left := max(req.Deadline.Sub(now), minRetryAfter)
 	patience := left / CallerPatience
-	instances := float64(s.instances)
-	drain, rate := backlog.timeToDrain(rank, r.rate(now, rank)*instances)
+	drain, rate := backlog.timeToDrain(rank)
 	tolerable := req.longestWait(now, patience) * backlog.starts[rank]
 	if rate > 0 && drain-tolerable/rate <= patience.Seconds() {
 		earliest := min(drain, patience.Seconds()/2)
-		if after, ok := r.nextWithin(now, earliest, instances/rate, patience); ok {
+		if after, ok := r.nextWithin(now, earliest, float64(s.instances)/rate, patience); ok {
 			r.expect(now, after, rank)
 			return after, true
 		}
