decide: starts grow with replicas until that is measured

Cause: for 3 s after each new replica instances went by their own queues again, on the targets that are asked for most. Change: a further replica counts in proportion; only after the first one the own queue decides.

--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -98,10 +98,11 @@
 // if servers could start requests faster than they lately did.
 func (s *Scheduler) estimateBacklog(now time.Time, t *targetState) (e backlogEstimate) {
 	b := &t.backlog
-	if !b.known(now) || len(t.replicas) == 0 || now.Sub(t.replicaAddedAt) < newReplicaTime {
+	growth := t.replicaGrowth(now)
+	if !b.known(now) || growth == 0 {
 		return e
 	}
-	starts := sum(b.Starts)
+	starts := growth * sum(b.Starts)
 	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
 		return e
 	}
@@ -112,13 +113,38 @@
 	for rank := range Ranks {
 		e.waiting[rank] = others[rank] + own[rank]
 		e.starts[rank] = left
-		left -= b.Starts[rank]
+		left -= growth * b.Starts[rank]
 		arrivals += b.Arrivals[rank]
 		e.leftover[rank] = starts - arrivals - t.returns.increase(now, rank)*float64(s.instances)
 	}
 	return e
 }
 
+// noteAdded notes a change of the number of the target's replicas.
+func (t *targetState) noteAdded(now time.Time, before, replicas int) {
+	if replicas <= before {
+		return
+	}
+	if now.Sub(t.replicaAddedAt) >= newReplicaTime {
+		t.replicasBefore = before
+	}
+	t.replicaAddedAt = now
+}
+
+// replicaGrowth returns how many times as many requests the target's servers start as was measured,
+// since new replicas don't show yet; 0 if that can't be told.
+func (t *targetState) replicaGrowth(now time.Time) float64 {
+	switch {
+	case len(t.replicas) == 0:
+		return 0
+	case now.Sub(t.replicaAddedAt) >= newReplicaTime:
+		return 1
+	case t.replicasBefore == 0:
+		return 0
+	}
+	return max(float64(len(t.replicas))/float64(t.replicasBefore), 1)
+}
+
 // wait returns the seconds that a request will wait. position is its place, from 0 to 1, among those
 // of its rank at all instances.
 //
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -153,13 +153,22 @@
 	}
 }
 
-// A target that has just got a replica starts more requests than were lately measured.
+// A target that has just got its first replica starts more requests than were lately measured, and
+// one with a second replica up to twice as many.
 func TestNewReplicaOutdatesStarts(t *testing.T) {
 	s := testScheduler(testTable(1, 1, 75, "am"))
 	warmUp(s, "am")
 	s.Submit(simStart, newTestRequest("running", "am", time.Minute))
 	s.UpdateBacklogs(simStart, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
 	require.Equal(t, ActionQueue, s.Submit(simStart, rankedRequest("a", simStart, 0, 10*time.Second))[0].Action)
+
+	now := afterReplicas
+	s.SetTable(now, testTable(2, 1, 75, "am"))
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
+	require.Equal(t, 20.0, s.estimateBacklog(now, s.fleet.targets["am"]).starts[0])
+	now = now.Add(newReplicaTime)
+	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{18}}}, 0)
+	require.Equal(t, 18.0, s.estimateBacklog(now, s.fleet.targets["am"]).starts[0])
 }
 
 // Models take some four seconds to load, and callers wait two for a first token. They are refused at
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -102,6 +102,7 @@
 	backlog     sharedBacklog // of all instances
 
 	replicaAddedAt time.Time // when the target last got a replica
+	replicasBefore int       // replicas that starts were measured with, until newReplicaTime after that
 	lackingSince   time.Time // when a request was first queued for want of a replica; zero: it isn't so
 }
 
@@ -206,9 +207,7 @@
 	}
 	ts.partner.weight = weightOf(t, target.Partner)
 	old := ts.replicas
-	if len(target.Replicas) > len(old) {
-		ts.replicaAddedAt = now
-	}
+	ts.noteAdded(now, len(old), len(target.Replicas))
 	ts.replicas = make([]replicaState, 0, len(target.Replicas))
 	for _, near := range []bool{true, false} {
 		for _, r := range target.Replicas {
