--- /dev/null
+++ b/relay/demand_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/decide"
+	"greengageferry/infra"
+	"greengageferry/residency"
+	"greengageferry/topology"
+)
+
+// rankTable has one server with a slot, and whether ranks compete for it.
+func rankTable(byRank bool) *decide.Table {
+	return &decide.Table{
+		OwnDomain: "d", RoomByRank: byRank, Entries: map[string]int{"d": 1},
+		Servers: []decide.Server{{ID: "s", Pool: "p", FailureDomain: "d", Slots: 4}},
+		Targets: map[string]*decide.Target{"m": {Name: "m", Pool: "p", Model: "m", MaxTokens: 100, Replicas: []decide.Replica{{Server: 0}}}},
+	}
+}
+
+// submitRanked submits a call of rank 1.
+func submitRanked(d *dispatcher, id string) *call {
+	now := time.Now()
+	c := &call{id: id, target: "m", arrived: now, deadline: now.Add(time.Minute), route: &topology.Route{Rank: 1}, decisions: make(chan decide.Decision, decisionBuffer)}
+	d.submit(c, decide.Request{ID: id, Target: "m", Rank: 1, Arrived: now, Deadline: c.deadline, Idempotent: true, Goal: time.Second})
+	return c
+}
+
+// A request that a server refused is sent again: it started once.
+func TestDemandCountsStartsByRankOnce(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
+	d.setTable(rankTable(true))
+	submitRanked(d, "a")
+	again := submitRanked(d, "b")
+	d.attemptFailed(again, decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone})
+	demand := d.demand()["m"]
+	require.Equal(t, 2, demand.Requests)
+	require.Equal(t, 2, demand.ByRank[1].Requests)
+	require.Equal(t, 2, demand.ByRank[1].Starts)
+	require.Equal(t, time.Second, demand.ByRank[1].Goal)
+	require.Equal(t, demand.InFlight, demand.ByRank[1].InFlight)
+	require.Equal(t, demand.Waiting, demand.ByRank[1].Waiting)
+	require.Zero(t, d.demand()["m"].ByRank[1].Starts, "since the last report")
+}
+
+// Where ranks don't compete, nothing is told by rank.
+func TestDemandIsNotToldByRankWithoutRanks(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
+	d.setTable(rankTable(false))
+	submitRanked(d, "a")
+	demand := d.demand()["m"]
+	require.Equal(t, 1, demand.Requests)
+	require.Equal(t, [decide.Ranks]residency.RankDemand{}, demand.ByRank)
+}
