--- a/decide/admit.go
+++ b/decide/admit.go
@@ -32,6 +32,8 @@
 	// maxSendInterval bounds, in seconds, the estimated time between two requests that an
 	// instance may send. It exceeds maxRetryAfter, so longer intervals make no difference.
 	maxSendInterval = 300.0
+	// maxWait bounds an expected wait in seconds. No request waits longer.
+	maxWait = 300.0
 	// noReplicaRetry is the retry delay for a target without a ready replica.
 	noReplicaRetry = 2 * time.Second
 	// pendingReplicaRate is the start rate, in requests per second, of a target whose
@@ -72,9 +74,11 @@
 // would learn too late to do anything else.
 func (s *Scheduler) enqueue(now time.Time, req *requestState) {
 	t := req.target
-	wait := s.expectedWait(now, req)
+	backlog := s.estimateBacklog(now, t)
+	wait := s.expectedWait(now, req, &backlog)
 	if req.wouldMissDeadline(now, wait) {
-		s.refuse(req, ReasonDeadline, t.returns.next(now, wait+req.safeServiceTime-req.timeLeft(now), s.minSendInterval(now, t)))
+		own := retryTime{wait + req.safeServiceTime - req.timeLeft(now), s.minSendInterval(now, t)}
+		s.refuseLate(now, req, wait, own, &backlog)
 		return
 	}
 	if s.queued >= maxQueued && !s.evictQueued(now, req) {
@@ -122,9 +126,13 @@
 }
 
 // expectedWait returns the seconds that the request would wait behind those that are
-// served before it.
-func (s *Scheduler) expectedWait(now time.Time, req *requestState) float64 {
-	return (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
+// served before it: those of all instances, if they are known.
+func (s *Scheduler) expectedWait(now time.Time, req *requestState, backlog *backlogEstimate) float64 {
+	if backlog.binds {
+		return backlog.wait(now, req, lastInRank)
+	}
+	wait := (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
+	return max(wait, s.untilLoaded(now, req.target))
 }
 
 // startRate returns how many of the target's queued requests start per second if extra
@@ -193,24 +201,4 @@
 	return shortest
 }
 
-// returns spreads the retry times given to refused callers, one for each slot that frees,
-// so that they don't all retry at once.
-type returns struct {
-	latest time.Time // latest retry time given
-}
-
-// next returns the delay for the next caller: at least earliest seconds from now and gap
-// seconds after the previous caller's.
-func (r *returns) next(now time.Time, earliest, gap float64) time.Duration {
-	first := now.Add(max(seconds(earliest), minRetryAfter))
-	r.latest = r.latest.Add(seconds(gap))
-	if r.latest.Before(first) {
-		r.latest = first
-	}
-	if last := now.Add(maxRetryAfter); r.latest.After(last) {
-		r.latest = last
-	}
-	return r.latest.Sub(now)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/decide/explain.go
+++ b/decide/explain.go
@@ -48,7 +48,8 @@
 // explainAction returns the explanation without the replicas.
 func (s *Scheduler) explainAction(now time.Time, req *requestState) Explanation {
 	t := req.target
-	wait := s.expectedWait(now, req)
+	backlog := s.estimateBacklog(now, t)
+	wait := s.expectedWait(now, req, &backlog)
 	switch {
 	case s.draining:
 		return Explanation{Action: ActionRefuse, Reason: ReasonShuttingDown}
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -103,8 +103,13 @@
 	service     serviceTimes
 	arrivalRate arrivalRate
 	returns     returns
-	totalSpeed  float64 // of the replicas
-	uneven      bool    // some replica's server is known to be slower or faster than the mean
+	totalSpeed  float64       // of the replicas
+	uneven      bool          // some replica's server is known to be slower or faster than the mean
+	backlog     sharedBacklog // of all instances
+
+	replicaAddedAt time.Time // when the target last got a replica
+	replicasBefore int       // replicas that starts were measured with, until newReplicaTime after that
+	lackingSince   time.Time // when a request was first queued for want of a replica; zero: it isn't so
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
@@ -118,6 +123,7 @@
 	domains       map[string]*domainState
 	retry         RetryPolicy
 	speedsToldAt  time.Time // when the lease holder last told servers' speeds; zero: not lately
+	loadTime      average   // seconds from the first request that waits for a model's first replica to the replica
 }
 
 func newFleet() fleet {
@@ -140,7 +146,7 @@
 	listed := f.updateServers(now, t)
 	f.sortedTargets = f.sortedTargets[:0]
 	for _, name := range sortedNames(t.Targets) {
-		f.sortedTargets = append(f.sortedTargets, f.updateTarget(t, t.Targets[name], listed))
+		f.sortedTargets = append(f.sortedTargets, f.updateTarget(now, t, t.Targets[name], listed))
 	}
 	for name, ts := range f.targets {
 		if t.Targets[name] == nil {
@@ -196,7 +202,7 @@
 	s.othersInFlight, s.othersUnread = 0, 0
 }
 
-func (f *fleet) updateTarget(t *Table, target *Target, listed []*serverState) *targetState {
+func (f *fleet) updateTarget(now time.Time, t *Table, target *Target, listed []*serverState) *targetState {
 	ts := f.targets[target.Name]
 	if ts == nil {
 		ts = &targetState{}
@@ -209,6 +215,7 @@
 	}
 	ts.partner.weight = weightOf(t, target.Partner)
 	old := ts.replicas
+	ts.noteAdded(now, len(old), len(target.Replicas))
 	ts.replicas = make([]replicaState, 0, len(target.Replicas))
 	for _, near := range []bool{true, false} {
 		for _, r := range target.Replicas {
@@ -222,6 +229,7 @@
 		}
 	}
 	ts.sumSpeeds()
+	f.noteReplicas(now, ts)
 	return ts
 }
 
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -14,7 +14,7 @@
 	Target   string
 	Waiting  [Ranks]float64 // queued at instances, by rank
 	Arrivals [Ranks]float64 // per second, by rank
-	Starts   float64        // requests per second that servers began to run
+	Starts   [Ranks]float64 // sent to servers per second, by rank
 }
 
 // AccountDemand is what an instance, or all instances together, have of a client account's
@@ -26,13 +26,6 @@
 	InFlight float64 // at servers
 }
 
-// UpdateBacklogs handles the newest backlogs of all instances together, this one included. They
-// replace all earlier ones. age is how old they are in the mean.
-func (s *Scheduler) UpdateBacklogs(now time.Time, backlogs []Backlog, age time.Duration) []Decision {
-	s.out = s.out[:0]
-	return s.out
-}
-
 // AccountDemands returns what this instance has of client accounts' requests.
 func (s *Scheduler) AccountDemands() []AccountDemand { return nil }
 
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -35,6 +35,9 @@
 	arrivals   map[string]residency.TargetDemand // requests and work since the last call of demand, by target
 	inFlight   map[string]int                    // dispatched calls, by server id
 	ticking    bool                              // a tick is scheduled
+	absent     []absentCall                      // callers that will come back when their model is loaded
+	unranked   residency.RankDemand              // counts what isn't reported
+	byRank     bool                              // demand is counted by rank; see decide.Table.RoomByRank
 	log        logrus.FieldLogger
 	metrics    Metrics
 	syncNeeded chan struct{}
@@ -55,6 +58,7 @@
 func (d *dispatcher) setTable(t *decide.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.byRank = t.RoomByRank
 	d.deliver(d.scheduler.SetTable(time.Now(), t))
 }
 
@@ -102,7 +106,7 @@
 	d.arrivals = map[string]residency.TargetDemand{}
 	for _, c := range d.calls {
 		a := out[c.target]
-		rank := &a.ByRank[decide.RankIndex(c.rank())]
+		rank := d.rankDemand(&a, c)
 		if c.serverID != "" {
 			a.InFlight++
 			rank.InFlight++
@@ -112,9 +116,30 @@
 		}
 		out[c.target] = a
 	}
+	d.addAbsent(out)
 	return out
 }
 
+// rankDemand returns the part of a target's demand that a call belongs to. Where ranks aren't told
+// apart, it is one that isn't reported. The lock is held.
+func (d *dispatcher) rankDemand(a *residency.TargetDemand, c *call) *residency.RankDemand {
+	if !d.byRank {
+		return &d.unranked
+	}
+	return &a.ByRank[decide.RankIndex(c.rank())]
+}
+
+// countStart counts a call that is sent to a server for the first time. The lock is held.
+func (d *dispatcher) countStart(c *call) {
+	if c.startCounted || !d.byRank {
+		return
+	}
+	c.startCounted = true
+	a := d.arrivals[c.target]
+	d.rankDemand(&a, c).Starts++
+	d.arrivals[c.target] = a
+}
+
 // unfinished returns the calls that the scheduler knows.
 func (d *dispatcher) unfinished() []*call {
 	d.mu.Lock()
@@ -129,7 +154,7 @@
 	a := d.arrivals[c.target]
 	a.Requests++
 	a.Work += d.scheduler.Work(&r)
-	rank := &a.ByRank[decide.RankIndex(r.Rank)]
+	rank := d.rankDemand(&a, c)
 	rank.Requests++
 	rank.Goal = r.Goal
 	d.arrivals[c.target] = a
@@ -211,8 +236,10 @@
 		case decide.ActionDispatch:
 			c.serverID = dec.Server.ID
 			d.inFlight[c.serverID]++
+			d.countStart(c)
 		case decide.ActionRefuse:
 			delete(d.calls, dec.Request)
+			d.noteAbsent(c, dec)
 		case decide.ActionQueue:
 			d.signalSync()
 			continue
@@ -242,6 +269,22 @@
 // ActionName returns the name of an action in logs.
 func ActionName(a decide.Action) string { return actionNames[a] }
 
+// addBacklogFields adds what a refusal for lack of time rests on, and counts it if that is what all
+// instances together have.
+func (d *dispatcher) addBacklogFields(f logrus.Fields, in *decide.Inputs) {
+	if in.QueueWait > 0 {
+		f["wait_ms"] = in.QueueWait.Milliseconds()
+	}
+	b := &in.Shared
+	if !b.Known {
+		return
+	}
+	f["waiting_all"], f["backlog_age_ms"], f["room"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.Room
+	f["starts_per_s"] = strconv.FormatFloat(b.Starts, 'f', 1, 64)
+	f["arrivals_per_s"] = strconv.FormatFloat(b.Arrivals, 'f', 1, 64)
+	d.metrics.CountBacklogRefusal(b.Room)
+}
+
 // logDecision counts a decision and writes its log line, with its reason and inputs.
 func (d *dispatcher) logDecision(c *call, dec decide.Decision) {
 	action := actionNames[dec.Action]
@@ -277,6 +320,7 @@
 		f["wait_ms"] = dec.Inputs.QueueWait.Milliseconds()
 	case decide.ActionRefuse:
 		f["retry_after_ms"] = dec.RetryAfter.Milliseconds()
+		d.addBacklogFields(f, &dec.Inputs)
 	}
 	level := logrus.InfoLevel
 	if dec.Action == decide.ActionRefuse {
