residency: places are divided by gain while models compete for them

Cause: with more desired replicas than places, each asked-for model kept one place however little it was asked for, and a busy model stayed at one replica for 15 s. Change: places go to the models that gain most by them, by rank and goal; models without a place get turns.

--- /dev/null
+++ b/residency/contention.go
@@ -0,0 +1,200 @@
+package residency
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	// keepFactor is how much more a replica counts that is there already: less gain than that
+	// isn't worth a load, and noise in the demand moves nothing.
+	keepFactor = 1.5
+	// valueSpread is how much the weights of requested models must differ for their requests to
+	// count as competing.
+	valueSpread = 1.25
+	// turnShare is the share of its goal after which a model whose requests wait without a
+	// replica gets a turn. The rest of the goal is left to the load.
+	turnShare = 0.25
+	// turnPlaceShare is the share of a pool's places, and turnLoadShare the share of the weight
+	// store's rate, that are kept for turns.
+	turnPlaceShare = 0.34
+	turnLoadShare  = 0.3
+	// turnBurst is how many turns may begin at once.
+	turnBurst = 2.0
+	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
+	// from the weight store.
+	diskLoadShare = 0.2
+)
+
+// competes reports whether models compete for the pool's places: more replicas are desired than
+// there is room for, and the requests differ in rank or goal, or not even one replica of each
+// requested model fits.
+func (w *pool) competes(desired, requested, places int) bool {
+	if desired <= places {
+		return false
+	}
+	if requested > places {
+		return true
+	}
+	least, most := 0.0, 0.0
+	for _, m := range w.modelList {
+		if !m.requested() {
+			continue
+		}
+		if least == 0 || m.weight < least {
+			least = m.weight
+		}
+		most = max(most, m.weight)
+	}
+	return most > valueSpread*least
+}
+
+// allocatePlaces divides the pool's places among the requested models: first one for each model
+// whose turn has come, then each further place to the model that gains most by it, up to the
+// replicas that it desires. A model may be left without a place; it gets a turn.
+func (w *pool) allocatePlaces(places int) {
+	var h gainHeap
+	for _, m := range w.modelList {
+		if m.requested() {
+			h.limits = append(h.limits, m.desired)
+			m.desired = 0
+			h.models = append(h.models, m)
+		}
+	}
+	turns := w.dueModels()
+	for _, m := range turns[:min(len(turns), max(1, int(turnPlaceShare*float64(places))))] {
+		m.turn, m.desired = true, 1
+		places--
+	}
+	h.gains = make([]float64, len(h.models))
+	for i, m := range h.models {
+		h.gains[i] = w.allocationGain(m)
+	}
+	heap.Init(&h)
+	for ; places > 0 && h.Len() > 0; places-- {
+		m := h.models[0]
+		m.desired++
+		if m.desired >= h.limits[0] {
+			heap.Pop(&h)
+			continue
+		}
+		h.gains[0] = w.allocationGain(m)
+		heap.Fix(&h, 0)
+	}
+}
+
+// allocationGain returns the gain of the next place for a model; it counts more if the model
+// fills the place already.
+func (w *pool) allocationGain(m *model) float64 {
+	gain := w.gain(m, m.desired)
+	if m.desired < len(m.replicas) {
+		gain *= keepFactor
+	}
+	return gain
+}
+
+// dueModels returns the models whose requests have waited without a replica for a part of their
+// goal, those first whose wait weighs most. A wait counts the more the longer it lasts, so that
+// each model comes to its turn.
+func (w *pool) dueModels() []*model {
+	var out []*model
+	for _, m := range w.modelList {
+		if m.unserved > 0 && m.unserved >= time.Duration(turnShare*float64(m.goal)) {
+			out = append(out, m)
+		}
+	}
+	weight := func(m *model) float64 {
+		return w.gain(m, 0) * m.unserved.Seconds() / max(m.goal, minTurnGoal).Seconds()
+	}
+	slices.SortStableFunc(out, func(a, b *model) int { return cmp.Compare(weight(b), weight(a)) })
+	return out
+}
+
+// minTurnGoal is the goal that requests without one, or with a shorter one, count as having.
+const minTurnGoal = 200 * time.Millisecond
+
+// updateUnserved brings up to date since when requests for each model wait although no server
+// serves it.
+func (w *pool) updateUnserved() {
+	for _, m := range w.modelList {
+		key := w.targetName(m.Name, 0)
+		if m.waiting == 0 || len(m.replicas) > m.pending {
+			delete(w.p.unservedSince, key)
+			continue
+		}
+		since, ok := w.p.unservedSince[key]
+		if !ok {
+			since = w.now
+			w.p.unservedSince[key] = since
+		}
+		m.unserved = w.now.Sub(since)
+	}
+}
+
+// mayTakePlace reports whether a replica of the victim may be evicted for one of m while models
+// compete: the victim isn't requested, or has more replicas than places. The last one that
+// serves stays while others are being loaded.
+func (w *pool) mayTakePlace(victim, m *model) bool {
+	switch {
+	case !m.requested():
+		return false
+	case !victim.requested():
+		return true
+	case len(victim.replicas) <= victim.desired:
+		return false
+	}
+	return victim.desired == 0 || len(victim.replicas)-victim.pending > 1
+}
+
+// setPriority computes the model's priority for the next load: the gain for each second that it
+// takes.
+func (w *pool) setPriority(m *model) {
+	load := m.LoadTime.Seconds()
+	if w.onDisk[m.Name] > 0 {
+		load *= diskLoadShare
+	}
+	m.priority = w.gain(m, len(m.replicas)) / max(load, 0.001)
+}
+
+// comparePriority orders models that compete for loads: first those whose turn has come, for as
+// many loads as are kept for turns, then by priority.
+func (w *pool) comparePriority(a, b *model) int {
+	if w.budget.turnTokens >= 1 && a.awaitsTurn() != b.awaitsTurn() {
+		if a.awaitsTurn() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(b.priority, a.priority)
+}
+
+// awaitsTurn reports whether the model's turn has come and its load isn't ordered yet.
+func (m *model) awaitsTurn() bool { return m.turn && len(m.replicas) == 0 }
+
+// gainHeap is a heap of models by the gain of their next place, the greatest first.
+type gainHeap struct {
+	models []*model
+	limits []int // places that each model can use
+	gains  []float64
+}
+
+func (h *gainHeap) Len() int           { return len(h.models) }
+func (h *gainHeap) Less(i, j int) bool { return h.gains[i] > h.gains[j] }
+
+func (h *gainHeap) Swap(i, j int) {
+	h.models[i], h.models[j] = h.models[j], h.models[i]
+	h.limits[i], h.limits[j] = h.limits[j], h.limits[i]
+	h.gains[i], h.gains[j] = h.gains[j], h.gains[i]
+}
+
+// Push implements heap.Interface; nothing is pushed.
+func (h *gainHeap) Push(any) {}
+
+// Pop implements heap.Interface.
+func (h *gainHeap) Pop() any {
+	n := len(h.models) - 1
+	h.models, h.limits, h.gains = h.models[:n], h.limits[:n], h.gains[:n]
+	return nil
+}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -305,7 +306,8 @@
 	for _, l := range c.planner.Shortages() {
 		c.o.Log.WithFields(logrus.Fields{
 			"service": l.Service, "model": l.Model, "demand": int(l.Concurrency + 0.5), "waiting": l.Waiting,
-			"wanted": l.Desired, "replicas": l.Replicas, "coming": l.Pending, "loads_left": int(l.LoadBudget),
+			"wanted": l.Desired, "places": l.Places, "gain": math.Round(100*l.Gain) / 100, "weight": math.Round(100*l.Weight) / 100,
+			"replicas": l.Replicas, "coming": l.Pending, "loads_left": int(l.LoadBudget),
 		}).Info("model lacks replicas")
 	}
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -109,6 +109,8 @@
 	requests      float64   // received, decaying with rateDecayTime
 	work          float64   // server time of the requests in seconds, decaying with workDecayTime
 	lastRequested time.Time // when a request was last reported
+	value         requestValue
+	goalAt        time.Time // when a request with that goal was last reported
 }
 
 // NewDemandTracker returns a tracker without any targets.
@@ -137,6 +139,7 @@
 			t.lastRequested = now
 			t.requests += float64(a.Requests)
 			t.work += a.Work.Seconds()
+			t.noteGoal(now, shortestGoal(&a))
 		}
 	}
 }
@@ -145,7 +148,7 @@
 func (d *DemandTracker) target(name string) *targetState {
 	t := d.targets[name]
 	if t == nil {
-		t = &targetState{}
+		t = &targetState{value: unknownValue}
 		d.targets[name] = t
 	}
 	return t
@@ -163,6 +166,10 @@
 			s := totals[target]
 			s.Waiting += a.Waiting
 			s.InFlight += a.InFlight
+			for rank, r := range a.ByRank {
+				s.ByRank[rank].Waiting += r.Waiting
+				s.ByRank[rank].InFlight += r.InFlight
+			}
 			totals[target] = s
 		}
 	}
@@ -177,6 +184,7 @@
 	d.updateHoldTime(now, totals, elapsed)
 	keep := math.Exp(-elapsed / d.decayTime.Seconds())
 	keepWork := math.Exp(-elapsed / workDecayTime.Seconds())
+	keepWeight := math.Exp(-elapsed / weightDecayTime.Seconds())
 	keepRate := math.Exp(-elapsed / rateDecayTime.Seconds())
 	for name, t := range d.targets {
 		sum := totals[name]
@@ -185,6 +193,9 @@
 		t.work *= keepWork
 		current := max(float64(sum.Waiting+sum.InFlight), t.requests/d.rateWindow(now)*d.holdSeconds*rateWeight)
 		t.concurrency = max(current, t.concurrency*keep+current*(1-keep))
+		if weight := meanWeight(&sum); weight > 0 {
+			t.value.weight = t.value.weight*keepWeight + weight*(1-keepWeight)
+		}
 		if t.concurrency < minDemand && now.Sub(t.lastRequested) > d.decayTime {
 			delete(d.targets, name)
 		}
@@ -249,6 +260,25 @@
 	return 0
 }
 
+// Value returns what the mean request for a target is worth.
+func (d *DemandTracker) Value(target string) requestValue {
+	if t := d.targets[target]; t != nil {
+		return t.value
+	}
+	return unknownValue
+}
+
+// noteGoal records the goal of requests just reported; 0: they have none. The shortest one of
+// the last decay time holds.
+func (t *targetState) noteGoal(now time.Time, goal time.Duration) {
+	if goal <= 0 {
+		return
+	}
+	if t.value.goal == 0 || goal <= t.value.goal || now.Sub(t.goalAt) > maxDecayTime {
+		t.value.goal, t.goalAt = goal, now
+	}
+}
+
 // Rate returns a target's recent request rate in requests per second.
 func (d *DemandTracker) Rate(now time.Time, target string) float64 {
 	if t := d.targets[target]; t != nil {
--- a/residency/place.go
+++ b/residency/place.go
@@ -17,9 +17,7 @@
 	underReplicated := w.underReplicated()
 	w.recordShortages(underReplicated)
 	for len(underReplicated) > 0 {
-		slices.SortStableFunc(underReplicated, func(a, b *model) int {
-			return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
-		})
+		w.sortByPriority(underReplicated)
 		m := underReplicated[0]
 		o, found := w.addReplica(m, "")
 		if o != nil {
@@ -32,6 +30,20 @@
 	return append(out, w.unloadDrained()...)
 }
 
+// sortByPriority sorts models that lack replicas, the one first whose load is ordered next.
+func (w *pool) sortByPriority(models []*model) {
+	if w.contended {
+		for _, m := range models {
+			w.setPriority(m)
+		}
+		slices.SortStableFunc(models, w.comparePriority)
+		return
+	}
+	slices.SortStableFunc(models, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
+	})
+}
+
 // underReplicated returns the models with fewer replicas than desired.
 func (w *pool) underReplicated() []*model {
 	var out []*model
@@ -49,10 +61,13 @@
 	Model       string
 	Concurrency float64 // recent demand, in concurrent requests
 	Waiting     int     // requests
-	Desired     int     // replicas
+	Desired     int     // replicas that its demand requires
+	Places      int     // replicas of them that there is room for
 	Replicas    int     // including pending ones
 	Pending     int     // replicas that are being loaded
 	LoadBudget  float64 // loads from the weight store that may still start
+	Gain        float64 // of one more replica, in weighted concurrent requests; see pool.gain
+	Weight      float64 // of a request, by rank and goal, from 0 to 1
 }
 
 // Shortages returns the requested models that lacked replicas in the newest plan.
@@ -64,7 +79,8 @@
 		if m.requested() {
 			w.p.shortages = append(w.p.shortages, Shortage{
 				Service: w.service.Name, Model: m.Name, Concurrency: m.concurrency, Waiting: m.waiting,
-				Desired: m.desired, Replicas: len(m.replicas), Pending: m.pending, LoadBudget: w.budget.tokens,
+				Desired: m.wanted, Places: m.desired, Gain: w.gain(m, len(m.replicas)), Weight: m.weight,
+				Replicas: len(m.replicas), Pending: m.pending, LoadBudget: w.budget.tokens,
 			})
 		}
 	}
@@ -133,7 +149,7 @@
 			cost += storeLoadCost * m.LoadTime.Seconds()
 		}
 		if !fits {
-			cost += unloadCost
+			cost += unloadCost + w.evictionLoss(victim)
 		}
 		if cost < bestCost {
 			best, bestCost, bestVictim = s, cost, victim
@@ -148,6 +164,15 @@
 	return w.assignReplica(best, m, bestVictim), true
 }
 
+// evictionLoss returns the part of a placement's cost for what an eviction takes from the
+// victim's demand, while models compete.
+func (w *pool) evictionLoss(victim *model) float64 {
+	if !w.contended {
+		return 0
+	}
+	return w.evictionCost(victim) / float64(max(w.engine.Slots, 1))
+}
+
 // maxStoreLoads bounds the concurrent loads from the weight store over all servers.
 // Loads beyond the product of the store's rate and a model's load time slow each other
 // down; one more keeps the store busy between two plans.
@@ -190,6 +215,9 @@
 // assignReplica assigns a replica of m to a server and returns the load order. If a
 // victim has to be unloaded first, it only starts to drain the victim, and returns nil.
 func (w *pool) assignReplica(target *server, m, victim *model) *Order {
+	if m.awaitsTurn() {
+		w.budget.turnTokens--
+	}
 	m.replicas = append(m.replicas, target)
 	if victim != nil {
 		victim.replicas = slices.DeleteFunc(victim.replicas, func(x *server) bool { return x == target })
@@ -236,6 +264,9 @@
 // evictionCost ranks the models that may lose a replica by the demand that each
 // remaining replica would have, and for a last replica by the capacity of one replica.
 func (w *pool) evictionCost(m *model) float64 {
+	if w.contended {
+		return w.gain(m, len(m.replicas)-1)
+	}
 	if len(m.replicas) < 2 {
 		return w.replicaCapacity()
 	}
@@ -258,6 +289,9 @@
 	if w.now.Sub(w.p.startedAt) < unloadHoldoff {
 		return false
 	}
+	if w.contended {
+		return w.mayTakePlace(victim, m)
+	}
 	remaining := len(victim.replicas) - 1
 	switch {
 	case remaining-victim.pending < 1: // the last replica that serves
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -75,18 +75,23 @@
 	limits    map[string]float64     // requests per second, by server that states a rate limit
 	startedAt time.Time              // when the first plan was made
 	shortages []Shortage             // of the newest plan
+	// unservedSince is since when requests wait for a model that no server serves, by target.
+	unservedSince map[string]time.Time
 }
 
 // loadBudget is a token bucket for the loads from the weight store of one service.
 type loadBudget struct {
 	tokens     float64
+	turnTokens float64 // of them, loads that are kept for turns; see turnLoadShare
 	refilledAt time.Time
 }
 
 // refill adds the tokens that have accrued at the given rate.
 func (b *loadBudget) refill(now time.Time, loadsPerSecond float64) {
 	if !b.refilledAt.IsZero() {
-		b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*loadsPerSecond*loadRateShare, loadBurst+loadsPerSecond*loadBurstTime.Seconds())
+		elapsed := now.Sub(b.refilledAt).Seconds()
+		b.turnTokens = min(b.turnTokens+elapsed*loadsPerSecond*turnLoadShare, turnBurst)
+		b.tokens = min(b.tokens+elapsed*loadsPerSecond*loadRateShare, loadBurst+loadsPerSecond*loadBurstTime.Seconds())
 	}
 	b.refilledAt = now
 }
@@ -94,7 +99,7 @@
 // NewPlanner returns a planner for a new lease. Its load budget starts empty, since the
 // previous holder may have just spent it.
 func NewPlanner(demand *DemandTracker) *Planner {
-	return &Planner{servers: map[string]*server{}, demand: demand, budgets: map[string]*loadBudget{}}
+	return &Planner{servers: map[string]*server{}, demand: demand, budgets: map[string]*loadBudget{}, unservedSince: map[string]time.Time{}}
 }
 
 // SetRateLimits sets the rate limits that servers state, in requests per second by
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -20,10 +20,12 @@
 	models      map[string]*model
 	modelList   []*model // in the order of the configuration
 	servers     []*server
-	rateLimited []*server // the servers among them that state a rate limit
-	demand      float64   // of all models, in concurrent requests
-	storeLoads  int       // loads from the weight store in progress
-	draining    int       // servers where a model drains or is being unloaded
+	rateLimited []*server      // the servers among them that state a rate limit
+	demand      float64        // of all models, in concurrent requests
+	storeLoads  int            // loads from the weight store in progress
+	draining    int            // servers where a model drains or is being unloaded
+	contended   bool           // models compete for places; see competes
+	onDisk      map[string]int // servers that hold each model on disk, if contended
 }
 
 // model is the state of one model of a pool while a plan is computed.
@@ -33,9 +35,15 @@
 	concurrency float64 // demand in concurrent requests, including its adapters'; at least the equivalent of busyServers
 	busyServers float64 // servers that the requests' work keeps busy
 	waiting     int
-	desired     int // replicas
+	wanted      int // replicas that its demand requires
+	desired     int // replicas of them that it has places for
 	replicas    []*server
-	pending     int // replicas that are still being loaded
+	pending     int           // replicas that are still being loaded
+	weight      float64       // what the mean request is worth, by rank and goal
+	goal        time.Duration // shortest time to the first token that its requests ask for; 0: none
+	unserved    time.Duration // how long requests have waited for it without a replica that serves
+	turn        bool          // it gets a place since its requests waited
+	priority    float64       // of its next load, if contended
 	// versions are the software versions at which streams of the model go on.
 	versions []string
 }
@@ -73,24 +81,40 @@
 	}
 	w.budget.refill(now, w.engine.LoadsPerSecond)
 	for _, m := range w.modelList {
+		m.setWeight()
 		m.concurrency = max(m.concurrency, m.busyServers/replicaWorkShare*w.replicaCapacity())
 		w.demand += m.concurrency
 	}
 	for _, m := range w.modelList {
 		m.desired = w.desired(m.concurrency)
 	}
-	w.limitDesired()
+	w.updateUnserved()
+	w.divide()
 	return w
 }
 
 // addDemand adds the demand for a target.
 func (m *model) addDemand(now time.Time, demand *DemandTracker, target string) {
 	m.rate += demand.Rate(now, target)
-	m.concurrency += demand.Concurrency(target)
+	concurrency, value := demand.Concurrency(target), demand.Value(target)
+	m.concurrency += concurrency
+	m.weight += concurrency * value.weight * goalUrgency(value.goal, m.LoadTime)
+	if value.goal > 0 && (m.goal == 0 || value.goal < m.goal) {
+		m.goal = value.goal
+	}
 	m.waiting += demand.Waiting(target)
 	m.busyServers += demand.Work(target)
 }
 
+// setWeight divides the sum of the weights by the requests that it was taken over.
+func (m *model) setWeight() {
+	if m.concurrency > 0 {
+		m.weight /= m.concurrency
+	} else {
+		m.weight = unknownValue.weight
+	}
+}
+
 // drainComplete reports whether all instances have stopped using a draining model.
 func (w *pool) drainComplete(draining *drainingModel) bool {
 	if w.now.Sub(draining.startedAt) >= maxDrainTime {
@@ -180,19 +204,42 @@
 	return min(max(int(min(busy, share)), 1), servers)
 }
 
-// limitDesired reduces the desired replicas of the models that desire most until all
-// requested models fit. A model with little demand can then always be placed again
-// after it was evicted for a busy one.
-func (w *pool) limitDesired() {
-	sum := 0
-	var busiest []*model
+// divide divides the pool's places among the models whose demand requires more replicas than
+// there is room for.
+func (w *pool) divide() {
+	sum, places := 0, w.modelCapacity()
+	var requested []*model
 	for _, m := range w.modelList {
+		m.wanted = m.desired
 		if m.requested() {
 			sum += m.desired
-			busiest = append(busiest, m)
+			requested = append(requested, m)
+		}
+	}
+	w.contended = w.competes(sum, len(requested), places)
+	if !w.contended {
+		limitDesired(requested, sum-places)
+		return
+	}
+	w.allocatePlaces(places)
+	w.countOnDisk()
+}
+
+// countOnDisk counts the servers that hold each model on disk.
+func (w *pool) countOnDisk() {
+	w.onDisk = make(map[string]int, len(w.modelList))
+	for _, s := range w.servers {
+		for _, name := range s.OnDisk {
+			w.onDisk[name]++
 		}
 	}
-	for modelCapacity := w.modelCapacity(); sum > modelCapacity; sum-- {
+}
+
+// limitDesired takes the given number of desired replicas from the models that desire most, but
+// leaves each of them one. A model with little demand can then always be placed again after it
+// was evicted for a busy one.
+func limitDesired(busiest []*model, excess int) {
+	for ; excess > 0; excess-- {
 		largest := slices.MaxFunc(busiest, func(a, b *model) int { return cmp.Compare(a.desired, b.desired) })
 		if largest.desired <= 1 {
 			return
