--- a/residency/contention.go
+++ b/residency/contention.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -26,42 +27,59 @@
 	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
 	// from the weight store.
 	diskLoadShare = 0.2
+	// smallGainShare is the share of a useful batch below which a replica's gain is small, and
+	// smallGainServers the share of a pool's servers that may be loading such replicas at once. A
+	// server carries out one order at a time, and a load that has begun isn't stopped: the other
+	// servers are kept for demand that moves.
+	smallGainShare   = 0.25
+	smallGainServers = 0.3
+	// idleLoadServers is the share of a pool's servers that may be loading models without
+	// requests at once, while not all models fit.
+	idleLoadServers = 0.1
 )
 
-// competes reports whether models compete for the pool's places: more replicas are desired than
-// there is room for, and the requests differ in rank or goal, or not even one replica of each
-// requested model fits.
-func (w *pool) competes(desired, requested, places int) bool {
+// competes reports whether models compete for the pool's places and loads: not all desired
+// replicas fit, and the requests differ in rank or goal, or not even one replica of each requested
+// model fits.
+func (w *pool) competes(requested []*model, places int) bool {
+	desired := 0
+	for _, m := range w.modelList {
+		desired += m.desired
+	}
 	if desired <= places {
 		return false
 	}
-	if requested > places {
+	if len(requested) > places {
 		return true
 	}
-	least, most := 0.0, 0.0
-	for _, m := range w.modelList {
-		if !m.requested() {
-			continue
-		}
-		if least == 0 || m.weight < least {
-			least = m.weight
-		}
-		most = max(most, m.weight)
+	least, most := math.Inf(1), 0.0
+	for _, m := range requested {
+		least, most = min(least, m.weight), max(most, m.weight)
 	}
 	return most > valueSpread*least
 }
 
+// desireByValue computes the desired replicas of the requested models by their share of the
+// pool's weighted demand, so that what waits for less urgent models takes none from the others.
+func (w *pool) desireByValue(requested []*model) {
+	total := 0.0
+	for _, m := range requested {
+		total += m.weight * m.concurrency
+	}
+	for _, m := range requested {
+		m.desired = w.desiredOf(m.concurrency, m.weight*m.concurrency/max(total, minDemand))
+		m.wanted = m.desired
+	}
+}
+
 // allocatePlaces divides the pool's places among the requested models: first one for each model
 // whose turn has come, then each further place to the model that gains most by it, up to the
 // replicas that it desires. A model may be left without a place; it gets a turn.
-func (w *pool) allocatePlaces(places int) {
-	var h gainHeap
-	for _, m := range w.modelList {
-		if m.requested() {
-			h.limits = append(h.limits, m.desired)
-			m.desired = 0
-			h.models = append(h.models, m)
-		}
+func (w *pool) allocatePlaces(requested []*model, places int) {
+	h := gainHeap{models: slices.Clone(requested)}
+	for _, m := range requested {
+		h.limits = append(h.limits, m.desired)
+		m.desired = 0
 	}
 	turns := w.dueModels()
 	for _, m := range turns[:min(len(turns), max(1, int(turnPlaceShare*float64(places))))] {
@@ -133,6 +151,49 @@
 	}
 }
 
+// gainIsSmall reports whether the nth replica of the model gains little.
+func (w *pool) gainIsSmall(m *model, n int) bool {
+	return w.gain(m, n-1) < smallGainShare*usefulBatchShare*float64(max(w.engine.Slots, 1))
+}
+
+// countLoads counts the servers that are loading replicas of small gain, or of models without
+// requests.
+func (w *pool) countLoads() {
+	for _, s := range w.servers {
+		m := w.models[s.loadingModel()]
+		switch {
+		case m == nil:
+		case !m.requested():
+			w.idleLoads++
+			w.smallGainLoads++
+		case w.gainIsSmall(m, len(m.replicas)):
+			w.smallGainLoads++
+		}
+	}
+}
+
+// mayLoad reports whether one more load of the model may begin beside those that are going on.
+func (w *pool) mayLoad(m *model) bool {
+	servers := float64(len(w.servers))
+	switch {
+	case w.crowded && !m.requested():
+		return float64(w.idleLoads) < max(1, idleLoadServers*servers)
+	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
+		return float64(w.smallGainLoads) < max(1, smallGainServers*servers)
+	}
+	return true
+}
+
+// countLoad counts a load that begins.
+func (w *pool) countLoad(m *model) {
+	if !m.requested() {
+		w.idleLoads++
+	}
+	if w.gainIsSmall(m, len(m.replicas)) {
+		w.smallGainLoads++
+	}
+}
+
 // mayTakePlace reports whether a replica of the victim may be evicted for one of m while models
 // compete: the victim isn't requested, or has more replicas than places. The last one that
 // serves stays while others are being loaded.
--- a/residency/place.go
+++ b/residency/place.go
@@ -126,6 +126,9 @@
 // replica of a model and returns the order to load the model there, or nil if another model has
 // to drain first. found is false if no server is suitable.
 func (w *pool) addReplica(m *model, version string) (o *Order, found bool) {
+	if version == "" && !w.mayLoad(m) {
+		return nil, false
+	}
 	var best *server
 	bestCost := math.Inf(1)
 	var bestVictim *model
@@ -219,6 +222,7 @@
 		w.budget.turnTokens--
 	}
 	m.replicas = append(m.replicas, target)
+	w.countLoad(m)
 	if victim != nil {
 		victim.replicas = slices.DeleteFunc(victim.replicas, func(x *server) bool { return x == target })
 		target.draining = &drainingModel{model: victim.Name, successor: m.Name, startedAt: w.now}
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -12,20 +12,23 @@
 
 // pool is the state of one service's servers while one plan is computed.
 type pool struct {
-	p           *Planner
-	now         time.Time
-	service     *topology.Service
-	engine      *topology.Engine
-	budget      *loadBudget
-	models      map[string]*model
-	modelList   []*model // in the order of the configuration
-	servers     []*server
-	rateLimited []*server      // the servers among them that state a rate limit
-	demand      float64        // of all models, in concurrent requests
-	storeLoads  int            // loads from the weight store in progress
-	draining    int            // servers where a model drains or is being unloaded
-	contended   bool           // models compete for places; see competes
-	onDisk      map[string]int // servers that hold each model on disk, if contended
+	p              *Planner
+	now            time.Time
+	service        *topology.Service
+	engine         *topology.Engine
+	budget         *loadBudget
+	models         map[string]*model
+	modelList      []*model // in the order of the configuration
+	servers        []*server
+	rateLimited    []*server      // the servers among them that state a rate limit
+	demand         float64        // of all models, in concurrent requests
+	storeLoads     int            // loads from the weight store in progress
+	draining       int            // servers where a model drains or is being unloaded
+	contended      bool           // models compete for places and loads; see competes
+	crowded        bool           // not all models fit, with one replica each
+	idleLoads      int            // servers that load models without requests
+	smallGainLoads int            // servers that load replicas of small gain
+	onDisk         map[string]int // servers that hold each model on disk, if contended
 }
 
 // model is the state of one model of a pool while a plan is computed.
@@ -198,9 +201,14 @@
 // desired returns how many replicas a concurrency requires: the model's share of the
 // servers with some slack, but no more replicas than would be busy.
 func (w *pool) desired(concurrency float64) int {
+	return w.desiredOf(concurrency, concurrency/max(w.demand, 1))
+}
+
+// desiredOf is desired for a given share of the pool's total demand.
+func (w *pool) desiredOf(concurrency, ofDemand float64) int {
 	servers := max(len(w.servers), 1)
 	busy := math.Ceil(concurrency / w.replicaCapacity())
-	share := math.Ceil(concurrency / max(w.demand, 1) * float64(servers) * serverShareSlack)
+	share := math.Ceil(ofDemand * float64(servers) * serverShareSlack)
 	return min(max(int(min(busy, share)), 1), servers)
 }
 
@@ -216,13 +224,16 @@
 			requested = append(requested, m)
 		}
 	}
-	w.contended = w.competes(sum, len(requested), places)
-	if !w.contended {
+	w.crowded = len(w.modelList) > places
+	w.contended = w.competes(requested, places)
+	if w.contended {
+		w.desireByValue(requested)
+		w.allocatePlaces(requested, places)
+		w.countOnDisk()
+	} else {
 		limitDesired(requested, sum-places)
-		return
 	}
-	w.allocatePlaces(places)
-	w.countOnDisk()
+	w.countLoads()
 }
 
 // countOnDisk counts the servers that hold each model on disk.
--- a/residency/server.go
+++ b/residency/server.go
@@ -289,6 +289,20 @@
 	return !o.order.Unload && o.order.Sequence > s.sequence
 }
 
+// loadingModel returns the model that the server loads, or will once another has drained; empty:
+// none.
+func (s *server) loadingModel() string {
+	if s.draining != nil {
+		return s.draining.successor
+	}
+	for _, o := range []*Order{s.executing, s.orderInFlight} {
+		if o != nil && !o.Unload && o.Adapter == "" {
+			return o.Model
+		}
+	}
+	return ""
+}
+
 // isUnloading reports whether the model drains or is being unloaded.
 func (s *server) isUnloading(model string) bool {
 	if s.draining != nil && s.draining.model == model {
