--- a/residency/contention.go
+++ b/residency/contention.go
@@ -33,6 +33,8 @@
 	// servers are kept for demand that moves.
 	smallGainShare   = 0.25
 	smallGainServers = 0.3
+	// freeServers is the share of a pool's servers below which loads of any gain may begin.
+	freeServers = 0.6
 	// idleLoadServers is the share of a pool's servers that may be loading models without
 	// requests at once, while not all models fit.
 	idleLoadServers = 0.1
@@ -67,11 +69,16 @@
 		total += m.weight * m.concurrency
 	}
 	for _, m := range requested {
-		m.desired = w.desiredOf(m.concurrency, m.weight*m.concurrency/max(total, minDemand))
+		m.desired = max(w.desiredOf(m.concurrency, m.weight*m.concurrency/max(total, minDemand)), w.usefulReplicas(m))
 		m.wanted = m.desired
 	}
 }
 
+// usefulReplicas returns how many replicas serve the model's demand with a useful batch each.
+func (w *pool) usefulReplicas(m *model) int {
+	return min(int(math.Ceil(m.concurrency/w.usefulBatch())), len(w.servers))
+}
+
 // allocatePlaces divides the pool's places among the requested models: first one for each model
 // whose turn has come, then each further place to the model that gains most by it, up to the
 // replicas that it desires. A model may be left without a place; it gets a turn.
@@ -153,7 +160,7 @@
 
 // gainIsSmall reports whether the nth replica of the model gains little.
 func (w *pool) gainIsSmall(m *model, n int) bool {
-	return w.gain(m, n-1) < smallGainShare*usefulBatchShare*float64(max(w.engine.Slots, 1))
+	return w.gain(m, n-1) < smallGainShare*w.usefulBatch()
 }
 
 // countLoads counts the servers that are loading replicas of small gain, or of models without
@@ -161,6 +168,9 @@
 func (w *pool) countLoads() {
 	for _, s := range w.servers {
 		m := w.models[s.loadingModel()]
+		if m != nil {
+			w.loads++
+		}
 		switch {
 		case m == nil:
 		case !m.requested():
@@ -179,13 +189,14 @@
 	case w.crowded && !m.requested():
 		return float64(w.idleLoads) < max(1, idleLoadServers*servers)
 	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
-		return float64(w.smallGainLoads) < max(1, smallGainServers*servers)
+		return float64(w.smallGainLoads) < max(1, smallGainServers*servers) || float64(w.loads) < freeServers*servers
 	}
 	return true
 }
 
 // countLoad counts a load that begins.
 func (w *pool) countLoad(m *model) {
+	w.loads++
 	if !m.requested() {
 		w.idleLoads++
 	}
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -26,6 +26,7 @@
 	draining       int            // servers where a model drains or is being unloaded
 	contended      bool           // models compete for places and loads; see competes
 	crowded        bool           // not all models fit, with one replica each
+	loads          int            // servers that load a model, or will once another has drained
 	idleLoads      int            // servers that load models without requests
 	smallGainLoads int            // servers that load replicas of small gain
 	onDisk         map[string]int // servers that hold each model on disk, if contended
--- a/residency/value.go
+++ b/residency/value.go
@@ -78,6 +78,10 @@
 	if m.concurrency <= 0 {
 		return 0
 	}
-	share := usefulBatchShare * float64(max(w.engine.Slots, 1)) / m.concurrency
+	share := w.usefulBatch() / m.concurrency
 	return m.weight * m.concurrency * math.Exp(-float64(n)*share) * (1 - math.Exp(-share))
 }
+
+// usefulBatch returns how many requests for one model a server serves without letting them wait
+// for each other.
+func (w *pool) usefulBatch() float64 { return usefulBatchShare * float64(max(w.engine.Slots, 1)) }
