--- a/residency/contention.go
+++ b/residency/contention.go
@@ -186,6 +186,8 @@
 func (w *pool) mayLoad(m *model) bool {
 	servers := float64(len(w.servers))
 	switch {
+	case w.contended && !m.requested():
+		return false
 	case w.crowded && !m.requested():
 		return float64(w.idleLoads) < max(1, idleLoadServers*servers)
 	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
--- a/residency/value.go
+++ b/residency/value.go
@@ -9,7 +9,9 @@
 
 const (
 	// rankStep is how many requests of the next less urgent rank count as much as one request.
-	rankStep = 1.5
+	rankStep = 1.3
+	// patientLoads is how many loads a request may wait for until half of its urgency is gone.
+	patientLoads = 2
 	// usefulBatchShare is the share of a server's batch up to which the requests of one model
 	// are served there without waiting for each other. The rest is left to the server's other
 	// models and to uneven arrivals.
@@ -68,7 +70,8 @@
 	if goal <= 0 || load <= 0 {
 		return 1
 	}
-	return float64(load) / float64(load+goal)
+	patience := patientLoads * load
+	return float64(patience) / float64(patience+goal)
 }
 
 // gain returns what the replica after the first n ones adds to a model's demand that is served,
