--- a/residency/contention.go
+++ b/residency/contention.go
@@ -22,6 +22,12 @@
 	// store's rate, that are kept for turns.
 	turnPlaceShare = 0.34
 	turnLoadShare  = 0.3
+	// arrivalSlack is how far the demand of a model may exceed its mean arrivals times the mean
+	// time that a request occupies a slot: the time differs by model, and rising arrivals show late.
+	arrivalSlack = 2.0
+	// storeLoadShare is the share of the concurrent loads at which the weight store's loads slow
+	// each other down that is used while models compete: a late replica gains little.
+	storeLoadShare = 0.9
 	// turnBurst is how many turns may begin at once.
 	turnBurst = 2.0
 	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
@@ -66,6 +72,7 @@
 func (w *pool) desireByValue(requested []*model) {
 	total := 0.0
 	for _, m := range requested {
+		m.concurrency = min(m.concurrency, w.steadyDemand(m))
 		total += m.weight * m.concurrency
 	}
 	for _, m := range requested {
@@ -74,6 +81,12 @@
 	}
 }
 
+// steadyDemand returns the demand, in concurrent requests, that a model's recent arrivals bring
+// with enough replicas. What waits already is past its goal when a load is done.
+func (w *pool) steadyDemand(m *model) float64 {
+	return 1 + arrivalSlack*m.rate*w.p.demand.HoldSeconds()
+}
+
 // usefulReplicas returns how many replicas serve the model's demand with a useful batch each.
 func (w *pool) usefulReplicas(m *model) int {
 	return min(int(math.Ceil(m.concurrency/w.usefulBatch())), len(w.servers))
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -260,6 +260,9 @@
 	return 0
 }
 
+// HoldSeconds returns the mean time in seconds that a request occupies a slot.
+func (d *DemandTracker) HoldSeconds() float64 { return d.holdSeconds }
+
 // Value returns what the mean request for a target is worth.
 func (d *DemandTracker) Value(target string) requestValue {
 	if t := d.targets[target]; t != nil {
--- a/residency/place.go
+++ b/residency/place.go
@@ -180,6 +180,9 @@
 // Loads beyond the product of the store's rate and a model's load time slow each other
 // down; one more keeps the store busy between two plans.
 func (w *pool) maxStoreLoads(m *model) int {
+	if w.contended {
+		return max(1, int(storeLoadShare*w.engine.LoadsPerSecond*m.LoadTime.Seconds()))
+	}
 	return int(math.Ceil(w.engine.LoadsPerSecond*m.LoadTime.Seconds())) + 1
 }
 
