--- a/residency/contention.go
+++ b/residency/contention.go
@@ -18,10 +18,8 @@
 	// turnShare is the share of its goal after which a model whose requests wait without a
 	// replica gets a turn. The rest of the goal is left to the load.
 	turnShare = 0.25
-	// turnPlaceShare is the share of a pool's places, and turnLoadShare the share of the weight
-	// store's rate, that are kept for turns.
-	turnPlaceShare = 0.34
-	turnLoadShare  = 0.3
+	// turnLoadShare is the share of the weight store's rate that is kept for turns.
+	turnLoadShare = 0.3
 	// arrivalSlack is how far the demand of a model may exceed its mean arrivals times the mean
 	// time that a request occupies a slot: the time differs by model, and rising arrivals show late.
 	arrivalSlack = 2.0
@@ -33,14 +31,21 @@
 	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
 	// from the weight store.
 	diskLoadShare = 0.2
-	// smallGainShare is the share of a useful batch below which a replica's gain is small, and
-	// smallGainServers the share of a pool's servers that may be loading such replicas at once. A
-	// server carries out one order at a time, and a load that has begun isn't stopped: the other
-	// servers are kept for demand that moves.
+	// smallGainShare is the share of a useful batch below which a replica's gain is small. Such
+	// loads begin only while less than freeServers of the pool's servers load anything, first
+	// replicas whose turn has come also while less than firstLoadServers load such ones: a server
+	// carries out one order at a time, and a load that has begun isn't stopped. The other servers
+	// are kept for demand that moves.
 	smallGainShare   = 0.25
+	freeServers      = 0.6
+	firstLoadServers = 0.3
+	// fillShare is how much a busy server is preferred for a model with little demand, relative to
+	// the room for all of its demand.
+	fillShare = 0.25
+	// reloadShare is what loading a model again costs, as a share of a useful batch: about the
+	// gain of the load that waits for it.
+	reloadShare      = 0.25
 	smallGainServers = 0.3
-	// freeServers is the share of a pool's servers below which loads of any gain may begin.
-	freeServers = 0.6
 	// idleLoadServers is the share of a pool's servers that may be loading models without
 	// requests at once, while not all models fit.
 	idleLoadServers = 0.1
@@ -84,7 +89,7 @@
 // steadyDemand returns the demand, in concurrent requests, that a model's recent arrivals bring
 // with enough replicas. What waits already is past its goal when a load is done.
 func (w *pool) steadyDemand(m *model) float64 {
-	return 1 + arrivalSlack*m.rate*w.p.demand.HoldSeconds()
+	return min(float64(m.waiting), 1) + arrivalSlack*m.rate*w.p.demand.HoldSeconds()
 }
 
 // usefulReplicas returns how many replicas serve the model's demand with a useful batch each.
@@ -96,25 +101,25 @@
 // whose turn has come, then each further place to the model that gains most by it, up to the
 // replicas that it desires. A model may be left without a place; it gets a turn.
 func (w *pool) allocatePlaces(requested []*model, places int) {
-	h := gainHeap{models: slices.Clone(requested)}
 	for _, m := range requested {
-		h.limits = append(h.limits, m.desired)
 		m.desired = 0
 	}
 	turns := w.dueModels()
-	for _, m := range turns[:min(len(turns), max(1, int(turnPlaceShare*float64(places))))] {
+	for _, m := range turns[:min(len(turns), places, max(1, int(firstLoadServers*float64(len(w.servers)))))] {
 		m.turn, m.desired = true, 1
 		places--
 	}
-	h.gains = make([]float64, len(h.models))
-	for i, m := range h.models {
-		h.gains[i] = w.allocationGain(m)
+	var h gainHeap
+	for _, m := range requested {
+		if m.desired < m.wanted {
+			h.models, h.gains = append(h.models, m), append(h.gains, w.allocationGain(m))
+		}
 	}
 	heap.Init(&h)
 	for ; places > 0 && h.Len() > 0; places-- {
 		m := h.models[0]
 		m.desired++
-		if m.desired >= h.limits[0] {
+		if m.desired >= m.wanted {
 			heap.Pop(&h)
 			continue
 		}
@@ -126,16 +131,25 @@
 // allocationGain returns the gain of the next place for a model; it counts more if the model
 // fills the place already.
 func (w *pool) allocationGain(m *model) float64 {
-	gain := w.gain(m, m.desired)
 	if m.desired < len(m.replicas) {
-		gain *= keepFactor
+		return keepFactor * w.lossWithout(m, m.desired)
+	}
+	return w.gain(m, m.desired)
+}
+
+// lossWithout returns what the model loses without the replica after its first n ones. Without the
+// only one it has to be loaded again, which keeps a server from another load.
+func (w *pool) lossWithout(m *model, n int) float64 {
+	loss := w.gain(m, n)
+	if n == 0 {
+		loss += reloadShare * w.usefulBatch() * min(m.concurrency, 1)
 	}
-	return gain
+	return loss
 }
 
 // dueModels returns the models whose requests have waited without a replica for a part of their
-// goal, those first whose wait weighs most. A wait counts the more the longer it lasts, so that
-// each model comes to its turn.
+// goal: first those that are being loaded, then those whose wait weighs most. A wait counts the more
+// the longer it lasts, so that each model comes to its turn.
 func (w *pool) dueModels() []*model {
 	var out []*model
 	for _, m := range w.modelList {
@@ -143,10 +157,9 @@
 			out = append(out, m)
 		}
 	}
-	weight := func(m *model) float64 {
-		return w.gain(m, 0) * m.unserved.Seconds() / max(m.goal, minTurnGoal).Seconds()
-	}
-	slices.SortStableFunc(out, func(a, b *model) int { return cmp.Compare(weight(b), weight(a)) })
+	slices.SortStableFunc(out, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(b.pending, a.pending), cmp.Compare(w.turnGain(b), w.turnGain(a)))
+	})
 	return out
 }
 
@@ -176,8 +189,8 @@
 	return w.gain(m, n-1) < smallGainShare*w.usefulBatch()
 }
 
-// countLoads counts the servers that are loading replicas of small gain, or of models without
-// requests.
+// countLoads counts the servers that are loading models, among them first replicas of small gain
+// and models without requests.
 func (w *pool) countLoads() {
 	for _, s := range w.servers {
 		m := w.models[s.loadingModel()]
@@ -188,9 +201,8 @@
 		case m == nil:
 		case !m.requested():
 			w.idleLoads++
-			w.smallGainLoads++
-		case w.gainIsSmall(m, len(m.replicas)):
-			w.smallGainLoads++
+		case len(m.replicas) == m.pending && w.gainIsSmall(m, 1):
+			w.firstLoads++
 		}
 	}
 }
@@ -204,7 +216,7 @@
 	case w.crowded && !m.requested():
 		return float64(w.idleLoads) < max(1, idleLoadServers*servers)
 	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
-		return float64(w.smallGainLoads) < max(1, smallGainServers*servers) || float64(w.loads) < freeServers*servers
+		return float64(w.loads) < freeServers*servers || m.awaitsTurn() && float64(w.firstLoads) < max(1, firstLoadServers*servers)
 	}
 	return true
 }
@@ -215,13 +227,32 @@
 	if !m.requested() {
 		w.idleLoads++
 	}
-	if w.gainIsSmall(m, len(m.replicas)) {
-		w.smallGainLoads++
+	if len(m.replicas) == 1 && w.gainIsSmall(m, 1) {
+		w.firstLoads++
 	}
 }
 
+// roomCost returns the cost of placing the model on a server, in full batches, while models compete:
+// the part of its demand that the server has no slots for beside its other models. A model with
+// little demand goes to the busiest of the servers with room, and leaves the others to models that
+// need them.
+func (w *pool) roomCost(s *server, m, victim *model) float64 {
+	slots := float64(max(w.engine.Slots, 1))
+	used := w.utilization(s)
+	if victim != nil {
+		used -= victim.concurrency / float64(max(len(victim.replicas), 1)) / slots
+	}
+	need := min(m.concurrency/float64(len(m.replicas)+1), w.usefulBatch()) / slots
+	lack := max(0, need-max(0, 1-used))
+	if m.concurrency < w.usefulBatch() {
+		return lack/max(need, minDemand/slots) - fillShare*min(used, 1)
+	}
+	return lack/max(need, minDemand/slots) + used
+}
+
 // mayTakePlace reports whether a replica of the victim may be evicted for one of m while models
-// compete: the victim isn't requested, or has more replicas than places. The last one that
+// compete: the victim isn't requested, has more replicas than places, or has served what
+// waited and loses clearly less than m gains, whose requests have waited for long. The last one that
 // serves stays while others are being loaded.
 func (w *pool) mayTakePlace(victim, m *model) bool {
 	switch {
@@ -229,10 +260,18 @@
 		return false
 	case !victim.requested():
 		return true
-	case len(victim.replicas) <= victim.desired:
+	case len(victim.replicas)-victim.pending <= 1 && victim.pending > 0:
 		return false
+	case len(victim.replicas) > victim.desired:
+		return true
 	}
-	return victim.desired == 0 || len(victim.replicas)-victim.pending > 1
+	return m.awaitsTurn() && victim.waiting == 0 && w.turnGain(m) > keepFactor*w.lossWithout(victim, len(victim.replicas)-1)
+}
+
+// turnGain returns the gain of a first replica, which counts the more the longer requests have
+// waited for it.
+func (w *pool) turnGain(m *model) float64 {
+	return w.gain(m, 0) * m.unserved.Seconds() / (turnShare * max(m.goal, minTurnGoal).Seconds())
 }
 
 // setPriority computes the model's priority for the next load: the gain for each second that it
@@ -248,22 +287,26 @@
 // comparePriority orders models that compete for loads: first those whose turn has come, for as
 // many loads as are kept for turns, then by priority.
 func (w *pool) comparePriority(a, b *model) int {
-	if w.budget.turnTokens >= 1 && a.awaitsTurn() != b.awaitsTurn() {
-		if a.awaitsTurn() {
-			return -1
-		}
-		return 1
+	if w.budget.turnTokens >= 1 && (a.awaitsTurn() || b.awaitsTurn()) {
+		return cmp.Compare(w.waitedGain(b), w.waitedGain(a))
 	}
 	return cmp.Compare(b.priority, a.priority)
 }
 
+// waitedGain returns the gain of the model's turn, 0 if it awaits none.
+func (w *pool) waitedGain(m *model) float64 {
+	if !m.awaitsTurn() {
+		return 0
+	}
+	return w.turnGain(m)
+}
+
 // awaitsTurn reports whether the model's turn has come and its load isn't ordered yet.
 func (m *model) awaitsTurn() bool { return m.turn && len(m.replicas) == 0 }
 
 // gainHeap is a heap of models by the gain of their next place, the greatest first.
 type gainHeap struct {
 	models []*model
-	limits []int // places that each model can use
 	gains  []float64
 }
 
@@ -272,7 +315,6 @@
 
 func (h *gainHeap) Swap(i, j int) {
 	h.models[i], h.models[j] = h.models[j], h.models[i]
-	h.limits[i], h.limits[j] = h.limits[j], h.limits[i]
 	h.gains[i], h.gains[j] = h.gains[j], h.gains[i]
 }
 
@@ -282,6 +324,6 @@
 // Pop implements heap.Interface.
 func (h *gainHeap) Pop() any {
 	n := len(h.models) - 1
-	h.models, h.limits, h.gains = h.models[:n], h.limits[:n], h.gains[:n]
+	h.models, h.gains = h.models[:n], h.gains[:n]
 	return nil
 }
--- a/residency/place.go
+++ b/residency/place.go
@@ -148,6 +148,9 @@
 			continue
 		}
 		cost := w.placementCost(s, m)
+		if w.contended {
+			cost = w.roomCost(s, m, victim)
+		}
 		if !onDisk {
 			cost += storeLoadCost * m.LoadTime.Seconds()
 		}
@@ -222,7 +225,7 @@
 // victim has to be unloaded first, it only starts to drain the victim, and returns nil.
 func (w *pool) assignReplica(target *server, m, victim *model) *Order {
 	if m.awaitsTurn() {
-		w.budget.turnTokens--
+		w.budget.turnTokens = max(w.budget.turnTokens-1, 0)
 	}
 	m.replicas = append(m.replicas, target)
 	w.countLoad(m)
@@ -272,7 +275,7 @@
 // remaining replica would have, and for a last replica by the capacity of one replica.
 func (w *pool) evictionCost(m *model) float64 {
 	if w.contended {
-		return w.gain(m, len(m.replicas)-1)
+		return w.lossWithout(m, len(m.replicas)-1)
 	}
 	if len(m.replicas) < 2 {
 		return w.replicaCapacity()
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -12,24 +12,24 @@
 
 // pool is the state of one service's servers while one plan is computed.
 type pool struct {
-	p              *Planner
-	now            time.Time
-	service        *topology.Service
-	engine         *topology.Engine
-	budget         *loadBudget
-	models         map[string]*model
-	modelList      []*model // in the order of the configuration
-	servers        []*server
-	rateLimited    []*server      // the servers among them that state a rate limit
-	demand         float64        // of all models, in concurrent requests
-	storeLoads     int            // loads from the weight store in progress
-	draining       int            // servers where a model drains or is being unloaded
-	contended      bool           // models compete for places and loads; see competes
-	crowded        bool           // not all models fit, with one replica each
-	loads          int            // servers that load a model, or will once another has drained
-	idleLoads      int            // servers that load models without requests
-	smallGainLoads int            // servers that load replicas of small gain
-	onDisk         map[string]int // servers that hold each model on disk, if contended
+	p           *Planner
+	now         time.Time
+	service     *topology.Service
+	engine      *topology.Engine
+	budget      *loadBudget
+	models      map[string]*model
+	modelList   []*model // in the order of the configuration
+	servers     []*server
+	rateLimited []*server      // the servers among them that state a rate limit
+	demand      float64        // of all models, in concurrent requests
+	storeLoads  int            // loads from the weight store in progress
+	draining    int            // servers where a model drains or is being unloaded
+	contended   bool           // models compete for places and loads; see competes
+	crowded     bool           // not all models fit, with one replica each
+	loads       int            // servers that load a model, or will once another has drained
+	idleLoads   int            // servers that load models without requests
+	firstLoads  int            // servers that load the first replica of a model with little demand
+	onDisk      map[string]int // servers that hold each model on disk, if contended
 }
 
 // model is the state of one model of a pool while a plan is computed.
--- a/residency/replay_test.go
+++ b/residency/replay_test.go
@@ -42,6 +42,10 @@
 	weights []float64
 	hotRate float64 // requests per second for hot models
 	rare    float64 // requests per second over all models that can't become hot
+
+	rareDeadline time.Duration // of requests for them; 0: as all others
+	fair         bool          // waiting requests take free slots in random order of the models
+
 	waiting map[int][]*simRequest
 	running map[*simServer][]*simRequest
 	arrived map[string]int
@@ -186,7 +190,7 @@
 			}
 		}
 	}
-	for m := range r.models {
+	for _, m := range r.serveOrder() {
 		name := fmt.Sprint("m", m)
 		var left []*simRequest
 		for _, q := range r.sortQueue(r.waiting[m]) {
@@ -200,7 +204,7 @@
 			switch {
 			case best != nil:
 				r.startRequest(q, best, age)
-			case age > abandonAfter:
+			case age > r.deadline(q):
 				r.abandoned++
 			default:
 				left = append(left, q)
@@ -210,6 +214,26 @@
 	}
 }
 
+// serveOrder returns the models in the order in which their waiting requests take free slots.
+func (r *workload) serveOrder() []int {
+	if r.fair {
+		return r.rng.Perm(r.models)
+	}
+	out := make([]int, r.models)
+	for m := range out {
+		out[m] = m
+	}
+	return out
+}
+
+// deadline returns how long a request waits until it is abandoned.
+func (r *workload) deadline(q *simRequest) time.Duration {
+	if q.rare && r.rareDeadline > 0 {
+		return r.rareDeadline
+	}
+	return abandonAfter
+}
+
 // sortQueue puts requests that can still meet their goal first, as the instances do.
 func (r *workload) sortQueue(waiting []*simRequest) []*simRequest {
 	missed := func(q *simRequest) bool { return !q.rare && r.now.Sub(q.arrived) > hotGoal }
--- a/residency/value.go
+++ b/residency/value.go
@@ -15,7 +15,7 @@
 	// usefulBatchShare is the share of a server's batch up to which the requests of one model
 	// are served there without waiting for each other. The rest is left to the server's other
 	// models and to uneven arrivals.
-	usefulBatchShare = 0.5
+	usefulBatchShare = 0.65
 	// weightDecayTime is the time constant with which the mean weight of a target's requests
 	// follows its newest requests.
 	weightDecayTime = 2 * time.Second
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -30,6 +30,7 @@
 	storeDown     bool               // no entry reaches the store
 	fractions     map[string]float64 // of requests not reported yet, by target
 	work          map[string]float64 // server time of a request in seconds, by target
+	parallelLoads int                // loads from the weight store at once above which each takes longer; 0: any number
 	exactRequests bool               // demand holds the exact requests of a step; none are derived from concurrency
 }
 
@@ -163,12 +164,26 @@
 			return m.LoadTime / 5
 		}
 		if m.Name == model {
-			return m.LoadTime
+			return time.Duration(float64(m.LoadTime) * w.slowdown())
 		}
 	}
 	return loadTime
 }
 
+// slowdown returns how much longer one more load from the weight store takes beside the others.
+func (w *simulation) slowdown() float64 {
+	loading := 1
+	for _, x := range w.servers {
+		if x.loading != "" {
+			loading++
+		}
+	}
+	if w.parallelLoads == 0 {
+		return 1
+	}
+	return max(1, float64(loading)/float64(w.parallelLoads))
+}
+
 // reportedDemand returns the demand with the requests of one step; each request
 // occupies a slot for a second.
 func (w *simulation) reportedDemand() map[string]TargetDemand {
