decide, topology: room by rank

Change: what a slot is worth to a request orders queues, evictions and expiry; each rank gets what more urgent ones leave of a server until the next report; urgent requests are sent at once and wait at the server. On where ranks contend for a service that runs models.

--- a/decide/admit.go
+++ b/decide/admit.go
@@ -55,6 +55,9 @@
 		req.goalMissed = req.wouldMissGoal(now)
 	}
 	req.queueKey = latest - priorityHeadStart*float64(max(req.Priority, 0))
+	if t.roomByRank {
+		req.setSlotWorth(now)
+	}
 }
 
 // estimateStale reports whether the estimate of the target's service time is too old to
@@ -97,6 +100,9 @@
 // doesn't take queue space from the few requests of another. It reports whether it made
 // room.
 func (s *Scheduler) evictQueued(now time.Time, req *requestState) bool {
+	if req.target.roomByRank {
+		return s.evictLeastWorth(now, req)
+	}
 	var worst *targetState
 	for _, t := range s.fleet.sortedTargets {
 		if t.queue.len() > 0 && (worst == nil || queuesMoreByWeight(t, worst)) {
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -29,7 +30,6 @@
 	contentionInterval    = 500 * time.Millisecond // between reports to an instance
 	contentionReportLag   = 400 * time.Millisecond // age of the data in a report
 	contentionSnapshot    = 100 * time.Millisecond
-	contentionWarmup      = 10 * time.Second // requests that arrive earlier aren't counted
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
 	lateWorth             = 0.25 // of an answer that starts after its goal
@@ -52,9 +52,12 @@
 // contention is what a simulation is given.
 type contention struct {
 	instances int
-	load      float64   // of all slots at speed 1
-	speeds    []float64 // of the engines, in turn; nil: 1
-	hot       float64   // how many times as much the first account sends as the others; 0: the same
+	load      float64       // of all slots at speed 1
+	speeds    []float64     // of the engines, in turn; nil: 1
+	hot       float64       // how many times as much the first account sends as the others; 0: the same
+	fifo      bool          // engines start waiting requests in their order of arrival, not by rank
+	untold    bool          // no instance learns what waits at others
+	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
 	seed      uint64
 }
 
@@ -142,6 +145,7 @@
 
 // simulateContention runs the simulation to contentionEnd.
 func simulateContention(in contention) *contentionResult {
+	in.end = cmp.Or(in.end, contentionEnd)
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
 		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: map[string]*SpeedSample{},
@@ -158,7 +162,7 @@
 	}
 	c.takeSnapshot()
 	c.arrive()
-	for end := c.now.Add(contentionEnd); len(c.events) > 0 && c.events[0].at.Before(end); {
+	for end := c.now.Add(c.end); len(c.events) > 0 && c.events[0].at.Before(end); {
 		e := heap.Pop(&c.events).(simEvent)
 		c.now = e.at
 		e.do()
@@ -281,7 +285,9 @@
 	}
 	s.UpdateSpeeds(c.now, speeds)
 	s.UpdateAccounts(c.now, was.accounts)
-	c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
+	if !c.untold {
+		c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
+	}
 	wanted := map[string]float64{}
 	for _, b := range was.backlogs {
 		for rank := range b.Waiting {
@@ -334,14 +340,14 @@
 	})
 }
 
-// startWaiting starts the most urgent request that waits at an engine.
+// startWaiting starts the most urgent request that waits at an engine, or the first one.
 func (c *contentionSim) startWaiting(e *contentionEngine) {
 	if len(e.waiting) == 0 {
 		return
 	}
 	next := 0
 	for n, r := range e.waiting {
-		if r.Rank < e.waiting[next].Rank {
+		if !c.fifo && r.Rank < e.waiting[next].Rank {
 			next = n
 		}
 	}
@@ -388,12 +394,18 @@
 	})
 }
 
+// counts reports whether requests that arrive at that time are counted: after the warm-up, and early
+// enough for an answer.
+func (c *contentionSim) counts(at time.Duration) bool {
+	return at >= c.end/2 && at < c.end-contentionKinds[1].goal
+}
+
 func (c *contentionSim) submit(extra float64) {
 	k := &contentionKinds[pickShare(c.rng.Float64(), func(n int) float64 { return contentionKinds[n].share }, len(contentionKinds))]
 	account := max(0, int(c.rng.Float64()*(contentionAccounts+extra)-extra))
 	target := fmt.Sprint("m", pickShare(c.rng.Float64(), func(n int) float64 { return c.weights[n] }, len(c.weights)))
 	c.seq++
-	r := &contentionRequest{kind: k, at: c.rng.IntN(len(c.schedulers)), counted: c.now.Sub(simStart) >= contentionWarmup && c.now.Sub(simStart) < contentionEnd-contentionKinds[1].goal}
+	r := &contentionRequest{kind: k, at: c.rng.IntN(len(c.schedulers)), counted: c.counts(c.now.Sub(simStart))}
 	r.Request = Request{
 		ID: fmt.Sprint(c.seq), Target: target, Arrived: c.now, Deadline: c.now.Add(contentionDeadline), MaxTokens: 100, MaxAttempts: 2,
 		Goal: k.goal, Rank: k.rank, Priority: 2 - k.rank, Account: fmt.Sprint("account", account),
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -14,7 +14,7 @@
 	if srv.rateLimit.Named {
 		s.fillLevel = fillRateLimited
 	}
-	for s.queued > 0 && srv.hasRoom(now, srv.Slots+srv.queueAllowance(underShare, assumedGoal)) {
+	for s.queued > 0 && s.mayHaveRoom(now, srv) {
 		req, c := s.nextForServer(now, srv)
 		if req == nil {
 			return
@@ -24,6 +24,14 @@
 	}
 }
 
+// mayHaveRoom reports whether the server may have room for some request.
+func (s *Scheduler) mayHaveRoom(now time.Time, srv *serverState) bool {
+	if srv.roomByRank {
+		return srv.mayTakeMore(now)
+	}
+	return srv.hasRoom(now, srv.Slots+srv.queueAllowance(underShare, assumedGoal))
+}
+
 // nextForServer returns the queued request that the server should get next, with the
 // server as its candidate, or nil.
 func (s *Scheduler) nextForServer(now time.Time, srv *serverState) (*requestState, candidate) {
@@ -36,9 +44,10 @@
 			continue
 		}
 		c.replica = &t.replicas[r.replica]
-		for i := 0; i < classCount; i++ {
-			req := t.queue.head(i)
-			if req != nil && (best == nil || s.precedes(srv.pool, req, best)) && passesAll(eligibilityFilters, s, now, req, &c) && passesAll(capacityFilters, s, now, req, &c) {
+		s.urgentFits = false
+		var buf [heapCount]*requestState
+		for _, req := range t.queue.heads(buf[:0]) {
+			if (best == nil || s.precedes(srv.pool, req, best)) && passesAll(eligibilityFilters, s, now, req, &c) && passesAll(capacityFilters, s, now, req, &c) {
 				best, at = req, c
 				break
 			}
@@ -86,11 +95,8 @@
 
 // startNext starts one queued request of the target and reports whether one could start.
 func (s *Scheduler) startNext(now time.Time, t *targetState) bool {
-	for i := 0; i < classCount; i++ {
-		req := t.queue.head(i)
-		if req == nil {
-			continue
-		}
+	var buf [heapCount]*requestState
+	for _, req := range t.queue.heads(buf[:0]) {
 		if c, _ := s.choose(now, req); c != nil {
 			s.startQueued(now, req, c)
 			return true
@@ -119,6 +125,9 @@
 		if !req.goalMissed && req.wouldMissGoal(now) {
 			t.queue.remove(req)
 			req.goalMissed = true
+			if t.roomByRank {
+				req.setSlotWorth(now)
+			}
 			t.queue.push(req)
 		}
 
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -96,6 +96,9 @@
 	case fillServerQueue:
 		limit += c.server.queueAllowance(c.server.pool.shareStatus(s.fleet.partnerList, req.target.partner), req.Goal)
 	}
+	if req.target.roomByRank {
+		return s.hasRoomForRank(now, req, c, limit)
+	}
 	return c.server.hasRoom(now, limit)
 }
 
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -14,6 +14,8 @@
 	Server
 	listed        bool
 	noQueue       bool           // see Table.NoServerQueue
+	roomByRank    bool           // see Table.RoomByRank
+	rankRoom      rankRoom       // if roomByRank
 	own           int            // this instance's requests at the server; exact
 	unread        int            // prompt tokens of own requests without a first token
 	suspects      int            // own requests that may crash a server
@@ -51,9 +53,11 @@
 	slots             int // per server
 	service           serviceTimes
 	budget            retryBudget
-	held              average // seconds that attempts held a slot, whatever their outcome
-	totalInFlight     int     // this instance's requests in the pool
-	inFlightByPartner []int   // the same by partnerState.index
+	held              average           // seconds that attempts held a slot, whatever their outcome
+	totalInFlight     int               // this instance's requests in the pool
+	inFlightByPartner []int             // the same by partnerState.index
+	queuedByRank      [Ranks]queueCount // if roomByRank
+	floors            [Ranks]float64    // dispatches that each rank may have under rankFloor, if roomByRank
 }
 
 // holdTime returns the mean number of seconds that an attempt holds its slot, or
@@ -90,16 +94,18 @@
 // targetState is an instance's state of one target.
 type targetState struct {
 	*Target
-	partner     *partnerState
-	pool        *poolState     // nil if unknown
-	replicas    []replicaState // those in the own failure domain first
-	near        int            // number of replicas in the own failure domain
-	queue       queue
-	inFlight    int
-	service     serviceTimes
-	arrivalRate arrivalRate
-	returns     returns
-	backlog     sharedBacklog // of all instances
+	partner      *partnerState
+	pool         *poolState     // nil if unknown
+	replicas     []replicaState // those in the own failure domain first
+	near         int            // number of replicas in the own failure domain
+	queue        queue
+	inFlight     int
+	service      serviceTimes
+	arrivalRate  arrivalRate
+	roomByRank   bool               // see Table.RoomByRank; for engines only
+	rankArrivals [Ranks]arrivalRate // if roomByRank
+	returns      returns
+	backlog      sharedBacklog // of all instances
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
@@ -150,6 +156,7 @@
 	for _, s := range f.servers {
 		s.listed = false
 		s.servedTargets = s.servedTargets[:0]
+		s.roomByRank = false
 	}
 	instances := CountInstances(t.Entries)
 	listed := make([]*serverState, len(t.Servers))
@@ -196,6 +203,7 @@
 		f.targets[target.Name] = ts
 	}
 	ts.Target = target
+	ts.roomByRank = t.RoomByRank && !target.Service
 	ts.partner = f.partner(target.Partner)
 	if target.Pool != "" {
 		ts.pool = f.pool(target.Pool)
@@ -207,6 +215,7 @@
 		for _, r := range target.Replicas {
 			if s := listed[r.Server]; (s.FailureDomain == t.OwnDomain) == near {
 				s.servedTargets = append(s.servedTargets, servedTarget{ts, len(ts.replicas)})
+				s.roomByRank = ts.roomByRank
 				ts.replicas = append(ts.replicas, previousState(old, s, r.Version))
 			}
 		}
--- a/decide/load.go
+++ b/decide/load.go
@@ -159,7 +159,7 @@
 // hasRoom reports whether the instance may send one more request to the server, which then
 // has at most limit requests.
 func (s *serverState) hasRoom(now time.Time, limit int) bool {
-	if s.quota.limited && now.Sub(s.quota.lastReportAt) < quotaTTL {
+	if s.quotaApplies(now) {
 		return s.quota.remaining > 0
 	}
 	window := s.window
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -51,7 +51,13 @@
 		s.prefixServer = s.prefixIndex.get(now, prefixKey{t.Model, req.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
+	if t.roomByRank {
+		near, far = t.replicas, nil
+	}
 	for s.fillLevel = fillRateLimited; s.fillLevel <= fillServerQueue; s.fillLevel++ {
+		if s.fillLevel == fillServerQueue && t.roomByRank {
+			break // see hasRoomForRank
+		}
 		if s.fillLevel == fillRateLimited && !s.limitAllows(now, t) || s.fillLevel == fillLow && s.instancesExceedSlots {
 			continue
 		}
@@ -69,6 +75,7 @@
 // chooseAmong samples, filters and scores the replicas and picks one.
 func (s *Scheduler) chooseAmong(now time.Time, req *requestState, replicas []replicaState) (c *candidate, waitable bool) {
 	s.sample(now, req, replicas)
+	s.urgentFits = req.target.roomByRank && s.fitsUrgent(req)
 	kept := s.candidates[:0]
 	for i := range s.candidates {
 		c := &s.candidates[i]
@@ -171,6 +178,10 @@
 }
 
 func (c *candidate) freeSlotWeight() float64 {
-	free := max(float64(c.server.Slots)-c.load, minSlotWeight)
+	room := float64(c.server.Slots) - c.load
+	if c.server.roomByRank {
+		room += c.server.expectedReleases(2 * ArrivalHorizon)
+	}
+	free := max(room, minSlotWeight)
 	return free / max(c.score, minSlotWeight)
 }
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -30,6 +30,13 @@
 	classCount
 )
 
+// Requests for targets with room by rank have a class each rank, from firstRankClass on, but for
+// suspects. Each is ordered by what a slot is worth.
+const (
+	firstRankClass = classCount
+	heapCount      = classCount + Ranks
+)
+
 // classOrder is the order of the classes on each turn.
 var classOrder = [dequeueCycle][classCount]int{
 	{prioritized, ordinary, suspect, tooLate},
@@ -42,7 +49,7 @@
 // bounded by deadlines, since requests that can't meet theirs are refused, and by
 // maxQueued over all queues.
 type queue struct {
-	heaps [classCount]requestHeap
+	heaps [heapCount]requestHeap
 	turn  int
 }
 
@@ -56,29 +63,57 @@
 
 func (q *queue) push(req *requestState) {
 	req.class = classOf(req)
+	req.target.pool.countQueued(req, 1)
 	heap.Push(&q.heaps[req.class], req)
 }
 
-// head returns the first request of the class that is i-th on the current turn, or nil.
-func (q *queue) head(i int) *requestState {
-	h := q.heaps[classOrder[q.turn%dequeueCycle][i]]
-	if len(h) == 0 {
-		return nil
+// heads appends the first request of each class, in the order of service on the current turn:
+// first those of ranks, the one to which a slot is worth most first.
+func (q *queue) heads(to []*requestState) []*requestState {
+	for class := firstRankClass; class < heapCount; class++ {
+		to = q.appendHead(to, class)
+	}
+	slices.SortFunc(to, compareKeys)
+	for _, class := range classOrder[q.turn%dequeueCycle] {
+		to = q.appendHead(to, class)
+	}
+	return to
+}
+
+func (q *queue) appendHead(to []*requestState, class int) []*requestState {
+	if h := q.heaps[class]; len(h) > 0 {
+		return append(to, h[0])
 	}
-	return h[0]
+	return to
 }
 
+// ranked returns the number of queued requests of a rank, for targets with room by rank.
+func (q *queue) ranked(rank int) int { return len(q.heaps[firstRankClass+rank]) }
+
 // dequeue removes a request that got a slot and advances the turn.
 func (q *queue) dequeue(req *requestState) {
 	q.turn++
 	q.remove(req)
 }
 
-func (q *queue) remove(req *requestState) { heap.Remove(&q.heaps[req.class], req.heapIndex) }
+func (q *queue) remove(req *requestState) {
+	req.target.pool.countQueued(req, -1)
+	heap.Remove(&q.heaps[req.class], req.heapIndex)
+}
 
 // lowest returns the last element of the least urgent class that isn't empty, or nil. In a
-// heap that is one of the last to be served, not necessarily the very last.
+// heap that is one of the last to be served, not necessarily the very last. Of ranks it is the one
+// to which a slot is worth least.
 func (q *queue) lowest() *requestState {
+	var last *requestState
+	for _, h := range q.heaps[firstRankClass:] {
+		if len(h) > 0 && (last == nil || h[len(h)-1].queueKey > last.queueKey) {
+			last = h[len(h)-1]
+		}
+	}
+	if last != nil {
+		return last
+	}
 	for _, class := range [classCount]int{tooLate, ordinary, prioritized, suspect} {
 		if h := q.heaps[class]; len(h) > 0 {
 			return h[len(h)-1]
@@ -89,6 +124,13 @@
 
 // countAhead returns the number of queued requests that are served before req.
 func (q *queue) countAhead(req *requestState) int {
+	if classOf(req) >= firstRankClass {
+		n := 0
+		for class := firstRankClass; class < heapCount; class++ {
+			n += q.heaps[class].countBefore(req)
+		}
+		return n
+	}
 	n := q.heaps[prioritized].countBefore(req)
 	if classOf(req) == tooLate {
 		return len(q.heaps[prioritized]) + len(q.heaps[ordinary]) + q.heaps[tooLate].countBefore(req)
@@ -101,16 +143,27 @@
 
 // sorted appends the queued requests in their order of service.
 func (q *queue) sorted(to []*requestState) []*requestState {
-	for class := range q.heaps {
+	for class := range classCount {
 		begin := len(to)
 		to = append(to, q.heaps[class]...)
-		slices.SortFunc(to[begin:], func(a, b *requestState) int { return cmp.Compare(a.queueKey, b.queueKey) })
+		slices.SortFunc(to[begin:], compareKeys)
+	}
+	begin := len(to)
+	for _, h := range q.heaps[firstRankClass:] {
+		to = append(to, h...)
 	}
+	slices.SortFunc(to[begin:], compareKeys)
 	return to
 }
 
+func compareKeys(a, b *requestState) int { return cmp.Compare(a.queueKey, b.queueKey) }
+
 func classOf(req *requestState) int {
 	switch {
+	case req.target.roomByRank && req.Suspect:
+		return suspect
+	case req.target.roomByRank:
+		return firstRankClass + RankIndex(req.Rank)
 	case req.goalMissed:
 		return tooLate
 	case req.Suspect:
--- a/decide/quota.go
+++ b/decide/quota.go
@@ -70,6 +70,11 @@
 	q.remaining = int(math.Floor(slots*own/q.contending + rng.Float64()))
 }
 
+// quotaApplies reports whether a quota limits what this instance sends to the server.
+func (s *serverState) quotaApplies(now time.Time) bool {
+	return s.quota.limited && now.Sub(s.quota.lastReportAt) < quotaTTL
+}
+
 // demand returns the number of this instance's requests for the server's targets, queued
 // or expected within ArrivalHorizon, each divided equally among the target's replicas.
 func (s *serverState) demand(now time.Time) float64 {
@@ -140,5 +145,8 @@
 		q.reportInterval = min(now.Sub(q.lastReportAt), maxQuotaInterval)
 	}
 	q.lastReportAt, q.contending = now, float64(wanting)
+	if s.roomByRank {
+		s.drawRankRoom(now, rng)
+	}
 	s.drawQuota(now, rng)
 }
--- a/decide/request.go
+++ b/decide/request.go
@@ -21,6 +21,7 @@
 	queueKey        float64      // lowest is served first: latest start minus the priority's head start, in Unix seconds
 	heapIndex       int          // index in the queue's heap; -1: not queued
 	class           int          // queue class, an index of queue.heaps
+	draw            float64      // random, from 0 to 1; see fitsUrgent
 	goalMissed      bool         // Request.Goal can't be met any more
 }
 
--- /dev/null
+++ b/decide/room_test.go
@@ -0,0 +1,186 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageferry/infra"
+)
+
+// More is asked for than engines can run. Each instance knows the others' requests by old reports
+// alone; less urgent requests took the slots, and those that came late waited behind them.
+func TestRoomGoesToUrgentRequests(t *testing.T) {
+	for name, in := range map[string]contention{
+		"engines in order of rank":    {instances: 75, load: 1},
+		"engines in order of arrival": {instances: 75, load: 1, fifo: true},
+		"others' requests not told":   {instances: 75, load: 1, untold: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in.seed = 7
+			r := simulateContention(in)
+			t.Log(r)
+			require.GreaterOrEqual(t, r.inTimeShare(0), 0.8)
+			require.GreaterOrEqual(t, r.worth(), 0.75)
+			requireByRank(t, r)
+		})
+	}
+}
+
+// requireByRank requires that no rank is served less than a less urgent one by over 0.05.
+func requireByRank(t *testing.T, r *contentionResult) {
+	for rank := 1; rank < len(r.arrived); rank++ {
+		require.GreaterOrEqual(t, r.inTimeShare(rank-1), r.inTimeShare(rank)-0.05)
+	}
+}
+
+// The same load for more instances, each of which knows less.
+func TestManyInstancesShareRoomByRank(t *testing.T) {
+	few := simulateContention(contention{instances: 9, load: 1, seed: 7})
+	t.Log(few)
+	many := simulateContention(contention{instances: 75, load: 1, seed: 7})
+	t.Log(many)
+	require.GreaterOrEqual(t, many.worth(), 0.95*few.worth())
+}
+
+func TestRoomByRankAtSize(t *testing.T) {
+	for _, in := range []contention{
+		{instances: 295, load: 1, end: 8 * time.Second, seed: 7},
+		{instances: 985, load: 1, end: 5 * time.Second, seed: 7},
+	} {
+		r := simulateContention(in)
+		t.Log(in.instances, r)
+		require.GreaterOrEqual(t, r.inTimeShare(0), 0.8)
+		require.GreaterOrEqual(t, r.worth(), 0.75)
+		requireByRank(t, r)
+	}
+}
+
+// Urgent requests alone take all room: a floor is left for the others.
+func TestNoRankStarves(t *testing.T) {
+	r := simulateContention(contention{instances: 75, load: 1.3, end: 12 * time.Second, seed: 7})
+	t.Log(r)
+	requireByRank(t, r)
+	for rank := range r.arrived {
+		require.Positive(t, r.inTime[rank])
+	}
+	require.GreaterOrEqual(t, r.inTimeShare(0), 0.8)
+}
+
+// With room for all, no rank waits for others that don't come.
+func TestRoomIsLent(t *testing.T) {
+	r := simulateContention(contention{instances: 75, load: 0.8, end: 12 * time.Second, seed: 7})
+	t.Log(r)
+	for rank := range r.arrived {
+		require.GreaterOrEqual(t, r.inTimeShare(rank), 0.9)
+	}
+}
+
+func rankedScheduler(servers, slots int) *Scheduler {
+	table := testTable(servers, slots, 1, "am")
+	table.RoomByRank, table.NoServerQueue = true, true
+	return testScheduler(table)
+}
+
+func rankedRequest(id string, rank int, goal time.Duration) Request {
+	r := newTestRequest(id, "am", 20*time.Second)
+	r.Rank, r.Goal = rank, goal
+	return r
+}
+
+// queueAll submits requests that must wait, since all slots of the only server are taken.
+func queueAll(t *testing.T, s *Scheduler, requests ...Request) {
+	for _, r := range requests {
+		require.Equal(t, ActionQueue, s.Submit(simStart, r)[0].Action, r.ID)
+	}
+}
+
+// startOrder ends one request after the other at the only server, and returns the order in which
+// queued ones start.
+func startOrder(s *Scheduler, now time.Time, running string, n int) []string {
+	var order []string
+	for range n {
+		for _, d := range s.Ended(now, running, "s0", Outcome{}) {
+			if d.Action == ActionDispatch {
+				running = d.Request
+				order = append(order, running)
+			}
+		}
+	}
+	return order
+}
+
+func TestSlotsGoWhereTheyAreWorthMost(t *testing.T) {
+	s := rankedScheduler(1, 1)
+	require.Equal(t, ActionDispatch, s.Submit(simStart, rankedRequest("running", 1, 0))[0].Action)
+	late := rankedRequest("late", 0, time.Second)
+	late.FirstTokenDeadline = simStart.Add(8 * time.Second)
+	queueAll(t, s, rankedRequest("batch", 2, 10*time.Second), late)
+	now := simStart.Add(1500 * time.Millisecond)
+	s.Tick(now)
+	fresh := rankedRequest("fresh", 0, 2*time.Second)
+	fresh.Arrived = now
+	require.Equal(t, ActionQueue, s.Submit(now, fresh)[0].Action)
+	// The late one has lost most of its value, but batch can wait as long and costs less.
+	require.Equal(t, []string{"fresh", "late", "batch"}, startOrder(s, now, "running", 3))
+}
+
+func TestBatchAboutToBeLateGoesBeforeLateRequests(t *testing.T) {
+	s := rankedScheduler(1, 1)
+	require.Equal(t, ActionDispatch, s.Submit(simStart, rankedRequest("running", 1, 0))[0].Action)
+	queueAll(t, s,
+		rankedRequest("batch", 2, 3*time.Second),
+		rankedRequest("late", 0, time.Second),
+	)
+	now := simStart.Add(2 * time.Second)
+	s.Tick(now)
+	require.Equal(t, []string{"batch", "late"}, startOrder(s, now, "running", 2))
+}
+
+func TestFullQueueRefusesWhatIsWorthLeast(t *testing.T) {
+	s := rankedScheduler(1, 1)
+	s.Submit(simStart, rankedRequest("running", 1, 0))
+	queueAll(t, s, rankedRequest("batch", 2, 10*time.Second), rankedRequest("urgent", 0, 2*time.Second))
+	s.queued = maxQueued
+	var refused []string
+	for _, d := range s.Submit(simStart, rankedRequest("middle", 1, 5*time.Second)) {
+		if d.Action == ActionRefuse {
+			refused = append(refused, d.Request)
+		}
+	}
+	require.Equal(t, []string{"batch"}, refused)
+	d := s.Submit(simStart, rankedRequest("more batch", 3, 12*time.Second))
+	s.queued = maxQueued
+	d = s.Submit(simStart, rankedRequest("even more batch", 3, 15*time.Second))
+	require.Len(t, d, 1)
+	require.Equal(t, "even more batch", d[0].Request)
+	require.Equal(t, ReasonQueueFull, d[0].Reason)
+}
+
+// The lease holder is lost while urgent requests come: without reports an instance keeps to its fair
+// share of the servers, and uses more as soon as reports are back.
+func TestWithoutReportsUrgentRequestsKeepToTheFairShare(t *testing.T) {
+	table := testTable(1, 8, 4, "am")
+	table.RoomByRank, table.NoServerQueue = true, true
+	s := testScheduler(table)
+	started := func(now time.Time, ids ...string) int {
+		n := 0
+		for _, id := range ids {
+			r := rankedRequest(id, 0, 800*time.Millisecond)
+			r.Arrived = now
+			r.Deadline = now.Add(20 * time.Second)
+			if s.Submit(now, r)[0].Action == ActionDispatch {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 3, started(simStart, "a", "b", "c", "d", "e", "f"), "of 12 that 4 instances may have there")
+	now := simStart.Add(2 * time.Second)
+	s.UpdateLoad(now, "s0", infra.Load{Running: 3}, 0)
+	require.Positive(t, started(now, "g", "h"))
+	lost := now.Add(maxReportAge + time.Second)
+	require.Zero(t, started(lost, "i", "j"))
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -36,6 +36,7 @@
 	prefixServer *serverState // of the current request: server that probably has the prefix cached
 	allowCutOff  bool         // servers of failure domains that seem unreachable may be chosen
 	fillLevel    fillLevel    // of the current request: how full a server may be
+	urgentFits   bool         // of the current request: see fitsUrgent
 	meanLoad     float64      // of the current request: mean load of the candidates
 }
 
@@ -87,6 +88,10 @@
 		s.refuse(req, ReasonUnknownTarget, 0)
 	default:
 		req.target.arrivalRate.add(now)
+		if req.target.roomByRank {
+			req.draw = s.rng.Float64()
+			req.target.rankArrivals[RankIndex(r.Rank)].add(now)
+		}
 		s.setDeadline(req)
 		s.route(now, req)
 	}
@@ -278,6 +283,9 @@
 	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
 	srv.unread += req.PromptTokens
 	srv.quota.remaining--
+	if req.target.roomByRank {
+		srv.countDispatch(srv.roomRank(req))
+	}
 	granted := srv.rateLimit.consume(now)
 	req.queuedAtServer = c.load+1 > float64(srv.Slots)
 	req.attempts++
--- a/topology/table.go
+++ b/topology/table.go
@@ -108,6 +108,7 @@
 		Retry:          retry,
 		LocalFillLimit: localPreferenceFill,
 		NoServerQueue:  true,
+		RoomByRank:     v.Config.hasContendingRanks(),
 	}
 	for i := range v.Servers {
 		t.Servers = append(t.Servers, v.Servers[i].TableEntry())
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -43,6 +43,24 @@
 	return longest
 }
 
+// hasContendingRanks reports whether routes of several ranks lead to one service that runs models.
+func (c *Config) hasContendingRanks() bool {
+	if c == nil {
+		return false
+	}
+	ranks := map[string]int{} // by service
+	for i := range c.Routes {
+		for _, choice := range c.Routes[i].Choices {
+			rank, found := ranks[choice.Service]
+			if found && rank != c.Routes[i].Rank && c.Services[choice.Service].Engine != nil {
+				return true
+			}
+			ranks[choice.Service] = c.Routes[i].Rank
+		}
+	}
+	return false
+}
+
 // Route maps the requests for a host and a path prefix to services.
 type Route struct {
 	Name     string
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -134,6 +134,26 @@
 	require.NotContains(t, tb.Targets, "unknown")
 }
 
+func TestTableGivesRoomByRankWhereRanksContend(t *testing.T) {
+	v := engineView()
+	to := func(rank int, service string) Route {
+		return Route{Rank: rank, Choices: []Choice{{Service: service}}}
+	}
+	for _, c := range []struct {
+		routes []Route
+		want   bool
+	}{
+		{routes: []Route{to(0, "llm"), to(0, "llm"), to(1, "plain")}, want: false},
+		{routes: []Route{to(0, "plain"), to(1, "plain")}, want: false},
+		{routes: []Route{to(0, "llm"), to(1, "plain"), to(2, "llm")}, want: true},
+	} {
+		v.Config.Routes = c.routes
+		require.Equal(t, c.want, BuildTable("d", v, decide.RetryPolicy{}).RoomByRank)
+	}
+	v.Config = nil
+	require.False(t, BuildTable("d", v, decide.RetryPolicy{}).RoomByRank)
+}
+
 func TestTableAppliesResidencyOverrides(t *testing.T) {
 	v := engineView()
 	v.Held = HeldList{{Server: "e", Model: "m", Adapter: "a2"}, {Server: "e", Model: "n", Dropped: true}}
