--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -14,6 +14,8 @@
 	Server
 	listed        bool
 	noQueue       bool           // see Table.NoServerQueue
+	roomByRank    bool           // see Table.RoomByRank
+	rankRoom      rankRoom       // if roomByRank
 	own           int            // this instance's requests at the server; exact
 	unread        int            // prompt tokens of own requests without a first token
 	heldTokens    int            // sizes of own requests; see Request.tokenSize
@@ -54,10 +56,12 @@
 	slots             int // per server
 	service           serviceTimes
 	budget            retryBudget
-	requestTokens     average // sizes of this instance's requests; see Request.tokenSize
-	held              average // seconds that attempts held a slot, whatever their outcome
-	totalInFlight     int     // this instance's requests in the pool
-	inFlightByPartner []int   // the same by partnerState.index
+	requestTokens     average           // sizes of this instance's requests; see Request.tokenSize
+	held              average           // seconds that attempts held a slot, whatever their outcome
+	totalInFlight     int               // this instance's requests in the pool
+	inFlightByPartner []int             // the same by partnerState.index
+	queuedByRank      [Ranks]queueCount // if roomByRank
+	floors            [Ranks]float64    // dispatches that each rank may have under rankFloor, if roomByRank
 }
 
 // holdTime returns the mean number of seconds that an attempt holds its slot, or
@@ -94,18 +98,20 @@
 // targetState is an instance's state of one target.
 type targetState struct {
 	*Target
-	partner     *partnerState
-	pool        *poolState     // nil if unknown
-	replicas    []replicaState // those in the own failure domain first
-	near        int            // number of replicas in the own failure domain
-	queue       queue
-	inFlight    int
-	service     serviceTimes
-	arrivalRate arrivalRate
-	returns     returns
-	totalSpeed  float64       // of the replicas
-	uneven      bool          // some replica's server is known to be slower or faster than the mean
-	backlog     sharedBacklog // of all instances
+	partner      *partnerState
+	pool         *poolState     // nil if unknown
+	replicas     []replicaState // those in the own failure domain first
+	near         int            // number of replicas in the own failure domain
+	queue        queue
+	inFlight     int
+	service      serviceTimes
+	arrivalRate  arrivalRate
+	roomByRank   bool               // see Table.RoomByRank; for engines only
+	rankArrivals [Ranks]arrivalRate // if roomByRank
+	returns      returns
+	totalSpeed   float64       // of the replicas
+	uneven       bool          // some replica's server is known to be slower or faster than the mean
+	backlog      sharedBacklog // of all instances
 
 	replicaAddedAt time.Time // when the target last got a replica
 	replicasBefore int       // replicas that starts were measured with, until newReplicaTime after that
@@ -162,6 +168,7 @@
 	for _, s := range f.servers {
 		s.listed = false
 		s.servedTargets = s.servedTargets[:0]
+		s.roomByRank = false
 	}
 	instances := CountInstances(t.Entries)
 	listed := make([]*serverState, len(t.Servers))
@@ -209,6 +216,7 @@
 		f.targets[target.Name] = ts
 	}
 	ts.Target = target
+	ts.roomByRank = t.RoomByRank && !target.Service
 	ts.partner = f.partner(target.Partner)
 	if target.Pool != "" {
 		ts.pool = f.pool(target.Pool)
@@ -221,6 +229,7 @@
 		for _, r := range target.Replicas {
 			if s := listed[r.Server]; (s.FailureDomain == t.OwnDomain) == near {
 				s.servedTargets = append(s.servedTargets, servedTarget{ts, len(ts.replicas)})
+				s.roomByRank = ts.roomByRank
 				ts.replicas = append(ts.replicas, previousState(old, s, r.Version))
 			}
 		}
--- a/decide/uneven_sim_test.go
+++ b/decide/uneven_sim_test.go
@@ -61,7 +61,7 @@
 			}
 			c.after(10*time.Millisecond, watch)
 		}
-		c.after(contentionWarmup, func() {
+		c.after(contentionEnd/2, func() {
 			slow.speed, slow.slowed = slow.speed/3, c.now
 			watch()
 		})
--- a/topology/table.go
+++ b/topology/table.go
@@ -108,6 +108,7 @@
 		Retry:          retry,
 		LocalFillLimit: localPreferenceFill,
 		NoServerQueue:  true,
+		RoomByRank:     v.Config.hasContendingRanks(),
 	}
 	for i := range v.Servers {
 		t.Servers = append(t.Servers, v.Servers[i].TableEntry())
@@ -115,7 +116,6 @@
 	if v.Config == nil {
 		return t
 	}
-	t.RoomByRank = v.Config.ranksCompete()
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
 		addTargets(t, v, v.Config.Services[name])
 	}
