--- a/decide/pick.go
+++ b/decide/pick.go
@@ -51,9 +51,6 @@
 		s.prefixServer = s.prefixIndex.get(now, prefixKey{t.Model, req.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	if t.roomByRank {
-		near, far = t.replicas, nil
-	}
 	for s.fillLevel = fillRateLimited; s.fillLevel <= fillServerQueue; s.fillLevel++ {
 		if s.fillLevel == fillServerQueue && t.roomByRank {
 			break // see hasRoomForRank
