--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -57,7 +57,6 @@
 	totalInFlight     int               // this instance's requests in the pool
 	inFlightByPartner []int             // the same by partnerState.index
 	queuedByRank      [Ranks]queueCount // if roomByRank
-	floors            [Ranks]float64    // dispatches that each rank may have under rankFloor, if roomByRank
 }
 
 // holdTime returns the mean number of seconds that an attempt holds its slot, or
--- a/decide/reserve.go
+++ b/decide/reserve.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// rankFloor is the part of an instance's dispatches that each rank gets, if it asks for it,
-	// however many more urgent requests there are.
+	// rankFloor is the part of a server's dispatches that each rank gets, if it asks for it, however
+	// many more urgent requests there are.
 	rankFloor = 0.05
-	// maxFloorCredit bounds the dispatches that a rank may save up under rankFloor.
-	maxFloorCredit = 2.0
+	// urgentQueue is the number of urgent requests that may wait at a full server, so that one of
+	// them gets the next free slot, whoever held it.
+	urgentQueue = 1
 	// urgentGoal is the longest goal of an urgent request. With a longer one a request can wait at
 	// its instance for the next load report.
 	urgentGoal = 2 * ArrivalHorizon
@@ -27,6 +28,7 @@
 	left      [Ranks]float64 // requests of all instances that the server can take
 	soon      [Ranks]float64 // requests of all instances that are expected there
 	least     int            // the least urgent rank with demand; requests of any rank that are late share its room
+	floor     [Ranks]bool    // the rank may have a free slot under rankFloor
 }
 
 // rankDemand is how many requests want to start soon, by rank, and how many are late for their goal.
@@ -112,8 +114,8 @@
 	}
 	for rank := range Ranks {
 		total, mine := all.total(rank, room.least), own.total(rank, room.least)
+		room.left[rank], room.soon[rank] = max(left+urgentQueue, 0), share.soon[rank]
 		left = max(left, 0)
-		room.left[rank], room.soon[rank] = left, share.soon[rank]
 		room.limited[rank] = max(total, mine) > left
 		room.remaining[rank] = 0
 		if total > 0 {
@@ -148,7 +150,7 @@
 		return false
 	}
 	rank := srv.roomRank(req)
-	if rank > 0 && srv.pool.floors[rank] >= 1 {
+	if rank > 0 && srv.rankRoom.floor[rank] {
 		return true
 	}
 	return !srv.rankRoom.limited[rank] || srv.rankRoom.remaining[rank] > 0
@@ -178,13 +180,16 @@
 	return s.load(now)+1 <= maxUrgentFill*float64(s.Slots)
 }
 
-// countDispatch takes a dispatch to the server from the part and from the floor of the rank, and
-// adds to the floors of all.
-func (s *serverState) countDispatch(rank int) {
-	s.rankRoom.remaining[rank] = max(s.rankRoom.remaining[rank]-1, 0)
-	floors := &s.pool.floors
-	for i := range floors {
-		floors[i] = min(floors[i]+rankFloor, maxFloorCredit)
+// countDispatch takes a dispatch to the server from the part and from the floor of the rank. By draw
+// it may add to the floors of the others: an instance sends too little to one server to count.
+func (s *serverState) countDispatch(rank int, draw float64) {
+	room := &s.rankRoom
+	room.remaining[rank] = max(room.remaining[rank]-1, 0)
+	room.floor[rank] = false
+	if draw >= rankFloor {
+		return
+	}
+	for other := range room.floor {
+		room.floor[other] = room.floor[other] || other != rank
 	}
-	floors[rank] = max(floors[rank]-1, 0)
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -284,7 +284,7 @@
 	srv.unread += req.PromptTokens
 	srv.quota.remaining--
 	if req.target.roomByRank {
-		srv.countDispatch(srv.roomRank(req))
+		srv.countDispatch(srv.roomRank(req), s.rng.Float64())
 	}
 	granted := srv.rateLimit.consume(now)
 	req.queuedAtServer = c.load+1 > float64(srv.Slots)
