--- a/decide/pick.go
+++ b/decide/pick.go
@@ -55,7 +55,7 @@
 		s.prefixServer = s.prefixIndex.get(now, prefixKey{t.Model, req.Prefix})
 	}
 	near, far := t.replicas[:t.near], t.replicas[t.near:]
-	if t.uneven || t.roomByRank {
+	if t.uneven {
 		near, far = t.replicas, nil // see preferNear
 	}
 	for s.fillLevel = fillRateLimited; s.fillLevel <= fillServerQueue; s.fillLevel++ {
