residency: a place that is being freed counts for the model that it is freed for

Cause: while a model was unloaded, its successor counted as lacking the replica, so that another model was drained for it, up to three at once. Change: the successor counts until its load begins.

--- a/residency/place.go
+++ b/residency/place.go
@@ -94,7 +94,7 @@
 		if d == nil || s.callInFlight || !w.drainComplete(d) {
 			continue
 		}
-		s.draining = nil
+		s.draining, s.successor = nil, d.successor
 		if !s.available(w.now) || !s.Server.Holds(d.model, "") {
 			continue
 		}
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -159,9 +159,9 @@
 		w.rateLimited = append(w.rateLimited, s)
 		return
 	}
-	if r := s.draining; r != nil && w.models[r.successor] != nil {
-		w.models[r.successor].replicas = append(w.models[r.successor].replicas, s)
-		w.models[r.successor].pending++
+	if m := w.models[s.loadingModel()]; m != nil && !slices.Contains(s.models(), m.Name) {
+		m.replicas = append(m.replicas, s) // once another model has been unloaded
+		m.pending++
 	}
 	for _, name := range s.models() {
 		if m := w.models[name]; m != nil && !s.isUnloading(name) {
--- a/residency/server.go
+++ b/residency/server.go
@@ -45,6 +45,7 @@
 	nextQueryAt     time.Time            // when to query whether that order has been executed
 	unanswered      []unansweredOrder    // unanswered orders that the server may still execute
 	draining        *drainingModel       // a model that drains before it is unloaded
+	successor       string               // the model that replaces the one that is being unloaded
 	dropped         []droppedModel       // models that instances must not use on the server any more
 	firstSeen       map[string]time.Time // when each model was first seen, by name; zero: before this lease
 	callInFlight    bool                 // an order or a state query is in flight
@@ -296,7 +297,11 @@
 		return s.draining.successor
 	}
 	for _, o := range []*Order{s.executing, s.orderInFlight} {
-		if o != nil && !o.Unload && o.Adapter == "" {
+		switch {
+		case o == nil || o.Adapter != "":
+		case o.Unload:
+			return s.successor
+		default:
 			return o.Model
 		}
 	}
