decide, residency, topology: client accounts share contended room by weight

Cause: nothing kept accounts apart on the users' platform.

Change: instances report each account's demand and what it has at servers, the lease holder adds that up, and each instance refuses on arrival what exceeds the account's weighted share of a full pool; unused shares and idle servers are lent. Weights are the allowances' rates where all have one, else equal. Without sums for 1.5 s an instance goes by its own requests.

In decide/contention_sim_test.go the simulation can leave instances untold; what it does else is unchanged.

--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -55,6 +55,7 @@
 	load      float64   // of all slots at speed 1
 	speeds    []float64 // of the engines, in turn; nil: 1
 	hot       float64   // how many times as much the first account sends as the others; 0: the same
+	untold    bool      // there is no lease holder: instances are told nothing
 	seed      uint64
 }
 
@@ -271,6 +272,10 @@
 
 // report gives an instance the oldest snapshot.
 func (c *contentionSim) report(i int) {
+	c.after(contentionInterval, func() { c.report(i) })
+	if c.untold {
+		return
+	}
 	was := c.snapshots[0]
 	s := c.schedulers[i]
 	var speeds []ServerSpeed
@@ -293,7 +298,6 @@
 		load := infra.Load{Running: was.loads[n], Contending: int(contending[e.id] + 0.5)}
 		c.carryOut(i, s.UpdateLoad(c.now, e.id, load, contentionReportLag))
 	}
-	c.after(contentionInterval, func() { c.report(i) })
 }
 
 func (c *contentionSim) carryOut(i int, decisions []Decision) {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -25,6 +25,7 @@
 	dequeueOffset        int
 	localFillLimit       float64 // see Table.LocalFillLimit
 	rateSharing          rateSharing
+	accounts             accountShares
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
 
@@ -56,6 +57,7 @@
 	for _, gone := range s.fleet.applyTable(now, t) {
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
+	s.accounts.setWeights(t.AccountWeights)
 	s.rateLimitActive = s.RateLimitedServers() > 0
 	s.localFillLimit = t.LocalFillLimit
 	if s.localFillLimit <= 0 {
@@ -86,6 +88,8 @@
 		s.refuse(req, ReasonUnknownTarget, 0)
 	case req.target.exceedsServer(&r):
 		s.refuse(req, ReasonTooLarge, maxRetryAfter)
+	case s.overShare(now, req):
+		s.refuseOverShare(now, req)
 	default:
 		req.target.arrivalRate.add(now)
 		s.setDeadline(req)
@@ -200,6 +204,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.out = s.out[:0]
 	if s.queued > 0 {
+		s.shedOverShare(now)
 		s.dequeueAll(now)
 	}
 	return s.out
--- a/decide/shared.go
+++ b/decide/shared.go
@@ -33,15 +33,6 @@
 	Count  float64 // answers that it rests on, weighted by age
 }
 
-// AccountDemand is what an instance, or all instances together, have of a client account's
-// requests for a pool.
-type AccountDemand struct {
-	Account  string
-	Pool     string
-	Waiting  float64 // queued at instances
-	InFlight float64 // at servers
-}
-
 // UpdateBacklogs handles the newest backlogs of all instances together, this one included. They
 // replace all earlier ones. age is how old they are in the mean.
 func (s *Scheduler) UpdateBacklogs(now time.Time, backlogs []Backlog, age time.Duration) []Decision {
@@ -55,10 +46,3 @@
 // UpdateSpeeds handles the servers' speeds as all instances together measured them. They replace
 // all earlier ones.
 func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {}
-
-// AccountDemands returns what this instance has of client accounts' requests.
-func (s *Scheduler) AccountDemands() []AccountDemand { return nil }
-
-// UpdateAccounts handles what all instances together, this one included, have of client accounts'
-// requests. It replaces what was told earlier.
-func (s *Scheduler) UpdateAccounts(now time.Time, demands []AccountDemand) {}
--- a/decide/types.go
+++ b/decide/types.go
@@ -142,6 +142,7 @@
 	ReasonQueueFull     Reason = "queue_full"     // the queue is full
 	ReasonPartnerShare  Reason = "partner_share"  // evicted from a full queue: its partner queues the most for its weight
 	ReasonNoReplica     Reason = "no_replica"     // no replica is ready and reachable
+	ReasonAccountShare  Reason = "account_share"  // its client account has more than its share of a full pool
 	ReasonTooLarge      Reason = "too_large"      // larger than a whole server's memory
 	ReasonUnknownTarget Reason = "unknown_target" // no target has that name
 	ReasonRetryBudget   Reason = "retry_budget"   // retry budget or attempt limit exhausted
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -240,6 +240,7 @@
 	g("known_instances", "Other instances that this one knows and may ask.", func() float64 { return float64(len(i.knownPeers())) })
 	g("gateway_members", "Instances that may be gateways of such servers, as far as this one knows.", func() float64 { return float64(len(i.relay.Gateways())) })
 	g("servers_paused", "Servers that get no requests from this instance until their Retry-After has passed.", func() float64 { return float64(i.relay.PausedServers()) })
+	g("accounts_over_share", "Client accounts of which requests are refused since they have more than their share of servers.", func() float64 { return float64(i.relay.AccountsOverShare()) })
 	g("held_bytes", "Memory that requests in hand take, by estimate.", func() float64 { return float64(i.relay.HeldBytes()) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.ActiveRequests()) })
 }
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -38,6 +38,9 @@
 	log        logrus.FieldLogger
 	metrics    Metrics
 	syncNeeded chan struct{}
+
+	sharesLogged   int // accounts over their share in the newest log line on them
+	sharesLoggedAt time.Time
 }
 
 func newDispatcher(rng *rand.Rand, log logrus.FieldLogger, m Metrics) *dispatcher {
--- a/relay/shared.go
+++ b/relay/shared.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"greengageferry/decide"
 	"greengageferry/residency"
 )
@@ -19,12 +22,40 @@
 // AccountDemands returns what this instance has of client accounts' requests.
 func (r *Relay) AccountDemands() []decide.AccountDemand { return r.dispatcher.accountDemands() }
 
+// AccountsOverShare returns how many client accounts are over their share of some pool.
+func (r *Relay) AccountsOverShare() int { return r.dispatcher.accountsOverShare() }
+
+func (d *dispatcher) accountsOverShare() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.scheduler.AccountsOverShare())
+}
+
+// logSharesInterval is the shortest time between two log lines on accounts over their share.
+const logSharesInterval = time.Second
+
+// logShares logs how many accounts are over their share, and the one most so, when that number has
+// changed. The lock is held.
+func (d *dispatcher) logShares(now time.Time) {
+	over := d.scheduler.AccountsOverShare()
+	if len(over) == d.sharesLogged || now.Sub(d.sharesLoggedAt) < logSharesInterval {
+		return
+	}
+	d.sharesLogged, d.sharesLoggedAt = len(over), now
+	f := logrus.Fields{"accounts": len(over)}
+	if len(over) > 0 {
+		f["account"], f["service"], f["within"] = over[0].Account, over[0].Pool, strconv.FormatFloat(over[0].Within, 'g', 3, 64)
+	}
+	d.log.WithFields(f).Info("client accounts over their share")
+}
+
 func (d *dispatcher) updateShared(s residency.Summary, age time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.scheduler.UpdateSpeeds(now, s.Speeds)
 	d.scheduler.UpdateAccounts(now, s.Accounts)
+	d.logShares(now)
 	d.deliver(d.scheduler.UpdateBacklogs(now, s.Backlogs, age))
 }
 
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -60,6 +60,7 @@
 type DemandTracker struct {
 	targets     map[string]*targetState
 	versions    map[string][]string // see Versions
+	accounts    accountReports
 	instances   map[string]*instanceState
 	decayTime   time.Duration
 	holdSeconds float64 // mean time that a request occupies a slot, over all targets
@@ -131,6 +132,7 @@
 	d.lastReportAt = now
 	member := Member{Name: report.Instance, Domain: report.Domain, Addr: report.Addr, Cores: report.Cores}
 	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, storeDown: report.StoreDown, version: report.Version}
+	d.accounts.note(now, report.Instance, report.Accounts)
 	for name, a := range report.TargetDemand {
 		if a.Requests > 0 || a.Waiting > 0 {
 			t := d.target(name)
--- a/topology/accounts.go
+++ b/topology/accounts.go
@@ -110,6 +110,42 @@
 // HasLimits reports whether any account's allowance is limited. x may be nil.
 func (x *Accounts) HasLimits() bool { return x != nil && x.limited }
 
+// Weights returns the accounts' relative shares of contended room by name: their allowances if all
+// have one in the same unit, else equal ones. It is nil if there are no accounts. x may be nil.
+func (x *Accounts) Weights() map[string]float64 {
+	if x.Len() == 0 {
+		return nil
+	}
+	out := make(map[string]float64, len(x.byName))
+	sum := 0.0
+	for name, a := range x.byName {
+		out[name] = a.Allowance.PerSecond
+		sum += a.Allowance.PerSecond
+	}
+	if !x.comparable() {
+		for name := range out {
+			out[name] = 1
+		}
+		return out
+	}
+	for name := range out {
+		out[name] *= float64(len(out)) / sum
+	}
+	return out
+}
+
+// comparable reports whether all accounts have an allowance in the same unit.
+func (x *Accounts) comparable() bool {
+	units := map[AllowanceUnit]bool{}
+	for _, a := range x.byName {
+		if !a.Allowance.Limited() {
+			return false
+		}
+		units[a.Allowance.Unit] = true
+	}
+	return len(units) == 1
+}
+
 // Len returns the number of accounts. x may be nil.
 func (x *Accounts) Len() int {
 	if x == nil {
--- a/topology/table.go
+++ b/topology/table.go
@@ -115,6 +115,7 @@
 	if v.Config == nil {
 		return t
 	}
+	t.AccountWeights = v.Config.Accounts.Weights()
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
 		addTargets(t, v, v.Config.Services[name])
 	}
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -190,3 +190,24 @@
 	require.Len(t, BuildTable("d", v, decide.RetryPolicy{}).Targets, 1, "one version needs no targets of its own")
 	require.Equal(t, "llm/m", v.TargetAt("llm", "llm/m", "v1"))
 }
+
+func TestAccountsShareByTheirAllowancesIfAllHaveOne(t *testing.T) {
+	weights := func(accounts ...Account) map[string]float64 {
+		x, err := NewAccounts(accounts)
+		require.NoError(t, err)
+		return x.Weights()
+	}
+	limited := func(name string, perSecond float64, unit AllowanceUnit) Account {
+		return Account{Name: name, Allowance: Allowance{PerSecond: perSecond, Unit: unit}}
+	}
+	require.Nil(t, (*Accounts)(nil).Weights())
+	require.Nil(t, weights())
+	require.Equal(t, map[string]float64{"a": 0.5, "b": 1.5}, weights(limited("a", 10, UnitTokens), limited("b", 30, UnitTokens)))
+	equal := map[string]float64{"a": 1, "b": 1}
+	require.Equal(t, equal, weights(limited("a", 10, UnitTokens), Account{Name: "b"}))
+	require.Equal(t, equal, weights(limited("a", 10, UnitTokens), limited("b", 30, UnitRequests)))
+	v := &View{Config: &Config{}}
+	require.Nil(t, BuildTable("d", v, decide.RetryPolicy{}).AccountWeights, "without accounts nothing is shared")
+	v.Config.Accounts, _ = NewAccounts([]Account{{Name: "a"}})
+	require.Equal(t, map[string]float64{"a": 1}, BuildTable("d", v, decide.RetryPolicy{}).AccountWeights)
+}
