--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -124,6 +124,27 @@
 	require.Nil(t, s.AccountDemands())
 }
 
+// An instance that doesn't know yet how long requests take at a pool's servers reports only what it
+// has there: an assumed time may be many times theirs.
+func TestDemandOfAPoolOfWhichLittleIsKnown(t *testing.T) {
+	table := testTable(1, 100, 1, "am")
+	table.Targets["am"].Pool, table.AccountWeights = "p", map[string]float64{"a": 1}
+	s := testScheduler(table)
+	now := simStart
+	for i := range 4 {
+		s.Submit(now, accountRequest(i, "a"))
+		demands := s.AccountDemands()
+		require.Len(t, demands, 1)
+		if i < 3 {
+			require.Equal(t, AccountDemand{Account: "a", Pool: "p", InFlight: 1}, demands[0])
+		} else {
+			require.InDelta(t, 4/accountDecay.Seconds()*0.02, demands[0].wanted(), 0.05)
+		}
+		now = now.Add(20 * time.Millisecond)
+		completeRequest(s, now, fmt.Sprint("a", i), "s0")
+	}
+}
+
 // A pool whose busy models have few replicas is full though other servers are idle: these are lent.
 func TestRequestsOverTheShareGoToIdleServers(t *testing.T) {
 	table := testTable(2, 100, 1, "am", "bm")
