decide: an account's demand ends with its requests

Cause: demand decayed only when a request arrived, so that an instance that got none any more reported the last demand on; accounts whose queued requests were still to be judged were kept until a request was queued.

Change: telling moves the time on; the list is begun anew with each computation.

Test: TestDemandOfAnAccountThatStopsIsForgotten.

--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -59,7 +59,7 @@
 	within     map[accountPool]float64
 	toldAt     time.Time     // when all instances' demands were last told; zero: never
 	computedAt time.Time     // when within was last computed from own demands alone
-	seenAt     time.Time     // time of the newest request
+	seenAt     time.Time     // time of the newest request or telling
 	shed       []accountPool // over their share since lately: their queued requests are still to be judged
 	arrivals   map[accountPool]*recentCount
 }
@@ -214,6 +214,7 @@
 // UpdateAccounts handles what all instances together, this one included, have of client accounts'
 // requests. It replaces what was told earlier.
 func (s *Scheduler) UpdateAccounts(now time.Time, demands []AccountDemand) {
+	s.accounts.seenAt = now
 	if s.accounts.weights == nil || len(demands) == 0 {
 		return
 	}
@@ -290,7 +291,7 @@
 // its servers, given the demands for it.
 func (a *accountShares) compute(demands []AccountDemand, capacity func(pool string, of []AccountDemand) float64) {
 	before := a.within
-	a.within = map[accountPool]float64{}
+	a.within, a.shed = map[accountPool]float64{}, a.shed[:0]
 	sorted := slices.SortedFunc(slices.Values(demands), compareAccountDemands)
 	for len(sorted) > 0 {
 		pool := sorted[0].Pool
--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -145,6 +145,20 @@
 	}
 }
 
+// Demand ends with the requests, also at an instance that gets none any more.
+func TestDemandOfAnAccountThatStopsIsForgotten(t *testing.T) {
+	table := testTable(1, 100, 1, "am")
+	table.Targets["am"].Pool, table.AccountWeights = "p", map[string]float64{"a": 1}
+	s := testScheduler(table)
+	for i := range 100 {
+		s.Submit(simStart, accountRequest(i, "a"))
+		completeRequest(s, simStart.Add(time.Second), fmt.Sprint("a", i), "s0")
+	}
+	require.Greater(t, s.AccountDemands()[0].wanted(), 50.0)
+	s.UpdateAccounts(simStart.Add(5*time.Second), nil)
+	require.Less(t, s.AccountDemands()[0].wanted(), 0.1)
+}
+
 // A pool whose busy models have few replicas is full though other servers are idle: these are lent.
 func TestRequestsOverTheShareGoToIdleServers(t *testing.T) {
 	table := testTable(2, 100, 1, "am", "bm")
