--- a/decide/shared.go
+++ b/decide/shared.go
@@ -1,7 +1,5 @@
 package decide
 
-import "time"
-
 // Ranks is how many ranks of requests are told apart: 0, the most urgent, to Ranks-1. All less
 // urgent ones count as the last.
 const Ranks = 4
@@ -16,19 +14,3 @@
 	Arrivals [Ranks]float64 // per second, by rank
 	Starts   [Ranks]float64 // sent to servers per second, by rank
 }
-
-// AccountDemand is what an instance, or all instances together, have of a client account's
-// requests for a pool.
-type AccountDemand struct {
-	Account  string
-	Pool     string
-	Waiting  float64 // queued at instances
-	InFlight float64 // at servers
-}
-
-// AccountDemands returns what this instance has of client accounts' requests.
-func (s *Scheduler) AccountDemands() []AccountDemand { return nil }
-
-// UpdateAccounts handles what all instances together, this one included, have of client accounts'
-// requests. It replaces what was told earlier.
-func (s *Scheduler) UpdateAccounts(now time.Time, demands []AccountDemand) {}
