--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -57,6 +57,7 @@
 	hot       float64       // how many times as much the first account sends as the others; 0: the same
 	fifo      bool          // engines start waiting requests in their order of arrival, not by rank
 	untold    bool          // no instance learns what waits at others
+	slow      float64       // how many times as long as usual requests hold their slots; 0: 1
 	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
 	seed      uint64
 }
@@ -146,6 +147,7 @@
 // simulateContention runs the simulation to contentionEnd.
 func simulateContention(in contention) *contentionResult {
 	in.end = cmp.Or(in.end, contentionEnd)
+	in.slow = cmp.Or(in.slow, 1)
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
 		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*arrivalRate{}, speeds: map[string]*SpeedSample{},
@@ -332,7 +334,7 @@
 	c.starts[r.Target].add(c.now)
 	sent := c.now
 	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
-	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
+	c.after(time.Duration(float64(r.kind.hold)*c.slow/e.speed), func() {
 		e.running--
 		delete(c.requests, r.ID)
 		c.carryOut(r.at, c.schedulers[r.at].Ended(c.now, r.ID, e.id, Outcome{Complete: true, FirstToken: 30 * time.Millisecond, Total: c.now.Sub(sent), Tokens: 100}))
@@ -382,7 +384,7 @@
 	for _, k := range contentionKinds {
 		hold += k.share * k.hold.Seconds()
 	}
-	rate := c.load * contentionEngines * contentionSlots / hold
+	rate := c.load * contentionEngines * contentionSlots / (hold * c.slow)
 	extra := 0.0
 	if c.hot > 0 {
 		extra = c.hot - 1
