--- a/cmd/greengageferry/trace_test.go
+++ b/cmd/greengageferry/trace_test.go
@@ -69,6 +69,7 @@
 
 func (noMetrics) CountResumption(string, string)           {}
 func (noMetrics) CountBody(respbody.Framing, respbody.End) {}
+func (noMetrics) CountRankDecision(string, int, bool)      {}
 func (noMetrics) CountRateLimitedAttempt()                 {}
 func (noMetrics) ObserveStreamGap(time.Duration)           {}
 
--- a/decide/admit.go
+++ b/decide/admit.go
@@ -92,6 +92,8 @@
 		Queued:      t.queue.len(),
 		QueueWait:   seconds(wait),
 		ServiceTime: seconds(req.serviceTime),
+		RoomByRank:  t.roomByRank,
+		Late:        req.goalMissed,
 	}})
 }
 
--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -151,11 +151,10 @@
 		}
 	}
 	require.Equal(t, []string{"batch"}, refused)
-	d := s.Submit(simStart, rankedRequest("more batch", 3, 12*time.Second))
 	s.queued = maxQueued
-	d = s.Submit(simStart, rankedRequest("even more batch", 3, 15*time.Second))
+	d := s.Submit(simStart, rankedRequest("more batch", 3, 15*time.Second))
 	require.Len(t, d, 1)
-	require.Equal(t, "even more batch", d[0].Request)
+	require.Equal(t, "more batch", d[0].Request)
 	require.Equal(t, ReasonQueueFull, d[0].Reason)
 }
 
@@ -179,8 +178,11 @@
 	}
 	require.Equal(t, 3, started(simStart, "a", "b", "c", "d", "e", "f"), "of 12 that 4 instances may have there")
 	now := simStart.Add(2 * time.Second)
+	for _, id := range []string{"d", "e", "f"} {
+		s.Cancel(now, id)
+	}
 	s.UpdateLoad(now, "s0", infra.Load{Running: 3}, 0)
-	require.Positive(t, started(now, "g", "h"))
+	require.Equal(t, 2, started(now, "g", "h"))
 	lost := now.Add(maxReportAge + time.Second)
 	require.Zero(t, started(lost, "i", "j"))
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -310,6 +310,9 @@
 			TimeToFirstToken: seconds(c.timeToFirstToken(req)),
 			LoadAge:          srv.loadAge(now),
 			Contending:       srv.quota.contenders(),
+			RoomByRank:       req.target.roomByRank,
+			Late:             req.goalMissed,
+			Room:             srv.rankRoom.left[RankIndex(req.Rank)],
 			ServerLimit:      srv.rateLimit.RateLimit,
 			Granted:          granted,
 		},
@@ -368,7 +371,11 @@
 }
 
 func (s *Scheduler) refuse(req *requestState, reason Reason, after time.Duration) {
-	s.out = append(s.out, Decision{Request: req.ID, Action: ActionRefuse, Reason: reason, RetryAfter: after, Inputs: Inputs{ServiceTime: seconds(req.serviceTime)}})
+	s.out = append(s.out, Decision{Request: req.ID, Action: ActionRefuse, Reason: reason, RetryAfter: after, Inputs: Inputs{
+		ServiceTime: seconds(req.serviceTime),
+		RoomByRank:  req.target != nil && req.target.roomByRank,
+		Late:        req.goalMissed,
+	}})
 	s.forget(req)
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -163,6 +163,9 @@
 	LoadAge          time.Duration // age of the server's newest load report; 0: none
 	ServerLimit      RateLimit     // of the chosen server
 	Granted          bool          // the lease holder granted this request under ServerLimit; false: sent in this instance's own turn
+	RoomByRank       bool          // the request gets room by its rank; see Table.RoomByRank
+	Late             bool          // with RoomByRank: it can't meet its goal any more
+	Room             float64       // with RoomByRank: requests of its rank that the chosen server can take until its next load report
 	Contending       int           // requests of all instances that compete for the server's slots; 0: this instance has no quota there
 }
 
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"greengageferry/allowance"
+	"greengageferry/decide"
 	"greengageferry/internal/respbody"
 )
 
@@ -30,6 +32,7 @@
 
 	requests        *prometheus.CounterVec // by outcome
 	decisions       *prometheus.CounterVec // by action and reason
+	rankDecisions   *prometheus.CounterVec // by action, rank and whether the request was late
 	orders          *prometheus.CounterVec // by result
 	sentRateLimited prometheus.Counter
 	storeFailures   prometheus.Counter
@@ -62,10 +65,11 @@
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets})
 	}
 	m := &metrics{
-		registry:  prometheus.NewRegistry(),
-		requests:  counters("requests_total", "Requests by the class of their end.", "outcome"),
-		decisions: counters("decisions_total", "Decisions about requests.", "action", "reason"),
-		orders:    counters("orders_total", "Orders to servers.", "result"),
+		registry:      prometheus.NewRegistry(),
+		requests:      counters("requests_total", "Requests by the class of their end.", "outcome"),
+		decisions:     counters("decisions_total", "Decisions about requests.", "action", "reason"),
+		rankDecisions: counters("rank_decisions_total", "Decisions about requests that get room by their rank.", "action", "rank", "late"),
+		orders:        counters("orders_total", "Orders to servers.", "result"),
 		sentRateLimited: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "sent_rate_limited_total", Help: "Attempts at servers that name a rate limit.",
 		}),
@@ -102,7 +106,7 @@
 		resumptions: counters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
 		accounts:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
+	m.registry.MustRegister(m.requests, m.decisions, m.rankDecisions, m.orders, m.sentRateLimited, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
 	return m
 }
 
@@ -154,6 +158,11 @@
 	m.decisions.WithLabelValues(action, reason).Inc()
 }
 
+// CountRankDecision implements relay.Metrics. Ranks beyond decide.Ranks share a label.
+func (m *metrics) CountRankDecision(action string, rank int, late bool) {
+	m.rankDecisions.WithLabelValues(action, strconv.Itoa(decide.RankIndex(rank)), strconv.FormatBool(late)).Inc()
+}
+
 // CountRateLimitedAttempt implements relay.Metrics.
 func (m *metrics) CountRateLimitedAttempt() { m.sentRateLimited.Inc() }
 
--- a/instance/metrics_test.go
+++ b/instance/metrics_test.go
@@ -18,6 +18,7 @@
 	m.ObserveQueueTime(time.Millisecond)
 	m.ObserveStreamGap(time.Minute)
 	m.countOrder("accepted")
+	m.CountRankDecision("dispatch", 0, true)
 	m.CountRateLimitedAttempt()
 	m.observeStoreCall("servers", time.Now(), nil)
 	m.observeStoreCall("servers", time.Now(), context.DeadlineExceeded)
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -256,6 +256,10 @@
 		f["target"] = c.target
 		f["config"] = c.configVersion
 	}
+	if dec.Inputs.RoomByRank && c != nil {
+		d.metrics.CountRankDecision(action, c.rank(), dec.Inputs.Late)
+		f["rank"], f["late"] = c.rank(), dec.Inputs.Late
+	}
 	switch dec.Action {
 	case decide.ActionDispatch:
 		f["server"] = dec.Server.ID
@@ -267,6 +271,9 @@
 			f["limit_per_s"], f["granted"] = dec.Inputs.ServerLimit.PerSecond, dec.Inputs.Granted
 			d.metrics.CountRateLimitedAttempt()
 		}
+		if dec.Inputs.RoomByRank {
+			f["room"] = strconv.FormatFloat(dec.Inputs.Room, 'f', 1, 64)
+		}
 		if dec.Inputs.Contending > 0 {
 			f["contending"] = dec.Inputs.Contending
 		}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -79,7 +79,8 @@
 
 func (testMetrics) ObserveStreamGap(time.Duration) {}
 
-func (testMetrics) CountRateLimitedAttempt() {}
+func (testMetrics) CountRankDecision(string, int, bool) {}
+func (testMetrics) CountRateLimitedAttempt()            {}
 
 func (testMetrics) CountGatewayAdmission(string) {}
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,6 +139,8 @@
 	ObserveStreamGap(longest time.Duration)
 	// CountDecision counts a scheduler decision.
 	CountDecision(action, reason string)
+	// CountRankDecision counts a decision about a request that gets room by its rank.
+	CountRankDecision(action string, rank int, late bool)
 	// CountRateLimitedAttempt counts an attempt at a server that names a rate limit.
 	CountRateLimitedAttempt()
 	// CountBody counts a server's response by how its body was framed and ended.
