--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -54,6 +54,7 @@
 	load      float64       // of all slots at speed 1
 	speeds    []float64     // of the engines, in turn; nil: 1
 	alone     bool          // instances aren't told what the others have waiting
+	slow      float64       // how many times as long as usual requests hold their slots; 0: 1
 	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
 	returns   bool          // refused callers come back once, as callers do
 	cutFrom   time.Duration // from here on no report arrives, until cutTo
@@ -183,6 +184,7 @@
 
 func newContentionSim(in contention) *contentionSim {
 	in.end = cmp.Or(in.end, contentionEnd)
+	in.slow = cmp.Or(in.slow, 1)
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
 		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: NewSpeedEstimator(),
@@ -366,7 +368,7 @@
 	c.starts[r.Target][r.Rank].add(c.now)
 	sent := c.now
 	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
-	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
+	c.after(time.Duration(float64(r.kind.hold)*c.slow/e.speed), func() {
 		e.running--
 		if !e.slowed.IsZero() && !sent.Before(e.slowed) {
 			e.answers++
@@ -419,7 +421,7 @@
 	for _, k := range contentionKinds {
 		hold += k.share * k.hold.Seconds()
 	}
-	rate := c.load * contentionEngines * contentionSlots / hold
+	rate := c.load * contentionEngines * contentionSlots / (hold * c.slow)
 	extra := 0.0
 	if c.hot > 0 {
 		extra = c.hot - 1
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -282,7 +282,7 @@
 	if !b.Known {
 		return
 	}
-	f["waiting_all"], f["backlog_age_ms"], f["room"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.Room
+	f["waiting_all"], f["backlog_age_ms"], f["room_on_return"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.Room
 	f["starts_per_s"] = strconv.FormatFloat(b.Starts, 'f', 1, 64)
 	f["arrivals_per_s"] = strconv.FormatFloat(b.Arrivals, 'f', 1, 64)
 	d.metrics.CountBacklogRefusal(b.Room)
@@ -305,6 +305,10 @@
 		f["target"] = c.target
 		f["config"] = c.configVersion
 	}
+	if dec.Inputs.RoomByRank && c != nil {
+		d.metrics.CountRankDecision(action, c.rank(), dec.Inputs.Late)
+		f["rank"], f["late"] = c.rank(), dec.Inputs.Late
+	}
 	switch dec.Action {
 	case decide.ActionDispatch:
 		f["server"] = dec.Server.ID
@@ -316,6 +320,9 @@
 			f["limit_per_s"], f["granted"] = dec.Inputs.ServerLimit.PerSecond, dec.Inputs.Granted
 			d.metrics.CountRateLimitedAttempt()
 		}
+		if dec.Inputs.RoomByRank {
+			f["room"] = strconv.FormatFloat(dec.Inputs.Room, 'f', 1, 64)
+		}
 		if dec.Inputs.Contending > 0 {
 			f["contending"] = dec.Inputs.Contending
 		}
