residency: less slack for arrivals, plan without sorting again

Cause: sorting the models that lack replicas after each order computed every gain again. Change: gains are computed once and for the model that got an order.

--- a/residency/contention.go
+++ b/residency/contention.go
@@ -22,7 +22,7 @@
 	turnLoadShare = 0.3
 	// arrivalSlack is how far the demand of a model may exceed its mean arrivals times the mean
 	// time that a request occupies a slot: the time differs by model, and rising arrivals show late.
-	arrivalSlack = 2.0
+	arrivalSlack = 1.4
 	// storeLoadShare is the share of the concurrent loads at which the weight store's loads slow
 	// each other down that is used while models compete: a late replica gains little.
 	storeLoadShare = 0.9
@@ -37,7 +37,7 @@
 	// carries out one order at a time, and a load that has begun isn't stopped. The other servers
 	// are kept for demand that moves.
 	smallGainShare   = 0.25
-	freeServers      = 0.6
+	freeServers      = 0.75
 	firstLoadServers = 0.3
 	// fillShare is how much a busy server is preferred for a model with little demand, relative to
 	// the room for all of its demand.
@@ -274,33 +274,56 @@
 	return w.gain(m, 0) * m.unserved.Seconds() / (turnShare * max(m.goal, minTurnGoal).Seconds())
 }
 
+// planByGain orders loads for the models that lack replicas, the one with the greatest priority
+// first each time.
+func (w *pool) planByGain(models []*model) []Order {
+	for _, m := range models {
+		w.setPriority(m)
+	}
+	var out []Order
+	for len(models) > 0 {
+		best := 0
+		for i, m := range models {
+			if w.comparePriority(m, models[best]) < 0 {
+				best = i
+			}
+		}
+		m := models[best]
+		o, found := w.addReplica(m, "")
+		if o != nil {
+			out = append(out, *o)
+		}
+		if !found || len(m.replicas) >= m.desired {
+			models = slices.Delete(models, best, best+1)
+			continue
+		}
+		w.setPriority(m)
+	}
+	return out
+}
+
 // setPriority computes the model's priority for the next load: the gain for each second that it
-// takes.
+// takes, and what its turn counts.
 func (w *pool) setPriority(m *model) {
 	load := m.LoadTime.Seconds()
 	if w.onDisk[m.Name] > 0 {
 		load *= diskLoadShare
 	}
-	m.priority = w.gain(m, len(m.replicas)) / max(load, 0.001)
+	m.priority, m.waitedGain = w.gain(m, len(m.replicas))/max(load, 0.001), 0
+	if m.awaitsTurn() {
+		m.waitedGain = w.turnGain(m)
+	}
 }
 
 // comparePriority orders models that compete for loads: first those whose turn has come, for as
 // many loads as are kept for turns, then by priority.
 func (w *pool) comparePriority(a, b *model) int {
-	if w.budget.turnTokens >= 1 && (a.awaitsTurn() || b.awaitsTurn()) {
-		return cmp.Compare(w.waitedGain(b), w.waitedGain(a))
+	if w.budget.turnTokens >= 1 && a.waitedGain != b.waitedGain {
+		return cmp.Compare(b.waitedGain, a.waitedGain)
 	}
 	return cmp.Compare(b.priority, a.priority)
 }
 
-// waitedGain returns the gain of the model's turn, 0 if it awaits none.
-func (w *pool) waitedGain(m *model) float64 {
-	if !m.awaitsTurn() {
-		return 0
-	}
-	return w.turnGain(m)
-}
-
 // awaitsTurn reports whether the model's turn has come and its load isn't ordered yet.
 func (m *model) awaitsTurn() bool { return m.turn && len(m.replicas) == 0 }
 
--- a/residency/place.go
+++ b/residency/place.go
@@ -16,8 +16,13 @@
 	out := w.planVersions()
 	underReplicated := w.underReplicated()
 	w.recordShortages(underReplicated)
+	if w.contended {
+		return append(append(out, w.planByGain(underReplicated)...), w.unloadDrained()...)
+	}
 	for len(underReplicated) > 0 {
-		w.sortByPriority(underReplicated)
+		slices.SortStableFunc(underReplicated, func(a, b *model) int {
+			return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
+		})
 		m := underReplicated[0]
 		o, found := w.addReplica(m, "")
 		if o != nil {
@@ -30,20 +35,6 @@
 	return append(out, w.unloadDrained()...)
 }
 
-// sortByPriority sorts models that lack replicas, the one first whose load is ordered next.
-func (w *pool) sortByPriority(models []*model) {
-	if w.contended {
-		for _, m := range models {
-			w.setPriority(m)
-		}
-		slices.SortStableFunc(models, w.comparePriority)
-		return
-	}
-	slices.SortStableFunc(models, func(a, b *model) int {
-		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
-	})
-}
-
 // underReplicated returns the models with fewer replicas than desired.
 func (w *pool) underReplicated() []*model {
 	var out []*model
--- a/residency/plan_bench_test.go
+++ b/residency/plan_bench_test.go
@@ -8,10 +8,9 @@
 	"greengageferry/topology"
 )
 
-// newCrowdedSimulation returns a simulation with three models on each server, nearly
-// twice as many models as servers, and demand for a ninth of the models.
-func newCrowdedSimulation(b testing.TB, servers int) *simulation {
-	models := servers * 444 / 240
+// newCrowdedSimulation returns a simulation with three models on each server and demand for a
+// ninth of the models.
+func newCrowdedSimulation(b testing.TB, servers, models int) *simulation {
 	w := newSimulation(b, servers, models, 0)
 	w.service.Engine.Slots, w.service.Engine.LoadsPerSecond = 12, 0.15*float64(servers)
 	for i := range w.service.Engine.Models {
@@ -48,7 +47,7 @@
 			var spent time.Duration
 			plans := 0
 			for range b.N {
-				w := newCrowdedSimulation(b, servers)
+				w := newCrowdedSimulation(b, servers, servers*444/240)
 				w.run(3 * time.Second)
 				w.moveDemand(4)
 				for range 30 {
@@ -63,3 +62,36 @@
 		})
 	}
 }
+
+// BenchmarkPlanAtDesignSize measures planning at the size to design for, with demand for all
+// models, a ninth of them hot, once with requests of one rank and once of two.
+func BenchmarkPlanAtDesignSize(b *testing.B) {
+	const servers, models = 1900, 870
+	for _, ranks := range []int{1, 2} {
+		b.Run(fmt.Sprint("ranks=", ranks), func(b *testing.B) {
+			w := newCrowdedSimulation(b, servers, models)
+			w.run(time.Second)
+			w.moveDemand(4)
+			for m := range models {
+				name := topology.TargetName("llm", fmt.Sprint("m", m), "")
+				a := w.demand[name]
+				if a.InFlight == 0 {
+					a.InFlight, a.Waiting = 2, 1
+				}
+				rank := (m % 9 % 2) * (ranks - 1)
+				a.ByRank[rank] = RankDemand{Waiting: a.Waiting, InFlight: a.InFlight, Goal: time.Second}
+				w.demand[name] = a
+			}
+			w.run(2 * time.Second)
+			b.ResetTimer()
+			spent := time.Duration(0)
+			for range b.N {
+				w.step()
+				begun := time.Now()
+				w.planner.Plan(w.now)
+				spent += time.Since(begun)
+			}
+			b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "µs/plan")
+		})
+	}
+}
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -48,6 +48,7 @@
 	unserved    time.Duration // how long requests have waited for it without a replica that serves
 	turn        bool          // it gets a place since its requests waited
 	priority    float64       // of its next load, if contended
+	waitedGain  float64       // of the turn that it awaits; 0: none
 	// versions are the software versions at which streams of the model go on.
 	versions []string
 }
