decide: a few waiting requests don't make a pool full

Cause: a pool counted as full if its waiting requests exceeded a tenth of those at its servers; with few requests one or two are enough. TestAllowanceIsSharedByAllInstances showed it: an account without a limit was refused 211 of 6,304 requests though servers were free.

Tests: TestAllowanceIsSharedByAllInstances, unchanged, passes twice (0 of 4,522 and of 5,658 refused); TestFewWaitingRequestsAreNoContention and a case of TestSharesAreByWeightAndLent are new.

--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -255,9 +255,9 @@
 	}
 	s.accounts.compute(s.AccountDemands(), func(pool string, of []AccountDemand) float64 {
 		switch inFlight := sumInFlight(of); {
-		case float64(queued[pool]) > contendedWaiting*inFlight:
+		case lacksRoom(float64(queued[pool]), inFlight):
 			return inFlight
-		case inFlight > slots[pool].own: // some wait at the servers
+		case inFlight > slots[pool].own+math.Sqrt(slots[pool].own): // some wait at the servers
 			return slots[pool].own
 		}
 		return math.Inf(1)
@@ -273,12 +273,18 @@
 			waiting += d.Waiting
 		}
 	}
-	if inFlight := sumInFlight(demands); waiting > contendedWaiting*inFlight+shareDeviations*math.Sqrt(inFlight) {
+	if inFlight := sumInFlight(demands); lacksRoom(waiting, inFlight) {
 		return min(inFlight, slots)
 	}
 	return slots
 }
 
+// lacksRoom reports whether so many requests wait beside those at servers that the servers must be
+// full: more than what chance explains where few requests come and go.
+func lacksRoom(waiting, inFlight float64) bool {
+	return waiting > contendedWaiting*inFlight+shareDeviations*math.Sqrt(max(waiting+inFlight, 0))
+}
+
 func sumInFlight(demands []AccountDemand) float64 {
 	sum := 0.0
 	for i := range demands {
--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -62,6 +62,7 @@
 		"all want more than there is":    {nil, []float64{600, 333, 600, 333, 600, 333}, nil},
 		"requests vary":                  {nil, []float64{320, 320, 390, 390, 330, 290}, nil},
 		"few replicas though free slots": {nil, []float64{100, 50, 1000, 200, 100, 50}, map[string]float64{"b": 100.0 / 1000 * 100 / 200}},
+		"few requests that vary":         {nil, []float64{6, 1, 0.5, 0}, nil},
 		"alone":                          {nil, []float64{5000, 1000}, nil},
 	} {
 		got := sharesOf(tc.weights, 1000, tc.demands...)
@@ -159,6 +160,22 @@
 	require.Less(t, s.AccountDemands()[0].wanted(), 0.1)
 }
 
+// A few requests that wait for a moment at an instance don't mean that the pool is full.
+func TestFewWaitingRequestsAreNoContention(t *testing.T) {
+	table := testTable(1, 4, 1, "am")
+	table.Targets["am"].Pool, table.NoServerQueue = "p", true
+	table.AccountWeights = map[string]float64{"a": 1, "b": 1}
+	s := testScheduler(table)
+	for i := range 8 {
+		account := "a"
+		if i == 0 {
+			account = "b"
+		}
+		require.NotEqual(t, ReasonAccountShare, s.Submit(simStart.Add(time.Duration(i)*ownSharesInterval), accountRequest(i, account))[0].Reason)
+	}
+	require.Empty(t, s.AccountsOverShare())
+}
+
 // A pool whose busy models have few replicas is full though other servers are idle: these are lent.
 func TestRequestsOverTheShareGoToIdleServers(t *testing.T) {
 	table := testTable(2, 100, 1, "am", "bm")
