--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -1,9 +1,9 @@
 package decide
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -29,7 +29,6 @@
 	contentionInterval    = 500 * time.Millisecond // between reports to an instance
 	contentionReportLag   = 400 * time.Millisecond // age of the data in a report
 	contentionSnapshot    = 100 * time.Millisecond
-	contentionWarmup      = 10 * time.Second // requests that arrive earlier aren't counted
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
 	lateWorth             = 0.25 // of an answer that starts after its goal
@@ -55,11 +54,12 @@
 	load      float64       // of all slots at speed 1
 	speeds    []float64     // of the engines, in turn; nil: 1
 	alone     bool          // instances aren't told what the others have waiting
-	end       time.Duration // 0: contentionEnd
+	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
 	returns   bool          // refused callers come back once, as callers do
 	cutFrom   time.Duration // from here on no report arrives, until cutTo
 	cutTo     time.Duration
 	hot       float64 // how many times as much the first account sends as the others; 0: the same
+	fifo      bool    // engines start waiting requests in their order of arrival, not by rank
 	seed      uint64
 }
 
@@ -139,6 +139,8 @@
 	speed   float64
 	running int
 	waiting []*contentionRequest
+	slowed  time.Time // when its speed fell; zero: it didn't
+	answers int       // begun and ended since
 }
 
 // contentionState is what a report holds.
@@ -146,6 +148,7 @@
 	loads    []int // by engine
 	backlogs []Backlog
 	accounts []AccountDemand
+	speeds   []ServerSpeed
 }
 
 type contentionSim struct {
@@ -161,8 +164,8 @@
 	weights    []float64 // of the models
 	arrivals   map[string]*[Ranks]arrivalRate
 	starts     map[string]*[Ranks]arrivalRate
-	speeds     map[string]*SpeedSample // of all instances together
-	snapshots  []contentionState       // newest last; reports carry the oldest
+	speeds     *SpeedEstimator   // of all instances together
+	snapshots  []contentionState // newest last; reports carry the oldest
 	result     contentionResult
 }
 
@@ -173,9 +176,16 @@
 
 // simulateContention runs the simulation to contentionEnd.
 func simulateContention(in contention) *contentionResult {
+	c := newContentionSim(in)
+	c.run()
+	return &c.result
+}
+
+func newContentionSim(in contention) *contentionSim {
+	in.end = cmp.Or(in.end, contentionEnd)
 	c := &contentionSim{
 		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
-		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: map[string]*SpeedSample{},
+		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: NewSpeedEstimator(),
 	}
 	t := c.newTable()
 	for i := range in.instances {
@@ -189,16 +199,15 @@
 	}
 	c.takeSnapshot()
 	c.arrive()
-	length := contentionEnd
-	if in.end > 0 {
-		length = in.end
-	}
-	for end := c.now.Add(length); len(c.events) > 0 && c.events[0].at.Before(end); {
+	return c
+}
+
+func (c *contentionSim) run() {
+	for end := c.now.Add(c.end); len(c.events) > 0 && c.events[0].at.Before(end); {
 		e := heap.Pop(&c.events).(simEvent)
 		c.now = e.at
 		e.do()
 	}
-	return &c.result
 }
 
 // newTable returns the routing table, with models placed by popularity.
@@ -260,16 +269,10 @@
 			sum := byAccount[k]
 			byAccount[k] = AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: sum.Waiting + d.Waiting, InFlight: sum.InFlight + d.InFlight}
 		}
-		for _, sample := range s.TakeSpeedSamples() {
-			sum := c.speeds[sample.Server]
-			if sum == nil {
-				sum = &SpeedSample{}
-				c.speeds[sample.Server] = sum
-			}
-			sum.Count += sample.Count
-			sum.LogSum += sample.LogSum
-		}
+		c.speeds.Add(s.TakeSpeedSamples())
 	}
+	c.speeds.Fit(c.now)
+	st.speeds = c.speeds.Speeds()
 	for _, d := range byAccount {
 		st.accounts = append(st.accounts, d)
 	}
@@ -314,13 +317,7 @@
 	}
 	was := c.snapshots[0]
 	s := c.schedulers[i]
-	var speeds []ServerSpeed
-	for _, e := range c.engines {
-		if sum := c.speeds[e.id]; sum != nil && sum.Count > 0 {
-			speeds = append(speeds, ServerSpeed{Server: e.id, Speed: math.Exp(-sum.LogSum / float64(sum.Count)), Count: float64(sum.Count)})
-		}
-	}
-	s.UpdateSpeeds(c.now, speeds)
+	s.UpdateSpeeds(c.now, was.speeds)
 	s.UpdateAccounts(c.now, was.accounts)
 	if !c.alone {
 		c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
@@ -371,20 +368,23 @@
 	c.carryOut(r.at, c.schedulers[r.at].FirstTokenReceived(c.now, r.ID, e.id))
 	c.after(time.Duration(float64(r.kind.hold)/e.speed), func() {
 		e.running--
+		if !e.slowed.IsZero() && !sent.Before(e.slowed) {
+			e.answers++
+		}
 		delete(c.requests, r.ID)
 		c.carryOut(r.at, c.schedulers[r.at].Ended(c.now, r.ID, e.id, Outcome{Complete: true, FirstToken: 30 * time.Millisecond, Total: c.now.Sub(sent), Tokens: 100}))
 		c.startWaiting(e)
 	})
 }
 
-// startWaiting starts the most urgent request that waits at an engine.
+// startWaiting starts the most urgent request that waits at an engine, or the first one.
 func (c *contentionSim) startWaiting(e *contentionEngine) {
 	if len(e.waiting) == 0 {
 		return
 	}
 	next := 0
 	for n, r := range e.waiting {
-		if r.Rank < e.waiting[next].Rank {
+		if !c.fifo && r.Rank < e.waiting[next].Rank {
 			next = n
 		}
 	}
@@ -431,12 +431,18 @@
 	})
 }
 
+// counts reports whether requests that arrive at that time are counted: after the warm-up, and early
+// enough for an answer.
+func (c *contentionSim) counts(at time.Duration) bool {
+	return at >= c.end/2 && at < c.end-contentionKinds[1].goal
+}
+
 func (c *contentionSim) submit(extra float64) {
 	k := &contentionKinds[pickShare(c.rng.Float64(), func(n int) float64 { return contentionKinds[n].share }, len(contentionKinds))]
 	account := max(0, int(c.rng.Float64()*(contentionAccounts+extra)-extra))
 	target := fmt.Sprint("m", pickShare(c.rng.Float64(), func(n int) float64 { return c.weights[n] }, len(c.weights)))
 	c.seq++
-	r := &contentionRequest{kind: k, at: c.rng.IntN(len(c.schedulers)), counted: c.now.Sub(simStart) >= contentionWarmup && c.now.Sub(simStart) < contentionEnd-contentionKinds[1].goal}
+	r := &contentionRequest{kind: k, at: c.rng.IntN(len(c.schedulers)), counted: c.counts(c.now.Sub(simStart))}
 	r.Request = Request{
 		ID: fmt.Sprint(c.seq), Target: target, Arrived: c.now, Deadline: c.now.Add(contentionDeadline), MaxTokens: 100, MaxAttempts: 2,
 		Goal: k.goal, Rank: k.rank, Priority: 2 - k.rank, Account: fmt.Sprint("account", account),
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -29,7 +29,7 @@
 // request that only they reject.
 var (
 	eligibilityFilters = []filter{availabilityFilter{}, reachabilityFilter{}, residencyFilter{}, failedServerFilter{}, affinityFilter{}}
-	capacityFilters    = []filter{rateFilter{}, slotFilter{}, prefillFilter{}, suspectFilter{}, deadlineFilter{}}
+	capacityFilters    = []filter{rateFilter{}, slotFilter{}, prefillFilter{}, memoryFilter{}, suspectFilter{}, deadlineFilter{}}
 )
 
 // passesAll reports whether all filters keep the candidate.
@@ -96,6 +96,9 @@
 	case fillServerQueue:
 		limit += c.server.queueAllowance(c.server.pool.shareStatus(s.fleet.partnerList, req.target.partner), req.Goal)
 	}
+	if req.target.roomByRank {
+		return s.hasRoomForRank(now, req, c, limit)
+	}
 	return c.server.hasRoom(now, limit)
 }
 
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -14,8 +14,11 @@
 	Server
 	listed        bool
 	noQueue       bool           // see Table.NoServerQueue
+	roomByRank    bool           // see Table.RoomByRank
+	rankRoom      rankRoom       // if roomByRank
 	own           int            // this instance's requests at the server; exact
 	unread        int            // prompt tokens of own requests without a first token
+	heldTokens    int            // sizes of own requests; see Request.tokenSize
 	suspects      int            // own requests that may crash a server
 	servedTargets []servedTarget // targets that the server has ready
 	pool          *poolState
@@ -31,6 +34,8 @@
 
 	errorRate           average // fraction of answers that were the server's own failures
 	slowdown            average // time taken divided by the target's usual time; above 1 is slow
+	speedSums           []speedSum
+	shared              sharedSpeed
 	consecutiveFailures int
 	consecutiveRefusals int
 	consecutiveMisses   int // requests in a row for which the server reported a missing model
@@ -51,9 +56,11 @@
 	slots             int // per server
 	service           serviceTimes
 	budget            retryBudget
-	held              average // seconds that attempts held a slot, whatever their outcome
-	totalInFlight     int     // this instance's requests in the pool
-	inFlightByPartner []int   // the same by partnerState.index
+	requestTokens     average           // sizes of this instance's requests; see Request.tokenSize
+	held              average           // seconds that attempts held a slot, whatever their outcome
+	totalInFlight     int               // this instance's requests in the pool
+	inFlightByPartner []int             // the same by partnerState.index
+	queuedByRank      [Ranks]queueCount // if roomByRank
 }
 
 // holdTime returns the mean number of seconds that an attempt holds its slot, or
@@ -90,16 +97,20 @@
 // targetState is an instance's state of one target.
 type targetState struct {
 	*Target
-	partner     *partnerState
-	pool        *poolState     // nil if unknown
-	replicas    []replicaState // those in the own failure domain first
-	near        int            // number of replicas in the own failure domain
-	queue       queue
-	inFlight    int
-	service     serviceTimes
-	arrivalRate arrivalRate
-	returns     returns
-	backlog     sharedBacklog // of all instances
+	partner      *partnerState
+	pool         *poolState     // nil if unknown
+	replicas     []replicaState // those in the own failure domain first
+	near         int            // number of replicas in the own failure domain
+	queue        queue
+	inFlight     int
+	service      serviceTimes
+	arrivalRate  arrivalRate
+	roomByRank   bool               // see Table.RoomByRank; for engines only
+	rankArrivals [Ranks]arrivalRate // if roomByRank
+	returns      returns
+	totalSpeed   float64       // of the replicas
+	uneven       bool          // some replica's server is known to be slower or faster than the mean
+	backlog      sharedBacklog // of all instances
 
 	replicaAddedAt time.Time // when the target last got a replica
 	replicasBefore int       // replicas that starts were measured with, until newReplicaTime after that
@@ -116,7 +127,8 @@
 	partnerList   []*partnerState // by partnerState.index
 	domains       map[string]*domainState
 	retry         RetryPolicy
-	loadTime      average // seconds from the first request that waits for a model's first replica to the replica
+	speedsToldAt  time.Time // when the lease holder last told servers' speeds; zero: not lately
+	loadTime      average   // seconds from the first request that waits for a model's first replica to the replica
 }
 
 func newFleet() fleet {
@@ -155,6 +167,7 @@
 	for _, s := range f.servers {
 		s.listed = false
 		s.servedTargets = s.servedTargets[:0]
+		s.roomByRank = false
 	}
 	instances := CountInstances(t.Entries)
 	listed := make([]*serverState, len(t.Servers))
@@ -189,6 +202,7 @@
 func (s *serverState) forgetStart() {
 	s.rateLimit, s.pausedUntil, s.backoffUntil = limitState{}, time.Time{}, time.Time{}
 	s.errorRate, s.slowdown = average{}, average{}
+	s.speedSums, s.shared = nil, sharedSpeed{}
 	s.consecutiveFailures, s.consecutiveRefusals, s.consecutiveMisses = 0, 0, 0
 	s.report, s.reportedAt = infra.Load{}, time.Time{}
 	s.othersInFlight, s.othersUnread = 0, 0
@@ -201,6 +215,7 @@
 		f.targets[target.Name] = ts
 	}
 	ts.Target = target
+	ts.roomByRank = t.RoomByRank && !target.Service
 	ts.partner = f.partner(target.Partner)
 	if target.Pool != "" {
 		ts.pool = f.pool(target.Pool)
@@ -213,6 +228,7 @@
 		for _, r := range target.Replicas {
 			if s := listed[r.Server]; (s.FailureDomain == t.OwnDomain) == near {
 				s.servedTargets = append(s.servedTargets, servedTarget{ts, len(ts.replicas)})
+				s.roomByRank = ts.roomByRank
 				ts.replicas = append(ts.replicas, previousState(old, s, r.Version))
 			}
 		}
@@ -220,6 +236,7 @@
 			ts.near = len(ts.replicas)
 		}
 	}
+	ts.sumSpeeds()
 	f.noteReplicas(now, ts)
 	return ts
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -24,7 +24,9 @@
 	draining             bool
 	dequeueOffset        int
 	localFillLimit       float64 // see Table.LocalFillLimit
+	ownDomain            string  // see Table.OwnDomain
 	rateSharing          rateSharing
+	accounts             accountShares
 	rateLimitActive      bool // some server has an active rate limit
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
 	roomByRank           bool // see Table.RoomByRank
@@ -38,6 +40,7 @@
 	prefixServer *serverState // of the current request: server that probably has the prefix cached
 	allowCutOff  bool         // servers of failure domains that seem unreachable may be chosen
 	fillLevel    fillLevel    // of the current request: how full a server may be
+	urgentFits   bool         // of the current request: see fitsUrgent
 	meanLoad     float64      // of the current request: mean load of the candidates
 }
 
@@ -59,8 +62,9 @@
 	for _, gone := range s.fleet.applyTable(now, t) {
 		s.refuseAll(gone, ReasonUnknownTarget, 0)
 	}
+	s.accounts.setWeights(t.AccountWeights)
 	s.rateLimitActive = s.RateLimitedServers() > 0
-	s.localFillLimit = t.LocalFillLimit
+	s.localFillLimit, s.ownDomain = t.LocalFillLimit, t.OwnDomain
 	if s.localFillLimit <= 0 {
 		s.localFillLimit = lowFillFraction
 	}
@@ -89,8 +93,16 @@
 		s.refuse(req, ReasonShuttingDown, shutdownRetry)
 	case req.target == nil:
 		s.refuse(req, ReasonUnknownTarget, 0)
+	case req.target.exceedsServer(&r):
+		s.refuse(req, ReasonTooLarge, maxRetryAfter)
+	case s.overShare(now, req):
+		s.refuseOverShare(now, req)
 	default:
 		req.target.arrivalRate.add(now)
+		if req.target.roomByRank {
+			req.draw = s.rng.Float64()
+			req.target.rankArrivals[RankIndex(r.Rank)].add(now)
+		}
 		s.setDeadline(req)
 		s.route(now, req)
 	}
@@ -203,6 +215,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.out = s.out[:0]
 	if s.queued > 0 {
+		s.shedOverShare(now)
 		s.dequeueAll(now)
 	}
 	return s.out
@@ -282,7 +295,11 @@
 	req.dispatchedTo, req.dispatchedAt = srv, now
 	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
 	srv.unread += req.PromptTokens
+	srv.holdTokens(req)
 	srv.quota.remaining--
+	if req.target.roomByRank {
+		srv.countDispatch(srv.roomRank(req), s.rng.Float64())
+	}
 	granted := srv.rateLimit.consume(now)
 	req.queuedAtServer = c.load+1 > float64(srv.Slots)
 	req.attempts++
@@ -340,6 +357,7 @@
 	req.dispatchedTo = nil
 	req.target.inFlight--
 	srv.own--
+	srv.releaseTokens(req)
 	if !req.firstTokenSeen {
 		srv.unread -= req.PromptTokens
 	}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -225,6 +225,8 @@
 func (i *Instance) registerGauges() {
 	g := i.metrics.gauge
 	g("unreachable_servers", "Servers that this instance reaches only through another one.", func() float64 { return float64(i.relay.UnreachableServers()) })
+	g("slowest_server_speed", "Work per time of the slowest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { slowest, _ := i.relay.ServerSpeeds(); return slowest })
+	g("fastest_server_speed", "Work per time of the fastest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { _, fastest := i.relay.ServerSpeeds(); return fastest })
 	g("suspected_requests", "Requests during which a server crashed, as far as that speaks against them.", func() float64 { n, _ := i.suspects.counts(); return float64(n) })
 	g("quarantined_requests", "Requests that are refused because they crash servers.", func() float64 { _, n := i.suspects.counts(); return float64(n) })
 	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
@@ -250,6 +252,8 @@
 	g("known_instances", "Other instances that this one knows and may ask.", func() float64 { return float64(len(i.knownPeers())) })
 	g("gateway_members", "Instances that may be gateways of such servers, as far as this one knows.", func() float64 { return float64(len(i.relay.Gateways())) })
 	g("servers_paused", "Servers that get no requests from this instance until their Retry-After has passed.", func() float64 { return float64(i.relay.PausedServers()) })
+	g("accounts_over_share", "Client accounts of which requests are refused since they have more than their share of servers.", func() float64 { return float64(i.relay.AccountsOverShare()) })
+	g("held_bytes", "Memory that requests in hand take, by estimate.", func() float64 { return float64(i.relay.HeldBytes()) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.ActiveRequests()) })
 }
 
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -41,6 +41,9 @@
 	log        logrus.FieldLogger
 	metrics    Metrics
 	syncNeeded chan struct{}
+
+	sharesLogged   int // accounts over their share in the newest log line on them
+	sharesLoggedAt time.Time
 }
 
 func newDispatcher(rng *rand.Rand, log logrus.FieldLogger, m Metrics) *dispatcher {
@@ -266,6 +269,9 @@
 	decide.ActionRefuse:   "refuse",
 }
 
+// ActionName returns the name of an action in logs.
+func ActionName(a decide.Action) string { return actionNames[a] }
+
 // addBacklogFields adds what a refusal for lack of time rests on, and counts it if that is what all
 // instances together have.
 func (d *dispatcher) addBacklogFields(f logrus.Fields, in *decide.Inputs) {
--- a/relay/end.go
+++ b/relay/end.go
@@ -4,12 +4,15 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"greengageferry/decide"
+	"greengageferry/netconn"
 )
 
 // The outcomes that requests are counted by.
@@ -24,9 +27,8 @@
 
 // endOnContextDone ends a call whose deadline has passed or whose caller disconnected.
 func (c *call) endOnContextDone(ctx context.Context) string {
-	if c.req.Context().Err() != nil {
-		c.logEnd(reasonCallerLeft, 0)
-		return outcomeCallerLeft
+	if c.callerLeft() {
+		return c.endCallerLeft()
 	}
 	if isQuarantined(ctx) {
 		return c.endQuarantined()
@@ -40,6 +42,16 @@
 	return c.fail(http.StatusGatewayTimeout, "deadline")
 }
 
+// callerLeft reports whether the caller has closed its connection. Nothing may be sent to a server
+// for it any more.
+func (c *call) callerLeft() bool { return netconn.CallerGone(c.req.Context()) }
+
+// endCallerLeft ends a call whose caller disconnected.
+func (c *call) endCallerLeft() string {
+	c.logEnd(reasonCallerLeft, 0)
+	return outcomeCallerLeft
+}
+
 // endOnRefusal ends a call that the scheduler refused, possibly after failed attempts.
 func (c *call) endOnRefusal(d decide.Decision) string {
 	c.waitReported()
@@ -108,6 +120,17 @@
 	reasonCallerLeft = "caller_left"
 )
 
+// reasonCallerSlow is the end reason of a response that its caller did not read in time.
+const reasonCallerSlow = "caller_reads_slowly"
+
+// writeFailure returns the end reason of a response that could not be written to its caller.
+func writeFailure(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return reasonCallerSlow
+	}
+	return reasonCallerLeft
+}
+
 // isNormalEnd reports whether the end reason is not a failure. The log lines of such
 // requests have the info level, so that they are dropped first if logs are reduced.
 func isNormalEnd(reason string) bool { return reason == reasonAnswered || reason == reasonCallerLeft }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -19,6 +19,7 @@
 	"greengageferry/infra"
 	"greengageferry/internal/hop"
 	"greengageferry/internal/respbody"
+	"greengageferry/netconn"
 )
 
 const (
@@ -46,7 +47,8 @@
 // Active returns how many attempts are being forwarded.
 func (f *ForwardServer) Active() int { return int(f.active.Load()) }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. The ConnContext of its http.Server must be
+// netconn.ConnContext.
 func (f *ForwardServer) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get(headerForwardTo)
 	if id == "" {
@@ -74,6 +76,11 @@
 		return
 	}
 	defer f.active.Add(-1)
+	if !f.relay.memory.reserve(requestOverhead) {
+		writeForwardError(w, infra.ReasonOverloaded, true)
+		return
+	}
+	defer f.relay.memory.release(requestOverhead)
 	limit, known := f.relay.gateways.limitOf(server)
 	if limit == 0 || !known && !asked.asGateway {
 		f.forward(w, req, server, nil)
@@ -131,7 +138,8 @@
 func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server, p *sendPermit) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
-	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(connectWithin(ctx, cancel), req, s))
+	sendCtx := netconn.WhileCallerStays(connectWithin(ctx, cancel), req.Context(), cancel)
+	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(sendCtx, req, s))
 	if err != nil {
 		if p != nil {
 			p.releaseFailed(ctx, err)
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -61,6 +61,7 @@
 type DemandTracker struct {
 	targets     map[string]*targetState
 	versions    map[string][]string // see Versions
+	accounts    accountReports
 	instances   map[string]*instanceState
 	decayTime   time.Duration
 	holdSeconds float64 // mean time that a request occupies a slot, over all targets
@@ -69,6 +70,8 @@
 
 	listeningSince time.Time // since when instances have reported to this one without a long gap
 	lastReportAt   time.Time // when the newest report arrived
+
+	speeds *speedTracker
 }
 
 // InstanceReport is what an instance reports to the lease holder.
@@ -111,11 +114,13 @@
 	work          float64   // server time of the requests in seconds, decaying with workDecayTime
 	lastRequested time.Time // when a request was last reported
 	rates         rankRates
+	value         requestValue
+	goalAt        time.Time // when a request with that goal was last reported
 }
 
 // NewDemandTracker returns a tracker without any targets.
 func NewDemandTracker() *DemandTracker {
-	return &DemandTracker{targets: map[string]*targetState{}, instances: map[string]*instanceState{}, decayTime: maxDecayTime, holdSeconds: defaultHoldSeconds}
+	return &DemandTracker{targets: map[string]*targetState{}, instances: map[string]*instanceState{}, decayTime: maxDecayTime, holdSeconds: defaultHoldSeconds, speeds: newSpeedTracker()}
 }
 
 // SetDecayTime sets the time constant with which past demand decays.
@@ -133,12 +138,15 @@
 	d.lastReportAt = now
 	member := Member{Name: report.Instance, Domain: report.Domain, Addr: report.Addr, Cores: report.Cores}
 	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, storeDown: report.StoreDown, version: report.Version}
+	d.speeds.estimator.Add(report.Speeds)
+	d.accounts.note(now, report.Instance, report.Accounts)
 	for name, a := range report.TargetDemand {
 		if a.Requests > 0 || a.Waiting > 0 {
 			t := d.target(name)
 			t.lastRequested = now
 			t.requests += float64(a.Requests)
 			t.work += a.Work.Seconds()
+			t.noteGoal(now, shortestGoal(&a))
 		}
 		d.addRates(now, name, &a)
 	}
@@ -148,7 +156,7 @@
 func (d *DemandTracker) target(name string) *targetState {
 	t := d.targets[name]
 	if t == nil {
-		t = &targetState{}
+		t = &targetState{value: unknownValue}
 		d.targets[name] = t
 	}
 	return t
@@ -166,6 +174,10 @@
 			s := totals[target]
 			s.Waiting += a.Waiting
 			s.InFlight += a.InFlight
+			for rank, r := range a.ByRank {
+				s.ByRank[rank].Waiting += r.Waiting
+				s.ByRank[rank].InFlight += r.InFlight
+			}
 			totals[target] = s
 		}
 	}
@@ -180,6 +192,7 @@
 	d.updateHoldTime(now, totals, elapsed)
 	keep := math.Exp(-elapsed / d.decayTime.Seconds())
 	keepWork := math.Exp(-elapsed / workDecayTime.Seconds())
+	keepWeight := math.Exp(-elapsed / weightDecayTime.Seconds())
 	keepRate := math.Exp(-elapsed / rateDecayTime.Seconds())
 	for name, t := range d.targets {
 		sum := totals[name]
@@ -188,6 +201,9 @@
 		t.work *= keepWork
 		current := max(float64(sum.Waiting+sum.InFlight), t.requests/d.rateWindow(now)*d.holdSeconds*rateWeight)
 		t.concurrency = max(current, t.concurrency*keep+current*(1-keep))
+		if weight := meanWeight(&sum); weight > 0 {
+			t.value.weight = t.value.weight*keepWeight + weight*(1-keepWeight)
+		}
 		if t.concurrency < minDemand && now.Sub(t.lastRequested) > d.decayTime {
 			delete(d.targets, name)
 		}
@@ -252,6 +268,28 @@
 	return 0
 }
 
+// HoldSeconds returns the mean time in seconds that a request occupies a slot.
+func (d *DemandTracker) HoldSeconds() float64 { return d.holdSeconds }
+
+// Value returns what the mean request for a target is worth.
+func (d *DemandTracker) Value(target string) requestValue {
+	if t := d.targets[target]; t != nil {
+		return t.value
+	}
+	return unknownValue
+}
+
+// noteGoal records the goal of requests just reported; 0: they have none. The shortest one of
+// the last decay time holds.
+func (t *targetState) noteGoal(now time.Time, goal time.Duration) {
+	if goal <= 0 {
+		return
+	}
+	if t.value.goal == 0 || goal <= t.value.goal || now.Sub(t.goalAt) > maxDecayTime {
+		t.value.goal, t.goalAt = goal, now
+	}
+}
+
 // Rate returns a target's recent request rate in requests per second.
 func (d *DemandTracker) Rate(now time.Time, target string) float64 {
 	if t := d.targets[target]; t != nil {
--- a/residency/place.go
+++ b/residency/place.go
@@ -17,9 +17,7 @@
 	underReplicated := w.underReplicated()
 	w.recordShortages(underReplicated)
 	for len(underReplicated) > 0 {
-		slices.SortStableFunc(underReplicated, func(a, b *model) int {
-			return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
-		})
+		w.sortByPriority(underReplicated)
 		m := underReplicated[0]
 		o, found := w.addReplica(m, "")
 		if o != nil {
@@ -32,6 +30,20 @@
 	return append(out, w.unloadDrained()...)
 }
 
+// sortByPriority sorts models that lack replicas, the one first whose load is ordered next.
+func (w *pool) sortByPriority(models []*model) {
+	if w.contended {
+		for _, m := range models {
+			w.setPriority(m)
+		}
+		slices.SortStableFunc(models, w.comparePriority)
+		return
+	}
+	slices.SortStableFunc(models, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(b.demandPerReplica(), a.demandPerReplica()))
+	})
+}
+
 // underReplicated returns the models with fewer replicas than desired.
 func (w *pool) underReplicated() []*model {
 	var out []*model
@@ -49,10 +61,13 @@
 	Model       string
 	Concurrency float64 // recent demand, in concurrent requests
 	Waiting     int     // requests
-	Desired     int     // replicas
+	Desired     int     // replicas that its demand requires
+	Places      int     // replicas of them that there is room for
 	Replicas    int     // including pending ones
 	Pending     int     // replicas that are being loaded
 	LoadBudget  float64 // loads from the weight store that may still start
+	Gain        float64 // of one more replica, in weighted concurrent requests; see pool.gain
+	Weight      float64 // of a request, by rank and goal, from 0 to 1
 }
 
 // Shortages returns the requested models that lacked replicas in the newest plan.
@@ -64,7 +79,8 @@
 		if m.requested() {
 			w.p.shortages = append(w.p.shortages, Shortage{
 				Service: w.service.Name, Model: m.Name, Concurrency: m.concurrency, Waiting: m.waiting,
-				Desired: m.desired, Replicas: len(m.replicas), Pending: m.pending, LoadBudget: w.budget.tokens,
+				Desired: m.wanted, Places: m.desired, Gain: w.gain(m, len(m.replicas)), Weight: m.weight,
+				Replicas: len(m.replicas), Pending: m.pending, LoadBudget: w.budget.tokens,
 			})
 		}
 	}
@@ -78,7 +94,7 @@
 		if d == nil || s.callInFlight || !w.drainComplete(d) {
 			continue
 		}
-		s.draining = nil
+		s.draining, s.successor = nil, d.successor
 		if !s.available(w.now) || !s.Server.Holds(d.model, "") {
 			continue
 		}
@@ -110,6 +126,9 @@
 // replica of a model and returns the order to load the model there, or nil if another model has
 // to drain first. found is false if no server is suitable.
 func (w *pool) addReplica(m *model, version string) (o *Order, found bool) {
+	if version == "" && !w.mayLoad(m) {
+		return nil, false
+	}
 	var best *server
 	bestCost := math.Inf(1)
 	var bestVictim *model
@@ -129,11 +148,14 @@
 			continue
 		}
 		cost := w.placementCost(s, m)
+		if w.contended {
+			cost = w.roomCost(s, m, victim)
+		}
 		if !onDisk {
 			cost += storeLoadCost * m.LoadTime.Seconds()
 		}
 		if !fits {
-			cost += unloadCost
+			cost += unloadCost + w.evictionLoss(victim)
 		}
 		if cost < bestCost {
 			best, bestCost, bestVictim = s, cost, victim
@@ -148,10 +170,22 @@
 	return w.assignReplica(best, m, bestVictim), true
 }
 
+// evictionLoss returns the part of a placement's cost for what an eviction takes from the
+// victim's demand, while models compete.
+func (w *pool) evictionLoss(victim *model) float64 {
+	if !w.contended {
+		return 0
+	}
+	return w.evictionCost(victim) / float64(max(w.engine.Slots, 1))
+}
+
 // maxStoreLoads bounds the concurrent loads from the weight store over all servers.
 // Loads beyond the product of the store's rate and a model's load time slow each other
 // down; one more keeps the store busy between two plans.
 func (w *pool) maxStoreLoads(m *model) int {
+	if w.contended {
+		return max(1, int(storeLoadShare*w.engine.LoadsPerSecond*m.LoadTime.Seconds()))
+	}
 	return int(math.Ceil(w.engine.LoadsPerSecond*m.LoadTime.Seconds())) + 1
 }
 
@@ -190,7 +224,11 @@
 // assignReplica assigns a replica of m to a server and returns the load order. If a
 // victim has to be unloaded first, it only starts to drain the victim, and returns nil.
 func (w *pool) assignReplica(target *server, m, victim *model) *Order {
+	if m.awaitsTurn() {
+		w.budget.turnTokens = max(w.budget.turnTokens-1, 0)
+	}
 	m.replicas = append(m.replicas, target)
+	w.countLoad(m)
 	if victim != nil {
 		victim.replicas = slices.DeleteFunc(victim.replicas, func(x *server) bool { return x == target })
 		target.draining = &drainingModel{model: victim.Name, successor: m.Name, startedAt: w.now}
@@ -236,6 +274,9 @@
 // evictionCost ranks the models that may lose a replica by the demand that each
 // remaining replica would have, and for a last replica by the capacity of one replica.
 func (w *pool) evictionCost(m *model) float64 {
+	if w.contended {
+		return w.lossWithout(m, len(m.replicas)-1)
+	}
 	if len(m.replicas) < 2 {
 		return w.replicaCapacity()
 	}
@@ -258,6 +299,9 @@
 	if w.now.Sub(w.p.startedAt) < unloadHoldoff {
 		return false
 	}
+	if w.contended {
+		return w.mayTakePlace(victim, m)
+	}
 	remaining := len(victim.replicas) - 1
 	switch {
 	case remaining-victim.pending < 1: // the last replica that serves
--- a/topology/table.go
+++ b/topology/table.go
@@ -108,6 +108,7 @@
 		Retry:          retry,
 		LocalFillLimit: localPreferenceFill,
 		NoServerQueue:  true,
+		RoomByRank:     v.Config.hasContendingRanks(),
 	}
 	for i := range v.Servers {
 		t.Servers = append(t.Servers, v.Servers[i].TableEntry())
@@ -115,6 +116,7 @@
 	if v.Config == nil {
 		return t
 	}
+	t.AccountWeights = v.Config.Accounts.Weights()
 	for _, name := range slices.Sorted(maps.Keys(v.Config.Services)) {
 		addTargets(t, v, v.Config.Services[name])
 	}
@@ -148,7 +150,7 @@
 				adapter = AdapterName(n)
 			}
 			name := TargetName(s.Name, m.Name, adapter)
-			addTarget(t, v, decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ReplicaPending: v.LoadOnDemand})
+			addTarget(t, v, decide.Target{Name: name, Pool: s.Name, Model: m.Name, Adapter: adapter, ServerMemory: s.Engine.KVTokens, ReplicaPending: v.LoadOnDemand})
 		}
 	}
 }
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -134,6 +134,26 @@
 	require.NotContains(t, tb.Targets, "unknown")
 }
 
+func TestTableGivesRoomByRankWhereRanksContend(t *testing.T) {
+	v := engineView()
+	to := func(rank int, service string) Route {
+		return Route{Rank: rank, Choices: []Choice{{Service: service}}}
+	}
+	for _, c := range []struct {
+		routes []Route
+		want   bool
+	}{
+		{routes: []Route{to(0, "llm"), to(0, "llm"), to(1, "plain")}, want: false},
+		{routes: []Route{to(0, "plain"), to(1, "plain")}, want: false},
+		{routes: []Route{to(0, "llm"), to(1, "plain"), to(2, "llm")}, want: true},
+	} {
+		v.Config.Routes = c.routes
+		require.Equal(t, c.want, BuildTable("d", v, decide.RetryPolicy{}).RoomByRank)
+	}
+	v.Config = nil
+	require.False(t, BuildTable("d", v, decide.RetryPolicy{}).RoomByRank)
+}
+
 func TestTableAppliesResidencyOverrides(t *testing.T) {
 	v := engineView()
 	v.Held = HeldList{{Server: "e", Model: "m", Adapter: "a2"}, {Server: "e", Model: "n", Dropped: true}}
@@ -190,3 +210,24 @@
 	require.Len(t, BuildTable("d", v, decide.RetryPolicy{}).Targets, 1, "one version needs no targets of its own")
 	require.Equal(t, "llm/m", v.TargetAt("llm", "llm/m", "v1"))
 }
+
+func TestAccountsShareByTheirAllowancesIfAllHaveOne(t *testing.T) {
+	weights := func(accounts ...Account) map[string]float64 {
+		x, err := NewAccounts(accounts)
+		require.NoError(t, err)
+		return x.Weights()
+	}
+	limited := func(name string, perSecond float64, unit AllowanceUnit) Account {
+		return Account{Name: name, Allowance: Allowance{PerSecond: perSecond, Unit: unit}}
+	}
+	require.Nil(t, (*Accounts)(nil).Weights())
+	require.Nil(t, weights())
+	require.Equal(t, map[string]float64{"a": 0.5, "b": 1.5}, weights(limited("a", 10, UnitTokens), limited("b", 30, UnitTokens)))
+	equal := map[string]float64{"a": 1, "b": 1}
+	require.Equal(t, equal, weights(limited("a", 10, UnitTokens), Account{Name: "b"}))
+	require.Equal(t, equal, weights(limited("a", 10, UnitTokens), limited("b", 30, UnitRequests)))
+	v := &View{Config: &Config{}}
+	require.Nil(t, BuildTable("d", v, decide.RetryPolicy{}).AccountWeights, "without accounts nothing is shared")
+	v.Config.Accounts, _ = NewAccounts([]Account{{Name: "a"}})
+	require.Equal(t, map[string]float64{"a": 1}, BuildTable("d", v, decide.RetryPolicy{}).AccountWeights)
+}
