--- a/residency/contention_test.go
+++ b/residency/contention_test.go
@@ -202,3 +202,62 @@
 		}
 	}
 }
+
+// With room for all, models don't compete, whatever ranks their requests have.
+func TestNoContentionWithRoomForAll(t *testing.T) {
+	w := newSimulation(t, 6, 6, 0)
+	for m := range 6 {
+		w.placeModel(fmt.Sprint("m", m), m)
+	}
+	setRank := func(model string, rank int, goal time.Duration) {
+		a := TargetDemand{InFlight: 1}
+		a.ByRank[rank] = RankDemand{InFlight: 1, Requests: 1, Goal: goal}
+		w.demand[topology.TargetName("llm", model, "")] = a
+	}
+	setRank("m0", 0, hotGoal)
+	setRank("m1", batchRank, batchGoal)
+	w.run(5 * time.Second)
+	require.False(t, w.planner.pool(w.now, &w.service).contended)
+	require.Empty(t, w.storeLoads)
+}
+
+// Demand that only fluctuates moves no replicas once all have theirs.
+func TestFluctuatingDemandMovesLittle(t *testing.T) {
+	r := newContendedWorkload(t, 4)
+	r.runFor(45 * time.Second)
+	before := len(r.storeLoads)
+	r.runFor(15 * time.Second)
+	require.LessOrEqual(t, len(r.storeLoads)-before, 8)
+}
+
+func TestGainByDemandRankAndGoal(t *testing.T) {
+	w := &pool{engine: &topology.Engine{Slots: 12}}
+	gain := func(demand float64, rank int, goal time.Duration, n int) float64 {
+		weight := rankWeights[rank] * goalUrgency(goal, contendedLoadTime)
+		return w.gain(&model{concurrency: demand, weight: weight}, n)
+	}
+	require.Greater(t, gain(40, 0, hotGoal, 1), gain(40, 0, hotGoal, 2), "each further replica adds less")
+	require.Greater(t, gain(40, 0, hotGoal, 1), gain(4, 0, hotGoal, 1))
+	require.Greater(t, gain(4, 0, hotGoal, 0), gain(4, 1, hotGoal, 0))
+	require.Greater(t, gain(4, 0, hotGoal, 0), gain(4, 0, batchGoal, 0))
+	require.LessOrEqual(t, gain(1000, 0, 0, 0), w.usefulBatch(), "a server serves no more")
+	require.Zero(t, gain(0, 0, 0, 0))
+}
+
+// A report's ranks and goals give the value of the mean request, and an instance that tells none
+// counts as the most urgent rank.
+func TestDemandTellsValue(t *testing.T) {
+	d := NewDemandTracker()
+	a := TargetDemand{Requests: 4, Waiting: 4}
+	a.ByRank[batchRank] = RankDemand{Requests: 4, Waiting: 4, Goal: batchGoal}
+	now := start
+	for range 100 {
+		now = now.Add(stepTime)
+		d.HandleReport(now, InstanceReport{Instance: "i", TargetDemand: map[string]TargetDemand{"batch": a, "old": {Requests: 4, Waiting: 4}}})
+		d.Update(now)
+	}
+	require.InDelta(t, rankWeights[batchRank], d.Value("batch").weight, 0.02)
+	require.Equal(t, batchGoal, d.Value("batch").goal)
+	require.Equal(t, unknownValue, d.Value("old"))
+	require.Equal(t, unknownValue, d.Value("never asked for"))
+}
