--- a/decide/speed_estimate.go
+++ b/decide/speed_estimate.go
@@ -20,11 +20,13 @@
 	// changeDeviations is how many standard errors such a change also has to exceed.
 	changeDeviations = 3.5
 	// minSpeedAnswers is the weight of answers from which a speed is known.
-	minSpeedAnswers = 5.0
+	minSpeedAnswers = 3.0
 	// minSpeedDifference is the relative difference from 1 below which a speed counts as 1.
 	minSpeedDifference = 0.05
-	// minSpread is the least assumed standard deviation of the logarithm of a pool's speeds.
-	minSpread = 0.02
+	// initialSpread is the assumed variance of the logarithms of the servers' speeds, and of
+	// the models' times, before they are known. minSpread is the least.
+	initialSpread = 0.1
+	minSpread     = 0.0004
 	// speedSweeps is the number of alternations between models and servers in one fit. Each
 	// fit goes on from the one before.
 	speedSweeps = 4
@@ -38,8 +40,10 @@
 
 // SpeedEstimator estimates servers' speeds from the answers that all instances measured. An
 // answer's time per token is taken as the product of what its model needs at a server of
-// speed 1 and the server's slowness, so that a slow model isn't taken for a slow server.
-// It is not safe for concurrent use.
+// speed 1 and the server's slowness, so that a slow model isn't taken for a slow server. Both
+// are random effects whose variances are estimated too (by expectation maximization), since
+// many models have one server only: a server all of whose models are slow is taken for slow
+// where servers differ more than models do. It is not safe for concurrent use.
 type SpeedEstimator struct {
 	pools    map[string]*poolSpeeds
 	byServer map[speedKey]*serverEstimate
@@ -52,13 +56,18 @@
 // poolSpeeds is what is known of a pool.
 type poolSpeeds struct {
 	models   map[string]*modelEstimate
+	ordered  []*modelEstimate  // the same in the order of their first answers
 	servers  []*serverEstimate // in the order of their first answers
+	logTime  float64           // of the time per token of a usual model at a server of speed 1
 	variance float64           // of the logarithm of the time per token, with models and servers allowed for
+
+	serverSpread, modelSpread float64 // variances of serverEstimate.logSpeed and modelEstimate.offset
 }
 
 // modelEstimate is the time per token of a model at a server of speed 1.
 type modelEstimate struct {
-	logTime     float64
+	name        string
+	offset      float64 // of the time's logarithm from poolSpeeds.logTime
 	sum, weight float64 // of the current sweep
 }
 
@@ -66,11 +75,11 @@
 type serverEstimate struct {
 	key      speedKey
 	pool     *poolSpeeds
+	outlier  bool // its speed changed to one that isn't a usual speed of the pool
 	cells    []speedCell
 	recent   []recentAnswer // the newest, at most recentSpeedAnswers
-	mean     float64        // of the logarithms of its speed in its answers
-	logSpeed float64        // the estimate, nearer to 0 than mean
-	weight   float64        // of its answers
+	logSpeed float64
+	weight   float64 // of its answers
 }
 
 // speedCell holds the answers of one model at one server.
@@ -99,15 +108,20 @@
 		if s.Count <= 0 || math.IsNaN(mean) || math.IsInf(mean, 0) {
 			continue
 		}
-		p := e.pool(s.Pool)
-		p.server(e, speedKey{s.Server, s.Start}).add(p.model(s.Model, mean), float64(s.Count), mean)
+		p := e.pool(s.Pool, mean)
+		p.server(e, speedKey{s.Server, s.Start}).add(p.model(s.Model), float64(s.Count), mean)
 	}
 }
 
-func (e *SpeedEstimator) pool(name string) *poolSpeeds {
+// pool returns what is known of a pool, of a new one the logarithm of its first answer's time
+// per token.
+func (e *SpeedEstimator) pool(name string, logTime float64) *poolSpeeds {
 	p := e.pools[name]
 	if p == nil {
-		p = &poolSpeeds{models: map[string]*modelEstimate{}, variance: initialVariance}
+		p = &poolSpeeds{
+			models: map[string]*modelEstimate{}, logTime: logTime, variance: initialVariance,
+			serverSpread: initialSpread, modelSpread: initialSpread,
+		}
 		e.pools[name] = p
 	}
 	return p
@@ -123,12 +137,12 @@
 	return s
 }
 
-// model returns the model's estimate. A new one starts with the time of its first answer.
-func (p *poolSpeeds) model(name string, logTime float64) *modelEstimate {
+func (p *poolSpeeds) model(name string) *modelEstimate {
 	m := p.models[name]
 	if m == nil {
-		m = &modelEstimate{logTime: logTime}
+		m = &modelEstimate{name: name}
 		p.models[name] = m
+		p.ordered = append(p.ordered, m)
 	}
 	return m
 }
@@ -138,7 +152,7 @@
 	c.weight += count
 	c.sum += count * mean
 	if s.weight >= minSpeedAnswers {
-		d := min(math.Abs(mean-m.logTime+s.logSpeed), math.Log(maxSlowdown))
+		d := min(math.Abs(mean-s.expected(m)), math.Log(maxSlowdown))
 		s.pool.variance += varianceWeight * (count*d*d - s.pool.variance)
 	}
 	if len(s.recent) == recentSpeedAnswers {
@@ -148,6 +162,11 @@
 	s.recent = append(s.recent, recentAnswer{m, mean})
 }
 
+// expected returns the logarithm of the seconds per token of a model's answers.
+func (s *serverEstimate) expected(m *modelEstimate) float64 {
+	return s.pool.logTime + m.offset - s.logSpeed
+}
+
 func (s *serverEstimate) cell(m *modelEstimate) *speedCell {
 	for i := range s.cells {
 		if s.cells[i].model == m {
@@ -171,8 +190,8 @@
 			s.dropBeforeChange()
 		}
 		for range speedSweeps {
-			p.fitModels()
 			p.fitServers()
+			p.fitModels()
 		}
 		p.normalize()
 	}
@@ -210,69 +229,79 @@
 	if len(s.recent) < recentSpeedAnswers || s.weight < minSpeedAnswers {
 		return
 	}
-	recent := 0.0
+	recent := 0.0 // the logarithm of their speed against the estimate
 	for _, a := range s.recent {
-		recent += (a.model.logTime - a.logTime) / recentSpeedAnswers
+		recent += (s.expected(a.model) - a.logTime) / recentSpeedAnswers
 	}
 	limit := max(math.Log(speedChange), changeDeviations*math.Sqrt(s.pool.variance/recentSpeedAnswers))
-	if math.Abs(recent-s.logSpeed) <= limit {
+	if math.Abs(recent) <= limit {
 		return
 	}
+	s.outlier = math.Abs(s.logSpeed+recent) > math.Log(speedChange)
 	s.cells = s.cells[:0]
-	for _, a := range s.recent {
+	for _, a := range s.recent[recentSpeedAnswers/2:] { // the others may be from before
 		c := s.cell(a.model)
 		c.weight++
 		c.sum += a.logTime
 	}
 }
 
-// fitModels sets each model's time to the mean of its answers at speed 1.
-func (p *poolSpeeds) fitModels() {
-	for _, m := range p.models {
-		m.sum, m.weight = 0, 0
-	}
-	for _, s := range p.servers {
-		for _, c := range s.cells {
-			c.model.sum += c.sum + c.weight*s.logSpeed
-			c.model.weight += c.weight
-		}
-	}
-	for name, m := range p.models {
-		if m.weight == 0 {
-			delete(p.models, name)
-			continue
-		}
-		m.logTime = m.sum / m.weight
-	}
-}
-
-// fitServers sets each server's speed to the mean of its answers against their models' times.
-// The fewer its answers are and the less the pool's servers differ, the nearer to 1.
+// fitServers sets the servers' speeds, given the models' times. The fewer a server's answers
+// are and the less servers differ, the nearer to 1.
 func (p *poolSpeeds) fitServers() {
-	prior := p.variance / p.spread() // in answers
+	prior := p.variance / p.serverSpread // in answers
+	spread, n := 0.0, 0.0
 	for _, s := range p.servers {
 		sum := 0.0
 		s.weight = 0
 		for _, c := range s.cells {
-			sum += c.weight*c.model.logTime - c.sum
+			sum += c.weight*(p.logTime+c.model.offset) - c.sum
 			s.weight += c.weight
 		}
-		s.mean = sum / s.weight
+		if s.outlier {
+			s.logSpeed = sum / (s.weight + p.variance/max(p.serverSpread, initialSpread))
+			continue
+		}
 		s.logSpeed = sum / (s.weight + prior)
+		spread += s.logSpeed*s.logSpeed + p.variance/(s.weight+prior)
+		n++
 	}
+	p.serverSpread = max(spread/max(n, 1), minSpread)
 }
 
-// spread returns the variance of the logarithms of the servers' speeds: that of the means of
-// their answers, less what chance adds to it.
-func (p *poolSpeeds) spread() float64 {
-	sum, n := 0.0, 0.0
+// fitModels sets the models' times, given the servers' speeds.
+func (p *poolSpeeds) fitModels() {
+	for _, m := range p.ordered {
+		m.sum, m.weight = 0, 0
+	}
+	total, weight := 0.0, 0.0
 	for _, s := range p.servers {
-		if s.weight >= minSpeedAnswers {
-			sum += s.mean*s.mean - p.variance/s.weight
-			n++
+		for _, c := range s.cells {
+			sum := c.sum + c.weight*s.logSpeed
+			c.model.sum += sum
+			c.model.weight += c.weight
+			total += sum - c.weight*c.model.offset
+			weight += c.weight
+		}
+	}
+	if weight > 0 {
+		p.logTime = total / weight
+	}
+	prior := p.variance / p.modelSpread
+	spread := 0.0
+	kept := p.ordered[:0]
+	for _, m := range p.ordered {
+		if m.weight == 0 {
+			delete(p.models, m.name)
+			continue
 		}
+		kept = append(kept, m)
+		m.offset = (m.sum - m.weight*p.logTime) / (m.weight + prior)
+		spread += m.offset*m.offset + p.variance/(m.weight+prior)
 	}
-	return max(sum/max(n, 1), minSpread*minSpread)
+	clear(p.ordered[len(kept):])
+	p.ordered = kept
+	p.modelSpread = max(spread/max(float64(len(kept)), 1), minSpread)
 }
 
 // normalize makes the mean of the servers' speeds 1.
@@ -286,12 +315,9 @@
 	}
 	shift := math.Log(mean)
 	for _, s := range p.servers {
-		s.mean -= shift
 		s.logSpeed -= shift
 	}
-	for _, m := range p.models {
-		m.logTime -= shift
-	}
+	p.logTime -= shift
 }
 
 // Speeds returns the known speeds as of the newest fit, by server and start.
