--- a/decide/speed_estimate.go
+++ b/decide/speed_estimate.go
@@ -11,14 +11,17 @@
 	// speedDecayTime is the time constant with which answers lose their weight in a server's
 	// speed.
 	speedDecayTime = 10 * time.Second
-	// recentSpeedAnswers is the number of newest answers that show that a server's speed
-	// changed.
+	// recentSpeedAnswers is the number of newest answers that show a change of a server's
+	// speed: if each differs from the estimate by speedChange or more, all the same way, older
+	// answers no longer count.
 	recentSpeedAnswers = 8
-	// speedChange is the ratio between the speed in the newest answers and the one before,
-	// either way, from which older answers no longer count.
-	speedChange = 1.5
-	// changeDeviations is how many standard errors such a change also has to exceed.
-	changeDeviations = 3.5
+	speedChange        = 1.5
+	// fasterDeviations is how many standard errors the newest answers have to exceed the
+	// estimate to show a faster server.
+	fasterDeviations = 4.0
+	// outlierDeviations is how many standard deviations a changed speed has to differ from 1
+	// to be taken for unlike the others in its pool.
+	outlierDeviations = 2.0
 	// minSpeedAnswers is the weight of answers from which a speed is known.
 	minSpeedAnswers = 3.0
 	// minSpeedDifference is the relative difference from 1 below which a speed counts as 1.
@@ -33,7 +36,7 @@
 	// initialVariance is the assumed variance of the logarithm of the time per token, and
 	// varianceWeight the weight of an answer in the measured one.
 	initialVariance = 0.1
-	varianceWeight  = 0.02
+	varianceWeight  = 0.005
 	// minCellWeight is the weight of answers below which they are dropped.
 	minCellWeight = 0.05
 )
@@ -75,7 +78,7 @@
 type serverEstimate struct {
 	key      speedKey
 	pool     *poolSpeeds
-	outlier  bool // its speed changed to one that isn't a usual speed of the pool
+	outlier  bool // its speed changed, and not to a usual one of the pool
 	cells    []speedCell
 	recent   []recentAnswer // the newest, at most recentSpeedAnswers
 	logSpeed float64
@@ -224,26 +227,44 @@
 	s.cells = cells
 }
 
-// dropBeforeChange drops older answers if the newest ones show another speed.
+// dropBeforeChange drops older answers if all the newest ones show another speed.
 func (s *serverEstimate) dropBeforeChange() {
-	if len(s.recent) < recentSpeedAnswers || s.weight < minSpeedAnswers {
+	if len(s.recent) < recentSpeedAnswers {
 		return
 	}
-	recent := 0.0 // the logarithm of their speed against the estimate
-	for _, a := range s.recent {
-		recent += (s.expected(a.model) - a.logTime) / recentSpeedAnswers
-	}
-	limit := max(math.Log(speedChange), changeDeviations*math.Sqrt(s.pool.variance/recentSpeedAnswers))
-	if math.Abs(recent) <= limit {
+	if !s.isSlower() && !s.isFaster() {
 		return
 	}
-	s.outlier = math.Abs(s.logSpeed+recent) > math.Log(speedChange)
+	s.outlier = true // until fitServers finds it like the others
 	s.cells = s.cells[:0]
-	for _, a := range s.recent[recentSpeedAnswers/2:] { // the others may be from before
+	for _, a := range s.recent {
 		c := s.cell(a.model)
 		c.weight++
 		c.sum += a.logTime
 	}
+	s.recent = s.recent[:0]
+}
+
+// isSlower reports whether each of the newest answers took longer than expected by speedChange.
+func (s *serverEstimate) isSlower() bool {
+	return !slices.ContainsFunc(s.recent, func(a recentAnswer) bool {
+		return a.logTime-s.expected(a.model) < math.Log(speedChange)
+	})
+}
+
+// isFaster reports whether each of the newest answers took less time than expected by
+// speedChange, and together less than by chance. A server that is wrongly taken for faster is
+// overloaded, so more is asked for than to find one slower.
+func (s *serverEstimate) isFaster() bool {
+	sum := 0.0
+	for _, a := range s.recent {
+		d := s.expected(a.model) - a.logTime
+		if d < math.Log(speedChange) {
+			return false
+		}
+		sum += d
+	}
+	return sum > fasterDeviations*math.Sqrt(s.pool.variance*recentSpeedAnswers)
 }
 
 // fitServers sets the servers' speeds, given the models' times. The fewer a server's answers
@@ -260,6 +281,7 @@
 		}
 		if s.outlier {
 			s.logSpeed = sum / (s.weight + p.variance/max(p.serverSpread, initialSpread))
+			s.outlier = s.logSpeed*s.logSpeed > outlierDeviations*outlierDeviations*(p.serverSpread+p.variance/s.weight)
 			continue
 		}
 		s.logSpeed = sum / (s.weight + prior)
