decide: a server's slowness counts against the target's other servers

A target's times are measured at its servers. With shared speeds the slowness of a target's only server counted twice, in the times and as the factor on them, and requests were refused that would have completed.

--- a/decide/engine.go
+++ b/decide/engine.go
@@ -85,7 +85,8 @@
 	}
 }
 
-// recordDecode adds a sample from an answer's mean time per output token.
+// recordDecode adds a sample from an answer's mean time per output token, as it would be at a
+// server of speed 1.
 func (m *enginePerformance) recordDecode(tokens int, perToken float64) {
 	if tokens >= minDecodeTokens && perToken > 0 {
 		m.decode.add(perToken, decodeQuantile)
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -141,5 +141,5 @@
 		serviceTime = req.safeServiceTime + c.slotWait(req)
 	}
 	timeLeft := req.timeLeft(now)
-	return timeLeft > 0 && serviceTime*max(c.server.relativeSlowdown(), 1) <= timeLeft
+	return timeLeft > 0 && serviceTime*max(c.server.slowdownAmong(req.target), 1) <= timeLeft
 }
--- a/decide/score.go
+++ b/decide/score.go
@@ -33,17 +33,18 @@
 
 func (serviceTimeScorer) score(_ *Scheduler, _ time.Time, req *requestState, c *candidate) float64 {
 	fill := min(c.load/float64(c.server.Slots), 1)
-	return serviceTimeOrDefault(req) * c.server.relativeSlowdown() * (1 + fullBatchSlowdown*fill)
+	return serviceTimeOrDefault(req) * c.server.slowdownAmong(req.target) * (1 + fullBatchSlowdown*fill)
 }
 
 // slotWaitScorer adds the time until the server has a free slot.
 type slotWaitScorer struct{}
 
 func (slotWaitScorer) score(_ *Scheduler, _ time.Time, req *requestState, c *candidate) float64 {
-	return c.slotWait(req) * c.server.relativeSlowdown()
+	return c.slotWait(req) * c.server.slowdownAmong(req.target)
 }
 
-// slotWait returns the seconds until a server of normal speed has a free slot.
+// slotWait returns the seconds until a server of the usual speed of the target's has a free
+// slot.
 func (c *candidate) slotWait(req *requestState) float64 {
 	over := c.load + 1 - float64(c.server.Slots)
 	if over <= 0 {
--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -126,6 +126,29 @@
 	return s.shared.speed
 }
 
+// slowdownAmong returns how many times as long the server takes as the target's servers do in
+// the mean, or 1 if that isn't known. The target's times are those at its servers, so what
+// multiplies them is relative to these.
+func (s *serverState) slowdownAmong(t *targetState) float64 {
+	if s.goesByShared() {
+		return min(max(t.meanSpeed()/s.shared.speed, 1.0/maxSlowdown), maxSlowdown)
+	}
+	return s.relativeSlowdown()
+}
+
+// goesByShared reports whether the shared speed rests on more answers than this instance's own.
+func (s *serverState) goesByShared() bool {
+	return s.shared.speed > 0 && s.shared.count > float64(min(s.slowdown.n, averageSamples))
+}
+
+// meanSpeed returns the mean speed of the target's servers.
+func (t *targetState) meanSpeed() float64 {
+	if t.totalSpeed <= 0 {
+		return 1
+	}
+	return t.totalSpeed / float64(len(t.replicas))
+}
+
 // sumSpeeds computes the sum of the speeds of the target's replicas.
 func (t *targetState) sumSpeeds() {
 	t.totalSpeed = 0
--- a/decide/server_speed_test.go
+++ b/decide/server_speed_test.go
@@ -49,12 +49,25 @@
 	s := toldScheduler()
 	slow, fast := s.fleet.servers["s0"], s.fleet.servers["s1"]
 	require.Equal(t, 2.0, slow.relativeSlowdown())
+	require.Equal(t, 2.0, slow.slowdownAmong(s.fleet.targets["am"]))
 	require.InDelta(t, 3, fast.expectedReleases(time.Second)/slow.expectedReleases(time.Second), 0.001)
 	require.Equal(t, map[string]float64{"s0": 2, "s1": 6}, s.SpreadOverServers(map[string]float64{"am": 8}))
 	slowest, fastest := s.SpeedRange()
 	require.Equal(t, []float64{0.5, 1.5}, []float64{slowest, fastest})
 }
 
+// The times of a target that only a slow server has were measured there. If its slowness
+// counted once more, requests would be refused that complete in time.
+func TestOnlyServerIsNotSlowForItsTarget(t *testing.T) {
+	s := testScheduler(testTable(1, 4, 1, "am"))
+	warmUp(s, "am")
+	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Speed: 0.4, Count: 50}})
+	at := simStart.Add(time.Second)
+	r := newTestRequest("r", "am", time.Minute)
+	r.Arrived, r.Deadline = at, at.Add(1500*time.Millisecond)
+	require.Equal(t, ActionDispatch, s.Submit(at, r)[0].Action)
+}
+
 // An instance that has more answers of a server than all instances together told goes by its own.
 func TestOwnAnswersCountMoreThanFewShared(t *testing.T) {
 	s := testScheduler(testTable(1, 4, 1, "am"))
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -38,8 +38,8 @@
 	return &t.replicas[0].server.pool.service
 }
 
-// expectedTime returns the seconds that a request takes on a server of average speed, or
-// 0 if too little is known. spread is the number of mean deviations to add to each part.
+// expectedTime returns the seconds that a request takes on a server of the usual speed of the
+// target's, or 0 if too little is known. spread is the number of mean deviations to add to each part.
 func (t *targetState) expectedTime(now time.Time, f *requestState, spread float64) float64 {
 	st := t.currentTimes(now)
 	if !st.firstToken.warm() {
@@ -53,12 +53,12 @@
 	return sum + max(float64(t.allowed(&f.Request))*length-float64(f.deliveredTokens), 0)*st.perToken.mean
 }
 
-// expectedFirstToken returns the seconds to the first token on a server of average speed
-// that has no other prompt to read, or 0 if too little is known.
+// expectedFirstToken returns the seconds to the first token on a server of the mean speed of
+// the target's that has no other prompt to read, or 0 if too little is known.
 func (t *targetState) expectedFirstToken(now time.Time, f *requestState) float64 {
 	if t.pool != nil && f.PromptTokens > 0 {
 		if reading := t.pool.engine.prefillTime(float64(f.PromptTokens)); reading > 0 {
-			return reading
+			return reading / t.meanSpeed()
 		}
 	}
 	st := t.currentTimes(now)
@@ -99,7 +99,7 @@
 		if o.Tokens >= minSpeedTokens {
 			s.measure(t.Model, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
 		}
-		s.pool.engine.recordDecode(o.Tokens, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
+		s.pool.engine.recordDecode(o.Tokens, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1)*s.speed())
 	}
 	t.service.learn(now, t, f, o)
 	s.pool.service.learn(now, t, f, o)
@@ -129,7 +129,7 @@
 func (t *targetState) learnAbandoned(now time.Time, f *requestState) {
 	usual := t.expectedTime(now, f, safeDeviations)
 	took := now.Sub(f.dispatchedAt).Seconds()
-	if usual <= 0 || took <= usual*f.dispatchedTo.relativeSlowdown() {
+	if usual <= 0 || took <= usual*f.dispatchedTo.slowdownAmong(t) {
 		return
 	}
 	f.dispatchedTo.learn(abandonedFactor*took, usual)
@@ -154,7 +154,7 @@
 // answers than this one's. It lets one slow server among normal ones get fewer requests;
 // only failures exclude a server.
 func (s *serverState) relativeSlowdown() float64 {
-	if s.shared.speed > 0 && s.shared.count > float64(min(s.slowdown.n, averageSamples)) {
+	if s.goesByShared() {
 		return 1 / s.shared.speed
 	}
 	if !s.slowdown.warm() || s.pool.slowdown <= 0 {
