--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -90,19 +90,24 @@
 // aren't named keep the speed that was last told.
 func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {
 	s.fleet.speedsToldAt = now
+	changed := false
 	for _, told := range speeds {
 		srv := s.fleet.servers[told.Server]
 		if srv == nil || srv.Start != told.Start || told.Speed <= 0 {
 			continue
 		}
 		srv.shared = sharedSpeed{speed: min(max(told.Speed, 1.0/maxSlowdown), maxSlowdown), count: told.Count, toldAt: now}
+		changed = true
 	}
 	for _, srv := range s.fleet.servers {
-		if now.Sub(srv.shared.toldAt) > serverSpeedTTL {
+		if srv.shared.speed > 0 && now.Sub(srv.shared.toldAt) > serverSpeedTTL {
 			srv.shared = sharedSpeed{}
+			changed = true
 		}
 	}
-	s.fleet.speedsChanged()
+	if changed {
+		s.fleet.speedsChanged()
+	}
 }
 
 // expireSpeeds forgets all shared speeds if the lease holder hasn't told any for speedsTTL.
--- a/decide/speed_estimate.go
+++ b/decide/speed_estimate.go
@@ -356,6 +356,11 @@
 	return out
 }
 
+// Has reports whether any answers of one start of a server still have weight.
+func (e *SpeedEstimator) Has(server, start string) bool {
+	return e.byServer[speedKey{server, start}] != nil
+}
+
 // Speed returns the speed of one start of a server as of the newest fit, 1 if it isn't known.
 func (e *SpeedEstimator) Speed(server, start string) float64 {
 	s := e.byServer[speedKey{server, start}]
--- a/residency/speeds.go
+++ b/residency/speeds.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"greengageferry/decide"
@@ -68,12 +70,26 @@
 	}
 	t.told = t.told[:0]
 	for _, s := range t.estimator.Speeds() {
-		old, known := before[speedKey{s.Server, s.Start}]
-		if !known && s.Speed == 1 {
-			continue
+		key := speedKey{s.Server, s.Start}
+		old, known := before[key]
+		delete(before, key)
+		if known || s.Speed != 1 {
+			t.told = append(t.told, t.announce(now, old, s))
 		}
-		t.told = append(t.told, t.announce(now, old, s))
 	}
+	t.keep(before)
+}
+
+// keep goes on telling the last speeds of servers that have few answers now.
+func (t *speedTracker) keep(last map[speedKey]toldSpeed) {
+	for key, s := range last {
+		if t.estimator.Has(key.server, key.start) {
+			t.told = append(t.told, s)
+		}
+	}
+	slices.SortFunc(t.told, func(a, b toldSpeed) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Start, b.Start))
+	})
 }
 
 // speedKey identifies a start of a server.
--- a/residency/speeds_test.go
+++ b/residency/speeds_test.go
@@ -147,3 +147,16 @@
 	}
 	require.LessOrEqual(t, len(d.speeds.next), 2*40+1)
 }
+
+// A server that gets few requests is still told, and isn't logged as new with each answer.
+func TestServerWithFewAnswersIsStillTold(t *testing.T) {
+	d := NewDemandTracker()
+	now := learnSpeeds(d, start, unevenServers(9))
+	d.TakeSpeedChanges()
+	now = now.Add(30 * time.Second)
+	require.Contains(t, serversOf(d.Speeds(now, "i0")), "s0002")
+	require.Equal(t, 1.0, d.Speed("s0002", "a"), "two answers' weight is too little")
+	now = now.Add(time.Minute)
+	require.Empty(t, d.Speeds(now, "i0"), "without any answer it is forgotten")
+	require.Empty(t, d.TakeSpeedChanges())
+}
