--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -109,7 +109,7 @@
 	rankArrivals [Ranks]arrivalRate // if roomByRank
 	returns      returns
 	totalSpeed   float64       // of the replicas
-	uneven       bool          // some replica's server is known to be slower or faster than the mean
+	uneven       bool          // the replicas' servers are known to differ in speed
 	backlog      sharedBacklog // of all instances
 
 	replicaAddedAt time.Time // when the target last got a replica
--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -18,9 +18,9 @@
 	// serverSpeedTTL is how long a server's shared speed is used after it was last told. It
 	// exceeds the time in which the lease holder tells the speeds of all servers.
 	serverSpeedTTL = 20 * time.Second
-	// unevenRatio is the ratio of the fastest to the slowest of a target's servers above which
-	// a request may leave its failure domain for them.
-	unevenRatio = 1.25
+	// unevenDeviation is the mean deviation of the speeds of a target's servers, relative to
+	// their mean, above which a request may leave its failure domain for them.
+	unevenDeviation = 0.1
 )
 
 // SpeedSample is what an instance measured of a server's speed since its last report: how
@@ -90,19 +90,24 @@
 // aren't named keep the speed that was last told.
 func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {
 	s.fleet.speedsToldAt = now
+	changed := false
 	for _, told := range speeds {
 		srv := s.fleet.servers[told.Server]
 		if srv == nil || srv.Start != told.Start || told.Speed <= 0 {
 			continue
 		}
 		srv.shared = sharedSpeed{speed: min(max(told.Speed, 1.0/maxSlowdown), maxSlowdown), count: told.Count, toldAt: now}
+		changed = true
 	}
 	for _, srv := range s.fleet.servers {
-		if now.Sub(srv.shared.toldAt) > serverSpeedTTL {
+		if srv.shared.speed > 0 && now.Sub(srv.shared.toldAt) > serverSpeedTTL {
 			srv.shared = sharedSpeed{}
+			changed = true
 		}
 	}
-	s.fleet.speedsChanged()
+	if changed {
+		s.fleet.speedsChanged()
+	}
 }
 
 // expireSpeeds forgets all shared speeds if the lease holder hasn't told any for speedsTTL.
@@ -126,16 +131,40 @@
 	return s.shared.speed
 }
 
-// sumSpeeds computes the sum of the speeds of the target's replicas.
+// slowdownAmong returns how many times as long the server takes as the target's servers do in
+// the mean, or 1 if that isn't known. The target's times are those at its servers, so what
+// multiplies them is relative to these.
+func (s *serverState) slowdownAmong(t *targetState) float64 {
+	if s.goesByShared() {
+		return min(max(t.meanSpeed()/s.shared.speed, 1.0/maxSlowdown), maxSlowdown)
+	}
+	return s.relativeSlowdown()
+}
+
+// goesByShared reports whether the shared speed rests on more answers than this instance's own.
+func (s *serverState) goesByShared() bool {
+	return s.shared.speed > 0 && s.shared.count > float64(min(s.slowdown.n, averageSamples))
+}
+
+// meanSpeed returns the mean speed of the target's servers.
+func (t *targetState) meanSpeed() float64 {
+	if t.totalSpeed <= 0 {
+		return 1
+	}
+	return t.totalSpeed / float64(len(t.replicas))
+}
+
+// sumSpeeds computes the sum of the speeds of the target's replicas, and whether they differ.
 func (t *targetState) sumSpeeds() {
 	t.totalSpeed = 0
-	slowest, fastest := math.Inf(1), 0.0
 	for i := range t.replicas {
-		speed := t.replicas[i].server.speed()
-		t.totalSpeed += speed
-		slowest, fastest = min(slowest, speed), max(fastest, speed)
+		t.totalSpeed += t.replicas[i].server.speed()
+	}
+	mean, deviation := t.meanSpeed(), 0.0
+	for i := range t.replicas {
+		deviation += math.Abs(t.replicas[i].server.speed() - mean)
 	}
-	t.uneven = fastest > slowest*unevenRatio
+	t.uneven = deviation > unevenDeviation*t.totalSpeed
 }
 
 // speedsChanged brings what depends on shared speeds up to date.
