--- a/decide/admit.go
+++ b/decide/admit.go
@@ -135,7 +135,7 @@
 // served before it: those of all instances, if they are known.
 func (s *Scheduler) expectedWait(now time.Time, req *requestState, backlog *backlogEstimate) float64 {
 	if backlog.binds {
-		return backlog.wait(now, req, lastInRank)
+		return backlog.wait(req, lastInRank)
 	}
 	wait := (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
 	return max(wait, s.untilLoaded(now, req.target))
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -149,15 +149,10 @@
 // of its rank at all instances.
 //
 // Requests of a rank wait as long as servers take to start as many of them, whatever the order of
-// service. Servers could start them instead of less urgent ones, so those count in the rate. A
-// request that is past its goal comes after new ones: it gets what those leave.
-func (e *backlogEstimate) wait(now time.Time, req *requestState, position float64) float64 {
+// service. Servers could start them instead of less urgent ones, so those count in the rate.
+func (e *backlogEstimate) wait(req *requestState, position float64) float64 {
 	rank := RankIndex(req.Rank)
-	rate := e.starts[rank]
-	if req.Goal > 0 && now.Sub(req.Arrived) > req.Goal {
-		rate = e.leftover[rank]
-	}
-	return min((position*e.waiting[rank]+headWaitTurns)/max(rate, 1/maxWait), maxWait)
+	return min((position*e.waiting[rank]+headWaitTurns)/max(e.starts[rank], 1/maxWait), maxWait)
 }
 
 // timeToDrain returns in how many seconds all that waits with the rank or a more urgent one will
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -136,7 +136,7 @@
 
 		wait := max((float64(ahead)+headWaitTurns)/startRate, untilLoaded)
 		if backlog.binds {
-			wait = backlog.wait(now, req, positions.next(req))
+			wait = backlog.wait(req, positions.next(req))
 		}
 		if req.wouldMissDeadline(now, pause+wait) {
 			s.removeQueued(req)
