--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -186,3 +187,41 @@
 	lost := now.Add(maxReportAge + time.Second)
 	require.Zero(t, started(lost, "i", "j"))
 }
+
+// routeByRankStep is routeStep where ranks contend: each server has a recent report.
+func routeByRankStep(servers int) func() {
+	table := testTable(servers, 8, 41, "am")
+	table.RoomByRank, table.NoServerQueue = true, true
+	s := testScheduler(table)
+	for i := range servers {
+		s.UpdateLoad(simStart, table.Servers[i].ID, infra.Load{Running: 4, Contending: 6}, 0)
+	}
+	r := newTestRequest("r", "am", time.Hour)
+	r.Goal = 500 * time.Millisecond
+	step := func() {
+		r.Prefix++
+		r.Rank = int(r.Prefix) % 3
+		d := s.Submit(simStart, r)[0]
+		completeRequest(s, simStart, d.Request, d.Server.ID)
+	}
+	for range 3 * maxPrefixHints {
+		step()
+	}
+	return step
+}
+
+func TestRoutingByRankAllocatesNothing(t *testing.T) {
+	require.Zero(t, testing.AllocsPerRun(2000, routeByRankStep(100)))
+}
+
+func BenchmarkRouteByRank(b *testing.B) {
+	for _, servers := range []int{100, 1900} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			step := routeByRankStep(servers)
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+			}
+		})
+	}
+}
--- a/decide/slotworth.go
+++ b/decide/slotworth.go
@@ -18,6 +18,8 @@
 	minWork = 0.05
 )
 
+var logRankWeightRatio = math.Log(rankWeightRatio)
+
 // setSlotWorth sets the request's queue key by what a slot is worth to it, and whether it is
 // late for its goal. The worth is the apparent tardiness cost
 //
@@ -33,8 +35,8 @@
 		due, value = req.deadlineStart(now), lateValue
 	}
 	work := max(serviceTimeOrDefault(req), minWork)
-	weight := math.Pow(rankWeightRatio, -float64(RankIndex(req.Rank)))
-	req.queueKey = due - worthTimeConstant*math.Log(value*weight/work)
+	logWeight := -logRankWeightRatio * float64(RankIndex(req.Rank))
+	req.queueKey = due - worthTimeConstant*(math.Log(value/work)+logWeight)
 }
 
 // goalStart returns the latest start that meets the goal, in Unix seconds. Without a goal it is
