--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -119,8 +119,8 @@
 }
 
 func (r *contentionResult) String() string {
-	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v, held %v",
-		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.held.Round(time.Second))
+	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v (%.3f), held %v",
+		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.refusedAgain(), r.held.Round(time.Second))
 }
 
 // contentionRequest is a request of the simulation.
