--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -219,19 +219,16 @@
 }
 
 // The same flood at 9 instances, and the lease holder is lost in the middle of it: for three seconds
-// nobody is told anything, then its successor tells all again. It is the mean of two floods: either
-// way of deciding is ahead by some hundredths in one of them.
+// nobody is told anything, then its successor tells all again.
 func TestLostLeaseHolderInAFlood(t *testing.T) {
-	told, alone := 0.0, 0.0
 	for _, seed := range []uint64{7, 8} {
 		flood := contention{instances: 9, load: 1.3, seed: seed, returns: true, end: 17 * time.Second, cutFrom: 11 * time.Second, cutTo: 14 * time.Second}
-		a := simulateContention(flood)
+		told := simulateContention(flood)
 		flood.alone = true
-		b := simulateContention(flood)
-		t.Log("told", a)
-		t.Log("alone", b)
-		require.Less(t, a.heldEach(), b.heldEach())
-		told, alone = told+a.worth()/2, alone+b.worth()/2
+		alone := simulateContention(flood)
+		t.Log("told", told)
+		t.Log("alone", alone)
+		require.Greater(t, told.worth(), alone.worth()-0.02)
+		require.Less(t, told.heldEach(), alone.heldEach())
 	}
-	require.Greater(t, told, alone-0.02)
 }
--- a/decide/uneven_sim_test.go
+++ b/decide/uneven_sim_test.go
@@ -34,7 +34,7 @@
 // instance learned alone they served 0.92 of what even ones did in time, the slow ones started
 // 1.11 of their share, and 22 engines of 270 more than 1.3 of theirs.
 func TestUnevenServersServeAsMuchAsEvenOnes(t *testing.T) {
-	even, uneven, slow, overloaded := 0.0, 0.0, 0.0, 0
+	even, uneven, slow := 0.0, 0.0, 0.0
 	seeds := []uint64{31, 32, 33}
 	for _, seed := range seeds {
 		r, s := simulateContention(unevenContention(nil, seed)), simulateContention(unevenContention(unevenSpeeds, seed))
@@ -46,15 +46,21 @@
 			if unevenSpeeds[i%len(unevenSpeeds)] < 1 {
 				slow += share / float64(len(seeds)*contentionEngines*2/3)
 			}
-			if share > 1.3 {
-				overloaded++
-			}
 		}
 	}
-	t.Logf("worth %.3f of the even servers', slow ones %.2f of their share, %d engines above 1.3 of theirs", uneven/even, slow, overloaded)
+	t.Logf("worth %.3f of the even servers', slow ones %.2f of their share", uneven/even, slow)
 	require.Greater(t, uneven/even, 0.98)
 	require.Less(t, slow, 1.07)
-	require.LessOrEqual(t, overloaded, 12)
+}
+
+// No server carries more than 1.3 times its share by capacity.
+func TestBusiestServerKeepsToItsShare(t *testing.T) {
+	for _, seed := range []uint64{31, 32, 33} {
+		r := simulateContention(unevenContention(unevenSpeeds, seed))
+		busiest := slices.Max(r.shares(unevenSpeeds))
+		t.Logf("seed %d: the busiest server starts %.2f of its share", seed, busiest)
+		require.LessOrEqual(t, busiest, 1.3)
+	}
 }
 
 // Even servers are found to be even, so that nothing changes for them.
