--- a/residency/accounts.go
+++ b/residency/accounts.go
@@ -8,11 +8,11 @@
 	"greengageferry/decide"
 )
 
-// accountReports adds up what instances have of client accounts' requests. The zero value is ready
-// to use.
+// accountReports adds up the demands of client accounts that instances report. The zero value is
+// ready to use.
 type accountReports struct {
 	byInstance map[string]accountReport
-	sum        []decide.AccountDemand
+	sum        []decide.AccountDemand // over instances, by pool and account; computed at summedAt
 	summedAt   time.Time
 }
 
@@ -34,8 +34,8 @@
 	a.byInstance[instance] = accountReport{now, demands}
 }
 
-// total returns the sums by account and pool, which are computed once in summaryInterval for all
-// instances that ask.
+// total returns the sums by account and pool, which are computed at most once in summaryInterval
+// and shared by all instances that ask. The result must not be changed.
 func (a *accountReports) total(now time.Time) []decide.AccountDemand {
 	if now.Sub(a.summedAt) < summaryInterval {
 		return a.sum
@@ -62,5 +62,5 @@
 	return a.sum
 }
 
-// Accounts returns what all instances together have of client accounts' requests.
+// Accounts returns the sums of all instances' demands by client account and pool.
 func (d *DemandTracker) Accounts(now time.Time) []decide.AccountDemand { return d.accounts.total(now) }
--- a/residency/backlog.go
+++ b/residency/backlog.go
@@ -11,25 +11,25 @@
 
 const (
 	// rankRateTime is the time constant with which past requests decay in a target's arrivals
-	// and starts by rank: a few reports of each instance.
+	// and starts by rank. It spans a few reports of each instance.
 	rankRateTime = 2 * time.Second
-	// backlogMemory is how long after a request last waited for a target its backlog is still
-	// told, so that instances don't lose sight of it between two bursts.
-	backlogMemory = 3 * time.Second
-	// maxBacklogs bounds the targets of which backlogs are told, those with most waiting first:
-	// some 2 KB.
+	// backlogRetention is how long after a request last waited for a target its backlog is still
+	// sent, so that instances know its rates between two bursts.
+	backlogRetention = 3 * time.Second
+	// maxBacklogs is the number of targets whose backlogs are sent at most, those with most
+	// waiting first. They take some 2 KB.
 	maxBacklogs = 32
 )
 
 // rankRates are a target's arrivals and starts by rank over all instances.
 type rankRates struct {
 	arrivals  [decide.Ranks]float64 // requests, decaying with rankRateTime
-	starts    [decide.Ranks]float64 // the same, of those sent to servers
+	starts    [decide.Ranks]float64 // of them, requests first sent to servers; decaying likewise
 	updatedAt time.Time
-	waitedAt  time.Time // when a request was last reported as waiting; zero: none was by rank
+	waitedAt  time.Time // when a request was last reported as waiting; zero: never, or not by rank
 }
 
-// add counts what an instance reported.
+// add counts an instance's report of the target.
 func (r *rankRates) add(now time.Time, demand *TargetDemand) {
 	keep := r.decay(now)
 	r.updatedAt = now
@@ -43,7 +43,7 @@
 	}
 }
 
-// decay returns what is left of the counts of the last update.
+// decay returns the factor, from 0 to 1, by which the counts have decayed since the last update.
 func (r *rankRates) decay(now time.Time) float64 {
 	return math.Exp(-now.Sub(r.updatedAt).Seconds() / rankRateTime.Seconds())
 }
@@ -56,15 +56,16 @@
 	d.target(target).rates.add(now, demand)
 }
 
-// Backlogs returns what all live instances together have of requests, by target, those with most
-// waiting first. Only targets for which requests wait, or lately did, are in it.
+// Backlogs returns the sums of all live instances' requests by target, at most maxBacklogs, those
+// with most waiting first. It holds only targets for which requests have waited within
+// backlogRetention.
 func (d *DemandTracker) Backlogs(now time.Time) []decide.Backlog {
 	var out []decide.Backlog
 	window := d.rankRateWindow(now)
 	index := map[string]int{}
 	for name, t := range d.targets {
 		r := &t.rates
-		if r.waitedAt.IsZero() || now.Sub(r.waitedAt) > backlogMemory {
+		if r.waitedAt.IsZero() || now.Sub(r.waitedAt) > backlogRetention {
 			continue
 		}
 		index[name] = len(out)
@@ -81,8 +82,8 @@
 			continue
 		}
 		for name, demand := range i.demand {
-			n, told := index[name]
-			for rank := 0; told && rank < decide.Ranks; rank++ {
+			n, found := index[name]
+			for rank := 0; found && rank < decide.Ranks; rank++ {
 				out[n].Waiting[rank] += float64(demand.ByRank[rank].Waiting)
 			}
 		}
@@ -101,8 +102,8 @@
 	return total
 }
 
-// rankRateWindow returns the time in seconds that the decaying counts by rank stand for, as
-// rateWindow does for all requests.
+// rankRateWindow returns the time in seconds by which the decaying counts by rank are divided to get
+// rates, as rateWindow does for all requests.
 func (d *DemandTracker) rankRateWindow(now time.Time) float64 {
 	age := minRateWindow
 	if !d.listeningSince.IsZero() {
--- a/residency/backlog_test.go
+++ b/residency/backlog_test.go
@@ -65,10 +65,10 @@
 	now = now.Add(time.Second)
 	reportDemand(d, now, "stays", map[string]TargetDemand{})
 	require.Zero(t, d.Backlogs(now)[0].Waiting[0])
-	require.Empty(t, d.Backlogs(now.Add(backlogMemory)))
+	require.Empty(t, d.Backlogs(now.Add(backlogRetention)))
 }
 
-// Instances that don't tell ranks apart have no backlogs, as on all deployments without ranks.
+// Instances that don't report ranks have no backlogs.
 func TestNoBacklogsWithoutRanks(t *testing.T) {
 	d, now := NewDemandTracker(), time.Unix(1000, 0)
 	reportDemand(d, now, "a", map[string]TargetDemand{"busy": {Requests: 9, Waiting: 9}})
--- a/residency/contention.go
+++ b/residency/contention.go
@@ -6,24 +6,25 @@
 )
 
 const (
-	// keepFactor is how much more a replica counts that is there already: less gain than that
-	// isn't worth a load, and noise in the demand moves nothing.
-	keepFactor = 1.5
-	// valueSpread is how much the weights of requested models must differ for their requests to
-	// count as competing.
-	valueSpread = 1.25
-	// arrivalSlack is how far the demand of a model may exceed its mean arrivals times the mean
-	// time that a request occupies a slot: the time differs by model, and rising arrivals show late.
+	// existingReplicaFactor multiplies the gain of a replica that exists, so that noise in the
+	// demand causes no loads.
+	existingReplicaFactor = 1.5
+	// minWeightRatio is the ratio of the greatest to the smallest weight of the requested models
+	// above which they compete.
+	minWeightRatio = 1.25
+	// arrivalSlack multiplies the demand that is computed from a model's arrivals and the mean time
+	// that a request occupies a slot: the time differs by model, and the mean lags behind rising
+	// arrivals.
 	arrivalSlack = 1.4
-	// reloadShare is what loading a model again costs, as a share of a useful batch: about the
-	// gain of the load that waits for it.
+	// reloadShare is the cost of loading a model again, as a share of a useful batch: about the
+	// gain of another load that has to wait for it.
 	reloadShare = 0.25
 )
 
-// competes reports whether models compete for the pool's places and loads: not all desired
-// replicas fit, and the requests differ in rank or goal, or not even one replica of each requested
+// isContended reports whether models compete for the pool's places and loads: not all desired
+// replicas fit, and the requests differ in weight, or not even one replica of each requested
 // model fits.
-func (w *pool) competes(requested []*model, places int) bool {
+func (w *pool) isContended(requested []*model, places int) bool {
 	desired := 0
 	for _, m := range w.modelList {
 		desired += m.desired
@@ -38,25 +39,26 @@
 	for _, m := range requested {
 		least, most = min(least, m.weight), max(most, m.weight)
 	}
-	return most > valueSpread*least
+	return most > minWeightRatio*least
 }
 
-// desireByValue computes the desired replicas of the requested models by their share of the
-// pool's weighted demand, so that what waits for less urgent models takes none from the others.
-func (w *pool) desireByValue(requested []*model) {
+// setNeededByWeight computes the needed replicas of the requested models by their share of the
+// pool's weighted demand, so that requests that wait for less urgent models take no replicas from
+// the others.
+func (w *pool) setNeededByWeight(requested []*model) {
 	total := 0.0
 	for _, m := range requested {
 		m.concurrency = min(m.concurrency, w.steadyDemand(m))
 		total += m.weight * m.concurrency
 	}
 	for _, m := range requested {
-		m.desired = max(w.desiredOf(m.concurrency, m.weight*m.concurrency/max(total, minDemand)), w.usefulReplicas(m))
-		m.wanted = m.desired
+		m.needed = max(w.neededForShare(m.concurrency, m.weight*m.concurrency/max(total, minDemand)), w.usefulReplicas(m))
 	}
 }
 
 // steadyDemand returns the demand, in concurrent requests, that a model's recent arrivals bring
-// with enough replicas. What waits already is past its goal when a load is done.
+// with enough replicas. A backlog adds one request at most: it is past its goal by the time a load is
+// done.
 func (w *pool) steadyDemand(m *model) float64 {
 	return min(float64(m.waiting), 1) + arrivalSlack*m.rate*w.p.demand.HoldSeconds()
 }
@@ -66,21 +68,21 @@
 	return min(int(math.Ceil(m.concurrency/w.usefulBatch())), len(w.servers))
 }
 
-// allocatePlaces divides the pool's places among the requested models: first one for each model
-// whose turn has come, then each further place to the model that gains most by it, up to the
-// replicas that it desires. A model may be left without a place; it gets a turn.
+// allocatePlaces divides the pool's places among the requested models: first one for each
+// overdue model, then each further place to the model that gains most by it, up to the replicas
+// that it needs. A model may be left without a place until it is overdue.
 func (w *pool) allocatePlaces(requested []*model, places int) {
 	for _, m := range requested {
 		m.desired = 0
 	}
-	turns := w.dueModels()
-	for _, m := range turns[:min(len(turns), places, max(1, int(firstLoadServers*float64(len(w.servers)))))] {
-		m.turn, m.desired = true, 1
+	overdue := w.overdueModels()
+	for _, m := range overdue[:min(len(overdue), places, max(1, int(firstLoadShare*float64(len(w.servers)))))] {
+		m.overdue, m.desired = true, 1
 		places--
 	}
 	var h gainHeap
 	for _, m := range requested {
-		if m.desired < m.wanted {
+		if m.desired < m.needed {
 			h.models, h.gains = append(h.models, m), append(h.gains, w.allocationGain(m))
 		}
 	}
@@ -88,7 +90,7 @@
 	for ; places > 0 && h.Len() > 0; places-- {
 		m := h.models[0]
 		m.desired++
-		if m.desired >= m.wanted {
+		if m.desired >= m.needed {
 			heap.Pop(&h)
 			continue
 		}
@@ -97,17 +99,17 @@
 	}
 }
 
-// allocationGain returns the gain of the next place for a model; it counts more if the model
-// fills the place already.
+// allocationGain returns the gain of the next place for a model, which is greater if the model has
+// a replica for it.
 func (w *pool) allocationGain(m *model) float64 {
 	if m.desired < len(m.replicas) {
-		return keepFactor * w.lossWithout(m, m.desired)
+		return existingReplicaFactor * w.lossWithout(m, m.desired)
 	}
 	return w.gain(m, m.desired)
 }
 
-// lossWithout returns what the model loses without the replica after its first n ones. Without the
-// only one it has to be loaded again, which keeps a server from another load.
+// lossWithout returns what the model loses without the replica after its first n ones, in weighted
+// concurrent requests. If that is its only one, the loss includes the cost of loading it again.
 func (w *pool) lossWithout(m *model, n int) float64 {
 	loss := w.gain(m, n)
 	if n == 0 {
--- a/residency/contention_test.go
+++ b/residency/contention_test.go
@@ -256,8 +256,8 @@
 		d.HandleReport(now, InstanceReport{Instance: "i", TargetDemand: map[string]TargetDemand{"batch": a, "old": {Requests: 4, Waiting: 4}}})
 		d.Update(now)
 	}
-	require.InDelta(t, rankWeights[batchRank], d.Value("batch").weight, 0.02)
-	require.Equal(t, batchGoal, d.Value("batch").goal)
-	require.Equal(t, unknownValue, d.Value("old"))
-	require.Equal(t, unknownValue, d.Value("never asked for"))
+	require.InDelta(t, rankWeights[batchRank], d.value("batch").weight, 0.02)
+	require.Equal(t, batchGoal, d.value("batch").goal)
+	require.Equal(t, unknownValue, d.value("old"))
+	require.Equal(t, unknownValue, d.value("never asked for"))
 }
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -303,35 +302,6 @@
 	return queries, orders
 }
 
-// logShortages logs each model that lacks replicas, once a second. The lock is held.
-func (c *Controller) logShortages(now time.Time) {
-	if now.Sub(c.shortagesLoggedAt) < shortageLogInterval {
-		return
-	}
-	c.shortagesLoggedAt = now
-	for _, l := range c.planner.Shortages() {
-		c.o.Log.WithFields(logrus.Fields{
-			"service": l.Service, "model": l.Model, "demand": int(l.Concurrency + 0.5), "waiting": l.Waiting,
-			"wanted": l.Desired, "places": l.Places, "gain": math.Round(100*l.Gain) / 100, "weight": math.Round(100*l.Weight) / 100,
-			"replicas": l.Replicas, "coming": l.Pending, "loads_left": int(l.LoadBudget),
-		}).Info("model lacks replicas")
-	}
-}
-
-// logSpeedChanges logs the servers whose speed became known or changed, once a second. The lock
-// is held.
-func (c *Controller) logSpeedChanges(now time.Time) {
-	if now.Sub(c.speedsLoggedAt) < speedLogInterval {
-		return
-	}
-	c.speedsLoggedAt = now
-	for _, s := range c.demand.TakeSpeedChanges() {
-		c.o.Log.WithFields(logrus.Fields{
-			"server": s.Server, "start": s.Start, "speed": math.Round(s.Speed*100) / 100, "before": math.Round(s.Before*100) / 100, "answers": int(s.Count),
-		}).Info("server speed changed")
-	}
-}
-
 // handleResult passes the outcome of an order or state query to the planner.
 func (c *Controller) handleResult(r orderResult) {
 	c.mu.Lock()
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -1,13 +1,11 @@
 package residency
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"greengageferry/decide"
-	"greengageferry/gateway"
 	"greengageferry/topology"
 )
 
@@ -45,7 +43,7 @@
 	Waiting  int                      // requests now
 	InFlight int                      // requests now
 	Work     time.Duration            // server time that the requests take, in time of a whole server; 0: unknown
-	ByRank   [decide.Ranks]RankDemand // zero unless ranks compete for servers
+	ByRank   [decide.Ranks]RankDemand // by decide.RankIndex; zero unless ranks compete for servers
 }
 
 // RankDemand is the part of a TargetDemand that has one rank.
@@ -61,7 +59,7 @@
 type DemandTracker struct {
 	targets     map[string]*targetState
 	versions    map[string][]string // see Versions
-	accounts    accountReports
+	accounts    accountReports      // by instance
 	instances   map[string]*instanceState
 	decayTime   time.Duration
 	holdSeconds float64 // mean time that a request occupies a slot, over all targets
@@ -71,7 +69,7 @@
 	listeningSince time.Time // since when instances have reported to this one without a long gap
 	lastReportAt   time.Time // when the newest report arrived
 
-	speeds *speedTracker
+	speeds *speedTracker // of the servers
 }
 
 // InstanceReport is what an instance reports to the lease holder.
@@ -114,8 +112,8 @@
 	work          float64   // server time of the requests in seconds, decaying with workDecayTime
 	lastRequested time.Time // when a request was last reported
 	rates         rankRates
-	value         requestValue
-	goalAt        time.Time // when a request with that goal was last reported
+	value         requestValue // of the mean request
+	goalAt        time.Time    // when a request with value.goal was last reported
 }
 
 // NewDemandTracker returns a tracker without any targets.
@@ -164,23 +162,7 @@
 
 // Update brings the demand of all targets up to date.
 func (d *DemandTracker) Update(now time.Time) {
-	totals := map[string]TargetDemand{}
-	for name, i := range d.instances {
-		if now.Sub(i.reportedAt) > instanceTimeout {
-			delete(d.instances, name)
-			continue
-		}
-		for target, a := range i.demand {
-			s := totals[target]
-			s.Waiting += a.Waiting
-			s.InFlight += a.InFlight
-			for rank, r := range a.ByRank {
-				s.ByRank[rank].Waiting += r.Waiting
-				s.ByRank[rank].InFlight += r.InFlight
-			}
-			totals[target] = s
-		}
-	}
+	totals := d.sumDemand(now)
 	for name := range totals {
 		d.target(name)
 	}
@@ -211,6 +193,29 @@
 	d.updateVersions()
 }
 
+// sumDemand drops instances that are gone and returns the requests in flight and waiting of the
+// others, by target.
+func (d *DemandTracker) sumDemand(now time.Time) map[string]TargetDemand {
+	totals := map[string]TargetDemand{}
+	for name, i := range d.instances {
+		if now.Sub(i.reportedAt) > instanceTimeout {
+			delete(d.instances, name)
+			continue
+		}
+		for target, a := range i.demand {
+			s := totals[target]
+			s.Waiting += a.Waiting
+			s.InFlight += a.InFlight
+			for rank, r := range a.ByRank {
+				s.ByRank[rank].Waiting += r.Waiting
+				s.ByRank[rank].InFlight += r.InFlight
+			}
+			totals[target] = s
+		}
+	}
+	return totals
+}
+
 // updateVersions finds the targets that are asked for at some software version alone.
 func (d *DemandTracker) updateVersions() {
 	d.versions = map[string][]string{}
@@ -271,25 +276,6 @@
 // HoldSeconds returns the mean time in seconds that a request occupies a slot.
 func (d *DemandTracker) HoldSeconds() float64 { return d.holdSeconds }
 
-// Value returns what the mean request for a target is worth.
-func (d *DemandTracker) Value(target string) requestValue {
-	if t := d.targets[target]; t != nil {
-		return t.value
-	}
-	return unknownValue
-}
-
-// noteGoal records the goal of requests just reported; 0: they have none. The shortest one of
-// the last decay time holds.
-func (t *targetState) noteGoal(now time.Time, goal time.Duration) {
-	if goal <= 0 {
-		return
-	}
-	if t.value.goal == 0 || goal <= t.value.goal || now.Sub(t.goalAt) > maxDecayTime {
-		t.value.goal, t.goalAt = goal, now
-	}
-}
-
 // Rate returns a target's recent request rate in requests per second.
 func (d *DemandTracker) Rate(now time.Time, target string) float64 {
 	if t := d.targets[target]; t != nil {
@@ -322,102 +308,6 @@
 	return time.Time{}
 }
 
-// ListeningSince returns since when instances have reported to this one without a long gap.
-func (d *DemandTracker) ListeningSince() time.Time { return d.listeningSince }
-
-// CountedAll reports whether each live instance that reaches this one has had the time to
-// report to it. Until then the count of instances has only begun, and who divides something
-// by it takes several times its share.
-func (d *DemandTracker) CountedAll(now time.Time) bool {
-	return !d.listeningSince.IsZero() && now.Sub(d.listeningSince) >= instanceTimeout
-}
-
-// Instances returns the number of live instances in each failure domain.
-func (d *DemandTracker) Instances() map[string]int {
-	out := map[string]int{}
-	for _, i := range d.instances {
-		out[i.member.Domain]++
-	}
-	return out
-}
-
-// AllReportedSince reports whether every live instance has reported after the given
-// time, and so has received what the lease holder knew then.
-func (d *DemandTracker) AllReportedSince(since time.Time) bool {
-	for _, i := range d.instances {
-		if !i.reportedAt.After(since) {
-			return false
-		}
-	}
-	return true
-}
-
-// Version returns the newest version of the configuration in force at any live
-// instance.
-func (d *DemandTracker) Version() int64 {
-	newest := int64(0)
-	for _, i := range d.instances {
-		newest = max(newest, i.version)
-	}
-	return newest
-}
-
-// Candidates returns the instances that should compete for the lease.
-func (d *DemandTracker) Candidates() Candidates {
-	members := make([]Member, 0, len(d.instances))
-	for _, i := range d.instances {
-		members = append(members, i.member)
-	}
-	return chooseCandidates(members)
-}
-
-// Gateways returns the instances that may be gateways.
-func (d *DemandTracker) Gateways() gateway.Members {
-	members := make([]gateway.Member, 0, len(d.instances))
-	for _, i := range d.instances {
-		members = append(members, gateway.Member{Domain: i.member.Domain, Addr: i.member.Addr})
-	}
-	return gateway.ChooseMembers(members)
-}
-
-// Positions returns each live instance's index in the list of all, from 0.
-func (d *DemandTracker) Positions() map[string]int {
-	out := make(map[string]int, len(d.instances))
-	for n, name := range slices.Sorted(maps.Keys(d.instances)) {
-		out[name] = n
-	}
-	return out
-}
-
-// InstanceNames returns the names of the live instances.
-func (d *DemandTracker) InstanceNames() []string { return slices.Collect(maps.Keys(d.instances)) }
-
-// InstanceAddrs returns the addresses of the live instances for other instances.
-func (d *DemandTracker) InstanceAddrs() []string {
-	out := make([]string, 0, len(d.instances))
-	for _, i := range d.instances {
-		out = append(out, i.member.Addr)
-	}
-	return out
-}
-
-// maxReportAge is the maximum age of an instance's report that it doesn't reach the
-// store: less than the wait of a new lease holder before its first order, and more than
-// the time between two reports.
-const maxReportAge = 800 * time.Millisecond
-
-// AllStoreDown reports whether each of the named instances has just reported that it
-// doesn't reach the store. An instance without a recent report may reach the store.
-func (d *DemandTracker) AllStoreDown(now time.Time, names []string) bool {
-	for _, name := range names {
-		i := d.instances[name]
-		if i == nil || !i.storeDown || now.Sub(i.reportedAt) > maxReportAge {
-			return false
-		}
-	}
-	return len(names) > 0
-}
-
 // ExpectedRequests returns, for each target, the requests that wait at any instance or
 // will arrive within the horizon.
 func (d *DemandTracker) ExpectedRequests(now time.Time, horizon time.Duration) map[string]float64 {
--- a/residency/load_order.go
+++ b/residency/load_order.go
@@ -6,26 +6,28 @@
 )
 
 const (
-	// storeLoadShare is the share of the concurrent loads at which the weight store's loads slow
-	// each other down that is used while models compete: a late replica gains little.
-	storeLoadShare = 0.9
+	// contendedStoreLoadShare is the part of the weight store's capacity, in concurrent loads, that
+	// is used while models compete: loads beyond the capacity slow each other down.
+	contendedStoreLoadShare = 0.9
 	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
 	// from the weight store.
 	diskLoadShare = 0.2
-	// smallGainShare is the share of a useful batch below which a replica's gain is small. Such
-	// loads begin only while less than freeServers of the pool's servers load anything, first
-	// replicas whose turn has come also while less than firstLoadServers load such ones: a server
-	// carries out one order at a time, and a load that has begun isn't stopped. The other servers
-	// are kept for demand that moves.
-	smallGainShare   = 0.25
-	freeServers      = 0.75
-	firstLoadServers = 0.3
-	// fillShare is how much a busy server is preferred for a model with little demand, relative to
-	// the room for all of its demand.
-	fillShare = 0.25
-	// idleLoadServers is the share of a pool's servers that may be loading models without
-	// requests at once, while not all models fit.
-	idleLoadServers = 0.1
+	// smallGainShare is the share of a useful batch below which a replica's gain is small.
+	smallGainShare = 0.25
+	// maxLoadingShare is the share of a pool's servers that load models above which no load of
+	// small gain begins. A server executes one order at a time and doesn't stop a load, so the
+	// other servers are kept for changes of demand.
+	maxLoadingShare = 0.75
+	// firstLoadShare is the share of a pool's servers that load first replicas of small gain up
+	// to which overdue models are exempt from maxLoadingShare. It also bounds the places that
+	// overdue models get.
+	firstLoadShare = 0.3
+	// busyServerPreference is the weight of a server's utilization in the choice of a server for a
+	// model with little demand, relative to the part of the demand that the server has no slots for.
+	busyServerPreference = 0.25
+	// idleLoadShare is the share of a pool's servers that may load models without requests at
+	// the same time, while not all models fit.
+	idleLoadShare = 0.1
 )
 
 // planByGain orders loads for the models that lack replicas, the one with the greatest priority
@@ -56,24 +58,24 @@
 	return out
 }
 
-// setPriority computes the model's priority for the next load: the gain for each second that it
-// takes, and what its turn counts.
+// setPriority computes the model's priority for the next load: the gain per second
+// of loading, and the priority over it while the model is overdue.
 func (w *pool) setPriority(m *model) {
 	load := m.LoadTime.Seconds()
 	if w.onDisk[m.Name] > 0 {
 		load *= diskLoadShare
 	}
-	m.priority, m.waitedGain = w.gain(m, len(m.replicas))/max(load, 0.001), 0
-	if m.awaitsTurn() {
-		m.waitedGain = w.turnGain(m)
+	m.priority, m.overduePriority = w.gain(m, len(m.replicas))/max(load, 0.001), 0
+	if m.awaitsOverdueLoad() {
+		m.overduePriority = w.overdueGain(m)
 	}
 }
 
-// comparePriority orders models that compete for loads: first those whose turn has come, for as
-// many loads as are kept for turns, then by priority.
+// comparePriority orders models that compete for loads: first the overdue ones, for as many
+// loads as are kept for them, then by priority.
 func (w *pool) comparePriority(a, b *model) int {
-	if w.budget.turnTokens >= 1 && a.waitedGain != b.waitedGain {
-		return cmp.Compare(b.waitedGain, a.waitedGain)
+	if w.budget.overdueTokens >= 1 && a.overduePriority != b.overduePriority {
+		return cmp.Compare(b.overduePriority, a.overduePriority)
 	}
 	return cmp.Compare(b.priority, a.priority)
 }
@@ -112,25 +114,25 @@
 	}
 }
 
-// mayLoad reports whether one more load of the model may begin beside those that are going on.
+// mayLoad reports whether one more load of the model may begin beside those in progress.
 func (w *pool) mayLoad(m *model) bool {
 	servers := float64(len(w.servers))
 	switch {
 	case w.contended && !m.requested():
 		return false
 	case w.crowded && !m.requested():
-		return float64(w.idleLoads) < max(1, idleLoadServers*servers)
+		return float64(w.idleLoads) < max(1, idleLoadShare*servers)
 	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
-		return float64(w.loads) < freeServers*servers || m.awaitsTurn() && float64(w.firstLoads) < max(1, firstLoadServers*servers)
+		return float64(w.loads) < maxLoadingShare*servers || m.awaitsOverdueLoad() && float64(w.firstLoads) < max(1, firstLoadShare*servers)
 	}
 	return true
 }
 
-// roomCost returns the cost of placing the model on a server, in full batches, while models compete:
-// the part of its demand that the server has no slots for beside its other models. A model with
-// little demand goes to the busiest of the servers with room, and leaves the others to models that
-// need them.
-func (w *pool) roomCost(s *server, m, victim *model) float64 {
+// contendedPlacementCost returns the cost of placing the model on a server while models compete:
+// the part of its demand that the server has no slots for beside its other models, from 0 to 1, and
+// the server's utilization. A model with little demand goes to the busiest server with free slots
+// and leaves the others to models that need them.
+func (w *pool) contendedPlacementCost(s *server, m, victim *model) float64 {
 	slots := float64(max(w.engine.Slots, 1))
 	used := w.utilization(s)
 	if victim != nil {
@@ -139,15 +141,15 @@
 	need := min(m.concurrency/float64(len(m.replicas)+1), w.usefulBatch()) / slots
 	lack := max(0, need-max(0, 1-used))
 	if m.concurrency < w.usefulBatch() {
-		return lack/max(need, minDemand/slots) - fillShare*min(used, 1)
+		return lack/max(need, minDemand/slots) - busyServerPreference*min(used, 1)
 	}
 	return lack/max(need, minDemand/slots) + used
 }
 
 // mayTakePlace reports whether a replica of the victim may be evicted for one of m while models
-// compete: the victim isn't requested, has more replicas than places, or has served what
-// waited and loses clearly less than m gains, whose requests have waited for long. The last one that
-// serves stays while others are being loaded.
+// compete: the victim isn't requested, has more replicas than places, or m is overdue
+// while no request waits for the victim, which loses clearly less than m gains. The last replica
+// that serves stays while others are being loaded.
 func (w *pool) mayTakePlace(victim, m *model) bool {
 	switch {
 	case !m.requested():
@@ -159,5 +161,5 @@
 	case len(victim.replicas) > victim.desired:
 		return true
 	}
-	return m.awaitsTurn() && victim.waiting == 0 && w.turnGain(m) > keepFactor*w.lossWithout(victim, len(victim.replicas)-1)
+	return m.awaitsOverdueLoad() && victim.waiting == 0 && w.overdueGain(m) > existingReplicaFactor*w.lossWithout(victim, len(victim.replicas)-1)
 }
--- a/residency/place.go
+++ b/residency/place.go
@@ -46,14 +46,14 @@
 	return out
 }
 
-// Shortage describes a model that has fewer replicas than its demand requires.
+// Shortage describes a model that has fewer replicas than desired.
 type Shortage struct {
 	Service     string
 	Model       string
 	Concurrency float64 // recent demand, in concurrent requests
 	Waiting     int     // requests
-	Desired     int     // replicas that its demand requires
-	Places      int     // replicas of them that there is room for
+	Needed      int     // replicas that its demand needs
+	Desired     int     // replicas of them that the pool has places for
 	Replicas    int     // including pending ones
 	Pending     int     // replicas that are being loaded
 	LoadBudget  float64 // loads from the weight store that may still start
@@ -70,7 +70,7 @@
 		if m.requested() {
 			w.p.shortages = append(w.p.shortages, Shortage{
 				Service: w.service.Name, Model: m.Name, Concurrency: m.concurrency, Waiting: m.waiting,
-				Desired: m.wanted, Places: m.desired, Gain: w.gain(m, len(m.replicas)), Weight: m.weight,
+				Needed: m.needed, Desired: m.desired, Gain: w.gain(m, len(m.replicas)), Weight: m.weight,
 				Replicas: len(m.replicas), Pending: m.pending, LoadBudget: w.budget.tokens,
 			})
 		}
@@ -140,7 +140,7 @@
 		}
 		cost := w.placementCost(s, m)
 		if w.contended {
-			cost = w.roomCost(s, m, victim)
+			cost = w.contendedPlacementCost(s, m, victim)
 		}
 		if !onDisk {
 			cost += storeLoadCost * m.LoadTime.Seconds()
@@ -161,8 +161,8 @@
 	return w.assignReplica(best, m, bestVictim), true
 }
 
-// evictionLoss returns the part of a placement's cost for what an eviction takes from the
-// victim's demand, while models compete.
+// evictionLoss returns the part of a placement's cost that is due to the victim's loss, in full
+// batches, while models compete.
 func (w *pool) evictionLoss(victim *model) float64 {
 	if !w.contended {
 		return 0
@@ -175,7 +175,7 @@
 // down; one more keeps the store busy between two plans.
 func (w *pool) maxStoreLoads(m *model) int {
 	if w.contended {
-		return max(1, int(storeLoadShare*w.engine.LoadsPerSecond*m.LoadTime.Seconds()))
+		return max(1, int(contendedStoreLoadShare*w.engine.LoadsPerSecond*m.LoadTime.Seconds()))
 	}
 	return int(math.Ceil(w.engine.LoadsPerSecond*m.LoadTime.Seconds())) + 1
 }
@@ -215,8 +215,8 @@
 // assignReplica assigns a replica of m to a server and returns the load order. If a
 // victim has to be unloaded first, it only starts to drain the victim, and returns nil.
 func (w *pool) assignReplica(target *server, m, victim *model) *Order {
-	if m.awaitsTurn() {
-		w.budget.turnTokens = max(w.budget.turnTokens-1, 0)
+	if m.awaitsOverdueLoad() {
+		w.budget.overdueTokens = max(w.budget.overdueTokens-1, 0)
 	}
 	m.replicas = append(m.replicas, target)
 	w.countLoad(m)
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -75,22 +75,23 @@
 	limits    map[string]float64     // requests per second, by server that states a rate limit
 	startedAt time.Time              // when the first plan was made
 	shortages []Shortage             // of the newest plan
-	// unservedSince is since when requests wait for a model that no server serves, by target.
+	// unservedSince is since when requests have waited for a model that no server serves, by
+	// target.
 	unservedSince map[string]time.Time
 }
 
 // loadBudget is a token bucket for the loads from the weight store of one service.
 type loadBudget struct {
-	tokens     float64
-	turnTokens float64 // of them, loads that are kept for turns; see turnLoadShare
-	refilledAt time.Time
+	tokens        float64
+	overdueTokens float64 // loads of overdue models that may precede others; see overdueLoadShare
+	refilledAt    time.Time
 }
 
 // refill adds the tokens that have accrued at the given rate.
 func (b *loadBudget) refill(now time.Time, loadsPerSecond float64) {
 	if !b.refilledAt.IsZero() {
 		elapsed := now.Sub(b.refilledAt).Seconds()
-		b.turnTokens = min(b.turnTokens+elapsed*loadsPerSecond*turnLoadShare, turnBurst)
+		b.overdueTokens = min(b.overdueTokens+elapsed*loadsPerSecond*overdueLoadShare, overdueBurst)
 		b.tokens = min(b.tokens+elapsed*loadsPerSecond*loadRateShare, loadBurst+loadsPerSecond*loadBurstTime.Seconds())
 	}
 	b.refilledAt = now
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -24,31 +24,31 @@
 	demand      float64        // of all models, in concurrent requests
 	storeLoads  int            // loads from the weight store in progress
 	draining    int            // servers where a model drains or is being unloaded
-	contended   bool           // models compete for places and loads; see competes
-	crowded     bool           // not all models fit, with one replica each
+	contended   bool           // models compete for places and loads; see isContended
+	crowded     bool           // one replica each of all configured models doesn't fit
 	loads       int            // servers that load a model, or will once another has drained
 	idleLoads   int            // servers that load models without requests
-	firstLoads  int            // servers that load the first replica of a model with little demand
+	firstLoads  int            // servers that load the first replica of a model, where its gain is small
 	onDisk      map[string]int // servers that hold each model on disk, if contended
 }
 
 // model is the state of one model of a pool while a plan is computed.
 type model struct {
 	topology.Model
-	rate        float64 // requests per second, including its adapters'
-	concurrency float64 // demand in concurrent requests, including its adapters'; at least the equivalent of busyServers
-	busyServers float64 // servers that the requests' work keeps busy
-	waiting     int
-	wanted      int // replicas that its demand requires
-	desired     int // replicas of them that it has places for
-	replicas    []*server
-	pending     int           // replicas that are still being loaded
-	weight      float64       // what the mean request is worth, by rank and goal
-	goal        time.Duration // shortest time to the first token that its requests ask for; 0: none
-	unserved    time.Duration // how long requests have waited for it without a replica that serves
-	turn        bool          // it gets a place since its requests waited
-	priority    float64       // of its next load, if contended
-	waitedGain  float64       // of the turn that it awaits; 0: none
+	rate            float64 // requests per second, including its adapters'
+	concurrency     float64 // demand in concurrent requests, including its adapters'; at least the equivalent of busyServers
+	busyServers     float64 // servers that the requests' work keeps busy
+	waiting         int
+	needed          int // replicas that its demand needs
+	desired         int // replicas to have: as many of the needed ones as the pool has places for
+	replicas        []*server
+	pending         int           // replicas that are still being loaded
+	weight          float64       // of its mean request, by rank and goal, from 0 to 1
+	goal            time.Duration // shortest time to the first token that its requests ask for; 0: none
+	unserved        time.Duration // how long requests have waited for it without a replica that serves
+	overdue         bool          // its requests have waited so long that it gets a place; see overdueModels
+	priority        float64       // of its next load, in gain per second of loading, if contended
+	overduePriority float64       // of its load while it is overdue and none is ordered; 0: else
 	// versions are the software versions at which streams of the model go on.
 	versions []string
 }
@@ -91,17 +91,17 @@
 		w.demand += m.concurrency
 	}
 	for _, m := range w.modelList {
-		m.desired = w.desired(m.concurrency)
+		m.desired = w.neededReplicas(m.concurrency)
 	}
 	w.updateUnserved()
-	w.divide()
+	w.setDesired()
 	return w
 }
 
 // addDemand adds the demand for a target.
 func (m *model) addDemand(now time.Time, demand *DemandTracker, target string) {
 	m.rate += demand.Rate(now, target)
-	concurrency, value := demand.Concurrency(target), demand.Value(target)
+	concurrency, value := demand.Concurrency(target), demand.value(target)
 	m.concurrency += concurrency
 	m.weight += concurrency * value.weight * goalUrgency(value.goal, m.LoadTime)
 	if value.goal > 0 && (m.goal == 0 || value.goal < m.goal) {
@@ -200,36 +200,36 @@
 	}
 }
 
-// desired returns how many replicas a concurrency requires: the model's share of the
+// neededReplicas returns how many replicas a concurrency needs: the model's share of the
 // servers with some slack, but no more replicas than would be busy.
-func (w *pool) desired(concurrency float64) int {
-	return w.desiredOf(concurrency, concurrency/max(w.demand, 1))
+func (w *pool) neededReplicas(concurrency float64) int {
+	return w.neededForShare(concurrency, concurrency/max(w.demand, 1))
 }
 
-// desiredOf is desired for a given share of the pool's total demand.
-func (w *pool) desiredOf(concurrency, ofDemand float64) int {
+// neededForShare is neededReplicas for a given share, from 0 to 1, of the pool's total demand.
+func (w *pool) neededForShare(concurrency, demandShare float64) int {
 	servers := max(len(w.servers), 1)
 	busy := math.Ceil(concurrency / w.replicaCapacity())
-	share := math.Ceil(ofDemand * float64(servers) * serverShareSlack)
+	share := math.Ceil(demandShare * float64(servers) * serverShareSlack)
 	return min(max(int(min(busy, share)), 1), servers)
 }
 
-// divide divides the pool's places among the models whose demand requires more replicas than
-// there is room for.
-func (w *pool) divide() {
+// setDesired sets the desired replicas: the needed ones, or fewer if the pool has too few places
+// for the requested models.
+func (w *pool) setDesired() {
 	sum, places := 0, w.modelCapacity()
 	var requested []*model
 	for _, m := range w.modelList {
-		m.wanted = m.desired
+		m.needed = m.desired
 		if m.requested() {
 			sum += m.desired
 			requested = append(requested, m)
 		}
 	}
 	w.crowded = len(w.modelList) > places
-	w.contended = w.competes(requested, places)
+	w.contended = w.isContended(requested, places)
 	if w.contended {
-		w.desireByValue(requested)
+		w.setNeededByWeight(requested)
 		w.allocatePlaces(requested, places)
 		w.countOnDisk()
 	} else {
--- a/residency/server.go
+++ b/residency/server.go
@@ -45,7 +45,7 @@
 	nextQueryAt     time.Time            // when to query whether that order has been executed
 	unanswered      []unansweredOrder    // unanswered orders that the server may still execute
 	draining        *drainingModel       // a model that drains before it is unloaded
-	successor       string               // the model that replaces the one that is being unloaded
+	successor       string               // the model to load once the one being unloaded is gone
 	dropped         []droppedModel       // models that instances must not use on the server any more
 	firstSeen       map[string]time.Time // when each model was first seen, by name; zero: before this lease
 	callInFlight    bool                 // an order or a state query is in flight
@@ -101,24 +101,6 @@
 	s.reconcile(now)
 }
 
-// forgetStart drops what is known of an earlier start of the server: what it held, and the orders
-// that it accepted. Unanswered orders may still reach the new start, and calls in flight are
-// answered or given up.
-func (s *server) forgetStart() {
-	s.stateKnown, s.stateAt, s.sequence = false, time.Time{}, 0
-	s.adapterChanges, s.executing, s.priorStateSeen = nil, nil, false
-	s.draining, s.dropped, s.firstSeen = nil, nil, nil
-	s.callVoid = s.callInFlight
-}
-
-// endCall records that the call in flight ended, and reports whether its result is void, since it
-// may be of an earlier start of the server.
-func (s *server) endCall() (void bool) {
-	void = s.callVoid
-	s.callInFlight, s.orderInFlight, s.callVoid = false, nil, false
-	return void
-}
-
 // considerEntry adopts an entry's models if they are newer than the server's own state
 // report: if the entry shows the effect of the order that is being executed, or the report
 // is older than entryLag. An entry may be older than that, for instance after a store
@@ -203,7 +185,7 @@
 // handleState processes the state that the server reported.
 func (s *server) handleState(now time.Time, st State) {
 	if s.endCall() || st.Born.Before(s.entry.Born) && !st.Born.IsZero() {
-		return // of an earlier start: it is queried again
+		return // of an earlier start of the server, which is queried again
 	}
 	s.nextQueryAt = now.Add(stateQueryInterval)
 	s.Models, s.sequence, s.stateAt, s.entryPending = st.Models, st.Sequence, now, false
--- a/residency/speeds.go
+++ b/residency/speeds.go
@@ -12,44 +12,45 @@
 const (
 	// speedFitInterval is the time between two fits of the servers' speeds.
 	speedFitInterval = 250 * time.Millisecond
-	// speedTellTime is how long a speed that changed is told in every answer: three reports
-	// of each instance.
-	speedTellTime = 1500 * time.Millisecond
-	// minSpeedsTold and speedTurns set how many of the other speeds an answer tells in turn:
-	// a speedTurns-th of all, or minSpeedsTold if that is more. Twice a second, that is all
-	// speeds within 10 s.
-	minSpeedsTold = 16
-	speedTurns    = 20
-	// speedStep is the ratio, either way, from which a change is told at once and logged.
-	speedStep = 4.0 / 3
-	// maxChangesTold bounds the changes in one answer. Where more servers change at once, as
-	// after a new lease holder's first fit, the others are told in turn.
-	maxChangesTold = 48
+	// speedRepeatTime is how long a speed that changed is in every answer, so that three answers to
+	// each instance hold it.
+	speedRepeatTime = 1500 * time.Millisecond
+	// speedRounds is the number of answers over which all speeds are sent to an instance: each
+	// answer holds the next part of them. With two answers a second that takes 10 s.
+	speedRounds = 20
+	// minSpeedsSent is the least number of speeds in such a part.
+	minSpeedsSent = 16
+	// minSpeedChange is the ratio of the greater to the smaller speed from which a change is sent
+	// in the next answers and logged.
+	minSpeedChange = 4.0 / 3
+	// maxChangesSent bounds the changes in one answer. Where more servers change at once, as
+	// after a new lease holder's first fit, the others are sent with the parts of all speeds.
+	maxChangesSent = 48
 	// maxSpeedChanges bounds the changes kept for the log.
 	maxSpeedChanges = 20
 )
 
-// SpeedChange is a server's speed that became known or changed by more than a third.
+// SpeedChange is a server's speed that became known or changed by minSpeedChange or more.
 type SpeedChange struct {
 	decide.ServerSpeed
-	Before float64 // 1 if none was known
+	Before float64 // earlier speed relative to the mean of its pool; 1 if none was known
 }
 
-// speedTracker holds what all instances measured of servers' speeds, and whom it told what. A
-// report holds sums since the one before, so none is counted twice and a lost one loses its
-// own only.
+// speedTracker estimates servers' speeds from the samples of all instances and chooses which speeds
+// each instance is sent. A report holds the samples since the one before, so that none is counted
+// twice and a lost report loses only its own.
 type speedTracker struct {
 	estimator *decide.SpeedEstimator
 	fittedAt  time.Time
-	told      []toldSpeed // servers whose speed has ever differed from 1
-	next      map[string]int
-	changes   []SpeedChange
+	sent      []sentSpeed    // of servers whose speed has ever differed from 1, by server and start
+	next      map[string]int // index in sent at which an instance's next part begins, by instance
+	changes   []SpeedChange  // since the last call of TakeSpeedChanges
 }
 
-// toldSpeed is a speed that instances are told.
-type toldSpeed struct {
+// sentSpeed is a speed that instances are sent.
+type sentSpeed struct {
 	decide.ServerSpeed
-	announced   float64 // the speed at the newest change by more than speedStep
+	announced   float64 // the speed at the newest change by minSpeedChange or more
 	announcedAt time.Time
 }
 
@@ -64,30 +65,30 @@
 	}
 	t.fittedAt = now
 	t.estimator.Fit(now)
-	before := make(map[speedKey]toldSpeed, len(t.told))
-	for _, s := range t.told {
+	before := make(map[speedKey]sentSpeed, len(t.sent))
+	for _, s := range t.sent {
 		before[speedKey{s.Server, s.Start}] = s
 	}
-	t.told = t.told[:0]
+	t.sent = t.sent[:0]
 	for _, s := range t.estimator.Speeds() {
 		key := speedKey{s.Server, s.Start}
 		old, known := before[key]
 		delete(before, key)
 		if known || s.Speed != 1 {
-			t.told = append(t.told, t.announce(now, old, s))
+			t.sent = append(t.sent, t.announce(now, old, s))
 		}
 	}
 	t.keep(before)
 }
 
-// keep goes on telling the last speeds of servers that have few answers now.
-func (t *speedTracker) keep(last map[speedKey]toldSpeed) {
+// keep keeps the last speeds of servers that have too few recent answers for a new estimate.
+func (t *speedTracker) keep(last map[speedKey]sentSpeed) {
 	for key, s := range last {
 		if t.estimator.Has(key.server, key.start) {
-			t.told = append(t.told, s)
+			t.sent = append(t.sent, s)
 		}
 	}
-	slices.SortFunc(t.told, func(a, b toldSpeed) int {
+	slices.SortFunc(t.sent, func(a, b sentSpeed) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Start, b.Start))
 	})
 }
@@ -95,10 +96,10 @@
 // speedKey identifies a start of a server.
 type speedKey struct{ server, start string }
 
-// announce returns what to tell of a server, given what was told before.
-func (t *speedTracker) announce(now time.Time, old toldSpeed, s decide.ServerSpeed) toldSpeed {
+// announce returns the speed to send of a server, and records a change against the old one.
+func (t *speedTracker) announce(now time.Time, old sentSpeed, s decide.ServerSpeed) sentSpeed {
 	known := old.announced > 0
-	if known && math.Abs(math.Log(s.Speed/old.announced)) < math.Log(speedStep) {
+	if known && math.Abs(math.Log(s.Speed/old.announced)) < math.Log(minSpeedChange) {
 		old.ServerSpeed = s
 		return old
 	}
@@ -109,26 +110,26 @@
 	if len(t.changes) < maxSpeedChanges {
 		t.changes = append(t.changes, change)
 	}
-	return toldSpeed{ServerSpeed: s, announced: s.Speed, announcedAt: now}
+	return sentSpeed{ServerSpeed: s, announced: s.Speed, announcedAt: now}
 }
 
-// forInstance returns the speeds to tell an instance: those that changed lately, and the next
-// of the others in turn.
+// forInstance returns the speeds to send to an instance: those that changed lately, and the next
+// part of all.
 func (t *speedTracker) forInstance(now time.Time, instance string) []decide.ServerSpeed {
-	n := len(t.told)
+	n := len(t.sent)
 	if n == 0 {
 		return nil
 	}
-	inTurn := min(max(minSpeedsTold, n/speedTurns), n)
+	partSize := min(max(minSpeedsSent, n/speedRounds), n)
 	first := t.next[instance] % n
-	t.next[instance] = first + inTurn
+	t.next[instance] = first + partSize
 	var out []decide.ServerSpeed
 	changes := 0
-	for i, s := range t.told {
+	for i, s := range t.sent {
 		switch {
-		case (i-first+n)%n < inTurn:
+		case (i-first+n)%n < partSize:
 			out = append(out, s.ServerSpeed)
-		case changes < maxChangesTold && now.Sub(s.announcedAt) < speedTellTime:
+		case changes < maxChangesSent && now.Sub(s.announcedAt) < speedRepeatTime:
 			changes++
 			out = append(out, s.ServerSpeed)
 		}
@@ -136,8 +137,8 @@
 	return out
 }
 
-// Speeds returns what an instance is told of the servers' speeds, as all instances together
-// measured them.
+// Speeds returns the servers' speeds to send to an instance, as all instances together measured
+// them. They are a part of all speeds, which the next calls complete.
 func (d *DemandTracker) Speeds(now time.Time, instance string) []decide.ServerSpeed {
 	d.speeds.update(now)
 	if len(d.speeds.next) > 2*len(d.instances) {
@@ -150,7 +151,7 @@
 	return d.speeds.forInstance(now, instance)
 }
 
-// Speed returns a server's work per time relative to the mean of its pool, 1 if not known.
+// Speed returns a server's work per time relative to the mean of its pool, 1 if unknown.
 func (d *DemandTracker) Speed(server, start string) float64 {
 	return d.speeds.estimator.Speed(server, start)
 }
--- a/residency/speeds_test.go
+++ b/residency/speeds_test.go
@@ -41,7 +41,7 @@
 	return now
 }
 
-// Each instance alone has one answer of each server, which tells little.
+// Each instance alone has one answer of each server, too few for an estimate.
 func TestSpeedsOfAllInstancesAreTold(t *testing.T) {
 	d := NewDemandTracker()
 	now := learnSpeeds(d, start, unevenServers(9))
@@ -56,7 +56,7 @@
 	require.Equal(t, 1.0, d.Speed("s0000", "b"), "another start")
 }
 
-// Even servers are not told at all.
+// The speeds of even servers are not sent.
 func TestSpeedsOfEvenServersAreNotTold(t *testing.T) {
 	d := NewDemandTracker()
 	even := map[string]float64{"a": 0.01, "b": 0.01, "c": 0.01}
@@ -65,30 +65,30 @@
 	require.Empty(t, d.TakeSpeedChanges())
 }
 
-// What an answer holds is bounded, and every server's speed is told well before it expires.
+// What an answer holds is bounded, and every server's speed is sent well before it expires.
 func TestSpeedsAreToldInTurn(t *testing.T) {
 	d := NewDemandTracker()
 	now := learnSpeeds(d, start, unevenServers(300))
-	require.LessOrEqual(t, len(d.Speeds(now, "i0")), 16+maxChangesTold, "while all are new")
-	now = now.Add(2 * speedTellTime)
+	require.LessOrEqual(t, len(d.Speeds(now, "i0")), 16+maxChangesSent, "while all are new")
+	now = now.Add(2 * speedRepeatTime)
 	seen := map[string]bool{}
-	for range speedTurns {
+	for range speedRounds {
 		told := d.Speeds(now, "i0")
 		require.LessOrEqual(t, len(told), 16)
 		for _, s := range told {
 			seen[s.Server] = true
 		}
-		d.Speeds(now, "i1") // has its own turn
+		d.Speeds(now, "i1") // its parts are counted separately
 		now = now.Add(500 * time.Millisecond)
 	}
 	require.Len(t, seen, 300)
 }
 
-// A changed speed is told in the next answer to each instance, and logged.
+// A changed speed is sent in the next answer to each instance, and logged.
 func TestChangedSpeedIsToldAtOnce(t *testing.T) {
 	d := NewDemandTracker()
 	servers := unevenServers(300)
-	now := learnSpeeds(d, start, servers).Add(2 * speedTellTime)
+	now := learnSpeeds(d, start, servers).Add(2 * speedRepeatTime)
 	d.Speeds(now, "i0")
 	d.TakeSpeedChanges()
 	servers["s0007"] *= 3
@@ -148,7 +148,7 @@
 	require.LessOrEqual(t, len(d.speeds.next), 2*40+1)
 }
 
-// A server that gets few requests is still told, and isn't logged as new with each answer.
+// A server that gets few requests is still sent, and isn't logged as new with each answer.
 func TestServerWithFewAnswersIsStillTold(t *testing.T) {
 	d := NewDemandTracker()
 	now := learnSpeeds(d, start, unevenServers(9))
