--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -66,7 +66,7 @@
 		c.relay.backends.handleResponse(d.Server.ID, res.Header)
 	}
 	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
-	if c.answersAnother(headers) {
+	if c.isForOtherRequest(headers) {
 		c.logFailedAttempt(d, "answer_to_another_request", res.StatusCode)
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
@@ -88,7 +88,7 @@
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
 	}
-	if promisesNotRun(res.StatusCode) { // though the server doesn't say that it did not run the request
+	if promisesNotRun(res.StatusCode) { // the caller mustn't get it, since the server may have run the request
 		c.reportCompletion()
 		c.logFailedAttempt(d, "server_failure", res.StatusCode)
 		c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: headers.RetryAfter})
@@ -165,9 +165,9 @@
 	return req.WithContext(ctx)
 }
 
-// answersAnother reports whether a response names another request. It may be a late second answer
-// to an earlier one, so that it says not run says nothing of this one.
-func (c *call) answersAnother(headers ResponseHeaders) bool {
+// isForOtherRequest reports whether a response names another request. It may be a late response to
+// an earlier one, whose "not run" doesn't hold for this one.
+func (c *call) isForOtherRequest(headers ResponseHeaders) bool {
 	return headers.RequestID != "" && headers.RequestID != c.headers.ID
 }
 
--- a/relay/caller_gone_test.go
+++ b/relay/caller_gone_test.go
@@ -16,8 +16,8 @@
 	"greengageferry/netconn"
 )
 
-// lateConn is a connection of a busy instance: its requests are read only after its caller has
-// left, and its end is noticed later still.
+// lateConn is a connection of a busy instance, which reads a request only after the caller has left
+// and the end of the connection only at the end of the test.
 type lateConn struct {
 	*net.TCPConn
 	left  <-chan struct{} // closed once the caller has left
@@ -48,7 +48,7 @@
 }
 
 // An instance short of processor time reads a request after its caller has given it up and closed
-// the connection. On a day of a recipe site 12 requests were sent on so, half a second later.
+// the connection. It must not send the request to a server.
 func TestRequestReadAfterItsCallerLeftIsNotSent(t *testing.T) {
 	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 		for _, body := range []string{"", "the body"} {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -35,15 +35,15 @@
 	arrivals   map[string]residency.TargetDemand // requests and work since the last call of demand, by target
 	inFlight   map[string]int                    // dispatched calls, by server id
 	ticking    bool                              // a tick is scheduled
-	absent     []absentCall                      // callers that will come back when their model is loaded
-	unranked   residency.RankDemand              // counts what isn't reported
+	returning  []returningCall                   // refused calls whose callers will come back
+	discarded  residency.RankDemand              // counts by rank that aren't reported; see rankDemand
 	byRank     bool                              // demand is counted by rank; see decide.Table.RoomByRank
 	log        logrus.FieldLogger
 	metrics    Metrics
 	syncNeeded chan struct{}
 
-	sharesLogged   int // accounts over their share in the newest log line on them
-	sharesLoggedAt time.Time
+	sharesLogged   int       // client accounts over their share in the newest log line about them
+	sharesLoggedAt time.Time // when that line was written
 }
 
 func newDispatcher(rng *rand.Rand, log logrus.FieldLogger, m Metrics) *dispatcher {
@@ -119,15 +119,15 @@
 		}
 		out[c.target] = a
 	}
-	d.addAbsent(out)
+	d.addReturning(out)
 	return out
 }
 
-// rankDemand returns the part of a target's demand that a call belongs to. Where ranks aren't told
-// apart, it is one that isn't reported. The lock is held.
+// rankDemand returns the part of a target's demand that has the call's rank. If demand isn't counted
+// by rank, it returns one that isn't reported. The lock is held.
 func (d *dispatcher) rankDemand(a *residency.TargetDemand, c *call) *residency.RankDemand {
 	if !d.byRank {
-		return &d.unranked
+		return &d.discarded
 	}
 	return &a.ByRank[decide.RankIndex(c.rank())]
 }
@@ -242,7 +242,7 @@
 			d.countStart(c)
 		case decide.ActionRefuse:
 			delete(d.calls, dec.Request)
-			d.noteAbsent(c, dec)
+			d.noteReturning(c, dec)
 		case decide.ActionQueue:
 			d.signalSync()
 			continue
@@ -269,11 +269,11 @@
 	decide.ActionRefuse:   "refuse",
 }
 
-// ActionName returns the name of an action in logs.
+// ActionName returns the name of an action in logs, metrics and messages.
 func ActionName(a decide.Action) string { return actionNames[a] }
 
-// addBacklogFields adds what a refusal for lack of time rests on, and counts it if that is what all
-// instances together have.
+// addBacklogFields adds the inputs of a refusal for lack of time to its log fields, and counts the
+// refusal if they include the backlog of all instances.
 func (d *dispatcher) addBacklogFields(f logrus.Fields, in *decide.Inputs) {
 	if in.QueueWait > 0 {
 		f["wait_ms"] = in.QueueWait.Milliseconds()
@@ -288,6 +288,26 @@
 	d.metrics.CountBacklogRefusal(b.Room)
 }
 
+// addDispatchFields adds the server of a dispatch and the inputs of its choice to the log fields.
+func (d *dispatcher) addDispatchFields(f logrus.Fields, dec *decide.Decision) {
+	in := &dec.Inputs
+	f["server"] = dec.Server.ID
+	f["score"] = strconv.FormatFloat(in.Score, 'g', 3, 64)
+	f["unread_tokens"] = in.Unread
+	f["first_ms"] = in.TimeToFirstToken.Milliseconds()
+	f["load_age_ms"] = in.LoadAge.Milliseconds()
+	if in.ServerLimit.Named {
+		f["limit_per_s"], f["granted"] = in.ServerLimit.PerSecond, in.Granted
+		d.metrics.CountRateLimitedAttempt()
+	}
+	if in.RoomByRank {
+		f["room"] = strconv.FormatFloat(in.Room, 'f', 1, 64)
+	}
+	if in.Contending > 0 {
+		f["contending"] = in.Contending
+	}
+}
+
 // logDecision counts a decision and writes its log line, with its reason and inputs.
 func (d *dispatcher) logDecision(c *call, dec decide.Decision) {
 	action := actionNames[dec.Action]
@@ -311,21 +331,7 @@
 	}
 	switch dec.Action {
 	case decide.ActionDispatch:
-		f["server"] = dec.Server.ID
-		f["score"] = strconv.FormatFloat(dec.Inputs.Score, 'g', 3, 64)
-		f["unread_tokens"] = dec.Inputs.Unread
-		f["first_ms"] = dec.Inputs.TimeToFirstToken.Milliseconds()
-		f["load_age_ms"] = dec.Inputs.LoadAge.Milliseconds()
-		if dec.Inputs.ServerLimit.Named {
-			f["limit_per_s"], f["granted"] = dec.Inputs.ServerLimit.PerSecond, dec.Inputs.Granted
-			d.metrics.CountRateLimitedAttempt()
-		}
-		if dec.Inputs.RoomByRank {
-			f["room"] = strconv.FormatFloat(dec.Inputs.Room, 'f', 1, 64)
-		}
-		if dec.Inputs.Contending > 0 {
-			f["contending"] = dec.Inputs.Contending
-		}
+		d.addDispatchFields(f, &dec)
 	case decide.ActionQueue:
 		f["wait_ms"] = dec.Inputs.QueueWait.Milliseconds()
 	case decide.ActionRefuse:
--- a/relay/end.go
+++ b/relay/end.go
@@ -42,8 +42,8 @@
 	return c.fail(http.StatusGatewayTimeout, "deadline")
 }
 
-// callerLeft reports whether the caller has closed its connection. Nothing may be sent to a server
-// for it any more.
+// callerLeft reports whether the caller has closed its connection. If so, its request must not be
+// sent to a server.
 func (c *call) callerLeft() bool { return netconn.CallerGone(c.req.Context()) }
 
 // endCallerLeft ends a call whose caller disconnected.
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -8,29 +8,29 @@
 	"greengageferry/topology"
 )
 
-// RouteQuestion describes a request that isn't sent.
+// RouteQuestion describes a request whose routing is to be explained.
 type RouteQuestion struct {
 	Host         string
 	Path         string
-	Account      string // name of the client account; empty: none
-	Model        string // model, or model/adapter; empty for a plain service
-	PromptTokens int
-	MaxTokens    int
+	Account      string        // name of the client account; empty: none
+	Model        string        // model, or model/adapter; empty for a plain service
+	PromptTokens int           // tokens of the prompt
+	MaxTokens    int           // the most tokens of the answer
 	Timeout      time.Duration // how long the caller waits; 0: as the route says
 }
 
-// RouteAnswer says where the described request would go now, and why.
+// RouteAnswer is the decision that the described request would get now, and the reason for it.
 type RouteAnswer struct {
-	Route   string // its name; empty: no route matches
-	Service string // with several, the one with most weight
-	Target  string
-	Rank    int
-	Goal    time.Duration // to the first token or the answer; 0: none
+	Route   string        // its name; empty: no route matches
+	Service string        // if the route has several, the one with the greatest weight
+	Target  string        // of the scheduler
+	Rank    int           // 0 is the most urgent
+	Goal    time.Duration // time to the first token or the answer; 0: none
 	decide.Explanation
 }
 
-// ExplainRoute says where the described request would go now. Nothing is sent, and nothing is
-// charged to the account.
+// ExplainRoute returns the decision that the described request would get now. Nothing is sent, and
+// nothing is charged to the account.
 func (r *Relay) ExplainRoute(q RouteQuestion) RouteAnswer {
 	v := r.view.Load()
 	if v == nil || v.Config == nil {
@@ -49,7 +49,7 @@
 	}
 }
 
-// The reasons of answers that the scheduler isn't asked for.
+// The reasons of answers that are given without the scheduler.
 const (
 	reasonUnconfigured decide.Reason = "unconfigured"
 	reasonNoRoute      decide.Reason = "no_route"
@@ -65,7 +65,7 @@
 	return c
 }
 
-// heaviestService returns the service that gets most of the route's requests.
+// heaviestService returns the service of the route that has the greatest weight.
 func heaviestService(route *topology.Route) string {
 	best := route.Choices[0]
 	for _, c := range route.Choices {
@@ -76,6 +76,7 @@
 	return best.Service
 }
 
+// explain returns the scheduler's explanation of a request, which changes nothing.
 func (d *dispatcher) explain(r decide.Request) decide.Explanation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -11,16 +11,17 @@
 	// requestOverhead is the estimated memory of a request in hand without its body, in bytes:
 	// the goroutines and buffers of its caller's connection and of the one to its server.
 	requestOverhead = 32 << 10
-	// memoryRetryAfter is the Retry-After of an instance that holds as much as it may. Other
-	// instances have room.
+	// memoryRetryAfter is the Retry-After of refusals at the memory limit. It is short, since
+	// other instances may have memory left.
 	memoryRetryAfter = 500 * time.Millisecond
 	// slowCallerGrace is how long after its request's deadline a caller may still read the
-	// response. Callers wait no longer than their deadline.
+	// response.
 	slowCallerGrace = 2 * time.Second
-	// maxEventBytes is the largest event of a resumable stream. One is held until it is whole.
+	// maxEventBytes is the size of the largest event of a resumable stream, in bytes. An event is
+	// buffered until it is complete.
 	maxEventBytes = 1 << 20
 
-	// reasonMemoryFull is the end reason of a request for which there is no memory left.
+	// reasonMemoryFull is the end reason of a request that is refused at the memory limit.
 	reasonMemoryFull = "memory_full"
 )
 
@@ -42,19 +43,20 @@
 	return true
 }
 
-// hold adds n bytes whatever the limit: of a response that can't be refused any more.
+// hold adds n bytes regardless of the limit, for a response, which can't be refused any more.
 func (m *heldMemory) hold(n int64) { m.bytes.Add(n) }
 
+// release subtracts n bytes.
 func (m *heldMemory) release(n int64) { m.bytes.Add(-n) }
 
-// SetMemoryLimit sets how many bytes requests in hand may take in all; 0: no limit. Requests beyond
-// it are refused.
+// SetMemoryLimit sets how many bytes all requests in hand together may take; 0: no limit. Requests
+// beyond it are refused.
 func (r *Relay) SetMemoryLimit(bytes int64) { r.memory.limit.Store(bytes) }
 
-// HeldBytes returns how many bytes requests in hand take.
+// HeldBytes returns how many bytes all requests in hand together take, by estimate.
 func (r *Relay) HeldBytes() int64 { return r.memory.bytes.Load() }
 
-// reserve reserves memory for the call, and reports whether there was enough.
+// reserve reserves n bytes for the call, and reports whether they were within the limit.
 func (c *call) reserve(n int64) bool {
 	if !c.relay.memory.reserve(n) {
 		return false
@@ -63,7 +65,7 @@
 	return true
 }
 
-// hold counts memory of a response that the call buffers.
+// hold counts n bytes of a response that the call buffers.
 func (c *call) hold(n int64) {
 	c.relay.memory.hold(n)
 	c.held += n
@@ -81,7 +83,7 @@
 // Error implements error.
 func (*memoryFullError) Error() string { return "no memory left for the body" }
 
-// reservingReader reads a request's body and reserves memory for what has arrived.
+// reservingReader reads a request's body and reserves memory for it as it arrives.
 type reservingReader struct {
 	body io.Reader
 	call *call
@@ -96,14 +98,15 @@
 	return n, err
 }
 
-// refuseForMemory refuses a request for which there is no memory left, whose body may be unread.
+// refuseForMemory refuses a request at the memory limit. It closes the connection, since the body
+// may be unread.
 func (c *call) refuseForMemory() string {
 	c.w.Header().Set("Connection", "close")
 	return c.refuse(reasonMemoryFull, memoryRetryAfter)
 }
 
 // limitWriting bounds how long the caller may take to read the response to a request with the
-// deadline. A caller that stops reading would otherwise keep its response in memory for good.
+// deadline. A caller that stops reading would otherwise keep its response in memory forever.
 func (c *call) limitWriting(deadline time.Time) {
 	_ = http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(slowCallerGrace)) // always supported by net/http connections
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -139,12 +139,13 @@
 	ObserveStreamGap(longest time.Duration)
 	// CountDecision counts a scheduler decision.
 	CountDecision(action, reason string)
-	// CountRankDecision counts a decision about a request that gets room by its rank.
+	// CountRankDecision counts a decision about a request whose rank competes with others for
+	// servers. late: it can't meet its goal any more.
 	CountRankDecision(action string, rank int, late bool)
 	// CountRateLimitedAttempt counts an attempt at a server that names a rate limit.
 	CountRateLimitedAttempt()
-	// CountBacklogRefusal counts a refusal that rests on what waits at all instances, by
-	// whether there will be room for the caller when it comes back.
+	// CountBacklogRefusal counts a refusal by the backlog of all instances, by whether the
+	// caller can expect to be served when it comes back.
 	CountBacklogRefusal(room bool)
 	// CountBody counts a server's response by how its body was framed and ended.
 	CountBody(framing respbody.Framing, end respbody.End)
@@ -170,7 +171,7 @@
 	paths          *paths
 	forwarder      *forwarder // nil: there are no other instances
 	gateways       *gateways
-	memory         heldMemory
+	memory         heldMemory // of requests in hand
 	handler        http.Handler
 	draining       atomic.Bool
 	activeRequests atomic.Int64
--- a/relay/shared.go
+++ b/relay/shared.go
@@ -19,8 +19,8 @@
 // TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
 func (r *Relay) TakeSpeedSamples() []decide.SpeedSample { return r.dispatcher.takeSpeedSamples() }
 
-// ServerSpeeds returns the shared speeds of the slowest and the fastest server, 1 if none are
-// known.
+// ServerSpeeds returns the speeds of the slowest and the fastest server, as all instances measured
+// them, relative to the mean of their pools; 1 if none are known.
 func (r *Relay) ServerSpeeds() (slowest, fastest float64) { return r.dispatcher.serverSpeeds() }
 
 // AccountDemands returns what this instance has of client accounts' requests.
@@ -35,11 +35,12 @@
 	return len(d.scheduler.AccountsOverShare())
 }
 
-// logSharesInterval is the shortest time between two log lines on accounts over their share.
+// logSharesInterval is the minimum time between two log lines about client accounts over their
+// share.
 const logSharesInterval = time.Second
 
-// logShares logs how many accounts are over their share, and the one most so, when that number has
-// changed. The lock is held.
+// logShares logs how many client accounts are over their share, and the one that exceeds it most,
+// when that number has changed. The lock is held.
 func (d *dispatcher) logShares(now time.Time) {
 	over := d.scheduler.AccountsOverShare()
 	if len(over) == d.sharesLogged || now.Sub(d.sharesLoggedAt) < logSharesInterval {
--- a/residency/contention_test.go
+++ b/residency/contention_test.go
@@ -126,8 +126,7 @@
 	r.simulation.step()
 }
 
-// Models with little demand held a place each, and a model that many asked for kept one replica
-// for 15 s.
+// Many models with little demand don't keep a model with much demand from further replicas.
 func TestBusyModelGetsReplicasBesideManyRareOnes(t *testing.T) {
 	r := newContendedWorkload(t, 1)
 	r.runFor(8 * time.Second)
@@ -188,8 +187,8 @@
 	return out
 }
 
-// A model without requests isn't loaded while models compete: such loads kept all servers busy when
-// demand began.
+// A model without requests isn't loaded while models compete: such loads keep servers
+// busy that models with requests need.
 func TestNoIdleLoadsWhileModelsCompete(t *testing.T) {
 	r := newContendedWorkload(t, 3)
 	r.runFor(3 * time.Second)
@@ -244,7 +243,7 @@
 	require.Zero(t, gain(0, 0, 0, 0))
 }
 
-// A report's ranks and goals give the value of the mean request, and an instance that tells none
+// A report's ranks and goals give the value of the mean request, and a report without them
 // counts as the most urgent rank.
 func TestDemandTellsValue(t *testing.T) {
 	d := NewDemandTracker()
