--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -79,20 +79,8 @@
 	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
 		c.handleServerAnswer(d, sent, headers)
 	}
-	if headers.NotRun {
-		c.logFailedAttempt(d, "not_run", res.StatusCode)
-		return c.handleNotRun(res.StatusCode, headers.RetryAfter)
-	}
-	if !c.isAuthentic(res, headers) {
-		c.logFailedAttempt(d, "not_the_servers_answer", res.StatusCode)
-		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
-		return ""
-	}
-	if promisesNotRun(res.StatusCode) { // the caller mustn't get it, since the server may have run the request
-		c.reportCompletion()
-		c.logFailedAttempt(d, "server_failure", res.StatusCode)
-		c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: headers.RetryAfter})
-		return ""
+	if outcome, done := c.handleUnusable(d, res, headers); done {
+		return outcome
 	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
 		c.answer.ExpectEvents()
@@ -101,20 +89,6 @@
 	return c.relayResponse(ctx, d, res, sent)
 }
 
-// observeRefusalLimit records what an answer says of the refusals that its server survives. One that
-// may be another server's says nothing.
-func (c *call) observeRefusalLimit(d decide.Decision, res *http.Response, headers ResponseHeaders) {
-	if res.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	if headers.RefusalLimit == 0 && !headers.NotRun && !c.isAuthentic(res, headers) {
-		return
-	}
-	if c.relay.gateways.observe(d.Server.Pool, headers.RefusalLimit, time.Now(), "answer") {
-		c.relay.dispatcher.signalSync() // the lease holder tells the other instances
-	}
-}
-
 // handleServerAnswer passes on what an answer says of the server that gave it.
 func (c *call) handleServerAnswer(d decide.Decision, sent time.Time, headers ResponseHeaders) {
 	if headers.Leaving && c.relay.opts.OnLeaving != nil {
@@ -165,31 +139,6 @@
 	return req.WithContext(ctx)
 }
 
-// isForOtherRequest reports whether a response names another request. It may be a late response to
-// an earlier one, whose "not run" doesn't hold for this one.
-func (c *call) isForOtherRequest(headers ResponseHeaders) bool {
-	return headers.RequestID != "" && headers.RequestID != c.headers.ID
-}
-
-// promisesNotRun reports whether a response with the status promises callers that the request has
-// not run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
-// isAuthentic reports whether the server itself sent the response, and to this request.
-// A late response to an earlier request has another id.
-func (c *call) isAuthentic(res *http.Response, headers ResponseHeaders) bool {
-	if headers.Encoded || !headers.Sealed {
-		return false
-	}
-	return headers.RequestID == c.headers.ID
-}
-
 // handleAttemptError handles an attempt that failed before the response was complete.
 // It returns the request's outcome, or "" if a decision follows.
 func (c *call) handleAttemptError(ctx context.Context, d decide.Decision, err error) string {
