--- a/cmd/greengageferry/route.go
+++ b/cmd/greengageferry/route.go
@@ -16,16 +16,16 @@
 	"greengageferry/exchange"
 )
 
-// routeTimeout bounds the question to the instance.
+// routeTimeout is the timeout of the call to the instance.
 const routeTimeout = 5 * time.Second
 
-// routeCommand implements the subcommand route.
+// routeCommand implements the subcommand route, which asks an instance where it would send a request.
 type routeCommand struct {
 	instance string
 	question exchange.RouteQuestion
-	prompt   uint
-	output   uint
-	timeout  time.Duration
+	prompt   uint          // tokens of the prompt
+	output   uint          // the most tokens of the answer
+	timeout  time.Duration // how long the caller waits; 0: as the route says
 	asJSON   bool
 }
 
--- a/instance/explain.go
+++ b/instance/explain.go
@@ -25,6 +25,7 @@
 	return out, nil
 }
 
+// wireExplainedReplica converts an explained replica to its message.
 func wireExplainedReplica(r decide.ExplainedReplica) *exchange.ExplainedReplica {
 	return &exchange.ExplainedReplica{
 		Server: r.Server.ID, FailureDomain: r.Server.FailureDomain, Near: r.Near, DroppedBy: r.DroppedBy,
--- a/instance/follow_servers.go
+++ b/instance/follow_servers.go
@@ -56,8 +56,9 @@
 	// entries. It leaves time for a second read if one sent just before the store's
 	// return is never answered.
 	newestReadTimeout = 2 * time.Second
-	// maxLoggedEntries bounds the entries of one read that are logged as not usable, and
-	// maxLoggedError the text of each, in bytes: other programs write them.
+	// maxLoggedEntries is the number of unusable entries of one read that are logged one by one,
+	// and maxLoggedError the length of the error logged for each, in bytes. Other programs write
+	// the entries, so that neither is bounded otherwise.
 	maxLoggedEntries = 4
 	maxLoggedError   = 200
 )
@@ -229,7 +230,7 @@
 	}
 }
 
-// truncate returns the first n bytes of text.
+// truncate returns at most the first n bytes of text.
 func truncate(text string, n int) string { return text[:min(n, len(text))] }
 
 func isOutOfRange(err error) bool {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -139,7 +139,7 @@
 }
 
 // heldMemoryFraction is the fraction of an instance's memory that requests in hand may take. The
-// rest is for what the instance knows, for garbage and for the program itself.
+// rest is for its other state, for garbage and for the program itself.
 const heldMemoryFraction = 0.3
 
 // heldLimit returns how many bytes requests in hand may take; 0: no limit.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -35,7 +35,7 @@
 	rankDecisions   *prometheus.CounterVec // by action, rank and whether the request was late
 	orders          *prometheus.CounterVec // by result
 	sentRateLimited prometheus.Counter
-	backlogRefusals *prometheus.CounterVec
+	backlogRefusals *prometheus.CounterVec // by whether there is room when the caller comes back
 	storeFailures   prometheus.Counter
 	lateAnswers     prometheus.Counter
 	storeEras       prometheus.Counter
@@ -162,7 +162,7 @@
 	m.decisions.WithLabelValues(action, reason).Inc()
 }
 
-// CountRankDecision implements relay.Metrics. Ranks beyond decide.Ranks share a label.
+// CountRankDecision implements relay.Metrics. All ranks from decide.Ranks-1 on share a label.
 func (m *metrics) CountRankDecision(action string, rank int, late bool) {
 	m.rankDecisions.WithLabelValues(action, strconv.Itoa(decide.RankIndex(rank)), strconv.FormatBool(late)).Inc()
 }
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -164,8 +164,9 @@
 }
 
 // syncWith sends a report to an instance. It returns true if that instance holds the
-// lease, or doesn't know who does, so that there is nobody else to ask. The report's speeds
-// are dropped if there is no answer: the lease holder may have counted them.
+// lease, or doesn't know who does, so that there is nobody else to ask. If there is
+// no answer, it removes the speed samples from the report, since the lease holder may have counted
+// them.
 func (s *syncer) syncWith(ctx context.Context, addr string, report *residency.InstanceReport) bool {
 	i := s.instance
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/instance/wire_shared.go
+++ b/instance/wire_shared.go
@@ -8,6 +8,7 @@
 	"greengageferry/residency"
 )
 
+// wireRanks converts demand by rank to messages, without the zero ones at the end.
 func wireRanks(ranks [decide.Ranks]residency.RankDemand) []*exchange.RankDemand {
 	n := len(ranks)
 	for n > 0 && ranks[n-1] == (residency.RankDemand{}) {
@@ -22,6 +23,7 @@
 	return out
 }
 
+// ranksFromWire is the inverse of wireRanks. Missing ranks are zero.
 func ranksFromWire(ranks []*exchange.RankDemand) [decide.Ranks]residency.RankDemand {
 	var out [decide.Ranks]residency.RankDemand
 	for n, r := range ranks[:min(len(ranks), decide.Ranks)] {
@@ -48,6 +50,7 @@
 	return out
 }
 
+// wireByRank converts values by rank, without the zeros at the end.
 func wireByRank(values [decide.Ranks]float64) []float32 {
 	n := len(values)
 	for n > 0 && values[n-1] == 0 {
--- a/netconn/peer.go
+++ b/netconn/peer.go
@@ -9,19 +9,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// CallerGoneError ends a request whose caller closed its connection before the request was sent
-// on.
+// CallerGoneError is the cause with which a request's context ends if the caller closed its
+// connection before the request was sent to a server.
 type CallerGoneError struct{}
 
 // Error implements error.
 func (*CallerGoneError) Error() string { return "the caller has closed its connection" }
 
-// CallerGone reports whether the caller of an HTTP request has closed its connection, or its half
-// of it. The argument is the request's context, of a server with ConnContext.
+// CallerGone reports whether the caller of an HTTP request has closed its connection or its sending
+// half. ctx is the request's context. The server that received the request must have ConnContext as
+// its ConnContext; otherwise only the end of ctx is reported.
 //
 // net/http cancels that context for the same reason, but from a goroutine that reads the
 // connection and may run late on a busy instance. The kernel knows as soon as the caller's
-// FIN or RST has arrived, also behind data that nobody has read.
+// FIN or RST has arrived, even if data before it is still unread.
 func CallerGone(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
@@ -47,9 +48,9 @@
 	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// WhileCallerStays returns a context for a request that is sent on for a caller: if the caller has
-// gone when a connection is ready for it, nothing is sent, and the context ends with a
-// *CallerGoneError. The request must go through a transport of this package. caller is the
+// WhileCallerStays returns a context for a request that is sent on behalf of a caller: if the caller
+// is gone when a connection is ready for the request, nothing is sent, and the context ends with a
+// *CallerGoneError as its cause. The request must go through a transport of this package. caller is the
 // context of the caller's request, and cancel ends ctx.
 func WhileCallerStays(ctx, caller context.Context, cancel context.CancelCauseFunc) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -150,7 +150,7 @@
 }
 
 // EventTooLargeError reports that a server sent more bytes than Limit without ending an event.
-type EventTooLargeError struct{ Limit int }
+type EventTooLargeError struct{ Limit int } // in bytes
 
 // Error implements error.
 func (e *EventTooLargeError) Error() string { return fmt.Sprintf("an event exceeds %d bytes", e.Limit) }
--- a/topology/accounts.go
+++ b/topology/accounts.go
@@ -110,8 +110,9 @@
 // HasLimits reports whether any account's allowance is limited. x may be nil.
 func (x *Accounts) HasLimits() bool { return x != nil && x.limited }
 
-// Weights returns the accounts' relative shares of contended room by name: their allowances if all
-// have one in the same unit, else equal ones. It is nil if there are no accounts. x may be nil.
+// Weights returns the weights, with a mean of 1, by which accounts share contended servers, by account
+// name. They are proportional to the allowances if all accounts have one in the same unit, else
+// equal. It is nil if there are no accounts. x may be nil.
 func (x *Accounts) Weights() map[string]float64 {
 	if x.Len() == 0 {
 		return nil
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -94,7 +94,7 @@
 	Slots          int     // requests in one batch of a server
 	TokensPerEvent int     // tokens that one event of a stream holds
 	MemoryMB       float64 // accelerator memory of a server
-	KVTokens       int     // tokens that a server holds of its requests' prompts and answers; 0: not known
+	KVTokens       int     // tokens of prompts and answers that a server's KV cache holds; 0: unknown
 	AdapterSlots   int     // adapters that a server holds at most
 	LoadsPerSecond float64 // rate limit of the weight store, for all servers together
 	Models         []Model
