--- a/instance/speeds_test.go
+++ b/instance/speeds_test.go
@@ -14,8 +14,8 @@
 	"greengageferry/residency"
 )
 
-// speedBytes returns the bytes of an answer's speeds after a change of all servers' speeds, and
-// later, and those of a report.
+// speedBytes returns the bytes of the speeds in an answer just after all servers' speeds have changed
+// and two seconds later, and the bytes of the samples in a report.
 func speedBytes(instances, servers int) (first, later, report int) {
 	d := residency.NewDemandTracker()
 	now := time.UnixMilli(1764800000000)
@@ -42,7 +42,7 @@
 	return first, later, proto.Size(&exchange.SyncRequest{Speeds: wireSpeedSamples(samples)})
 }
 
-// What speeds cost on the wire grows with servers at most, also while all of them are uneven.
+// The bytes for speeds grow at most with the number of servers, even if all speeds differ.
 func TestSpeedsAreFewBytes(t *testing.T) {
 	for _, fleet := range []struct{ instances, servers, most int }{{9, 12, 600}, {75, 112, 700}, {295, 250, 700}, {985, 1900, 4000}} {
 		first, later, report := speedBytes(fleet.instances, fleet.servers)
@@ -54,8 +54,7 @@
 	}
 }
 
-// Nothing of a sample or a speed is lost between instances.
-func TestSpeedSamplesSurviveTheWire(t *testing.T) {
+func TestSpeedsKeepTheirValuesOnTheWire(t *testing.T) {
 	samples := []decide.SpeedSample{{Server: "s", Start: "a", Pool: "p", Model: "m", Count: 3, LogSum: -12.5}}
 	require.Equal(t, samples, speedSamplesFromWire(wireSpeedSamples(samples)))
 	speeds := []decide.ServerSpeed{{Server: "s", Start: "a", Speed: 0.75, Count: 40}}
--- a/instance/wire_shared_test.go
+++ b/instance/wire_shared_test.go
@@ -20,8 +20,8 @@
 	require.Equal(t, ranks, ranksFromWire(wireRanks(ranks)))
 }
 
-// Calm deployments, and those without ranks, send what they sent before: nothing for ranks and
-// backlogs. What a busy one is told grows with the targets that wait, not with the instances.
+// Without waiting requests or ranks, no bytes are sent for backlogs. Otherwise their number grows with
+// the targets that have waiting requests, not with the instances.
 func TestBytesOfBacklogs(t *testing.T) {
 	require.Empty(t, wireRanks([decide.Ranks]residency.RankDemand{}))
 	require.Empty(t, wireBacklogs(nil))
--- a/netconn/peer_test.go
+++ b/netconn/peer_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func TestCallerIsNotAskedWhileAnotherGoroutineReads(t *testing.T) {
+func TestCallerGoneConsumesNothingWhileAnotherGoroutineReads(t *testing.T) {
 	accepted, caller := tcpPair(t)
 	ctx := ConnContext(t.Context(), accepted)
 	read := make(chan int)
--- a/relay/caller_gone_test.go
+++ b/relay/caller_gone_test.go
@@ -91,7 +91,7 @@
 	b.relay.backends.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
 		dials.Add(1)
 		_ = conn.Close()
-		return net.Dial(network, addr) // whatever net/http has noticed
+		return net.Dial(network, addr) // without ctx, which net/http may have canceled by now
 	}
 	_, err = io.WriteString(conn, "GET /safe/ HTTP/1.1\r\nHost: example.test\r\nId: r1\r\n\r\n")
 	require.NoError(t, err)
@@ -121,8 +121,8 @@
 	require.Equal(t, int64(16), b.calls())
 }
 
-// The instance that has the caller ends an attempt that another instance has read but not yet
-// passed on.
+// The instance that asks another one to forward an attempt closes its connection before the other
+// has sent the attempt on.
 func TestForwardedAttemptIsNotSentOnceItsInstanceHasLeft(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
 	r, forwards, _ := b.forwardingPeer()
--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -15,7 +15,7 @@
 	"greengageferry/topology"
 )
 
-// rankTable has one server with a slot, and whether ranks compete for it.
+// rankTable returns a table with one server, for which ranks compete or not.
 func rankTable(byRank bool) *decide.Table {
 	return &decide.Table{
 		OwnDomain: "d", RoomByRank: byRank, Entries: map[string]int{"d": 1},
@@ -51,8 +51,8 @@
 	require.Zero(t, d.demand()["m"].ByRank[1].Starts, "since the last report")
 }
 
-// Where ranks don't compete, nothing is told by rank.
-func TestDemandIsNotToldByRankWithoutRanks(t *testing.T) {
+// Where ranks don't compete, demand isn't reported by rank.
+func TestDemandIsNotReportedByRankWithoutRanks(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -55,7 +55,7 @@
 	require.Eventually(t, func() bool { return b.relay.HeldBytes() == 0 }, 5*time.Second, time.Millisecond)
 }
 
-// A caller that reads nothing would keep its response, and the instance's goroutines, for good.
+// A caller that reads nothing would keep its response and the instance's goroutines forever.
 func TestResponseThatItsCallerDoesNotReadIsEnded(t *testing.T) {
 	for _, path := range []string{"/safe/", "/stream/", "/resume/"} {
 		t.Run(path, func(t *testing.T) {
@@ -88,8 +88,8 @@
 	require.Eventually(t, func() bool { return b.relay.ActiveRequests() == 0 && b.relay.HeldBytes() == 0 }, 2*slowCallerGrace, 10*time.Millisecond)
 }
 
-// The part of an event that has arrived is held until the event is whole.
-func TestEventWithoutAnEndIsNotHeldForGood(t *testing.T) {
+// An event is buffered until it is complete, but only up to maxEventBytes.
+func TestEventWithoutAnEndIsNotHeldForever(t *testing.T) {
 	sent := make(chan int, 2)
 	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) {
 		writeSeal(w, r)
--- a/residency/backlog_test.go
+++ b/residency/backlog_test.go
@@ -21,8 +21,8 @@
 	d.HandleReport(now, InstanceReport{Instance: instance, TargetDemand: demand})
 }
 
-// Ten instances report twice a second: what waits is the sum of their newest reports, arrivals and
-// starts are per second.
+// Ten instances report twice a second: waiting requests are the sum of the newest reports, arrivals
+// and starts are per second.
 func TestBacklogsAddUpOverInstances(t *testing.T) {
 	d, now := NewDemandTracker(), time.Unix(1000, 0)
 	for range 20 {
@@ -39,7 +39,7 @@
 	require.InDelta(t, 40, b[0].Starts[1], 6)
 }
 
-// A new lease holder has heard of one second only: it doesn't take that for a low rate.
+// A new lease holder, with reports of one second only, doesn't underestimate the rates.
 func TestBacklogRatesOfANewLeaseHolder(t *testing.T) {
 	d, now := NewDemandTracker(), time.Unix(1000, 0)
 	for range 2 {
@@ -51,8 +51,8 @@
 	require.InDelta(t, 60, d.Backlogs(now)[0].Arrivals[0], 10)
 }
 
-// What an instance had waiting is forgotten with it, and a target some seconds after the last
-// request waited for it.
+// The waiting requests of an instance that is gone don't count, and a target is dropped
+// backlogRetention after the last request waited for it.
 func TestBacklogsForgetInstancesAndTargets(t *testing.T) {
 	d, now := NewDemandTracker(), time.Unix(1000, 0)
 	demand := map[string]TargetDemand{"busy": rankedDemand(0, 1, 5, 1)}
@@ -75,7 +75,7 @@
 	require.Empty(t, d.Backlogs(now))
 }
 
-// Rare models are asked for at once: the answer to each instance stays small.
+// If requests wait for many targets, the answer to each instance stays small.
 func TestBacklogsAreBounded(t *testing.T) {
 	d, now := NewDemandTracker(), time.Unix(1000, 0)
 	demand := map[string]TargetDemand{}
--- a/residency/contention_test.go
+++ b/residency/contention_test.go
@@ -11,9 +11,9 @@
 	"greengageferry/topology"
 )
 
-// The load: six models with urgent requests, three of which change after some seconds, and many
-// models with a few requests of the least urgent rank each. Not all declared models fit, and those
-// that are asked for fill most places.
+// The workload of these tests: six hot models with urgent requests, three of which change after some
+// seconds, and many rare models, each with a few requests of a less urgent rank. Not all configured
+// models fit, and the requested ones fill most places.
 const (
 	contendedServers  = 18
 	contendedModels   = 103
@@ -29,9 +29,9 @@
 type contendedWorkload struct {
 	*workload
 	rates [contendedModels]float64 // requests per second, by model
-
 }
 
+// newContendedWorkload returns the workload with three models on each server.
 func newContendedWorkload(t testing.TB, seed uint64) *contendedWorkload {
 	r := &contendedWorkload{workload: &workload{
 		simulation: newSimulation(t, contendedServers, contendedModels, 0), rng: rand.New(rand.NewPCG(seed, 3)), models: contendedModels,
@@ -64,7 +64,7 @@
 	return r
 }
 
-// setHot makes the given models the hot ones, the busiest first.
+// setHot makes the given six models the hot ones, the busiest first.
 func (r *contendedWorkload) setHot(models ...int) {
 	for m := range firstRareModel {
 		r.rates[m] = 0
@@ -85,6 +85,7 @@
 	}
 }
 
+// addArrivals adds the requests that arrive in one step.
 func (r *contendedWorkload) addArrivals() {
 	for m, rate := range r.rates {
 		for range r.poisson(rate * stepTime.Seconds()) {
@@ -220,8 +221,8 @@
 	require.Empty(t, w.storeLoads)
 }
 
-// Demand that only fluctuates moves no replicas once all have theirs.
-func TestFluctuatingDemandMovesLittle(t *testing.T) {
+// Demand that only fluctuates causes few loads once all models have their replicas.
+func TestFluctuatingDemandCausesFewLoads(t *testing.T) {
 	r := newContendedWorkload(t, 4)
 	r.runFor(45 * time.Second)
 	before := len(r.storeLoads)
@@ -245,7 +246,7 @@
 
 // A report's ranks and goals give the value of the mean request, and a report without them
 // counts as the most urgent rank.
-func TestDemandTellsValue(t *testing.T) {
+func TestDemandHasValue(t *testing.T) {
 	d := NewDemandTracker()
 	a := TargetDemand{Requests: 4, Waiting: 4}
 	a.ByRank[batchRank] = RankDemand{Requests: 4, Waiting: 4, Goal: batchGoal}
--- a/residency/replay_test.go
+++ b/residency/replay_test.go
@@ -43,7 +43,7 @@
 	hotRate float64 // requests per second for hot models
 	rare    float64 // requests per second over all models that can't become hot
 
-	rareDeadline time.Duration // of requests for them; 0: as all others
+	rareDeadline time.Duration // of requests for rare models; 0: as for all others
 	fair         bool          // waiting requests take free slots in random order of the models
 
 	waiting map[int][]*simRequest
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -30,7 +30,7 @@
 	storeDown     bool               // no entry reaches the store
 	fractions     map[string]float64 // of requests not reported yet, by target
 	work          map[string]float64 // server time of a request in seconds, by target
-	parallelLoads int                // loads from the weight store at once above which each takes longer; 0: any number
+	parallelLoads int                // concurrent loads from the weight store above which each takes longer; 0: no limit
 	exactRequests bool               // demand holds the exact requests of a step; none are derived from concurrency
 }
 
