--- a/residency/demand.go
+++ b/residency/demand.go
@@ -51,7 +51,7 @@
 	Requests int           // as in TargetDemand
 	Waiting  int           // as in TargetDemand
 	InFlight int           // as in TargetDemand
-	Starts   int           // sent to servers since the previous report
+	Starts   int           // requests first sent to a server since the previous report
 	Goal     time.Duration // shortest time to the first token that the newest requests' routes ask for; 0: none
 }
 
@@ -59,10 +59,10 @@
 type DemandTracker struct {
 	targets     map[string]*targetState
 	versions    map[string][]string // see Versions
-	accounts    accountReports      // by instance
+	accounts    accountReports      // of client accounts
 	instances   map[string]*instanceState
-	decayTime   time.Duration
-	holdSeconds float64 // mean time that a request occupies a slot, over all targets
+	decayTime   time.Duration // time constant with which past demand decays
+	holdSeconds float64       // mean time that a request occupies a slot, over all targets
 	startedAt   time.Time
 	updatedAt   time.Time
 
@@ -106,12 +106,12 @@
 
 // targetState is the demand for a target over all instances.
 type targetState struct {
-	concurrency   float64 // concurrent requests, in flight or waiting; rises at once and decays slowly
-	waiting       int
-	requests      float64   // received, decaying with rateDecayTime
-	work          float64   // server time of the requests in seconds, decaying with workDecayTime
-	lastRequested time.Time // when a request was last reported
-	rates         rankRates
+	concurrency   float64      // concurrent requests, in flight or waiting; rises at once and decays slowly
+	waiting       int          // requests
+	requests      float64      // received, decaying with rateDecayTime
+	work          float64      // server time of the requests in seconds, decaying with workDecayTime
+	lastRequested time.Time    // when a request was last reported
+	rates         rankRates    // by rank
 	value         requestValue // of the mean request
 	goalAt        time.Time    // when a request with value.goal was last reported
 }
--- a/residency/load_order.go
+++ b/residency/load_order.go
@@ -9,7 +9,7 @@
 	// contendedStoreLoadShare is the part of the weight store's capacity, in concurrent loads, that
 	// is used while models compete: loads beyond the capacity slow each other down.
 	contendedStoreLoadShare = 0.9
-	// diskLoadShare is the time of a load from a server's own disk or memory relative to one
+	// diskLoadShare is the assumed time of a load from a server's own disk or memory relative to one
 	// from the weight store.
 	diskLoadShare = 0.2
 	// smallGainShare is the share of a useful batch below which a replica's gain is small.
@@ -30,8 +30,8 @@
 	idleLoadShare = 0.1
 )
 
-// planByGain orders loads for the models that lack replicas, the one with the greatest priority
-// first each time.
+// planByGain orders loads for the models that lack replicas, each time the one that
+// comparePriority puts first.
 func (w *pool) planByGain(models []*model) []Order {
 	for _, m := range models {
 		w.setPriority(m)
@@ -58,8 +58,8 @@
 	return out
 }
 
-// setPriority computes the model's priority for the next load: the gain per second
-// of loading, and the priority over it while the model is overdue.
+// setPriority computes the model's priority for the next load, the gain per second of loading, and its
+// overduePriority.
 func (w *pool) setPriority(m *model) {
 	load := m.LoadTime.Seconds()
 	if w.onDisk[m.Name] > 0 {
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -38,9 +38,9 @@
 	rate            float64 // requests per second, including its adapters'
 	concurrency     float64 // demand in concurrent requests, including its adapters'; at least the equivalent of busyServers
 	busyServers     float64 // servers that the requests' work keeps busy
-	waiting         int
-	needed          int // replicas that its demand needs
-	desired         int // replicas to have: as many of the needed ones as the pool has places for
+	waiting         int     // requests
+	needed          int     // replicas that its demand needs
+	desired         int     // replicas to have: as many of the needed ones as the pool has places for
 	replicas        []*server
 	pending         int           // replicas that are still being loaded
 	weight          float64       // of its mean request, by rank and goal, from 0 to 1
--- a/residency/speeds_test.go
+++ b/residency/speeds_test.go
@@ -30,7 +30,8 @@
 	return out
 }
 
-// learnSpeeds has 40 instances report one answer of each server, in one second.
+// learnSpeeds lets 40 instances report one answer of each server within a second, and returns the time
+// after it.
 func learnSpeeds(d *DemandTracker, now time.Time, servers map[string]float64) time.Time {
 	for n := range 40 {
 		now = now.Add(25 * time.Millisecond)
