--- a/relay/caller_gone_test.go
+++ b/relay/caller_gone_test.go
@@ -16,8 +16,8 @@
 	"greengageferry/netconn"
 )
 
-// lateConn is a connection of a busy instance: its requests are read only after its caller has
-// left, and its end is noticed later still.
+// lateConn is a connection of a busy instance, which reads a request only after the caller has left
+// and the end of the connection only at the end of the test.
 type lateConn struct {
 	*net.TCPConn
 	left  <-chan struct{} // closed once the caller has left
@@ -48,7 +48,7 @@
 }
 
 // An instance short of processor time reads a request after its caller has given it up and closed
-// the connection. On a day of a recipe site 12 requests were sent on so, half a second later.
+// the connection. It must not send the request to a server.
 func TestRequestReadAfterItsCallerLeftIsNotSent(t *testing.T) {
 	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 		for _, body := range []string{"", "the body"} {
@@ -91,7 +91,7 @@
 	b.relay.backends.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
 		dials.Add(1)
 		_ = conn.Close()
-		return net.Dial(network, addr) // whatever net/http has noticed
+		return net.Dial(network, addr) // without ctx, which net/http may have canceled by now
 	}
 	_, err = io.WriteString(conn, "GET /safe/ HTTP/1.1\r\nHost: example.test\r\nId: r1\r\n\r\n")
 	require.NoError(t, err)
@@ -121,8 +121,8 @@
 	require.Equal(t, int64(16), b.calls())
 }
 
-// The instance that has the caller ends an attempt that another instance has read but not yet
-// passed on.
+// The instance that asks another one to forward an attempt closes its connection before the other
+// has sent the attempt on.
 func TestForwardedAttemptIsNotSentOnceItsInstanceHasLeft(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
 	r, forwards, _ := b.forwardingPeer()
--- a/residency/contention_test.go
+++ b/residency/contention_test.go
@@ -11,9 +11,9 @@
 	"greengageferry/topology"
 )
 
-// The load: six models with urgent requests, three of which change after some seconds, and many
-// models with a few requests of the least urgent rank each. Not all declared models fit, and those
-// that are asked for fill most places.
+// The workload of these tests: six hot models with urgent requests, three of which change after some
+// seconds, and many rare models, each with a few requests of a less urgent rank. Not all configured
+// models fit, and the requested ones fill most places.
 const (
 	contendedServers  = 18
 	contendedModels   = 103
@@ -29,9 +29,9 @@
 type contendedWorkload struct {
 	*workload
 	rates [contendedModels]float64 // requests per second, by model
-
 }
 
+// newContendedWorkload returns the workload with three models on each server.
 func newContendedWorkload(t testing.TB, seed uint64) *contendedWorkload {
 	r := &contendedWorkload{workload: &workload{
 		simulation: newSimulation(t, contendedServers, contendedModels, 0), rng: rand.New(rand.NewPCG(seed, 3)), models: contendedModels,
@@ -64,7 +64,7 @@
 	return r
 }
 
-// setHot makes the given models the hot ones, the busiest first.
+// setHot makes the given six models the hot ones, the busiest first.
 func (r *contendedWorkload) setHot(models ...int) {
 	for m := range firstRareModel {
 		r.rates[m] = 0
@@ -85,6 +85,7 @@
 	}
 }
 
+// addArrivals adds the requests that arrive in one step.
 func (r *contendedWorkload) addArrivals() {
 	for m, rate := range r.rates {
 		for range r.poisson(rate * stepTime.Seconds()) {
@@ -126,8 +127,7 @@
 	r.simulation.step()
 }
 
-// Models with little demand held a place each, and a model that many asked for kept one replica
-// for 15 s.
+// Many models with little demand don't keep a model with much demand from further replicas.
 func TestBusyModelGetsReplicasBesideManyRareOnes(t *testing.T) {
 	r := newContendedWorkload(t, 1)
 	r.runFor(8 * time.Second)
@@ -188,8 +188,8 @@
 	return out
 }
 
-// A model without requests isn't loaded while models compete: such loads kept all servers busy when
-// demand began.
+// A model without requests isn't loaded while models compete: such loads keep servers
+// busy that models with requests need.
 func TestNoIdleLoadsWhileModelsCompete(t *testing.T) {
 	r := newContendedWorkload(t, 3)
 	r.runFor(3 * time.Second)
@@ -221,8 +221,8 @@
 	require.Empty(t, w.storeLoads)
 }
 
-// Demand that only fluctuates moves no replicas once all have theirs.
-func TestFluctuatingDemandMovesLittle(t *testing.T) {
+// Demand that only fluctuates causes few loads once all models have their replicas.
+func TestFluctuatingDemandCausesFewLoads(t *testing.T) {
 	r := newContendedWorkload(t, 4)
 	r.runFor(45 * time.Second)
 	before := len(r.storeLoads)
@@ -244,9 +244,9 @@
 	require.Zero(t, gain(0, 0, 0, 0))
 }
 
-// A report's ranks and goals give the value of the mean request, and an instance that tells none
+// A report's ranks and goals give the value of the mean request, and a report without them
 // counts as the most urgent rank.
-func TestDemandTellsValue(t *testing.T) {
+func TestDemandHasValue(t *testing.T) {
 	d := NewDemandTracker()
 	a := TargetDemand{Requests: 4, Waiting: 4}
 	a.ByRank[batchRank] = RankDemand{Requests: 4, Waiting: 4, Goal: batchGoal}
@@ -256,8 +256,8 @@
 		d.HandleReport(now, InstanceReport{Instance: "i", TargetDemand: map[string]TargetDemand{"batch": a, "old": {Requests: 4, Waiting: 4}}})
 		d.Update(now)
 	}
-	require.InDelta(t, rankWeights[batchRank], d.Value("batch").weight, 0.02)
-	require.Equal(t, batchGoal, d.Value("batch").goal)
-	require.Equal(t, unknownValue, d.Value("old"))
-	require.Equal(t, unknownValue, d.Value("never asked for"))
+	require.InDelta(t, rankWeights[batchRank], d.value("batch").weight, 0.02)
+	require.Equal(t, batchGoal, d.value("batch").goal)
+	require.Equal(t, unknownValue, d.value("old"))
+	require.Equal(t, unknownValue, d.value("never asked for"))
 }
