--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -8,60 +8,59 @@
 )
 
 const (
-	// accountsTTL is how long what all instances together have of accounts' requests is used.
-	// After that an instance goes by its own requests.
+	// accountsTTL is how long the demand of accounts at all instances is used after it was received.
+	// After that an instance computes shares from its own requests.
 	accountsTTL = 1500 * time.Millisecond
 	// ownSharesInterval is the time between two computations of shares from an instance's own
 	// requests.
 	ownSharesInterval = 500 * time.Millisecond
-	// contendedWaiting is the number of requests that lack room, as a fraction of those at
-	// servers, from which a pool counts as full though it has free slots: its models may have
-	// too few replicas.
+	// contendedWaiting is the number of waiting requests, as a fraction of those at servers, above
+	// which a pool counts as full though it has free slots: its models may have too few replicas.
 	contendedWaiting = 0.1
-	// idleFraction is the part of its slots up to which a server has room for requests of any
+	// idleFraction is the fraction of its slots in use below which a server takes requests of any
 	// account.
 	idleFraction = 0.25
-	// accountDecay is the time constant of the arrivals that count toward an account's demand.
+	// accountDecay is the time constant with which past arrivals lose weight in an account's demand.
 	accountDecay = 500 * time.Millisecond
-	// shareDeviations is by how many standard deviations an account's demand may vary above its
-	// share before it counts as over it.
+	// shareDeviations is the number of standard deviations of a Poisson count by which an account's
+	// demand may exceed its share without being limited.
 	shareDeviations = 3.0
-	// accountRetry is the earliest time, in seconds, after which the caller of a request over
-	// its account's share may return.
+	// accountRetry is the least retry delay, in seconds, of a request refused for its account's share.
 	accountRetry = 1.0
 )
 
-// AccountDemand is what an instance, or all instances together, have of a client account's
-// requests for a pool.
+// AccountDemand is a client account's demand for a pool, as seen by one instance or by all
+// instances together. Counts are in requests.
 type AccountDemand struct {
 	Account string
 	Pool    string
-	// Waiting is how many more would be at servers if these had room: those that arrived in the
-	// time that a request takes there, less InFlight. It may be negative.
+	// Waiting is how many more requests would be at servers if these had free slots: the arrivals
+	// within the mean time that a request holds its slot, less InFlight. It may be negative.
 	Waiting  float64
-	InFlight float64 // at servers
+	InFlight float64 // requests at servers
 }
 
-// wanted returns how many requests would be at servers if these had room. Unlike the length of a
-// queue it doesn't grow while the demand stays the same.
+// wanted returns how many requests would be at servers if these had free slots. Unlike the length
+// of a queue it doesn't grow while the arrival rate stays the same.
 func (d *AccountDemand) wanted() float64 { return d.Waiting + d.InFlight }
 
 // accountPool identifies an account's requests for a pool.
 type accountPool struct{ account, pool string }
 
-// accountShares holds which part of their requests accounts may send while a pool is full.
-// Accounts share it by weight over all instances, and what one doesn't use is lent to the others.
-// Requests beyond that are refused on arrival, of each rank the same part: if the most urgent ones
-// went first, an account that floods would fill the others' room for these.
+// accountShares holds the fraction of its requests that each account may send while a pool is full.
+// Accounts share the pool by weight over all instances, and the others may use what one leaves
+// unused. Requests beyond the share are refused on arrival, the same fraction of each rank: if the
+// most urgent ones were kept, an account with too many of them would take the other accounts' slots
+// for urgent requests.
 type accountShares struct {
 	weights map[string]float64 // see Table.AccountWeights
-	// within is the fraction of its requests that an account may send; missing: all.
-	within     map[accountPool]float64
-	toldAt     time.Time     // when all instances' demands were last told; zero: never
-	computedAt time.Time     // when within was last computed from own demands alone
-	seenAt     time.Time     // time of the newest request or telling
-	shed       []accountPool // over their share since lately: their queued requests are still to be judged
-	arrivals   map[accountPool]*recentCount
+	// allowedFraction is the fraction of its requests that an account may send; missing: all.
+	allowedFraction map[accountPool]float64
+	receivedAt      time.Time     // when the demand at all instances was last received; zero: never
+	computedAt      time.Time     // when allowedFraction was last computed from own demand alone
+	seenAt          time.Time     // time of the newest request or report
+	newlyLimited    []accountPool // limited by the newest computation only: their queued requests are still to be checked
+	arrivals        map[accountPool]*recentCount
 }
 
 // recentCount counts events, weighted by age with accountDecay.
@@ -104,8 +103,8 @@
 	return 1
 }
 
-// noteArrival counts a new request.
-func (a *accountShares) noteArrival(now time.Time, k accountPool) {
+// countArrival counts a new request.
+func (a *accountShares) countArrival(now time.Time, k accountPool) {
 	a.seenAt = now
 	if a.arrivals[k] == nil {
 		a.arrivals[k] = &recentCount{}
@@ -113,23 +112,24 @@
 	a.arrivals[k].add(now)
 }
 
-// overShare reports whether a new request is to be refused since its account has more than its
-// share of the pool.
+// overShare counts a new request and reports whether it is to be refused because its account exceeds
+// its share of the pool.
 func (s *Scheduler) overShare(now time.Time, req *requestState) bool {
 	a := &s.accounts
 	if a.weights == nil || req.Account == "" {
 		return false
 	}
 	k := accountPool{req.Account, req.target.Pool}
-	a.noteArrival(now, k)
-	if now.Sub(a.toldAt) > accountsTTL && now.Sub(a.computedAt) >= ownSharesInterval {
+	a.countArrival(now, k)
+	if now.Sub(a.receivedAt) > accountsTTL && now.Sub(a.computedAt) >= ownSharesInterval {
 		s.computeOwnShares(now)
 	}
-	return s.drawOver(k) && !s.hasIdleReplica(now, req.target)
+	return s.drawOverShare(k) && !s.hasIdleReplica(now, req.target)
 }
 
-// hasIdleReplica reports whether one of some replicas of the target has less than idleFraction of
-// its slots taken: nobody competes for the target then, though the pool as a whole is full.
+// hasIdleReplica reports whether one of up to sampleSize replicas of the target uses less than
+// idleFraction of its slots: no account competes for the target then, though the pool as a whole is
+// full.
 func (s *Scheduler) hasIdleReplica(now time.Time, t *targetState) bool {
 	n := len(t.replicas)
 	if n == 0 {
@@ -146,25 +146,26 @@
 	return false
 }
 
-// drawOver decides by chance whether a request is over its account's share.
-func (s *Scheduler) drawOver(k accountPool) bool {
-	within, limited := s.accounts.within[k]
-	return limited && s.rng.Float64() >= within
+// drawOverShare decides at random whether a request is beyond its account's share, so that the
+// allowed fraction of the account's requests isn't.
+func (s *Scheduler) drawOverShare(k accountPool) bool {
+	allowed, limited := s.accounts.allowedFraction[k]
+	return limited && s.rng.Float64() >= allowed
 }
 
-// shedOverShare refuses queued requests of accounts that exceed their share since lately: they
-// arrived before that was known.
-func (s *Scheduler) shedOverShare(now time.Time) {
-	over := s.accounts.shed
-	if len(over) == 0 {
+// refuseQueuedOverShare refuses queued requests of newly limited accounts. They arrived before the
+// limit was known.
+func (s *Scheduler) refuseQueuedOverShare(now time.Time) {
+	limited := s.accounts.newlyLimited
+	if len(limited) == 0 {
 		return
 	}
-	s.accounts.shed = s.accounts.shed[:0]
+	s.accounts.newlyLimited = s.accounts.newlyLimited[:0]
 	for _, t := range s.fleet.sortedTargets {
 		s.sorted = t.queue.sorted(s.sorted[:0])
 		for _, req := range s.sorted {
 			k := accountPool{req.Account, t.Pool}
-			if slices.Contains(over, k) && s.drawOver(k) && !s.hasIdleReplica(now, t) {
+			if slices.Contains(limited, k) && s.drawOverShare(k) && !s.hasIdleReplica(now, t) {
 				s.removeQueued(req)
 				s.refuseOverShare(now, req)
 			}
@@ -172,11 +173,12 @@
 	}
 }
 
+// refuseOverShare refuses a request that is beyond its account's share.
 func (s *Scheduler) refuseOverShare(now time.Time, req *requestState) {
 	s.refuse(req, ReasonAccountShare, req.target.returns.next(now, accountRetry, s.minSendInterval(now, req.target)))
 }
 
-// AccountDemands returns what this instance has of client accounts' requests.
+// AccountDemands returns the demand of client accounts at this instance, sorted by pool and account.
 func (s *Scheduler) AccountDemands() []AccountDemand {
 	if s.accounts.weights == nil {
 		return nil
@@ -211,26 +213,27 @@
 	return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Account, b.Account))
 }
 
-// UpdateAccounts handles what all instances together, this one included, have of client accounts'
-// requests. It replaces what was told earlier.
+// UpdateAccounts handles a report of client accounts' demand at all instances, this one included.
+// It replaces the previous report.
 func (s *Scheduler) UpdateAccounts(now time.Time, demands []AccountDemand) {
 	s.accounts.seenAt = now
 	if s.accounts.weights == nil || len(demands) == 0 {
 		return
 	}
-	s.accounts.toldAt = now
+	s.accounts.receivedAt = now
 	slots := s.slotsByPool()
 	s.accounts.compute(demands, func(pool string, of []AccountDemand) float64 {
-		return s.accounts.toldCapacity(of, slots[pool].all)
+		return s.accounts.sharedCapacity(of, slots[pool].all)
 	})
 }
 
-// poolSlots are the slots of a pool's servers.
+// poolSlots is the number of slots of a pool's servers.
 type poolSlots struct {
 	all float64
-	own float64 // this instance's part, if all instances compete for them
+	own float64 // this instance's equal part of them
 }
 
+// slotsByPool returns the slots of the listed servers that aren't leaving.
 func (s *Scheduler) slotsByPool() map[string]poolSlots {
 	out := map[string]poolSlots{}
 	for _, srv := range s.fleet.servers {
@@ -245,8 +248,8 @@
 	return out
 }
 
-// computeOwnShares computes the shares from this instance's own requests: without a lease holder
-// nothing else is known.
+// computeOwnShares computes the shares from this instance's own requests, which are all it knows
+// without a recent report of the lease holder.
 func (s *Scheduler) computeOwnShares(now time.Time) {
 	s.accounts.computedAt = now
 	queued, slots := map[string]int{}, s.slotsByPool()
@@ -264,12 +267,13 @@
 	})
 }
 
-// toldCapacity returns how many requests of a pool can be at its servers. If requests of accounts
-// within their share wait although slots are free, it is what the servers have now.
-func (a *accountShares) toldCapacity(demands []AccountDemand, slots float64) float64 {
+// sharedCapacity returns how many requests of a pool can be at its servers, given the demand at all
+// instances. If requests of accounts within their share wait although slots are free, it is what
+// the servers have now: the free slots can't serve these requests.
+func (a *accountShares) sharedCapacity(demands []AccountDemand, slots float64) float64 {
 	level, waiting := a.level(demands, slots), 0.0
 	for i := range demands {
-		if d := &demands[i]; d.wanted() <= mayVaryTo(level*a.weight(d.Account)) {
+		if d := &demands[i]; d.wanted() <= shareTolerance(level*a.weight(d.Account)) {
 			waiting += d.Waiting
 		}
 	}
@@ -279,8 +283,8 @@
 	return slots
 }
 
-// lacksRoom reports whether so many requests wait beside those at servers that the servers must be
-// full: more than what chance explains where few requests come and go.
+// lacksRoom reports whether so many requests wait that the servers must be full: more than
+// contendedWaiting of those at servers, with a margin for random variation of small counts.
 func lacksRoom(waiting, inFlight float64) bool {
 	return waiting > contendedWaiting*inFlight+shareDeviations*math.Sqrt(max(waiting+inFlight, 0))
 }
@@ -293,11 +297,11 @@
 	return sum
 }
 
-// compute replaces the accounts' fractions. capacity returns how many requests of a pool can be at
+// compute replaces the accounts' allowed fractions. capacity returns how many requests of a pool can be at
 // its servers, given the demands for it.
 func (a *accountShares) compute(demands []AccountDemand, capacity func(pool string, of []AccountDemand) float64) {
-	before := a.within
-	a.within, a.shed = map[accountPool]float64{}, a.shed[:0]
+	before := a.allowedFraction
+	a.allowedFraction, a.newlyLimited = map[accountPool]float64{}, a.newlyLimited[:0]
 	sorted := slices.SortedFunc(slices.Values(demands), compareAccountDemands)
 	for len(sorted) > 0 {
 		pool := sorted[0].Pool
@@ -309,11 +313,11 @@
 		level := a.level(of, capacity(pool, of))
 		for i := range of {
 			d := &of[i]
-			if share := level * a.weight(d.Account); d.wanted() > mayVaryTo(share) {
+			if share := level * a.weight(d.Account); d.wanted() > shareTolerance(share) {
 				k := accountPool{d.Account, pool}
-				a.within[k] = share / d.wanted() * min(share/max(d.InFlight, 1), 1)
+				a.allowedFraction[k] = share / d.wanted() * min(share/max(d.InFlight, 1), 1)
 				if _, known := before[k]; !known {
-					a.shed = append(a.shed, k)
+					a.newlyLimited = append(a.newlyLimited, k)
 				}
 			}
 		}
@@ -321,12 +325,13 @@
 	}
 }
 
-// mayVaryTo returns up to how many requests an account may have that doesn't exceed its share.
-func mayVaryTo(share float64) float64 { return share + shareDeviations*math.Sqrt(share) }
+// shareTolerance returns the number of requests above which an account exceeds its share.
+func shareTolerance(share float64) float64 { return share + shareDeviations*math.Sqrt(share) }
 
-// level returns how many requests, for each unit of weight, accounts may have at servers with the
-// capacity: by max-min fairness, so that the demand of those who want less is met in full. It is at
-// least what the median account wants: where all want more than there is, none is over its share.
+// level returns how many requests per unit of weight an account may have at servers of the given
+// capacity. It is the level of weighted max-min fairness: accounts that want less get all they want.
+// It is at least the demand of the median account, so that no account is limited where all want more
+// than their part.
 func (a *accountShares) level(demands []AccountDemand, capacity float64) float64 {
 	type account struct{ wanted, weight float64 }
 	var all []account
@@ -352,22 +357,22 @@
 	return math.Inf(1)
 }
 
-// OverShare is an account that has more than its share of a pool.
+// OverShare is a client account that exceeds its share of a pool.
 type OverShare struct {
-	Account string
-	Pool    string
-	Within  float64 // fraction of its requests that it may send
+	Account         string
+	Pool            string
+	AllowedFraction float64 // fraction of its requests that it may send, 0 to 1
 }
 
-// AccountsOverShare returns the accounts that are over their share of some pool, those with the
-// smallest fraction first.
+// AccountsOverShare returns the accounts that exceed their share of a pool, those with the smallest
+// allowed fraction first.
 func (s *Scheduler) AccountsOverShare() []OverShare {
-	out := make([]OverShare, 0, len(s.accounts.within))
-	for k, within := range s.accounts.within {
-		out = append(out, OverShare{k.account, k.pool, within})
+	out := make([]OverShare, 0, len(s.accounts.allowedFraction))
+	for k, allowed := range s.accounts.allowedFraction {
+		out = append(out, OverShare{k.account, k.pool, allowed})
 	}
 	slices.SortFunc(out, func(a, b OverShare) int {
-		return cmp.Or(cmp.Compare(a.Within, b.Within), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Account, b.Account))
+		return cmp.Or(cmp.Compare(a.AllowedFraction, b.AllowedFraction), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Account, b.Account))
 	})
 	return out
 }
--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -40,10 +40,10 @@
 		wanted, inFlight := wantedAndInFlight[i], wantedAndInFlight[i+1]
 		demands = append(demands, AccountDemand{Account: string(rune('a' + i/2)), Pool: "p", Waiting: wanted - inFlight, InFlight: inFlight})
 	}
-	a.compute(demands, func(_ string, of []AccountDemand) float64 { return a.toldCapacity(of, slots) })
+	a.compute(demands, func(_ string, of []AccountDemand) float64 { return a.sharedCapacity(of, slots) })
 	out := map[string]float64{}
-	for k, within := range a.within {
-		out[k.account] = within
+	for k, allowed := range a.allowedFraction {
+		out[k.account] = allowed
 	}
 	return out
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -215,7 +215,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.out = s.out[:0]
 	if s.queued > 0 {
-		s.shedOverShare(now)
+		s.refuseQueuedOverShare(now)
 		s.dequeueAll(now)
 	}
 	return s.out
--- a/relay/shared.go
+++ b/relay/shared.go
@@ -48,7 +48,7 @@
 	d.sharesLogged, d.sharesLoggedAt = len(over), now
 	f := logrus.Fields{"accounts": len(over)}
 	if len(over) > 0 {
-		f["account"], f["service"], f["within"] = over[0].Account, over[0].Pool, strconv.FormatFloat(over[0].Within, 'g', 3, 64)
+		f["account"], f["service"], f["within"] = over[0].Account, over[0].Pool, strconv.FormatFloat(over[0].AllowedFraction, 'g', 3, 64)
 	}
 	d.log.WithFields(f).Info("client accounts over their share")
 }
