--- a/decide/admit.go
+++ b/decide/admit.go
@@ -32,7 +32,7 @@
 	// maxSendInterval bounds, in seconds, the estimated time between two requests that an
 	// instance may send. It exceeds maxRetryAfter, so longer intervals make no difference.
 	maxSendInterval = 300.0
-	// maxWait bounds an expected wait in seconds. No request waits longer.
+	// maxWait bounds an expected wait, in seconds.
 	maxWait = 300.0
 	// noReplicaRetry is the retry delay for a target without a ready replica.
 	noReplicaRetry = 2 * time.Second
@@ -134,13 +134,13 @@
 }
 
 // expectedWait returns the seconds that the request would wait behind those that are
-// served before it: those of all instances, if they are known.
+// served before it: at all instances if the estimate of the backlog applies, else at this one.
 func (s *Scheduler) expectedWait(now time.Time, req *requestState, backlog *backlogEstimate) float64 {
-	if backlog.binds {
+	if backlog.applies {
 		return backlog.wait(req, lastInRank)
 	}
 	wait := (float64(req.target.queue.countAhead(req)) + headWaitTurns) / s.startRate(now, req.target, 1)
-	return max(wait, s.untilLoaded(now, req.target))
+	return max(wait, s.timeToFirstReplica(now, req.target))
 }
 
 // startRate returns how many of the target's queued requests start per second if extra
--- a/decide/average.go
+++ b/decide/average.go
@@ -7,7 +7,7 @@
 	// twenty samples count: few enough to follow a slowing server within seconds, enough
 	// to tolerate an outlier.
 	averageWeight = 0.05
-	// averageSamples is the number of samples that an average mostly rests on.
+	// averageSamples is the effective number of samples in an average.
 	averageSamples = 1 / averageWeight
 	// minAverageSamples is the number of samples before a refusal may depend on an
 	// average.
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -2,35 +2,36 @@
 
 import "time"
 
-// backlogTTL is how long a report of all instances' requests is used after it was true. Then
-// each instance decides by its own queues alone.
+// backlogTTL is the age up to which a report of the backlog at all instances is used. After that an
+// instance decides by its own queues alone.
 const backlogTTL = 1500 * time.Millisecond
 
-// sharedBacklog is what was last told of all instances' requests for a target.
+// sharedBacklog is the newest report of a target's backlog at all instances.
 type sharedBacklog struct {
 	Backlog
-	takenAt time.Time // when it was true, in the mean of all instances; zero: nothing was told
-	// own is what this instance had queued at the report before the newest. The newest report
-	// most likely contains that: the lease holder answers many instances from one sum.
+	takenAt time.Time // mean time at which the instances took their counts; zero: no report
+	// own is what this instance had queued, by rank, when the report before the newest arrived. The
+	// newest report most likely contains these counts rather than newer ones, because the lease
+	// holder sends the same sum to many instances.
 	own       [Ranks]float64
-	ownNewest [Ranks]float64 // what it had queued when the newest report arrived
+	ownNewest [Ranks]float64 // what this instance had queued, by rank, when the newest report arrived
 }
 
-// UpdateBacklogs handles the newest backlogs of all instances together, this one included. They
-// replace all earlier ones. age is how old they are in the mean.
+// UpdateBacklogs handles a report of the backlogs at all instances together, this one included. It
+// replaces the previous report. age is the mean age of the instances' counts.
 func (s *Scheduler) UpdateBacklogs(now time.Time, backlogs []Backlog, age time.Duration) []Decision {
 	s.out = s.out[:0]
-	if len(backlogs) == 0 && !s.backlogsTold {
+	if len(backlogs) == 0 && !s.backlogsReported {
 		return s.out
 	}
-	s.backlogsTold = len(backlogs) > 0
+	s.backlogsReported = len(backlogs) > 0
 	for _, t := range s.fleet.sortedTargets {
 		t.backlog.takenAt = time.Time{}
 	}
 	for _, b := range backlogs {
 		if t := s.fleet.targets[b.Target]; t != nil {
 			t.backlog.update(now.Add(-age), b, t.queue.waitingByRank())
-			t.noteLacking(now)
+			t.recordMissingReplica(now)
 		}
 	}
 	return s.out
@@ -46,8 +47,8 @@
 	return !b.takenAt.IsZero() && now.Sub(b.takenAt) < backlogTTL
 }
 
-// othersBacklog returns what the other instances have of requests for the target, by rank:
-// those queued, and arrivals per second. It returns zeros if that isn't known.
+// othersBacklog returns the other instances' queued requests for the target and their arrivals per
+// second, by rank, or zeros if these aren't known.
 func (t *targetState) othersBacklog(now time.Time) (waiting, arrivals [Ranks]float64) {
 	if !t.backlog.known(now) {
 		return waiting, arrivals
@@ -75,27 +76,30 @@
 }
 
 const (
-	// significantBacklog is the time, in seconds, that servers need for what waits everywhere, from
-	// which on starts show the servers' capacity and not only what callers ask for.
+	// significantBacklog is the least time, in seconds, that servers need to start all waiting
+	// requests, for the start rate to show the servers' capacity. With less waiting it shows the
+	// arrival rate only.
 	significantBacklog = 0.5
-	// minMeasuredStarts is the lowest rate of starts, per second, that says something.
+	// minMeasuredStarts is the least start rate, per second, that is used. Lower ones rest on too few
+	// starts.
 	minMeasuredStarts = 0.5
-	// newReplicaTime is how long measured starts don't show yet what a new replica brings.
+	// newReplicaTime is how long measured start rates don't include a new replica.
 	newReplicaTime = 3 * time.Second
-	// lastInRank is the position of a request that comes after all others of its rank.
+	// lastInRank is the position, from 0 to 1, of a request that comes after all others of its rank.
 	lastInRank = 1.0
 )
 
-// backlogEstimate is what the requests of all instances for a target mean for one of them.
+// backlogEstimate is an estimate, from the backlog at all instances, of how long requests for a
+// target wait.
 type backlogEstimate struct {
-	binds    bool           // false: this instance's own queue tells more, and the rest isn't set
-	waiting  [Ranks]float64 // at all instances
-	starts   [Ranks]float64 // per second, of the rank and less urgent ones
-	leftover [Ranks]float64 // starts per second beyond the arrivals of the rank and more urgent ones
+	applies  bool           // false: the instance uses its own queue, and the other fields aren't set
+	waiting  [Ranks]float64 // requests queued at all instances
+	starts   [Ranks]float64 // starts per second of requests of the rank and of less urgent ones
+	leftover [Ranks]float64 // starts per second less the arrivals of the rank and of more urgent ones
 }
 
-// estimateBacklog returns the estimate for a target. It doesn't bind if nothing recent is known, or
-// if servers could start requests faster than they lately did.
+// estimateBacklog returns the estimate for a target. It doesn't apply if there is no recent report, or
+// if servers may start requests faster than they lately did.
 func (s *Scheduler) estimateBacklog(now time.Time, t *targetState) (e backlogEstimate) {
 	b := &t.backlog
 	growth := t.replicaGrowth(now)
@@ -106,7 +110,7 @@
 	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
 		return e
 	}
-	e.binds = true
+	e.applies = true
 	others, _ := t.othersBacklog(now)
 	own := t.queue.waitingByRank()
 	left, arrivals := starts, 0.0
@@ -120,8 +124,8 @@
 	return e
 }
 
-// noteAdded notes a change of the number of the target's replicas.
-func (t *targetState) noteAdded(now time.Time, before, replicas int) {
+// recordReplicaCount records that the target's number of replicas is about to change.
+func (t *targetState) recordReplicaCount(now time.Time, before, replicas int) {
 	if replicas <= before {
 		return
 	}
@@ -131,8 +135,8 @@
 	t.replicaAddedAt = now
 }
 
-// replicaGrowth returns how many times as many requests the target's servers start as was measured,
-// since new replicas don't show yet; 0 if that can't be told.
+// replicaGrowth returns the factor by which the target's servers start more requests than was
+// measured, because measured rates don't include new replicas yet; 0 if it isn't known.
 func (t *targetState) replicaGrowth(now time.Time) float64 {
 	switch {
 	case len(t.replicas) == 0:
@@ -145,19 +149,19 @@
 	return max(float64(len(t.replicas))/float64(t.replicasBefore), 1)
 }
 
-// wait returns the seconds that a request will wait. position is its place, from 0 to 1, among those
-// of its rank at all instances.
+// wait returns the seconds that a request will wait. position is its place, from 0 to 1, among the
+// requests of its rank at all instances.
 //
-// Requests of a rank wait as long as servers take to start as many of them, whatever the order of
-// service. Servers could start them instead of less urgent ones, so those count in the rate.
+// By Little's law it is the number of waiting requests of the rank divided by their start rate. That
+// rate includes starts of less urgent requests, since servers could start this rank's instead.
 func (e *backlogEstimate) wait(req *requestState, position float64) float64 {
 	rank := RankIndex(req.Rank)
 	return min((position*e.waiting[rank]+headWaitTurns)/max(e.starts[rank], 1/maxWait), maxWait)
 }
 
-// timeToDrain returns in how many seconds all that waits with the rank or a more urgent one will
-// have been served, and how many requests per second servers then start beyond new ones; both
-// 0 if as many arrive as start.
+// timeToDrain returns the seconds until all waiting requests of the rank and of more urgent ones have
+// started, and the rate, in requests per second, at which this backlog shrinks. Both are 0 if it
+// doesn't shrink.
 func (e *backlogEstimate) timeToDrain(rank int) (drain, rate float64) {
 	rate = e.leftover[rank]
 	if rate <= 0 {
@@ -169,9 +173,11 @@
 	return drain, rate
 }
 
-// queuePositions places queued requests, in their order of service, among those of their ranks.
+// queuePositions computes the positions of queued requests, in their order of service, among those
+// of their ranks.
 type queuePositions struct {
-	ahead, all [Ranks]float64
+	ahead [Ranks]float64 // requests that already have a position
+	all   [Ranks]float64 // all requests
 }
 
 func newQueuePositions(requests []*requestState) queuePositions {
@@ -190,7 +196,8 @@
 	return at
 }
 
-// refusalInputs returns what the refusal of a request that would wait too long rests on.
+// refusalInputs returns the inputs of the refusal of a request that would wait too long. shared is
+// whether the backlog at all instances was used.
 func (t *targetState) refusalInputs(now time.Time, wait float64, shared bool) Inputs {
 	in := Inputs{Candidates: len(t.replicas), Queued: t.queue.len(), QueueWait: seconds(wait)}
 	if b := &t.backlog; shared {
--- a/decide/dequeue.go
+++ b/decide/dequeue.go
@@ -121,7 +121,7 @@
 	s.sorted = t.queue.sorted(s.sorted[:0])
 	startRate, pause := s.startRate(now, t, 0), t.remainingPause(now)
 	backlog := s.estimateBacklog(now, t)
-	untilLoaded := s.untilLoaded(now, t)
+	untilFirstReplica := s.timeToFirstReplica(now, t)
 	positions := newQueuePositions(s.sorted)
 	ahead := 0
 	for _, req := range s.sorted {
@@ -134,8 +134,8 @@
 			t.queue.push(req)
 		}
 
-		wait := max((float64(ahead)+headWaitTurns)/startRate, untilLoaded)
-		if backlog.binds {
+		wait := max((float64(ahead)+headWaitTurns)/startRate, untilFirstReplica)
+		if backlog.applies {
 			wait = backlog.wait(req, positions.next(req))
 		}
 		if req.wouldMissDeadline(now, pause+wait) {
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -18,7 +18,7 @@
 	rankRoom      rankRoom       // if roomByRank
 	own           int            // this instance's requests at the server; exact
 	unread        int            // prompt tokens of own requests without a first token
-	heldTokens    int            // sizes of own requests; see Request.tokenSize
+	heldTokens    int            // tokens of own requests; see Request.tokenSize
 	suspects      int            // own requests that may crash a server
 	servedTargets []servedTarget // targets that the server has ready
 	pool          *poolState
@@ -32,10 +32,10 @@
 	othersInFlight float64 // mean number of other instances' requests at the server
 	othersUnread   float64 // mean number of other instances' unread prompt tokens there
 
-	errorRate           average // fraction of answers that were the server's own failures
-	slowdown            average // time taken divided by the target's usual time; above 1 is slow
-	speedSums           []speedSum
-	shared              sharedSpeed
+	errorRate           average     // fraction of answers that were the server's own failures
+	slowdown            average     // time taken divided by the target's usual time; above 1 is slow
+	speedSums           []speedSum  // samples since the last TakeSpeedSamples
+	shared              sharedSpeed // from all instances
 	consecutiveFailures int
 	consecutiveRefusals int
 	consecutiveMisses   int // requests in a row for which the server reported a missing model
@@ -56,7 +56,7 @@
 	slots             int // per server
 	service           serviceTimes
 	budget            retryBudget
-	requestTokens     average           // sizes of this instance's requests; see Request.tokenSize
+	requestTokens     average           // tokens of each of this instance's requests; see Request.tokenSize
 	held              average           // seconds that attempts held a slot, whatever their outcome
 	totalInFlight     int               // this instance's requests in the pool
 	inFlightByPartner []int             // the same by partnerState.index
@@ -108,27 +108,27 @@
 	roomByRank   bool               // see Table.RoomByRank; for engines only
 	rankArrivals [Ranks]arrivalRate // if roomByRank
 	returns      returns
-	totalSpeed   float64       // of the replicas
+	totalSpeed   float64       // sum of the speeds of the replicas' servers
 	uneven       bool          // the replicas' servers are known to differ in speed
-	backlog      sharedBacklog // of all instances
+	backlog      sharedBacklog // at all instances
 
-	replicaAddedAt time.Time // when the target last got a replica
-	replicasBefore int       // replicas that starts were measured with, until newReplicaTime after that
-	lackingSince   time.Time // when a request was first queued for want of a replica; zero: it isn't so
+	replicaAddedAt      time.Time // when the target last got a replica
+	replicasBefore      int       // replicas that measured start rates include, until newReplicaTime after replicaAddedAt
+	replicaMissingSince time.Time // when a request first waited for the target's first replica; zero: none does
 }
 
 // fleet holds the state that is kept when a new table replaces the old one.
 type fleet struct {
-	servers       map[string]*serverState
-	targets       map[string]*targetState
-	sortedTargets []*targetState // by name, so that decisions are deterministic
-	pools         map[string]*poolState
-	partners      map[string]*partnerState
-	partnerList   []*partnerState // by partnerState.index
-	domains       map[string]*domainState
-	retry         RetryPolicy
-	speedsToldAt  time.Time // when the lease holder last told servers' speeds; zero: not lately
-	loadTime      average   // seconds from the first request that waits for a model's first replica to the replica
+	servers          map[string]*serverState
+	targets          map[string]*targetState
+	sortedTargets    []*targetState // by name, so that decisions are deterministic
+	pools            map[string]*poolState
+	partners         map[string]*partnerState
+	partnerList      []*partnerState // by partnerState.index
+	domains          map[string]*domainState
+	retry            RetryPolicy
+	speedsReceivedAt time.Time // when servers' speeds were last received from the lease holder; zero: not within speedsTTL
+	modelLoadTime    average   // seconds from the first request that waits for a model's first replica until that is ready
 }
 
 func newFleet() fleet {
@@ -222,7 +222,7 @@
 	}
 	ts.partner.weight = weightOf(t, target.Partner)
 	old := ts.replicas
-	ts.noteAdded(now, len(old), len(target.Replicas))
+	ts.recordReplicaCount(now, len(old), len(target.Replicas))
 	ts.replicas = make([]replicaState, 0, len(target.Replicas))
 	for _, near := range []bool{true, false} {
 		for _, r := range target.Replicas {
@@ -237,7 +237,7 @@
 		}
 	}
 	ts.sumSpeeds()
-	f.noteReplicas(now, ts)
+	f.recordFirstReplica(now, ts)
 	return ts
 }
 
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -109,10 +109,10 @@
 // come back.
 func (s *Scheduler) refuseLate(now time.Time, req *requestState, wait float64, own retryTime, backlog *backlogEstimate) {
 	t := req.target
-	in := t.refusalInputs(now, wait, backlog.binds)
+	in := t.refusalInputs(now, wait, backlog.applies)
 	var after time.Duration
 	switch {
-	case backlog.binds:
+	case backlog.applies:
 		after, in.Shared.Room = s.sharedRetryAfter(now, req, backlog)
 	case s.roomByRank:
 		after = t.returns.next(now, max(own.earliest, wait), own.gap)
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -31,7 +31,7 @@
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
 	roomByRank           bool // see Table.RoomByRank
 	instances            int  // number of instances, at least 1
-	backlogsTold         bool // the newest report had backlogs of all instances
+	backlogsReported     bool // the newest report had backlogs
 
 	out          []Decision // returned by the current call
 	candidates   []candidate
@@ -262,7 +262,7 @@
 	s.prepare(now, req)
 	if len(req.target.replicas) == 0 {
 		if req.target.ReplicaPending {
-			req.target.noteLacking(now)
+			req.target.recordMissingReplica(now)
 			s.enqueue(now, req)
 			return
 		}
--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -89,7 +89,7 @@
 // UpdateSpeeds handles servers' speeds as all instances together measured them. Servers that
 // aren't named keep the speed that was last told.
 func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {
-	s.fleet.speedsToldAt = now
+	s.fleet.speedsReceivedAt = now
 	changed := false
 	for _, told := range speeds {
 		srv := s.fleet.servers[told.Server]
@@ -113,10 +113,10 @@
 // expireSpeeds forgets all shared speeds if the lease holder hasn't told any for speedsTTL.
 // The instance then goes by its own answers.
 func (s *Scheduler) expireSpeeds(now time.Time) {
-	if s.fleet.speedsToldAt.IsZero() || now.Sub(s.fleet.speedsToldAt) <= speedsTTL {
+	if s.fleet.speedsReceivedAt.IsZero() || now.Sub(s.fleet.speedsReceivedAt) <= speedsTTL {
 		return
 	}
-	s.fleet.speedsToldAt = time.Time{}
+	s.fleet.speedsReceivedAt = time.Time{}
 	for _, srv := range s.fleet.servers {
 		srv.shared = sharedSpeed{}
 	}
