--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -131,7 +131,7 @@
 	s.UpdateBacklogs(now, flood, 0)
 	before := s.estimateBacklog(now, target)
 	require.Equal(t, 2.0, before.leftover[1])
-	target.returns.expect(now, returnSlot, 1)
+	target.returns.expect(now, returnInterval, 1)
 	after := s.estimateBacklog(now, target)
 	require.Equal(t, 2.0-75, after.leftover[1], "each instance told as many")
 	require.Equal(t, before.leftover[0], after.leftover[0])
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -478,7 +478,7 @@
 		c.countRefused(r)
 		return
 	}
-	c.after(min(after, r.Deadline.Sub(c.now)/CallerPatience), func() { c.comeBack(r) })
+	c.after(min(after, r.Deadline.Sub(c.now)/CallerWaitDivisor), func() { c.comeBack(r) })
 }
 
 func (c *contentionSim) countRefused(r *contentionRequest) {
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -30,11 +30,11 @@
 	classCount
 )
 
-// Requests for targets with room by rank have a class each rank, from firstRankClass on, but for
-// suspects. Each is ordered by what a slot is worth.
+// Targets with room by rank have one queue class per rank, ordered by what a slot is worth to the
+// requests, and the class of suspects.
 const (
-	firstRankClass = classCount
-	heapCount      = classCount + Ranks
+	firstRankClass = classCount         // class of rank 0; those of the other ranks follow
+	heapCount      = classCount + Ranks // number of all classes
 )
 
 // classOrder is the order of the classes on each turn.
@@ -68,7 +68,7 @@
 }
 
 // heads appends the first request of each class, in the order of service on the current turn:
-// first those of ranks, the one to which a slot is worth most first.
+// first those of the rank classes, by what a slot is worth to them.
 func (q *queue) heads(to []*requestState) []*requestState {
 	for class := firstRankClass; class < heapCount; class++ {
 		to = q.appendHead(to, class)
@@ -87,8 +87,9 @@
 	return to
 }
 
-// ranked returns the number of queued requests of a rank, for targets with room by rank.
-func (q *queue) ranked(rank int) int { return len(q.heaps[firstRankClass+rank]) }
+// lenOfRank returns the number of queued requests of a rank, without suspects, of a target with room
+// by rank.
+func (q *queue) lenOfRank(rank int) int { return len(q.heaps[firstRankClass+rank]) }
 
 // dequeue removes a request that got a slot and advances the turn.
 func (q *queue) dequeue(req *requestState) {
@@ -102,8 +103,8 @@
 }
 
 // lowest returns the last element of the least urgent class that isn't empty, or nil. In a
-// heap that is one of the last to be served, not necessarily the very last. Of ranks it is the one
-// to which a slot is worth least.
+// heap that is one of the last to be served, not necessarily the very last. Among rank classes it is
+// the one to which a slot is worth least.
 func (q *queue) lowest() *requestState {
 	var last *requestState
 	for _, h := range q.heaps[firstRankClass:] {
@@ -156,8 +157,10 @@
 	return to
 }
 
+// compareKeys orders requests by their queue keys.
 func compareKeys(a, b *requestState) int { return cmp.Compare(a.queueKey, b.queueKey) }
 
+// classOf returns the request's queue class.
 func classOf(req *requestState) int {
 	switch {
 	case req.target.roomByRank && req.Suspect:
--- a/decide/reserve.go
+++ b/decide/reserve.go
@@ -84,7 +84,7 @@
 		known := t.backlog.known(now)
 		for rank := range Ranks {
 			late := s.pool.queuedByRank[rank].lateFraction()
-			waiting, arrivals := float64(t.queue.ranked(rank)), t.rankArrivals[rank].rate(now)
+			waiting, arrivals := float64(t.queue.lenOfRank(rank)), t.rankArrivals[rank].rate(now)
 			own.add(rank, waiting, late, arrivals*horizon)
 			if known {
 				waiting, arrivals = max(t.backlog.Waiting[rank], waiting), max(t.backlog.Arrivals[rank], arrivals)
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -3,28 +3,31 @@
 import "time"
 
 const (
-	// CallerPatience is the part of the time left to a refused caller, 1 in CallerPatience, for
-	// which it puts its return off at most.
-	CallerPatience = 3
-	// returnSlot and returnSlots give the grid on which returns are counted in advance. It spans
-	// a third of the longest common deadlines.
-	returnSlot  = 250 * time.Millisecond
-	returnSlots = 32
-	// returnHorizon is the number of slots ahead for which expected returns count as arrivals.
+	// CallerWaitDivisor bounds the delay of a refused caller's retry: the time left until its
+	// deadline, divided by this.
+	CallerWaitDivisor = 3
+	// returnInterval is the length of the intervals in which expected returns are counted.
+	returnInterval = 250 * time.Millisecond
+	// returnIntervals is the number of intervals that are kept. They span the longest delays that
+	// common deadlines allow.
+	returnIntervals = 32
+	// returnHorizon is the number of intervals ahead for which expected returns count as arrivals.
 	returnHorizon = 4
 )
 
 // returns spreads the retry times given to refused callers, one for each slot that frees,
-// so that they don't all retry at once.
+// so that they don't all retry at once. A return is the retry of a refused caller; the instance's
+// own retries of failed attempts are something else.
 type returns struct {
 	latest   time.Time // latest retry time given
 	expected *expectedReturns
 }
 
-// expectedReturns counts the callers that this instance told to come back, by time and rank.
+// expectedReturns counts the callers to which this instance gave a retry time, by that time's
+// interval and by rank.
 type expectedReturns struct {
-	counts [returnSlots][Ranks]uint16
-	first  int64 // number of the first slot that is kept, returnHorizon before the present one
+	counts [returnIntervals][Ranks]uint16
+	first  int64 // number of the first interval that is kept, returnHorizon before the present one
 }
 
 // next returns the delay for the next caller: at least earliest seconds from now and gap
@@ -42,30 +45,30 @@
 }
 
 // nextWithin returns the delay for the next caller as next does, but only if it is at most
-// patience. Otherwise the next caller isn't put behind this one.
-func (r *returns) nextWithin(now time.Time, earliest, gap float64, patience time.Duration) (after time.Duration, ok bool) {
+// maxDelay. Otherwise it leaves the caller's retry time to the next caller.
+func (r *returns) nextWithin(now time.Time, earliest, gap float64, maxDelay time.Duration) (after time.Duration, ok bool) {
 	before := r.latest
-	if after = r.next(now, earliest, gap); after <= patience {
+	if after = r.next(now, earliest, gap); after <= maxDelay {
 		return after, true
 	}
 	r.latest = before
 	return 0, false
 }
 
-// expect counts a caller that was told to come back after a delay.
+// expect counts a caller that was told to retry after a delay.
 func (r *returns) expect(now time.Time, after time.Duration, rank int) {
 	if r.expected == nil {
 		r.expected = &expectedReturns{}
 	}
 	e := r.expected
 	e.advance(now)
-	if n := slotNumber(now.Add(after)); n < e.first+returnSlots {
-		e.counts[n%returnSlots][rank]++
+	if n := intervalNumber(now.Add(after)); n < e.first+returnIntervals {
+		e.counts[n%returnIntervals][rank]++
 	}
 }
 
-// increase returns how many callers per second, of ranks up to the given one, are expected to come
-// back soon beyond those that lately did: these count as arrivals already.
+// increase returns by how much the rate of returns, per second, of the rank and of more urgent ones
+// will rise within returnHorizon. Recent returns are part of the measured arrivals already.
 func (r *returns) increase(now time.Time, rank int) float64 {
 	if r.expected == nil {
 		return 0
@@ -73,40 +76,41 @@
 	e := r.expected
 	e.advance(now)
 	more := e.count(e.first+returnHorizon, rank) - e.count(e.first, rank)
-	return max(float64(more), 0) / (returnHorizon * returnSlot.Seconds())
+	return max(float64(more), 0) / (returnHorizon * returnInterval.Seconds())
 }
 
-// count returns how many callers of ranks up to the given one come back in the returnHorizon slots
-// from a slot on.
+// count returns the number of returns, of the rank and of more urgent ones, in returnHorizon
+// intervals, the first of which is from.
 func (e *expectedReturns) count(from int64, rank int) int {
 	sum := 0
 	for n := from; n < from+returnHorizon; n++ {
-		for _, count := range e.counts[n%returnSlots][:rank+1] {
+		for _, count := range e.counts[n%returnIntervals][:rank+1] {
 			sum += int(count)
 		}
 	}
 	return sum
 }
 
-// advance forgets the slots that are over.
+// advance drops the intervals that are more than returnHorizon ago.
 func (e *expectedReturns) advance(now time.Time) {
-	first := slotNumber(now) - returnHorizon
-	for n := max(e.first, first-returnSlots); n < first; n++ {
-		e.counts[n%returnSlots] = [Ranks]uint16{}
+	first := intervalNumber(now) - returnHorizon
+	for n := max(e.first, first-returnIntervals); n < first; n++ {
+		e.counts[n%returnIntervals] = [Ranks]uint16{}
 	}
 	e.first = max(e.first, first)
 }
 
-func slotNumber(t time.Time) int64 { return t.UnixNano() / int64(returnSlot) }
+// intervalNumber returns the number of the interval that contains t.
+func intervalNumber(t time.Time) int64 { return t.UnixNano() / int64(returnInterval) }
 
-// retryTime is when refused callers may come back, by what this instance alone knows.
+// retryTime is when refused callers may retry, by this instance's own queue.
 type retryTime struct {
-	earliest float64 // seconds
+	earliest float64 // seconds from now
 	gap      float64 // seconds between two callers
 }
 
-// refuseLate refuses a request that would wait too long for a slot, and tells its caller when to
-// come back.
+// refuseLate refuses a request that would wait too long for a slot, with a retry time. own is the
+// retry time by this instance's own queue, used unless the backlog estimate applies.
 func (s *Scheduler) refuseLate(now time.Time, req *requestState, wait float64, own retryTime, backlog *backlogEstimate) {
 	t := req.target
 	in := t.refusalInputs(now, wait, backlog.applies)
@@ -123,30 +127,30 @@
 	s.out[len(s.out)-1].Inputs = in
 }
 
-// sharedRetryAfter returns when a refused caller should come back: when what waits at all instances
-// will have been served, or at least be so little that the caller can wait behind it, and after
-// the callers that were sent away before. Each instance gives out its part of the starts. Where
-// there will be no room while the caller still comes back, it is told a time after its deadline,
-// so that nobody is sent back in vain.
+// sharedRetryAfter returns the retry delay of a refused caller, by the backlog at all instances. It is
+// when that backlog has drained, or has become short enough for the caller to wait behind it, and
+// after the retry times given to earlier callers. Each instance gives out its equal part of the
+// starts. room is false if there will be no room before the caller's latest retry; the delay then
+// extends to the deadline, so that the caller doesn't retry only to be refused again.
 func (s *Scheduler) sharedRetryAfter(now time.Time, req *requestState, backlog *backlogEstimate) (after time.Duration, room bool) {
 	r, rank := &req.target.returns, RankIndex(req.Rank)
 	left := max(req.Deadline.Sub(now), minRetryAfter)
-	patience := left / CallerPatience
+	maxDelay := left / CallerWaitDivisor
 	drain, rate := backlog.timeToDrain(rank)
-	tolerable := req.longestWait(now, patience) * backlog.starts[rank]
-	if rate > 0 && drain-tolerable/rate <= patience.Seconds() {
-		earliest := min(drain, patience.Seconds()/2)
-		if after, ok := r.nextWithin(now, earliest, float64(s.instances)/rate, patience); ok {
+	tolerableBacklog := req.longestWait(now, maxDelay) * backlog.starts[rank]
+	if rate > 0 && drain-tolerableBacklog/rate <= maxDelay.Seconds() {
+		earliest := min(drain, maxDelay.Seconds()/2)
+		if after, ok := r.nextWithin(now, earliest, float64(s.instances)/rate, maxDelay); ok {
 			r.expect(now, after, rank)
 			return after, true
 		}
 	}
-	r.expect(now, patience, rank)
+	r.expect(now, maxDelay, rank)
 	return min(left, maxRetryAfter), false
 }
 
-// longestWait returns how many seconds the request could wait for a slot if it came back after a
-// delay.
+// longestWait returns how many seconds the request could wait for a slot if its caller retried after
+// a delay.
 func (req *requestState) longestWait(now time.Time, after time.Duration) float64 {
 	wait := req.timeLeft(now) - after.Seconds() - req.safeServiceTime
 	if !req.FirstTokenDeadline.IsZero() {
--- a/decide/slotworth.go
+++ b/decide/slot_worth.go
@@ -6,29 +6,34 @@
 )
 
 const (
-	// rankWeightRatio is how many times as much a delayed request costs its caller as one of
-	// the next rank that is alike otherwise.
+	// rankWeightRatio is the cost of delaying a request relative to that of delaying one of the
+	// next less urgent rank. It weighs queued requests against each other for a free slot, where the
+	// less urgent one only waits longer. The ratio rankStep of package residency is closer to 1
+	// since it weighs models' demands against each other for replicas, and a model that loses its
+	// replicas can't serve any request.
 	rankWeightRatio = 4.0
-	// lateValue is the part of a request's value that is left after its goal.
+	// lateValue is the fraction of a request's value that remains after its goal.
 	lateValue = 0.25
-	// worthTimeConstant is the time, in seconds, in which the worth of a slot grows by the
-	// factor e as the request's due time comes near.
+	// worthTimeConstant is the time, in seconds, in which the worth of a slot to a request grows
+	// by the factor e as its due time approaches.
 	worthTimeConstant = 1.0
-	// minWork is the least time, in seconds, that a request is assumed to hold its slot.
+	// minWork is the least service time, in seconds, that a request is assumed to have. Without it
+	// the shortest requests would always go first.
 	minWork = 0.05
 )
 
 var logRankWeightRatio = math.Log(rankWeightRatio)
 
-// setSlotWorth sets the request's queue key by what a slot is worth to it, and whether it is
-// late for its goal. The worth is the apparent tardiness cost
+// setSlotWorth sets the request's queue key by what a slot is worth to it. The worth is the apparent
+// tardiness cost, a dispatching rule of scheduling theory:
 //
 //	value * rank weight / work * exp(-(due - now) / worthTimeConstant)
 //
-// where due is the latest start that keeps the value: the goal's, and after the goal that of the
-// deadline with lateValue. So a late request of an urgent rank goes before a less urgent one that
-// can wait as long, but doesn't make others late. All worths grow by the same factor with time,
-// so their order is that of due - worthTimeConstant*ln(value*weight/work), which stays.
+// where due is the latest start that keeps the value. Until the goal the value is 1 and due is the
+// latest start for the goal; after it they are lateValue and the latest start for the deadline. So a
+// late request goes before a less urgent one that can wait as long, but doesn't make others late. All
+// worths grow by the same factor with time, so their order is that of
+// due - worthTimeConstant*ln(value*weight/work), which doesn't depend on now.
 func (req *requestState) setSlotWorth(now time.Time) {
 	due, value := req.goalStart(), 1.0
 	if req.goalMissed {
@@ -59,7 +64,7 @@
 
 func unixSeconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
-// evictLeastWorth refuses the queued request to which a slot is worth least, unless that is req
+// evictLeastWorth evicts a request from the full queues: it refuses the queued request to which a slot is worth least, unless that is req
 // itself. It reports whether it made room.
 func (s *Scheduler) evictLeastWorth(now time.Time, req *requestState) bool {
 	victim := req
--- a/relay/absent.go
+++ b/relay/absent.go
@@ -26,7 +26,7 @@
 		return
 	}
 	now := time.Now()
-	back := min(dec.RetryAfter, c.deadline.Sub(now)/decide.CallerPatience)
+	back := min(dec.RetryAfter, c.deadline.Sub(now)/decide.CallerWaitDivisor)
 	d.absent = append(d.absent, absentCall{c.target, c.rank(), now.Add(back)})
 	d.signalSync()
 }
