--- a/decide/memory.go
+++ b/decide/memory.go
@@ -2,19 +2,19 @@
 
 import "time"
 
-// tokenSize returns the tokens that the request takes of its server's memory: its prompt and the
-// longest answer that it allows, or 0 if these aren't known.
+// tokenSize returns the number of tokens that the request may need in its server's memory: those of its
+// prompt and of the longest answer that it allows, or 0 if these aren't known.
 func (r *Request) tokenSize() int { return r.PromptTokens + r.MaxTokens }
 
-// exceedsServer reports whether the request is larger than a whole server's memory. Servers
-// refuse such a request as if they were full, so that it must not wait for one to be free.
+// exceedsServer reports whether the request needs more memory than a whole server has. Servers would
+// refuse such a request as if they were full, and it would be retried until its deadline.
 func (t *targetState) exceedsServer(r *Request) bool {
 	return t.ServerMemory > 0 && r.tokenSize() > t.ServerMemory
 }
 
-// memoryFilter drops servers whose memory the request would exceed, together with the requests
-// that are there. This instance's own count by their size, others by the mean size of own ones. A
-// server without requests always has room.
+// memoryFilter drops servers whose memory the request would exceed together with the requests that
+// are there. Requests of other instances count with the mean size of this instance's. A server
+// without requests always has room.
 type memoryFilter struct{}
 
 func (memoryFilter) keep(_ *Scheduler, _ time.Time, req *requestState, c *candidate) bool {
--- a/decide/pick.go
+++ b/decide/pick.go
@@ -151,9 +151,9 @@
 	}
 }
 
-// preferNear drops the candidates of other failure domains if some of the own one are no
-// fuller for their speed than the mean. If the own domain always went first, its slow servers
-// would queue requests beside fast ones with free slots in other domains.
+// preferNear keeps only the candidates of the own failure domain that are filled no more than the
+// mean of all candidates, if there are any. If the own domain always went first, its slow servers
+// would get requests while fast ones in other domains have free slots.
 func (s *Scheduler) preferNear() {
 	mean := 0.0
 	for i := range s.candidates {
@@ -166,8 +166,7 @@
 	s.candidates = slices.DeleteFunc(s.candidates, func(c candidate) bool { return !isPreferred(c) })
 }
 
-// fill returns how full the server would be with one more request, as the time that its
-// requests take there against that of a full server of speed 1.
+// fill returns the slot utilization of the server with one more request, divided by its speed.
 func (c *candidate) fill() float64 {
 	return (c.load + 1) / float64(c.server.Slots) / c.server.speed()
 }
--- a/decide/request.go
+++ b/decide/request.go
@@ -16,13 +16,13 @@
 	crashes         int
 	deliveredTokens int          // tokens that the caller has received
 	failedServer    *serverState // server of the last failed attempt, not to be retried at once
-	heldTokens      int          // counted in dispatchedTo.heldTokens
+	heldTokens      int          // tokens that the request adds to dispatchedTo.heldTokens
 	serviceTime     float64      // expected service time in seconds; 0: unknown
 	safeServiceTime float64      // upper estimate of the service time in seconds
 	queueKey        float64      // lowest is served first: latest start minus the priority's head start, in Unix seconds
 	heapIndex       int          // index in the queue's heap; -1: not queued
 	class           int          // queue class, an index of queue.heaps
-	draw            float64      // random, from 0 to 1; see fitsUrgent
+	draw            float64      // uniformly random, 0 to 1; see fitsUrgent
 	goalMissed      bool         // Request.Goal can't be met any more
 }
 
--- a/decide/reserve.go
+++ b/decide/reserve.go
@@ -7,60 +7,62 @@
 )
 
 const (
-	// rankFloor is the part of a server's dispatches that each rank gets, if it asks for it, however
-	// many more urgent requests there are.
-	rankFloor = 0.05
+	// minRankShare is the fraction of the dispatches to a server that each rank with demand gets,
+	// however many more urgent requests there are.
+	minRankShare = 0.05
 	// urgentQueue is the number of urgent requests that may wait at a full server, so that one of
-	// them gets the next free slot, whoever held it.
+	// them gets the next free slot at once.
 	urgentQueue = 1
-	// urgentGoal is the longest goal of an urgent request. With a longer one a request can wait at
-	// its instance for the next load report.
+	// urgentGoal is the longest goal of an urgent request. With a longer goal a request has time to
+	// wait at its instance for the next load report.
 	urgentGoal = 2 * ArrivalHorizon
-	// maxUrgentFill bounds the requests at a server when an urgent one is added, as a multiple of
-	// its slots. Engines refuse requests beyond about three times their slots.
+	// maxUrgentFill bounds the requests at a server including an added urgent one, as a multiple of
+	// its slots. It stays below the length of the servers' own queues, beyond which they refuse.
 	maxUrgentFill = 2.0
 )
 
-// rankRoom is what an instance may use of a server's room until the next load report, by rank.
+// rankRoom is the room at a server until the next load report, by rank. Room is the number of requests
+// that the server can take: free slots and those that will become free.
 type rankRoom struct {
-	limited   [Ranks]bool    // the demand of all instances exceeds what the rank gets
-	remaining [Ranks]int     // if limited: requests that this instance may still send
-	left      [Ranks]float64 // requests of all instances that the server can take
-	soon      [Ranks]float64 // requests of all instances that are expected there
-	least     int            // the least urgent rank with demand; requests of any rank that are late share its room
-	floor     [Ranks]bool    // the rank may have a free slot under rankFloor
+	limited    [Ranks]bool    // the demand of all instances exceeds the room of the rank
+	remaining  [Ranks]int     // if limited: requests that this instance may still send
+	left       [Ranks]float64 // room that more urgent ranks leave, for all instances; with urgentQueue
+	demand     [Ranks]float64 // the server's part of all instances' demand, in requests
+	least      int            // the least urgent rank with demand; late requests of all ranks use its room
+	guaranteed [Ranks]bool    // the rank may send one request under minRankShare
 }
 
-// rankDemand is how many requests want to start soon, by rank, and how many are late for their goal.
+// rankDemand is a number of requests that are waiting or expected before the next load report.
 type rankDemand struct {
-	soon [Ranks]float64
-	late float64
+	byRank [Ranks]float64 // those that can meet their goal
+	late   float64        // those of all ranks that can't
 }
 
-// total returns the requests that share the room of a rank.
+// total returns the requests that use the room of a rank. least is rankRoom.least.
 func (d *rankDemand) total(rank, least int) float64 {
 	if rank == least {
-		return d.soon[rank] + d.late
+		return d.byRank[rank] + d.late
 	}
-	return d.soon[rank]
+	return d.byRank[rank]
 }
 
-// add adds a number of a target's requests of a rank that wait, a part of which is late, and those
-// that arrive.
+// add adds a target's requests of a rank: those that wait, of which the fraction late can't meet
+// their goal, and those that will arrive.
 func (d *rankDemand) add(rank int, waiting, late, arrivals float64) {
-	d.soon[rank] += waiting*(1-late) + arrivals
+	d.byRank[rank] += waiting*(1-late) + arrivals
 	d.late += waiting * late
 }
 
-// queueCount counts this instance's queued requests of a rank in a pool.
+// queueCount counts this instance's queued requests of a rank in a pool, and those of them that
+// can't meet their goal.
 type queueCount struct{ queued, late int }
 
-// lateFraction returns the part of the queued requests that is late for its goal.
+// lateFraction returns the fraction of the queued requests that can't meet their goal.
 func (c *queueCount) lateFraction() float64 {
 	return float64(c.late) / float64(max(c.queued, 1))
 }
 
-// countQueued adds n to the counts of queued requests that are like req.
+// countQueued adds n to the counts of queued requests to which req belongs.
 func (p *poolState) countQueued(req *requestState, n int) {
 	if p == nil {
 		return
@@ -72,11 +74,11 @@
 	}
 }
 
-// demandByRank returns what all instances, and this one, want to start within a time of the targets
-// that the server has, on whatever server. Where nothing recent is told of the others, it takes
-// them to be like this one: as it does for how many of them are late. share is the server's part of
-// all instances' demand.
-func (s *serverState) demandByRank(now time.Time, within time.Duration) (all, own, share rankDemand) {
+// demandByRank returns the demand of all instances, and of this one, within a time for the targets that
+// the server has ready, and the part of all instances' demand that falls to the server if it is
+// divided equally among a target's replicas. Without a recent backlog report the other instances'
+// demand is assumed to equal this one's, and the fraction of late requests always is.
+func (s *serverState) demandByRank(now time.Time, within time.Duration) (all, own, serverPart rankDemand) {
 	horizon := within.Seconds()
 	for _, r := range s.servedTargets {
 		t := r.target
@@ -92,41 +94,41 @@
 				waiting, arrivals = waiting*float64(s.quota.instances), arrivals*float64(s.quota.instances)
 			}
 			all.add(rank, waiting, late, arrivals*horizon)
-			share.add(rank, waiting/replicas, late, arrivals*horizon/replicas)
+			serverPart.add(rank, waiting/replicas, late, arrivals*horizon/replicas)
 		}
 	}
-	return all, own, share
+	return all, own, serverPart
 }
 
-// drawRankRoom shares out what the server can take until the next report: the most urgent requests
-// come first, and less urgent ones get what those leave. A rank's part is divided among the
-// instances by their demand; parts are mostly less than one, so they are rounded at random.
+// drawRankRoom divides the server's room until the next load report among the ranks: each gets what
+// more urgent ones leave. A rank's room is divided among the instances by their demand. An instance's
+// part is mostly less than one request, so it is rounded at random.
 func (s *serverState) drawRankRoom(now time.Time, rng *rand.Rand) {
-	all, own, share := s.demandByRank(now, s.quota.reportInterval)
+	all, own, serverPart := s.demandByRank(now, s.quota.reportInterval)
 	load := s.load(now)
 	left := float64(s.Slots) - load + s.expectedReleases(s.quota.reportInterval)*min(load/float64(s.Slots), 1)
 	room := &s.rankRoom
 	room.least = 0
 	for rank := range Ranks {
-		if all.soon[rank] > 0 {
+		if all.byRank[rank] > 0 {
 			room.least = rank
 		}
 	}
 	for rank := range Ranks {
-		total, mine := all.total(rank, room.least), own.total(rank, room.least)
-		room.left[rank], room.soon[rank] = max(left+urgentQueue, 0), share.soon[rank]
+		total, ownTotal := all.total(rank, room.least), own.total(rank, room.least)
+		room.left[rank], room.demand[rank] = max(left+urgentQueue, 0), serverPart.byRank[rank]
 		left = max(left, 0)
-		room.limited[rank] = max(total, mine) > left
+		room.limited[rank] = max(total, ownTotal) > left
 		room.remaining[rank] = 0
 		if total > 0 {
-			room.remaining[rank] = int(math.Floor(left*min(mine/total, 1) + rng.Float64()))
+			room.remaining[rank] = int(math.Floor(left*min(ownTotal/total, 1) + rng.Float64()))
 		}
-		left -= share.soon[rank]
+		left -= serverPart.byRank[rank]
 	}
 }
 
-// roomRank returns the rank whose room at the server the request may use. It costs little to let a
-// late one wait longer.
+// roomRank returns the rank whose room at the server the request uses. A late request uses that of the
+// least urgent rank, since it has lost most of its value already.
 func (s *serverState) roomRank(req *requestState) int {
 	if req.goalMissed {
 		return max(s.rankRoom.least, RankIndex(req.Rank))
@@ -134,10 +136,10 @@
 	return RankIndex(req.Rank)
 }
 
-// hasRoomForRank reports whether the instance may send the request to the server by its rank, up to
-// a limit of requests there. An urgent request doesn't wait for the next load report: it waits at
-// the server, which admits the most urgent requests of all instances first. Without a recent report
-// the instance keeps to its fair share.
+// hasRoomForRank reports whether the instance may send the request to the server, which then has at
+// most limit requests, by the room of the request's rank. An urgent request doesn't wait for the next
+// load report and may exceed the limit: it waits at the server, which starts the most urgent requests
+// of all instances first. Without a recent load report the room isn't known, and hasRoom decides.
 func (s *Scheduler) hasRoomForRank(now time.Time, req *requestState, c *candidate, limit int) bool {
 	srv := c.server
 	if now.Sub(srv.quota.lastReportAt) >= quotaTTL {
@@ -150,23 +152,24 @@
 		return false
 	}
 	rank := srv.roomRank(req)
-	if rank > 0 && srv.rankRoom.floor[rank] {
+	if rank > 0 && srv.rankRoom.guaranteed[rank] {
 		return true
 	}
 	return !srv.rankRoom.limited[rank] || srv.rankRoom.remaining[rank] > 0
 }
 
-// fitsUrgent reports whether the candidates can take the request besides the other urgent ones that
-// are expected there. If there is room for a part of them, each is among that part by its draw:
-// parts of a quota would lie unused at instances that get no request in time.
+// fitsUrgent reports whether the candidates have room for the urgent request besides the others of its
+// rank. If they have room for a fraction of these requests only, the request's draw decides whether it
+// is in that fraction. Dividing the room among the instances instead would leave it unused at those
+// that get no urgent request before the next load report.
 func (s *Scheduler) fitsUrgent(req *requestState) bool {
-	left, soon := 0.0, 0.0
+	left, demand := 0.0, 0.0
 	for i := range s.candidates {
 		room := &s.candidates[i].server.rankRoom
 		left += room.left[RankIndex(req.Rank)]
-		soon += room.soon[RankIndex(req.Rank)]
+		demand += room.demand[RankIndex(req.Rank)]
 	}
-	return left >= req.draw*soon
+	return left >= req.draw*demand
 }
 
 // isUrgent reports whether the request can meet its goal only if it is sent before the next load
@@ -180,16 +183,17 @@
 	return s.load(now)+1 <= maxUrgentFill*float64(s.Slots)
 }
 
-// countDispatch takes a dispatch to the server from the part and from the floor of the rank. By draw
-// it may add to the floors of the others: an instance sends too little to one server to count.
+// countDispatch subtracts a dispatch to the server from the room of the rank. draw is random, from 0 to
+// 1: with probability minRankShare each other rank may send one request next. An instance sends too
+// few requests to one server to count off that share.
 func (s *serverState) countDispatch(rank int, draw float64) {
 	room := &s.rankRoom
 	room.remaining[rank] = max(room.remaining[rank]-1, 0)
-	room.floor[rank] = false
-	if draw >= rankFloor {
+	room.guaranteed[rank] = false
+	if draw >= minRankShare {
 		return
 	}
-	for other := range room.floor {
-		room.floor[other] = room.floor[other] || other != rank
+	for other := range room.guaranteed {
+		room.guaranteed[other] = room.guaranteed[other] || other != rank
 	}
 }
