--- a/decide/explain.go
+++ b/decide/explain.go
@@ -8,29 +8,29 @@
 	"time"
 )
 
-// Explanation says what would be decided about a request now, and why.
+// Explanation is the decision that would be made about a request now, and its reasons.
 type Explanation struct {
 	Action    Action
 	Reason    Reason
-	Server    Server        // with ActionDispatch: one that would be chosen; others may be as likely
-	QueueWait time.Duration // expected, unless a server would be chosen
-	Replicas  []ExplainedReplica
+	Server    Server             // with ActionDispatch: a likely one; the choice is random among good replicas
+	QueueWait time.Duration      // expected wait, unless a server would be chosen
+	Replicas  []ExplainedReplica // all replicas, the eligible ones first and then by score
 }
 
-// ExplainedReplica is a replica with the estimates that decide about it.
+// ExplainedReplica is a replica with the estimates that filters and scores use.
 type ExplainedReplica struct {
-	Server     Server
-	Near       bool    // in the instance's own failure domain
-	DroppedBy  string  // the rule that excludes it; empty: none
-	Load       float64 // estimated requests of all instances at the server
-	Unread     float64 // estimated prompt tokens not yet prefilled there
-	Slowdown   float64 // time that it takes, relative to its pool; above 1 is slow
-	Score      float64 // expected seconds to the end of the answer; lower is better
-	FillLimit  int     // most requests, of all instances, up to which the server would get this one
-	OwnRequest int     // requests of this instance at the server
+	Server      Server
+	Near        bool    // in the instance's own failure domain
+	DroppedBy   string  // the first filter that drops it; empty: none
+	Load        float64 // estimated number of requests of all instances at the server
+	Unread      float64 // estimated prompt tokens not yet prefilled there
+	Slowdown    float64 // time that the server takes relative to its pool; above 1 is slow
+	Score       float64 // expected seconds to the end of the answer; lower is better
+	FillLimit   int     // largest number of requests of all instances at which the server would get this one
+	OwnRequests int     // number of this instance's requests at the server
 }
 
-// Explain returns what would be decided about a request now. It changes nothing but the state of
+// Explain returns the decision that would be made about a request now. It changes no state but that of
 // the random source.
 func (s *Scheduler) Explain(now time.Time, r Request) Explanation {
 	req := &requestState{Request: r, heapIndex: -1, target: s.fleet.targets[r.Target]}
@@ -84,7 +84,7 @@
 		out = append(out, ExplainedReplica{
 			Server: c.server.Server, Near: i < t.near, DroppedBy: s.droppedBy(now, req, c),
 			Load: c.load, Unread: c.unread, Slowdown: c.server.relativeSlowdown(), Score: c.score,
-			FillLimit: c.server.requestLimit(), OwnRequest: c.server.own,
+			FillLimit: c.server.requestLimit(), OwnRequests: c.server.own,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b ExplainedReplica) int {
--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -8,38 +8,38 @@
 )
 
 const (
-	// minSpeedTokens is the minimum answer length of a speed sample. In shorter answers the
-	// time of the first events weighs too much.
+	// minSpeedTokens is the minimum answer length, in tokens, of a speed sample. In shorter answers
+	// the time of the first tokens weighs too much.
 	minSpeedTokens = 64
-	// maxSpeedSamples bounds the samples that an instance keeps between two reports.
+	// maxSpeedSamples bounds the samples in an instance's report.
 	maxSpeedSamples = 512
-	// speedsTTL is how long shared speeds are used after the lease holder last told any.
+	// speedsTTL is how long shared speeds are used after the last report of the lease holder.
 	speedsTTL = 5 * time.Second
-	// serverSpeedTTL is how long a server's shared speed is used after it was last told. It
-	// exceeds the time in which the lease holder tells the speeds of all servers.
+	// serverSpeedTTL is how long a server's shared speed is used after it was last reported. It
+	// exceeds the time in which the lease holder reports the speeds of all servers, some at a time.
 	serverSpeedTTL = 20 * time.Second
 	// unevenDeviation is the mean deviation of the speeds of a target's servers, relative to
-	// their mean, above which a request may leave its failure domain for them.
+	// their mean, above which requests may leave their failure domain for faster servers.
 	unevenDeviation = 0.1
 )
 
-// SpeedSample is what an instance measured of a server's speed since its last report: how
-// long the server took for each token of one model's answers.
+// SpeedSample is an instance's measurement of a server's speed since its last report: the sum, over
+// one model's answers, of the logarithm of the time per token.
 type SpeedSample struct {
 	Server string
-	Start  string  // of the server, as in Server.Start: what an earlier start showed is void
+	Start  string  // of the server, as in Server.Start; samples of an earlier start don't count
 	Pool   string  // of the server
-	Model  string  // whose answers these are; what is usual differs between models
-	Count  int     // answers
+	Model  string  // of the answers; the usual time per token differs between models
+	Count  int     // number of answers
 	LogSum float64 // sum of the natural logarithms of the seconds per token
 }
 
-// ServerSpeed is a server's speed as all instances together measured it.
+// ServerSpeed is a server's speed, estimated from the samples of all instances.
 type ServerSpeed struct {
 	Server string
-	Start  string
+	Start  string  // as in SpeedSample
 	Speed  float64 // work per time relative to the mean of its pool; above 1 is fast
-	Count  float64 // answers that it rests on, weighted by age
+	Count  float64 // number of answers that it is estimated from, weighted by age
 }
 
 // speedSum is the sum of the speed samples of one model at one server.
@@ -49,15 +49,15 @@
 	logSum float64
 }
 
-// sharedSpeed is a server's speed as the lease holder last told it.
+// sharedSpeed is a server's speed as the lease holder last reported it.
 type sharedSpeed struct {
-	speed  float64 // 0: not known
-	count  float64
-	toldAt time.Time
+	speed      float64 // see ServerSpeed.Speed; 0: not known
+	count      float64 // see ServerSpeed.Count
+	receivedAt time.Time
 }
 
-// measure records the seconds per token of an answer from the server.
-func (s *serverState) measure(model string, perToken float64) {
+// addSpeedSample records the seconds per token of an answer from the server.
+func (s *serverState) addSpeedSample(model string, perToken float64) {
 	if perToken <= 0 {
 		return
 	}
@@ -71,7 +71,7 @@
 	s.speedSums = append(s.speedSums, speedSum{model, 1, math.Log(perToken)})
 }
 
-// TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
+// TakeSpeedSamples returns the speed samples since the last call, sorted by server and model.
 func (s *Scheduler) TakeSpeedSamples() []SpeedSample {
 	var out []SpeedSample
 	for _, srv := range s.fleet.servers {
@@ -86,32 +86,32 @@
 	return out[:min(len(out), maxSpeedSamples)]
 }
 
-// UpdateSpeeds handles servers' speeds as all instances together measured them. Servers that
-// aren't named keep the speed that was last told.
+// UpdateSpeeds handles a report of servers' speeds from the lease holder. Servers that it doesn't name
+// keep their last reported speed until serverSpeedTTL.
 func (s *Scheduler) UpdateSpeeds(now time.Time, speeds []ServerSpeed) {
 	s.fleet.speedsReceivedAt = now
 	changed := false
-	for _, told := range speeds {
-		srv := s.fleet.servers[told.Server]
-		if srv == nil || srv.Start != told.Start || told.Speed <= 0 {
+	for _, reported := range speeds {
+		srv := s.fleet.servers[reported.Server]
+		if srv == nil || srv.Start != reported.Start || reported.Speed <= 0 {
 			continue
 		}
-		srv.shared = sharedSpeed{speed: min(max(told.Speed, 1.0/maxSlowdown), maxSlowdown), count: told.Count, toldAt: now}
+		srv.shared = sharedSpeed{speed: min(max(reported.Speed, 1.0/maxSlowdown), maxSlowdown), count: reported.Count, receivedAt: now}
 		changed = true
 	}
 	for _, srv := range s.fleet.servers {
-		if srv.shared.speed > 0 && now.Sub(srv.shared.toldAt) > serverSpeedTTL {
+		if srv.shared.speed > 0 && now.Sub(srv.shared.receivedAt) > serverSpeedTTL {
 			srv.shared = sharedSpeed{}
 			changed = true
 		}
 	}
 	if changed {
-		s.fleet.speedsChanged()
+		s.fleet.updateTargetSpeeds()
 	}
 }
 
-// expireSpeeds forgets all shared speeds if the lease holder hasn't told any for speedsTTL.
-// The instance then goes by its own answers.
+// expireSpeeds drops all shared speeds if the lease holder hasn't reported any for speedsTTL. The
+// instance then estimates slowdowns from its own answers.
 func (s *Scheduler) expireSpeeds(now time.Time) {
 	if s.fleet.speedsReceivedAt.IsZero() || now.Sub(s.fleet.speedsReceivedAt) <= speedsTTL {
 		return
@@ -120,7 +120,7 @@
 	for _, srv := range s.fleet.servers {
 		srv.shared = sharedSpeed{}
 	}
-	s.fleet.speedsChanged()
+	s.fleet.updateTargetSpeeds()
 }
 
 // speed returns the server's shared speed, 1 if it isn't known.
@@ -131,18 +131,18 @@
 	return s.shared.speed
 }
 
-// slowdownAmong returns how many times as long the server takes as the target's servers do in
-// the mean, or 1 if that isn't known. The target's times are those at its servers, so what
-// multiplies them is relative to these.
+// slowdownAmong returns the time that the server takes relative to the mean of the target's servers,
+// or 1 if it isn't known. It is the factor for the target's times, which are measured at its servers.
 func (s *serverState) slowdownAmong(t *targetState) float64 {
-	if s.goesByShared() {
+	if s.usesSharedSpeed() {
 		return min(max(t.meanSpeed()/s.shared.speed, 1.0/maxSlowdown), maxSlowdown)
 	}
 	return s.relativeSlowdown()
 }
 
-// goesByShared reports whether the shared speed rests on more answers than this instance's own.
-func (s *serverState) goesByShared() bool {
+// usesSharedSpeed reports whether the shared speed is estimated from more answers than this
+// instance's own slowdown.
+func (s *serverState) usesSharedSpeed() bool {
 	return s.shared.speed > 0 && s.shared.count > float64(min(s.slowdown.n, averageSamples))
 }
 
@@ -154,7 +154,7 @@
 	return t.totalSpeed / float64(len(t.replicas))
 }
 
-// sumSpeeds computes the sum of the speeds of the target's replicas, and whether they differ.
+// sumSpeeds sets totalSpeed and uneven.
 func (t *targetState) sumSpeeds() {
 	t.totalSpeed = 0
 	for i := range t.replicas {
@@ -167,8 +167,8 @@
 	t.uneven = deviation > unevenDeviation*t.totalSpeed
 }
 
-// speedsChanged brings what depends on shared speeds up to date.
-func (f *fleet) speedsChanged() {
+// updateTargetSpeeds updates the targets after a change of shared speeds.
+func (f *fleet) updateTargetSpeeds() {
 	for _, t := range f.sortedTargets {
 		t.sumSpeeds()
 	}
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -97,7 +97,7 @@
 	case o.Tokens > 1:
 		s.learn((o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1), usual.perToken.mean)
 		if o.Tokens >= minSpeedTokens {
-			s.measure(t.Model, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
+			s.addSpeedSample(t.Model, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1))
 		}
 		s.pool.engine.recordDecode(o.Tokens, (o.Total-o.FirstToken).Seconds()/float64(o.Tokens-1)*s.speed())
 	}
@@ -134,7 +134,7 @@
 	}
 	f.dispatchedTo.learn(abandonedFactor*took, usual)
 	if !t.Service && !f.queuedAtServer && t.service.perToken.warm() && t.allowed(&f.Request) >= minSpeedTokens {
-		f.dispatchedTo.measure(t.Model, t.service.perToken.mean*min(abandonedFactor*took/usual, maxSlowdown))
+		f.dispatchedTo.addSpeedSample(t.Model, t.service.perToken.mean*min(abandonedFactor*took/usual, maxSlowdown))
 	}
 }
 
@@ -154,7 +154,7 @@
 // answers than this one's. It lets one slow server among normal ones get fewer requests;
 // only failures exclude a server.
 func (s *serverState) relativeSlowdown() float64 {
-	if s.goesByShared() {
+	if s.usesSharedSpeed() {
 		return 1 / s.shared.speed
 	}
 	if !s.slowdown.warm() || s.pool.slowdown <= 0 {
--- a/decide/speed_estimate.go
+++ b/decide/speed_estimate.go
@@ -8,45 +8,44 @@
 )
 
 const (
-	// speedDecayTime is the time constant with which answers lose their weight in a server's
-	// speed.
+	// speedDecayTime is the time constant with which answers lose their weight in the estimates.
 	speedDecayTime = 10 * time.Second
-	// recentSpeedAnswers is the number of newest answers that show a change of a server's
-	// speed: if each differs from the estimate by speedChange or more, all the same way, older
-	// answers no longer count.
+	// recentSpeedAnswers is the number of newest samples that show a change of a server's speed:
+	// if all of them are slower, or all faster, than estimated by at least the factor speedChange,
+	// older answers no longer count.
 	recentSpeedAnswers = 8
 	speedChange        = 1.5
-	// fasterDeviations is how many standard errors the newest answers have to exceed the
-	// estimate to show a faster server.
+	// fasterDeviations is the number of standard errors by which the newest answers have to be
+	// faster than estimated to show a faster server.
 	fasterDeviations = 4.0
-	// outlierDeviations is how many standard deviations a changed speed has to differ from 1
-	// to be taken for unlike the others in its pool.
+	// outlierDeviations is the number of standard deviations by which the logarithm of a changed
+	// speed has to differ from 0 for the server to be an outlier in its pool.
 	outlierDeviations = 2.0
-	// minSpeedAnswers is the weight of answers from which a speed is known.
+	// minSpeedAnswers is the least weight of the answers of a server whose speed is known.
 	minSpeedAnswers = 3.0
 	// minSpeedDifference is the relative difference from 1 below which a speed counts as 1.
 	minSpeedDifference = 0.05
-	// initialSpread is the assumed variance of the logarithms of the servers' speeds, and of
-	// the models' times, before they are known. minSpread is the least.
+	// initialSpread is the assumed variance of the logarithms of the servers' speeds, and of the
+	// models' times, before the first fit. minSpread is the least variance of both.
 	initialSpread = 0.1
 	minSpread     = 0.0004
-	// speedSweeps is the number of alternations between models and servers in one fit. Each
-	// fit goes on from the one before.
+	// speedSweeps is the number of alternations between models and servers in one fit. A few are
+	// enough, since each fit starts from the previous one.
 	speedSweeps = 4
-	// initialVariance is the assumed variance of the logarithm of the time per token, and
-	// varianceWeight the weight of an answer in the measured one.
+	// initialVariance is the assumed variance of the logarithm of the time per token before any
+	// answers, and varianceWeight the weight of a new sample in the moving estimate of it.
 	initialVariance = 0.1
 	varianceWeight  = 0.005
-	// minCellWeight is the weight of answers below which they are dropped.
+	// minCellWeight is the weight below which the answers of a model at a server are dropped.
 	minCellWeight = 0.05
 )
 
-// SpeedEstimator estimates servers' speeds from the answers that all instances measured. An
-// answer's time per token is taken as the product of what its model needs at a server of
-// speed 1 and the server's slowness, so that a slow model isn't taken for a slow server. Both
-// are random effects whose variances are estimated too (by expectation maximization), since
-// many models have one server only: a server all of whose models are slow is taken for slow
-// where servers differ more than models do. It is not safe for concurrent use.
+// SpeedEstimator estimates servers' speeds from the samples of all instances. The model of an answer's
+// time per token is the time of its model at a server of speed 1 divided by the server's speed, so that
+// a slow model isn't taken for a slow server. The logarithms of both factors are random effects, whose
+// variances are estimated by expectation maximization. Many models have one server only, so the
+// variances decide: a server with slow answers for all its models counts as slow where servers differ
+// more than models do. It is not safe for concurrent use.
 type SpeedEstimator struct {
 	pools    map[string]*poolSpeeds
 	byServer map[speedKey]*serverEstimate
@@ -56,13 +55,13 @@
 // speedKey identifies a start of a server.
 type speedKey struct{ server, start string }
 
-// poolSpeeds is what is known of a pool.
+// poolSpeeds holds the estimates of a pool. Logarithms are natural, of times in seconds.
 type poolSpeeds struct {
 	models   map[string]*modelEstimate
 	ordered  []*modelEstimate  // the same in the order of their first answers
 	servers  []*serverEstimate // in the order of their first answers
-	logTime  float64           // of the time per token of a usual model at a server of speed 1
-	variance float64           // of the logarithm of the time per token, with models and servers allowed for
+	logTime  float64           // logarithm of the mean model's time per token at a server of speed 1
+	variance float64           // of the logarithm of the time per token, given the model and the server
 
 	serverSpread, modelSpread float64 // variances of serverEstimate.logSpeed and modelEstimate.offset
 }
@@ -70,29 +69,29 @@
 // modelEstimate is the time per token of a model at a server of speed 1.
 type modelEstimate struct {
 	name        string
-	offset      float64 // of the time's logarithm from poolSpeeds.logTime
-	sum, weight float64 // of the current sweep
+	offset      float64 // logarithm of the time per token less poolSpeeds.logTime
+	sum, weight float64 // of its answers' logarithms of time; used within one sweep
 }
 
 // serverEstimate is the speed of one start of a server.
 type serverEstimate struct {
 	key      speedKey
 	pool     *poolSpeeds
-	outlier  bool // its speed changed, and not to a usual one of the pool
+	outlier  bool // its speed changed to one that is unusual in the pool; it doesn't count in serverSpread
 	cells    []speedCell
-	recent   []recentAnswer // the newest, at most recentSpeedAnswers
-	logSpeed float64
-	weight   float64 // of its answers
+	recent   []recentAnswer // the newest samples, at most recentSpeedAnswers
+	logSpeed float64        // natural logarithm of the speed
+	weight   float64        // number of its answers, weighted by age
 }
 
 // speedCell holds the answers of one model at one server.
 type speedCell struct {
 	model  *modelEstimate
-	weight float64 // answers, weighted by age
+	weight float64 // number of answers, weighted by age
 	sum    float64 // of the logarithms of their times per token, weighted by age
 }
 
-// recentAnswer is the mean of the answers of one sample.
+// recentAnswer is the mean of the answers of one sample: the logarithm of the seconds per token.
 type recentAnswer struct {
 	model   *modelEstimate
 	logTime float64
@@ -103,8 +102,8 @@
 	return &SpeedEstimator{pools: map[string]*poolSpeeds{}, byServer: map[speedKey]*serverEstimate{}}
 }
 
-// Add adds what one instance measured. Samples are sums since the instance's previous report,
-// so a lost report loses its own samples only.
+// Add adds the samples of one instance. They are sums since the instance's previous report, so a lost
+// report loses its own samples only.
 func (e *SpeedEstimator) Add(samples []SpeedSample) {
 	for _, s := range samples {
 		mean := s.LogSum / float64(s.Count)
@@ -116,8 +115,7 @@
 	}
 }
 
-// pool returns what is known of a pool, of a new one the logarithm of its first answer's time
-// per token.
+// pool returns the estimates of a pool. A new pool starts with logTime.
 func (e *SpeedEstimator) pool(name string, logTime float64) *poolSpeeds {
 	p := e.pools[name]
 	if p == nil {
@@ -130,6 +128,7 @@
 	return p
 }
 
+// server returns the estimate of one start of a server, a new one if there is none.
 func (p *poolSpeeds) server(e *SpeedEstimator, key speedKey) *serverEstimate {
 	s := e.byServer[key]
 	if s == nil {
@@ -140,6 +139,7 @@
 	return s
 }
 
+// model returns the estimate of a model, a new one if there is none.
 func (p *poolSpeeds) model(name string) *modelEstimate {
 	m := p.models[name]
 	if m == nil {
@@ -150,6 +150,7 @@
 	return m
 }
 
+// add adds a sample of count answers, with the mean of the logarithms of their times per token.
 func (s *serverEstimate) add(m *modelEstimate, count, mean float64) {
 	c := s.cell(m)
 	c.weight += count
@@ -165,11 +166,12 @@
 	s.recent = append(s.recent, recentAnswer{m, mean})
 }
 
-// expected returns the logarithm of the seconds per token of a model's answers.
+// expected returns the estimated logarithm of the seconds per token of a model's answers.
 func (s *serverEstimate) expected(m *modelEstimate) float64 {
 	return s.pool.logTime + m.offset - s.logSpeed
 }
 
+// cell returns the server's answers of a model, a new cell if there is none.
 func (s *serverEstimate) cell(m *modelEstimate) *speedCell {
 	for i := range s.cells {
 		if s.cells[i].model == m {
@@ -180,7 +182,7 @@
 	return &s.cells[len(s.cells)-1]
 }
 
-// Fit brings the speeds up to date.
+// Fit updates the speeds with the samples added since the last fit.
 func (e *SpeedEstimator) Fit(now time.Time) {
 	keep := 1.0
 	if !e.fittedAt.IsZero() {
@@ -200,7 +202,7 @@
 	}
 }
 
-// decay reduces the weight of past answers and forgets servers and models without any.
+// decay multiplies the weight of past answers by keep and drops servers that have none left.
 func (p *poolSpeeds) decay(e *SpeedEstimator, keep float64) {
 	servers := p.servers[:0]
 	for _, s := range p.servers {
@@ -215,6 +217,7 @@
 	p.servers = servers
 }
 
+// decay multiplies the weight of the server's answers by keep and drops cells below minCellWeight.
 func (s *serverEstimate) decay(keep float64) {
 	cells := s.cells[:0]
 	for _, c := range s.cells {
@@ -227,7 +230,7 @@
 	s.cells = cells
 }
 
-// dropBeforeChange drops older answers if all the newest ones show another speed.
+// dropBeforeChange drops older answers if the newest ones show that the speed has changed.
 func (s *serverEstimate) dropBeforeChange() {
 	if len(s.recent) < recentSpeedAnswers {
 		return
@@ -235,7 +238,7 @@
 	if !s.isSlower() && !s.isFaster() {
 		return
 	}
-	s.outlier = true // until fitServers finds it like the others
+	s.outlier = true // until fitServers finds its speed usual in the pool
 	s.cells = s.cells[:0]
 	for _, a := range s.recent {
 		c := s.cell(a.model)
@@ -252,9 +255,9 @@
 	})
 }
 
-// isFaster reports whether each of the newest answers took less time than expected by
-// speedChange, and together less than by chance. A server that is wrongly taken for faster is
-// overloaded, so more is asked for than to find one slower.
+// isFaster reports whether each of the newest answers took less time than expected by speedChange, and
+// the sum of the differences exceeds random variation by fasterDeviations. The condition is stricter
+// than that of isSlower because a server that is wrongly taken for faster gets overloaded.
 func (s *serverEstimate) isFaster() bool {
 	sum := 0.0
 	for _, a := range s.recent {
@@ -267,10 +270,10 @@
 	return sum > fasterDeviations*math.Sqrt(s.pool.variance*recentSpeedAnswers)
 }
 
-// fitServers sets the servers' speeds, given the models' times. The fewer a server's answers
-// are and the less servers differ, the nearer to 1.
+// fitServers sets the servers' speeds, given the models' times. The estimates are shrunk toward 1: the
+// more so the fewer answers a server has and the less servers differ.
 func (p *poolSpeeds) fitServers() {
-	prior := p.variance / p.serverSpread // in answers
+	prior := p.variance / p.serverSpread // weight of the prior, in answers
 	spread, n := 0.0, 0.0
 	for _, s := range p.servers {
 		sum := 0.0
@@ -291,7 +294,7 @@
 	p.serverSpread = max(spread/max(n, 1), minSpread)
 }
 
-// fitModels sets the models' times, given the servers' speeds.
+// fitModels sets the models' times, given the servers' speeds, and drops models without answers.
 func (p *poolSpeeds) fitModels() {
 	for _, m := range p.ordered {
 		m.sum, m.weight = 0, 0
@@ -309,7 +312,7 @@
 	if weight > 0 {
 		p.logTime = total / weight
 	}
-	prior := p.variance / p.modelSpread
+	prior := p.variance / p.modelSpread // weight of the prior, in answers
 	spread := 0.0
 	kept := p.ordered[:0]
 	for _, m := range p.ordered {
@@ -326,7 +329,7 @@
 	p.modelSpread = max(spread/max(float64(len(kept)), 1), minSpread)
 }
 
-// normalize makes the mean of the servers' speeds 1.
+// normalize scales the servers' speeds to a mean of 1.
 func (p *poolSpeeds) normalize() {
 	mean := 0.0
 	for _, s := range p.servers {
@@ -356,7 +359,7 @@
 	return out
 }
 
-// Has reports whether any answers of one start of a server still have weight.
+// Has reports whether there are answers of one start of a server that haven't been dropped by age.
 func (e *SpeedEstimator) Has(server, start string) bool {
 	return e.byServer[speedKey{server, start}] != nil
 }
--- a/instance/explain.go
+++ b/instance/explain.go
@@ -29,6 +29,6 @@
 	return &exchange.ExplainedReplica{
 		Server: r.Server.ID, FailureDomain: r.Server.FailureDomain, Near: r.Near, DroppedBy: r.DroppedBy,
 		Load: r.Load, Slots: uint32(r.Server.Slots), UnreadTokens: r.Unread, Slowdown: r.Slowdown, Score: r.Score,
-		FillLimit: uint32(r.FillLimit), Own: uint32(r.OwnRequest),
+		FillLimit: uint32(r.FillLimit), Own: uint32(r.OwnRequests),
 	}
 }
