--- /dev/null
+++ b/decide/contention_result_test.go
@@ -0,0 +1,66 @@
+package decide
+
+import (
+	"fmt"
+	"time"
+)
+
+// contentionResult counts the requests that arrived after the warm-up.
+type contentionResult struct {
+	arrived, inTime, late [3]int // by rank
+	hotArrived, hotInTime int    // of the first account
+	byEngine              []int  // requests started
+
+	refused  [3]int        // callers that got no answer, by rank
+	returned [3]int        // callers that came back, by rank
+	again    [3]int        // those of them that were refused again
+	held     time.Duration // by instances, of requests that were then refused
+}
+
+func (r *contentionResult) inTimeShare(rank int) float64 {
+	return float64(r.inTime[rank]) / float64(max(r.arrived[rank], 1))
+}
+
+// worth is the mean worth of a request, 1 if all are in time.
+func (r *contentionResult) worth() float64 {
+	sum, n := 0.0, 0
+	for rank := range r.arrived {
+		sum += float64(r.inTime[rank]) + lateWorth*float64(r.late[rank])
+		n += r.arrived[rank]
+	}
+	return sum / float64(n)
+}
+
+// othersInTime is the share in time of the accounts but the first.
+func (r *contentionResult) othersInTime() float64 {
+	inTime, arrived := -r.hotInTime, -r.hotArrived
+	for rank := range r.arrived {
+		inTime += r.inTime[rank]
+		arrived += r.arrived[rank]
+	}
+	return float64(inTime) / float64(arrived)
+}
+
+// refusedAgain is the share of the callers that came back who were refused again.
+func (r *contentionResult) refusedAgain() float64 {
+	again, returned := 0, 0
+	for rank := range r.again {
+		again += r.again[rank]
+		returned += r.returned[rank]
+	}
+	return float64(again) / float64(max(returned, 1))
+}
+
+// heldEach is how long requests that were refused had been held, in the mean.
+func (r *contentionResult) heldEach() time.Duration {
+	tries := 0
+	for rank := range r.refused {
+		tries += r.refused[rank] + r.returned[rank]
+	}
+	return r.held / time.Duration(max(tries, 1))
+}
+
+func (r *contentionResult) String() string {
+	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v (%.3f), held %v",
+		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.refusedAgain(), r.held.Round(time.Second))
+}
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -64,66 +63,6 @@
 	seed      uint64
 }
 
-// contentionResult counts the requests that arrived after the warm-up.
-type contentionResult struct {
-	arrived, inTime, late [3]int // by rank
-	hotArrived, hotInTime int    // of the first account
-	byEngine              []int  // requests started
-
-	refused  [3]int        // callers that got no answer, by rank
-	returned [3]int        // callers that came back, by rank
-	again    [3]int        // those of them that were refused again
-	held     time.Duration // by instances, of requests that were then refused
-}
-
-func (r *contentionResult) inTimeShare(rank int) float64 {
-	return float64(r.inTime[rank]) / float64(max(r.arrived[rank], 1))
-}
-
-// worth is the mean worth of a request, 1 if all are in time.
-func (r *contentionResult) worth() float64 {
-	sum, n := 0.0, 0
-	for rank := range r.arrived {
-		sum += float64(r.inTime[rank]) + lateWorth*float64(r.late[rank])
-		n += r.arrived[rank]
-	}
-	return sum / float64(n)
-}
-
-// othersInTime is the share in time of the accounts but the first.
-func (r *contentionResult) othersInTime() float64 {
-	inTime, arrived := -r.hotInTime, -r.hotArrived
-	for rank := range r.arrived {
-		inTime += r.inTime[rank]
-		arrived += r.arrived[rank]
-	}
-	return float64(inTime) / float64(arrived)
-}
-
-// refusedAgain is the share of the callers that came back who were refused again.
-func (r *contentionResult) refusedAgain() float64 {
-	again, returned := 0, 0
-	for rank := range r.again {
-		again += r.again[rank]
-		returned += r.returned[rank]
-	}
-	return float64(again) / float64(max(returned, 1))
-}
-
-// heldEach is how long requests that were refused had been held, in the mean.
-func (r *contentionResult) heldEach() time.Duration {
-	tries := 0
-	for rank := range r.refused {
-		tries += r.refused[rank] + r.returned[rank]
-	}
-	return r.held / time.Duration(max(tries, 1))
-}
-
-func (r *contentionResult) String() string {
-	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v (%.3f), held %v",
-		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.refusedAgain(), r.held.Round(time.Second))
-}
-
 // contentionRequest is a request of the simulation.
 type contentionRequest struct {
 	Request
@@ -257,86 +196,6 @@
 	c.after(25*time.Millisecond, func() { c.tick(i) })
 }
 
-// takeSnapshot records what instances report. It reaches the others contentionReportLag later.
-func (c *contentionSim) takeSnapshot() {
-	var st contentionState
-	for _, e := range c.engines {
-		st.loads = append(st.loads, e.running+len(e.waiting))
-	}
-	st.backlogs = c.backlogs()
-	byAccount := map[AccountDemand]AccountDemand{}
-	for _, s := range c.schedulers {
-		for _, d := range s.AccountDemands() {
-			k := AccountDemand{Account: d.Account, Pool: d.Pool}
-			sum := byAccount[k]
-			byAccount[k] = AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: sum.Waiting + d.Waiting, InFlight: sum.InFlight + d.InFlight}
-		}
-		c.speeds.Add(s.TakeSpeedSamples())
-	}
-	c.speeds.Fit(c.now)
-	st.speeds = c.speeds.Speeds()
-	for _, d := range byAccount {
-		st.accounts = append(st.accounts, d)
-	}
-	slices.SortFunc(st.accounts, func(a, b AccountDemand) int { return strings.Compare(a.Account, b.Account) })
-	c.snapshots = append(c.snapshots, st)
-	if len(c.snapshots) > int(contentionReportLag/contentionSnapshot) {
-		c.snapshots = c.snapshots[1:]
-	}
-	c.after(contentionSnapshot, c.takeSnapshot)
-}
-
-// backlogs returns what all instances have queued and get, by target.
-func (c *contentionSim) backlogs() []Backlog {
-	var out []Backlog
-	for m := range c.weights {
-		b := Backlog{Target: fmt.Sprint("m", m)}
-		if a := c.arrivals[b.Target]; a != nil {
-			for rank := range a {
-				b.Arrivals[rank] = a[rank].rate(c.now)
-			}
-			for rank := range b.Starts {
-				b.Starts[rank] = c.starts[b.Target][rank].rate(c.now)
-			}
-		}
-		for _, s := range c.schedulers {
-			for _, h := range s.fleet.targets[b.Target].queue.heaps {
-				for _, req := range h {
-					b.Waiting[RankIndex(req.Rank)]++
-				}
-			}
-		}
-		out = append(out, b)
-	}
-	return out
-}
-
-// report gives an instance the oldest snapshot.
-func (c *contentionSim) report(i int) {
-	c.after(contentionInterval, func() { c.report(i) })
-	if at := c.now.Sub(simStart); at >= c.cutFrom && at < c.cutTo {
-		return
-	}
-	was := c.snapshots[0]
-	s := c.schedulers[i]
-	s.UpdateSpeeds(c.now, was.speeds)
-	s.UpdateAccounts(c.now, was.accounts)
-	if !c.alone {
-		c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
-	}
-	wanted := map[string]float64{}
-	for _, b := range was.backlogs {
-		for rank := range b.Waiting {
-			wanted[b.Target] += b.Waiting[rank] + b.Arrivals[rank]*ArrivalHorizon.Seconds()
-		}
-	}
-	contending := s.SpreadOverServers(wanted)
-	for n, e := range c.engines {
-		load := infra.Load{Running: was.loads[n], Contending: int(contending[e.id] + 0.5)}
-		c.carryOut(i, s.UpdateLoad(c.now, e.id, load, contentionReportLag))
-	}
-}
-
 func (c *contentionSim) carryOut(i int, decisions []Decision) {
 	for _, d := range slices.Clone(decisions) {
 		r := c.requests[d.Request]
--- a/decide/explain.go
+++ b/decide/explain.go
@@ -26,7 +26,7 @@
 	Unread      float64 // estimated prompt tokens not yet prefilled there
 	Slowdown    float64 // time that the server takes relative to its pool; above 1 is slow
 	Score       float64 // expected seconds to the end of the answer; lower is better
-	FillLimit   int     // largest number of requests of all instances at which the server would get this one
+	FillLimit   int     // largest number of requests of all instances at the server, with this one
 	OwnRequests int     // number of this instance's requests at the server
 }
 
--- a/decide/server_speed.go
+++ b/decide/server_speed.go
@@ -16,7 +16,7 @@
 	// speedsTTL is how long shared speeds are used after the last report of the lease holder.
 	speedsTTL = 5 * time.Second
 	// serverSpeedTTL is how long a server's shared speed is used after it was last reported. It
-	// exceeds the time in which the lease holder reports the speeds of all servers, some at a time.
+	// exceeds the time in which the lease holder reports the speed of every server at least once.
 	serverSpeedTTL = 20 * time.Second
 	// unevenDeviation is the mean deviation of the speeds of a target's servers, relative to
 	// their mean, above which requests may leave their failure domain for faster servers.
