--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -13,8 +13,8 @@
 
 // An account that sends five times its usual must not cost the others what they get without it.
 func TestAccountThatSendsFiveTimesItsUsualLeavesTheOthersTheirShare(t *testing.T) {
-	usual := simulateContention(contention{instances: 75, load: 1, seed: 7})
-	hot := simulateContention(contention{instances: 75, load: 1, hot: 5, seed: 7})
+	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7})
+	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7})
 	t.Log("usual:", usual)
 	t.Log("hot:  ", hot, "hot account", float64(hot.hotInTime)/float64(hot.hotArrived))
 	require.GreaterOrEqual(t, hot.othersInTime(), 0.9*usual.othersInTime())
@@ -24,8 +24,8 @@
 // Without a lease holder an instance knows its own requests alone. It goes on, and keeps apart what
 // it can tell apart.
 func TestAccountsSharesWithoutALeaseHolder(t *testing.T) {
-	usual := simulateContention(contention{instances: 75, load: 1, seed: 7, cutTo: contentionEnd})
-	hot := simulateContention(contention{instances: 75, load: 1, hot: 5, seed: 7, cutTo: contentionEnd})
+	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7, cutTo: contentionEnd})
+	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7, cutTo: contentionEnd})
 	t.Log("usual:", usual)
 	t.Log("hot:  ", hot, "hot account", float64(hot.hotInTime)/float64(hot.hotArrived))
 	require.GreaterOrEqual(t, hot.othersInTime(), 0.9*usual.othersInTime())
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -9,7 +9,7 @@
 )
 
 // floodedScheduler returns the scheduler of one of 75 instances. The one server of target "am" is
-// taken by the requests of other instances, and this instance has nothing queued.
+// taken by a request, and this instance has nothing queued.
 func floodedScheduler(t *testing.T) *Scheduler {
 	t.Helper()
 	s := testScheduler(testTable(1, 1, 75, "am"))
@@ -19,18 +19,18 @@
 	return s
 }
 
-// rankedRequest returns a request that arrives at now.
+// rankedRequest returns a request of a rank that arrives at now.
 func rankedRequest(id string, now time.Time, rank int, deadline time.Duration) Request {
 	r := newTestRequest(id, "am", deadline)
 	r.Rank, r.Arrived, r.Deadline = rank, now, now.Add(deadline)
 	return r
 }
 
-// afterReplicas is a time at which starts show what the table's replicas bring.
+// afterReplicas is a time at which measured start rates include all of the table's replicas.
 var afterReplicas = simStart.Add(newReplicaTime + time.Second)
 
-// One of many instances has an empty queue while the others have 200 requests waiting: the wait
-// behind those, at the rate at which they start, is longer than the caller has.
+// The instance has one request queued while the others have 200. The wait behind those, at their start
+// rate, exceeds the deadline.
 func TestRequestIsRefusedForWhatWaitsElsewhere(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	require.Equal(t, ActionQueue, s.Submit(now, rankedRequest("before", now, 0, 10*time.Second))[0].Action)
@@ -42,7 +42,7 @@
 	require.Equal(t, 10*time.Second, d.RetryAfter, "more requests arrive than start: it would be refused again")
 }
 
-// The same for a request that waits already: it is refused with most of its time left.
+// A request that is already queued is refused long before its deadline.
 func TestQueuedRequestIsRefusedForWhatWaitsElsewhere(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	s.Submit(now, rankedRequest("waiting", now, 0, 10*time.Second))
@@ -52,8 +52,8 @@
 	require.Equal(t, ActionRefuse, d[0].Action)
 }
 
-// Batch work waits everywhere. It is no reason to refuse a more urgent request, but one to refuse
-// more of its rank.
+// Requests of rank 2 wait at all instances. A more urgent request is queued all the same, and another
+// one of rank 2 is refused.
 func TestLessUrgentBacklogRefusesNoUrgentRequest(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{0, 0, 500}, Starts: [Ranks]float64{5, 0, 5}}}, 0)
@@ -61,8 +61,8 @@
 	require.Equal(t, ActionRefuse, s.Submit(now, rankedRequest("batch", now, 2, 10*time.Second))[0].Action)
 }
 
-// A request that is past its goal can still be served late. It isn't sent away for that: it would come
-// back as a new one, before requests that can still be in time.
+// A request that has missed its goal but can meet its deadline stays queued. If it were refused, its
+// caller's retry would count as new and go before requests that can still be in time.
 func TestRequestPastItsGoalStaysWhileItCanBeServed(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	r := rankedRequest("late", now, 0, 10*time.Second)
@@ -77,25 +77,24 @@
 	require.Len(t, s.Tick(now), 1)
 }
 
-// Callers wait some three seconds for a first token, and come back within four. A backlog that
-// shrinks is gone by then: each caller is told a time of its own, at this instance's part of the
-// rate at which servers start more than arrives.
+// The backlog shrinks and is gone before the callers' latest retry. Each caller gets a retry time of its
+// own, spaced by this instance's part of the rate at which the backlog shrinks.
 func TestReturnsAreSpreadOverWhatServersStart(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	s.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{800}, Arrivals: [Ranks]float64{20}, Starts: [Ranks]float64{200}}}, 0)
-	var told []time.Duration
+	var retryAfter []time.Duration
 	for i := range 4 {
 		r := rankedRequest(fmt.Sprint(i), now, 0, 15*time.Second)
 		r.FirstTokenDeadline = now.Add(3 * time.Second)
 		d := s.Submit(now, r)[0]
 		require.Equal(t, ActionRefuse, d.Action)
 		require.True(t, d.Inputs.Shared.Room)
-		told = append(told, d.RetryAfter)
+		retryAfter = append(retryAfter, d.RetryAfter)
 	}
-	for i, after := range told[1:] {
-		require.Greater(t, after, told[i])
+	for i, after := range retryAfter[1:] {
+		require.Greater(t, after, retryAfter[i])
 	}
-	require.LessOrEqual(t, told[3], 5*time.Second, "callers come back within a third of their time")
+	require.LessOrEqual(t, retryAfter[3], 5*time.Second, "callers come back within a third of their time")
 	var last Decision
 	for i := range 100 {
 		r := rankedRequest(fmt.Sprint("more", i), now, 0, 15*time.Second)
@@ -106,7 +105,7 @@
 	require.Equal(t, 15*time.Second, last.RetryAfter)
 }
 
-// Callers that were told to come back count as arrivals before they do.
+// Expected returns count as arrivals before they happen.
 func TestExpectedReturnsCountByTimeAndRank(t *testing.T) {
 	var r returns
 	now := simStart
@@ -122,8 +121,7 @@
 	require.Zero(t, r.increase(now.Add(time.Hour), 3))
 }
 
-// The places of callers that were told to come back aren't promised to others that are no more urgent;
-// more urgent ones go first all the same.
+// An expected return reduces the starts that are left for its rank, but not for more urgent ones.
 func TestExpectedReturnsKeepTheirPlaces(t *testing.T) {
 	s, now := floodedScheduler(t), afterReplicas
 	target := s.fleet.targets["am"]
@@ -137,25 +135,24 @@
 	require.Equal(t, before.leftover[0], after.leftover[0])
 }
 
-// The lease holder is gone, this instance is cut off, or it has just started: nothing recent is
-// told, and each decision is the one of an instance that was never told anything.
+// Without a recent report, each decision is that of an instance that never got one.
 func TestOldBacklogsDecideNothing(t *testing.T) {
-	told, alone := floodedScheduler(t), floodedScheduler(t)
+	informed, alone := floodedScheduler(t), floodedScheduler(t)
 	now := afterReplicas
-	told.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
+	informed.UpdateBacklogs(now, []Backlog{{Target: "am", Waiting: [Ranks]float64{200}, Starts: [Ranks]float64{10}}}, 0)
 	now = now.Add(backlogTTL)
 	for i := range 40 {
 		r := rankedRequest(fmt.Sprint(i), now, i%3, 10*time.Second)
-		require.Equal(t, alone.Submit(now, r), told.Submit(now, r))
+		require.Equal(t, alone.Submit(now, r), informed.Submit(now, r))
 	}
 	for range 20 {
 		now = now.Add(time.Second)
-		require.Equal(t, alone.Tick(now), told.Tick(now))
+		require.Equal(t, alone.Tick(now), informed.Tick(now))
 	}
 }
 
-// A target that has just got its first replica starts more requests than were lately measured, and
-// one with a second replica up to twice as many.
+// Start rates that were measured before a new replica aren't used for a target's first replica, and are
+// scaled by the number of replicas for a further one.
 func TestNewReplicaOutdatesStarts(t *testing.T) {
 	s := testScheduler(testTable(1, 1, 75, "am"))
 	warmUp(s, "am")
@@ -172,8 +169,8 @@
 	require.Equal(t, 18.0, s.estimateBacklog(now, s.fleet.targets["am"]).starts[0])
 }
 
-// Models take some four seconds to load, and callers wait two for a first token. They are refused at
-// once, and come back when their model is there; who can wait that long does.
+// Models take four seconds to load. A caller with an earlier first-token deadline is refused at once,
+// with a retry time at which the model is loaded; one with a later deadline waits.
 func TestCallersComeBackWhenTheirModelIsLoaded(t *testing.T) {
 	table := testTable(1, 10, 75, "am")
 	table.RoomByRank = true
@@ -201,37 +198,36 @@
 	require.Equal(t, ActionQueue, submit("nearly loaded", 2*time.Second).Action)
 }
 
-// 75 instances, a third more load than slots, and callers that come back once as they were told.
-// Alone, each instance counts on a slot at each server and holds requests for seconds that it then
-// refuses. With what waits everywhere it refuses them at once, and no rank is served worse.
+// 75 instances with more load than slots, and callers that retry once. Without backlog reports, instances
+// hold requests for a long time before they refuse them. With reports they refuse them early, and no
+// rank is served worse.
 func TestManyInstancesRefuseAtOnceWhatCannotBeServed(t *testing.T) {
-	flood := contention{instances: 75, load: 1.3, seed: 7, returns: true, end: 20 * time.Second}
-	told := simulateContention(flood)
+	flood := contentionSettings{instances: 75, load: 1.3, seed: 7, returns: true, end: 20 * time.Second}
+	informed := simulateContention(flood)
 	flood.alone = true
 	alone := simulateContention(flood)
 	t.Log("alone", alone)
-	t.Log("told", told)
-	require.Greater(t, told.worth(), alone.worth())
-	for rank := range told.arrived {
-		require.Greater(t, told.inTimeShare(rank), alone.inTimeShare(rank)-0.01)
+	t.Log("told", informed)
+	require.Greater(t, informed.worth(), alone.worth())
+	for rank := range informed.arrived {
+		require.Greater(t, informed.inTimeShare(rank), alone.inTimeShare(rank)-0.01)
 	}
-	require.Less(t, told.heldEach(), alone.heldEach()/3)
+	require.Less(t, informed.meanHeld(), alone.meanHeld()/3)
 }
 
-// The same flood at 9 instances, and the lease holder is lost in the middle of it: for three seconds
-// nobody is told anything, then its successor tells all again. It is the mean of two floods: either
-// way of deciding is ahead by some hundredths in one of them.
+// The lease holder is lost during an overload: for three seconds no instance gets reports. The results
+// of two seeds are averaged, since either variant may be slightly better with one of them.
 func TestLostLeaseHolderInAFlood(t *testing.T) {
-	told, alone := 0.0, 0.0
+	informed, alone := 0.0, 0.0
 	for _, seed := range []uint64{7, 8} {
-		flood := contention{instances: 9, load: 1.3, seed: seed, returns: true, end: 17 * time.Second, cutFrom: 11 * time.Second, cutTo: 14 * time.Second}
+		flood := contentionSettings{instances: 9, load: 1.3, seed: seed, returns: true, end: 17 * time.Second, cutFrom: 11 * time.Second, cutTo: 14 * time.Second}
 		a := simulateContention(flood)
 		flood.alone = true
 		b := simulateContention(flood)
 		t.Log("told", a)
 		t.Log("alone", b)
-		require.Less(t, a.heldEach(), b.heldEach())
-		told, alone = told+a.worth()/2, alone+b.worth()/2
+		require.Less(t, a.meanHeld(), b.meanHeld())
+		informed, alone = informed+a.worth()/2, alone+b.worth()/2
 	}
-	require.Greater(t, told, alone-0.02)
+	require.Greater(t, informed, alone-0.02)
 }
--- a/decide/contention_reports_test.go
+++ b/decide/contention_reports_test.go
@@ -8,9 +8,9 @@
 	"greengageferry/infra"
 )
 
-// takeSnapshot records what instances report. It reaches the others contentionReportLag later.
+// takeSnapshot records the instances' reports. They reach the other instances contentionReportLag later.
 func (c *contentionSim) takeSnapshot() {
-	var st contentionState
+	var st contentionReport
 	for _, e := range c.engines {
 		st.loads = append(st.loads, e.running+len(e.waiting))
 	}
@@ -37,7 +37,7 @@
 	c.after(contentionSnapshot, c.takeSnapshot)
 }
 
-// backlogs returns what all instances have queued and get, by target.
+// backlogs returns the backlog of each target at all instances.
 func (c *contentionSim) backlogs() []Backlog {
 	var out []Backlog
 	for m := range c.weights {
--- a/decide/contention_result_test.go
+++ b/decide/contention_result_test.go
@@ -7,21 +7,22 @@
 
 // contentionResult counts the requests that arrived after the warm-up.
 type contentionResult struct {
-	arrived, inTime, late [3]int // by rank
-	hotArrived, hotInTime int    // of the first account
+	arrived, inTime, late [3]int // requests by rank
+	hotArrived, hotInTime int    // requests of the first account
 	byEngine              []int  // requests started
 
 	refused  [3]int        // callers that got no answer, by rank
-	returned [3]int        // callers that came back, by rank
+	returned [3]int        // callers that retried, by rank
 	again    [3]int        // those of them that were refused again
-	held     time.Duration // by instances, of requests that were then refused
+	held     time.Duration // total time that instances held requests that they then refused
 }
 
+// inTimeShare is the fraction of a rank's requests that were answered in time.
 func (r *contentionResult) inTimeShare(rank int) float64 {
 	return float64(r.inTime[rank]) / float64(max(r.arrived[rank], 1))
 }
 
-// worth is the mean worth of a request, 1 if all are in time.
+// worth is the mean worth of a request, 0 to 1: 1 in time, lateWorth late, 0 without an answer.
 func (r *contentionResult) worth() float64 {
 	sum, n := 0.0, 0
 	for rank := range r.arrived {
@@ -31,7 +32,7 @@
 	return sum / float64(n)
 }
 
-// othersInTime is the share in time of the accounts but the first.
+// othersInTime is the fraction in time of the requests of all accounts but the first.
 func (r *contentionResult) othersInTime() float64 {
 	inTime, arrived := -r.hotInTime, -r.hotArrived
 	for rank := range r.arrived {
@@ -41,7 +42,7 @@
 	return float64(inTime) / float64(arrived)
 }
 
-// refusedAgain is the share of the callers that came back who were refused again.
+// refusedAgain is the fraction of the callers' retries that were refused.
 func (r *contentionResult) refusedAgain() float64 {
 	again, returned := 0, 0
 	for rank := range r.again {
@@ -51,8 +52,8 @@
 	return float64(again) / float64(max(returned, 1))
 }
 
-// heldEach is how long requests that were refused had been held, in the mean.
-func (r *contentionResult) heldEach() time.Duration {
+// meanHeld is the mean time for which an instance held a request that it then refused.
+func (r *contentionResult) meanHeld() time.Duration {
 	tries := 0
 	for rank := range r.refused {
 		tries += r.refused[rank] + r.returned[rank]
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -14,9 +14,9 @@
 	"greengageferry/infra"
 )
 
-// A simulation of callers who compete for too little room: many instances choose among the same
-// engines by reports that are contentionReportLag old, and get requests of three ranks. Rank 0
-// has a short goal, rank 2 can wait for many seconds.
+// A simulation of more requests than the engines have slots for: many instances choose among the same
+// engines by reports that are contentionReportLag old, and get requests of three ranks. Rank 0 has a
+// short goal, rank 2 can wait for many seconds.
 
 const (
 	contentionEngines     = 90
@@ -27,10 +27,10 @@
 	contentionAccounts    = 16
 	contentionInterval    = 500 * time.Millisecond // between reports to an instance
 	contentionReportLag   = 400 * time.Millisecond // age of the data in a report
-	contentionSnapshot    = 100 * time.Millisecond
+	contentionSnapshot    = 100 * time.Millisecond // between snapshots of what instances report
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
-	lateWorth             = 0.25 // of an answer that starts after its goal
+	lateWorth             = 0.25 // of an answer that starts after its goal, relative to one that starts in time
 )
 
 // requestKind is a kind of request of the simulation.
@@ -47,18 +47,18 @@
 	{rank: 2, goal: 10 * time.Second, hold: 1200 * time.Millisecond, share: 1.0 / 6},
 }
 
-// contention is what a simulation is given.
-type contention struct {
+// contentionSettings are the parameters of a simulation.
+type contentionSettings struct {
 	instances int
-	load      float64       // of all slots at speed 1
-	speeds    []float64     // of the engines, in turn; nil: 1
-	alone     bool          // instances aren't told what the others have waiting
-	slow      float64       // how many times as long as usual requests hold their slots; 0: 1
+	load      float64       // mean demand as a fraction of all slots at speed 1
+	speeds    []float64     // speeds of the engines, repeated; nil: all 1
+	alone     bool          // instances get no reports of the backlog at all instances
+	slow      float64       // factor of the time that requests hold their slots; 0: 1
 	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
-	returns   bool          // refused callers come back once, as callers do
-	cutFrom   time.Duration // from here on no report arrives, until cutTo
+	returns   bool          // refused callers retry once
+	cutFrom   time.Duration // no report of shared data arrives from cutFrom until cutTo
 	cutTo     time.Duration
-	hot       float64 // how many times as much the first account sends as the others; 0: the same
+	hot       float64 // request rate of the first account relative to each other one; 0: 1
 	fifo      bool    // engines start waiting requests in their order of arrival, not by rank
 	seed      uint64
 }
@@ -68,8 +68,8 @@
 	Request
 	kind    *requestKind
 	at      int       // index of its instance
-	first   time.Time // when the caller first came
-	again   bool      // the caller came back
+	first   time.Time // when the caller's first request arrived
+	again   bool      // it is the caller's retry
 	counted bool
 }
 
@@ -80,11 +80,11 @@
 	running int
 	waiting []*contentionRequest
 	slowed  time.Time // when its speed fell; zero: it didn't
-	answers int       // begun and ended since
+	answers int       // begun and ended since slowed
 }
 
-// contentionState is what a report holds.
-type contentionState struct {
+// contentionReport is a snapshot of the data that the instances get in a report.
+type contentionReport struct {
 	loads    []int // by engine
 	backlogs []Backlog
 	accounts []AccountDemand
@@ -92,7 +92,7 @@
 }
 
 type contentionSim struct {
-	contention
+	contentionSettings
 	now        time.Time
 	rng        *rand.Rand
 	events     simEvents
@@ -104,8 +104,8 @@
 	weights    []float64 // of the models
 	arrivals   map[string]*[Ranks]arrivalRate
 	starts     map[string]*[Ranks]arrivalRate
-	speeds     *SpeedEstimator   // of all instances together
-	snapshots  []contentionState // newest last; reports carry the oldest
+	speeds     *SpeedEstimator    // of all instances together
+	snapshots  []contentionReport // newest last; reports carry the oldest
 	result     contentionResult
 }
 
@@ -115,17 +115,17 @@
 }
 
 // simulateContention runs the simulation to contentionEnd.
-func simulateContention(in contention) *contentionResult {
+func simulateContention(in contentionSettings) *contentionResult {
 	c := newContentionSim(in)
 	c.run()
 	return &c.result
 }
 
-func newContentionSim(in contention) *contentionSim {
+func newContentionSim(in contentionSettings) *contentionSim {
 	in.end = cmp.Or(in.end, contentionEnd)
 	in.slow = cmp.Or(in.slow, 1)
 	c := &contentionSim{
-		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
+		contentionSettings: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
 		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: NewSpeedEstimator(),
 	}
 	t := c.newTable()
@@ -165,8 +165,8 @@
 	}
 	for i := range contentionEngines {
 		e := &contentionEngine{id: fmt.Sprintf("e%03d", i), speed: 1}
-		if len(c.contention.speeds) > 0 {
-			e.speed = c.contention.speeds[i%len(c.contention.speeds)]
+		if len(c.contentionSettings.speeds) > 0 {
+			e.speed = c.contentionSettings.speeds[i%len(c.contentionSettings.speeds)]
 		}
 		c.engines, c.byID[e.id] = append(c.engines, e), e
 		t.Servers = append(t.Servers, Server{ID: e.id, Pool: "p", FailureDomain: fmt.Sprint("d", i%3), Slots: contentionSlots})
@@ -373,7 +373,7 @@
 // Reports as old as those of a busy fleet, all ranks asked for: the simulation itself counts each
 // request once.
 func TestContentionCountsEachRequestOnce(t *testing.T) {
-	r := simulateContention(contention{instances: 9, load: 0.5, seed: 7})
+	r := simulateContention(contentionSettings{instances: 9, load: 0.5, seed: 7})
 	t.Log(r)
 	for rank := range r.arrived {
 		require.LessOrEqual(t, r.inTime[rank]+r.late[rank], r.arrived[rank])
--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -13,7 +13,7 @@
 // More is asked for than engines can run. Each instance knows the others' requests by old reports
 // alone; less urgent requests took the slots, and those that came late waited behind them.
 func TestRoomGoesToUrgentRequests(t *testing.T) {
-	for name, in := range map[string]contention{
+	for name, in := range map[string]contentionSettings{
 		"engines in order of rank":    {instances: 75, load: 1},
 		"engines in order of arrival": {instances: 75, load: 1, fifo: true},
 		"others' requests not told":   {instances: 75, load: 1, alone: true},
@@ -39,15 +39,15 @@
 
 // The same load for more instances, each of which knows less.
 func TestManyInstancesShareRoomByRank(t *testing.T) {
-	few := simulateContention(contention{instances: 9, load: 1, seed: 7})
+	few := simulateContention(contentionSettings{instances: 9, load: 1, seed: 7})
 	t.Log(few)
-	many := simulateContention(contention{instances: 75, load: 1, seed: 7})
+	many := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7})
 	t.Log(many)
 	require.GreaterOrEqual(t, many.worth(), 0.95*few.worth())
 }
 
 func TestRoomByRankAtSize(t *testing.T) {
-	for _, in := range []contention{
+	for _, in := range []contentionSettings{
 		{instances: 295, load: 1, end: 8 * time.Second, seed: 7},
 		{instances: 985, load: 1, end: 5 * time.Second, seed: 7},
 	} {
@@ -61,7 +61,7 @@
 
 // Urgent requests alone take all room: a floor is left for the others.
 func TestNoRankStarves(t *testing.T) {
-	r := simulateContention(contention{instances: 75, load: 1.3, seed: 7})
+	r := simulateContention(contentionSettings{instances: 75, load: 1.3, seed: 7})
 	t.Log(r)
 	requireByRank(t, r)
 	for rank := range r.arrived {
@@ -72,7 +72,7 @@
 
 // With room for all, no rank waits for others that don't come.
 func TestRoomIsLent(t *testing.T) {
-	r := simulateContention(contention{instances: 75, load: 0.8, end: 12 * time.Second, seed: 7})
+	r := simulateContention(contentionSettings{instances: 75, load: 0.8, end: 12 * time.Second, seed: 7})
 	t.Log(r)
 	for rank := range r.arrived {
 		require.GreaterOrEqual(t, r.inTimeShare(rank), 0.9)
--- a/decide/server_speed_test.go
+++ b/decide/server_speed_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// toldScheduler returns a scheduler of two servers, told that s0 has half the usual speed.
-func toldScheduler() *Scheduler {
+// schedulerWithSpeeds returns a scheduler of two servers, told that s0 has half the usual speed.
+func schedulerWithSpeeds() *Scheduler {
 	s := testScheduler(testTable(2, 4, 1, "am"))
 	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Speed: 0.5, Count: 50}, {Server: "s1", Speed: 1.5, Count: 50}})
 	return s
@@ -46,7 +46,7 @@
 }
 
 func TestSharedSpeedIsUsed(t *testing.T) {
-	s := toldScheduler()
+	s := schedulerWithSpeeds()
 	slow, fast := s.fleet.servers["s0"], s.fleet.servers["s1"]
 	require.Equal(t, 2.0, slow.relativeSlowdown())
 	require.Equal(t, 2.0, slow.slowdownAmong(s.fleet.targets["am"]))
@@ -78,7 +78,7 @@
 
 // Without a lease holder, or cut off from it, an instance goes by its own answers again.
 func TestSharedSpeedsEndWithoutLeaseHolder(t *testing.T) {
-	s := toldScheduler()
+	s := schedulerWithSpeeds()
 	s.Submit(simStart.Add(speedsTTL), newTestRequest("a", "am", time.Minute))
 	require.Equal(t, 2.0, s.fleet.servers["s0"].relativeSlowdown())
 	s.Submit(simStart.Add(speedsTTL+time.Millisecond), newTestRequest("b", "am", time.Minute))
@@ -88,7 +88,7 @@
 
 // A new lease holder doesn't know a server's speed yet and doesn't tell it.
 func TestSharedSpeedEndsIfNoLongerTold(t *testing.T) {
-	s := toldScheduler()
+	s := schedulerWithSpeeds()
 	for now := simStart; now.Before(simStart.Add(serverSpeedTTL)); now = now.Add(time.Second) {
 		s.UpdateSpeeds(now, nil)
 		require.Equal(t, 2.0, s.fleet.servers["s0"].relativeSlowdown())
--- a/decide/uneven_sim_test.go
+++ b/decide/uneven_sim_test.go
@@ -13,8 +13,8 @@
 
 var unevenSpeeds = []float64{0.7, 0.7, 1.6}
 
-func unevenContention(speeds []float64, seed uint64) contention {
-	return contention{instances: 75, load: 0.8, speeds: speeds, seed: seed}
+func unevenContention(speeds []float64, seed uint64) contentionSettings {
+	return contentionSettings{instances: 75, load: 0.8, speeds: speeds, seed: seed}
 }
 
 // shares returns the requests that the engines started, each against its share by speed.
