--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -11,7 +11,7 @@
 	"greengageferry/infra"
 )
 
-// An account that sends five times its usual must not cost the others what they get without it.
+// If an account sends five times as much as the others, these get what they get without it.
 func TestAccountThatSendsFiveTimesItsUsualLeavesTheOthersTheirShare(t *testing.T) {
 	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7})
 	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7})
@@ -21,8 +21,7 @@
 	require.Positive(t, hot.hotInTime)
 }
 
-// Without a lease holder an instance knows its own requests alone. It goes on, and keeps apart what
-// it can tell apart.
+// Without a lease holder an instance limits accounts by its own requests alone.
 func TestAccountsSharesWithoutALeaseHolder(t *testing.T) {
 	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7, cutTo: contentionEnd})
 	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7, cutTo: contentionEnd})
@@ -31,8 +30,8 @@
 	require.GreaterOrEqual(t, hot.othersInTime(), 0.9*usual.othersInTime())
 }
 
-// sharesOf returns the parts of their requests that accounts a, b, c and so on may send, given what
-// they want of a pool and have at its servers.
+// sharesOf returns the allowed fractions of accounts a, b, c and so on. wantedAndInFlight holds, for
+// each account, the requests that it wants at the pool's servers and those that it has there.
 func sharesOf(weights map[string]float64, slots float64, wantedAndInFlight ...float64) map[string]float64 {
 	a := accountShares{weights: weights}
 	var demands []AccountDemand
@@ -101,32 +100,32 @@
 		return n
 	}
 	require.Zero(t, refused(simStart, "hot"))
-	told := func(now time.Time, hot, other float64) {
+	report := func(now time.Time, hot, other float64) {
 		s.UpdateAccounts(now, []AccountDemand{{Account: "hot", Pool: "p", Waiting: hot}, {Account: "other", Pool: "p", Waiting: other}})
 	}
 	now := simStart.Add(time.Second)
-	told(now, 500, 50)
+	report(now, 500, 50)
 	require.Len(t, s.AccountsOverShare(), 1)
 	require.Equal(t, "hot", s.AccountsOverShare()[0].Account)
 	require.InDelta(t, 45, refused(now, "hot"), 4)
 	require.Zero(t, refused(now, "other"))
 	now = now.Add(500 * time.Millisecond)
-	told(now, 500, 0)
+	report(now, 500, 0)
 	require.InDelta(t, 40, refused(now, "hot"), 6, "it gets all of the pool")
 	now = now.Add(500 * time.Millisecond)
-	told(now, 40, 50)
+	report(now, 40, 50)
 	require.Zero(t, refused(now, "hot"))
 	now = now.Add(500 * time.Millisecond)
-	told(now, 500, 50)
+	report(now, 500, 50)
 	now = now.Add(accountsTTL + time.Second)
-	require.Zero(t, refused(now, "hot"), "what was told is too old, and nothing waits here")
+	require.Zero(t, refused(now, "hot"), "the report is too old, and nothing waits at this instance")
 	table.AccountWeights = nil
 	s.SetTable(now, table)
 	require.Nil(t, s.AccountDemands())
 }
 
-// An instance that doesn't know yet how long requests take at a pool's servers reports only what it
-// has there: an assumed time may be many times theirs.
+// Before an instance knows how long requests hold their slots in a pool, it reports only its requests
+// in flight: an assumed time could be far too long.
 func TestDemandOfAPoolOfWhichLittleIsKnown(t *testing.T) {
 	table := testTable(1, 100, 1, "am")
 	table.Targets["am"].Pool, table.AccountWeights = "p", map[string]float64{"a": 1}
@@ -146,7 +145,7 @@
 	}
 }
 
-// Demand ends with the requests, also at an instance that gets none any more.
+// The demand of an account decays after its last request, also at an instance that gets no further ones.
 func TestDemandOfAnAccountThatStopsIsForgotten(t *testing.T) {
 	table := testTable(1, 100, 1, "am")
 	table.Targets["am"].Pool, table.AccountWeights = "p", map[string]float64{"a": 1}
@@ -160,7 +159,7 @@
 	require.Less(t, s.AccountDemands()[0].wanted(), 0.1)
 }
 
-// A few requests that wait for a moment at an instance don't mean that the pool is full.
+// A few requests that wait briefly at an instance don't mean that the pool is full.
 func TestFewWaitingRequestsAreNoContention(t *testing.T) {
 	table := testTable(1, 4, 1, "am")
 	table.Targets["am"].Pool, table.NoServerQueue = "p", true
@@ -176,7 +175,7 @@
 	require.Empty(t, s.AccountsOverShare())
 }
 
-// A pool whose busy models have few replicas is full though other servers are idle: these are lent.
+// A pool can count as full while servers of other models are idle. These take requests of any account.
 func TestRequestsOverTheShareGoToIdleServers(t *testing.T) {
 	table := testTable(2, 100, 1, "am", "bm")
 	table.Targets["am"].Replicas, table.Targets["bm"].Replicas = []Replica{{Server: 0}}, []Replica{{Server: 1}}
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -37,8 +37,9 @@
 	return s.out
 }
 
-func (b *sharedBacklog) update(at time.Time, told Backlog, own [Ranks]float64) {
-	b.Backlog, b.takenAt = told, at
+// update stores a report of counts taken at the given time. own is what this instance has queued now.
+func (b *sharedBacklog) update(at time.Time, reported Backlog, own [Ranks]float64) {
+	b.Backlog, b.takenAt = reported, at
 	b.own, b.ownNewest = b.ownNewest, own
 }
 
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -131,7 +131,7 @@
 	require.Equal(t, 2.0, before.leftover[1])
 	target.returns.expect(now, returnInterval, 1)
 	after := s.estimateBacklog(now, target)
-	require.Equal(t, 2.0-75, after.leftover[1], "each instance told as many")
+	require.Equal(t, 2.0-75, after.leftover[1], "the other instances are assumed to expect as many returns")
 	require.Equal(t, before.leftover[0], after.leftover[0])
 }
 
@@ -206,8 +206,8 @@
 	informed := simulateContention(flood)
 	flood.alone = true
 	alone := simulateContention(flood)
-	t.Log("alone", alone)
-	t.Log("told", informed)
+	t.Log("without reports", alone)
+	t.Log("with reports", informed)
 	require.Greater(t, informed.worth(), alone.worth())
 	for rank := range informed.arrived {
 		require.Greater(t, informed.inTimeShare(rank), alone.inTimeShare(rank)-0.01)
@@ -224,8 +224,8 @@
 		a := simulateContention(flood)
 		flood.alone = true
 		b := simulateContention(flood)
-		t.Log("told", a)
-		t.Log("alone", b)
+		t.Log("with reports", a)
+		t.Log("without reports", b)
 		require.Less(t, a.meanHeld(), b.meanHeld())
 		informed, alone = informed+a.worth()/2, alone+b.worth()/2
 	}
--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -327,8 +327,8 @@
 	c.carryOut(r.at, c.schedulers[r.at].Submit(c.now, r.Request))
 }
 
-// refuse has a caller come back at any instance when it was told to, but within a third of the
-// time that it has left.
+// refuse ends a request. With returns its caller retries once at a random instance, after the retry
+// delay but before its latest retry time; see CallerWaitDivisor.
 func (c *contentionSim) refuse(r *contentionRequest, after time.Duration) {
 	if r.counted {
 		c.result.held += c.now.Sub(r.Arrived)
@@ -337,9 +337,10 @@
 		c.countRefused(r)
 		return
 	}
-	c.after(min(after, r.Deadline.Sub(c.now)/CallerWaitDivisor), func() { c.comeBack(r) })
+	c.after(min(after, r.Deadline.Sub(c.now)/CallerWaitDivisor), func() { c.retryRefused(r) })
 }
 
+// countRefused counts a caller that doesn't retry.
 func (c *contentionSim) countRefused(r *contentionRequest) {
 	if !r.counted {
 		return
@@ -350,7 +351,8 @@
 	}
 }
 
-func (c *contentionSim) comeBack(was *contentionRequest) {
+// retryRefused submits the caller's retry at a random instance.
+func (c *contentionSim) retryRefused(was *contentionRequest) {
 	r := *was
 	c.seq++
 	r.ID, r.Arrived, r.at, r.again = fmt.Sprint(c.seq), c.now, c.rng.IntN(len(c.schedulers)), true
@@ -370,8 +372,7 @@
 	return n - 1
 }
 
-// Reports as old as those of a busy fleet, all ranks asked for: the simulation itself counts each
-// request once.
+// The simulation counts each request once.
 func TestContentionCountsEachRequestOnce(t *testing.T) {
 	r := simulateContention(contentionSettings{instances: 9, load: 0.5, seed: 7})
 	t.Log(r)
--- a/decide/quota.go
+++ b/decide/quota.go
@@ -138,7 +138,7 @@
 	return float64(s.Slots) * s.speed() * within.Seconds() / max(s.pool.holdTime(), minHoldTime)
 }
 
-// updateQuota draws a new quota, given the number of requests of all instances that
+// updateQuota draws a new quota, and the room by rank, given the number of requests of all instances that
 // want the server's targets.
 func (s *serverState) updateQuota(now time.Time, wanting int, rng *rand.Rand) {
 	q := &s.quota
--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -10,13 +10,13 @@
 	"greengageferry/infra"
 )
 
-// More is asked for than engines can run. Each instance knows the others' requests by old reports
-// alone; less urgent requests took the slots, and those that came late waited behind them.
+// With as much demand as slots, and other instances' requests known from old reports only, urgent
+// requests get slots before less urgent ones.
 func TestRoomGoesToUrgentRequests(t *testing.T) {
 	for name, in := range map[string]contentionSettings{
 		"engines in order of rank":    {instances: 75, load: 1},
 		"engines in order of arrival": {instances: 75, load: 1, fifo: true},
-		"others' requests not told":   {instances: 75, load: 1, alone: true},
+		"without backlog reports":     {instances: 75, load: 1, alone: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -30,14 +30,16 @@
 	}
 }
 
-// requireByRank requires that no rank is served less than a less urgent one by over 0.05.
+// requireByRank requires that no rank's fraction in time is more than 0.05 below that of the next less
+// urgent one.
 func requireByRank(t *testing.T, r *contentionResult) {
 	for rank := 1; rank < len(r.arrived); rank++ {
 		require.GreaterOrEqual(t, r.inTimeShare(rank-1), r.inTimeShare(rank)-0.05)
 	}
 }
 
-// The same load for more instances, each of which knows less.
+// With the same demand divided among more instances, each of them sees fewer requests. The result is
+// nearly the same.
 func TestManyInstancesShareRoomByRank(t *testing.T) {
 	few := simulateContention(contentionSettings{instances: 9, load: 1, seed: 7})
 	t.Log(few)
@@ -59,7 +61,7 @@
 	}
 }
 
-// Urgent requests alone take all room: a floor is left for the others.
+// Urgent requests alone could take all slots. Every other rank still gets minRankShare.
 func TestNoRankStarves(t *testing.T) {
 	r := simulateContention(contentionSettings{instances: 75, load: 1.3, seed: 7})
 	t.Log(r)
@@ -70,7 +72,7 @@
 	require.GreaterOrEqual(t, r.inTimeShare(0), 0.8)
 }
 
-// With room for all, no rank waits for others that don't come.
+// With enough slots for all, no rank waits for requests of other ranks that don't come.
 func TestRoomIsLent(t *testing.T) {
 	r := simulateContention(contentionSettings{instances: 75, load: 0.8, end: 12 * time.Second, seed: 7})
 	t.Log(r)
@@ -124,7 +126,8 @@
 	fresh := requestOfRank("fresh", 0, 2*time.Second)
 	fresh.Arrived = now
 	require.Equal(t, ActionQueue, s.Submit(now, fresh)[0].Action)
-	// The late one has lost most of its value, but batch can wait as long and costs less.
+	// The late request has lost most of its value, but the batch request can wait as long and its delay
+	// costs less.
 	require.Equal(t, []string{"fresh", "late", "batch"}, startOrder(s, now, "running", 3))
 }
 
@@ -159,8 +162,8 @@
 	require.Equal(t, ReasonQueueFull, d[0].Reason)
 }
 
-// The lease holder is lost while urgent requests come: without reports an instance keeps to its fair
-// share of the servers, and uses more as soon as reports are back.
+// Without load reports an instance keeps to its fair share of the servers also for urgent requests. It
+// uses more as soon as it gets reports again.
 func TestWithoutReportsUrgentRequestsKeepToTheFairShare(t *testing.T) {
 	table := testTable(1, 8, 4, "am")
 	table.RoomByRank, table.NoServerQueue = true, true
@@ -188,7 +191,7 @@
 	require.Zero(t, started(lost, "i", "j"))
 }
 
-// routeByRankStep is routeStep where ranks contend: each server has a recent report.
+// routeByRankStep is routeStep with RoomByRank. Each server has a recent load report.
 func routeByRankStep(servers int) func() {
 	table := testTable(servers, 8, 41, "am")
 	table.RoomByRank, table.NoServerQueue = true, true
--- a/decide/score.go
+++ b/decide/score.go
@@ -43,8 +43,8 @@
 	return c.slotWait(req) * c.server.slowdownAmong(req.target)
 }
 
-// slotWait returns the seconds until a server of the usual speed of the target's has a free
-// slot.
+// slotWait returns the seconds until the server would have a free slot if it had the mean speed of the
+// target's servers.
 func (c *candidate) slotWait(req *requestState) float64 {
 	over := c.load + 1 - float64(c.server.Slots)
 	if over <= 0 {
--- a/decide/server_speed_test.go
+++ b/decide/server_speed_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// schedulerWithSpeeds returns a scheduler of two servers, told that s0 has half the usual speed.
+// schedulerWithSpeeds returns a scheduler with reported speeds of two servers: 0.5 of s0 and 1.5 of s1.
 func schedulerWithSpeeds() *Scheduler {
 	s := testScheduler(testTable(2, 4, 1, "am"))
 	s.UpdateSpeeds(simStart, []ServerSpeed{{Server: "s0", Speed: 0.5, Count: 50}, {Server: "s1", Speed: 1.5, Count: 50}})
@@ -31,7 +31,8 @@
 	require.Empty(t, s.TakeSpeedSamples())
 }
 
-// A server that lets attempts hang completes the quick ones only.
+// An attempt that took longer than expected when it was abandoned counts as a sample. Otherwise a
+// server that lets slow attempts hang would have samples of quick ones only.
 func TestAbandonedAttemptIsASample(t *testing.T) {
 	s := testScheduler(testTable(1, 4, 1, "am"))
 	warmUp(s, "am")
@@ -56,8 +57,8 @@
 	require.Equal(t, []float64{0.5, 1.5}, []float64{slowest, fastest})
 }
 
-// The times of a target that only a slow server has were measured there. If its slowness
-// counted once more, requests would be refused that complete in time.
+// The times of a target whose only server is slow were measured there. If the slowdown counted again,
+// requests would be refused that can complete in time.
 func TestOnlyServerIsNotSlowForItsTarget(t *testing.T) {
 	s := testScheduler(testTable(1, 4, 1, "am"))
 	warmUp(s, "am")
@@ -68,7 +69,7 @@
 	require.Equal(t, ActionDispatch, s.Submit(at, r)[0].Action)
 }
 
-// An instance that has more answers of a server than all instances together told goes by its own.
+// An instance uses its own slowdown of a server if it has more answers than the shared speed.
 func TestOwnAnswersCountMoreThanFewShared(t *testing.T) {
 	s := testScheduler(testTable(1, 4, 1, "am"))
 	warmUp(s, "am")
@@ -76,7 +77,7 @@
 	require.Equal(t, 1.0, s.fleet.servers["s0"].relativeSlowdown())
 }
 
-// Without a lease holder, or cut off from it, an instance goes by its own answers again.
+// Without reports of a lease holder an instance uses its own slowdowns again.
 func TestSharedSpeedsEndWithoutLeaseHolder(t *testing.T) {
 	s := schedulerWithSpeeds()
 	s.Submit(simStart.Add(speedsTTL), newTestRequest("a", "am", time.Minute))
@@ -86,7 +87,7 @@
 	require.False(t, s.fleet.targets["am"].uneven)
 }
 
-// A new lease holder doesn't know a server's speed yet and doesn't tell it.
+// A new lease holder doesn't know a server's speed yet, so its reports don't name the server.
 func TestSharedSpeedEndsIfNoLongerTold(t *testing.T) {
 	s := schedulerWithSpeeds()
 	for now := simStart; now.Before(simStart.Add(serverSpeedTTL)); now = now.Add(time.Second) {
@@ -111,7 +112,8 @@
 	require.Equal(t, 1.0, s.fleet.servers["s0"].speed())
 }
 
-// The own failure domain goes first, but not while its slow servers fill beside faster ones.
+// The own failure domain is preferred, but not while its slow servers are fuller than faster ones of
+// other domains.
 func TestRequestsLeaveTheirDomainForFasterServers(t *testing.T) {
 	send := func(speeds []ServerSpeed) map[string]int {
 		table := testTable(4, 8, 1, "am")
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -38,8 +38,8 @@
 	return &t.replicas[0].server.pool.service
 }
 
-// expectedTime returns the seconds that a request takes on a server of the usual speed of the
-// target's, or 0 if too little is known. spread is the number of mean deviations to add to each part.
+// expectedTime returns the seconds that a request takes on a server of the mean speed of the target's
+// servers, or 0 if too little is known. spread is the number of mean deviations to add to each part.
 func (t *targetState) expectedTime(now time.Time, f *requestState, spread float64) float64 {
 	st := t.currentTimes(now)
 	if !st.firstToken.warm() {
@@ -53,8 +53,8 @@
 	return sum + max(float64(t.allowed(&f.Request))*length-float64(f.deliveredTokens), 0)*st.perToken.mean
 }
 
-// expectedFirstToken returns the seconds to the first token on a server of the mean speed of
-// the target's that has no other prompt to read, or 0 if too little is known.
+// expectedFirstToken returns the seconds to the first token on a server of the mean speed of the
+// target's servers that has no other prompt to read, or 0 if too little is known.
 func (t *targetState) expectedFirstToken(now time.Time, f *requestState) float64 {
 	if t.pool != nil && f.PromptTokens > 0 {
 		if reading := t.pool.engine.prefillTime(float64(f.PromptTokens)); reading > 0 {
@@ -150,8 +150,8 @@
 }
 
 // relativeSlowdown returns how many times as long as its pool's average the server takes,
-// or 1 if that isn't known. What all instances measured is preferred if it rests on more
-// answers than this one's. It lets one slow server among normal ones get fewer requests;
+// or 1 if that isn't known. The shared speed is preferred if it is estimated from more
+// answers than this instance's own. It lets one slow server among normal ones get fewer requests;
 // only failures exclude a server.
 func (s *serverState) relativeSlowdown() float64 {
 	if s.usesSharedSpeed() {
--- a/decide/speed_estimate_test.go
+++ b/decide/speed_estimate_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// speedWorld has servers answer requests for models, each answer a sample of its own.
+// speedWorld simulates servers that answer requests for models. Each answer is a sample of its own.
 type speedWorld struct {
 	e       *SpeedEstimator
 	rng     *rand.Rand
@@ -98,7 +98,7 @@
 	require.InDelta(t, 1, w.speed("s03"), 0.15)
 }
 
-// A server comes back under its id at another speed.
+// A server restarts with the same ID and another speed.
 func TestNewStartIsNotJudgedByTheOldOne(t *testing.T) {
 	w := evenSpeedWorld(20)
 	w.speeds["s03"], w.starts["s03"] = 1.0/3, "a"
--- a/decide/uneven_sim_test.go
+++ b/decide/uneven_sim_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Replays of 75 instances that choose among engines of different speeds, each of which answers
-// any one instance once in several seconds.
+// Simulations of 75 instances that choose among engines of different speeds. An instance gets an answer
+// of each engine only once in several seconds, too rarely to learn the engine's speed alone.
 
 var unevenSpeeds = []float64{0.7, 0.7, 1.6}
 
@@ -17,7 +17,7 @@
 	return contentionSettings{instances: 75, load: 0.8, speeds: speeds, seed: seed}
 }
 
-// shares returns the requests that the engines started, each against its share by speed.
+// shares returns the requests that each engine started, relative to its share by speed.
 func (r *contentionResult) shares(speeds []float64) []float64 {
 	sum := 0
 	for _, n := range r.byEngine {
@@ -30,9 +30,8 @@
 	return out
 }
 
-// Engines of speeds 0.7, 0.7 and 1.6 have as much room as even ones. With speeds that each
-// instance learned alone they served 0.92 of what even ones did in time, the slow ones started
-// 1.11 of their share, and 22 engines of 270 more than 1.3 of theirs.
+// Engines of speeds 0.7, 0.7 and 1.6 have the same total capacity as even ones, so they must serve about
+// as many requests in time, each engine near its share by speed.
 func TestUnevenServersServeAsMuchAsEvenOnes(t *testing.T) {
 	even, uneven, slow, overloaded := 0.0, 0.0, 0.0, 0
 	seeds := []uint64{31, 32, 33}
@@ -57,7 +56,7 @@
 	require.LessOrEqual(t, overloaded, 12)
 }
 
-// Even servers are found to be even, so that nothing changes for them.
+// Servers of equal speed are estimated at speed 1, and their targets don't count as uneven.
 func TestEvenServersAreServedAsBefore(t *testing.T) {
 	c := newContentionSim(unevenContention(nil, 31))
 	c.run()
@@ -77,7 +76,8 @@
 	require.LessOrEqual(t, uneven, 1)
 }
 
-// An engine slows to a third while requests run. Half of its newest answers show it then.
+// An engine's speed falls to a third while it runs requests. All instances use the lower speed soon after
+// recentSpeedAnswers answers.
 func TestServerThatSlowsIsFoundByAllInstances(t *testing.T) {
 	for _, speeds := range [][]float64{nil, unevenSpeeds} {
 		c := newContentionSim(unevenContention(speeds, 31))
