--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -194,9 +194,9 @@
 		byKey[k] = d
 	}
 	for k, n := range s.accounts.arrivals {
-		if p := s.fleet.pools[k.pool]; p != nil && p.held.warm() {
+		if p := s.fleet.pools[k.pool]; p != nil && p.holdSeconds.warm() {
 			d := byKey[k]
-			d.Waiting = n.rate(s.accounts.seenAt)*p.held.mean - d.InFlight
+			d.Waiting = n.rate(s.accounts.seenAt)*p.holdSeconds.mean - d.InFlight
 			byKey[k] = d
 		}
 	}
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -57,7 +57,7 @@
 	service           serviceTimes
 	budget            retryBudget
 	requestTokens     average           // tokens of each of this instance's requests; see Request.tokenSize
-	held              average           // seconds that attempts held a slot, whatever their outcome
+	holdSeconds       average           // seconds that attempts held a slot, whatever their outcome
 	totalInFlight     int               // this instance's requests in the pool
 	inFlightByPartner []int             // the same by partnerState.index
 	queuedByRank      [Ranks]queueCount // if roomByRank
@@ -66,8 +66,8 @@
 // holdTime returns the mean number of seconds that an attempt holds its slot, or
 // defaultServiceTime while there are too few samples.
 func (p *poolState) holdTime() float64 {
-	if p.held.warm() {
-		return p.held.mean
+	if p.holdSeconds.warm() {
+		return p.holdSeconds.mean
 	}
 	return defaultServiceTime
 }
--- a/decide/load.go
+++ b/decide/load.go
@@ -139,17 +139,17 @@
 	if !s.slotsFreeFast() {
 		return 0
 	}
-	if !s.pool.held.warm() {
+	if !s.pool.holdSeconds.warm() {
 		return s.Slots
 	}
-	return min(int(goalQueueFraction*goal.Seconds()/max(s.pool.held.mean, minHoldTime)*float64(s.Slots)), maxFastQueueRatio*s.Slots)
+	return min(int(goalQueueFraction*goal.Seconds()/max(s.pool.holdSeconds.mean, minHoldTime)*float64(s.Slots)), maxFastQueueRatio*s.Slots)
 }
 
 // slotsFreeFast reports whether the server's slots free faster than load reports arrive.
 // For a plain service this is assumed until enough slot holding times are known, which may
 // take long: an instance may get one request per second.
 func (s *serverState) slotsFreeFast() bool {
-	held := s.pool.held
+	held := s.pool.holdSeconds
 	if held.n < minHoldSamples {
 		return len(s.servedTargets) > 0 && s.servedTargets[0].target.Service
 	}
--- a/decide/quota_test.go
+++ b/decide/quota_test.go
@@ -26,7 +26,7 @@
 	s := NewScheduler(rand.New(rand.NewPCG(1, 1)))
 	s.SetTable(simStart, sharedServerTable(slots, instances))
 	for range 10 {
-		s.fleet.servers["s"].pool.held.add(held.Seconds())
+		s.fleet.servers["s"].pool.holdSeconds.add(held.Seconds())
 	}
 	s.UpdateLoad(simStart.Add(-500*time.Millisecond), "s", infra.Load{}, 0)
 	return s
@@ -68,7 +68,7 @@
 	s.UpdateLoad(simStart, "s", infra.Load{Running: 7, Contending: 100}, 0)
 	require.Equal(t, 1, s.arriveMany(simStart, 1))
 	for range minHoldSamples {
-		s.fleet.servers["s"].pool.held.add(2)
+		s.fleet.servers["s"].pool.holdSeconds.add(2)
 	}
 	s.UpdateLoad(simStart.Add(time.Second), "s", infra.Load{Running: 7, Contending: 100}, 0)
 	require.True(t, s.fleet.servers["s"].quota.limited)
--- a/decide/release.go
+++ b/decide/release.go
@@ -8,7 +8,7 @@
 	if srv == nil {
 		return
 	}
-	srv.pool.held.add(now.Sub(req.dispatchedAt).Seconds())
+	srv.pool.holdSeconds.add(now.Sub(req.dispatchedAt).Seconds())
 	req.dispatchedTo = nil
 	req.target.inFlight--
 	srv.own--
--- a/decide/types.go
+++ b/decide/types.go
@@ -65,7 +65,7 @@
 	NoServerQueue bool
 	// RoomByRank is set if requests of several ranks compete for the servers of a pool.
 	RoomByRank bool
-	// AccountWeights holds the client accounts' relative shares of contended room; nil: accounts
+	// AccountWeights holds the client accounts' relative shares of a full pool; nil: accounts
 	// have no shares of their own.
 	AccountWeights map[string]float64
 	LocalFillLimit float64 // slot utilization, 0 to 1, up to which servers of the own domain are preferred; 0: lowFillFraction
