--- a/decide/contention_sim_test.go
+++ b/decide/contention_sim_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,9 +14,9 @@
 	"greengageferry/infra"
 )
 
-// A simulation of callers who compete for too little room: many instances choose among the same
-// engines by reports that are contentionReportLag old, and get requests of three ranks. Rank 0
-// has a short goal, rank 2 can wait for many seconds.
+// A simulation of more requests than the engines have slots for: many instances choose among the same
+// engines by reports that are contentionReportLag old, and get requests of three ranks. Rank 0 has a
+// short goal, rank 2 can wait for many seconds.
 
 const (
 	contentionEngines     = 90
@@ -28,10 +27,10 @@
 	contentionAccounts    = 16
 	contentionInterval    = 500 * time.Millisecond // between reports to an instance
 	contentionReportLag   = 400 * time.Millisecond // age of the data in a report
-	contentionSnapshot    = 100 * time.Millisecond
+	contentionSnapshot    = 100 * time.Millisecond // between snapshots of what instances report
 	contentionEnd         = 20 * time.Second
 	contentionDeadline    = 10 * time.Second
-	lateWorth             = 0.25 // of an answer that starts after its goal
+	lateWorth             = 0.25 // of an answer that starts after its goal, relative to one that starts in time
 )
 
 // requestKind is a kind of request of the simulation.
@@ -48,89 +47,29 @@
 	{rank: 2, goal: 10 * time.Second, hold: 1200 * time.Millisecond, share: 1.0 / 6},
 }
 
-// contention is what a simulation is given.
-type contention struct {
+// contentionSettings are the parameters of a simulation.
+type contentionSettings struct {
 	instances int
-	load      float64       // of all slots at speed 1
-	speeds    []float64     // of the engines, in turn; nil: 1
-	alone     bool          // instances aren't told what the others have waiting
-	slow      float64       // how many times as long as usual requests hold their slots; 0: 1
+	load      float64       // mean demand as a fraction of all slots at speed 1
+	speeds    []float64     // speeds of the engines, repeated; nil: all 1
+	alone     bool          // instances get no reports of the backlog at all instances
+	slow      float64       // factor of the time that requests hold their slots; 0: 1
 	end       time.Duration // of the simulation, half of which is the warm-up; 0: contentionEnd
-	returns   bool          // refused callers come back once, as callers do
-	cutFrom   time.Duration // from here on no report arrives, until cutTo
+	returns   bool          // refused callers retry once
+	cutFrom   time.Duration // no report of shared data arrives from cutFrom until cutTo
 	cutTo     time.Duration
-	hot       float64 // how many times as much the first account sends as the others; 0: the same
+	hot       float64 // request rate of the first account relative to each other one; 0: 1
 	fifo      bool    // engines start waiting requests in their order of arrival, not by rank
 	seed      uint64
 }
 
-// contentionResult counts the requests that arrived after the warm-up.
-type contentionResult struct {
-	arrived, inTime, late [3]int // by rank
-	hotArrived, hotInTime int    // of the first account
-	byEngine              []int  // requests started
-
-	refused  [3]int        // callers that got no answer, by rank
-	returned [3]int        // callers that came back, by rank
-	again    [3]int        // those of them that were refused again
-	held     time.Duration // by instances, of requests that were then refused
-}
-
-func (r *contentionResult) inTimeShare(rank int) float64 {
-	return float64(r.inTime[rank]) / float64(max(r.arrived[rank], 1))
-}
-
-// worth is the mean worth of a request, 1 if all are in time.
-func (r *contentionResult) worth() float64 {
-	sum, n := 0.0, 0
-	for rank := range r.arrived {
-		sum += float64(r.inTime[rank]) + lateWorth*float64(r.late[rank])
-		n += r.arrived[rank]
-	}
-	return sum / float64(n)
-}
-
-// othersInTime is the share in time of the accounts but the first.
-func (r *contentionResult) othersInTime() float64 {
-	inTime, arrived := -r.hotInTime, -r.hotArrived
-	for rank := range r.arrived {
-		inTime += r.inTime[rank]
-		arrived += r.arrived[rank]
-	}
-	return float64(inTime) / float64(arrived)
-}
-
-// refusedAgain is the share of the callers that came back who were refused again.
-func (r *contentionResult) refusedAgain() float64 {
-	again, returned := 0, 0
-	for rank := range r.again {
-		again += r.again[rank]
-		returned += r.returned[rank]
-	}
-	return float64(again) / float64(max(returned, 1))
-}
-
-// heldEach is how long requests that were refused had been held, in the mean.
-func (r *contentionResult) heldEach() time.Duration {
-	tries := 0
-	for rank := range r.refused {
-		tries += r.refused[rank] + r.returned[rank]
-	}
-	return r.held / time.Duration(max(tries, 1))
-}
-
-func (r *contentionResult) String() string {
-	return fmt.Sprintf("in time by rank %.3f %.3f %.3f, worth %.3f, others than the first account %.3f; late %v refused %v returned %v again %v (%.3f), held %v",
-		r.inTimeShare(0), r.inTimeShare(1), r.inTimeShare(2), r.worth(), r.othersInTime(), r.late, r.refused, r.returned, r.again, r.refusedAgain(), r.held.Round(time.Second))
-}
-
 // contentionRequest is a request of the simulation.
 type contentionRequest struct {
 	Request
 	kind    *requestKind
 	at      int       // index of its instance
-	first   time.Time // when the caller first came
-	again   bool      // the caller came back
+	first   time.Time // when the caller's first request arrived
+	again   bool      // it is the caller's retry
 	counted bool
 }
 
@@ -141,11 +80,11 @@
 	running int
 	waiting []*contentionRequest
 	slowed  time.Time // when its speed fell; zero: it didn't
-	answers int       // begun and ended since
+	answers int       // begun and ended since slowed
 }
 
-// contentionState is what a report holds.
-type contentionState struct {
+// contentionReport is a snapshot of the data that the instances get in a report.
+type contentionReport struct {
 	loads    []int // by engine
 	backlogs []Backlog
 	accounts []AccountDemand
@@ -153,7 +92,7 @@
 }
 
 type contentionSim struct {
-	contention
+	contentionSettings
 	now        time.Time
 	rng        *rand.Rand
 	events     simEvents
@@ -165,8 +104,8 @@
 	weights    []float64 // of the models
 	arrivals   map[string]*[Ranks]arrivalRate
 	starts     map[string]*[Ranks]arrivalRate
-	speeds     *SpeedEstimator   // of all instances together
-	snapshots  []contentionState // newest last; reports carry the oldest
+	speeds     *SpeedEstimator    // of all instances together
+	snapshots  []contentionReport // newest last; reports carry the oldest
 	result     contentionResult
 }
 
@@ -176,17 +115,17 @@
 }
 
 // simulateContention runs the simulation to contentionEnd.
-func simulateContention(in contention) *contentionResult {
+func simulateContention(in contentionSettings) *contentionResult {
 	c := newContentionSim(in)
 	c.run()
 	return &c.result
 }
 
-func newContentionSim(in contention) *contentionSim {
+func newContentionSim(in contentionSettings) *contentionSim {
 	in.end = cmp.Or(in.end, contentionEnd)
 	in.slow = cmp.Or(in.slow, 1)
 	c := &contentionSim{
-		contention: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
+		contentionSettings: in, now: simStart, rng: rand.New(rand.NewPCG(in.seed, 1)), byID: map[string]*contentionEngine{},
 		requests: map[string]*contentionRequest{}, arrivals: map[string]*[Ranks]arrivalRate{}, starts: map[string]*[Ranks]arrivalRate{}, speeds: NewSpeedEstimator(),
 	}
 	t := c.newTable()
@@ -226,8 +165,8 @@
 	}
 	for i := range contentionEngines {
 		e := &contentionEngine{id: fmt.Sprintf("e%03d", i), speed: 1}
-		if len(c.contention.speeds) > 0 {
-			e.speed = c.contention.speeds[i%len(c.contention.speeds)]
+		if len(c.contentionSettings.speeds) > 0 {
+			e.speed = c.contentionSettings.speeds[i%len(c.contentionSettings.speeds)]
 		}
 		c.engines, c.byID[e.id] = append(c.engines, e), e
 		t.Servers = append(t.Servers, Server{ID: e.id, Pool: "p", FailureDomain: fmt.Sprint("d", i%3), Slots: contentionSlots})
@@ -257,86 +196,6 @@
 	c.after(25*time.Millisecond, func() { c.tick(i) })
 }
 
-// takeSnapshot records what instances report. It reaches the others contentionReportLag later.
-func (c *contentionSim) takeSnapshot() {
-	var st contentionState
-	for _, e := range c.engines {
-		st.loads = append(st.loads, e.running+len(e.waiting))
-	}
-	st.backlogs = c.backlogs()
-	byAccount := map[AccountDemand]AccountDemand{}
-	for _, s := range c.schedulers {
-		for _, d := range s.AccountDemands() {
-			k := AccountDemand{Account: d.Account, Pool: d.Pool}
-			sum := byAccount[k]
-			byAccount[k] = AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: sum.Waiting + d.Waiting, InFlight: sum.InFlight + d.InFlight}
-		}
-		c.speeds.Add(s.TakeSpeedSamples())
-	}
-	c.speeds.Fit(c.now)
-	st.speeds = c.speeds.Speeds()
-	for _, d := range byAccount {
-		st.accounts = append(st.accounts, d)
-	}
-	slices.SortFunc(st.accounts, func(a, b AccountDemand) int { return strings.Compare(a.Account, b.Account) })
-	c.snapshots = append(c.snapshots, st)
-	if len(c.snapshots) > int(contentionReportLag/contentionSnapshot) {
-		c.snapshots = c.snapshots[1:]
-	}
-	c.after(contentionSnapshot, c.takeSnapshot)
-}
-
-// backlogs returns what all instances have queued and get, by target.
-func (c *contentionSim) backlogs() []Backlog {
-	var out []Backlog
-	for m := range c.weights {
-		b := Backlog{Target: fmt.Sprint("m", m)}
-		if a := c.arrivals[b.Target]; a != nil {
-			for rank := range a {
-				b.Arrivals[rank] = a[rank].rate(c.now)
-			}
-			for rank := range b.Starts {
-				b.Starts[rank] = c.starts[b.Target][rank].rate(c.now)
-			}
-		}
-		for _, s := range c.schedulers {
-			for _, h := range s.fleet.targets[b.Target].queue.heaps {
-				for _, req := range h {
-					b.Waiting[RankIndex(req.Rank)]++
-				}
-			}
-		}
-		out = append(out, b)
-	}
-	return out
-}
-
-// report gives an instance the oldest snapshot.
-func (c *contentionSim) report(i int) {
-	c.after(contentionInterval, func() { c.report(i) })
-	if at := c.now.Sub(simStart); at >= c.cutFrom && at < c.cutTo {
-		return
-	}
-	was := c.snapshots[0]
-	s := c.schedulers[i]
-	s.UpdateSpeeds(c.now, was.speeds)
-	s.UpdateAccounts(c.now, was.accounts)
-	if !c.alone {
-		c.carryOut(i, s.UpdateBacklogs(c.now, was.backlogs, contentionReportLag))
-	}
-	wanted := map[string]float64{}
-	for _, b := range was.backlogs {
-		for rank := range b.Waiting {
-			wanted[b.Target] += b.Waiting[rank] + b.Arrivals[rank]*ArrivalHorizon.Seconds()
-		}
-	}
-	contending := s.SpreadOverServers(wanted)
-	for n, e := range c.engines {
-		load := infra.Load{Running: was.loads[n], Contending: int(contending[e.id] + 0.5)}
-		c.carryOut(i, s.UpdateLoad(c.now, e.id, load, contentionReportLag))
-	}
-}
-
 func (c *contentionSim) carryOut(i int, decisions []Decision) {
 	for _, d := range slices.Clone(decisions) {
 		r := c.requests[d.Request]
@@ -468,8 +327,8 @@
 	c.carryOut(r.at, c.schedulers[r.at].Submit(c.now, r.Request))
 }
 
-// refuse has a caller come back at any instance when it was told to, but within a third of the
-// time that it has left.
+// refuse ends a request. With returns its caller retries once at a random instance, after the retry
+// delay but before its latest retry time; see CallerWaitDivisor.
 func (c *contentionSim) refuse(r *contentionRequest, after time.Duration) {
 	if r.counted {
 		c.result.held += c.now.Sub(r.Arrived)
@@ -478,9 +337,10 @@
 		c.countRefused(r)
 		return
 	}
-	c.after(min(after, r.Deadline.Sub(c.now)/CallerPatience), func() { c.comeBack(r) })
+	c.after(min(after, r.Deadline.Sub(c.now)/CallerWaitDivisor), func() { c.retryRefused(r) })
 }
 
+// countRefused counts a caller that doesn't retry.
 func (c *contentionSim) countRefused(r *contentionRequest) {
 	if !r.counted {
 		return
@@ -491,7 +351,8 @@
 	}
 }
 
-func (c *contentionSim) comeBack(was *contentionRequest) {
+// retryRefused submits the caller's retry at a random instance.
+func (c *contentionSim) retryRefused(was *contentionRequest) {
 	r := *was
 	c.seq++
 	r.ID, r.Arrived, r.at, r.again = fmt.Sprint(c.seq), c.now, c.rng.IntN(len(c.schedulers)), true
@@ -511,10 +372,9 @@
 	return n - 1
 }
 
-// Reports as old as those of a busy fleet, all ranks asked for: the simulation itself counts each
-// request once.
+// The simulation counts each request once.
 func TestContentionCountsEachRequestOnce(t *testing.T) {
-	r := simulateContention(contention{instances: 9, load: 0.5, seed: 7})
+	r := simulateContention(contentionSettings{instances: 9, load: 0.5, seed: 7})
 	t.Log(r)
 	for rank := range r.arrived {
 		require.LessOrEqual(t, r.inTime[rank]+r.late[rank], r.arrived[rank])
--- a/decide/lacking.go
+++ b/decide/lacking.go
@@ -2,35 +2,37 @@
 
 import "time"
 
-// Requests for a model that no server holds wait for it to be loaded, which takes seconds. A caller
-// that won't wait as long is refused at once, and told when the model will probably be there.
+// Requests for a model that no server holds wait while it is loaded. A request whose deadline is
+// earlier is refused at once, with the expected load time as its retry delay.
 
-// untilLoaded returns in how many seconds the target will probably have its first replica, by what
-// loads lately took. It returns 0 if the target has a replica, nothing is known, or ranks don't
-// compete.
-func (s *Scheduler) untilLoaded(now time.Time, t *targetState) float64 {
-	loadTime := &s.fleet.loadTime
-	if !s.roomByRank || len(t.replicas) > 0 || t.lackingSince.IsZero() || !loadTime.warm() {
+// timeToFirstReplica returns the seconds until the target is expected to have its first replica, by
+// the mean of recent load times. It returns 0 if the target has a replica, no load time is known, or
+// Table.RoomByRank isn't set.
+func (s *Scheduler) timeToFirstReplica(now time.Time, t *targetState) float64 {
+	loadTime := &s.fleet.modelLoadTime
+	if !s.roomByRank || len(t.replicas) > 0 || t.replicaMissingSince.IsZero() || !loadTime.warm() {
 		return 0
 	}
-	return max(loadTime.mean-now.Sub(t.lackingSince).Seconds(), 0)
+	return max(loadTime.mean-now.Sub(t.replicaMissingSince).Seconds(), 0)
 }
 
-// noteLacking notes that a request waits for want of a replica, here or at another instance.
-func (t *targetState) noteLacking(now time.Time) {
-	if len(t.replicas) == 0 && now.Sub(t.lackingSince) > maxRetryAfter {
-		t.lackingSince = now
+// recordMissingReplica records that a request waits for the target's first replica, at this instance
+// or at another one.
+func (t *targetState) recordMissingReplica(now time.Time) {
+	if len(t.replicas) == 0 && now.Sub(t.replicaMissingSince) > maxRetryAfter {
+		t.replicaMissingSince = now
 	}
 }
 
-// noteReplicas learns how long a target that is asked for lacked a replica, once it has one.
-func (f *fleet) noteReplicas(now time.Time, t *targetState) {
-	if len(t.replicas) == 0 || t.lackingSince.IsZero() {
+// recordFirstReplica adds a sample of the model load time once a target that was waited for has a
+// replica.
+func (f *fleet) recordFirstReplica(now time.Time, t *targetState) {
+	if len(t.replicas) == 0 || t.replicaMissingSince.IsZero() {
 		return
 	}
-	lacked := now.Sub(t.lackingSince)
-	if lacked <= maxRetryAfter && (t.queue.len() > 0 || t.backlog.known(now)) {
-		f.loadTime.add(lacked.Seconds())
+	missing := now.Sub(t.replicaMissingSince)
+	if missing <= maxRetryAfter && (t.queue.len() > 0 || t.backlog.known(now)) {
+		f.modelLoadTime.add(missing.Seconds())
 	}
-	t.lackingSince = time.Time{}
+	t.replicaMissingSince = time.Time{}
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -31,7 +31,7 @@
 	instancesExceedSlots bool // the own domain has more instances than some server there has slots
 	roomByRank           bool // see Table.RoomByRank
 	instances            int  // number of instances, at least 1
-	backlogsTold         bool // the newest report had backlogs of all instances
+	backlogsReported     bool // the newest report had backlogs
 
 	out          []Decision // returned by the current call
 	candidates   []candidate
@@ -215,7 +215,7 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.out = s.out[:0]
 	if s.queued > 0 {
-		s.shedOverShare(now)
+		s.refuseQueuedOverShare(now)
 		s.dequeueAll(now)
 	}
 	return s.out
@@ -262,7 +262,7 @@
 	s.prepare(now, req)
 	if len(req.target.replicas) == 0 {
 		if req.target.ReplicaPending {
-			req.target.noteLacking(now)
+			req.target.recordMissingReplica(now)
 			s.enqueue(now, req)
 			return
 		}
@@ -349,56 +349,3 @@
 	}
 	return true
 }
-
-// release frees the request's slot at its server.
-func (s *Scheduler) release(now time.Time, req *requestState) {
-	srv := req.dispatchedTo
-	if srv == nil {
-		return
-	}
-	srv.pool.held.add(now.Sub(req.dispatchedAt).Seconds())
-	req.dispatchedTo = nil
-	req.target.inFlight--
-	srv.own--
-	srv.releaseTokens(req)
-	if !req.firstTokenSeen {
-		srv.unread -= req.PromptTokens
-	}
-	srv.pool.addInFlight(req.target.partner, -1)
-	if req.Suspect {
-		srv.suspects--
-	}
-}
-
-// finish drops the request and gives its slot to a queued one.
-func (s *Scheduler) finish(now time.Time, req *requestState, complete bool) {
-	srv := req.dispatchedTo
-	if srv == nil {
-		s.removeQueued(req)
-	} else if !complete {
-		req.target.learnAbandoned(now, req)
-	}
-	s.release(now, req)
-	s.forget(req)
-	if srv != nil {
-		s.dequeueForServer(now, srv)
-	}
-}
-
-func (s *Scheduler) refuse(req *requestState, reason Reason, after time.Duration) {
-	s.out = append(s.out, Decision{Request: req.ID, Action: ActionRefuse, Reason: reason, RetryAfter: after, Inputs: Inputs{
-		ServiceTime: seconds(req.serviceTime),
-		RoomByRank:  req.target != nil && req.target.roomByRank,
-		Late:        req.goalMissed,
-	}})
-	s.forget(req)
-}
-
-func (s *Scheduler) forget(req *requestState) {
-	if s.requests[req.ID] == req {
-		delete(s.requests, req.ID)
-	}
-	if len(s.freeRequests) < maxQueued {
-		s.freeRequests = append(s.freeRequests, req)
-	}
-}
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -26,7 +26,7 @@
 		return
 	}
 	now := time.Now()
-	back := min(dec.RetryAfter, c.deadline.Sub(now)/decide.CallerPatience)
+	back := min(dec.RetryAfter, c.deadline.Sub(now)/decide.CallerWaitDivisor)
 	d.returning = append(d.returning, returningCall{c.target, c.rank(), now.Add(back)})
 	d.signalSync()
 }
--- a/residency/load_order.go
+++ b/residency/load_order.go
@@ -106,10 +106,10 @@
 // countLoad counts a load that begins.
 func (w *pool) countLoad(m *model) {
 	w.loads++
-	if !m.requested() {
+	switch {
+	case !m.requested():
 		w.idleLoads++
-	}
-	if len(m.replicas) == 1 && w.gainIsSmall(m, 1) {
+	case len(m.replicas) == 1 && w.gainIsSmall(m, 1):
 		w.firstLoads++
 	}
 }
