--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -13,6 +13,7 @@
 
 // If an account sends five times as much as the others, these get what they get without it.
 func TestAccountThatSendsFiveTimesItsUsualLeavesTheOthersTheirShare(t *testing.T) {
+	t.Parallel()
 	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7})
 	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7})
 	t.Log("usual:", usual)
@@ -23,6 +24,7 @@
 
 // Without a lease holder an instance limits accounts by its own requests alone.
 func TestAccountsSharesWithoutALeaseHolder(t *testing.T) {
+	t.Parallel()
 	usual := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7, cutTo: contentionEnd})
 	hot := simulateContention(contentionSettings{instances: 75, load: 1, hot: 5, seed: 7, cutTo: contentionEnd})
 	t.Log("usual:", usual)
--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -202,6 +202,7 @@
 // hold requests for a long time before they refuse them. With reports they refuse them early, and no
 // rank is served worse.
 func TestManyInstancesRefuseAtOnceWhatCannotBeServed(t *testing.T) {
+	t.Parallel()
 	flood := contentionSettings{instances: 75, load: 1.3, seed: 7, returns: true, end: 20 * time.Second}
 	informed := simulateContention(flood)
 	flood.alone = true
@@ -218,6 +219,7 @@
 // The same flood at 9 instances, and the lease holder is lost in the middle of it: for three seconds
 // nobody is told anything, then its successor tells all again.
 func TestLostLeaseHolderInAFlood(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{7, 8} {
 		flood := contentionSettings{instances: 9, load: 1.3, seed: seed, returns: true, end: 17 * time.Second, cutFrom: 11 * time.Second, cutTo: 14 * time.Second}
 		told := simulateContention(flood)
--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -13,6 +13,7 @@
 // With as much demand as slots, and other instances' requests known from old reports only, urgent
 // requests get slots before less urgent ones.
 func TestRoomGoesToUrgentRequests(t *testing.T) {
+	t.Parallel()
 	for name, in := range map[string]contentionSettings{
 		"engines in order of rank":    {instances: 75, load: 1},
 		"engines in order of arrival": {instances: 75, load: 1, fifo: true},
@@ -41,6 +42,7 @@
 // With the same demand divided among more instances, each of them sees fewer requests. The result is
 // nearly the same.
 func TestManyInstancesShareRoomByRank(t *testing.T) {
+	t.Parallel()
 	few := simulateContention(contentionSettings{instances: 9, load: 1, seed: 7})
 	t.Log(few)
 	many := simulateContention(contentionSettings{instances: 75, load: 1, seed: 7})
@@ -49,6 +51,7 @@
 }
 
 func TestRoomByRankAtSize(t *testing.T) {
+	t.Parallel()
 	for _, in := range []contentionSettings{
 		{instances: 295, load: 1, end: 8 * time.Second, seed: 7},
 		{instances: 985, load: 1, end: 5 * time.Second, seed: 7},
@@ -63,6 +66,7 @@
 
 // Urgent requests alone could take all slots. Every other rank still gets minRankShare.
 func TestNoRankStarves(t *testing.T) {
+	t.Parallel()
 	r := simulateContention(contentionSettings{instances: 75, load: 1.3, seed: 7})
 	t.Log(r)
 	requireByRank(t, r)
@@ -74,6 +78,7 @@
 
 // With enough slots for all, no rank waits for requests of other ranks that don't come.
 func TestRoomIsLent(t *testing.T) {
+	t.Parallel()
 	r := simulateContention(contentionSettings{instances: 75, load: 0.8, end: 12 * time.Second, seed: 7})
 	t.Log(r)
 	for rank := range r.arrived {
--- a/decide/uneven_sim_test.go
+++ b/decide/uneven_sim_test.go
@@ -33,6 +33,7 @@
 // Engines of speeds 0.7, 0.7 and 1.6 have the same total capacity as even ones, so they must serve about
 // as many requests in time, each engine near its share by speed.
 func TestUnevenServersServeAsMuchAsEvenOnes(t *testing.T) {
+	t.Parallel()
 	even, uneven, slow := 0.0, 0.0, 0.0
 	seeds := []uint64{31, 32, 33}
 	for _, seed := range seeds {
@@ -54,6 +55,7 @@
 
 // No server carries more than 1.3 times its share by capacity.
 func TestBusiestServerKeepsToItsShare(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{31, 32, 33} {
 		r := simulateContention(unevenContention(unevenSpeeds, seed))
 		busiest := slices.Max(r.shares(unevenSpeeds))
@@ -85,6 +87,7 @@
 // An engine's speed falls to a third while it runs requests. All instances use the lower speed soon after
 // recentSpeedAnswers answers.
 func TestServerThatSlowsIsFoundByAllInstances(t *testing.T) {
+	t.Parallel()
 	for _, speeds := range [][]float64{nil, unevenSpeeds} {
 		c := newContentionSim(unevenContention(speeds, 31))
 		slow := c.engines[1]
