--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// Start rates that were measured before a new replica aren't used for a target's first replica, and are
-// scaled by the number of replicas for a further one.
+// Start rates of the time before a new replica aren't used if it is the target's first, and are scaled
+// by the number of replicas if it is a further one.
 func TestNewReplicaOutdatesStarts(t *testing.T) {
 	s := testScheduler(testTable(1, 1, 75, "am"))
 	warmUp(s, "am")
--- a/decide/server_speed_test.go
+++ b/decide/server_speed_test.go
@@ -57,7 +57,7 @@
 	require.Equal(t, []float64{0.5, 1.5}, []float64{slowest, fastest})
 }
 
-// The times of a target whose only server is slow were measured there. If the slowdown counted again,
+// The usual times of a target whose only server is slow contain the slowdown. If it counted again,
 // requests would be refused that can complete in time.
 func TestOnlyServerIsNotSlowForItsTarget(t *testing.T) {
 	s := testScheduler(testTable(1, 4, 1, "am"))
