decide: a server counts as fast or slow only beyond the error of its estimate

A difference of 5 % was used even where the standard error of the estimate is 4 %. Change: a speed differs from 1 only by two standard errors or more.

--- a/decide/speed_estimate.go
+++ b/decide/speed_estimate.go
@@ -25,6 +25,9 @@
 	minSpeedAnswers = 3.0
 	// minSpeedDifference is the relative difference from 1 below which a speed counts as 1.
 	minSpeedDifference = 0.05
+	// minSpeedErrors is the number of standard errors by which the logarithm of a speed has to differ from
+	// 0 for the server to count as fast or slow.
+	minSpeedErrors = 2.0
 	// initialSpread is the assumed variance of the logarithms of the servers' speeds, and of the
 	// models' times, before the first fit. minSpread is the least variance of both.
 	initialSpread = 0.1
@@ -373,9 +376,10 @@
 	return s.speed()
 }
 
-// speed returns the speed, or 1 if the difference is too small to matter.
+// speed returns the speed, or 1 if the difference is too small to matter or may be random.
 func (s *serverEstimate) speed() float64 {
-	if math.Abs(s.logSpeed) < math.Log(1+minSpeedDifference) {
+	standardError := math.Sqrt(s.pool.variance / s.weight)
+	if math.Abs(s.logSpeed) < max(math.Log(1+minSpeedDifference), minSpeedErrors*standardError) {
 		return 1
 	}
 	return math.Exp(s.logSpeed)
