instance: condemned parts of prompts that always come together are tried again

Cause: requests with two condemned parts were refused without end. Two sound parts that all requests of a kind share may be condemned together (many servers ended at one moment), and then no request with one of them alone comes that could clear it. Change: such a request is a trial of all its condemned parts once one is due for each; a crash in it counts as a trial of each. Result: TestPartsCondemnedTogetherAreClearedByATrial fails before (refused for good); parts that crash servers are tried together as rarely as one (8 crashes in two minutes at most).

--- a/instance/suspect_parts_test.go
+++ b/instance/suspect_parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,25 +27,31 @@
 	i := w.instances[w.rng.IntN(len(w.instances))]
 	request := quarantine.NewFingerprint(fmt.Append(nil, "request", n))
 	verdict := i.suspects.Verdict(request, parts)
-	if verdict.Quarantined {
-		return false
-	}
-	trial := verdict.Trial
-	if trial != (quarantine.Fingerprint{}) && !i.suspects.PermitRun(context.Background(), trial) {
+	if !i.suspects.permits(verdict) {
 		return false
 	}
 	time.Sleep(50 * time.Millisecond) // the run
-	i.suspects.ReportCrash(relay.CrashReport{Request: request, Parts: parts, Trial: trial, Crash: w.crash(w.rng.IntN(len(w.servers)), false)})
+	i.suspects.ReportCrash(relay.CrashReport{Request: request, Parts: parts, Trials: verdict.Trials, Crash: w.crash(w.rng.IntN(len(w.servers)), false)})
 	return true
 }
 
+// permits reports whether a request with the verdict may run.
+func (s *suspects) permits(v relay.Verdict) bool {
+	refused := func(part quarantine.Fingerprint) bool { return !s.PermitRun(context.Background(), part) }
+	return !v.Quarantined && !slices.ContainsFunc(v.Trials, refused)
+}
+
 // completeSound has a sound request with the first part complete at some instance. It reports
 // whether the request is let through.
 func (w *crashWorld) completeSound() bool {
+	return w.complete(firstPart, quarantine.NewPartFingerprint(fmt.Sprint("session", w.rng.IntN(8))))
+}
+
+// complete has a request with the parts complete at some instance. It reports whether the request is
+// let through.
+func (w *crashWorld) complete(parts ...quarantine.Fingerprint) bool {
 	i := w.instances[w.rng.IntN(len(w.instances))]
-	parts := []quarantine.Fingerprint{firstPart, quarantine.NewPartFingerprint(fmt.Sprint("session", w.rng.IntN(8)))}
-	verdict := i.suspects.Verdict(quarantine.Fingerprint{9}, parts)
-	if verdict.Quarantined || verdict.Trial != (quarantine.Fingerprint{}) && !i.suspects.PermitRun(context.Background(), verdict.Trial) {
+	if !i.suspects.permits(i.suspects.Verdict(quarantine.Fingerprint{9}, parts)) {
 		return false
 	}
 	if i.suspects.Active() {
@@ -135,6 +142,40 @@
 	})
 }
 
+// Two parts that always come together may be condemned together. A trial clears both.
+func TestPartsCondemnedTogetherAreClearedByATrial(t *testing.T) {
+	second := quarantine.NewPartFingerprint("second")
+	runCrashes(t, 9, 1, func(t *testing.T, w *crashWorld) {
+		for n := range 6 {
+			w.sendPart(n, firstPart, second)
+			time.Sleep(250 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		require.False(t, w.complete(firstPart, second), "they are condemned, and no trial is due")
+		time.Sleep(2 * time.Second)
+		require.True(t, w.complete(firstPart, second), "the trial")
+		time.Sleep(time.Second)
+		for range 50 {
+			require.True(t, w.complete(firstPart, second))
+		}
+	})
+}
+
+// If one of two condemned parts still crashes servers, they are tried together as rarely as one.
+func TestPartsThatStillCrashServersTogetherAreTriedRarely(t *testing.T) {
+	runCrashes(t, 9, 1, func(t *testing.T, w *crashWorld) {
+		crashes := 0
+		for n := range 600 { // two minutes
+			if w.sendPart(n, firstPart, crashingPart) {
+				crashes++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		t.Logf("%d crashes in two minutes", crashes)
+		require.LessOrEqual(t, crashes, 8)
+	})
+}
+
 // A part that still crashes servers is tried less and less often.
 func TestPartThatStillCrashesServersIsTriedRarely(t *testing.T) {
 	runCrashes(t, 9, 1, func(t *testing.T, w *crashWorld) {
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -107,20 +107,27 @@
 	v := relay.Verdict{
 		Crashes: quarantine.Count(crashes, since), Servers: quarantine.Servers(crashes, since), Quarantined: s.isQuarantined(f),
 	}
-	condemned := 0
 	for _, part := range parts {
 		if s.isQuarantined(part) {
-			condemned++
-			v.Trial = part
+			v.Trials = append(v.Trials, part)
 		}
 	}
-	// A request with two condemned parts would speak against both.
-	if condemned > 1 || condemned == 1 && !quarantine.TrialDue(time.Now(), s.set.Crashes(v.Trial), s.since(v.Trial)) {
-		v.Trial, v.Quarantined = quarantine.Fingerprint{}, true
+	if !s.allDue(v.Trials) {
+		v.Trials, v.Quarantined = nil, true
 	}
 	return v
 }
 
+// allDue reports whether each of the condemned parts may be tried again. A crash in a request with
+// several of them speaks against all, but parts that always come together have no other trial. The
+// caller must hold mu.
+func (s *suspects) allDue(parts []quarantine.Fingerprint) bool {
+	now := time.Now()
+	return !slices.ContainsFunc(parts, func(part quarantine.Fingerprint) bool {
+		return !quarantine.TrialDue(now, s.set.Crashes(part), s.since(part))
+	})
+}
+
 // isQuarantined reports whether a request or a part of prompts is quarantined. The caller must hold
 // mu.
 func (s *suspects) isQuarantined(f quarantine.Fingerprint) bool {
@@ -188,7 +195,7 @@
 		changed := changes{r.Request: {s.set.Report(r.Request, r.Crash)}}
 		for _, part := range r.Parts {
 			c := r.Crash
-			c.Repeat = part == r.Trial
+			c.Repeat = slices.Contains(r.Trials, part)
 			changed[part] = []quarantine.Crash{s.set.Report(part, c)}
 		}
 		return changed
--- a/relay/parts.go
+++ b/relay/parts.go
@@ -16,7 +16,7 @@
 type answerState struct {
 	beganAt  time.Time // when its first data arrived; zero: it has not
 	survived bool      // it is complete, or has gone on for survivedFor, and that was reported
-	trial    bool      // the attempt was permitted to find out whether a part still crashes servers
+	trial    bool      // the attempt was permitted to find out whether parts still crash servers
 }
 
 // setAnswer changes the state of the newest attempt's answer.
@@ -61,21 +61,23 @@
 	return c.partFingerprints()
 }
 
-// permitTrial asks whether the request may run though a part of its prompt is condemned.
+// permitTrial asks whether the request may run though parts of its prompt are condemned.
 func (c *call) permitTrial(ctx context.Context) bool {
-	if !c.relay.opts.Quarantine.PermitRun(ctx, c.verdict.Trial) {
-		return false
+	for _, part := range c.verdict.Trials {
+		if !c.relay.opts.Quarantine.PermitRun(ctx, part) {
+			return false
+		}
 	}
 	c.setAnswer(func(a *answerState) { a.trial = true })
 	return true
 }
 
-// trialOf returns the part of the prompt that the newest attempt was a trial of, zero if none.
-func (c *call) trialOf() quarantine.Fingerprint {
+// trialsOf returns the parts of the prompt that the newest attempt was a trial of.
+func (c *call) trialsOf() []quarantine.Fingerprint {
 	if !c.currentAnswer().trial {
-		return quarantine.Fingerprint{}
+		return nil
 	}
-	return c.verdict.Trial
+	return c.verdict.Trials
 }
 
 // endsWith reports whether the call ends because something of it became quarantined: the whole
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -61,7 +61,7 @@
 	quarantine.Crash
 	Request quarantine.Fingerprint
 	Parts   []quarantine.Fingerprint // of the request's prompt
-	Trial   quarantine.Fingerprint   // that of them of which the run was a trial; zero: none
+	Trials  []quarantine.Fingerprint // those of them of which the run was a trial
 }
 
 // Verdict is what is known against a request.
@@ -69,13 +69,13 @@
 	Crashes     int      // of servers that ran it
 	Servers     []string // that crashed
 	Quarantined bool     // it must not run again
-	// Trial is the only condemned part of the prompt, if it may be tried again: the request may run
-	// if PermitRun allows it. Zero: there is none.
-	Trial quarantine.Fingerprint
+	// Trials are the condemned parts of the prompt, if all of them may be tried again: the request may
+	// run if PermitRun allows it for each. Empty: there are none.
+	Trials []quarantine.Fingerprint
 }
 
-// isTrial reports whether the request may only run as a trial of a part of its prompt.
-func (v Verdict) isTrial() bool { return v.Trial != quarantine.Fingerprint{} }
+// isTrial reports whether the request may only run as a trial of parts of its prompt.
+func (v Verdict) isTrial() bool { return len(v.Trials) > 0 }
 
 // QuarantinedError ends the attempts of a request that became quarantined while they ran.
 type QuarantinedError struct{}
@@ -180,7 +180,7 @@
 	if !verdict.crashed() {
 		return f
 	}
-	c.reported = q.ReportCrash(CrashReport{Crash: crash, Request: c.fingerprint(), Parts: c.blamedParts(brokeAt), Trial: c.trialOf()})
+	c.reported = q.ReportCrash(CrashReport{Crash: crash, Request: c.fingerprint(), Parts: c.blamedParts(brokeAt), Trials: c.trialsOf()})
 	c.updateVerdict()
 	if c.route.Retry == topology.AtMostOnce || c.attempts >= c.route.Attempts {
 		return c.suspicion(f) // it isn't sent again
