decide, netconn: files are named after what they hold

A newcomer could not tell from lacking.go, reserve.go, slotworth.go, shared.go or netconn/peer.go what is in them, and sums by rank and the order of accounts' demands were written twice, in decide and in residency.

Tests unchanged; those of decide, residency, netconn, relay and topology pass.

--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -205,11 +205,12 @@
 		d.Account, d.Pool = k.account, k.pool
 		out = append(out, d)
 	}
-	slices.SortFunc(out, compareAccountDemands)
+	slices.SortFunc(out, CompareAccountDemands)
 	return out
 }
 
-func compareAccountDemands(a, b AccountDemand) int {
+// CompareAccountDemands orders demands by pool and account.
+func CompareAccountDemands(a, b AccountDemand) int {
 	return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Account, b.Account))
 }
 
@@ -302,7 +303,7 @@
 func (a *accountShares) compute(demands []AccountDemand, capacity func(pool string, of []AccountDemand) float64) {
 	before := a.allowedFraction
 	a.allowedFraction, a.newlyLimited = map[accountPool]float64{}, a.newlyLimited[:0]
-	sorted := slices.SortedFunc(slices.Values(demands), compareAccountDemands)
+	sorted := slices.SortedFunc(slices.Values(demands), CompareAccountDemands)
 	for len(sorted) > 0 {
 		pool := sorted[0].Pool
 		n := slices.IndexFunc(sorted, func(d AccountDemand) bool { return d.Pool != pool })
--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -6,6 +6,14 @@
 // instance decides by its own queues alone.
 const backlogTTL = 1500 * time.Millisecond
 
+// Backlog is the number of requests for a target that wait at all instances together, and their rates.
+type Backlog struct {
+	Target   string
+	Waiting  [Ranks]float64 // requests queued at instances, by rank
+	Arrivals [Ranks]float64 // requests per second, by rank
+	Starts   [Ranks]float64 // requests per second sent to servers, by rank
+}
+
 // sharedBacklog is the newest report of a target's backlog at all instances.
 type sharedBacklog struct {
 	Backlog
@@ -55,7 +63,7 @@
 		return waiting, arrivals
 	}
 	ownArrivals := t.arrivalRate.rate(now)
-	total := sum(t.backlog.Arrivals)
+	total := SumRanks(t.backlog.Arrivals)
 	for rank := range waiting {
 		waiting[rank] = max(t.backlog.Waiting[rank]-t.backlog.own[rank], 0)
 		if total > 0 { // this instance's arrivals aren't counted by rank
@@ -107,8 +115,8 @@
 	if !b.known(now) || growth == 0 {
 		return e
 	}
-	starts := growth * sum(b.Starts)
-	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
+	starts := growth * SumRanks(b.Starts)
+	if starts < minMeasuredStarts || SumRanks(b.Waiting) < significantBacklog*starts {
 		return e
 	}
 	e.applies = true
@@ -202,15 +210,7 @@
 func (t *targetState) refusalInputs(now time.Time, wait float64, shared bool) Inputs {
 	in := Inputs{Candidates: len(t.replicas), Queued: t.queue.len(), QueueWait: seconds(wait)}
 	if b := &t.backlog; shared {
-		in.Shared = SharedInputs{Known: true, Waiting: sum(b.Waiting), Arrivals: sum(b.Arrivals), Starts: sum(b.Starts), Age: now.Sub(b.takenAt)}
+		in.Shared = SharedInputs{Known: true, Waiting: SumRanks(b.Waiting), Arrivals: SumRanks(b.Arrivals), Starts: SumRanks(b.Starts), Age: now.Sub(b.takenAt)}
 	}
 	return in
 }
-
-func sum(byRank [Ranks]float64) float64 {
-	total := 0.0
-	for _, v := range byRank {
-		total += v
-	}
-	return total
-}
--- a/decide/lacking.go
+++ b/decide/first_replica.go
@@ -2,11 +2,9 @@
 
 import "time"
 
-// Requests for a model that no server holds wait while it is loaded. A request whose deadline is
-// earlier is refused at once, with the expected load time as its retry delay.
-
 // timeToFirstReplica returns the seconds until the target is expected to have its first replica, by
-// the mean of recent load times. It returns 0 if the target has a replica, no load time is known, or
+// the mean of recent load times. Requests for a model that no server holds wait while it is loaded; one
+// whose deadline is before that is refused at once, with this time as its retry delay. It returns 0 if the target has a replica, no load time is known, or
 // Table.RoomByRank isn't set.
 func (s *Scheduler) timeToFirstReplica(now time.Time, t *targetState) float64 {
 	loadTime := &s.fleet.modelLoadTime
--- a/decide/slotworth.go
+++ b/decide/slot_worth.go
@@ -64,8 +64,8 @@
 
 func unixSeconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
-// evictLeastWorth evicts a request from the full queues: it refuses the queued request to which a slot is worth least, unless that is req
-// itself. It reports whether it made room.
+// evictLeastWorth makes room for req in the full queues: it refuses the queued request to which a slot
+// is worth least. It reports false, and refuses none, if that is req itself.
 func (s *Scheduler) evictLeastWorth(now time.Time, req *requestState) bool {
 	victim := req
 	for _, t := range s.fleet.sortedTargets {
--- a/residency/accounts.go
+++ b/residency/accounts.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -56,9 +55,7 @@
 	for _, d := range sums {
 		a.sum = append(a.sum, d)
 	}
-	slices.SortFunc(a.sum, func(x, y decide.AccountDemand) int {
-		return cmp.Or(cmp.Compare(x.Pool, y.Pool), cmp.Compare(x.Account, y.Account))
-	})
+	slices.SortFunc(a.sum, decide.CompareAccountDemands)
 	return a.sum
 }
 
--- a/residency/backlog.go
+++ b/residency/backlog.go
@@ -89,19 +89,11 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b decide.Backlog) int {
-		return cmp.Or(cmp.Compare(sumRanks(b.Waiting), sumRanks(a.Waiting)), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(cmp.Compare(decide.SumRanks(b.Waiting), decide.SumRanks(a.Waiting)), cmp.Compare(a.Target, b.Target))
 	})
 	return out[:min(len(out), maxBacklogs)]
 }
 
-func sumRanks(byRank [decide.Ranks]float64) float64 {
-	total := 0.0
-	for _, v := range byRank {
-		total += v
-	}
-	return total
-}
-
 // rankRateWindow returns the time in seconds by which the decaying counts by rank are divided to get
 // rates, as rateWindow does for all requests.
 func (d *DemandTracker) rankRateWindow(now time.Time) float64 {
