decide, relay: one name for each quantity of room and speed

Inputs.Room was a number of requests and SharedInputs.Room a yes or no, and one range of speeds was Scheduler.SpeedRange and Relay.ServerSpeeds.

They are Inputs.RankRoom, SharedInputs.RoomOnReturn (as its log field) and SpeedRange. Log fields and metrics keep their names.

Tests changed by name only; those of decide and relay pass.

--- a/decide/backlog_test.go
+++ b/decide/backlog_test.go
@@ -88,7 +88,7 @@
 		r.FirstTokenDeadline = now.Add(3 * time.Second)
 		d := s.Submit(now, r)[0]
 		require.Equal(t, ActionRefuse, d.Action)
-		require.True(t, d.Inputs.Shared.Room)
+		require.True(t, d.Inputs.Shared.RoomOnReturn)
 		retryAfter = append(retryAfter, d.RetryAfter)
 	}
 	for i, after := range retryAfter[1:] {
@@ -101,7 +101,7 @@
 		r.FirstTokenDeadline = now.Add(3 * time.Second)
 		last = s.Submit(now, r)[0]
 	}
-	require.False(t, last.Inputs.Shared.Room, "the places in time are given out")
+	require.False(t, last.Inputs.Shared.RoomOnReturn, "the places in time are given out")
 	require.Equal(t, 15*time.Second, last.RetryAfter)
 }
 
--- a/decide/returns.go
+++ b/decide/returns.go
@@ -117,7 +117,7 @@
 	var after time.Duration
 	switch {
 	case backlog.applies:
-		after, in.Shared.Room = s.sharedRetryAfter(now, req, backlog)
+		after, in.Shared.RoomOnReturn = s.sharedRetryAfter(now, req, backlog)
 	case s.roomByRank:
 		after = t.returns.next(now, max(own.earliest, wait), own.gap)
 	default:
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -326,7 +326,7 @@
 			Contending:       srv.quota.contenders(),
 			RoomByRank:       req.target.roomByRank,
 			Late:             req.goalMissed,
-			Room:             srv.rankRoom.left[RankIndex(req.Rank)],
+			RankRoom:         srv.rankRoom.left[RankIndex(req.Rank)],
 			ServerLimit:      srv.rateLimit.RateLimit,
 			Granted:          granted,
 		},
--- a/decide/types.go
+++ b/decide/types.go
@@ -168,19 +168,19 @@
 	Granted          bool          // the lease holder granted this request under ServerLimit; false: sent in this instance's own turn
 	RoomByRank       bool          // the request gets room by its rank; see Table.RoomByRank
 	Late             bool          // with RoomByRank: it can't meet its goal any more
-	Room             float64       // with RoomByRank: number of requests of its rank that the chosen server can take until its next load report
+	RankRoom         float64       // with RoomByRank: number of requests of its rank that the chosen server can take until its next load report
 	Contending       int           // requests of all instances that compete for the server's slots; 0: this instance has no quota there
 	Shared           SharedInputs  // with ActionRefuse
 }
 
 // SharedInputs are the inputs of a decision that come from the backlog of the target at all instances.
 type SharedInputs struct {
-	Known    bool          // false: the decision rests on this instance's own queue
-	Waiting  float64       // requests queued
-	Arrivals float64       // requests per second
-	Starts   float64       // requests per second sent to servers
-	Age      time.Duration // of the counts above
-	Room     bool          // room is expected at the time of the caller's retry
+	Known        bool          // false: the decision rests on this instance's own queue
+	Waiting      float64       // requests queued
+	Arrivals     float64       // requests per second
+	Starts       float64       // requests per second sent to servers
+	Age          time.Duration // of the counts above
+	RoomOnReturn bool          // a slot is expected to be free at the time of the caller's retry
 }
 
 // RateLimit is the request rate, over all instances, that an overloaded server accepts.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -233,8 +233,8 @@
 func (i *Instance) registerGauges() {
 	g := i.metrics.gauge
 	g("unreachable_servers", "Servers that this instance reaches only through another one.", func() float64 { return float64(i.relay.UnreachableServers()) })
-	g("slowest_server_speed", "Work per time of the slowest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { slowest, _ := i.relay.ServerSpeeds(); return slowest })
-	g("fastest_server_speed", "Work per time of the fastest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { _, fastest := i.relay.ServerSpeeds(); return fastest })
+	g("slowest_server_speed", "Work per time of the slowest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { slowest, _ := i.relay.SpeedRange(); return slowest })
+	g("fastest_server_speed", "Work per time of the fastest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { _, fastest := i.relay.SpeedRange(); return fastest })
 	g("suspected_requests", "Requests during which a server crashed, as far as that speaks against them.", func() float64 { n, _ := i.suspects.counts(); return float64(n) })
 	g("quarantined_requests", "Requests that are refused because they crash servers.", func() float64 { _, n := i.suspects.counts(); return float64(n) })
 	g("config_version", "Version of the configuration in force, 0: none.", func() float64 { return float64(i.configVersion()) })
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -282,10 +282,10 @@
 	if !b.Known {
 		return
 	}
-	f["waiting_all"], f["backlog_age_ms"], f["room_on_return"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.Room
+	f["waiting_all"], f["backlog_age_ms"], f["room_on_return"] = int(b.Waiting+0.5), b.Age.Milliseconds(), b.RoomOnReturn
 	f["starts_per_s"] = strconv.FormatFloat(b.Starts, 'f', 1, 64)
 	f["arrivals_per_s"] = strconv.FormatFloat(b.Arrivals, 'f', 1, 64)
-	d.metrics.CountBacklogRefusal(b.Room)
+	d.metrics.CountBacklogRefusal(b.RoomOnReturn)
 }
 
 // addDispatchFields adds the server of a dispatch and the inputs of its choice to the log fields.
@@ -301,7 +301,7 @@
 		d.metrics.CountRateLimitedAttempt()
 	}
 	if in.RoomByRank {
-		f["room"] = strconv.FormatFloat(in.Room, 'f', 1, 64)
+		f["room"] = strconv.FormatFloat(in.RankRoom, 'f', 1, 64)
 	}
 	if in.Contending > 0 {
 		f["contending"] = in.Contending
--- a/relay/shared.go
+++ b/relay/shared.go
@@ -19,9 +19,9 @@
 // TakeSpeedSamples returns what this instance measured of servers' speeds since the last call.
 func (r *Relay) TakeSpeedSamples() []decide.SpeedSample { return r.dispatcher.takeSpeedSamples() }
 
-// ServerSpeeds returns the speeds of the slowest and the fastest server, as all instances measured
+// SpeedRange returns the speeds of the slowest and the fastest server, as all instances measured
 // them, relative to the mean of their pools; 1 if none are known.
-func (r *Relay) ServerSpeeds() (slowest, fastest float64) { return r.dispatcher.serverSpeeds() }
+func (r *Relay) SpeedRange() (slowest, fastest float64) { return r.dispatcher.speedRange() }
 
 // AccountDemands returns what this instance has of client accounts' requests.
 func (r *Relay) AccountDemands() []decide.AccountDemand { return r.dispatcher.accountDemands() }
@@ -70,7 +70,7 @@
 	return d.scheduler.TakeSpeedSamples()
 }
 
-func (d *dispatcher) serverSpeeds() (slowest, fastest float64) {
+func (d *dispatcher) speedRange() (slowest, fastest float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.scheduler.SpeedRange()
