residency: needed and desired replicas are set one after the other

Needed replicas were computed into the field for desired ones and copied back, the gain of a replica stood in value.go beside the weight of requests, and a pool was "crowded".

The needed replicas go into their own field, gain stands with the allocation that uses it, value.go is request_value.go, and the flag says what it means.

Tests unchanged; those of residency pass.

--- a/residency/contention.go
+++ b/residency/contention.go
@@ -19,6 +19,10 @@
 	// reloadShare is the cost of loading a model again, as a share of a useful batch: about the
 	// gain of another load that has to wait for it.
 	reloadShare = 0.25
+	// usefulBatchShare is the share of a server's batch up to which the requests of one model
+	// are served there without waiting for each other. The rest is left to the server's other
+	// models and to uneven arrivals.
+	usefulBatchShare = 0.65
 )
 
 // isContended reports whether models compete for the pool's places and loads: not all desired
@@ -108,6 +112,21 @@
 	return w.gain(m, m.desired)
 }
 
+// gain returns what the replica after the first n ones adds to a model's demand that is served,
+// in weighted concurrent requests. Each further replica adds less; a first one adds at most a
+// useful batch.
+func (w *pool) gain(m *model, n int) float64 {
+	if m.concurrency <= 0 {
+		return 0
+	}
+	share := w.usefulBatch() / m.concurrency
+	return m.weight * m.concurrency * math.Exp(-float64(n)*share) * (1 - math.Exp(-share))
+}
+
+// usefulBatch returns how many requests for one model a server serves without letting them wait
+// for each other.
+func (w *pool) usefulBatch() float64 { return usefulBatchShare * float64(max(w.engine.Slots, 1)) }
+
 // lossWithout returns what the model loses without the replica after its first n ones, in weighted
 // concurrent requests. If that is its only one, the loss includes the cost of loading it again.
 func (w *pool) lossWithout(m *model, n int) float64 {
--- a/residency/load_order.go
+++ b/residency/load_order.go
@@ -120,7 +120,7 @@
 	switch {
 	case w.contended && !m.requested():
 		return false
-	case w.crowded && !m.requested():
+	case w.modelsExceedPlaces && !m.requested():
 		return float64(w.idleLoads) < max(1, idleLoadShare*servers)
 	case w.contended && w.gainIsSmall(m, len(m.replicas)+1):
 		return float64(w.loads) < maxLoadingShare*servers || m.awaitsOverdueLoad() && float64(w.firstLoads) < max(1, firstLoadShare*servers)
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -12,24 +12,24 @@
 
 // pool is the state of one service's servers while one plan is computed.
 type pool struct {
-	p           *Planner
-	now         time.Time
-	service     *topology.Service
-	engine      *topology.Engine
-	budget      *loadBudget
-	models      map[string]*model
-	modelList   []*model // in the order of the configuration
-	servers     []*server
-	rateLimited []*server      // the servers among them that state a rate limit
-	demand      float64        // of all models, in concurrent requests
-	storeLoads  int            // loads from the weight store in progress
-	draining    int            // servers where a model drains or is being unloaded
-	contended   bool           // models compete for places and loads; see isContended
-	crowded     bool           // one replica each of all configured models doesn't fit
-	loads       int            // servers that load a model, or will once another has drained
-	idleLoads   int            // servers that load models without requests
-	firstLoads  int            // servers that load the first replica of a model, where its gain is small
-	onDisk      map[string]int // servers that hold each model on disk, if contended
+	p                  *Planner
+	now                time.Time
+	service            *topology.Service
+	engine             *topology.Engine
+	budget             *loadBudget
+	models             map[string]*model
+	modelList          []*model // in the order of the configuration
+	servers            []*server
+	rateLimited        []*server      // the servers among them that state a rate limit
+	demand             float64        // of all models, in concurrent requests
+	storeLoads         int            // loads from the weight store in progress
+	draining           int            // servers where a model drains or is being unloaded
+	contended          bool           // models compete for places and loads; see isContended
+	modelsExceedPlaces bool           // one replica each of all configured models doesn't fit
+	loads              int            // servers that load a model, or will once another has drained
+	idleLoads          int            // servers that load models without requests
+	firstLoads         int            // servers that load the first replica of a model, where its gain is small
+	onDisk             map[string]int // servers that hold each model on disk, if contended
 }
 
 // model is the state of one model of a pool while a plan is computed.
@@ -91,7 +91,7 @@
 		w.demand += m.concurrency
 	}
 	for _, m := range w.modelList {
-		m.desired = w.neededReplicas(m.concurrency)
+		m.needed = w.neededReplicas(m.concurrency)
 	}
 	w.updateUnserved()
 	w.setDesired()
@@ -220,13 +220,13 @@
 	sum, places := 0, w.modelCapacity()
 	var requested []*model
 	for _, m := range w.modelList {
-		m.needed = m.desired
+		m.desired = m.needed
 		if m.requested() {
-			sum += m.desired
+			sum += m.needed
 			requested = append(requested, m)
 		}
 	}
-	w.crowded = len(w.modelList) > places
+	w.modelsExceedPlaces = len(w.modelList) > places
 	w.contended = w.isContended(requested, places)
 	if w.contended {
 		w.setNeededByWeight(requested)
--- a/residency/value.go
+++ b/residency/request_value.go
@@ -16,10 +16,6 @@
 	// halfUrgencyLoads is the goal, in load times of the model, at which a request has half the
 	// urgency of one without a goal.
 	halfUrgencyLoads = 2
-	// usefulBatchShare is the share of a server's batch up to which the requests of one model
-	// are served there without waiting for each other. The rest is left to the server's other
-	// models and to uneven arrivals.
-	usefulBatchShare = 0.65
 	// weightDecayTime is the time constant with which the mean weight of a target's requests
 	// follows that of the newest reports.
 	weightDecayTime = 2 * time.Second
@@ -78,21 +74,6 @@
 	return float64(patience) / float64(patience+goal)
 }
 
-// gain returns what the replica after the first n ones adds to a model's demand that is served,
-// in weighted concurrent requests. Each further replica adds less; a first one adds at most a
-// useful batch.
-func (w *pool) gain(m *model, n int) float64 {
-	if m.concurrency <= 0 {
-		return 0
-	}
-	share := w.usefulBatch() / m.concurrency
-	return m.weight * m.concurrency * math.Exp(-float64(n)*share) * (1 - math.Exp(-share))
-}
-
-// usefulBatch returns how many requests for one model a server serves without letting them wait
-// for each other.
-func (w *pool) usefulBatch() float64 { return usefulBatchShare * float64(max(w.engine.Slots, 1)) }
-
 // value returns the value of the mean request for a target.
 func (d *DemandTracker) value(target string) requestValue {
 	if t := d.targets[target]; t != nil {
