--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -53,7 +53,7 @@
 		res.Loads = wireLoads(summary.Loads)
 	}
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
-	res.Backlogs, res.Speeds, res.Accounts = wireBacklogs(summary.Backlogs), wireSpeeds(summary.Speeds), wireAccountDemands(summary.Accounts)
+	res.Backlogs, res.Speeds, res.Accounts = convertAll(summary.Backlogs, wireBacklog), convertAll(summary.Speeds, wireSpeed), convertAll(summary.Accounts, wireAccountDemand)
 	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
 	res.Token = wireToken(e.instance.lease.Token())
 	res.RefusalLimits = wireRefusalLimits(e.instance.relay.RefusalLimits())
--- a/instance/speeds_test.go
+++ b/instance/speeds_test.go
@@ -30,7 +30,7 @@
 		d.HandleReport(now, r)
 	}
 	size := func() int {
-		return proto.Size(&exchange.SyncResponse{Speeds: wireSpeeds(d.Speeds(now, "node0"))})
+		return proto.Size(&exchange.SyncResponse{Speeds: convertAll(d.Speeds(now, "node0"), wireSpeed)})
 	}
 	first = size()
 	now = now.Add(2 * time.Second)
@@ -39,7 +39,7 @@
 	for n := range 6 { // answers of an instance in half a second
 		samples = append(samples, sample(n))
 	}
-	return first, later, proto.Size(&exchange.SyncRequest{Speeds: wireSpeedSamples(samples)})
+	return first, later, proto.Size(&exchange.SyncRequest{Speeds: convertAll(samples, wireSpeedSample)})
 }
 
 // The bytes for speeds grow at most with the number of servers, even if all speeds differ.
@@ -53,10 +53,3 @@
 		require.LessOrEqual(t, report, 400)
 	}
 }
-
-func TestSpeedsKeepTheirValuesOnTheWire(t *testing.T) {
-	samples := []decide.SpeedSample{{Server: "s", Start: "a", Pool: "p", Model: "m", Count: 3, LogSum: -12.5}}
-	require.Equal(t, samples, speedSamplesFromWire(wireSpeedSamples(samples)))
-	speeds := []decide.ServerSpeed{{Server: "s", Start: "a", Speed: 0.75, Count: 40}}
-	require.Equal(t, speeds, speedsFromWire(wireSpeeds(speeds)))
-}
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -21,7 +21,7 @@
 		})
 	}
 	req.Loads = wireLoads(report.Loads)
-	req.Speeds, req.Accounts = wireSpeedSamples(report.Speeds), wireAccountDemands(report.Accounts)
+	req.Speeds, req.Accounts = convertAll(report.Speeds, wireSpeedSample), convertAll(report.Accounts, wireAccountDemand)
 	req.Leaving = wireStarts(report.Leaving)
 	for _, r := range report.Rates {
 		req.Rates = append(req.Rates, &exchange.RateSaid{
@@ -39,7 +39,7 @@
 		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(), Competes: req.GetStands(),
 		TargetDemand: make(map[string]residency.TargetDemand, len(req.GetDemand())),
 		Loads:        loadsFromWire(req.GetLoads()), Leaving: startsFromWire(req.GetLeaving()),
-		Speeds: speedSamplesFromWire(req.GetSpeeds()), Accounts: accountDemandsFromWire(req.GetAccounts()),
+		Speeds: convertAll(req.GetSpeeds(), speedSampleFromWire), Accounts: convertAll(req.GetAccounts(), accountDemandFromWire),
 	}
 	for _, d := range req.GetDemand() {
 		report.TargetDemand[d.GetTarget()] = residency.TargetDemand{
@@ -84,7 +84,7 @@
 		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
 	}
 	s.Loads = loadsFromWire(res.GetLoads())
-	s.Backlogs, s.Speeds, s.Accounts = backlogsFromWire(res.GetBacklogs()), speedsFromWire(res.GetSpeeds()), accountDemandsFromWire(res.GetAccounts())
+	s.Backlogs, s.Speeds, s.Accounts = convertAll(res.GetBacklogs(), backlogFromWire), convertAll(res.GetSpeeds(), speedFromWire), convertAll(res.GetAccounts(), accountDemandFromWire)
 	s.IsCandidate, s.Candidates = res.GetChosen(), candidatesFromWire(res.GetCandidates())
 	s.Rates = decide.RateShares{
 		Shares: ratesFromWire(res.GetRates()), Position: int(res.GetPlace()), Instances: decide.CountInstances(s.Instances),
--- a/instance/wire_shared.go
+++ b/instance/wire_shared.go
@@ -17,7 +17,8 @@
 	out := make([]*exchange.RankDemand, n)
 	for n, r := range ranks[:n] {
 		out[n] = &exchange.RankDemand{
-			Requests: uint32(r.Requests), Waiting: uint32(r.Waiting), InFlight: uint32(r.InFlight), GoalMs: uint32(r.Goal.Milliseconds()), Starts: uint32(r.Starts),
+			Requests: uint32(r.Requests), Waiting: uint32(r.Waiting), InFlight: uint32(r.InFlight),
+			GoalMs: uint32(r.Goal.Milliseconds()), Starts: uint32(r.Starts),
 		}
 	}
 	return out
@@ -28,26 +29,32 @@
 	var out [decide.Ranks]residency.RankDemand
 	for n, r := range ranks[:min(len(ranks), decide.Ranks)] {
 		out[n] = residency.RankDemand{
-			Requests: int(r.GetRequests()), Waiting: int(r.GetWaiting()), InFlight: int(r.GetInFlight()), Goal: time.Duration(r.GetGoalMs()) * time.Millisecond, Starts: int(r.GetStarts()),
+			Requests: int(r.GetRequests()), Waiting: int(r.GetWaiting()), InFlight: int(r.GetInFlight()),
+			Goal: time.Duration(r.GetGoalMs()) * time.Millisecond, Starts: int(r.GetStarts()),
 		}
 	}
 	return out
 }
 
-func wireBacklogs(backlogs []decide.Backlog) []*exchange.Backlog {
-	var out []*exchange.Backlog
-	for _, b := range backlogs {
-		out = append(out, &exchange.Backlog{Target: b.Target, Waiting: wireByRank(b.Waiting), Arrivals: wireByRank(b.Arrivals), Starts: wireByRank(b.Starts)})
+// convertAll converts each element, an empty slice to nil.
+func convertAll[From, To any](from []From, convert func(From) To) []To {
+	var out []To
+	for _, v := range from {
+		out = append(out, convert(v))
 	}
 	return out
 }
 
-func backlogsFromWire(backlogs []*exchange.Backlog) []decide.Backlog {
-	var out []decide.Backlog
-	for _, b := range backlogs {
-		out = append(out, decide.Backlog{Target: b.GetTarget(), Waiting: byRankFromWire(b.GetWaiting()), Arrivals: byRankFromWire(b.GetArrivals()), Starts: byRankFromWire(b.GetStarts())})
+func wireBacklog(b decide.Backlog) *exchange.Backlog {
+	return &exchange.Backlog{
+		Target: b.Target, Waiting: wireByRank(b.Waiting), Arrivals: wireByRank(b.Arrivals), Starts: wireByRank(b.Starts),
+	}
+}
+
+func backlogFromWire(b *exchange.Backlog) decide.Backlog {
+	return decide.Backlog{
+		Target: b.GetTarget(), Waiting: byRankFromWire(b.GetWaiting()), Arrivals: byRankFromWire(b.GetArrivals()), Starts: byRankFromWire(b.GetStarts()),
 	}
-	return out
 }
 
 // wireByRank converts values by rank, without the zeros at the end.
@@ -71,50 +78,28 @@
 	return out
 }
 
-func wireSpeedSamples(samples []decide.SpeedSample) []*exchange.SpeedSample {
-	var out []*exchange.SpeedSample
-	for _, s := range samples {
-		out = append(out, &exchange.SpeedSample{Server: s.Server, Start: s.Start, Count: uint32(s.Count), LogSum: float32(s.LogSum), Pool: s.Pool, Model: s.Model})
-	}
-	return out
+func wireSpeedSample(s decide.SpeedSample) *exchange.SpeedSample {
+	return &exchange.SpeedSample{Server: s.Server, Start: s.Start, Count: uint32(s.Count), LogSum: float32(s.LogSum), Pool: s.Pool, Model: s.Model}
 }
 
-func speedSamplesFromWire(samples []*exchange.SpeedSample) []decide.SpeedSample {
-	var out []decide.SpeedSample
-	for _, s := range samples {
-		out = append(out, decide.SpeedSample{Server: s.GetServer(), Start: s.GetStart(), Count: int(s.GetCount()), LogSum: float64(s.GetLogSum()), Pool: s.GetPool(), Model: s.GetModel()})
+func speedSampleFromWire(s *exchange.SpeedSample) decide.SpeedSample {
+	return decide.SpeedSample{
+		Server: s.GetServer(), Start: s.GetStart(), Count: int(s.GetCount()), LogSum: float64(s.GetLogSum()), Pool: s.GetPool(), Model: s.GetModel(),
 	}
-	return out
 }
 
-func wireSpeeds(speeds []decide.ServerSpeed) []*exchange.ServerSpeed {
-	var out []*exchange.ServerSpeed
-	for _, s := range speeds {
-		out = append(out, &exchange.ServerSpeed{Server: s.Server, Start: s.Start, Speed: float32(s.Speed), Count: float32(s.Count)})
-	}
-	return out
+func wireSpeed(s decide.ServerSpeed) *exchange.ServerSpeed {
+	return &exchange.ServerSpeed{Server: s.Server, Start: s.Start, Speed: float32(s.Speed), Count: float32(s.Count)}
 }
 
-func speedsFromWire(speeds []*exchange.ServerSpeed) []decide.ServerSpeed {
-	var out []decide.ServerSpeed
-	for _, s := range speeds {
-		out = append(out, decide.ServerSpeed{Server: s.GetServer(), Start: s.GetStart(), Speed: float64(s.GetSpeed()), Count: float64(s.GetCount())})
-	}
-	return out
+func speedFromWire(s *exchange.ServerSpeed) decide.ServerSpeed {
+	return decide.ServerSpeed{Server: s.GetServer(), Start: s.GetStart(), Speed: float64(s.GetSpeed()), Count: float64(s.GetCount())}
 }
 
-func wireAccountDemands(demands []decide.AccountDemand) []*exchange.AccountDemand {
-	var out []*exchange.AccountDemand
-	for _, d := range demands {
-		out = append(out, &exchange.AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: float32(d.Waiting), InFlight: float32(d.InFlight)})
-	}
-	return out
+func wireAccountDemand(d decide.AccountDemand) *exchange.AccountDemand {
+	return &exchange.AccountDemand{Account: d.Account, Pool: d.Pool, Waiting: float32(d.Waiting), InFlight: float32(d.InFlight)}
 }
 
-func accountDemandsFromWire(demands []*exchange.AccountDemand) []decide.AccountDemand {
-	var out []decide.AccountDemand
-	for _, d := range demands {
-		out = append(out, decide.AccountDemand{Account: d.GetAccount(), Pool: d.GetPool(), Waiting: float64(d.GetWaiting()), InFlight: float64(d.GetInFlight())})
-	}
-	return out
+func accountDemandFromWire(d *exchange.AccountDemand) decide.AccountDemand {
+	return decide.AccountDemand{Account: d.GetAccount(), Pool: d.GetPool(), Waiting: float64(d.GetWaiting()), InFlight: float64(d.GetInFlight())}
 }
--- a/relay/demand_test.go
+++ b/relay/demand_test.go
@@ -24,6 +24,15 @@
 	}
 }
 
+// newRankDispatcher returns a dispatcher with the rankTable.
+func newRankDispatcher(byRank bool) *dispatcher {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
+	d.setTable(rankTable(byRank))
+	return d
+}
+
 // submitRanked submits a call of rank 1.
 func submitRanked(d *dispatcher, id string) *call {
 	now := time.Now()
@@ -34,10 +43,7 @@
 
 // A request that a server refused is sent again: it started once.
 func TestDemandCountsStartsByRankOnce(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
-	d.setTable(rankTable(true))
+	d := newRankDispatcher(true)
 	submitRanked(d, "a")
 	again := submitRanked(d, "b")
 	d.attemptFailed(again, decide.Failure{Reason: infra.ReasonOverloaded, Effect: infra.EffectNone})
@@ -53,10 +59,7 @@
 
 // Where ranks don't compete, demand isn't reported by rank.
 func TestDemandIsNotReportedByRankWithoutRanks(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), log, testMetrics{})
-	d.setTable(rankTable(false))
+	d := newRankDispatcher(false)
 	submitRanked(d, "a")
 	demand := d.demand()["m"]
 	require.Equal(t, 1, demand.Requests)
--- a/relay/returning_test.go
+++ b/relay/returning_test.go
@@ -1,11 +1,9 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"greengageferry/decide"
@@ -15,13 +13,13 @@
 // A caller that was refused while its model is loaded still waits for it: were it not counted, a
 // model with queued requests would be loaded first.
 func TestCallersThatComeBackForTheirModelCountAsWaiting(t *testing.T) {
-	d := newDispatcher(rand.New(rand.NewPCG(1, 1)), logrus.New(), testMetrics{})
+	d := newRankDispatcher(false)
 	c := &call{target: "m", route: &topology.Route{Rank: 1}, deadline: time.Now().Add(9 * time.Second)}
 	refusal := decide.Decision{Action: decide.ActionRefuse, Reason: decide.ReasonDeadline, RetryAfter: 2 * time.Second}
 	d.noteReturning(c, refusal)
 	require.Empty(t, d.demand(), "ranks don't compete")
 
-	d.byRank = true
+	d.setTable(rankTable(true))
 	d.noteReturning(c, refusal)
 	refusal.Inputs.Candidates = 1 // its model has a replica
 	d.noteReturning(c, refusal)
