--- a/whole/deploy_test.go
+++ b/whole/deploy_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -16,16 +14,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"greengageferry/config"
 	"greengageferry/entry"
 	"greengageferry/infra"
 	"greengageferry/internal/schedlag"
-	"greengageferry/load"
 	"greengageferry/quickstart"
 	"greengageferry/record"
-	"greengageferry/replay"
 	"greengageferry/settings"
 	"greengageferry/standin"
 )
@@ -90,34 +85,6 @@
 	calls int // number of requests created; makes each request unique
 }
 
-// tailBytes is the minimum size of the log tail that is kept for a failed test. At most
-// twice as much is kept.
-const tailBytes = 1 << 20
-
-// logTail keeps the end of the data that is written to it.
-type logTail struct {
-	mu   sync.Mutex
-	data []byte
-}
-
-// Write implements io.Writer.
-func (l *logTail) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.data = append(l.data, p...)
-	if over := len(l.data) - 2*tailBytes; over > 0 {
-		l.data = append([]byte(nil), l.data[len(l.data)-tailBytes:]...)
-	}
-	return len(p), nil
-}
-
-// String returns the data that is kept.
-func (l *logTail) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return string(l.data)
-}
-
 // node is one entry instance.
 type node struct {
 	id     string
@@ -249,83 +216,6 @@
 	require.NoError(d.t, err)
 }
 
-// propose appends a configuration change to the log.
-func (d *deployment) propose(change *record.ConfigChange, sequence int) infra.Offset {
-	data, err := proto.Marshal(&record.Record{
-		Origin:   "whole/" + change.GetPartner() + "/" + change.GetAuthor(),
-		Sequence: uint64(sequence + 1),
-		Body:     &record.Record_ConfigChange{ConfigChange: change},
-	})
-	require.NoError(d.t, err)
-	offset, err := d.platform.Log.Append(d.t.Context(), infra.StreamConfig, [][]byte{data})
-	require.NoError(d.t, err)
-	return offset
-}
-
-// activeConfig returns the state of the config stream, replayed from the log's records.
-func (d *deployment) activeConfig() *replay.ConfigView {
-	machine := replay.NewConfig()
-	for _, r := range d.platform.Log.Truth().Records[infra.StreamConfig] {
-		var rec record.Record
-		require.NoError(d.t, proto.Unmarshal(r.Data, &rec))
-		machine.Apply(r.Offset, &rec)
-	}
-	return machine.View()
-}
-
-// watchConfig records the accepted versions of the configuration and the version that each
-// instance has in force, until ctx ends.
-func (d *deployment) watchConfig(ctx context.Context) {
-	client := &http.Client{Transport: d.transport("operators"), Timeout: 2 * time.Second}
-	var accepted uint64
-	for ctx.Err() == nil {
-		if changed := uint64(d.activeConfig().LastChange); changed > accepted {
-			accepted = changed
-			d.mu.Lock()
-			d.truth.AcceptedConfig = append(d.truth.AcceptedConfig, AcceptedConfig{Offset: accepted, At: time.Now()})
-			d.mu.Unlock()
-		}
-		for _, n := range d.nodes {
-			d.observeConfig(ctx, client, n)
-		}
-		sleep(ctx, 200*time.Millisecond)
-	}
-}
-
-// observeConfig records the version of the configuration that an instance has in force.
-func (d *deployment) observeConfig(ctx context.Context, client *http.Client, n *node) {
-	asked := time.Now()
-	status, err := n.status(ctx, client)
-	if err != nil || !n.mustHaveConfig(asked) {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.truth.ObservedConfig = append(d.truth.ObservedConfig, ObservedConfig{Instance: n.id, Offset: status.ConfigOffset, At: asked})
-}
-
-func (n *node) status(ctx context.Context, client *http.Client) (entry.Status, error) {
-	var status entry.Status
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.entry.OperatorsAddr()+entry.PathStatus, nil)
-	if err != nil {
-		return status, err
-	}
-	res, err := client.Do(req)
-	if err != nil {
-		return status, err
-	}
-	defer res.Body.Close()
-	return status, json.NewDecoder(res.Body).Decode(&status)
-}
-
-// mustHaveConfig reports whether the instance must have the newest configuration in force:
-// it runs, is not partitioned, and has had time to catch up since a partition.
-func (n *node) mustHaveConfig(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.gone && !n.partitioned && now.After(n.catchUpBy)
-}
-
 func (n *node) setGone() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -352,70 +242,6 @@
 	return liveNodes
 }
 
-// waitReachable waits until each declared model has answered through some instance.
-func (d *deployment) waitReachable(when string) {
-	deadline := time.Now().Add(recoveryTimeout)
-	transport := d.transport(placeCallers)
-	for _, m := range d.truth.Models {
-		for !d.probe(transport, m) {
-			if time.Now().After(deadline) {
-				d.dumpState()
-				require.Fail(d.t, when+": model "+m.Name+" is not reachable")
-			}
-			sleep(d.t.Context(), 100*time.Millisecond)
-		}
-	}
-}
-
-// dumpState logs the status and metrics of each instance and the status of each engine.
-func (d *deployment) dumpState() {
-	client := &http.Client{Transport: d.transport("operators"), Timeout: 2 * time.Second}
-	for _, n := range d.liveNodes() {
-		for _, path := range []string{entry.PathStatus, entry.PathMetrics} {
-			res, err := client.Get("http://" + n.entry.OperatorsAddr() + path)
-			if err != nil {
-				d.t.Logf("%s%s: %v", n.id, path, err)
-				continue
-			}
-			body, _ := io.ReadAll(res.Body)
-			res.Body.Close()
-			d.t.Logf("%s%s: %s", n.id, path, body)
-		}
-	}
-	engine := infra.NewHTTPEngine(client)
-	for _, id := range slices.Sorted(maps.Keys(d.platform.Engines)) {
-		status, err := engine.Status(d.t.Context(), d.platform.Servers[id].Addr())
-		d.t.Logf("%s: %+v %v", id, status, err)
-	}
-}
-
-// probe requests a model once through a random instance, and reports whether it answered.
-func (d *deployment) probe(transport *http.Transport, m Model) bool {
-	liveNodes := d.liveNodes()
-	n := liveNodes[rand.IntN(len(liveNodes))]
-	r := d.newRequest(m)
-	r.Timeout = 3 * time.Second
-	r.MaxTokens = 5
-	return d.history.Send(d.t.Context(), n.id, d.client(transport, n, m.Partner), r).Outcome == load.OutcomeComplete
-}
-
-func (d *deployment) client(transport *http.Transport, n *node, partner string) *load.Client {
-	key := quickstart.FlightKitchenKey
-	if partner == quickstart.Instituto {
-		key = quickstart.InstitutoKey
-	}
-	return &load.Client{HTTP: &http.Client{Transport: transport}, URL: "http://" + n.entry.CallersAddr(), Key: key}
-}
-
-// newRequest returns a request with a unique prompt and seed.
-func (d *deployment) newRequest(m Model) load.Request {
-	d.mu.Lock()
-	d.calls++
-	number := d.calls
-	d.mu.Unlock()
-	return load.Request{Model: m.Name, Prompt: fmt.Sprintf("request %d", number), MaxTokens: 40, Seed: uint64(number), Timeout: 5 * time.Second}
-}
-
 // check checks each rule, and logs the number of answers by outcome and the number of events
 // that each check covered.
 func (d *deployment) check() {
