decide: recording a dispatch is a function of its own

dispatch had 46 lines, which updated a dozen counts and described the decision.

recordDispatch updates the counts; the order of all steps is as before.

Tests unchanged; those of decide pass.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -286,32 +286,14 @@
 	s.enqueue(now, req)
 }
 
+// dispatch decides to send the request to the candidate.
 func (s *Scheduler) dispatch(now time.Time, req *requestState, c *candidate) {
 	srv := c.server
 	reason := ReasonBestScore
 	if s.hasOneEligibleReplica(now, req) {
 		reason = ReasonOnlyReplica
 	}
-	req.dispatchedTo, req.dispatchedAt = srv, now
-	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
-	srv.unread += req.PromptTokens
-	srv.holdTokens(req)
-	srv.quota.remaining--
-	if req.target.roomByRank {
-		srv.countDispatch(srv.roomRank(req), s.rng.Float64())
-	}
-	granted := srv.rateLimit.consume(now)
-	req.queuedAtServer = c.load+1 > float64(srv.Slots)
-	req.attempts++
-	req.target.inFlight++
-	srv.own++
-	srv.pool.addInFlight(req.target.partner, 1)
-	if req.Suspect {
-		srv.suspects++
-	}
-	if req.Prefix != 0 {
-		s.prefixIndex.put(now, prefixKey{req.target.Model, req.Prefix}, srv)
-	}
+	granted := s.recordDispatch(now, req, c)
 	s.out = append(s.out, Decision{
 		Request: req.ID, Action: ActionDispatch, Server: srv.Server, Version: c.replica.version, Reason: reason,
 		Inputs: Inputs{
@@ -333,6 +315,33 @@
 	})
 }
 
+// recordDispatch records that the request is at the candidate's server. granted reports whether the
+// lease holder granted it under the server's rate limit.
+func (s *Scheduler) recordDispatch(now time.Time, req *requestState, c *candidate) (granted bool) {
+	srv := c.server
+	req.dispatchedTo, req.dispatchedAt = srv, now
+	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
+	srv.unread += req.PromptTokens
+	srv.holdTokens(req)
+	srv.quota.remaining--
+	if req.target.roomByRank {
+		srv.countDispatch(srv.roomRank(req), s.rng.Float64())
+	}
+	granted = srv.rateLimit.consume(now)
+	req.queuedAtServer = c.load+1 > float64(srv.Slots)
+	req.attempts++
+	req.target.inFlight++
+	srv.own++
+	srv.pool.addInFlight(req.target.partner, 1)
+	if req.Suspect {
+		srv.suspects++
+	}
+	if req.Prefix != 0 {
+		s.prefixIndex.put(now, prefixKey{req.target.Model, req.Prefix}, srv)
+	}
+	return granted
+}
+
 // hasOneEligibleReplica reports whether no more than one of the target's replicas is eligible for
 // the request. Others that are only full count.
 func (s *Scheduler) hasOneEligibleReplica(now time.Time, req *requestState) bool {
