--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -71,14 +71,7 @@
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return ""
 	}
-	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
-	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
-	c.observeRefusalLimit(d, res, headers)
-	// A 421 may come from another server that now has the address, so it says something of
-	// the intended server only if it names that.
-	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
-		c.handleServerAnswer(d, sent, headers)
-	}
+	c.observeHeaders(d, res, sent, headers)
 	if outcome, done := c.handleUnusable(d, res, headers); done {
 		return outcome
 	}
@@ -89,6 +82,18 @@
 	return c.relayResponse(ctx, d, res, sent)
 }
 
+// observeHeaders passes on what the headers of a response say of the attempt and of the server.
+func (c *call) observeHeaders(d decide.Decision, res *http.Response, sent time.Time, headers ResponseHeaders) {
+	c.lastResponse, c.lastResponseServer = headers, d.Server.ID
+	c.relay.dispatcher.handleResponse(c, d.Server.ID, sent, res.StatusCode, headers)
+	c.observeRefusalLimit(d, res, headers)
+	// A 421 may come from another server that now has the address, so it says something of
+	// the intended server only if it names that.
+	if res.StatusCode != http.StatusMisdirectedRequest || headers.ServerID == d.Server.ID {
+		c.handleServerAnswer(d, sent, headers)
+	}
+}
+
 // handleServerAnswer passes on what an answer says of the server that gave it.
 func (c *call) handleServerAnswer(d decide.Decision, sent time.Time, headers ResponseHeaders) {
 	if headers.Leaving && c.relay.opts.OnLeaving != nil {
--- a/relay/call.go
+++ b/relay/call.go
@@ -137,6 +137,15 @@
 		return c.respondDenied(a)
 	}
 	c.setAdmission(v, a)
+	if outcome := c.prepare(v); outcome != "" {
+		return outcome
+	}
+	return c.run()
+}
+
+// prepare charges the admitted request to its account and sets its target and deadline. It returns the
+// outcome of a request that is refused, "" of others.
+func (c *call) prepare(v *topology.View) string {
 	resumed, ok := c.origin()
 	if !ok {
 		return c.refuse(reasonOriginUnknown, originRetryAfter)
@@ -150,7 +159,7 @@
 	}
 	c.avoidNewVersion(v)
 	c.setDeadline()
-	return c.run()
+	return ""
 }
 
 // setTarget sets the service that runs the request, and the target there.
--- a/relay/end.go
+++ b/relay/end.go
@@ -165,10 +165,7 @@
 		f["resumes"] = c.headers.Resumes
 	}
 	if c.stream.started {
-		f["version"] = c.stream.version
-		f["events"] = c.stream.events
-		f["last_event"] = c.stream.lastID
-		f["max_gap_ms"] = c.stream.maxGap.Milliseconds()
+		c.addStreamFields(f)
 		c.relay.opts.Metrics.ObserveStreamGap(c.stream.maxGap)
 	}
 	if !c.firstByte.IsZero() {
@@ -180,3 +177,11 @@
 	}
 	c.relay.opts.Log.WithFields(f).Log(level, "request ended")
 }
+
+// addStreamFields adds what the caller received of a stream to the log fields.
+func (c *call) addStreamFields(f logrus.Fields) {
+	f["version"] = c.stream.version
+	f["events"] = c.stream.events
+	f["last_event"] = c.stream.lastID
+	f["max_gap_ms"] = c.stream.maxGap.Milliseconds()
+}
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -81,6 +81,11 @@
 		return
 	}
 	defer f.relay.memory.release(requestOverhead)
+	f.forwardWithinLimit(w, req, server, asked)
+}
+
+// forwardWithinLimit forwards an attempt once its server's refusal limit, if there is one, permits.
+func (f *ForwardServer) forwardWithinLimit(w http.ResponseWriter, req *http.Request, server decide.Server, asked gatewayRequest) {
 	limit, known := f.relay.gateways.limitOf(server)
 	if limit == 0 || !known && !asked.asGateway {
 		f.forward(w, req, server, nil)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -54,8 +54,7 @@
 			}
 			if firstData.IsZero() {
 				firstData = time.Now()
-				c.setAnswer(func(a *answerState) { a.beganAt = firstData })
-				c.relay.dispatcher.streamStarted(c)
+				c.noteFirstData(firstData)
 			}
 			watch.Arm()
 			c.noteProgress(time.Now())
@@ -73,17 +72,27 @@
 			}
 		}
 		if err == io.EOF {
-			break
+			return c.endStream(d, res, sent, firstData, c.stream.events-eventsBefore)
 		}
 		if err != nil {
 			return c.handleStreamError(ctx, d, res, err)
 		}
 	}
+}
+
+// noteFirstData records when the first data of the newest attempt's stream arrived.
+func (c *call) noteFirstData(at time.Time) {
+	c.setAnswer(func(a *answerState) { a.beganAt = at })
+	c.relay.dispatcher.streamStarted(c)
+}
+
+// endStream ends a call whose stream is complete. events is the number of its events that the newest
+// attempt brought, and firstData when the first data of it arrived, zero if it had none.
+func (c *call) endStream(d decide.Decision, res *http.Response, sent, firstData time.Time, events int) string {
 	if !c.stream.started { // a stream without events is complete if its framing says so
 		c.startStream(res, d.Server)
 	}
 	c.reportCompletion()
-	events := c.stream.events - eventsBefore
 	tokensPerEvent := 1
 	if c.service.Engine != nil {
 		tokensPerEvent = c.service.Engine.TokensPerEvent
