residency: long functions are split

loadCost is the cost of one server for a load, addModel takes up one model; sums are in the same order as before, so that plans are the same.

Tests unchanged; those of residency pass.

--- a/residency/place.go
+++ b/residency/place.go
@@ -130,29 +130,8 @@
 		if version != "" && s.SoftwareVersion != version {
 			continue
 		}
-		onDisk := slices.Contains(s.OnDisk, m.Name)
-		if !onDisk && (w.budget.tokens < 1 || w.storeLoads >= w.maxStoreLoads(m)) {
-			continue
-		}
-		victim, fits := w.victim(s, m)
-		if !fits && victim == nil {
-			continue
-		}
-		cost := w.placementCost(s, m)
-		if w.contended {
-			cost = w.contendedPlacementCost(s, m, victim)
-		}
-		if !onDisk {
-			cost += storeLoadCost * m.LoadTime.Seconds()
-		}
-		if !fits {
-			cost += unloadCost + w.evictionLoss(victim)
-		}
-		if cost < bestCost {
+		if cost, victim := w.loadCost(s, m); cost < bestCost {
 			best, bestCost, bestVictim = s, cost, victim
-			if fits {
-				bestVictim = nil
-			}
 		}
 	}
 	if best == nil {
@@ -161,6 +140,30 @@
 	return w.assignReplica(best, m, bestVictim), true
 }
 
+// loadCost returns the cost of loading the model on a server, infinite if that isn't possible now, and
+// the model that has to be unloaded there first, nil if none.
+func (w *pool) loadCost(s *server, m *model) (cost float64, victim *model) {
+	onDisk := slices.Contains(s.OnDisk, m.Name)
+	if !onDisk && (w.budget.tokens < 1 || w.storeLoads >= w.maxStoreLoads(m)) {
+		return math.Inf(1), nil
+	}
+	victim, fits := w.victim(s, m)
+	if !fits && victim == nil {
+		return math.Inf(1), nil
+	}
+	cost = w.placementCost(s, m)
+	if w.contended {
+		cost = w.contendedPlacementCost(s, m, victim)
+	}
+	if !onDisk {
+		cost += storeLoadCost * m.LoadTime.Seconds()
+	}
+	if fits {
+		return cost, nil
+	}
+	return cost + (unloadCost + w.evictionLoss(victim)), victim
+}
+
 // evictionLoss returns the part of a placement's cost that is due to the victim's loss, in full
 // batches, while models compete.
 func (w *pool) evictionLoss(victim *model) float64 {
--- a/residency/pool.go
+++ b/residency/pool.go
@@ -62,19 +62,7 @@
 	}
 	w := &pool{p: p, now: now, service: service, engine: service.Engine, budget: b, models: map[string]*model{}}
 	for _, m := range service.Engine.Models {
-		x := &model{Model: m}
-		for n := 0; n <= m.Adapters; n++ {
-			name := w.targetName(m.Name, n)
-			x.addDemand(now, p.demand, name)
-			for _, version := range p.demand.Versions(name) {
-				x.addDemand(now, p.demand, topology.VersionTarget(name, version))
-				if !slices.Contains(x.versions, version) {
-					x.versions = append(x.versions, version)
-				}
-			}
-		}
-		w.models[m.Name] = x
-		w.modelList = append(w.modelList, x)
+		w.addModel(m)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
 		if s := p.servers[id]; s.Service == service.Name {
@@ -98,6 +86,23 @@
 	return w
 }
 
+// addModel adds a configured model with the demand for it and its adapters, at all software versions.
+func (w *pool) addModel(configured topology.Model) {
+	m := &model{Model: configured}
+	for n := 0; n <= m.Adapters; n++ {
+		name := w.targetName(m.Name, n)
+		m.addDemand(w.now, w.p.demand, name)
+		for _, version := range w.p.demand.Versions(name) {
+			m.addDemand(w.now, w.p.demand, topology.VersionTarget(name, version))
+			if !slices.Contains(m.versions, version) {
+				m.versions = append(m.versions, version)
+			}
+		}
+	}
+	w.models[m.Name] = m
+	w.modelList = append(w.modelList, m)
+}
+
 // addDemand adds the demand for a target.
 func (m *model) addDemand(now time.Time, demand *DemandTracker, target string) {
 	m.rate += demand.Rate(now, target)
