instance: long functions are split

syncRequest, observeSyncResponse, setCandidates and holderResponse are the parts of a Sync; newMetrics uses one function for each kind of metric.

Tests unchanged; 18 tests of instance that exchange reports or read metrics pass.

--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -34,40 +34,47 @@
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	version, age := e.instance.confirmedConfig()
+	return e.instance.holderResponse(req, report.Candidates, summary), nil
+}
+
+// holderResponse returns the lease holder's response to a report. candidates is the digest of the
+// candidates known to the instance that reported.
+func (i *Instance) holderResponse(req *exchange.SyncRequest, candidates uint64, summary residency.Summary) *exchange.SyncResponse {
+	version, age := i.confirmedConfig()
 	res := &exchange.SyncResponse{
-		Ordering: summary.Ordering, Chosen: summary.IsCandidate, StoreDown: e.instance.storeIsDown(),
+		Ordering: summary.Ordering, Chosen: summary.IsCandidate, StoreDown: i.storeIsDown(),
 		ConfigVersion: max(summary.Version, version), ConfigAgeMs: age,
 	}
 	named := 1
-	if summary.Candidates.Digest() != report.Candidates {
+	if summary.Candidates.Digest() != candidates {
 		res.Candidates = wireCandidates(summary.Candidates)
 		named = maxNamedPeers // the instance may have just started
 	}
-	res.Peers = e.instance.somePeers(named)
+	res.Peers = i.somePeers(named)
 	for domain, n := range summary.Instances {
 		res.Instances = append(res.Instances, &exchange.DomainInstances{FailureDomain: domain, Count: uint32(n)})
 	}
-	res.Servers = e.instance.servers.stepsSince(time.Now(), req.GetServersDigest(), summary.Loads)
+	res.Servers = i.servers.stepsSince(time.Now(), req.GetServersDigest(), summary.Loads)
 	if res.Servers == nil {
 		res.Loads = wireLoads(summary.Loads)
 	}
 	res.Rates, res.Place = wireRates(summary.Rates.Shares), uint32(summary.Rates.Position)
-	res.Backlogs, res.Speeds, res.Accounts = convertAll(summary.Backlogs, wireBacklog), convertAll(summary.Speeds, wireSpeed), convertAll(summary.Accounts, wireAccountDemand)
-	res.Leaving, res.StoreEra = wireStarts(e.instance.leavingServers()), e.instance.storeEra()
-	res.Token = wireToken(e.instance.lease.Token())
-	res.RefusalLimits = wireRefusalLimits(e.instance.relay.RefusalLimits())
+	res.Backlogs, res.Speeds = convertAll(summary.Backlogs, wireBacklog), convertAll(summary.Speeds, wireSpeed)
+	res.Accounts = convertAll(summary.Accounts, wireAccountDemand)
+	res.Leaving, res.StoreEra = wireStarts(i.leavingServers()), i.storeEra()
+	res.Token = wireToken(i.lease.Token())
+	res.RefusalLimits = wireRefusalLimits(i.relay.RefusalLimits())
 	if summary.Gateways.Digest() != req.GetGatewaysDigest() {
 		res.Gateways = wireGateways(summary.Gateways)
 	}
-	res.SuspectsDigest, res.Suspects = e.instance.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
+	res.SuspectsDigest, res.Suspects = i.suspects.exchange(req.GetSuspectsDigest(), req.GetSuspects())
 	if req.GetAllowances() != nil {
-		if grants, ok := e.instance.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
+		if grants, ok := i.allowances.grant(time.Now(), allowancesFromWire(req.GetInstance(), req.GetAllowances())); ok {
 			res.Allowances = wireGrants(grants)
 		}
 	}
 	res.Held, res.HeldLost, res.HeldSince = wireHeld(summary.Held), wireHeld(summary.HeldRemoved), summary.HeldIncremental
-	return res, nil
+	return res
 }
 
 // candidateResponse is the response of a candidate that doesn't hold the lease.
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -58,57 +58,49 @@
 	accounts   map[string]bool // those with a label of their own
 }
 
+func newCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// newCounters returns counters by the values of the labels.
+func newCounters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// newHistogram returns a histogram with latencyBuckets.
+func newHistogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets})
+}
+
 func newMetrics() *metrics {
-	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
-	}
-	histogram := func(name, help string) prometheus.Histogram {
-		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets})
-	}
 	m := &metrics{
-		registry:      prometheus.NewRegistry(),
-		requests:      counters("requests_total", "Requests by the class of their end.", "outcome"),
-		decisions:     counters("decisions_total", "Decisions about requests.", "action", "reason"),
-		rankDecisions: counters("rank_decisions_total", "Decisions about requests that get room by their rank.", "action", "rank", "late"),
-		orders:        counters("orders_total", "Orders to servers.", "result"),
-		sentRateLimited: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "sent_rate_limited_total", Help: "Attempts at servers that name a rate limit.",
-		}),
-		backlogRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "backlog_refusals_total", Help: "Refusals by what waits at all instances, by whether there will be room when the caller comes back.",
-		}, []string{"room"}),
-		storeFailures: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "store_failures_total", Help: "Reads of the platform's store that failed.",
-		}),
-		lateAnswers: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "store_late_answers_total", Help: "Answers of the platform's store that came after their read was given up for slow, and were applied.",
-		}),
-		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "store_eras_total", Help: "Times that the platform's store came back from an older copy.",
-		}),
-		peerQuestions: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "peer_questions_total", Help: "Questions to other instances while this one's knowledge was out of date.",
-		}),
-		crashes: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "crashed_attempts_total", Help: "Attempts whose server crashed.",
-		}),
-		duration:  histogram("request_seconds", "From a request's arrival to its end."),
-		firstByte: histogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
-		wait:      histogram("wait_seconds", "From a request's arrival to its first attempt."),
-		eventGap:  histogram("event_gap_seconds", "The longest pause of a stream."),
+		registry:        prometheus.NewRegistry(),
+		requests:        newCounters("requests_total", "Requests by the class of their end.", "outcome"),
+		decisions:       newCounters("decisions_total", "Decisions about requests.", "action", "reason"),
+		rankDecisions:   newCounters("rank_decisions_total", "Decisions about requests that get room by their rank.", "action", "rank", "late"),
+		orders:          newCounters("orders_total", "Orders to servers.", "result"),
+		sentRateLimited: newCounter("sent_rate_limited_total", "Attempts at servers that name a rate limit."),
+		backlogRefusals: newCounters("backlog_refusals_total", "Refusals by what waits at all instances, by whether there will be room when the caller comes back.", "room"),
+		storeFailures:   newCounter("store_failures_total", "Reads of the platform's store that failed."),
+		lateAnswers:     newCounter("store_late_answers_total", "Answers of the platform's store that came after their read was given up for slow, and were applied."),
+		storeEras:       newCounter("store_eras_total", "Times that the platform's store came back from an older copy."),
+		peerQuestions:   newCounter("peer_questions_total", "Questions to other instances while this one's knowledge was out of date."),
+		crashes:         newCounter("crashed_attempts_total", "Attempts whose server crashed."),
+		duration:        newHistogram("request_seconds", "From a request's arrival to its end."),
+		firstByte:       newHistogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
+		wait:            newHistogram("wait_seconds", "From a request's arrival to its first attempt."),
+		eventGap:        newHistogram("event_gap_seconds", "The longest pause of a stream."),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "store_call_seconds", Help: "Reads of the platform's store, their waiting included.", Buckets: latencyBuckets,
 		}, []string{"read"}),
-		storeResults: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "store_reads_total", Help: "Reads of the platform's store by how they ended.",
-		}, []string{"read", "result"}),
-		allowances:  counters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
-		draws:       counters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
-		sendings:    counters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
-		admissions:  counters("gateway_admissions_total", "Attempts at servers that fail by refusing that this instance was asked to send, by what became of them: at_once, waited, full.", "result"),
-		bodies:      counters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
-		resumptions: counters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
-		accounts:    map[string]bool{},
+		storeResults: newCounters("store_reads_total", "Reads of the platform's store by how they ended.", "read", "result"),
+		allowances:   newCounters("allowance_decisions_total", "Requests of client accounts with an allowance, by what it allowed.", "account", "verdict"),
+		draws:        newCounters("allowance_draws_total", "Calls that asked the lease holder for credit.", "result"),
+		sendings:     newCounters("sendings_total", "Sendings of attempts, by their connection: new, kept, or again, one more of the same attempt.", "connection"),
+		admissions:   newCounters("gateway_admissions_total", "Attempts at servers that fail by refusing that this instance was asked to send, by what became of them: at_once, waited, full.", "result"),
+		bodies:       newCounters("answer_bodies_total", "Bodies of servers' answers, by how the server framed them and how they ended.", "framing", "end"),
+		resumptions:  newCounters("resumed_streams_total", "Streams that went on at another server, by who took them up (answer, caller) and whether its software version was that at which they began.", "by", "version"),
+		accounts:     map[string]bool{},
 	}
 	m.registry.MustRegister(m.requests, m.decisions, m.rankDecisions, m.orders, m.sentRateLimited, m.backlogRefusals, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.resumptions)
 	return m
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -173,13 +173,7 @@
 	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+addr, s.client)
 	sent := time.Now()
-	req := newSyncRequest(*report)
-	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
-	req.SuspectsDigest, req.Suspects = i.suspects.forHolder()
-	req.RefusalLimits, req.GatewaysDigest = wireRefusalLimits(i.relay.RefusalLimits()), i.relay.Gateways().Digest()
-	if usage, ok := i.allowances.report(sent); ok {
-		req.Allowances = wireAllowances(usage)
-	}
+	req := i.syncRequest(sent, *report)
 	res, err := client.Sync(ctx, req)
 	if err != nil {
 		s.onPeerFailure(addr, err)
@@ -187,16 +181,7 @@
 		return false
 	}
 	now := time.Now()
-	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
-		res.Servers, res.ConfigAgeMs = nil, nil // they predate the restore of the store
-	}
-	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
-	i.addLeavingServers(startsFromWire(res.GetLeaving()))
-	i.suspects.onHolderAnswer(req.GetSuspectsDigest(), res.GetSuspectsDigest(), res.GetSuspects())
-	i.relay.ObserveRefusalLimits(sent, refusalLimitsFromWire(res.GetRefusalLimits()))
-	i.setGateways(gatewaysFromWire(res.GetGateways()))
-	i.notePeers(addr)
-	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
+	i.observeSyncResponse(sent, addr, req, res)
 	var loads map[string]residency.Load
 	if res.GetServers() != nil {
 		loads = i.servers.applySteps(sent, req.GetServersDigest(), res.GetServers(), i.setServers)
@@ -214,18 +199,52 @@
 		summary.Loads = loads
 	}
 	s.holderLocator.onHolderAnswer(now, addr, summary.Ordering, report.StoreDown)
-	if len(summary.Candidates) > 0 {
-		s.candidates = summary.Candidates
-		i.log.WithFields(logrus.Fields{"candidates": len(s.candidates), "chosen": summary.IsCandidate}).Info("lease candidates told")
-		s.holderLocator.update(s.candidates)
-		i.setPeers(s.candidates)
-	}
+	s.setCandidates(summary)
 	i.lease.ObserveHolder(summary.IsCandidate)
 	i.update(sent, summary)
 	i.setPeerStatus(peerStatusFromWire(sent, res, addr))
 	return true
 }
 
+// syncRequest returns the request that carries a report, with what else the instance tells the lease
+// holder.
+func (i *Instance) syncRequest(now time.Time, report residency.InstanceReport) *exchange.SyncRequest {
+	req := newSyncRequest(report)
+	req.ServersDigest, req.StoreEra, req.Token = i.servers.digest(), i.storeEra(), wireToken(i.lease.Token())
+	req.SuspectsDigest, req.Suspects = i.suspects.forHolder()
+	req.RefusalLimits, req.GatewaysDigest = wireRefusalLimits(i.relay.RefusalLimits()), i.relay.Gateways().Digest()
+	if usage, ok := i.allowances.report(now); ok {
+		req.Allowances = wireAllowances(usage)
+	}
+	return req
+}
+
+// observeSyncResponse applies what any instance tells, whether or not it holds the lease. It removes
+// from the response what predates a restore of the store. sent is when the request was sent.
+func (i *Instance) observeSyncResponse(sent time.Time, addr string, req *exchange.SyncRequest, res *exchange.SyncResponse) {
+	if i.observeEra(res.GetStoreEra(), "instance") == eraStale {
+		res.Servers, res.ConfigAgeMs = nil, nil
+	}
+	i.lease.ObserveToken(tokenFromWire(res.GetToken()))
+	i.addLeavingServers(startsFromWire(res.GetLeaving()))
+	i.suspects.onHolderAnswer(req.GetSuspectsDigest(), res.GetSuspectsDigest(), res.GetSuspects())
+	i.relay.ObserveRefusalLimits(sent, refusalLimitsFromWire(res.GetRefusalLimits()))
+	i.setGateways(gatewaysFromWire(res.GetGateways()))
+	i.notePeers(addr)
+	i.notePeers(res.GetPeers()[:min(len(res.GetPeers()), maxNamedPeers)]...)
+}
+
+// setCandidates applies the lease candidates of a lease holder's answer, if it names any.
+func (s *syncer) setCandidates(summary residency.Summary) {
+	if len(summary.Candidates) == 0 {
+		return
+	}
+	s.candidates = summary.Candidates
+	s.instance.log.WithFields(logrus.Fields{"candidates": len(s.candidates), "chosen": summary.IsCandidate}).Info("lease candidates told")
+	s.holderLocator.update(s.candidates)
+	s.instance.setPeers(s.candidates)
+}
+
 // onPeerFailure handles a Sync call that an instance refused or didn't answer.
 func (s *syncer) onPeerFailure(addr string, err error) {
 	var twirpErr twirp.Error
