cmd: the instance is built by a function of its own

newInstance builds the instance on the users' platform.

Tests unchanged; those of cmd/greengageferry pass.

--- a/cmd/greengageferry/instance.go
+++ b/cmd/greengageferry/instance.go
@@ -19,6 +19,7 @@
 	"greengageferry/instance"
 	"greengageferry/netconn"
 	"greengageferry/platform"
+	"greengageferry/topology"
 )
 
 // instanceCommand implements the subcommand instance.
@@ -93,9 +94,21 @@
 	log, closeLog := newLogger(level, os.Stdout)
 	defer closeLog()
 	log.WithFields(logrus.Fields{"instance": node.Name, "domain": node.Domain, "version": version}).Info("starting")
+	i := newInstance(node, log)
+	go c.reloadSettings(ctx, hup, i, log)
+	if err := i.Run(ctx); err != nil {
+		log.WithField("error", err).Error("ended")
+		return subcommands.ExitFailure
+	}
+	log.Info("ended")
+	return subcommands.ExitSuccess
+}
+
+// newInstance returns an instance on the users' platform.
+func newInstance(node *topology.Node, log *logrus.Logger) *instance.Instance {
 	seed := uint64(time.Now().UnixNano())
 	store := platform.NewStore(node.StoreAddr, netconn.NewIdleClosingTransport(maxIdleStoreConns, time.Minute))
-	i := instance.New(instance.Options{
+	return instance.New(instance.Options{
 		Node:        node,
 		Source:      store,
 		Group:       store,
@@ -107,13 +120,6 @@
 		Log:         log,
 		Rand:        rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
 	})
-	go c.reloadSettings(ctx, hup, i, log)
-	if err := i.Run(ctx); err != nil {
-		log.WithField("error", err).Error("ended")
-		return subcommands.ExitFailure
-	}
-	log.Info("ended")
-	return subcommands.ExitSuccess
 }
 
 // settingsPollInterval is how often the settings file's modification time is
