--- a/instance/follow_config.go
+++ b/instance/follow_config.go
@@ -46,59 +46,76 @@
 
 // followConfig is the duty that follows the operators' configuration.
 func (i *Instance) followConfig(ctx context.Context) error {
-	var pos topology.Position
-	var reads storeReads
-	defer reads.wait()
-	failures := 0 // consecutive
-	for newest := true; ctx.Err() == nil; {
+	f := configFollower{instance: i, newest: true}
+	defer f.reads.wait()
+	for ctx.Err() == nil {
 		if i.configConfirmedByPeer(time.Now()) {
 			if !i.configBehind() {
 				supervise.Pause(ctx, readCheckInterval)
 				continue
 			}
-			newest = true // there may be many unread versions, and only the newest counts
+			f.newest = true // there may be many unread versions, and only the newest counts
 		}
-		began := time.Now()
-		res, err := i.readConfig(ctx, &reads, pos, newest)
-		i.metrics.observeStoreCall("config", began, err)
-		if err != nil {
-			newest = newest || isOutOfRange(err)
-			if errors.Is(err, context.Canceled) {
-				if ctx.Err() == nil {
-					i.logCanceledConfigRead(began)
-				}
-				newest = true // there may be many unread versions of the same size, and only the newest counts
-				continue
-			}
-			i.storeFailed("config", err)
-			failures++
-			supervise.Pause(ctx, supervise.Backoff(minReadBackoff, maxReadBackoff, failures)-time.Since(began))
-			continue
-		}
-		i.storeAnswered()
-		if i.observeEra(res.next.Era, "store") == eraStale {
-			newest = true
-			failures++
-			supervise.Pause(ctx, supervise.Backoff(minReadBackoff, maxReadBackoff, failures))
-			continue
-		}
-		failures = 0
-		if !newest && res.next.Era != pos.Era && res.next.Era != 0 {
-			newest = true // the answer's era isn't the position's, so reading can't continue from there
-			supervise.Pause(ctx, minReadBackoff)
-			continue
-		}
-		pos = res.next
-		newest = false
-		if res.config != nil {
-			i.setConfig(res.config)
-		}
-		i.noteConfigConfirmed(res.confirmedAt)
-		supervise.Pause(ctx, i.configReadInterval())
+		f.read(ctx)
 	}
 	return nil
 }
 
+// configFollower is the state of followConfig.
+type configFollower struct {
+	instance *Instance
+	reads    storeReads
+	pos      topology.Position // at which the next read continues
+	newest   bool              // the next read is of the newest version, wherever that is
+	failures int               // consecutive
+}
+
+// read reads the configuration once, applies it, and pauses until the next read is due.
+func (f *configFollower) read(ctx context.Context) {
+	i, began := f.instance, time.Now()
+	res, err := i.readConfig(ctx, &f.reads, f.pos, f.newest)
+	i.metrics.observeStoreCall("config", began, err)
+	if err != nil {
+		f.onFailure(ctx, began, err)
+		return
+	}
+	i.storeAnswered()
+	if i.observeEra(res.next.Era, "store") == eraStale {
+		f.newest = true
+		f.failures++
+		supervise.Pause(ctx, supervise.Backoff(minReadBackoff, maxReadBackoff, f.failures))
+		return
+	}
+	f.failures = 0
+	if !f.newest && res.next.Era != f.pos.Era && res.next.Era != 0 {
+		f.newest = true // the answer's era isn't the position's, so reading can't continue from there
+		supervise.Pause(ctx, minReadBackoff)
+		return
+	}
+	f.pos = res.next
+	f.newest = false
+	if res.config != nil {
+		i.setConfig(res.config)
+	}
+	i.noteConfigConfirmed(res.confirmedAt)
+	supervise.Pause(ctx, i.configReadInterval())
+}
+
+// onFailure handles a read that began at the given time and failed or was canceled.
+func (f *configFollower) onFailure(ctx context.Context, began time.Time, err error) {
+	f.newest = f.newest || isOutOfRange(err)
+	if errors.Is(err, context.Canceled) {
+		if ctx.Err() == nil {
+			f.instance.logCanceledConfigRead(began)
+		}
+		f.newest = true // there may be many unread versions of the same size, and only the newest counts
+		return
+	}
+	f.instance.storeFailed("config", err)
+	f.failures++
+	supervise.Pause(ctx, supervise.Backoff(minReadBackoff, maxReadBackoff, f.failures)-time.Since(began))
+}
+
 // noteConfigConfirmed records that the configuration in force was the newest at the given
 // time, and reports whether that is later than the recorded time.
 func (i *Instance) noteConfigConfirmed(at time.Time) bool {
