--- a/soak/world.go
+++ b/soak/world.go
@@ -96,15 +96,8 @@
 	}
 	domains := []string{"east", "west"}
 	for _, domain := range domains {
-		for range cmp.Or(o.Engines, engineServersPerDomain) {
-			if err := d.addEndpoint(domain, standin.ServiceEngines); err != nil {
-				return nil, err
-			}
-		}
-		for range plainServersPerDomain {
-			if err := d.addEndpoint(domain, standin.ServicePlain); err != nil {
-				return nil, err
-			}
+		if err := d.addServers(o, domain); err != nil {
+			return nil, err
 		}
 	}
 	d.group.Go(func() { d.heartbeats(ctx) })
@@ -112,6 +105,29 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.startInstances(o, domains, addr); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// addServers adds the servers of a failure domain.
+func (d *Deployment) addServers(o deploymentOptions, domain string) error {
+	for range cmp.Or(o.Engines, engineServersPerDomain) {
+		if err := d.addEndpoint(domain, standin.ServiceEngines); err != nil {
+			return err
+		}
+	}
+	for range plainServersPerDomain {
+		if err := d.addEndpoint(domain, standin.ServicePlain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startInstances starts the instances of all failure domains.
+func (d *Deployment) startInstances(o deploymentOptions, domains []string, storeAddr string) error {
 	for n := range cmp.Or(o.Instances, instancesPerDomain) * len(domains) {
 		binary := o.Binary
 		if o.OtherBinary != "" && n%2 == 1 {
@@ -119,19 +135,19 @@
 		}
 		p, err := newProcess(processOptions{
 			Binary: binary, Dir: d.dir, IP: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, o.Run%250, n+1),
-			Name: fmt.Sprint("front-", n), Domain: domains[n%len(domains)], Domains: domains, StoreAddr: addr,
+			Name: fmt.Sprint("front-", n), Domain: domains[n%len(domains)], Domains: domains, StoreAddr: storeAddr,
 		})
 		if err != nil {
-			return nil, err
+			return err
 		}
 		d.Instances = append(d.Instances, p)
 	}
 	for _, p := range d.Instances {
 		if err := p.Start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return d, nil
+	return nil
 }
 
 // serveStore serves the store and returns its address. In place of the instances' peer
