decide, residency: constants stand on top, the simulation uses the code's sums

The constants of the backlog stood in the middle of its file, the simulation counted queues and ordered accounts in its own way, and a time was called patience.

The constants are one block, the simulation calls waitingByRank and CompareAccountDemands, and the time is halfUrgencyGoal.

No test or bound changed; those of decide and residency pass.

--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -2,9 +2,22 @@
 
 import "time"
 
-// backlogTTL is the age up to which a report of the backlog at all instances is used. After that an
-// instance decides by its own queues alone.
-const backlogTTL = 1500 * time.Millisecond
+const (
+	// backlogTTL is the age up to which a report of the backlog at all instances is used. After that an
+	// instance decides by its own queues alone.
+	backlogTTL = 1500 * time.Millisecond
+	// significantBacklog is the least time, in seconds, that servers need to start all waiting
+	// requests, for the start rate to show the servers' capacity. With less waiting it shows the
+	// arrival rate only.
+	significantBacklog = 0.5
+	// minMeasuredStarts is the least start rate, per second, that is used. Lower ones rest on too few
+	// starts.
+	minMeasuredStarts = 0.5
+	// newReplicaTime is how long measured start rates don't include a new replica.
+	newReplicaTime = 3 * time.Second
+	// lastInRank is the position, from 0 to 1, of a request that comes after all others of its rank.
+	lastInRank = 1.0
+)
 
 // Backlog is the number of requests for a target that wait at all instances together, and their rates.
 type Backlog struct {
@@ -84,20 +97,6 @@
 	return out
 }
 
-const (
-	// significantBacklog is the least time, in seconds, that servers need to start all waiting
-	// requests, for the start rate to show the servers' capacity. With less waiting it shows the
-	// arrival rate only.
-	significantBacklog = 0.5
-	// minMeasuredStarts is the least start rate, per second, that is used. Lower ones rest on too few
-	// starts.
-	minMeasuredStarts = 0.5
-	// newReplicaTime is how long measured start rates don't include a new replica.
-	newReplicaTime = 3 * time.Second
-	// lastInRank is the position, from 0 to 1, of a request that comes after all others of its rank.
-	lastInRank = 1.0
-)
-
 // backlogEstimate is an estimate, from the backlog at all instances, of how long requests for a
 // target wait.
 type backlogEstimate struct {
--- a/decide/contention_reports_test.go
+++ b/decide/contention_reports_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"greengageferry/infra"
 )
@@ -29,7 +28,7 @@
 	for _, d := range byAccount {
 		st.accounts = append(st.accounts, d)
 	}
-	slices.SortFunc(st.accounts, func(a, b AccountDemand) int { return strings.Compare(a.Account, b.Account) })
+	slices.SortFunc(st.accounts, CompareAccountDemands)
 	c.snapshots = append(c.snapshots, st)
 	if len(c.snapshots) > int(contentionReportLag/contentionSnapshot) {
 		c.snapshots = c.snapshots[1:]
@@ -51,10 +50,8 @@
 			}
 		}
 		for _, s := range c.schedulers {
-			for _, h := range s.fleet.targets[b.Target].queue.heaps {
-				for _, req := range h {
-					b.Waiting[RankIndex(req.Rank)]++
-				}
+			for rank, waiting := range s.fleet.targets[b.Target].queue.waitingByRank() {
+				b.Waiting[rank] += waiting
 			}
 		}
 		out = append(out, b)
--- a/residency/request_value.go
+++ b/residency/request_value.go
@@ -70,8 +70,8 @@
 	if goal <= 0 || load <= 0 {
 		return 1
 	}
-	patience := halfUrgencyLoads * load
-	return float64(patience) / float64(patience+goal)
+	halfUrgencyGoal := halfUrgencyLoads * load
+	return float64(halfUrgencyGoal) / float64(halfUrgencyGoal+goal)
 }
 
 // value returns the value of the mean request for a target.
