--- a/residency/server_start.go
+++ b/residency/server_start.go
@@ -1,8 +1,6 @@
 package residency
 
-import (
-	"time"
-)
+import "time"
 
 // forgetStart drops the state of an earlier start of the server: the models that it held and the
 // orders that it accepted. Unanswered orders stay, since they may still reach the new start. A call
--- a/residency/speeds.go
+++ b/residency/speeds.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengageferry/decide"
+	"greengageferry/topology"
 )
 
 const (
@@ -65,13 +66,13 @@
 	}
 	t.fittedAt = now
 	t.estimator.Fit(now)
-	before := make(map[speedKey]sentSpeed, len(t.sent))
+	before := make(map[topology.ServerStart]sentSpeed, len(t.sent))
 	for _, s := range t.sent {
-		before[speedKey{s.Server, s.Start}] = s
+		before[topology.ServerStart{ID: s.Server, Start: s.Start}] = s
 	}
 	t.sent = t.sent[:0]
 	for _, s := range t.estimator.Speeds() {
-		key := speedKey{s.Server, s.Start}
+		key := topology.ServerStart{ID: s.Server, Start: s.Start}
 		old, known := before[key]
 		delete(before, key)
 		if known || s.Speed != 1 {
@@ -82,9 +83,9 @@
 }
 
 // keep keeps the last speeds of servers that have too few recent answers for a new estimate.
-func (t *speedTracker) keep(last map[speedKey]sentSpeed) {
+func (t *speedTracker) keep(last map[topology.ServerStart]sentSpeed) {
 	for key, s := range last {
-		if t.estimator.Has(key.server, key.start) {
+		if t.estimator.Has(key.ID, key.Start) {
 			t.sent = append(t.sent, s)
 		}
 	}
@@ -93,9 +94,6 @@
 	})
 }
 
-// speedKey identifies a start of a server.
-type speedKey struct{ server, start string }
-
 // announce returns the speed to send of a server, and records a change against the old one.
 func (t *speedTracker) announce(now time.Time, old sentSpeed, s decide.ServerSpeed) sentSpeed {
 	known := old.announced > 0
