--- a/decide/backlog.go
+++ b/decide/backlog.go
@@ -2,9 +2,30 @@
 
 import "time"
 
-// backlogTTL is the age up to which a report of the backlog at all instances is used. After that an
-// instance decides by its own queues alone.
-const backlogTTL = 1500 * time.Millisecond
+const (
+	// backlogTTL is the age up to which a report of the backlog at all instances is used. After that an
+	// instance decides by its own queues alone.
+	backlogTTL = 1500 * time.Millisecond
+	// significantBacklog is the least time, in seconds, that servers need to start all waiting
+	// requests, for the start rate to show the servers' capacity. With less waiting it shows the
+	// arrival rate only.
+	significantBacklog = 0.5
+	// minMeasuredStarts is the least start rate, per second, that is used. Lower ones rest on too few
+	// starts.
+	minMeasuredStarts = 0.5
+	// newReplicaTime is how long measured start rates don't include a new replica.
+	newReplicaTime = 3 * time.Second
+	// lastInRank is the position, from 0 to 1, of a request that comes after all others of its rank.
+	lastInRank = 1.0
+)
+
+// Backlog is the number of requests for a target that wait at all instances together, and their rates.
+type Backlog struct {
+	Target   string
+	Waiting  [Ranks]float64 // requests queued at instances, by rank
+	Arrivals [Ranks]float64 // requests per second, by rank
+	Starts   [Ranks]float64 // requests per second sent to servers, by rank
+}
 
 // sharedBacklog is the newest report of a target's backlog at all instances.
 type sharedBacklog struct {
@@ -55,7 +76,7 @@
 		return waiting, arrivals
 	}
 	ownArrivals := t.arrivalRate.rate(now)
-	total := sum(t.backlog.Arrivals)
+	total := SumRanks(t.backlog.Arrivals)
 	for rank := range waiting {
 		waiting[rank] = max(t.backlog.Waiting[rank]-t.backlog.own[rank], 0)
 		if total > 0 { // this instance's arrivals aren't counted by rank
@@ -76,20 +97,6 @@
 	return out
 }
 
-const (
-	// significantBacklog is the least time, in seconds, that servers need to start all waiting
-	// requests, for the start rate to show the servers' capacity. With less waiting it shows the
-	// arrival rate only.
-	significantBacklog = 0.5
-	// minMeasuredStarts is the least start rate, per second, that is used. Lower ones rest on too few
-	// starts.
-	minMeasuredStarts = 0.5
-	// newReplicaTime is how long measured start rates don't include a new replica.
-	newReplicaTime = 3 * time.Second
-	// lastInRank is the position, from 0 to 1, of a request that comes after all others of its rank.
-	lastInRank = 1.0
-)
-
 // backlogEstimate is an estimate, from the backlog at all instances, of how long requests for a
 // target wait.
 type backlogEstimate struct {
@@ -107,8 +114,8 @@
 	if !b.known(now) || growth == 0 {
 		return e
 	}
-	starts := growth * sum(b.Starts)
-	if starts < minMeasuredStarts || sum(b.Waiting) < significantBacklog*starts {
+	starts := growth * SumRanks(b.Starts)
+	if starts < minMeasuredStarts || SumRanks(b.Waiting) < significantBacklog*starts {
 		return e
 	}
 	e.applies = true
@@ -202,15 +209,7 @@
 func (t *targetState) refusalInputs(now time.Time, wait float64, shared bool) Inputs {
 	in := Inputs{Candidates: len(t.replicas), Queued: t.queue.len(), QueueWait: seconds(wait)}
 	if b := &t.backlog; shared {
-		in.Shared = SharedInputs{Known: true, Waiting: sum(b.Waiting), Arrivals: sum(b.Arrivals), Starts: sum(b.Starts), Age: now.Sub(b.takenAt)}
+		in.Shared = SharedInputs{Known: true, Waiting: SumRanks(b.Waiting), Arrivals: SumRanks(b.Arrivals), Starts: SumRanks(b.Starts), Age: now.Sub(b.takenAt)}
 	}
 	return in
 }
-
-func sum(byRank [Ranks]float64) float64 {
-	total := 0.0
-	for _, v := range byRank {
-		total += v
-	}
-	return total
-}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -286,12 +286,39 @@
 	s.enqueue(now, req)
 }
 
+// dispatch decides to send the request to the candidate.
 func (s *Scheduler) dispatch(now time.Time, req *requestState, c *candidate) {
 	srv := c.server
 	reason := ReasonBestScore
 	if s.hasOneEligibleReplica(now, req) {
 		reason = ReasonOnlyReplica
 	}
+	granted := s.recordDispatch(now, req, c)
+	s.out = append(s.out, Decision{
+		Request: req.ID, Action: ActionDispatch, Server: srv.Server, Version: c.replica.version, Reason: reason,
+		Inputs: Inputs{
+			Candidates:       len(s.candidates),
+			InFlight:         srv.own - 1,
+			Queued:           req.target.queue.len(),
+			ServiceTime:      seconds(req.serviceTime),
+			Score:            c.score,
+			Unread:           int(c.unread),
+			TimeToFirstToken: seconds(c.timeToFirstToken(req)),
+			LoadAge:          srv.loadAge(now),
+			Contending:       srv.quota.contenders(),
+			RoomByRank:       req.target.roomByRank,
+			Late:             req.goalMissed,
+			RankRoom:         srv.rankRoom.left[RankIndex(req.Rank)],
+			ServerLimit:      srv.rateLimit.RateLimit,
+			Granted:          granted,
+		},
+	})
+}
+
+// recordDispatch records that the request is at the candidate's server. granted reports whether the
+// lease holder granted it under the server's rate limit.
+func (s *Scheduler) recordDispatch(now time.Time, req *requestState, c *candidate) (granted bool) {
+	srv := c.server
 	req.dispatchedTo, req.dispatchedAt = srv, now
 	req.prefilledAlone, req.firstTokenSeen = c.unread <= maxUnreadAlone && req.deliveredTokens == 0, false
 	srv.unread += req.PromptTokens
@@ -300,7 +327,7 @@
 	if req.target.roomByRank {
 		srv.countDispatch(srv.roomRank(req), s.rng.Float64())
 	}
-	granted := srv.rateLimit.consume(now)
+	granted = srv.rateLimit.consume(now)
 	req.queuedAtServer = c.load+1 > float64(srv.Slots)
 	req.attempts++
 	req.target.inFlight++
@@ -312,25 +339,7 @@
 	if req.Prefix != 0 {
 		s.prefixIndex.put(now, prefixKey{req.target.Model, req.Prefix}, srv)
 	}
-	s.out = append(s.out, Decision{
-		Request: req.ID, Action: ActionDispatch, Server: srv.Server, Version: c.replica.version, Reason: reason,
-		Inputs: Inputs{
-			Candidates:       len(s.candidates),
-			InFlight:         srv.own - 1,
-			Queued:           req.target.queue.len(),
-			ServiceTime:      seconds(req.serviceTime),
-			Score:            c.score,
-			Unread:           int(c.unread),
-			TimeToFirstToken: seconds(c.timeToFirstToken(req)),
-			LoadAge:          srv.loadAge(now),
-			Contending:       srv.quota.contenders(),
-			RoomByRank:       req.target.roomByRank,
-			Late:             req.goalMissed,
-			Room:             srv.rankRoom.left[RankIndex(req.Rank)],
-			ServerLimit:      srv.rateLimit.RateLimit,
-			Granted:          granted,
-		},
-	})
+	return granted
 }
 
 // hasOneEligibleReplica reports whether no more than one of the target's replicas is eligible for
