soak: the share of sound requests beside a crashing part is measured over 3 s at least

Cause: it counts from 6 s after the fifth crash, or the last if there are fewer, to the end of 14 s of such requests. Change: such requests are sent on until 9 s after that crash, so that 3 s count. The share asked for is the same, and late crashes of the added time count too.

--- a/soak/part_faults.go
+++ b/soak/part_faults.go
@@ -87,23 +87,30 @@
 }
 
 // checkCrashingParts sends such requests without other faults, and checks how many servers they
-// crash and what becomes of sound ones.
+// crash and what becomes of sound ones. It goes on until sound requests of at least stableWindow
+// count, also if the first crash comes late: an earlier fault may have shown the part.
 func (r *runner) checkCrashingParts() {
 	start := time.Now()
 	time.Sleep(stableWindow)
 	before := r.soundShare(start, time.Now())
 	crashes := r.deployment.sendCrashingParts(partsLength, r.nextInstance)
+	for len(crashes) > 0 && time.Since(lastOfFew(crashes)) < 3*stableWindow {
+		crashes = append(crashes, r.deployment.sendCrashingParts(partsInterval, r.nextInstance)...)
+	}
 	end := time.Now()
 	r.reportParts(start, end, before, crashes)
 	r.waitUntil(r.opts.Bounds.Recover, r.allServe)
 }
 
+// lastOfFew returns the last of the first fewCrashes crashes.
+func lastOfFew(crashes []time.Time) time.Time { return crashes[min(len(crashes), fewCrashes)-1] }
+
 // reportParts checks what checkCrashingParts saw.
 func (r *runner) reportParts(start, end time.Time, before float64, crashes []time.Time) {
 	if len(crashes) == 0 {
 		return
 	}
-	last, late := crashes[min(len(crashes), fewCrashes)-1], 0
+	last, late := lastOfFew(crashes), 0
 	for _, at := range crashes {
 		if at.Sub(last) > stableWindow {
 			late++
