soak: half of the seeds have callers that contend and uneven servers

Cause: every route of the stand-in's configuration had one priority, there were no client accounts and all servers were equally fast, so room by rank, shares of accounts and shared speeds never acted in the soak. Then one of the two routes for streams is more urgent, three accounts send in turn with their keys, and what exceeds the slots of servers of models waits there. For 6 s 1.5 times what these servers can take is asked for, by 85 % less urgent requests or by 73 % of one account. A server may be slow, and change its speed up to twice, also by a start under its id. Checked: urgent requests and accounts that don't flood are served at most 0.05 less than the others. The stand-in tells when a request arrived, not when it got its slot. Four copies of the code that sends a request are one.

--- a/soak/brittle_faults.go
+++ b/soak/brittle_faults.go
@@ -59,7 +59,10 @@
 	from := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
-	d.overload(ctx, rng, brittleOverload*float64(servers*serverSlots)/brittle.ServiceTime.Seconds())
+	perSecond := brittleOverload * float64(servers*serverSlots) / brittle.ServiceTime.Seconds()
+	d.overload(ctx, rng, perSecond, func(id string) (standin.Ask, Kind) {
+		return standin.Ask{ID: id, Path: standin.PlainPath + id, Body: id}, KindUnsafe
+	})
 	d.setBrittle(standin.Brittle{})
 	d.History.addBrittlePeriod(brittlePeriod{from, time.Now(), servers})
 	return nil
@@ -84,9 +87,9 @@
 	return n
 }
 
-// overload sends requests to plain servers, so many per second through random instances, until ctx
-// ends.
-func (d *Deployment) overload(ctx context.Context, rng *rand.Rand, perSecond float64) {
+// overload sends the requests that next returns, so many per second through random instances, until
+// ctx ends.
+func (d *Deployment) overload(ctx context.Context, rng *rand.Rand, perSecond float64, next func(id string) (standin.Ask, Kind)) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}
@@ -100,21 +103,11 @@
 		case <-ticker.C:
 		}
 		p := d.randomInstance(rng)
-		group.Go(func() { d.sendPlain(transport, p) })
+		ask, kind := next(d.newProbeID())
+		group.Go(func() { d.send(transport, p, kind, ask) })
 	}
 }
 
-// sendPlain sends one request to a plain server through the instance.
-func (d *Deployment) sendPlain(transport *http.Transport, p *Process) {
-	id := d.newProbeID()
-	r := Result{
-		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: standin.PlainPath + id, Body: id, Timeout: callerTimeout},
-		Kind: KindUnsafe, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
-	}
-	r.request(transport, p.CallerLink.Addr, callerTimeout)
-	d.History.addResult(r)
-}
-
 // fall crashes the server at an endpoint after too many refusals, and starts it again.
 func (d *Deployment) fall(e *endpoint) {
 	d.History.addFall(fall{d.serverIDAt(e), time.Now()})
--- a/soak/budget_faults.go
+++ b/soak/budget_faults.go
@@ -44,12 +44,7 @@
 	faults := make([]fault, 1+rng.IntN(maxBudgetFaults))
 	for n := range faults {
 		kind := budgetFaultKinds[rng.IntN(len(budgetFaultKinds))]
-		faults[n] = fault{
-			name: kind.name, run: kind.run,
-			at:       time.Duration(rng.Int64N(int64(period))),
-			duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
-			rng:      rand.New(rand.NewPCG(seed, stream+1+uint64(n))),
-		}
+		faults[n] = drawFault(kind, period, rng, rand.NewPCG(seed, stream+1+uint64(n)))
 	}
 	return faults
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -206,7 +206,7 @@
 		timeout = cancelDelay
 	}
 	request, kind := g.nextRequest(rng)
-	r := Result{Ask: request, Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now()}
+	r := Result{Ask: g.deployment.withAccount(request), Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now()}
 	if rng.Float64() < http10Share {
 		transport = http10Transport{}
 	}
@@ -235,16 +235,21 @@
 // probe sends one request to an instance over a new connection and records the result.
 func (d *Deployment) probe(p *Process, path, model string) Result {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	id := d.newProbeID()
-	r := Result{
-		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: path + id, Model: model, Body: id, Timeout: callerTimeout},
-		Kind: KindSafe, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
-	}
+	id, kind := d.newProbeID(), KindSafe
 	switch path {
 	case standin.PlainPath:
-		r.Kind = KindUnsafe
+		kind = KindUnsafe
 	case standin.StreamPath:
-		r.Kind = KindStream
+		kind = KindStream
+	}
+	return d.send(transport, p, kind, standin.Ask{ID: id, Path: path + id, Model: model, Body: id})
+}
+
+// send sends a POST request to an instance and records the result.
+func (d *Deployment) send(transport http.RoundTripper, p *Process, kind Kind, ask standin.Ask) Result {
+	ask.Method, ask.Timeout = http.MethodPost, callerTimeout
+	r := Result{
+		Ask: d.withAccount(ask), Kind: kind, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
 	}
 	r.request(transport, p.CallerLink.Addr, callerTimeout)
 	d.History.addResult(r)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -3,7 +3,8 @@
 // users' platform, which has the store and the backend servers. The faults are links that
 // are delayed, reset, cut in one direction or silent; processes that are stopped,
 // suspended, killed and restarted; servers that crash, come back empty or leave; a store
-// that is down or loses answers; and configuration changes. Faults come one after another
+// that is down or loses answers; configuration changes; and times in which more is asked for
+// than servers can take, while they differ in speed. Faults come one after another
 // and overlap. The seed determines all of them.
 //
 // Run plays one seed in a Deployment. During the run and after it, what callers and
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -92,12 +92,7 @@
 				break
 			}
 		}
-		faults[n] = fault{
-			name: kind.name, run: kind.run,
-			at:       time.Duration(rng.Int64N(int64(period))),
-			duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
-			rng:      rand.New(rand.NewPCG(seed, uint64(n)+1)),
-		}
+		faults[n] = drawFault(kind, period, rng, rand.NewPCG(seed, uint64(n)+1))
 	}
 	faults = append(faults, rateLimits(seed, period)...)
 	faults = append(faults, drainsAndRefusals(seed, period)...)
@@ -106,9 +101,20 @@
 	faults = append(faults, streamFaults(seed, period)...)
 	faults = append(faults, brittleFaults(seed, period)...)
 	faults = append(faults, partFaults(seed, period)...)
+	faults = append(faults, contentionFaults(seed, period)...)
 	return append(faults, slowStores(seed, period)...)
 }
 
+// drawFault draws a fault's start and duration from rng. own is the source of what it draws itself.
+func drawFault(kind faultKind, period time.Duration, rng *rand.Rand, own rand.Source) fault {
+	return fault{
+		name: kind.name, run: kind.run,
+		at:       time.Duration(rng.Int64N(int64(period))),
+		duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
+		rng:      rand.New(own),
+	}
+}
+
 // drainsAndRefusals draws faults in which instances learn only from a server's answers
 // that it is leaving or asks for a pause. Separate random sources keep a seed's other faults
 // unchanged.
--- a/soak/history.go
+++ b/soak/history.go
@@ -58,6 +58,7 @@
 
 	falls          []fall
 	brittlePeriods []brittlePeriod
+	contended      []contendedPeriod
 }
 
 func newHistory() *History { return &History{configTimes: map[int]time.Time{}} }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -79,6 +79,7 @@
 	c.checkLeaving()
 	c.checkRetryAfter()
 	c.checkFalls()
+	c.checkContention()
 	c.checkVersions()
 	return c.violations
 }
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -26,8 +26,8 @@
 	}
 	a := standin.Arrival{At: startTime.Add(at), Server: "desk-1", Service: standin.ServicePlain, Ask: r.Ask, Ran: true}
 	switch kind {
-	case KindStream:
-		r.Ask.Path = standin.StreamPath + id
+	case KindStream, KindOnceStream:
+		r.Ask.Path = streamPath(kind) + id
 		a.Ask, a.Service = r.Ask, standin.ServiceEngines
 		for n := range eventsPerStream {
 			r.Body += streamEvent(n + 1)
@@ -103,7 +103,9 @@
 				h.arrivals[len(h.arrivals)-1].Ran = false
 			}
 		},
-		"a server's rate limit is respected": func(h *History) { addLimitedRequests(h, 12) },
+		"urgent requests are served as often as less urgent ones": func(h *History) { addContended(h, "", 94) },
+		"client accounts are served while another floods":         func(h *History) { addContended(h, standin.Accounts[1], 94) },
+		"a server's rate limit is respected":                      func(h *History) { addLimitedRequests(h, 12) },
 	} {
 		h := validHistory()
 		require.Empty(t, Check(h))
@@ -133,6 +135,48 @@
 	}
 }
 
+// addContended adds a period with 100 urgent requests of one client account, of which so many are
+// served, and 100 less urgent ones of another, which are all served.
+func addContended(h *History, flooding string, served int) {
+	from := startTime.Add(40 * time.Second)
+	h.addContended(contendedPeriod{from: from, to: from.Add(time.Minute), urgent: KindStream, flooding: flooding})
+	for n := range 2 * minContended {
+		kind, account := KindStream, standin.Accounts[0]
+		if n%2 == 1 {
+			kind, account = KindOnceStream, standin.Accounts[1]
+		}
+		r, a := servedRequest(fmt.Sprint("contended-", n), kind, 40*time.Second+time.Duration(n)*100*time.Millisecond)
+		r.Ask.Parts, r.Ask.Account, r.Ask.Timeout = soundParts(r.Ask.ID), account, callerTimeout
+		a.Ask = r.Ask
+		if kind == KindStream && n/2 >= served {
+			r.Status, a.Ran = 503, false
+		}
+		h.results, h.arrivals = append(h.results, r), append(h.arrivals, a)
+	}
+}
+
+// TestContentionIsJudgedByWhatWasAnswered guards against false violations by a small difference, by
+// requests whose connection broke, and by those before the period.
+func TestContentionIsJudgedByWhatWasAnswered(t *testing.T) {
+	for _, change := range []func(h *History){
+		func(h *History) { addContended(h, standin.Accounts[1], 95) },
+		func(h *History) {
+			addContended(h, standin.Accounts[1], 0)
+			for n := range h.results {
+				h.results[n].Status %= 503 // 0: no answer
+			}
+		},
+		func(h *History) {
+			addContended(h, standin.Accounts[1], 0)
+			h.contended[0].from = h.contended[0].to
+		},
+	} {
+		h := validHistory()
+		change(h)
+		require.Empty(t, Check(h))
+	}
+}
+
 // TestRateLimitAppliesOnlyToInstancesThatKnowIt guards against false violations while no
 // instance knows a limit or the limit is new, and up to the allowed number of requests.
 func TestRateLimitAppliesOnlyToInstancesThatKnowIt(t *testing.T) {
--- a/soak/part_faults.go
+++ b/soak/part_faults.go
@@ -78,12 +78,7 @@
 // sendCrashingPart sends one such request through an instance.
 func (d *Deployment) sendCrashingPart(transport *http.Transport, p *Process) {
 	id := d.newProbeID()
-	r := Result{
-		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: standin.StreamPath + id, Model: standin.BusyModel, Body: id, Parts: crashingParts(id), Timeout: callerTimeout},
-		Kind: KindStream, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
-	}
-	r.request(transport, p.CallerLink.Addr, callerTimeout)
-	d.History.addResult(r)
+	d.send(transport, p, KindStream, standin.Ask{ID: id, Path: standin.StreamPath + id, Model: standin.BusyModel, Body: id, Parts: crashingParts(id)})
 }
 
 // checkCrashingParts sends such requests without other faults, and checks how many servers they
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,7 +51,7 @@
 // Run plays one seed: it injects faults, waits until everything has recovered, and checks
 // the deployment without faults. An error means that the run itself failed.
 func Run(o Options) (*Report, error) {
-	d, err := newDeployment(deploymentOptions{Binary: o.Binary, OtherBinary: o.OtherBinary, Run: int(o.Seed)})
+	d, err := newDeployment(deploymentOptions{Binary: o.Binary, OtherBinary: o.OtherBinary, Run: int(o.Seed), Contention: drawContention(o.Seed)})
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, p := range d.History.contended {
+		byUrgent, byAccount := d.History.sharesIn(p)
+		fmt.Fprintf(o.Out, "seed=%d contended urgent=%v accounts=%v flooding=%s\n", o.Seed, byUrgent, byAccount, p.flooding)
+	}
 	report := &Report{LogDir: d.dir, Lag: lag.String(), Violations: append(r.violations, Check(d.History)...)}
 	for _, p := range d.Instances {
 		for _, exit := range p.UnexpectedExits() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -38,6 +38,7 @@
 type endpoint struct {
 	link        *Proxy
 	domain      string
+	slow        bool   // servers of models that run here take slowFactor times as long; guarded by Deployment.mu
 	version     string // of the software of the servers that start here; guarded by Deployment.mu
 	homeService string // the service it belongs to; faults may put a server of the other one there
 	http        *http.Server
@@ -54,14 +55,16 @@
 	Instances []*Process
 	History   *History
 
-	dir       string
-	endpoints []*endpoint
-	storeHTTP *http.Server
+	dir        string
+	contention *contention // nil: none
+	endpoints  []*endpoint
+	storeHTTP  *http.Server
 
 	mu            sync.Mutex
 	configVersion int // version of the newest configuration
 	serverCount   int // number of server ids given out
 	probeCount    atomic.Int64
+	accountTurn   atomic.Int64
 	crashes       atomic.Int64    // by requests that crash servers
 	brittle       standin.Brittle // of the plain servers; guarded by mu
 	restartDelay  atomic.Int64    // nanoseconds until a server that crashed by a request starts again
@@ -76,11 +79,12 @@
 	Run         int    // sets the addresses; concurrent deployments need different values modulo 250
 	Engines     int    // servers of models in each failure domain; 0: engineServersPerDomain
 	Instances   int    // in each failure domain; 0: instancesPerDomain
+	Contention  *contention
 }
 
 // newDeployment starts the store, the servers and the instances.
 func newDeployment(o deploymentOptions) (_ *Deployment, err error) {
-	d := &Deployment{Store: &standin.Store{}, History: newHistory()}
+	d := &Deployment{Store: &standin.Store{}, History: newHistory(), contention: o.Contention}
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	defer func() {
@@ -162,6 +166,7 @@
 		return errors.WithStack(err)
 	}
 	e := &endpoint{domain: domain, homeService: service, version: versionOf(len(d.endpoints))}
+	e.slow = d.contention != nil && d.contention.slow == len(d.endpoints)
 	e.http = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		e.server.Load().ServeHTTP(rw, r)
 	})}
@@ -189,11 +194,14 @@
 	}
 	e.opts = standin.ServerOptions{
 		ID: id, Service: service, Addr: e.link.Addr, Domain: e.domain, Slots: serverSlots, Version: e.version,
-		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: eventInterval, Observer: d.History,
+		LoadTime: modelLoadTime, StreamEvents: eventsPerStream, EventInterval: d.eventInterval(e), Observer: d.History,
 		UnframedShare: unframedShare,
 	}
-	if service == standin.ServicePlain {
+	switch {
+	case service == standin.ServicePlain:
 		e.opts.Brittle = d.brittle
+	case d.contention != nil:
+		e.opts.Brittle = queueing
 	}
 	e.opts.Fall = sync.OnceFunc(func() { d.fall(e) })
 	e.opts.Crash = sync.OnceFunc(func() { d.crashAndRestart(e) })
@@ -265,7 +273,7 @@
 	defer d.mu.Unlock()
 	d.configVersion++
 	d.History.addConfigVersion(d.configVersion)
-	return d.Store.PutConfig(standin.Config(d.configVersion))
+	return d.Store.PutConfig(d.contention.config(d.configVersion))
 }
 
 // RewriteConfig writes the newest configuration again, as the operator does after the store
@@ -273,7 +281,7 @@
 func (d *Deployment) RewriteConfig() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.Store.PutConfig(standin.Config(d.configVersion))
+	return d.Store.PutConfig(d.contention.config(d.configVersion))
 }
 
 // ConfigVersion returns the version of the newest configuration.
