--- a/soak/part_faults.go
+++ b/soak/part_faults.go
@@ -78,32 +78,34 @@
 // sendCrashingPart sends one such request through an instance.
 func (d *Deployment) sendCrashingPart(transport *http.Transport, p *Process) {
 	id := d.newProbeID()
-	r := Result{
-		Ask:  standin.Ask{ID: id, Method: http.MethodPost, Path: standin.StreamPath + id, Model: standin.BusyModel, Body: id, Parts: crashingParts(id), Timeout: callerTimeout},
-		Kind: KindStream, Instance: p.Node.Name, Boot: p.Boot(), InstanceStarted: p.StartedAt(), Sent: time.Now(),
-	}
-	r.request(transport, p.CallerLink.Addr, callerTimeout)
-	d.History.addResult(r)
+	d.send(transport, p, KindStream, standin.Ask{ID: id, Path: standin.StreamPath + id, Model: standin.BusyModel, Body: id, Parts: crashingParts(id)})
 }
 
 // checkCrashingParts sends such requests without other faults, and checks how many servers they
-// crash and what becomes of sound ones.
+// crash and what becomes of sound ones. It goes on until sound requests of at least stableWindow
+// count, also if the first crash comes late: an earlier fault may have shown the part.
 func (r *runner) checkCrashingParts() {
 	start := time.Now()
 	time.Sleep(stableWindow)
 	before := r.soundShare(start, time.Now())
 	crashes := r.deployment.sendCrashingParts(partsLength, r.nextInstance)
+	for len(crashes) > 0 && time.Since(lastOfFew(crashes)) < 3*stableWindow {
+		crashes = append(crashes, r.deployment.sendCrashingParts(partsInterval, r.nextInstance)...)
+	}
 	end := time.Now()
 	r.reportParts(start, end, before, crashes)
 	r.waitUntil(r.opts.Bounds.Recover, r.allServe)
 }
 
+// lastOfFew returns the last of the first fewCrashes crashes.
+func lastOfFew(crashes []time.Time) time.Time { return crashes[min(len(crashes), fewCrashes)-1] }
+
 // reportParts checks what checkCrashingParts saw.
 func (r *runner) reportParts(start, end time.Time, before float64, crashes []time.Time) {
 	if len(crashes) == 0 {
 		return
 	}
-	last, late := crashes[min(len(crashes), fewCrashes)-1], 0
+	last, late := lastOfFew(crashes), 0
 	for _, at := range crashes {
 		if at.Sub(last) > stableWindow {
 			late++
