instance: the simulations of hundreds of instances run side by side

Cause: five simulations in virtual time take 200 s of the 520 s of the package's tests under the race detector, one after the other, on a machine with nothing else to do. Change: they run in parallel, after the tests that measure real time.

--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -297,6 +297,7 @@
 
 // The same with instances that don't all know each other.
 func TestKnowledgeReachesManyInstancesThatTheStoreRefuses(t *testing.T) {
+	t.Parallel()
 	runSpreadSeeds(t, 20, 66)
 }
 
--- a/instance/retry_sim_test.go
+++ b/instance/retry_sim_test.go
@@ -205,6 +205,7 @@
 // Guards against instances that together send more retries than the platform allows, when a
 // lease holder has just begun to count them, or when instances restart with a full budget.
 func TestRetriesOfAllInstancesAreBoundedWhileHoldersAreLostAndInstancesRestart(t *testing.T) {
+	t.Parallel()
 	for _, size := range retrySizes {
 		for name, disturb := range map[string]func(w *retryWorld, step int){
 			"holder lost every 4 s": func(w *retryWorld, step int) {
--- a/instance/suspect_parts_test.go
+++ b/instance/suspect_parts_test.go
@@ -61,6 +61,7 @@
 }
 
 func TestPartOfPromptsThatCrashesServersIsRefusedByAllInstances(t *testing.T) {
+	t.Parallel()
 	for n, size := range partSizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			runCrashes(t, size, uint64(n)+1, func(t *testing.T, w *crashWorld) {
@@ -96,6 +97,7 @@
 // Servers end for other reasons, many at once, again and again, while sound requests complete on
 // the others.
 func TestWavesOfOtherCrashesCondemnNoPart(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		size := partSizes[seed%2]
 		t.Run(fmt.Sprintf("%d instances, seed %d", size, seed), func(t *testing.T) {
--- a/instance/suspects_test.go
+++ b/instance/suspects_test.go
@@ -156,6 +156,7 @@
 
 // The size that the system is designed for has too many instances for each to know all.
 func TestRequestThatCrashesServersIsRefusedByHundredsOfInstances(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} { // servers that start again under new ids, and under theirs
 		runCrashes(t, 295, seed, func(t *testing.T, w *crashWorld) {
 			crashes := 0
