soak: the store's handler reads the list of instances under the deployment's lock

Cause: the store serves before the instances are created, and answers with the addresses of their links. A call that comes meanwhile, presumably of another run's process that knew the port, reads the list while it grows: go test -race ./soak reported it once in TestServersThatFailByRefusingAreNotMadeToByManyInstances. Change: both hold the deployment's lock. Result: that test with the race detector passes in one run; the race is not provoked by a test.

--- a/soak/world.go
+++ b/soak/world.go
@@ -128,7 +128,9 @@
 		if err != nil {
 			return nil, err
 		}
+		d.mu.Lock() // the store serves already, also who used its port before
 		d.Instances = append(d.Instances, p)
+		d.mu.Unlock()
 	}
 	for _, p := range d.Instances {
 		if err := p.Start(); err != nil {
@@ -152,6 +154,8 @@
 
 // peerLinkAddrs maps the instances' peer addresses to the addresses of their links.
 func (d *Deployment) peerLinkAddrs() map[string]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	links := map[string]string{}
 	for _, p := range d.Instances {
 		links[p.Node.PeerAddr] = p.PeerLink.Addr
