decide: a server that lost its models isn't idle for accounts over their share

Cause: requests of an account over its share are let through to idle servers. Change: only replicas that routing would choose count. Result: TestServerThatLostItsModelsIsNotIdle fails before.

--- a/decide/accounts.go
+++ b/decide/accounts.go
@@ -137,9 +137,10 @@
 	}
 	offset := s.rng.IntN(n)
 	for i := range min(n, sampleSize) {
-		srv := t.replicas[(offset+i)%n].server
+		replica := t.replicas[(offset+i)%n]
+		srv := replica.server
 		known := srv.listed && !srv.Leaving && srv.available(now) && now.Sub(srv.reportedAt) <= accountsTTL
-		if known && srv.load(now) < idleFraction*float64(srv.Slots) {
+		if known && replica.isResident(now, t) && srv.load(now) < idleFraction*float64(srv.Slots) {
 			return true
 		}
 	}
--- a/decide/accounts_test.go
+++ b/decide/accounts_test.go
@@ -193,6 +193,19 @@
 	require.Equal(t, ActionDispatch, s.Submit(simStart, idle)[0].Action)
 }
 
+// A server that crashed has no requests and none of its models: it isn't idle.
+func TestServerThatLostItsModelsIsNotIdle(t *testing.T) {
+	s := testScheduler(testTable(1, 100, 1, "am"))
+	s.UpdateLoad(simStart, "s0", infra.Load{Running: 10}, 0)
+	target, server := s.fleet.targets["am"], s.fleet.servers["s0"]
+	require.True(t, s.hasIdleReplica(simStart, target))
+	server.emptyUntil = simStart.Add(time.Second)
+	require.False(t, s.hasIdleReplica(simStart, target))
+	server.emptyUntil = time.Time{}
+	target.replicas[0].unreadyUntil = simStart.Add(time.Second)
+	require.False(t, s.hasIdleReplica(simStart, target))
+}
+
 func TestQueuedRequestsOverTheShareAreRefusedOnceThatIsKnown(t *testing.T) {
 	table := testTable(1, 4, 1, "am") // a server with four slots
 	table.Targets["am"].Pool, table.NoServerQueue = "p", true
--- a/decide/filter.go
+++ b/decide/filter.go
@@ -68,10 +68,7 @@
 type residencyFilter struct{}
 
 func (residencyFilter) keep(_ *Scheduler, now time.Time, req *requestState, c *candidate) bool {
-	if req.target.Model != "" && c.server.presumedEmpty(now) {
-		return false
-	}
-	return !now.Before(c.replica.unreadyUntil)
+	return c.replica.isResident(now, req.target)
 }
 
 // failedServerFilter drops the server where the request's last attempt failed.
--- a/decide/suspect.go
+++ b/decide/suspect.go
@@ -96,6 +96,15 @@
 	return now.Before(s.emptyUntil) && s.Start == s.emptyStart
 }
 
+// isResident reports whether the replica's server is taken to hold the target: it hasn't lost all it held,
+// and hasn't recently answered that the target isn't resident.
+func (r *replicaState) isResident(now time.Time, t *targetState) bool {
+	if t.Model != "" && r.server.presumedEmpty(now) {
+		return false
+	}
+	return !now.Before(r.unreadyUntil)
+}
+
 // connectFailure reports why no connection was made: refused means that no process
 // listens there, timedOut that the network path failed. Both are false in other cases.
 func connectFailure(f Failure) (refused, timedOut bool) {
