standin: an engine's pace doesn't depend on when its batch loop wakes up

Cause: the engine slept for the length of each batch step, counted from when it woke up from the one before, so that each late wake-up made all answers of the batch longer.

Change: a step begins when the one before it was due. An accelerator isn't slowed down by other work on its host's processors. Time in which no batch runs isn't caught up.

whole: complete answers are counted, not copied

Cause: waiting for complete answers copied the whole history of a test fifty times a second: 178 of 371 MB that TestWholeStreamsCorrupted allocated, each of which the race detector marks.

Change: the history counts complete answers as they are added.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -130,9 +130,11 @@
 	e.start(ctx)
 	defer e.loadTasks.Wait()
 	defer e.stopProcess(0, "stopped")
+	var steps stepClock
 	for {
 		step, ok := e.beginStep()
 		if !ok {
+			steps.stop()
 			select {
 			case <-e.wake:
 				continue
@@ -140,7 +142,7 @@
 				return nil
 			}
 		}
-		if sleep(ctx, step) != nil {
+		if sleep(ctx, steps.untilEnd(time.Now(), step)) != nil {
 			return nil
 		}
 		e.endStep()
--- a/whole/history.go
+++ b/whole/history.go
@@ -48,8 +48,9 @@
 // History records the callers' views, in the order in which their requests ended. It is safe
 // for concurrent use.
 type History struct {
-	mu      sync.Mutex
-	entries []CallerView
+	mu       sync.Mutex
+	entries  []CallerView
+	complete int // entries with a complete answer
 }
 
 // Add adds an entry.
@@ -57,6 +58,17 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.entries = append(h.entries, t)
+	if t.Answer.Outcome == load.OutcomeComplete {
+		h.complete++
+	}
+}
+
+// Complete returns the number of entries with a complete answer. Tests poll it, so it doesn't
+// copy the entries.
+func (h *History) Complete() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.complete
 }
 
 // CallerView returns a copy of all entries.
--- a/whole/traffic_test.go
+++ b/whole/traffic_test.go
@@ -145,19 +145,8 @@
 // waitCompleted waits until the callers have received that many more complete answers.
 func (tr *traffic) waitCompleted(more int) {
 	tr.d.t.Helper()
-	from := len(tr.d.completed())
-	waitUntil(tr.d.t, "complete answers", func() bool { return len(tr.d.completed()) >= from+more })
-}
-
-// completed returns the entries of the history with a complete answer.
-func (d *deployment) completed() []CallerView {
-	var complete []CallerView
-	for _, t := range d.history.CallerView() {
-		if t.Answer.Outcome == load.OutcomeComplete {
-			complete = append(complete, t)
-		}
-	}
-	return complete
+	wanted := tr.d.history.Complete() + more
+	waitUntil(tr.d.t, "complete answers", func() bool { return tr.d.history.Complete() >= wanted })
 }
 
 // waitUntil waits for a condition, and fails the test after recoveryTimeout.
