whole: four deployments at a time, whatever the number of processors

Cause: each test runs a deployment of eight instances and all their servers, which under the race detector keeps about one processor busy (16 processor seconds in 18 s); as many ran at a time as there are processors. Beside four busy loops at a load of 24 the process got 235 processor seconds in 200 s for seven of them, and 300 answers took longer than 90 s.

Change: four at a time; what each test checks, and its limits of time, stay.

--- a/whole/failures_test.go
+++ b/whole/failures_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/goleak"
 
 	"greengageferry/infra"
 	"greengageferry/load"
@@ -19,37 +18,10 @@
 	"greengageferry/standin"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
-
-const (
-	// concurrentCallers is the number of callers: enough that requests in every state are
-	// present during each failure, and few enough that the servers have spare capacity.
-	concurrentCallers = 12
-	// answersPerPhase is the number of complete answers for which a phase of a test lasts;
-	// they include each kind of request many times.
-	answersPerPhase = 100
-)
-
-// runUnderTraffic causes a failure while callers send requests, waits for the recovery and
-// checks the rules.
-func runUnderTraffic(t *testing.T, fail func(d *deployment, tr *traffic)) {
-	t.Parallel()
-	began := time.Now()
-	d := deploy(t)
-	t.Logf("every model was reachable %v after the start", time.Since(began).Round(time.Second))
-	tr := d.startTraffic(concurrentCallers)
-	tr.waitCompleted(answersPerPhase)
-	fail(d, tr)
-	tr.waitCompleted(answersPerPhase)
-	tr.stop()
-	d.waitReachable("after the failure")
-	d.check()
-}
-
 // TestWholeStartBeforeAnyConfiguration publishes the configuration only after leases are
 // held: instances that start without a configuration must serve it once it exists.
 func TestWholeStartBeforeAnyConfiguration(t *testing.T) {
-	t.Parallel()
+	runInParallel(t)
 	d := newDeployment(t)
 	d.startEntries()
 	client := &http.Client{Transport: d.transport("operators"), Timeout: 2 * time.Second}
