entry: claim batchers run until the requests in flight have ended

Cause: batchers were among the duties that end at the beginning of a shutdown. A claim that one of them was appending got on the log, but its reader had ended, so the request waited until its deadline and ended as claim_uncertain; others that shared the shard waited for claims at an instance that the list still showed as the shard's leader. Seen in one of four runs of TestWholeGracefulShutdownUnderStreams beside three busy loops (load 25): the claim's record was on the log, "stream claims/13: offset 1 wanted, at 0: context deadline exceeded".

Change: batchers are base duties, which last until no request is in flight.

--- a/entry/holding.go
+++ b/entry/holding.go
@@ -24,12 +24,11 @@
 // make 0.35 polls/s, or 0.7 KB/s.
 const inSyncPollInterval = 10 * time.Minute
 
-// domainDuties returns the duties that the instance carries out for its failure domain and
-// for claim shards. They end first in a shutdown, so that other instances take over at once.
+// domainDuties returns the duties that the instance carries out for its failure domain. They
+// end first in a shutdown, so that other instances take over at once.
 func (i *Instance) domainDuties() []supervise.Duty {
 	return []supervise.Duty{
 		{Name: "control", Run: i.runControl},
-		{Name: "claim batchers", Run: i.batchers.Run},
 		{Name: "patrol", Run: i.serverChecker().run},
 	}
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -89,6 +89,7 @@
 		supervise.Duty{Name: "missing", Run: i.missingReports.run},
 		supervise.Duty{Name: "cache hints", Run: i.cachePoller.run},
 		supervise.Duty{Name: "claims", Run: i.claimer.Run},
+		supervise.Duty{Name: "claim batchers", Run: i.batchers.Run}, // requests in flight wait for them
 	)
 	duties := []supervise.Duty{log, serving}
 	for name, l := range i.listeners {
