relay: where most instances are cut off, one known to forward is among those tried

Cause: an attempt at a server that its instance doesn't reach is tried through four other instances at random. Where most others are cut off too, all four may be, and the server then counts as gone for a second, though an instance that reaches it had just been used: with 20 of 21 others cut off the fourth request ended as refused.

Change: an instance that has forwarded within ten seconds is among the four.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -52,6 +52,8 @@
 	// peerBackoff is how long an instance that could not forward is left out while there are
 	// others.
 	peerBackoff = time.Second
+	// peerProvenTTL is how long an instance that has forwarded is known to reach servers.
+	peerProvenTTL = 10 * time.Second
 	// peerDialTimeout bounds the opening of a connection to another instance. In a network
 	// partition it never opens, and a third instance may be reached.
 	peerDialTimeout = 200 * time.Millisecond
@@ -71,13 +73,14 @@
 
 	mu       sync.Mutex
 	failedAt map[string]time.Time // by address: when an instance last could not forward
+	provenAt map[string]time.Time // by address: when an instance last forwarded
 	goneAt   map[string]time.Time // by startKey of a server: when no instance reached it
 }
 
 func newForwarder(peers func() []string) *forwarder {
 	return &forwarder{
 		peers: peers, transport: netconn.NewTransportWith(dialPeer, maxIdlePerPeer, peerIdleTimeout),
-		failedAt: map[string]time.Time{}, goneAt: map[string]time.Time{},
+		failedAt: map[string]time.Time{}, provenAt: map[string]time.Time{}, goneAt: map[string]time.Time{},
 	}
 }
 
@@ -107,6 +110,7 @@
 			err = forwardError(peer, res)
 		}
 		if err == nil {
+			f.noteSuccess(peer)
 			return res, nil
 		}
 		var e *infra.Error
@@ -185,7 +189,8 @@
 }
 
 // pickPeers returns the instances to try in random order, or one of those that lately
-// failed if there are no others.
+// failed if there are no others. One that is known to reach servers is among them: where most
+// instances are cut off, all of a random choice may be.
 func (f *forwarder) pickPeers() []string {
 	peers := f.peers()
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
@@ -196,9 +201,22 @@
 	if len(usable) == 0 {
 		return peers[:min(1, len(peers))]
 	}
+	proven := slices.IndexFunc(usable, func(p string) bool { return now.Sub(f.provenAt[p]) < peerProvenTTL })
+	if proven >= maxForwardTries {
+		usable[maxForwardTries-1] = usable[proven]
+	}
 	return usable[:min(maxForwardTries, len(usable))]
 }
 
+// noteSuccess records that an instance has forwarded.
+func (f *forwarder) noteSuccess(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(f.provenAt, func(_ string, at time.Time) bool { return now.Sub(at) >= peerProvenTTL })
+	f.provenAt[peer] = now
+}
+
 func (f *forwarder) noteFailure(peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
