review: case 2, a non-idempotent request runs twice after additional bytes

An answer without a request id that says "not run" is believed, though it may be additional bytes of a faulty server. The request is sent again, or its client is told that it has not run.

--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -31,7 +31,7 @@
 // server is a stand-in of a backend server. With models it carries out orders.
 type server struct {
 	id, service, zone string
-	born              time.Time
+	slots             int
 	store             *store
 	log               *record
 	listener          net.Listener
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, zone: zone, born: time.Now(), store: st, log: log, listener: l, models: models}
+	s := &server{id: id, service: service, zone: zone, slots: 32, store: st, log: log, listener: l, models: models}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }()
 	s.beat()
@@ -76,7 +76,7 @@
 	defer s.mu.Unlock()
 	s.beats++
 	e := map[string]any{
-		"backend": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": 1, "slots": 32,
+		"backend": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": 1, "slots": s.slots,
 		"state": "ready", "cold-left-ms": 0, "seq": s.beats,
 	}
 	if s.service == engineService {
--- a/review/lab/extra.go
+++ b/review/lab/extra.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -18,9 +17,10 @@
 func init() { scenarios["extra"] = playExtra }
 
 const (
-	garbleFor   = 5 * time.Second // how long the faulty servers send extra bytes
-	garbleShare = 0.05            // of their answers
+	garbleFor   = 5 * time.Second // how long the faulty servers send additional bytes
+	garbleEvery = 20              // one response in so many is followed by them: a share of 0.05
 	orderEvery  = 10 * time.Millisecond
+	workTime    = 60 * time.Millisecond
 )
 
 // orderServer is a stand-in of a plain server that is written by hand, so that it can be faulty as the
@@ -33,7 +33,8 @@
 
 	mu     sync.Mutex
 	ran    map[string]int // by request id
-	extras int
+	faults int            // responses while it is faulty
+	extras int            // of them followed by additional bytes
 }
 
 // serve serves the connections of one listener.
@@ -70,7 +71,7 @@
 		s.ran[id]++
 		s.mu.Unlock()
 		s.lab.log.printf("%s runs %s (%s %s)", s.id, id, req.Method, req.RequestURI)
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(workTime)
 		kind, body := "text/plain", "done by "+s.id+"\n"
 		if strings.HasPrefix(req.RequestURI, "/draft/") {
 			kind, body = "text/event-stream", "id: 1\ndata: all of it\n\n"
@@ -79,13 +80,20 @@
 		if err != nil {
 			return
 		}
-		extraDue = s.faulty.Load() && rand.Float64() < garbleShare
-		if extraDue {
-			s.mu.Lock()
-			s.extras++
-			s.mu.Unlock()
-		}
+		extraDue = s.faulty.Load() && s.drawExtra()
+	}
+}
+
+// drawExtra reports whether additional bytes follow a response.
+func (s *orderServer) drawExtra() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults++
+	if s.faults%garbleEvery != 0 {
+		return false
 	}
+	s.extras++
+	return true
 }
 
 // playExtra has four plain servers, two of which send additional bytes after some responses for a
@@ -103,7 +111,7 @@
 		s := &orderServer{id: fmt.Sprintf("i-desk%d", n), lab: l, ran: map[string]int{}}
 		servers = append(servers, s)
 		go s.serve(li)
-		entry := &server{id: s.id, service: plainService, zone: fmt.Sprintf("zone-%d", n%2+1), store: l.store, log: l.log, listener: li}
+		entry := &server{id: s.id, service: plainService, zone: fmt.Sprintf("zone-%d", n%2+1), slots: 6, store: l.store, log: l.log, listener: li}
 		go func() {
 			for ; ; time.Sleep(heartbeat) {
 				entry.beat()
@@ -155,7 +163,7 @@
 	}
 	traffic(3 * time.Second)
 	if l.trouble {
-		l.log.printf("DISRUPTION: %s and %s send additional bytes after %v of their responses for %v", servers[0].id, servers[1].id, garbleShare, garbleFor)
+		l.log.printf("DISRUPTION: %s and %s send additional bytes after one response in %d for %v", servers[0].id, servers[1].id, garbleEvery, garbleFor)
 		servers[0].faulty.Store(true)
 		servers[1].faulty.Store(true)
 	}
