--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -142,8 +142,8 @@
 	_, _ = fmt.Fprintf(w, "done by %s\n", s.id)
 }
 
-// answerStream sends a stream of events, from the one after Last-Event-Id on. It ends after event
-// number last; from <= last of the events are sent before the connection is reset, 0: all.
+// answerStream sends a stream of events, from the one after Last-Event-Id up to number last. After event
+// number breakAfter it resets the connection; 0: it doesn't.
 func answerStream(s *server, w http.ResponseWriter, r *http.Request, last, breakAfter int) {
 	s.seal(w)
 	w.Header().Set("Content-Type", "text/event-stream")
