residency: a lease is extended with the consent of everyone who can win it

Seen by callers: none directly.

Cause: a holder that is cut off from the store went on ordering while each instance that it knew at its newest renewal said that it doesn't reach the store either. One that it didn't know (added since, back after more than 2.5 s, or not yet heard by a new holder) isn't asked, and may have won. From the record: renewals fail 1.2 s after the cut, the added instance wins 5 s after it, and the old holder sends five orders after the new one's first. A late answer or a holder that comes too early were ruled out by the same log.

Change: instances that report are registered with the holder, which extends the lease only while each of them has just said that it doesn't reach the store, for 10 s after its newest renewal at most, and only once it is on record in the store. Reports are dated by the holder's clock. A winner that the holder on record has registered orders after 1.5 s as before; another asks the process at the recorded address, and orders once that knows its token, or 10.3 s after winning. New log lines say that a lease is extended, or which instance prevents it.

Why it works: who wins the lease later either has been asked, or reads the record and waits until the extension has certainly ended.

Tests changed: in TestLeaseTakeoverWaitAndExpiry an extension needs a record and a renewal after it, and ends after 10 s; the lease tests take the steps of both duties (renewAndSettle).

--- a/instance/directory.go
+++ b/instance/directory.go
@@ -120,7 +120,8 @@
 	return true
 }
 
-// onHolderAnswer records an answer of the lease holder.
+// onHolderAnswer records an answer of the lease holder. ordering reports whether it may order, or
+// surely will once an earlier holder has stopped.
 func (l *holderLocator) onHolderAnswer(now time.Time, addr string, ordering, storeDown bool) {
 	l.holder, l.unanswered, l.namedByStore = addr, 0, false
 	l.holderAnsweredAt, l.lastAnswerAt = now, now
--- a/instance/exchange_server.go
+++ b/instance/exchange_server.go
@@ -42,7 +42,7 @@
 func (i *Instance) holderResponse(req *exchange.SyncRequest, candidates uint64, summary residency.Summary) *exchange.SyncResponse {
 	version, age := i.confirmedConfig()
 	res := &exchange.SyncResponse{
-		Ordering: summary.Ordering, Chosen: summary.IsCandidate, StoreDown: i.storeIsDown(),
+		Ordering: summary.Ordering, Waiting: summary.Waiting, Registration: wireRegistration(summary.Registration), Chosen: summary.IsCandidate, StoreDown: i.storeIsDown(),
 		ConfigVersion: max(summary.Version, version), ConfigAgeMs: age,
 	}
 	named := 1
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -119,6 +119,7 @@
 	// such a read hides a new configuration until its timeout of 4.8 s.
 	i.lease.OnRecovery(func() { i.restartConfigRead(0) })
 	i.lease.OnEra(func(era int64) { i.observeEra(era, "store") })
+	i.lease.OnPreviousHolder(newTokenClient(i).ask)
 	i.registerGauges()
 	i.controller = residency.NewController(residency.Options{
 		Holder: o.Node.Name, Lease: i.lease, Orderer: o.Orderer, View: i.currentView, CountOrder: m.countOrder, Spread: i.relay.Spread, Log: o.Log,
@@ -187,6 +188,7 @@
 			supervise.Duty{Name: "servers", Run: i.followServers},
 			supervise.Duty{Name: "routing", Run: i.updateRouting},
 			supervise.Duty{Name: "lease", Run: i.runLease},
+			supervise.Duty{Name: "terms", Run: i.lease.RunTerms},
 			supervise.Duty{Name: "orders", Run: i.controller.Run},
 			supervise.Duty{Name: "sync", Run: newSyncer(i).run},
 			supervise.Duty{Name: "learn", Run: newLearner(i).run},
--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -55,9 +55,10 @@
 	owner      string        // member that holds the lease
 	renewedAt  time.Time     // by the owner
 	generation int64
-	crashCalls atomic.Int64 // calls of ReportCrashes
-	stateCalls atomic.Int64 // calls of State
-	stateBytes atomic.Int64 // of their requests and answers
+	holders    map[string]int64 // fencing tokens of the holders on record, by member
+	crashCalls atomic.Int64     // calls of ReportCrashes
+	stateCalls atomic.Int64     // calls of State
+	stateBytes atomic.Int64     // of their requests and answers
 }
 
 // spreadStore is the store as one instance reaches it. It implements topology.Source and
@@ -196,8 +197,44 @@
 	return s.world.owner, nil
 }
 
+// SaveHolder implements residency.Group.
+func (s spreadStore) SaveHolder(ctx context.Context, holder residency.Token) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	s.world.holders[holder.Holder] = holder.Number
+	return nil
+}
+
+// RemoveHolder implements residency.Group.
+func (s spreadStore) RemoveHolder(ctx context.Context, member string) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	delete(s.world.holders, member)
+	return nil
+}
+
+// Holders implements residency.Group.
+func (s spreadStore) Holders(ctx context.Context) ([]residency.Token, error) {
+	if err := s.call(ctx); err != nil {
+		return nil, err
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	var out []residency.Token
+	for member, number := range s.world.holders {
+		out = append(out, residency.Token{Number: number, Holder: member})
+	}
+	return out, nil
+}
+
 func newSpreadWorld(seed uint64, instances int) *spreadWorld {
-	w := &spreadWorld{rng: rand.New(rand.NewPCG(seed, 1)), refusals: make([]refusal, instances), cut: map[[2]int]bool{}, changed: make(chan struct{})}
+	w := &spreadWorld{holders: map[string]int64{}, rng: rand.New(rand.NewPCG(seed, 1)), refusals: make([]refusal, instances), cut: map[[2]int]bool{}, changed: make(chan struct{})}
 	for n := range 4 {
 		id := fmt.Sprint("s", n)
 		w.log = append(w.log, topology.ServerChange{ID: id, Server: &topology.Server{ID: id, Service: "llm"}})
@@ -208,7 +245,7 @@
 		store := spreadStore{w, n}
 		w.instances = append(w.instances, New(Options{
 			Node:   &topology.Node{Name: fmt.Sprint("i", n), Domain: fmt.Sprint("d", n%3), PeerAddr: fmt.Sprintf("10.0.0.%d:1", n+1), LeaseTTL: 3 * time.Second, Cores: 1},
-			Source: store, Group: store, Log: quietLog(), Rand: rand.New(rand.NewPCG(1, 1)),
+			Source: store, Group: store, Orderer: noOrderer{}, Log: quietLog(), Rand: rand.New(rand.NewPCG(1, 1)),
 			Clock: func() time.Duration { return time.Since(started) },
 		}))
 	}
@@ -217,13 +254,20 @@
 
 // start runs the duties of all instances until ctx ends.
 func (w *spreadWorld) start(ctx context.Context, duties *sync.WaitGroup) {
-	for n, i := range w.instances {
-		client := &http.Client{Transport: spreadNetwork{w, n}}
-		s, l := newSyncer(i), newLearner(i)
-		s.client, l.client, i.suspects.client = client, client, client
-		for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, s.run, l.run, i.suspects.run, i.suspects.condemn} {
-			duties.Go(func() { _ = run(ctx) }) // returns nil once ctx ends
-		}
+	for n := range w.instances {
+		w.startInstance(ctx, n, duties)
+	}
+}
+
+// startInstance runs the duties of one instance until ctx ends.
+func (w *spreadWorld) startInstance(ctx context.Context, n int, duties *sync.WaitGroup) {
+	i := w.instances[n]
+	client := &http.Client{Transport: spreadNetwork{w, n}}
+	s, l := newSyncer(i), newLearner(i)
+	s.client, l.client, i.suspects.client = client, client, client
+	i.lease.OnPreviousHolder((&tokenClient{i, client}).ask)
+	for _, run := range []func(context.Context) error{i.followConfig, i.followServers, i.runLease, i.lease.RunTerms, s.run, l.run, i.suspects.run, i.suspects.condemn} {
+		duties.Go(func() { _ = run(ctx) }) // returns nil once ctx ends
 	}
 }
 
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -126,6 +126,7 @@
 	report := i.report()
 	report.Candidates = s.candidates.Digest()
 	if i.lease.Holds() {
+		report.Registration = i.lease.Register()
 		summary, err := i.controller.HandleReport(time.Now(), report)
 		if err == nil {
 			i.allowances.syncOwn(time.Now())
@@ -160,6 +161,7 @@
 		Leaving: i.leavingServers(),
 		Speeds:  i.relay.TakeSpeedSamples(), Accounts: i.relay.AccountDemands(),
 		Rates: i.relay.Rates(), HeldDigest: i.currentView().Held.Digest(), Competes: i.lease.Competes(),
+		Registration: i.lease.Registration(),
 	}
 }
 
@@ -172,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+addr, s.client)
-	sent := time.Now()
+	sent, sentAt := time.Now(), i.lease.Now()
 	req := i.syncRequest(sent, *report)
 	res, err := client.Sync(ctx, req)
 	if err != nil {
@@ -198,7 +200,8 @@
 	if res.GetServers() != nil {
 		summary.Loads = loads
 	}
-	s.holderLocator.onHolderAnswer(now, addr, summary.Ordering, report.StoreDown)
+	i.lease.ObserveRegistration(summary.Registration, sentAt)
+	s.holderLocator.onHolderAnswer(now, addr, summary.Ordering || summary.Waiting, report.StoreDown)
 	s.setCandidates(summary)
 	i.lease.ObserveHolder(summary.IsCandidate)
 	i.update(sent, summary)
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -13,7 +13,7 @@
 // wire* encode protobuf messages, and those named *FromWire decode them.
 func newSyncRequest(report residency.InstanceReport) *exchange.SyncRequest {
 	req := &exchange.SyncRequest{Instance: report.Instance, FailureDomain: report.Domain, StoreDown: report.StoreDown, ConfigVersion: report.Version, HeldDigest: report.HeldDigest,
-		Addr: report.Addr, Cores: float32(report.Cores), CandidatesDigest: report.Candidates, Stands: report.Competes}
+		Addr: report.Addr, Cores: float32(report.Cores), CandidatesDigest: report.Candidates, Stands: report.Competes, Registration: wireRegistration(report.Registration)}
 	for target, a := range report.TargetDemand {
 		req.Demand = append(req.Demand, &exchange.Demand{
 			Target: target, Requests: uint32(a.Requests), Waiting: uint32(a.Waiting), InFlight: uint32(a.InFlight),
@@ -37,6 +37,7 @@
 		Instance: req.GetInstance(), Domain: req.GetFailureDomain(), Addr: req.GetAddr(), Cores: float64(req.GetCores()),
 		StoreDown: req.GetStoreDown(), Version: req.GetConfigVersion(),
 		HeldDigest: req.GetHeldDigest(), Candidates: req.GetCandidatesDigest(), Competes: req.GetStands(),
+		Registration: registrationFromWire(req.GetRegistration()),
 		TargetDemand: make(map[string]residency.TargetDemand, len(req.GetDemand())),
 		Loads:        loadsFromWire(req.GetLoads()), Leaving: startsFromWire(req.GetLeaving()),
 		Speeds: convertAll(req.GetSpeeds(), speedSampleFromWire), Accounts: convertAll(req.GetAccounts(), accountDemandFromWire),
@@ -79,7 +80,10 @@
 }
 
 func summaryFromWire(res *exchange.SyncResponse) residency.Summary {
-	s := residency.Summary{Instances: map[string]int{}, Ordering: res.GetOrdering(), Version: res.GetConfigVersion()}
+	s := residency.Summary{
+		Instances: map[string]int{}, Version: res.GetConfigVersion(), Ordering: res.GetOrdering(),
+		Registration: registrationFromWire(res.GetRegistration()), Waiting: res.GetWaiting(),
+	}
 	for _, d := range res.GetInstances() {
 		s.Instances[d.GetFailureDomain()] = int(d.GetCount())
 	}
@@ -93,6 +97,18 @@
 	return s
 }
 
+// wireRegistration returns nil if the instance isn't registered.
+func wireRegistration(r residency.Registration) *exchange.Registration {
+	if r.Token == 0 {
+		return nil
+	}
+	return &exchange.Registration{Token: r.Token, ClockNs: r.HolderClock.Nanoseconds()}
+}
+
+func registrationFromWire(r *exchange.Registration) residency.Registration {
+	return residency.Registration{Token: r.GetToken(), HolderClock: time.Duration(r.GetClockNs())}
+}
+
 func loadsFromWire(loads []*exchange.ServerLoad) map[string]residency.Load {
 	out := make(map[string]residency.Load, len(loads))
 	for _, l := range loads {
--- /dev/null
+++ b/residency/contenders.go
@@ -0,0 +1,52 @@
+package residency
+
+import (
+	"maps"
+	"time"
+)
+
+// maxReportAge is the maximum age of an instance's report that it doesn't reach the store. A new
+// holder's first order comes later than that after it has won.
+const maxReportAge = leaseValidity
+
+// contenders are the instances that could win the lease from its holder, with what each reported
+// last about the store. Times are of the holder's clock.
+type contenders map[contenderKey]contender
+
+// contenderKey identifies an instance. A process that starts anew at the same address replaces the
+// one before it.
+type contenderKey struct{ name, addr string }
+
+// contender is the newest report of one instance.
+type contender struct {
+	reportedAt time.Duration // when the report arrived
+	storeDown  bool          // the instance didn't reach the store
+	// datedAt is a time before which the report was certainly not composed: when the holder sent
+	// the answer that the instance had received by then. A report that was held up on its way is
+	// thus not taken for a new one. 0: not known.
+	datedAt time.Duration
+}
+
+// handleReport records an instance's report. own is the holder's current registration.
+func (c contenders) handleReport(own Registration, report InstanceReport) {
+	state := contender{reportedAt: own.HolderClock, storeDown: report.StoreDown}
+	if report.Registration.Token == own.Token {
+		state.datedAt = report.Registration.HolderClock
+	}
+	c[contenderKey{report.Instance, report.Addr}] = state
+}
+
+// mayReachStore returns the name of a contender that hasn't just reported that it doesn't reach the
+// store; ok is false if there is none. An instance that last reported long before the newest renewal
+// isn't registered any more.
+func (c contenders) mayReachStore(now, renewedAt time.Duration) (name string, ok bool) {
+	maps.DeleteFunc(c, func(_ contenderKey, state contender) bool {
+		return renewedAt-state.reportedAt > registrationTTL+registrationMargin
+	})
+	for key, state := range c {
+		if !state.storeDown || state.datedAt == 0 || now-state.datedAt > maxReportAge {
+			return key.name, true
+		}
+	}
+	return "", false
+}
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -65,12 +65,13 @@
 	results chan orderResult
 	wake    chan struct{}
 
-	mu                 sync.Mutex
-	demand             *DemandTracker
-	planner            *Planner  // nil while the lease isn't held
-	shortagesLoggedAt  time.Time // when models that lack replicas were last logged
-	speedsLoggedAt     time.Time // when changes of servers' speeds were last logged
-	instancesAtRenewal []string  // instances known at the newest renewal
+	mu                sync.Mutex
+	demand            *DemandTracker
+	planner           *Planner  // nil while the lease isn't held
+	shortagesLoggedAt time.Time // when models that lack replicas were last logged
+	speedsLoggedAt    time.Time // when changes of servers' speeds were last logged
+	contenders        contenders
+	loggedExtension   extensionState // as last logged
 
 	loads     Loads            // computed at loadsAt
 	backlogs  []decide.Backlog // of all instances; computed at loadsAt
@@ -102,7 +103,7 @@
 func NewController(o Options) *Controller {
 	return &Controller{
 		o: o, demand: NewDemandTracker(),
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), contenders: contenders{},
 	}
 }
 
@@ -114,7 +115,9 @@
 	Held            topology.HeldList // how the models and adapters held by servers differ from the servers' entries
 	HeldRemoved     topology.HeldList // if HeldIncremental: items the instance knows that no longer apply
 	HeldIncremental bool              // Held contains only the items that the instance doesn't know yet
+	Registration    Registration      // of the instance with the lease holder
 	Ordering        bool              // the lease holder can send orders now
+	Waiting         bool              // the lease holder can't order yet, until an earlier holder has stopped
 	Version         int64             // newest version of the configuration in force at any instance
 
 	Candidates  Candidates // for the lease
@@ -141,16 +144,18 @@
 	if !c.o.Lease.Holds() {
 		return Summary{}, errors.WithStack(&NotHolderError{})
 	}
-	ordering := c.o.Lease.Epoch(c.storeUnreachable) != 0
+	ordering, waiting := c.o.Lease.Epoch(c.storeUnreachable) != 0, c.o.Lease.Waiting()
+	registration := c.o.Lease.Register()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.contenders.handleReport(registration, report)
 	c.demand.HandleReport(now, report)
 	if now.Sub(c.loadsAt) >= summaryInterval {
 		c.loads, c.loadsAt = c.demand.Loads(c.o.Spread(c.demand.ExpectedRequests(now, decide.ArrivalHorizon))), now
 		c.positions = c.demand.Positions()
 		c.backlogs = c.demand.Backlogs(now)
 	}
-	s := Summary{Loads: c.loads.Others(report.Instance), Ordering: ordering, Version: c.demand.Version()}
+	s := Summary{Loads: c.loads.Others(report.Instance), Registration: registration, Ordering: ordering, Waiting: waiting, Version: c.demand.Version()}
 	s.HeldRemoved, s.Held, s.HeldIncremental = c.heldSince(now, report.HeldDigest)
 	s.Candidates, s.IsCandidate = c.candidacy(now, report)
 	s.Rates = c.ratesFor(now, report)
@@ -208,16 +213,15 @@
 	return nil, c.held.Newest(), false
 }
 
-// storeUnreachable reports whether no instance reaches the store: every instance known
-// at the newest renewal has just reported so. Then no instance can have won the lease
-// since. This covers store outages of many seconds in which demand moves: without
-// orders, requests for models that no server holds would fail until the outage ends.
-// When the store returns, this instance's own next renewal notices it before a new
-// holder would send its first order.
+// storeUnreachable reports whether no instance that could win the lease reaches the store. Then the
+// lease may be extended over a store outage of some seconds in which demand moves: without orders,
+// requests for models that no server holds would fail until the outage ends.
 func (c *Controller) storeUnreachable() bool {
+	now, renewedAt := c.o.Lease.Now(), c.o.Lease.renewedAtTime()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.demand.AllStoreDown(time.Now(), c.instancesAtRenewal)
+	_, may := c.contenders.mayReachStore(now, renewedAt)
+	return !may && len(c.contenders) > 0
 }
 
 // requestPlan makes Run compute a plan as soon as possible.
@@ -275,13 +279,11 @@
 // plan returns the servers to query and the orders to send now, none without the lease.
 func (c *Controller) plan(now time.Time) (queries, orders []Order) {
 	epoch := c.o.Lease.Epoch(c.storeUnreachable)
-	renewalValid := c.o.Lease.RenewalValid()
+	expired := c.o.Lease.Expired()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.logExtension(expired, epoch)
 	c.heldAt = time.Time{}
-	if renewalValid {
-		c.instancesAtRenewal = c.demand.InstanceNames()
-	}
 	if epoch == 0 {
 		if !c.o.Lease.Holds() {
 			c.planner, c.rates = nil, nil
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -92,6 +92,8 @@
 	HeldDigest uint64 // of the instance's list of differences between servers and their entries
 	Candidates uint64 // digest of the candidates known to the instance
 	Competes   bool   // the instance competes for the lease
+
+	Registration Registration // from the lease holder's newest answer to the instance
 }
 
 // instanceState is the newest report of one instance.
@@ -100,7 +102,6 @@
 	member     Member
 	demand     map[string]TargetDemand
 	loads      map[string]Load
-	storeDown  bool  // the instance didn't reach the platform's store
 	version    int64 // of the configuration in force at the instance
 }
 
@@ -135,7 +136,7 @@
 	}
 	d.lastReportAt = now
 	member := Member{Name: report.Instance, Domain: report.Domain, Addr: report.Addr, Cores: report.Cores}
-	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, storeDown: report.StoreDown, version: report.Version}
+	d.instances[report.Instance] = &instanceState{reportedAt: now, member: member, demand: report.TargetDemand, loads: report.Loads, version: report.Version}
 	d.speeds.estimator.Add(report.Speeds)
 	d.accounts.note(now, report.Instance, report.Accounts)
 	for name, a := range report.TargetDemand {
--- a/residency/demand_instances.go
+++ b/residency/demand_instances.go
@@ -75,9 +75,6 @@
 	return out
 }
 
-// InstanceNames returns the names of the live instances.
-func (d *DemandTracker) InstanceNames() []string { return slices.Collect(maps.Keys(d.instances)) }
-
 // InstanceAddrs returns the addresses of the live instances for other instances.
 func (d *DemandTracker) InstanceAddrs() []string {
 	out := make([]string, 0, len(d.instances))
@@ -86,20 +83,3 @@
 	}
 	return out
 }
-
-// maxReportAge is the maximum age of an instance's report that it doesn't reach the
-// store: less than the wait of a new lease holder before its first order, and more than
-// the time between two reports.
-const maxReportAge = 800 * time.Millisecond
-
-// AllStoreDown reports whether each of the named instances has just reported that it
-// doesn't reach the store. An instance without a recent report may reach the store.
-func (d *DemandTracker) AllStoreDown(now time.Time, names []string) bool {
-	for _, name := range names {
-		i := d.instances[name]
-		if i == nil || !i.storeDown || now.Sub(i.reportedAt) > maxReportAge {
-			return false
-		}
-	}
-	return len(names) > 0
-}
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -18,6 +18,13 @@
 	Leave(ctx context.Context, group, member string) error
 	// Owner returns the member that holds a partition, empty if none does.
 	Owner(ctx context.Context, group string, partition int) (string, error)
+
+	// SaveHolder records a lease holder that may go on ordering after its renewal has expired.
+	SaveHolder(ctx context.Context, holder Token) error
+	// RemoveHolder removes a member's record.
+	RemoveHolder(ctx context.Context, member string) error
+	// Holders returns the records of all holders.
+	Holders(ctx context.Context) ([]Token, error)
 }
 
 // Token is a fencing token and the member whose orders carry it.
@@ -50,10 +57,11 @@
 	// from an outage may assign the lease to another member at once, whatever is left
 	// of its TTL.
 	leaseValidity = renewInterval + renewTimeout
-	// takeoverWait is how long a new holder waits before its first order, so that the
-	// previous holder has certainly stopped: leaseValidity plus the time that an order
-	// may be in flight.
-	takeoverWait = leaseValidity + orderTimeout/2
+	// orderFlight is how long an order may be in flight.
+	orderFlight = orderTimeout / 2
+	// takeoverWait is how long a new holder waits before its first order, so that a
+	// previous holder that can't extend its lease has certainly stopped.
+	takeoverWait = leaseValidity + orderFlight
 	// leaveDelay is how long an instance that is no longer a candidate keeps renewing,
 	// so that a single wrong report doesn't make it leave. Each member that joins or
 	// leaves may cause the platform to reassign the lease.
@@ -80,7 +88,8 @@
 	otherToken   Token         // the highest known fencing token of other members
 	ownToken     int64         // the newest fencing token of this member
 	epoch        int64         // the fencing token while the lease is held; see nextToken and ObserveToken
-	wonAt        time.Duration // when the lease was won
+	term         *term         // nil while the lease isn't held
+	registration registration  // the newest of a lease holder
 	renewedAt    time.Duration // when the newest answered renewal was sent
 	failing      bool          // the last renewal was not answered
 	onRecovery   func()        // called when a renewal is answered after one was not; may be nil
@@ -91,12 +100,14 @@
 	barred       bool          // see SetBarred
 	joined       bool          // the instance has sent a renewal and hasn't left the group since
 	joinSignal   chan struct{} // capacity 1; signaled when the instance starts to compete
+	wonSignal    chan struct{} // capacity 1; signaled when the lease is won
+	askToken     AskToken      // see OnPreviousHolder; may be nil
 }
 
 // NewLease returns a lease that isn't held. The member name must be unique to this
 // start of the instance.
 func NewLease(g Group, member string, ttl time.Duration, clock Clock, log logrus.FieldLogger) *Lease {
-	return &Lease{group: g, member: member, ttl: ttl, clock: clock, log: log, joinSignal: make(chan struct{}, 1)}
+	return &Lease{group: g, member: member, ttl: ttl, clock: clock, log: log, joinSignal: make(chan struct{}, 1), wonSignal: make(chan struct{}, 1)}
 }
 
 // Member returns the name under which this instance competes.
@@ -123,6 +134,7 @@
 		l.waitForRenewal(ctx)
 	}
 	l.lose("ending")
+	l.removeRecord(context.WithoutCancel(ctx))
 	l.leaveGroup(context.WithoutCancel(ctx))
 	return nil
 }
@@ -252,7 +264,7 @@
 
 // ObserveToken processes a fencing token that another instance reported. If it is as high
 // as that of a held lease, another member has won the lease meanwhile, and this one has
-// lost it. During the takeover wait, before the first order, the own token is raised
+// lost it. During the wait before the first order, the own token is raised
 // instead: the other member may be the previous holder.
 func (l *Lease) ObserveToken(t Token) {
 	l.mu.Lock()
@@ -262,7 +274,7 @@
 	}
 	l.otherToken = t
 	superseded := l.epoch != 0 && l.epoch <= t.Number
-	if superseded && l.clock()-l.wonAt < takeoverWait {
+	if superseded && l.clock() < l.term.orderFrom {
 		l.epoch, l.ownToken = t.Number+1, t.Number+1
 		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "other_token": t.Number, "other_holder": t.Holder}).Info("lease's token raised")
 		superseded = false
@@ -329,8 +341,9 @@
 		return recovered
 	}
 	if newTerm { // otherwise the epoch stays, so that a delayed order never carries a lower one
-		l.epoch, l.wonAt = l.nextToken(m.Generation), l.clock()
+		l.epoch = l.nextToken(m.Generation)
 		l.ownToken = l.epoch
+		l.beginTerm()
 		l.log.WithFields(logrus.Fields{"epoch": l.epoch}).Info("lease won")
 	}
 	return recovered
@@ -341,8 +354,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.epoch != 0 {
-		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "reason": reason, "held_ms": (l.clock() - l.wonAt).Milliseconds()}).Info("lease lost")
-		l.epoch = 0
+		l.log.WithFields(logrus.Fields{"epoch": l.epoch, "reason": reason, "held_ms": (l.clock() - l.term.wonAt).Milliseconds()}).Info("lease lost")
+		l.epoch, l.term = 0, nil
 	}
 }
 
@@ -354,30 +367,26 @@
 	return l.epoch != 0
 }
 
-// RenewalValid reports whether the lease is held and its newest renewal has not
-// expired.
-func (l *Lease) RenewalValid() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.epoch != 0 && l.clock()-l.renewedAt < leaseValidity
-}
-
 // Epoch returns the fencing token for an order sent now, or 0 if none may be sent.
-// storeUnreachable reports whether no instance reaches the store, so that no other one
-// can have won the lease since the newest renewal; then the holder may continue after
-// the renewal has expired.
+// storeUnreachable reports whether no instance that could win the lease reaches the store;
+// then the holder may extend the lease after its newest renewal has expired.
 func (l *Lease) Epoch(storeUnreachable func() bool) int64 {
 	l.mu.Lock()
-	epoch, wonAt, renewedAt := l.epoch, l.wonAt, l.renewedAt
-	l.mu.Unlock()
 	now := l.clock()
-	if epoch == 0 || now-wonAt < takeoverWait {
-		return 0
-	}
-	if now-renewedAt >= leaseValidity && !storeUnreachable() {
+	epoch := l.epoch
+	mayOrder := epoch != 0 && now >= l.term.orderFrom
+	valid := now-l.renewedAt < leaseValidity
+	extendable := mayOrder && l.extendable(now)
+	l.mu.Unlock()
+	switch {
+	case !mayOrder:
 		return 0
+	case valid:
+		return epoch
+	case extendable && storeUnreachable():
+		return epoch
 	}
-	return epoch
+	return 0
 }
 
 // Owner returns the name of the member that holds the lease, empty if none does.
--- a/residency/lease_test.go
+++ b/residency/lease_test.go
@@ -34,6 +34,7 @@
 	joined      map[string]time.Duration // when each member's last join arrived
 	generations map[string]int64         // the newest generation that each member sent
 	revokedFrom string                   // the member that has to give up the partition and hasn't yet
+	holders     map[string]int64         // records of holders: fencing tokens by member
 }
 
 var errDown = errors.New("down")
@@ -82,6 +83,33 @@
 
 func (g *fakeGroup) Owner(context.Context, string, int) (string, error) { return g.owner, nil }
 
+func (g *fakeGroup) SaveHolder(_ context.Context, holder Token) error {
+	if g.down {
+		return errDown
+	}
+	g.holders[holder.Holder] = holder.Number
+	return nil
+}
+
+func (g *fakeGroup) RemoveHolder(_ context.Context, member string) error {
+	if g.down {
+		return errDown
+	}
+	delete(g.holders, member)
+	return nil
+}
+
+func (g *fakeGroup) Holders(context.Context) ([]Token, error) {
+	if g.down {
+		return nil, errDown
+	}
+	var out []Token
+	for member, number := range g.holders {
+		out = append(out, Token{number, member})
+	}
+	return out, nil
+}
+
 // rebalance makes the owner give up the partition.
 func (g *fakeGroup) rebalance() {
 	g.generation++
@@ -89,7 +117,13 @@
 }
 
 func newFakeGroup(now func() time.Duration) *fakeGroup {
-	return &fakeGroup{now: now, joined: map[string]time.Duration{}, generations: map[string]int64{}}
+	return &fakeGroup{now: now, joined: map[string]time.Duration{}, generations: map[string]int64{}, holders: map[string]int64{}}
+}
+
+// renewAndSettle takes the steps of both duties of a lease.
+func renewAndSettle(ctx context.Context, l *Lease) {
+	l.renew(ctx)
+	l.settle(ctx)
 }
 
 // notUnreachable is a storeUnreachable function for an instance that can't rule out
@@ -100,17 +134,24 @@
 	now := time.Duration(0)
 	clock := func() time.Duration { return now }
 	l := NewLease(newFakeGroup(clock), "a", 3*time.Second, clock, quietLog())
-	l.renew(t.Context())
+	renewAndSettle(t.Context(), l)
 	require.True(t, l.Holds())
 	require.Zero(t, l.Epoch(notUnreachable))
 	for now < takeoverWait {
 		now += renewInterval
-		l.renew(t.Context())
+		renewAndSettle(t.Context(), l)
 	}
 	require.Positive(t, l.Epoch(notUnreachable))
+	unreachable := func() bool { return true }
+	now += leaseValidity
+	require.Zero(t, l.Epoch(unreachable), "it hasn't renewed since it was recorded")
+	now = takeoverWait + renewInterval
+	l.renew(t.Context())
 	now += leaseValidity
 	require.Zero(t, l.Epoch(notUnreachable), "also after the machine was suspended")
-	require.Positive(t, l.Epoch(func() bool { return true }), "no other instance reaches the store")
+	require.Positive(t, l.Epoch(unreachable), "no other instance reaches the store")
+	now += maxExtension - leaseValidity
+	require.Zero(t, l.Epoch(unreachable), "an instance that it doesn't know may have won")
 }
 
 func TestOnRecoveryCalledOnce(t *testing.T) {
@@ -137,18 +178,18 @@
 	g := newFakeGroup(clock)
 	l := NewLease(g, "a", 3*time.Second, clock, quietLog())
 	for range 5 {
-		l.renew(t.Context())
+		renewAndSettle(t.Context(), l)
 		now += renewInterval
 	}
 	first := l.Epoch(notUnreachable)
 	require.Positive(t, first)
 	now += time.Minute
 	g.generation += 4 // other members held the lease
-	l.renew(t.Context())
+	renewAndSettle(t.Context(), l)
 	require.Zero(t, l.Epoch(notUnreachable), "the takeover wait applies again")
 	for range 4 {
 		now += renewInterval
-		l.renew(t.Context())
+		renewAndSettle(t.Context(), l)
 	}
 	require.Greater(t, l.Epoch(notUnreachable), first)
 }
@@ -163,7 +204,7 @@
 	l := NewLease(g, "a", 3*time.Second, clock, quietLog())
 	epochs := map[int64]bool{}
 	for range 20 {
-		l.renew(t.Context())
+		renewAndSettle(t.Context(), l)
 		now += renewInterval
 		g.generation++
 		if e := l.Epoch(notUnreachable); e != 0 {
@@ -229,7 +270,7 @@
 			}
 			for _, n := range names {
 				if !cut[n] {
-					leases[n].renew(context.Background())
+					renewAndSettle(context.Background(), leases[n])
 				}
 			}
 			for _, n := range names {
@@ -250,15 +291,17 @@
 	revokedFrom string
 	joined      map[string]time.Duration
 	generations map[string]int64
+	holders     map[string]int64
 }
 
 func (g *fakeGroup) snapshot() groupSnapshot {
-	return groupSnapshot{g.generation, g.owner, g.revokedFrom, maps.Clone(g.joined), maps.Clone(g.generations)}
+	return groupSnapshot{g.generation, g.owner, g.revokedFrom, maps.Clone(g.joined), maps.Clone(g.generations), maps.Clone(g.holders)}
 }
 
 func (g *fakeGroup) restore(s groupSnapshot) {
 	g.era++
 	g.generation, g.owner, g.revokedFrom, g.joined, g.generations = s.generation, s.owner, s.revokedFrom, maps.Clone(s.joined), maps.Clone(s.generations)
+	g.holders = maps.Clone(s.holders)
 }
 
 // A restored store assigns partitions and generations a second time. Members are cut
@@ -304,7 +347,7 @@
 			snapshots = append(snapshots, g.snapshot())
 			for _, n := range names {
 				if !cut[n] && now >= suspendedUntil[n] {
-					leases[n].renew(context.Background())
+					renewAndSettle(context.Background(), leases[n])
 				}
 			}
 			exchange := now-exchangedAt >= 500*time.Millisecond
@@ -336,10 +379,10 @@
 	clock := func() time.Duration { return now }
 	g := newFakeGroup(clock)
 	l := NewLease(g, "a", 3*time.Second, clock, quietLog())
-	l.renew(t.Context())
+	renewAndSettle(t.Context(), l)
 	for now < takeoverWait {
 		now += renewInterval
-		l.renew(t.Context())
+		renewAndSettle(t.Context(), l)
 	}
 	own := l.Token()
 	l.ObserveToken(Token{Number: own.Number - 1, Holder: "b"})
@@ -350,7 +393,7 @@
 	require.Zero(t, l.Epoch(func() bool { return true }))
 	require.Equal(t, Token{Number: own.Number + 4, Holder: "b"}, l.Token())
 	g.down = false
-	l.renew(t.Context())
+	renewAndSettle(t.Context(), l)
 	require.True(t, l.Holds(), "the store still names it")
 	require.Greater(t, l.Token().Number, own.Number+4)
 	require.Zero(t, l.Epoch(notUnreachable), "it waits as any new holder does")
@@ -360,7 +403,7 @@
 func TestBarredHolderGivesUpTheLease(t *testing.T) {
 	now := time.Duration(0)
 	clock := func() time.Duration { return now }
-	g := &fakeGroup{now: clock, joined: map[string]time.Duration{}, generations: map[string]int64{}}
+	g := &fakeGroup{now: clock, joined: map[string]time.Duration{}, generations: map[string]int64{}, holders: map[string]int64{}}
 	a, b := NewLease(g, "a", leaseTTLForTest, clock, quietLog()), NewLease(g, "b", leaseTTLForTest, clock, quietLog())
 	ctx := t.Context()
 	a.ObserveVacancy()
