relay: bytes that don't name the request say nothing of it

Cause: a response without a request id passed as the request's own, and "not run" and status 421 were believed before the id was asked for. The log of such an attempt (one sending, error=not_run status=400) rules out that the request was sent twice on its way. The same bytes were believed at gateways and instances that forward, and for what they say of the server, and their connection was used again, so that the next request got the answer before.

Change: headers are decoded for all three in one place; of bytes that don't name the request nothing counts but the id. The attempt ends as one that may have run, and its connection is closed.

Failed before: TestAdditionalBytesWithoutTheRequestsIDSayNothingOfIt, 30 of 48 ways ("status 503", calls 2 in place of 1), TestNoRequestIsSentBehindAdditionalBytes.

--- a/netconn/sending.go
+++ b/netconn/sending.go
@@ -14,6 +14,15 @@
 	Connections int       // connections that the request was given, one after the other
 	Reused      bool      // the newest of them had carried a request before
 	Opened      time.Time // when the newest was opened; zero: there was none
+	newest      net.Conn
+}
+
+// CloseConnection closes the newest connection, so that nothing that still arrives on it is taken
+// for the answer to a later request.
+func (s *Sending) CloseConnection() {
+	if s.newest != nil {
+		_ = s.newest.Close() // a connection that is closed already is as good
+	}
 }
 
 // Age returns how long ago the connection was opened, 0 if there was none.
@@ -32,7 +41,7 @@
 
 func (s *Sending) gotConn(info httptrace.GotConnInfo) {
 	s.Connections++
-	s.Reused = info.Reused
+	s.Reused, s.newest = info.Reused, info.Conn
 	if c, ok := info.Conn.(*conn); ok {
 		s.Opened = c.opened
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -62,15 +62,13 @@
 	defer res.Body.Close()
 	c.answer = respbody.Watch(res)
 	defer c.countBody()
+	headers := c.relay.headersOf(res, c.headers.ID)
+	if headers.RequestID != c.headers.ID {
+		return c.handleOtherAnswer(d, res, headers)
+	}
 	if !c.forwarded {
 		c.relay.backends.handleResponse(d.Server.ID, res.Header)
 	}
-	headers := c.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
-	if c.isForOtherRequest(headers) {
-		c.logFailedAttempt(d, "answer_to_another_request", res.StatusCode)
-		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
-		return ""
-	}
 	c.observeHeaders(d, res, sent, headers)
 	if outcome, done := c.handleUnusable(d, res, headers); done {
 		return outcome
--- a/relay/attempt_response.go
+++ b/relay/attempt_response.go
@@ -8,15 +8,25 @@
 	"greengageferry/infra"
 )
 
+// headersOf decodes the headers of what arrived as the response to a request. Bytes that don't name
+// the request belong to another one or to none: nothing that they say counts.
+func (r *Relay) headersOf(res *http.Response, requestID string) ResponseHeaders {
+	headers := r.opts.Headers.ResponseHeaders(res.StatusCode, res.Header)
+	if headers.RequestID != requestID {
+		return ResponseHeaders{RequestID: headers.RequestID}
+	}
+	return headers
+}
+
 // handleUnusable handles a response that must not be relayed to the caller: one that says that the
-// request did not run, one of another sender, and one whose status promises that the request did not
+// request did not run, one without the server's seal, and one whose status promises that the request did not
 // run though the server may have run it. done is false for all others. outcome is as of attempt.
 func (c *call) handleUnusable(d decide.Decision, res *http.Response, headers ResponseHeaders) (outcome string, done bool) {
 	if headers.NotRun {
 		c.logFailedAttempt(d, "not_run", res.StatusCode)
 		return c.handleNotRun(res.StatusCode, headers.RetryAfter), true
 	}
-	if !c.isAuthentic(res, headers) {
+	if !isAuthentic(headers) {
 		c.logFailedAttempt(d, "not_the_servers_answer", res.StatusCode)
 		c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
 		return "", true
@@ -36,7 +46,7 @@
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if headers.RefusalLimit == 0 && !headers.NotRun && !c.isAuthentic(res, headers) {
+	if headers.RefusalLimit == 0 && !headers.NotRun && !isAuthentic(headers) {
 		return
 	}
 	if c.relay.gateways.observe(d.Server.Pool, headers.RefusalLimit, time.Now(), "answer") {
@@ -44,10 +54,21 @@
 	}
 }
 
-// isForOtherRequest reports whether a response names another request. It may be a late response to
-// an earlier one, whose "not run" doesn't hold for this one.
-func (c *call) isForOtherRequest(headers ResponseHeaders) bool {
-	return headers.RequestID != "" && headers.RequestID != c.headers.ID
+// handleOtherAnswer handles bytes that arrived in place of the answer and don't name the request: a
+// late answer to an earlier request, or bytes that belong to none. They say nothing of this request,
+// which may be running, and the server's own answer may follow them on the connection. The result is
+// as of attempt.
+func (c *call) handleOtherAnswer(d decide.Decision, res *http.Response, headers ResponseHeaders) string {
+	if !c.forwarded { // the instance that forwards closes its own
+		c.sending.CloseConnection()
+	}
+	reason := "answer_to_another_request"
+	if headers.RequestID == "" {
+		reason = "answer_to_no_request"
+	}
+	c.logFailedAttempt(d, reason, res.StatusCode)
+	c.reportFailure(decide.Failure{Reason: infra.ReasonProtocol})
+	return ""
 }
 
 // promisesNotRun reports whether a response with the status promises callers that the request has
@@ -60,11 +81,5 @@
 	return false
 }
 
-// isAuthentic reports whether the server itself sent the response, and to this request.
-// A late response to an earlier request has another id.
-func (c *call) isAuthentic(res *http.Response, headers ResponseHeaders) bool {
-	if headers.Encoded || !headers.Sealed {
-		return false
-	}
-	return headers.RequestID == c.headers.ID
-}
+// isAuthentic reports whether the server itself sent the response as it is.
+func isAuthentic(headers ResponseHeaders) bool { return headers.Sealed && !headers.Encoded }
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -143,7 +143,8 @@
 func (f *ForwardServer) forward(w http.ResponseWriter, req *http.Request, s decide.Server, p *sendPermit) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
-	sendCtx := netconn.WhileCallerStays(connectWithin(ctx, cancel), req.Context(), cancel)
+	var sending netconn.Sending
+	sendCtx := netconn.WhileCallerStays(sending.Record(connectWithin(ctx, cancel)), req.Context(), cancel)
 	res, err := infra.Send("forward", s.Addr, f.relay.backends.get(s.ID, s.Addr).RoundTrip, forwardRequest(sendCtx, req, s))
 	if err != nil {
 		if p != nil {
@@ -155,9 +156,15 @@
 		return
 	}
 	defer res.Body.Close()
-	f.relay.backends.handleResponse(s.ID, res.Header)
+	id := f.relay.opts.Headers.RequestHeaders(req.Header).ID
+	headers := f.relay.headersOf(res, id)
+	if headers.RequestID == id {
+		f.relay.backends.handleResponse(s.ID, res.Header)
+	} else {
+		sending.CloseConnection()
+	}
 	if p != nil {
-		p.releaseWith(res, f.relay.opts.Headers.ResponseHeaders(res.StatusCode, res.Header))
+		p.releaseWith(res, headers)
 	}
 	copyResponse(w, res)
 }
--- a/relay/gateways.go
+++ b/relay/gateways.go
@@ -321,6 +321,6 @@
 		p.releaseFailed(ctx, err)
 		return nil, err
 	}
-	p.releaseWith(res, r.opts.Headers.ResponseHeaders(res.StatusCode, res.Header))
+	p.releaseWith(res, r.headersOf(res, c.headers.ID))
 	return res, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -82,6 +82,7 @@
 	var refused atomic.Bool
 	script := func(w http.ResponseWriter, r *http.Request, body string) {
 		if refused.CompareAndSwap(false, true) {
+			w.Header().Set("Id", r.Header.Get("Id"))
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -95,7 +96,8 @@
 }
 
 func TestRefusalByAllServersReturnsRetryAfter(t *testing.T) {
-	full := func(w http.ResponseWriter, _ *http.Request, _ string) {
+	full := func(w http.ResponseWriter, r *http.Request, _ string) {
+		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
