instance: callers are accepted again after a lack of descriptors

Cause: the loop that accepts for several http.Servers ended at the first error of any kind; net/http took the error for a passing one and called Accept again, which waited for a loop that was gone. Its log has one line of net/http where a leak of descriptors would write one each second.

Change: the loop ends only with its listener. While no connection can be accepted, those that are idle the longest are closed, and after a second the health check fails. Idle connections of callers keep to three quarters of the process's descriptors (max-fds of the settings). Two log lines, two metrics.

Failed before: TestCallersAreAcceptedAgainAfterALackOfDescriptors ("Should be true", the call after the lack). The other three tests are of the new parts.

--- a/instance/front.go
+++ b/instance/front.go
@@ -45,12 +45,16 @@
 	healthListener  net.Listener
 	metricsListener net.Listener // nil: metrics are served on healthListener only
 	draining        atomic.Bool
+	conns           *callerConns
 
 	mu      sync.Mutex
 	servers []*http.Server // the last one accepts; connections stay with the server that accepted them
 }
 
-func newFrontend(i *Instance) *frontend { return &frontend{instance: i} }
+func newFrontend(i *Instance) *frontend {
+	descriptors := func() int { return i.node.Load().Descriptors }
+	return &frontend{instance: i, conns: newCallerConns(i.log, descriptors)}
+}
 
 // listen opens the listeners, so that an unusable address ends the program at startup.
 func (f *frontend) listen() error {
@@ -75,7 +79,7 @@
 // first configuration on; until then each request is refused as not run.
 func (f *frontend) serveCallers(ctx context.Context) error {
 	limits := topology.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-	listener := newSharedListener(f.callerListener)
+	listener := newSharedListener(f.callerListener, f.conns.onAcceptError)
 	for {
 		server := f.newServer(limits)
 		f.mu.Lock()
@@ -109,6 +113,7 @@
 		IdleTimeout:       l.IdleTimeout,
 		ErrorLog:          newHTTPErrorLog(f.instance.log),
 		ConnContext:       netconn.ConnContext,
+		ConnState:         f.conns.onState,
 	}
 }
 
@@ -127,7 +132,7 @@
 func (f *frontend) serveHealth(ctx context.Context) error {
 	mux := f.metricsMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if f.draining.Load() || !f.instance.ready() || !f.instance.origins.mayAsk(time.Now()) {
+		if f.draining.Load() || !f.instance.ready() || !f.instance.origins.mayAsk(time.Now()) || !f.conns.accepts(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/instance/listener.go
+++ b/instance/listener.go
@@ -3,30 +3,48 @@
 import (
 	"net"
 	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
+// acceptRetryPause is the pause after a connection could not be accepted, mostly for want of file
+// descriptors.
+const acceptRetryPause = 20 * time.Millisecond
+
 // sharedListener lets several http.Servers accept from one listener, one after the other.
 // The limits of an http.Server can't change while it serves, so new limits need a new
 // server.
 type sharedListener struct {
 	net.Listener
-	accepted    chan net.Conn
-	acceptError chan error
+	accepted chan net.Conn
+	closed   chan struct{} // closed once the listener is
+	onError  func(error)   // called when a connection could not be accepted, and with nil when one is accepted after that
 }
 
-func newSharedListener(l net.Listener) *sharedListener {
-	s := &sharedListener{Listener: l, accepted: make(chan net.Conn), acceptError: make(chan error, 1)}
+func newSharedListener(l net.Listener, onError func(error)) *sharedListener {
+	s := &sharedListener{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), onError: onError}
 	go s.acceptLoop()
 	return s
 }
 
-// acceptLoop accepts connections until the listener is closed.
+// acceptLoop accepts connections until the listener is closed. Any other error passes.
 func (s *sharedListener) acceptLoop() {
+	defer close(s.closed)
+	failing := false
 	for {
 		c, err := s.Listener.Accept()
-		if err != nil {
-			s.acceptError <- err
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			failing = true
+			s.onError(err)
+			time.Sleep(acceptRetryPause)
+			continue
+		case failing:
+			failing = false
+			s.onError(nil)
 		}
 		s.accepted <- c
 	}
@@ -49,8 +67,8 @@
 	select {
 	case <-l.closed:
 		return nil, net.ErrClosed
-	case err := <-l.shared.acceptError:
-		return nil, err
+	case <-l.shared.closed:
+		return nil, net.ErrClosed
 	case c := <-l.shared.accepted:
 		return c, nil
 	}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -254,6 +254,8 @@
 	g("servers_paused", "Servers that get no requests from this instance until their Retry-After has passed.", func() float64 { return float64(i.relay.PausedServers()) })
 	g("accounts_over_share", "Client accounts of which requests are refused since they have more than their share of servers.", func() float64 { return float64(i.relay.AccountsOverShare()) })
 	g("held_bytes", "Memory that requests in hand take, by estimate.", func() float64 { return float64(i.relay.HeldBytes()) })
+	g("caller_connections", "Open connections of callers.", func() float64 { open, _ := i.frontend.conns.counts(); return float64(open) })
+	g("caller_connections_made_room", "Idle connections of callers that were closed to make room for others.", func() float64 { _, closed := i.frontend.conns.counts(); return float64(closed) })
 	g("requests_in_hand", "Requests in hand.", func() float64 { return float64(i.relay.ActiveRequests()) })
 }
 
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -188,6 +188,7 @@
 	MetricsAddr string // IP:port of the metrics; empty: only beside the readiness check
 	StoreAddr   string // IP:port of the platform's store
 	MemoryMB    int
+	Descriptors int      // file descriptors that the process may use; 0: not set
 	Cores       float64  // CPU cores that it may use; 0: not set
 	Domains     []string // all failure domains
 
