relay, netconn: bytes without end take neither memory nor time

TestEventWithoutAnEndIsAnError is new. Test changed: TestEventWithoutAnEndIsNotHeldForever sends parts of 1 MB as before, whatever the bound, and asks the same of a stream that can't be resumed.

--- a/infra/http.go
+++ b/infra/http.go
@@ -47,8 +47,7 @@
 	return http.StatusText(e.Status) + ": " + e.Message
 }
 
-// SizeError is the cause of an Error if a response, or an event of a stream, was larger
-// than its limit.
+// SizeError is the cause of an Error if a response was larger than its limit.
 type SizeError struct{ Limit int64 } // in bytes
 
 // Error implements error.
@@ -202,9 +201,10 @@
 
 func reasonOf(ctx context.Context, err error) Reason {
 	var size *SizeError
+	var event *respbody.EventTooLargeError
 	var timeout net.Error
 	switch {
-	case errors.As(err, &size):
+	case errors.As(err, &size), errors.As(err, &event):
 		return ReasonProtocol
 	case errors.Is(err, context.Canceled) || errors.Is(ctx.Err(), context.Canceled):
 		return ReasonCanceled
--- a/infra/http_engine.go
+++ b/infra/http_engine.go
@@ -29,10 +29,6 @@
 // ContentTypeEvents is the media type of a stream of server-sent events.
 const ContentTypeEvents = "text/event-stream"
 
-// maxEventBytes limits one event of a stream, so that an engine that sends an endless line
-// can't exhaust an instance's memory. A token takes some tens of bytes.
-const maxEventBytes = 64 << 10
-
 // CancelBody is the request body of PathCancel.
 type CancelBody struct {
 	Attempt string `json:"attempt"`
@@ -58,9 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := &eventLimiter{body: res.Body}
-	res.Body = limited
-	return &httpStream{ctx: ctx, call: k, limiter: limited, events: ssestream.NewDecoder(res)}, nil
+	return &httpStream{ctx: ctx, call: k, events: ssestream.NewDecoder(res)}, nil
 }
 
 // Cancel implements Engine.
@@ -96,14 +90,13 @@
 	return events, nil
 }
 
-// httpStream reads the events of one answer. It buffers no more than one event and one read
-// of the body, so that TCP flow control slows down an engine that is ahead of its reader.
+// httpStream reads the events of one answer. It buffers no more than one event, which package
+// respbody bounds, and one read of the body, so that TCP flow control slows down an engine that is ahead of its reader.
 type httpStream struct {
-	ctx     context.Context
-	call    call
-	limiter *eventLimiter
-	events  ssestream.Decoder
-	endErr  error // returned by all further calls of Recv; nil while the stream runs
+	ctx    context.Context
+	call   call
+	events ssestream.Decoder
+	endErr error // returned by all further calls of Recv; nil while the stream runs
 }
 
 // Recv implements Stream.
@@ -111,7 +104,6 @@
 	if s.endErr != nil {
 		return Event{}, s.endErr
 	}
-	s.limiter.remaining = maxEventBytes
 	if !s.events.Next() {
 		return Event{}, s.failWith(s.endCause())
 	}
@@ -142,26 +134,3 @@
 // Close implements Stream. Closing a body that has not been read to its end closes the
 // connection, which cancels the work at the server.
 func (s *httpStream) Close() error { return s.events.Close() }
-
-// eventLimiter is a body whose reads fail once remaining bytes have been read. httpStream
-// resets remaining before each event.
-type eventLimiter struct {
-	body      io.ReadCloser
-	remaining int
-}
-
-// Read implements io.Reader.
-func (b *eventLimiter) Read(p []byte) (int, error) {
-	if b.remaining <= 0 {
-		return 0, &SizeError{Limit: maxEventBytes}
-	}
-	if len(p) > b.remaining {
-		p = p[:b.remaining]
-	}
-	n, err := b.body.Read(p)
-	b.remaining -= n
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *eventLimiter) Close() error { return b.body.Close() }
--- a/internal/respbody/eventtail.go
+++ b/internal/respbody/eventtail.go
@@ -25,7 +25,7 @@
 // afterEvent reports whether the stream ends after an event, that is with a blank line, or is
 // empty. Lines end with CRLF, LF or CR.
 func (t *eventTail) afterEvent() bool {
-	rest := t.bytes[maxTail-min(t.size, maxTail):]
+	rest := t.newest()
 	if len(rest) == 0 {
 		return true
 	}
@@ -40,6 +40,25 @@
 	return ok
 }
 
+// newest returns the newest bytes of the stream.
+func (t *eventTail) newest() []byte { return t.bytes[maxTail-min(t.size, maxTail):] }
+
+// endOfLastEvent returns where the last event ends that ends in p, the next bytes of the stream, 0 if
+// none does.
+func (t *eventTail) endOfLastEvent(p []byte) int {
+	end := EndOfLastEvent(p, 0)
+	if rest, _ := cutLineBreak(p[:end]); len(rest) > 0 {
+		return end
+	}
+	// The line break at the beginning of p ends an event only after another one.
+	var joined [2 * maxTail]byte
+	before := t.newest()
+	if EndOfLastEvent(append(append(joined[:0], before...), p[:end]...), len(before)) > 0 {
+		return end
+	}
+	return 0
+}
+
 // EndOfLastEvent returns where the last event ends that ends in data after the first from bytes, 0 if
 // none does.
 func EndOfLastEvent(data []byte, from int) int {
--- a/internal/respbody/respbody.go
+++ b/internal/respbody/respbody.go
@@ -11,6 +11,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 )
 
 // Framing is how the end of a body is marked.
@@ -50,6 +51,18 @@
 	return "the answer is truncated: its end, by " + string(e.Framing) + ", is " + string(e.End)
 }
 
+// MaxEventBytes is how many bytes a stream of server-sent events may bring without ending an event:
+// many times an engine's largest event.
+const MaxEventBytes = 64 << 10
+
+// EventTooLargeError reports that a server sent more than Limit bytes without ending an event.
+type EventTooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *EventTooLargeError) Error() string {
+	return "an event exceeds " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // Body is the body of a response. It is not safe for concurrent use.
 type Body struct {
 	io.ReadCloser
@@ -57,6 +70,7 @@
 	events  bool // it is a stream of server-sent events
 	end     End
 	tail    eventTail
+	unended int // bytes since the last event's end
 }
 
 // Watch replaces the response's body by a Body and returns that. A body that is a Body already
@@ -100,13 +114,16 @@
 func (b *Body) End() End { return b.end }
 
 // Read implements io.Reader. It returns io.EOF only if the body is complete, and else the
-// error of the connection or a *TruncatedError.
+// error of the connection, a *TruncatedError or an *EventTooLargeError.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if b.events {
-		b.tail.add(p[:n])
+		b.addEvents(p[:n])
 	}
 	switch {
+	case b.unended > MaxEventBytes:
+		b.end = Failed
+		return n, &EventTooLargeError{MaxEventBytes}
 	case err == io.EOF:
 		if b.end = b.endAtEOF(); b.end != Whole {
 			return n, &TruncatedError{b.framing, b.end}
@@ -117,6 +134,16 @@
 	return n, err
 }
 
+// addEvents handles bytes of a stream of events.
+func (b *Body) addEvents(p []byte) {
+	end := b.tail.endOfLastEvent(p)
+	b.tail.add(p)
+	if end > 0 {
+		b.unended = 0
+	}
+	b.unended += len(p) - end
+}
+
 // endAtEOF returns how a body ended whose framing says that it is complete.
 func (b *Body) endAtEOF() End {
 	switch {
--- a/internal/respbody/respbody_test.go
+++ b/internal/respbody/respbody_test.go
@@ -97,3 +97,22 @@
 		require.Equal(t, whole, parts)
 	})
 }
+
+// Events of any number are read, and none that doesn't end within MaxEventBytes, wherever reads split
+// them.
+func TestEventWithoutAnEndIsAnError(t *testing.T) {
+	events := strings.Repeat("data: xxxxxxxxxxxxxxxx\n\n", 4*MaxEventBytes/24)
+	for _, size := range []int{1, 7, 24, 25, 8 << 10} {
+		for rest, ok := range map[string]bool{"": true, "data: " + strings.Repeat("x", 2*MaxEventBytes): false, strings.Repeat("data: x\n", MaxEventBytes/4): false} {
+			res := response(ByChunks, "text/event-stream", "")
+			res.Body = io.NopCloser(strings.NewReader(events + rest))
+			read, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{Watch(res)}, make([]byte, size))
+			require.Equal(t, ok, err == nil, "reads of %d bytes", size)
+			if !ok {
+				var event *EventTooLargeError
+				require.True(t, errors.As(err, &event))
+				require.LessOrEqual(t, read, int64(len(events)+MaxEventBytes+size))
+			}
+		}
+	}
+}
--- a/netconn/transport.go
+++ b/netconn/transport.go
@@ -40,8 +40,14 @@
 	})
 }
 
-// SendOnce returns a Transport with the settings of t, which must not be used any more.
+// maxResponseHeadBytes bounds the head of a response, with all informational ones before it. A
+// faulty server may send a head without end, and each request holds what has arrived.
+const maxResponseHeadBytes = 64 << 10
+
+// SendOnce returns a Transport with the settings of t, which must not be used any more. Heads of
+// responses are limited to maxResponseHeadBytes, whatever t says.
 func SendOnce(t *http.Transport) *Transport {
+	t.MaxResponseHeaderBytes = maxResponseHeadBytes
 	dial := t.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -158,7 +158,7 @@
 	if errors.As(context.Cause(ctx), &silent) {
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
-	var event *EventTooLargeError
+	var event *respbody.EventTooLargeError
 	if errors.As(err, &event) {
 		f.Reason = infra.ReasonProtocol
 	}
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -17,9 +17,6 @@
 	// slowCallerGrace is how long after its request's deadline a caller may still read the
 	// response.
 	slowCallerGrace = 2 * time.Second
-	// maxEventBytes is the size of the largest event of a resumable stream, in bytes. An event is
-	// buffered until it is complete.
-	maxEventBytes = 1 << 20
 
 	// reasonMemoryFull is the end reason of a request that is refused at the memory limit.
 	reasonMemoryFull = "memory_full"
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -93,7 +93,7 @@
 	sent := make(chan int, 2)
 	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) {
 		writeSeal(w, r)
-		part, n := bytes.Repeat([]byte("x"), maxEventBytes), 0
+		part, n := bytes.Repeat([]byte("x"), 1<<20), 0
 		for ; n < 40; n++ {
 			if _, err := w.Write(part); err != nil {
 				break
@@ -104,4 +104,7 @@
 	res := b.do(b.request("GET", "/resume/", ""))
 	require.Equal(t, http.StatusBadGateway, res.status)
 	require.Less(t, <-sent, 40)
+	res = b.do(b.request("GET", "/stream/", ""))
+	require.Error(t, res.err, "the caller is told that the stream is broken off")
+	require.Less(t, <-sent, 40)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,14 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"greengageferry/decide"
 	"greengageferry/internal/respbody"
 	"greengageferry/internal/stall"
@@ -61,9 +58,6 @@
 			data := (*buf)[:n]
 			if resumable {
 				data, pending = splitWholeEvents(pending, data)
-				if len(pending) > maxEventBytes {
-					err = errors.WithStack(&EventTooLargeError{maxEventBytes})
-				}
 			}
 			if werr := c.sendEvents(d, res, data, rc); werr != nil {
 				c.relay.dispatcher.abandon(c)
@@ -158,12 +152,6 @@
 	return rc.Flush()
 }
 
-// EventTooLargeError reports that a server sent more bytes than Limit without ending an event.
-type EventTooLargeError struct{ Limit int } // in bytes
-
-// Error implements error.
-func (e *EventTooLargeError) Error() string { return fmt.Sprintf("an event exceeds %d bytes", e.Limit) }
-
 // splitWholeEvents appends data to pending, which has no complete event, and splits the result after its
 // last complete event. It takes time in proportion to data, however long pending is.
 func splitWholeEvents(pending, data []byte) (whole, rest []byte) {
