relay: a path that begins with two slashes reaches its server unchanged

Cause: the target is given to net/http as the opaque part of a URL, and that is completed by the scheme if it begins with two slashes. The target as received was right.

Change: one function builds the URL, for direct and forwarded attempts, and checks that it is written as received; a target that can't be is answered 400.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -128,9 +127,10 @@
 	if len(h["User-Agent"]) == 0 {
 		h["User-Agent"] = []string{""} // the caller sent none: keeps net/http from adding its own
 	}
+	target, _ := targetURL(s.Addr, c.req.RequestURI) // serve has checked that it can be sent
 	req := &http.Request{
 		Method: c.req.Method,
-		URL:    &url.URL{Scheme: "http", Host: s.Addr, Opaque: c.req.RequestURI},
+		URL:    target,
 		Host:   c.req.Host,
 		Header: h,
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -115,7 +115,7 @@
 	if v == nil || v.Config == nil {
 		return c.refuse("unconfigured", unconfiguredRetryAfter)
 	}
-	if !strings.HasPrefix(c.req.RequestURI, "/") || c.headers.ID == "" {
+	if _, sendable := targetURL("", c.req.RequestURI); !sendable || !strings.HasPrefix(c.req.RequestURI, "/") || c.headers.ID == "" {
 		return c.reject(http.StatusBadRequest, "malformed")
 	}
 	if a := c.admit(v); a.status != 0 {
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -180,7 +179,7 @@
 func forwardRequest(ctx context.Context, in *http.Request, s decide.Server) *http.Request {
 	out := in.Clone(ctx)
 	out.RequestURI = ""
-	out.URL = &url.URL{Scheme: "http", Host: s.Addr, Opaque: in.RequestURI}
+	out.URL, _ = targetURL(s.Addr, in.RequestURI) // the instance that asks has checked that it can be sent
 	hop.RemoveHeaders(out.Header)
 	out.Header.Del(headerForwardTo)
 	if len(out.Header["User-Agent"]) == 0 {
