relay: only an answer with a stream's status goes on with it

Cause: an answer was relayed as a stream or as a whole response by its status alone, whatever the caller had already got.

Change: once a stream has begun, an answer of another status than the caller got is a failed attempt: another server is tried, or the caller's connection is closed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -72,6 +72,9 @@
 	if outcome, done := c.handleUnusable(d, res, headers); done {
 		return outcome
 	}
+	if c.stream.started && res.StatusCode != c.stream.status {
+		return c.handleNotResumed(d, res, headers)
+	}
 	if c.route.Stream && res.StatusCode/100 == 2 {
 		c.answer.ExpectEvents()
 		return c.relayStream(ctx, d, res, sent, watch)
--- a/relay/attempt_response.go
+++ b/relay/attempt_response.go
@@ -71,6 +71,15 @@
 	return ""
 }
 
+// handleNotResumed handles a server's own answer that isn't the continuation of the stream that the
+// caller has got a part of, since it has another status. The result is as of attempt.
+func (c *call) handleNotResumed(d decide.Decision, res *http.Response, headers ResponseHeaders) string {
+	c.reportCompletion()
+	c.logFailedAttempt(d, "stream_not_resumed", res.StatusCode)
+	c.reportFailure(decide.Failure{Reason: infra.ReasonFailed, RetryAfter: headers.RetryAfter})
+	return ""
+}
+
 // promisesNotRun reports whether a response with the status promises callers that the request has
 // not run and never will.
 func promisesNotRun(status int) bool {
--- a/relay/resumption_test.go
+++ b/relay/resumption_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -135,3 +137,44 @@
 		})
 	}
 }
+
+// Guards against a stream whose missing rest is replaced by the body of another answer: a server that
+// should go on with it answered with another status, and the caller got that as the whole stream's end.
+func TestAnswerThatIsNotTheRestOfAStreamIsNotJoinedToIt(t *testing.T) {
+	for _, status := range []int{204, 206, 302, 400, 404, 500, 504} {
+		for _, length := range []int{0, 10, 2 * maxBufferedBytes} {
+			for _, resumes := range []bool{false, true} {
+				t.Run(fmt.Sprint(status, length, resumes), func(t *testing.T) {
+					var calls atomic.Int64
+					begin := cuttingStream(&calls, "v1")
+					script := func(w http.ResponseWriter, r *http.Request, body string) {
+						if calls.Load() == 0 || resumes && calls.Load() == 2 {
+							begin(w, r, body)
+							return
+						}
+						calls.Add(1)
+						writeSeal(w, r)
+						if status != http.StatusNoContent {
+							w.Header().Set("Content-Length", strconv.Itoa(length))
+						}
+						w.WriteHeader(status)
+						_, _ = io.WriteString(w, strings.Repeat("x", length)) // fails only if the relay has closed the connection
+					}
+					b := newHarness(t, script, script, script)
+					for i := range b.routes {
+						b.routes[i].Attempts = 3
+					}
+					b.setView(2)
+					a := b.do(b.request("POST", "/resume/", "prompt", "Timeout", "1000"))
+					if resumes {
+						require.NoError(t, a.err)
+						require.Equal(t, versionedBody(1, "v1"), a.body, "a third server goes on")
+						return
+					}
+					require.Error(t, a.err, "the stream isn't complete")
+					require.Equal(t, versionedBody(1, "v1")[:len(a.body)], a.body)
+				})
+			}
+		}
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,6 +17,7 @@
 // streamState describes what of a stream was sent to the caller, over all attempts.
 type streamState struct {
 	started   bool
+	status    int    // that the caller got
 	version   string // software version of the server that sent the first event; empty: not known
 	events    int
 	lastID    string        // id of the last complete event that has one
@@ -120,6 +121,7 @@
 // startStream sends the stream's status and headers.
 func (c *call) startStream(res *http.Response, s decide.Server) {
 	c.stream.started = true
+	c.stream.status = res.StatusCode
 	c.stream.version = s.SoftwareVersion
 	c.rememberOrigin()
 	c.firstByte = time.Now()
