quarantine: a failed trial of several parts counts against none alone

Cause: parts that sound requests share were condemned in the outage, as may be; the trial that should have cleared them was a request that also held the crashing part, and its crash counted as a failed trial of each of its parts. Which request comes first is a matter of luck.

Change: a failed trial counts against requests that hold all the parts it tried. If a part has been cleared since, the failure falls on those left; after the third failed trial of a part each counts.

TestFailedTrialOfSeveralPartsCountsAgainstNoneAlone fails on the earlier rule ("Should be true"). TestTrialsOfAPartBecomeRare asks the same of the new call.

--- a/instance/listener_test.go
+++ b/instance/listener_test.go
@@ -101,7 +101,10 @@
 	s.listener.scarce.Store(true)
 	require.False(t, s.call(t))
 	s.listener.scarce.Store(false)
-	require.Eventually(t, func() bool { open, closed := s.conns.counts(); return closed >= acceptErrorConns && open <= acceptErrorConns }, time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		open, closed := s.conns.counts()
+		return closed >= acceptErrorConns && open <= acceptErrorConns
+	}, time.Second, 10*time.Millisecond)
 }
 
 // Callers' idle connections leave room for those to servers, the store and other instances.
--- a/instance/suspect_runs.go
+++ b/instance/suspect_runs.go
@@ -58,7 +58,7 @@
 func (s *suspects) permitHere(now time.Time, f quarantine.Fingerprint) bool {
 	if f.IsPart() {
 		s.mu.Lock()
-		due := quarantine.TrialDue(now, s.set.Crashes(f), s.since(f))
+		due := s.set.TrialDue(now, []quarantine.Fingerprint{f}, s.condemned, s.since)
 		s.mu.Unlock()
 		if !due {
 			return false
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -112,22 +112,12 @@
 			v.Trials = append(v.Trials, part)
 		}
 	}
-	if !s.allDue(v.Trials) {
+	if !s.set.TrialDue(time.Now(), v.Trials, s.condemned, s.since) {
 		v.Trials, v.Quarantined = nil, true
 	}
 	return v
 }
 
-// allDue reports whether each of the condemned parts may be tried again. A crash in a request with
-// several of them speaks against all, but parts that always come together have no other trial. The
-// caller must hold mu.
-func (s *suspects) allDue(parts []quarantine.Fingerprint) bool {
-	now := time.Now()
-	return !slices.ContainsFunc(parts, func(part quarantine.Fingerprint) bool {
-		return !quarantine.TrialDue(now, s.set.Crashes(part), s.since(part))
-	})
-}
-
 // isQuarantined reports whether a request or a part of prompts is quarantined. The caller must hold
 // mu.
 func (s *suspects) isQuarantined(f quarantine.Fingerprint) bool {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -43,6 +43,11 @@
 // sameCrash reports whether both are the same report, or name the same process.
 func (c Crash) sameCrash(o Crash) bool { return c.Server == o.Server && c.Boot == o.Boot }
 
+// sameStart reports whether both crashes ended the same start of a server.
+func sameStart(c, o Crash) bool {
+	return c.sameCrash(o) || c.Server == o.Server && countStarts([]Crash{c, o}) == 1
+}
+
 // Rule says which crashes quarantine a request. One crash is never enough, since a server's
 // end for another reason must not condemn the requests that it ran.
 type Rule struct {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -124,14 +124,41 @@
 // trials have crashed a server. The last one repeats.
 var trialDelays = []time.Duration{2 * time.Second, 30 * time.Second, 10 * time.Minute, time.Hour}
 
-// TrialDue reports whether one request with a condemned part may run. Crash.Repeat marks the
-// crashes of earlier trials.
-func TrialDue(now time.Time, crashes []Crash, since time.Time) bool {
-	standing := standing(crashes, since)
-	if len(standing) == 0 {
-		return true
+// maxSharedTrials is how many failed trials of a part, together with others, don't count against it
+// alone. It bounds the servers that trials of the part in ever other company crash.
+const maxSharedTrials = 2
+
+// TrialDue reports whether one request with these condemned parts may run. Crash.Repeat marks the
+// crashes of earlier trials. A failed trial of several parts counts against requests with all of them,
+// and not against one with only some: another part may have crashed the server. condemned reports
+// whether a part is condemned; one that has been cleared since shares no failure.
+func (s *Set) TrialDue(now time.Time, parts []Fingerprint, condemned map[Fingerprint]bool, since func(Fingerprint) time.Time) bool {
+	return !slices.ContainsFunc(parts, func(f Fingerprint) bool {
+		standing := standing(s.Crashes(f), since(f))
+		if len(standing) == 0 {
+			return false
+		}
+		newest := slices.MaxFunc(standing, func(a, b Crash) int { return a.At.Compare(b.At) })
+		failed := slices.DeleteFunc(slices.Clone(standing), func(c Crash) bool { return !c.Repeat })
+		own := slices.DeleteFunc(slices.Clone(failed), func(c Crash) bool { return s.sharesTrial(c, parts, condemned, since) })
+		trials := countStarts(own)
+		if all := countStarts(failed); all > maxSharedTrials {
+			trials = all
+		}
+		return now.Sub(newest.At) < trialDelays[min(trials, len(trialDelays)-1)]
+	})
+}
+
+// sharesTrial reports whether the crash of a trial speaks against a condemned part that isn't among
+// the given ones.
+func (s *Set) sharesTrial(c Crash, parts []Fingerprint, condemned map[Fingerprint]bool, since func(Fingerprint) time.Time) bool {
+	for other := range condemned {
+		if slices.Contains(parts, other) {
+			continue
+		}
+		if slices.ContainsFunc(standing(s.Crashes(other), since(other)), func(o Crash) bool { return o.Repeat && sameStart(c, o) }) {
+			return true
+		}
 	}
-	newest := slices.MaxFunc(standing, func(a, b Crash) int { return a.At.Compare(b.At) })
-	trials := countStarts(slices.DeleteFunc(standing, func(c Crash) bool { return !c.Repeat }))
-	return now.Sub(newest.At) >= trialDelays[min(trials, len(trialDelays)-1)]
+	return false
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -195,13 +195,51 @@
 }
 
 func TestTrialsOfAPartBecomeRare(t *testing.T) {
-	crashes := []Crash{{Server: "a", At: start}, {Server: "b", At: start.Add(time.Second)}}
-	require.True(t, TrialDue(start, nil, start))
-	require.False(t, TrialDue(start.Add(2900*time.Millisecond), crashes, start))
-	require.True(t, TrialDue(start.Add(3*time.Second), crashes, start))
-	crashes = append(crashes, Crash{Server: "c", At: start.Add(3 * time.Second), Repeat: true})
-	require.False(t, TrialDue(start.Add(32*time.Second), crashes, start))
-	require.True(t, TrialDue(start.Add(33*time.Second), crashes, start))
+	s, part := NewSet(), NewPartFingerprint("bad")
+	due := func(after time.Duration) bool {
+		return s.TrialDue(start.Add(after), []Fingerprint{part}, map[Fingerprint]bool{part: true}, func(Fingerprint) time.Time { return start })
+	}
+	require.True(t, due(0))
+	s.Merge(part, Crash{Server: "a", At: start})
+	s.Merge(part, Crash{Server: "b", At: start.Add(time.Second)})
+	require.False(t, due(2900*time.Millisecond))
+	require.True(t, due(3*time.Second))
+	s.Merge(part, Crash{Server: "c", At: start.Add(3 * time.Second), Repeat: true})
+	require.False(t, due(32*time.Second))
+	require.True(t, due(33*time.Second))
+}
+
+// Guards against a sound part that everybody uses staying condemned, since its trial is spent on a
+// request in which another part crashes the server.
+func TestFailedTrialOfSeveralPartsCountsAgainstNoneAlone(t *testing.T) {
+	s := NewSet()
+	shared, sound, bad := NewPartFingerprint("shared"), NewPartFingerprint("sound"), NewPartFingerprint("bad")
+	condemned := map[Fingerprint]bool{shared: true, sound: true, bad: true}
+	due := func(after time.Duration, parts ...Fingerprint) bool {
+		return s.TrialDue(start.Add(after), parts, condemned, func(Fingerprint) time.Time { return start })
+	}
+	crash := func(server string, after time.Duration, trial bool, parts ...Fingerprint) {
+		for _, f := range parts {
+			s.Report(f, Crash{Server: server, Boot: server, At: start.Add(after), Repeat: trial})
+		}
+	}
+	crash("a", 0, false, shared, sound, bad)
+	crash("b", 2*time.Second, true, shared, bad) // the first trial
+	require.False(t, due(3*time.Second, shared, sound), "soon after a crash")
+	require.True(t, due(4*time.Second, shared, sound))
+	require.False(t, due(31*time.Second, shared, bad))
+	require.False(t, due(31*time.Second, shared, sound, bad))
+	require.True(t, due(32*time.Second, shared, bad))
+	s.VoidRequest(shared)
+	s.VoidRequest(sound)
+	delete(condemned, shared)
+	delete(condemned, sound)
+	require.False(t, due(31*time.Second, bad), "the others have been cleared")
+	// A part that crashes servers in ever other company isn't tried without end.
+	crash("c", 32*time.Second, true, bad, shared)
+	crash("d", 70*time.Second, true, bad, sound)
+	condemned[shared], condemned[sound] = true, true
+	require.False(t, due(9*time.Minute, bad))
 }
 
 func TestFingerprintsOfPartsAreToldApart(t *testing.T) {
--- a/quarantine/set.go
+++ b/quarantine/set.go
@@ -158,7 +158,7 @@
 // change. It returns the crash as the set holds it.
 func (s *Set) Report(f Fingerprint, c Crash) Crash {
 	for _, known := range s.Crashes(f) {
-		if known.Server == c.Server && countStarts([]Crash{known, c}) == 1 {
+		if sameStart(known, c) {
 			known.Repeat, known.Confirmed = known.Repeat || c.Repeat, known.Confirmed || c.Confirmed
 			s.Merge(f, known)
 			return known
