--- a/instance/holder_cut_off_test.go
+++ b/instance/holder_cut_off_test.go
@@ -48,6 +48,16 @@
 	w.duties.Go(func() { _ = w.instances[n].controller.Run(ctx) }) // returns nil once ctx ends
 }
 
+// settle starts all instances and waits until one of them has ordered for a while. It returns that
+// one's index.
+func (w *holderWorld) settle() int {
+	for n := range w.instances {
+		w.run(n)
+	}
+	w.wait(15 * time.Second)
+	return w.holder()
+}
+
 // wait lets the time pass and records who might order.
 func (w *holderWorld) wait(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -125,10 +135,7 @@
 func TestHolderCutOffFromTheStoreStopsBeforeAReturningInstanceOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newHolderWorld(t, 2)
-		w.run(0)
-		w.run(1)
-		w.wait(15 * time.Second)
-		holder := w.holder()
+		holder := w.settle()
 		w.cutOff(1-holder, true)
 		w.wait(10 * time.Second)
 		w.cutOff(1-holder, false)
@@ -146,11 +153,7 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newHolderWorld(t, 3)
-				for n := range 3 {
-					w.run(n)
-				}
-				w.wait(15 * time.Second)
-				first := w.holder()
+				first := w.settle()
 				w.stop[first]()
 				w.cutOff(first, true)
 				for w.holder() == first || w.holder() < 0 {
@@ -175,11 +178,7 @@
 func TestHolderExtendsItsLeaseWhileTheStoreAnswersNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newHolderWorld(t, 3)
-		for n := range 3 {
-			w.run(n)
-		}
-		w.wait(15 * time.Second)
-		holder := w.holder()
+		holder := w.settle()
 		var since time.Time
 		for n := range 3 { // the instances notice it one after the other
 			since = time.Now()
--- a/instance/holder_record_test.go
+++ b/instance/holder_record_test.go
@@ -3,20 +3,14 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"greengageferry/netconn"
-	"greengageferry/platform"
 )
 
 // The lease holder alone is on record in the platform's store, and its successor replaces it.
 func TestLeaseHolderAloneIsOnRecord(t *testing.T) {
 	d := deploy(t)
-	transport := netconn.NewTransport(1, time.Second)
-	defer transport.CloseIdleConnections()
-	store := platform.NewStore(d.instances[0].node.StoreAddr, transport)
+	store := d.store()
 	recorded := func() string { // empty: none or several are
 		holders, err := store.Holders(t.Context())
 		if err != nil || len(holders) != 1 || holders[0].Number == 0 {
--- a/instance/saved_candidates_test.go
+++ b/instance/saved_candidates_test.go
@@ -17,9 +17,7 @@
 // to ask where streams began: it refused to take them up again.
 func TestInstanceThatStartsWithoutALeaseHolderKnowsWhomToAsk(t *testing.T) {
 	d := deploy(t)
-	transport := netconn.NewTransport(1, time.Second)
-	defer transport.CloseIdleConnections()
-	store := platform.NewStore(d.instances[0].node.StoreAddr, transport)
+	store := d.store()
 	d.waitUntil(func() bool {
 		saved, err := store.LoadInstances(t.Context())
 		return err == nil && len(saved.Candidates) == len(d.instances)
@@ -33,6 +31,13 @@
 	d.waitUntil(func() bool { return strings.Contains(d.metrics(late), "known_instances 2\n") })
 }
 
+// store returns a client of the platform's store that lasts until the test ends.
+func (d *deployment) store() *platform.Store {
+	transport := netconn.NewTransport(1, time.Second)
+	d.t.Cleanup(transport.CloseIdleConnections)
+	return platform.NewStore(d.instances[0].node.StoreAddr, transport)
+}
+
 // metrics returns the instance's metrics as text.
 func (d *deployment) metrics(r *runningInstance) string {
 	res, err := http.Get("http://" + r.node.HealthAddr + "/metrics")
