--- a/residency/controller.go
+++ b/residency/controller.go
@@ -217,7 +217,7 @@
 // lease may be extended over a store outage of some seconds in which demand moves: without orders,
 // requests for models that no server holds would fail until the outage ends.
 func (c *Controller) storeUnreachable() bool {
-	now, renewedAt := c.o.Lease.Now(), c.o.Lease.renewedAtTime()
+	now, renewedAt := c.o.Lease.Now(), c.o.Lease.newestRenewal()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, may := c.contenders.mayReachStore(now, renewedAt)
--- a/residency/controller_log.go
+++ b/residency/controller_log.go
@@ -47,13 +47,13 @@
 func (c *Controller) logExtension(expired bool, epoch int64) {
 	state := extensionState{expired: expired, extended: expired && epoch != 0}
 	if expired && !state.extended {
-		state.waitsFor, _ = c.contenders.mayReachStore(c.o.Lease.Now(), c.o.Lease.renewedAtTime())
+		state.waitsFor, _ = c.contenders.mayReachStore(c.o.Lease.Now(), c.o.Lease.newestRenewal())
 	}
 	if state == c.loggedExtension {
 		return
 	}
 	c.loggedExtension = state
-	f := logrus.Fields{"renewed_ms": (c.o.Lease.Now() - c.o.Lease.renewedAtTime()).Milliseconds()}
+	f := logrus.Fields{"renewed_ms": (c.o.Lease.Now() - c.o.Lease.newestRenewal()).Milliseconds()}
 	switch {
 	case state.extended:
 		c.o.Log.WithFields(f).Info("lease extended")
--- a/residency/lease.go
+++ b/residency/lease.go
@@ -88,7 +88,7 @@
 	otherToken   Token         // the highest known fencing token of other members
 	ownToken     int64         // the newest fencing token of this member
 	epoch        int64         // the fencing token while the lease is held; see nextToken and ObserveToken
-	term         *term         // nil while the lease isn't held
+	term         *term         // nil while the lease isn't held; see beginTerm
 	registration registration  // the newest of a lease holder
 	renewedAt    time.Duration // when the newest answered renewal was sent
 	failing      bool          // the last renewal was not answered
--- a/residency/lease_extension_test.go
+++ b/residency/lease_extension_test.go
@@ -28,7 +28,7 @@
 }
 
 func (p *process) storeUnreachable() bool {
-	_, may := p.contenders.mayReachStore(p.lease.Now(), p.lease.renewedAtTime())
+	_, may := p.contenders.mayReachStore(p.lease.Now(), p.lease.newestRenewal())
 	return !may && len(p.contenders) > 0
 }
 
@@ -218,7 +218,7 @@
 	if epoch == 0 || w.now < p.suspended {
 		return
 	}
-	if w.now-p.lease.renewedAtTime() >= leaseValidity {
+	if w.now-p.lease.newestRenewal() >= leaseValidity {
 		w.extended++
 	}
 	w.last.check(w.t, p.lease.Member(), epoch, w.now)
