--- a/instance/instance.go
+++ b/instance/instance.go
@@ -337,36 +337,6 @@
 	return decide.SharedRetries{Ratio: n.RetryRatio, Reserve: n.RetryReserve, Window: n.RetryWindow}.Policy(count)
 }
 
-// storeFailed records that the store did not answer a read.
-func (i *Instance) storeFailed(read string, err error) {
-	i.metrics.storeFailures.Inc()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.storeFailedAt = time.Now()
-	if !i.storeDown {
-		i.storeDown = true
-		i.log.WithFields(logrus.Fields{"read": read, "last_answer_ms": ageMs(i.storeAnsweredAt), "error": err}).Warn("store lost")
-	}
-}
-
-func (i *Instance) storeAnswered() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.storeDown {
-		i.storeDown = false
-		i.log.WithField("last_answer_ms", ageMs(i.storeAnsweredAt)).Info("store regained")
-	}
-	i.storeAnsweredAt = time.Now()
-}
-
-// ageMs returns the time since at in milliseconds, -1 if at is zero.
-func ageMs(at time.Time) int64 {
-	if at.IsZero() {
-		return -1
-	}
-	return time.Since(at).Milliseconds()
-}
-
 // configVersion returns the version of the configuration in force, 0 if there is none.
 func (i *Instance) configVersion() int64 {
 	i.mu.Lock()
@@ -377,12 +347,6 @@
 	return i.view.Config.Version
 }
 
-func (i *Instance) storeIsDown() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.storeDown
-}
-
 // ready reports whether the instance can serve: it has a configuration and lists servers.
 func (i *Instance) ready() bool {
 	i.mu.Lock()
