--- a/decide/load.go
+++ b/decide/load.go
@@ -131,10 +131,8 @@
 
 // fastServerQueue returns the number of requests that may wait at a server whose slots
 // free faster than load reports arrive: those that get a slot within goalQueueFraction of
-// the goal. Reports say little about the current load of such a server. When each of 295
-// instances trusted them and took its servers for full, while 30 of their 60 slots were
-// taken, requests waited for the next report: half of them for 0.7 s, with a goal of
-// 0.3 s.
+// the goal. Reports say little about the current load of such a server: by them it may look
+// full until the next one comes, though its slots have long been free.
 func (s *serverState) fastServerQueue(goal time.Duration) int {
 	if !s.slotsFreeFast() {
 		return 0
--- a/decide/suspect.go
+++ b/decide/suspect.go
@@ -10,15 +10,13 @@
 	// refusalBackoff and refusalBackoffMax bound the backoff after a server refuses a
 	// request. It starts at about the time in which one slot is released and doubles
 	// with consecutive refusals. A server that refuses everything looks the emptiest
-	// and would be chosen again by each instance: one of 60 servers got 214 requests
-	// in two seconds, a tenth of all.
+	// and would be chosen again by each instance.
 	refusalBackoff    = 100 * time.Millisecond
 	refusalBackoffMax = 800 * time.Millisecond
 	// emptyTTL is how long a server that refused a connection is presumed to hold no
 	// models, unless its entry shows a new start. A process that has ended loses its
 	// models, and its entry is updated within two heartbeats. Requests that may be
-	// sent to only one server are lost on one that restarted empty: 358 in two
-	// seconds after 15 of 60 servers had crashed.
+	// sent to only one server are lost on one that restarted empty.
 	emptyTTL = 2 * time.Second
 	// emptyAfterMisses is the number of consecutive missing models after which a
 	// server is presumed to have restarted unnoticed.
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -12,15 +12,12 @@
 	minHolderQueryInterval = time.Second
 	// candidateSilenceTimeout is how long an instance that knows candidates asks only
 	// them for the holder. It is the time that another instance takes to win the lease.
-	// Without this limit, when the holder among 295 instances was lost, all others
-	// queried the store each second.
 	candidateSilenceTimeout = 5 * time.Second
 	// holderQueryIntervalPerInstance, times the number of instances, is the minimum time
 	// between two queries of the store while the candidates are silent.
 	holderQueryIntervalPerInstance = 10 * time.Millisecond
 	// maxUnanswered is the number of consecutive syncs without an answer after which the
-	// holder is given up. If many instances overload a holder for a moment, their queries
-	// of the store would gain nothing.
+	// holder is given up: one may be due to a moment's load.
 	maxUnanswered = 2
 	// baseQueryDelay is the time from its start until an instance with one core first
 	// queries the store for the lease holder. With less than a core the delay is longer,
@@ -31,9 +28,8 @@
 	// maxCompeteDelay bounds the time from its start until an instance may compete for
 	// the lease if the store names no holder. With one core the instance competes after
 	// baseQueryDelay; with less, the delay grows with the inverse square of the cores, so
-	// that the instances with the most processor settle the lease first. Each instance
-	// that joins may make the platform reassign the lease: when 295 instances competed
-	// within a second, the lease had four holders in six seconds.
+	// that the instances with the most processor settle the lease first: each one that
+	// joins may make the platform reassign the lease.
 	maxCompeteDelay = 4 * time.Second
 )
 
--- a/instance/follow_servers.go
+++ b/instance/follow_servers.go
@@ -18,16 +18,12 @@
 	// there. When a third of 295 instances each retried twice per second, their retries
 	// were a large part of a day's calls.
 	storeProbeInterval = 3 * time.Second
-	// minServersReadInterval is the minimum time between two reads of servers' entries.
-	// Each server writes about once per second, so without a minimum the reads, which
-	// return at the next change, would return dozens of times per second. A leaving
-	// server must be known within two seconds.
+	// minServersReadInterval is the minimum time between two reads of servers' entries,
+	// which return at the next change. A leaving server must be known within two seconds.
 	minServersReadInterval = 400 * time.Millisecond
 	// manyInstances is the number of instances up to which each reads the entries at
 	// minServersReadInterval. With more instances the interval grows, by a factor of at
-	// most maxReadIntervalFactor: 72 instances made 220 calls per second to the store,
-	// nearly all of them such reads. A leaving server is still known well within two
-	// seconds.
+	// most maxReadIntervalFactor, since the store allows so many calls in all.
 	manyInstances         = 12
 	maxReadIntervalFactor = 3.0
 	// serversWait is how long one read waits for entries, and readTimeoutMargin how much
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -29,8 +29,7 @@
 	maxSyncInterval = 500 * time.Millisecond
 	// minSyncSpacing is the minimum time between two syncs while requests wait for a
 	// model that no server holds. With many instances, syncIntervalPerInstance times
-	// their number applies instead: with 86 instances on links of 10 Mbit/s, 60 ms led to
-	// 1,400 syncs per second, and the holder's own lease renewals timed out.
+	// their number applies instead, so that the holder's link and processor bear it.
 	minSyncSpacing          = 60 * time.Millisecond
 	syncIntervalPerInstance = 6 * time.Millisecond
 	// syncTimeout bounds one Sync call and one query of the store for the lease holder.
--- a/residency/candidates.go
+++ b/residency/candidates.go
@@ -8,10 +8,9 @@
 
 const (
 	// candidatesPerDomain is how many instances of each failure domain compete for the
-	// lease. Each renews with the store, so they must be few: with 295 instances that
-	// all renewed, the renewals counted as 42 calls per second. With three, a domain
-	// that lost some still has one that its other instances can query while no lease
-	// holder is known.
+	// lease. Each renews with the store, so they must be few. With three, a domain that
+	// lost some still has one that its other instances can query while no lease holder
+	// is known.
 	candidatesPerDomain = 3
 	// maxAllCandidates is the number of instances up to which all are candidates: their
 	// renewals cost little, and each candidate that comes or goes may cause the
@@ -40,9 +39,8 @@
 }
 
 // chooseCandidates returns candidatesPerDomain instances of each failure domain, those
-// with the most CPU cores first. The choice is deterministic. CPU matters because the
-// lease holder answers all other instances, which took 0.11 of a core with 295
-// instances where most have 0.19.
+// with the most CPU cores first, since the lease holder answers all other instances. The
+// choice is deterministic.
 func chooseCandidates(members []Member) Candidates {
 	members = slices.Clone(members)
 	slices.SortFunc(members, func(a, b Member) int {
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -19,13 +19,11 @@
 	// planInterval is the time between two plans when nothing requests one sooner.
 	planInterval = 200 * time.Millisecond
 	// summaryInterval is how often the instances' loads and the models held by servers
-	// are recomputed. Instances report and ask twice a second; recomputing for each of
-	// 86 instances kept a small lease holder so busy that its answers came too late.
+	// are recomputed, however many instances report.
 	summaryInterval = 100 * time.Millisecond
 	// candidatesInterval is how often candidates are chosen again, and candidatesDelay
-	// how long after the first report of a lease they are chosen first. When they were
-	// chosen from the few instances that had reported so far, others replaced them
-	// within a second and the lease moved with them, four times in nine seconds.
+	// how long after the first report of a lease they are chosen first: if they were
+	// chosen from the few that had reported by then, the lease would move with them.
 	candidatesInterval = time.Second
 	candidatesDelay    = 2 * time.Second
 	// adapterSpacing is the minimum time between two adapter orders to one server. An
--- a/residency/place.go
+++ b/residency/place.go
@@ -194,9 +194,8 @@
 
 // placementCost returns the cost of placing a model on a server with other demand, in
 // full batches. A model with little demand goes to a server with much other demand, and
-// leaves servers with free slots to the models that need them. Otherwise servers came
-// back from crashes with rare models: while 60 to 105 of 240 servers were full, as many
-// were almost idle.
+// leaves servers with free slots to the models that need them. Otherwise servers that
+// come back from crashes would be filled with rare models and stay idle.
 func (w *pool) placementCost(s *server, m *model) float64 {
 	if m.concurrency < w.replicaCapacity() {
 		return -min(w.utilization(s), 1)
