residency: contenders that are gone are forgotten while the lease is valid too

They were removed only where an extension was asked for, so a holder whose instances are replaced under other names remembered each of them. Same rule, applied at each plan; TestContendersThatAreGoneAreForgotten.

--- a/residency/contenders.go
+++ b/residency/contenders.go
@@ -36,13 +36,18 @@
 	c[contenderKey{report.Instance, report.Addr}] = state
 }
 
-// mayReachStore returns the name of a contender that hasn't just reported that it doesn't reach the
-// store; ok is false if there is none. An instance that last reported long before the newest renewal
-// isn't registered any more.
-func (c contenders) mayReachStore(now, renewedAt time.Duration) (name string, ok bool) {
+// prune removes those that last reported long before the newest renewal: they aren't registered any
+// more.
+func (c contenders) prune(renewedAt time.Duration) {
 	maps.DeleteFunc(c, func(_ contenderKey, state contender) bool {
 		return renewedAt-state.reportedAt > registrationTTL+registrationMargin
 	})
+}
+
+// mayReachStore returns the name of a contender that hasn't just reported that it doesn't reach the
+// store; ok is false if there is none.
+func (c contenders) mayReachStore(now, renewedAt time.Duration) (name string, ok bool) {
+	c.prune(renewedAt)
 	for key, state := range c {
 		if !state.storeDown || state.datedAt == 0 || now-state.datedAt > maxReportAge {
 			return key.name, true
--- a/residency/controller.go
+++ b/residency/controller.go
@@ -277,9 +277,10 @@
 // plan returns the servers to query and the orders to send now, none without the lease.
 func (c *Controller) plan(now time.Time) (queries, orders []Order) {
 	epoch := c.o.Lease.Epoch(c.storeUnreachable)
-	expired := c.o.Lease.Expired()
+	expired, renewedAt := c.o.Lease.Expired(), c.o.Lease.newestRenewal()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.contenders.prune(renewedAt)
 	c.logExtension(expired, epoch)
 	c.heldAt = time.Time{}
 	if epoch == 0 {
--- a/residency/lease_extension_test.go
+++ b/residency/lease_extension_test.go
@@ -299,3 +299,14 @@
 		require.Equal(t, waits, l.Epoch(notUnreachable) == 0, "registered with token %d", token)
 	}
 }
+
+// Instances that are replaced again and again under other names are forgotten.
+func TestContendersThatAreGoneAreForgotten(t *testing.T) {
+	c := contenders{}
+	for n := range 100 {
+		at := time.Duration(n) * time.Second
+		c.handleReport(Registration{Token: 1, HolderClock: at}, InstanceReport{Instance: fmt.Sprint("i", n)})
+		c.prune(at)
+		require.LessOrEqual(t, len(c), 7, "of the last 6.5 s")
+	}
+}
