--- a/residency/controller_log.go
+++ b/residency/controller_log.go
@@ -36,29 +36,24 @@
 	}
 }
 
-// extensionState is what is logged of a lease whose renewal has expired.
-type extensionState struct {
-	expired, extended bool
-	waitsFor          string // an instance that may reach the store, where it isn't extended for that
-}
+// extensionState is what was last logged of a lease whose renewal has expired.
+type extensionState struct{ expired, extended bool }
 
-// logExtension logs when the lease's renewal has expired whether the lease is extended, or which
-// instance prevents that, and each change of it. The lock is held.
+// logExtension logs when the lease's renewal has expired whether the lease is extended, or an
+// instance that prevents that, and each change of it. The lock is held.
 func (c *Controller) logExtension(expired bool, epoch int64) {
 	state := extensionState{expired: expired, extended: expired && epoch != 0}
-	if expired && !state.extended {
-		state.waitsFor, _ = c.contenders.mayReachStore(c.o.Lease.Now(), c.o.Lease.newestRenewal())
-	}
 	if state == c.loggedExtension {
 		return
 	}
 	c.loggedExtension = state
-	f := logrus.Fields{"renewed_ms": (c.o.Lease.Now() - c.o.Lease.newestRenewal()).Milliseconds()}
+	now, renewedAt := c.o.Lease.Now(), c.o.Lease.newestRenewal()
+	f := logrus.Fields{"renewed_ms": (now - renewedAt).Milliseconds()}
 	switch {
 	case state.extended:
 		c.o.Log.WithFields(f).Info("lease extended")
 	case expired:
-		f["waits_for"] = state.waitsFor
+		f["waits_for"], _ = c.contenders.mayReachStore(now, renewedAt)
 		c.o.Log.WithFields(f).Warn("lease expired, no orders")
 	}
 }
