residency: the lease model's faults bear the field's term

Cause: a test's function and comments used the users' word. Change: names and comments of one test file; checks, seeds and draws are the same.

--- a/residency/lease_extension_test.go
+++ b/residency/lease_extension_test.go
@@ -90,9 +90,9 @@
 	return Token{}, errors.New("no answer")
 }
 
-// disturb draws one disturbance: outages of the store, cuts, restarts, machines that are added or
+// injectFault draws one fault: outages of the store, cuts, restarts, processes that are added or
 // removed, suspensions and changes of the group.
-func (w *leaseWorld) disturb() {
+func (w *leaseWorld) injectFault() {
 	p := w.processes[w.rng.IntN(len(w.processes))]
 	for _, holder := range w.processes {
 		if holder.lease.Holds() && w.rng.IntN(3) == 0 {
@@ -235,7 +235,7 @@
 		for range 4000 {
 			w.now += w.upTo(50 * time.Millisecond)
 			if w.now > calm {
-				w.disturb()
+				w.injectFault()
 				calm = w.now + w.upTo([]time.Duration{time.Second, 4 * time.Second, 15 * time.Second}[w.rng.IntN(3)])
 				if w.rng.IntN(6) == 0 {
 					w.heal()
