instance: how long goroutines wait for a processor, and reports of crashes, are measured

Change: a line with p99, the longest wait and the number of goroutines in each second in which a hundredth of them waits 0.1 s or more, a gauge of the same, and a counter of reports by receiver and result. Nothing else changes.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -52,6 +52,7 @@
 	metrics  *metrics
 	frontend *frontend
 	servers  *serverList
+	delay    schedDelay
 
 	allowances *allowances
 	suspects   *suspects
@@ -96,6 +97,7 @@
 		viewChanged: make(chan struct{}, 1),
 		limits:      make(chan topology.Limits, 1),
 		servers:     newServerList(o.Log),
+		delay:       schedDelay{log: o.Log},
 	}
 	i.allowances = newAllowances(i)
 	i.allowances.meter.SetBounds(o.Node.Allowances)
@@ -198,6 +200,7 @@
 			supervise.Duty{Name: "quarantines", Run: i.suspects.keep},
 			supervise.Duty{Name: "paths", Run: i.relay.ProbePaths},
 			supervise.Duty{Name: "count", Run: i.keepCount},
+			supervise.Duty{Name: "scheduling delay", Run: i.delay.run},
 			supervise.Duty{Name: "peers", Run: i.servePeers},
 			supervise.Duty{Name: "callers", Run: frontend.serveCallers},
 			supervise.Duty{Name: "health", Run: frontend.serveHealth},
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -49,6 +49,7 @@
 	allowances      *prometheus.CounterVec   // by account, see accountLabel, and verdict
 	draws           *prometheus.CounterVec   // by result
 	crashes         prometheus.Counter
+	crashReports    *prometheus.CounterVec // by receiver and result
 	admissions      *prometheus.CounterVec // by result
 	sendings        *prometheus.CounterVec // by connection: new, kept, or again
 	bodies          *prometheus.CounterVec // by framing and end
@@ -88,6 +89,7 @@
 		storeEras:       newCounter("store_eras_total", "Times that the platform's store came back from an older copy."),
 		peerQuestions:   newCounter("peer_questions_total", "Questions to other instances while this one's knowledge was out of date."),
 		crashes:         newCounter("crashed_attempts_total", "Attempts whose server crashed."),
+		crashReports:    newCounters("crash_reports_total", "Reports of crashed servers to other instances, by receiver (holder, other) and result (answered, unanswered).", "to", "result"),
 		duration:        newHistogram("request_seconds", "From a request's arrival to its end."),
 		firstByte:       newHistogram("first_byte_seconds", "From a request's arrival to its answer's first byte."),
 		wait:            newHistogram("wait_seconds", "From a request's arrival to its first attempt."),
@@ -106,7 +108,7 @@
 		eventOrder:   newCounters("misordered_events_total", "Events of streams whose ids don't follow the ones before, by place (run, resumption) and fault (repeated, back, skipped).", "place", "fault"),
 		accounts:     map[string]bool{},
 	}
-	m.registry.MustRegister(m.requests, m.decisions, m.rankDecisions, m.orders, m.sentRateLimited, m.backlogRefusals, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.sendings, m.admissions, m.bodies, m.connEnds, m.resumptions, m.eventOrder)
+	m.registry.MustRegister(m.requests, m.decisions, m.rankDecisions, m.orders, m.sentRateLimited, m.backlogRefusals, m.storeFailures, m.lateAnswers, m.storeEras, m.peerQuestions, m.duration, m.firstByte, m.wait, m.eventGap, m.storeCalls, m.storeResults, m.allowances, m.draws, m.crashes, m.crashReports, m.sendings, m.admissions, m.bodies, m.connEnds, m.resumptions, m.eventOrder)
 	return m
 }
 
@@ -225,6 +227,15 @@
 	m.allowances.WithLabelValues(m.accountLabel(account), v.String()).Inc()
 }
 
+// countCrashReport counts a report of crashes to another instance.
+func (m *metrics) countCrashReport(to string, answered bool) {
+	result := "unanswered"
+	if answered {
+		result = "answered"
+	}
+	m.crashReports.WithLabelValues(to, result).Inc()
+}
+
 // countDraw counts a call that asked the lease holder for credit.
 func (m *metrics) countDraw(err error) { m.draws.WithLabelValues(storeResult(err)).Inc() }
 
@@ -236,6 +247,7 @@
 // registerGauges registers the gauges of the instance's state and of how old that is.
 func (i *Instance) registerGauges() {
 	g := i.metrics.gauge
+	g("scheduling_delay_seconds", "How long goroutines waited for a processor in the last second, 99th percentile.", i.delay.seconds)
 	g("unreachable_servers", "Servers that this instance reaches only through another one.", func() float64 { return float64(i.relay.UnreachableServers()) })
 	g("slowest_server_speed", "Work per time of the slowest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { slowest, _ := i.relay.SpeedRange(); return slowest })
 	g("fastest_server_speed", "Work per time of the fastest server relative to the mean of its pool, as all instances measured it; 1: not known.", func() float64 { _, fastest := i.relay.SpeedRange(); return fastest })
--- a/instance/suspect_reports.go
+++ b/instance/suspect_reports.go
@@ -143,7 +143,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderReportTimeout)
 	defer cancel()
-	return s.report(ctx, holder, report).GetHoldsLease()
+	res := s.report(ctx, holder, report)
+	s.instance.metrics.countCrashReport("holder", res != nil)
+	return res.GetHoldsLease()
 }
 
 // reportToAll sends the report to all instances known.
@@ -153,7 +155,7 @@
 	var reports errgroup.Group
 	for _, addr := range s.reportAddrs() {
 		reports.Go(func() error {
-			s.report(ctx, addr, report)
+			s.instance.metrics.countCrashReport("other", s.report(ctx, addr, report) != nil)
 			return nil // what is missed follows with Sync or State
 		})
 	}
