--- a/instance/learn_test.go
+++ b/instance/learn_test.go
@@ -58,6 +58,7 @@
 	crashCalls atomic.Int64     // calls of ReportCrashes
 	stateCalls atomic.Int64     // calls of State
 	stateBytes atomic.Int64     // of their requests and answers
+	late       atomic.Int64     // nanoseconds for which answers are on their way
 }
 
 func newSpreadWorld(seed uint64, instances int) *spreadWorld {
--- a/instance/spread_network_test.go
+++ b/instance/spread_network_test.go
@@ -38,9 +38,17 @@
 		t.world.stateCalls.Add(1)
 		t.world.stateBytes.Add(req.ContentLength + int64(w.Body.Len()))
 	}
-	return w.Result(), nil
+	select {
+	case <-time.After(t.world.answerDelay()):
+		return w.Result(), nil
+	case <-req.Context().Done():
+		return nil, context.Cause(req.Context())
+	}
 }
 
+// answerDelay returns how long the answers of instances without processor time are on their way.
+func (w *spreadWorld) answerDelay() time.Duration { return time.Duration(w.late.Load()) }
+
 // reaches reports whether calls of one instance to another are answered.
 func (w *spreadWorld) reaches(from, to int) bool {
 	w.mu.Lock()
--- a/instance/suspect_reports_test.go
+++ b/instance/suspect_reports_test.go
@@ -64,3 +64,37 @@
 		require.Less(t, bytesPerCall(), 2*before)
 	})
 }
+
+// Guards against instances telling each crash to all others, each of them to all others again, where
+// the lease holder's answers come late.
+func TestReportsOfCrashesDoNotFloodInstancesWhoseAnswersAreLate(t *testing.T) {
+	const changes, few = 10, 9
+	for _, size := range []int{few, 66} {
+		runCrashes(t, size, 2, func(t *testing.T, w *crashWorld) {
+			w.late.Store(int64(2 * reportTimeout))
+			for n := range changes {
+				w.instances[n%size].suspects.ReportCrash(relay.CrashReport{Request: quarantine.NewFingerprint(fmt.Append(nil, n/2)), Crash: w.crash(n, false)})
+				time.Sleep(reportTimeout)
+			}
+			time.Sleep(time.Second)
+			require.LessOrEqual(t, int(w.crashCalls.Load()), changes*(few-1)*size, "an instance among many sends no more than one of a few that tells all")
+		})
+	}
+}
+
+// Guards against a request being known to crash servers to some instances only, where no report
+// reaches the lease holder in time.
+func TestRepeatedCrashesAreKnownToAllThoughAnswersAreLate(t *testing.T) {
+	runCrashes(t, 66, 2, func(t *testing.T, w *crashWorld) {
+		w.late.Store(int64(2 * reportTimeout))
+		f := quarantine.Fingerprint{1}
+		for n := range maxCrashedServers {
+			w.instances[20*n].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(n, n > 0)})
+			time.Sleep(reportTimeout)
+		}
+		time.Sleep(spreadBound)
+		for n, i := range w.instances {
+			require.True(t, i.suspects.Verdict(f, nil).Quarantined, "instance %d", n)
+		}
+	})
+}
