instance: reports of crashed servers don't flood instances while the lease holder doesn't answer

Cause: an instance gave the holder 50 ms to take a report, and without its answer told all others. Each of them that hadn't known did the same. The calls about one crash grew with the square of the instances, and took the processor time that the holder needed to answer within 50 ms, so that it went on by itself.

Change: the holder's time follows the time that its answers take, 50 to 400 ms. What it doesn't take is told to four instances, at most ten times a second, and each tells four what it didn't know. First crashes are passed on as well, which the instance that saw them told all before.

Why it works: the calls of an instance no longer depend on how many there are, and a late answer costs four calls.

--- a/instance/suspect_reports.go
+++ b/instance/suspect_reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,12 +17,20 @@
 const (
 	// reportTimeout bounds one report to another instance, which may be out of reach.
 	reportTimeout = 100 * time.Millisecond
-	// holderReportTimeout bounds a report to the lease holder, so that time is left to report
-	// to all others without it.
-	holderReportTimeout = reportTimeout / 2
+	// minHolderReportTimeout and maxHolderReportTimeout bound a report to the lease holder, so that
+	// time is left to report to others without it. In between the timeout follows the time that the
+	// holder's answers take.
+	minHolderReportTimeout = reportTimeout / 2
+	maxHolderReportTimeout = 4 * reportTimeout
 	// forwardWait is how long the lease holder's answer to a report waits for its own reports
 	// to all others, of which some may be out of reach.
-	forwardWait = holderReportTimeout / 2
+	forwardWait = minHolderReportTimeout / 2
+	// reportFanout is how many instances are told what the lease holder wasn't. Each of them tells as
+	// many what it didn't know, so that nearly all know after four steps, and the rest by Sync or State.
+	reportFanout = 4
+	// spreadInterval and spreadBurst bound such reports of one instance to others.
+	spreadInterval = 100 * time.Millisecond
+	spreadBurst    = 2
 	// partsReportDelay is how long changes of parts of prompts are collected, unless a request is
 	// reported sooner. A part isn't condemned by what is newer than partRule.Settle.
 	partsReportDelay = 100 * time.Millisecond
@@ -54,8 +63,8 @@
 }
 
 // reportPending reports what has changed: to the lease holder, which reports it to all, or to
-// all instances known if this instance holds the lease or the holder isn't reached. So the
-// messages about a change grow with the number of instances, not with its square. Changes of parts
+// some if the holder isn't reached, of which each tells others. So the messages about a change
+// grow with the number of instances, not with its square. Changes of parts
 // alone are reported only if partsDue is set, so that many are told at once: parts that prompts share
 // change all the time while servers crash.
 func (s *suspects) reportPending(ctx context.Context, partsDue bool) {
@@ -76,10 +85,28 @@
 	s.reported = make(chan struct{})
 	s.mu.Unlock()
 	defer close(reported)
-	if len(report.Suspects) == 0 || !holds && s.reportToHolder(ctx, report) {
+	switch {
+	case len(report.Suspects) == 0:
+	case holds:
+		s.reportTo(ctx, s.reportAddrs(), report)
+	case !s.reportToHolder(ctx, report):
+		s.spreadReport(ctx, report)
+	}
+}
+
+// spreadReport tells some instances what the lease holder wasn't told: all that are known if these are
+// few, else reportFanout of them.
+func (s *suspects) spreadReport(ctx context.Context, report *exchange.CrashReport) {
+	addrs := s.reportAddrs()
+	if len(addrs) < manyInstances {
+		s.reportTo(ctx, addrs, report)
 		return
 	}
-	s.reportToAll(ctx, report)
+	if s.spread.Wait(ctx) != nil {
+		return // the instance ends
+	}
+	rand.Shuffle(len(addrs), func(a, b int) { addrs[a], addrs[b] = addrs[b], addrs[a] })
+	s.reportTo(ctx, addrs[:reportFanout], report)
 }
 
 // requestPending reports whether something other than parts is to be reported. The caller must hold
@@ -141,35 +168,37 @@
 	if holder == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, holderReportTimeout)
-	defer cancel()
-	res := s.report(ctx, holder, report)
-	s.instance.metrics.countCrashReport("holder", res != nil)
+	var res *exchange.CrashReportResponse
+	err := s.holderTimes.Call(ctx, func(ctx context.Context) (err error) {
+		res, err = s.report(ctx, holder, report)
+		return err
+	})
+	s.instance.metrics.countCrashReport("holder", err == nil)
 	return res.GetHoldsLease()
 }
 
-// reportToAll sends the report to all instances known.
-func (s *suspects) reportToAll(ctx context.Context, report *exchange.CrashReport) {
+// reportTo sends the report to other instances.
+func (s *suspects) reportTo(ctx context.Context, addrs []string, report *exchange.CrashReport) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var reports errgroup.Group
-	for _, addr := range s.reportAddrs() {
+	for _, addr := range addrs {
 		reports.Go(func() error {
-			s.instance.metrics.countCrashReport("other", s.report(ctx, addr, report) != nil)
+			_, err := s.report(ctx, addr, report)
+			s.instance.metrics.countCrashReport("other", err == nil)
 			return nil // what is missed follows with Sync or State
 		})
 	}
 	_ = reports.Wait() // no error is returned
 }
 
-// report sends the report to an instance and returns its answer, nil if there is none.
-func (s *suspects) report(ctx context.Context, addr string, report *exchange.CrashReport) *exchange.CrashReportResponse {
+// report sends the report to an instance and returns its answer.
+func (s *suspects) report(ctx context.Context, addr string, report *exchange.CrashReport) (*exchange.CrashReportResponse, error) {
 	res, err := exchange.NewExchangeProtobufClient("http://"+addr, s.client).ReportCrashes(ctx, report)
 	if err != nil {
 		s.instance.log.WithFields(logrus.Fields{"peer": addr, "error": err}).Debug("crash not reported")
-		return nil
 	}
-	return res
+	return res, err
 }
 
 // reportAddrs returns the addresses of the instances to report to: all if this instance
@@ -182,16 +211,16 @@
 }
 
 // ReportCrashes implements exchange.Exchange. An instance that doesn't hold the lease reports
-// further what is close to a quarantine, since the instance that saw it may reach neither the
-// holder nor all others.
+// further what it didn't know, since the instance that saw it may reach neither the holder nor
+// all others. The holder reports what all need to know.
 func (e exchangeServer) ReportCrashes(ctx context.Context, req *exchange.CrashReport) (*exchange.CrashReportResponse, error) {
 	s, holds := e.instance.suspects, e.instance.lease.Holds()
 	changed := s.merge(req.GetSuspects())
-	s.mu.Lock()
-	maps.DeleteFunc(changed, func(f quarantine.Fingerprint, _ []quarantine.Crash) bool {
-		return !s.isNeededByAll(f) || !holds && len(s.set.Crashes(f)) < 2
-	})
-	s.mu.Unlock()
+	if holds {
+		s.mu.Lock()
+		maps.DeleteFunc(changed, func(f quarantine.Fingerprint, _ []quarantine.Crash) bool { return !s.isNeededByAll(f) })
+		s.mu.Unlock()
+	}
 	if len(changed) == 0 {
 		return &exchange.CrashReportResponse{HoldsLease: holds}, nil
 	}
--- a/instance/suspect_reports_test.go
+++ b/instance/suspect_reports_test.go
@@ -98,3 +98,19 @@
 		}
 	})
 }
+
+// Guards against the first crash of a request being known to few instances, where no report reaches
+// the lease holder in time: the next one would count as the first again.
+func TestFirstCrashIsKnownToNearlyAllThoughAnswersAreLate(t *testing.T) {
+	runCrashes(t, 66, 2, func(t *testing.T, w *crashWorld) {
+		w.late.Store(int64(2 * reportTimeout))
+		f := quarantine.Fingerprint{1}
+		w.instances[7].suspects.ReportCrash(relay.CrashReport{Request: f, Crash: w.crash(0, false)})
+		time.Sleep(spreadBound)
+		known := 0
+		for _, i := range w.instances {
+			known += i.suspects.Verdict(f, nil).Crashes
+		}
+		require.GreaterOrEqual(t, known, len(w.instances)*9/10)
+	})
+}
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"greengageferry/exchange"
+	"greengageferry/internal/rto"
 	"greengageferry/netconn"
 	"greengageferry/quarantine"
 	"greengageferry/relay"
@@ -66,7 +68,11 @@
 	runs     suspectRuns   // permitted while this instance holds the lease
 	active   atomic.Bool   // some crash speaks against a request
 	wake     chan struct{} // signaled after pending changed; buffers one signal
-	partsDue chan struct{} // signaled when parts are to be reported; buffers one signal
+	// holderTimes are the times that reports to the lease holder take, and spread bounds the reports
+	// to other instances without it.
+	holderTimes *rto.Estimator
+	spread      *rate.Limiter
+	partsDue    chan struct{} // signaled when parts are to be reported; buffers one signal
 
 	mu       sync.Mutex
 	set      *quarantine.Set
@@ -84,13 +90,15 @@
 
 func newSuspects(i *Instance) *suspects {
 	return &suspects{
-		instance: i,
-		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
-		wake:     make(chan struct{}, 1),
-		partsDue: make(chan struct{}, 1),
-		set:      quarantine.NewSet(),
-		pending:  map[quarantine.Fingerprint]map[crashKey]bool{},
-		reported: make(chan struct{}),
+		instance:    i,
+		client:      &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
+		wake:        make(chan struct{}, 1),
+		partsDue:    make(chan struct{}, 1),
+		holderTimes: rto.New(rto.Options{Initial: minHolderReportTimeout, Min: minHolderReportTimeout, Max: maxHolderReportTimeout}),
+		spread:      rate.NewLimiter(rate.Every(spreadInterval), spreadBurst),
+		set:         quarantine.NewSet(),
+		pending:     map[quarantine.Fingerprint]map[crashKey]bool{},
+		reported:    make(chan struct{}),
 
 		condemned: map[quarantine.Fingerprint]bool{},
 	}
