netconn: a request isn't written once its caller has left

Cause: the caller's connection was checked when a connection to the server was ready. net/http writes the request from another goroutine, which waits for its turn on a busy instance.

Change: the kernel is asked in the connection's write itself. Nothing else runs in between.

--- a/netconn/caller_gone.go
+++ b/netconn/caller_gone.go
@@ -49,15 +49,30 @@
 }
 
 // WhileCallerStays returns a context for a request that is sent on behalf of a caller: if the caller
-// is gone when a connection is ready for the request, nothing is sent, and the context ends with a
-// *CallerGoneError as its cause. The request must go through a transport of this package. caller is the
-// context of the caller's request, and cancel ends ctx.
+// is gone when the request is written, nothing is sent, and the context ends with a *CallerGoneError
+// as its cause. The request must go through a transport of this package. caller is the context of the
+// caller's request, and cancel ends ctx.
 func WhileCallerStays(ctx, caller context.Context, cancel context.CancelCauseFunc) context.Context {
+	guard := &writeGuard{caller, cancel}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if !CallerGone(caller) {
-			return
+		if c, ok := info.Conn.(*conn); ok {
+			c.guard.Store(guard)
 		}
-		cancel(errors.WithStack(&CallerGoneError{}))
-		_ = info.Conn.Close() // nothing was sent on it
 	}})
 }
+
+// writeGuard decides about the first write of a request to its connection. net/http writes it in
+// another goroutine than the one that obtained the connection, and on a busy instance much later.
+type writeGuard struct {
+	caller context.Context
+	cancel context.CancelCauseFunc
+}
+
+// allows reports whether the request may be written. If not, it cancels the request. g may be nil.
+func (g *writeGuard) allows() bool {
+	if g == nil || !CallerGone(g.caller) {
+		return true
+	}
+	g.cancel(errors.WithStack(&CallerGoneError{}))
+	return false
+}
--- a/netconn/sending.go
+++ b/netconn/sending.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Sending is how one request was sent. It is valid once its RoundTrip has returned.
@@ -51,12 +53,17 @@
 type conn struct {
 	net.Conn
 	opened  time.Time
-	written atomic.Int64 // bytes
+	written atomic.Int64               // bytes
+	guard   atomic.Pointer[writeGuard] // of the next write; nil: there is none
 	onClose func()
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	if !c.guard.Swap(nil).allows() {
+		_ = c.Close() // nothing was sent on it
+		return 0, errors.WithStack(&CallerGoneError{})
+	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
