platform, topology: an odd entry among the servers' doesn't keep instances from following them

Callers would have been sent to servers that are gone, or not to new ones.

(3) A start far ahead under a server's key makes all of its own later entries count as outdated. Deep nesting, numbers beyond all types and ports out of range failed that entry alone already.

--- a/topology/fleet.go
+++ b/topology/fleet.go
@@ -35,6 +35,9 @@
 	// available and not when an entry is removed: a server that shuts down in the
 	// window would otherwise be used for two more seconds, which is too long.
 	entryRestoreWindow = 2100 * time.Millisecond
+	// maxStartLead is how long after the reader's time a server may have started by its entry. Clocks
+	// differ by less. An entry with a later start isn't the server's own, and would hide its own ones.
+	maxStartLead = 24 * time.Hour
 	// minKeptSteps is how many steps are kept at least for instances that are behind, and
 	// half of how many are kept at most. It covers some seconds while every adapter of a
 	// large fleet is loaded.
@@ -57,7 +60,7 @@
 		if c.ID == "" {
 			continue
 		}
-		if c.Server == nil {
+		if c.Server == nil || c.Server.Born.After(now.Add(maxStartLead)) {
 			changed = f.removeEntry(now, c.ID) || changed
 			continue
 		}
