instance: an unanswered call doesn't close the connections to all other instances

Cause: the clients of reports, questions and streams' origins use a transport that closes all of its idle connections when a call fails. That fits a client of one or two addresses; these call up to all instances.

Change: they keep them. A connection whose call wasn't answered is closed by net/http itself.

--- a/instance/learn.go
+++ b/instance/learn.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/exchange"
-	"greengageferry/netconn"
 	"greengageferry/supervise"
 	"greengageferry/topology"
 )
@@ -69,7 +68,7 @@
 func newLearner(i *Instance) *learner {
 	l := &learner{
 		instance: i,
-		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
+		client:   newPeerClient(),
 		failedAt: map[string]time.Time{},
 	}
 	l.asks.SetLimit(maxOpenQuestions)
--- a/instance/origins.go
+++ b/instance/origins.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/exchange"
-	"greengageferry/netconn"
 	"greengageferry/origin"
 	"greengageferry/relay"
 	"greengageferry/residency"
@@ -60,7 +59,7 @@
 func newOrigins(i *Instance) *origins {
 	return &origins{
 		instance: i,
-		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
+		client:   newPeerClient(),
 		wake:     make(chan struct{}, 1),
 		start:    time.Now(),
 		history:  origin.NewHistory(defaultStreamLifetime),
--- a/instance/suspects.go
+++ b/instance/suspects.go
@@ -17,7 +17,6 @@
 
 	"greengageferry/exchange"
 	"greengageferry/internal/rto"
-	"greengageferry/netconn"
 	"greengageferry/quarantine"
 	"greengageferry/relay"
 	"greengageferry/supervise"
@@ -91,7 +90,7 @@
 func newSuspects(i *Instance) *suspects {
 	return &suspects{
 		instance:    i,
-		client:      &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
+		client:      newPeerClient(),
 		wake:        make(chan struct{}, 1),
 		partsDue:    make(chan struct{}, 1),
 		holderTimes: rto.New(rto.Options{Initial: minHolderReportTimeout, Min: minHolderReportTimeout, Max: maxHolderReportTimeout}),
--- a/instance/sync.go
+++ b/instance/sync.go
@@ -42,8 +42,6 @@
 	// seconds to take over; beyond that no load is in sight, and such requests are
 	// refused.
 	onDemandLoadTimeout = 6 * time.Second
-	// maxIdlePeerConns bounds the idle connections to another instance.
-	maxIdlePeerConns = 2
 )
 
 // memberName returns the unique name of one start of an instance in the platform's group:
