instance, allowance: a request isn't refused because the lease holder answers for credit late

A call for credit had 100 ms. A holder that takes longer was asked no more for 0.3 s, for any account, and all requests without credit were refused meanwhile. Each failed call also closed the connections of the others, of which two were kept for sixteen accounts.

Red before: TestRequestsAreAdmittedThoughTheHolderAnswersLate, 5 of 20 requests admitted within their allowance.

Change: the time of a call follows the time that answers take, 100 to 400 ms; a connection is kept for each account; refused callers return after the holder may be asked again, spread over 0.3 s. What may be used is unchanged.

--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -213,11 +213,17 @@
 	case m.knowsExceeded(now, a, alone):
 		d.Verdict, d.RetryAfter = Exceeded, m.retryAfter(now, a, cost)
 	default:
-		d.Verdict, d.RetryAfter = Unknown, minRetryAfter
+		d.Verdict, d.RetryAfter = Unknown, m.unknownRetryAfter(now)
 	}
 	return d
 }
 
+// unknownRetryAfter returns when a caller may return whose request found nobody to ask: spread over the
+// time after the lease holder may be asked again, so that not all ask at once.
+func (m *Meter) unknownRetryAfter(now time.Time) time.Duration {
+	return max(m.drawAfter.Sub(now), minRetryAfter) + time.Duration(m.rng.Float64()*float64(drawPause))
+}
+
 // knowsExceeded reports whether the account asks for more than its allowance, as the lease
 // holder said, or, while none answers, for more than this instance's part of it.
 func (m *Meter) knowsExceeded(now time.Time, a *account, alone bool) bool {
--- a/instance/allowances.go
+++ b/instance/allowances.go
@@ -12,19 +12,25 @@
 
 	"greengageferry/allowance"
 	"greengageferry/exchange"
+	"greengageferry/internal/rto"
 	"greengageferry/netconn"
 	"greengageferry/topology"
 )
 
 const (
-	// drawTimeout bounds one call that asks the lease holder for credit: requests wait for
-	// it whose latency goal may be 150 ms.
-	drawTimeout = 100 * time.Millisecond
+	// minDrawTimeout and maxDrawTimeout bound one call that asks the lease holder for credit:
+	// requests wait for it whose latency goal may be 150 ms. In between the timeout follows the time
+	// that the holder's answers take, since a caller that is refused comes back later than that.
+	minDrawTimeout = 100 * time.Millisecond
+	maxDrawTimeout = 400 * time.Millisecond
 	// maxDraws is how many calls a request waits for: one that has begun before it asked,
 	// and the next.
 	maxDraws = 2
 	// maxDrawHolderAge is how long after its last answer the lease holder is asked.
 	maxDrawHolderAge = 1500 * time.Millisecond
+	// maxIdleDraws bounds the idle connections to the lease holder: one call is under way for each of
+	// the accounts that are asked for at a time.
+	maxIdleDraws = 16
 )
 
 // allowances keeps the client accounts' allowances. It implements relay.Allowances. Its
@@ -34,6 +40,7 @@
 	instance *Instance
 	meter    *allowance.Meter
 	client   *http.Client
+	times    *rto.Estimator // of the calls that ask for credit
 
 	mu        sync.Mutex
 	allocator *allowance.Allocator // of the newest term of the lease that was held; nil: none
@@ -47,7 +54,8 @@
 	return &allowances{
 		instance: i,
 		meter:    allowance.NewMeter(time.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		client:   &http.Client{Transport: netconn.NewIdleClosingTransport(maxIdlePeerConns, time.Minute)},
+		client:   &http.Client{Transport: netconn.NewTransport(maxIdleDraws, time.Minute)},
+		times:    rto.New(rto.Options{Initial: minDrawTimeout, Min: minDrawTimeout, Max: maxDrawTimeout}),
 		draws:    map[string]*draw{},
 	}
 }
@@ -148,10 +156,12 @@
 		return allowance.Grants{}, false
 	}
 	// The answer is for other requests too, so the caller's disconnect doesn't end the call.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
-	defer cancel()
 	client := exchange.NewExchangeProtobufClient("http://"+holder, a.client)
-	res, err := client.Draw(ctx, &exchange.DrawRequest{Instance: report.Instance, Report: wireAllowances(report)})
+	var res *exchange.AllowanceGrants
+	err := a.times.Call(context.WithoutCancel(ctx), func(ctx context.Context) (err error) {
+		res, err = client.Draw(ctx, &exchange.DrawRequest{Instance: report.Instance, Report: wireAllowances(report)})
+		return err
+	})
 	i.metrics.countDraw(err)
 	if err != nil {
 		i.log.WithFields(logrus.Fields{"holder": holder, "error": err}).Debug("lease holder did not answer for credit")
