netconn: a connection that breaks during an upload is not an end in order

The caller got the part as a complete answer.

Cause: the kernel reports the error of a connection to one system call only. On a long upload that is often a write, since reader and writer of a request run beside each other; the read then returns 0 bytes and no error, like at a FIN. A body without a length or chunks ends there, as complete. The limit on unacknowledged data (TCP_USER_TIMEOUT) ends connections in the same way.

Evidence: TestAnswerResetDuringItsUploadIsNotRelayedAsComplete failed before this change on each of its 32 cases (all routes, direct and forwarded, body and events, SO_LINGER 0 and a close with the upload unread), TestLongAnswerReset... likewise; TestReadReportsErrorThatAWriteWasGiven failed on all three, TestAnswerReset...IsNoSuccess of infra on both.

Change: connections of netconn's transports, through which all answers are read, keep the error that a write was given. A read that reaches the end asks the kernel whether both halves of the connection are closed. If so, it waits for a write under way, which can't block on such a connection, and returns the write's error. Thus it doesn't matter whether the write's error is noted before or after the read's end. A peer that has ended only its half is at its end in order, at once. EPIPE is not such an error: the kernel reports it for a reset that follows a FIN, and to each write after the one that got the error. TestAnswerThatEndsInOrderDuringItsUploadIsComplete and TestEndInOrderIsNoErrorWhileWriting keep that.

The commands publish, route and status, and the load tool, read answers with plain transports; they use netconn's now.

--- a/cmd/greengageferry/operators.go
+++ b/cmd/greengageferry/operators.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newHTTPClient().Do(req)
 	if err != nil {
 		return err
 	}
--- a/cmd/greengageferry/publish.go
+++ b/cmd/greengageferry/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -62,7 +61,7 @@
 	log, closeLog := newLogger(logrus.WarnLevel, os.Stderr)
 	defer closeLog()
 	p := publish.New(publish.Options{
-		Log:       infra.NewHTTPLog(c.log, &http.Client{}),
+		Log:       infra.NewHTTPLog(c.log, newHTTPClient()),
 		Dir:       c.dir,
 		Partner:   c.partner,
 		Author:    c.author,
--- a/cmd/greengageferry/route.go
+++ b/cmd/greengageferry/route.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -68,7 +67,7 @@
 	c.question.TimeoutMs = uint32(c.timeout.Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout)
 	defer cancel()
-	answer, err := exchange.NewExchangeProtobufClient("http://"+c.instance, http.DefaultClient).ExplainRoute(ctx, &c.question)
+	answer, err := exchange.NewExchangeProtobufClient("http://"+c.instance, newHTTPClient()).ExplainRoute(ctx, &c.question)
 	if err == nil {
 		err = printRoute(os.Stdout, answer, c.asJSON)
 	}
--- a/load/options.go
+++ b/load/options.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"greengageferry/netconn"
 )
 
 // Upper bounds of the options, so that a typing mistake can't keep a machine
@@ -157,7 +159,7 @@
 // connections kept.
 func newHTTPClient(connections int) *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConns: connections, MaxIdleConnsPerHost: connections},
+		Transport:     netconn.SendOnce(&http.Transport{MaxIdleConns: connections, MaxIdleConnsPerHost: connections}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/netconn/sending.go
+++ b/netconn/sending.go
@@ -56,6 +56,9 @@
 	written atomic.Int64               // bytes
 	guard   atomic.Pointer[writeGuard] // of the next write; nil: there is none
 	onClose func()
+
+	writing  sync.Mutex     // held during a write
+	brokenBy atomic.Uintptr // syscall.Errno that a write got when the connection broke; 0: none
 }
 
 // Write implements net.Conn.
@@ -64,8 +67,13 @@
 		_ = c.Close() // nothing was sent on it
 		return 0, errors.WithStack(&CallerGoneError{})
 	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if err != nil {
+		c.noteWriteError(err)
+	}
 	return n, err
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -122,6 +123,8 @@
 	calls  atomic.Int64
 	script func(w http.ResponseWriter, r *http.Request, body string)
 	left   chan struct{} // nothing sends on it or reads it
+	// leavesUploads: the script is called before the request's body is read.
+	leavesUploads bool
 }
 
 // writeSeal sets the headers that show that the server itself sent the response.
@@ -140,17 +143,18 @@
 
 // harness connects a client, a relay and scripted servers.
 type harness struct {
-	t        *testing.T
-	relay    *Relay
-	front    *httptest.Server
-	backends []*backendServer
-	routes   []topology.Route
-	accounts *topology.Accounts // nil: requests need no API key
-	trust    ConfigTrust
-	client   *http.Client
-	versions []string // software versions of the servers, by index; beyond: "v1"
-	origins  fakeOrigins
-	weights  []int64 // versions of the weights of model "m" that the servers hold, by index; nil: there are no models
+	t         *testing.T
+	relay     *Relay
+	front     *httptest.Server
+	backends  []*backendServer
+	routes    []topology.Route
+	accounts  *topology.Accounts // nil: requests need no API key
+	trust     ConfigTrust
+	client    *http.Client
+	versions  []string // software versions of the servers, by index; beyond: "v1"
+	origins   fakeOrigins
+	bodyLimit int64   // of callers' requests, in bytes; 0: 1000
+	weights   []int64 // versions of the weights of model "m" that the servers hold, by index; nil: there are no models
 }
 
 // fakeOrigins implements Origins.
@@ -214,6 +218,10 @@
 		s := &backendServer{script: script, left: make(chan struct{}, 100)}
 		s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.calls.Add(1)
+			if s.leavesUploads {
+				s.script(w, r, "")
+				return
+			}
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
 				return
@@ -249,7 +257,7 @@
 	v := &topology.View{
 		Config: &topology.Config{
 			Version: version, Routes: b.routes, Accounts: b.accounts, Services: map[string]topology.Service{"svc": {Name: "svc"}},
-			Limits: topology.Limits{BodyBytes: 1000, IdleTimeout: time.Second},
+			Limits: topology.Limits{BodyBytes: cmp.Or(b.bodyLimit, 1000), IdleTimeout: time.Second},
 		},
 		Index:             topology.NewIndex(b.routes),
 		InstancesByDomain: map[string]int{"d": 1},
