netconn: a response whose status is none is no response

What callers saw: a server in trouble answers with status 000. Here WriteHeader panicked in the relay: the caller's connection was closed without an answer, a request that may be repeated wasn't, and no log line said why; forwarded, the other instance panicked. 099 and "+20" likewise. 600 and 999 were passed on with the server's seal, and so was 101, though no request asks for another protocol.

Cause: net/http takes any three characters that make a number of 0 or more for a status (a final one unless it is 100 to 199 other than 101), and nothing checked it.

Change: netconn's transports, through which all answers are read, refuse a final status outside 200 to 599 (RFC 9110, section 15) as a *MalformedResponseError and close the connection. It counts as a protocol error: nothing is known of the run, safe requests are retried, the others get 502, and the log names the status.

TestStatusIsPassedOnUnchanged keeps what is right: 200 to 599, 299 and 499 included.

--- a/infra/http.go
+++ b/infra/http.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"greengageferry/internal/respbody"
+	"greengageferry/netconn"
 )
 
 // Limits on the size of responses, so that no response can exhaust an instance's memory.
@@ -202,9 +203,10 @@
 func reasonOf(ctx context.Context, err error) Reason {
 	var size *SizeError
 	var event *respbody.EventTooLargeError
+	var malformed *netconn.MalformedResponseError
 	var timeout net.Error
 	switch {
-	case errors.As(err, &size), errors.As(err, &event):
+	case errors.As(err, &size), errors.As(err, &event), errors.As(err, &malformed):
 		return ReasonProtocol
 	case errors.Is(err, context.Canceled) || errors.Is(ctx.Err(), context.Canceled):
 		return ReasonCanceled
--- a/netconn/transport.go
+++ b/netconn/transport.go
@@ -70,7 +70,7 @@
 	return e.Addr + ": the connection broke after the request was sent"
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A response that is malformed is a *MalformedResponseError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	guard := &resendGuard{cancel: func() { cancel(&BrokenError{req.URL.Host}) }}
@@ -83,6 +83,10 @@
 		}
 		return nil, err
 	}
+	if err := checkHead(req.URL.Host, res, guard); err != nil {
+		cancel(nil)
+		return nil, err
+	}
 	if res.Body == http.NoBody {
 		cancel(nil)
 		return res, nil
@@ -125,3 +129,11 @@
 		g.conn, g.written = c, c.written.Load()
 	}
 }
+
+// Close closes the newest connection that the request was given.
+func (g *resendGuard) Close() error {
+	if g.conn == nil {
+		return nil
+	}
+	return g.conn.Close()
+}
