netconn: a response with a blank in the name of a field is no response

The answer was passed on without that line. "Transfer-Encoding : chunked" gave callers the bytes of the chunks as the body of a 200 with the server's seal, and "Content-Length : 5" was ignored, so that a body cut short would have passed as whole. A name with a control byte, DEL, NUL, a tab, a high byte, a bracket, an empty one and a line without a colon were refused already.

Cause: net/http accepts blanks in names, also before the colon, keeps such fields under names of their own, and drops them on the way out.

Change: netconn's transports refuse a response with such a name in its head, in that of an informational response before it, or in its trailer, as a *MalformedResponseError, and close the connection. In a trailer that is known when all of the body has arrived: a read returns the error in place of the body's end.

The cases that were refused already stay in the tests. TestOddFieldsArePassedOn keeps what is right.

--- a/netconn/transport.go
+++ b/netconn/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,10 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	guard := &resendGuard{cancel: func() { cancel(&BrokenError{req.URL.Host}) }}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: guard.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        guard.gotConn,
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkInformational(req.URL.Host, fields) },
+	})
 	res, err := t.Transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		defer cancel(nil)
@@ -91,7 +95,7 @@
 		cancel(nil)
 		return res, nil
 	}
-	res.Body = &cancelingBody{res.Body, cancel}
+	res.Body = &cancelingBody{&checkedBody{res.Body, res, req.URL.Host, guard}, cancel}
 	return res, nil
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,7 @@
 	"greengageferry/internal/hop"
 	"greengageferry/internal/respbody"
 	"greengageferry/internal/stall"
+	"greengageferry/netconn"
 	"greengageferry/topology"
 )
 
@@ -167,7 +168,8 @@
 		f.Reason, err = infra.ReasonTimeout, silent
 	}
 	var event *respbody.EventTooLargeError
-	if errors.As(err, &event) || isDisordered(err) {
+	var malformed *netconn.MalformedResponseError
+	if errors.As(err, &event) || errors.As(err, &malformed) || isDisordered(err) {
 		f.Reason = infra.ReasonProtocol
 	}
 	if isDisorderedAt(err, atResumption) { // the caller may have asked for an event that there isn't
--- a/relay/malformed_head_test.go
+++ b/relay/malformed_head_test.go
@@ -93,3 +93,87 @@
 		require.Equal(t, "s", a.header.Get("Seal"))
 	}
 }
+
+// malformedNames are lines of a head that are no fields, by what is wrong with the name.
+var malformedNames = map[string]string{
+	"blank within":              "No te: 1",
+	"blank before the colon":    "Note : 1",
+	"tab before the colon":      "Note\t: 1",
+	"control byte":              "No\x01te: 1",
+	"NUL":                       "No\x00te: 1",
+	"DEL":                       "No\x7fte: 1",
+	"CR":                        "No\rte: 1",
+	"high byte":                 "No\xffte: 1",
+	"bracket":                   "No(te: 1",
+	"empty":                     ": 1",
+	"no colon":                  "Note",
+	"blank in the id's":         "I d: 1",
+	"blank, like a length":      "Content-Length : 4",
+	"blank, like chunks":        "Transfer-Encoding : chunked",
+	"blank, like a compression": "Content-Encoding : gzip",
+}
+
+// Guards against an answer being passed on in whose head the name of a field holds a blank or a byte that
+// no name may hold: its framing isn't known, and its body may not be the server's.
+func TestMalformedFieldNameIsNotPassedOn(t *testing.T) {
+	chunked := "5\r\nhello\r\n0\r\n\r\n"
+	for name, line := range malformedNames {
+		for kind, rest := range map[string]string{
+			"length": "Content-Length: 13\r\n\r\n" + soundBody,
+			"none":   "Content-Length: 0\r\n\r\n",
+			"chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunked,
+			"open":   "\r\n" + chunked,
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				requireNotPassedOn(t, "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n"+line+"\r\n"+rest)
+			})
+		}
+	}
+}
+
+// The same in the head of an informational response.
+func TestMalformedFieldNameOfInformationalHeadIsNotPassedOn(t *testing.T) {
+	for name, line := range malformedNames {
+		t.Run(name, func(t *testing.T) {
+			requireNotPassedOn(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Length: 13\r\n\r\n"+soundBody)
+		})
+	}
+}
+
+// The same in a trailer, when all of the body has arrived.
+func TestMalformedFieldNameOfTrailerIsNotPassedOn(t *testing.T) {
+	for name, line := range malformedNames {
+		t.Run(name, func(t *testing.T) {
+			for _, path := range []string{"/once/", "/safe/"} {
+				script := malformedOnce("HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + line + "\r\n\r\n")
+				b := newHarness(t, script, script)
+				a := b.do(b.request("POST", path, "body"))
+				require.NoError(t, a.err)
+				if path == "/safe/" {
+					require.Equal(t, http.StatusOK, a.status)
+					require.Equal(t, soundBody, a.body)
+					continue
+				}
+				require.Equal(t, http.StatusBadGateway, a.status)
+			}
+		})
+	}
+}
+
+// Fields that only look odd are passed on, and trailers with proper names do no harm.
+func TestOddFieldsArePassedOn(t *testing.T) {
+	b := newHarness(t, func(w http.ResponseWriter, r *http.Request, _ string) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return // the test has ended
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 103 Early Hints\r\nLink: a b\r\n\r\nHTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n"+
+			"!#$%%&'*+-.^_`|~9:a b \r\nEmpty:\r\nTrailer: Late\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nLate: 1\r\n\r\n", r.Header.Get("Id"))
+	})
+	a := b.do(b.request("POST", "/once/", "body"))
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, "hello", a.body)
+	require.Equal(t, "a b", a.header.Get("!#$%&'*+-.^_`|~9"))
+}
