netconn: a response of another version of HTTP is no response

What callers saw: an answer whose head begins "HTTP/2.0 200 OK" (or HTTP/0.9, HTTP/3.1) was passed on as the answer of a server that is spoken to in HTTP/1.1.

Cause: net/http takes any version of one digit each, and nothing checked it.

Change: netconn's transports refuse a major version other than 1, as they do a status or a field's name that is none. HTTP/2, http/1.1, HTTP/11.1 and ICY were refused already.

--- a/netconn/malformed.go
+++ b/netconn/malformed.go
@@ -30,6 +30,9 @@
 
 // headProblem returns what is wrong with the head of a response, "" if nothing is.
 func headProblem(res *http.Response) string {
+	if res.ProtoMajor != 1 {
+		return "version " + res.Proto
+	}
 	// 101 is final too, but never right: no request asks for another protocol.
 	if res.StatusCode < minFinalStatus || res.StatusCode > maxFinalStatus {
 		return "status " + strconv.Itoa(res.StatusCode)
--- a/relay/malformed_head_test.go
+++ b/relay/malformed_head_test.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// Guards against an answer being passed on whose head is of another version of HTTP than the one spoken.
+func TestOtherVersionOfHTTPIsNotPassedOn(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/3.1", "HTTP/2", "http/1.1", "HTTP/11.1", "ICY"} {
+		t.Run(version, func(t *testing.T) {
+			requireNotPassedOn(t, version+" 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Length: 13\r\n\r\n"+soundBody)
+		})
+	}
+}
+
 // The status of a sound answer is passed on as it is.
 func TestStatusIsPassedOnUnchanged(t *testing.T) {
 	for _, status := range []int{200, 206, 299, 302, 404, 418, 499, 500, 599} {
