relay: no request is passed on that can't end before its instance does

Cause: a draining instance refused nothing until 1.5 s before its end, whatever was left and however long requests of the route take; what then had no answer lost its connection. The same held for a request that failed and was sent again, for a stream that was resumed, and for another instance's attempt whose body arrived after the drain began.

Change: a draining relay knows when its requests must have their answers (0.8 s before the platform's kill). Whether a request can end before that is asked when it has arrived and before each sending, so also before a retry, a resumption, a forward and a gateway: by its own deadline, else by how long requests of its route take (mean and four mean deviations, as in RFC 6298), else, if that isn't known, by whether callers have been switched to other instances. If it can't, it is refused as not run, or told that it may have run if it was sent before. What still has no answer 0.8 s before the end gets one in place of a closed connection: 502, or 503 if it was never sent; waiting requests are refused first, since the others' ends make room at servers.

--- a/instance/front.go
+++ b/instance/front.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"greengageferry/netconn"
+	"greengageferry/relay"
 	"greengageferry/supervise"
 	"greengageferry/topology"
 )
@@ -30,6 +31,9 @@
 	// drainRefuseMargin is how long before the platform's SIGKILL the requests that still
 	// wait for a server are refused, so that their callers learn that they didn't run.
 	drainRefuseMargin = 1500 * time.Millisecond
+	// drainAnswerMargin is how long before the platform's SIGKILL the requests that still have no
+	// answer get an error, so that their callers don't lose a connection.
+	drainAnswerMargin = 800 * time.Millisecond
 	// drainCloseMargin is how long before the platform's SIGKILL the requests that are
 	// still in flight are aborted.
 	drainCloseMargin = 500 * time.Millisecond
@@ -174,13 +178,17 @@
 // instances, and lets the requests in flight finish within the grace period.
 func (f *frontend) drain() {
 	f.instance.log.WithField("in_hand", f.instance.relay.ActiveRequests()).Info("draining")
-	closeAt := time.Now().Add(f.instance.node.Load().Grace - drainCloseMargin)
+	now := time.Now()
+	killedAt := now.Add(f.instance.node.Load().Grace)
+	shutdown := relay.Shutdown{SwitchedBy: now.Add(drainServeTime), AnswerBy: killedAt.Add(-drainAnswerMargin)}
 	f.draining.Store(true)
-	f.instance.relay.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
+	f.instance.relay.Drain(shutdown)
+	ctx, cancel := context.WithDeadline(context.Background(), killedAt.Add(-drainCloseMargin))
 	defer cancel()
-	refuseTimer := time.AfterFunc(time.Until(closeAt)+drainCloseMargin-drainRefuseMargin, f.instance.relay.RefuseWaiting)
+	refuseTimer := time.AfterFunc(time.Until(killedAt.Add(-drainRefuseMargin)), f.instance.relay.RefuseWaiting)
 	defer refuseTimer.Stop()
+	answerTimer := time.AfterFunc(time.Until(shutdown.AnswerBy), f.instance.relay.EndUnanswered)
+	defer answerTimer.Stop()
 	supervise.Pause(ctx, drainServeTime)
 	_ = f.callerListener.Close()
 	f.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -160,7 +160,7 @@
 		f.Reason, f.Effect = e.Reason, e.Effect
 	}
 	f.Unsent = f.Effect == infra.EffectNone
-	if c.callerLeft() || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) {
+	if c.callerLeft() || context.Cause(ctx) == context.DeadlineExceeded || isQuarantined(ctx) || endedByShutdown(ctx) {
 		return c.abandonAttempt(ctx, d, f)
 	}
 	var silent *stall.Error
@@ -242,6 +242,8 @@
 		reason = "caller disconnected before the response was complete"
 	case isQuarantined(ctx):
 		reason = "request became quarantined before the response was complete"
+	case endedByShutdown(ctx):
+		reason = "the instance ended before the response was complete"
 	}
 	c.logFailedAttempt(d, reason, 0)
 	return c.endOnContextDone(ctx)
--- a/relay/call.go
+++ b/relay/call.go
@@ -169,6 +169,9 @@
 	c.avoidNewVersion(v)
 	c.avoidNewWeights(v)
 	c.setDeadline()
+	if !c.endsBeforeShutdown() {
+		return c.endForShutdown()
+	}
 	return ""
 }
 
@@ -210,7 +213,7 @@
 		Rank:         c.rank(),
 		Account:      c.accountName(),
 		Arrived:      c.arrived,
-		Deadline:     c.deadline,
+		Deadline:     c.schedulerDeadline(),
 		PromptTokens: c.headers.PromptTokens,
 		MaxTokens:    c.headers.MaxTokens,
 		LengthHint:   c.headers.LengthHint,
@@ -265,6 +268,10 @@
 				c.reportFailure(decide.Failure{Reason: infra.ReasonCanceled, Effect: infra.EffectNone, Unsent: true})
 				continue
 			}
+			if !c.endsBeforeShutdown() {
+				c.relay.dispatcher.abandon(c)
+				return c.endForShutdown()
+			}
 			if outcome, proceed := c.checkBeforeAttempt(ctx); outcome != "" {
 				return outcome
 			} else if !proceed {
--- a/relay/dispatcher.go
+++ b/relay/dispatcher.go
@@ -219,6 +219,16 @@
 	d.deliver(d.scheduler.Cancel(time.Now(), c.id))
 }
 
+// cancelAll ends all calls with the cause.
+func (d *dispatcher) cancelAll(cause error) {
+	d.mu.Lock()
+	calls := slices.Collect(maps.Values(d.calls))
+	d.mu.Unlock()
+	for _, c := range calls {
+		c.cancel(cause)
+	}
+}
+
 // refuseWaiting refuses all queued calls and all that arrive from now on.
 func (d *dispatcher) refuseWaiting() {
 	d.mu.Lock()
--- a/relay/end.go
+++ b/relay/end.go
@@ -33,6 +33,9 @@
 	if isQuarantined(ctx) {
 		return c.endQuarantined()
 	}
+	if endedByShutdown(ctx) {
+		return c.endRefused(string(decide.ReasonShuttingDown), shutdownRetryAfter)
+	}
 	if c.stream.started {
 		c.abort("deadline")
 	}
--- a/relay/forward_server.go
+++ b/relay/forward_server.go
@@ -57,7 +57,7 @@
 	}
 	w.Header().Set(headerForwarded, "1")
 	server, ok := f.relay.inServiceServer(id)
-	if !ok || !f.relay.paths.direct(id) || f.relay.draining.Load() {
+	if !ok || !f.relay.paths.direct(id) || f.relay.draining() {
 		writeForwardError(w, infra.ReasonUnavailable, true)
 		return
 	}
@@ -86,6 +86,10 @@
 		writeForwardError(w, infra.ReasonUnreachable, true)
 		return
 	}
+	if f.relay.draining() { // since the headers arrived
+		writeForwardError(w, infra.ReasonUnavailable, true)
+		return
+	}
 	f.forwardWithinLimit(w, req, server, asked)
 }
 
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -169,7 +169,7 @@
 	require.True(t, neverSent(forward("s0")))
 	peer.paths.retainListed(nil)
 	require.NoError(t, forward("s0"))
-	peer.Drain()
+	peer.Drain(Shutdown{})
 	require.True(t, neverSent(forward("s0")))
 	require.EqualValues(t, 2, b.calls())
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -193,7 +193,8 @@
 	numbering      numberings // of streams' events
 	routes         routeHistory
 	handler        http.Handler
-	draining       atomic.Bool
+	durations      routeDurations
+	shutdown       atomic.Pointer[Shutdown] // nil: the instance doesn't drain
 	activeRequests atomic.Int64
 	lastSerial     atomic.Uint64 // serial number of the newest request
 }
@@ -222,6 +223,7 @@
 	r.gateways.setInstances(v.Instances())
 	if v.Config != nil {
 		r.routes.update(time.Now(), v.Config)
+		r.durations.retainListed(v.Config)
 		r.numbering.retain(func(service string) bool { _, ok := v.Config.Services[service]; return ok })
 	}
 	r.dispatcher.setTable(t) // before the view, by which requests are given targets of the table
@@ -286,9 +288,6 @@
 // signal.
 func (r *Relay) SyncNeeded() <-chan struct{} { return r.dispatcher.syncNeeded }
 
-// Drain closes each caller connection after its next response.
-func (r *Relay) Drain() { r.draining.Store(true) }
-
 // RefuseWaiting refuses all queued requests and all that arrive from now on.
 func (r *Relay) RefuseWaiting() { r.dispatcher.refuseWaiting() }
 
@@ -312,7 +311,7 @@
 	// If a request has both a Content-Length and chunks, net/http reads the chunks and
 	// hides the length. The bytes after the chunks may then be a smuggled request, which
 	// its sender counts as body, so the connection is closed after any chunked request.
-	if r.draining.Load() || len(req.TransferEncoding) > 0 {
+	if r.draining() || len(req.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	defer c.releaseMemory()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -232,7 +232,7 @@
 
 func TestDrainThenRefuse(t *testing.T) {
 	b := newHarness(t, respondWith("x"))
-	b.relay.Drain()
+	b.relay.Drain(Shutdown{})
 	a := b.do(b.request("GET", "/safe/", ""))
 	require.Equal(t, 200, a.status)
 	b.relay.RefuseWaiting()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -140,7 +140,7 @@
 	if !run.firstData.IsZero() {
 		o.FirstToken = run.firstData.Sub(run.sent)
 	}
-	c.relay.dispatcher.completed(c, o)
+	c.complete(o)
 	c.logEnd(reasonAnswered, run.res.StatusCode)
 	return outcomeDone
 }
--- a/relay/whole_response.go
+++ b/relay/whole_response.go
@@ -36,7 +36,7 @@
 	if res.StatusCode >= 500 {
 		return c.handleServerFailure(d, buffered)
 	}
-	c.relay.dispatcher.completed(c, c.outcome(sent, res.StatusCode))
+	c.complete(c.outcome(sent, res.StatusCode))
 	c.writeBuffered(buffered)
 	c.logEnd(reasonAnswered, res.StatusCode)
 	return outcomeDone
@@ -75,7 +75,7 @@
 		c.abort("broken_off")
 	}
 	c.reportCompletion()
-	c.relay.dispatcher.completed(c, c.outcome(sent, res.StatusCode))
+	c.complete(c.outcome(sent, res.StatusCode))
 	c.logEnd(reasonAnswered, res.StatusCode)
 	return outcomeDone
 }
