instance: a first request that comes late in the grace is answered

What callers saw: a connection that was opened up to 2.5 s after the stop and whose first request came at 2.6 s or later was closed without an answer, although the instance ran on for seconds. A caller whose request may not be repeated can't tell whether it ran.

Cause: http.Server.Shutdown, which began at 2.5 s to close idle connections, also drops each request whose headers arrive from then on.

Change: from 2.5 s on a draining instance closes idle connections itself, as SetKeepAlivesEnabled does, until none is open, and calls Shutdown only then or at the end. What still arrives is answered: served if it can end in time, else refused as not run.

Evidence: TestFirstRequestLateInTheGraceIsAnswered failed before from 2.6 s on; now each of its ten requests, 2.2 to 4.0 s after the stop, is answered, and ran only if it is told so.

--- a/instance/front.go
+++ b/instance/front.go
@@ -37,9 +37,9 @@
 	// drainCloseMargin is how long before the platform's SIGKILL the requests that are
 	// still in flight are aborted.
 	drainCloseMargin = 500 * time.Millisecond
-	// forwardPollInterval is how often a draining instance checks whether the attempts that
-	// it forwards for others have ended.
-	forwardPollInterval = 50 * time.Millisecond
+	// drainPollInterval is how often a draining instance checks whether its callers' connections
+	// are closed and the attempts that it forwards for others have ended.
+	drainPollInterval = 50 * time.Millisecond
 )
 
 // frontend serves callers, health checks and metrics over HTTP.
@@ -194,6 +194,7 @@
 	f.mu.Lock()
 	servers := f.servers
 	f.mu.Unlock()
+	f.closeIdleConns(ctx, servers)
 	var group errgroup.Group
 	for _, s := range servers {
 		group.Go(func() error { return s.Shutdown(ctx) })
@@ -201,7 +202,21 @@
 	if err := group.Wait(); err != nil {
 		f.instance.log.WithField("error", err).Warn("requests are broken off")
 	}
-	for f.instance.forwards.Active() > 0 && supervise.Pause(ctx, forwardPollInterval) {
+	for f.instance.forwards.Active() > 0 && supervise.Pause(ctx, drainPollInterval) {
 	}
 	f.instance.log.WithField("in_hand", f.instance.relay.ActiveRequests()).Info("drained")
 }
+
+// closeIdleConns closes callers' connections on which no request is in progress, until none is open or ctx
+// ends. Others are closed after their next response. http.Server.Shutdown would close without a response
+// those on which the first request arrives later, though the instance can still answer it.
+func (f *frontend) closeIdleConns(ctx context.Context, servers []*http.Server) {
+	for {
+		for _, s := range servers {
+			s.SetKeepAlivesEnabled(false) // closes the idle ones too
+		}
+		if open, _ := f.conns.counts(); open == 0 || !supervise.Pause(ctx, drainPollInterval) {
+			return
+		}
+	}
+}
--- a/instance/late_in_grace_test.go
+++ b/instance/late_in_grace_test.go
@@ -29,14 +29,15 @@
 	status int // 0: the connection was closed without a whole answer
 }
 
+// open opens the request's connection.
+func (l *lateRequest) open(addr string) (err error) {
+	l.conn, err = net.Dial("tcp4", addr)
+	return err
+}
+
 // begin sends all of the request but its last byte.
-func (l *lateRequest) begin(addr string) error {
-	conn, err := net.Dial("tcp4", addr)
-	if err != nil {
-		return err
-	}
-	l.conn = conn
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nGreengageferry-Request-Id: %s\r\nGreengageferry-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbod",
+func (l *lateRequest) begin() error {
+	_, err := fmt.Fprintf(l.conn, "POST %s HTTP/1.1\r\nHost: %s\r\nGreengageferry-Request-Id: %s\r\nGreengageferry-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbod",
 		standin.PlainPath, standin.Host, l.id)
 	return err
 }
@@ -71,7 +72,8 @@
 	}
 	for after := time.Duration(0); after <= lateUntil; after += lateEvery {
 		l := &lateRequest{id: fmt.Sprintf("late%012d", after.Milliseconds()), after: after}
-		require.NoError(t, l.begin(r.node.CallersAddr))
+		require.NoError(t, l.open(r.node.CallersAddr))
+		require.NoError(t, l.begin())
 		requests = append(requests, l)
 	}
 	var group errgroup.Group
@@ -121,3 +123,36 @@
 		})
 	}
 }
+
+// Guards against a connection being closed without an answer that was opened before the instance stopped
+// accepting any, and whose first request comes later.
+func TestFirstRequestLateInTheGraceIsAnswered(t *testing.T) {
+	const (
+		openedAfter = 2 * time.Second // from the stop; new connections are accepted for 2.5 s
+		firstAfter  = 2200 * time.Millisecond
+		lastAfter   = 4 * time.Second
+	)
+	d := deployWith(t, standin.SiteOptions{PlainServers: 2})
+	r := d.instances[0]
+	r.stop()
+	stopped := time.Now()
+	time.Sleep(time.Until(stopped.Add(openedAfter)))
+	var group errgroup.Group
+	var requests []*lateRequest
+	for after := firstAfter; after <= lastAfter; after += lateEvery {
+		l := &lateRequest{id: fmt.Sprintf("late%012d", after.Milliseconds()), after: after}
+		require.NoError(t, l.open(r.node.CallersAddr))
+		requests = append(requests, l)
+		group.Go(func() error {
+			time.Sleep(time.Until(stopped.Add(l.after)))
+			_ = l.begin() // if it fails, the connection was closed
+			return l.finish()
+		})
+	}
+	require.NoError(t, group.Wait())
+	d.stopInstance(r)
+	for _, l := range requests {
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, l.status, "%v after the stop", l.after)
+		require.Equal(t, l.status == http.StatusOK, d.runsOf(l.id) == 1, "%v after the stop", l.after)
+	}
+}
