--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -61,6 +61,10 @@
 		"status line":                {"HTTP/1.1 200 ", junk},
 		"header line":                {sealed + "X: ", junk},
 		"header lines":               {sealed, append(append([]byte("X: "), junk...), "\r\n"...)},
+		"header line, by the byte":   {sealed + "X: ", []byte("x")},
+		"header lines, by the byte":  {sealed, []byte("X: 1\r\n")},
+		"body, by the byte":          {sealed + "\r\n", []byte("x")},
+		"comments of events":         {sealed + "Content-Type: text/event-stream\r\n\r\n", []byte(": x\n")},
 		"informational heads":        {"", []byte("HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n")},
 		"body of no request":         {"HTTP/1.1 200 OK\r\n\r\n", junk},
 		"body of a refusal":          {"HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nSeal: s\r\n\r\n", junk},
@@ -120,3 +124,38 @@
 	}
 	calls.Wait()
 }
+
+// Guards against a body without end taking an instance's memory while its callers read nothing of it.
+func TestBytesWithoutEndToCallersThatDoNotReadAreBounded(t *testing.T) {
+	const sealed = "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n"
+	for name, tc := range map[string]struct {
+		head string
+		part []byte
+	}{
+		"body":   {sealed + "\r\n", bytes.Repeat([]byte("x"), 16<<10)},
+		"events": {sealed + "Content-Type: text/event-stream\r\n\r\n", bytes.Repeat([]byte("data: x\n\n"), 1000)},
+	} {
+		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
+			t.Run(name+path, func(t *testing.T) {
+				var open atomic.Int64
+				b := newHarness(t, endlessBytes(t, &open, tc.head, tc.part))
+				stop := peakheap.Watch()
+				var calls sync.WaitGroup
+				for range endlessRequests {
+					calls.Go(func() {
+						res, err := b.client.Do(b.request("POST", path, "body", "Timeout", fmt.Sprint(endlessTimeout.Milliseconds())))
+						if err != nil {
+							return
+						}
+						time.Sleep(2 * endlessTimeout) // without reading
+						_ = res.Body.Close()
+					})
+				}
+				calls.Wait()
+				peak := stop()
+				require.Eventually(t, func() bool { return open.Load() == 0 }, slowCallerGrace+endlessSlack, 10*time.Millisecond, "the relay closes the connections")
+				require.Less(t, peak, uint64(maxEndlessHeap), "bytes of memory")
+			})
+		}
+	}
+}
