relay, rto: a draining relay goes by what requests usually take, not by a timeout

A timeout as in RFC 6298, the mean and four mean deviations, is made to be rarely exceeded: after one request of 1.5 s it is 4.5 s, and a draining instance refused what it could have answered.

What exceeds it still gets an answer before the instance ends.

--- a/internal/rto/rto.go
+++ b/internal/rto/rto.go
@@ -25,6 +25,10 @@
 	deviationsInTime = 4
 )
 
+// deviationsUsual is the number of mean deviations above the mean within which nine of ten durations lie,
+// if they are distributed normally or exponentially.
+const deviationsUsual = 2
+
 // Estimator estimates the timeout of the calls to one service. It is safe for concurrent
 // use.
 type Estimator struct {
@@ -49,6 +53,17 @@
 	return e.timeout
 }
 
+// Usual returns the time within which most calls are answered, 0 if none was answered yet. Unlike Timeout
+// it isn't made to be rarely exceeded.
+func (e *Estimator) Usual() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.answered {
+		return 0
+	}
+	return e.mean + deviationsUsual*e.deviation
+}
+
 // Call makes a call whose context ends after Timeout, and reports how it ended. A call
 // that fails earlier, or that ctx ends, is not counted.
 func (e *Estimator) Call(ctx context.Context, call func(context.Context) error) error {
--- a/internal/rto/rto_test.go
+++ b/internal/rto/rto_test.go
@@ -1,6 +1,7 @@
 package rto
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -44,3 +45,25 @@
 	e.Answered(time.Millisecond)
 	require.Equal(t, options.Min, e.Timeout(), "an answer ends the backoff")
 }
+
+func TestUsualCoversMostAnswers(t *testing.T) {
+	e := New(options)
+	require.Zero(t, e.Usual(), "nothing is known")
+	rng := rand.New(rand.NewPCG(1, 1))
+	for name, draw := range map[string]func() float64{
+		"normal":      func() float64 { return max(0, 1+0.3*rng.NormFloat64()) },
+		"exponential": rng.ExpFloat64,
+	} {
+		const draws = 10_000
+		within := 0
+		for range draws {
+			took := time.Duration(draw() * float64(time.Second))
+			if took <= e.Usual() {
+				within++
+			}
+			e.Answered(took)
+		}
+		require.Greater(t, within, draws*8/10, name)
+		require.Less(t, within, draws*98/100, name)
+	}
+}
--- a/relay/shutdown.go
+++ b/relay/shutdown.go
@@ -87,9 +87,6 @@
 	c.relay.dispatcher.completed(c, o)
 }
 
-// maxRouteDuration bounds what is taken for the usual duration of a route's requests.
-const maxRouteDuration = time.Hour
-
 // routeDurations holds how long requests take from their newest sending to the end of their answer, by
 // route. It is safe for concurrent use.
 type routeDurations struct {
@@ -106,18 +103,18 @@
 		if d.byRoute == nil {
 			d.byRoute = map[string]*rto.Estimator{}
 		}
-		e = rto.New(rto.Options{Max: maxRouteDuration})
+		e = rto.New(rto.Options{})
 		d.byRoute[route] = e
 	}
 	e.Answered(took)
 }
 
-// of returns how long nearly all requests of the route take, 0 if that isn't known.
+// of returns the time within which most requests of the route are answered, 0 if that isn't known.
 func (d *routeDurations) of(route string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e := d.byRoute[route]; e != nil {
-		return e.Timeout()
+		return e.Usual()
 	}
 	return 0
 }
