--- a/decide/admit.go
+++ b/decide/admit.go
@@ -40,8 +40,9 @@
 	// first replica is being loaded. All queued requests start as soon as it is ready, so
 	// only their deadlines bound the queue.
 	pendingReplicaRate = 1000.0
-	// shutdownRetry is the delay before a retry at another instance.
-	shutdownRetry = 100 * time.Millisecond
+	// ShutdownRetryAfter is the delay before a retry at another instance that callers of an instance
+	// which ends are told.
+	ShutdownRetryAfter = 100 * time.Millisecond
 )
 
 // prepare estimates the request's service time and sets its queue key.
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -91,7 +91,7 @@
 	req := s.track(r)
 	switch req.target = s.fleet.targets[r.Target]; {
 	case s.draining:
-		s.refuse(req, ReasonShuttingDown, shutdownRetry)
+		s.refuse(req, ReasonShuttingDown, ShutdownRetryAfter)
 	case req.target == nil:
 		s.refuse(req, ReasonUnknownTarget, 0)
 	case req.target.exceedsServer(&r):
@@ -227,7 +227,7 @@
 	s.out = s.out[:0]
 	s.draining = true
 	for _, t := range s.fleet.sortedTargets {
-		s.refuseAll(t, ReasonShuttingDown, shutdownRetry)
+		s.refuseAll(t, ReasonShuttingDown, ShutdownRetryAfter)
 	}
 	return s.out
 }
--- a/relay/end.go
+++ b/relay/end.go
@@ -34,7 +34,7 @@
 		return c.endQuarantined()
 	}
 	if endedByShutdown(ctx) {
-		return c.endRefused(string(decide.ReasonShuttingDown), shutdownRetryAfter)
+		return c.endRefused(string(decide.ReasonShuttingDown), decide.ShutdownRetryAfter)
 	}
 	if c.stream.started {
 		c.abort("deadline")
--- a/relay/shutdown.go
+++ b/relay/shutdown.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"greengageferry/decide"
-	"greengageferry/internal/rto"
-	"greengageferry/topology"
 )
 
 // Shutdown is what a relay that drains goes by. A zero time means that there is no such limit.
@@ -35,9 +32,6 @@
 	return errors.As(context.Cause(ctx), &e)
 }
 
-// shutdownRetryAfter is the Retry-After of requests that other instances can take at once.
-const shutdownRetryAfter = 100 * time.Millisecond
-
 // Drain closes each caller's connection after its next response, and has requests refused that can't be
 // expected to be answered in time.
 func (r *Relay) Drain(s Shutdown) { r.shutdown.Store(&s) }
@@ -68,7 +62,7 @@
 
 // endForShutdown ends a call that isn't passed on, or not sent again, because this instance ends first.
 func (c *call) endForShutdown() string {
-	return c.endOnRefusal(decide.Decision{Action: decide.ActionRefuse, Reason: decide.ReasonShuttingDown, RetryAfter: shutdownRetryAfter})
+	return c.endOnRefusal(decide.Decision{Action: decide.ActionRefuse, Reason: decide.ReasonShuttingDown, RetryAfter: decide.ShutdownRetryAfter})
 }
 
 // schedulerDeadline returns until when the scheduler has to bring the call to an end.
@@ -78,58 +72,3 @@
 	}
 	return c.deadline
 }
-
-// complete records that the newest attempt's answer is complete.
-func (c *call) complete(o decide.Outcome) {
-	if o.Complete {
-		c.relay.durations.observe(c.route.Name, o.Total)
-	}
-	c.relay.dispatcher.completed(c, o)
-}
-
-// routeDurations holds how long requests take from their newest sending to the end of their answer, by
-// route. It is safe for concurrent use.
-type routeDurations struct {
-	mu      sync.Mutex
-	byRoute map[string]*rto.Estimator
-}
-
-// observe takes a request of the route into account.
-func (d *routeDurations) observe(route string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e := d.byRoute[route]
-	if e == nil {
-		if d.byRoute == nil {
-			d.byRoute = map[string]*rto.Estimator{}
-		}
-		e = rto.New(rto.Options{})
-		d.byRoute[route] = e
-	}
-	e.Answered(took)
-}
-
-// of returns the time within which most requests of the route are answered, 0 if that isn't known.
-func (d *routeDurations) of(route string) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if e := d.byRoute[route]; e != nil {
-		return e.Usual()
-	}
-	return 0
-}
-
-// retainListed forgets the routes that a configuration doesn't have.
-func (d *routeDurations) retainListed(c *topology.Config) {
-	listed := make(map[string]bool, len(c.Routes))
-	for i := range c.Routes {
-		listed[c.Routes[i].Name] = true
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for route := range d.byRoute {
-		if !listed[route] {
-			delete(d.byRoute, route)
-		}
-	}
-}
